--- /dev/null
+++ b/crates/snipevane-core/src/config/mod.rs
@@ -0,0 +1,7 @@
+//! Configuration: the manifest resolved into arenas, and the findings about a manifest.
+
+mod finding;
+mod site;
+
+pub use finding::{Finding, Findings};
+pub use site::{Queue, Service, Site, SitePool, Team, Zone};
--- /dev/null
+++ b/crates/snipevane-core/src/config/site.rs
@@ -0,0 +1,230 @@
+//! The configuration in force, resolved into arenas.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+use snipevane_proto::manifest::{Manifest, Urgency};
+
+use crate::ids::{PoolKey, QueueKey, ServiceKey, TeamKey, ZoneKey};
+
+/// An availability zone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Zone {
+    /// Unique name.
+    pub name: SmolStr,
+    /// Region of the zone.
+    pub region: SmolStr,
+    /// Number of shards (entry VMs) of the zone.
+    pub shards: u16,
+}
+
+/// A team of a customer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Team {
+    /// Unique name.
+    pub name: SmolStr,
+    /// Customer that the team belongs to.
+    pub customer: SmolStr,
+    /// Weight of the team when the fleet is full.
+    pub share: u32,
+    /// Most requests and tasks that the team runs at once over the whole fleet.
+    pub limit: u32,
+}
+
+/// A pool of VMs as the manifest states it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SitePool {
+    /// Unique name.
+    pub name: SmolStr,
+    /// Jobs that the pool hosts.
+    pub jobs: Vec<SmolStr>,
+    /// Fewest VMs that the pool keeps.
+    pub min_vms: u32,
+    /// Whether the pool holds the spare VMs.
+    pub spare: bool,
+    /// VMs that belong to the pool until they are moved.
+    pub vms: Vec<SmolStr>,
+}
+
+/// A service that the backend servers of one pool provide.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Unique name.
+    pub name: SmolStr,
+    /// Pool that hosts the service.
+    pub pool: PoolKey,
+    /// Requests that one backend server runs at once.
+    pub slots: u16,
+    /// Connections that one backend server accepts.
+    pub connections: u16,
+    /// Longest time that a request runs.
+    pub longest_run: Duration,
+    /// Largest part of the backend servers, in percent, that may be unavailable at once.
+    pub unavailable_budget_percent: u8,
+}
+
+/// A queue that callers address.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Queue {
+    /// Unique name.
+    pub name: SmolStr,
+    /// Service that runs the requests.
+    pub service: ServiceKey,
+    /// Whether requests need no key.
+    pub open: bool,
+    /// Whether a request may be run again.
+    pub idempotent: bool,
+    /// Order in which waiting work is taken.
+    pub urgency: Urgency,
+    /// Time that a request has in all if it names none.
+    pub deadline: Duration,
+    /// Requests that wait at one entry VM at most.
+    pub max_waiting: u32,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: u32,
+}
+
+/// The configuration in force.
+///
+/// A name keeps its key over versions, so that state elsewhere that is held by key stays valid.
+#[derive(Clone, Debug, Default)]
+pub struct Site {
+    /// Version in force; 0 before the first one.
+    pub version: u64,
+    /// Availability zones.
+    pub zones: SlotMap<ZoneKey, Zone>,
+    /// Teams.
+    pub teams: SlotMap<TeamKey, Team>,
+    /// Pools.
+    pub pools: SlotMap<PoolKey, SitePool>,
+    /// Services.
+    pub services: SlotMap<ServiceKey, Service>,
+    /// Queues.
+    pub queues: SlotMap<QueueKey, Queue>,
+    zone_names: HashMap<SmolStr, ZoneKey>,
+    team_names: HashMap<SmolStr, TeamKey>,
+    pool_names: HashMap<SmolStr, PoolKey>,
+    service_names: HashMap<SmolStr, ServiceKey>,
+    queue_names: HashMap<SmolStr, QueueKey>,
+}
+
+impl Site {
+    /// Puts a manifest in force that was checked before.
+    ///
+    /// Items with an unknown reference are left out; [`check`](super) reports them.
+    pub fn apply(&mut self, version: u64, manifest: &Manifest) {
+        self.version = version;
+        let zones = manifest.zones.iter().map(|zone| Zone {
+            name: zone.name.as_str().into(),
+            region: zone.region.as_str().into(),
+            shards: zone.shards,
+        });
+        sync(&mut self.zones, &mut self.zone_names, zones, |zone| {
+            &zone.name
+        });
+        let teams = manifest.teams.iter().map(|team| Team {
+            name: team.name.as_str().into(),
+            customer: team.customer.as_str().into(),
+            share: team.share,
+            limit: team.limit,
+        });
+        sync(&mut self.teams, &mut self.team_names, teams, |team| {
+            &team.name
+        });
+        let pools = manifest.pools.iter().map(|pool| SitePool {
+            name: pool.name.as_str().into(),
+            jobs: pool.jobs.iter().map(SmolStr::from).collect(),
+            min_vms: pool.min_vms,
+            spare: pool.spare,
+            vms: pool.vms.iter().map(SmolStr::from).collect(),
+        });
+        sync(&mut self.pools, &mut self.pool_names, pools, |pool| {
+            &pool.name
+        });
+        let pool_names = &self.pool_names;
+        let services = manifest.services.iter().filter_map(|service| {
+            Some(Service {
+                name: service.name.as_str().into(),
+                pool: *pool_names.get(service.pool.as_str())?,
+                slots: service.slots,
+                connections: service.connections,
+                longest_run: Duration::from_millis(service.longest_run_ms.into()),
+                unavailable_budget_percent: service.unavailable_budget_percent,
+            })
+        });
+        sync(
+            &mut self.services,
+            &mut self.service_names,
+            services,
+            |service| &service.name,
+        );
+        let service_names = &self.service_names;
+        let queues = manifest.queues.iter().filter_map(|queue| {
+            Some(Queue {
+                name: queue.name.as_str().into(),
+                service: *service_names.get(queue.service.as_str())?,
+                open: queue.open,
+                idempotent: queue.idempotent,
+                urgency: queue.urgency.unwrap_or(Urgency::Normal),
+                deadline: Duration::from_millis(queue.deadline_ms.into()),
+                max_waiting: queue.max_waiting,
+                max_body_bytes: queue.max_body_bytes,
+            })
+        });
+        sync(&mut self.queues, &mut self.queue_names, queues, |queue| {
+            &queue.name
+        });
+    }
+
+    /// Finds a zone by its name.
+    pub fn zone(&self, name: &str) -> Option<ZoneKey> {
+        self.zone_names.get(name).copied()
+    }
+
+    /// Finds a team by its name.
+    pub fn team(&self, name: &str) -> Option<TeamKey> {
+        self.team_names.get(name).copied()
+    }
+
+    /// Finds a pool by its name.
+    pub fn pool(&self, name: &str) -> Option<PoolKey> {
+        self.pool_names.get(name).copied()
+    }
+
+    /// Finds a service by its name.
+    pub fn service(&self, name: &str) -> Option<ServiceKey> {
+        self.service_names.get(name).copied()
+    }
+
+    /// Finds a queue by its name.
+    pub fn queue(&self, name: &str) -> Option<QueueKey> {
+        self.queue_names.get(name).copied()
+    }
+}
+
+/// Replaces an arena's items by new ones; items of the same name keep their key.
+fn sync<K: slotmap::Key, V>(
+    arena: &mut SlotMap<K, V>,
+    names: &mut HashMap<SmolStr, K>,
+    items: impl Iterator<Item = V>,
+    name_of: impl Fn(&V) -> &SmolStr,
+) {
+    let mut next = HashMap::new();
+    for item in items {
+        let name = name_of(&item).clone();
+        let key = match names.remove(&name) {
+            Some(key) => {
+                arena[key] = item;
+                key
+            }
+            None => arena.insert(item),
+        };
+        next.insert(name, key);
+    }
+    for (_, key) in names.drain() {
+        arena.remove(key);
+    }
+    *names = next;
+}
--- /dev/null
+++ b/crates/snipevane-core/src/waves/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the module `waves`.
--- /dev/null
+++ b/crates/snipevane-proto/src/headers.rs
@@ -0,0 +1,53 @@
+//! Names and values of the HTTP headers that callers, entry VMs and backend servers exchange.
+
+use std::fmt;
+
+/// Time that a request has left, in milliseconds, set by callers and passed to backend servers.
+pub const DEADLINE_MS: &str = "snipevane-deadline-ms";
+/// Outcome of a request; see [`Outcome`].
+pub const OUTCOME: &str = "snipevane-outcome";
+/// Identifier (a UUID of version 7) under which a non-idempotent request runs at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Team for which an entry VM sends a request to a backend server.
+pub const TEAM: &str = "snipevane-team";
+/// Queue through which a request reached a backend server.
+pub const QUEUE: &str = "snipevane-queue";
+/// Identifier of the exchange that an answer belongs to, echoed by backend servers.
+pub const EXCHANGE: &str = "snipevane-exchange";
+/// Set to `leaving` by a backend server that wants no new work.
+pub const SERVER_STATE: &str = "snipevane-server-state";
+
+/// What is known of a request when its answer goes out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// A backend server ran the request and this is its answer.
+    Answered,
+    /// No backend server ran the request.
+    NotRun,
+    /// A backend server may have run the request.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the header's value.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Parses the header's value.
+    pub fn parse(text: &str) -> Option<Self> {
+        [Self::Answered, Self::NotRun, Self::Unknown]
+            .into_iter()
+            .find(|outcome| outcome.as_str() == text)
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/snipevane-proto/src/lib.rs
@@ -0,0 +1,19 @@
+//! Types at the border: the manifest, caller headers, peer calls, table rows and events.
+//!
+//! The types are generated from the schemas in `schemas/` by the example `generate`.
+
+pub mod headers;
+pub mod manifest;
+
+#[allow(
+    clippy::all,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    missing_docs,
+    unreachable_pub,
+    dead_code
+)]
+#[rustfmt::skip]
+mod generated {
+    pub(crate) mod manifest;
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shared parts of the test suites.
