Add the schemas of the entry VM's settings and heartbeats

Cause: settings must report every finding at once with its place, and entry VMs need a versioned message between them. Ruled out: a serde-only check, which stops at the first mistake. Change: schemas, generated types, schema::parse over jsonschema.

--- a/crates/snipevane-proto/examples/generate.rs
+++ b/crates/snipevane-proto/examples/generate.rs
@@ -22,7 +22,9 @@
             continue;
         };
         let text = generate(&fs::read_to_string(&path)?)?;
-        let target = root.join("src/generated").join(format!("{name}.rs"));
+        let target = root
+            .join("src/generated")
+            .join(format!("{}.rs", name.replace('-', "_")));
         if check_only {
             if fs::read_to_string(&target).ok().as_deref() != Some(text.as_str()) {
                 stale.push(name.to_owned());
--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -4,6 +4,9 @@
 
 pub mod headers;
 pub mod manifest;
+pub mod peer;
+pub mod schema;
+pub mod settings;
 
 #[allow(
     clippy::all,
@@ -15,5 +18,7 @@
 )]
 #[rustfmt::skip]
 mod generated {
+    pub(crate) mod entry_settings;
     pub(crate) mod manifest;
+    pub(crate) mod peer;
 }
--- /dev/null
+++ b/crates/snipevane-proto/src/peer.rs
@@ -0,0 +1,6 @@
+//! What entry VMs tell each other.
+
+pub use crate::generated::peer::{ConfigBody, Free, Heartbeat, KeyState, ShardState};
+
+/// Version of the protocol between entry VMs.
+pub const PROTOCOL: u32 = 1;
