--- /dev/null
+++ b/crates/snipevane-entry/src/backend/mod.rs
@@ -0,0 +1,5 @@
+//! Exchanges with backend servers and peers over kept connections.
+
+mod pool;
+
+pub(crate) use pool::{ConnectionPool, ExchangeError, PoolSettings, WholeResponse};
--- /dev/null
+++ b/crates/snipevane-entry/src/journal/catalogue.rs
@@ -0,0 +1,60 @@
+//! Every kind of event; docs/events.md lists them, and a test compares the two.
+
+use log::Level;
+
+/// A kind of event. A number never changes its meaning.
+#[derive(Debug, PartialEq, Eq)]
+pub struct EventKind {
+    /// Number, printed as `SV1001`.
+    pub number: u16,
+    /// Level of the log record.
+    pub level: Level,
+    /// Text, the same for each event of the kind.
+    pub text: &'static str,
+    /// Names of the fields.
+    pub fields: &'static [&'static str],
+}
+
+macro_rules! catalogue {
+    ($($name:ident = $number:literal $level:ident $text:literal [$($field:literal),*];)*) => {
+        $(
+            #[doc = $text]
+            pub const $name: EventKind = EventKind {
+                number: $number,
+                level: Level::$level,
+                text: $text,
+                fields: &[$($field),*],
+            };
+        )*
+
+        /// All kinds of event, in order of their numbers.
+        pub const CATALOGUE: &[EventKind] = &[$($name),*];
+    };
+}
+
+catalogue! {
+    STARTED = 1001 Info "entry VM started" ["vm", "zone", "incarnation"];
+    READY = 1002 Info "entry VM ready" ["version"];
+    STOPPING = 1003 Info "planned stop begun" ["in_flight"];
+    STOPPED = 1004 Info "planned stop finished" ["cut_off"];
+    PLATFORM_AWAY = 1010 Warn "platform not reachable" ["reason"];
+    PLATFORM_BACK = 1011 Info "platform reachable again" ["away_ms"];
+    ROW_UNREADABLE = 1012 Error "table row can't be parsed" ["key", "reason"];
+    CONFIG_IN_FORCE = 1020 Info "configuration in force" ["version", "source"];
+    CONFIG_UNREADABLE = 1021 Error "configuration can't be parsed" ["version", "reason"];
+    CONFIG_ACCEPTED = 1022 Info "configuration accepted" ["version"];
+    SHARD_TAKEN = 1030 Info "shard taken" ["shard", "epoch", "usable_in_ms"];
+    SHARD_LOST = 1031 Warn "shard held by another entry VM" ["shard", "vm"];
+    SHARD_RELEASED = 1032 Info "shard released" ["shard"];
+    PEER_REACHABLE = 1040 Info "peer reachable" ["peer", "incarnation"];
+    PEER_SILENT = 1041 Warn "peer silent" ["peer"];
+    PEER_MESSAGE_REFUSED = 1042 Warn "message of a peer refused" ["peer", "reason"];
+    KEY_GIVEN = 1050 Info "key given" ["key", "team"];
+    KEY_WITHDRAWN = 1051 Info "key withdrawn" ["key", "team"];
+    SERVER_LEAVING = 1060 Info "backend server leaving" ["server", "sign"];
+    SERVER_GONE = 1061 Info "backend server gone" ["server"];
+    SERVER_ADDED = 1062 Info "backend server added" ["server", "service"];
+    EXCHANGE_INTERRUPTED = 1070 Warn "exchange interrupted" ["server", "team", "exchange", "reason"];
+    RUN_OVER_TIME = 1071 Warn "request ran over its longest time" ["server", "team", "exchange"];
+    CALLER_REFUSED = 1080 Debug "request refused" ["status", "queue", "team", "reason"];
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/peer/mod.rs
@@ -0,0 +1,10 @@
+//! Other entry VMs: heartbeats, forwarded requests, and what is known of each peer.
+
+mod client;
+mod listener;
+mod rpc;
+mod table;
+
+pub(crate) use client::PeerClient;
+pub(crate) use listener::serve_connection;
+pub(crate) use table::{Peer, Peers};
--- /dev/null
+++ b/crates/snipevane-entry/src/peer/table.rs
@@ -0,0 +1,240 @@
+//! What this entry VM knows of each peer.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rustc_hash::FxHashMap;
+use smol_str::SmolStr;
+use snipevane_core::limits::VersionDeal;
+use snipevane_core::shards::ShardName;
+use snipevane_proto::peer::Heartbeat;
+use uuid::Uuid;
+
+/// A peer as its last heartbeat described it.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    /// Availability zone.
+    pub(crate) zone: SmolStr,
+    /// Peer listener.
+    pub(crate) address: SocketAddr,
+    /// Process, once it was heard.
+    pub(crate) incarnation: Option<Uuid>,
+    /// Time of the last heartbeat.
+    pub(crate) heard: Option<Instant>,
+    /// Whether the peer was reachable at the last check.
+    pub(crate) reachable: bool,
+    /// Whether the peer stops and wants no requests.
+    pub(crate) stopping: bool,
+    /// Configuration version in force.
+    pub(crate) version: u64,
+    /// Last version within whose deal the peer runs.
+    pub(crate) settled: u64,
+    /// Time since the peer heard from the platform, at its last heartbeat.
+    pub(crate) platform_age: Duration,
+    /// Shards that the peer holds.
+    pub(crate) shards: Vec<ShardName>,
+    /// Last change of a key at the peer that was merged here.
+    pub(crate) keys_merged: u64,
+    /// Last change of a key here that the peer has merged.
+    pub(crate) keys_confirmed: u64,
+    free_units: FxHashMap<SmolStr, u32>,
+    free_slots: FxHashMap<SmolStr, u32>,
+}
+
+impl Peer {
+    fn new(zone: SmolStr, address: SocketAddr) -> Self {
+        Self {
+            zone,
+            address,
+            incarnation: None,
+            heard: None,
+            reachable: false,
+            stopping: false,
+            version: 0,
+            settled: 0,
+            platform_age: Duration::MAX,
+            shards: Vec::new(),
+            keys_merged: 0,
+            keys_confirmed: 0,
+            free_units: FxHashMap::default(),
+            free_slots: FxHashMap::default(),
+        }
+    }
+
+    /// Tells whether requests may be forwarded to the peer.
+    pub(crate) fn takes_requests(&self) -> bool {
+        self.reachable && !self.stopping && self.version > 0
+    }
+
+    fn units(&self, team: &str) -> u32 {
+        self.free_units.get(team).copied().unwrap_or(0)
+    }
+
+    fn slots(&self, service: &str) -> u32 {
+        self.free_slots.get(service).copied().unwrap_or(0)
+    }
+}
+
+/// All known peers by the name of their VM.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    by_vm: BTreeMap<SmolStr, Peer>,
+}
+
+/// What a request needs of a peer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Need<'a> {
+    /// Service whose slot is needed.
+    pub(crate) service: &'a str,
+    /// Team whose unit is needed; `None` if a unit is held or none is needed.
+    pub(crate) team: Option<&'a str>,
+    /// Zone that is preferred.
+    pub(crate) zone: &'a str,
+}
+
+impl Peers {
+    /// Adds a peer, or notes its address if it wasn't heard at another one.
+    pub(crate) fn add(&mut self, vm: &SmolStr, zone: &SmolStr, address: SocketAddr) {
+        let peer = self.by_vm.entry(vm.clone()).or_insert_with(|| Peer::new(zone.clone(), address));
+        if !peer.reachable {
+            peer.address = address;
+        }
+    }
+
+    /// Removes the peers for which `keep` returns false.
+    pub(crate) fn retain(&mut self, mut keep: impl FnMut(&SmolStr, &Peer) -> bool) {
+        self.by_vm.retain(|vm, peer| keep(vm, peer));
+    }
+
+    /// Returns all peers.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&SmolStr, &Peer)> {
+        self.by_vm.iter()
+    }
+
+    /// Returns a peer.
+    pub(crate) fn get(&self, vm: &str) -> Option<&Peer> {
+        self.by_vm.get(vm)
+    }
+
+    /// Takes note of a heartbeat; returns whether the peer became reachable or restarted.
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        heartbeat: &Heartbeat,
+        address: SocketAddr,
+        now: Instant,
+    ) -> bool {
+        let vm = SmolStr::new(&heartbeat.vm);
+        let zone = SmolStr::new(&heartbeat.zone);
+        let peer = self.by_vm.entry(vm).or_insert_with(|| Peer::new(zone, address));
+        let restarted = peer.incarnation != Some(heartbeat.incarnation);
+        if restarted {
+            // A new process numbers its changes of keys anew.
+            peer.keys_merged = 0;
+            peer.keys_confirmed = 0;
+        }
+        let news = restarted || !peer.reachable;
+        peer.address = address;
+        peer.incarnation = Some(heartbeat.incarnation);
+        peer.heard = Some(now);
+        peer.reachable = true;
+        peer.stopping = heartbeat.stopping;
+        peer.version = heartbeat.config_version;
+        peer.settled = heartbeat.settled_version;
+        peer.platform_age = Duration::from_millis(heartbeat.platform_age_ms);
+        peer.shards = heartbeat
+            .shards
+            .iter()
+            .map(|shard| ShardName { zone: SmolStr::new(&shard.zone), index: shard.index })
+            .collect();
+        peer.keys_merged = peer.keys_merged.max(heartbeat.keys_sequence);
+        peer.keys_confirmed = peer.keys_confirmed.max(heartbeat.keys_seen);
+        let counts = |list: &[snipevane_proto::peer::Free]| {
+            list.iter().map(|free| (SmolStr::new(&free.name), free.count)).collect()
+        };
+        peer.free_units = counts(&heartbeat.free_units);
+        peer.free_slots = counts(&heartbeat.free_slots);
+        news
+    }
+
+    /// Marks the peers that weren't heard for too long; returns their names.
+    pub(crate) fn mark_silent(&mut self, now: Instant, silent: Duration) -> Vec<SmolStr> {
+        let mut lost = Vec::new();
+        for (vm, peer) in &mut self.by_vm {
+            let late = peer.heard.is_none_or(|heard| now.duration_since(heard) > silent);
+            if peer.reachable && late {
+                peer.reachable = false;
+                lost.push(vm.clone());
+            }
+        }
+        lost
+    }
+
+    /// Marks a peer to which no connection could be opened.
+    pub(crate) fn mark_unreachable(&mut self, vm: &str) {
+        if let Some(peer) = self.by_vm.get_mut(vm) {
+            peer.reachable = false;
+        }
+    }
+
+    /// Chooses a peer that has what a request needs, and counts it as taken there.
+    pub(crate) fn choose(&mut self, need: Need<'_>) -> Option<(SmolStr, SocketAddr)> {
+        let fits = |peer: &Peer| {
+            let unit = need.team.is_none_or(|team| peer.units(team) > 0);
+            peer.takes_requests() && unit && peer.slots(need.service) > 0
+        };
+        let (vm, peer) = self
+            .by_vm
+            .iter_mut()
+            .filter(|(_, peer)| fits(peer))
+            .max_by_key(|(_, peer)| (peer.zone == need.zone, peer.slots(need.service)))?;
+        take_one(&mut peer.free_slots, need.service);
+        if let Some(team) = need.team {
+            take_one(&mut peer.free_units, team);
+        }
+        Some((vm.clone(), peer.address))
+    }
+
+    /// Takes note that a peer had no room for a request after all.
+    pub(crate) fn on_no_room(&mut self, vm: &str, need: Need<'_>) {
+        let Some(peer) = self.by_vm.get_mut(vm) else {
+            return;
+        };
+        // Which of the two was missing isn't known, so neither is counted on until the next
+        // heartbeat.
+        peer.free_slots.remove(need.service);
+        if let Some(team) = need.team {
+            peer.free_units.remove(team);
+        }
+    }
+
+    /// Chooses the peer to which most units of a team's limit are dealt.
+    pub(crate) fn largest_holder(
+        &self,
+        deal: &VersionDeal,
+        team: &str,
+    ) -> Option<(SmolStr, SocketAddr)> {
+        let units = |peer: &Peer| -> u32 {
+            peer.shards.iter().map(|shard| deal.units(team, shard)).sum()
+        };
+        self.by_vm
+            .iter()
+            .filter(|(_, peer)| peer.takes_requests() && units(peer) > 0)
+            .max_by_key(|(_, peer)| units(peer))
+            .map(|(vm, peer)| (vm.clone(), peer.address))
+    }
+
+    /// Finds the reachable holder of a shard.
+    pub(crate) fn holder(&self, shard: &ShardName) -> Option<(SmolStr, SocketAddr)> {
+        self.by_vm
+            .iter()
+            .find(|(_, peer)| peer.takes_requests() && peer.shards.contains(shard))
+            .map(|(vm, peer)| (vm.clone(), peer.address))
+    }
+}
+
+fn take_one(counts: &mut FxHashMap<SmolStr, u32>, name: &str) {
+    if let Some(count) = counts.get_mut(name) {
+        *count = count.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/settings/mod.rs
@@ -0,0 +1,7 @@
+//! Settings of the daemon, checked as a whole before anything starts.
+
+mod load;
+mod resolved;
+
+pub use load::{load, parse};
+pub use resolved::{PeerSeed, Settings, Timings};
--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod headers;
 pub mod manifest;
 pub mod peer;
+pub mod rows;
 pub mod schema;
 pub mod settings;
 
@@ -21,4 +22,5 @@
     pub(crate) mod entry_settings;
     pub(crate) mod manifest;
     pub(crate) mod peer;
+    pub(crate) mod rows;
 }
--- a/crates/snipevane-proto/src/peer.rs
+++ b/crates/snipevane-proto/src/peer.rs
@@ -1,6 +1,8 @@
 //! What entry VMs tell each other.
 
-pub use crate::generated::peer::{ConfigBody, Free, Heartbeat, KeyState, ShardState};
+pub use crate::generated::peer::{
+    ConfigBody, Forward, Free, Heartbeat, KeyState, Purpose, ShardState,
+};
 
 /// Version of the protocol between entry VMs.
 pub const PROTOCOL: u32 = 1;
