Add the types of the operator listener's API

Cause: the daemon, the command line and the demo need one definition of the messages between operators and an entry VM. Change: schemas/operator.schema.json and the module operator generated from it; maps are generated as BTreeMap, so that JSON output has a stable order. Ruled out: hand-written types, which the house style excludes at the border. Run: generate twice, cargo check -p snipevane-proto, both clean.

--- a/crates/snipevane-proto/examples/generate.rs
+++ b/crates/snipevane-proto/examples/generate.rs
@@ -45,6 +45,7 @@
     let schema: RootSchema = serde_json::from_str(schema)?;
     let mut settings = TypeSpaceSettings::default();
     settings.with_derive("PartialEq".to_owned());
+    settings.with_map_type("::std::collections::BTreeMap".to_owned());
     let mut space = TypeSpace::new(&settings);
     space.add_root_schema(schema)?;
     let file = syn::parse2(space.to_stream())?;
--- /dev/null
+++ b/crates/snipevane-proto/src/operator.rs
@@ -0,0 +1,9 @@
+//! Messages of the operator listener.
+
+pub use crate::generated::operator::{
+    Applied, ApplyRequest, Config, Event, Events, GiveKey, GivenKey, KeyInfo, PeerStatus, Problem,
+    ProblemFinding, ProcessId, ServerStatus, Status, TeamStatus, Withdrawal,
+};
+
+/// Media type of refusals.
+pub const PROBLEM_JSON: &str = "application/problem+json";
