Add the command line for operators

Cause: operators, the demo and tests need a client of the operator listener. Giving a key is sent once: a lost answer is reported as an unknown outcome. Ruled out: the client's own repeat of cancelled requests, which could give a key twice; it is switched off. Not yet run against a daemon.

--- /dev/null
+++ b/crates/snipevane-cli/src/apply.rs
@@ -0,0 +1,158 @@
+//! `snipevane apply`.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Serialize;
+use snipevane_proto::operator::{Applied, ApplyRequest, Config, Status};
+use tokio::time::{self, Instant};
+use uuid::Uuid;
+
+use crate::flags::Apply;
+use crate::output::{print_json, spinner};
+use crate::{CliError, Client, check};
+
+/// Time for which `--wait` waits.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+/// Interval at which `--wait` asks for the state.
+const WAIT_POLL: Duration = Duration::from_millis(200);
+
+/// Entry VMs of an availability zone that have a version in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+struct ZoneProgress {
+    done: usize,
+    known: usize,
+}
+
+/// Result of the command, as printed in JSON.
+#[derive(Clone, Debug, Serialize)]
+struct Outcome {
+    #[serde(flatten)]
+    applied: Applied,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    zones: BTreeMap<String, ZoneProgress>,
+}
+
+/// Puts a manifest in force.
+pub(crate) async fn run(client: &Client, cmd: &Apply, json: bool) -> Result<(), CliError> {
+    let (file, text) = check::read(&cmd.file)?;
+    check::parse(&text, &file).map_err(CliError::Findings)?;
+    let manifest =
+        serde_json::from_str(&text).map_err(|error| CliError::Usage(error.to_string()))?;
+    let based_on = match cmd.based_on {
+        Some(version) => version,
+        None => client.get::<Config>("/v1/config").await?.value.version,
+    };
+    let req = ApplyRequest {
+        based_on,
+        write_id: Uuid::now_v7(),
+        manifest,
+    };
+    let bar = spinner("applying");
+    // The write's identifier makes a second try through another entry VM safe.
+    let applied: Applied = client.post_idempotent("/v1/config", &req).await?.value;
+    bar.finish_and_clear();
+    if !json {
+        print_applied(&applied);
+    }
+    let mut zones = BTreeMap::new();
+    if cmd.wait {
+        zones = wait(client, applied.version, json).await?;
+    }
+    if json {
+        return print_json(&Outcome { applied, zones });
+    }
+    Ok(())
+}
+
+fn print_applied(applied: &Applied) {
+    if applied.already_in_force {
+        println!("version {}: already in force", applied.version);
+    } else {
+        println!("version {}: accepted", applied.version);
+    }
+}
+
+/// Waits until every known entry VM has a version in force; prints each zone once it has.
+async fn wait(
+    client: &Client,
+    version: u64,
+    json: bool,
+) -> Result<BTreeMap<String, ZoneProgress>, CliError> {
+    let started = Instant::now();
+    let bar = spinner(&format!("waiting for version {version}"));
+    let mut printed = BTreeMap::new();
+    loop {
+        let versions = versions(client).await;
+        let zones = progress(&versions, version);
+        for (zone, progress) in &zones {
+            if progress.done < progress.known || printed.contains_key(zone) {
+                continue;
+            }
+            printed.insert(zone.clone(), *progress);
+            if !json {
+                let seconds = started.elapsed().as_secs_f64();
+                let known = progress.known;
+                bar.suspend(|| {
+                    println!(
+                        "zone {zone}: version {version} in force at {known} of {known} entry VMs after {seconds:.1} s"
+                    );
+                });
+            }
+        }
+        if !zones.is_empty() && zones.values().all(|zone| zone.done == zone.known) {
+            bar.finish_and_clear();
+            return Ok(zones);
+        }
+        if started.elapsed() >= WAIT_LIMIT {
+            bar.finish_and_clear();
+            return Err(CliError::Incomplete(missing(&versions, version)));
+        }
+        time::sleep(WAIT_POLL).await;
+    }
+}
+
+/// Version in force at an entry VM, with its zone.
+type Versions = BTreeMap<String, (String, u64)>;
+
+/// Asks every named entry VM; what they know of further ones fills the gaps.
+async fn versions(client: &Client) -> Versions {
+    let mut versions = Versions::new();
+    for &entry in client.entries() {
+        let Ok(status) = client.get_from::<Status>(entry, "/v1/status").await else {
+            continue;
+        };
+        for peer in status.peers {
+            let known = versions.entry(peer.vm).or_insert((peer.zone, 0));
+            known.1 = known.1.max(peer.version);
+        }
+        let own = versions.entry(status.vm).or_insert((status.zone, 0));
+        own.1 = own.1.max(status.version);
+    }
+    versions
+}
+
+fn progress(versions: &Versions, version: u64) -> BTreeMap<String, ZoneProgress> {
+    let mut zones: BTreeMap<String, ZoneProgress> = BTreeMap::new();
+    for (zone, in_force) in versions.values() {
+        let progress = zones.entry(zone.clone()).or_default();
+        progress.known += 1;
+        progress.done += usize::from(*in_force >= version);
+    }
+    zones
+}
+
+fn missing(versions: &Versions, version: u64) -> String {
+    let missing: Vec<_> = versions
+        .iter()
+        .filter(|(_, (_, in_force))| *in_force < version)
+        .map(|(vm, (zone, in_force))| format!("{vm} in {zone} has version {in_force}"))
+        .collect();
+    if missing.is_empty() {
+        return "no entry VM answered".to_owned();
+    }
+    format!(
+        "version {version} was accepted but isn't in force everywhere: {}",
+        missing.join(", ")
+    )
+}
--- /dev/null
+++ b/crates/snipevane-cli/src/client.rs
@@ -0,0 +1,297 @@
+//! Client of the operator listeners.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snipevane_proto::operator::Problem;
+use tokio::time;
+
+use crate::CliError;
+
+/// Time after which an entry VM counts as not reached.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for a whole exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// An answer together with the entry VM that gave it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply<T> {
+    /// Operator listener that answered.
+    pub entry: SocketAddr,
+    /// The answer.
+    pub value: T,
+}
+
+/// Client of the operator listeners of one site.
+#[derive(Clone, Debug)]
+pub struct Client {
+    entries: Vec<SocketAddr>,
+    authorization: String,
+    http: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+/// Whether a request may be sent to another entry VM after its answer was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Retry {
+    Always,
+    IfNotSent,
+}
+
+/// Result of one exchange with one entry VM.
+enum Exchange<T> {
+    Done(Result<T, CliError>),
+    NotSent(String),
+    Lost(String),
+}
+
+impl Client {
+    /// Creates a client for operator listeners, tried in order, and an operator key.
+    pub fn new(entries: Vec<SocketAddr>, operator_key: &str) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        Self {
+            entries,
+            authorization: format!("Bearer {operator_key}"),
+            http: legacy::Client::builder(TokioExecutor::new())
+                .retry_canceled_requests(false)
+                .build(connector),
+        }
+    }
+
+    /// Creates a client with the operator key that a file holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no entry VM or no file is named, or the file can't be read.
+    pub fn from_files(entries: &[SocketAddr], key_file: Option<&Path>) -> Result<Self, CliError> {
+        if entries.is_empty() {
+            return Err(CliError::Usage(
+                "name at least one operator listener with --entry IP:PORT".to_owned(),
+            ));
+        }
+        let Some(path) = key_file else {
+            return Err(CliError::Usage(
+                "name the file of the operator key with --operator-key-file FILE".to_owned(),
+            ));
+        };
+        let key = fs::read_to_string(path).map_err(|source| CliError::File {
+            path: path.to_owned(),
+            source,
+        })?;
+        Ok(Self::new(entries.to_vec(), key.trim()))
+    }
+
+    /// Returns the operator listeners.
+    pub fn entries(&self) -> &[SocketAddr] {
+        &self.entries
+    }
+
+    /// Reads from the first entry VM that answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no entry VM answers, or the one that does refuses.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<Reply<T>, CliError> {
+        let body = Bytes::new();
+        self.first(Method::GET, path, body, Retry::Always).await
+    }
+
+    /// Reads from one entry VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the entry VM doesn't answer or refuses.
+    pub async fn get_from<T: DeserializeOwned>(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+    ) -> Result<T, CliError> {
+        match self.exchange(entry, Method::GET, path, Bytes::new()).await {
+            Exchange::Done(result) => result,
+            Exchange::NotSent(why) | Exchange::Lost(why) => Err(CliError::Unreachable(why)),
+        }
+    }
+
+    /// Sends an idempotent message to the first entry VM that answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no entry VM answers, or the one that does refuses.
+    pub async fn post_idempotent<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: &impl Serialize,
+    ) -> Result<Reply<T>, CliError> {
+        let body = encode(message)?;
+        self.first(Method::POST, path, body, Retry::Always).await
+    }
+
+    /// Sends a message at most once.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError::Unknown`] if the answer was lost, another error if the message wasn't
+    /// sent or was refused.
+    pub async fn post_once<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: &impl Serialize,
+    ) -> Result<Reply<T>, CliError> {
+        let body = encode(message)?;
+        self.first(Method::POST, path, body, Retry::IfNotSent).await
+    }
+
+    /// Deletes through the first entry VM that answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no entry VM answers, or the one that does refuses.
+    pub async fn delete<T: DeserializeOwned>(&self, path: &str) -> Result<Reply<T>, CliError> {
+        let body = Bytes::new();
+        self.first(Method::DELETE, path, body, Retry::Always).await
+    }
+
+    async fn first<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        retry: Retry,
+    ) -> Result<Reply<T>, CliError> {
+        let mut failures = Vec::new();
+        let mut lost = false;
+        for &entry in &self.entries {
+            match self
+                .exchange(entry, method.clone(), path, body.clone())
+                .await
+            {
+                Exchange::Done(result) => return result.map(|value| Reply { entry, value }),
+                Exchange::NotSent(why) => failures.push(format!("{entry}: {why}")),
+                Exchange::Lost(why) if retry == Retry::IfNotSent => {
+                    return Err(CliError::Unknown(format!("{entry}: {why}")));
+                }
+                Exchange::Lost(why) => {
+                    lost = true;
+                    failures.push(format!("{entry}: {why}"));
+                }
+            }
+        }
+        let failures = failures.join("; ");
+        if lost && method != Method::GET {
+            return Err(CliError::Unknown(failures));
+        }
+        Err(CliError::Unreachable(failures))
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        entry: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Exchange<T> {
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("http://{entry}{path}"))
+            .header(AUTHORIZATION, &self.authorization)
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body));
+        let req = match req {
+            Ok(req) => req,
+            Err(error) => return Exchange::Done(Err(CliError::Usage(error.to_string()))),
+        };
+        let answer = async {
+            let response = self.http.request(req).await.map_err(|error| {
+                let text = describe(&error);
+                if error.is_connect() {
+                    Exchange::NotSent(text)
+                } else {
+                    Exchange::Lost(text)
+                }
+            })?;
+            collect(response).await.map_err(Exchange::Lost)
+        };
+        match time::timeout(EXCHANGE_TIMEOUT, answer).await {
+            Ok(Ok(response)) => Exchange::Done(decode(&response)),
+            Ok(Err(failure)) => failure,
+            Err(_) => Exchange::Lost(format!("no answer within {EXCHANGE_TIMEOUT:?}")),
+        }
+    }
+}
+
+async fn collect<B>(response: Response<B>) -> Result<Response<Bytes>, String>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|error| error.to_string())?;
+    Ok(Response::from_parts(parts, body.to_bytes()))
+}
+
+fn encode(message: &impl Serialize) -> Result<Bytes, CliError> {
+    serde_json::to_vec(message)
+        .map(Bytes::from)
+        .map_err(|error| CliError::Usage(error.to_string()))
+}
+
+fn decode<T: DeserializeOwned>(response: &Response<Bytes>) -> Result<T, CliError> {
+    if response.status().is_success() {
+        return parse(response.body());
+    }
+    let retry_after_s = response
+        .headers()
+        .get(RETRY_AFTER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok());
+    let problem = parse(response.body()).unwrap_or_else(|_| plain_problem(response.status()));
+    Err(CliError::Refused {
+        problem: Box::new(problem),
+        retry_after_s,
+    })
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, CliError> {
+    let mut deserializer = serde_json::Deserializer::from_slice(body);
+    serde_path_to_error::deserialize(&mut deserializer)
+        .map_err(|error| CliError::Answer(error.to_string()))
+}
+
+fn plain_problem(status: StatusCode) -> Problem {
+    Problem {
+        type_: None,
+        title: status.canonical_reason().unwrap_or("refused").to_owned(),
+        status: status.as_u16(),
+        detail: None,
+        in_force: None,
+        findings: Vec::new(),
+    }
+}
+
+/// Returns an error's text together with that of its causes.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(&format!(": {error}"));
+        cause = error.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/snipevane-cli/src/flags.rs
@@ -0,0 +1,65 @@
+//! Flags of the command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use humantime::Duration as Age;
+
+xflags::xflags! {
+    /// Operates a site of snipevane.
+    ///
+    /// Exit codes: 0 done, 1 refused or failed, 2 bad input or usage, 3 no entry VM was reached.
+    cmd snipevane {
+        /// Operator listener of an entry VM, as IP:port; the first one that answers is used.
+        repeated --entry addr: SocketAddr
+        /// File that holds the operator key.
+        optional --operator-key-file file: PathBuf
+        /// Prints JSON.
+        optional --json
+
+        /// Checks a manifest and prints all findings.
+        cmd check {
+            /// File of the manifest.
+            required file: PathBuf
+        }
+
+        /// Puts a manifest in force.
+        cmd apply {
+            /// File of the manifest.
+            required file: PathBuf
+            /// Version that the manifest replaces; the version in force if absent.
+            optional --based-on version: u64
+            /// Waits until every entry VM that is known has the version in force.
+            optional --wait
+        }
+
+        /// Gives, withdraws and lists keys of teams.
+        cmd key {
+            /// Gives a new key to a team and prints it once.
+            cmd give {
+                /// Name of the team.
+                required team: String
+            }
+            /// Withdraws a key.
+            cmd withdraw {
+                /// Identifier of the key.
+                required id: String
+            }
+            /// Lists the keys without their secrets.
+            cmd list {}
+        }
+
+        /// Shows entry VMs, backend servers, teams and the versions in force.
+        cmd status {}
+
+        /// Merges the events of all entry VMs in causal order.
+        cmd timeline {
+            /// Age of the oldest event, for example `10m`.
+            optional --since age: Age
+            /// Shows only events of this team.
+            optional --team team: String
+            /// Shows only events of this VM.
+            optional --vm vm: String
+        }
+    }
+}
--- a/crates/snipevane-cli/src/lib.rs
+++ b/crates/snipevane-cli/src/lib.rs
@@ -1,1 +1,69 @@
-//! Placeholder.
+//! Command line for operators: checks and applies manifests, gives and withdraws keys, shows the
+//! state of a site and its time line.
+//!
+//! Exit codes: 0 done, 1 refused or failed, 2 bad input or usage, 3 no entry VM was reached.
+
+mod apply;
+mod check;
+mod client;
+mod error;
+mod flags;
+mod key;
+mod output;
+mod status;
+mod timeline;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use tokio::runtime;
+
+pub use client::{Client, Reply};
+pub use error::CliError;
+
+use flags::{Snipevane, SnipevaneCmd};
+
+/// Runs one command and returns its exit code.
+///
+/// `args` doesn't include the program's name.
+pub fn run(args: Vec<OsString>) -> ExitCode {
+    let flags = match Snipevane::from_vec(args) {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => {
+            println!("{error}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            return CliError::Usage(String::new()).exit_code();
+        }
+    };
+    match dispatch(flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            error.exit_code()
+        }
+    }
+}
+
+fn dispatch(flags: Snipevane) -> Result<(), CliError> {
+    let runtime = runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(CliError::Runtime)?;
+    let json = flags.json;
+    if let SnipevaneCmd::Check(cmd) = &flags.subcommand {
+        return check::run(&cmd.file, json);
+    }
+    let client = Client::from_files(&flags.entry, flags.operator_key_file.as_deref())?;
+    runtime.block_on(async {
+        match flags.subcommand {
+            SnipevaneCmd::Check(_) => Ok(()),
+            SnipevaneCmd::Apply(cmd) => apply::run(&client, &cmd, json).await,
+            SnipevaneCmd::Key(cmd) => key::run(&client, cmd.subcommand, json).await,
+            SnipevaneCmd::Status(_) => status::run(&client, json).await,
+            SnipevaneCmd::Timeline(cmd) => timeline::run(&client, &cmd, json).await,
+        }
+    })
+}
--- /dev/null
+++ b/crates/snipevane-cli/src/main.rs
@@ -0,0 +1,7 @@
+//! The command line for operators.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    snipevane_cli::run(std::env::args_os().skip(1).collect())
+}
