--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod headers;
 pub mod manifest;
+pub mod operator;
 pub mod peer;
 pub mod rows;
 pub mod schema;
@@ -21,6 +22,7 @@
 mod generated {
     pub(crate) mod entry_settings;
     pub(crate) mod manifest;
+    pub(crate) mod operator;
     pub(crate) mod peer;
     pub(crate) mod rows;
 }
