Add the command line of snipevane-measure

Other measurements (path, limits, routing) add a subcommand each, in a module of their own; the skeleton comes first so that they can be written side by side.

--- /dev/null
+++ b/crates/snipevane-measure/src/flags.rs
@@ -0,0 +1,60 @@
+//! Flags of `snipevane-measure`.
+//!
+//! The macro generates the types from the declaration, which documents each of them.
+
+#![allow(missing_docs, unreachable_pub)]
+
+use std::path::PathBuf;
+
+use crate::fleet::Output;
+
+xflags::xflags! {
+    /// Measures the policy and the request path.
+    cmd snipevane-measure {
+        /// Runs the fleet policy at Kandyan's size, beside a naive version.
+        cmd kandyan {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Draws each team's share over time into this SVG file.
+            optional --svg file: PathBuf
+            /// Seeds the demand and the faults.
+            optional --seed seed: u64
+        }
+        /// Runs the fleet policy at Kartvel's size, beside a naive version.
+        cmd kartvel {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Draws each team's share over time into this SVG file.
+            optional --svg file: PathBuf
+            /// Seeds the demand and the faults.
+            optional --seed seed: u64
+        }
+        /// Runs the fleet policy at the target size, beside a naive version.
+        cmd target {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Draws each team's share over time into this SVG file.
+            optional --svg file: PathBuf
+            /// Seeds the demand and the faults.
+            optional --seed seed: u64
+        }
+    }
+}
+
+impl Kandyan {
+    pub(crate) fn output(&self) -> Output {
+        Output::new(self.json, self.svg.clone(), self.seed)
+    }
+}
+
+impl Kartvel {
+    pub(crate) fn output(&self) -> Output {
+        Output::new(self.json, self.svg.clone(), self.seed)
+    }
+}
+
+impl Target {
+    pub(crate) fn output(&self) -> Output {
+        Output::new(self.json, self.svg.clone(), self.seed)
+    }
+}
--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder.
+//! Measurements of policy and of the request path.
+//!
+//! Each subcommand of `snipevane-measure` has a module of its own with a `run` function that takes
+//! the subcommand's flags.
+
+mod error;
+pub mod flags;
+pub mod fleet;
+
+pub use error::MeasureError;
+
+use flags::{SnipevaneMeasure, SnipevaneMeasureCmd};
+
+/// Runs the subcommand that the flags name.
+///
+/// # Errors
+///
+/// Returns an error if the subcommand can't finish its measurement or write its output.
+pub fn run(flags: &SnipevaneMeasure) -> Result<(), MeasureError> {
+    match &flags.subcommand {
+        SnipevaneMeasureCmd::Kandyan(cmd) => fleet::run(fleet::Setting::Kandyan, &cmd.output()),
+        SnipevaneMeasureCmd::Kartvel(cmd) => fleet::run(fleet::Setting::Kartvel, &cmd.output()),
+        SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
+    }
+}
