--- /dev/null
+++ b/crates/snipevane-core/src/routing/router.rs
@@ -0,0 +1,432 @@
+//! Picks a backend server for each request and learns from what came of it.
+
+use std::time::{Duration, Instant};
+
+use rustc_hash::{FxHashMap, FxHashSet};
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+
+use super::lane::{Lane, Rank};
+use super::server::{Counts, Health, Report, Server, ServerSpec, Slot};
+use super::timers::{Timer, Timers};
+use crate::ids::{ServerKey, ServiceKey};
+
+/// Settings of a [`Router`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouterLimits {
+    /// Failures in a row after which a server is ejected.
+    pub failures_in_row: u32,
+    /// Length of the first ejection; each further one in a row is twice as long.
+    pub ejection: Duration,
+    /// Longest ejection.
+    pub longest_ejection: Duration,
+    /// Largest part of a service's servers, in percent, that is ejected at once.
+    pub ejected_percent: u32,
+    /// Pause after a declined request; each further one in a row is twice as long.
+    pub decline_pause: Duration,
+    /// Longest pause after declined requests.
+    pub longest_decline_pause: Duration,
+    /// Time in which the failure rate of a server halves.
+    pub failure_half_life: Duration,
+}
+
+impl Default for RouterLimits {
+    fn default() -> Self {
+        Self {
+            failures_in_row: 3,
+            ejection: Duration::from_secs(1),
+            longest_ejection: Duration::from_secs(30),
+            ejected_percent: 30,
+            decline_pause: Duration::from_millis(50),
+            longest_decline_pause: Duration::from_secs(1),
+            failure_half_life: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Failure rate below which a server counts as free of failures.
+const NEGLIGIBLE_RATE: f32 = 0.01;
+
+/// The backend servers of one entry VM with the slots dealt to it.
+#[derive(Clone, Debug, Default)]
+pub struct Router {
+    limits: RouterLimits,
+    servers: SlotMap<ServerKey, Server>,
+    by_vm: FxHashMap<SmolStr, Vec<ServerKey>>,
+    lanes: FxHashMap<ServiceKey, Lane>,
+    /// VMs that leave, those without a server here included.
+    leaving: FxHashSet<SmolStr>,
+    timers: Timers,
+    /// Number of slots handed out so far.
+    turns: u64,
+}
+
+impl Router {
+    /// Creates a router without servers.
+    pub fn new(limits: RouterLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the set of servers.
+    ///
+    /// A server that stays (same VM and service) keeps its key, its running requests and its
+    /// record. One that is missing gets nothing new and disappears when its last request ends.
+    pub fn sync(&mut self, specs: impl IntoIterator<Item = ServerSpec>, now: Instant) {
+        self.tick(now);
+        let mut kept = FxHashSet::default();
+        for spec in specs {
+            kept.insert(self.put(spec));
+        }
+        let missing: Vec<ServerKey> = self
+            .servers
+            .keys()
+            .filter(|server| !kept.contains(server))
+            .collect();
+        for server in missing {
+            self.update(server, |server| server.removed = true);
+            self.remove_if_empty(server);
+        }
+        self.readmit_over_budget(now);
+    }
+
+    /// Takes a slot of the least loaded server of a service.
+    ///
+    /// Returns `None` if none of the slots dealt to this entry VM is free.
+    pub fn pick(&mut self, service: ServiceKey, now: Instant) -> Option<Slot> {
+        self.tick(now);
+        let server = self.lanes.get(&service)?.first()?;
+        Some(self.take(server))
+    }
+
+    /// Takes a slot of the least loaded server other than the one where a first try failed.
+    ///
+    /// Returns `None` if none of the other servers' slots is free.
+    pub fn pick_other(
+        &mut self,
+        service: ServiceKey,
+        failed: ServerKey,
+        now: Instant,
+    ) -> Option<Slot> {
+        self.tick(now);
+        let server = self.lanes.get(&service)?.first_other(failed)?;
+        Some(self.take(server))
+    }
+
+    /// Gives a slot back with what was seen of the exchange.
+    pub fn release(&mut self, slot: Slot, report: Report, now: Instant) {
+        self.tick(now);
+        let key = slot.server;
+        self.free_slot(key);
+        match report {
+            Report::Answered { latency } => self.update(key, |server| server.note_answer(latency)),
+            Report::Failed | Report::ConnectFailed => self.on_failure(key, now),
+            Report::Declined => self.on_decline(key, now),
+            Report::Abandoned => {}
+        }
+        self.remove_if_empty(key);
+    }
+
+    /// Keeps a slot taken until a request that may still run has surely ended.
+    pub fn quarantine(&mut self, slot: Slot, until: Instant) {
+        self.update(slot.server, |server| server.quarantined += 1);
+        self.timers.add(until, Timer::QuarantineEnds, slot.server);
+    }
+
+    /// Ends quarantines, back-offs and ejections that are due.
+    pub fn tick(&mut self, now: Instant) {
+        while let Some((timer, server)) = self.timers.pop_due(now) {
+            match timer {
+                Timer::QuarantineEnds => {
+                    self.update(server, |server| server.quarantined -= 1);
+                    self.free_slot(server);
+                    self.remove_if_empty(server);
+                }
+                Timer::PauseEnds => self.end_pause(server, now),
+                Timer::FailuresDecay => self.decay_failures(server, now),
+            }
+        }
+    }
+
+    /// Sets whether the servers on a VM get nothing new because the VM leaves.
+    ///
+    /// The setting also holds for servers that come to the VM later.
+    pub fn set_leaving(&mut self, vm: &str, leaving: bool) {
+        let changed = match leaving {
+            true => self.leaving.insert(vm.into()),
+            false => self.leaving.remove(vm),
+        };
+        if !changed {
+            return;
+        }
+        let Some(servers) = self.by_vm.get(vm) else {
+            return;
+        };
+        for server in servers.clone() {
+            self.update(server, |server| server.leaving = leaving);
+        }
+    }
+
+    /// Returns a server that a slot or a report names.
+    ///
+    /// A server exists as long as one of its slots is taken.
+    pub fn server(&self, server: ServerKey) -> Option<&Server> {
+        self.servers.get(server)
+    }
+
+    /// Returns the number of requests that a service could start here now.
+    pub fn free_slots(&self, service: ServiceKey) -> u32 {
+        self.lanes.get(&service).map_or(0, |lane| lane.free)
+    }
+
+    /// Returns the counts of each server for the status report.
+    pub fn counts(&self) -> impl Iterator<Item = Counts> {
+        self.servers.values().map(Server::counts)
+    }
+
+    /// Adds a server or changes the one of the same VM and service.
+    fn put(&mut self, spec: ServerSpec) -> ServerKey {
+        let known = self.by_vm.get(&spec.vm).and_then(|servers| {
+            servers
+                .iter()
+                .copied()
+                .find(|&server| self.servers[server].spec.service == spec.service)
+        });
+        if let Some(server) = known {
+            self.update(server, |server| {
+                server.spec = spec;
+                server.removed = false;
+            });
+            return server;
+        }
+        let vm = spec.vm.clone();
+        let leaving = self.leaving.contains(&vm);
+        // The server starts as removed, so that the update below counts it in its lane.
+        let server = self.servers.insert(Server {
+            removed: true,
+            leaving,
+            ..Server::new(spec)
+        });
+        self.by_vm.entry(vm).or_default().push(server);
+        self.update(server, |server| server.removed = false);
+        server
+    }
+
+    fn take(&mut self, server: ServerKey) -> Slot {
+        self.turns += 1;
+        let turn = self.turns;
+        self.update_at(server, turn, |server| server.running += 1);
+        Slot { server }
+    }
+
+    /// Changes a server and puts it where it belongs in its lane.
+    fn update(&mut self, key: ServerKey, change: impl FnOnce(&mut Server)) {
+        let turn = match self.servers.get(key) {
+            Some(server) => server.rank.map_or(self.turns, |rank| rank.turn),
+            None => return,
+        };
+        self.update_at(key, turn, change);
+    }
+
+    fn update_at(&mut self, key: ServerKey, turn: u64, change: impl FnOnce(&mut Server)) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        let lane = self.lanes.entry(server.spec.service).or_default();
+        let (was_member, was_ejected) = (server.is_member(), server.is_ejected());
+        change(server);
+
+        lane.members += u32::from(server.is_member());
+        lane.members -= u32::from(was_member);
+        lane.ejected += u32::from(server.is_member() && server.is_ejected());
+        lane.ejected -= u32::from(was_member && was_ejected);
+
+        let free = server.free();
+        lane.free = lane.free + u32::from(free) - u32::from(server.counted_free);
+        server.counted_free = free;
+
+        let rank = (free > 0).then(|| Rank {
+            score: server.score(),
+            turn,
+        });
+        if rank == server.rank {
+            return;
+        }
+        if let Some(old) = server.rank {
+            lane.remove(old, key);
+        }
+        if let Some(new) = rank {
+            lane.insert(new, key);
+        }
+        server.rank = rank;
+    }
+
+    fn free_slot(&mut self, server: ServerKey) {
+        self.update(server, |server| server.running -= 1);
+    }
+
+    fn on_failure(&mut self, key: ServerKey, now: Instant) {
+        self.update(key, Server::note_failure);
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        if !server.decay_pending {
+            self.schedule_decay(key, now);
+        }
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let ejects = match server.health {
+            Health::Probing => true,
+            Health::Ejected(_) => false,
+            Health::Serving | Health::BackingOff(_) => {
+                server.is_failing(self.limits.failures_in_row)
+            }
+        };
+        if !ejects {
+            return;
+        }
+        if self.may_eject(server) {
+            self.eject(key, now);
+        } else {
+            // The service would have too few servers left; this one goes on with one at a time.
+            self.update(key, |server| {
+                server.health = Health::Serving;
+                server.throttle();
+            });
+        }
+    }
+
+    fn on_decline(&mut self, key: ServerKey, now: Instant) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        if server.is_ejected() {
+            return;
+        }
+        let pause = doubled(
+            self.limits.decline_pause,
+            server.declined_in_row,
+            self.limits.longest_decline_pause,
+        );
+        let until = now + pause;
+        self.update(key, |server| {
+            server.declined_in_row += 1;
+            // A probe that was declined says nothing of the failures; it goes on after the pause.
+            server.health = Health::BackingOff(until);
+        });
+        self.timers.add(until, Timer::PauseEnds, key);
+    }
+
+    /// Returns whether the ejection budget of the server's service allows one more.
+    fn may_eject(&self, server: &Server) -> bool {
+        let Some(lane) = self.lanes.get(&server.spec.service) else {
+            return false;
+        };
+        lane.ejected < self.ejection_budget(lane)
+    }
+
+    fn ejection_budget(&self, lane: &Lane) -> u32 {
+        if lane.members < 2 {
+            return 0;
+        }
+        (lane.members * self.limits.ejected_percent / 100).max(1)
+    }
+
+    fn eject(&mut self, key: ServerKey, now: Instant) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let pause = doubled(
+            self.limits.ejection,
+            server.ejections_in_row,
+            self.limits.longest_ejection,
+        );
+        let until = now + pause;
+        self.update(key, |server| {
+            server.health = Health::Ejected(until);
+            server.ejections_in_row += 1;
+            server.failures_in_row = 0;
+        });
+        self.timers.add(until, Timer::PauseEnds, key);
+    }
+
+    fn end_pause(&mut self, key: ServerKey, now: Instant) {
+        self.update(key, |server| match server.health {
+            Health::BackingOff(until) if until <= now => {
+                server.health = match server.ejections_in_row {
+                    0 => Health::Serving,
+                    _ => Health::Probing,
+                };
+            }
+            Health::Ejected(until) if until <= now => server.health = Health::Probing,
+            _ => {}
+        });
+    }
+
+    fn schedule_decay(&mut self, key: ServerKey, now: Instant) {
+        let at = now + self.limits.failure_half_life;
+        self.update(key, |server| server.decay_pending = true);
+        self.timers.add(at, Timer::FailuresDecay, key);
+    }
+
+    fn decay_failures(&mut self, key: ServerKey, now: Instant) {
+        self.update(key, |server| {
+            server.decay_pending = false;
+            server.failure_rate /= 2.0;
+            if server.failure_rate < NEGLIGIBLE_RATE {
+                server.failure_rate = 0.0;
+            }
+        });
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        if server.failure_rate > 0.0 {
+            self.schedule_decay(key, now);
+        }
+    }
+
+    /// Lets ejected servers be probed where fewer members left too many of them ejected.
+    fn readmit_over_budget(&mut self, now: Instant) {
+        let ejected: Vec<ServerKey> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.is_member() && server.is_ejected())
+            .map(|(key, _)| key)
+            .collect();
+        for key in ejected {
+            let Some(lane) = self.lanes.get(&self.servers[key].spec.service) else {
+                continue;
+            };
+            if lane.ejected > self.ejection_budget(lane) {
+                self.update(key, |server| server.health = Health::Ejected(now));
+                self.end_pause(key, now);
+            }
+        }
+    }
+
+    fn remove_if_empty(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        if !server.removed || server.running > 0 {
+            return;
+        }
+        let vm = server.spec.vm.clone();
+        self.servers.remove(key);
+        if let Some(servers) = self.by_vm.get_mut(&vm) {
+            servers.retain(|&server| server != key);
+            if servers.is_empty() {
+                self.by_vm.remove(&vm);
+            }
+        }
+    }
+}
+
+/// Returns a pause that doubles with each repetition, up to a longest one.
+fn doubled(first: Duration, repetitions: u32, longest: Duration) -> Duration {
+    let factor = 1_u32.checked_shl(repetitions.min(16)).unwrap_or(1);
+    first.saturating_mul(factor).min(longest)
+}
--- /dev/null
+++ b/crates/snipevane-core/src/routing/server.rs
@@ -0,0 +1,270 @@
+//! A backend server as one entry VM sees it.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use super::lane::Rank;
+use crate::ids::{ServerKey, ServiceKey};
+
+/// Weight of the newest exchange in the averages of failures and of latency.
+const AVERAGE_WEIGHT: f32 = 0.125;
+/// Part of failed exchanges from which a server runs one request at a time.
+const FAILING_RATE: f32 = 0.5;
+/// Load that a server which fails every request counts beside its running requests, as a multiple
+/// of its capacity.
+const FAILURE_LOAD: f32 = 2.0;
+/// Resolution of the relative load.
+const SCORE_SCALE: f32 = 1024.0;
+
+/// A backend server as the configuration and the deal of the shards describe it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerSpec {
+    /// VM that the server runs on.
+    pub vm: SmolStr,
+    /// Address of the server's listener.
+    pub address: SocketAddr,
+    /// Service that the server runs requests of.
+    pub service: ServiceKey,
+    /// Slots of the server that are dealt to this entry VM.
+    pub slots: u16,
+    /// Connections of the server that are dealt to this entry VM.
+    pub connections: u16,
+}
+
+/// Right to send one request to a backend server.
+///
+/// It returns to the router by [`Router::release`](super::Router::release) or
+/// [`Router::quarantine`](super::Router::quarantine); a dropped slot stays taken for good.
+#[derive(Debug)]
+#[must_use = "a dropped slot stays taken"]
+pub struct Slot {
+    pub(super) server: ServerKey,
+}
+
+impl Slot {
+    /// Returns the server that the slot belongs to.
+    pub fn server(&self) -> ServerKey {
+        self.server
+    }
+}
+
+/// What an entry VM saw of an exchange with a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// The server ran the request and sent its whole answer.
+    Answered {
+        /// Time from the request's first byte to the answer's last one.
+        latency: Duration,
+    },
+    /// The server failed the request or broke the exchange off.
+    Failed,
+    /// The server declined the request because all of its slots were taken.
+    Declined,
+    /// No connection to the server could be opened.
+    ConnectFailed,
+    /// The exchange ended on this side and says nothing about the server.
+    Abandoned,
+}
+
+/// Whether a backend server gets new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// Gets requests up to its capacity.
+    Serving,
+    /// Declined a request and gets none until the given time.
+    BackingOff(Instant),
+    /// Failed several requests and gets none until the given time.
+    Ejected(Instant),
+    /// Was ejected and gets one request at a time until one is answered.
+    Probing,
+}
+
+/// Counts of one backend server for the status report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Counts {
+    /// VM that the server runs on.
+    pub vm: SmolStr,
+    /// Service of the server.
+    pub service: ServiceKey,
+    /// Slots dealt to this entry VM.
+    pub slots: u16,
+    /// Slots taken, those in quarantine included.
+    pub running: u16,
+    /// Slots in quarantine.
+    pub quarantined: u16,
+    /// Whether new requests are kept away because the server leaves.
+    pub leaving: bool,
+    /// Whether the server gets new requests otherwise.
+    pub health: Health,
+    /// Average latency of answered requests.
+    pub latency: Duration,
+    /// Average part of failed exchanges, between 0 and 1.
+    pub failure_rate: f32,
+}
+
+/// A backend server with its running requests and its recent record.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub(super) spec: ServerSpec,
+    pub(super) running: u16,
+    pub(super) quarantined: u16,
+    pub(super) leaving: bool,
+    /// Whether the configuration no longer holds the server.
+    pub(super) removed: bool,
+    pub(super) health: Health,
+    pub(super) failure_rate: f32,
+    /// Failures since the last answer.
+    pub(super) failures_in_row: u32,
+    /// Ejections since the server last recovered.
+    pub(super) ejections_in_row: u32,
+    /// Declined requests since the last answer.
+    pub(super) declined_in_row: u32,
+    /// Whether a timer that lowers the failure rate is pending.
+    pub(super) decay_pending: bool,
+    pub(super) latency: Duration,
+    /// Position in its service's lane.
+    pub(super) rank: Option<Rank>,
+    /// Free slots that the lane's sum counts for this server.
+    pub(super) counted_free: u16,
+}
+
+impl Server {
+    pub(super) fn new(spec: ServerSpec) -> Self {
+        Self {
+            spec,
+            running: 0,
+            quarantined: 0,
+            leaving: false,
+            removed: false,
+            health: Health::Serving,
+            failure_rate: 0.0,
+            failures_in_row: 0,
+            ejections_in_row: 0,
+            declined_in_row: 0,
+            decay_pending: false,
+            latency: Duration::ZERO,
+            rank: None,
+            counted_free: 0,
+        }
+    }
+
+    /// Returns the VM that the server runs on.
+    pub fn vm(&self) -> &SmolStr {
+        &self.spec.vm
+    }
+
+    /// Returns the address of the server's listener.
+    pub fn address(&self) -> SocketAddr {
+        self.spec.address
+    }
+
+    /// Returns the service of the server.
+    pub fn service(&self) -> ServiceKey {
+        self.spec.service
+    }
+
+    /// Returns the number of connections dealt to this entry VM.
+    pub fn connections(&self) -> u16 {
+        self.spec.connections
+    }
+
+    /// Returns the number of slots that are taken, those in quarantine included.
+    pub fn running(&self) -> u16 {
+        self.running
+    }
+
+    /// Returns whether the server gets new requests, apart from leaving.
+    pub fn health(&self) -> Health {
+        self.health
+    }
+
+    /// Returns the counts for the status report.
+    pub fn counts(&self) -> Counts {
+        Counts {
+            vm: self.spec.vm.clone(),
+            service: self.spec.service,
+            slots: self.spec.slots,
+            running: self.running,
+            quarantined: self.quarantined,
+            leaving: self.leaving,
+            health: self.health,
+            latency: self.latency,
+            failure_rate: self.failure_rate,
+        }
+    }
+
+    /// Returns whether the server takes part in its service at all.
+    pub(super) fn is_member(&self) -> bool {
+        !self.leaving && !self.removed
+    }
+
+    /// Returns whether the server counts against the ejection budget.
+    pub(super) fn is_ejected(&self) -> bool {
+        matches!(self.health, Health::Ejected(_))
+    }
+
+    /// Returns the number of requests that the server may start now.
+    pub(super) fn free(&self) -> u16 {
+        if !self.is_member() {
+            return 0;
+        }
+        let capacity = match self.health {
+            Health::BackingOff(_) | Health::Ejected(_) => 0,
+            Health::Probing => self.capacity().min(1),
+            Health::Serving if self.failure_rate >= FAILING_RATE => self.capacity().min(1),
+            Health::Serving => self.capacity(),
+        };
+        capacity.saturating_sub(self.running)
+    }
+
+    /// Returns the load relative to the capacity, failures counted as load.
+    pub(super) fn score(&self) -> u32 {
+        // A probe that waits for the other servers to fill up would never come at low load.
+        if self.health == Health::Probing {
+            return 0;
+        }
+        let capacity = f32::from(self.capacity().max(1));
+        let load = f32::from(self.running) / capacity + FAILURE_LOAD * self.failure_rate;
+        (load * SCORE_SCALE) as u32
+    }
+
+    /// Notes an answered request.
+    pub(super) fn note_answer(&mut self, latency: Duration) {
+        self.latency = if self.latency.is_zero() {
+            latency
+        } else {
+            self.latency.mul_f32(1.0 - AVERAGE_WEIGHT) + latency.mul_f32(AVERAGE_WEIGHT)
+        };
+        self.failure_rate *= 1.0 - AVERAGE_WEIGHT;
+        self.failures_in_row = 0;
+        self.declined_in_row = 0;
+        if self.health == Health::Probing {
+            self.health = Health::Serving;
+            self.ejections_in_row = 0;
+            // One answer of a probe says more than the failures before it.
+            self.failure_rate = self.failure_rate.min(FAILING_RATE / 2.0);
+        }
+    }
+
+    /// Notes a failed request.
+    pub(super) fn note_failure(&mut self) {
+        self.failure_rate += (1.0 - self.failure_rate) * AVERAGE_WEIGHT;
+        self.failures_in_row += 1;
+    }
+
+    /// Returns whether the recent record calls for an ejection.
+    pub(super) fn is_failing(&self, failures_in_row: u32) -> bool {
+        self.failures_in_row >= failures_in_row || self.failure_rate >= FAILING_RATE
+    }
+
+    /// Raises the failure rate so far that the server runs one request at a time.
+    pub(super) fn throttle(&mut self) {
+        self.failure_rate = self.failure_rate.max(FAILING_RATE);
+    }
+
+    fn capacity(&self) -> u16 {
+        self.spec.slots.min(self.spec.connections)
+    }
+}
--- /dev/null
+++ b/crates/snipevane-core/src/shares/order.rs
@@ -0,0 +1,46 @@
+//! Order of the teams that wait within one urgency.
+
+use std::collections::BTreeSet;
+
+use crate::ids::TeamKey;
+
+/// Position of a team: the least use per share first, then the one that started longest ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    /// Bits of the non-negative use per share, which order like the number itself.
+    relative_use: u64,
+    /// Number of the team's last start among all starts.
+    turn: u64,
+}
+
+impl Rank {
+    pub(super) fn new(relative_use: f64, turn: u64) -> Self {
+        Self {
+            relative_use: relative_use.max(0.0).to_bits(),
+            turn,
+        }
+    }
+}
+
+/// Teams with waiting requests of one urgency that may start something.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Order {
+    teams: BTreeSet<(Rank, TeamKey)>,
+}
+
+impl Order {
+    /// Returns the team that starts next.
+    pub(super) fn first(&self) -> Option<TeamKey> {
+        self.teams.first().map(|&(_, team)| team)
+    }
+
+    /// Adds a team.
+    pub(super) fn insert(&mut self, rank: Rank, team: TeamKey) {
+        self.teams.insert((rank, team));
+    }
+
+    /// Removes a team.
+    pub(super) fn remove(&mut self, rank: Rank, team: TeamKey) {
+        self.teams.remove(&(rank, team));
+    }
+}
