Add shards, limits, claims and keys to the core

Ruled out: - limits held by team key only: a team that is removed and added again has a new key, and what still runs under the former key would not count. Accounts are found by the team's name and outlive the key while units are in use. - a settlement that lets a new holder start with the smallest of the unsettled deals: two shards may have skipped different versions, so that the smallest deals don't sum to the limit. A new holder starts with nothing. - a hash that isn't stable over releases for the deal: entry VMs of two releases would deal differently. A golden file pins deal and owners.

Change: shards (names, deal, owner of an identifier, who may take a shard), limits (units and settlement), claims (floor, ceiling, bounded memory), keys (store, merge in any order, cut-off policy).

Settlement and claims have no tests yet.

Conclusion: interfaces stand; differential tests of limits and claims come next.

--- /dev/null
+++ b/crates/snipevane-core/src/claims/settings.rs
@@ -0,0 +1,33 @@
+//! Bounds of the claims of one shard.
+
+use std::time::Duration;
+
+/// Bounds of the claims of one shard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimSettings {
+    /// Most bytes of answers that are kept.
+    pub max_answers_bytes: usize,
+    /// Most claims that are kept.
+    pub max_claims: usize,
+    /// Largest time by which a caller's clock may be ahead.
+    pub allowed_skew: Duration,
+    /// Time by which a new ceiling lies above the clock plus the allowed skew.
+    ///
+    /// A short one makes more writes to the shard's row, a long one makes more identifiers
+    /// unknown after the holder was lost.
+    pub ceiling_lead: Duration,
+    /// Time after which a caller retries if only the ceiling was too low.
+    pub ceiling_retry: Duration,
+}
+
+impl Default for ClaimSettings {
+    fn default() -> Self {
+        Self {
+            max_answers_bytes: 32 << 20,
+            max_claims: 100_000,
+            allowed_skew: Duration::from_secs(2),
+            ceiling_lead: Duration::from_secs(5),
+            ceiling_retry: Duration::from_millis(100),
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipevane-core/src/claims/shard_claims.rs
@@ -0,0 +1,286 @@
+//! Claims on the identifiers of one shard.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use uuid::{Uuid, Version};
+
+use super::{Answer, ClaimSettings};
+
+/// Decision on a request with an identifier.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Claim<A> {
+    /// The request is run now, by the holder of the ticket only.
+    Run(ClaimTicket),
+    /// A request with this identifier is running.
+    Running,
+    /// The request was run, with this answer.
+    Finished(A),
+    /// The identifier was used with another body.
+    BodyDiffers,
+    /// The request may have been run before; it isn't run again.
+    Unknown,
+    /// The identifier's time is too late for now; the request wasn't run.
+    TooNew {
+        /// Time after which a retry can succeed.
+        retry_after: Duration,
+    },
+    /// The identifier isn't a UUID of version 7; the request wasn't run.
+    NotTimeOrdered,
+}
+
+/// Permission to run the request of one identifier once.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "a claim that isn't finished stays running"]
+pub struct ClaimTicket {
+    id: Uuid,
+}
+
+impl ClaimTicket {
+    /// Returns the identifier.
+    pub fn id(&self) -> Uuid {
+        self.id
+    }
+}
+
+/// How the run of a claimed request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Finish<A> {
+    /// A backend server answered; the answer is kept for later retries.
+    Answered(A),
+    /// A backend server may have run the request.
+    Unknown,
+    /// No backend server ran the request, so that a retry may run.
+    NotRun,
+}
+
+#[derive(Debug)]
+enum State<A> {
+    Running,
+    Finished(A),
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Entry<A> {
+    body_hash: [u8; 32],
+    state: State<A>,
+}
+
+/// Claims on the identifiers of one shard, held by the shard's holder.
+///
+/// Only identifiers with a time above the floor and at or below the ceiling are run. The floor
+/// never falls, and forgetting a claim raises it to the claim's time, so that an identifier that
+/// was forgotten is never run again.
+#[derive(Debug)]
+pub struct Claims<A> {
+    settings: ClaimSettings,
+    floor_ms: u64,
+    ceiling_ms: u64,
+    highest_accepted_ms: u64,
+    answers_bytes: usize,
+    /// Claims by identifier; identifiers of version 7 are ordered by time.
+    entries: BTreeMap<Uuid, Entry<A>>,
+}
+
+impl<A: Answer> Claims<A> {
+    /// Starts without claims; nothing is run before [`set_ceiling`](Self::set_ceiling).
+    pub fn new(settings: ClaimSettings, floor_ms: u64) -> Self {
+        Self {
+            settings,
+            floor_ms,
+            ceiling_ms: floor_ms,
+            highest_accepted_ms: floor_ms,
+            answers_bytes: 0,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Sets the ceiling, in Unix milliseconds, after it was written to the shard's row.
+    ///
+    /// A lower ceiling than the present one is ignored.
+    pub fn set_ceiling(&mut self, ms: u64) {
+        self.ceiling_ms = self.ceiling_ms.max(ms);
+    }
+
+    /// Stops accepting identifiers and returns the ceiling to write when the shard is released.
+    pub fn close(&mut self) -> u64 {
+        self.ceiling_ms = self.highest_accepted_ms();
+        self.ceiling_ms
+    }
+
+    /// Returns the ceiling to write next, or `None` while the present one suffices.
+    pub fn next_ceiling(&self, unix_ms: u64) -> Option<u64> {
+        let lead_ms = millis(self.settings.ceiling_lead);
+        let newest_ms = self.newest_allowed(unix_ms);
+        // The write starts half a lead early so that no identifier has to wait for it.
+        if self.ceiling_ms >= newest_ms.saturating_add(lead_ms / 2) {
+            return None;
+        }
+        Some(newest_ms.saturating_add(lead_ms))
+    }
+
+    /// Decides whether the request with an identifier runs.
+    pub fn claim(&mut self, id: Uuid, body_hash: [u8; 32], unix_ms: u64) -> Claim<A> {
+        let Some(id_ms) = time_of(id) else {
+            return Claim::NotTimeOrdered;
+        };
+        if let Some(entry) = self.entries.get(&id) {
+            return entry.repeat(&body_hash);
+        }
+        if id_ms <= self.floor_ms {
+            return Claim::Unknown;
+        }
+        let newest_ms = self.newest_allowed(unix_ms);
+        if id_ms > newest_ms {
+            let retry_after = Duration::from_millis(id_ms - newest_ms);
+            return Claim::TooNew { retry_after };
+        }
+        if id_ms > self.ceiling_ms || !self.make_room(id_ms) {
+            let retry_after = self.settings.ceiling_retry;
+            return Claim::TooNew { retry_after };
+        }
+        self.highest_accepted_ms = self.highest_accepted_ms.max(id_ms);
+        let state = State::Running;
+        self.entries.insert(id, Entry { body_hash, state });
+        Claim::Run(ClaimTicket { id })
+    }
+
+    /// Returns what is known of an identifier without claiming it.
+    ///
+    /// Returns `None` if the identifier isn't known and lies above the floor.
+    pub fn look_up(&self, id: Uuid, body_hash: [u8; 32]) -> Option<Claim<A>> {
+        let Some(id_ms) = time_of(id) else {
+            return Some(Claim::NotTimeOrdered);
+        };
+        match self.entries.get(&id) {
+            Some(entry) => Some(entry.repeat(&body_hash)),
+            None if id_ms <= self.floor_ms => Some(Claim::Unknown),
+            None => None,
+        }
+    }
+
+    /// Ends the run of a claimed request.
+    pub fn finish(&mut self, ticket: ClaimTicket, finish: Finish<A>) {
+        let id = ticket.id;
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        match finish {
+            Finish::NotRun => {
+                self.entries.remove(&id);
+            }
+            Finish::Unknown => entry.state = State::Unknown,
+            Finish::Answered(answer) => {
+                self.answers_bytes = self.answers_bytes.saturating_add(answer.bytes());
+                entry.state = State::Finished(answer);
+                self.shrink_answers();
+            }
+        }
+    }
+
+    /// Returns the time at or below which unknown identifiers aren't run, in Unix milliseconds.
+    pub fn floor_ms(&self) -> u64 {
+        self.floor_ms
+    }
+
+    /// Returns the time above which identifiers aren't run yet, in Unix milliseconds.
+    pub fn ceiling_ms(&self) -> u64 {
+        self.ceiling_ms
+    }
+
+    /// Returns the latest time of an identifier that was run, in Unix milliseconds.
+    pub fn highest_accepted_ms(&self) -> u64 {
+        self.highest_accepted_ms
+    }
+
+    /// Returns the number of claims that are kept.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no claim is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the bytes of the answers that are kept.
+    pub fn answers_bytes(&self) -> usize {
+        self.answers_bytes
+    }
+
+    fn newest_allowed(&self, unix_ms: u64) -> u64 {
+        unix_ms.saturating_add(millis(self.settings.allowed_skew))
+    }
+
+    /// Makes room for a claim with the given time; returns false if there can be none.
+    fn make_room(&mut self, id_ms: u64) -> bool {
+        while self.entries.len() >= self.settings.max_claims.max(1) {
+            if !self.evict_oldest() {
+                return false;
+            }
+        }
+        // Evicting may have raised the floor above the new identifier.
+        id_ms > self.floor_ms
+    }
+
+    fn shrink_answers(&mut self) {
+        while self.answers_bytes > self.settings.max_answers_bytes {
+            if !self.evict_oldest() {
+                return;
+            }
+        }
+    }
+
+    /// Forgets the oldest claim that isn't running and raises the floor to its time.
+    ///
+    /// Returns false if all claims are running.
+    fn evict_oldest(&mut self) -> bool {
+        let mut finished = self.entries.iter().filter(|(_, entry)| !entry.is_running());
+        let Some((&id, _)) = finished.next() else {
+            return false;
+        };
+        if let Some(entry) = self.entries.remove(&id) {
+            self.answers_bytes = self.answers_bytes.saturating_sub(entry.bytes());
+        }
+        self.floor_ms = self.floor_ms.max(time_of(id).unwrap_or(0));
+        true
+    }
+}
+
+impl<A: Answer> Entry<A> {
+    fn repeat(&self, body_hash: &[u8; 32]) -> Claim<A> {
+        if self.body_hash != *body_hash {
+            return Claim::BodyDiffers;
+        }
+        match &self.state {
+            State::Running => Claim::Running,
+            State::Finished(answer) => Claim::Finished(answer.clone()),
+            State::Unknown => Claim::Unknown,
+        }
+    }
+
+    fn is_running(&self) -> bool {
+        matches!(self.state, State::Running)
+    }
+
+    fn bytes(&self) -> usize {
+        match &self.state {
+            State::Finished(answer) => answer.bytes(),
+            State::Running | State::Unknown => 0,
+        }
+    }
+}
+
+/// Returns the time of an identifier of version 7 in Unix milliseconds.
+fn time_of(id: Uuid) -> Option<u64> {
+    if id.get_version() != Some(Version::SortRand) {
+        return None;
+    }
+    // The first 48 bits hold the time.
+    Some(id.as_u64_pair().0 >> 16)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/snipevane-core/src/limits/settlement.rs
@@ -0,0 +1,236 @@
+//! Change from one deal of the limits to the next without passing a limit.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::{FxHashMap, FxHashSet};
+use smol_str::SmolStr;
+
+use super::VersionDeal;
+use crate::shards::ShardName;
+
+/// Decides how many units of each team the shards of one entry VM may use while the configuration
+/// changes.
+///
+/// A shard *confirms* a version once it is in force there and nothing above that version's deal is
+/// in use. Until then it may use whatever any version since the last confirmed one dealt to it.
+/// A shard's allowance is lowered as soon as a version lowers it. It is raised only if, for the
+/// team, the largest such deals of all shards together are within the limit. Confirmations are
+/// idempotent and may arrive in any order; a missing one delays a raise and nothing else.
+///
+/// The rule is safe only if the holder of a shard never has a version in force that is older than
+/// one that its shard confirmed; [`decide`](crate::shards::decide) says how a new holder ensures it.
+#[derive(Clone, Debug, Default)]
+pub struct Settlement {
+    /// Known versions. Version 0, which deals out nothing, is known implicitly.
+    versions: BTreeMap<u64, VersionDeal>,
+    in_force: u64,
+    confirmed: FxHashMap<ShardName, u64>,
+    held: FxHashMap<ShardName, FxHashMap<SmolStr, u32>>,
+}
+
+impl Settlement {
+    /// Starts with version 0, under which no team may use anything.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Puts a version in force; an older version than the one in force is only learned.
+    pub fn put_in_force(&mut self, deal: VersionDeal) {
+        let version = deal.version();
+        self.learn(deal);
+        if version <= self.in_force {
+            return;
+        }
+        self.in_force = version;
+        self.lower();
+        self.raise();
+        self.forget_settled();
+    }
+
+    /// Learns the deal of a version that was never in force here.
+    pub fn learn(&mut self, deal: VersionDeal) {
+        self.versions.entry(deal.version()).or_insert(deal);
+        self.raise();
+    }
+
+    /// Returns the version in force.
+    pub fn in_force(&self) -> u64 {
+        self.in_force
+    }
+
+    /// Starts to use a shard, once it is usable.
+    pub fn hold(&mut self, shard: ShardName) {
+        self.held.entry(shard).or_default();
+        self.raise();
+    }
+
+    /// Stops using a shard.
+    ///
+    /// What its units run must have ended, or the allowances of the other shards held here must
+    /// cover it.
+    pub fn let_go(&mut self, shard: &ShardName) {
+        self.held.remove(shard);
+    }
+
+    /// Takes note that a shard confirmed a version; returns whether that is news.
+    pub fn confirm(&mut self, shard: &ShardName, version: u64) -> bool {
+        let known = self.confirmed.entry(shard.clone()).or_default();
+        if version <= *known {
+            return false;
+        }
+        *known = version;
+        self.raise();
+        self.forget_settled();
+        true
+    }
+
+    /// Returns the last version that each shard is known to have confirmed.
+    pub fn confirmations(&self) -> impl Iterator<Item = (&ShardName, u64)> {
+        self.confirmed
+            .iter()
+            .map(|(shard, &version)| (shard, version))
+    }
+
+    /// Returns the units of a team that a shard held here may use.
+    pub fn allowance(&self, team: &str, shard: &ShardName) -> u32 {
+        let units = self.held.get(shard).and_then(|units| units.get(team));
+        units.copied().unwrap_or(0)
+    }
+
+    /// Returns the units of a team that all shards held here may use together.
+    pub fn total_allowance(&self, team: &str) -> u32 {
+        self.held
+            .values()
+            .filter_map(|units| units.get(team))
+            .fold(0, |sum, &units| sum.saturating_add(units))
+    }
+
+    /// Tells whether the shards held here may confirm a version.
+    ///
+    /// `in_use` lists the units in use here of every team, also of removed ones.
+    pub fn settled<'a>(
+        &self,
+        version: u64,
+        in_use: impl IntoIterator<Item = (&'a str, u32)>,
+    ) -> bool {
+        if version == 0 || version != self.in_force {
+            return false;
+        }
+        in_use
+            .into_iter()
+            .all(|(team, units)| units <= self.total_allowance(team))
+    }
+
+    /// Returns the versions that are needed before raises can be decided and aren't known.
+    pub fn missing_versions(&self) -> Vec<u64> {
+        let mut missing = FxHashSet::default();
+        for shard in self.shards() {
+            let confirmed = self.confirmed_by(shard);
+            missing.extend((confirmed.max(1)..=self.in_force).filter(|v| !self.is_known(*v)));
+        }
+        let mut missing: Vec<u64> = missing.into_iter().collect();
+        missing.sort_unstable();
+        missing
+    }
+
+    /// Returns the shards that haven't confirmed the version in force, sorted.
+    ///
+    /// A shard that a version removed is among them until its holder confirms that nothing runs.
+    pub fn unsettled(&self) -> Vec<ShardName> {
+        let mut shards: Vec<ShardName> = self
+            .shards()
+            .filter(|shard| self.confirmed_by(shard) < self.in_force)
+            .cloned()
+            .collect();
+        shards.sort_unstable();
+        shards
+    }
+
+    /// Lowers the allowances of the shards held here to the deal in force.
+    fn lower(&mut self) {
+        let Some(deal) = self.versions.get(&self.in_force) else {
+            return;
+        };
+        for (shard, allowances) in &mut self.held {
+            for (team, units) in allowances.iter_mut() {
+                *units = (*units).min(deal.units(team, shard));
+            }
+            allowances.retain(|_, units| *units > 0);
+        }
+    }
+
+    /// Raises the allowances of the shards held here to the deal in force where that is safe.
+    fn raise(&mut self) {
+        let Some(deal) = self.versions.get(&self.in_force) else {
+            return;
+        };
+        let mut raises = Vec::new();
+        for (team, limit) in deal.limits() {
+            let below: Vec<(&ShardName, u32)> = self
+                .held
+                .keys()
+                .map(|shard| (shard, deal.units(team, shard)))
+                .filter(|&(shard, units)| units > self.allowance(team, shard))
+                .collect();
+            if below.is_empty() || !self.is_safe(team, limit) {
+                continue;
+            }
+            let below = below.into_iter();
+            raises.extend(below.map(|(shard, units)| (shard.clone(), team.clone(), units)));
+        }
+        for (shard, team, units) in raises {
+            self.held.entry(shard).or_default().insert(team, units);
+        }
+    }
+
+    /// Tells whether the most that all shards may use of a team's limit is within the limit.
+    fn is_safe(&self, team: &str, limit: u32) -> bool {
+        let mut sum: u64 = 0;
+        for shard in self.shards() {
+            let Some(units) = self.most_used(team, shard) else {
+                return false;
+            };
+            sum += u64::from(units);
+        }
+        sum <= u64::from(limit)
+    }
+
+    /// Returns the most units that a shard may use, or `None` if that isn't known.
+    fn most_used(&self, team: &str, shard: &ShardName) -> Option<u32> {
+        let confirmed = self.confirmed_by(shard);
+        // The shard is ahead: what it may use is decided by a version that isn't in force here.
+        if confirmed > self.in_force {
+            return None;
+        }
+        let mut most = 0;
+        for version in confirmed.max(1)..=self.in_force {
+            most = most.max(self.versions.get(&version)?.units(team, shard));
+        }
+        Some(most)
+    }
+
+    /// Drops the versions that every shard has left behind.
+    fn forget_settled(&mut self) {
+        let oldest = self.shards().map(|shard| self.confirmed_by(shard)).min();
+        let oldest = oldest.unwrap_or(self.in_force).min(self.in_force);
+        self.versions = self.versions.split_off(&oldest);
+    }
+
+    /// Returns all shards of the known versions, each once.
+    fn shards(&self) -> impl Iterator<Item = &ShardName> {
+        let mut seen = FxHashSet::default();
+        self.versions
+            .values()
+            .flat_map(VersionDeal::shards)
+            .chain(self.confirmed.keys())
+            .filter(move |shard| seen.insert(*shard))
+    }
+
+    fn confirmed_by(&self, shard: &ShardName) -> u64 {
+        self.confirmed.get(shard).copied().unwrap_or(0)
+    }
+
+    fn is_known(&self, version: u64) -> bool {
+        version == 0 || self.versions.contains_key(&version)
+    }
+}
--- /dev/null
+++ b/crates/snipevane-core/src/shards/deal.rs
@@ -0,0 +1,106 @@
+//! Distribution of units and identifiers over shards by rendezvous hashing.
+
+use uuid::Uuid;
+
+use super::ShardName;
+
+/// Shards with their hashes, for repeated look-ups.
+#[derive(Clone, Debug, Default)]
+pub struct ShardSet {
+    names: Vec<ShardName>,
+    seeds: Vec<u64>,
+}
+
+impl ShardSet {
+    /// Prepares the look-ups over some shards.
+    pub fn new(names: Vec<ShardName>) -> Self {
+        let seeds = names.iter().map(seed_of_shard).collect();
+        Self { names, seeds }
+    }
+
+    /// Returns the shards' names in the order given.
+    pub fn names(&self) -> &[ShardName] {
+        &self.names
+    }
+
+    /// Returns the index of the shard that an identifier belongs to.
+    ///
+    /// Returns `None` if there is no shard.
+    pub fn owner(&self, id: Uuid) -> Option<usize> {
+        let key = seed_of_id(id);
+        let weighted = self.seeds.iter().enumerate();
+        weighted
+            .max_by_key(|&(_, &seed)| weight(seed, key))
+            .map(|(index, _)| index)
+    }
+
+    /// Deals out a number of units evenly; the result sums exactly to `total`.
+    ///
+    /// The shards that get one unit more than others depend on `salt`, so that small totals of
+    /// different salts lie on different shards.
+    pub fn deal(&self, total: u32, salt: &str) -> Vec<u32> {
+        let Ok(count) = u32::try_from(self.names.len()) else {
+            return vec![0; self.names.len()];
+        };
+        if count == 0 {
+            return Vec::new();
+        }
+        let mut units = vec![total / count; self.names.len()];
+        let remainder = (total % count) as usize;
+        if remainder == 0 {
+            return units;
+        }
+        let key = seed(salt.as_bytes());
+        let mut ranked: Vec<(u64, usize)> = self
+            .seeds
+            .iter()
+            .enumerate()
+            .map(|(index, &seed)| (weight(seed, key), index))
+            .collect();
+        ranked.select_nth_unstable_by(remainder - 1, |a, b| b.cmp(a));
+        for &(_, index) in &ranked[..remainder] {
+            units[index] += 1;
+        }
+        units
+    }
+}
+
+/// Deals out a number of units evenly over shards; see [`ShardSet::deal`].
+pub fn deal(total: u32, shards: &[ShardName], salt: &str) -> Vec<u32> {
+    ShardSet::new(shards.to_vec()).deal(total, salt)
+}
+
+/// Returns the index of the shard that an identifier belongs to.
+///
+/// Returns `None` if there is no shard. [`ShardSet::owner`] is faster for repeated look-ups.
+pub fn shard_of(shards: &[ShardName], id: Uuid) -> Option<usize> {
+    ShardSet::new(shards.to_vec()).owner(id)
+}
+
+fn seed_of_shard(name: &ShardName) -> u64 {
+    seed(name.to_string().as_bytes())
+}
+
+fn seed_of_id(id: Uuid) -> u64 {
+    let (high, low) = id.as_u64_pair();
+    mix(high ^ mix(low))
+}
+
+/// Hashes a text in a way that is the same on all machines and for all releases.
+fn seed(text: &[u8]) -> u64 {
+    let hash = blake3::hash(text);
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+fn weight(shard: u64, key: u64) -> u64 {
+    mix(shard ^ key)
+}
+
+/// Spreads all bits of a number over the result (the finalizer of SplitMix64).
+fn mix(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- a/crates/snipevane-core/src/shards/mod.rs
+++ b/crates/snipevane-core/src/shards/mod.rs
@@ -1,1 +1,9 @@
-//! Placeholder of the module `shards`.
+//! Shards: the names that slots, limits and identifiers are dealt out to, and who holds them.
+
+mod acquire;
+mod deal;
+mod name;
+
+pub use acquire::{Acquisition, Holder, ShardRow, decide};
+pub use deal::{ShardSet, deal, shard_of};
+pub use name::{ParseShardNameError, ShardName, shard_names};
--- /dev/null
+++ b/tests/tests/shards.rs
@@ -0,0 +1,130 @@
+//! Shards: units dealt out sum to the total, identifiers have one owner, one holder at a time.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::prelude::{any, proptest};
+use rstest::rstest;
+use snipevane_core::shards::{Acquisition, Holder, ShardName, ShardRow, deal, decide, shard_of};
+use snipevane_tests::requests::{seeded, shards};
+use uuid::Uuid;
+
+const LONGEST_RUN: Duration = Duration::from_secs(10);
+
+#[rstest]
+#[case("a/0", true)]
+#[case("region/a/17", true)]
+#[case("a/01", false)]
+#[case("a/+1", false)]
+#[case("/1", false)]
+#[case("a", false)]
+#[case("a/65536", false)]
+fn a_shard_has_one_spelling(#[case] text: &str, #[case] valid: bool) {
+    let parsed: Result<ShardName, _> = text.parse();
+    assert_eq!(parsed.is_ok(), valid);
+    if let Ok(name) = parsed {
+        assert_eq!(name.to_string(), text);
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded(256))]
+
+    #[test]
+    fn units_sum_to_the_total_and_differ_by_one(total in 0_u32..5000, count in 1_u16..120) {
+        let units = deal(total, &shards(count), "ledger");
+        assert_eq!(units.iter().sum::<u32>(), total);
+        let (least, most) = (units.iter().min().unwrap(), units.iter().max().unwrap());
+        assert!(most - least <= 1);
+    }
+
+    #[test]
+    fn a_larger_total_takes_nothing_from_a_shard(total in 0_u32..500, count in 1_u16..120) {
+        let smaller = deal(total, &shards(count), "ledger");
+        let larger = deal(total + 1, &shards(count), "ledger");
+        assert!(smaller.iter().zip(&larger).all(|(small, large)| small <= large));
+    }
+
+    #[test]
+    fn an_identifier_keeps_its_owner_unless_that_is_removed(id in any::<u128>(), count in 2_u16..120) {
+        let (id, all) = (Uuid::from_u128(id), shards(count));
+        let fewer = &all[..all.len() - 1];
+        let owner = shard_of(&all, id).unwrap();
+        if owner < fewer.len() {
+            assert_eq!(shard_of(fewer, id), Some(owner));
+        }
+    }
+}
+
+#[test]
+fn small_limits_of_different_teams_lie_on_different_shards() {
+    let all = shards(7);
+    let holders: BTreeSet<usize> = (0..40)
+        .filter_map(|team| {
+            deal(1, &all, &format!("team-{team}"))
+                .iter()
+                .position(|&u| u == 1)
+        })
+        .collect();
+    assert_eq!(holders.len(), 7);
+}
+
+#[rstest]
+#[case::no_row(None, Some((100, Duration::ZERO)))]
+#[case::released(Some(("other", 2, 500, true)), Some((500, Duration::ZERO)))]
+#[case::mine(Some(("me", 1, 500, false)), None)]
+#[case::earlier_incarnation(Some(("me", 2, 50, false)), Some((100, LONGEST_RUN)))]
+#[case::gone(Some(("gone", 2, 500, false)), Some((500, LONGEST_RUN)))]
+#[case::other(Some(("other", 2, 500, false)), None)]
+fn a_shard_is_taken_only_from_a_holder_that_cannot_use_it(
+    #[case] row: Option<(&str, u128, u64, bool)>,
+    #[case] taken: Option<(u64, Duration)>,
+) {
+    let row = row.map(|(vm, incarnation, ceiling_ms, released)| ShardRow {
+        vm: vm.into(),
+        incarnation: Uuid::from_u128(incarnation),
+        epoch: 6,
+        ceiling_ms,
+        released,
+    });
+    let me = Holder {
+        vm: "me".into(),
+        incarnation: Uuid::from_u128(1),
+    };
+    let decision = decide(row.as_ref(), &me, |vm| vm == "gone", 100, LONGEST_RUN);
+    match (decision, taken) {
+        (
+            Acquisition::Take {
+                next,
+                floor_ms,
+                usable_after,
+            },
+            Some(expected),
+        ) => {
+            assert_eq!((floor_ms, usable_after), expected);
+            assert_eq!(next.epoch, row.map_or(1, |row| row.epoch + 1));
+            assert_eq!(next.ceiling_ms, floor_ms);
+        }
+        (Acquisition::Hold, None) => assert_eq!(row.unwrap().vm, "me"),
+        (Acquisition::Leave, None) => assert_eq!(row.unwrap().vm, "other"),
+        (decision, _) => panic!("{decision:?}"),
+    }
+}
+
+/// Entry VMs of different releases have to agree on the deal.
+#[test]
+fn the_deal_is_the_same_for_all_releases() {
+    let all = shards(7);
+    insta::assert_json_snapshot!(
+        "deal",
+        [
+            deal(3, &all, "ledger"),
+            deal(10, &all, "ledger"),
+            deal(3, &all, "audit"),
+        ]
+    );
+    let owners: Vec<_> = (0..8)
+        .map(|id| shard_of(&all, Uuid::from_u128(id << 64)))
+        .collect();
+    insta::assert_json_snapshot!("owners", owners);
+}
