Add the time line: hybrid logical time, bounded ring, merge

Cause: operators read the events of all processes as one; wall clocks differ, so that order by wall clock shows effects before their causes. Ruled out: vector clocks (a counter for each process in each message: 96 of them at the target size) and order by wall clock. Change: core::timeline with Hlc, HlcClock, EventRing (bounded by count and bytes; what was dropped is counted), Filter and merge; snipevane timeline uses them; text output shows the time with its logical part.

--- a/crates/snipevane-cli/src/lib.rs
+++ b/crates/snipevane-cli/src/lib.rs
@@ -20,6 +20,7 @@
 
 pub use client::{Client, Reply};
 pub use error::CliError;
+pub use timeline::render_timeline;
 
 use flags::{Snipevane, SnipevaneCmd};
 
--- a/crates/snipevane-cli/src/timeline.rs
+++ b/crates/snipevane-cli/src/timeline.rs
@@ -1,61 +1,44 @@
 //! `snipevane timeline`.
 
-use std::collections::BTreeSet;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use serde::Serialize;
-use snipevane_proto::operator::{Event, Events};
+use snipevane_core::timeline::merge;
+use snipevane_proto::operator::{Event, Events, Timeline};
 
-use crate::flags::Timeline;
 use crate::output::print_json;
-use crate::{CliError, Client};
+use crate::{CliError, Client, flags};
 
-/// The merged time line, as printed in JSON.
-#[derive(Clone, Debug, Serialize)]
-struct Merged {
-    events: Vec<Event>,
-    dropped: u64,
-    unreachable: BTreeSet<String>,
-}
+/// Last time that the text form can show, in milliseconds since the Unix epoch.
+const MAX_PRINTED_MS: u64 = 253_402_300_799_999;
 
 /// Merges the events of all named entry VMs.
-pub(crate) async fn run(client: &Client, cmd: &Timeline, json: bool) -> Result<(), CliError> {
+pub(crate) async fn run(
+    client: &Client,
+    cmd: &flags::Timeline,
+    json: bool,
+) -> Result<(), CliError> {
     let path = path(cmd);
-    let mut merged = Merged {
-        events: Vec::new(),
-        dropped: 0,
-        unreachable: BTreeSet::new(),
-    };
-    let mut reached = BTreeSet::new();
+    let mut answers = Vec::new();
+    let mut unreachable = Vec::new();
     for &entry in client.entries() {
         match client.get_from::<Events>(entry, &path).await {
-            Ok(answer) => {
-                reached.insert(answer.process.vm.clone());
-                merged.dropped += answer.dropped;
-                merged.unreachable.extend(answer.unreachable);
-                merged.events.extend(answer.events);
-            }
-            Err(CliError::Unreachable(why)) => {
-                merged.unreachable.insert(format!("{entry} ({why})"));
-            }
+            Ok(answer) => answers.push(answer),
+            Err(CliError::Unreachable(why)) => unreachable.push(format!("{entry} ({why})")),
             Err(error) => return Err(error),
         }
     }
-    if reached.is_empty() {
-        let unreachable: Vec<_> = merged.unreachable.into_iter().collect();
+    if answers.is_empty() {
         return Err(CliError::Unreachable(unreachable.join("; ")));
     }
-    merged.unreachable.retain(|vm| !reached.contains(vm));
-    merged.events.sort_by(|a, b| order(a).cmp(&order(b)));
-    merged.events.dedup();
+    let timeline = merge(answers, unreachable);
     if json {
-        return print_json(&merged);
+        return print_json(&timeline);
     }
-    print(&merged);
+    print!("{}", render_timeline(&timeline));
     Ok(())
 }
 
-fn path(cmd: &Timeline) -> String {
+fn path(cmd: &flags::Timeline) -> String {
     let mut query = Vec::new();
     if let Some(since) = cmd.since {
         let now = SystemTime::now()
@@ -88,37 +71,43 @@
         .collect()
 }
 
-fn order(event: &Event) -> (u64, u32, &str, u64, u16) {
-    (
-        event.wall_ms,
+/// Returns a time line as text, an event a line.
+pub fn render_timeline(timeline: &Timeline) -> String {
+    let mut lines: Vec<_> = timeline.events.iter().map(render_event).collect();
+    for process in &timeline.dropped {
+        lines.push(format!(
+            "{} dropped {} older events",
+            process.vm, process.count
+        ));
+    }
+    for name in &timeline.unreachable {
+        lines.push(format!("not reached: {name}"));
+    }
+    lines.iter().map(|line| format!("{line}\n")).collect()
+}
+
+fn render_event(event: &Event) -> String {
+    let time = UNIX_EPOCH + Duration::from_millis(event.wall_ms.min(MAX_PRINTED_MS));
+    let mut line = format!(
+        "{}+{} {} {} SV{:04} {}",
+        humantime::format_rfc3339_millis(time),
         event.logical,
-        &event.process.vm,
-        event.process.incarnation,
+        event.process.vm,
+        event.level,
         event.number,
-    )
+        event.text,
+    );
+    for (name, value) in &event.fields {
+        line.push_str(&format!(" {name}={}", quote(value)));
+    }
+    line
 }
 
-fn print(merged: &Merged) {
-    for event in &merged.events {
-        let fields: Vec<_> = event
-            .fields
-            .iter()
-            .map(|(name, value)| format!("{name}={value}"))
-            .collect();
-        println!(
-            "{}.{:03} {} SV{:04} {} {}",
-            event.wall_ms,
-            event.logical,
-            event.process.vm,
-            event.number,
-            event.text,
-            fields.join(" "),
-        );
-    }
-    if merged.dropped > 0 {
-        println!("{} older events were dropped", merged.dropped);
-    }
-    for vm in &merged.unreachable {
-        println!("not reached: {vm}");
+/// Quotes a value that would blur the line's fields.
+fn quote(value: &str) -> String {
+    let plain = |c: char| !c.is_whitespace() && !c.is_control() && c != '"';
+    if !value.is_empty() && value.chars().all(plain) {
+        return value.to_owned();
     }
+    format!("{value:?}")
 }
--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod shards;
 pub mod shares;
 pub mod tasks;
+pub mod timeline;
 pub mod waves;
--- /dev/null
+++ b/crates/snipevane-core/src/timeline/merge.rs
@@ -0,0 +1,58 @@
+//! Merge of the events of several processes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use snipevane_proto::operator::{DroppedEvents, Event, Events, Timeline};
+
+/// Merges the events of several processes in causal order.
+///
+/// An event comes after all events that could influence it; events that couldn't influence each
+/// other are ordered by time, then by process. An event that several answers hold appears once.
+/// `unreachable` names processes that gave no answer; those that did answer aren't listed, also if
+/// another process couldn't reach them.
+pub fn merge(
+    answers: impl IntoIterator<Item = Events>,
+    unreachable: impl IntoIterator<Item = String>,
+) -> Timeline {
+    let mut events = Vec::new();
+    let mut dropped = BTreeMap::new();
+    let mut reached = BTreeSet::new();
+    let mut missing: BTreeSet<String> = unreachable.into_iter().collect();
+    for answer in answers {
+        events.extend(answer.events);
+        missing.extend(answer.unreachable);
+        let process = answer.process;
+        reached.insert(process.vm.clone());
+        let count = dropped
+            .entry((process.vm, process.incarnation))
+            .or_insert(0);
+        *count = answer.dropped.max(*count);
+    }
+    events.sort_by(|a, b| order(a).cmp(&order(b)));
+    events.dedup();
+    let dropped = dropped
+        .into_iter()
+        .filter(|(_, count)| *count > 0)
+        .map(|((vm, incarnation), count)| DroppedEvents {
+            vm,
+            incarnation,
+            count,
+        })
+        .collect();
+    Timeline {
+        events,
+        dropped,
+        unreachable: missing.difference(&reached).cloned().collect(),
+    }
+}
+
+fn order(event: &Event) -> (u64, u32, &str, u64, u16) {
+    let process = &event.process;
+    (
+        event.wall_ms,
+        event.logical,
+        &process.vm,
+        process.incarnation,
+        event.number,
+    )
+}
--- /dev/null
+++ b/crates/snipevane-core/src/timeline/record.rs
@@ -0,0 +1,133 @@
+//! One event, and the choice of events.
+
+use std::fmt;
+
+use smol_str::SmolStr;
+use snipevane_proto::operator::{Event, ProcessId};
+
+use crate::timeline::Hlc;
+
+/// Name of the field that holds a team.
+const TEAM_FIELD: &str = "team";
+/// Name of the field that holds a VM other than the process's own.
+const VM_FIELD: &str = "vm";
+
+/// Level of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Level {
+    /// A promise is at risk; an operator must act.
+    Error,
+    /// Something failed and is handled; an operator should look.
+    Warn,
+    /// A change in the ordinary course.
+    Info,
+    /// A detail for the search of faults.
+    Debug,
+}
+
+impl Level {
+    /// Returns the level's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+        }
+    }
+}
+
+impl fmt::Display for Level {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// A field of an event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Field {
+    /// Name in the catalogue.
+    pub name: SmolStr,
+    /// Value as text.
+    pub value: SmolStr,
+}
+
+impl Field {
+    /// Creates a field.
+    pub fn new(name: impl Into<SmolStr>, value: impl Into<SmolStr>) -> Self {
+        Self {
+            name: name.into(),
+            value: value.into(),
+        }
+    }
+}
+
+/// A numbered event of the catalogue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Time of the event.
+    pub at: Hlc,
+    /// Number in the catalogue.
+    pub number: u16,
+    /// Level.
+    pub level: Level,
+    /// Text in the catalogue.
+    pub text: SmolStr,
+    /// Fields.
+    pub fields: Vec<Field>,
+}
+
+impl Record {
+    /// Returns the event as it is sent to operators.
+    pub fn to_event(&self, process: &ProcessId) -> Event {
+        let fields = self
+            .fields
+            .iter()
+            .map(|field| (field.name.to_string(), field.value.to_string()))
+            .collect();
+        Event {
+            number: self.number,
+            level: self.level.as_str().to_owned(),
+            text: self.text.to_string(),
+            wall_ms: self.at.wall_ms,
+            logical: self.at.logical,
+            process: process.clone(),
+            fields,
+        }
+    }
+
+    fn has(&self, name: &str, value: &str) -> bool {
+        self.fields
+            .iter()
+            .any(|field| field.name == name && field.value == value)
+    }
+}
+
+/// Chooses events; the default chooses all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Filter {
+    /// Lowest physical part of the time, in milliseconds since the Unix epoch.
+    pub since_ms: u64,
+    /// Team that the event must concern.
+    pub team: Option<SmolStr>,
+    /// VM that must have recorded the event or that the event must concern.
+    pub vm: Option<SmolStr>,
+}
+
+impl Filter {
+    /// Returns whether an event of a process on the VM `own_vm` is chosen.
+    pub fn matches(&self, record: &Record, own_vm: &str) -> bool {
+        if record.at.wall_ms < self.since_ms {
+            return false;
+        }
+        if let Some(team) = &self.team
+            && !record.has(TEAM_FIELD, team)
+        {
+            return false;
+        }
+        match &self.vm {
+            Some(vm) => vm == own_vm || record.has(VM_FIELD, vm),
+            None => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipevane-core/src/timeline/ring.rs
@@ -0,0 +1,142 @@
+//! The events that a process still holds, in bounded memory.
+
+use std::collections::VecDeque;
+use std::mem;
+
+use smol_str::SmolStr;
+use snipevane_proto::operator::{Events, ProcessId};
+
+use crate::timeline::{Field, Filter, Hlc, Level, Record};
+
+/// Bounds of a ring.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RingLimits {
+    /// Most events.
+    pub events: usize,
+    /// Most memory of all events together, in bytes.
+    pub bytes: usize,
+    /// Longest value of a field, in bytes; a longer one is cut.
+    pub value_bytes: usize,
+    /// Most fields of an event; further ones are left out.
+    pub fields: usize,
+}
+
+impl Default for RingLimits {
+    fn default() -> Self {
+        Self {
+            events: 16_384,
+            bytes: 4 << 20,
+            value_bytes: 256,
+            fields: 16,
+        }
+    }
+}
+
+/// The last events of a process; the oldest ones give way to newer ones.
+#[derive(Clone, Debug)]
+pub struct EventRing {
+    process: ProcessId,
+    limits: RingLimits,
+    records: VecDeque<Record>,
+    bytes: usize,
+    dropped: u64,
+}
+
+impl EventRing {
+    /// Creates an empty ring for a process.
+    pub fn new(process: ProcessId, limits: RingLimits) -> Self {
+        Self {
+            process,
+            limits,
+            records: VecDeque::new(),
+            bytes: 0,
+            dropped: 0,
+        }
+    }
+
+    /// Adds an event; `at` must come from the process's [`HlcClock`](crate::timeline::HlcClock).
+    pub fn push(
+        &mut self,
+        at: Hlc,
+        number: u16,
+        level: Level,
+        text: impl Into<SmolStr>,
+        fields: impl IntoIterator<Item = Field>,
+    ) {
+        let fields = fields
+            .into_iter()
+            .take(self.limits.fields)
+            .map(|field| Field {
+                value: cut(field.value, self.limits.value_bytes),
+                ..field
+            })
+            .collect();
+        let record = Record {
+            at,
+            number,
+            level,
+            text: text.into(),
+            fields,
+        };
+        self.bytes += footprint(&record);
+        self.records.push_back(record);
+        while self.records.len() > self.limits.events || self.bytes > self.limits.bytes {
+            self.drop_oldest();
+        }
+    }
+
+    /// Returns the number of events that are held.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether no event is held.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the memory of the events that are held, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the chosen events, oldest first, as the operator listener sends them.
+    pub fn select(&self, filter: &Filter) -> Events {
+        let events = self
+            .records
+            .iter()
+            .filter(|record| filter.matches(record, &self.process.vm))
+            .map(|record| record.to_event(&self.process))
+            .collect();
+        Events {
+            process: self.process.clone(),
+            events,
+            dropped: self.dropped,
+            unreachable: Vec::new(),
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some(record) = self.records.pop_front() {
+            self.bytes -= footprint(&record);
+            self.dropped += 1;
+        }
+    }
+}
+
+/// Returns the memory that an event takes, in bytes, without the allocator's own.
+fn footprint(record: &Record) -> usize {
+    let fields: usize = record
+        .fields
+        .iter()
+        .map(|field| mem::size_of::<Field>() + field.name.len() + field.value.len())
+        .sum();
+    mem::size_of::<Record>() + record.text.len() + fields
+}
+
+fn cut(value: SmolStr, max_bytes: usize) -> SmolStr {
+    if value.len() <= max_bytes {
+        return value;
+    }
+    SmolStr::new(&value[..value.floor_char_boundary(max_bytes)])
+}
--- a/crates/snipevane-proto/src/operator.rs
+++ b/crates/snipevane-proto/src/operator.rs
@@ -1,8 +1,9 @@
 //! Messages of the operator listener.
 
 pub use crate::generated::operator::{
-    Applied, ApplyRequest, Config, Event, Events, GiveKey, GivenKey, KeyInfo, PeerStatus, Problem,
-    ProblemFinding, ProcessId, ServerStatus, Status, TeamStatus, Withdrawal,
+    Applied, ApplyRequest, Config, DroppedEvents, Event, Events, GiveKey, GivenKey, KeyInfo,
+    PeerStatus, Problem, ProblemFinding, ProcessId, ServerStatus, Status, TeamStatus, Timeline,
+    Withdrawal,
 };
 
 /// Media type of refusals.
