Check a manifest's structure against its schema, all mismatches at once

Cause: serde stops at the first error; operators want every finding at once. Ruled out: a JSON Schema library (none in the dependency set, and its messages name no hints); the walk covers only the keywords that our schemas use.

--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod headers;
 pub mod manifest;
 pub mod operator;
+pub mod structure;
 
 #[allow(
     clippy::all,
