--- a/crates/snipevane-core/src/claims/shard_claims.rs
+++ b/crates/snipevane-core/src/claims/shard_claims.rs
@@ -103,6 +103,13 @@
         self.ceiling_ms = self.ceiling_ms.max(ms);
     }
 
+    /// Raises the floor, for when identifiers may have moved here from another shard.
+    ///
+    /// A lower floor than the present one is ignored.
+    pub fn raise_floor(&mut self, ms: u64) {
+        self.floor_ms = self.floor_ms.max(ms);
+    }
+
     /// Stops accepting identifiers and returns the ceiling to write when the shard is released.
     pub fn close(&mut self) -> u64 {
         self.ceiling_ms = self.highest_accepted_ms();
--- a/crates/snipevane-core/src/config/site.rs
+++ b/crates/snipevane-core/src/config/site.rs
@@ -93,6 +93,8 @@
 pub struct Site {
     /// Version in force; 0 before the first one.
     pub version: u64,
+    /// Time for which a cut-off zone accepts keys that it can't check.
+    pub cut_off_serve: Duration,
     /// Availability zones.
     pub zones: SlotMap<ZoneKey, Zone>,
     /// Teams.
@@ -116,6 +118,8 @@
     /// Items with an unknown reference are left out; [`check`](super) reports them.
     pub fn apply(&mut self, version: u64, manifest: &Manifest) {
         self.version = version;
+        let policy = manifest.keys.clone().unwrap_or_default();
+        self.cut_off_serve = Duration::from_millis(policy.cut_off_serve_ms);
         let zones = manifest.zones.iter().map(|zone| Zone {
             name: zone.name.as_str().into(),
             region: zone.region.as_str().into(),
--- a/crates/snipevane-entry/src/backend/pool.rs
+++ b/crates/snipevane-entry/src/backend/pool.rs
@@ -81,7 +81,10 @@
 impl ConnectionPool {
     /// Creates an empty pool.
     pub(crate) fn new(settings: PoolSettings) -> Self {
-        Self { settings, idle: Mutex::default() }
+        Self {
+            settings,
+            idle: Mutex::default(),
+        }
     }
 
     /// Sends a request and reads the whole answer.
@@ -105,10 +108,12 @@
             }
         }
         let sender = self.connect(address).await?;
-        self.send(address, sender, req).await.map_err(|attempt| match attempt {
-            Attempt::Unsent(_, reason) => ExchangeError::NotSent(reason),
-            Attempt::Failed(error) => error,
-        })
+        self.send(address, sender, req)
+            .await
+            .map_err(|attempt| match attempt {
+                Attempt::Unsent(_, reason) => ExchangeError::NotSent(reason),
+                Attempt::Failed(error) => error,
+            })
     }
 
     /// Closes the kept connections to a server.
@@ -132,8 +137,15 @@
         if sender.is_closed() {
             return;
         }
-        let connection = Idle { sender, since: Instant::now() };
-        self.idle.lock().entry(address).or_default().push(connection);
+        let connection = Idle {
+            sender,
+            since: Instant::now(),
+        };
+        self.idle
+            .lock()
+            .entry(address)
+            .or_default()
+            .push(connection);
     }
 
     async fn connect(
--- /dev/null
+++ b/crates/snipevane-entry/src/caller/listener.rs
@@ -0,0 +1,138 @@
+//! Serves callers' connections within bounds on head, body, time and number.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use snipevane_core::clock::Clock;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::time::timeout;
+use tokio_io_timeout::TimeoutStream;
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+
+use crate::journal::kinds;
+use crate::node::Node;
+use crate::request::{Head, Origin, Refusal, Reply, Response, serve};
+
+/// Path of the balancer's health check.
+const HEALTH_PATH: &str = "/healthz";
+
+/// Serves one caller's connection until it ends; `stop` lets the request in flight finish.
+pub(crate) async fn serve_connection<C: Clock>(
+    node: Arc<Node<C>>,
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    stop: CancellationToken,
+) {
+    let timings = &node.settings.timings;
+    let mut stream = TimeoutStream::new(stream);
+    // Without a bound, a caller that stops reading would keep its connection for ever.
+    stream.set_write_timeout(Some(timings.caller_write));
+    let service = service_fn({
+        let node = node.clone();
+        move |req| {
+            let node = node.clone();
+            async move { Ok::<_, Infallible>(answer(node, req).await) }
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(timings.caller_read)
+        .max_buf_size(node.settings.max_header_bytes)
+        .serve_connection(TokioIo::new(Box::pin(stream)), service);
+    let mut connection = std::pin::pin!(connection);
+    // An error ends the connection; the caller sees that.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+async fn answer<C: Clock>(node: Arc<Node<C>>, req: Request<Incoming>) -> Response {
+    if req.uri().path() == HEALTH_PATH {
+        return health(&node);
+    }
+    let reply = respond(node.clone(), req).await;
+    if let Reply::Refused(refusal) = &reply {
+        let status = refusal.status.as_u16();
+        node.journal.record(
+            &kinds::CALLER_REFUSED,
+            &[&status, &refusal.title, &refusal.detail],
+        );
+    }
+    reply.into_response()
+}
+
+async fn respond<C: Clock>(node: Arc<Node<C>>, req: Request<Incoming>) -> Reply {
+    let (parts, body) = req.into_parts();
+    if node.state().site.version == 0 {
+        let retry = node.settings.timings.platform_poll;
+        return Reply::Refused(Refusal::busy("no configuration yet", retry));
+    }
+    let head = match Head::resolve(&node, &parts.method, &parts.uri, &parts.headers) {
+        Ok(head) => head,
+        // The rest of the body isn't read, so the connection can't go on.
+        Err(refusal) if body.is_end_stream() => return Reply::Refused(refusal),
+        Err(refusal) => return Reply::Refused(refusal.close()),
+    };
+    let body = match read_body(&node, body, head.max_body_bytes).await {
+        Ok(body) => body,
+        Err(refusal) => return Reply::Refused(refusal),
+    };
+    serve(
+        node,
+        head,
+        &parts.headers,
+        body,
+        Origin::Caller,
+        Uuid::now_v7(),
+    )
+    .await
+}
+
+async fn read_body<C: Clock>(
+    node: &Node<C>,
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, Refusal> {
+    let too_large = || {
+        Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+            .detail(format!("the queue takes {max_bytes} bytes at most"))
+            .close()
+    };
+    let announced = body.size_hint().lower();
+    if announced > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
+        return Err(too_large());
+    }
+    let read = Limited::new(body, max_bytes).collect();
+    match timeout(node.settings.timings.caller_read, read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(error)) => Err(
+            Refusal::not_run(StatusCode::BAD_REQUEST, "the body broke off")
+                .detail(error.to_string())
+                .close(),
+        ),
+        Err(_) => {
+            let title = "the body wasn't received in time";
+            Err(Refusal::not_run(StatusCode::REQUEST_TIMEOUT, title).close())
+        }
+    }
+}
+
+fn health<C: Clock>(node: &Node<C>) -> Response {
+    match node.not_ready() {
+        None => Response::new(Full::new(Bytes::from_static(b"ready\n"))),
+        Some(reason) => {
+            let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "not ready");
+            refusal.detail(reason).into_response()
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/control/keys.rs
@@ -0,0 +1,91 @@
+//! Keeps the keys in line with the platform's table.
+
+use smol_str::SmolStr;
+use snipevane_core::clock::Clock;
+use snipevane_core::keys::KeyRow;
+use snipevane_platform::{Check, CommitError, Transaction, Write, commit_resolved};
+use snipevane_proto::rows::{KEY, KeyRecord};
+use uuid::Uuid;
+
+use super::{Control, Platform};
+
+impl<P: Platform, C: Clock> Control<P, C> {
+    /// Reads all keys, and writes the withdrawals that the table lacks.
+    pub(crate) async fn poll_keys(&self) {
+        let rows = self.platform.scan(KEY).await;
+        self.note_platform(&rows);
+        let Ok(rows) = rows else {
+            return;
+        };
+        let mut stored = Vec::with_capacity(rows.len());
+        for row in &rows {
+            let Some(record) = self.parse_row::<KeyRecord>(row) else {
+                continue;
+            };
+            let id = SmolStr::new(row.key.strip_prefix(KEY).unwrap_or(&row.key));
+            let Some(key) = key_row(&id, &record) else {
+                continue;
+            };
+            stored.push((row.version, key));
+        }
+        let late: Vec<(u64, KeyRow)> = {
+            let mut state = self.node.state();
+            for (_, key) in &stored {
+                state.keys.merge(key.clone());
+            }
+            let withdrawn = |key: &KeyRow| {
+                state
+                    .keys
+                    .get(&key.id)
+                    .filter(|known| known.withdrawn && !key.withdrawn)
+                    .cloned()
+            };
+            stored
+                .iter()
+                .filter_map(|(version, key)| Some((*version, withdrawn(key)?)))
+                .collect()
+        };
+        for (version, key) in late {
+            // A conflict means that another entry VM has written it.
+            let _ = self.store_key(&key, Some(version)).await;
+        }
+    }
+
+    /// Writes a key's row if the table's version is the expected one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the table's refusal, or that the outcome is unknown.
+    pub(crate) async fn store_key(
+        &self,
+        key: &KeyRow,
+        expected: Option<u64>,
+    ) -> Result<(), CommitError> {
+        let record = KeyRecord {
+            team: key.team.to_string(),
+            hash: hex::encode(key.hash),
+            withdrawn: key.withdrawn,
+            write_id: Uuid::now_v7(),
+        };
+        let name = SmolStr::from(format!("{KEY}{}", key.id));
+        let value = serde_json::to_value(record).unwrap_or_default();
+        let check = Check {
+            key: name.clone(),
+            expected,
+        };
+        let tx = Transaction::new(vec![check], vec![Write::Put { key: name, value }]);
+        commit_resolved(&self.platform, tx).await.map(|_| ())
+    }
+}
+
+fn key_row(id: &SmolStr, record: &KeyRecord) -> Option<KeyRow> {
+    let mut hash = [0; 32];
+    hex::decode_to_slice(&record.hash, &mut hash).ok()?;
+    let team = SmolStr::new(&record.team);
+    Some(KeyRow {
+        id: id.clone(),
+        team,
+        hash,
+        withdrawn: record.withdrawn,
+    })
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/control/list.rs
@@ -0,0 +1,32 @@
+//! Reads the platform's list of VMs.
+
+use snipevane_core::clock::Clock;
+use snipevane_core::members::ListEntry;
+use snipevane_platform::{VmRole, VmState};
+
+use super::{Control, Platform};
+
+impl<P: Platform, C: Clock> Control<P, C> {
+    /// Reads the list and brings peers and backend servers in line with it.
+    pub(crate) async fn poll_list(&self) {
+        let list = self.platform.list().await;
+        self.note_platform(&list);
+        let now = self.node.now();
+        let mut state = self.node.state();
+        if let Ok(list) = list {
+            let entries = list.iter().map(|entry| ListEntry {
+                vm: entry.id.clone(),
+                leaving: entry.state == VmState::Leaving,
+            });
+            state.members.on_list(now, entries);
+            for entry in list.iter().filter(|entry| entry.role == VmRole::Entry) {
+                if entry.id != self.node.settings.vm {
+                    state.peers.add(&entry.id, &entry.zone, entry.address);
+                }
+            }
+            state.list_read = true;
+            state.put_list(list);
+        }
+        state.sync_servers(now);
+    }
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/control/mod.rs
@@ -0,0 +1,145 @@
+//! Loops beside the request path: configuration, keys, list, shards, heartbeats.
+
+mod config;
+mod heartbeats;
+mod keys;
+mod list;
+mod shards;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+use snipevane_core::clock::Clock;
+use snipevane_platform::{ObjectStore, PlatformError, Row, Table, VmList};
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::journal::kinds;
+use crate::node::Node;
+use crate::peer::PeerClient;
+
+/// Time between two looks at the state's timers.
+const TICK: Duration = Duration::from_millis(20);
+
+/// What an entry VM asks of the platform.
+pub trait Platform: Table + ObjectStore + VmList {}
+
+impl<P: Table + ObjectStore + VmList> Platform for P {}
+
+/// What the loops work with.
+pub(crate) struct Control<P, C> {
+    /// The process.
+    pub(crate) node: Arc<Node<C>>,
+    /// The platform.
+    pub(crate) platform: P,
+    /// Calls to peers.
+    pub(crate) peers: PeerClient,
+}
+
+impl<P: Platform, C: Clock> Control<P, C> {
+    /// Starts all loops; they end when `stop` is cancelled.
+    pub(crate) fn start(self: &Arc<Self>, tracker: &TaskTracker, stop: &CancellationToken) {
+        let timings = &self.node.settings.timings;
+        let poll = timings.platform_poll;
+        self.spawn(tracker, stop, poll, |control| async move {
+            control.poll_config().await
+        });
+        self.spawn(tracker, stop, poll, |control| async move {
+            control.poll_keys().await
+        });
+        self.spawn(tracker, stop, poll, |control| async move {
+            control.poll_list().await
+        });
+        self.spawn(tracker, stop, poll, |control| async move {
+            control.poll_shards().await
+        });
+        self.spawn(tracker, stop, timings.heartbeat, |control| async move {
+            control.send_heartbeats().await;
+        });
+        self.spawn(tracker, stop, TICK, |control| async move { control.tick() });
+    }
+
+    fn spawn<F, T>(
+        self: &Arc<Self>,
+        tracker: &TaskTracker,
+        stop: &CancellationToken,
+        period: Duration,
+        step: F,
+    ) where
+        F: Fn(Arc<Self>) -> T + Send + 'static,
+        T: Future<Output = ()> + Send + 'static,
+    {
+        let (control, stop) = (self.clone(), stop.clone());
+        tracker.spawn(async move {
+            let mut ticks = interval(period);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                tokio::select! {
+                    () = stop.cancelled() => return,
+                    _ = ticks.tick() => {}
+                }
+                step(control.clone()).await;
+            }
+        });
+    }
+
+    /// Ends what has timed out, and uses what has become usable.
+    fn tick(&self) {
+        let now = self.node.now();
+        let unix_ms = self.node.clock.unix_ms();
+        {
+            let mut state = self.node.state();
+            state.router.tick(now);
+            state.use_ready_shards(now);
+            state.settle(unix_ms);
+            state.expire_waiting(now);
+        }
+        self.node.dispatch();
+    }
+
+    /// Takes note of whether the platform answered.
+    pub(crate) fn note_platform<T>(&self, result: &Result<T, PlatformError>) {
+        let now = self.node.now();
+        let mut state = self.node.state();
+        match result {
+            Ok(_) => {
+                state.platform_heard = Some(now);
+                let Some(since) = state.platform_away_since.take() else {
+                    return;
+                };
+                drop(state);
+                let away_ms = now.duration_since(since).as_millis();
+                self.node.journal.record(&kinds::PLATFORM_BACK, &[&away_ms]);
+            }
+            Err(error) => {
+                if state.platform_away_since.is_some() {
+                    return;
+                }
+                state.platform_away_since = Some(now);
+                drop(state);
+                self.node.journal.record(&kinds::PLATFORM_AWAY, &[error]);
+            }
+        }
+    }
+
+    /// Parses a row; one that can't be parsed is reported and left out.
+    pub(crate) fn parse_row<T: DeserializeOwned>(&self, row: &Row) -> Option<T> {
+        match serde_json::from_value(row.value.clone()) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.node
+                    .journal
+                    .record(&kinds::ROW_UNREADABLE, &[&row.key, &error]);
+                None
+            }
+        }
+    }
+}
+
+/// Builds the name of the object that holds a manifest.
+pub(crate) fn manifest_object(hash: &str) -> SmolStr {
+    format!("{}{hash}", snipevane_proto::rows::MANIFEST).into()
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/control/shards.rs
@@ -0,0 +1,313 @@
+//! Takes and keeps shards of this entry VM's zone.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use snipevane_core::claims::{ClaimSettings, Claims};
+use snipevane_core::clock::Clock;
+use snipevane_core::shards::{Acquisition, Holder, ShardName, ShardRow, decide};
+use snipevane_platform::{Check, CommitError, Transaction, Write, commit_resolved};
+use snipevane_proto::rows::{CONFIG_HEAD, SHARD, ShardHolder};
+
+use super::{Control, Platform};
+use crate::journal::kinds;
+use crate::state::HeldShard;
+
+/// A shard's row as it was read.
+struct Read {
+    name: ShardName,
+    holder: ShardHolder,
+    version: u64,
+}
+
+impl<P: Platform, C: Clock> Control<P, C> {
+    /// Reads the shards' rows, takes a free shard, and writes ceilings and settled versions.
+    pub(crate) async fn poll_shards(&self) {
+        if self.node.state().site.version == 0 || self.node.is_stopping() {
+            return;
+        }
+        let rows = self.platform.scan(SHARD).await;
+        self.note_platform(&rows);
+        let Ok(rows) = rows else {
+            return;
+        };
+        let reads: Vec<Read> = rows
+            .iter()
+            .filter_map(|row| {
+                let name = row.key.strip_prefix(SHARD)?.parse().ok()?;
+                let holder = self.parse_row(row)?;
+                Some(Read {
+                    name,
+                    holder,
+                    version: row.version,
+                })
+            })
+            .collect();
+        self.confirm_from_rows(&reads);
+        self.drop_lost(&reads);
+        self.take_one(&reads).await;
+        self.write_held().await;
+    }
+
+    /// Learns from the rows which versions shards run within.
+    fn confirm_from_rows(&self, reads: &[Read]) {
+        let mut state = self.node.state();
+        for read in reads {
+            state.confirm(&read.name, read.holder.settled_version);
+        }
+        // Nobody uses a shard without a holder; who takes it starts with the current version.
+        let version = state.site.version;
+        let names: Vec<ShardName> = state.shards.names().to_vec();
+        for name in names {
+            let read = reads.iter().find(|read| read.name == name);
+            if read.is_none_or(|read| read.holder.released) {
+                state.confirm(&name, version);
+            }
+        }
+    }
+
+    /// Lets go of shards whose row names another holder.
+    fn drop_lost(&self, reads: &[Read]) {
+        let incarnation = self.node.incarnation;
+        let lost = |held: &HeldShard| {
+            let read = reads.iter().find(|read| read.name == held.name)?;
+            // A row that is older than our own write comes from a lagging replica.
+            let other = read.holder.incarnation != incarnation && read.version > held.row_version;
+            other.then(|| (held.name.clone(), SmolStr::new(&read.holder.vm)))
+        };
+        let mut state = self.node.state();
+        let lost: Vec<(ShardName, SmolStr)> = state.held.iter().filter_map(lost).collect();
+        for (name, vm) in lost {
+            state.held.retain(|held| held.name != name);
+            state.limit_deals.let_go(&name);
+            state.slot_deals.let_go(&name);
+            state.refresh_allowances();
+            self.node.journal.record(&kinds::SHARD_LOST, &[&name, &vm]);
+        }
+    }
+
+    /// Takes the first shard of the zone that is free, unless one is held.
+    async fn take_one(&self, reads: &[Read]) {
+        let me = Holder {
+            vm: self.node.settings.vm.clone(),
+            incarnation: self.node.incarnation,
+        };
+        let now_ms = self.node.clock.unix_ms();
+        let skew = ClaimSettings::default().allowed_skew;
+        let unix_ms = now_ms + u64::try_from(skew.as_millis()).unwrap_or(0);
+        let (names, longest_run, config_row) = {
+            let state = self.node.state();
+            if !state.held.is_empty() {
+                return;
+            }
+            let zone = state.zone.clone();
+            let names = state
+                .shards
+                .names()
+                .iter()
+                .filter(|name| name.zone == zone)
+                .cloned();
+            let longest = state
+                .site
+                .services
+                .values()
+                .map(|service| service.longest_run)
+                .max();
+            (
+                names.collect::<Vec<_>>(),
+                longest.unwrap_or_default(),
+                state.config_row,
+            )
+        };
+        // Shards that this VM held before come first, as nobody else can take them.
+        let mut names: Vec<(ShardName, Option<&Read>)> = names
+            .into_iter()
+            .map(|name| {
+                let read = reads.iter().find(|read| read.name == name);
+                (name, read)
+            })
+            .collect();
+        names.sort_by_key(|(_, read)| read.is_none_or(|read| read.holder.vm != me.vm.as_str()));
+        for (name, read) in names {
+            let row = read.map(|read| core_row(&read.holder));
+            let gone = |vm: &str| self.is_gone(vm);
+            let decision = decide(row.as_ref(), &me, gone, unix_ms, longest_run);
+            let (next, floor_ms, usable_after) = match (decision, read) {
+                (
+                    Acquisition::Take {
+                        next,
+                        floor_ms,
+                        usable_after,
+                    },
+                    _,
+                ) => (next, floor_ms, usable_after),
+                // Taken by a write whose answer was lost; when it took effect isn't known.
+                (Acquisition::Hold, Some(read)) => {
+                    let holder = read.holder.clone();
+                    let floor_ms = holder.ceiling_ms;
+                    self.hold(name, holder, read.version, floor_ms, longest_run);
+                    return;
+                }
+                (Acquisition::Hold | Acquisition::Leave, _) => continue,
+            };
+            let settled = read.map_or(0, |read| read.holder.settled_version);
+            let holder = proto_row(&next, settled);
+            let Some(version) = self
+                .write_shard(&name, &holder, read.map(|read| read.version), config_row)
+                .await
+            else {
+                continue;
+            };
+            self.hold(name, holder, version, floor_ms, usable_after);
+            return;
+        }
+    }
+
+    fn is_gone(&self, vm: &str) -> bool {
+        let state = self.node.state();
+        state.list_read && !state.list.iter().any(|entry| entry.id == vm)
+    }
+
+    fn hold(
+        &self,
+        name: ShardName,
+        row: ShardHolder,
+        row_version: u64,
+        floor_ms: u64,
+        usable_after: Duration,
+    ) {
+        let usable_ms = usable_after.as_millis();
+        self.node
+            .journal
+            .record(&kinds::SHARD_TAKEN, &[&name, &row.epoch, &usable_ms]);
+        let mut claims = Claims::new(ClaimSettings::default(), floor_ms);
+        claims.set_ceiling(row.ceiling_ms);
+        let usable_at = self.node.now() + usable_after;
+        let mut state = self.node.state();
+        // What was settled before was settled by another process.
+        state.settled = 0;
+        state.held.push(HeldShard {
+            name,
+            row,
+            row_version,
+            usable_at,
+            usable: false,
+            claims,
+        });
+    }
+
+    /// Writes the rows of held shards whose ceiling or settled version has to grow.
+    async fn write_held(&self) {
+        let unix_ms = self.node.clock.unix_ms();
+        let due: Vec<(ShardName, ShardHolder, u64)> = {
+            let state = self.node.state();
+            let settled = state.settled;
+            let due = state.held.iter().filter_map(|held| {
+                let ceiling = held.claims.next_ceiling(unix_ms);
+                if ceiling.is_none() && held.row.settled_version >= settled {
+                    return None;
+                }
+                let mut row = held.row.clone();
+                row.ceiling_ms = ceiling.unwrap_or(row.ceiling_ms);
+                row.settled_version = row.settled_version.max(settled);
+                Some((held.name.clone(), row, held.row_version))
+            });
+            due.collect()
+        };
+        for (name, row, expected) in due {
+            let Some(version) = self.write_shard(&name, &row, Some(expected), None).await else {
+                continue;
+            };
+            let mut state = self.node.state();
+            if let Some(held) = state.held.iter_mut().find(|held| held.name == name) {
+                held.claims.set_ceiling(row.ceiling_ms);
+                held.row = row;
+                held.row_version = version;
+            }
+        }
+    }
+
+    /// Gives all shards back with nothing running, at the end of a planned stop.
+    pub(crate) async fn release_shards(&self) {
+        let held = std::mem::take(&mut self.node.state().held);
+        for mut shard in held {
+            let mut row = shard.row.clone();
+            row.released = true;
+            row.ceiling_ms = shard.claims.close();
+            let written = self
+                .write_shard(&shard.name, &row, Some(shard.row_version), None)
+                .await;
+            if written.is_some() {
+                self.node
+                    .journal
+                    .record(&kinds::SHARD_RELEASED, &[&shard.name]);
+            }
+        }
+    }
+
+    /// Writes a shard's row; returns its new version if the write surely took effect.
+    ///
+    /// With `config_row` the write only takes effect while that version of the configuration is
+    /// the accepted one.
+    async fn write_shard(
+        &self,
+        name: &ShardName,
+        row: &ShardHolder,
+        expected: Option<u64>,
+        config_row: Option<(u64, u64)>,
+    ) -> Option<u64> {
+        let key = SmolStr::from(format!("{SHARD}{name}"));
+        let mut checks = vec![Check {
+            key: key.clone(),
+            expected,
+        }];
+        if let Some((row_version, config)) = config_row {
+            if config != self.node.state().site.version {
+                return None;
+            }
+            checks.push(Check {
+                key: CONFIG_HEAD.into(),
+                expected: Some(row_version),
+            });
+        }
+        let value = serde_json::to_value(row).ok()?;
+        let tx = Transaction::new(
+            checks,
+            vec![Write::Put {
+                key: key.clone(),
+                value,
+            }],
+        );
+        match commit_resolved(&self.platform, tx).await {
+            Ok(committed) => committed
+                .versions
+                .iter()
+                .find(|(k, _)| *k == key)
+                .map(|(_, version)| *version),
+            Err(CommitError::Conflict { .. } | CommitError::NotApplied(_)) => None,
+            // The next scan tells; until then nothing is used that the write would allow.
+            Err(CommitError::Unknown(_)) => None,
+        }
+    }
+}
+
+fn core_row(row: &ShardHolder) -> ShardRow {
+    ShardRow {
+        vm: SmolStr::new(&row.vm),
+        incarnation: row.incarnation,
+        epoch: row.epoch,
+        ceiling_ms: row.ceiling_ms,
+        released: row.released,
+    }
+}
+
+fn proto_row(row: &ShardRow, settled_version: u64) -> ShardHolder {
+    ShardHolder {
+        vm: row.vm.to_string(),
+        incarnation: row.incarnation,
+        epoch: row.epoch,
+        ceiling_ms: row.ceiling_ms,
+        released: row.released,
+        settled_version,
+    }
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/daemon.rs
@@ -0,0 +1,249 @@
+//! Starts and stops an entry VM.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snipevane_core::clock::Clock;
+use snipevane_core::config::Findings;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::control::{Control, Platform};
+use crate::journal::kinds;
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::peer::PeerClient;
+use crate::settings::Settings;
+use crate::{caller, operator, peer};
+
+/// Time between two looks at the requests in flight during a planned stop.
+const STOP_POLL: Duration = Duration::from_millis(10);
+/// Pause after a failed accept, which is mostly a lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The bound listeners of an entry VM.
+#[derive(Debug)]
+pub struct Listeners {
+    caller: TcpListener,
+    peer: TcpListener,
+    operator: TcpListener,
+}
+
+impl Listeners {
+    /// Binds all listeners of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns a finding for each address that can't be bound.
+    pub async fn bind(file: &str, settings: &Settings) -> Result<Self, Findings> {
+        let mut findings = Findings::new(file);
+        let caller = bind("/caller_address", settings.caller_address, &mut findings).await;
+        let peer = bind("/peer_address", settings.peer_address, &mut findings).await;
+        let operator = bind(
+            "/operator_address",
+            settings.operator_address,
+            &mut findings,
+        )
+        .await;
+        match (caller, peer, operator) {
+            (Some(caller), Some(peer), Some(operator)) => Ok(Self {
+                caller,
+                peer,
+                operator,
+            }),
+            _ => Err(findings),
+        }
+    }
+}
+
+async fn bind(pointer: &str, address: SocketAddr, findings: &mut Findings) -> Option<TcpListener> {
+    match TcpListener::bind(address).await {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            let message = format!("{address} can't be bound: {error}");
+            findings.add(pointer, message, "name a free port of this VM");
+            None
+        }
+    }
+}
+
+/// An entry VM that runs.
+pub struct RunningEntry<P, C> {
+    control: Arc<Control<P, C>>,
+    caller_address: SocketAddr,
+    peer_address: SocketAddr,
+    operator_address: SocketAddr,
+    loops: TaskTracker,
+    stop_loops: CancellationToken,
+    stop_callers: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl<P: Platform, C: Clock> RunningEntry<P, C> {
+    /// Starts an entry VM on bound listeners.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a listener whose address can't be told.
+    pub fn start(
+        settings: Settings,
+        listeners: Listeners,
+        platform: P,
+        clock: C,
+    ) -> io::Result<Self> {
+        let caller_address = listeners.caller.local_addr()?;
+        let peer_address = listeners.peer.local_addr()?;
+        let operator_address = listeners.operator.local_addr()?;
+        let peers = PeerClient::new(&settings.peer_key, settings.timings.peer_silent);
+        let node = Node::new(settings, clock, peer_address);
+        let vm = &node.settings.vm;
+        let zone = &node.settings.zone;
+        node.journal
+            .record(&kinds::STARTED, &[vm, zone, &node.incarnation]);
+        let control = Arc::new(Control {
+            node,
+            platform,
+            peers,
+        });
+        let entry = Self {
+            control,
+            caller_address,
+            peer_address,
+            operator_address,
+            loops: TaskTracker::new(),
+            stop_loops: CancellationToken::new(),
+            stop_callers: CancellationToken::new(),
+            connections: TaskTracker::new(),
+        };
+        entry.control.start(&entry.loops, &entry.stop_loops);
+        entry.accept_callers(listeners.caller);
+        entry.accept_peers(listeners.peer);
+        entry.accept_operators(listeners.operator);
+        Ok(entry)
+    }
+
+    /// Returns the address for callers.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns the address for other entry VMs.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Returns the address for operators.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.control.node.in_flight()
+    }
+
+    /// Stops without cutting off a request in flight.
+    ///
+    /// Fails the health check, waits the balancer's notice, takes no new connection, waits for the
+    /// requests in flight, and gives the shards back.
+    pub async fn stop(self) {
+        let node = &self.control.node;
+        if !node.begin_stop() {
+            return;
+        }
+        node.journal.record(&kinds::STOPPING, &[&node.in_flight()]);
+        // Peers learn that they should send no more requests here.
+        self.control.send_heartbeats().await;
+        sleep(node.settings.timings.stop_notice).await;
+        self.stop_callers.cancel();
+        self.connections.close();
+        self.connections.wait().await;
+        while node.in_flight() > 0 {
+            sleep(STOP_POLL).await;
+        }
+        self.control.release_shards().await;
+        self.abandon();
+        node.journal.record(&kinds::STOPPED, &[&0]);
+    }
+
+    /// Ends at once, as a crash would, but for what is already on its way.
+    pub fn abandon(&self) {
+        self.stop_callers.cancel();
+        self.stop_loops.cancel();
+    }
+
+    fn accept_callers(&self, listener: TcpListener) {
+        let node = self.control.node.clone();
+        let (connections, stop) = (self.connections.clone(), self.stop_callers.clone());
+        let permits = Arc::new(Semaphore::new(node.settings.max_connections));
+        self.loops.spawn(async move {
+            loop {
+                // Callers over the bound wait in the listener's backlog.
+                let Ok(permit) = permits.clone().acquire_owned().await else {
+                    return;
+                };
+                let Some(stream) = accept(&listener, &stop).await else {
+                    return;
+                };
+                let (node, stop) = (node.clone(), stop.clone());
+                connections.spawn(async move {
+                    caller::serve_connection(node, stream, stop).await;
+                    drop(permit);
+                });
+            }
+        });
+    }
+
+    fn accept_peers(&self, listener: TcpListener) {
+        let (node, stop) = (self.control.node.clone(), self.stop_loops.clone());
+        self.loops.spawn(async move {
+            while let Some(stream) = accept(&listener, &stop).await {
+                let (node, stop) = (node.clone(), stop.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = stop.cancelled() => {}
+                        () = peer::serve_connection(node, stream) => {}
+                    }
+                });
+            }
+        });
+    }
+
+    fn accept_operators(&self, listener: TcpListener) {
+        let (control, stop) = (self.control.clone(), self.stop_loops.clone());
+        let metrics = Arc::new(Metrics::new());
+        self.loops.spawn(async move {
+            while let Some(stream) = accept(&listener, &stop).await {
+                let (control, metrics, stop) = (control.clone(), metrics.clone(), stop.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = stop.cancelled() => {}
+                        () = operator::serve_connection(control, metrics, stream) => {}
+                    }
+                });
+            }
+        });
+    }
+}
+
+async fn accept(listener: &TcpListener, stop: &CancellationToken) -> Option<TcpStream> {
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return None,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                // Without this, small answers wait for the acknowledgement of the former segment.
+                let _ = stream.set_nodelay(true);
+                return Some(stream);
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
--- a/crates/snipevane-entry/src/lib.rs
+++ b/crates/snipevane-entry/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! The entry VM: everything between callers and backend servers.
+//!
+//! The library is what the daemon `snipevane-entry` starts; other programs embed it through
+//! [`RunningEntry`].
+
+mod backend;
+mod caller;
+mod control;
+mod daemon;
+mod metrics;
+mod node;
+mod operator;
+mod peer;
+mod request;
+mod signs;
+mod state;
+
+pub mod journal;
+pub mod process;
+pub mod settings;
+
+pub use control::Platform;
+pub use daemon::{Listeners, RunningEntry};
--- /dev/null
+++ b/crates/snipevane-entry/src/metrics.rs
@@ -0,0 +1,54 @@
+//! Metrics for scraping.
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use snipevane_core::clock::Clock;
+
+use crate::node::Node;
+
+/// Metrics of a process.
+pub(crate) struct Metrics {
+    handle: PrometheusHandle,
+    recorder: metrics_exporter_prometheus::PrometheusRecorder,
+}
+
+impl Metrics {
+    /// Creates metrics of one entry VM, apart from those of others in the same process.
+    pub(crate) fn new() -> Self {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        Self {
+            handle: recorder.handle(),
+            recorder,
+        }
+    }
+
+    /// Reads the gauges off the state and renders all metrics in the Prometheus text format.
+    pub(crate) fn render<C: Clock>(&self, node: &Node<C>) -> String {
+        metrics::with_local_recorder(&self.recorder, || {
+            let state = node.state();
+            metrics::gauge!("snipevane_config_version").set(state.site.version as f64);
+            metrics::gauge!("snipevane_in_flight").set(node.in_flight() as f64);
+            for (key, team) in &state.site.teams {
+                let name = team.name.to_string();
+                metrics::gauge!("snipevane_team_in_use", "team" => name.clone())
+                    .set(f64::from(state.limits.in_use(key)));
+                metrics::gauge!("snipevane_team_allowance", "team" => name)
+                    .set(f64::from(state.limit_deals.total_allowance(&team.name)));
+            }
+            for (key, service) in &state.site.services {
+                let name = service.name.to_string();
+                let waiting = state.waiting.get(key).map_or(0, |queue| queue.len());
+                metrics::gauge!("snipevane_service_waiting", "service" => name.clone())
+                    .set(waiting as f64);
+                metrics::gauge!("snipevane_service_free_slots", "service" => name)
+                    .set(f64::from(state.router.free_slots(key)));
+            }
+            let reachable = state
+                .peers
+                .iter()
+                .filter(|(_, peer)| peer.reachable)
+                .count();
+            metrics::gauge!("snipevane_peers_reachable").set(reachable as f64);
+        });
+        self.handle.render()
+    }
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/operator/keys.rs
@@ -0,0 +1,152 @@
+//! Gives, lists and withdraws keys.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use http::StatusCode;
+use snipevane_core::clock::Clock;
+use snipevane_core::keys::KeyRow;
+use snipevane_proto::operator::{GiveKey, GivenKey, KeyInfo, Withdrawal};
+use tokio::time::{sleep, timeout};
+use uuid::Uuid;
+
+use super::reply::{json, platform_away, problem, refuse};
+use crate::control::{Control, Platform};
+use crate::journal::kinds;
+use crate::request::Response;
+
+/// Longest wait for the peers to confirm a withdrawal.
+const CONFIRM_WAIT: Duration = Duration::from_secs(2);
+/// Time between two looks at what peers have confirmed.
+const CONFIRM_POLL: Duration = Duration::from_millis(20);
+/// Time after which an operator asks again when the platform is away.
+const PLATFORM_RETRY: Duration = Duration::from_secs(5);
+
+impl<P: Platform, C: Clock> Control<P, C> {
+    /// Lists all keys, without their secrets.
+    pub(super) fn list_keys(&self) -> Response {
+        let state = self.node.state();
+        let mut keys: Vec<KeyInfo> = state
+            .keys
+            .rows()
+            .map(|row| KeyInfo {
+                id: row.id.to_string(),
+                team: row.team.to_string(),
+                withdrawn: row.withdrawn,
+            })
+            .collect();
+        keys.sort_by(|a, b| (&a.team, &a.id).cmp(&(&b.team, &b.id)));
+        json(&keys)
+    }
+
+    /// Gives a team a new key; it is stored before it is shown.
+    pub(super) async fn give_key(&self, req: GiveKey) -> Response {
+        if self.node.state().site.team(&req.team).is_none() {
+            let detail = format!("no team has the name {:?}", req.team);
+            return refuse(&problem(StatusCode::NOT_FOUND, "unknown team", detail));
+        }
+        let mut random = [0; 32];
+        if let Err(error) = getrandom::fill(&mut random) {
+            let title = "no random numbers";
+            return refuse(&problem(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                title,
+                error.to_string(),
+            ));
+        }
+        let id = Uuid::now_v7().simple().to_string();
+        // Made apart from the node's keys, which get it only once it's stored.
+        let mut apart = snipevane_core::keys::KeyStore::default();
+        let (row, presented) = apart.give(req.team.as_str(), id.as_str(), random);
+        if let Err(error) = self.store_key(&row, None).await {
+            return platform_away(error.to_string(), PLATFORM_RETRY);
+        }
+        self.node.state().keys.merge(row.clone());
+        self.node
+            .journal
+            .record(&kinds::KEY_GIVEN, &[&row.id, &row.team]);
+        json(&GivenKey {
+            id,
+            team: req.team,
+            key: presented,
+        })
+    }
+
+    /// Withdraws a key here and at all peers at once, and in the table.
+    pub(super) async fn withdraw_key(&self, id: &str) -> Response {
+        let Some(row) = self.node.state().keys.get(id).cloned() else {
+            let detail = format!("no key has the identifier {id:?}");
+            return refuse(&problem(StatusCode::NOT_FOUND, "unknown key", detail));
+        };
+        let sequence = {
+            let mut state = self.node.state();
+            state.keys.withdraw(id);
+            state.keys.changes_since(u64::MAX).1
+        };
+        self.node
+            .journal
+            .record(&kinds::KEY_WITHDRAWN, &[&row.id, &row.team]);
+        let (stored, ()) = tokio::join!(self.store_withdrawal(&row), self.spread(sequence));
+        let (confirmed_zones, unconfirmed_zones) = self.zones_with(sequence);
+        json(&Withdrawal {
+            id: id.to_owned(),
+            confirmed_zones,
+            unconfirmed_zones,
+            stored,
+        })
+    }
+
+    async fn store_withdrawal(&self, row: &KeyRow) -> bool {
+        let row = KeyRow {
+            withdrawn: true,
+            ..row.clone()
+        };
+        let key = format!("{}{}", snipevane_proto::rows::KEY, row.id);
+        let Ok(Some(stored)) = self.platform.read(&key).await else {
+            return false;
+        };
+        self.store_key(&row, Some(stored.version)).await.is_ok()
+    }
+
+    /// Waits until all reachable peers have confirmed a change of keys, for a bounded time.
+    async fn spread(&self, sequence: u64) {
+        let confirmed = async {
+            self.send_heartbeats().await;
+            while !self.all_reachable_have(sequence) {
+                sleep(CONFIRM_POLL).await;
+                self.send_heartbeats().await;
+            }
+        };
+        let _ = timeout(CONFIRM_WAIT, confirmed).await;
+    }
+
+    fn all_reachable_have(&self, sequence: u64) -> bool {
+        let state = self.node.state();
+        let mut peers = state.peers.iter().filter(|(_, peer)| peer.reachable);
+        peers.all(|(_, peer)| peer.keys_confirmed >= sequence)
+    }
+
+    /// Returns the zones in which all entry VMs have a change of keys, and the others.
+    fn zones_with(&self, sequence: u64) -> (Vec<String>, Vec<String>) {
+        let state = self.node.state();
+        let mut zones: BTreeMap<String, bool> = state
+            .site
+            .zones
+            .values()
+            .map(|zone| (zone.name.to_string(), false))
+            .collect();
+        zones.insert(state.zone.to_string(), true);
+        let mut heard = BTreeSet::from([state.zone.to_string()]);
+        for (_, peer) in state.peers.iter() {
+            let zone = peer.zone.to_string();
+            let has = peer.reachable && peer.keys_confirmed >= sequence;
+            let first = heard.insert(zone.clone());
+            let all = zones.entry(zone).or_insert(has);
+            *all = has && (first || *all);
+        }
+        let (confirmed, unconfirmed): (Vec<_>, Vec<_>) =
+            zones.into_iter().partition(|(_, all)| *all);
+        let names = |zones: Vec<(String, bool)>| zones.into_iter().map(|(zone, _)| zone).collect();
+        (names(confirmed), names(unconfirmed))
+    }
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/operator/listener.rs
@@ -0,0 +1,107 @@
+//! Routes operators' requests.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::de::DeserializeOwned;
+use snipevane_core::clock::Clock;
+use subtle::ConstantTimeEq;
+use tokio::io::{AsyncRead, AsyncWrite};
+
+use super::reply::{json, problem, refuse, text};
+use crate::control::{Control, Platform};
+use crate::metrics::Metrics;
+use crate::request::Response;
+
+/// Largest body of an operator's request, in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Serves one operator's connection.
+pub(crate) async fn serve_connection<P: Platform, C: Clock>(
+    control: Arc<Control<P, C>>,
+    metrics: Arc<Metrics>,
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+) {
+    let service = service_fn({
+        let control = control.clone();
+        move |req| {
+            let (control, metrics) = (control.clone(), metrics.clone());
+            async move { Ok::<_, Infallible>(answer(control, &metrics, req).await) }
+        }
+    });
+    // An error ends the connection; the operator sees that.
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(control.node.settings.timings.caller_read)
+        .serve_connection(TokioIo::new(Box::pin(stream)), service)
+        .await;
+}
+
+async fn answer<P: Platform, C: Clock>(
+    control: Arc<Control<P, C>>,
+    metrics: &Metrics,
+    req: Request<Incoming>,
+) -> Response {
+    let (parts, body) = req.into_parts();
+    let path = parts.uri.path();
+    if parts.method == Method::GET && path == "/healthz" {
+        return match control.node.not_ready() {
+            None => text("ready\n".to_owned()),
+            Some(reason) => refuse(&problem(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not ready",
+                reason,
+            )),
+        };
+    }
+    if !is_operator(&control.node.settings.operator_key, &parts.headers) {
+        let detail = "send `Authorization: Bearer OPERATOR_KEY`";
+        return refuse(&problem(
+            StatusCode::UNAUTHORIZED,
+            "not an operator",
+            detail,
+        ));
+    }
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (&parts.method, segments.as_slice()) {
+        (&Method::GET, ["metrics"]) => text(metrics.render(&control.node)),
+        (&Method::GET, ["v1", "status"]) => json(&control.status()),
+        (&Method::GET, ["v1", "config"]) => control.config(),
+        (&Method::POST, ["v1", "config"]) => match read_json(body).await {
+            Ok(req) => control.apply(req).await,
+            Err(response) => response,
+        },
+        (&Method::GET, ["v1", "keys"]) => control.list_keys(),
+        (&Method::POST, ["v1", "keys"]) => match read_json(body).await {
+            Ok(req) => control.give_key(req).await,
+            Err(response) => response,
+        },
+        (&Method::DELETE, ["v1", "keys", id]) => control.withdraw_key(id).await,
+        _ => refuse(&problem(StatusCode::NOT_FOUND, "unknown path", "")),
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(body: Incoming) -> Result<T, Response> {
+    let bad = |detail: String| refuse(&problem(StatusCode::BAD_REQUEST, "malformed body", detail));
+    let body: Bytes = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return Err(bad(error.to_string())),
+    };
+    serde_json::from_slice(&body).map_err(|error| bad(error.to_string()))
+}
+
+/// Compares the key in a time that doesn't depend on where it differs.
+fn is_operator(operator_key: &str, headers: &HeaderMap) -> bool {
+    let value = headers
+        .get(header::AUTHORIZATION)
+        .map_or(&b""[..], |value| value.as_bytes());
+    let presented = value.strip_prefix(b"Bearer ").unwrap_or_default();
+    presented.ct_eq(operator_key.as_bytes()).into()
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/operator/mod.rs
@@ -0,0 +1,9 @@
+//! The listener for operators and metrics.
+
+mod apply;
+mod keys;
+mod listener;
+mod reply;
+mod status;
+
+pub(crate) use listener::serve_connection;
--- a/crates/snipevane-entry/src/peer/mod.rs
+++ b/crates/snipevane-entry/src/peer/mod.rs
@@ -7,4 +7,5 @@
 
 pub(crate) use client::PeerClient;
 pub(crate) use listener::serve_connection;
-pub(crate) use table::{Peer, Peers};
+pub(crate) use rpc::free;
+pub(crate) use table::{Need, Peer, Peers};
--- /dev/null
+++ b/crates/snipevane-entry/src/peer/rpc.rs
@@ -0,0 +1,181 @@
+//! Calls between entry VMs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::core::async_trait;
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::types::ErrorObjectOwned;
+use smol_str::SmolStr;
+use snipevane_core::clock::Clock;
+use snipevane_core::keys::KeyRow;
+use snipevane_core::shards::ShardName;
+use snipevane_proto::peer::{ConfigBody, Free, Heartbeat, KeyState, PROTOCOL, ShardState};
+
+use crate::journal::kinds;
+use crate::node::Node;
+
+/// Code of the error for a message that isn't understood.
+const BAD_MESSAGE: i32 = -32001;
+
+/// Calls that an entry VM answers to its peers.
+#[rpc(server, client, namespace = "peer")]
+pub(crate) trait PeerApi {
+    /// Exchanges heartbeats.
+    #[method(name = "heartbeat")]
+    async fn heartbeat(&self, heartbeat: Heartbeat) -> Result<Heartbeat, ErrorObjectOwned>;
+
+    /// Returns the configuration in force.
+    #[method(name = "config")]
+    async fn config(&self) -> Result<ConfigBody, ErrorObjectOwned>;
+}
+
+/// Answers the calls of peers.
+pub(crate) struct PeerRpc<C>(pub(crate) Arc<Node<C>>);
+
+#[async_trait]
+impl<C: Clock> PeerApiServer for PeerRpc<C> {
+    async fn heartbeat(&self, heartbeat: Heartbeat) -> Result<Heartbeat, ErrorObjectOwned> {
+        let node = &self.0;
+        let vm = SmolStr::new(&heartbeat.vm);
+        if let Err(reason) = node.on_heartbeat(&heartbeat) {
+            node.journal
+                .record(&kinds::PEER_MESSAGE_REFUSED, &[&vm, &reason]);
+            return Err(ErrorObjectOwned::owned(
+                BAD_MESSAGE,
+                reason.to_string(),
+                None::<()>,
+            ));
+        }
+        Ok(node.heartbeat_for(&vm))
+    }
+
+    async fn config(&self) -> Result<ConfigBody, ErrorObjectOwned> {
+        let state = self.0.state();
+        Ok(ConfigBody {
+            version: state.site.version,
+            manifest: state.manifest.to_string(),
+        })
+    }
+}
+
+impl<C: Clock> Node<C> {
+    /// Builds the heartbeat for a peer, with the changes of keys that it hasn't confirmed.
+    pub(crate) fn heartbeat_for(&self, vm: &str) -> Heartbeat {
+        let now = self.now();
+        let state = self.state();
+        let (merged, confirmed) = state
+            .peers
+            .get(vm)
+            .map_or((0, 0), |peer| (peer.keys_merged, peer.keys_confirmed));
+        let (rows, keys_sequence) = state.keys.changes_since(confirmed);
+        let keys = rows.map(key_state).collect();
+        let platform_age = state
+            .platform_heard
+            .map_or(Duration::MAX, |heard| now.duration_since(heard));
+        Heartbeat {
+            protocol: PROTOCOL,
+            vm: self.settings.vm.to_string(),
+            zone: self.settings.zone.to_string(),
+            incarnation: self.incarnation,
+            address: self.peer_address.to_string(),
+            config_version: state.site.version,
+            settled_version: state.settled,
+            shards: state.held.iter().map(shard_state).collect(),
+            platform_age_ms: u64::try_from(platform_age.as_millis()).unwrap_or(u64::MAX),
+            stopping: self.is_stopping(),
+            free_units: state.free_units(),
+            free_slots: state.free_slots(),
+            keys,
+            keys_sequence,
+            keys_seen: merged,
+            logical_time: 0,
+        }
+    }
+
+    /// Takes over what a peer's heartbeat says.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with a heartbeat that can't be used; nothing of it is taken over.
+    pub(crate) fn on_heartbeat(&self, heartbeat: &Heartbeat) -> Result<(), SmolStr> {
+        if heartbeat.protocol != PROTOCOL {
+            return Err(format!("protocol version {}", heartbeat.protocol).into());
+        }
+        if heartbeat.vm == self.settings.vm.as_str() {
+            return Err("the name of this VM".into());
+        }
+        let address: SocketAddr = heartbeat
+            .address
+            .parse()
+            .map_err(|_| SmolStr::from("malformed address"))?;
+        let rows = heartbeat
+            .keys
+            .iter()
+            .map(key_row)
+            .collect::<Result<Vec<_>, _>>()?;
+        let now = self.now();
+        let mut state = self.state();
+        let news = state.peers.on_heartbeat(heartbeat, address, now);
+        if heartbeat.zone != state.zone.as_str() {
+            state.other_zone_heard = Some(now);
+        }
+        for row in rows {
+            state.keys.merge(row);
+        }
+        for shard in &heartbeat.shards {
+            let name = ShardName {
+                zone: SmolStr::new(&shard.zone),
+                index: shard.index,
+            };
+            state.confirm(&name, heartbeat.settled_version);
+        }
+        drop(state);
+        if news {
+            self.journal.record(
+                &kinds::PEER_REACHABLE,
+                &[&heartbeat.vm, &heartbeat.incarnation],
+            );
+        }
+        self.publish_hints();
+        Ok(())
+    }
+}
+
+fn key_state(row: &KeyRow) -> KeyState {
+    KeyState {
+        id: row.id.to_string(),
+        team: row.team.to_string(),
+        hash: hex::encode(row.hash),
+        withdrawn: row.withdrawn,
+    }
+}
+
+fn key_row(key: &KeyState) -> Result<KeyRow, SmolStr> {
+    let mut hash = [0; 32];
+    hex::decode_to_slice(&key.hash, &mut hash).map_err(|_| SmolStr::from("malformed hash"))?;
+    Ok(KeyRow {
+        id: key.id.as_str().into(),
+        team: key.team.as_str().into(),
+        hash,
+        withdrawn: key.withdrawn,
+    })
+}
+
+fn shard_state(shard: &crate::state::HeldShard) -> ShardState {
+    ShardState {
+        zone: shard.name.zone.to_string(),
+        index: shard.name.index,
+        epoch: shard.row.epoch,
+        ceiling_ms: shard.row.ceiling_ms,
+    }
+}
+
+/// Builds a named count.
+pub(crate) fn free(name: &SmolStr, count: u32) -> Free {
+    Free {
+        name: name.to_string(),
+        count,
+    }
+}
--- a/crates/snipevane-entry/src/peer/table.rs
+++ b/crates/snipevane-entry/src/peer/table.rs
@@ -96,7 +96,10 @@
 impl Peers {
     /// Adds a peer, or notes its address if it wasn't heard at another one.
     pub(crate) fn add(&mut self, vm: &SmolStr, zone: &SmolStr, address: SocketAddr) {
-        let peer = self.by_vm.entry(vm.clone()).or_insert_with(|| Peer::new(zone.clone(), address));
+        let peer = self
+            .by_vm
+            .entry(vm.clone())
+            .or_insert_with(|| Peer::new(zone.clone(), address));
         if !peer.reachable {
             peer.address = address;
         }
@@ -126,7 +129,10 @@
     ) -> bool {
         let vm = SmolStr::new(&heartbeat.vm);
         let zone = SmolStr::new(&heartbeat.zone);
-        let peer = self.by_vm.entry(vm).or_insert_with(|| Peer::new(zone, address));
+        let peer = self
+            .by_vm
+            .entry(vm)
+            .or_insert_with(|| Peer::new(zone, address));
         let restarted = peer.incarnation != Some(heartbeat.incarnation);
         if restarted {
             // A new process numbers its changes of keys anew.
@@ -145,12 +151,17 @@
         peer.shards = heartbeat
             .shards
             .iter()
-            .map(|shard| ShardName { zone: SmolStr::new(&shard.zone), index: shard.index })
+            .map(|shard| ShardName {
+                zone: SmolStr::new(&shard.zone),
+                index: shard.index,
+            })
             .collect();
         peer.keys_merged = peer.keys_merged.max(heartbeat.keys_sequence);
         peer.keys_confirmed = peer.keys_confirmed.max(heartbeat.keys_seen);
         let counts = |list: &[snipevane_proto::peer::Free]| {
-            list.iter().map(|free| (SmolStr::new(&free.name), free.count)).collect()
+            list.iter()
+                .map(|free| (SmolStr::new(&free.name), free.count))
+                .collect()
         };
         peer.free_units = counts(&heartbeat.free_units);
         peer.free_slots = counts(&heartbeat.free_slots);
@@ -161,7 +172,9 @@
     pub(crate) fn mark_silent(&mut self, now: Instant, silent: Duration) -> Vec<SmolStr> {
         let mut lost = Vec::new();
         for (vm, peer) in &mut self.by_vm {
-            let late = peer.heard.is_none_or(|heard| now.duration_since(heard) > silent);
+            let late = peer
+                .heard
+                .is_none_or(|heard| now.duration_since(heard) > silent);
             if peer.reachable && late {
                 peer.reachable = false;
                 lost.push(vm.clone());
@@ -215,7 +228,10 @@
         team: &str,
     ) -> Option<(SmolStr, SocketAddr)> {
         let units = |peer: &Peer| -> u32 {
-            peer.shards.iter().map(|shard| deal.units(team, shard)).sum()
+            peer.shards
+                .iter()
+                .map(|shard| deal.units(team, shard))
+                .sum()
         };
         self.by_vm
             .iter()
--- a/crates/snipevane-entry/src/request/answer.rs
+++ b/crates/snipevane-entry/src/request/answer.rs
@@ -4,6 +4,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use http_body_util::Full;
 use snipevane_proto::headers::{self, Outcome};
+use uuid::Uuid;
 
 use super::{Refusal, Response};
 
@@ -33,22 +34,42 @@
     /// Takes over an answer's parts.
     pub(crate) fn new(status: StatusCode, mut headers: HeaderMap, body: Bytes) -> Self {
         remove_hop_by_hop(&mut headers);
-        Self { status, headers, body }
+        Self {
+            status,
+            headers,
+            body,
+        }
     }
 
     /// Returns the approximate size in memory, in bytes.
     pub(crate) fn size(&self) -> usize {
-        let headers: usize =
-            self.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+        let headers: usize = self
+            .headers
+            .iter()
+            .map(|(name, value)| name.as_str().len() + value.len())
+            .sum();
         headers + self.body.len()
     }
 
+    fn into_response(self) -> Response {
+        let mut response = Response::new(Full::new(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+
     /// Returns the outcome that the sender stated.
     pub(crate) fn outcome(&self) -> Option<Outcome> {
         let value = self.headers.get(headers::OUTCOME)?;
         Outcome::parse(value.to_str().ok()?)
     }
 
+    /// Returns the exchange that the backend server says the answer belongs to.
+    pub(crate) fn exchange(&self) -> Option<Uuid> {
+        let value = self.headers.get(headers::EXCHANGE)?;
+        Uuid::parse_str(value.to_str().ok()?).ok()
+    }
+
     /// Tells whether the backend server says that it didn't run the request.
     pub(crate) fn is_declined(&self) -> bool {
         self.outcome() == Some(Outcome::NotRun)
@@ -60,6 +81,8 @@
 pub(crate) enum Reply {
     /// A backend server's answer.
     Answered(Answer),
+    /// A peer's response, passed on as it is.
+    Relayed(Answer),
     /// The entry VM's own refusal.
     Refused(Refusal),
 }
@@ -68,10 +91,9 @@
     /// Turns the reply into a response.
     pub(crate) fn into_response(self) -> Response {
         match self {
+            Self::Relayed(answer) => answer.into_response(),
             Self::Answered(answer) => {
-                let mut response = Response::new(Full::new(answer.body));
-                *response.status_mut() = answer.status;
-                *response.headers_mut() = answer.headers;
+                let mut response = answer.into_response();
                 let value = HeaderValue::from_static(Outcome::Answered.as_str());
                 response.headers_mut().insert(headers::OUTCOME, value);
                 response
--- a/crates/snipevane-entry/src/request/mod.rs
+++ b/crates/snipevane-entry/src/request/mod.rs
@@ -10,7 +10,7 @@
 
 pub(crate) use answer::{Answer, Reply};
 pub(crate) use grant::{Grant, UnitGuard};
-pub(crate) use head::{Head, Identity};
+pub(crate) use head::{Head, Identity, QUEUES_PATH};
 pub(crate) use refusal::{Refusal, Response};
-pub(crate) use run::{Work, run};
-pub(crate) use serve::serve;
+pub(crate) use run::{FORWARD, Work, run};
+pub(crate) use serve::{Origin, serve};
--- a/crates/snipevane-entry/src/request/refusal.rs
+++ b/crates/snipevane-entry/src/request/refusal.rs
@@ -47,7 +47,10 @@
 
     /// Creates the answer to a request that may have run.
     pub(crate) fn unknown(status: StatusCode, title: &'static str) -> Self {
-        Self { outcome: Outcome::Unknown, ..Self::not_run(status, title) }
+        Self {
+            outcome: Outcome::Unknown,
+            ..Self::not_run(status, title)
+        }
     }
 
     /// Creates the refusal of a request for which there is no room now.
@@ -87,7 +90,10 @@
         *response.status_mut() = self.status;
         let map = response.headers_mut();
         map.insert(header::CONTENT_TYPE, HeaderValue::from_static(PROBLEM_JSON));
-        map.insert(headers::OUTCOME, HeaderValue::from_static(self.outcome.as_str()));
+        map.insert(
+            headers::OUTCOME,
+            HeaderValue::from_static(self.outcome.as_str()),
+        );
         if let Some(after) = self.retry_after {
             // Whole seconds, and never 0, which callers take as "at once".
             let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
--- a/crates/snipevane-entry/src/settings/load.rs
+++ b/crates/snipevane-entry/src/settings/load.rs
@@ -13,8 +13,12 @@
 use super::{PeerSeed, Settings, Timings};
 
 const ADDRESS_HINT: &str = "write an IP number and a port, such as 10.0.0.7:8080";
-const ADDRESSES: [&str; 4] =
-    ["/caller_address", "/peer_address", "/operator_address", "/platform_address"];
+const ADDRESSES: [&str; 4] = [
+    "/caller_address",
+    "/peer_address",
+    "/operator_address",
+    "/platform_address",
+];
 
 /// Reads and checks a file of settings.
 ///
@@ -27,7 +31,11 @@
         Ok(text) => parse(&file, &text),
         Err(error) => {
             let mut findings = Findings::new(file);
-            findings.add("", format!("can't be read: {error}"), "name a readable file");
+            findings.add(
+                "",
+                format!("can't be read: {error}"),
+                "name a readable file",
+            );
             Err(findings)
         }
     }
@@ -42,7 +50,11 @@
     let mut findings = Findings::new(file);
     if let Err(mismatches) = schema::parse(ENTRY_SCHEMA, text) {
         for mismatch in mismatches {
-            findings.add(mismatch.pointer, mismatch.message, "see docs/operators/settings.md");
+            findings.add(
+                mismatch.pointer,
+                mismatch.message,
+                "see docs/operators/settings.md",
+            );
         }
     }
     let value: Value = serde_json::from_str(text).unwrap_or_default();
@@ -69,7 +81,9 @@
         let Some(address) = text_at(value, pointer).filter(|text| !text.ends_with(":0")) else {
             continue;
         };
-        let taken = listeners[..position].iter().find(|other| text_at(value, other) == Some(address));
+        let taken = listeners[..position]
+            .iter()
+            .find(|other| text_at(value, other) == Some(address));
         if let Some(other) = taken {
             let message = format!("{address} is already the address of {other}");
             findings.add(*pointer, message, "give each listener a port of its own");
@@ -91,7 +105,11 @@
         return;
     };
     if text.parse::<SocketAddr>().is_err() {
-        findings.add(pointer, format!("{text:?} is no IP number with a port"), ADDRESS_HINT);
+        findings.add(
+            pointer,
+            format!("{text:?} is no IP number with a port"),
+            ADDRESS_HINT,
+        );
     }
 }
 
@@ -102,7 +120,10 @@
 fn resolve(settings: &EntrySettings) -> Settings {
     let fallback = Settings::default();
     let address = |text: &str| text.parse().unwrap_or(fallback.caller_address);
-    let limits = settings.caller_limits.clone().unwrap_or_else(CallerLimits::default);
+    let limits = settings
+        .caller_limits
+        .clone()
+        .unwrap_or_else(CallerLimits::default);
     let size = |count: u32| usize::try_from(count).unwrap_or(usize::MAX);
     Settings {
         vm: SmolStr::new(settings.vm.as_str()),
--- /dev/null
+++ b/crates/snipevane-entry/src/state/hints.rs
@@ -0,0 +1,44 @@
+//! What peers are told of this entry VM's room, and what it learns of theirs.
+
+use snipevane_proto::peer::Free;
+
+use super::State;
+use crate::peer::{Need, free};
+use crate::request::Work;
+
+impl State {
+    /// Lists the teams with free units.
+    pub(crate) fn free_units(&self) -> Vec<Free> {
+        let teams = self.site.teams.iter();
+        let counts = teams.map(|(key, team)| free(&team.name, self.limits.free(key)));
+        counts.filter(|free| free.count > 0).collect()
+    }
+
+    /// Lists the services with more free slots than waiting requests.
+    pub(crate) fn free_slots(&self) -> Vec<Free> {
+        let services = self.site.services.iter();
+        let counts = services.map(|(key, service)| {
+            let waiting = self.waiting.get(key).map_or(0, |queue| queue.len());
+            let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+            free(
+                &service.name,
+                self.router.free_slots(key).saturating_sub(waiting),
+            )
+        });
+        counts.filter(|free| free.count > 0).collect()
+    }
+
+    /// Takes note that a peer had no room for a request after all.
+    pub(crate) fn note_no_room(&mut self, vm: &str, work: &Work) {
+        let team = work
+            .needs_unit()
+            .then_some(work.head.identity.name.as_str());
+        let zone = self.zone.clone();
+        let need = Need {
+            service: &work.head.service_name,
+            team,
+            zone: &zone,
+        };
+        self.peers.on_no_room(vm, need);
+    }
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/state/mod.rs
@@ -0,0 +1,11 @@
+//! What an entry VM keeps in memory: the core's decisions tied together.
+
+mod held;
+mod hints;
+mod servers;
+mod site_state;
+mod waiting;
+
+pub(crate) use held::{HeldShard, KeptAnswer};
+pub(crate) use site_state::State;
+pub(crate) use waiting::{GrantParts, Waiter};
