--- /dev/null
+++ b/crates/snipevane-platform/src/client.rs
@@ -0,0 +1,287 @@
+//! The platform's client over HTTP.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use parking_lot::Mutex;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use snipevane_core::clock::{Clock, SystemClock};
+use snipevane_proto::platform::{
+    self as message, CLIENT, COMMIT_PATH, OBJECTS_PATH, READ_PATH, SCAN_PATH, VMS_PATH,
+};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+use crate::error::{CommitError, PlatformError};
+use crate::object_store::ObjectStore;
+use crate::retry::RetryBudget;
+use crate::settings::PlatformSettings;
+use crate::table::{Committed, Row, Table, Transaction};
+use crate::vm_list::{VmEntry, VmList};
+
+/// Pause that a refusal over the platform's rate asks for if it names none.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Client of the platform's table, object store and VM list.
+///
+/// Each call has a deadline. Reads are sent again within a [`RetryBudget`]; a commit is sent once.
+pub struct PlatformClient<C = SystemClock> {
+    settings: PlatformSettings,
+    clock: C,
+    http: Client<HttpConnector, Full<Bytes>>,
+    in_flight: Semaphore,
+    retries: Mutex<RetryBudget>,
+}
+
+/// A call, kept so that it can be sent again.
+struct Call {
+    method: Method,
+    path: SmolStr,
+    body: Bytes,
+}
+
+impl Call {
+    fn get(path: impl Into<SmolStr>) -> Self {
+        Self {
+            method: Method::GET,
+            path: path.into(),
+            body: Bytes::new(),
+        }
+    }
+
+    fn post<T: Serialize>(path: &str, message: &T) -> Result<Self, PlatformError> {
+        let body = serde_json::to_vec(message).map_err(malformed)?;
+        Ok(Self {
+            method: Method::POST,
+            path: path.into(),
+            body: body.into(),
+        })
+    }
+}
+
+/// A whole answer.
+struct Answer {
+    status: StatusCode,
+    retry_after: Duration,
+    body: Bytes,
+}
+
+impl Answer {
+    fn parse<T: DeserializeOwned>(&self) -> Result<T, PlatformError> {
+        serde_json::from_slice(&self.body).map_err(malformed)
+    }
+
+    fn refusal(&self) -> PlatformError {
+        if self.status == StatusCode::TOO_MANY_REQUESTS {
+            return PlatformError::Limited {
+                retry_after: self.retry_after,
+            };
+        }
+        PlatformError::Refused(self.status.as_u16())
+    }
+}
+
+impl<C: Clock> PlatformClient<C> {
+    /// Creates a client; connections are made when they are needed.
+    pub fn new(settings: PlatformSettings, clock: C) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(settings.connect_timeout));
+        let http = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(settings.max_in_flight)
+            .build(connector);
+        let retries = RetryBudget::new(settings.retry, settings.seed, clock.now());
+        Self {
+            clock,
+            http,
+            in_flight: Semaphore::new(settings.max_in_flight),
+            retries: Mutex::new(retries),
+            settings,
+        }
+    }
+
+    /// Returns the settings of the client.
+    pub fn settings(&self) -> &PlatformSettings {
+        &self.settings
+    }
+
+    /// Sends a read until it's answered, its deadline is near or the retry budget is spent.
+    async fn call_read(&self, call: Call) -> Result<Answer, PlatformError> {
+        let deadline = self.clock.now() + self.settings.request_timeout;
+        self.retries.lock().record_call();
+        let mut attempts = 0;
+        loop {
+            let result = self.attempt(&call, self.attempt_time(deadline)).await;
+            attempts += 1;
+            let error = match result {
+                Ok(answer) if answer.status.is_success() => return Ok(answer),
+                Ok(answer) if answer.status == StatusCode::NOT_FOUND => return Ok(answer),
+                Ok(answer) => answer.refusal(),
+                Err(error) => error,
+            };
+            // A slow attempt may be sent again within the call's own deadline.
+            if !error.is_transient() && error != PlatformError::Deadline {
+                return Err(error);
+            }
+            let Some(pause) = self.retries.lock().next_pause(attempts, self.clock.now()) else {
+                return Err(error);
+            };
+            let pause = match &error {
+                PlatformError::Limited { retry_after } => pause + *retry_after,
+                _ => pause,
+            };
+            if self.clock.now() + pause >= deadline {
+                return Err(error);
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    fn attempt_time(&self, deadline: Instant) -> Duration {
+        let left = deadline.saturating_duration_since(self.clock.now());
+        left.min(self.settings.attempt_timeout)
+    }
+
+    /// Sends a call once.
+    async fn attempt(&self, call: &Call, time: Duration) -> Result<Answer, PlatformError> {
+        let started = self.clock.now();
+        let Ok(permit) = timeout(time, self.in_flight.acquire()).await else {
+            return Err(PlatformError::Busy);
+        };
+        let _permit = permit.map_err(|_| PlatformError::Busy)?;
+        let waited = self.clock.now().saturating_duration_since(started);
+        let Some(left) = time.checked_sub(waited).filter(|left| !left.is_zero()) else {
+            return Err(PlatformError::Busy);
+        };
+        match timeout(left, self.exchange(call)).await {
+            Ok(result) => result,
+            Err(_) => Err(PlatformError::Deadline),
+        }
+    }
+
+    async fn exchange(&self, call: &Call) -> Result<Answer, PlatformError> {
+        let uri = format!("http://{}{}", self.settings.address, call.path);
+        let req = Request::builder()
+            .method(&call.method)
+            .uri(uri)
+            .header(CLIENT, self.settings.client.as_str())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(call.body.clone()))
+            .map_err(malformed)?;
+        let response = self.http.request(req).await.map_err(|error| {
+            if error.is_connect() {
+                return PlatformError::Unreachable(error.to_smolstr());
+            }
+            PlatformError::Broken(error.to_smolstr())
+        })?;
+        self.collect(response).await
+    }
+
+    async fn collect(&self, response: Response<Incoming>) -> Result<Answer, PlatformError> {
+        let (parts, body) = response.into_parts();
+        let seconds = parts.headers.get(header::RETRY_AFTER);
+        let retry_after = seconds
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .map_or(DEFAULT_RETRY_AFTER, Duration::from_secs);
+        let body = Limited::new(body, self.settings.max_answer_bytes)
+            .collect()
+            .await
+            .map_err(|error| PlatformError::Broken(error.to_smolstr()))?;
+        Ok(Answer {
+            status: parts.status,
+            retry_after,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+impl<C: Clock> Table for PlatformClient<C> {
+    async fn read(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        let key = key.to_owned();
+        let call = Call::post(READ_PATH, &message::ReadRequest { key })?;
+        let answer = self.call_read(call).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let row: message::Row = answer.parse()?;
+        Ok(Some(row.into()))
+    }
+
+    async fn scan(&self, prefix: &str) -> Result<Vec<Row>, PlatformError> {
+        let prefix = prefix.to_owned();
+        let call = Call::post(SCAN_PATH, &message::ScanRequest { prefix })?;
+        let rows: message::Rows = self.call_read(call).await?.parse()?;
+        Ok(rows.rows.into_iter().map(Into::into).collect())
+    }
+
+    async fn commit(&self, tx: Transaction) -> Result<Committed, CommitError> {
+        let tx = message::Transaction::from(tx);
+        let call = Call::post(COMMIT_PATH, &tx).map_err(CommitError::NotApplied)?;
+        let result = self.attempt(&call, self.settings.request_timeout).await;
+        let answer = result.map_err(classify)?;
+        match answer.status {
+            StatusCode::OK => {
+                let committed: message::Committed = answer.parse().map_err(CommitError::Unknown)?;
+                Ok(committed.into())
+            }
+            StatusCode::CONFLICT => {
+                let conflict: message::Conflict = answer.parse().map_err(CommitError::Unknown)?;
+                let keys = conflict.keys.into_iter().map(SmolStr::from).collect();
+                Err(CommitError::Conflict { keys })
+            }
+            _ => Err(classify(answer.refusal())),
+        }
+    }
+}
+
+impl<C: Clock> ObjectStore for PlatformClient<C> {
+    async fn put(&self, name: &str, body: Bytes) -> Result<(), PlatformError> {
+        let call = Call {
+            method: Method::PUT,
+            path: format_smolstr!("{OBJECTS_PATH}{name}"),
+            body,
+        };
+        let answer = self.call_read(call).await?;
+        if answer.status.is_success() {
+            return Ok(());
+        }
+        Err(answer.refusal())
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Bytes>, PlatformError> {
+        let call = Call::get(format_smolstr!("{OBJECTS_PATH}{name}"));
+        let answer = self.call_read(call).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        Ok(Some(answer.body))
+    }
+}
+
+impl<C: Clock> VmList for PlatformClient<C> {
+    async fn list(&self) -> Result<Vec<VmEntry>, PlatformError> {
+        let vms: message::Vms = self.call_read(Call::get(VMS_PATH)).await?.parse()?;
+        vms.vms.into_iter().map(TryInto::try_into).collect()
+    }
+}
+
+fn classify(error: PlatformError) -> CommitError {
+    if error.is_without_effect() {
+        CommitError::NotApplied(error)
+    } else {
+        CommitError::Unknown(error)
+    }
+}
+
+fn malformed(error: impl std::fmt::Display) -> PlatformError {
+    PlatformError::Malformed(error.to_smolstr())
+}
--- a/crates/snipevane-platform/src/lib.rs
+++ b/crates/snipevane-platform/src/lib.rs
@@ -1,1 +1,24 @@
-//! Placeholder.
+//! Traits and client for the platform's table, object store and VM list.
+//!
+//! [`Table`], [`ObjectStore`] and [`VmList`] are what the rest of the system is generic over;
+//! [`PlatformClient`] implements them over HTTP. [`commit_resolved`] finds out what became of a
+//! transaction whose answer was lost.
+
+mod client;
+mod error;
+mod object_store;
+mod resolve;
+mod retry;
+mod settings;
+mod table;
+mod vm_list;
+mod wire;
+
+pub use client::PlatformClient;
+pub use error::{CommitError, PlatformError};
+pub use object_store::ObjectStore;
+pub use resolve::commit_resolved;
+pub use retry::{RetryBudget, RetryPolicy};
+pub use settings::PlatformSettings;
+pub use table::{Check, Committed, Row, Table, Transaction, Write};
+pub use vm_list::{VmEntry, VmList, VmRole, VmState};
--- /dev/null
+++ b/crates/snipevane-platform/src/retry.rs
@@ -0,0 +1,90 @@
+//! The retry budget of reads.
+
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// When reads are sent again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryPolicy {
+    /// Attempts of one call at most, the first included.
+    pub max_attempts: u32,
+    /// Retries allowed for each first attempt.
+    pub retries_per_call: f64,
+    /// Retries allowed each second whatever the number of calls.
+    pub min_retries_per_second: f64,
+    /// Retries that can be saved up.
+    pub max_saved: f64,
+    /// Upper bound of the pause before the first retry; it doubles with each further one.
+    pub base_pause: Duration,
+    /// Upper bound of the pause before any retry.
+    pub max_pause: Duration,
+}
+
+impl Default for RetryPolicy {
+    fn default() -> Self {
+        Self {
+            max_attempts: 3,
+            retries_per_call: 0.1,
+            min_retries_per_second: 1.0,
+            max_saved: 10.0,
+            base_pause: Duration::from_millis(50),
+            max_pause: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Decides which failed reads are sent again, and after which pause.
+///
+/// Retries are bounded by a share of the calls, so that they can't multiply the load on a platform
+/// that fails everything. Pauses are drawn evenly between zero and their upper bound.
+#[derive(Debug)]
+pub struct RetryBudget {
+    policy: RetryPolicy,
+    saved: f64,
+    refilled: Instant,
+    rng: StdRng,
+}
+
+impl RetryBudget {
+    /// Creates a full budget.
+    pub fn new(policy: RetryPolicy, seed: u64, now: Instant) -> Self {
+        Self {
+            policy,
+            saved: policy.max_saved,
+            refilled: now,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Counts the first attempt of a call.
+    pub fn record_call(&mut self) {
+        self.save(self.policy.retries_per_call);
+    }
+
+    /// Returns the pause before the next attempt, or `None` if there is to be none.
+    ///
+    /// `attempts` is the number of attempts so far.
+    pub fn next_pause(&mut self, attempts: u32, now: Instant) -> Option<Duration> {
+        self.refill(now);
+        if attempts >= self.policy.max_attempts || self.saved < 1.0 {
+            return None;
+        }
+        self.saved -= 1.0;
+        let doublings = attempts.saturating_sub(1).min(16);
+        let bound = self.policy.base_pause.saturating_mul(1 << doublings);
+        let bound = bound.min(self.policy.max_pause);
+        Some(bound.mul_f64(self.rng.random_range(0.0..1.0)))
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.refilled);
+        self.refilled = now.max(self.refilled);
+        self.save(elapsed.as_secs_f64() * self.policy.min_retries_per_second);
+    }
+
+    fn save(&mut self, retries: f64) {
+        self.saved = (self.saved + retries).min(self.policy.max_saved);
+    }
+}
--- /dev/null
+++ b/crates/snipevane-platform/src/vm_list.rs
@@ -0,0 +1,37 @@
+//! The platform's list of VMs.
+
+use std::future::Future;
+use std::net::SocketAddr;
+
+use smol_str::SmolStr;
+
+pub use snipevane_proto::platform::{VmRole, VmState};
+
+use crate::error::PlatformError;
+
+/// A VM in the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmEntry {
+    /// Unique name.
+    pub id: SmolStr,
+    /// What the VM is for.
+    pub role: VmRole,
+    /// Address at which the VM serves.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: SmolStr,
+    /// Rack within the zone.
+    pub rack: SmolStr,
+    /// Whether the VM stays.
+    pub state: VmState,
+}
+
+/// The platform's list of VMs, which lags behind what happens.
+pub trait VmList: Send + Sync + 'static {
+    /// Fetches the list; a VM that is gone is absent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform didn't answer with the whole list.
+    fn list(&self) -> impl Future<Output = Result<Vec<VmEntry>, PlatformError>> + Send;
+}
--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod headers;
 pub mod manifest;
+pub mod platform;
 
 #[allow(
     clippy::all,
@@ -16,4 +17,5 @@
 #[rustfmt::skip]
 mod generated {
     pub(crate) mod manifest;
+    pub(crate) mod platform;
 }
--- /dev/null
+++ b/crates/snipevane-proto/src/platform.rs
@@ -0,0 +1,24 @@
+//! Messages of the platform's services, and the records and fault switches of the stand-ins.
+
+pub use crate::generated::platform::{
+    Answer, BackendFaults, BackendRecord, Check, CommitEntry, CommitResult, Committed, Conflict,
+    Delete, PlatformFaults, PlatformRecord, Put, ReadRequest, Row, Rows, RunEntry, ScanRequest,
+    SecondEntry, Transaction, Vm, VmRole, VmState, Vms, Write, WrittenRow,
+};
+
+/// Header in which a client of the platform gives its name.
+pub const CLIENT: &str = "snipevane-client";
+/// Path that reads one row.
+pub const READ_PATH: &str = "/table/read";
+/// Path that reads the rows of a prefix.
+pub const SCAN_PATH: &str = "/table/scan";
+/// Path that commits a transaction.
+pub const COMMIT_PATH: &str = "/table/commit";
+/// Start of the paths of objects.
+pub const OBJECTS_PATH: &str = "/objects/";
+/// Path of the VM list.
+pub const VMS_PATH: &str = "/vms";
+/// Path of the fault switches of a stand-in.
+pub const FAULTS_PATH: &str = "/faults";
+/// Path of the record of a stand-in.
+pub const RECORD_PATH: &str = "/record";
--- /dev/null
+++ b/crates/snipevane-standin/src/backend/body.rs
@@ -0,0 +1,74 @@
+//! Body of a backend server's answer, which may break off.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+
+/// A body of one piece that ends well or with an error.
+#[derive(Debug)]
+pub(crate) struct AnswerBody {
+    data: Full<Bytes>,
+    cut: Option<Cut>,
+}
+
+/// How far the end of a cut body has come.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    /// What was sent is still to be flushed.
+    Flush,
+    /// The connection is to break.
+    Break,
+}
+
+impl AnswerBody {
+    /// Creates a whole body.
+    pub(crate) fn whole(data: Full<Bytes>) -> Self {
+        Self { data, cut: None }
+    }
+
+    /// Creates a body of which only `data` is sent before the connection breaks.
+    pub(crate) fn cut(data: Bytes) -> Self {
+        Self {
+            data: Full::new(data),
+            cut: Some(Cut::Flush),
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if let Some(Ok(frame)) = ready!(Pin::new(&mut self.data).poll_frame(cx)) {
+            return Poll::Ready(Some(Ok(frame)));
+        }
+        match self.cut {
+            None => Poll::Ready(None),
+            Some(Cut::Flush) => {
+                self.cut = Some(Cut::Break);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Some(Cut::Break) => Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into()))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.cut.is_none() && self.data.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self.cut {
+            None => self.data.size_hint(),
+            Some(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/backend/handler.rs
@@ -0,0 +1,328 @@
+//! The requests that a backend server's stand-in runs.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use snipevane_core::clock::{Clock, SystemClock};
+use snipevane_proto::headers::{
+    DEADLINE_MS, EXCHANGE, IDEMPOTENCY_KEY, OUTCOME, Outcome, QUEUE, SERVER_STATE, TEAM,
+};
+use snipevane_proto::platform::{
+    Answer, BackendFaults, BackendRecord, FAULTS_PATH, RECORD_PATH, RunEntry,
+};
+use tokio::sync::{oneshot, watch};
+
+use super::body::AnswerBody;
+use super::record::{Record, RunId};
+use super::settings::BackendStandinSettings;
+use super::surplus_io::Surplus;
+use super::test_headers::TestHeaders;
+use crate::http::{
+    Handler, NoAnswer, Tasks, header_text, json, read_body, read_json, text, unix_us,
+};
+
+/// Path of the health check.
+const HEALTH_PATH: &str = "/healthz";
+/// Path that empties the record.
+const RESET_PATH: &str = "/record/reset";
+/// An answer to nothing, sent as a second answer.
+const FOREIGN_ANSWER: &[u8] =
+    b"HTTP/1.1 200 OK\r\nsnipevane-exchange: foreign\r\ncontent-length: 7\r\n\r\nforeign";
+
+/// State that all connections of a stand-in share.
+pub(crate) struct BackendState {
+    settings: BackendStandinSettings,
+    tasks: Tasks,
+    record: Mutex<Record>,
+    faults: watch::Sender<BackendFaults>,
+}
+
+impl BackendState {
+    /// Creates the state of a stand-in that has run nothing.
+    pub(crate) fn new(settings: BackendStandinSettings, tasks: Tasks) -> Self {
+        Self {
+            settings,
+            tasks,
+            record: Mutex::default(),
+            faults: watch::Sender::new(BackendFaults::default()),
+        }
+    }
+
+    pub(crate) fn set_faults(&self, faults: BackendFaults) {
+        self.faults.send_replace(faults);
+    }
+
+    pub(crate) fn record(&self) -> BackendRecord {
+        self.record.lock().snapshot(&self.settings.name)
+    }
+
+    pub(crate) fn reset_record(&self) {
+        self.record.lock().reset();
+    }
+
+    /// Counts a connection until the guard is dropped; `None` if there are too many.
+    pub(crate) fn open_connection(self: &Arc<Self>) -> Option<OpenConnection> {
+        let opened = self
+            .record
+            .lock()
+            .open_connection(self.settings.connections);
+        opened.then(|| OpenConnection(Arc::clone(self)))
+    }
+
+    /// Waits until new connections are refused, or until they are accepted.
+    pub(crate) async fn connections_refused(&self, refused: bool) {
+        self.wait(|faults| faults.refuse_connections == refused)
+            .await;
+    }
+
+    async fn wait(&self, condition: impl FnMut(&BackendFaults) -> bool) {
+        // The sender lives as long as the state, so the wait can't fail.
+        let _ = self.faults.subscribe().wait_for(condition).await;
+    }
+
+    fn start_run(self: &Arc<Self>, entry: RunEntry) -> Option<Run> {
+        let team = entry.team.clone();
+        let id = self.record.lock().start(entry, self.settings.slots)?;
+        let state = Arc::clone(self);
+        Some(Run { state, id, team })
+    }
+}
+
+/// An open connection, counted until it's dropped.
+pub(crate) struct OpenConnection(Arc<BackendState>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.record.lock().close_connection();
+    }
+}
+
+/// A run that holds a slot until it's dropped.
+struct Run {
+    state: Arc<BackendState>,
+    id: RunId,
+    team: String,
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let mut record = self.state.record.lock();
+        record.end(self.id, &self.team, unix_us());
+    }
+}
+
+/// Answers the requests of one connection.
+pub(crate) struct RequestHandler {
+    state: Arc<BackendState>,
+    surplus: Surplus,
+}
+
+impl RequestHandler {
+    /// Creates the handler of a connection.
+    pub(crate) fn new(state: Arc<BackendState>, surplus: Surplus) -> Self {
+        Self { state, surplus }
+    }
+
+    async fn run(&self, req: Request<Incoming>) -> Result<Response<AnswerBody>, NoAnswer> {
+        let arrived = SystemClock.now();
+        let deadline = deadline_of(&req, arrived);
+        let test = TestHeaders::read(&req);
+        let mut entry = new_entry(&req, &self.state.settings.name);
+        let body = read_body(req).await?;
+        entry.body_hash = blake3::hash(&body).to_hex().to_string();
+        self.state.wait(|faults| !faults.freeze).await;
+        // A request that waited here past its deadline is declined, not run late.
+        if deadline.is_some_and(|deadline| SystemClock.now() >= deadline) {
+            self.state.record.lock().refuse();
+            return Ok(self.not_run("the deadline has passed"));
+        }
+        let answer = Answer {
+            exchange: entry.exchange.clone(),
+            queue: entry.queue.clone(),
+            body_hash: entry.body_hash.clone(),
+            padding: "x".repeat(test.padding_bytes),
+        };
+        entry.start_us = unix_us();
+        let Some(run) = self.state.start_run(entry) else {
+            return Ok(self.not_run("all slots are taken"));
+        };
+        self.finish(run, test.run).await?;
+        Ok(self.respond(test, &answer))
+    }
+
+    /// Runs a request to its end, also if its caller is gone.
+    async fn finish(&self, run: Run, time: Duration) -> Result<(), NoAnswer> {
+        let faults = self.state.faults.borrow().clone();
+        let time = time + Duration::from_millis(faults.slow_ms);
+        // Nothing is waited for here, so nothing can be cut off.
+        if faults.fail_all || (time.is_zero() && !faults.freeze) {
+            return Ok(());
+        }
+        let (tx, rx) = oneshot::channel();
+        let state = Arc::clone(&self.state);
+        self.state.tasks.spawn(async move {
+            tokio::time::sleep(time).await;
+            state.wait(|faults| !faults.freeze).await;
+            drop(run);
+            // The connection may be gone.
+            let _ = tx.send(());
+        });
+        rx.await.map_err(|_| NoAnswer)
+    }
+
+    fn respond(&self, test: TestHeaders, answer: &Answer) -> Response<AnswerBody> {
+        let faults = self.state.faults.borrow().clone();
+        let status = if faults.fail_all {
+            StatusCode::INTERNAL_SERVER_ERROR
+        } else {
+            test.status
+        };
+        let full = serde_json::to_vec(answer).unwrap_or_default();
+        let mut full = Bytes::from(full);
+        let length = full.len() - test.missing_bytes.min(full.len());
+        let surplus = full.split_off(length);
+        let body = if test.cut_body || faults.cut_bodies {
+            AnswerBody::cut(full.slice(..length / 2))
+        } else {
+            AnswerBody::whole(Full::new(full))
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        if let Ok(exchange) = HeaderValue::from_str(&answer.exchange) {
+            headers.insert(EXCHANGE, exchange);
+        }
+        mark_leaving(&mut response, &faults);
+        *self.surplus.lock() = if test.two_answers {
+            Bytes::from_static(FOREIGN_ANSWER)
+        } else {
+            surplus
+        };
+        response
+    }
+
+    fn not_run(&self, reason: &str) -> Response<AnswerBody> {
+        let mut response = text(StatusCode::SERVICE_UNAVAILABLE, reason).map(AnswerBody::whole);
+        let headers = response.headers_mut();
+        let outcome = HeaderValue::from_static(Outcome::NotRun.as_str());
+        headers.insert(OUTCOME, outcome);
+        headers.insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+        mark_leaving(&mut response, &self.state.faults.borrow());
+        response
+    }
+
+    async fn health(&self) -> Response<AnswerBody> {
+        self.state.wait(|faults| !faults.freeze).await;
+        let leaving = self.state.faults.borrow().leaving;
+        let (status, reason) = if leaving {
+            (StatusCode::SERVICE_UNAVAILABLE, "leaving")
+        } else {
+            (StatusCode::OK, "ok")
+        };
+        let mut response = text(status, reason).map(AnswerBody::whole);
+        mark_leaving(&mut response, &self.state.faults.borrow());
+        response
+    }
+}
+
+impl Handler for RequestHandler {
+    type Body = AnswerBody;
+
+    async fn handle(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, NoAnswer> {
+        match req.uri().path() {
+            HEALTH_PATH => Ok(self.health().await),
+            FAULTS_PATH | RECORD_PATH | RESET_PATH => {
+                let response = control(&self.state, req).await?;
+                Ok(response.map(AnswerBody::whole))
+            }
+            _ => self.run(req).await,
+        }
+    }
+}
+
+/// Answers the calls that set faults and fetch the record.
+pub(crate) struct ControlHandler {
+    state: Arc<BackendState>,
+}
+
+impl ControlHandler {
+    /// Creates the handler.
+    pub(crate) fn new(state: Arc<BackendState>) -> Self {
+        Self { state }
+    }
+}
+
+impl Handler for ControlHandler {
+    type Body = Full<Bytes>;
+
+    async fn handle(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, NoAnswer> {
+        control(&self.state, req).await
+    }
+}
+
+async fn control(
+    state: &BackendState,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, NoAnswer> {
+    match (req.method(), req.uri().path()) {
+        (&Method::GET, RECORD_PATH) => Ok(json(StatusCode::OK, &state.record())),
+        (&Method::POST, RESET_PATH) => {
+            state.reset_record();
+            Ok(text(StatusCode::OK, ""))
+        }
+        (&Method::GET, FAULTS_PATH) => Ok(json(StatusCode::OK, &*state.faults.borrow())),
+        (&Method::POST, FAULTS_PATH) => match read_json(req).await? {
+            Ok(faults) => {
+                state.set_faults(faults);
+                Ok(text(StatusCode::OK, ""))
+            }
+            Err(refusal) => Ok(refusal),
+        },
+        _ => Ok(text(StatusCode::NOT_FOUND, "no such call")),
+    }
+}
+
+fn new_entry<B>(req: &Request<B>, server: &str) -> RunEntry {
+    RunEntry {
+        server: server.to_owned(),
+        exchange: header_text(req, EXCHANGE).to_owned(),
+        idempotency_key: header_text(req, IDEMPOTENCY_KEY).to_owned(),
+        team: header_text(req, TEAM).to_owned(),
+        queue: header_text(req, QUEUE).to_owned(),
+        body_hash: String::new(),
+        start_us: 0,
+        end_us: 0,
+        running_server: 0,
+        running_team: 0,
+    }
+}
+
+fn deadline_of<B>(req: &Request<B>, arrived: Instant) -> Option<Instant> {
+    let left: u64 = header_text(req, DEADLINE_MS).parse().ok()?;
+    arrived.checked_add(Duration::from_millis(left))
+}
+
+fn mark_leaving(response: &mut Response<AnswerBody>, faults: &BackendFaults) {
+    if !faults.leaving {
+        return;
+    }
+    let headers = response.headers_mut();
+    headers.insert(SERVER_STATE, HeaderValue::from_static("leaving"));
+    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/backend/mod.rs
@@ -0,0 +1,13 @@
+//! The stand-in of a backend server: slots, record and fault switches.
+
+mod body;
+mod handler;
+mod record;
+mod server;
+mod settings;
+mod surplus_io;
+mod test_headers;
+
+pub use record::most_running;
+pub use server::{Backend, RunningBackend};
+pub use settings::BackendStandinSettings;
--- /dev/null
+++ b/crates/snipevane-standin/src/backend/server.rs
@@ -0,0 +1,131 @@
+//! Starting and stopping a backend server's stand-in.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snipevane_proto::platform::{BackendFaults, BackendRecord};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::handler::{BackendState, ControlHandler, RequestHandler};
+use super::settings::BackendStandinSettings;
+use super::surplus_io::{Surplus, SurplusIo};
+use crate::http::{Tasks, accept_all, bind, serve};
+
+/// Pause between attempts to open the port again.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// The stand-in of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Backend;
+
+impl Backend {
+    /// Starts the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address can't be bound.
+    pub async fn start(settings: BackendStandinSettings) -> io::Result<RunningBackend> {
+        let (listener, address) = bind(settings.listen).await?;
+        let (control_listener, control_address) = bind(settings.control).await?;
+        let tasks = Tasks::default();
+        let state = Arc::new(BackendState::new(settings, tasks.clone()));
+        tasks.spawn(accept_requests(
+            listener,
+            address,
+            Arc::clone(&state),
+            tasks.clone(),
+        ));
+        let control = Arc::new(ControlHandler::new(Arc::clone(&state)));
+        tasks.spawn(accept_all(control_listener, control, tasks.clone()));
+        Ok(RunningBackend {
+            address,
+            control_address,
+            state,
+            tasks,
+        })
+    }
+}
+
+/// A running stand-in of a backend server.
+pub struct RunningBackend {
+    address: SocketAddr,
+    control_address: SocketAddr,
+    state: Arc<BackendState>,
+    tasks: Tasks,
+}
+
+impl RunningBackend {
+    /// Returns the address at which the stand-in serves requests.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address of the fault switches and the record.
+    pub fn control_address(&self) -> SocketAddr {
+        self.control_address
+    }
+
+    /// Sets all fault switches.
+    pub fn set_faults(&self, faults: BackendFaults) {
+        self.state.set_faults(faults);
+    }
+
+    /// Returns the record.
+    pub fn record(&self) -> BackendRecord {
+        self.state.record()
+    }
+
+    /// Forgets what was recorded.
+    pub fn reset_record(&self) {
+        self.state.reset_record();
+    }
+
+    /// Closes all connections and the ports; requests that run are cut off.
+    pub async fn stop(self) {
+        self.tasks.stop().await;
+    }
+}
+
+async fn accept_requests(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    state: Arc<BackendState>,
+    tasks: Tasks,
+) {
+    loop {
+        tokio::select! {
+            () = state.connections_refused(true) => {
+                drop(listener);
+                state.connections_refused(false).await;
+                listener = rebind(address).await;
+            }
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tasks.spawn(serve_requests(stream, Arc::clone(&state)));
+                }
+            }
+        }
+    }
+}
+
+async fn rebind(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_requests(stream: TcpStream, state: Arc<BackendState>) {
+    // Only the delay of small answers is at stake.
+    let _ = stream.set_nodelay(true);
+    let Some(_open) = state.open_connection() else {
+        return;
+    };
+    let surplus = Surplus::default();
+    let io = SurplusIo::new(stream, Arc::clone(&surplus));
+    serve(io, Arc::new(RequestHandler::new(state, surplus))).await;
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/backend/surplus_io.rs
@@ -0,0 +1,62 @@
+//! A connection on which bytes follow that belong to no answer.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::{Buf, Bytes};
+use parking_lot::Mutex;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Bytes to send after the answer that is being written.
+pub(crate) type Surplus = Arc<Mutex<Bytes>>;
+
+/// A connection that sends the surplus after the next flush.
+#[derive(Debug)]
+pub(crate) struct SurplusIo {
+    stream: TcpStream,
+    surplus: Surplus,
+}
+
+impl SurplusIo {
+    /// Wraps a connection.
+    pub(crate) fn new(stream: TcpStream, surplus: Surplus) -> Self {
+        Self { stream, surplus }
+    }
+}
+
+impl AsyncRead for SurplusIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for SurplusIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let mut surplus = this.surplus.lock();
+        while !surplus.is_empty() {
+            let written = ready!(Pin::new(&mut this.stream).poll_write(cx, &surplus))?;
+            surplus.advance(written);
+        }
+        Pin::new(&mut this.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/backend/test_headers.rs
@@ -0,0 +1,57 @@
+//! Headers by which a request states how a stand-in is to treat it.
+
+use std::time::Duration;
+
+use http::{Request, StatusCode};
+
+use crate::http::header_text;
+
+/// Time that the request runs, in milliseconds.
+const RUN_MS: &str = "x-test-run-ms";
+/// Size of the answer's padding, in bytes.
+const ANSWER_BYTES: &str = "x-test-answer-bytes";
+/// Status of the answer.
+const STATUS: &str = "x-test-status";
+/// The answer's body is cut half way.
+const CUT_BODY: &str = "x-test-cut-body";
+/// The answer states a length that is this many bytes below that of what is sent.
+const WRONG_LENGTH: &str = "x-test-wrong-length";
+/// A second answer, of another exchange, follows on the connection.
+const TWO_ANSWERS: &str = "x-test-two-answers";
+
+/// Length that is missing if the header names none.
+const DEFAULT_MISSING_BYTES: usize = 7;
+/// Largest padding, in bytes.
+const MAX_PADDING_BYTES: usize = 64 << 20;
+
+/// How a stand-in is to treat a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TestHeaders {
+    pub(crate) run: Duration,
+    pub(crate) padding_bytes: usize,
+    pub(crate) status: StatusCode,
+    pub(crate) cut_body: bool,
+    pub(crate) missing_bytes: usize,
+    pub(crate) two_answers: bool,
+}
+
+impl TestHeaders {
+    /// Reads the headers of a request.
+    pub(crate) fn read<B>(req: &Request<B>) -> Self {
+        let number = |name| header_text(req, name).parse::<usize>().ok();
+        let status = number(STATUS).and_then(|number| u16::try_from(number).ok());
+        let status = status.and_then(|status| StatusCode::from_u16(status).ok());
+        let wrong_length = req.headers().contains_key(WRONG_LENGTH);
+        let missing = number(WRONG_LENGTH).unwrap_or(DEFAULT_MISSING_BYTES);
+        Self {
+            run: Duration::from_millis(number(RUN_MS).unwrap_or_default() as u64),
+            padding_bytes: number(ANSWER_BYTES)
+                .unwrap_or_default()
+                .min(MAX_PADDING_BYTES),
+            status: status.unwrap_or(StatusCode::OK),
+            cut_body: req.headers().contains_key(CUT_BODY),
+            missing_bytes: if wrong_length { missing } else { 0 },
+            two_answers: req.headers().contains_key(TWO_ANSWERS),
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/http.rs
@@ -0,0 +1,159 @@
+//! The HTTP server that both stand-ins share.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::UNIX_EPOCH;
+
+use ::http::{Request, Response, StatusCode, header};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snipevane_core::clock::{Clock, SystemClock};
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// The connection is to be closed without an answer.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the connection is closed without an answer")]
+pub(crate) struct NoAnswer;
+
+/// Answers the requests of one kind of listener.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Body of the answers.
+    type Body: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>
+        + Send
+        + 'static;
+
+    /// Answers one request.
+    fn handle(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+    ) -> impl Future<Output = Result<Response<Self::Body>, NoAnswer>> + Send;
+}
+
+/// The tasks of a running stand-in.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tasks {
+    pub(crate) token: CancellationToken,
+    pub(crate) tracker: TaskTracker,
+}
+
+impl Tasks {
+    /// Ends all tasks and waits for them.
+    pub(crate) async fn stop(&self) {
+        self.token.cancel();
+        self.tracker.close();
+        self.tracker.wait().await;
+    }
+
+    /// Spawns a task that ends when the stand-in stops.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let token = self.token.clone();
+        self.tracker.spawn(async move {
+            tokio::select! {
+                () = token.cancelled() => {}
+                () = task => {}
+            }
+        });
+    }
+}
+
+/// Binds a listener and returns it with its address.
+pub(crate) async fn bind(address: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
+/// Accepts connections and serves each with `handler` until the task is ended.
+pub(crate) async fn accept_all<H: Handler>(listener: TcpListener, handler: Arc<H>, tasks: Tasks) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        // Only the delay of small answers is at stake.
+        let _ = stream.set_nodelay(true);
+        tasks.spawn(serve(stream, Arc::clone(&handler)));
+    }
+}
+
+/// Serves one connection until it closes.
+pub(crate) async fn serve<I, H>(io: I, handler: Arc<H>)
+where
+    I: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    H: Handler,
+{
+    let service = service_fn(move |req| Arc::clone(&handler).handle(req));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(io), service);
+    if let Err(error) = connection.await {
+        log::debug!("connection ended: {error}");
+    }
+}
+
+/// Reads the whole body of a request.
+pub(crate) async fn read_body(req: Request<Incoming>) -> Result<Bytes, NoAnswer> {
+    let body = req.into_body().collect().await.map_err(|_| NoAnswer)?;
+    Ok(body.to_bytes())
+}
+
+/// Reads a request's JSON body.
+pub(crate) async fn read_json<T: DeserializeOwned>(
+    req: Request<Incoming>,
+) -> Result<Result<T, Response<Full<Bytes>>>, NoAnswer> {
+    let body = read_body(req).await?;
+    let message = serde_json::from_slice(&body);
+    Ok(message.map_err(|error| text(StatusCode::BAD_REQUEST, error.to_string())))
+}
+
+/// Returns an answer with a JSON body.
+pub(crate) fn json<T: Serialize>(status: StatusCode, message: &T) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(message) {
+        Ok(body) => answer(status, "application/json", body.into()),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+/// Returns an answer with a text body.
+pub(crate) fn text(status: StatusCode, text: impl Into<String>) -> Response<Full<Bytes>> {
+    answer(status, "text/plain", Bytes::from(text.into()))
+}
+
+/// Returns an answer with a body of any type.
+pub(crate) fn answer(
+    status: StatusCode,
+    content_type: &'static str,
+    body: Bytes,
+) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    let value = header::HeaderValue::from_static(content_type);
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
+}
+
+/// Returns the value of a header, or an empty text.
+pub(crate) fn header_text<'a, B>(req: &'a Request<B>, name: &str) -> &'a str {
+    let value = req.headers().get(name);
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
+
+/// Returns the wall-clock time in microseconds since the Unix epoch.
+pub(crate) fn unix_us() -> u64 {
+    let since_epoch = SystemClock.wall().duration_since(UNIX_EPOCH);
+    let micros = since_epoch.unwrap_or_default().as_micros();
+    u64::try_from(micros).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/platform/handler.rs
@@ -0,0 +1,302 @@
+//! The calls that the platform's stand-in answers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use snipevane_core::clock::{Clock, SystemClock};
+use snipevane_proto::platform::{
+    CLIENT, COMMIT_PATH, CommitEntry, CommitResult, Committed, Conflict, FAULTS_PATH, OBJECTS_PATH,
+    PlatformFaults, PlatformRecord, READ_PATH, RECORD_PATH, ReadRequest, Rows, SCAN_PATH,
+    ScanRequest, Transaction, VMS_PATH, Vm, Vms, Write,
+};
+use tokio::sync::oneshot;
+
+use super::rate::Rate;
+use super::record::Record;
+use super::settings::PlatformStandinSettings;
+use super::store::Store;
+use super::vms::LaggingList;
+use crate::http::{
+    Handler, NoAnswer, Tasks, answer, header_text, json, read_body, read_json, text, unix_us,
+};
+
+type Answer = Result<Response<Full<Bytes>>, NoAnswer>;
+
+/// State of the platform's stand-in and its answers.
+pub(crate) struct PlatformHandler {
+    settings: PlatformStandinSettings,
+    tasks: Tasks,
+    state: Mutex<State>,
+}
+
+struct State {
+    faults: PlatformFaults,
+    store: Store,
+    vms: LaggingList,
+    record: Record,
+    reads: Rate,
+    writes: Rate,
+}
+
+impl PlatformHandler {
+    /// Creates an empty platform.
+    pub(crate) fn new(settings: PlatformStandinSettings, tasks: Tasks) -> Self {
+        let now = SystemClock.now();
+        let state = State {
+            faults: PlatformFaults::default(),
+            store: Store::default(),
+            vms: LaggingList::new(settings.vms.clone()),
+            record: Record::default(),
+            reads: Rate::new(settings.reads_per_second, now),
+            writes: Rate::new(settings.writes_per_second, now),
+        };
+        Self {
+            settings,
+            tasks,
+            state: Mutex::new(state),
+        }
+    }
+
+    pub(crate) fn set_faults(&self, faults: PlatformFaults) {
+        self.state.lock().faults = faults;
+    }
+
+    pub(crate) fn set_vms(&self, vms: Vec<Vm>) {
+        self.state.lock().vms.set(vms, SystemClock.now());
+    }
+
+    pub(crate) fn record(&self) -> PlatformRecord {
+        self.state.lock().record.snapshot()
+    }
+
+    /// Answers the calls that set faults and fetch the record, which no fault affects.
+    async fn control(&self, req: Request<Incoming>) -> Answer {
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, RECORD_PATH) => Ok(json(StatusCode::OK, &self.record())),
+            (&Method::GET, FAULTS_PATH) => Ok(json(StatusCode::OK, &self.state.lock().faults)),
+            (&Method::POST, FAULTS_PATH) => {
+                let faults = match read_json(req).await? {
+                    Ok(faults) => faults,
+                    Err(refusal) => return Ok(refusal),
+                };
+                self.set_faults(faults);
+                Ok(text(StatusCode::OK, ""))
+            }
+            (&Method::POST, VMS_PATH) => {
+                let vms: Vms = match read_json(req).await? {
+                    Ok(vms) => vms,
+                    Err(refusal) => return Ok(refusal),
+                };
+                self.set_vms(vms.vms);
+                Ok(text(StatusCode::OK, ""))
+            }
+            _ => Ok(text(StatusCode::NOT_FOUND, "no such call")),
+        }
+    }
+
+    /// Answers the calls of the platform itself.
+    async fn call(self: Arc<Self>, req: Request<Incoming>) -> Answer {
+        let client = header_text(&req, CLIENT).to_owned();
+        let delay = {
+            let mut state = self.state.lock();
+            if state.faults.down || state.faults.cut.contains(&client) {
+                return Err(NoAnswer);
+            }
+            if state.faults.unavailable {
+                state.record.second(SystemClock.unix_ms() / 1000).refused += 1;
+                return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "unavailable"));
+            }
+            Duration::from_millis(state.faults.slow_ms) / 2
+        };
+        let path = req.uri().path().to_owned();
+        let method = req.method().clone();
+        let body = read_body(req).await?;
+        // The call goes on if its caller gives up, as it would at a real service.
+        let (tx, rx) = oneshot::channel();
+        let handler = Arc::clone(&self);
+        self.tasks.spawn(async move {
+            pause(delay).await;
+            let result = handler.apply(&method, &path, body, client);
+            pause(delay).await;
+            // Nobody waits for the answer of an abandoned call.
+            let _ = tx.send(result);
+        });
+        rx.await.map_err(|_| NoAnswer)?
+    }
+
+    fn apply(&self, method: &Method, path: &str, body: Bytes, client: String) -> Answer {
+        let state = &mut *self.state.lock();
+        let now = SystemClock.now();
+        if let Some(name) = path.strip_prefix(OBJECTS_PATH) {
+            return Ok(state.object(method, name, body, now));
+        }
+        match (method, path) {
+            (&Method::POST, READ_PATH) => Ok(state.read(&body, now)),
+            (&Method::POST, SCAN_PATH) => Ok(state.scan(&body, now)),
+            (&Method::POST, COMMIT_PATH) => {
+                state.commit(&body, client, self.settings.rows_per_write, now)
+            }
+            (&Method::GET, VMS_PATH) => {
+                let lag = state.faults.list_lag_ms;
+                let lag = lag.unwrap_or_else(|| self.settings.list_lag_ms.into());
+                let vms = state.vms.at(Duration::from_millis(lag), now).to_vec();
+                Ok(json(StatusCode::OK, &Vms { vms }))
+            }
+            _ => Ok(text(StatusCode::NOT_FOUND, "no such call")),
+        }
+    }
+}
+
+impl State {
+    fn admit_read(&mut self, now: Instant) -> bool {
+        let second = self.record.second(SystemClock.unix_ms() / 1000);
+        if self.reads.take(1, now) {
+            second.reads += 1;
+            return true;
+        }
+        second.refused += 1;
+        false
+    }
+
+    fn admit_write(&mut self, cost: u32, now: Instant) -> bool {
+        let second = self.record.second(SystemClock.unix_ms() / 1000);
+        if self.writes.take(cost, now) {
+            second.writes += u64::from(cost);
+            return true;
+        }
+        second.refused += 1;
+        false
+    }
+
+    fn read(&mut self, body: &[u8], now: Instant) -> Response<Full<Bytes>> {
+        if !self.admit_read(now) {
+            return over_rate();
+        }
+        let req: ReadRequest = match serde_json::from_slice(body) {
+            Ok(req) => req,
+            Err(error) => return text(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        match self.store.read(&req.key, self.faults.stale_reads) {
+            Some(row) => json(StatusCode::OK, &row),
+            None => text(StatusCode::NOT_FOUND, "no such row"),
+        }
+    }
+
+    fn scan(&mut self, body: &[u8], now: Instant) -> Response<Full<Bytes>> {
+        if !self.admit_read(now) {
+            return over_rate();
+        }
+        let req: ScanRequest = match serde_json::from_slice(body) {
+            Ok(req) => req,
+            Err(error) => return text(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        let rows = self.store.scan(&req.prefix, self.faults.stale_reads);
+        json(StatusCode::OK, &Rows { rows })
+    }
+
+    fn object(
+        &mut self,
+        method: &Method,
+        name: &str,
+        body: Bytes,
+        now: Instant,
+    ) -> Response<Full<Bytes>> {
+        let admitted = match *method {
+            Method::GET => self.admit_read(now),
+            Method::PUT => self.admit_write(1, now),
+            _ => return text(StatusCode::METHOD_NOT_ALLOWED, "GET or PUT"),
+        };
+        if !admitted {
+            return over_rate();
+        }
+        if *method == Method::PUT {
+            self.store.objects.insert(name.to_owned(), body);
+            return text(StatusCode::OK, "");
+        }
+        match self.store.objects.get(name) {
+            Some(body) => answer(StatusCode::OK, "application/octet-stream", body.clone()),
+            None => text(StatusCode::NOT_FOUND, "no such object"),
+        }
+    }
+
+    fn commit(&mut self, body: &[u8], client: String, rows_per_write: u32, now: Instant) -> Answer {
+        let tx: Transaction = match serde_json::from_slice(body) {
+            Ok(tx) => tx,
+            Err(error) => return Ok(text(StatusCode::BAD_REQUEST, error.to_string())),
+        };
+        let rows = u32::try_from(tx.writes.len()).unwrap_or(u32::MAX);
+        let cost = rows.div_ceil(rows_per_write.max(1)).max(1);
+        let (response, result) = if self.admit_write(cost, now) {
+            self.apply(&tx, u64::from(rows))
+        } else {
+            (over_rate(), CommitResult::Limited)
+        };
+        let answered = result != CommitResult::Applied || self.faults.lose_answers == 0;
+        self.record.add_commit(CommitEntry {
+            at_us: unix_us(),
+            id: tx.id,
+            client,
+            keys: tx.writes.iter().map(written_key).collect(),
+            result,
+            answered,
+        });
+        if answered {
+            return Ok(response);
+        }
+        self.faults.lose_answers -= 1;
+        Err(NoAnswer)
+    }
+
+    fn apply(&mut self, tx: &Transaction, rows: u64) -> (Response<Full<Bytes>>, CommitResult) {
+        match self.store.commit(tx) {
+            Ok(versions) => {
+                self.record.second(SystemClock.unix_ms() / 1000).rows += rows;
+                let committed = json(StatusCode::OK, &Committed { versions });
+                (committed, CommitResult::Applied)
+            }
+            Err(keys) => {
+                let conflict = json(StatusCode::CONFLICT, &Conflict { keys });
+                (conflict, CommitResult::Conflict)
+            }
+        }
+    }
+}
+
+impl Handler for PlatformHandler {
+    type Body = Full<Bytes>;
+
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Answer {
+        let path = req.uri().path();
+        let sets_vms = path == VMS_PATH && req.method() == Method::POST;
+        if path == FAULTS_PATH || path == RECORD_PATH || sets_vms {
+            return self.control(req).await;
+        }
+        self.call(req).await
+    }
+}
+
+/// Sleeps, without the timer's own delay if there is nothing to wait for.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
+fn over_rate() -> Response<Full<Bytes>> {
+    let mut refusal = text(StatusCode::TOO_MANY_REQUESTS, "over the rate");
+    let headers = refusal.headers_mut();
+    headers.insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+    refusal
+}
+
+fn written_key(write: &Write) -> String {
+    match write {
+        Write::Put(put) => put.key.clone(),
+        Write::Delete(delete) => delete.key.clone(),
+    }
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/platform/mod.rs
@@ -0,0 +1,12 @@
+//! The platform's stand-in: table, object store, VM list, record and fault switches.
+
+mod handler;
+mod rate;
+mod record;
+mod server;
+mod settings;
+mod store;
+mod vms;
+
+pub use server::{Platform, RunningPlatform};
+pub use settings::PlatformStandinSettings;
--- /dev/null
+++ b/crates/snipevane-standin/src/platform/settings.rs
@@ -0,0 +1,50 @@
+//! Settings of the platform's stand-in.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use serde::Deserialize;
+use snipevane_proto::platform::Vm;
+
+use crate::settings_file::{FieldKind, SettingsFile};
+
+/// Settings of the platform's stand-in.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformStandinSettings {
+    /// Address to listen at.
+    pub listen: SocketAddr,
+    /// Writes accepted each second; no bound if 0.
+    pub writes_per_second: u32,
+    /// Reads accepted each second; no bound if 0.
+    pub reads_per_second: u32,
+    /// Rows of one transaction that count as one write.
+    pub rows_per_write: u32,
+    /// Lag of the VM list, in milliseconds.
+    pub list_lag_ms: u32,
+    /// VMs in the list at the start.
+    pub vms: Vec<Vm>,
+}
+
+impl Default for PlatformStandinSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            writes_per_second: 0,
+            reads_per_second: 0,
+            rows_per_write: 25,
+            list_lag_ms: 0,
+            vms: Vec::new(),
+        }
+    }
+}
+
+impl SettingsFile for PlatformStandinSettings {
+    const FIELDS: &'static [(&'static str, FieldKind)] = &[
+        ("listen", FieldKind::Address),
+        ("writes_per_second", FieldKind::Number),
+        ("reads_per_second", FieldKind::Number),
+        ("rows_per_write", FieldKind::Number),
+        ("list_lag_ms", FieldKind::Number),
+        ("vms", FieldKind::List),
+    ];
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/platform/store.rs
@@ -0,0 +1,93 @@
+//! Rows and objects of the platform's stand-in.
+
+use std::collections::{BTreeMap, HashMap};
+
+use bytes::Bytes;
+use serde_json::Value;
+use snipevane_proto::platform::{Check, Row, Transaction, Write, WrittenRow};
+
+/// Rows and objects.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    rows: BTreeMap<String, Stored>,
+    pub(crate) objects: HashMap<String, Bytes>,
+}
+
+/// A row with its former state; a deleted row keeps its version.
+#[derive(Debug, Default)]
+struct Stored {
+    version: u64,
+    value: Option<Value>,
+    former: Option<(u64, Value)>,
+}
+
+impl Stored {
+    fn row(&self, key: &str, stale: bool) -> Option<Row> {
+        let latest = self.value.clone().map(|value| (self.version, value));
+        let former = self.former.clone().filter(|_| stale);
+        let (version, value) = if stale && self.version > 1 {
+            former?
+        } else {
+            latest?
+        };
+        Some(Row {
+            key: key.to_owned(),
+            version,
+            value,
+        })
+    }
+
+    fn write(&mut self, value: Option<Value>) -> u64 {
+        self.former = self.value.take().map(|former| (self.version, former));
+        self.value = value;
+        self.version += 1;
+        self.version
+    }
+}
+
+impl Store {
+    /// Returns a row; if `stale`, the row before its latest write.
+    pub(crate) fn read(&self, key: &str, stale: bool) -> Option<Row> {
+        self.rows.get(key)?.row(key, stale)
+    }
+
+    /// Returns the rows whose keys start with `prefix`.
+    pub(crate) fn scan(&self, prefix: &str, stale: bool) -> Vec<Row> {
+        let from = self.rows.range(prefix.to_owned()..);
+        from.take_while(|(key, _)| key.starts_with(prefix))
+            .filter_map(|(key, stored)| stored.row(key, stale))
+            .collect()
+    }
+
+    /// Applies a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rows whose checks failed; nothing is written then.
+    pub(crate) fn commit(&mut self, tx: &Transaction) -> Result<Vec<WrittenRow>, Vec<String>> {
+        let failed = tx.checks.iter().filter(|check| !self.holds(check));
+        let failed: Vec<_> = failed.map(|check| check.key.clone()).collect();
+        if !failed.is_empty() {
+            return Err(failed);
+        }
+        Ok(tx.writes.iter().map(|write| self.write(write)).collect())
+    }
+
+    fn holds(&self, check: &Check) -> bool {
+        let stored = self.rows.get(&check.key);
+        let present = stored.filter(|stored| stored.value.is_some());
+        present.map(|stored| stored.version) == check.expected
+    }
+
+    fn write(&mut self, write: &Write) -> WrittenRow {
+        let (key, value) = match write {
+            Write::Put(put) => (&put.key, Some(put.value.clone())),
+            Write::Delete(delete) => (&delete.key, None),
+        };
+        let stored = self.rows.entry(key.clone()).or_default();
+        WrittenRow {
+            key: key.clone(),
+            version: stored.write(value),
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/platform/vms.rs
@@ -0,0 +1,43 @@
+//! The lagging VM list of the platform's stand-in.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use snipevane_proto::platform::Vm;
+
+/// States of the list kept.
+const MAX_STATES: usize = 256;
+
+/// The states of the VM list over time.
+#[derive(Debug)]
+pub(crate) struct LaggingList {
+    states: VecDeque<(Instant, Vec<Vm>)>,
+    first: Vec<Vm>,
+}
+
+impl LaggingList {
+    /// Creates the list with the VMs that were always there.
+    pub(crate) fn new(vms: Vec<Vm>) -> Self {
+        Self {
+            states: VecDeque::new(),
+            first: vms,
+        }
+    }
+
+    /// Sets the state from `now` on.
+    pub(crate) fn set(&mut self, vms: Vec<Vm>, now: Instant) {
+        self.states.push_back((now, vms));
+        if self.states.len() > MAX_STATES
+            && let Some((_, oldest)) = self.states.pop_front()
+        {
+            self.first = oldest;
+        }
+    }
+
+    /// Returns the state of `lag` ago.
+    pub(crate) fn at(&self, lag: Duration, now: Instant) -> &[Vm] {
+        let seen = |at: Instant| now.saturating_duration_since(at) >= lag;
+        let latest = self.states.iter().rev().find(|(at, _)| seen(*at));
+        latest.map_or(&self.first, |(_, vms)| vms)
+    }
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/settings_file.rs
@@ -0,0 +1,121 @@
+//! Settings files of the stand-ins, checked with all findings at once.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use snipevane_core::config::Findings;
+
+/// What a field of a settings file holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FieldKind {
+    /// IP number and port.
+    Address,
+    /// Whole number from 0 to 4294967295.
+    Number,
+    /// Text.
+    Text,
+    /// List, checked when it's deserialized.
+    List,
+}
+
+impl FieldKind {
+    fn accepts(self, value: &Value) -> bool {
+        match self {
+            Self::Address => value
+                .as_str()
+                .is_some_and(|text| text.parse::<SocketAddr>().is_ok()),
+            Self::Number => value
+                .as_u64()
+                .is_some_and(|number| u32::try_from(number).is_ok()),
+            Self::Text => value.is_string(),
+            Self::List => value.is_array(),
+        }
+    }
+
+    fn hint(self) -> &'static str {
+        match self {
+            Self::Address => "write an IP number and a port, such as \"127.0.0.1:7300\"",
+            Self::Number => "write a whole number from 0 to 4294967295",
+            Self::Text => "write a text",
+            Self::List => "write a list",
+        }
+    }
+}
+
+/// Settings that can be read from a JSON file.
+pub trait SettingsFile: DeserializeOwned {
+    /// The fields that the file may have; each may be left out.
+    const FIELDS: &'static [(&'static str, FieldKind)];
+}
+
+/// Reads settings from a JSON file.
+///
+/// # Errors
+///
+/// Returns every finding about the file.
+pub fn read_settings<T: SettingsFile>(path: &Path) -> Result<T, Findings> {
+    let mut findings = Findings::new(path.display().to_string());
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => return Err(with(findings, error.to_string(), "name a readable file")),
+    };
+    let value: Value = match serde_json::from_str(&text) {
+        Ok(value) => value,
+        Err(error) => return Err(with(findings, error.to_string(), "write valid JSON")),
+    };
+    check_fields::<T>(&value, &mut findings);
+    let value = findings.into_result(value)?;
+    findings = Findings::new(path.display().to_string());
+    serde_path_to_error::deserialize(value).map_err(|error| {
+        let pointer = pointer_of(error.path());
+        findings.add(pointer, error.inner().to_string(), "");
+        findings
+    })
+}
+
+fn with(mut findings: Findings, message: String, hint: &str) -> Findings {
+    findings.add("", message, hint);
+    findings
+}
+
+fn check_fields<T: SettingsFile>(value: &Value, findings: &mut Findings) {
+    let Some(object) = value.as_object() else {
+        findings.add("", "the settings are no object", "write {} for defaults");
+        return;
+    };
+    for (name, value) in object {
+        let field = T::FIELDS.iter().find(|(known, _)| known == name);
+        let pointer = format!("/{name}");
+        let Some((_, kind)) = field else {
+            let known: Vec<_> = T::FIELDS.iter().map(|(name, _)| *name).collect();
+            let hint = format!("known fields: {}", known.join(", "));
+            findings.add(pointer, "unknown field", hint);
+            continue;
+        };
+        if !kind.accepts(value) {
+            findings.add(
+                pointer,
+                format!("the value {value} doesn't fit"),
+                kind.hint(),
+            );
+        }
+    }
+}
+
+fn pointer_of(path: &serde_path_to_error::Path) -> String {
+    use serde_path_to_error::Segment;
+
+    let mut pointer = String::new();
+    for segment in path {
+        pointer.push('/');
+        match segment {
+            Segment::Seq { index } => pointer.push_str(&index.to_string()),
+            Segment::Map { key } => pointer.push_str(key),
+            Segment::Enum { variant } => pointer.push_str(variant),
+            Segment::Unknown => pointer.push('?'),
+        }
+    }
+    pointer
+}
