--- a/tests/tests/platform_client.rs
+++ b/tests/tests/platform_client.rs
@@ -1,6 +1,7 @@
 //! The platform's client against its stand-in: lost answers, outages, slow answers, stale reads
 //! and races.
 
+#![allow(clippy::unwrap_used)]
 use std::net::SocketAddr;
 use std::time::Duration;
 
