Settle changes of the limits in any order of events

Cause: a new deal may only be used once the shards that had more have given it up, through skipped versions, late messages, restarts and removed shards.

Ruled out: - counting only the shards of the versions that an entry VM has seen: the holder of a shard that a skipped version had would not count. A version's deal now names the shards of all earlier ones ("former": the rows of shards in the table, listed after the version was accepted). - keeping each unsettled version: a shard that never confirms would grow the memory with each change.

--- a/crates/snipevane-core/src/limits/deals.rs
+++ b/crates/snipevane-core/src/limits/deals.rs
@@ -11,12 +11,16 @@
 /// Limits of all teams and the shards that they are dealt out to, under one version.
 #[derive(Clone, Debug, Default)]
 pub struct VersionDeal {
+    /// First version that the deal holds for.
+    first: u64,
+    /// Last version that the deal holds for.
     version: u64,
     shards: Vec<ShardName>,
+    former: Vec<ShardName>,
     teams: FxHashMap<SmolStr, TeamDeal>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 struct TeamDeal {
     limit: u32,
     /// Units for each shard, in the order of the shards.
@@ -24,14 +28,19 @@
 }
 
 impl VersionDeal {
-    /// Deals out the limits of some teams over shards, which are sorted first.
+    /// Deals out the limits of some teams over shards.
+    ///
+    /// `former` names all shards that any earlier version had, such as those that had a row in the
+    /// table when this version was accepted or later. Their holders may still run work.
     pub fn new(
         version: u64,
         mut shards: Vec<ShardName>,
+        mut former: Vec<ShardName>,
         limits: impl IntoIterator<Item = (SmolStr, u32)>,
     ) -> Self {
         shards.sort_unstable();
         shards.dedup();
+        former.retain(|shard| shards.binary_search(shard).is_err());
         let set = ShardSet::new(shards);
         let teams = limits
             .into_iter()
@@ -41,19 +50,21 @@
             })
             .collect();
         Self {
+            first: version,
             version,
             shards: set.names().to_vec(),
+            former,
             teams,
         }
     }
 
-    /// Deals out the limits of a site's teams over its shards.
-    pub fn of_site(site: &Site) -> Self {
+    /// Deals out the limits of a site's teams over its shards; see [`VersionDeal::new`].
+    pub fn of_site(site: &Site, former: Vec<ShardName>) -> Self {
         let limits = site
             .teams
             .values()
             .map(|team| (team.name.clone(), team.limit));
-        Self::new(site.version, shard_names(site), limits)
+        Self::new(site.version, shard_names(site), former, limits)
     }
 
     /// Returns the version of the configuration.
@@ -66,6 +77,11 @@
         &self.shards
     }
 
+    /// Returns the shards of earlier versions that this one lacks.
+    pub fn former(&self) -> &[ShardName] {
+        &self.former
+    }
+
     /// Returns the teams with their limits.
     pub fn limits(&self) -> impl Iterator<Item = (&SmolStr, u32)> {
         self.teams.iter().map(|(team, deal)| (team, deal.limit))
@@ -84,4 +100,43 @@
         let units = self.teams.get(team).and_then(|deal| deal.units.get(index));
         units.copied().unwrap_or(0)
     }
+
+    /// Returns the first version that the deal holds for.
+    pub(super) fn first(&self) -> u64 {
+        self.first
+    }
+
+    /// Tells whether `later` is the next version and deals out the same.
+    pub(super) fn is_followed_by_same(&self, later: &Self) -> bool {
+        later.first == self.version + 1 && later.shards == self.shards && later.teams == self.teams
+    }
+
+    /// Takes over a later version that deals out the same.
+    pub(super) fn extend(&mut self, later: Self) {
+        self.version = later.version;
+        self.former = later.former;
+    }
+
+    /// Returns a deal for the versions of both that grants each shard the larger units of both.
+    pub(super) fn envelope(&self, later: &Self) -> Self {
+        let mut shards = [self.shards.as_slice(), &later.shards].concat();
+        shards.sort_unstable();
+        shards.dedup();
+        let names = self.teams.keys().chain(later.teams.keys());
+        let teams = names
+            .map(|team| {
+                let most = |shard| self.units(team, shard).max(later.units(team, shard));
+                let limit = self.limit(team).max(later.limit(team));
+                let units = shards.iter().map(most).collect();
+                (team.clone(), TeamDeal { limit, units })
+            })
+            .collect();
+        Self {
+            first: self.first,
+            version: later.version,
+            shards,
+            former: later.former.clone(),
+            teams,
+        }
+    }
 }
--- a/crates/snipevane-core/src/limits/mod.rs
+++ b/crates/snipevane-core/src/limits/mod.rs
@@ -1,6 +1,7 @@
 //! Upper limits of teams: units of an entry VM, and how a changed deal comes into force.
 
 mod deals;
+mod history;
 mod settlement;
 mod units;
 
--- a/crates/snipevane-core/src/limits/settlement.rs
+++ b/crates/snipevane-core/src/limits/settlement.rs
@@ -1,13 +1,15 @@
 //! Change from one deal of the limits to the next without passing a limit.
 
-use std::collections::BTreeMap;
-
 use rustc_hash::{FxHashMap, FxHashSet};
 use smol_str::SmolStr;
 
 use super::VersionDeal;
+use super::history::History;
 use crate::shards::ShardName;
 
+/// Most versions that are asked for at a time.
+const MAX_MISSING_VERSIONS: usize = 16;
+
 /// Decides how many units of each team the shards of one entry VM may use while the configuration
 /// changes.
 ///
@@ -21,8 +23,7 @@
 /// one that its shard confirmed; [`decide`](crate::shards::decide) says how a new holder ensures it.
 #[derive(Clone, Debug, Default)]
 pub struct Settlement {
-    /// Known versions. Version 0, which deals out nothing, is known implicitly.
-    versions: BTreeMap<u64, VersionDeal>,
+    history: History,
     in_force: u64,
     confirmed: FxHashMap<ShardName, u64>,
     held: FxHashMap<ShardName, FxHashMap<SmolStr, u32>>,
@@ -49,7 +50,7 @@
 
     /// Learns the deal of a version that was never in force here.
     pub fn learn(&mut self, deal: VersionDeal) {
-        self.versions.entry(deal.version()).or_insert(deal);
+        self.history.add(deal);
         self.raise();
     }
 
@@ -74,14 +75,25 @@
 
     /// Takes note that a shard confirmed a version; returns whether that is news.
     pub fn confirm(&mut self, shard: &ShardName, version: u64) -> bool {
-        let known = self.confirmed.entry(shard.clone()).or_default();
-        if version <= *known {
-            return false;
+        self.confirm_all([(shard, version)])
+    }
+
+    /// Takes note of several confirmations; returns whether one of them is news.
+    pub fn confirm_all<'a>(
+        &mut self,
+        confirmations: impl IntoIterator<Item = (&'a ShardName, u64)>,
+    ) -> bool {
+        let mut news = false;
+        for (shard, version) in confirmations {
+            let known = self.confirmed.entry(shard.clone()).or_default();
+            news |= version > *known;
+            *known = version.max(*known);
         }
-        *known = version;
-        self.raise();
-        self.forget_settled();
-        true
+        if news {
+            self.raise();
+            self.forget_settled();
+        }
+        news
     }
 
     /// Returns the last version that each shard is known to have confirmed.
@@ -121,16 +133,13 @@
             .all(|(team, units)| units <= self.total_allowance(team))
     }
 
-    /// Returns the versions that are needed before raises can be decided and aren't known.
+    /// Returns versions that raises wait for because their deals aren't known here, latest first.
+    ///
+    /// A peer may know them; without them, raises wait until every shard has confirmed a later one.
     pub fn missing_versions(&self) -> Vec<u64> {
-        let mut missing = FxHashSet::default();
-        for shard in self.shards() {
-            let confirmed = self.confirmed_by(shard);
-            missing.extend((confirmed.max(1)..=self.in_force).filter(|v| !self.is_known(*v)));
-        }
-        let mut missing: Vec<u64> = missing.into_iter().collect();
-        missing.sort_unstable();
-        missing
+        let oldest = self.oldest_confirmed().max(1);
+        self.history
+            .missing(oldest..=self.in_force, MAX_MISSING_VERSIONS)
     }
 
     /// Returns the shards that haven't confirmed the version in force, sorted.
@@ -139,6 +148,7 @@
     pub fn unsettled(&self) -> Vec<ShardName> {
         let mut shards: Vec<ShardName> = self
             .shards()
+            .into_iter()
             .filter(|shard| self.confirmed_by(shard) < self.in_force)
             .cloned()
             .collect();
@@ -148,7 +158,7 @@
 
     /// Lowers the allowances of the shards held here to the deal in force.
     fn lower(&mut self) {
-        let Some(deal) = self.versions.get(&self.in_force) else {
+        let Some(deal) = self.history.get(self.in_force) else {
             return;
         };
         for (shard, allowances) in &mut self.held {
@@ -161,9 +171,10 @@
 
     /// Raises the allowances of the shards held here to the deal in force where that is safe.
     fn raise(&mut self) {
-        let Some(deal) = self.versions.get(&self.in_force) else {
+        let Some(deal) = self.history.get(self.in_force) else {
             return;
         };
+        let shards = self.shards();
         let mut raises = Vec::new();
         for (team, limit) in deal.limits() {
             let below: Vec<(&ShardName, u32)> = self
@@ -172,7 +183,7 @@
                 .map(|shard| (shard, deal.units(team, shard)))
                 .filter(|&(shard, units)| units > self.allowance(team, shard))
                 .collect();
-            if below.is_empty() || !self.is_safe(team, limit) {
+            if below.is_empty() || !self.is_safe(team, limit, &shards) {
                 continue;
             }
             let below = below.into_iter();
@@ -184,9 +195,9 @@
     }
 
     /// Tells whether the most that all shards may use of a team's limit is within the limit.
-    fn is_safe(&self, team: &str, limit: u32) -> bool {
+    fn is_safe(&self, team: &str, limit: u32, shards: &FxHashSet<&ShardName>) -> bool {
         let mut sum: u64 = 0;
-        for shard in self.shards() {
+        for shard in shards {
             let Some(units) = self.most_used(team, shard) else {
                 return false;
             };
@@ -202,35 +213,29 @@
         if confirmed > self.in_force {
             return None;
         }
-        let mut most = 0;
-        for version in confirmed.max(1)..=self.in_force {
-            most = most.max(self.versions.get(&version)?.units(team, shard));
-        }
-        Some(most)
+        self.history.most(team, shard, confirmed..=self.in_force)
     }
 
     /// Drops the versions that every shard has left behind.
     fn forget_settled(&mut self) {
-        let oldest = self.shards().map(|shard| self.confirmed_by(shard)).min();
-        let oldest = oldest.unwrap_or(self.in_force).min(self.in_force);
-        self.versions = self.versions.split_off(&oldest);
+        let oldest = self.oldest_confirmed().min(self.in_force);
+        self.history.forget_before(oldest);
     }
 
-    /// Returns all shards of the known versions, each once.
-    fn shards(&self) -> impl Iterator<Item = &ShardName> {
-        let mut seen = FxHashSet::default();
-        self.versions
-            .values()
-            .flat_map(VersionDeal::shards)
-            .chain(self.confirmed.keys())
-            .filter(move |shard| seen.insert(*shard))
+    /// Returns the oldest version that a shard may still use.
+    fn oldest_confirmed(&self) -> u64 {
+        let confirmed = self.shards().into_iter().map(|s| self.confirmed_by(s));
+        confirmed.min().unwrap_or(0)
     }
 
-    fn confirmed_by(&self, shard: &ShardName) -> u64 {
-        self.confirmed.get(shard).copied().unwrap_or(0)
+    /// Returns all shards that may use units.
+    fn shards(&self) -> FxHashSet<&ShardName> {
+        let mut shards = self.history.shards();
+        shards.extend(self.confirmed.keys());
+        shards
     }
 
-    fn is_known(&self, version: u64) -> bool {
-        version == 0 || self.versions.contains_key(&version)
+    fn confirmed_by(&self, shard: &ShardName) -> u64 {
+        self.confirmed.get(shard).copied().unwrap_or(0)
     }
 }
