Decide on pools: rows of VMs, drains, moves and availability budgets

Cause: pools need each VM in exactly one pool, and budgets that hold through drains, reboots, moves and failures together, whoever asks.

A VM's row changes only by a step of its state machine, by compare-and-set that also checks the version of the pool's row. The coordinator keeps nothing of its own: a successor reads the rows and goes on. A VM counts as out of service from the sending of the write that takes it out until the write that brings it back is known to have landed. Planned work leaves room for the largest rack of the pool. Refusals name the service, by how much and when.

Ruled out: a lease with a term for the coordinator. The fence makes a takeover safe at any time, so no clock decides.

Moves follow the lesser of a short and a long mean of demand, held for a time, and only where the expected wait outlasts a multiple of drain and reboot.

The naive count first asked all zones to hold; a drain in one zone doesn't worsen another zone that failures took over, so it asks the drained VMs' zones only.

--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod keys;
 pub mod limits;
 pub mod members;
+pub mod placement;
 pub mod pools;
 pub mod routing;
 pub mod shards;
--- /dev/null
+++ b/crates/snipevane-core/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Placement of tasks.
--- /dev/null
+++ b/crates/snipevane-core/src/pools/coordinator.rs
@@ -0,0 +1,452 @@
+//! The coordinator of a pool: drains, reboots and moves its VMs within the availability budget.
+
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use super::member::Member;
+use super::{
+    Budget, Fence, Operation, OperationId, OperationKind, OperationRefused, Place, PoolAction,
+    RowVersion, ServiceBudget, Shortfall, Step, StepError, UnixMs, VmEvent, VmRow, VmState,
+    VmWrite, WriteOutcome,
+};
+use crate::ids::VmKey;
+
+const DEFAULT_DRAIN_ESTIMATE: Duration = Duration::from_secs(60);
+const DEFAULT_REBOOT_ESTIMATE: Duration = Duration::from_secs(180);
+
+/// Settings of a pool.
+#[derive(Clone, Debug)]
+pub struct PoolSettings {
+    /// Availability budgets of the services that the pool hosts.
+    pub services: Vec<ServiceBudget>,
+    /// Fewest VMs that the pool keeps.
+    pub min_vms: u32,
+    /// Usual time that a VM takes to finish its work.
+    pub drain_estimate: Duration,
+    /// Usual time that a VM takes to reboot.
+    pub reboot_estimate: Duration,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            services: Vec::new(),
+            min_vms: 0,
+            drain_estimate: DEFAULT_DRAIN_ESTIMATE,
+            reboot_estimate: DEFAULT_REBOOT_ESTIMATE,
+        }
+    }
+}
+
+/// Coordinates a pool: state and event in, actions out.
+///
+/// All its state stands in the VMs' rows, so a successor reads them with
+/// [`observe`](Self::observe) and goes on where its predecessor stopped.
+#[derive(Clone, Debug)]
+pub struct PoolCoordinator {
+    fence: Fence,
+    settings: PoolSettings,
+    members: SecondaryMap<VmKey, Member>,
+    deposed: bool,
+}
+
+impl PoolCoordinator {
+    /// Creates the coordinator that took the pool's row.
+    pub fn new(fence: Fence, settings: PoolSettings) -> Self {
+        Self {
+            fence,
+            settings,
+            members: SecondaryMap::new(),
+            deposed: false,
+        }
+    }
+
+    /// Returns whether another process coordinates the pool now.
+    pub fn is_deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// Returns a VM's row as last read or written.
+    pub fn row(&self, vm: VmKey) -> Option<&VmRow> {
+        self.members.get(vm).map(|member| &member.row)
+    }
+
+    /// Returns the pool's VMs.
+    pub fn vms(&self) -> impl Iterator<Item = (VmKey, &VmRow)> {
+        self.members.iter().map(|(vm, member)| (vm, &member.row))
+    }
+
+    /// Counts the pool's VMs for its availability budget.
+    ///
+    /// A VM counts as out of service from the moment at which a write that takes it out is sent,
+    /// until the write that brings it back is known to have taken effect.
+    pub fn budget(&self) -> Budget {
+        let mut budget = Budget::new(self.settings.services.clone());
+        for member in self.members.values() {
+            if !member.row.is_arriving() {
+                budget.add(member.place, member.is_available());
+            }
+        }
+        budget
+    }
+
+    /// Takes in a VM's row as read from the table.
+    pub fn observe(
+        &mut self,
+        vm: VmKey,
+        place: Place,
+        version: RowVersion,
+        row: VmRow,
+        now: UnixMs,
+    ) -> Vec<PoolAction> {
+        if self.deposed {
+            return Vec::new();
+        }
+        if row.pool != self.fence.pool {
+            self.members.remove(vm);
+            return Vec::new();
+        }
+        let Some(member) = self.members.get_mut(vm) else {
+            self.members.insert(vm, Member::new(place, version, row));
+            return self.settle(vm, now);
+        };
+        if version < member.version {
+            // A read that was answered late tells nothing new.
+            return Vec::new();
+        }
+        match member.pending {
+            Some((_, written)) if written == row => {
+                member.pending = None;
+            }
+            Some((_, written)) if version == member.version => {
+                // The write hasn't taken effect yet. It may still do, and a second one under the
+                // same condition can't take effect as well.
+                let expected = member.version;
+                return vec![self.write(vm, expected, written)];
+            }
+            Some((step, _)) => {
+                member.pending = None;
+                member.queued.push_front(step);
+            }
+            None => {}
+        }
+        member.version = version;
+        member.row = row;
+        self.settle(vm, now)
+    }
+
+    /// Starts an operation on VMs: on all of them, or on none.
+    ///
+    /// A VM that the same operation holds already is passed over, so that a retry is harmless.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the operation is refused; for a budget, the service, by how many VMs and when
+    /// it could go.
+    pub fn begin(
+        &mut self,
+        operation: Operation,
+        vms: &[VmKey],
+        now: UnixMs,
+    ) -> Result<Vec<PoolAction>, OperationRefused> {
+        let started = self.check(operation, vms, now)?;
+        let mut actions = Vec::new();
+        for vm in started {
+            actions.extend(self.step(vm, Step::Begin(operation), now));
+        }
+        Ok(actions)
+    }
+
+    /// Cancels an operation on each VM where neither its pool changed nor its reboot began.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`OperationRefused::NotCoordinator`] if another process coordinates the pool.
+    pub fn cancel(
+        &mut self,
+        operation: OperationId,
+        now: UnixMs,
+    ) -> Result<Vec<PoolAction>, OperationRefused> {
+        self.check_fence()?;
+        let held = self.members.iter().filter(|(_, member)| {
+            let latest = member.latest();
+            latest.operation.is_some_and(|held| held.id == operation)
+        });
+        let held: Vec<VmKey> = held.map(|(vm, _)| vm).collect();
+        let mut actions = Vec::new();
+        for vm in held {
+            actions.extend(self.step(vm, Step::Cancelled(operation), now));
+        }
+        Ok(actions)
+    }
+
+    /// Takes in what is seen of a VM. An event that doesn't fit the VM's state changes nothing.
+    pub fn vm_event(&mut self, vm: VmKey, event: VmEvent, now: UnixMs) -> Vec<PoolAction> {
+        if self.deposed || !self.members.contains_key(vm) {
+            return Vec::new();
+        }
+        let mut actions = self.step(vm, event.step(), now);
+        if event == VmEvent::Failed {
+            actions.extend(self.relieve(now));
+        }
+        actions
+    }
+
+    /// Takes in the outcome of a write.
+    pub fn written(&mut self, vm: VmKey, outcome: WriteOutcome, now: UnixMs) -> Vec<PoolAction> {
+        match outcome {
+            WriteOutcome::Written(version) => {
+                let Some(member) = self.members.get_mut(vm) else {
+                    return Vec::new();
+                };
+                if let Some((_, row)) = member.pending.take() {
+                    member.row = row;
+                    member.version = version;
+                }
+                self.settle(vm, now)
+            }
+            WriteOutcome::Conflict | WriteOutcome::Unknown => vec![PoolAction::Read(vm)],
+            WriteOutcome::FenceLost => {
+                self.deposed = true;
+                Vec::new()
+            }
+        }
+    }
+
+    fn check_fence(&self) -> Result<(), OperationRefused> {
+        if self.deposed {
+            return Err(OperationRefused::NotCoordinator(self.fence));
+        }
+        Ok(())
+    }
+
+    /// Returns the VMs on which the operation is to be started.
+    fn check(
+        &self,
+        operation: Operation,
+        vms: &[VmKey],
+        now: UnixMs,
+    ) -> Result<Vec<VmKey>, OperationRefused> {
+        self.check_fence()?;
+        if vms.is_empty() {
+            return Err(OperationRefused::NoVms);
+        }
+        if operation.kind
+            == (OperationKind::Move {
+                to: self.fence.pool,
+            })
+        {
+            return Err(OperationRefused::SamePool);
+        }
+        let mut budget = self.budget();
+        let mut started = Vec::new();
+        for &vm in vms {
+            let member = self.members.get(vm);
+            let member = member.ok_or(OperationRefused::UnknownVm(vm))?;
+            let latest = member.latest();
+            latest
+                .apply(Step::Begin(operation), self.fence.epoch, now)
+                .map_err(|reason| OperationRefused::Vm { vm, reason })?;
+            if latest.operation.is_some() || started.contains(&vm) {
+                continue;
+            }
+            if member.is_available() {
+                budget.admit(member.place).map_err(|shortfall| {
+                    let possible_in = self.possible_in(shortfall, now);
+                    OperationRefused::Budget {
+                        shortfall,
+                        possible_in,
+                    }
+                })?;
+                budget.take(member.place);
+            }
+            started.push(vm);
+        }
+        if matches!(operation.kind, OperationKind::Move { .. }) {
+            self.check_size(started.len())?;
+        }
+        Ok(started)
+    }
+
+    fn check_size(&self, leaving: usize) -> Result<(), OperationRefused> {
+        let staying = self.members.values().filter(|member| {
+            let operation = member.latest().operation;
+            let moves =
+                operation.is_some_and(|held| matches!(held.kind, OperationKind::Move { .. }));
+            !moves || member.row.is_arriving()
+        });
+        let left = staying.count().saturating_sub(leaving);
+        let left = u32::try_from(left).unwrap_or(u32::MAX);
+        if left < self.settings.min_vms {
+            return Err(OperationRefused::PoolTooSmall {
+                left,
+                min_vms: self.settings.min_vms,
+            });
+        }
+        Ok(())
+    }
+
+    /// Returns the time until so much planned work is done that the shortfall is gone.
+    fn possible_in(&self, shortfall: Shortfall, now: UnixMs) -> Option<Duration> {
+        let in_zone = |member: &&Member| {
+            let zone = shortfall.zone;
+            zone.is_none_or(|zone| zone == member.place.zone)
+        };
+        let mut ends: Vec<UnixMs> = self
+            .members
+            .values()
+            .filter(in_zone)
+            .filter_map(|member| self.expected_end(&member.latest()))
+            .collect();
+        ends.sort_unstable();
+        let needed = usize::try_from(shortfall.over_by).ok()?.checked_sub(1)?;
+        ends.get(needed).map(|end| end.since(now))
+    }
+
+    fn expected_end(&self, row: &VmRow) -> Option<UnixMs> {
+        let kind = row.operation?.kind;
+        if kind == OperationKind::Drain {
+            return None;
+        }
+        let drain = self.settings.drain_estimate;
+        let reboot = self.settings.reboot_estimate;
+        match row.state {
+            VmState::Draining => Some(row.since.after(drain + reboot)),
+            VmState::Empty | VmState::Moving | VmState::Rebooting => Some(row.since.after(reboot)),
+            VmState::Ready => Some(row.since),
+            VmState::Serving | VmState::Failed => None,
+        }
+    }
+
+    /// Ends reboots and moves that can still be cancelled until the budget holds again.
+    ///
+    /// Drains stay, since an operator who drains a VM may have a reason to distrust it.
+    fn relieve(&mut self, now: UnixMs) -> Vec<PoolAction> {
+        let mut broken_by = self.budget().broken_by();
+        let mut planned: Vec<(UnixMs, VmKey, OperationId)> = Vec::new();
+        for (vm, member) in &self.members {
+            let latest = member.latest();
+            let Some(held) = latest.operation else {
+                continue;
+            };
+            let early = matches!(latest.state, VmState::Draining | VmState::Empty);
+            if early && held.kind != OperationKind::Drain {
+                planned.push((latest.since, vm, held.id));
+            }
+        }
+        planned.sort_unstable_by_key(|&(since, vm, _)| (since, vm));
+        let mut actions = Vec::new();
+        while broken_by > 0 {
+            // The youngest operation has the least work done.
+            let Some((_, vm, operation)) = planned.pop() else {
+                break;
+            };
+            actions.extend(self.step(vm, Step::Cancelled(operation), now));
+            actions.push(PoolAction::Abandoned {
+                vm,
+                operation,
+                reason: None,
+            });
+            broken_by -= 1;
+        }
+        actions
+    }
+
+    /// Takes a step now, or after the write under way.
+    fn step(&mut self, vm: VmKey, step: Step, now: UnixMs) -> Vec<PoolAction> {
+        let Some(member) = self.members.get_mut(vm) else {
+            return Vec::new();
+        };
+        if member.pending.is_some() {
+            if !member.queued.contains(&step) {
+                member.queued.push_back(step);
+            }
+            return Vec::new();
+        }
+        match member.row.apply(step, self.fence.epoch, now) {
+            Ok(row) if row.state == member.row.state => Vec::new(),
+            Ok(row) => {
+                member.pending = Some((step, row));
+                let expected = member.version;
+                vec![self.write(vm, expected, row)]
+            }
+            Err(reason) => abandoned(vm, step, reason).into_iter().collect(),
+        }
+    }
+
+    fn write(&self, vm: VmKey, expected: RowVersion, row: VmRow) -> PoolAction {
+        PoolAction::Write(VmWrite {
+            fence: self.fence,
+            vm,
+            expected,
+            row,
+        })
+    }
+
+    /// Acts on the state that a VM's row is known to have, then takes the steps that waited.
+    fn settle(&mut self, vm: VmKey, now: UnixMs) -> Vec<PoolAction> {
+        let Some(member) = self.members.get(vm) else {
+            return Vec::new();
+        };
+        let row = member.row;
+        if row.pool != self.fence.pool {
+            self.members.remove(vm);
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        match row.state {
+            VmState::Draining => actions.push(PoolAction::StopNewWork(vm)),
+            VmState::Serving => actions.push(PoolAction::ResumeWork(vm)),
+            VmState::Rebooting => actions.push(PoolAction::Reboot(vm)),
+            VmState::Empty | VmState::Moving | VmState::Ready | VmState::Failed => {}
+        }
+        actions.extend(self.step_queued(vm, now));
+        if let Some(step) = next_step(&row) {
+            let idle = self.members.get(vm).is_some_and(|m| m.pending.is_none());
+            if idle {
+                actions.extend(self.step(vm, step, now));
+            }
+        }
+        actions
+    }
+
+    fn step_queued(&mut self, vm: VmKey, now: UnixMs) -> Vec<PoolAction> {
+        let mut actions = Vec::new();
+        while let Some(member) = self.members.get_mut(vm) {
+            if member.pending.is_some() {
+                break;
+            }
+            let Some(step) = member.queued.pop_front() else {
+                break;
+            };
+            actions.extend(self.step(vm, step, now));
+        }
+        actions
+    }
+}
+
+/// Returns the step that follows from a row without any event.
+fn next_step(row: &VmRow) -> Option<Step> {
+    let kind = row.operation.map(|held| held.kind);
+    match (row.state, kind) {
+        (VmState::Empty, Some(OperationKind::Move { .. })) => Some(Step::Joined),
+        (VmState::Empty, Some(OperationKind::Reboot)) => Some(Step::RebootStarted),
+        (VmState::Moving, _) => Some(Step::RebootStarted),
+        (VmState::Ready, _) => Some(Step::Admitted),
+        _ => None,
+    }
+}
+
+fn abandoned(vm: VmKey, step: Step, reason: StepError) -> Option<PoolAction> {
+    let operation = match step {
+        Step::Begin(operation) => operation.id,
+        Step::Cancelled(operation) => operation,
+        _ => return None,
+    };
+    Some(PoolAction::Abandoned {
+        vm,
+        operation,
+        reason: Some(reason),
+    })
+}
--- a/crates/snipevane-core/src/pools/mod.rs
+++ b/crates/snipevane-core/src/pools/mod.rs
@@ -1,1 +1,25 @@
-//! Placeholder of the module `pools`.
+//! Membership of VMs in pools: rows, drains, moves between pools and availability budgets.
+//!
+//! A VM's row names its pool, so a VM is in exactly one pool at any time. A row changes only by a
+//! compare-and-set that also checks the version of the pool's row, so that the writes of a former
+//! coordinator fail.
+
+mod budget;
+mod coordinator;
+mod member;
+mod moves;
+mod pool_row;
+mod refusal;
+mod step;
+mod unix_ms;
+mod vm_row;
+
+pub use budget::{Budget, Place, RackId, ServiceBudget, Shortfall};
+pub use coordinator::{PoolCoordinator, PoolSettings};
+pub use member::{PoolAction, VmEvent, VmWrite, WriteOutcome};
+pub use moves::{Move, MovePlanner, MoveSettings, PoolLoad};
+pub use pool_row::{Epoch, Fence, PoolRow, RowVersion};
+pub use refusal::OperationRefused;
+pub use step::{Step, StepError};
+pub use unix_ms::UnixMs;
+pub use vm_row::{Operation, OperationId, OperationKind, VmRow, VmState};
--- /dev/null
+++ b/crates/snipevane-core/src/pools/moves.rs
@@ -0,0 +1,333 @@
+//! When a move of VMs between pools pays.
+
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use super::UnixMs;
+use crate::ids::PoolKey;
+
+/// Settings of the decision on moves.
+#[derive(Clone, Copy, Debug)]
+pub struct MoveSettings {
+    /// Usual time to drain a VM.
+    pub drain: Duration,
+    /// Usual time to reboot a VM.
+    pub reboot: Duration,
+    /// A move pays if waiting would last this many times as long as drain and reboot.
+    pub payback: f64,
+    /// Time constant of the short mean of demand.
+    pub short_mean: Duration,
+    /// Time constant of the long mean of demand, several times the interval between bursts.
+    pub long_mean: Duration,
+    /// Time for which a pool must be short of VMs before it gets any.
+    pub sustain: Duration,
+    /// Time for which a pool neither gives after it received nor receives after it gave.
+    pub cooldown: Duration,
+    /// Part of its capacity in use above which a pool is short of VMs.
+    pub receive_above: f64,
+    /// Part of its capacity in use that a pool may reach by giving a VM.
+    pub give_below: f64,
+    /// Part of its capacity in use below which a pool returns VMs that it received.
+    pub return_below: f64,
+}
+
+impl Default for MoveSettings {
+    fn default() -> Self {
+        Self {
+            drain: Duration::from_secs(60),
+            reboot: Duration::from_secs(180),
+            payback: 2.0,
+            short_mean: Duration::from_secs(30),
+            long_mean: Duration::from_secs(300),
+            sustain: Duration::from_secs(120),
+            cooldown: Duration::from_secs(1800),
+            receive_above: 0.9,
+            give_below: 0.6,
+            return_below: 0.4,
+        }
+    }
+}
+
+/// What a pool has and is asked for, in VMs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PoolLoad {
+    /// Pool.
+    pub pool: PoolKey,
+    /// VMs that serve.
+    pub serving: u32,
+    /// VMs on their way into the pool, from the moment at which their move was decided.
+    pub arriving: u32,
+    /// Fewest VMs that the pool keeps.
+    pub min_vms: u32,
+    /// VMs that the manifest gives the pool.
+    pub home_vms: u32,
+    /// Whether the pool holds the spare VMs.
+    pub spare: bool,
+    /// Work that arrives, as the number of VMs that it keeps busy.
+    pub demand: f64,
+    /// Work that waits, in VM-seconds.
+    pub backlog: f64,
+}
+
+/// A move of VMs between pools.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Move {
+    /// Pool that gives.
+    pub from: PoolKey,
+    /// Pool that receives.
+    pub to: PoolKey,
+    /// Number of VMs.
+    pub vms: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Trend {
+    load: PoolLoad,
+    short_mean: f64,
+    long_mean: f64,
+    seen: UnixMs,
+    short_since: Option<UnixMs>,
+    /// Least short mean since the pool is short.
+    short_floor: f64,
+    idle_since: Option<UnixMs>,
+    received: Option<UnixMs>,
+    gave: Option<UnixMs>,
+}
+
+/// Decides on moves between pools from their loads.
+///
+/// A pool is short of VMs if both the short and the long mean of its demand pass its capacity, so
+/// that neither a burst that just began nor one that just ended counts. It gets VMs only if the
+/// expected wait outlasts a multiple of drain and reboot.
+#[derive(Clone, Debug, Default)]
+pub struct MovePlanner {
+    settings: MoveSettings,
+    trends: SecondaryMap<PoolKey, Trend>,
+}
+
+impl MovePlanner {
+    /// Creates a planner that knows no pool.
+    pub fn new(settings: MoveSettings) -> Self {
+        Self {
+            settings,
+            trends: SecondaryMap::new(),
+        }
+    }
+
+    /// Takes in the loads of all pools and returns the moves that pay.
+    pub fn decide(&mut self, loads: &[PoolLoad], now: UnixMs) -> Vec<Move> {
+        for load in loads {
+            self.observe(*load, now);
+        }
+        self.trends
+            .retain(|pool, _| loads.iter().any(|load| load.pool == pool));
+        let mut moves = self.fill_up(now);
+        moves.extend(self.relieve(now));
+        moves.extend(self.give_back(now));
+        moves
+    }
+
+    fn observe(&mut self, load: PoolLoad, now: UnixMs) {
+        let settings = self.settings;
+        let Some(trend) = self.trends.get_mut(load.pool) else {
+            let trend = Trend::new(load, now);
+            self.trends.insert(load.pool, trend);
+            return;
+        };
+        let passed = now.since(trend.seen);
+        trend.short_mean = blend(trend.short_mean, load.demand, passed, settings.short_mean);
+        trend.long_mean = blend(trend.long_mean, load.demand, passed, settings.long_mean);
+        trend.load = load;
+        trend.seen = now;
+        let short = trend.is_short(&settings);
+        trend.short_floor = match trend.short_since {
+            Some(_) => trend.short_floor.min(trend.short_mean),
+            None => trend.short_mean,
+        };
+        trend.short_since = short.then(|| trend.short_since.unwrap_or(now));
+        let idle = trend.is_idle(&settings);
+        trend.idle_since = idle.then(|| trend.idle_since.unwrap_or(now));
+    }
+
+    /// Brings pools that lost VMs back to their fewest, out of the spare pool.
+    fn fill_up(&mut self, now: UnixMs) -> Vec<Move> {
+        let wanted = self.trends.iter().filter_map(|(pool, trend)| {
+            let load = trend.load;
+            let missing = load.min_vms.saturating_sub(load.serving + load.arriving);
+            (missing > 0 && !load.spare).then_some((pool, missing))
+        });
+        let wanted: Vec<(PoolKey, u32)> = wanted.collect();
+        let mut moves = Vec::new();
+        for (to, missing) in wanted {
+            if let Some(from) = self.spare_with_vms() {
+                let available = self.trends[from].load.serving;
+                moves.push(self.shift(from, to, missing.min(available), now));
+            }
+        }
+        moves
+    }
+
+    fn relieve(&mut self, now: UnixMs) -> Vec<Move> {
+        let settings = self.settings;
+        let mut short: Vec<(f64, PoolKey, u32)> = Vec::new();
+        for (pool, trend) in &self.trends {
+            let long_enough = trend
+                .short_since
+                .is_some_and(|since| now.since(since) >= settings.sustain);
+            let cooling = trend.recently(trend.gave, &settings, now);
+            if long_enough && !cooling && trend.load.arriving == 0 {
+                short.push((trend.utilisation(), pool, trend.missing(&settings)));
+            }
+        }
+        short.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let mut moves = Vec::new();
+        for (_, to, missing) in short {
+            let mut left = missing;
+            while left > 0 {
+                let Some((from, available)) = self.donor(to, now) else {
+                    break;
+                };
+                let vms = left.min(available);
+                moves.push(self.shift(from, to, vms, now));
+                left -= vms;
+            }
+        }
+        moves
+    }
+
+    /// Returns VMs that a pool received and no longer needs to the spare pool.
+    fn give_back(&mut self, now: UnixMs) -> Vec<Move> {
+        let settings = self.settings;
+        let Some(spare) = self.spare() else {
+            return Vec::new();
+        };
+        let idle = self.trends.iter().filter_map(|(pool, trend)| {
+            let load = trend.load;
+            let extra = load.serving.saturating_sub(load.home_vms.max(load.min_vms));
+            let long_enough = trend
+                .idle_since
+                .is_some_and(|since| now.since(since) >= settings.cooldown);
+            let cooling = trend.recently(trend.received, &settings, now);
+            (extra > 0 && long_enough && !cooling && !load.spare).then_some((pool, extra))
+        });
+        let idle: Vec<(PoolKey, u32)> = idle.collect();
+        idle.into_iter()
+            .map(|(pool, extra)| self.shift(pool, spare, extra, now))
+            .collect()
+    }
+
+    /// Returns a pool that can give VMs and how many; the spare pool first.
+    fn donor(&self, to: PoolKey, now: UnixMs) -> Option<(PoolKey, u32)> {
+        if let Some(spare) = self.spare_with_vms() {
+            return Some((spare, self.trends[spare].load.serving));
+        }
+        let settings = &self.settings;
+        let mut best: Option<(f64, PoolKey)> = None;
+        for (pool, trend) in &self.trends {
+            let load = trend.load;
+            if pool == to || load.spare || load.serving <= load.min_vms.max(1) {
+                continue;
+            }
+            if trend.recently(trend.received, settings, now) {
+                continue;
+            }
+            let after = trend.long_mean / f64::from(load.serving - 1);
+            let better = best.is_none_or(|(lowest, _)| after < lowest);
+            if after < settings.give_below && better {
+                best = Some((after, pool));
+            }
+        }
+        best.map(|(_, pool)| (pool, 1))
+    }
+
+    fn spare(&self) -> Option<PoolKey> {
+        let mut spares = self.trends.iter().filter(|(_, trend)| trend.load.spare);
+        spares.next().map(|(pool, _)| pool)
+    }
+
+    fn spare_with_vms(&self) -> Option<PoolKey> {
+        self.spare()
+            .filter(|&pool| self.trends[pool].load.serving > self.trends[pool].load.min_vms)
+    }
+
+    /// Records a move, so that the same round counts on it.
+    fn shift(&mut self, from: PoolKey, to: PoolKey, vms: u32, now: UnixMs) -> Move {
+        if let Some(trend) = self.trends.get_mut(from) {
+            trend.load.serving = trend.load.serving.saturating_sub(vms);
+            trend.gave = Some(now);
+        }
+        if let Some(trend) = self.trends.get_mut(to) {
+            trend.load.arriving += vms;
+            trend.received = Some(now);
+            trend.short_since = None;
+        }
+        Move { from, to, vms }
+    }
+}
+
+impl Trend {
+    fn new(load: PoolLoad, now: UnixMs) -> Self {
+        Self {
+            load,
+            short_mean: load.demand,
+            long_mean: load.demand,
+            seen: now,
+            short_since: None,
+            short_floor: 0.0,
+            idle_since: None,
+            received: None,
+            gave: None,
+        }
+    }
+
+    /// Returns the demand that lasts, in VMs.
+    fn sustained(&self) -> f64 {
+        self.short_mean.min(self.long_mean)
+    }
+
+    fn utilisation(&self) -> f64 {
+        self.sustained() / f64::from(self.load.serving.max(1))
+    }
+
+    /// Returns whether the expected wait outlasts what a move takes.
+    fn is_short(&self, settings: &MoveSettings) -> bool {
+        let capacity = f64::from(self.load.serving + self.load.arriving);
+        let sustained = self.sustained();
+        if self.load.spare || sustained <= capacity * settings.receive_above {
+            return false;
+        }
+        if sustained >= capacity {
+            return true;
+        }
+        let wait_secs = self.load.backlog / (capacity - sustained);
+        let move_secs = (settings.drain + settings.reboot).as_secs_f64();
+        wait_secs > settings.payback * move_secs
+    }
+
+    fn is_idle(&self, settings: &MoveSettings) -> bool {
+        let busiest = self.short_mean.max(self.long_mean);
+        busiest < f64::from(self.load.serving) * settings.return_below
+    }
+
+    /// Returns how many VMs bring the pool below the mark at which it counts as short.
+    fn missing(&self, settings: &MoveSettings) -> u32 {
+        // The long mean still rises towards a demand that began a short time ago.
+        let lasting = self.sustained().max(self.short_floor);
+        let wanted = (lasting / settings.receive_above).ceil();
+        let mut missing = 0;
+        while f64::from(self.load.serving + self.load.arriving + missing) < wanted {
+            missing += 1;
+        }
+        missing.max(1)
+    }
+
+    fn recently(&self, event: Option<UnixMs>, settings: &MoveSettings, now: UnixMs) -> bool {
+        event.is_some_and(|at| now.since(at) < settings.cooldown)
+    }
+}
+
+fn blend(mean: f64, sample: f64, passed: Duration, time_constant: Duration) -> f64 {
+    let kept = (-passed.as_secs_f64() / time_constant.as_secs_f64()).exp();
+    mean * kept + sample * (1.0 - kept)
+}
--- /dev/null
+++ b/crates/snipevane-core/src/pools/step.rs
@@ -0,0 +1,184 @@
+//! Steps of a VM's row, the only way in which a row changes.
+
+use thiserror::Error;
+
+use super::{Epoch, Operation, OperationId, OperationKind, UnixMs, VmRow, VmState};
+
+/// A change of a VM's row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Starts an operation.
+    Begin(Operation),
+    /// Records that the VM has no work left.
+    Emptied,
+    /// Changes the VM's pool.
+    Joined,
+    /// Records that the VM is being rebooted.
+    RebootStarted,
+    /// Records that the VM is up.
+    Booted,
+    /// Lets the VM take work.
+    Admitted,
+    /// Ends an operation before its reboot.
+    Cancelled(OperationId),
+    /// Records that the VM is down.
+    Failed,
+    /// Starts the reboot of a failed VM.
+    Repaired,
+}
+
+/// Why a step can't be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum StepError {
+    /// Another operation holds the VM.
+    #[error("operation {} already holds the VM", .0.0)]
+    Held(OperationId),
+    /// The VM is down.
+    #[error("the VM has failed")]
+    Failed,
+    /// The operation changed the VM's pool or rebooted it already.
+    #[error("the operation has gone too far to be cancelled")]
+    TooLate,
+    /// A later coordinator wrote the row.
+    #[error("a coordinator of epoch {} wrote the row", .0.0)]
+    StaleEpoch(Epoch),
+    /// The step doesn't follow from the row's state.
+    #[error("a VM in state {0:?} can't take this step")]
+    WrongState(VmState),
+}
+
+impl VmRow {
+    /// Returns the row after a step.
+    ///
+    /// A step that was taken already returns the row unchanged, so that a retry is harmless.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the row's state or operation doesn't allow the step, or if a later
+    /// coordinator wrote the row.
+    pub fn apply(&self, step: Step, epoch: Epoch, now: UnixMs) -> Result<Self, StepError> {
+        if epoch < self.epoch {
+            return Err(StepError::StaleEpoch(self.epoch));
+        }
+        let mut row = match step {
+            Step::Begin(operation) => self.begin(operation)?,
+            Step::Emptied => self.advance(VmState::Draining, VmState::Empty)?,
+            Step::Joined => return self.join(now),
+            Step::RebootStarted => self.start_reboot()?,
+            Step::Booted => self.advance(VmState::Rebooting, VmState::Ready)?,
+            Step::Admitted => self.release(VmState::Ready)?,
+            Step::Cancelled(id) => self.cancel(id)?,
+            Step::Failed => self.fail(),
+            Step::Repaired => self.advance(VmState::Failed, VmState::Rebooting)?,
+        };
+        if row.state != self.state {
+            row.since = now;
+        }
+        row.epoch = epoch;
+        Ok(row)
+    }
+
+    fn begin(&self, operation: Operation) -> Result<Self, StepError> {
+        if self.state == VmState::Failed {
+            return Err(StepError::Failed);
+        }
+        if let Some(held) = self.operation {
+            return if held.id == operation.id {
+                Ok(*self)
+            } else {
+                Err(StepError::Held(held.id))
+            };
+        }
+        if self.state != VmState::Serving {
+            return Err(StepError::WrongState(self.state));
+        }
+        Ok(Self {
+            state: VmState::Draining,
+            operation: Some(operation),
+            ..*self
+        })
+    }
+
+    fn join(&self, now: UnixMs) -> Result<Self, StepError> {
+        let Some(OperationKind::Move { to }) = self.operation.map(|held| held.kind) else {
+            return Err(StepError::WrongState(self.state));
+        };
+        if self.state != VmState::Empty {
+            return Err(StepError::WrongState(self.state));
+        }
+        Ok(Self {
+            pool: to,
+            state: VmState::Moving,
+            // Epochs count within a pool; the new pool's coordinator starts afresh.
+            epoch: Epoch(0),
+            since: now,
+            ..*self
+        })
+    }
+
+    fn start_reboot(&self) -> Result<Self, StepError> {
+        let kind = self.operation.map(|held| held.kind);
+        match (self.state, kind) {
+            (VmState::Moving, _) | (VmState::Empty, Some(OperationKind::Reboot)) => Ok(Self {
+                state: VmState::Rebooting,
+                ..*self
+            }),
+            (VmState::Rebooting, _) => Ok(*self),
+            (other, _) => Err(StepError::WrongState(other)),
+        }
+    }
+
+    fn cancel(&self, id: OperationId) -> Result<Self, StepError> {
+        match self.operation {
+            Some(held) if held.id == id => {}
+            Some(held) => return Err(StepError::Held(held.id)),
+            None => return Ok(*self),
+        }
+        match self.state {
+            VmState::Draining | VmState::Empty => Ok(self.held_by_none(VmState::Serving)),
+            _ => Err(StepError::TooLate),
+        }
+    }
+
+    fn fail(&self) -> Self {
+        // A VM on its way into a pool keeps its move, so that it doesn't count as the pool's yet.
+        let operation = if self.is_arriving() {
+            self.operation
+        } else {
+            None
+        };
+        Self {
+            state: VmState::Failed,
+            operation,
+            ..*self
+        }
+    }
+
+    fn advance(&self, from: VmState, to: VmState) -> Result<Self, StepError> {
+        if self.state == to {
+            return Ok(*self);
+        }
+        if self.state != from {
+            return Err(StepError::WrongState(self.state));
+        }
+        Ok(Self { state: to, ..*self })
+    }
+
+    fn release(&self, from: VmState) -> Result<Self, StepError> {
+        if self.state == VmState::Serving {
+            return Ok(*self);
+        }
+        if self.state != from {
+            return Err(StepError::WrongState(self.state));
+        }
+        Ok(self.held_by_none(VmState::Serving))
+    }
+
+    fn held_by_none(&self, state: VmState) -> Self {
+        Self {
+            state,
+            operation: None,
+            ..*self
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipevane-core/src/pools/unix_ms.rs
@@ -0,0 +1,28 @@
+//! Wall-clock time as it is kept in rows of the table.
+
+use std::time::Duration;
+
+/// Wall-clock time in milliseconds since the Unix epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UnixMs(pub u64);
+
+impl UnixMs {
+    /// Returns the time that lies `delay` later.
+    pub fn after(self, delay: Duration) -> Self {
+        Self(self.0.saturating_add(millis(delay)))
+    }
+
+    /// Returns the time that lies `lead` earlier, at least 0.
+    pub fn before(self, lead: Duration) -> Self {
+        Self(self.0.saturating_sub(millis(lead)))
+    }
+
+    /// Returns the time since `earlier`, zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,3 @@
 //! Shared parts of the test suites.
+
+pub mod fleet;
--- /dev/null
+++ b/tests/tests/pools.rs
@@ -0,0 +1,509 @@
+//! VMs are in exactly one pool, and drains, moves and reboots keep the availability budget.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rstest::rstest;
+use snipevane_core::ids::VmKey;
+use snipevane_core::pools::{
+    Operation, OperationId, OperationKind, OperationRefused, PoolAction, PoolCoordinator,
+    StepError, UnixMs, VmEvent, VmState, VmWrite, WriteOutcome,
+};
+use snipevane_tests::fleet::{FakeTable, Keys, read, settle};
+
+const NOW: UnixMs = UnixMs(1_000_000);
+
+fn operation(id: u64, kind: OperationKind) -> Operation {
+    Operation {
+        id: OperationId(id),
+        kind,
+    }
+}
+
+/// A site of one coordinated pool whose table answers at once.
+struct Site {
+    keys: Keys,
+    table: FakeTable,
+    coordinator: PoolCoordinator,
+}
+
+impl Site {
+    fn new(vms: usize, budget_percent: u8) -> Self {
+        let keys = Keys::new(vms);
+        let mut table = FakeTable::new(&keys);
+        let settings = keys.settings(budget_percent);
+        let (coordinator, _) = table.take_over(&keys, keys.pools[0], settings, NOW);
+        Self {
+            keys,
+            table,
+            coordinator,
+        }
+    }
+
+    fn settle(&mut self, actions: Vec<PoolAction>) -> Vec<PoolAction> {
+        settle(
+            &mut self.table,
+            &self.keys,
+            &mut self.coordinator,
+            actions,
+            NOW,
+        )
+    }
+
+    fn begin(&mut self, operation: Operation, vms: &[usize]) -> Result<(), OperationRefused> {
+        let vms: Vec<VmKey> = vms.iter().map(|&vm| self.keys.vms[vm]).collect();
+        let actions = self.coordinator.begin(operation, &vms, NOW)?;
+        self.settle(actions);
+        Ok(())
+    }
+
+    fn event(&mut self, vm: usize, event: VmEvent) -> Vec<PoolAction> {
+        let actions = self.coordinator.vm_event(self.keys.vms[vm], event, NOW);
+        self.settle(actions)
+    }
+
+    fn state(&self, vm: usize) -> VmState {
+        self.table.vms[&self.keys.vms[vm]].1.state
+    }
+}
+
+#[test]
+fn a_move_drains_joins_reboots_and_serves_in_the_new_pool() {
+    let mut site = Site::new(12, 50);
+    let (from, to) = (site.keys.pools[0], site.keys.pools[1]);
+    site.begin(operation(1, OperationKind::Move { to }), &[0])
+        .unwrap();
+    assert_eq!(site.state(0), VmState::Draining);
+    site.event(0, VmEvent::Emptied);
+    assert_eq!(site.state(0), VmState::Moving);
+    assert_eq!(site.coordinator.budget().total(), 11);
+    let settings = site.keys.settings(50);
+    let (mut other, actions) = site.table.take_over(&site.keys, to, settings, NOW);
+    let asked = settle(&mut site.table, &site.keys, &mut other, actions, NOW);
+    assert_eq!(asked, [PoolAction::Reboot(site.keys.vms[0])]);
+    assert_eq!(
+        other.budget().total(),
+        0,
+        "an arriving VM doesn't count yet"
+    );
+    let booted = other.vm_event(site.keys.vms[0], VmEvent::Booted, NOW);
+    settle(&mut site.table, &site.keys, &mut other, booted, NOW);
+    let states: Vec<_> = site
+        .table
+        .log
+        .iter()
+        .map(|(_, row)| (row.pool, row.state))
+        .collect();
+    let expected = [
+        (from, VmState::Draining),
+        (from, VmState::Empty),
+        (to, VmState::Moving),
+        (to, VmState::Rebooting),
+        (to, VmState::Ready),
+        (to, VmState::Serving),
+    ];
+    assert_eq!(states, expected);
+}
+
+#[test]
+fn two_operators_who_drain_siblings_stay_within_the_budget_together() {
+    let mut site = Site::new(12, 25);
+    site.begin(operation(1, OperationKind::Drain), &[0])
+        .unwrap();
+    let refused = site
+        .begin(operation(2, OperationKind::Drain), &[1])
+        .unwrap_err();
+    let OperationRefused::Budget {
+        shortfall,
+        possible_in,
+    } = refused
+    else {
+        panic!("{refused}");
+    };
+    // 25 % of 12 VMs are 3, of which the loss of one more rack keeps all but one.
+    assert_eq!(
+        (shortfall.service, shortfall.over_by),
+        (site.keys.service, 1)
+    );
+    assert_eq!(possible_in, None, "a drain lasts until it is cancelled");
+}
+
+#[test]
+fn a_refused_reboot_says_when_it_could_go() {
+    let mut site = Site::new(12, 25);
+    site.begin(operation(1, OperationKind::Reboot), &[0])
+        .unwrap();
+    let refused = site
+        .begin(operation(2, OperationKind::Reboot), &[1])
+        .unwrap_err();
+    let OperationRefused::Budget { possible_in, .. } = refused else {
+        panic!("{refused}");
+    };
+    assert_eq!(possible_in, Some(Duration::from_secs(240)));
+}
+
+#[test]
+fn the_same_operation_twice_changes_nothing_and_another_is_told_of_the_first() {
+    let mut site = Site::new(12, 50);
+    let first = operation(1, OperationKind::Drain);
+    site.begin(first, &[0]).unwrap();
+    let written = site.table.log.len();
+    site.begin(first, &[0]).unwrap();
+    assert_eq!(site.table.log.len(), written);
+    let refused = site.begin(operation(2, OperationKind::Reboot), &[0]);
+    let reason = StepError::Held(OperationId(1));
+    let vm = site.keys.vms[0];
+    assert_eq!(refused, Err(OperationRefused::Vm { vm, reason }));
+}
+
+#[test]
+fn an_operation_starts_on_all_of_its_vms_or_on_none() {
+    let mut site = Site::new(12, 25);
+    assert!(
+        site.begin(operation(1, OperationKind::Drain), &[0, 1])
+            .is_err()
+    );
+    assert!(site.table.log.is_empty());
+}
+
+#[rstest]
+#[case::unknown_vm(vec![12], OperationKind::Drain)]
+#[case::no_vms(vec![], OperationKind::Drain)]
+fn bad_operations_are_refused_whole(#[case] vms: Vec<usize>, #[case] kind: OperationKind) {
+    let mut site = Site::new(12, 25);
+    let stranger = Keys::new(13);
+    site.keys.vms.push(stranger.vms[12]);
+    assert!(site.begin(operation(1, kind), &vms).is_err());
+    assert!(site.table.log.is_empty());
+}
+
+#[rstest]
+#[case::draining(&[], true)]
+#[case::empty(&[VmEvent::Emptied], false)]
+fn a_reboot_can_be_cancelled_until_it_begins(#[case] events: &[VmEvent], #[case] cancelled: bool) {
+    let mut site = Site::new(12, 25);
+    site.begin(operation(1, OperationKind::Reboot), &[0])
+        .unwrap();
+    for &event in events {
+        site.event(0, event);
+    }
+    let actions = site.coordinator.cancel(OperationId(1), NOW).unwrap();
+    site.settle(actions);
+    assert_eq!(site.state(0) == VmState::Serving, cancelled);
+}
+
+#[test]
+fn an_unplanned_failure_ends_reboots_that_would_break_the_budget() {
+    // One VM of ten may be out of service.
+    let mut site = Site::new(10, 10);
+    site.begin(operation(1, OperationKind::Reboot), &[0])
+        .unwrap();
+    let asked = site.event(5, VmEvent::Failed);
+    let vm = site.keys.vms[0];
+    assert!(asked.contains(&PoolAction::Abandoned {
+        vm,
+        operation: OperationId(1),
+        reason: None
+    }));
+    assert_eq!(site.state(0), VmState::Serving);
+}
+
+#[test]
+fn a_successor_finishes_what_its_predecessor_began_whose_writes_then_fail() {
+    let mut site = Site::new(12, 25);
+    site.begin(operation(1, OperationKind::Reboot), &[0])
+        .unwrap();
+    let settings = site.keys.settings(25);
+    let pool = site.keys.pools[0];
+    let (mut successor, asked) = site.table.take_over(&site.keys, pool, settings, NOW);
+    assert!(asked.contains(&PoolAction::StopNewWork(site.keys.vms[0])));
+    // The former coordinator wakes and cancels; the successor knows that the VM is out.
+    let late = site.coordinator.cancel(OperationId(1), NOW).unwrap();
+    site.settle(late);
+    assert!(site.coordinator.is_deposed());
+    assert_eq!(site.state(0), VmState::Draining);
+    let sibling = [site.keys.vms[1]];
+    let refused = successor.begin(operation(2, OperationKind::Drain), &sibling, NOW);
+    assert!(matches!(refused, Err(OperationRefused::Budget { .. })));
+    let emptied = successor.vm_event(site.keys.vms[0], VmEvent::Emptied, NOW);
+    settle(&mut site.table, &site.keys, &mut successor, emptied, NOW);
+    assert_eq!(site.state(0), VmState::Rebooting);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Begin {
+        operation: u64,
+        vm: usize,
+        sibling: bool,
+        kind: u8,
+    },
+    Cancel {
+        operation: u64,
+    },
+    Vm {
+        vm: usize,
+        event: u8,
+    },
+    /// Lets a write that is under way take effect or not, and its answer arrive or not.
+    Answer {
+        nth: usize,
+        applied: bool,
+        answered: bool,
+    },
+    /// Lets a write whose answer was lost take effect late.
+    LateEffect {
+        nth: usize,
+    },
+    TakeOver,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let vm = 0..VMS;
+    prop_oneof![
+        4 => (0..40_u64, vm.clone(), any::<bool>(), 0..3_u8)
+            .prop_map(|(operation, vm, sibling, kind)| Event::Begin { operation, vm, sibling, kind }),
+        1 => (0..40_u64).prop_map(|operation| Event::Cancel { operation }),
+        5 => (vm, 0..8_u8).prop_map(|(vm, event)| Event::Vm { vm, event }),
+        10 => (0..9_usize, any::<bool>(), any::<bool>())
+            .prop_map(|(nth, applied, answered)| Event::Answer { nth, applied, answered }),
+        2 => (0..9_usize).prop_map(|nth| Event::LateEffect { nth }),
+        1 => Just(Event::TakeOver),
+    ]
+}
+
+const VMS: usize = 30;
+const BUDGET_PERCENT: usize = 34;
+
+/// A pool under random events, with writes in flight and former coordinators that go on.
+struct Chaos {
+    keys: Keys,
+    table: FakeTable,
+    coordinators: Vec<PoolCoordinator>,
+    /// Writes under way and those whose answer was lost, with their coordinator.
+    in_flight: Vec<(usize, VmWrite)>,
+    lost: Vec<(usize, VmWrite)>,
+}
+
+impl Chaos {
+    fn new() -> Self {
+        let keys = Keys::new(VMS);
+        let table = FakeTable::new(&keys);
+        let mut chaos = Self {
+            keys,
+            table,
+            coordinators: Vec::new(),
+            in_flight: Vec::new(),
+            lost: Vec::new(),
+        };
+        chaos.take_over();
+        chaos
+    }
+
+    fn take_over(&mut self) {
+        let settings = self.keys.settings(u8::try_from(BUDGET_PERCENT).unwrap());
+        let pool = self.keys.pools[0];
+        let (coordinator, actions) = self.table.take_over(&self.keys, pool, settings, NOW);
+        self.coordinators.push(coordinator);
+        self.queue(self.coordinators.len() - 1, actions);
+    }
+
+    fn queue(&mut self, coordinator: usize, actions: Vec<PoolAction>) {
+        for action in actions {
+            match action {
+                PoolAction::Write(write) => self.in_flight.push((coordinator, write)),
+                PoolAction::Read(vm) => {
+                    let actions = read(
+                        &self.table,
+                        &self.keys,
+                        &mut self.coordinators[coordinator],
+                        vm,
+                        NOW,
+                    );
+                    self.queue(coordinator, actions);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn run(&mut self, event: Event) -> Result<(), TestCaseError> {
+        match event {
+            Event::Begin {
+                operation,
+                vm,
+                sibling,
+                kind,
+            } => {
+                // Operators reach any coordinator, also one that was replaced.
+                for coordinator in 0..self.coordinators.len() {
+                    self.begin(coordinator, operation, vm, sibling, kind)?;
+                }
+            }
+            Event::Cancel { operation } => {
+                for coordinator in 0..self.coordinators.len() {
+                    let cancelled =
+                        self.coordinators[coordinator].cancel(OperationId(operation), NOW);
+                    self.queue(coordinator, cancelled.unwrap_or_default());
+                }
+            }
+            Event::Vm { vm, event } => {
+                let (vm, event) = match event {
+                    0 => (self.keys.vms[vm], VmEvent::Failed),
+                    1 => (self.keys.vms[vm], VmEvent::Repaired),
+                    2..5 => (self.busy(vm), VmEvent::Emptied),
+                    _ => (self.busy(vm), VmEvent::Booted),
+                };
+                for coordinator in 0..self.coordinators.len() {
+                    let actions = self.coordinators[coordinator].vm_event(vm, event, NOW);
+                    self.queue(coordinator, actions);
+                }
+            }
+            Event::Answer {
+                nth,
+                applied,
+                answered,
+            } => {
+                if nth < self.in_flight.len() {
+                    let (coordinator, write) = self.in_flight.remove(nth);
+                    self.answer(coordinator, write, applied, answered);
+                }
+            }
+            Event::LateEffect { nth } => {
+                if nth < self.lost.len() {
+                    let (_, write) = self.lost.remove(nth);
+                    self.table.write(&write);
+                }
+            }
+            Event::TakeOver => self.take_over(),
+        }
+        Ok(())
+    }
+
+    /// Returns one of the VMs that an operation holds, or any VM.
+    fn busy(&self, nth: usize) -> VmKey {
+        let held = self
+            .table
+            .vms
+            .iter()
+            .filter(|(_, (_, row))| row.operation.is_some());
+        let held: Vec<VmKey> = held.map(|(vm, _)| *vm).collect();
+        match held.len() {
+            0 => self.keys.vms[nth],
+            len => held[nth % len],
+        }
+    }
+
+    fn answer(&mut self, coordinator: usize, write: VmWrite, applied: bool, answered: bool) {
+        let outcome = match (applied, answered) {
+            (true, true) => self.table.write(&write),
+            (true, false) => {
+                self.table.write(&write);
+                WriteOutcome::Unknown
+            }
+            (false, _) => {
+                self.lost.push((coordinator, write));
+                WriteOutcome::Unknown
+            }
+        };
+        let actions = self.coordinators[coordinator].written(write.vm, outcome, NOW);
+        self.queue(coordinator, actions);
+    }
+
+    fn begin(
+        &mut self,
+        coordinator: usize,
+        id: u64,
+        vm: usize,
+        sibling: bool,
+        kind: u8,
+    ) -> Result<(), TestCaseError> {
+        let kind = match kind {
+            0 => OperationKind::Drain,
+            1 => OperationKind::Reboot,
+            _ => OperationKind::Move {
+                to: self.keys.pools[1],
+            },
+        };
+        let mut vms = vec![self.keys.vms[vm]];
+        if sibling {
+            vms.push(self.keys.vms[(vm + 3) % VMS]);
+        }
+        let current = coordinator + 1 == self.coordinators.len();
+        let fits = self.naive_fits(&vms);
+        let begun = self.coordinators[coordinator].begin(operation(id, kind), &vms, NOW);
+        if let (true, Ok(actions)) = (current, &begun) {
+            let writes = actions
+                .iter()
+                .any(|action| matches!(action, PoolAction::Write(_)));
+            prop_assert!(!writes || fits, "accepted over the budget");
+        }
+        self.queue(coordinator, begun.unwrap_or_default());
+        Ok(())
+    }
+
+    /// Checks the budget by counting every VM that some row, known or in flight, takes out.
+    fn naive_fits(&self, asked: &[VmKey]) -> bool {
+        let live = self.table.pools[&self.keys.pools[0]];
+        let mut total = [0_usize; 3];
+        let mut out = [0_usize; 3];
+        let mut asked_zones = [false; 3];
+        let mut racks = std::collections::BTreeMap::new();
+        for (index, &vm) in self.keys.vms.iter().enumerate() {
+            let row = self.table.vms[&vm].1;
+            if row.pool != self.keys.pools[0] || row.is_arriving() {
+                continue;
+            }
+            let writes = self.in_flight.iter().chain(&self.lost);
+            let may_leave = writes
+                .filter(|(_, write)| write.vm == vm && write.fence.version == live)
+                .filter(|(_, write)| write.expected == self.table.vms[&vm].0)
+                .any(|(_, write)| !write.row.is_available());
+            total[index % 3] += 1;
+            *racks.entry(self.keys.place(index).rack).or_insert(0_usize) += 1;
+            asked_zones[index % 3] |= asked.contains(&vm);
+            if asked.contains(&vm) || may_leave || !row.is_available() {
+                out[index % 3] += 1;
+            }
+        }
+        let allowed = total.iter().sum::<usize>() * BUDGET_PERCENT / 100;
+        // Planned work leaves room for the loss of the largest rack.
+        let largest_rack = racks.into_values().max().unwrap_or(0);
+        let allowed = allowed - largest_rack.min(allowed.saturating_sub(1));
+        let in_zone = |zone: usize| out[zone] <= (total[zone] * BUDGET_PERCENT / 100).max(1);
+        out.iter().sum::<usize>() <= allowed
+            && (0..3).filter(|&zone| asked_zones[zone]).all(in_zone)
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Compares each accepted operation with a naive count over all rows known and in flight.
+    #[test]
+    fn no_order_of_events_breaks_the_budget_or_the_one_pool(
+        events in proptest::collection::vec(event(), 1..150),
+    ) {
+        let mut chaos = Chaos::new();
+        for event in events {
+            chaos.run(event)?;
+        }
+        let mut rows = std::collections::BTreeMap::new();
+        for (vm, row) in &chaos.table.log {
+            let before = rows.insert(*vm, *row);
+            let Some(before) = before else { continue };
+            if before.pool != row.pool {
+                prop_assert_eq!(before.state, VmState::Empty);
+                prop_assert_eq!(row.state, VmState::Moving);
+            } else {
+                prop_assert!(row.epoch >= before.epoch);
+            }
+        }
+    }
+}
