--- a/tests/tests/pools.rs
+++ b/tests/tests/pools.rs
@@ -274,7 +274,7 @@
 }
 
 const VMS: usize = 30;
-const BUDGET_PERCENT: usize = 34;
+const BUDGET_PERCENT: u8 = 34;
 
 /// A pool under random events, with writes in flight and former coordinators that go on.
 struct Chaos {
@@ -302,7 +302,7 @@
     }
 
     fn take_over(&mut self) {
-        let settings = self.keys.settings(u8::try_from(BUDGET_PERCENT).unwrap());
+        let settings = self.keys.settings(BUDGET_PERCENT);
         let pool = self.keys.pools[0];
         let (coordinator, actions) = self.table.take_over(&self.keys, pool, settings, NOW);
         self.coordinators.push(coordinator);
@@ -467,11 +467,12 @@
                 out[index % 3] += 1;
             }
         }
-        let allowed = total.iter().sum::<usize>() * BUDGET_PERCENT / 100;
+        let allowed = total.iter().sum::<usize>() * usize::from(BUDGET_PERCENT) / 100;
         // Planned work leaves room for the loss of the largest rack.
         let largest_rack = racks.into_values().max().unwrap_or(0);
         let allowed = allowed - largest_rack.min(allowed.saturating_sub(1));
-        let in_zone = |zone: usize| out[zone] <= (total[zone] * BUDGET_PERCENT / 100).max(1);
+        let in_zone =
+            |zone: usize| out[zone] <= (total[zone] * usize::from(BUDGET_PERCENT) / 100).max(1);
         out.iter().sum::<usize>() <= allowed
             && (0..3).filter(|&zone| asked_zones[zone]).all(in_zone)
     }
