--- a/crates/snipevane-entry/src/control/config.rs
+++ b/crates/snipevane-entry/src/control/config.rs
@@ -4,8 +4,9 @@
 
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
+use snipevane_core::shards::ShardName;
 use snipevane_proto::manifest::Manifest;
-use snipevane_proto::rows::{CONFIG_HEAD, CONFIG_VERSION, ConfigHead, ConfigVersion};
+use snipevane_proto::rows::{CONFIG_HEAD, CONFIG_VERSION, ConfigHead, ConfigVersion, SHARD};
 
 use super::{Control, Platform, manifest_object};
 use crate::journal::kinds;
@@ -26,8 +27,10 @@
         self.node.state().config_row = Some((row.version, head.version));
         if head.version > self.node.state().site.version
             && let Some(text) = self.fetch_manifest(&head.hash).await
+            && let Some(former) = self.shards_with_rows().await
         {
-            self.node.put_in_force(head.version, text, "platform");
+            self.node
+                .put_in_force(head.version, text, former, "platform");
         }
         self.fetch_missing().await;
     }
@@ -47,8 +50,13 @@
             return;
         };
         if let Ok(body) = self.peers.config(address).await {
+            let former = body
+                .former
+                .iter()
+                .filter_map(|name| name.parse().ok())
+                .collect();
             self.node
-                .put_in_force(body.version, body.manifest.into(), "peer");
+                .put_in_force(body.version, body.manifest.into(), former, "peer");
         }
     }
 
@@ -62,6 +70,12 @@
         };
         missing.sort_unstable();
         missing.dedup();
+        if missing.is_empty() {
+            return;
+        }
+        let Some(former) = self.shards_with_rows().await else {
+            return;
+        };
         for version in missing {
             let read = self
                 .platform
@@ -77,11 +91,23 @@
                 continue;
             };
             if let Ok(manifest) = serde_json::from_str(&text) {
-                self.node.state().learn_version(version, &manifest);
+                self.node.state().learn_version(version, &manifest, &former);
             }
         }
     }
 
+    /// Lists the shards that have a row; `None` if the table can't be read.
+    async fn shards_with_rows(&self) -> Option<Vec<ShardName>> {
+        let rows = self.platform.scan(SHARD).await;
+        self.note_platform(&rows);
+        let names = rows.ok()?.into_iter();
+        Some(
+            names
+                .filter_map(|row| row.key.strip_prefix(SHARD)?.parse().ok())
+                .collect(),
+        )
+    }
+
     async fn fetch_manifest(&self, hash: &str) -> Option<Arc<str>> {
         let body = self.platform.get(&manifest_object(hash)).await;
         self.note_platform(&body);
@@ -96,7 +122,13 @@
 
 impl<C: Clock> Node<C> {
     /// Puts a configuration in force unless it's older than the present one.
-    pub(crate) fn put_in_force(&self, version: u64, text: Arc<str>, source: &str) {
+    pub(crate) fn put_in_force(
+        &self,
+        version: u64,
+        text: Arc<str>,
+        former: Vec<ShardName>,
+        source: &str,
+    ) {
         let manifest: Manifest = match serde_json::from_str(&text) {
             Ok(manifest) => manifest,
             Err(error) => {
@@ -110,7 +142,10 @@
         let (first, changed) = {
             let mut state = self.state();
             let first = state.site.version == 0;
-            (first, state.put_in_force(version, &manifest, text, now))
+            (
+                first,
+                state.put_in_force(version, &manifest, text, former, now),
+            )
         };
         if !changed {
             return;
--- a/crates/snipevane-entry/src/operator/apply.rs
+++ b/crates/snipevane-entry/src/operator/apply.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
+use snipevane_core::config::Findings;
 use snipevane_platform::{
     Check, CommitError, PlatformError, Row, Transaction, Write, commit_resolved,
 };
@@ -113,10 +114,12 @@
 }
 
 fn check(text: &str) -> Result<(), ApplyError> {
-    match snipevane_core::config::check(text, "manifest") {
-        Ok(_) => Ok(()),
-        Err(findings) => Err(ApplyError::Refused(Box::new(findings_problem(&findings)))),
-    }
+    let Err(error) = serde_json::from_str::<snipevane_proto::manifest::Manifest>(text) else {
+        return Ok(());
+    };
+    let mut findings = Findings::new("manifest");
+    findings.add("", error.to_string(), "");
+    Err(ApplyError::Refused(Box::new(findings_problem(&findings))))
 }
 
 fn conflict(in_force: u64) -> ApplyError {
--- a/crates/snipevane-entry/src/peer/mod.rs
+++ b/crates/snipevane-entry/src/peer/mod.rs
@@ -8,4 +8,4 @@
 pub(crate) use client::PeerClient;
 pub(crate) use listener::serve_connection;
 pub(crate) use rpc::free;
-pub(crate) use table::{Need, Peer, Peers};
+pub(crate) use table::{Need, Peers};
--- a/crates/snipevane-entry/src/peer/rpc.rs
+++ b/crates/snipevane-entry/src/peer/rpc.rs
@@ -56,6 +56,7 @@
         Ok(ConfigBody {
             version: state.site.version,
             manifest: state.manifest.to_string(),
+            former: state.former.iter().map(ToString::to_string).collect(),
         })
     }
 }
--- a/crates/snipevane-entry/src/state/site_state.rs
+++ b/crates/snipevane-entry/src/state/site_state.rs
@@ -36,6 +36,8 @@
     pub(crate) shards: ShardSet,
     /// Deal of the limits in force.
     pub(crate) deal: VersionDeal,
+    /// Shards that had a holder when the version in force was accepted, or later.
+    pub(crate) former: Vec<ShardName>,
     /// Shards that this entry VM holds.
     pub(crate) held: Vec<HeldShard>,
     /// Last version within whose deal this entry VM runs.
@@ -83,6 +85,7 @@
             manifest: Arc::from(""),
             shards: ShardSet::new(Vec::new()),
             deal: VersionDeal::default(),
+            former: Vec::new(),
             held: Vec::new(),
             settled: 0,
             limits: Limits::default(),
@@ -105,11 +108,14 @@
     }
 
     /// Puts a configuration in force; an older one than the present one is ignored.
+    ///
+    /// `former` lists the shards that had a holder when the version was accepted, or later.
     pub(crate) fn put_in_force(
         &mut self,
         version: u64,
         manifest: &Manifest,
         text: Arc<str>,
+        former: Vec<ShardName>,
         now: Instant,
     ) -> bool {
         if version <= self.site.version {
@@ -124,9 +130,11 @@
             self.claims_blocked = true;
         }
         self.shards = ShardSet::new(names);
-        self.deal = VersionDeal::of_site(&self.site);
+        self.deal = VersionDeal::of_site(&self.site, former.clone());
         self.limit_deals.put_in_force(self.deal.clone());
-        self.slot_deals.put_in_force(self.slot_deal(&self.site));
+        self.slot_deals
+            .put_in_force(self.slot_deal(&self.site, &former));
+        self.former = former;
         self.sync_teams();
         self.sync_queues(now);
         self.refresh_allowances();
@@ -135,11 +143,17 @@
     }
 
     /// Learns the deals of a version that was never in force here.
-    pub(crate) fn learn_version(&mut self, version: u64, manifest: &Manifest) {
+    pub(crate) fn learn_version(
+        &mut self,
+        version: u64,
+        manifest: &Manifest,
+        former: &[ShardName],
+    ) {
         let mut site = Site::default();
         site.apply(version, manifest);
-        self.limit_deals.learn(VersionDeal::of_site(&site));
-        self.slot_deals.learn(self.slot_deal(&site));
+        self.limit_deals
+            .learn(VersionDeal::of_site(&site, former.to_vec()));
+        self.slot_deals.learn(self.slot_deal(&site, former));
         self.refresh_allowances();
     }
 
@@ -297,14 +311,19 @@
         })
     }
 
-    fn slot_deal(&self, site: &Site) -> VersionDeal {
+    fn slot_deal(&self, site: &Site, former: &[ShardName]) -> VersionDeal {
+        let former = former
+            .iter()
+            .filter(|shard| shard.zone == self.zone)
+            .cloned()
+            .collect();
         let names = shard_names(site)
             .into_iter()
             .filter(|shard| shard.zone == self.zone)
             .collect();
         let slots = site.services.values();
         let slots = slots.map(|service| (service.name.clone(), u32::from(service.slots)));
-        VersionDeal::new(site.version, names, slots)
+        VersionDeal::new(site.version, names, former, slots)
     }
 
     fn is_within_deal(&self, version: u64) -> bool {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,3 +1,4 @@
 //! Shared parts of the test suites.
 
+pub mod fleet;
 pub mod requests;
