--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -5,7 +5,10 @@
 pub mod headers;
 pub mod manifest;
 pub mod operator;
-pub mod structure;
+pub mod peer;
+pub mod rows;
+pub mod schema;
+pub mod settings;
 
 #[allow(
     clippy::all,
@@ -17,6 +20,9 @@
 )]
 #[rustfmt::skip]
 mod generated {
+    pub(crate) mod entry_settings;
     pub(crate) mod manifest;
     pub(crate) mod operator;
+    pub(crate) mod peer;
+    pub(crate) mod rows;
 }
