--- a/crates/snipevane-entry/src/backend/pool.rs
+++ b/crates/snipevane-entry/src/backend/pool.rs
@@ -116,11 +116,6 @@
             })
     }
 
-    /// Closes the kept connections to a server.
-    pub(crate) fn forget(&self, address: SocketAddr) {
-        self.idle.lock().remove(&address);
-    }
-
     fn take(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.lock();
         let kept = idle.get_mut(&address)?;
--- a/crates/snipevane-entry/src/control/list.rs
+++ b/crates/snipevane-entry/src/control/list.rs
@@ -24,6 +24,11 @@
                     state.peers.add(&entry.id, &entry.zone, entry.address);
                 }
             }
+            let seeds = &self.node.settings.peers;
+            state.peers.retain(|vm, peer| {
+                let listed = list.iter().any(|entry| entry.id == *vm);
+                listed || peer.reachable || seeds.iter().any(|seed| seed.vm == *vm)
+            });
             state.list_read = true;
             state.put_list(list);
         }
--- a/crates/snipevane-entry/src/settings/load.rs
+++ b/crates/snipevane-entry/src/settings/load.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 use snipevane_core::config::Findings;
 use snipevane_proto::schema;
-use snipevane_proto::settings::{CallerLimits, ENTRY_SCHEMA, EntrySettings, LogLevel};
+use snipevane_proto::settings::{ENTRY_SCHEMA, EntrySettings, LogLevel};
 
 use super::{PeerSeed, Settings, Timings};
 
@@ -120,10 +120,7 @@
 fn resolve(settings: &EntrySettings) -> Settings {
     let fallback = Settings::default();
     let address = |text: &str| text.parse().unwrap_or(fallback.caller_address);
-    let limits = settings
-        .caller_limits
-        .clone()
-        .unwrap_or_else(CallerLimits::default);
+    let limits = settings.caller_limits.clone().unwrap_or_default();
     let size = |count: u32| usize::try_from(count).unwrap_or(usize::MAX);
     Settings {
         vm: SmolStr::new(settings.vm.as_str()),
--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod rows;
 pub mod schema;
 pub mod settings;
-pub mod structure;
 
 #[allow(
     clippy::all,
