Prove router and share queue against naive versions

Cause: the router's lanes and the queue's scaled uses are derived state, which random event orders could put out of step.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,4 @@
 //! Shared parts of the test suites.
+
+pub mod naive_queue;
+pub mod naive_router;
--- /dev/null
+++ b/tests/src/naive_queue.rs
@@ -0,0 +1,307 @@
+//! A share queue that scans all waiting requests, and weighted max-min by filling up.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use snipevane_core::ids::TeamKey;
+use snipevane_core::shares::{QueueLimits, Waiting};
+use snipevane_proto::manifest::Urgency;
+
+/// A waiting request of the naive queue.
+#[derive(Clone, Debug)]
+struct NaiveEntry {
+    waiting: Waiting<u32>,
+    urgency: Urgency,
+}
+
+/// What the naive queue knows of a team.
+#[derive(Clone, Debug, Default)]
+struct NaiveTeam {
+    weight: Option<u32>,
+    /// Time and seconds of each use, expected ones included.
+    uses: Vec<(Instant, f64)>,
+    expected: Vec<(Instant, f64)>,
+    mean: Option<f64>,
+    held_until: Option<Instant>,
+    /// Number of the last start among all starts.
+    turn: u64,
+}
+
+/// A share queue that scans all waiting requests.
+#[derive(Clone, Debug)]
+pub struct NaiveQueue {
+    limits: QueueLimits,
+    entries: Vec<NaiveEntry>,
+    teams: HashMap<TeamKey, NaiveTeam>,
+    mean_gap: Option<f64>,
+    last_start: Option<Instant>,
+    starts: u64,
+}
+
+impl NaiveQueue {
+    /// Creates an empty queue.
+    pub fn new(limits: QueueLimits) -> Self {
+        Self {
+            limits,
+            entries: Vec::new(),
+            teams: HashMap::new(),
+            mean_gap: None,
+            last_start: None,
+            starts: 0,
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Adds a request; returns whether there was room.
+    pub fn push(&mut self, waiting: &Waiting<u32>) -> bool {
+        let len = self.entries.len();
+        if len >= self.limits.max_waiting {
+            return false;
+        }
+        let held = self.count(waiting.team);
+        let own = self.weight(waiting.team);
+        let all: u64 = self.waiting_teams(Some(waiting.team));
+        let part_left = held as u64 * all < own * self.limits.max_waiting as u64;
+        if len >= self.limits.free_for_all && !part_left {
+            return false;
+        }
+        self.entries.push(NaiveEntry {
+            urgency: waiting.urgency,
+            waiting: waiting.clone(),
+        });
+        true
+    }
+
+    /// Removes a request.
+    pub fn cancel(&mut self, item: u32) {
+        self.entries.retain(|entry| entry.waiting.item != item);
+    }
+
+    /// Removes the requests whose latest start has passed; returns their items, sorted.
+    pub fn expire(&mut self, now: Instant) -> Vec<u32> {
+        let late = |entry: &NaiveEntry| entry.waiting.start_by < now;
+        let mut items: Vec<u32> = self
+            .entries
+            .iter()
+            .filter(|&entry| late(entry))
+            .map(|entry| entry.waiting.item)
+            .collect();
+        items.sort_unstable();
+        self.entries.retain(|entry| !late(entry));
+        items
+    }
+
+    /// Checks which request was taken, and takes it. Requests that are late must be gone.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the naive queue would have done instead.
+    pub fn check_pop(
+        &mut self,
+        now: Instant,
+        can_start: impl Fn(TeamKey) -> bool,
+        popped: Option<&Waiting<u32>>,
+    ) -> Result<(), String> {
+        for team in self.teams.values_mut() {
+            team.held_until = team.held_until.filter(|&until| until > now);
+        }
+        self.promote(now);
+        // Teams that can't start are held in the order in which they would have started.
+        while let Some((team, urgency)) = self.first(now) {
+            if !can_start(team) {
+                self.team(team).held_until = Some(now + self.limits.hold);
+                continue;
+            }
+            let Some(popped) = popped else {
+                return Err(format!("{team:?} could have started"));
+            };
+            let next = self
+                .entries
+                .iter()
+                .enumerate()
+                .filter(|(_, entry)| entry.waiting.team == team && entry.urgency == urgency)
+                .min_by_key(|(index, entry)| (entry.waiting.start_by, *index));
+            let Some((index, entry)) = next else {
+                return Err("a team without requests came first".to_owned());
+            };
+            if entry.waiting != *popped {
+                return Err(format!("{:?} comes before {popped:?}", entry.waiting));
+            }
+            self.entries.remove(index);
+            self.start(team, now);
+            return Ok(());
+        }
+        match popped {
+            None => Ok(()),
+            Some(popped) => Err(format!("{popped:?} could not start")),
+        }
+    }
+
+    /// Sets a team's share.
+    pub fn set_weight(&mut self, team: TeamKey, share: u32) {
+        self.team(team).weight = Some(share.max(1));
+    }
+
+    /// Charges a team.
+    pub fn charge(&mut self, team: TeamKey, seconds: f64, now: Instant) {
+        let half_life = self.limits.half_life;
+        let team = self.team(team);
+        if !team.expected.is_empty() {
+            // Each running request stands for an even part of all expected uses.
+            let part = decayed(&team.expected, now, half_life) / team.expected.len() as f64;
+            team.uses.push((now, -part));
+            let left = decayed(&team.expected, now, half_life) - part;
+            let running = team.expected.len() - 1;
+            team.expected = vec![(now, left / running.max(1) as f64); running];
+        }
+        team.uses.push((now, seconds));
+        let mean = team.mean.unwrap_or(1.0);
+        team.mean = Some(mean + (seconds - mean) * 0.125);
+        team.held_until = None;
+    }
+
+    fn start(&mut self, team: TeamKey, now: Instant) {
+        if let Some(last) = self.last_start {
+            let gap = now.duration_since(last).as_secs_f64();
+            let mean = self.mean_gap.unwrap_or(gap);
+            self.mean_gap = Some(mean + (gap - mean) / 32.0);
+        }
+        self.last_start = (!self.entries.is_empty()).then_some(now);
+        self.starts += 1;
+        let turn = self.starts;
+        let team = self.team(team);
+        team.turn = turn;
+        let mean = team.mean.unwrap_or(1.0);
+        team.uses.push((now, mean));
+        team.expected.push((now, mean));
+    }
+
+    /// Makes overnight work urgent whose time has come.
+    fn promote(&mut self, now: Instant) {
+        loop {
+            let overnight = |entry: &&mut NaiveEntry| entry.urgency == Urgency::Overnight;
+            let backlog = self.entries.iter_mut().filter(overnight).count();
+            let open = self
+                .last_start
+                .map_or(0.0, |last| now.duration_since(last).as_secs_f64() / 32.0);
+            let gap = self.mean_gap.map_or(0.0, |mean| mean.max(open));
+            let seconds = (backlog as f64 * gap).min(3600.0);
+            let lead = self.limits.overnight_lead + Duration::from_secs_f64(seconds);
+            let due = |entry: &&mut NaiveEntry| entry.waiting.start_by <= now + lead;
+            let first = self
+                .entries
+                .iter_mut()
+                .filter(overnight)
+                .filter(due)
+                .min_by_key(|entry| entry.waiting.start_by);
+            match first {
+                Some(entry) => entry.urgency = Urgency::Urgent,
+                None => return,
+            }
+        }
+    }
+
+    /// Returns the team that starts next and its urgency.
+    fn first(&self, now: Instant) -> Option<(TeamKey, Urgency)> {
+        let startable = |entry: &&NaiveEntry| !self.is_held(entry.waiting.team);
+        let entries = || self.entries.iter().filter(startable);
+        let urgency = entries().map(|entry| entry.urgency).min()?;
+        let mut best: Option<TeamKey> = None;
+        for entry in entries().filter(|entry| entry.urgency == urgency) {
+            let team = entry.waiting.team;
+            if best.is_none_or(|best| self.comes_before(team, best, now)) {
+                best = Some(team);
+            }
+        }
+        best.map(|team| (team, urgency))
+    }
+
+    fn comes_before(&self, team: TeamKey, other: TeamKey, now: Instant) -> bool {
+        let (used, least) = (self.relative_use(team, now), self.relative_use(other, now));
+        if (used - least).abs() > 1e-9 * (1.0 + least) {
+            return used < least;
+        }
+        (self.turn(team), team) < (self.turn(other), other)
+    }
+
+    fn turn(&self, team: TeamKey) -> u64 {
+        self.teams.get(&team).map_or(0, |state| state.turn)
+    }
+
+    fn relative_use(&self, team: TeamKey, now: Instant) -> f64 {
+        let Some(state) = self.teams.get(&team) else {
+            return 0.0;
+        };
+        decayed(&state.uses, now, self.limits.half_life).max(0.0) / self.weight(team) as f64
+    }
+
+    fn is_held(&self, team: TeamKey) -> bool {
+        let state = self.teams.get(&team);
+        state.is_some_and(|state| state.held_until.is_some())
+    }
+
+    fn weight(&self, team: TeamKey) -> u64 {
+        let weight = self.teams.get(&team).and_then(|state| state.weight);
+        weight.unwrap_or(1).into()
+    }
+
+    fn count(&self, team: TeamKey) -> usize {
+        let own = |entry: &&NaiveEntry| entry.waiting.team == team;
+        self.entries.iter().filter(own).count()
+    }
+
+    /// Returns the sum of the shares of the teams that wait, and of one more.
+    fn waiting_teams(&self, more: Option<TeamKey>) -> u64 {
+        let mut teams: Vec<TeamKey> = self.entries.iter().map(|e| e.waiting.team).collect();
+        teams.extend(more);
+        teams.sort_unstable();
+        teams.dedup();
+        teams.iter().map(|&team| self.weight(team)).sum()
+    }
+
+    fn team(&mut self, team: TeamKey) -> &mut NaiveTeam {
+        self.teams.entry(team).or_default()
+    }
+}
+
+/// Returns the sum of uses, each of which halves with each half-life.
+fn decayed(uses: &[(Instant, f64)], now: Instant, half_life: Duration) -> f64 {
+    let decay = |&(at, seconds): &(Instant, f64)| {
+        let halvings = now.duration_since(at).as_secs_f64() / half_life.as_secs_f64();
+        seconds * (-halvings).exp2()
+    };
+    uses.iter().map(decay).sum()
+}
+
+/// Divides a capacity by weighted max-min: fills all demands up evenly per weight.
+pub fn max_min(capacity: f64, demands: &[(f64, u32)]) -> Vec<f64> {
+    let mut given = vec![0.0; demands.len()];
+    let mut left = capacity;
+    let mut open: Vec<usize> = (0..demands.len()).collect();
+    while !open.is_empty() && left > 1e-9 {
+        let weights: f64 = open.iter().map(|&i| f64::from(demands[i].1)).sum();
+        let level = left / weights;
+        let met = |&i: &usize| demands[i].0 - given[i] <= level * f64::from(demands[i].1);
+        let (full, rest): (Vec<usize>, Vec<usize>) = open.iter().partition(|&i| met(i));
+        let filled = if full.is_empty() { &rest } else { &full };
+        for &i in filled {
+            let part = (demands[i].0 - given[i]).min(level * f64::from(demands[i].1));
+            given[i] += part;
+            left -= part;
+        }
+        if full.is_empty() {
+            break;
+        }
+        open = rest;
+    }
+    given
+}
--- /dev/null
+++ b/tests/src/naive_router.rs
@@ -0,0 +1,274 @@
+//! A router that scans all servers for each request.
+
+use std::time::{Duration, Instant};
+
+use snipevane_core::routing::{Report, RouterLimits, ServerSpec};
+
+/// A request of the naive router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Taken {
+    Running,
+    Until(Instant),
+}
+
+/// Pause of a server of the naive router.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Pause {
+    None,
+    Declined(Instant),
+    Ejected(Instant),
+    Probing,
+}
+
+/// A server of the naive router.
+#[derive(Clone, Debug)]
+struct NaiveServer {
+    spec: ServerSpec,
+    taken: Vec<Taken>,
+    leaving: bool,
+    removed: bool,
+    pause: Pause,
+    rate: f32,
+    decay_at: Option<Instant>,
+    failures: u32,
+    ejections: u32,
+    declined: u32,
+}
+
+impl NaiveServer {
+    fn new(spec: ServerSpec, leaving: bool) -> Self {
+        Self {
+            spec,
+            taken: Vec::new(),
+            leaving,
+            removed: false,
+            pause: Pause::None,
+            rate: 0.0,
+            decay_at: None,
+            failures: 0,
+            ejections: 0,
+            declined: 0,
+        }
+    }
+
+    fn is_member(&self) -> bool {
+        !self.leaving && !self.removed
+    }
+
+    fn is_ejected(&self) -> bool {
+        matches!(self.pause, Pause::Ejected(_))
+    }
+
+    fn free(&self) -> usize {
+        let slots = usize::from(self.spec.slots.min(self.spec.connections));
+        let most = match self.pause {
+            _ if !self.is_member() => 0,
+            Pause::Declined(_) | Pause::Ejected(_) => 0,
+            Pause::Probing => slots.min(1),
+            Pause::None if self.rate >= 0.5 => slots.min(1),
+            Pause::None => slots,
+        };
+        most.saturating_sub(self.taken.len())
+    }
+
+    fn score(&self) -> u32 {
+        if self.pause == Pause::Probing {
+            return 0;
+        }
+        let slots = f32::from(self.spec.slots.min(self.spec.connections).max(1));
+        ((self.taken.len() as f32 / slots + 2.0 * self.rate) * 1024.0) as u32
+    }
+
+    fn advance(&mut self, now: Instant, half_life: Duration) {
+        self.taken
+            .retain(|&taken| !matches!(taken, Taken::Until(until) if until <= now));
+        match self.pause {
+            Pause::Declined(until) if until <= now && self.ejections == 0 => {
+                self.pause = Pause::None;
+            }
+            Pause::Declined(until) | Pause::Ejected(until) if until <= now => {
+                self.pause = Pause::Probing;
+            }
+            _ => {}
+        }
+        while self.decay_at.is_some_and(|at| at <= now) {
+            self.rate /= 2.0;
+            if self.rate < 0.01 {
+                self.rate = 0.0;
+            }
+            // The next halving counts from the time at which this one was seen.
+            self.decay_at = (self.rate > 0.0).then_some(now + half_life);
+        }
+    }
+}
+
+/// A router that scans all servers of one service for each request.
+#[derive(Clone, Debug, Default)]
+pub struct NaiveRouter {
+    limits: RouterLimits,
+    servers: Vec<NaiveServer>,
+    leaving: Vec<String>,
+}
+
+impl NaiveRouter {
+    /// Replaces the set of servers.
+    pub fn sync(&mut self, specs: &[ServerSpec], now: Instant) {
+        self.advance(now);
+        for server in &mut self.servers {
+            server.removed = true;
+        }
+        for spec in specs {
+            match self.index(&spec.vm) {
+                Some(index) => {
+                    self.servers[index].spec = spec.clone();
+                    self.servers[index].removed = false;
+                }
+                None => {
+                    let leaving = self.leaving.iter().any(|vm| vm == spec.vm.as_str());
+                    self.servers.push(NaiveServer::new(spec.clone(), leaving));
+                }
+            }
+        }
+        self.drop_empty();
+        // Which of several ejected servers is readmitted first isn't part of the contract.
+        while self.ejected() > self.budget() {
+            let mut servers = self.servers.iter_mut();
+            match servers.find(|server| server.is_member() && server.is_ejected()) {
+                Some(server) => server.pause = Pause::Probing,
+                None => break,
+            }
+        }
+    }
+
+    /// Returns the VMs that a request may go to: those of the least load that have a free slot.
+    pub fn candidates(&mut self, now: Instant) -> Vec<String> {
+        self.advance(now);
+        let free = || self.servers.iter().filter(|server| server.free() > 0);
+        let least = free().map(NaiveServer::score).min();
+        free()
+            .filter(|server| Some(server.score()) == least)
+            .map(|server| server.spec.vm.to_string())
+            .collect()
+    }
+
+    /// Notes that a request went to a VM.
+    pub fn take(&mut self, vm: &str) {
+        if let Some(index) = self.index(vm) {
+            self.servers[index].taken.push(Taken::Running);
+        }
+    }
+
+    /// Notes that a request may run until a given time.
+    pub fn quarantine(&mut self, vm: &str, until: Instant) {
+        self.end_running(vm, Some(until));
+    }
+
+    /// Notes the end of a request.
+    pub fn release(&mut self, vm: &str, report: Report, now: Instant) {
+        self.advance(now);
+        self.end_running(vm, None);
+        let limits = self.limits;
+        let may_eject = self.ejected() < self.budget();
+        let Some(index) = self.index(vm) else { return };
+        let server = &mut self.servers[index];
+        match report {
+            Report::Abandoned => {}
+            Report::Answered { .. } => {
+                server.rate *= 0.875;
+                (server.failures, server.declined) = (0, 0);
+                if server.pause == Pause::Probing {
+                    server.pause = Pause::None;
+                    server.ejections = 0;
+                    server.rate = server.rate.min(0.25);
+                }
+            }
+            Report::Declined if server.is_ejected() => {}
+            Report::Declined => {
+                let pause = limits.decline_pause * 2_u32.pow(server.declined.min(16));
+                server.pause = Pause::Declined(now + pause.min(limits.longest_decline_pause));
+                server.declined += 1;
+            }
+            Report::Failed | Report::ConnectFailed => {
+                server.rate += (1.0 - server.rate) * 0.125;
+                server.failures += 1;
+                server.decay_at = server.decay_at.or(Some(now + limits.failure_half_life));
+                let failing = server.failures >= limits.failures_in_row || server.rate >= 0.5;
+                if server.is_ejected() || !(failing || server.pause == Pause::Probing) {
+                    // Nothing changes.
+                } else if may_eject {
+                    let pause = limits.ejection * 2_u32.pow(server.ejections.min(16));
+                    server.pause = Pause::Ejected(now + pause.min(limits.longest_ejection));
+                    server.ejections += 1;
+                    server.failures = 0;
+                } else {
+                    server.pause = Pause::None;
+                    server.rate = server.rate.max(0.5);
+                }
+            }
+        }
+        self.drop_empty();
+    }
+
+    /// Sets whether a VM leaves.
+    pub fn set_leaving(&mut self, vm: &str, leaving: bool) {
+        self.leaving.retain(|known| known != vm);
+        if leaving {
+            self.leaving.push(vm.to_owned());
+        }
+        if let Some(index) = self.index(vm) {
+            self.servers[index].leaving = leaving;
+        }
+    }
+
+    /// Returns the number of requests that could start now.
+    pub fn free_slots(&self) -> usize {
+        self.servers.iter().map(NaiveServer::free).sum()
+    }
+
+    /// Returns VM and taken slots of each server, sorted.
+    pub fn taken(&self) -> Vec<(String, usize)> {
+        let pair = |server: &NaiveServer| (server.spec.vm.to_string(), server.taken.len());
+        let mut taken: Vec<_> = self.servers.iter().map(pair).collect();
+        taken.sort();
+        taken
+    }
+
+    fn advance(&mut self, now: Instant) {
+        for server in &mut self.servers {
+            server.advance(now, self.limits.failure_half_life);
+        }
+        self.drop_empty();
+    }
+
+    fn end_running(&mut self, vm: &str, until: Option<Instant>) {
+        let Some(index) = self.index(vm) else { return };
+        let taken = &mut self.servers[index].taken;
+        let running = taken.iter().position(|&taken| taken == Taken::Running);
+        if let Some(running) = running {
+            taken.remove(running);
+            taken.extend(until.map(Taken::Until));
+        }
+    }
+
+    fn ejected(&self) -> u32 {
+        let ejected = |server: &&NaiveServer| server.is_member() && server.is_ejected();
+        self.servers.iter().filter(ejected).count() as u32
+    }
+
+    fn budget(&self) -> u32 {
+        let members = self.servers.iter().filter(|server| server.is_member());
+        match members.count() as u32 {
+            0 | 1 => 0,
+            members => (members * self.limits.ejected_percent / 100).max(1),
+        }
+    }
+
+    fn drop_empty(&mut self) {
+        self.servers
+            .retain(|server| !server.removed || !server.taken.is_empty());
+    }
+
+    fn index(&self, vm: &str) -> Option<usize> {
+        self.servers.iter().position(|server| server.spec.vm == vm)
+    }
+}
