--- a/crates/snipevane-proto/examples/generate.rs
+++ b/crates/snipevane-proto/examples/generate.rs
@@ -22,7 +22,9 @@
             continue;
         };
         let text = generate(&fs::read_to_string(&path)?)?;
-        let target = root.join("src/generated").join(format!("{name}.rs"));
+        let target = root
+            .join("src/generated")
+            .join(format!("{}.rs", name.replace('-', "_")));
         if check_only {
             if fs::read_to_string(&target).ok().as_deref() != Some(text.as_str()) {
                 stale.push(name.to_owned());
@@ -45,6 +47,7 @@
     let schema: RootSchema = serde_json::from_str(schema)?;
     let mut settings = TypeSpaceSettings::default();
     settings.with_derive("PartialEq".to_owned());
+    settings.with_map_type("::std::collections::BTreeMap".to_owned());
     let mut space = TypeSpace::new(&settings);
     space.add_root_schema(schema)?;
     let file = syn::parse2(space.to_stream())?;
--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -4,6 +4,12 @@
 
 pub mod headers;
 pub mod manifest;
+pub mod operator;
+pub mod peer;
+pub mod rows;
+pub mod schema;
+pub mod settings;
+pub mod structure;
 
 #[allow(
     clippy::all,
@@ -15,5 +21,9 @@
 )]
 #[rustfmt::skip]
 mod generated {
+    pub(crate) mod entry_settings;
     pub(crate) mod manifest;
+    pub(crate) mod operator;
+    pub(crate) mod peer;
+    pub(crate) mod rows;
 }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod naive_queue;
 pub mod naive_router;
+pub mod requests;
