Measure the time of a decision: key, limit, queue and route

Cause: the whole decision may take 2 us at 320 teams and 2,600 servers. Change: criterion benches of pick and release, push and pop, and the whole decision at several sizes.

--- /dev/null
+++ b/crates/snipevane-core/benches/routing.rs
@@ -0,0 +1,166 @@
+//! Time of one routing decision and its parts at several sizes.
+
+#![allow(missing_docs)]
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use slotmap::SlotMap;
+use snipevane_core::ids::{ServiceKey, TeamKey};
+use snipevane_core::keys::KeyStore;
+use snipevane_core::limits::Limits;
+use snipevane_core::routing::{Report, Router, ServerSpec};
+use snipevane_core::shares::{QueueLimits, ShareQueue, Waiting};
+use snipevane_proto::manifest::Urgency;
+
+const SERVERS: [usize; 4] = [50, 325, 1_300, 2_600];
+const TEAMS: [usize; 3] = [6, 40, 320];
+const ANSWERED: Report = Report::Answered {
+    latency: Duration::from_millis(20),
+};
+
+/// State of one entry VM with a part of all slots taken and requests of all teams waiting.
+struct EntryVm {
+    service: ServiceKey,
+    teams: Vec<TeamKey>,
+    presented: Vec<String>,
+    keys: KeyStore,
+    limits: Limits,
+    queue: ShareQueue<u32>,
+    router: Router,
+    now: Instant,
+}
+
+impl EntryVm {
+    fn new(servers: usize, teams: usize) -> Self {
+        let now = Instant::now();
+        let mut services = SlotMap::with_key();
+        let service = services.insert(());
+        let mut arena = SlotMap::with_key();
+        let teams: Vec<TeamKey> = (0..teams).map(|_| arena.insert(())).collect();
+        let mut entry_vm = Self {
+            service,
+            presented: Vec::new(),
+            keys: KeyStore::default(),
+            limits: Limits::default(),
+            queue: ShareQueue::new(QueueLimits::default()),
+            router: Router::default(),
+            teams,
+            now,
+        };
+        entry_vm.fill_router(servers);
+        entry_vm.fill_teams();
+        entry_vm
+    }
+
+    fn fill_router(&mut self, servers: usize) {
+        let spec = |n: usize| ServerSpec {
+            vm: format!("vm-{n}").into(),
+            address: ([127, 0, 0, 1], (n + 1) as u16).into(),
+            service: self.service,
+            slots: 8,
+            connections: 64,
+        };
+        self.router.sync((0..servers).map(spec), self.now);
+        // Half of all slots are taken, so that the loads differ.
+        for n in 0..servers * 4 {
+            let Some(slot) = self.router.pick(self.service, self.now) else {
+                break;
+            };
+            let until = self.now + Duration::from_secs(3600 + n as u64 % 7);
+            self.router.quarantine(slot, until);
+        }
+    }
+
+    fn fill_teams(&mut self) {
+        for (n, &team) in self.teams.clone().iter().enumerate() {
+            let random = [n as u8; 32];
+            let (_, presented) = self.keys.give("team", format!("k{n}"), random);
+            self.presented.push(presented);
+            self.limits.set_allowance(team, 8);
+            self.queue.set_weight(team, 1 + n as u32 % 5);
+            self.push(team);
+            self.push(team);
+        }
+    }
+
+    fn push(&mut self, team: TeamKey) {
+        let waiting = Waiting {
+            team,
+            urgency: Urgency::Normal,
+            start_by: self.now + Duration::from_secs(30),
+            item: 0,
+        };
+        let pushed = self.queue.push(waiting, self.now);
+        black_box(pushed.is_ok());
+    }
+
+    fn pick_and_release(&mut self) {
+        if let Some(slot) = self.router.pick(self.service, self.now) {
+            self.router.release(slot, ANSWERED, self.now);
+        }
+    }
+
+    fn push_and_pop(&mut self, n: usize) {
+        self.push(self.teams[n % self.teams.len()]);
+        if let Some(next) = self.queue.pop(self.now, |_| true) {
+            self.queue.charge(next.team, 0.02, self.now);
+        }
+    }
+
+    /// Decides on a request and books its end.
+    fn decide(&mut self, n: usize) {
+        let index = n % self.teams.len();
+        let verified = self.keys.verify(&self.presented[index]).is_ok();
+        black_box(verified);
+        let Some(unit) = self.limits.try_take(self.teams[index]) else {
+            return;
+        };
+        self.push_and_pop(n);
+        self.pick_and_release();
+        self.limits.give_back(unit);
+        self.now += Duration::from_micros(50);
+    }
+}
+
+fn router(c: &mut Criterion) {
+    let mut group = c.benchmark_group("pick and release");
+    for servers in SERVERS {
+        let mut entry_vm = EntryVm::new(servers, 6);
+        group.bench_function(BenchmarkId::from_parameter(servers), |b| {
+            b.iter(|| entry_vm.pick_and_release());
+        });
+    }
+}
+
+fn queue(c: &mut Criterion) {
+    let mut group = c.benchmark_group("push and pop");
+    for teams in TEAMS {
+        let mut entry_vm = EntryVm::new(50, teams);
+        let mut n = 0;
+        group.bench_function(BenchmarkId::from_parameter(teams), |b| {
+            b.iter(|| {
+                n += 1;
+                entry_vm.push_and_pop(n);
+            });
+        });
+    }
+}
+
+fn decision(c: &mut Criterion) {
+    let mut group = c.benchmark_group("key, limit, queue and route");
+    for (servers, teams) in [(50, 6), (325, 40), (2_600, 320)] {
+        let mut entry_vm = EntryVm::new(servers, teams);
+        let mut n = 0;
+        group.bench_function(BenchmarkId::new(servers.to_string(), teams), |b| {
+            b.iter(|| {
+                n += 1;
+                entry_vm.decide(n);
+            });
+        });
+    }
+}
+
+criterion_group!(benches, router, queue, decision);
+criterion_main!(benches);
