--- a/crates/snipevane-entry/src/node.rs
+++ b/crates/snipevane-entry/src/node.rs
@@ -24,8 +24,6 @@
     pub(crate) clock: C,
     /// Incarnation of the process.
     pub(crate) incarnation: Uuid,
-    /// Start of the process, in Unix milliseconds.
-    pub(crate) started_ms: u64,
     /// Address of the peer listener, as bound.
     pub(crate) peer_address: SocketAddr,
     /// Log and time line.
@@ -55,7 +53,6 @@
         }
         Arc::new(Self {
             incarnation: Uuid::now_v7(),
-            started_ms: clock.unix_ms(),
             peer_address,
             journal: Journal,
             backends: ConnectionPool::new(pool),
--- a/crates/snipevane-entry/src/operator/status.rs
+++ b/crates/snipevane-entry/src/operator/status.rs
@@ -37,7 +37,7 @@
         Status {
             vm: node.settings.vm.to_string(),
             zone: node.settings.zone.to_string(),
-            incarnation: node.started_ms,
+            incarnation: node.incarnation,
             version,
             ready: reason.is_none(),
             reason,
