Serve a request from end to end over separate processes

Cause: the whole path comes first, thin: caller, entry VM, backend server, with configuration, keys and shards in the platform's stand-in. Ruled out: a floor of clock plus skew for a shard that was never held or was released: the first run of the test answered 409 'outcome unknown' to every identifier of the first 2 s. A released row's ceiling is exact, and under the first configuration no identifier can have belonged to another shard.

--- a/crates/snipevane-core/src/shards/acquire.rs
+++ b/crates/snipevane-core/src/shards/acquire.rs
@@ -69,7 +69,8 @@
     let floor_ms = row.ceiling_ms.max(unix_ms);
     let epoch = row.epoch.saturating_add(1);
     if row.released {
-        return take(me, epoch, floor_ms, Duration::ZERO);
+        // The former holder accepted nothing above the ceiling that it left.
+        return take(me, epoch, row.ceiling_ms, Duration::ZERO);
     }
     let same_vm = row.vm == me.vm;
     if same_vm && row.incarnation == me.incarnation {
--- a/crates/snipevane-entry/src/control/shards.rs
+++ b/crates/snipevane-entry/src/control/shards.rs
@@ -131,7 +131,10 @@
         for (name, read) in names {
             let row = read.map(|read| core_row(&read.holder));
             let gone = |vm: &str| self.is_gone(vm);
-            let decision = decide(row.as_ref(), &me, gone, unix_ms, longest_run);
+            // Under the first configuration no identifier can have belonged to another shard.
+            let fresh = row.is_none() && config_row.is_some_and(|(_, version)| version == 1);
+            let earliest = if fresh { 0 } else { unix_ms };
+            let decision = decide(row.as_ref(), &me, gone, earliest, longest_run);
             let (next, floor_ms, usable_after) = match (decision, read) {
                 (
                     Acquisition::Take {
--- a/crates/snipevane-entry/src/journal/kinds.rs
+++ b/crates/snipevane-entry/src/journal/kinds.rs
@@ -56,5 +56,5 @@
     SERVER_ADDED = 1062 Info "backend server added" ["server", "service"];
     EXCHANGE_INTERRUPTED = 1070 Warn "exchange interrupted" ["server", "team", "exchange", "reason"];
     RUN_OVER_TIME = 1071 Warn "request ran over its longest time" ["server", "team", "exchange"];
-    CALLER_REFUSED = 1080 Debug "request refused" ["status", "queue", "team", "reason"];
+    CALLER_REFUSED = 1080 Debug "request refused" ["status", "title", "detail"];
 }
--- /dev/null
+++ b/tests/src/site/mod.rs
@@ -0,0 +1,11 @@
+//! A small site of separate processes: platform, backend servers and entry VMs on loopback.
+
+mod caller;
+mod options;
+mod process;
+mod running;
+
+pub use caller::{Answer, CallError, Caller};
+pub use options::{SiteOptions, manifest};
+pub use process::Process;
+pub use running::{BackendVm, EntryVm, Site, until};
