--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -4,7 +4,13 @@
 
 pub mod headers;
 pub mod manifest;
+pub mod operator;
+pub mod peer;
 pub mod platform;
+pub mod rows;
+pub mod schema;
+pub mod settings;
+pub mod structure;
 
 #[allow(
     clippy::all,
@@ -16,6 +22,10 @@
 )]
 #[rustfmt::skip]
 mod generated {
+    pub(crate) mod entry_settings;
     pub(crate) mod manifest;
+    pub(crate) mod operator;
+    pub(crate) mod peer;
     pub(crate) mod platform;
+    pub(crate) mod rows;
 }
--- /dev/null
+++ b/crates/snipevane-proto/src/operator.rs
@@ -0,0 +1,10 @@
+//! Messages of the operator listener.
+
+pub use crate::generated::operator::{
+    Applied, ApplyRequest, Config, DroppedEvents, Event, Events, GiveKey, GivenKey, KeyInfo,
+    PeerStatus, Problem, ProblemFinding, ProcessId, ServerStatus, Status, TeamStatus, Timeline,
+    Withdrawal,
+};
+
+/// Media type of refusals.
+pub const PROBLEM_JSON: &str = "application/problem+json";
