--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod rows;
 pub mod schema;
 pub mod settings;
+pub mod structure;
 
 #[allow(
     clippy::all,
