Run an identifier at most once over takeovers and changed shards

Cause: two faults found while the differential test was written. - When the list of shards changes, an identifier moves to another shard, whose claims don't know it: it would run twice. - A process that had released its shard and then read an older row of the table took itself for the holder again and called requests "not run" that had run.

Ruled out: confirmations that carry the highest identifier run by each shard (a new holder of the new owner doesn't have them), and answering "unknown" while a list settles (it would be true, but new requests would get it).

Change: `IdOwners`: a version that changes the list states a bound, the largest ceiling of all rows at its acceptance; identifiers up to the bound stay with the former list. Raising a ceiling checks the version in force in its transaction. `Tenure`: one process's hold on one shard, through lost, late and stale answers. Tests: 2,000 seeded orders of events (writes that land late or without an answer, stale reads, crash, replacement, release, takeover, clocks 6 and 12 s apart, changed shards) with a stand-in of the table that keeps every former row.

Conclusion: at most once held in all orders tried, without comparing clocks.

--- a/crates/snipevane-core/src/claims/shard_claims.rs
+++ b/crates/snipevane-core/src/claims/shard_claims.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use uuid::{Uuid, Version};
+use uuid::Uuid;
 
 use super::{Answer, ClaimSettings};
+use crate::shards::time_of;
 
 /// Decision on a request with an identifier.
 #[derive(Debug, PartialEq, Eq)]
@@ -272,15 +273,6 @@
     }
 }
 
-/// Returns the time of an identifier of version 7 in Unix milliseconds.
-fn time_of(id: Uuid) -> Option<u64> {
-    if id.get_version() != Some(Version::SortRand) {
-        return None;
-    }
-    // The first 48 bits hold the time.
-    Some(id.as_u64_pair().0 >> 16)
-}
-
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/snipevane-core/src/shards/mod.rs
+++ b/crates/snipevane-core/src/shards/mod.rs
@@ -3,7 +3,13 @@
 mod acquire;
 mod deal;
 mod name;
+mod owners;
+mod tenure;
+mod time;
 
 pub use acquire::{Acquisition, Holder, ShardRow, decide};
 pub use deal::{ShardSet, deal, shard_of};
 pub use name::{ParseShardNameError, ShardName, shard_names};
+pub use owners::IdOwners;
+pub use tenure::{Held, Observation, Tenure};
+pub use time::time_of;
--- /dev/null
+++ b/tests/tests/claims_orders.rs
@@ -0,0 +1,574 @@
+//! No identifier runs twice over takeovers, freezes, restarts, lost answers and changed shards.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::{Strategy, any, proptest};
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+use rstest::rstest;
+use snipevane_core::claims::{Claim, ClaimSettings, ClaimTicket, Claims, Finish};
+use snipevane_core::shards::{Holder, IdOwners, Observation, ShardName, ShardRow, Tenure};
+use snipevane_tests::requests::{seeded, shards};
+use uuid::{Builder, Uuid};
+
+const VMS: usize = 3;
+const SHARDS: u16 = 3;
+const START_MS: u64 = 1_000_000;
+const LONGEST_RUN: Duration = Duration::from_secs(10);
+const BODY: [u8; 32] = [1; 32];
+
+type Answer = Arc<[u8]>;
+
+/// Which mechanism is taken out.
+#[derive(Clone, Copy, PartialEq)]
+enum Rule {
+    Full,
+    /// The naive version: claims in memory and nothing else.
+    MemoryOnly,
+    /// A new list of shards takes effect at once for all identifiers.
+    ListAtOnce,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Tick {
+        ms: u64,
+    },
+    Mint {
+        ahead_ms: u64,
+    },
+    Read {
+        vm: usize,
+        shard: usize,
+        back: usize,
+    },
+    Raise {
+        vm: usize,
+        shard: usize,
+    },
+    Land {
+        write: usize,
+        answer_lost: bool,
+    },
+    Drop {
+        write: usize,
+    },
+    Request {
+        vm: usize,
+        id: usize,
+    },
+    Execute {
+        run: usize,
+    },
+    Finish {
+        run: usize,
+        kind: u8,
+    },
+    Crash {
+        vm: usize,
+    },
+    Replace {
+        vm: usize,
+    },
+    /// A VM is replaced or released, and another one takes its shard without a lost message.
+    TakeOver {
+        vm: usize,
+        by: usize,
+        shard: usize,
+        released: bool,
+    },
+    /// A request runs from its claim to its answer.
+    Serve {
+        vm: usize,
+        id: usize,
+    },
+    Release {
+        vm: usize,
+        shard: usize,
+    },
+    ChangeShards {
+        members: u8,
+    },
+    LoadConfiguration {
+        vm: usize,
+    },
+}
+
+/// A conditional write on its way to the table.
+struct Write {
+    vm: usize,
+    incarnation: Uuid,
+    shard: usize,
+    expected: usize,
+    configuration: usize,
+    row: ShardRow,
+}
+
+/// Stand-in of the table: all former states of each shard's row, and the lists of shards.
+#[derive(Default)]
+struct Table {
+    rows: [Vec<ShardRow>; SHARDS as usize],
+    lists: Vec<(u64, Vec<ShardName>)>,
+}
+
+struct Vm {
+    holder: Holder,
+    clock_ahead_ms: u64,
+    loaded: usize,
+    owners: IdOwners,
+    tenures: Vec<Tenure>,
+    claims: BTreeMap<usize, Claims<Answer>>,
+}
+
+/// A request that was allowed to run; the ticket is lost when its entry VM crashes.
+struct Run {
+    id: Uuid,
+    vm: usize,
+    shard: usize,
+    ticket: Option<ClaimTicket>,
+    executed: bool,
+}
+
+struct Fleet {
+    rule: Rule,
+    names: Vec<ShardName>,
+    table: Table,
+    start: Instant,
+    elapsed_ms: u64,
+    next_number: u128,
+    vms: Vec<Vm>,
+    gone: BTreeSet<String>,
+    writes: Vec<Write>,
+    ids: Vec<Uuid>,
+    runs: Vec<Run>,
+    executed: BTreeMap<Uuid, u32>,
+    broken: Option<String>,
+}
+
+impl Fleet {
+    fn new(rule: Rule) -> Self {
+        let names = shards(SHARDS);
+        let mut fleet = Self {
+            rule,
+            table: Table {
+                lists: vec![(0, names.clone())],
+                ..Table::default()
+            },
+            names,
+            start: Instant::now(),
+            elapsed_ms: 0,
+            next_number: 0,
+            vms: Vec::new(),
+            gone: BTreeSet::new(),
+            writes: Vec::new(),
+            ids: Vec::new(),
+            runs: Vec::new(),
+            executed: BTreeMap::new(),
+            broken: None,
+        };
+        for vm in 0..VMS {
+            let vm = fleet.start_vm(format!("vm{vm}"), vm as u64 * 6000);
+            fleet.vms.push(vm);
+        }
+        for vm in 0..VMS {
+            fleet.load(vm);
+            fleet.see(vm, vm, 0);
+            fleet.land(0, false);
+        }
+        fleet
+    }
+
+    fn number(&mut self) -> u128 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    fn start_vm(&mut self, vm: String, clock_ahead_ms: u64) -> Vm {
+        let incarnation = Uuid::from_u128(self.number());
+        let holder = Holder {
+            vm: vm.into(),
+            incarnation,
+        };
+        Vm {
+            tenures: vec![Tenure::new(holder.clone()); SHARDS.into()],
+            holder,
+            clock_ahead_ms,
+            loaded: 0,
+            owners: IdOwners::default(),
+            claims: BTreeMap::new(),
+        }
+    }
+
+    fn unix_ms(&self, vm: usize) -> u64 {
+        START_MS + self.elapsed_ms + self.vms[vm].clock_ahead_ms
+    }
+
+    fn now(&self) -> Instant {
+        self.start + Duration::from_millis(self.elapsed_ms)
+    }
+
+    fn load(&mut self, vm: usize) {
+        let at_once = self.rule == Rule::ListAtOnce;
+        let vm = &mut self.vms[vm];
+        if at_once && let Some((_, list)) = self.table.lists.last() {
+            vm.owners = IdOwners::default();
+            vm.owners.add(0, list.clone());
+        } else {
+            for (after_ms, list) in &self.table.lists[vm.loaded..] {
+                vm.owners.add(*after_ms, list.clone());
+            }
+        }
+        vm.loaded = self.table.lists.len();
+    }
+
+    /// Hands a row to an entry VM and sends the write that it wants.
+    fn see(&mut self, vm: usize, shard: usize, state: usize) {
+        let row = state
+            .checked_sub(1)
+            .map(|index| self.table.rows[shard][index].clone());
+        let at = Observation {
+            now: self.now(),
+            unix_ms: self.unix_ms(vm) + 2000,
+            longest_run: LONGEST_RUN,
+        };
+        let gone = &self.gone;
+        let tenure = &mut self.vms[vm].tenures[shard];
+        let wanted = tenure.on_row(row.as_ref(), |vm| gone.contains(vm), at);
+        self.follow_tenure(vm, shard);
+        if let Some(row) = wanted {
+            self.write(vm, shard, state, row);
+        }
+    }
+
+    /// Starts or ends the claims of a shard along with its hold.
+    fn follow_tenure(&mut self, vm: usize, shard: usize) {
+        let rule = self.rule;
+        let vm = &mut self.vms[vm];
+        let Some(held) = vm.tenures[shard].held() else {
+            vm.claims.remove(&shard);
+            return;
+        };
+        let claims = vm.claims.entry(shard).or_insert_with(|| {
+            let settings = ClaimSettings {
+                max_claims: 4,
+                max_answers_bytes: 8,
+                ceiling_lead: Duration::from_secs(20),
+                ..ClaimSettings::default()
+            };
+            let floor_ms = if rule == Rule::MemoryOnly {
+                0
+            } else {
+                held.floor_ms
+            };
+            Claims::new(settings, floor_ms)
+        });
+        let ceiling_ms = if rule == Rule::MemoryOnly {
+            u64::MAX
+        } else {
+            held.row.ceiling_ms
+        };
+        claims.set_ceiling(ceiling_ms);
+    }
+
+    fn write(&mut self, vm: usize, shard: usize, expected: usize, row: ShardRow) {
+        let incarnation = self.vms[vm].holder.incarnation;
+        let configuration = self.vms[vm].loaded;
+        self.writes.push(Write {
+            vm,
+            incarnation,
+            shard,
+            expected,
+            configuration,
+            row,
+        });
+    }
+
+    fn land(&mut self, write: usize, answer_lost: bool) {
+        let write = self.writes.swap_remove(write);
+        let rows = &mut self.table.rows[write.shard];
+        let checks_lists = self.rule == Rule::Full;
+        let stale = checks_lists && write.configuration != self.table.lists.len();
+        if rows.len() != write.expected || stale {
+            return;
+        }
+        rows.push(write.row);
+        let state = rows.len();
+        let alive = self.vms[write.vm].holder.incarnation == write.incarnation;
+        if alive && !answer_lost {
+            self.see(write.vm, write.shard, state);
+        }
+    }
+
+    fn land_last(&mut self) {
+        if let Some(last) = self.writes.len().checked_sub(1) {
+            self.land(last, false);
+        }
+    }
+
+    fn request(&mut self, vm: usize, id: Uuid) {
+        let (now, unix_ms) = (self.now(), self.unix_ms(vm));
+        let state = &mut self.vms[vm];
+        let Some(owner) = state.owners.owner(id) else {
+            return;
+        };
+        let shard = self
+            .names
+            .iter()
+            .position(|name| name == owner)
+            .unwrap_or(0);
+        if !state.tenures[shard].is_usable(now) {
+            return;
+        }
+        let Some(claims) = state.claims.get_mut(&shard) else {
+            return;
+        };
+        let ran = self.executed.contains_key(&id);
+        match claims.claim(id, BODY, unix_ms) {
+            Claim::Run(ticket) => {
+                let ticket = Some(ticket);
+                self.runs.push(Run {
+                    id,
+                    vm,
+                    shard,
+                    ticket,
+                    executed: false,
+                });
+            }
+            Claim::TooNew { .. } if ran => self.broken = Some(format!("{id} called not run")),
+            Claim::Finished(_) if !ran => self.broken = Some(format!("{id} called finished")),
+            _ => {}
+        }
+    }
+
+    fn execute(&mut self, run: usize) {
+        let run = &mut self.runs[run];
+        if run.executed {
+            return;
+        }
+        run.executed = true;
+        let count = self.executed.entry(run.id).or_default();
+        *count += 1;
+        if *count > 1 {
+            self.broken = Some(format!("{} ran twice", run.id));
+        }
+    }
+
+    fn finish(&mut self, run: usize, kind: u8) {
+        let run = &mut self.runs[run];
+        let Some(ticket) = run.ticket.take() else {
+            return;
+        };
+        let finish = match (run.executed, kind % 4) {
+            (true, 0) | (false, 0 | 1) => Finish::Unknown,
+            (true, kind) => Finish::Answered(vec![kind; 4].into()),
+            (false, _) => {
+                // The backend server declined, so that it won't run the request later either.
+                run.executed = true;
+                Finish::NotRun
+            }
+        };
+        if let Some(claims) = self.vms[run.vm].claims.get_mut(&run.shard) {
+            claims.finish(ticket, finish);
+        }
+    }
+
+    fn crash(&mut self, vm: usize, name: String) {
+        let ahead_ms = self.vms[vm].clock_ahead_ms;
+        self.vms[vm] = self.start_vm(name, ahead_ms);
+        self.runs
+            .iter_mut()
+            .filter(|run| run.vm == vm)
+            .for_each(|run| run.ticket = None);
+        self.load(vm);
+    }
+
+    fn release(&mut self, vm: usize, shard: usize) {
+        let state = self.table.rows[shard].len();
+        let busy = self
+            .runs
+            .iter()
+            .any(|run| run.vm == vm && run.ticket.is_some());
+        if busy || self.vms[vm].tenures[shard].held().is_none() {
+            return;
+        }
+        if let Some(mut claims) = self.vms[vm].claims.remove(&shard)
+            && let Some(row) = self.vms[vm].tenures[shard].release(claims.close())
+        {
+            self.write(vm, shard, state, row);
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Tick { ms } => self.elapsed_ms += ms,
+            Event::Mint { ahead_ms } => {
+                let (ms, number) = (START_MS + self.elapsed_ms + ahead_ms, self.number());
+                let mut random = [0; 10];
+                random.copy_from_slice(
+                    &number.wrapping_mul(0x9e37_79b9_7f4a_7c15).to_le_bytes()[..10],
+                );
+                self.ids
+                    .push(Builder::from_unix_timestamp_millis(ms, &random).into_uuid());
+            }
+            Event::Read { vm, shard, back } => {
+                let newest = self.table.rows[shard].len();
+                self.see(vm, shard, newest.saturating_sub(back));
+            }
+            Event::Raise { vm, shard } => {
+                let (unix_ms, state) = (self.unix_ms(vm), self.table.rows[shard].len());
+                let next = self.vms[vm]
+                    .claims
+                    .get(&shard)
+                    .and_then(|c| c.next_ceiling(unix_ms));
+                if let Some(row) = next.and_then(|ms| self.vms[vm].tenures[shard].raise(ms)) {
+                    self.write(vm, shard, state, row);
+                }
+            }
+            Event::Land { write, answer_lost } if !self.writes.is_empty() => {
+                self.land(write % self.writes.len(), answer_lost);
+            }
+            Event::Drop { write } if !self.writes.is_empty() => {
+                self.writes.swap_remove(write % self.writes.len());
+            }
+            Event::Request { vm, id } if !self.ids.is_empty() => {
+                // Recent identifiers are asked for most, as callers retry soon.
+                let id = self.ids[self.ids.len() - 1 - id % self.ids.len().min(6)];
+                self.request(vm, id);
+            }
+            Event::Execute { run } if !self.runs.is_empty() => self.execute(run % self.runs.len()),
+            Event::Finish { run, kind } if !self.runs.is_empty() => {
+                self.finish(run % self.runs.len(), kind);
+            }
+            Event::Crash { vm } => self.crash(vm, self.vms[vm].holder.vm.to_string()),
+            Event::Replace { vm } => {
+                self.gone.insert(self.vms[vm].holder.vm.to_string());
+                let name = format!("new{}", self.number());
+                self.crash(vm, name);
+            }
+            Event::TakeOver {
+                vm,
+                by,
+                shard,
+                released,
+            } if vm != by => {
+                if released {
+                    self.release(vm, shard);
+                    self.land_last();
+                } else {
+                    self.step(Event::Replace { vm });
+                }
+                self.step(Event::Read {
+                    vm: by,
+                    shard,
+                    back: 0,
+                });
+                self.land_last();
+                self.elapsed_ms += if released { 100 } else { 10_000 };
+                self.step(Event::Raise { vm: by, shard });
+                self.land_last();
+            }
+            Event::Serve { vm, id } => {
+                let before = self.runs.len();
+                self.step(Event::Request { vm, id });
+                for run in before..self.runs.len() {
+                    self.execute(run);
+                    self.finish(run, 1);
+                }
+            }
+            Event::Release { vm, shard } => self.release(vm, shard),
+            Event::ChangeShards { members } => {
+                let all = self.names.iter().enumerate();
+                let members = all.filter(|(index, _)| members >> index & 1 == 1);
+                let members = members.map(|(_, name)| name.clone()).collect();
+                let last_rows = self.table.rows.iter().filter_map(|rows| rows.last());
+                let bound_ms = last_rows.map(|row| row.ceiling_ms).max().unwrap_or(0);
+                self.table.lists.push((bound_ms, members));
+            }
+            Event::LoadConfiguration { vm } => self.load(vm),
+            _ => {}
+        }
+    }
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    (0..100_u8, 0..VMS, 0..SHARDS as usize, any::<u8>()).prop_map(|(kind, vm, shard, n)| {
+        let index = usize::from(n);
+        match kind {
+            0..=9 => Event::Tick {
+                ms: u64::from(n) * 20,
+            },
+            10..=19 => Event::Mint {
+                ahead_ms: u64::from(n) * 20,
+            },
+            20..=29 => Event::Read {
+                vm,
+                shard,
+                back: usize::from(n < 32),
+            },
+            30..=39 => Event::Raise { vm, shard },
+            40..=54 => Event::Land {
+                write: index,
+                answer_lost: n % 4 == 0,
+            },
+            55 => Event::Drop { write: index },
+            56..=65 => Event::Request { vm, id: index },
+            66..=79 => Event::Serve { vm, id: index },
+            80..=84 => Event::Execute { run: index },
+            85..=89 => Event::Finish {
+                run: index,
+                kind: n,
+            },
+            90 | 91 => Event::Crash { vm },
+            92 | 93 => Event::Replace { vm },
+            94 => Event::Release { vm, shard },
+            95 => Event::ChangeShards { members: n % 7 + 1 },
+            96 | 97 => Event::LoadConfiguration { vm },
+            _ => Event::TakeOver {
+                vm,
+                by: index % VMS,
+                shard,
+                released: n >= 128,
+            },
+        }
+    })
+}
+
+fn run(rule: Rule, events: Vec<Event>) -> Fleet {
+    let mut fleet = Fleet::new(rule);
+    for event in events {
+        fleet.step(event);
+        if fleet.broken.is_some() {
+            break;
+        }
+    }
+    fleet
+}
+
+proptest! {
+    #![proptest_config(seeded(2000))]
+
+    #[test]
+    fn no_identifier_runs_twice_in_any_order_of_events(
+        events in proptest::collection::vec(event(), 0..500),
+    ) {
+        assert_eq!(run(Rule::Full, events).broken, None);
+    }
+}
+
+/// Shows that the test above finds what it looks for, and that the model does run requests.
+#[rstest]
+#[case::full(Rule::Full, false)]
+#[case::memory_only(Rule::MemoryOnly, true)]
+#[case::list_at_once(Rule::ListAtOnce, true)]
+fn a_mechanism_that_is_taken_out_is_missed(#[case] rule: Rule, #[case] breaks: bool) {
+    let mut runner = TestRunner::new(seeded(1));
+    let strategy = proptest::collection::vec(event(), 500);
+    let fleets: Vec<Fleet> = (0..400)
+        .map(|_| run(rule, strategy.new_tree(&mut runner).unwrap().current()))
+        .collect();
+    assert_eq!(fleets.iter().any(|fleet| fleet.broken.is_some()), breaks);
+    let executed: usize = fleets.iter().map(|fleet| fleet.executed.len()).sum();
+    assert!(executed > 400, "{executed}");
+}
