--- /dev/null
+++ b/crates/snipevane-cli/src/timeline.rs
@@ -0,0 +1,113 @@
+//! `snipevane timeline`.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use snipevane_core::timeline::merge;
+use snipevane_proto::operator::{Event, Events, Timeline};
+
+use crate::output::print_json;
+use crate::{CliError, Client, flags};
+
+/// Last time that the text form can show, in milliseconds since the Unix epoch.
+const MAX_PRINTED_MS: u64 = 253_402_300_799_999;
+
+/// Merges the events of all named entry VMs.
+pub(crate) async fn run(
+    client: &Client,
+    cmd: &flags::Timeline,
+    json: bool,
+) -> Result<(), CliError> {
+    let path = path(cmd);
+    let mut answers = Vec::new();
+    let mut unreachable = Vec::new();
+    for &entry in client.entries() {
+        match client.get_from::<Events>(entry, &path).await {
+            Ok(answer) => answers.push(answer),
+            Err(CliError::Unreachable(why)) => unreachable.push(format!("{entry} ({why})")),
+            Err(error) => return Err(error),
+        }
+    }
+    if answers.is_empty() {
+        return Err(CliError::Unreachable(unreachable.join("; ")));
+    }
+    let timeline = merge(answers, unreachable);
+    if json {
+        return print_json(&timeline);
+    }
+    print!("{}", render_timeline(&timeline));
+    Ok(())
+}
+
+fn path(cmd: &flags::Timeline) -> String {
+    let mut query = Vec::new();
+    if let Some(since) = cmd.since {
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let since = now.saturating_sub(since.into());
+        query.push(format!("since_ms={}", since.as_millis()));
+    }
+    if let Some(team) = &cmd.team {
+        query.push(format!("team={}", escape(team)));
+    }
+    if let Some(vm) = &cmd.vm {
+        query.push(format!("vm={}", escape(vm)));
+    }
+    if query.is_empty() {
+        return "/v1/events".to_owned();
+    }
+    format!("/v1/events?{}", query.join("&"))
+}
+
+/// Percent-encodes a value of a query.
+fn escape(text: &str) -> String {
+    text.bytes()
+        .map(|byte| match byte {
+            b'0'..=b'9' | b'a'..=b'z' | b'A'..=b'Z' | b'-' | b'_' | b'.' => {
+                char::from(byte).to_string()
+            }
+            _ => format!("%{byte:02X}"),
+        })
+        .collect()
+}
+
+/// Returns a time line as text, an event a line.
+pub fn render_timeline(timeline: &Timeline) -> String {
+    let mut lines: Vec<_> = timeline.events.iter().map(render_event).collect();
+    for process in &timeline.dropped {
+        lines.push(format!(
+            "{} dropped {} older events",
+            process.vm, process.count
+        ));
+    }
+    for name in &timeline.unreachable {
+        lines.push(format!("not reached: {name}"));
+    }
+    lines.iter().map(|line| format!("{line}\n")).collect()
+}
+
+fn render_event(event: &Event) -> String {
+    let time = UNIX_EPOCH + Duration::from_millis(event.wall_ms.min(MAX_PRINTED_MS));
+    let mut line = format!(
+        "{}+{} {} {} SV{:04} {}",
+        humantime::format_rfc3339_millis(time),
+        event.logical,
+        event.process.vm,
+        event.level,
+        event.number,
+        event.text,
+    );
+    for (name, value) in &event.fields {
+        line.push_str(&format!(" {name}={}", quote(value)));
+    }
+    line
+}
+
+/// Quotes a value that would blur the line's fields.
+fn quote(value: &str) -> String {
+    let plain = |c: char| !c.is_whitespace() && !c.is_control() && c != '"';
+    if !value.is_empty() && value.chars().all(plain) {
+        return value.to_owned();
+    }
+    format!("{value:?}")
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/journal/mod.rs
@@ -0,0 +1,9 @@
+//! Numbered events: the log and, for the time line, a bounded ring in memory.
+
+pub mod kinds;
+mod record;
+mod setup;
+
+pub use kinds::{CATALOGUE, EventKind};
+pub use record::{Journal, Recorded};
+pub use setup::init_log;
--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -4,6 +4,12 @@
 
 pub mod headers;
 pub mod manifest;
+pub mod operator;
+pub mod peer;
+pub mod platform;
+pub mod rows;
+pub mod schema;
+pub mod settings;
 
 #[allow(
     clippy::all,
@@ -15,5 +21,10 @@
 )]
 #[rustfmt::skip]
 mod generated {
+    pub(crate) mod entry_settings;
     pub(crate) mod manifest;
+    pub(crate) mod operator;
+    pub(crate) mod peer;
+    pub(crate) mod platform;
+    pub(crate) mod rows;
 }
