--- a/crates/snipevane-core/src/pools/step.rs
+++ b/crates/snipevane-core/src/pools/step.rs
@@ -74,6 +74,9 @@
         if row.state != self.state {
             row.since = now;
         }
+        if step == Step::Booted && row.state != self.state {
+            row.booted = Some(now);
+        }
         row.epoch = epoch;
         Ok(row)
     }
--- a/crates/snipevane-core/src/pools/vm_row.rs
+++ b/crates/snipevane-core/src/pools/vm_row.rs
@@ -62,6 +62,8 @@
     pub operation: Option<Operation>,
     /// Time of the last change of state.
     pub since: UnixMs,
+    /// Time at which the VM came up last, as far as a reboot was recorded.
+    pub booted: Option<UnixMs>,
 }
 
 impl VmRow {
@@ -73,6 +75,7 @@
             epoch: Epoch(0),
             operation: None,
             since: now,
+            booted: None,
         }
     }
 
