Check a manifest's structure and meaning, all findings at once

Cause: the check stopped at the first error and knew nothing of meaning. Ruled out: leaving out items that don't follow the schema (a trial: one pool without a name hid duplicates and references elsewhere). A value that doesn't follow the schema gets a placeholder instead, and no finding that only follows from a placeholder is reported.

--- a/crates/snipevane-cli/src/apply.rs
+++ b/crates/snipevane-cli/src/apply.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use snipevane_core::config;
 use snipevane_proto::operator::{Applied, ApplyRequest, Config, Status};
 use tokio::time::{self, Instant};
 use uuid::Uuid;
@@ -36,7 +37,7 @@
 /// Puts a manifest in force.
 pub(crate) async fn run(client: &Client, cmd: &Apply, json: bool) -> Result<(), CliError> {
     let (file, text) = check::read(&cmd.file)?;
-    check::parse(&text, &file).map_err(CliError::Findings)?;
+    config::check(&text, &file).map_err(CliError::Findings)?;
     let manifest =
         serde_json::from_str(&text).map_err(|error| CliError::Usage(error.to_string()))?;
     let based_on = match cmd.based_on {
--- a/crates/snipevane-cli/src/check.rs
+++ b/crates/snipevane-cli/src/check.rs
@@ -3,23 +3,40 @@
 use std::fs;
 use std::path::Path;
 
-use snipevane_core::config::Findings;
-use snipevane_proto::manifest::Manifest;
+use serde::Serialize;
+use snipevane_core::config::{Finding, Findings, check};
+use snipevane_proto::operator::ProblemFinding;
 
 use crate::CliError;
+use crate::output::print_json;
+
+/// Result of the command, as printed in JSON.
+#[derive(Clone, Debug, Serialize)]
+struct Report {
+    file: String,
+    findings: Vec<ProblemFinding>,
+}
 
 /// Checks a manifest and prints its findings.
 pub(crate) fn run(path: &Path, json: bool) -> Result<(), CliError> {
     let (file, text) = read(path)?;
-    match parse(&text, &file) {
-        Ok(_) => {
-            if !json {
-                println!("{file}: no findings");
-            }
-            Ok(())
-        }
-        Err(findings) => Err(CliError::Findings(findings)),
+    let result = check(&text, &file);
+    if json {
+        let findings = result.as_ref().map_or_else(wire, |_| Vec::new());
+        print_json(&Report { file, findings })?;
+    } else if result.is_ok() {
+        println!("{file}: no findings");
     }
+    result.map(|_| ()).map_err(CliError::Findings)
+}
+
+fn wire(findings: &Findings) -> Vec<ProblemFinding> {
+    let wire = |finding: &Finding| ProblemFinding {
+        pointer: finding.pointer.to_string(),
+        message: finding.message.clone(),
+        hint: finding.hint.clone(),
+    };
+    findings.list.iter().map(wire).collect()
 }
 
 /// Reads a file; returns its name as shown in findings, and its text.
@@ -30,13 +47,3 @@
     })?;
     Ok((path.display().to_string(), text))
 }
-
-/// Parses a manifest.
-pub(crate) fn parse(text: &str, file: &str) -> Result<Manifest, Findings> {
-    let mut deserializer = serde_json::Deserializer::from_str(text);
-    serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
-        let mut findings = Findings::new(file);
-        findings.add(error.path().to_string(), error.inner().to_string(), "");
-        findings
-    })
-}
--- /dev/null
+++ b/crates/snipevane-core/src/config/check/checker.rs
@@ -0,0 +1,135 @@
+//! What the checks of a manifest share.
+
+use std::collections::HashMap;
+
+use snipevane_proto::manifest::{Manifest, Pool, Service};
+use snipevane_proto::repair::Repaired;
+
+use crate::config::Findings;
+
+/// Lists of a manifest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum List {
+    Zones,
+    Teams,
+    Pools,
+    Services,
+    Queues,
+}
+
+impl List {
+    /// Returns the name of the manifest's member.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Zones => "zones",
+            Self::Teams => "teams",
+            Self::Pools => "pools",
+            Self::Services => "services",
+            Self::Queues => "queues",
+        }
+    }
+}
+
+/// An item with its position in its list.
+#[derive(Debug)]
+pub(super) struct Placed<'a, T> {
+    pub(super) position: usize,
+    pub(super) item: &'a T,
+}
+
+impl<T> Clone for Placed<'_, T> {
+    fn clone(&self) -> Self {
+        *self
+    }
+}
+
+impl<T> Copy for Placed<'_, T> {}
+
+/// Returns the JSON pointer of an item.
+pub(super) fn item(list: List, position: usize) -> String {
+    format!("/{}/{position}", list.name())
+}
+
+/// Collects the findings about one manifest.
+pub(super) struct Checker<'a> {
+    pub(super) manifest: &'a Manifest,
+    pub(super) repaired: &'a Repaired,
+    pub(super) pools: HashMap<&'a str, Placed<'a, Pool>>,
+    pub(super) services: HashMap<&'a str, Placed<'a, Service>>,
+    findings: Findings,
+}
+
+impl<'a> Checker<'a> {
+    pub(super) fn new(manifest: &'a Manifest, repaired: &'a Repaired, findings: Findings) -> Self {
+        let pools = manifest.pools.iter().enumerate();
+        let services = manifest.services.iter().enumerate();
+        Self {
+            manifest,
+            repaired,
+            pools: pools
+                .map(|(position, item)| (item.name.as_str(), Placed { position, item }))
+                .collect(),
+            services: services
+                .map(|(position, item)| (item.name.as_str(), Placed { position, item }))
+                .collect(),
+            findings,
+        }
+    }
+
+    /// Returns whether a member of an item is as the file states it.
+    pub(super) fn is_stated(&self, list: List, position: usize, member: &str) -> bool {
+        let pointer = format!("{}/{member}", item(list, position));
+        !self.repaired.touches(&pointer)
+    }
+
+    /// Returns whether the names of all items of a list are as the file states them.
+    pub(super) fn has_all_names(&self, list: List, items: usize) -> bool {
+        let whole = format!("/{}", list.name());
+        !self.repaired.touches(&whole)
+            || items > 0 && (0..items).all(|i| self.is_stated(list, i, "name"))
+    }
+
+    /// Adds a finding about a member of an item.
+    pub(super) fn add(
+        &mut self,
+        list: List,
+        position: usize,
+        member: &str,
+        message: impl Into<String>,
+        hint: impl Into<String>,
+    ) {
+        let pointer = format!("{}/{member}", item(list, position));
+        self.add_at(pointer, message, hint);
+    }
+
+    /// Adds a finding about any place, unless the place holds no value that could be read.
+    pub(super) fn add_at(
+        &mut self,
+        pointer: String,
+        message: impl Into<String>,
+        hint: impl Into<String>,
+    ) {
+        if !self.repaired.touches(&pointer) {
+            self.findings.add(pointer, message, hint);
+        }
+    }
+
+    /// Adds a finding if a number that must be at least 1 is 0.
+    pub(super) fn require_positive(
+        &mut self,
+        list: List,
+        position: usize,
+        member: &str,
+        value: u32,
+        consequence: &str,
+    ) {
+        if value == 0 {
+            let message = format!("0 means that {consequence}");
+            self.add(list, position, member, message, "write at least 1");
+        }
+    }
+
+    pub(super) fn into_findings(self) -> Findings {
+        self.findings
+    }
+}
--- /dev/null
+++ b/crates/snipevane-core/src/config/check/names.rs
@@ -0,0 +1,57 @@
+//! Names: their form, and duplicates.
+
+use std::collections::HashMap;
+
+use super::checker::{Checker, List, item};
+
+/// Longest name, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+/// Hint for a name of a wrong form.
+const NAME_HINT: &str =
+    "use 1 to 64 letters, digits, dots, hyphens and underscores, with a letter or digit first";
+
+impl Checker<'_> {
+    /// Checks the form of all names and that none stands twice in its list.
+    pub(super) fn check_names(&mut self) {
+        let manifest = self.manifest;
+        if manifest.site.is_empty() {
+            self.add_at("/site".to_owned(), "the site has no name", "name it");
+        }
+        self.check_list(List::Zones, manifest.zones.iter().map(|zone| &zone.name));
+        self.check_list(List::Teams, manifest.teams.iter().map(|team| &team.name));
+        self.check_list(List::Pools, manifest.pools.iter().map(|pool| &pool.name));
+        let services = manifest.services.iter().map(|service| &service.name);
+        self.check_list(List::Services, services);
+        let queues = manifest.queues.iter().map(|queue| &queue.name);
+        self.check_list(List::Queues, queues);
+    }
+
+    fn check_list<'a>(&mut self, list: List, names: impl Iterator<Item = &'a String>) {
+        let mut first = HashMap::new();
+        for (position, name) in names.enumerate() {
+            if !is_name(name) {
+                let message = format!("{name:?} is no name");
+                self.add(list, position, "name", message, NAME_HINT);
+            }
+            if let Some(&earlier) = first.get(name) {
+                let earlier = item(list, earlier);
+                let message = format!("{name:?} is already the name of {earlier}");
+                self.add(list, position, "name", message, "give it another name");
+            } else {
+                first.insert(name, position);
+            }
+        }
+    }
+}
+
+/// Returns whether a text can be a name: it stands in paths, headers and keys of rows.
+pub(super) fn is_name(text: &str) -> bool {
+    let starts_well = text.starts_with(|c: char| c.is_ascii_alphanumeric());
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '-' | '_');
+    starts_well && text.len() <= MAX_NAME_BYTES && text.chars().all(is_plain)
+}
+
+/// Returns the hint for a name of a wrong form.
+pub(super) fn name_hint() -> &'static str {
+    NAME_HINT
+}
--- /dev/null
+++ b/crates/snipevane-core/src/config/check/pools.rs
@@ -0,0 +1,114 @@
+//! Pools and their VMs.
+
+use std::collections::HashMap;
+
+use snipevane_proto::manifest::Pool;
+
+use super::checker::{Checker, List, item};
+use super::names::{is_name, name_hint};
+
+impl Checker<'_> {
+    /// Checks the pools, that one of them is the spare pool, and that each VM is in one pool.
+    pub(super) fn check_pools(&mut self) {
+        let manifest = self.manifest;
+        for (position, pool) in manifest.pools.iter().enumerate() {
+            self.check_size(position, pool);
+            self.check_jobs(position, pool);
+        }
+        self.check_spare_pool();
+        self.check_vms();
+    }
+
+    fn check_size(&mut self, position: usize, pool: &Pool) {
+        let vms = pool.vms.len();
+        let enough = usize::try_from(pool.min_vms).is_ok_and(|min_vms| min_vms <= vms);
+        if enough || !self.is_stated(List::Pools, position, "vms") {
+            return;
+        }
+        let message = format!(
+            "the pool is to keep {} VMs and has {}",
+            pool.min_vms,
+            plural(vms, "VM")
+        );
+        let hint = "add VMs or lower the number";
+        self.add(List::Pools, position, "min_vms", message, hint);
+    }
+
+    fn check_jobs(&mut self, position: usize, pool: &Pool) {
+        if pool.spare && !pool.jobs.is_empty() {
+            let message = "the spare pool hosts jobs";
+            let hint = "host them in another pool";
+            self.add(List::Pools, position, "jobs", message, hint);
+        }
+        for (j, job) in pool.jobs.iter().enumerate() {
+            let member = format!("jobs/{j}");
+            if !is_name(job) {
+                let message = format!("{job:?} is no name");
+                self.add(List::Pools, position, &member, message, name_hint());
+            }
+            if pool.jobs[..j].contains(job) {
+                let message = format!("{job:?} stands twice");
+                self.add(List::Pools, position, &member, message, "remove one");
+            }
+            let Some(service) = self.services.get(job.as_str()).copied() else {
+                continue;
+            };
+            let host = &service.item.pool;
+            let stated = self.is_stated(List::Pools, position, "name")
+                && self.is_stated(List::Services, service.position, "pool");
+            if stated && *host != pool.name {
+                let message = format!("the service {job:?} names the pool {host:?}");
+                let hint = "name the same pool in both places";
+                self.add(List::Pools, position, &member, message, hint);
+            }
+        }
+    }
+
+    fn check_spare_pool(&mut self) {
+        let manifest = self.manifest;
+        let mut first = None;
+        for (position, pool) in manifest.pools.iter().enumerate() {
+            if !pool.spare {
+                continue;
+            }
+            if let Some(first) = first {
+                let message = format!("{} is the spare pool already", item(List::Pools, first));
+                let hint = "keep one spare pool";
+                self.add(List::Pools, position, "spare", message, hint);
+            }
+            first.get_or_insert(position);
+        }
+        if first.is_none() {
+            let hint = "mark one pool with \"spare\": true";
+            self.add_at("/pools".to_owned(), "there is no spare pool", hint);
+        }
+    }
+
+    fn check_vms(&mut self) {
+        let manifest = self.manifest;
+        let mut owners: HashMap<&str, usize> = HashMap::new();
+        for (position, pool) in manifest.pools.iter().enumerate() {
+            for (v, vm) in pool.vms.iter().enumerate() {
+                let member = format!("vms/{v}");
+                if !is_name(vm) {
+                    let message = format!("{vm:?} is no name");
+                    self.add(List::Pools, position, &member, message, name_hint());
+                }
+                if let Some(&owner) = owners.get(vm.as_str()) {
+                    let owner = item(List::Pools, owner);
+                    let message = format!("the VM {vm:?} is already in {owner}");
+                    let hint = "list each VM once, in one pool";
+                    self.add(List::Pools, position, &member, message, hint);
+                } else {
+                    owners.insert(vm, position);
+                }
+            }
+        }
+    }
+}
+
+/// Returns a count with its noun.
+pub(super) fn plural(count: usize, noun: &str) -> String {
+    let ending = if count == 1 { "" } else { "s" };
+    format!("{count} {noun}{ending}")
+}
--- /dev/null
+++ b/crates/snipevane-core/src/config/check/services.rs
@@ -0,0 +1,142 @@
+//! Services and queues.
+
+use snipevane_proto::manifest::{Pool, Service};
+
+use super::checker::{Checker, List, Placed};
+use super::pools::plural;
+
+/// Percent of the whole.
+const WHOLE_PERCENT: usize = 100;
+
+impl Checker<'_> {
+    /// Checks the services and the pools that they name.
+    pub(super) fn check_services(&mut self) {
+        let manifest = self.manifest;
+        for (position, service) in manifest.services.iter().enumerate() {
+            self.check_numbers(position, service);
+            match self.pools.get(service.pool.as_str()).copied() {
+                Some(pool) => self.check_host(position, service, pool),
+                None if !self.has_all_names(List::Pools, manifest.pools.len()) => {}
+                None => {
+                    let message = format!("there is no pool {:?}", service.pool);
+                    let hint = "name a pool of the manifest";
+                    self.add(List::Services, position, "pool", message, hint);
+                }
+            }
+        }
+    }
+
+    /// Checks the queues and the services that they name.
+    pub(super) fn check_queues(&mut self) {
+        let manifest = self.manifest;
+        for (position, queue) in manifest.queues.iter().enumerate() {
+            let consequence = "no request can be answered in time";
+            let deadline_ms = queue.deadline_ms;
+            self.require_positive(
+                List::Queues,
+                position,
+                "deadline_ms",
+                deadline_ms,
+                consequence,
+            );
+            let Some(service) = self.services.get(queue.service.as_str()).copied() else {
+                if self.has_all_names(List::Services, manifest.services.len()) {
+                    let message = format!("there is no service {:?}", queue.service);
+                    let hint = "name a service of the manifest";
+                    self.add(List::Queues, position, "service", message, hint);
+                }
+                continue;
+            };
+            let Placed {
+                position: host,
+                item: service,
+            } = service;
+            if deadline_ms > service.longest_run_ms
+                && self.is_stated(List::Services, host, "longest_run_ms")
+            {
+                let message = format!(
+                    "{deadline_ms} ms is above the longest run of {} ms of the service {:?}",
+                    service.longest_run_ms, service.name
+                );
+                let hint = "lower the deadline or raise the service's longest_run_ms";
+                self.add(List::Queues, position, "deadline_ms", message, hint);
+            }
+        }
+    }
+
+    fn check_numbers(&mut self, position: usize, service: &Service) {
+        let (slots, connections) = (service.slots, service.connections);
+        let consequence = "a backend server runs nothing";
+        self.require_positive(List::Services, position, "slots", slots.into(), consequence);
+        if connections < slots && self.is_stated(List::Services, position, "slots") {
+            let message = format!("{connections} connections can't fill {slots} slots");
+            let hint = "allow at least as many connections as slots";
+            self.add(List::Services, position, "connections", message, hint);
+        }
+        let consequence = "every request runs over its time";
+        let longest_run_ms = service.longest_run_ms;
+        self.require_positive(
+            List::Services,
+            position,
+            "longest_run_ms",
+            longest_run_ms,
+            consequence,
+        );
+    }
+
+    fn check_host(&mut self, position: usize, service: &Service, pool: Placed<'_, Pool>) {
+        let Placed {
+            position: host,
+            item: pool,
+        } = pool;
+        if pool.spare {
+            let message = format!("{:?} is the spare pool", pool.name);
+            let hint = "name a pool that hosts jobs";
+            self.add(List::Services, position, "pool", message, hint);
+            return;
+        }
+        let lists_jobs = !pool.jobs.is_empty()
+            && self.is_stated(List::Pools, host, "jobs")
+            && self.is_stated(List::Services, position, "name");
+        if lists_jobs && !pool.jobs.contains(&service.name) {
+            let message = format!("the pool {:?} doesn't list the service as a job", pool.name);
+            let hint = "add the service to the pool's jobs";
+            self.add(List::Services, position, "pool", message, hint);
+        }
+        if !self.is_stated(List::Pools, host, "vms") {
+            return;
+        }
+        if pool.vms.is_empty() {
+            let message = format!("the pool {:?} has no VMs", pool.name);
+            let hint = "add VMs to the pool";
+            self.add(List::Services, position, "pool", message, hint);
+            return;
+        }
+        self.check_budget(position, service, pool.vms.len());
+    }
+
+    fn check_budget(&mut self, position: usize, service: &Service, vms: usize) {
+        let member = "unavailable_budget_percent";
+        let percent = usize::from(service.unavailable_budget_percent);
+        if percent > WHOLE_PERCENT {
+            let message = format!("{percent} percent is more than all backend servers");
+            self.add(
+                List::Services,
+                position,
+                member,
+                message,
+                "write at most 100",
+            );
+            return;
+        }
+        if vms * percent / WHOLE_PERCENT == 0 {
+            let message = format!(
+                "{percent} percent of {} is no whole VM, so that no wave could take one",
+                plural(vms, "VM")
+            );
+            let least = WHOLE_PERCENT.div_ceil(vms);
+            let hint = format!("allow at least {least} percent or add VMs to the pool");
+            self.add(List::Services, position, member, message, hint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipevane-core/src/config/check/teams.rs
@@ -0,0 +1,20 @@
+//! Teams.
+
+use super::checker::{Checker, List};
+
+impl Checker<'_> {
+    /// Checks each team's customer, share and limit.
+    pub(super) fn check_teams(&mut self) {
+        let manifest = self.manifest;
+        for (position, team) in manifest.teams.iter().enumerate() {
+            if team.customer.is_empty() {
+                let message = "the team has no customer";
+                self.add(List::Teams, position, "customer", message, "name it");
+            }
+            let consequence = "the team gets nothing when the fleet is full";
+            self.require_positive(List::Teams, position, "share", team.share, consequence);
+            let consequence = "the team can run nothing";
+            self.require_positive(List::Teams, position, "limit", team.limit, consequence);
+        }
+    }
+}
--- a/crates/snipevane-core/src/config/finding.rs
+++ b/crates/snipevane-core/src/config/finding.rs
@@ -64,6 +64,14 @@
         self.list.push(finding);
     }
 
+    /// Sorts the findings by their places; numbers in a place count as numbers.
+    pub fn sort(&mut self) {
+        self.list.sort_by_cached_key(|finding| {
+            let segment = |text: &str| (text.parse::<usize>().ok(), SmolStr::new(text));
+            finding.pointer.split('/').map(segment).collect::<Vec<_>>()
+        });
+    }
+
     /// Returns the value if nothing was found, all findings otherwise.
     ///
     /// # Errors
--- a/crates/snipevane-core/src/config/mod.rs
+++ b/crates/snipevane-core/src/config/mod.rs
@@ -1,7 +1,9 @@
 //! Configuration: the manifest resolved into arenas, and the findings about a manifest.
 
+mod check;
 mod finding;
 mod site;
 
+pub use check::check;
 pub use finding::{Finding, Findings};
 pub use site::{Queue, Service, Site, SitePool, Team, Zone};
--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod manifest;
 pub mod operator;
 pub mod peer;
+pub mod repair;
 pub mod rows;
 pub mod schema;
 pub mod settings;
--- a/crates/snipevane-proto/src/manifest.rs
+++ b/crates/snipevane-proto/src/manifest.rs
@@ -1,5 +1,70 @@
 //! The manifest: the whole configuration of a site.
 
+use serde_json::Value;
+
+use crate::repair::{Repaired, repair};
+use crate::schema::{self, Mismatch};
+
 pub use crate::generated::manifest::{
     KeyPolicy, Maintenance, Manifest, Pool, Queue, Service, Team, Urgency, Zone,
 };
+
+/// Schema of manifests.
+pub const SCHEMA: &str = include_str!("../schemas/manifest.schema.json");
+
+/// Returns the one text of a manifest, from which its hash is made.
+///
+/// Manifests that differ only in layout, order of members or stated defaults have the same text.
+///
+/// # Errors
+///
+/// Returns an error if the manifest can't be written as JSON.
+pub fn canonical_text(manifest: &Manifest) -> serde_json::Result<String> {
+    serde_json::to_string(manifest)
+}
+
+/// A manifest that was read, with all that doesn't follow the schema.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Parsed {
+    /// The manifest, with placeholders where the text doesn't follow the schema; absent if the
+    /// text can't be read at all.
+    pub manifest: Option<Manifest>,
+    /// Places of the placeholders.
+    pub repaired: Repaired,
+    /// All mismatches.
+    pub mismatches: Vec<Mismatch>,
+}
+
+impl Parsed {
+    /// Reads the text of a manifest.
+    pub fn from_text(text: &str) -> Self {
+        match Self::read(text) {
+            Ok(parsed) => parsed,
+            Err(error) => Self {
+                manifest: None,
+                repaired: Repaired::default(),
+                mismatches: vec![Mismatch::whole(error.to_string())],
+            },
+        }
+    }
+
+    fn read(text: &str) -> serde_json::Result<Self> {
+        let mut value: Value = serde_json::from_str(text)?;
+        let mismatches = schema::check(SCHEMA, &value);
+        // A member that stands twice is lost in a value; only the typed reader tells.
+        if mismatches.is_empty() {
+            return Ok(Self {
+                manifest: Some(serde_json::from_str(text)?),
+                repaired: Repaired::default(),
+                mismatches,
+            });
+        }
+        let schema = serde_json::from_str(SCHEMA)?;
+        let repaired = repair(&schema, &mut value, &mismatches);
+        Ok(Self {
+            manifest: serde_json::from_value(value).ok(),
+            repaired,
+            mismatches,
+        })
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,2 @@
 //! Shared parts of the test suites.
+pub mod target_manifest;
