--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod manifest;
 pub mod operator;
 pub mod peer;
+pub mod platform;
 pub mod repair;
 pub mod rows;
 pub mod schema;
@@ -25,5 +26,6 @@
     pub(crate) mod manifest;
     pub(crate) mod operator;
     pub(crate) mod peer;
+    pub(crate) mod platform;
     pub(crate) mod rows;
 }
