--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod repair;
 pub mod rows;
 pub mod schema;
 pub mod settings;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod naive_router;
 pub mod requests;
 pub mod site;
+pub mod target_manifest;
