Measure ways of routing under bursts side by side

Cause: dealt slots with one hop were chosen in the design; nothing showed what they cost beside a home entry VM and beside two random choices. Change: `snipevane-measure routing`, discrete events on a passed-in clock, the same seeded requests for each way: 5 services x 10 minions x 8 slots, 7 entry VMs over 3 zones, bursts of 5x in turn; also a minion that fails fast and an entry VM that is lost.

--- a/crates/snipevane-measure/src/error.rs
+++ b/crates/snipevane-measure/src/error.rs
@@ -13,6 +13,9 @@
     /// The result couldn't be written as JSON.
     #[error(transparent)]
     Json(#[from] serde_json::Error),
+    /// A histogram couldn't be made.
+    #[error("can't make a histogram: {0}")]
+    Histogram(String),
     /// The picture couldn't be drawn.
     #[error("can't draw the picture: {0}")]
     Picture(String),
--- a/crates/snipevane-measure/src/flags.rs
+++ b/crates/snipevane-measure/src/flags.rs
@@ -29,6 +29,13 @@
             /// Seeds the demand and the faults.
             optional --seed seed: u64
         }
+        /// Runs ways of routing side by side under bursts.
+        cmd routing {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Seeds the demand.
+            optional --seed seed: u64
+        }
         /// Runs the fleet policy at the target size, beside a naive version.
         cmd target {
             /// Prints JSON in place of the table.
--- /dev/null
+++ b/crates/snipevane-measure/src/routing/events.rs
@@ -0,0 +1,62 @@
+//! Events of a run in order of their time.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+struct Scheduled<E> {
+    at: Duration,
+    number: u64,
+    event: E,
+}
+
+impl<E> PartialEq for Scheduled<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<E> Eq for Scheduled<E> {}
+
+impl<E> PartialOrd for Scheduled<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Scheduled<E> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        // The heap gives the largest first, the run needs the earliest.
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+/// Events that are due later; those of the same time keep their order.
+pub(super) struct Events<E> {
+    heap: BinaryHeap<Scheduled<E>>,
+    number: u64,
+}
+
+impl<E> Default for Events<E> {
+    fn default() -> Self {
+        Self {
+            heap: BinaryHeap::new(),
+            number: 0,
+        }
+    }
+}
+
+impl<E> Events<E> {
+    /// Adds an event.
+    pub(super) fn add(&mut self, at: Duration, event: E) {
+        let number = self.number;
+        self.number += 1;
+        self.heap.push(Scheduled { at, number, event });
+    }
+
+    /// Takes the earliest event.
+    pub(super) fn next(&mut self) -> Option<(Duration, E)> {
+        let scheduled = self.heap.pop()?;
+        Some((scheduled.at, scheduled.event))
+    }
+}
