Measure dealt slots with waits balanced over entry VMs

Change: notices carry the waiting requests too; a new request that would wait goes to a peer whose queue per slot is shorter by half a request, and waits there. One queue with full knowledge is measured as the bound.

--- a/crates/snipevane-measure/src/routing/mod.rs
+++ b/crates/snipevane-measure/src/routing/mod.rs
@@ -1,10 +1,12 @@
 //! Ways of routing under bursts, in one run of the same requests.
 //!
 //! Slots dealt to all entry VMs of a zone, with and without notices of idle slots; one home entry
-//! VM for each backend server; two random choices without ownership.
+//! VM for each backend server; two random choices without ownership; and as a bound one queue for each
+//! service that knows all slots at once.
 
 mod demand;
 mod events;
+mod ideal;
 mod layout;
 mod owned;
 mod record;
@@ -28,21 +30,30 @@
 const FAILING_RUN: Duration = Duration::from_millis(1);
 const DEFAULT_SEED: u64 = 7;
 
-const OWNED_WAYS: [Way; 3] = [
+const OWNED_WAYS: [Way; 4] = [
     Way {
         name: "dealt",
         ownership: Ownership::Dealt,
         notices_idle: false,
+        balances_waits: false,
     },
     Way {
         name: "dealt, notices",
         ownership: Ownership::Dealt,
         notices_idle: true,
+        balances_waits: false,
+    },
+    Way {
+        name: "dealt, waits",
+        ownership: Ownership::Dealt,
+        notices_idle: true,
+        balances_waits: true,
     },
     Way {
         name: "home",
         ownership: Ownership::Home,
         notices_idle: false,
+        balances_waits: false,
     },
 ];
 
@@ -59,6 +70,7 @@
             let run = OwnedRun::new(way, &scenario, &requests, seed)?;
             figures.push(run.run());
         }
+        figures.push(ideal::run(&scenario, &requests)?);
         let run = TwoChoicesRun::new(&scenario, &requests, seed)?;
         figures.push(run.run());
     }
--- a/crates/snipevane-measure/src/routing/owned.rs
+++ b/crates/snipevane-measure/src/routing/owned.rs
@@ -17,7 +17,7 @@
 use super::events::Events;
 use super::layout::{
     CONNECTIONS_PER_ENTRY_VM, ENTRY_VMS, SERVERS, SERVICES, SLOTS, ZONES, entry_vms_of, one_way,
-    service_of, zone_of_entry_vm, zone_of_server,
+    servers_of, service_of, zone_of_entry_vm, zone_of_server,
 };
 use super::record::{Figures, Record};
 use super::scenario::{Balanced, Scenario};
@@ -28,6 +28,8 @@
 const NOTICE_EVERY: Duration = Duration::from_millis(100);
 /// Shortest time between two notices of the same service that a freed slot causes.
 const SHORTEST_NOTICE_GAP: Duration = Duration::from_millis(5);
+/// Waiting requests per slot by which a peer's queue must be shorter to send a request there.
+const WAIT_MARGIN: f64 = 0.5;
 /// Time between two looks for requests that have waited too long.
 const EXPIRY_EVERY: Duration = Duration::from_millis(50);
 
@@ -47,6 +49,8 @@
     pub(super) ownership: Ownership,
     /// Whether an entry VM tells its peers at once when a slot is free and nothing waits.
     pub(super) notices_idle: bool,
+    /// Whether a request also goes to a peer to wait there, if it would wait less.
+    pub(super) balances_waits: bool,
 }
 
 /// A request on its way, with the entry VM that its caller reached.
@@ -54,9 +58,18 @@
 struct Job {
     number: usize,
     origin: usize,
+    /// Whether the request may wait at the peer that it was forwarded to.
+    waits_at_peer: bool,
     retried: bool,
 }
 
+/// What an entry VM tells its peers of one service.
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    free: u32,
+    waiting: u32,
+}
+
 enum Event {
     Arrive(usize),
     Forwarded {
@@ -86,7 +99,7 @@
         from: usize,
         to: usize,
         service: usize,
-        free: u32,
+        state: State,
     },
     NoticeTick(usize),
     ExpiryTick,
@@ -96,8 +109,8 @@
 struct EntryVm {
     router: Router,
     queues: Vec<ShareQueue<Job>>,
-    /// Free slots that each peer was last known to have, by service.
-    peers_free: [[u32; SERVICES]; ENTRY_VMS],
+    /// What each peer last told, by service.
+    peers: [[State; SERVICES]; ENTRY_VMS],
     /// Last notice that a freed slot caused, by service.
     noticed_at: [Option<Duration>; SERVICES],
 }
@@ -133,7 +146,7 @@
             queues: (0..SERVICES)
                 .map(|_| ShareQueue::new(QueueLimits::default()))
                 .collect(),
-            peers_free: [[0; SERVICES]; ENTRY_VMS],
+            peers: [[State::default(); SERVICES]; ENTRY_VMS],
             noticed_at: [None; SERVICES],
         };
         let mut run = Self {
@@ -203,9 +216,9 @@
                 from,
                 to,
                 service,
-                free,
+                state,
             } => {
-                self.entry_vms[to].peers_free[from][service] = free;
+                self.entry_vms[to].peers[from][service] = state;
                 self.start_waiting(to, service);
             }
             Event::NoticeTick(entry_vm) => self.on_notice_tick(entry_vm),
@@ -224,9 +237,20 @@
                 let job = Job {
                     number,
                     origin,
+                    waits_at_peer: false,
                     retried: false,
                 };
-                self.wait(origin, job);
+                match self.shorter_wait(origin, request.service) {
+                    Some(peer) => {
+                        let job = Job {
+                            waits_at_peer: true,
+                            ..job
+                        };
+                        self.entry_vms[origin].peers[peer][request.service].waiting += 1;
+                        self.forward(origin, peer, request.service, job);
+                    }
+                    None => self.wait(origin, job),
+                }
             }
         }
     }
@@ -291,11 +315,29 @@
         next.map(|next| next.item)
     }
 
+    /// Returns a peer at which a new request would wait less by [`WAIT_MARGIN`].
+    fn shorter_wait(&mut self, entry_vm: usize, service: usize) -> Option<usize> {
+        let vm = &self.entry_vms[entry_vm];
+        let waiting = vm.queues[service].len() as u32;
+        if !self.way.balances_waits || waiting == 0 {
+            return None;
+        }
+        let wait = |entry_vm: usize, waiting: u32| {
+            let slots = owned_slots(self.way.ownership, service, entry_vm);
+            f64::from(waiting + 1) / f64::from(slots.max(1))
+        };
+        let own = wait(entry_vm, waiting);
+        let peers = (0..ENTRY_VMS).filter(|&peer| peer != entry_vm);
+        let waits = peers.map(|peer| (wait(peer, vm.peers[peer][service].waiting), peer));
+        let (least, peer) = waits.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        (own > least + WAIT_MARGIN).then_some(peer)
+    }
+
     /// Chooses a peer in proportion to the free slots that it is said to have.
     fn choose_peer(&mut self, entry_vm: usize, service: usize) -> Option<usize> {
         let free = self.entry_vms[entry_vm]
-            .peers_free
-            .map(|peer| peer[service]);
+            .peers
+            .map(|peer| peer[service].free);
         let sum: u32 = free.iter().sum();
         if sum == 0 {
             return None;
@@ -309,7 +351,8 @@
     }
 
     fn forward(&mut self, from: usize, to: usize, service: usize, job: Job) {
-        self.entry_vms[from].peers_free[to][service] -= 1;
+        let told = &mut self.entry_vms[from].peers[to][service];
+        told.free = told.free.saturating_sub(1);
         self.record.hops += 1;
         let at = self.now + one_way(zone_of_entry_vm(from), zone_of_entry_vm(to));
         self.events.add(at, Event::Forwarded { to, job });
@@ -327,6 +370,7 @@
         };
         match slot {
             Some(slot) => self.send(to, slot, job),
+            None if job.waits_at_peer && !lost => self.wait(to, job),
             None => {
                 self.record.declined += 1;
                 let at = self.now + self.between(to, job.origin);
@@ -341,7 +385,7 @@
             return;
         }
         let service = self.requests[job.number].service;
-        self.entry_vms[job.origin].peers_free[by][service] = 0;
+        self.entry_vms[job.origin].peers[by][service].free = 0;
         self.wait(job.origin, job);
     }
 
@@ -467,7 +511,7 @@
         }
         vm.noticed_at[service] = Some(self.now);
         for peer in 0..ENTRY_VMS {
-            self.notice(entry_vm, peer, service, free);
+            self.notice(entry_vm, peer, service);
         }
     }
 
@@ -476,11 +520,8 @@
             return;
         }
         for service in 0..SERVICES {
-            let free = self.entry_vms[entry_vm]
-                .router
-                .free_slots(self.services[service]);
             for peer in 0..ENTRY_VMS {
-                self.notice(entry_vm, peer, service, free);
+                self.notice(entry_vm, peer, service);
             }
         }
         // One regular message carries all services.
@@ -492,17 +533,22 @@
         self.events.add(at, Event::NoticeTick(entry_vm));
     }
 
-    fn notice(&mut self, from: usize, to: usize, service: usize, free: u32) {
+    fn notice(&mut self, from: usize, to: usize, service: usize) {
         if from == to {
             return;
         }
+        let vm = &self.entry_vms[from];
+        let state = State {
+            free: vm.router.free_slots(self.services[service]),
+            waiting: vm.queues[service].len() as u32,
+        };
         self.record.notices += 1;
         let at = self.now + self.between(from, to);
         let notice = Event::Notice {
             from,
             to,
             service,
-            free,
+            state,
         };
         self.events.add(at, notice);
     }
@@ -581,6 +627,13 @@
     }
 }
 
+/// Returns the slots of a service that belong to an entry VM's shard.
+fn owned_slots(ownership: Ownership, service: usize, shard: usize) -> u16 {
+    servers_of(service)
+        .map(|server| dealt_slots(ownership, server, shard))
+        .sum()
+}
+
 /// Returns the slots of a server that belong to an entry VM's shard.
 fn dealt_slots(ownership: Ownership, server: usize, shard: usize) -> u16 {
     let owners = entry_vms_of(zone_of_server(server));
