--- a/crates/snipevane-entry/src/caller/listener.rs
+++ b/crates/snipevane-entry/src/caller/listener.rs
@@ -62,7 +62,7 @@
     let reply = respond(node.clone(), req).await;
     if let Reply::Refused(refusal) = &reply {
         let status = refusal.status.as_u16();
-        node.journal.record(
+        node.record(
             &kinds::CALLER_REFUSED,
             &[&status, &refusal.title, &refusal.detail],
         );
--- a/crates/snipevane-entry/src/control/config.rs
+++ b/crates/snipevane-entry/src/control/config.rs
@@ -133,8 +133,7 @@
             Ok(manifest) => manifest,
             Err(error) => {
                 let reason = SmolStr::new(error.to_string());
-                self.journal
-                    .record(&kinds::CONFIG_UNREADABLE, &[&version, &reason]);
+                self.record(&kinds::CONFIG_UNREADABLE, &[&version, &reason]);
                 return;
             }
         };
@@ -150,10 +149,9 @@
         if !changed {
             return;
         }
-        self.journal
-            .record(&kinds::CONFIG_IN_FORCE, &[&version, &source]);
+        self.record(&kinds::CONFIG_IN_FORCE, &[&version, &source]);
         if first {
-            self.journal.record(&kinds::READY, &[&version]);
+            self.record(&kinds::READY, &[&version]);
         }
         self.dispatch();
     }
--- a/crates/snipevane-entry/src/control/heartbeats.rs
+++ b/crates/snipevane-entry/src/control/heartbeats.rs
@@ -26,7 +26,7 @@
         let silent = self.node.settings.timings.peer_silent;
         let lost = self.node.state().peers.mark_silent(self.node.now(), silent);
         for vm in lost {
-            self.node.journal.record(&kinds::PEER_SILENT, &[&vm]);
+            self.node.record(&kinds::PEER_SILENT, &[&vm]);
         }
     }
 
@@ -37,7 +37,6 @@
         };
         if let Err(reason) = self.node.on_heartbeat(&answer) {
             self.node
-                .journal
                 .record(&kinds::PEER_MESSAGE_REFUSED, &[vm, &reason]);
         }
     }
--- a/crates/snipevane-entry/src/control/mod.rs
+++ b/crates/snipevane-entry/src/control/mod.rs
@@ -112,7 +112,7 @@
                 };
                 drop(state);
                 let away_ms = now.duration_since(since).as_millis();
-                self.node.journal.record(&kinds::PLATFORM_BACK, &[&away_ms]);
+                self.node.record(&kinds::PLATFORM_BACK, &[&away_ms]);
             }
             Err(error) => {
                 if state.platform_away_since.is_some() {
@@ -120,7 +120,7 @@
                 }
                 state.platform_away_since = Some(now);
                 drop(state);
-                self.node.journal.record(&kinds::PLATFORM_AWAY, &[error]);
+                self.node.record(&kinds::PLATFORM_AWAY, &[error]);
             }
         }
     }
@@ -131,7 +131,6 @@
             Ok(value) => Some(value),
             Err(error) => {
                 self.node
-                    .journal
                     .record(&kinds::ROW_UNREADABLE, &[&row.key, &error]);
                 None
             }
--- a/crates/snipevane-entry/src/control/shards.rs
+++ b/crates/snipevane-entry/src/control/shards.rs
@@ -82,7 +82,7 @@
             state.limit_deals.let_go(&name);
             state.slot_deals.let_go(&name);
             state.refresh_allowances();
-            self.node.journal.record(&kinds::SHARD_LOST, &[&name, &vm]);
+            self.node.record(&kinds::SHARD_LOST, &[&name, &vm]);
         }
     }
 
@@ -181,7 +181,6 @@
     ) {
         let usable_ms = usable_after.as_millis();
         self.node
-            .journal
             .record(&kinds::SHARD_TAKEN, &[&name, &row.epoch, &usable_ms]);
         let mut claims = Claims::new(ClaimSettings::default(), floor_ms);
         claims.set_ceiling(row.ceiling_ms);
@@ -241,9 +240,7 @@
                 .write_shard(&shard.name, &row, Some(shard.row_version), None)
                 .await;
             if written.is_some() {
-                self.node
-                    .journal
-                    .record(&kinds::SHARD_RELEASED, &[&shard.name]);
+                self.node.record(&kinds::SHARD_RELEASED, &[&shard.name]);
             }
         }
     }
--- a/crates/snipevane-entry/src/daemon.rs
+++ b/crates/snipevane-entry/src/daemon.rs
@@ -103,8 +103,7 @@
         let node = Node::new(settings, clock, peer_address);
         let vm = &node.settings.vm;
         let zone = &node.settings.zone;
-        node.journal
-            .record(&kinds::STARTED, &[vm, zone, &node.incarnation]);
+        node.record(&kinds::STARTED, &[vm, zone, &node.incarnation]);
         let control = Arc::new(Control {
             node,
             platform,
@@ -156,7 +155,7 @@
         if !node.begin_stop() {
             return;
         }
-        node.journal.record(&kinds::STOPPING, &[&node.in_flight()]);
+        node.record(&kinds::STOPPING, &[&node.in_flight()]);
         // Peers learn that they should send no more requests here.
         self.control.send_heartbeats().await;
         sleep(node.settings.timings.stop_notice).await;
@@ -168,7 +167,7 @@
         }
         self.control.release_shards().await;
         self.abandon();
-        node.journal.record(&kinds::STOPPED, &[&0]);
+        node.record(&kinds::STOPPED, &[&0]);
     }
 
     /// Ends at once, as a crash would, but for what is already on its way.
--- a/crates/snipevane-entry/src/journal/mod.rs
+++ b/crates/snipevane-entry/src/journal/mod.rs
@@ -5,5 +5,5 @@
 mod setup;
 
 pub use kinds::{CATALOGUE, EventKind};
-pub use record::{Journal, Recorded};
+pub use record::Journal;
 pub use setup::init_log;
--- a/crates/snipevane-entry/src/journal/record.rs
+++ b/crates/snipevane-entry/src/journal/record.rs
@@ -1,36 +1,98 @@
-//! Records events.
+//! Records events in the log and in the time line.
 
 use std::fmt::{Display, Write};
 
-use log::log;
-use smol_str::SmolStr;
+use log::{log, log_enabled};
+use parking_lot::Mutex;
+use smol_str::{SmolStr, ToSmolStr};
+use snipevane_core::timeline::{EventRing, Field, Filter, Hlc, HlcClock, Level, RingLimits};
+use snipevane_proto::operator::{Events, ProcessId};
 
 use super::EventKind;
 
 /// Target of the log records.
 const TARGET: &str = "snipevane";
 
-/// An event as it was recorded.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Recorded {
-    /// Number of the kind.
-    pub number: u16,
-    /// Names and values of the fields.
-    pub fields: Vec<(SmolStr, SmolStr)>,
+/// Records events of one process.
+#[derive(Debug)]
+pub struct Journal {
+    timeline: Mutex<Timeline>,
 }
 
-/// Records events of one process.
-#[derive(Debug, Default)]
-pub struct Journal;
+#[derive(Debug)]
+struct Timeline {
+    clock: HlcClock,
+    ring: EventRing,
+}
 
 impl Journal {
-    /// Records an event with its fields, in the order of the catalogue.
-    pub fn record(&self, kind: &EventKind, values: &[&dyn Display]) {
+    /// Creates the journal of a process.
+    pub fn new(process: ProcessId) -> Self {
+        let ring = EventRing::new(process, RingLimits::default());
+        Self {
+            timeline: Mutex::new(Timeline {
+                clock: HlcClock::default(),
+                ring,
+            }),
+        }
+    }
+
+    /// Records an event at a wall-clock time, with its fields in the order of the catalogue.
+    ///
+    /// Details (level debug) go to the log only, so that they don't push the others out of the
+    /// time line.
+    pub fn record(&self, kind: &EventKind, unix_ms: u64, values: &[&dyn Display]) {
+        let detail = kind.level > log::Level::Info;
+        if detail && !log_enabled!(target: TARGET, kind.level) {
+            return;
+        }
+        let fields: Vec<Field> = kind
+            .fields
+            .iter()
+            .zip(values)
+            .map(|(name, value)| Field::new(SmolStr::new_static(name), value.to_smolstr()))
+            .collect();
         let mut line = format!("SV{} {}", kind.number, kind.text);
-        for (name, value) in kind.fields.iter().zip(values) {
+        for field in &fields {
             // Writing to a string can't fail.
-            let _ = write!(line, " {name}={value}");
+            let _ = write!(line, " {}={}", field.name, field.value);
         }
         log!(target: TARGET, kind.level, "{line}");
+        if detail {
+            return;
+        }
+        let mut timeline = self.timeline.lock();
+        let at = timeline.clock.tick(unix_ms);
+        timeline
+            .ring
+            .push(at, kind.number, level(kind.level), kind.text, fields);
+    }
+
+    /// Returns the time that goes with a message.
+    pub fn time_of_message(&self, unix_ms: u64) -> u64 {
+        self.timeline.lock().clock.tick(unix_ms).pack()
+    }
+
+    /// Takes over the time that came with a message; a time too far ahead is left out.
+    pub fn observe(&self, packed: u64, unix_ms: u64) {
+        let _ = self
+            .timeline
+            .lock()
+            .clock
+            .observe(Hlc::unpack(packed), unix_ms);
+    }
+
+    /// Returns the events of this process that pass a filter.
+    pub fn select(&self, filter: &Filter) -> Events {
+        self.timeline.lock().ring.select(filter)
+    }
+}
+
+fn level(level: log::Level) -> Level {
+    match level {
+        log::Level::Error => Level::Error,
+        log::Level::Warn => Level::Warn,
+        log::Level::Info => Level::Info,
+        log::Level::Debug | log::Level::Trace => Level::Debug,
     }
 }
--- a/crates/snipevane-entry/src/node.rs
+++ b/crates/snipevane-entry/src/node.rs
@@ -1,5 +1,6 @@
 //! An entry VM's process: its state and what works on it.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -8,11 +9,12 @@
 use parking_lot::{Mutex, MutexGuard};
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
+use snipevane_proto::operator::ProcessId;
 use tokio::sync::watch;
 use uuid::Uuid;
 
 use crate::backend::{ConnectionPool, PoolSettings};
-use crate::journal::Journal;
+use crate::journal::{EventKind, Journal};
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -51,10 +53,15 @@
         for peer in &settings.peers {
             state.peers.add(&peer.vm, &peer.zone, peer.address);
         }
+        let incarnation = Uuid::now_v7();
+        let process = ProcessId {
+            vm: settings.vm.to_string(),
+            incarnation,
+        };
         Arc::new(Self {
-            incarnation: Uuid::now_v7(),
+            incarnation,
             peer_address,
-            journal: Journal,
+            journal: Journal::new(process),
             backends: ConnectionPool::new(pool),
             forwards: ConnectionPool::new(pool),
             hints: watch::Sender::new(0),
@@ -66,6 +73,11 @@
         })
     }
 
+    /// Records an event with its fields, in the order of the catalogue.
+    pub(crate) fn record(&self, kind: &EventKind, values: &[&dyn Display]) {
+        self.journal.record(kind, self.clock.unix_ms(), values);
+    }
+
     /// Locks the state; never held over an await point.
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock()
--- a/crates/snipevane-entry/src/operator/apply.rs
+++ b/crates/snipevane-entry/src/operator/apply.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 use http::StatusCode;
+use serde_json::Value;
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
-use snipevane_core::config::Findings;
 use snipevane_platform::{
     Check, CommitError, PlatformError, Row, Transaction, Write, commit_resolved,
 };
+use snipevane_proto::manifest::canonical_text;
 use snipevane_proto::operator::{Applied, ApplyRequest, Problem};
 use snipevane_proto::rows::{CONFIG_HEAD, CONFIG_VERSION, ConfigHead, ConfigVersion};
 
@@ -46,8 +47,7 @@
     }
 
     async fn try_apply(&self, req: ApplyRequest) -> Result<Applied, ApplyError> {
-        let text = req.manifest.to_string();
-        check(&text)?;
+        let text = checked_text(&req.manifest)?;
         let hash = blake3::hash(text.as_bytes()).to_hex().to_string();
         let row = self.platform.read(CONFIG_HEAD).await?;
         let head = row.as_ref().map(|row| self.parse_head(row)).transpose()?;
@@ -81,9 +81,7 @@
         ];
         match commit_resolved(&self.platform, Transaction::new(vec![check], writes)).await {
             Ok(_) => {
-                self.node
-                    .journal
-                    .record(&kinds::CONFIG_ACCEPTED, &[&version]);
+                self.node.record(&kinds::CONFIG_ACCEPTED, &[&version]);
                 Ok(Applied {
                     version,
                     already_in_force: false,
@@ -113,13 +111,18 @@
     }
 }
 
-fn check(text: &str) -> Result<(), ApplyError> {
-    let Err(error) = serde_json::from_str::<snipevane_proto::manifest::Manifest>(text) else {
-        return Ok(());
-    };
-    let mut findings = Findings::new("manifest");
-    findings.add("", error.to_string(), "");
-    Err(ApplyError::Refused(Box::new(findings_problem(&findings))))
+/// Checks a manifest and returns the one text from which its hash is made.
+fn checked_text(manifest: &Value) -> Result<String, ApplyError> {
+    let refused = |problem| ApplyError::Refused(Box::new(problem));
+    let manifest = snipevane_core::config::check(&manifest.to_string(), "manifest")
+        .map_err(|findings| refused(findings_problem(&findings)))?;
+    canonical_text(&manifest).map_err(|error| {
+        refused(problem(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the manifest can't be stored",
+            error.to_string(),
+        ))
+    })
 }
 
 fn conflict(in_force: u64) -> ApplyError {
--- a/crates/snipevane-entry/src/operator/keys.rs
+++ b/crates/snipevane-entry/src/operator/keys.rs
@@ -62,9 +62,7 @@
             return platform_away(error.to_string(), PLATFORM_RETRY);
         }
         self.node.state().keys.merge(row.clone());
-        self.node
-            .journal
-            .record(&kinds::KEY_GIVEN, &[&row.id, &row.team]);
+        self.node.record(&kinds::KEY_GIVEN, &[&row.id, &row.team]);
         json(&GivenKey {
             id,
             team: req.team,
@@ -84,7 +82,6 @@
             state.keys.changes_since(u64::MAX).1
         };
         self.node
-            .journal
             .record(&kinds::KEY_WITHDRAWN, &[&row.id, &row.team]);
         let (stored, ()) = tokio::join!(self.store_withdrawal(&row), self.spread(sequence));
         let (confirmed_zones, unconfirmed_zones) = self.zones_with(sequence);
--- a/crates/snipevane-entry/src/operator/listener.rs
+++ b/crates/snipevane-entry/src/operator/listener.rs
@@ -73,6 +73,9 @@
     match (&parts.method, segments.as_slice()) {
         (&Method::GET, ["metrics"]) => text(metrics.render(&control.node)),
         (&Method::GET, ["v1", "status"]) => json(&control.status()),
+        (&Method::GET, ["v1", "events"]) => {
+            json(&control.events(parts.uri.query().unwrap_or_default()))
+        }
         (&Method::GET, ["v1", "config"]) => control.config(),
         (&Method::POST, ["v1", "config"]) => match read_json(body).await {
             Ok(req) => control.apply(req).await,
--- a/crates/snipevane-entry/src/operator/mod.rs
+++ b/crates/snipevane-entry/src/operator/mod.rs
@@ -1,6 +1,7 @@
 //! The listener for operators and metrics.
 
 mod apply;
+mod events;
 mod keys;
 mod listener;
 mod reply;
--- a/crates/snipevane-entry/src/peer/rpc.rs
+++ b/crates/snipevane-entry/src/peer/rpc.rs
@@ -40,8 +40,7 @@
         let node = &self.0;
         let vm = SmolStr::new(&heartbeat.vm);
         if let Err(reason) = node.on_heartbeat(&heartbeat) {
-            node.journal
-                .record(&kinds::PEER_MESSAGE_REFUSED, &[&vm, &reason]);
+            node.record(&kinds::PEER_MESSAGE_REFUSED, &[&vm, &reason]);
             return Err(ErrorObjectOwned::owned(
                 BAD_MESSAGE,
                 reason.to_string(),
@@ -91,7 +90,7 @@
             keys,
             keys_sequence,
             keys_seen: merged,
-            logical_time: 0,
+            logical_time: self.journal.time_of_message(self.clock.unix_ms()),
         }
     }
 
@@ -116,6 +115,8 @@
             .iter()
             .map(key_row)
             .collect::<Result<Vec<_>, _>>()?;
+        self.journal
+            .observe(heartbeat.logical_time, self.clock.unix_ms());
         let now = self.now();
         let mut state = self.state();
         let news = state.peers.on_heartbeat(heartbeat, address, now);
@@ -134,7 +135,7 @@
         }
         drop(state);
         if news {
-            self.journal.record(
+            self.record(
                 &kinds::PEER_REACHABLE,
                 &[&heartbeat.vm, &heartbeat.incarnation],
             );
--- a/crates/snipevane-entry/src/request/run.rs
+++ b/crates/snipevane-entry/src/request/run.rs
@@ -162,7 +162,7 @@
         Ok(Err(error)) => {
             let vm = grant.vm();
             let team = &work.head.identity.name;
-            node.journal.record(
+            node.record(
                 &kinds::EXCHANGE_INTERRUPTED,
                 &[&vm, team, &work.exchange, &error],
             );
@@ -179,8 +179,7 @@
         Err(_) => {
             let vm = grant.vm();
             let team = &work.head.identity.name;
-            node.journal
-                .record(&kinds::RUN_OVER_TIME, &[&vm, team, &work.exchange]);
+            node.record(&kinds::RUN_OVER_TIME, &[&vm, team, &work.exchange]);
             grant.report(Report::Failed);
             Step::Done(Reply::Refused(interrupted()))
         }
--- a/crates/snipevane-entry/src/signs.rs
+++ b/crates/snipevane-entry/src/signs.rs
@@ -29,8 +29,7 @@
         if leaving {
             state.router.set_leaving(vm, true);
             drop(state);
-            self.journal
-                .record(&kinds::SERVER_LEAVING, &[&vm, &"header"]);
+            self.record(&kinds::SERVER_LEAVING, &[&vm, &"header"]);
         }
     }
 }
--- /dev/null
+++ b/tests/tests/events.rs
@@ -0,0 +1,34 @@
+//! The page of events and the catalogue in the code say the same.
+
+use snipevane_entry::journal::CATALOGUE;
+
+const PAGE: &str = include_str!("../../docs/events.md");
+
+#[test]
+fn the_page_lists_every_event_of_the_catalogue() {
+    let rows: Vec<[&str; 4]> = PAGE
+        .lines()
+        .filter(|line| line.starts_with("| SV"))
+        .map(|line| {
+            let cells: Vec<&str> = line.trim_matches('|').split('|').map(str::trim).collect();
+            assert_eq!(cells.len(), 5, "{line}");
+            assert!(!cells[4].is_empty(), "no advice: {line}");
+            [cells[0], cells[1], cells[2], cells[3]]
+        })
+        .collect();
+    let catalogue: Vec<[String; 4]> = CATALOGUE
+        .iter()
+        .map(|kind| {
+            let level = kind.level.as_str().to_lowercase();
+            [
+                format!("SV{}", kind.number),
+                level,
+                kind.text.to_owned(),
+                kind.fields.join(", "),
+            ]
+        })
+        .collect();
+    assert_eq!(rows, catalogue);
+    let numbers: Vec<u16> = CATALOGUE.iter().map(|kind| kind.number).collect();
+    assert!(numbers.is_sorted_by(|a, b| a < b), "{numbers:?}");
+}
