--- a/crates/snipevane-entry/src/request/place.rs
+++ b/crates/snipevane-entry/src/request/place.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
 use snipevane_core::shares::{WaitKey, Waiting};
+use tokio::sync::oneshot::error::TryRecvError;
 use tokio::sync::{oneshot, watch};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -43,7 +44,7 @@
 pub(crate) async fn place<C: Clock>(
     node: &Arc<Node<C>>,
     work: &Work,
-    may_forward: bool,
+    may_choose: bool,
     cancel: &CancellationToken,
 ) -> Result<Placement<C>, Refusal> {
     let mut hints = node.hints();
@@ -54,7 +55,9 @@
         return Ok(Placement::Here(grant));
     }
     loop {
-        if may_forward && let Some(place) = peer_place(node, work) {
+        if work.may_forward
+            && let Some(place) = peer_place(node, work, may_choose)
+        {
             return Ok(wait.leave_for(place));
         }
         let remaining = work.start_by.saturating_duration_since(node.now());
@@ -80,7 +83,13 @@
 }
 
 /// Looks for a peer that has what is missing here.
-fn peer_place<C: Clock>(node: &Arc<Node<C>>, work: &Work) -> Option<PeerPlace<C>> {
+///
+/// With `may_choose` false, peers that seemed to have room had none, so hints aren't followed.
+fn peer_place<C: Clock>(
+    node: &Arc<Node<C>>,
+    work: &Work,
+    may_choose: bool,
+) -> Option<PeerPlace<C>> {
     let mut guard = node.state();
     let state = &mut *guard;
     let team = (work.needs_unit()).then_some(work.head.identity.name.as_str());
@@ -93,6 +102,9 @@
         waits,
     };
     let Some(team) = team else {
+        if !may_choose {
+            return None;
+        }
         let need = Need {
             service,
             team: None,
@@ -104,7 +116,7 @@
             .map(|peer| at_peer(peer, None, false));
     };
     // With a unit here, only a slot is missing.
-    if state.limits.free(work.head.identity.team) > 0 {
+    if may_choose && state.limits.free(work.head.identity.team) > 0 {
         let need = Need {
             service,
             team: None,
@@ -120,7 +132,7 @@
         team: Some(team),
         zone: &zone,
     };
-    if let Some(peer) = state.peers.choose(need) {
+    if may_choose && let Some(peer) = state.peers.choose(need) {
         return Some(at_peer(peer, None, false));
     }
     // No unit is dealt to this entry VM, so the request waits where one is.
@@ -137,6 +149,8 @@
     work: &'a Work,
     key: WaitKey,
     rx: oneshot::Receiver<GrantParts>,
+    /// Whether the receiver gave a grant or was closed by the queue.
+    ended: bool,
 }
 
 impl<'a, C: Clock> Wait<'a, C> {
@@ -151,7 +165,7 @@
             ));
         };
         let waiting = Waiting {
-            team: work.head.identity.team,
+            team: work.queued_team(),
             urgency: work.urgency,
             start_by: work.start_by,
             item: Waiter {
@@ -165,21 +179,41 @@
                 work,
                 key,
                 rx,
+                ended: false,
             }),
             Err(full) => Err(Refusal::busy("too many requests wait", full.retry_after)),
         }
     }
 
     fn granted(&mut self) -> Option<Grant<C>> {
-        let parts = self.rx.try_recv().ok()?;
-        Some(Grant::new(self.node.clone(), parts))
+        if self.ended {
+            return None;
+        }
+        match self.rx.try_recv() {
+            Ok(parts) => {
+                self.ended = true;
+                Some(Grant::new(self.node.clone(), parts))
+            }
+            Err(TryRecvError::Empty) => None,
+            Err(TryRecvError::Closed) => {
+                self.ended = true;
+                None
+            }
+        }
     }
 
     async fn next_grant(&mut self) -> Result<Grant<C>, Refusal> {
-        match (&mut self.rx).await {
-            Ok(parts) => Ok(Grant::new(self.node.clone(), parts)),
+        // A receiver that has ended must not be asked again.
+        let received = if self.ended {
+            None
+        } else {
+            Some((&mut self.rx).await)
+        };
+        self.ended = true;
+        match received {
+            Some(Ok(parts)) => Ok(Grant::new(self.node.clone(), parts)),
             // The queue dropped the request, because its time ran out or its service is gone.
-            Err(_) => Err(self.work.refuse_busy(self.node)),
+            Some(Err(_)) | None => Err(self.work.refuse_busy(self.node)),
         }
     }
 
--- a/crates/snipevane-entry/src/request/run.rs
+++ b/crates/snipevane-entry/src/request/run.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use slotmap::Key;
 use snipevane_core::clock::Clock;
+use snipevane_core::ids::TeamKey;
 use snipevane_core::routing::Report;
 use snipevane_proto::headers::{DEADLINE_MS, EXCHANGE, IDEMPOTENCY_KEY, Outcome, QUEUE, TEAM};
 use snipevane_proto::manifest::Urgency;
@@ -62,6 +63,15 @@
         !self.unit_held && !self.head.identity.team.is_null()
     }
 
+    /// Returns the team whose units are waited for; the null key if none is needed.
+    pub(crate) fn queued_team(&self) -> TeamKey {
+        if self.unit_held {
+            TeamKey::null()
+        } else {
+            self.head.identity.team
+        }
+    }
+
     /// Returns the refusal of a request that found no place in time.
     pub(crate) fn refuse_busy<C: Clock>(&self, node: &Node<C>) -> Refusal {
         let state = node.state();
@@ -90,8 +100,8 @@
     let mut forwards = 0;
     node.state().retries.on_request(work.head.identity.team);
     loop {
-        let may_forward = work.may_forward && forwards < MAX_FORWARDS;
-        let placement = match place(&node, &work, may_forward, &cancel).await {
+        let may_choose = forwards < MAX_FORWARDS;
+        let placement = match place(&node, &work, may_choose, &cancel).await {
             Ok(placement) => placement,
             Err(refusal) => return Reply::Refused(refusal),
         };
@@ -278,7 +288,11 @@
         Some(Outcome::NotRun) => {
             work.sent.store(false, Ordering::SeqCst);
             node.state().note_no_room(&peer.vm, work);
-            Step::Elsewhere
+            if peer.waits {
+                Step::Retry
+            } else {
+                Step::Elsewhere
+            }
         }
         Some(Outcome::Unknown) => Step::Done(Reply::Relayed(answer)),
         None => Step::Done(Reply::Refused(interrupted())),
--- a/crates/snipevane-entry/src/request/serve.rs
+++ b/crates/snipevane-entry/src/request/serve.rs
@@ -28,6 +28,9 @@
 /// Time after which a caller asks again when a shard has no reachable holder.
 const SHARD_RETRY: Duration = Duration::from_secs(2);
 
+/// Shortest wait of a forwarded request; peers' hints lag by about as much.
+const SHORTEST_WAIT: Duration = Duration::from_millis(20);
+
 /// How a request reached this entry VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Origin {
@@ -75,7 +78,9 @@
     let now = node.now();
     let deadline = now + head.deadline;
     let (unit_held, start_by) = match origin {
-        Origin::Place { unit_held, wait } => (unit_held, deadline.min(now + wait)),
+        Origin::Place { unit_held, wait } => {
+            (unit_held, deadline.min(now + wait.max(SHORTEST_WAIT)))
+        }
         Origin::Caller | Origin::Claim => (false, deadline),
     };
     let urgency = node
--- a/tests/src/site/running.rs
+++ b/tests/src/site/running.rs
@@ -211,6 +211,11 @@
         self.platform_client().post_json("/vms", &list).await;
     }
 
+    /// Returns clients of all entry VMs, without a key.
+    pub fn callers(&self) -> Vec<Caller> {
+        self.entries.iter().map(EntryVm::caller).collect()
+    }
+
     /// Returns a client of the platform's stand-in.
     pub fn platform_client(&self) -> Caller {
         Caller::new(self.platform.addresses[0])
