--- a/crates/snipevane-measure/src/flags.rs
+++ b/crates/snipevane-measure/src/flags.rs
@@ -38,6 +38,13 @@
             /// Seeds the demand and the faults.
             optional --seed seed: u64
         }
+        /// Runs the writes to the platform through an outage, beside a naive version.
+        cmd outage {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Seeds the demand and the jitter.
+            optional --seed seed: u64
+        }
     }
 }
 
--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 pub mod flags;
 pub mod fleet;
+pub mod outage;
 
 pub use error::MeasureError;
 
@@ -21,5 +22,6 @@
         SnipevaneMeasureCmd::Kandyan(cmd) => fleet::run(fleet::Setting::Kandyan, &cmd.output()),
         SnipevaneMeasureCmd::Kartvel(cmd) => fleet::run(fleet::Setting::Kartvel, &cmd.output()),
         SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
+        SnipevaneMeasureCmd::Outage(cmd) => outage::run(cmd),
     }
 }
