--- a/crates/snipevane-core/src/timeline/merge.rs
+++ b/crates/snipevane-core/src/timeline/merge.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use snipevane_proto::operator::{DroppedEvents, Event, Events, Timeline};
+use uuid::Uuid;
 
 /// Merges the events of several processes in causal order.
 ///
@@ -46,7 +47,7 @@
     }
 }
 
-fn order(event: &Event) -> (u64, u32, &str, u64, u16) {
+fn order(event: &Event) -> (u64, u32, &str, Uuid, u16) {
     let process = &event.process;
     (
         event.wall_ms,
--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod flags;
 pub mod fleet;
 pub mod outage;
+pub mod routing;
 
 pub use error::MeasureError;
 
@@ -21,6 +22,7 @@
     match &flags.subcommand {
         SnipevaneMeasureCmd::Kandyan(cmd) => fleet::run(fleet::Setting::Kandyan, &cmd.output()),
         SnipevaneMeasureCmd::Kartvel(cmd) => fleet::run(fleet::Setting::Kartvel, &cmd.output()),
+        SnipevaneMeasureCmd::Routing(cmd) => routing::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
         SnipevaneMeasureCmd::Outage(cmd) => outage::run(cmd),
     }
--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -7,10 +7,10 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod repair;
 pub mod rows;
 pub mod schema;
 pub mod settings;
-pub mod structure;
 
 #[allow(
     clippy::all,
