--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 pub mod flags;
 pub mod fleet;
+pub mod outage;
 pub mod routing;
 
 pub use error::MeasureError;
@@ -23,5 +24,6 @@
         SnipevaneMeasureCmd::Kartvel(cmd) => fleet::run(fleet::Setting::Kartvel, &cmd.output()),
         SnipevaneMeasureCmd::Routing(cmd) => routing::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
+        SnipevaneMeasureCmd::Outage(cmd) => outage::run(cmd),
     }
 }
