--- a/tests/tests/failures.rs
+++ b/tests/tests/failures.rs
@@ -119,7 +119,7 @@
         )
     });
     fault.happen(site).await;
-    let (ledger, audit) = loads.await.unwrap();
+    let (ledger, audit) = loads.await.expect("a load ends");
     [ledger, audit]
 }
 
