Decide which configuration is accepted and in force, and where it's fetched

Cause: an apply's lost answer must be resolved by reading back; a version must never fall, also where the table returns an old row; 96 entry VMs must not each load every version from the platform. Ruled out: telling from the head's row alone whether a write landed (it may have been replaced since; the row of the version, written once in the same transaction, tells for good), and taking the same hash for the same version without a check (an old row would hide that another manifest is in force). Change: core::config::in_force with Apply (steps and answers), InForce (first version after a start needs a checked read or a peer), FetchPlan (one entry VM of each zone asks the platform, the others ask it; passed over after 2 s). The command line reports a refusal with status 5xx after a lost answer as unknown.

--- a/crates/snipevane-cli/src/client.rs
+++ b/crates/snipevane-cli/src/client.rs
@@ -179,6 +179,12 @@
                 .exchange(entry, method.clone(), path, body.clone())
                 .await
             {
+                // A refusal by the next entry VM says nothing of the message whose answer was lost.
+                Exchange::Done(Err(CliError::Refused { problem, .. }))
+                    if lost && problem.status >= 500 =>
+                {
+                    failures.push(format!("{entry}: {}", problem.title));
+                }
                 Exchange::Done(result) => return result.map(|value| Reply { entry, value }),
                 Exchange::NotSent(why) => failures.push(format!("{entry}: {why}")),
                 Exchange::Lost(why) if retry == Retry::IfNotSent => {
--- a/crates/snipevane-core/src/config/mod.rs
+++ b/crates/snipevane-core/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod finding;
+pub mod in_force;
 mod site;
 
 pub use check::check;
--- /dev/null
+++ b/tests/tests/config_in_force.rs
@@ -0,0 +1,520 @@
+//! One writer wins each version, every outcome told to an operator is true, and the version in
+//! force never falls: in any order of steps, lost answers, late writes, old reads and restarts.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use rstest::rstest;
+use smol_str::SmolStr;
+use snipevane_core::config::in_force::{
+    Acceptance, Apply, ApplyOutcome, ApplyStep, CommitAnswer, FetchPlan, FetchSettings, HeadRow,
+    InForce, Landed, PeerOffer, Proof, Source,
+};
+use uuid::Uuid;
+
+/// A write of a head that was sent to the table.
+#[derive(Clone, Debug)]
+struct Write {
+    checked: Option<u64>,
+    head: HeadRow,
+}
+
+/// The table: all heads ever written, and writes that are still on their way.
+#[derive(Clone, Debug)]
+struct Table {
+    heads: Vec<HeadRow>,
+    late: Vec<Write>,
+}
+
+impl Table {
+    fn new() -> Self {
+        Self {
+            heads: vec![HeadRow::default()],
+            late: Vec::new(),
+        }
+    }
+
+    fn latest(&self) -> &HeadRow {
+        &self.heads[self.heads.len() - 1]
+    }
+
+    /// Reads the head; the row returned may be an older one.
+    fn read(&self, age: usize) -> HeadRow {
+        self.heads[self.heads.len().saturating_sub(1 + age)].clone()
+    }
+
+    fn landed(&self, version: u64, age: usize) -> Option<Landed> {
+        let seen = &self.heads[..self.heads.len().saturating_sub(age)];
+        let head = seen.iter().find(|head| head.version == version);
+        head.filter(|head| head.version > 0).map(|head| Landed {
+            write_id: head.write_id,
+        })
+    }
+
+    fn commit(&mut self, write: Write) -> bool {
+        if write.checked != self.latest().row_version {
+            return false;
+        }
+        let row_version = Some(write.checked.unwrap_or(0) + 1);
+        self.heads.push(HeadRow {
+            row_version,
+            ..write.head
+        });
+        true
+    }
+
+    fn has(&self, write_id: Uuid) -> Option<u64> {
+        let mut written = self.heads.iter().skip(1);
+        let head = written.find(|head| head.write_id == write_id);
+        head.map(|head| head.version)
+    }
+}
+
+/// An operator's attempt.
+#[derive(Clone, Debug)]
+struct Attempt {
+    apply: Apply,
+    step: ApplyStep,
+    based_on: u64,
+    hash: SmolStr,
+    write_id: Uuid,
+}
+
+/// What the platform does with the next call.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    Away,
+    LostAfter,
+    LostBefore,
+    Late,
+}
+
+/// A step of a random session.
+#[derive(Clone, Debug)]
+enum Event {
+    Apply {
+        manifest: u8,
+        behind: u64,
+    },
+    Retry {
+        who: usize,
+    },
+    Go {
+        who: usize,
+        fault: Fault,
+        age: usize,
+    },
+    DeliverLate,
+    Poll {
+        vm: usize,
+        age: usize,
+    },
+    Hear {
+        vm: usize,
+        from: usize,
+    },
+    Restart {
+        vm: usize,
+    },
+}
+
+const VMS: usize = 4;
+
+fn event() -> impl Strategy<Value = Event> {
+    let fault = prop_oneof![
+        4 => Just(Fault::None),
+        1 => Just(Fault::Away),
+        1 => Just(Fault::LostAfter),
+        1 => Just(Fault::LostBefore),
+        1 => Just(Fault::Late),
+    ];
+    let age = prop_oneof![2 => Just(0_usize), 1 => 1..4_usize];
+    prop_oneof![
+        2 => (0..4_u8, 0..3_u64).prop_map(|(manifest, behind)| Event::Apply { manifest, behind }),
+        1 => (0..8_usize).prop_map(|who| Event::Retry { who }),
+        12 => (0..8_usize, fault, age.clone())
+            .prop_map(|(who, fault, age)| Event::Go { who, fault, age }),
+        2 => Just(Event::DeliverLate),
+        3 => (0..VMS, age).prop_map(|(vm, age)| Event::Poll { vm, age }),
+        2 => (0..VMS, 0..VMS).prop_map(|(vm, from)| Event::Hear { vm, from }),
+        1 => (0..VMS).prop_map(|vm| Event::Restart { vm }),
+    ]
+}
+
+/// The whole site of the model.
+struct Model {
+    table: Table,
+    attempts: Vec<Attempt>,
+    vms: Vec<InForce>,
+    /// Highest version that each VM ever had in force, over its restarts.
+    highest: Vec<u64>,
+    next_id: u128,
+}
+
+impl Model {
+    fn new() -> Self {
+        Self {
+            table: Table::new(),
+            attempts: Vec::new(),
+            vms: vec![InForce::default(); VMS],
+            highest: vec![0; VMS],
+            next_id: 1,
+        }
+    }
+
+    fn run(&mut self, event: Event) {
+        match event {
+            Event::Apply { manifest, behind } => {
+                let based_on = self.table.latest().version.saturating_sub(behind);
+                let hash = SmolStr::new(format!("h{manifest}"));
+                let write_id = Uuid::from_u128(self.next_id);
+                self.next_id += 1;
+                self.start(based_on, hash, write_id);
+            }
+            Event::Retry { who } => {
+                let Some(attempt) = self.attempts.get(who).cloned() else {
+                    return;
+                };
+                self.start(attempt.based_on, attempt.hash, attempt.write_id);
+            }
+            Event::Go { who, fault, age } => self.go(who, fault, age),
+            Event::DeliverLate => {
+                if let Some(write) = self.table.late.pop() {
+                    self.table.commit(write);
+                }
+            }
+            Event::Poll { vm, age } => self.poll(vm, age),
+            Event::Hear { vm, from } => {
+                let version = self.vms[from].version();
+                self.offer(vm, version, Proof::Peer);
+            }
+            Event::Restart { vm } => self.vms[vm] = InForce::default(),
+        }
+    }
+
+    fn start(&mut self, based_on: u64, hash: SmolStr, write_id: Uuid) {
+        let (apply, step) = Apply::new(based_on, hash.clone(), write_id);
+        self.attempts.push(Attempt {
+            apply,
+            step,
+            based_on,
+            hash,
+            write_id,
+        });
+    }
+
+    fn go(&mut self, who: usize, fault: Fault, age: usize) {
+        let Some(mut attempt) = self.attempts.get(who).cloned() else {
+            return;
+        };
+        let away = matches!(fault, Fault::Away);
+        let table = &mut self.table;
+        attempt.step = match attempt.step {
+            ApplyStep::ReadHead => attempt.apply.on_head((!away).then(|| table.read(age))),
+            ApplyStep::CheckHead { row_version } => {
+                let same = table.latest().row_version == row_version;
+                let answer = match (away, same) {
+                    (true, _) => CommitAnswer::Unknown,
+                    (false, true) => CommitAnswer::Committed,
+                    (false, false) => CommitAnswer::Conflict,
+                };
+                attempt.apply.on_check(answer)
+            }
+            ApplyStep::PutBody => attempt.apply.on_body(!away),
+            ApplyStep::Commit {
+                row_version,
+                version,
+            } => {
+                let head = HeadRow {
+                    row_version: None,
+                    version,
+                    hash: attempt.hash.clone(),
+                    write_id: attempt.write_id,
+                };
+                let write = Write {
+                    checked: row_version,
+                    head,
+                };
+                attempt.apply.on_commit(send(table, write, fault))
+            }
+            ApplyStep::ReadLanded { version } => {
+                let answer = (!away).then(|| table.landed(version, age));
+                attempt.apply.on_landed(answer)
+            }
+            ApplyStep::Done(outcome) => ApplyStep::Done(outcome),
+        };
+        self.attempts[who] = attempt;
+    }
+
+    fn poll(&mut self, vm: usize, age: usize) {
+        let head = self.table.read(age);
+        let before = self.vms[vm].version();
+        if self.offer(vm, head.version, Proof::Read) == Acceptance::NeedsCheck
+            && self.table.latest().row_version == head.row_version
+        {
+            self.offer(vm, head.version, Proof::Checked);
+        }
+        // After a restart, the table gives nothing older than what was in force before.
+        let after = self.vms[vm].version();
+        assert!(before > 0 || after == 0 || after >= self.highest[vm]);
+    }
+
+    fn offer(&mut self, vm: usize, version: u64, proof: Proof) -> Acceptance {
+        let before = self.vms[vm].version();
+        let acceptance = self.vms[vm].offer(version, proof);
+        assert!(self.vms[vm].version() >= before);
+        self.highest[vm] = self.highest[vm].max(self.vms[vm].version());
+        acceptance
+    }
+
+    /// Compares what operators were told with what the table holds.
+    fn check(&self) {
+        let versions: Vec<u64> = self.table.heads.iter().map(|head| head.version).collect();
+        let expected: Vec<u64> = (0..).take(versions.len()).collect();
+        assert_eq!(versions, expected, "each version is written once, in order");
+        for attempt in &self.attempts {
+            let ApplyStep::Done(outcome) = attempt.step else {
+                continue;
+            };
+            let written = self.table.has(attempt.write_id);
+            // Another attempt with the same identifier may have written after this one gave up.
+            let alone = self
+                .attempts
+                .iter()
+                .filter(|other| other.write_id == attempt.write_id)
+                .count()
+                == 1;
+            match outcome {
+                ApplyOutcome::Applied {
+                    version,
+                    already_in_force: false,
+                } => {
+                    assert_eq!(written, Some(version));
+                }
+                ApplyOutcome::Applied {
+                    version,
+                    already_in_force: true,
+                } => {
+                    let head = self.table.heads.iter().find(|head| head.version == version);
+                    assert_eq!(head.map(|head| &head.hash), Some(&attempt.hash));
+                }
+                ApplyOutcome::Conflict { in_force } => {
+                    assert!(in_force <= self.table.latest().version);
+                    let decisive = alone || in_force > attempt.based_on;
+                    assert!(
+                        !decisive || written.is_none(),
+                        "told of a conflict, but it landed"
+                    );
+                }
+                ApplyOutcome::Away => {
+                    assert!(
+                        !alone || written.is_none(),
+                        "told that it's refused, but it landed"
+                    );
+                }
+                ApplyOutcome::Unknown { version } => {
+                    assert!(written.is_none_or(|written| written == version));
+                }
+            }
+        }
+    }
+}
+
+fn send(table: &mut Table, write: Write, fault: Fault) -> CommitAnswer {
+    match fault {
+        Fault::Away => CommitAnswer::NotApplied,
+        Fault::LostBefore => CommitAnswer::Unknown,
+        Fault::Late => {
+            table.late.push(write);
+            CommitAnswer::Unknown
+        }
+        Fault::LostAfter => {
+            table.commit(write);
+            CommitAnswer::Unknown
+        }
+        Fault::None if table.commit(write) => CommitAnswer::Committed,
+        Fault::None => CommitAnswer::Conflict,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_024,
+        rng_seed: prop::test_runner::RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn outcomes_are_true_and_versions_only_rise(
+        events in prop::collection::vec(event(), 1..120),
+    ) {
+        let mut model = Model::new();
+        for event in events {
+            model.run(event);
+            model.check();
+        }
+        while let Some(write) = model.table.late.pop() {
+            model.table.commit(write);
+        }
+        model.check();
+    }
+}
+
+/// Runs an attempt against a table without faults.
+fn finish(table: &mut Table, attempt: (Apply, ApplyStep), hash: &str, id: u128) -> ApplyOutcome {
+    let mut model = Model::new();
+    std::mem::swap(&mut model.table, table);
+    model.attempts.push(Attempt {
+        apply: attempt.0,
+        step: attempt.1,
+        based_on: 0,
+        hash: hash.into(),
+        write_id: Uuid::from_u128(id),
+    });
+    let outcome = loop {
+        if let ApplyStep::Done(outcome) = model.attempts[0].step {
+            break outcome;
+        }
+        model.go(0, Fault::None, 0);
+    };
+    std::mem::swap(&mut model.table, table);
+    outcome
+}
+
+fn attempt(based_on: u64, hash: &str, id: u128) -> (Apply, ApplyStep) {
+    Apply::new(based_on, hash, Uuid::from_u128(id))
+}
+
+fn applied(version: u64, already_in_force: bool) -> ApplyOutcome {
+    ApplyOutcome::Applied {
+        version,
+        already_in_force,
+    }
+}
+
+#[test]
+fn the_same_manifest_twice_is_the_same_version_and_a_return_to_it_is_a_new_one() {
+    let mut table = Table::new();
+    assert_eq!(
+        finish(&mut table, attempt(0, "a", 1), "a", 1),
+        applied(1, false)
+    );
+    assert_eq!(
+        finish(&mut table, attempt(1, "a", 2), "a", 2),
+        applied(1, true)
+    );
+    assert_eq!(
+        finish(&mut table, attempt(0, "a", 3), "a", 3),
+        applied(1, true)
+    );
+    assert_eq!(
+        finish(&mut table, attempt(1, "b", 4), "b", 4),
+        applied(2, false)
+    );
+    let raced = finish(&mut table, attempt(1, "c", 5), "c", 5);
+    assert_eq!(raced, ApplyOutcome::Conflict { in_force: 2 });
+    assert_eq!(
+        finish(&mut table, attempt(2, "a", 6), "a", 6),
+        applied(3, false)
+    );
+    // A retry of the write that made version 2 learns that it was accepted, though replaced.
+    assert_eq!(
+        finish(&mut table, attempt(1, "b", 4), "b", 4),
+        applied(2, false)
+    );
+}
+
+/// An old row with the same hash must not hide that another manifest is in force.
+#[test]
+fn an_old_row_isnt_taken_for_the_same_manifest() {
+    let mut table = Table::new();
+    finish(&mut table, attempt(0, "a", 1), "a", 1);
+    finish(&mut table, attempt(1, "b", 2), "b", 2);
+    let (mut apply, step) = attempt(1, "a", 3);
+    assert_eq!(step, ApplyStep::ReadHead);
+    let step = apply.on_head(Some(table.read(1)));
+    assert!(matches!(step, ApplyStep::CheckHead { .. }), "{step:?}");
+    let step = apply.on_check(CommitAnswer::Conflict);
+    let outcome = finish(&mut table, (apply, step), "a", 3);
+    assert_eq!(outcome, ApplyOutcome::Conflict { in_force: 2 });
+}
+
+const OWN: &str = "b-2";
+
+fn peer(vm: &str, zone: &str, reachable: bool, version: u64) -> PeerOffer {
+    PeerOffer {
+        vm: vm.into(),
+        zone: zone.into(),
+        reachable,
+        version,
+    }
+}
+
+#[rstest]
+#[case::nothing_new(Some(3), vec![peer("b-1", "b", true, 3)], None)]
+#[case::a_peer_of_the_zone_has_it(Some(4), vec![peer("b-1", "b", true, 4)], Some("b-1"))]
+#[case::the_fetcher_of_the_zone_is_at_it(Some(4), vec![peer("b-1", "b", true, 3)], None)]
+#[case::the_fetcher_is_silent(Some(4), vec![peer("b-1", "b", false, 3)], Some("platform"))]
+#[case::own_turn(Some(4), vec![peer("b-3", "b", true, 3), peer("a-1", "a", true, 4)], Some("platform"))]
+#[case::platform_away(None, vec![peer("a-1", "a", true, 4), peer("c-1", "c", true, 5)], Some("c-1"))]
+#[case::all_away(None, vec![peer("a-1", "a", false, 4)], None)]
+fn the_source_of_a_newer_version(
+    #[case] head: Option<u64>,
+    #[case] peers: Vec<PeerOffer>,
+    #[case] expected: Option<&str>,
+) {
+    let mut plan = FetchPlan::new(OWN, "b", FetchSettings::default());
+    let source = plan.next(Instant::now(), 3, head, &peers);
+    let expected = expected.map(|name| match name {
+        "platform" => Source::Platform,
+        vm => Source::Peer(vm.into()),
+    });
+    assert_eq!(source, expected);
+}
+
+#[test]
+fn a_stuck_fetcher_or_a_failed_source_is_passed_over() {
+    let settings = FetchSettings::default();
+    let mut plan = FetchPlan::new(OWN, "b", settings);
+    let start = Instant::now();
+    let peers = [peer("b-1", "b", true, 3), peer("a-1", "a", true, 4)];
+    assert_eq!(plan.next(start, 3, Some(4), &peers), None);
+    let early = start + settings.zone_patience - Duration::from_millis(1);
+    assert_eq!(plan.next(early, 3, Some(4), &peers), None);
+    let late = start + settings.zone_patience;
+    assert_eq!(plan.next(late, 3, Some(4), &peers), Some(Source::Platform));
+    plan.on_failed(Source::Platform, late);
+    let other = Some(Source::Peer("a-1".into()));
+    assert_eq!(plan.next(late, 3, Some(4), &peers), other);
+    let again = late + settings.retry_after;
+    assert_eq!(plan.next(again, 3, Some(4), &peers), Some(Source::Platform));
+}
+
+/// Over a zone of six entry VMs, one version loads the platform once.
+#[test]
+fn a_zone_fetches_a_version_from_the_platform_once() {
+    let names = ["b-1", "b-2", "b-3", "b-4", "b-5", "b-6"];
+    let mut versions = [3_u64; 6];
+    let mut plans = names.map(|vm| FetchPlan::new(vm, "b", FetchSettings::default()));
+    let mut from_platform = 0;
+    let start = Instant::now();
+    for round in 0..5_u32 {
+        let now = start + Duration::from_millis(200) * round;
+        let before = versions;
+        for (i, plan) in plans.iter_mut().enumerate() {
+            let others = (0..names.len()).filter(|other| *other != i);
+            let peers: Vec<_> = others
+                .map(|o| peer(names[o], "b", true, before[o]))
+                .collect();
+            match plan.next(now, versions[i], Some(4), &peers) {
+                Some(Source::Platform) => from_platform += 1,
+                Some(Source::Peer(_)) => {}
+                None => continue,
+            }
+            versions[i] = 4;
+        }
+    }
+    assert_eq!((versions, from_platform), ([4; 6], 1));
+}
