--- a/crates/snipevane-entry/src/control/shards.rs
+++ b/crates/snipevane-entry/src/control/shards.rs
@@ -82,7 +82,7 @@
             state.limit_deals.let_go(&name);
             state.slot_deals.let_go(&name);
             state.refresh_allowances();
-            self.node.journal.record(&kinds::SHARD_LOST, &[&name, &vm]);
+            self.node.record(&kinds::SHARD_LOST, &[&name, &vm]);
         }
     }
 
@@ -131,7 +131,10 @@
         for (name, read) in names {
             let row = read.map(|read| core_row(&read.holder));
             let gone = |vm: &str| self.is_gone(vm);
-            let decision = decide(row.as_ref(), &me, gone, unix_ms, longest_run);
+            // Under the first configuration no identifier can have belonged to another shard.
+            let fresh = row.is_none() && config_row.is_some_and(|(_, version)| version == 1);
+            let earliest = if fresh { 0 } else { unix_ms };
+            let decision = decide(row.as_ref(), &me, gone, earliest, longest_run);
             let (next, floor_ms, usable_after) = match (decision, read) {
                 (
                     Acquisition::Take {
@@ -178,7 +181,6 @@
     ) {
         let usable_ms = usable_after.as_millis();
         self.node
-            .journal
             .record(&kinds::SHARD_TAKEN, &[&name, &row.epoch, &usable_ms]);
         let mut claims = Claims::new(ClaimSettings::default(), floor_ms);
         claims.set_ceiling(row.ceiling_ms);
@@ -238,9 +240,7 @@
                 .write_shard(&shard.name, &row, Some(shard.row_version), None)
                 .await;
             if written.is_some() {
-                self.node
-                    .journal
-                    .record(&kinds::SHARD_RELEASED, &[&shard.name]);
+                self.node.record(&kinds::SHARD_RELEASED, &[&shard.name]);
             }
         }
     }
