Move the choice of a peer to the core, measured by the same run

Change: routing::Peers (peers with a free slot, nearer ones first, in proportion to it; a peer with a clearly shorter queue per slot), and routing::Notices (when the peers are told). The measurement drives them.

--- a/crates/snipevane-core/src/routing/lane.rs
+++ b/crates/snipevane-core/src/routing/lane.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Lane {
     ready: BTreeSet<(Rank, ServerKey)>,
+    /// Sum of the slots that requests may use, taken ones included.
+    pub(super) slots: u32,
     /// Sum of the free slots.
     pub(super) free: u32,
     /// Servers that neither leave nor are removed.
--- a/crates/snipevane-core/src/routing/router.rs
+++ b/crates/snipevane-core/src/routing/router.rs
@@ -181,6 +181,13 @@
         self.lanes.get(&service).map_or(0, |lane| lane.free)
     }
 
+    /// Returns the number of a service's slots that this entry VM may use.
+    ///
+    /// Servers that leave or are ejected don't count.
+    pub fn slots(&self, service: ServiceKey) -> u32 {
+        self.lanes.get(&service).map_or(0, |lane| lane.slots)
+    }
+
     /// Returns the counts of each server for the status report.
     pub fn counts(&self) -> impl Iterator<Item = Counts> {
         self.servers.values().map(Server::counts)
@@ -236,6 +243,7 @@
         };
         let lane = self.lanes.entry(server.spec.service).or_default();
         let (was_member, was_ejected) = (server.is_member(), server.is_ejected());
+        let had_slots = server.usable_slots();
         change(server);
 
         lane.members += u32::from(server.is_member());
@@ -243,6 +251,9 @@
         lane.ejected += u32::from(server.is_member() && server.is_ejected());
         lane.ejected -= u32::from(was_member && was_ejected);
 
+        lane.slots += u32::from(server.usable_slots());
+        lane.slots -= u32::from(had_slots);
+
         let free = server.free();
         lane.free = lane.free + u32::from(free) - u32::from(server.counted_free);
         server.counted_free = free;
--- a/crates/snipevane-core/src/routing/server.rs
+++ b/crates/snipevane-core/src/routing/server.rs
@@ -219,6 +219,15 @@
         capacity.saturating_sub(self.running)
     }
 
+    /// Returns the number of requests that the server may run at once.
+    pub(super) fn usable_slots(&self) -> u16 {
+        if self.is_member() && !self.is_ejected() {
+            self.capacity()
+        } else {
+            0
+        }
+    }
+
     /// Returns the load relative to the capacity, failures counted as load.
     pub(super) fn score(&self) -> u32 {
         // A probe that waits for the other servers to fill up would never come at low load.
--- /dev/null
+++ b/crates/snipevane-measure/src/routing/entry_vm.rs
@@ -0,0 +1,186 @@
+//! One entry VM of a run with owned slots.
+
+use std::time::Instant;
+
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+use snipevane_core::ids::{ServerKey, ServiceKey, TeamKey};
+use snipevane_core::routing::{
+    Distance, Load, Notices, Peers, RetryBudget, Router, ServerSpec, Slot,
+};
+use snipevane_core::shares::{QueueLimits, ShareQueue, Waiting};
+use snipevane_proto::manifest::Urgency;
+
+use super::layout::{
+    CONNECTIONS_PER_ENTRY_VM, ENTRY_VMS, SERVERS, SERVICES, SLOTS, ZONES, entry_vms_of, service_of,
+    zone_of_entry_vm, zone_of_server,
+};
+
+/// Which entry VM owns a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ownership {
+    /// A server's slots are dealt to all entry VMs of its zone.
+    Dealt,
+    /// All slots of a server belong to one entry VM of its zone.
+    Home,
+}
+
+/// A request on its way, with the entry VM that its caller reached.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Job {
+    pub(super) number: usize,
+    pub(super) origin: usize,
+    /// Whether the request may wait at the peer that it was forwarded to.
+    pub(super) waits_at_peer: bool,
+    pub(super) retried: bool,
+}
+
+/// Keys of the services and of the team that sends all requests.
+#[derive(Clone, Debug)]
+pub(super) struct Keys {
+    pub(super) services: Vec<ServiceKey>,
+    pub(super) team: TeamKey,
+}
+
+impl Keys {
+    pub(super) fn new() -> Self {
+        let mut services = SlotMap::with_key();
+        Self {
+            services: (0..SERVICES).map(|_| services.insert(())).collect(),
+            team: SlotMap::with_key().insert(()),
+        }
+    }
+}
+
+/// What came of taking the next waiting request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Popped {
+    pub(super) job: Option<Job>,
+    /// Requests that had waited too long.
+    pub(super) late: usize,
+}
+
+/// State of an entry VM.
+pub(super) struct EntryVm {
+    keys: Keys,
+    pub(super) router: Router,
+    pub(super) queues: Vec<ShareQueue<Job>>,
+    pub(super) peers: Peers,
+    pub(super) notices: Notices,
+    pub(super) retries: RetryBudget,
+}
+
+impl EntryVm {
+    pub(super) fn new(number: usize, keys: Keys) -> Self {
+        let mut peers = Peers::default();
+        for peer in (0..ENTRY_VMS).filter(|&peer| peer != number) {
+            let near = zone_of_entry_vm(peer) == zone_of_entry_vm(number);
+            let distance = match near {
+                true => Distance::Zone,
+                false => Distance::Region,
+            };
+            peers.put(&name_of(peer), distance);
+        }
+        Self {
+            keys,
+            router: Router::default(),
+            queues: (0..SERVICES)
+                .map(|_| ShareQueue::new(QueueLimits::default()))
+                .collect(),
+            peers,
+            notices: Notices::default(),
+            retries: RetryBudget::default(),
+        }
+    }
+
+    /// Replaces the slots by those of some shards.
+    pub(super) fn deal(&mut self, ownership: Ownership, shards: &[usize], now: Instant) {
+        let specs = (0..SERVERS).filter_map(|server| {
+            let slots: u16 = shards
+                .iter()
+                .map(|&shard| dealt_slots(ownership, server, shard))
+                .sum();
+            (slots > 0).then(|| ServerSpec {
+                vm: format!("vm-{server}").into(),
+                address: ([127, 0, 0, 1], server as u16 + 1).into(),
+                service: self.keys.services[service_of(server)],
+                slots,
+                connections: CONNECTIONS_PER_ENTRY_VM * shards.len() as u16,
+            })
+        });
+        let specs: Vec<ServerSpec> = specs.collect();
+        self.router.sync(specs, now);
+    }
+
+    /// Returns what the entry VM has of a service.
+    pub(super) fn load(&self, service: usize) -> Load {
+        let key = self.keys.services[service];
+        Load {
+            free: self.router.free_slots(key),
+            waiting: self.queues[service].len() as u32,
+            slots: self.router.slots(key),
+        }
+    }
+
+    /// Takes a slot.
+    pub(super) fn pick(&mut self, service: usize, now: Instant) -> Option<Slot> {
+        self.router.pick(self.keys.services[service], now)
+    }
+
+    /// Adds a waiting request; returns whether there was room.
+    pub(super) fn push(
+        &mut self,
+        service: usize,
+        job: Job,
+        start_by: Instant,
+        now: Instant,
+    ) -> bool {
+        let waiting = Waiting {
+            team: self.keys.team,
+            urgency: Urgency::Normal,
+            start_by,
+            item: job,
+        };
+        self.queues[service].push(waiting, now).is_ok()
+    }
+
+    /// Takes the next waiting request.
+    pub(super) fn pop(&mut self, service: usize, now: Instant) -> Popped {
+        let queue = &mut self.queues[service];
+        let next = queue.pop(now, |_| true);
+        Popped {
+            job: next.map(|next| next.item),
+            late: queue.expire(now).len(),
+        }
+    }
+
+    /// Returns the number of the server that a key stands for.
+    pub(super) fn server(&self, key: ServerKey) -> Option<usize> {
+        let server = self.router.server(key)?;
+        Some(usize::from(server.address().port()) - 1)
+    }
+}
+
+/// Returns the name of an entry VM.
+pub(super) fn name_of(entry_vm: usize) -> SmolStr {
+    SmolStr::from(format!("entry-{entry_vm}"))
+}
+
+/// Returns the slots of a server that belong to an entry VM's shard.
+fn dealt_slots(ownership: Ownership, server: usize, shard: usize) -> u16 {
+    let owners = entry_vms_of(zone_of_server(server));
+    let Some(place) = owners.iter().position(|&owner| owner == shard) else {
+        return 0;
+    };
+    let count = owners.len();
+    // The shards that get one slot more than others differ from server to server.
+    let turn = (place + server / ZONES) % count;
+    match ownership {
+        Ownership::Dealt => {
+            let remainder = usize::from(SLOTS) % count;
+            SLOTS / count as u16 + u16::from(turn < remainder)
+        }
+        Ownership::Home if turn == 0 => SLOTS,
+        Ownership::Home => 0,
+    }
+}
--- a/crates/snipevane-measure/src/routing/mod.rs
+++ b/crates/snipevane-measure/src/routing/mod.rs
@@ -5,6 +5,7 @@
 //! service that knows all slots at once.
 
 mod demand;
+mod entry_vm;
 mod events;
 mod ideal;
 mod layout;
@@ -17,7 +18,8 @@
 
 use std::time::Duration;
 
-use owned::{OwnedRun, Ownership, Way};
+use entry_vm::Ownership;
+use owned::{OwnedRun, Way};
 use two_choices::TwoChoicesRun;
 
 use crate::MeasureError;
--- a/crates/snipevane-measure/src/routing/owned.rs
+++ b/crates/snipevane-measure/src/routing/owned.rs
@@ -5,19 +5,18 @@
 
 use std::time::{Duration, Instant};
 
-use rand::{RngExt, SeedableRng};
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use slotmap::SlotMap;
-use snipevane_core::ids::{ServerKey, ServiceKey, TeamKey};
-use snipevane_core::routing::{Report, RetryBudget, RetryLimits, Router, ServerSpec, Slot};
-use snipevane_core::shares::{QueueLimits, ShareQueue, Waiting};
-use snipevane_proto::manifest::Urgency;
+use smol_str::SmolStr;
+use snipevane_core::ids::ServerKey;
+use snipevane_core::routing::{Load, PeerKey, Report, Slot};
 
 use super::demand::Request;
+use super::entry_vm::{EntryVm, Job, Keys, Ownership, Popped, name_of};
 use super::events::Events;
 use super::layout::{
-    CONNECTIONS_PER_ENTRY_VM, ENTRY_VMS, SERVERS, SERVICES, SLOTS, ZONES, entry_vms_of, one_way,
-    servers_of, service_of, zone_of_entry_vm, zone_of_server,
+    ENTRY_VMS, SERVERS, SERVICES, entry_vms_of, one_way, service_of, zone_of_entry_vm,
+    zone_of_server,
 };
 use super::record::{Figures, Record};
 use super::scenario::{Balanced, Scenario};
@@ -26,22 +25,9 @@
 
 /// Time between two regular notices of free slots to the peers.
 const NOTICE_EVERY: Duration = Duration::from_millis(100);
-/// Shortest time between two notices of the same service that a freed slot causes.
-const SHORTEST_NOTICE_GAP: Duration = Duration::from_millis(5);
-/// Waiting requests per slot by which a peer's queue must be shorter to send a request there.
-const WAIT_MARGIN: f64 = 0.5;
 /// Time between two looks for requests that have waited too long.
 const EXPIRY_EVERY: Duration = Duration::from_millis(50);
 
-/// Which entry VM owns a slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Ownership {
-    /// A server's slots are dealt to all entry VMs of its zone.
-    Dealt,
-    /// All slots of a server belong to one entry VM of its zone.
-    Home,
-}
-
 /// A way of routing with owned slots.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Way {
@@ -53,23 +39,6 @@
     pub(super) balances_waits: bool,
 }
 
-/// A request on its way, with the entry VM that its caller reached.
-#[derive(Clone, Copy, Debug)]
-struct Job {
-    number: usize,
-    origin: usize,
-    /// Whether the request may wait at the peer that it was forwarded to.
-    waits_at_peer: bool,
-    retried: bool,
-}
-
-/// What an entry VM tells its peers of one service.
-#[derive(Clone, Copy, Debug, Default)]
-struct State {
-    free: u32,
-    waiting: u32,
-}
-
 enum Event {
     Arrive(usize),
     Forwarded {
@@ -99,32 +68,22 @@
         from: usize,
         to: usize,
         service: usize,
-        state: State,
+        load: Load,
     },
     NoticeTick(usize),
     ExpiryTick,
     Takeover(usize),
 }
 
-struct EntryVm {
-    router: Router,
-    queues: Vec<ShareQueue<Job>>,
-    /// What each peer last told, by service.
-    peers: [[State; SERVICES]; ENTRY_VMS],
-    /// Last notice that a freed slot caused, by service.
-    noticed_at: [Option<Duration>; SERVICES],
-}
-
 /// Run of one way of routing.
 pub(super) struct OwnedRun<'a> {
     way: Way,
     scenario: &'a Scenario,
     requests: &'a [Request],
     start: Instant,
-    services: Vec<ServiceKey>,
-    team: TeamKey,
+    keys: Keys,
+    names: Vec<SmolStr>,
     entry_vms: Vec<EntryVm>,
-    retries: Vec<RetryBudget>,
     running: [u16; SERVERS],
     events: Events<Event>,
     record: Record,
@@ -139,25 +98,16 @@
         requests: &'a [Request],
         seed: u64,
     ) -> Result<Self, MeasureError> {
-        let mut services = SlotMap::with_key();
-        let services = (0..SERVICES).map(|_| services.insert(())).collect();
-        let entry_vm = || EntryVm {
-            router: Router::default(),
-            queues: (0..SERVICES)
-                .map(|_| ShareQueue::new(QueueLimits::default()))
-                .collect(),
-            peers: [[State::default(); SERVICES]; ENTRY_VMS],
-            noticed_at: [None; SERVICES],
-        };
+        let keys = Keys::new();
+        let entry_vms = (0..ENTRY_VMS).map(|number| EntryVm::new(number, keys.clone()));
         let mut run = Self {
             way,
             scenario,
             requests,
             start: Instant::now(),
-            services,
-            team: SlotMap::with_key().insert(()),
-            entry_vms: (0..ENTRY_VMS).map(|_| entry_vm()).collect(),
-            retries: vec![RetryBudget::new(RetryLimits::default()); ENTRY_VMS],
+            entry_vms: entry_vms.collect(),
+            names: (0..ENTRY_VMS).map(name_of).collect(),
+            keys,
             running: [0; SERVERS],
             events: Events::default(),
             record: Record::new()?,
@@ -216,11 +166,8 @@
                 from,
                 to,
                 service,
-                state,
-            } => {
-                self.entry_vms[to].peers[from][service] = state;
-                self.start_waiting(to, service);
-            }
+                load,
+            } => self.on_notice(from, to, service, load),
             Event::NoticeTick(entry_vm) => self.on_notice_tick(entry_vm),
             Event::ExpiryTick => self.on_expiry_tick(),
             Event::Takeover(lost) => self.on_takeover(lost),
@@ -233,7 +180,7 @@
         match self.scenario.balance(request.entry_vm, number, self.now) {
             Balanced::Lost => self.record.failed(),
             Balanced::To(origin) => {
-                self.retries[origin].on_request(self.team);
+                self.entry_vms[origin].retries.on_request(self.keys.team);
                 let job = Job {
                     number,
                     origin,
@@ -246,8 +193,7 @@
                             waits_at_peer: true,
                             ..job
                         };
-                        self.entry_vms[origin].peers[peer][request.service].waiting += 1;
-                        self.forward(origin, peer, request.service, job);
+                        self.forward(origin, peer, job);
                     }
                     None => self.wait(origin, job),
                 }
@@ -258,19 +204,14 @@
     /// Puts a request into the share queue and starts what can start.
     fn wait(&mut self, entry_vm: usize, job: Job) {
         let request = self.requests[job.number];
-        let waiting = Waiting {
-            team: self.team,
-            urgency: Urgency::Normal,
-            start_by: self.start + request.at + LONGEST_WAIT,
-            item: job,
-        };
+        let start_by = self.start + request.at + LONGEST_WAIT;
         let instant = self.instant();
-        let queue = &mut self.entry_vms[entry_vm].queues[request.service];
-        let before = queue.len();
-        if queue.push(waiting, instant).is_err() {
+        let vm = &mut self.entry_vms[entry_vm];
+        let before = vm.queues[request.service].len();
+        if !vm.push(request.service, job, start_by, instant) {
             self.record.refused(1);
         }
-        let after = queue.len();
+        let after = vm.queues[request.service].len();
         self.record.set_waiting(request.service, before, after);
         self.start_waiting(entry_vm, request.service);
     }
@@ -281,10 +222,7 @@
         }
         while !self.entry_vms[entry_vm].queues[service].is_empty() {
             let instant = self.instant();
-            let slot = self.entry_vms[entry_vm]
-                .router
-                .pick(self.services[service], instant);
-            if let Some(slot) = slot {
+            if let Some(slot) = self.entry_vms[entry_vm].pick(service, instant) {
                 match self.pop(entry_vm, service) {
                     Some(job) => self.send(entry_vm, slot, job),
                     None => {
@@ -294,67 +232,48 @@
                 }
                 continue;
             }
-            let Some(peer) = self.choose_peer(entry_vm, service) else {
+            let random = self.rng.next_u64();
+            let peers = &mut self.entry_vms[entry_vm].peers;
+            let Some(peer) = peers.with_free_slot(self.keys.services[service], random, instant)
+            else {
                 return;
             };
             if let Some(job) = self.pop(entry_vm, service) {
-                self.forward(entry_vm, peer, service, job);
+                self.forward(entry_vm, peer, job);
             }
         }
     }
 
     fn pop(&mut self, entry_vm: usize, service: usize) -> Option<Job> {
         let instant = self.instant();
-        let queue = &mut self.entry_vms[entry_vm].queues[service];
-        let before = queue.len();
-        let next = queue.pop(instant, |_| true);
-        let late = queue.expire(instant);
-        let after = queue.len();
-        self.record.refused(late.len());
+        let vm = &mut self.entry_vms[entry_vm];
+        let before = vm.queues[service].len();
+        let Popped { job, late } = vm.pop(service, instant);
+        let after = vm.queues[service].len();
+        self.record.refused(late);
         self.record.set_waiting(service, before, after);
-        next.map(|next| next.item)
-    }
-
-    /// Returns a peer at which a new request would wait less by [`WAIT_MARGIN`].
-    fn shorter_wait(&mut self, entry_vm: usize, service: usize) -> Option<usize> {
-        let vm = &self.entry_vms[entry_vm];
-        let waiting = vm.queues[service].len() as u32;
-        if !self.way.balances_waits || waiting == 0 {
-            return None;
-        }
-        let wait = |entry_vm: usize, waiting: u32| {
-            let slots = owned_slots(self.way.ownership, service, entry_vm);
-            f64::from(waiting + 1) / f64::from(slots.max(1))
-        };
-        let own = wait(entry_vm, waiting);
-        let peers = (0..ENTRY_VMS).filter(|&peer| peer != entry_vm);
-        let waits = peers.map(|peer| (wait(peer, vm.peers[peer][service].waiting), peer));
-        let (least, peer) = waits.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        (own > least + WAIT_MARGIN).then_some(peer)
+        job
     }
 
-    /// Chooses a peer in proportion to the free slots that it is said to have.
-    fn choose_peer(&mut self, entry_vm: usize, service: usize) -> Option<usize> {
-        let free = self.entry_vms[entry_vm]
-            .peers
-            .map(|peer| peer[service].free);
-        let sum: u32 = free.iter().sum();
-        if sum == 0 {
+    /// Returns a peer at which a new request would wait clearly less.
+    fn shorter_wait(&mut self, entry_vm: usize, service: usize) -> Option<PeerKey> {
+        let instant = self.instant();
+        let vm = &mut self.entry_vms[entry_vm];
+        let own = vm.load(service);
+        if !self.way.balances_waits || own.waiting == 0 {
             return None;
         }
-        let mut drawn = self.rng.random_range(0..sum);
-        free.iter().position(|&free| {
-            let found = drawn < free;
-            drawn = drawn.saturating_sub(free);
-            found
-        })
+        let key = self.keys.services[service];
+        vm.peers.with_shorter_wait(key, own, instant)
     }
 
-    fn forward(&mut self, from: usize, to: usize, service: usize, job: Job) {
-        let told = &mut self.entry_vms[from].peers[to][service];
-        told.free = told.free.saturating_sub(1);
+    fn forward(&mut self, from: usize, to: PeerKey, job: Job) {
+        let name = self.entry_vms[from].peers.vm(to);
+        let Some(to) = self.names.iter().position(|known| Some(known) == name) else {
+            return;
+        };
         self.record.hops += 1;
-        let at = self.now + one_way(zone_of_entry_vm(from), zone_of_entry_vm(to));
+        let at = self.now + self.between(from, to);
         self.events.add(at, Event::Forwarded { to, job });
     }
 
@@ -364,9 +283,7 @@
         let lost = self.scenario.is_lost(to, self.now);
         let slot = match lost {
             true => None,
-            false => self.entry_vms[to]
-                .router
-                .pick(self.services[service], instant),
+            false => self.entry_vms[to].pick(service, instant),
         };
         match slot {
             Some(slot) => self.send(to, slot, job),
@@ -385,12 +302,13 @@
             return;
         }
         let service = self.requests[job.number].service;
-        self.entry_vms[job.origin].peers[by][service].free = 0;
+        let peers = &mut self.entry_vms[job.origin].peers;
+        peers.on_declined(&self.names[by], self.keys.services[service]);
         self.wait(job.origin, job);
     }
 
     fn send(&mut self, entry_vm: usize, slot: Slot, job: Job) {
-        let Some(server) = self.server_of(entry_vm, slot.server()) else {
+        let Some(server) = self.entry_vms[entry_vm].server(slot.server()) else {
             return;
         };
         let at = self.now + one_way(zone_of_entry_vm(entry_vm), zone_of_server(server));
@@ -405,7 +323,7 @@
     }
 
     fn on_start(&mut self, entry_vm: usize, slot: Slot, job: Job) {
-        let Some(server) = self.server_of(entry_vm, slot.server()) else {
+        let Some(server) = self.entry_vms[entry_vm].server(slot.server()) else {
             return;
         };
         self.running[server] += 1;
@@ -427,7 +345,7 @@
     }
 
     fn on_end(&mut self, entry_vm: usize, slot: Slot, job: Job) {
-        let Some(server) = self.server_of(entry_vm, slot.server()) else {
+        let Some(server) = self.entry_vms[entry_vm].server(slot.server()) else {
             return;
         };
         self.running[server] -= 1;
@@ -453,7 +371,7 @@
         }
         let origin_lost = lost(job.origin);
         let server_key = slot.server();
-        let server = self.server_of(entry_vm, server_key);
+        let server = self.entry_vms[entry_vm].server(server_key);
         let failed = server.is_some() && server == self.scenario.failing_server;
         let request = self.requests[job.number];
         let instant = self.instant();
@@ -466,7 +384,7 @@
         let seconds = request.run.as_secs_f64();
         let vm = &mut self.entry_vms[entry_vm];
         vm.router.release(slot, report, instant);
-        vm.queues[request.service].charge(self.team, seconds, instant);
+        vm.queues[request.service].charge(self.keys.team, seconds, instant);
         if !origin_lost {
             match failed {
                 true => self.retry(entry_vm, server_key, job),
@@ -484,7 +402,11 @@
 
     fn retry(&mut self, entry_vm: usize, failed: ServerKey, job: Job) {
         let instant = self.instant();
-        if job.retried || !self.retries[entry_vm].try_retry(self.team, instant) {
+        if job.retried
+            || !self.entry_vms[entry_vm]
+                .retries
+                .try_retry(self.keys.team, instant)
+        {
             self.record.failed();
             return;
         }
@@ -494,7 +416,7 @@
         };
         let service = self.requests[job.number].service;
         let router = &mut self.entry_vms[entry_vm].router;
-        match router.pick_other(self.services[service], failed, instant) {
+        match router.pick_other(self.keys.services[service], failed, instant) {
             Some(slot) => self.send(entry_vm, slot, job),
             None => self.wait(entry_vm, job),
         }
@@ -502,19 +424,32 @@
 
     /// Tells the peers at once of a free slot for which nothing waits here.
     fn notice_idle(&mut self, entry_vm: usize, service: usize) {
+        let instant = self.instant();
         let vm = &mut self.entry_vms[entry_vm];
-        let free = vm.router.free_slots(self.services[service]);
-        let recent = vm.noticed_at[service].is_some_and(|at| self.now < at + SHORTEST_NOTICE_GAP);
-        // With several slots free the peers know of some already.
-        if free == 0 || free > 2 || recent {
+        let load = vm.load(service);
+        if !vm
+            .notices
+            .idle_due(self.keys.services[service], load, instant)
+        {
             return;
         }
-        vm.noticed_at[service] = Some(self.now);
         for peer in 0..ENTRY_VMS {
             self.notice(entry_vm, peer, service);
         }
     }
 
+    fn on_notice(&mut self, from: usize, to: usize, service: usize, load: Load) {
+        let instant = self.instant();
+        let peers = &mut self.entry_vms[to].peers;
+        peers.on_notice(
+            &self.names[from],
+            self.keys.services[service],
+            load,
+            instant,
+        );
+        self.start_waiting(to, service);
+    }
+
     fn on_notice_tick(&mut self, entry_vm: usize) {
         if self.scenario.is_lost(entry_vm, self.now) {
             return;
@@ -537,18 +472,14 @@
         if from == to {
             return;
         }
-        let vm = &self.entry_vms[from];
-        let state = State {
-            free: vm.router.free_slots(self.services[service]),
-            waiting: vm.queues[service].len() as u32,
-        };
+        let load = self.entry_vms[from].load(service);
         self.record.notices += 1;
         let at = self.now + self.between(from, to);
         let notice = Event::Notice {
             from,
             to,
             service,
-            state,
+            load,
         };
         self.events.add(at, notice);
     }
@@ -587,27 +518,7 @@
     /// Deals the slots of some shards to an entry VM.
     fn deal_to(&mut self, entry_vm: usize, shards: &[usize]) {
         let now = self.instant();
-        let specs = (0..SERVERS).filter_map(|server| {
-            let slots: u16 = shards
-                .iter()
-                .map(|&shard| dealt_slots(self.way.ownership, server, shard))
-                .sum();
-            (slots > 0).then(|| ServerSpec {
-                vm: format!("vm-{server}").into(),
-                address: ([127, 0, 0, 1], server as u16 + 1).into(),
-                service: self.services[service_of(server)],
-                slots,
-                connections: CONNECTIONS_PER_ENTRY_VM * shards.len() as u16,
-            })
-        });
-        let specs: Vec<ServerSpec> = specs.collect();
-        self.entry_vms[entry_vm].router.sync(specs, now);
-    }
-
-    /// Returns the number of the server that a key of an entry VM's router stands for.
-    fn server_of(&self, entry_vm: usize, key: ServerKey) -> Option<usize> {
-        let server = self.entry_vms[entry_vm].router.server(key)?;
-        Some(usize::from(server.address().port()) - 1)
+        self.entry_vms[entry_vm].deal(self.way.ownership, shards, now);
     }
 
     fn between(&self, from: usize, to: usize) -> Duration {
@@ -626,29 +537,3 @@
         self.start + self.now
     }
 }
-
-/// Returns the slots of a service that belong to an entry VM's shard.
-fn owned_slots(ownership: Ownership, service: usize, shard: usize) -> u16 {
-    servers_of(service)
-        .map(|server| dealt_slots(ownership, server, shard))
-        .sum()
-}
-
-/// Returns the slots of a server that belong to an entry VM's shard.
-fn dealt_slots(ownership: Ownership, server: usize, shard: usize) -> u16 {
-    let owners = entry_vms_of(zone_of_server(server));
-    let Some(place) = owners.iter().position(|&owner| owner == shard) else {
-        return 0;
-    };
-    let count = owners.len();
-    // The shards that get one slot more than others differ from server to server.
-    let turn = (place + server / ZONES) % count;
-    match ownership {
-        Ownership::Dealt => {
-            let remainder = usize::from(SLOTS) % count;
-            SLOTS / count as u16 + u16::from(turn < remainder)
-        }
-        Ownership::Home if turn == 0 => SLOTS,
-        Ownership::Home => 0,
-    }
-}
