Tell peers of idle slots on demand

Change: regular notices every second; an entry VM whose requests wait asks up to six peers without waiting requests for slots, at most every 100 ms; a peer tells one that asks of an idle slot; answers to forwarded requests carry the load. The measurement compares this with the former ways; its files are split. Conclusion: kept.

--- a/crates/snipevane-core/src/routing/peers.rs
+++ b/crates/snipevane-core/src/routing/peers.rs
@@ -20,13 +20,16 @@
     pub notice_term: Duration,
     /// Waiting requests per slot by which a peer's queue must be shorter to send a request there.
     pub wait_margin: f64,
+    /// Peers that are asked for slots at once at most.
+    pub most_asked: usize,
 }
 
 impl Default for PeerLimits {
     fn default() -> Self {
         Self {
-            notice_term: Duration::from_secs(1),
+            notice_term: Duration::from_secs(3),
             wait_margin: 0.5,
+            most_asked: 6,
         }
     }
 }
@@ -125,6 +128,21 @@
         }
     }
 
+    /// Returns some of the serving peers that may have an idle slot of a service.
+    ///
+    /// Leaves out those that are known to have requests waiting themselves. `random` is a random
+    /// number.
+    pub fn askable(&self, service: ServiceKey, random: u64, now: Instant) -> Vec<SmolStr> {
+        let first = usize::try_from(random).unwrap_or(0) % self.peers.len().max(1);
+        let rotated = self.peers.values().skip(first);
+        rotated
+            .chain(self.peers.values().take(first))
+            .filter(|peer| peer.serving && !self.is_busy(peer, service, now))
+            .map(|peer| peer.vm.clone())
+            .take(self.limits.most_asked)
+            .collect()
+    }
+
     /// Notes that a peer declined a request because it had no free slot.
     pub fn on_declined(&mut self, vm: &str, service: ServiceKey) {
         let load = self
@@ -206,6 +224,14 @@
         })
     }
 
+    /// Returns whether a peer is known to have requests of a service waiting.
+    fn is_busy(&self, peer: &Peer, service: ServiceKey, now: Instant) -> bool {
+        peer.loads.get(&service).is_some_and(|&(load, at)| {
+            let recent = now.saturating_duration_since(at) < self.limits.notice_term;
+            recent && load.waiting > 0
+        })
+    }
+
     fn peer_of(&mut self, vm: &str) -> Option<&mut Peer> {
         let key = *self.by_vm.get(vm)?;
         self.peers.get_mut(key)
--- a/crates/snipevane-measure/src/routing/entry_vm.rs
+++ b/crates/snipevane-measure/src/routing/entry_vm.rs
@@ -1,21 +1,27 @@
 //! One entry VM of a run with owned slots.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
 use smol_str::SmolStr;
 use snipevane_core::ids::{ServerKey, ServiceKey, TeamKey};
 use snipevane_core::routing::{
-    Distance, Load, Notices, Peers, RetryBudget, Router, ServerSpec, Slot,
+    Distance, Load, Notices, Peers, Report, RetryBudget, Router, ServerSpec, Slot,
 };
 use snipevane_core::shares::{QueueLimits, ShareQueue, Waiting};
 use snipevane_proto::manifest::Urgency;
 
+use super::demand::Request;
 use super::layout::{
     CONNECTIONS_PER_ENTRY_VM, ENTRY_VMS, SERVERS, SERVICES, SLOTS, ZONES, entry_vms_of, service_of,
     zone_of_entry_vm, zone_of_server,
 };
 
+/// Shortest time between two notices of one service to all peers that an idle slot causes.
+const SHORTEST_BROADCAST_GAP: Duration = Duration::from_millis(5);
+/// Free slots up to which a newly free one is worth a notice to all peers.
+const FEW_SLOTS: u32 = 2;
+
 /// Which entry VM owns a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Ownership {
@@ -32,7 +38,34 @@
     pub(super) origin: usize,
     /// Whether the request may wait at the peer that it was forwarded to.
     pub(super) waits_at_peer: bool,
-    pub(super) retried: bool,
+    pub(super) is_retry: bool,
+}
+
+impl Job {
+    pub(super) fn new(number: usize, origin: usize) -> Self {
+        Self {
+            number,
+            origin,
+            waits_at_peer: false,
+            is_retry: false,
+        }
+    }
+
+    /// Lets the request wait at the peer that it is forwarded to.
+    pub(super) fn waiting_at_peer(self) -> Self {
+        Self {
+            waits_at_peer: true,
+            ..self
+        }
+    }
+
+    /// Marks the request as tried a second time.
+    pub(super) fn retried(self) -> Self {
+        Self {
+            is_retry: true,
+            ..self
+        }
+    }
 }
 
 /// Keys of the services and of the team that sends all requests.
@@ -68,6 +101,8 @@
     pub(super) peers: Peers,
     pub(super) notices: Notices,
     pub(super) retries: RetryBudget,
+    /// Last notice to all peers that an idle slot caused, by service.
+    broadcast_at: [Option<Duration>; SERVICES],
 }
 
 impl EntryVm {
@@ -90,6 +125,7 @@
             peers,
             notices: Notices::default(),
             retries: RetryBudget::default(),
+            broadcast_at: [None; SERVICES],
         }
     }
 
@@ -122,11 +158,36 @@
         }
     }
 
+    /// Returns whether all peers should hear of an idle slot; if so it counts as sent.
+    pub(super) fn broadcast_due(&mut self, service: usize, now: Duration) -> bool {
+        let load = self.load(service);
+        let last = &mut self.broadcast_at[service];
+        let recent = last.is_some_and(|at| now < at + SHORTEST_BROADCAST_GAP);
+        if load.waiting > 0 || load.free == 0 || load.free > FEW_SLOTS || recent {
+            return false;
+        }
+        *last = Some(now);
+        true
+    }
+
     /// Takes a slot.
     pub(super) fn pick(&mut self, service: usize, now: Instant) -> Option<Slot> {
         self.router.pick(self.keys.services[service], now)
     }
 
+    /// Gives a slot back after a request ran.
+    pub(super) fn release(&mut self, slot: Slot, request: Request, failed: bool, now: Instant) {
+        let report = match failed {
+            true => Report::Failed,
+            false => Report::Answered {
+                latency: request.run,
+            },
+        };
+        self.router.release(slot, report, now);
+        let seconds = request.run.as_secs_f64();
+        self.queues[request.service].charge(self.keys.team, seconds, now);
+    }
+
     /// Adds a waiting request; returns whether there was room.
     pub(super) fn push(
         &mut self,
--- a/crates/snipevane-measure/src/routing/mod.rs
+++ b/crates/snipevane-measure/src/routing/mod.rs
@@ -1,6 +1,6 @@
 //! Ways of routing under bursts, in one run of the same requests.
 //!
-//! Slots dealt to all entry VMs of a zone, with and without notices of idle slots; one home entry
+//! Slots dealt to all entry VMs of a zone, with several ways to tell of idle slots; one home entry
 //! VM for each backend server; two random choices without ownership; and as a bound one queue for each
 //! service that knows all slots at once.
 
@@ -9,18 +9,20 @@
 mod events;
 mod ideal;
 mod layout;
+mod network;
 mod owned;
 mod record;
 mod scenario;
 mod two_choices;
+mod way;
 
 pub use record::Figures;
 
 use std::time::Duration;
 
-use entry_vm::Ownership;
-use owned::{OwnedRun, Way};
+use owned::OwnedRun;
 use two_choices::TwoChoicesRun;
+use way::OWNED_WAYS;
 
 use crate::MeasureError;
 
@@ -32,42 +34,15 @@
 const FAILING_RUN: Duration = Duration::from_millis(1);
 const DEFAULT_SEED: u64 = 7;
 
-const OWNED_WAYS: [Way; 4] = [
-    Way {
-        name: "dealt",
-        ownership: Ownership::Dealt,
-        notices_idle: false,
-        balances_waits: false,
-    },
-    Way {
-        name: "dealt, notices",
-        ownership: Ownership::Dealt,
-        notices_idle: true,
-        balances_waits: false,
-    },
-    Way {
-        name: "dealt, waits",
-        ownership: Ownership::Dealt,
-        notices_idle: true,
-        balances_waits: true,
-    },
-    Way {
-        name: "home",
-        ownership: Ownership::Home,
-        notices_idle: false,
-        balances_waits: false,
-    },
-];
-
-/// Runs all ways of routing in all scenarios.
+/// Runs all ways of routing in all scenarios, with arrivals for `length`.
 ///
 /// # Errors
 ///
 /// Returns an error if a histogram can't be made.
-pub fn measure(seed: u64) -> Result<Vec<Figures>, MeasureError> {
+pub fn measure(seed: u64, length: Duration) -> Result<Vec<Figures>, MeasureError> {
     let mut figures = Vec::new();
     for scenario in scenario::all() {
-        let requests = demand::draw(seed, LENGTH, scenario.burst_load);
+        let requests = demand::draw(seed, length, scenario.burst_load);
         for way in OWNED_WAYS {
             let run = OwnedRun::new(way, &scenario, &requests, seed)?;
             figures.push(run.run());
@@ -86,14 +61,14 @@
 /// Returns an error if the figures can't be made or written as JSON.
 pub fn run(json: bool, seed: Option<u64>) -> Result<(), MeasureError> {
     let seed = seed.unwrap_or(DEFAULT_SEED);
-    let figures = measure(seed)?;
+    let figures = measure(seed, LENGTH)?;
     if json {
         println!("{}", serde_json::to_string_pretty(&figures)?);
         return Ok(());
     }
     println!("seed {seed}, {} s of arrivals", LENGTH.as_secs());
     println!(
-        "{:<22} {:<14} {:>8} {:>7} {:>7} {:>8} {:>7} {:>9} {:>6} {:>6} {:>6} {:>5} {:>8}",
+        "{:<22} {:<17} {:>8} {:>7} {:>7} {:>8} {:>7} {:>9} {:>6} {:>6} {:>6} {:>5} {:>8}",
         "scenario",
         "way",
         "requests",
@@ -110,7 +85,7 @@
     );
     for row in &figures {
         println!(
-            "{:<22} {:<14} {:>8} {:>7.1} {:>7.1} {:>8.3} {:>7.3} {:>9.1} {:>6.3} {:>6.1} {:>6.2} \
+            "{:<22} {:<17} {:>8} {:>7.1} {:>7.1} {:>8.3} {:>7.3} {:>9.1} {:>6.3} {:>6.1} {:>6.2} \
              {:>5} {:>8.1}",
             row.scenario,
             row.way,
--- a/crates/snipevane-measure/src/routing/owned.rs
+++ b/crates/snipevane-measure/src/routing/owned.rs
@@ -12,69 +12,18 @@
 use snipevane_core::routing::{Load, PeerKey, Report, Slot};
 
 use super::demand::Request;
-use super::entry_vm::{EntryVm, Job, Keys, Ownership, Popped, name_of};
-use super::events::Events;
-use super::layout::{
-    ENTRY_VMS, SERVERS, SERVICES, entry_vms_of, one_way, service_of, zone_of_entry_vm,
-    zone_of_server,
-};
+use super::entry_vm::{EntryVm, Job, Keys, Popped, name_of};
+use super::layout::{ENTRY_VMS, SERVERS, SERVICES, entry_vms_of, service_of, zone_of_entry_vm};
+use super::network::{Event, Exchange, Network, Told, between};
 use super::record::{Figures, Record};
 use super::scenario::{Balanced, Scenario};
+use super::way::{Notify, Way};
 use super::{FAILING_RUN, LONGEST_WAIT};
 use crate::MeasureError;
 
-/// Time between two regular notices of free slots to the peers.
-const NOTICE_EVERY: Duration = Duration::from_millis(100);
 /// Time between two looks for requests that have waited too long.
 const EXPIRY_EVERY: Duration = Duration::from_millis(50);
 
-/// A way of routing with owned slots.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Way {
-    pub(super) name: &'static str,
-    pub(super) ownership: Ownership,
-    /// Whether an entry VM tells its peers at once when a slot is free and nothing waits.
-    pub(super) notices_idle: bool,
-    /// Whether a request also goes to a peer to wait there, if it would wait less.
-    pub(super) balances_waits: bool,
-}
-
-enum Event {
-    Arrive(usize),
-    Forwarded {
-        to: usize,
-        job: Job,
-    },
-    Declined {
-        by: usize,
-        job: Job,
-    },
-    Start {
-        entry_vm: usize,
-        slot: Slot,
-        job: Job,
-    },
-    End {
-        entry_vm: usize,
-        slot: Slot,
-        job: Job,
-    },
-    Answer {
-        entry_vm: usize,
-        slot: Slot,
-        job: Job,
-    },
-    Notice {
-        from: usize,
-        to: usize,
-        service: usize,
-        load: Load,
-    },
-    NoticeTick(usize),
-    ExpiryTick,
-    Takeover(usize),
-}
-
 /// Run of one way of routing.
 pub(super) struct OwnedRun<'a> {
     way: Way,
@@ -85,10 +34,9 @@
     names: Vec<SmolStr>,
     entry_vms: Vec<EntryVm>,
     running: [u16; SERVERS],
-    events: Events<Event>,
+    network: Network,
     record: Record,
     rng: ChaCha8Rng,
-    now: Duration,
 }
 
 impl<'a> OwnedRun<'a> {
@@ -109,10 +57,9 @@
             names: (0..ENTRY_VMS).map(name_of).collect(),
             keys,
             running: [0; SERVERS],
-            events: Events::default(),
+            network: Network::default(),
             record: Record::new()?,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            now: Duration::ZERO,
         };
         for entry_vm in 0..ENTRY_VMS {
             run.deal_to(entry_vm, &[entry_vm]);
@@ -123,19 +70,19 @@
     /// Runs all requests to their end.
     pub(super) fn run(mut self) -> Figures {
         for (number, request) in self.requests.iter().enumerate() {
-            self.events.add(request.at, Event::Arrive(number));
+            self.network.at(request.at, Event::Arrive(number));
         }
         for entry_vm in 0..ENTRY_VMS {
-            let first = NOTICE_EVERY.mul_f64(entry_vm as f64 / ENTRY_VMS as f64);
-            self.events.add(first, Event::NoticeTick(entry_vm));
+            let every = self.way.notify.every();
+            let first = every.mul_f64(entry_vm as f64 / ENTRY_VMS as f64);
+            self.network.at(first, Event::NoticeTick(entry_vm));
         }
-        self.events.add(EXPIRY_EVERY, Event::ExpiryTick);
+        self.network.at(EXPIRY_EVERY, Event::ExpiryTick);
         if let Some((lost, at)) = self.scenario.takeover() {
-            self.events.add(at, Event::Takeover(lost));
+            self.network.at(at, Event::Takeover(lost));
         }
-        while let Some((now, event)) = self.events.next() {
-            self.record.advance(now);
-            self.now = now;
+        while let Some(event) = self.network.next() {
+            self.record.advance(self.network.now);
             self.handle(event);
         }
         self.record
@@ -146,28 +93,12 @@
         match event {
             Event::Arrive(number) => self.on_arrival(number),
             Event::Forwarded { to, job } => self.on_forwarded(to, job),
-            Event::Declined { by, job } => self.on_declined(by, job),
-            Event::Start {
-                entry_vm,
-                slot,
-                job,
-            } => self.on_start(entry_vm, slot, job),
-            Event::End {
-                entry_vm,
-                slot,
-                job,
-            } => self.on_end(entry_vm, slot, job),
-            Event::Answer {
-                entry_vm,
-                slot,
-                job,
-            } => self.on_answer(entry_vm, slot, job),
-            Event::Notice {
-                from,
-                to,
-                service,
-                load,
-            } => self.on_notice(from, to, service, load),
+            Event::Declined { by, job, load } => self.on_declined(by, job, load),
+            Event::Want(told) => self.on_want(told),
+            Event::Notice(told) => self.on_notice(told),
+            Event::Start(exchange) => self.on_start(exchange),
+            Event::End(exchange) => self.on_end(exchange),
+            Event::Answer(exchange) => self.on_answer(exchange),
             Event::NoticeTick(entry_vm) => self.on_notice_tick(entry_vm),
             Event::ExpiryTick => self.on_expiry_tick(),
             Event::Takeover(lost) => self.on_takeover(lost),
@@ -177,24 +108,16 @@
     fn on_arrival(&mut self, number: usize) {
         self.record.arrived();
         let request = self.requests[number];
-        match self.scenario.balance(request.entry_vm, number, self.now) {
+        match self
+            .scenario
+            .balance(request.entry_vm, number, self.network.now)
+        {
             Balanced::Lost => self.record.failed(),
             Balanced::To(origin) => {
                 self.entry_vms[origin].retries.on_request(self.keys.team);
-                let job = Job {
-                    number,
-                    origin,
-                    waits_at_peer: false,
-                    retried: false,
-                };
+                let job = Job::new(number, origin);
                 match self.shorter_wait(origin, request.service) {
-                    Some(peer) => {
-                        let job = Job {
-                            waits_at_peer: true,
-                            ..job
-                        };
-                        self.forward(origin, peer, job);
-                    }
+                    Some(peer) => self.forward(origin, peer, job.waiting_at_peer()),
                     None => self.wait(origin, job),
                 }
             }
@@ -217,7 +140,7 @@
     }
 
     fn start_waiting(&mut self, entry_vm: usize, service: usize) {
-        if self.scenario.is_lost(entry_vm, self.now) {
+        if self.scenario.is_lost(entry_vm, self.network.now) {
             return;
         }
         while !self.entry_vms[entry_vm].queues[service].is_empty() {
@@ -236,6 +159,7 @@
             let peers = &mut self.entry_vms[entry_vm].peers;
             let Some(peer) = peers.with_free_slot(self.keys.services[service], random, instant)
             else {
+                self.want(entry_vm, service);
                 return;
             };
             if let Some(job) = self.pop(entry_vm, service) {
@@ -273,14 +197,13 @@
             return;
         };
         self.record.hops += 1;
-        let at = self.now + self.between(from, to);
-        self.events.add(at, Event::Forwarded { to, job });
+        self.network.send(from, to, Event::Forwarded { to, job });
     }
 
     fn on_forwarded(&mut self, to: usize, job: Job) {
         let service = self.requests[job.number].service;
         let instant = self.instant();
-        let lost = self.scenario.is_lost(to, self.now);
+        let lost = self.scenario.is_lost(to, self.network.now);
         let slot = match lost {
             true => None,
             false => self.entry_vms[to].pick(service, instant),
@@ -290,20 +213,29 @@
             None if job.waits_at_peer && !lost => self.wait(to, job),
             None => {
                 self.record.declined += 1;
-                let at = self.now + self.between(to, job.origin);
-                self.events.add(at, Event::Declined { by: to, job });
+                let load = match lost {
+                    true => Load::default(),
+                    false => self.entry_vms[to].load(service),
+                };
+                let declined = Event::Declined { by: to, job, load };
+                self.network.send(to, job.origin, declined);
             }
         }
     }
 
-    fn on_declined(&mut self, by: usize, job: Job) {
-        if self.scenario.is_lost(job.origin, self.now) {
+    fn on_declined(&mut self, by: usize, job: Job, load: Load) {
+        if self.scenario.is_lost(job.origin, self.network.now) {
             self.record.failed();
             return;
         }
         let service = self.requests[job.number].service;
+        let instant = self.instant();
         let peers = &mut self.entry_vms[job.origin].peers;
-        peers.on_declined(&self.names[by], self.keys.services[service]);
+        let service = self.keys.services[service];
+        match self.way.notify {
+            Notify::OnDemand => peers.on_notice(&self.names[by], service, load, instant),
+            _ => peers.on_declined(&self.names[by], service),
+        }
         self.wait(job.origin, job);
     }
 
@@ -311,19 +243,17 @@
         let Some(server) = self.entry_vms[entry_vm].server(slot.server()) else {
             return;
         };
-        let at = self.now + one_way(zone_of_entry_vm(entry_vm), zone_of_server(server));
-        self.events.add(
-            at,
-            Event::Start {
-                entry_vm,
-                slot,
-                job,
-            },
-        );
+        let exchange = Exchange {
+            entry_vm,
+            slot,
+            job,
+        };
+        self.network
+            .send_server(entry_vm, server, Event::Start(exchange));
     }
 
-    fn on_start(&mut self, entry_vm: usize, slot: Slot, job: Job) {
-        let Some(server) = self.entry_vms[entry_vm].server(slot.server()) else {
+    fn on_start(&mut self, exchange: Exchange) {
+        let Some(server) = self.server(&exchange) else {
             return;
         };
         self.running[server] += 1;
@@ -331,89 +261,67 @@
             .started(service_of(server), self.running[server]);
         let run = match self.scenario.failing_server == Some(server) {
             true => FAILING_RUN,
-            false => self.requests[job.number].run,
+            false => self.requests[exchange.job.number].run,
         };
-        let at = self.now + run;
-        self.events.add(
-            at,
-            Event::End {
-                entry_vm,
-                slot,
-                job,
-            },
-        );
+        self.network.after(run, Event::End(exchange));
     }
 
-    fn on_end(&mut self, entry_vm: usize, slot: Slot, job: Job) {
-        let Some(server) = self.entry_vms[entry_vm].server(slot.server()) else {
+    fn on_end(&mut self, exchange: Exchange) {
+        let Some(server) = self.server(&exchange) else {
             return;
         };
         self.running[server] -= 1;
         self.record.ended(service_of(server));
-        let at = self.now + one_way(zone_of_server(server), zone_of_entry_vm(entry_vm));
-        self.events.add(
-            at,
-            Event::Answer {
-                entry_vm,
-                slot,
-                job,
-            },
-        );
+        let entry_vm = exchange.entry_vm;
+        self.network
+            .send_server(entry_vm, server, Event::Answer(exchange));
     }
 
-    fn on_answer(&mut self, entry_vm: usize, slot: Slot, job: Job) {
-        let lost = |vm| self.scenario.is_lost(vm, self.now);
-        if lost(entry_vm) || lost(job.origin) {
+    fn on_answer(&mut self, exchange: Exchange) {
+        let server = self.server(&exchange);
+        let failed = server.is_some() && server == self.scenario.failing_server;
+        let Exchange {
+            entry_vm,
+            slot,
+            job,
+        } = exchange;
+        let is_lost = |entry_vm| self.scenario.is_lost(entry_vm, self.network.now);
+        let (lost, origin_lost) = (is_lost(entry_vm), is_lost(job.origin));
+        if lost || origin_lost {
             self.record.failed();
-            if lost(entry_vm) {
-                return;
-            }
         }
-        let origin_lost = lost(job.origin);
-        let server_key = slot.server();
-        let server = self.entry_vms[entry_vm].server(server_key);
-        let failed = server.is_some() && server == self.scenario.failing_server;
+        if lost {
+            return;
+        }
         let request = self.requests[job.number];
+        let server_key = slot.server();
         let instant = self.instant();
-        let report = match failed {
-            true => Report::Failed,
-            false => Report::Answered {
-                latency: request.run,
-            },
-        };
-        let seconds = request.run.as_secs_f64();
-        let vm = &mut self.entry_vms[entry_vm];
-        vm.router.release(slot, report, instant);
-        vm.queues[request.service].charge(self.keys.team, seconds, instant);
-        if !origin_lost {
-            match failed {
-                true => self.retry(entry_vm, server_key, job),
-                false => {
-                    let at = self.now + self.between(entry_vm, job.origin);
-                    self.record.answered(at - request.at);
-                }
-            }
+        self.entry_vms[entry_vm].release(slot, request, failed, instant);
+        if failed && !origin_lost {
+            self.retry(entry_vm, server_key, job);
+        } else if !origin_lost {
+            let at = self.network.now + between(entry_vm, job.origin);
+            self.record.answered(at - request.at);
         }
         self.start_waiting(entry_vm, request.service);
-        if self.way.notices_idle {
-            self.notice_idle(entry_vm, request.service);
+        match self.way.notify {
+            Notify::Regular => {}
+            Notify::Broadcast => self.broadcast_idle(entry_vm, request.service),
+            Notify::OnDemand => {
+                self.notice_idle(entry_vm, request.service);
+                self.tell(entry_vm, job.origin, request.service);
+            }
         }
     }
 
     fn retry(&mut self, entry_vm: usize, failed: ServerKey, job: Job) {
         let instant = self.instant();
-        if job.retried
-            || !self.entry_vms[entry_vm]
-                .retries
-                .try_retry(self.keys.team, instant)
-        {
+        let retries = &mut self.entry_vms[entry_vm].retries;
+        if job.is_retry || !retries.try_retry(self.keys.team, instant) {
             self.record.failed();
             return;
         }
-        let job = Job {
-            retried: true,
-            ..job
-        };
+        let job = job.retried();
         let service = self.requests[job.number].service;
         let router = &mut self.entry_vms[entry_vm].router;
         match router.pick_other(self.keys.services[service], failed, instant) {
@@ -422,36 +330,79 @@
         }
     }
 
-    /// Tells the peers at once of a free slot for which nothing waits here.
+    /// Tells all peers at once of a free slot for which nothing waits here.
+    fn broadcast_idle(&mut self, entry_vm: usize, service: usize) {
+        let now = self.network.now;
+        if !self.entry_vms[entry_vm].broadcast_due(service, now) {
+            return;
+        }
+        for peer in 0..ENTRY_VMS {
+            self.notice(entry_vm, peer, service);
+        }
+    }
+
+    /// Tells a peer that wants a slot of a free one for which nothing waits here.
     fn notice_idle(&mut self, entry_vm: usize, service: usize) {
         let instant = self.instant();
         let vm = &mut self.entry_vms[entry_vm];
         let load = vm.load(service);
-        if !vm
+        let Some(name) = vm
             .notices
-            .idle_due(self.keys.services[service], load, instant)
-        {
+            .on_idle(self.keys.services[service], load, instant)
+        else {
             return;
-        }
-        for peer in 0..ENTRY_VMS {
+        };
+        if let Some(peer) = self.names.iter().position(|known| *known == name) {
             self.notice(entry_vm, peer, service);
         }
     }
 
-    fn on_notice(&mut self, from: usize, to: usize, service: usize, load: Load) {
+    /// Tells the peers that requests wait here for a slot.
+    fn want(&mut self, entry_vm: usize, service: usize) {
         let instant = self.instant();
-        let peers = &mut self.entry_vms[to].peers;
-        peers.on_notice(
-            &self.names[from],
-            self.keys.services[service],
-            load,
-            instant,
-        );
-        self.start_waiting(to, service);
+        let key = self.keys.services[service];
+        let vm = &mut self.entry_vms[entry_vm];
+        let load = vm.load(service);
+        if self.way.notify != Notify::OnDemand || !vm.notices.want_due(key, load, instant) {
+            return;
+        }
+        let random = self.rng.next_u64();
+        for name in vm.peers.askable(key, random, instant) {
+            let Some(to) = self.names.iter().position(|known| *known == name) else {
+                continue;
+            };
+            self.record.notices += 1;
+            let told = Told {
+                from: entry_vm,
+                to,
+                service,
+                load,
+            };
+            self.network.send(entry_vm, to, Event::Want(told));
+        }
+    }
+
+    fn on_want(&mut self, told: Told) {
+        if self.scenario.is_lost(told.to, self.network.now) {
+            return;
+        }
+        let instant = self.instant();
+        let key = self.keys.services[told.service];
+        let notices = &mut self.entry_vms[told.to].notices;
+        notices.on_want(&self.names[told.from], key, instant);
+        self.notice_idle(told.to, told.service);
+    }
+
+    fn on_notice(&mut self, told: Told) {
+        let instant = self.instant();
+        let key = self.keys.services[told.service];
+        let peers = &mut self.entry_vms[told.to].peers;
+        peers.on_notice(&self.names[told.from], key, told.load, instant);
+        self.start_waiting(told.to, told.service);
     }
 
     fn on_notice_tick(&mut self, entry_vm: usize) {
-        if self.scenario.is_lost(entry_vm, self.now) {
+        if self.scenario.is_lost(entry_vm, self.network.now) {
             return;
         }
         for service in 0..SERVICES {
@@ -464,31 +415,38 @@
         if self.is_over() {
             return;
         }
-        let at = self.now + NOTICE_EVERY;
-        self.events.add(at, Event::NoticeTick(entry_vm));
+        let every = self.way.notify.every();
+        self.network.after(every, Event::NoticeTick(entry_vm));
     }
 
+    /// Sends a notice as a message of its own.
     fn notice(&mut self, from: usize, to: usize, service: usize) {
+        if from != to {
+            self.record.notices += 1;
+            self.tell(from, to, service);
+        }
+    }
+
+    /// Tells a peer of the load, in a message of its own or in an answer.
+    fn tell(&mut self, from: usize, to: usize, service: usize) {
         if from == to {
             return;
         }
         let load = self.entry_vms[from].load(service);
-        self.record.notices += 1;
-        let at = self.now + self.between(from, to);
-        let notice = Event::Notice {
+        let told = Told {
             from,
             to,
             service,
             load,
         };
-        self.events.add(at, notice);
+        self.network.send(from, to, Event::Notice(told));
     }
 
     fn on_expiry_tick(&mut self) {
         let instant = self.instant();
         for entry_vm in 0..ENTRY_VMS {
             for service in 0..SERVICES {
-                let lost = self.scenario.is_lost(entry_vm, self.now);
+                let lost = self.scenario.is_lost(entry_vm, self.network.now);
                 let queue = &mut self.entry_vms[entry_vm].queues[service];
                 let before = queue.len();
                 if lost {
@@ -503,7 +461,7 @@
             }
         }
         if !self.is_over() {
-            self.events.add(self.now + EXPIRY_EVERY, Event::ExpiryTick);
+            self.network.after(EXPIRY_EVERY, Event::ExpiryTick);
         }
     }
 
@@ -521,19 +479,16 @@
         self.entry_vms[entry_vm].deal(self.way.ownership, shards, now);
     }
 
-    fn between(&self, from: usize, to: usize) -> Duration {
-        match from == to {
-            true => Duration::ZERO,
-            false => one_way(zone_of_entry_vm(from), zone_of_entry_vm(to)),
-        }
+    fn server(&self, exchange: &Exchange) -> Option<usize> {
+        self.entry_vms[exchange.entry_vm].server(exchange.slot.server())
     }
 
     fn is_over(&self) -> bool {
         let last = self.requests.last().map_or(Duration::ZERO, |last| last.at);
-        self.now > last + LONGEST_WAIT
+        self.network.now > last + LONGEST_WAIT
     }
 
     fn instant(&self) -> Instant {
-        self.start + self.now
+        self.start + self.network.now
     }
 }
--- /dev/null
+++ b/tests/tests/routing_peers.rs
@@ -0,0 +1,108 @@
+//! Requests go to peers with free slots or shorter queues, and no way of routing overloads a server.
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use slotmap::SlotMap;
+use snipevane_core::ids::ServiceKey;
+use snipevane_core::routing::{Distance, Load, Notices, PeerKey, Peers};
+use snipevane_measure::routing::measure;
+
+const SLOTS: u16 = 8;
+
+fn service() -> ServiceKey {
+    SlotMap::with_key().insert(())
+}
+
+fn load(free: u32, waiting: u32) -> Load {
+    Load {
+        free,
+        waiting,
+        slots: 10,
+    }
+}
+
+fn peers(service: ServiceKey, loads: &[(&str, Distance, Load)], now: Instant) -> Peers {
+    let mut peers = Peers::default();
+    for &(vm, distance, load) in loads {
+        peers.put(vm, distance);
+        peers.on_notice(vm, service, load, now);
+    }
+    peers
+}
+
+#[test]
+fn free_slots_of_the_own_zone_are_used_first_and_each_only_once() {
+    let (service, now) = (service(), Instant::now());
+    let mut peers = peers(
+        service,
+        &[
+            ("far", Distance::Region, load(2, 0)),
+            ("near", Distance::Zone, load(1, 0)),
+        ],
+        now,
+    );
+    let chosen: Vec<PeerKey> = (0..5)
+        .filter_map(|random| peers.with_free_slot(service, random, now))
+        .collect();
+    let names: Vec<&str> = chosen
+        .iter()
+        .filter_map(|&peer| Some(peers.vm(peer)?.as_str()))
+        .collect();
+    assert_eq!(names, ["near", "far", "far"]);
+}
+
+#[rstest]
+#[case::clearly_shorter(load(0, 9), load(0, 3), true)]
+#[case::about_the_same(load(0, 9), load(0, 6), false)]
+#[case::no_slot_here(Load::default(), load(0, 50), true)]
+fn a_request_waits_where_the_queue_per_slot_is_clearly_shorter(
+    #[case] own: Load,
+    #[case] peer: Load,
+    #[case] forwards: bool,
+) {
+    let (service, now) = (service(), Instant::now());
+    let mut peers = peers(service, &[("peer", Distance::Zone, peer)], now);
+    let chosen = peers.with_shorter_wait(service, own, now);
+    assert_eq!(chosen.is_some(), forwards);
+}
+
+#[test]
+fn old_notices_and_peers_that_leave_draw_nothing() {
+    let (service, now) = (service(), Instant::now());
+    let mut peers = peers(service, &[("peer", Distance::Zone, load(5, 0))], now);
+    peers.set_serving("peer", false);
+    assert!(peers.with_free_slot(service, 0, now).is_none());
+    assert!(peers.askable(service, 0, now).is_empty());
+    peers.set_serving("peer", true);
+    let later = now + Duration::from_secs(3);
+    assert!(peers.with_free_slot(service, 0, later).is_none());
+    assert_eq!(peers.askable(service, 0, later), ["peer"]);
+}
+
+#[test]
+fn idle_slots_are_told_in_turn_to_peers_that_want_them() {
+    let (service, now) = (service(), Instant::now());
+    let mut notices = Notices::default();
+    assert!(notices.on_idle(service, load(1, 0), now).is_none());
+    notices.on_want("a", service, now);
+    notices.on_want("b", service, now);
+    let told: Vec<String> = (0..3)
+        .filter_map(|_| notices.on_idle(service, load(1, 0), now))
+        .map(String::from)
+        .collect();
+    assert_eq!(told, ["a", "b", "a"]);
+    // Work of its own comes first, and a want lapses.
+    assert!(notices.on_idle(service, load(1, 1), now).is_none());
+    let later = now + Duration::from_millis(150);
+    assert!(notices.on_idle(service, load(1, 0), later).is_none());
+}
+
+#[test]
+fn no_way_of_routing_runs_more_than_a_servers_slots() {
+    let figures = measure(3, Duration::from_secs(5)).unwrap();
+    assert_eq!(figures.len(), 4 * 7);
+    for row in figures {
+        assert!(row.most_running <= SLOTS, "{row:?}");
+    }
+}
