--- a/crates/snipevane-core/src/timeline/hlc.rs
+++ b/crates/snipevane-core/src/timeline/hlc.rs
@@ -7,6 +7,11 @@
 /// Largest lead of a remote time over the own wall clock that is adopted.
 pub const MAX_CLOCK_DRIFT: Duration = Duration::from_secs(60);
 
+/// Bits of the logical part in a packed time.
+const LOGICAL_BITS: u32 = 16;
+/// Highest logical part.
+const MAX_LOGICAL: u32 = (1 << LOGICAL_BITS) - 1;
+
 /// A hybrid logical time.
 ///
 /// An event that could influence another one has the lower time.
@@ -19,14 +24,32 @@
 }
 
 impl Hlc {
+    /// Packs the time into one number, as messages between entry VMs carry it.
+    ///
+    /// The physical part takes the upper 48 bits, which last beyond the year 10000.
+    pub fn pack(self) -> u64 {
+        self.wall_ms << LOGICAL_BITS | u64::from(self.logical.min(MAX_LOGICAL))
+    }
+
+    /// Unpacks a time.
+    pub fn unpack(packed: u64) -> Self {
+        Self {
+            wall_ms: packed >> LOGICAL_BITS,
+            logical: u32::try_from(packed & u64::from(MAX_LOGICAL)).unwrap_or(MAX_LOGICAL),
+        }
+    }
+
     /// Returns the next higher time.
     fn next(self) -> Self {
-        match self.logical.checked_add(1) {
-            Some(logical) => Self { logical, ..self },
-            None => Self {
-                wall_ms: self.wall_ms.saturating_add(1),
-                logical: 0,
-            },
+        if self.logical < MAX_LOGICAL {
+            return Self {
+                logical: self.logical + 1,
+                ..self
+            };
+        }
+        Self {
+            wall_ms: self.wall_ms.saturating_add(1),
+            logical: 0,
         }
     }
 }
--- a/crates/snipevane-core/src/timeline/record.rs
+++ b/crates/snipevane-core/src/timeline/record.rs
@@ -9,8 +9,8 @@
 
 /// Name of the field that holds a team.
 const TEAM_FIELD: &str = "team";
-/// Name of the field that holds a VM other than the process's own.
-const VM_FIELD: &str = "vm";
+/// Names of the fields that hold a VM.
+const VM_FIELDS: [&str; 3] = ["vm", "peer", "server"];
 
 /// Level of an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -126,7 +126,7 @@
             return false;
         }
         match &self.vm {
-            Some(vm) => vm == own_vm || record.has(VM_FIELD, vm),
+            Some(vm) => vm == own_vm || VM_FIELDS.iter().any(|name| record.has(name, vm)),
             None => true,
         }
     }
--- a/crates/snipevane-proto/src/manifest.rs
+++ b/crates/snipevane-proto/src/manifest.rs
@@ -2,21 +2,35 @@
 
 use serde_json::Value;
 
-use crate::structure::{self, Mismatch};
+use crate::repair::{Repaired, repair};
+use crate::schema::{self, Mismatch};
 
 pub use crate::generated::manifest::{
     KeyPolicy, Maintenance, Manifest, Pool, Queue, Service, Team, Urgency, Zone,
 };
 
-/// The committed schema of manifests.
+/// Schema of manifests.
 pub const SCHEMA: &str = include_str!("../schemas/manifest.schema.json");
 
+/// Returns the one text of a manifest, from which its hash is made.
+///
+/// Manifests that differ only in layout, order of members or stated defaults have the same text.
+///
+/// # Errors
+///
+/// Returns an error if the manifest can't be written as JSON.
+pub fn canonical_text(manifest: &Manifest) -> serde_json::Result<String> {
+    serde_json::to_string(manifest)
+}
+
 /// A manifest that was read, with all that doesn't follow the schema.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Parsed {
-    /// The manifest, with placeholders wherever the text doesn't follow the schema; absent if the
-    /// text isn't JSON.
+    /// The manifest, with placeholders where the text doesn't follow the schema; absent if the
+    /// text can't be read at all.
     pub manifest: Option<Manifest>,
+    /// Places of the placeholders.
+    pub repaired: Repaired,
     /// All mismatches.
     pub mismatches: Vec<Mismatch>,
 }
@@ -24,51 +38,33 @@
 impl Parsed {
     /// Reads the text of a manifest.
     pub fn from_text(text: &str) -> Self {
-        let value = match serde_json::from_str(text) {
-            Ok(value) => value,
-            Err(error) => return Self::unreadable(error.to_string()),
-        };
-        let mut parsed = Self::from_value(value);
-        // A member that stands twice is lost in a value; only the typed reader tells.
-        if parsed.mismatches.is_empty()
-            && let Err(error) = serde_json::from_str::<Manifest>(text)
-        {
-            parsed.mismatches.push(mismatch(error.to_string()));
-        }
-        parsed
-    }
-
-    /// Reads a manifest that came as part of a message.
-    pub fn from_value(value: Value) -> Self {
-        let schema: Value = match serde_json::from_str(SCHEMA) {
-            Ok(schema) => schema,
-            Err(error) => return Self::unreadable(error.to_string()),
-        };
-        let checked = structure::check(&schema, value);
-        match serde_json::from_value(checked.value) {
-            Ok(manifest) => Self {
-                manifest: Some(manifest),
-                mismatches: checked.mismatches,
-            },
+        match Self::read(text) {
+            Ok(parsed) => parsed,
             Err(error) => Self {
                 manifest: None,
-                mismatches: [checked.mismatches, vec![mismatch(error.to_string())]].concat(),
+                repaired: Repaired::default(),
+                mismatches: vec![Mismatch::whole(error.to_string())],
             },
         }
     }
 
-    fn unreadable(message: String) -> Self {
-        Self {
-            manifest: None,
-            mismatches: vec![mismatch(message)],
+    fn read(text: &str) -> serde_json::Result<Self> {
+        let mut value: Value = serde_json::from_str(text)?;
+        let mismatches = schema::check(SCHEMA, &value);
+        // A member that stands twice is lost in a value; only the typed reader tells.
+        if mismatches.is_empty() {
+            return Ok(Self {
+                manifest: Some(serde_json::from_str(text)?),
+                repaired: Repaired::default(),
+                mismatches,
+            });
         }
-    }
-}
-
-fn mismatch(message: String) -> Mismatch {
-    Mismatch {
-        pointer: String::new(),
-        message,
-        hint: String::new(),
+        let schema = serde_json::from_str(SCHEMA)?;
+        let repaired = repair(&schema, &mut value, &mismatches);
+        Ok(Self {
+            manifest: serde_json::from_value(value).ok(),
+            repaired,
+            mismatches,
+        })
     }
 }
