Bound what doubts take out, and see the request when a team is asked

Cause, found by reading how the entry VM uses the modules: - a backend server that closes each connection for reasons of its own would be suspect for 120 s at a time, and with all servers like that a service would stop; - a forwarded request that brought its unit along waited for a unit of this entry VM, since `pop` tells only the team; - `free_for_all` in requests had no meaning for a queue of another length.

Change: Router::set_doubted counts against the ejection budget (30%); CloseHeader raises no doubt any more once a health check was good in spite of it; ShareQueue::pop_where shows the request; the part of the queue is given in percent. Ruled out: doubted servers last in the order, since a leaving server would get new work whenever the others are full.

--- a/crates/snipevane-core/src/members/vm.rs
+++ b/crates/snipevane-core/src/members/vm.rs
@@ -67,6 +67,8 @@
     pub(super) incarnation: u64,
     pub(super) listed: Listed,
     pub(super) doubt: Option<Doubt>,
+    /// Whether the VM asks to close connections though its health is good.
+    pub(super) closes_anyway: bool,
     /// Last heartbeat, for VMs that send any.
     pub(super) heartbeat_at: Option<Instant>,
     /// When a new incarnation showed of a VM that the list held as leaving, as long as the list
@@ -82,6 +84,7 @@
             incarnation: 0,
             listed: Listed::Never,
             doubt: None,
+            closes_anyway: false,
             heartbeat_at: None,
             returned_at: None,
             checked_at: None,
@@ -97,6 +100,7 @@
         self.incarnation = incarnation;
         if restarted {
             self.doubt = None;
+            self.closes_anyway = false;
             self.checked_at = None;
             self.returned_at = (self.listed == Listed::Leaving).then_some(now);
             // What the list said of the former process doesn't hold for this one.
@@ -130,6 +134,7 @@
             Sign::AnsweredWell => {}
             Sign::HealthWell => self.lift_doubt(now, limits),
             Sign::LeavingHeader => self.doubt = Some(Doubt::Leaving(now)),
+            Sign::CloseHeader if self.closes_anyway => {}
             Sign::CloseHeader | Sign::HealthDeclined => {
                 if !matches!(self.doubt, Some(Doubt::Leaving(_))) {
                     self.doubt = Some(Doubt::Closing(now));
@@ -195,6 +200,7 @@
         };
         // The check may have been answered before the sign.
         if now.saturating_duration_since(at) >= limits.check_timeout {
+            self.closes_anyway |= matches!(self.doubt, Some(Doubt::Closing(_)));
             self.doubt = None;
         }
     }
--- a/crates/snipevane-core/src/routing/lane.rs
+++ b/crates/snipevane-core/src/routing/lane.rs
@@ -25,8 +25,8 @@
     pub(super) free: u32,
     /// Servers that neither leave nor are removed.
     pub(super) members: u32,
-    /// Members that are ejected.
-    pub(super) ejected: u32,
+    /// Members that are ejected or doubted.
+    pub(super) set_aside: u32,
 }
 
 impl Lane {
--- a/crates/snipevane-core/src/routing/router.rs
+++ b/crates/snipevane-core/src/routing/router.rs
@@ -20,7 +20,7 @@
     pub ejection: Duration,
     /// Longest ejection.
     pub longest_ejection: Duration,
-    /// Largest part of a service's servers, in percent, that is ejected at once.
+    /// Largest part of a service's servers, in percent, that is ejected or doubted at once.
     pub ejected_percent: u32,
     /// Pause after a declined request; each further one in a row is twice as long.
     pub decline_pause: Duration,
@@ -169,6 +169,23 @@
         }
     }
 
+    /// Sets whether the servers on a VM get nothing new because the VM may leave.
+    ///
+    /// A doubt counts against the ejection budget, so that signs with another cause than leaving
+    /// can't stop a service. To be set again regularly, since the budget may have no room at first.
+    pub fn set_doubted(&mut self, vm: &str, doubted: bool) {
+        let Some(servers) = self.by_vm.get(vm) else {
+            return;
+        };
+        for key in servers.clone() {
+            let allows = self
+                .servers
+                .get(key)
+                .is_some_and(|server| server.is_set_aside() || self.may_set_aside(server));
+            self.update(key, |server| server.doubted = doubted && allows);
+        }
+    }
+
     /// Returns a server that a slot or a report names.
     ///
     /// A server exists as long as one of its slots is taken.
@@ -242,14 +259,14 @@
             return;
         };
         let lane = self.lanes.entry(server.spec.service).or_default();
-        let (was_member, was_ejected) = (server.is_member(), server.is_ejected());
+        let (was_member, was_set_aside) = (server.is_member(), server.is_set_aside());
         let had_slots = server.usable_slots();
         change(server);
 
         lane.members += u32::from(server.is_member());
         lane.members -= u32::from(was_member);
-        lane.ejected += u32::from(server.is_member() && server.is_ejected());
-        lane.ejected -= u32::from(was_member && was_ejected);
+        lane.set_aside += u32::from(server.is_member() && server.is_set_aside());
+        lane.set_aside -= u32::from(was_member && was_set_aside);
 
         lane.slots += u32::from(server.usable_slots());
         lane.slots -= u32::from(had_slots);
@@ -299,7 +316,7 @@
         if !ejects {
             return;
         }
-        if self.may_eject(server) {
+        if self.may_set_aside(server) {
             self.eject(key, now);
         } else {
             // The service would have too few servers left; this one goes on with one at a time.
@@ -332,11 +349,11 @@
     }
 
     /// Returns whether the ejection budget of the server's service allows one more.
-    fn may_eject(&self, server: &Server) -> bool {
+    fn may_set_aside(&self, server: &Server) -> bool {
         let Some(lane) = self.lanes.get(&server.spec.service) else {
             return false;
         };
-        lane.ejected < self.ejection_budget(lane)
+        lane.set_aside < self.ejection_budget(lane)
     }
 
     fn ejection_budget(&self, lane: &Lane) -> u32 {
@@ -399,22 +416,28 @@
         }
     }
 
-    /// Lets ejected servers be probed where fewer members left too many of them ejected.
+    /// Takes servers back where fewer members left too many of them set aside.
     fn readmit_over_budget(&mut self, now: Instant) {
-        let ejected: Vec<ServerKey> = self
+        let set_aside: Vec<ServerKey> = self
             .servers
             .iter()
-            .filter(|(_, server)| server.is_member() && server.is_ejected())
+            .filter(|(_, server)| server.is_member() && server.is_set_aside())
             .map(|(key, _)| key)
             .collect();
-        for key in ejected {
+        for key in set_aside {
             let Some(lane) = self.lanes.get(&self.servers[key].spec.service) else {
                 continue;
             };
-            if lane.ejected > self.ejection_budget(lane) {
-                self.update(key, |server| server.health = Health::Ejected(now));
-                self.end_pause(key, now);
+            if lane.set_aside <= self.ejection_budget(lane) {
+                continue;
             }
+            self.update(key, |server| {
+                server.doubted = false;
+                if server.is_ejected() {
+                    server.health = Health::Ejected(now);
+                }
+            });
+            self.end_pause(key, now);
         }
     }
 
--- a/crates/snipevane-core/src/routing/server.rs
+++ b/crates/snipevane-core/src/routing/server.rs
@@ -96,6 +96,8 @@
     pub quarantined: u16,
     /// Whether new requests are kept away because the server leaves.
     pub leaving: bool,
+    /// Whether new requests are kept away because the server may leave.
+    pub doubted: bool,
     /// Whether the server gets new requests otherwise.
     pub health: Health,
     /// Average latency of answered requests.
@@ -111,6 +113,8 @@
     pub(super) running: u16,
     pub(super) quarantined: u16,
     pub(super) leaving: bool,
+    /// Whether new requests are kept away because the server may leave.
+    pub(super) doubted: bool,
     /// Whether the configuration no longer holds the server.
     pub(super) removed: bool,
     pub(super) health: Health,
@@ -137,6 +141,7 @@
             running: 0,
             quarantined: 0,
             leaving: false,
+            doubted: false,
             removed: false,
             health: Health::Serving,
             failure_rate: 0.0,
@@ -189,6 +194,7 @@
             running: self.running,
             quarantined: self.quarantined,
             leaving: self.leaving,
+            doubted: self.doubted,
             health: self.health,
             latency: self.latency,
             failure_rate: self.failure_rate,
@@ -200,14 +206,19 @@
         !self.leaving && !self.removed
     }
 
-    /// Returns whether the server counts against the ejection budget.
+    /// Returns whether the server is ejected.
     pub(super) fn is_ejected(&self) -> bool {
         matches!(self.health, Health::Ejected(_))
     }
 
+    /// Returns whether the server counts against the ejection budget.
+    pub(super) fn is_set_aside(&self) -> bool {
+        self.doubted || self.is_ejected()
+    }
+
     /// Returns the number of requests that the server may start now.
     pub(super) fn free(&self) -> u16 {
-        if !self.is_member() {
+        if !self.is_member() || self.doubted {
             return 0;
         }
         let capacity = match self.health {
@@ -221,7 +232,7 @@
 
     /// Returns the number of requests that the server may run at once.
     pub(super) fn usable_slots(&self) -> u16 {
-        if self.is_member() && !self.is_ejected() {
+        if self.is_member() && !self.is_set_aside() {
             self.capacity()
         } else {
             0
--- a/crates/snipevane-core/src/shares/queue.rs
+++ b/crates/snipevane-core/src/shares/queue.rs
@@ -36,8 +36,8 @@
 pub struct QueueLimits {
     /// Requests that wait at most.
     pub max_waiting: usize,
-    /// Length up to which a team may hold more than its part of the queue.
-    pub free_for_all: usize,
+    /// Length up to which a team may hold more than its part, in percent of `max_waiting`.
+    pub free_for_all_percent: usize,
     /// Time in which past use counts half.
     pub half_life: Duration,
     /// Time for which a team that can't start anything isn't asked again.
@@ -50,7 +50,7 @@
     fn default() -> Self {
         Self {
             max_waiting: 1024,
-            free_for_all: 768,
+            free_for_all_percent: 75,
             half_life: Duration::from_secs(60),
             hold: Duration::from_millis(10),
             overnight_lead: Duration::from_secs(5),
@@ -138,7 +138,7 @@
 
     /// Adds a request.
     ///
-    /// A team may fill the queue up to `free_for_all`; above it each team is kept to its weighted
+    /// A team may fill the queue up to `free_for_all_percent`; above it each team is kept to its weighted
     /// part, so that one team's backlog leaves room for the others.
     ///
     /// # Errors
@@ -174,14 +174,27 @@
         &mut self,
         now: Instant,
         mut can_start: impl FnMut(TeamKey) -> bool,
+    ) -> Option<Waiting<T>> {
+        self.pop_where(now, |waiting| can_start(waiting.team))
+    }
+
+    /// Takes the request that starts next; `can_start` sees the team's next request.
+    ///
+    /// Otherwise like [`pop`](Self::pop): the team of a request that can't start is left out for
+    /// `hold`, with its later requests.
+    pub fn pop_where(
+        &mut self,
+        now: Instant,
+        mut can_start: impl FnMut(&Waiting<T>) -> bool,
     ) -> Option<Waiting<T>> {
         self.drop_lapsed(now);
         self.release_held(now);
         self.promote_overnight(now);
         for class in 0..CLASSES {
             while let Some(team) = self.orders[class].first() {
-                if can_start(team) {
-                    return self.start(team, class, now);
+                let key = self.first_waiting(team, class)?;
+                if can_start(&self.entries.get(key)?.waiting) {
+                    return self.start(key, now);
                 }
                 self.hold(team, now);
             }
@@ -285,7 +298,7 @@
         if len >= self.limits.max_waiting {
             return false;
         }
-        if len < self.limits.free_for_all {
+        if len * 100 < self.limits.max_waiting * self.limits.free_for_all_percent {
             return true;
         }
         let Some(state) = self.teams.get(&team) else {
@@ -300,10 +313,15 @@
         (held as u64) * all < weight * self.limits.max_waiting as u64
     }
 
-    fn start(&mut self, team: TeamKey, class: usize, now: Instant) -> Option<Waiting<T>> {
+    fn first_waiting(&self, team: TeamKey, class: usize) -> Option<WaitKey> {
         let &(.., key) = self.teams.get(&team)?.waiting[class].first()?;
+        Some(key)
+    }
+
+    fn start(&mut self, key: WaitKey, now: Instant) -> Option<Waiting<T>> {
         let scale = self.scale(now);
         let waiting = self.cancel(key)?;
+        let team = waiting.team;
         self.pace.note_start(now, !self.entries.is_empty());
         self.starts += 1;
         if let Some(state) = self.teams.get_mut(&team) {
--- a/tests/src/naive_queue.rs
+++ b/tests/src/naive_queue.rs
@@ -71,7 +71,8 @@
         let own = self.weight(waiting.team);
         let all: u64 = self.waiting_teams(Some(waiting.team));
         let part_left = held as u64 * all < own * self.limits.max_waiting as u64;
-        if len >= self.limits.free_for_all && !part_left {
+        let free_for_all = self.limits.max_waiting * self.limits.free_for_all_percent / 100;
+        if len >= free_for_all && !part_left {
             return false;
         }
         self.entries.push(NaiveEntry {
--- a/tests/src/naive_router.rs
+++ b/tests/src/naive_router.rs
@@ -26,6 +26,7 @@
     spec: ServerSpec,
     taken: Vec<Taken>,
     leaving: bool,
+    doubted: bool,
     removed: bool,
     pause: Pause,
     rate: f32,
@@ -41,6 +42,7 @@
             spec,
             taken: Vec::new(),
             leaving,
+            doubted: false,
             removed: false,
             pause: Pause::None,
             rate: 0.0,
@@ -59,10 +61,14 @@
         matches!(self.pause, Pause::Ejected(_))
     }
 
+    fn is_set_aside(&self) -> bool {
+        self.doubted || self.is_ejected()
+    }
+
     fn free(&self) -> usize {
         let slots = usize::from(self.spec.slots.min(self.spec.connections));
         let most = match self.pause {
-            _ if !self.is_member() => 0,
+            _ if !self.is_member() || self.doubted => 0,
             Pause::Declined(_) | Pause::Ejected(_) => 0,
             Pause::Probing => slots.min(1),
             Pause::None if self.rate >= 0.5 => slots.min(1),
@@ -131,11 +137,15 @@
         }
         self.drop_empty();
         // Which of several ejected servers is readmitted first isn't part of the contract.
-        while self.ejected() > self.budget() {
+        while self.set_aside() > self.budget() {
             let mut servers = self.servers.iter_mut();
-            match servers.find(|server| server.is_member() && server.is_ejected()) {
-                Some(server) => server.pause = Pause::Probing,
-                None => break,
+            let Some(server) = servers.find(|server| server.is_member() && server.is_set_aside())
+            else {
+                break;
+            };
+            server.doubted = false;
+            if server.is_ejected() {
+                server.pause = Pause::Probing;
             }
         }
     }
@@ -168,7 +178,7 @@
         self.advance(now);
         self.end_running(vm, None);
         let limits = self.limits;
-        let may_eject = self.ejected() < self.budget();
+        let may_eject = self.set_aside() < self.budget();
         let Some(index) = self.index(vm) else { return };
         let server = &mut self.servers[index];
         match report {
@@ -220,6 +230,15 @@
         }
     }
 
+    /// Sets whether a VM may leave.
+    pub fn set_doubted(&mut self, vm: &str, doubted: bool) {
+        let room = self.set_aside() < self.budget();
+        if let Some(index) = self.index(vm) {
+            let server = &mut self.servers[index];
+            server.doubted = doubted && (room || server.is_set_aside());
+        }
+    }
+
     /// Returns the number of requests that could start now.
     pub fn free_slots(&self) -> usize {
         self.servers.iter().map(NaiveServer::free).sum()
@@ -250,9 +269,9 @@
         }
     }
 
-    fn ejected(&self) -> u32 {
-        let ejected = |server: &&NaiveServer| server.is_member() && server.is_ejected();
-        self.servers.iter().filter(ejected).count() as u32
+    fn set_aside(&self) -> u32 {
+        let set_aside = |server: &&NaiveServer| server.is_member() && server.is_set_aside();
+        self.servers.iter().filter(set_aside).count() as u32
     }
 
     fn budget(&self) -> u32 {
--- a/tests/tests/members.rs
+++ b/tests/tests/members.rs
@@ -55,6 +55,19 @@
     assert_eq!(members.view("a", later), VmView::Serving);
 }
 
+#[test]
+fn a_healthy_server_that_closes_each_connection_stays_in_service() {
+    let start = Instant::now();
+    let mut members = listed(start);
+    members.on_sign(start, "a", Sign::CloseHeader);
+    let later = start + Duration::from_secs(1);
+    members.on_sign(later, "a", Sign::HealthWell);
+    members.on_sign(later, "a", Sign::CloseHeader);
+    assert_eq!(members.view("a", later), VmView::Serving);
+    members.on_sign(later, "a", Sign::HealthDeclined);
+    assert_eq!(members.view("a", later), VmView::Suspect);
+}
+
 #[test]
 fn a_refused_connection_keeps_new_work_away_for_a_short_term() {
     let start = Instant::now();
--- a/tests/tests/routing.rs
+++ b/tests/tests/routing.rs
@@ -112,6 +112,20 @@
     }
 }
 
+#[test]
+fn doubts_about_all_servers_stop_no_service() {
+    let (service, now) = (service(), Instant::now());
+    let mut router = router(service, 10, 8, now);
+    for n in 0..10 {
+        router.set_doubted(&format!("vm-{n}"), true);
+    }
+    assert_eq!(router.free_slots(service), 7 * 8);
+    for n in 0..10 {
+        router.set_doubted(&format!("vm-{n}"), false);
+    }
+    assert_eq!(router.free_slots(service), 10 * 8);
+}
+
 #[test]
 fn a_retry_goes_to_another_server() {
     let (service, now) = (service(), Instant::now());
--- a/tests/tests/routing_differential.rs
+++ b/tests/tests/routing_differential.rs
@@ -20,6 +20,7 @@
     Release(usize, Report),
     Quarantine(usize, u64),
     Leave(u16, bool),
+    Doubt(u16, bool),
     Sync(Vec<(u16, u16)>),
 }
 
@@ -41,6 +42,7 @@
         1 => (any::<usize>(), prop_oneof![0_u64..8, 0_u64..9_000])
             .prop_map(|(n, ms)| Op::Quarantine(n, ms)),
         1 => (0..SERVERS, any::<bool>()).prop_map(|(n, leaving)| Op::Leave(n, leaving)),
+        1 => (0..SERVERS, any::<bool>()).prop_map(|(n, doubted)| Op::Doubt(n, doubted)),
         1 => collection::btree_map(0..SERVERS, 0_u16..4, 0..6)
             .prop_map(|specs| Op::Sync(specs.into_iter().collect())),
     ]
@@ -111,6 +113,10 @@
                     router.set_leaving(&format!("vm-{n}"), leaving);
                     naive.set_leaving(&format!("vm-{n}"), leaving);
                 }
+                Op::Doubt(n, doubted) => {
+                    router.set_doubted(&format!("vm-{n}"), doubted);
+                    naive.set_doubted(&format!("vm-{n}"), doubted);
+                }
                 Op::Sync(servers) => {
                     let specs = specs(service, &servers);
                     naive.sync(&specs, now);
--- a/tests/tests/shares.rs
+++ b/tests/tests/shares.rs
@@ -143,13 +143,26 @@
     assert_eq!(queue.pop(now, |_| true).unwrap().team, keys[0]);
 }
 
+#[test]
+fn a_request_that_needs_nothing_more_starts_though_its_team_is_at_its_limit() {
+    let now = Instant::now();
+    let team = teams(1)[0];
+    let mut queue = queue();
+    let forwarded = 7;
+    queue
+        .push(waiting(team, Urgency::Normal, now + HOUR, forwarded), now)
+        .unwrap();
+    let next = queue.pop_where(now, |waiting| waiting.item == forwarded);
+    assert_eq!(next.unwrap().item, forwarded);
+}
+
 #[test]
 fn one_teams_backlog_leaves_room_for_the_others() {
     let now = Instant::now();
     let keys = teams(2);
     let mut queue: ShareQueue<u32> = ShareQueue::new(QueueLimits {
         max_waiting: 100,
-        free_for_all: 60,
+        free_for_all_percent: 60,
         ..QueueLimits::default()
     });
     let mut push = |team| queue.push(waiting(team, Urgency::Normal, now + HOUR, 0), now);
--- a/tests/tests/shares_differential.rs
+++ b/tests/tests/shares_differential.rs
@@ -60,7 +60,7 @@
 fn check(ops: Vec<Op>) -> Result<(), TestCaseError> {
     let limits = QueueLimits {
         max_waiting: 24,
-        free_for_all: 12,
+        free_for_all_percent: 50,
         half_life: Duration::from_secs(5),
         ..QueueLimits::default()
     };
