Hand shards over, and hold promises through outages, races and stops

Change: shards are taken over when released or gone and handed back when an entry VM of the zone has none; heartbeats say since which change keys are listed and of which incarnation a confirmation speaks; a release waits until no unit or slot is in use and is repeated when the row moved on. Not proved: answers of finished requests don't move with a shard; a retry after a planned stop is answered 'unknown'.

--- a/crates/snipevane-entry/src/control/shards.rs
+++ b/crates/snipevane-entry/src/control/shards.rs
@@ -13,6 +13,9 @@
 use crate::journal::kinds;
 use crate::state::HeldShard;
 
+/// Attempts to write that a shard is given back.
+const RELEASE_ATTEMPTS: u32 = 3;
+
 /// A shard's row as it was read.
 struct Read {
     name: ShardName,
@@ -27,7 +30,9 @@
     /// Longest time that a request of a former holder may still run.
     longest_run: Duration,
     /// Version of the row `config/head` and of the configuration that it names.
-    config_row: Option<(u64, u64)>,
+    config_row: (u64, u64),
+    /// Whether this entry VM holds a shard.
+    holds_one: bool,
 }
 
 impl<P: Platform, C: Clock> Control<P, C> {
@@ -56,6 +61,7 @@
         self.confirm_from_rows(&reads);
         self.drop_lost(&reads);
         self.take_one(&reads).await;
+        self.hand_back().await;
         self.write_held().await;
     }
 
@@ -96,7 +102,10 @@
         }
     }
 
-    /// Takes the first shard of the zone that is free, unless one is held.
+    /// Takes the first shard of the zone that is free.
+    ///
+    /// One that was never held is left to the entry VM that it was meant for, if this one holds
+    /// another.
     async fn take_one(&self, reads: &[Read]) {
         let me = Holder {
             vm: self.node.settings.vm.clone(),
@@ -113,6 +122,9 @@
         // Shards that this VM held before come first, as nobody else can take them.
         names.sort_by_key(|(_, read)| read.is_none_or(|read| read.holder.vm != me.vm.as_str()));
         for (name, read) in names {
+            if read.is_none() && site.holds_one {
+                continue;
+            }
             let Some(earliest) = self.earliest_floor(name, read, site.config_row) else {
                 continue;
             };
@@ -134,7 +146,7 @@
                     let holder = proto_row(&next, settled);
                     let expected = read.map(|read| read.version);
                     let written = self
-                        .write_shard(name, &holder, expected, site.config_row)
+                        .write_shard(name, &holder, expected, Some(site.config_row))
                         .await;
                     written.map(|version| (holder, version, floor_ms, usable_after))
                 }
@@ -153,17 +165,21 @@
         }
     }
 
-    /// Returns what taking a shard needs to know, unless one is held.
+    /// Returns what taking a shard needs to know, unless shards are to be handed back.
     fn free_to_take(&self) -> Option<Takeable> {
         let state = self.node.state();
-        if !state.held.is_empty() {
+        // Without the row of the accepted version a take can't be tied to it.
+        let config_row = state.config_row?;
+        let holds_one = !state.held.is_empty();
+        if holds_one && state.someone_lacks_a_shard() {
             return None;
         }
         let names = state
             .shards
             .names()
             .iter()
-            .filter(|name| name.zone == state.zone);
+            .filter(|name| name.zone == state.zone)
+            .filter(|name| state.held.iter().all(|held| held.name != **name));
         let longest = state
             .site
             .services
@@ -173,7 +189,8 @@
         Some(Takeable {
             names: names.cloned().collect(),
             longest_run: longest.unwrap_or_default(),
-            config_row: state.config_row,
+            config_row,
+            holds_one,
         })
     }
 
@@ -183,13 +200,13 @@
         &self,
         name: &ShardName,
         read: Option<&Read>,
-        config_row: Option<(u64, u64)>,
+        config_row: (u64, u64),
     ) -> Option<u64> {
         let skew = ClaimSettings::default().allowed_skew;
         let newest = self.node.clock.unix_ms() + u64::try_from(skew.as_millis()).unwrap_or(0);
         let Some(read) = read else {
             // Under the first configuration no identifier can have belonged to another shard.
-            let first = config_row.is_some_and(|(_, version)| version == 1);
+            let first = config_row.1 == 1;
             return Some(if first { 0 } else { newest });
         };
         if read.holder.released {
@@ -232,6 +249,7 @@
             row_version,
             usable_at,
             usable: false,
+            closing: false,
             announced_ms: 0,
             claims,
         });
@@ -243,7 +261,8 @@
         let due: Vec<(ShardName, ShardHolder, u64)> = {
             let state = self.node.state();
             let settled = state.settled;
-            let due = state.held.iter().filter_map(|held| {
+            let held = state.held.iter().filter(|held| !held.closing);
+            let due = held.filter_map(|held| {
                 let ceiling = held.claims.next_ceiling(unix_ms);
                 // A ceiling that only peers know of goes into the row as soon as that's possible.
                 let announced = Some(held.announced_ms).filter(|ms| *ms > held.row.ceiling_ms);
@@ -272,22 +291,71 @@
         }
     }
 
+    /// Gives a shard back if this entry VM holds several and another one of the zone has none.
+    async fn hand_back(&self) {
+        {
+            let now = self.node.now();
+            let mut state = self.node.state();
+            if state.held.len() > 1 && state.someone_lacks_a_shard() {
+                state.close_last_shard(now);
+            }
+        }
+        let closed = {
+            let state = self.node.state();
+            // The shard's part may be used elsewhere at once, so nothing may run on it.
+            let empty = state.is_within_deal(state.site.version);
+            let closed = state.held.iter().find(|held| held.closing && empty);
+            closed.map(|held| (held.name.clone(), released_row(held), held.row_version))
+        };
+        let Some((name, row, expected)) = closed else {
+            return;
+        };
+        if self
+            .write_shard(&name, &row, Some(expected), None)
+            .await
+            .is_some()
+        {
+            self.node.state().held.retain(|held| held.name != name);
+            self.node.record(&kinds::SHARD_RELEASED, &[&name]);
+        }
+    }
+
     /// Gives all shards back with nothing running, at the end of a planned stop.
     pub(crate) async fn release_shards(&self) {
         let held = std::mem::take(&mut self.node.state().held);
         for mut shard in held {
-            let mut row = shard.row.clone();
-            row.released = true;
-            row.ceiling_ms = shard.claims.close();
-            let written = self
-                .write_shard(&shard.name, &row, Some(shard.row_version), None)
-                .await;
-            if written.is_some() {
+            shard.claims.close();
+            if self.release(&shard).await {
                 self.node.record(&kinds::SHARD_RELEASED, &[&shard.name]);
             }
         }
     }
 
+    /// Writes that a shard is given back; returns whether that surely took effect.
+    async fn release(&self, shard: &HeldShard) -> bool {
+        let row = released_row(shard);
+        let mut expected = shard.row_version;
+        for _ in 0..RELEASE_ATTEMPTS {
+            if self
+                .write_shard(&shard.name, &row, Some(expected), None)
+                .await
+                .is_some()
+            {
+                return true;
+            }
+            // A write of the ceiling may have come in between.
+            let Ok(Some(read)) = self.platform.read(&format!("{SHARD}{}", shard.name)).await else {
+                continue;
+            };
+            let holder = self.parse_row::<ShardHolder>(&read);
+            if holder.is_none_or(|holder| holder.incarnation != self.node.incarnation) {
+                return false;
+            }
+            expected = read.version;
+        }
+        false
+    }
+
     /// Writes a shard's row; returns its new version if the write surely took effect.
     ///
     /// With `config_row` the write only takes effect while that version of the configuration is
@@ -334,6 +402,14 @@
     }
 }
 
+fn released_row(held: &HeldShard) -> ShardHolder {
+    ShardHolder {
+        released: true,
+        ceiling_ms: held.claims.ceiling_ms(),
+        ..held.row.clone()
+    }
+}
+
 fn core_row(row: &ShardHolder) -> ShardRow {
     ShardRow {
         vm: SmolStr::new(&row.vm),
--- a/crates/snipevane-entry/src/daemon.rs
+++ b/crates/snipevane-entry/src/daemon.rs
@@ -162,7 +162,8 @@
         self.stop_callers.cancel();
         self.connections.close();
         self.connections.wait().await;
-        while node.in_flight() > 0 {
+        // Units and slots of requests that may still run keep the shards from being given back.
+        while node.in_flight() > 0 || !node.state().is_idle() {
             sleep(STOP_POLL).await;
         }
         self.control.release_shards().await;
--- a/crates/snipevane-entry/src/peer/rpc.rs
+++ b/crates/snipevane-entry/src/peer/rpc.rs
@@ -65,10 +65,9 @@
     pub(crate) fn heartbeat_for(&self, vm: &str) -> Heartbeat {
         let now = self.now();
         let state = self.state();
-        let (merged, confirmed) = state
-            .peers
-            .get(vm)
-            .map_or((0, 0), |peer| (peer.keys_merged, peer.keys_confirmed));
+        let (merged, confirmed, of) = state.peers.get(vm).map_or((0, 0, None), |peer| {
+            (peer.keys_merged, peer.keys_confirmed, peer.incarnation)
+        });
         let (rows, keys_sequence) = state.keys.changes_since(confirmed);
         let keys = rows.map(key_state).collect();
         let platform_age = state
@@ -89,7 +88,9 @@
             free_slots: state.free_slots(),
             keys,
             keys_sequence,
+            keys_since: confirmed,
             keys_seen: merged,
+            keys_seen_of: of,
             ceilings: state.ceilings_for(vm),
             logical_time: self.journal.time_of_message(self.clock.unix_ms()),
         }
@@ -120,7 +121,9 @@
             .observe(heartbeat.logical_time, self.clock.unix_ms());
         let now = self.now();
         let mut state = self.state();
-        let news = state.peers.on_heartbeat(heartbeat, address, now);
+        let news = state
+            .peers
+            .on_heartbeat(heartbeat, address, self.incarnation, now);
         if heartbeat.zone != state.zone.as_str() {
             state.other_zone_heard = Some(now);
         }
--- a/crates/snipevane-entry/src/peer/table.rs
+++ b/crates/snipevane-entry/src/peer/table.rs
@@ -120,11 +120,13 @@
         self.by_vm.get(vm)
     }
 
-    /// Takes note of a heartbeat; returns whether the peer became reachable or restarted.
+    /// Takes note of a heartbeat that reached the process `receiver`; returns whether the peer
+    /// became reachable or restarted.
     pub(crate) fn on_heartbeat(
         &mut self,
         heartbeat: &Heartbeat,
         address: SocketAddr,
+        receiver: Uuid,
         now: Instant,
     ) -> bool {
         let vm = SmolStr::new(&heartbeat.vm);
@@ -156,8 +158,16 @@
                 index: shard.index,
             })
             .collect();
-        peer.keys_merged = peer.keys_merged.max(heartbeat.keys_sequence);
-        peer.keys_confirmed = peer.keys_confirmed.max(heartbeat.keys_seen);
+        // A list that starts later than what was merged leaves a gap, so the peer is asked again.
+        if heartbeat.keys_since <= peer.keys_merged {
+            peer.keys_merged = peer.keys_merged.max(heartbeat.keys_sequence);
+        }
+        let of_this_process = heartbeat.keys_seen_of == Some(receiver);
+        peer.keys_confirmed = if of_this_process {
+            heartbeat.keys_seen
+        } else {
+            0
+        };
         let counts = |list: &[snipevane_proto::peer::Free]| {
             list.iter()
                 .map(|free| (SmolStr::new(&free.name), free.count))
@@ -244,7 +254,8 @@
     pub(crate) fn holder(&self, shard: &ShardName) -> Option<(SmolStr, SocketAddr)> {
         self.by_vm
             .iter()
-            .find(|(_, peer)| peer.takes_requests() && peer.shards.contains(shard))
+            // A stopping peer serves its shard until it has given it back.
+            .find(|(_, peer)| peer.reachable && peer.shards.contains(shard))
             .map(|(vm, peer)| (vm.clone(), peer.address))
     }
 }
--- a/crates/snipevane-entry/src/state/site_state.rs
+++ b/crates/snipevane-entry/src/state/site_state.rs
@@ -205,7 +205,7 @@
     pub(crate) fn use_ready_shards(&mut self, now: Instant) {
         let mut ready = Vec::new();
         for shard in &mut self.held {
-            if !shard.usable && shard.usable_at <= now {
+            if !shard.usable && !shard.closing && shard.usable_at <= now {
                 shard.usable = true;
                 ready.push(shard.name.clone());
             }
@@ -333,7 +333,8 @@
         VersionDeal::new(site.version, names, former, slots)
     }
 
-    fn is_within_deal(&self, version: u64) -> bool {
+    /// Tells whether what runs here is within a version's deal.
+    pub(crate) fn is_within_deal(&self, version: u64) -> bool {
         let units = self
             .limit_deals
             .settled(version, self.limits.in_use_by_names());
