Measure the request path, direct and through an entry VM

Ruled out: all parts in one process (the entry VM's memory and processor time couldn't be told apart); throughput alone (on a shared machine only the processor time of a request is steady); counting the timer's delay as latency (a paced request counts from when it was sent, or from when it was due if the former one made it late).

Change: snipevane-measure path starts platform, four backend servers and one entry VM as processes (subcommand part), loads backend servers and entry VM in turn with 32 callers, first as fast as they go, then at half of the entry VM's rate; prints rates, hdrhistogram quantiles, processor time of a request, memory. The stand-ins' main moves into their library; their first lines no longer end the process if nobody reads them. The platform's client draws its own jitter seed unless it's given one.

--- a/crates/snipevane-measure/src/error.rs
+++ b/crates/snipevane-measure/src/error.rs
@@ -16,7 +16,17 @@
     /// A histogram couldn't be made.
     #[error("can't make a histogram: {0}")]
     Histogram(String),
+    /// A process of the measured site ended with an error.
+    #[error("the part {0} ended with an error")]
+    Part(String),
     /// The picture couldn't be drawn.
     #[error("can't draw the picture: {0}")]
     Picture(String),
 }
+
+impl MeasureError {
+    /// Wraps an error of a histogram.
+    pub(crate) fn histogram(error: impl std::fmt::Display) -> Self {
+        Self::Histogram(error.to_string())
+    }
+}
--- a/crates/snipevane-measure/src/flags.rs
+++ b/crates/snipevane-measure/src/flags.rs
@@ -52,6 +52,18 @@
             /// Seeds the demand and the jitter.
             optional --seed seed: u64
         }
+        /// Measures the request path over processes on loopback, direct and through an entry VM.
+        cmd path {
+            /// Prints JSON in place of the table.
+            optional --json
+        }
+        /// Runs one process of the request path's measurement, which starts it by itself.
+        cmd part {
+            /// One of entry, platform, backend.
+            required kind: String
+            /// Settings file.
+            required settings: PathBuf
+        }
     }
 }
 
--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod flags;
 pub mod fleet;
 pub mod outage;
+pub mod path;
 pub mod routing;
 
 pub use error::MeasureError;
@@ -25,5 +26,7 @@
         SnipevaneMeasureCmd::Routing(cmd) => routing::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
         SnipevaneMeasureCmd::Outage(cmd) => outage::run(cmd),
+        SnipevaneMeasureCmd::Path(cmd) => path::run(cmd),
+        SnipevaneMeasureCmd::Part(cmd) => path::run_part(&cmd.kind, &cmd.settings),
     }
 }
--- /dev/null
+++ b/crates/snipevane-measure/src/path/load.rs
@@ -0,0 +1,221 @@
+//! Load from many callers, each with one connection and one request at a time.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use super::new_histogram;
+use crate::error::MeasureError;
+
+/// Body of each request.
+const BODY: &[u8] = b"tick 4711 of 2026-12-03 reconciled";
+
+/// Where requests go.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    /// Addresses, taken in turn by the callers.
+    pub(super) addresses: Vec<SocketAddr>,
+    /// Path of the requests.
+    pub(super) path: String,
+    /// Key that the requests carry.
+    pub(super) key: Option<String>,
+    /// Callers.
+    pub(super) workers: usize,
+}
+
+impl Target {
+    /// Sends one request on a connection of its own.
+    pub(super) async fn probe(&self) -> io::Result<StatusCode> {
+        let mut caller = Caller::connect(self, 0).await?;
+        caller.send().await
+    }
+}
+
+/// What came of a load.
+pub(super) struct Load {
+    /// Time from the start to the end.
+    elapsed: Duration,
+    /// Times of the requests that were answered with 200, in microseconds.
+    pub(super) times: Histogram<u64>,
+    /// Requests that were answered with another status or not at all.
+    pub(super) failed: u64,
+}
+
+impl Load {
+    /// Sends requests one after the other from each caller.
+    pub(super) async fn closed(target: &Target, time: Duration) -> Result<Self, MeasureError> {
+        Self::run(target, time, None).await
+    }
+
+    /// Sends requests at a rate over all callers.
+    pub(super) async fn paced(
+        target: &Target,
+        per_second: f64,
+        time: Duration,
+    ) -> Result<Self, MeasureError> {
+        let interval = Duration::from_secs_f64(target.workers as f64 / per_second);
+        Self::run(target, time, Some(interval)).await
+    }
+
+    /// Returns the requests answered with 200 each second.
+    pub(super) fn per_second(&self) -> f64 {
+        self.times.len() as f64 / self.elapsed.as_secs_f64()
+    }
+
+    async fn run(
+        target: &Target,
+        time: Duration,
+        interval: Option<Duration>,
+    ) -> Result<Self, MeasureError> {
+        let mut callers = Vec::new();
+        for number in 0..target.workers {
+            callers.push(Caller::connect(target, number).await?);
+        }
+        let start = Instant::now();
+        let mut tasks = JoinSet::new();
+        for (number, caller) in callers.into_iter().enumerate() {
+            let share = number as f64 / target.workers as f64;
+            let pace = interval.map(|interval| Pace {
+                next: start + interval.mul_f64(share),
+                interval,
+            });
+            tasks.spawn(work(caller, start + time, pace));
+        }
+        let mut load = Self {
+            elapsed: Duration::ZERO,
+            times: new_histogram()?,
+            failed: 0,
+        };
+        while let Some(result) = tasks.join_next().await {
+            let (times, failed) = result.map_err(io::Error::other)??;
+            load.times.add(&times).map_err(MeasureError::histogram)?;
+            load.failed += failed;
+        }
+        load.elapsed = start.elapsed();
+        Ok(load)
+    }
+}
+
+/// When a caller sends its requests.
+struct Pace {
+    next: Instant,
+    interval: Duration,
+}
+
+impl Pace {
+    /// Waits until the next request is due, and returns the time from which it counts.
+    ///
+    /// A request that is late because the former one took long counts from when it was due; the
+    /// timer's own delay doesn't count.
+    async fn wait(&mut self) -> Instant {
+        let due = self.next;
+        self.next += self.interval;
+        if due <= Instant::now() {
+            return due;
+        }
+        tokio::time::sleep_until(due.into()).await;
+        Instant::now()
+    }
+}
+
+async fn work(
+    mut caller: Caller,
+    until: Instant,
+    mut pace: Option<Pace>,
+) -> Result<(Histogram<u64>, u64), MeasureError> {
+    let mut times = new_histogram()?;
+    let mut failed = 0;
+    loop {
+        let started = match &mut pace {
+            Some(pace) => pace.wait().await,
+            None => Instant::now(),
+        };
+        if started >= until {
+            return Ok((times, failed));
+        }
+        match caller.send().await {
+            Ok(StatusCode::OK) => {
+                let micros = started.elapsed().as_micros();
+                let micros = u64::try_from(micros).unwrap_or(u64::MAX);
+                times.record(micros).map_err(MeasureError::histogram)?;
+            }
+            Ok(_) => failed += 1,
+            Err(_) => {
+                failed += 1;
+                caller.reconnect().await?;
+            }
+        }
+    }
+}
+
+/// A caller with one connection.
+pub(super) struct Caller {
+    target: Target,
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Caller {
+    async fn connect(target: &Target, number: usize) -> io::Result<Self> {
+        let address = target.addresses[number % target.addresses.len()];
+        Ok(Self {
+            target: target.clone(),
+            address,
+            sender: open(address).await?,
+        })
+    }
+
+    async fn reconnect(&mut self) -> io::Result<()> {
+        self.sender = open(self.address).await?;
+        Ok(())
+    }
+
+    async fn send(&mut self) -> io::Result<StatusCode> {
+        let mut req = Request::post(&self.target.path).header(header::HOST, "site");
+        if let Some(key) = &self.target.key {
+            req = req.header(header::AUTHORIZATION, format!("Bearer {key}"));
+        }
+        let req = req.body(Full::new(Bytes::from_static(BODY)));
+        let req = req.map_err(io::Error::other)?;
+        self.sender.ready().await.map_err(io::Error::other)?;
+        let response = self.sender.send_request(req).await;
+        let response = response.map_err(io::Error::other)?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        body.map_err(io::Error::other)?;
+        Ok(status)
+    }
+}
+
+async fn open(address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    tokio::spawn(async move {
+        // The caller sees a broken connection at its next request.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Opens connections, sends one request on each and keeps them open.
+pub(super) async fn open_connections(target: &Target, count: usize) -> io::Result<Vec<Caller>> {
+    let mut callers = Vec::new();
+    for number in 0..count {
+        let mut caller = Caller::connect(target, number).await?;
+        caller.send().await?;
+        callers.push(caller);
+    }
+    Ok(callers)
+}
--- /dev/null
+++ b/crates/snipevane-measure/src/path/mod.rs
@@ -0,0 +1,130 @@
+//! The request path: direct to backend servers and through an entry VM, side by side in one run.
+//!
+//! Platform, backend servers and entry VM run as processes of their own, the load in this one.
+
+mod load;
+mod part;
+mod process;
+mod report;
+mod site;
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use tokio::runtime::Runtime;
+
+pub(crate) use part::run_part;
+pub use report::PathReport;
+
+use crate::error::MeasureError;
+use crate::flags::Path;
+use load::{Load, Target};
+use report::{CpuPerRequest, Latency, Memory};
+use site::MeasuredSite;
+
+/// Time of one round of load.
+const ROUND: Duration = Duration::from_secs(3);
+/// Time of load before the first round.
+const WARM_UP: Duration = Duration::from_secs(1);
+/// Rounds of each kind, direct and through the entry VM in turn.
+const ROUNDS: usize = 5;
+/// Open callers' connections for the memory figure.
+const OPEN_CONNECTIONS: usize = 1_000;
+
+/// Runs the measurement and prints its report.
+///
+/// # Errors
+///
+/// Returns an error if a process doesn't start or the site doesn't get ready.
+pub(crate) fn run(flags: &Path) -> Result<(), MeasureError> {
+    let report = Runtime::new()?.block_on(measure())?;
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        println!("{report}");
+    }
+    Ok(())
+}
+
+async fn measure() -> Result<PathReport, MeasureError> {
+    let site = MeasuredSite::start().await?;
+    let direct = site.direct();
+    let through = site.through();
+    for target in [&direct, &through] {
+        Load::closed(target, WARM_UP).await?;
+    }
+    let mut direct_rates = Vec::new();
+    let mut through_rates = Vec::new();
+    let mut failed = 0;
+    for _ in 0..ROUNDS {
+        for (target, rates) in [(&direct, &mut direct_rates), (&through, &mut through_rates)] {
+            let load = Load::closed(target, ROUND).await?;
+            rates.push(load.per_second());
+            failed += load.failed;
+        }
+    }
+    let (direct_rate, through_rate) = (median(direct_rates), median(through_rates));
+    let half = through_rate / 2.0;
+    let cpu = measure_cpu(&site, &through, half).await?;
+    let mut direct_times = new_histogram()?;
+    let mut through_times = new_histogram()?;
+    for _ in 0..ROUNDS {
+        for (target, times) in [(&direct, &mut direct_times), (&through, &mut through_times)] {
+            let load = Load::paced(target, half, ROUND).await?;
+            failed += load.failed;
+            times.add(&load.times).map_err(MeasureError::histogram)?;
+        }
+    }
+    let memory = measure_memory(&site, &through).await?;
+    Ok(PathReport {
+        direct_per_second: direct_rate,
+        through_per_second: through_rate,
+        relative: through_rate / direct_rate,
+        paced_per_second: half,
+        direct: Latency::of(&direct_times),
+        through: Latency::of(&through_times),
+        cpu,
+        failed,
+        memory,
+        load_average: site::load_average(),
+    })
+}
+
+/// Measures the processor time of a request at a rate.
+async fn measure_cpu(
+    site: &MeasuredSite,
+    through: &Target,
+    per_second: f64,
+) -> Result<CpuPerRequest, MeasureError> {
+    let before = site.cpu_times()?;
+    let load = Load::paced(through, per_second, ROUND).await?;
+    let after = site.cpu_times()?;
+    let requests = load.times.len().max(1) as f64;
+    let per_request = |used: Duration| used.as_secs_f64() * 1e6 / requests;
+    Ok(CpuPerRequest {
+        entry_us: per_request(after.entry - before.entry),
+        backends_us: per_request(after.backends - before.backends),
+    })
+}
+
+async fn measure_memory(site: &MeasuredSite, through: &Target) -> Result<Memory, MeasureError> {
+    let before = site.entry_rss_kb()?;
+    let open = load::open_connections(through, OPEN_CONNECTIONS).await?;
+    let after = site.entry_rss_kb()?;
+    drop(open);
+    Ok(Memory {
+        connections: OPEN_CONNECTIONS,
+        before_kb: before,
+        after_kb: after,
+    })
+}
+
+/// Creates a histogram of times in microseconds.
+fn new_histogram() -> Result<Histogram<u64>, MeasureError> {
+    Histogram::new(3).map_err(MeasureError::histogram)
+}
+
+fn median(mut rates: Vec<f64>) -> f64 {
+    rates.sort_by(f64::total_cmp);
+    rates.get(rates.len() / 2).copied().unwrap_or_default()
+}
--- a/crates/snipevane-platform/src/client.rs
+++ b/crates/snipevane-platform/src/client.rs
@@ -19,6 +19,7 @@
 };
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
+use uuid::Uuid;
 
 use crate::error::{CommitError, PlatformError};
 use crate::object_store::ObjectStore;
@@ -99,7 +100,11 @@
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(settings.max_in_flight)
             .build(connector);
-        let retries = RetryBudget::new(settings.retry, settings.seed, clock.now());
+        // Clients that start together must not retry together.
+        let seed = settings
+            .seed
+            .unwrap_or_else(|| Uuid::now_v7().as_u64_pair().1);
+        let retries = RetryBudget::new(settings.retry, seed, clock.now());
         Self {
             clock,
             http,
--- a/crates/snipevane-platform/src/settings.rs
+++ b/crates/snipevane-platform/src/settings.rs
@@ -26,8 +26,8 @@
     pub max_answer_bytes: usize,
     /// When reads are sent again.
     pub retry: RetryPolicy,
-    /// Seed of the jitter; clients that start together need different ones.
-    pub seed: u64,
+    /// Seed of the jitter; each client draws one of its own if it's absent.
+    pub seed: Option<u64>,
 }
 
 impl Default for PlatformSettings {
@@ -41,7 +41,7 @@
             max_in_flight: 32,
             max_answer_bytes: 16 << 20,
             retry: RetryPolicy::default(),
-            seed: 0,
+            seed: None,
         }
     }
 }
--- a/crates/snipevane-standin/src/lib.rs
+++ b/crates/snipevane-standin/src/lib.rs
@@ -8,6 +8,8 @@
 mod platform;
 mod settings_file;
 
+pub mod process;
+
 pub use backend::{Backend, BackendStandinSettings, RunningBackend, most_running};
 pub use platform::{Platform, PlatformStandinSettings, RunningPlatform};
 pub use settings_file::{SettingsFile, read_settings};
