Add workers to the platform's stand-in and its client

Cause: tasks run on workers of the platform, under leases, with reports that lag; the task ledger needs something to prove itself against.

Ruled out: a lease for each task (the scheduler takes one for each worker, and a worker's lapse ends all its tasks); timers in the stand-in (states follow from the time of the call, so that ends are exact).

Change: trait Workers with its client; the stand-in's workers with epoch-fenced leases, start, checkpoint, throttle and stop, room by reservation, lagging reports, switches for failing and frozen workers, and a record of every run.

--- a/crates/snipevane-platform/src/client.rs
+++ b/crates/snipevane-platform/src/client.rs
@@ -15,7 +15,8 @@
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use snipevane_core::clock::{Clock, SystemClock};
 use snipevane_proto::platform::{
-    self as message, CLIENT, COMMIT_PATH, OBJECTS_PATH, READ_PATH, SCAN_PATH, VMS_PATH,
+    self as message, CLIENT, COMMIT_PATH, LEASE_PATH, OBJECTS_PATH, READ_PATH, SCAN_PATH,
+    TASK_PATH, VMS_PATH, WORKERS_PATH,
 };
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
@@ -27,11 +28,12 @@
 use crate::settings::PlatformSettings;
 use crate::table::{Committed, Row, Table, Transaction};
 use crate::vm_list::{VmEntry, VmList};
+use crate::workers::{LeaseRequest, TaskCommand, WorkerError, WorkerReport, Workers};
 
 /// Pause that a refusal over the platform's rate asks for if it names none.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Client of the platform's table, object store and VM list.
+/// Client of the platform's table, object store, VM list and workers.
 ///
 /// Each call has a deadline. Reads are sent again within a [`RetryBudget`]; a commit is sent once.
 pub struct PlatformClient<C = SystemClock> {
@@ -151,6 +153,23 @@
         }
     }
 
+    /// Sends an instruction to a worker once.
+    async fn instruct<T: Serialize>(&self, path: &str, message: &T) -> Result<(), WorkerError> {
+        let call = Call::post(path, message).map_err(WorkerError::NotApplied)?;
+        let result = self.attempt(&call, self.settings.request_timeout).await;
+        let result = result.and_then(|answer| match answer.status {
+            StatusCode::OK => Ok(Ok(())),
+            StatusCode::CONFLICT => answer.parse().map(Err),
+            _ => Err(answer.refusal()),
+        });
+        match result {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(refusal)) => Err(WorkerError::Declined(refusal)),
+            Err(error) if error.is_without_effect() => Err(WorkerError::NotApplied(error)),
+            Err(error) => Err(WorkerError::Unknown(error)),
+        }
+    }
+
     fn attempt_time(&self, deadline: Instant) -> Duration {
         let left = deadline.saturating_duration_since(self.clock.now());
         left.min(self.settings.attempt_timeout)
@@ -279,6 +298,22 @@
     }
 }
 
+impl<C: Clock> Workers for PlatformClient<C> {
+    async fn reports(&self) -> Result<Vec<WorkerReport>, PlatformError> {
+        let answer = self.call_read(Call::get(WORKERS_PATH)).await?;
+        let reports: message::WorkerReports = answer.parse()?;
+        Ok(reports.workers)
+    }
+
+    async fn lease(&self, req: LeaseRequest) -> Result<(), WorkerError> {
+        self.instruct(LEASE_PATH, &req).await
+    }
+
+    async fn command(&self, command: TaskCommand) -> Result<(), WorkerError> {
+        self.instruct(TASK_PATH, &command).await
+    }
+}
+
 fn classify(error: PlatformError) -> CommitError {
     if error.is_without_effect() {
         CommitError::NotApplied(error)
--- a/crates/snipevane-platform/src/lib.rs
+++ b/crates/snipevane-platform/src/lib.rs
@@ -1,6 +1,6 @@
-//! Traits and client for the platform's table, object store and VM list.
+//! Traits and client for the platform's table, object store, VM list and workers.
 //!
-//! [`Table`], [`ObjectStore`] and [`VmList`] are what the rest of the system is generic over;
+//! [`Table`], [`ObjectStore`], [`VmList`] and [`Workers`] are what the rest of the system is generic over;
 //! [`PlatformClient`] implements them over HTTP. [`commit_resolved`] finds out what became of a
 //! transaction whose answer was lost.
 
@@ -13,6 +13,7 @@
 mod table;
 mod vm_list;
 mod wire;
+mod workers;
 mod writer;
 
 pub use client::PlatformClient;
@@ -23,6 +24,10 @@
 pub use settings::PlatformSettings;
 pub use table::{Check, Committed, Row, Table, Transaction, Write};
 pub use vm_list::{VmEntry, VmList, VmRole, VmState};
+pub use workers::{
+    LeaseRequest, Resources, StartTask, TaskAction, TaskCommand, TaskReport, TaskState,
+    ThrottleTask, WorkerError, WorkerRefusal, WorkerReport, WorkerSpec, Workers,
+};
 pub use writer::{
     Batch, Condition, Importance, NextBatch, Pace, PaceSettings, RowWrite, Settled, WriteError,
     WriteQueue, WriteQueueSettings, Writer, WriterHandle,
--- a/crates/snipevane-proto/src/platform.rs
+++ b/crates/snipevane-proto/src/platform.rs
@@ -2,8 +2,10 @@
 
 pub use crate::generated::platform::{
     Answer, BackendFaults, BackendRecord, Check, CommitEntry, CommitResult, Committed, Conflict,
-    Delete, PlatformFaults, PlatformRecord, Put, ReadRequest, Row, Rows, RunEntry, ScanRequest,
-    SecondEntry, Transaction, Vm, VmRole, VmState, Vms, Write, WrittenRow,
+    Delete, LeaseRequest, PlatformFaults, PlatformRecord, Put, ReadRequest, Resources, Row, Rows,
+    RunEntry, ScanRequest, SecondEntry, StartTask, TaskAction, TaskCommand, TaskReport, TaskRun,
+    TaskSpec, TaskState, ThrottleTask, Transaction, Vm, VmRole, VmState, Vms, WorkerRefusal,
+    WorkerReport, WorkerReports, WorkerSpec, WorkerSpecs, Write, WrittenRow,
 };
 
 /// Header in which a client of the platform gives its name.
@@ -18,6 +20,12 @@
 pub const OBJECTS_PATH: &str = "/objects/";
 /// Path of the VM list.
 pub const VMS_PATH: &str = "/vms";
+/// Path of the workers' reports.
+pub const WORKERS_PATH: &str = "/workers";
+/// Path that takes or renews the lease on a worker.
+pub const LEASE_PATH: &str = "/workers/lease";
+/// Path of commands about tasks.
+pub const TASK_PATH: &str = "/workers/task";
 /// Path of the fault switches of a stand-in.
 pub const FAULTS_PATH: &str = "/faults";
 /// Path of the record of a stand-in.
--- a/crates/snipevane-standin/src/platform/handler.rs
+++ b/crates/snipevane-standin/src/platform/handler.rs
@@ -10,9 +10,10 @@
 use parking_lot::Mutex;
 use snipevane_core::clock::{Clock, SystemClock};
 use snipevane_proto::platform::{
-    CLIENT, COMMIT_PATH, CommitEntry, CommitResult, Committed, Conflict, FAULTS_PATH, OBJECTS_PATH,
-    PlatformFaults, PlatformRecord, READ_PATH, RECORD_PATH, ReadRequest, Rows, SCAN_PATH,
-    ScanRequest, Transaction, VMS_PATH, Vm, Vms, Write,
+    CLIENT, COMMIT_PATH, CommitEntry, CommitResult, Committed, Conflict, FAULTS_PATH, LEASE_PATH,
+    LeaseRequest, OBJECTS_PATH, PlatformFaults, PlatformRecord, READ_PATH, RECORD_PATH,
+    ReadRequest, Rows, SCAN_PATH, ScanRequest, TASK_PATH, TaskCommand, Transaction, VMS_PATH, Vm,
+    Vms, WORKERS_PATH, WorkerRefusal, WorkerReports, WorkerSpec, WorkerSpecs, Write,
 };
 use tokio::sync::oneshot;
 
@@ -21,6 +22,7 @@
 use super::settings::PlatformStandinSettings;
 use super::store::Store;
 use super::vms::LaggingList;
+use super::workers::WorkerFleet;
 use crate::http::{
     Handler, NoAnswer, Tasks, answer, header_text, json, read_body, read_json, text, unix_us,
 };
@@ -38,6 +40,7 @@
     faults: PlatformFaults,
     store: Store,
     vms: LaggingList,
+    workers: WorkerFleet,
     record: Record,
     reads: Rate,
     writes: Rate,
@@ -51,6 +54,7 @@
             faults: PlatformFaults::default(),
             store: Store::default(),
             vms: LaggingList::new(settings.vms.clone()),
+            workers: WorkerFleet::default(),
             record: Record::default(),
             reads: Rate::new(settings.reads_per_second, now),
             writes: Rate::new(settings.writes_per_second, now),
@@ -71,7 +75,15 @@
     }
 
     pub(crate) fn record(&self) -> PlatformRecord {
-        self.state.lock().record.snapshot()
+        let state = &mut *self.state.lock();
+        PlatformRecord {
+            task_runs: state.workers.runs(unix_us()),
+            ..state.record.snapshot()
+        }
+    }
+
+    pub(crate) fn set_workers(&self, workers: Vec<WorkerSpec>) {
+        self.state.lock().workers.set(workers);
     }
 
     /// Answers the calls that set faults and fetch the record, which no fault affects.
@@ -95,6 +107,14 @@
                 self.set_vms(vms.vms);
                 Ok(text(StatusCode::OK, ""))
             }
+            (&Method::POST, WORKERS_PATH) => {
+                let workers: WorkerSpecs = match read_json(req).await? {
+                    Ok(workers) => workers,
+                    Err(refusal) => return Ok(refusal),
+                };
+                self.set_workers(workers.workers);
+                Ok(text(StatusCode::OK, ""))
+            }
             _ => Ok(text(StatusCode::NOT_FOUND, "no such call")),
         }
     }
@@ -147,12 +167,43 @@
                 let vms = state.vms.at(Duration::from_millis(lag), now).to_vec();
                 Ok(json(StatusCode::OK, &Vms { vms }))
             }
+            (&Method::GET, WORKERS_PATH) => {
+                let lag_us = u64::from(self.settings.report_lag_ms) * 1000;
+                let now_us = unix_us();
+                let workers = state.workers.reports(now_us.saturating_sub(lag_us), now_us);
+                Ok(json(StatusCode::OK, &WorkerReports { workers }))
+            }
+            (&Method::POST, LEASE_PATH) => state.lease(&body),
+            (&Method::POST, TASK_PATH) => state.command(&body),
             _ => Ok(text(StatusCode::NOT_FOUND, "no such call")),
         }
     }
 }
 
 impl State {
+    fn lease(&mut self, body: &[u8]) -> Answer {
+        let req: LeaseRequest = match serde_json::from_slice(body) {
+            Ok(req) => req,
+            Err(error) => return Ok(text(StatusCode::BAD_REQUEST, error.to_string())),
+        };
+        if self.faults.frozen_workers.contains(&req.worker) {
+            return Err(NoAnswer);
+        }
+        Ok(obeyed(self.workers.lease(req, unix_us())))
+    }
+
+    fn command(&mut self, body: &[u8]) -> Answer {
+        let command: TaskCommand = match serde_json::from_slice(body) {
+            Ok(command) => command,
+            Err(error) => return Ok(text(StatusCode::BAD_REQUEST, error.to_string())),
+        };
+        if self.faults.frozen_workers.contains(&command.worker) {
+            return Err(NoAnswer);
+        }
+        let fails = self.faults.failing_workers.contains(&command.worker);
+        Ok(obeyed(self.workers.command(command, fails, unix_us())))
+    }
+
     fn admit_read(&mut self, now: Instant) -> bool {
         let second = self.record.second(SystemClock.unix_ms() / 1000);
         if self.reads.take(1, now) {
@@ -272,8 +323,9 @@
 
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Answer {
         let path = req.uri().path();
-        let sets_vms = path == VMS_PATH && req.method() == Method::POST;
-        if path == FAULTS_PATH || path == RECORD_PATH || sets_vms {
+        let is_list = path == VMS_PATH || path == WORKERS_PATH;
+        let sets_list = is_list && req.method() == Method::POST;
+        if path == FAULTS_PATH || path == RECORD_PATH || sets_list {
             return self.control(req).await;
         }
         self.call(req).await
@@ -287,6 +339,13 @@
     }
 }
 
+fn obeyed(result: Result<(), WorkerRefusal>) -> Response<Full<Bytes>> {
+    match result {
+        Ok(()) => json(StatusCode::OK, &()),
+        Err(refusal) => json(StatusCode::CONFLICT, &refusal),
+    }
+}
+
 fn over_rate() -> Response<Full<Bytes>> {
     let mut refusal = text(StatusCode::TOO_MANY_REQUESTS, "over the rate");
     let headers = refusal.headers_mut();
--- a/crates/snipevane-standin/src/platform/mod.rs
+++ b/crates/snipevane-standin/src/platform/mod.rs
@@ -7,6 +7,7 @@
 mod settings;
 mod store;
 mod vms;
+mod workers;
 
 pub use server::{Platform, RunningPlatform};
 pub use settings::PlatformStandinSettings;
--- a/crates/snipevane-standin/src/platform/record.rs
+++ b/crates/snipevane-standin/src/platform/record.rs
@@ -39,11 +39,12 @@
         })
     }
 
-    /// Returns a copy of the record.
+    /// Returns a copy of the record, without the runs of tasks.
     pub(crate) fn snapshot(&self) -> PlatformRecord {
         PlatformRecord {
             commits: self.commits.iter().cloned().collect(),
             seconds: self.seconds.values().cloned().collect(),
+            task_runs: Vec::new(),
         }
     }
 }
--- a/crates/snipevane-standin/src/platform/server.rs
+++ b/crates/snipevane-standin/src/platform/server.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use snipevane_proto::platform::{PlatformFaults, PlatformRecord, Vm};
+use snipevane_proto::platform::{PlatformFaults, PlatformRecord, Vm, WorkerSpec};
 
 use super::handler::PlatformHandler;
 use super::settings::PlatformStandinSettings;
@@ -56,6 +56,11 @@
         self.handler.set_vms(vms);
     }
 
+    /// Sets the workers; those that stay keep their leases and tasks.
+    pub fn set_workers(&self, workers: Vec<WorkerSpec>) {
+        self.handler.set_workers(workers);
+    }
+
     /// Returns the record.
     pub fn record(&self) -> PlatformRecord {
         self.handler.record()
--- a/crates/snipevane-standin/src/platform/settings.rs
+++ b/crates/snipevane-standin/src/platform/settings.rs
@@ -21,6 +21,8 @@
     pub rows_per_write: u32,
     /// Lag of the VM list, in milliseconds.
     pub list_lag_ms: u32,
+    /// Lag of the workers' reports, in milliseconds.
+    pub report_lag_ms: u32,
     /// VMs in the list at the start.
     pub vms: Vec<Vm>,
 }
@@ -33,6 +35,7 @@
             reads_per_second: 0,
             rows_per_write: 25,
             list_lag_ms: 0,
+            report_lag_ms: 0,
             vms: Vec::new(),
         }
     }
@@ -45,6 +48,7 @@
         ("reads_per_second", FieldKind::Number),
         ("rows_per_write", FieldKind::Number),
         ("list_lag_ms", FieldKind::Number),
+        ("report_lag_ms", FieldKind::Number),
         ("vms", FieldKind::List),
     ];
 }
--- /dev/null
+++ b/crates/snipevane-standin/src/platform/workers/fleet.rs
@@ -0,0 +1,213 @@
+//! The workers, their leases and their tasks.
+
+use std::collections::BTreeMap;
+
+use snipevane_proto::platform::{
+    LeaseRequest, Resources, StartTask, TaskAction, TaskCommand, TaskRun, TaskState, WorkerRefusal,
+    WorkerReport, WorkerSpec,
+};
+
+use super::task::SimulatedTask;
+
+/// Time for which a task that ended is reported, in microseconds.
+const REPORT_ENDED_US: u64 = 600_000_000;
+
+/// Lease on a worker.
+#[derive(Clone, Debug)]
+struct Lease {
+    holder: String,
+    epoch: u64,
+    until_us: u64,
+}
+
+#[derive(Debug)]
+struct Worker {
+    spec: WorkerSpec,
+    lease: Option<Lease>,
+    /// Tasks in the order of their starts.
+    tasks: Vec<SimulatedTask>,
+    /// Latest task under each identifier.
+    latest: BTreeMap<String, usize>,
+}
+
+/// The workers; times are in microseconds since the Unix epoch.
+#[derive(Debug, Default)]
+pub(crate) struct WorkerFleet {
+    workers: BTreeMap<String, Worker>,
+}
+
+impl WorkerFleet {
+    /// Sets the workers; those that stay keep their leases and tasks.
+    pub(crate) fn set(&mut self, specs: Vec<WorkerSpec>) {
+        let mut former = std::mem::take(&mut self.workers);
+        for spec in specs {
+            let worker = former.remove(&spec.id).map_or_else(
+                || Worker {
+                    spec: spec.clone(),
+                    lease: None,
+                    tasks: Vec::new(),
+                    latest: BTreeMap::new(),
+                },
+                |worker| Worker {
+                    spec: spec.clone(),
+                    ..worker
+                },
+            );
+            self.workers.insert(spec.id, worker);
+        }
+    }
+
+    /// Takes or renews a lease.
+    pub(crate) fn lease(&mut self, req: LeaseRequest, now_us: u64) -> Result<(), WorkerRefusal> {
+        let worker = self.worker(&req.worker, now_us)?;
+        let superseded = worker.lease.as_ref().is_some_and(|lease| {
+            let other = lease.holder != req.holder;
+            req.epoch < lease.epoch || (req.epoch == lease.epoch && other)
+        });
+        if superseded {
+            return Err(WorkerRefusal::Stale);
+        }
+        worker.lease = Some(Lease {
+            holder: req.holder,
+            epoch: req.epoch,
+            until_us: now_us + u64::from(req.term_ms) * 1000,
+        });
+        Ok(())
+    }
+
+    /// Carries out a command; `fails` says that the worker fails everything.
+    ///
+    /// A command that was carried out before is accepted again.
+    pub(crate) fn command(
+        &mut self,
+        command: TaskCommand,
+        fails: bool,
+        now_us: u64,
+    ) -> Result<(), WorkerRefusal> {
+        let worker = self.worker(&command.worker, now_us)?;
+        worker.check_lease(command.lease_epoch, now_us)?;
+        let action = match command.action {
+            TaskAction::Start(start) => {
+                return worker.start(command.task, command.epoch, start, fails, now_us);
+            }
+            action => action,
+        };
+        let index = worker.latest.get(&command.task).copied();
+        let task = index.and_then(|index| worker.tasks.get_mut(index));
+        let task = task.ok_or(WorkerRefusal::UnknownTask)?;
+        if task.epoch != command.epoch {
+            return Err(WorkerRefusal::Stale);
+        }
+        match action {
+            TaskAction::Checkpoint => task.end(TaskState::Checkpointed, now_us),
+            TaskAction::Stop => task.end(TaskState::Stopped, now_us),
+            TaskAction::Throttle(throttle) => task.throttle(throttle.percent, now_us),
+            TaskAction::Start(_) => {}
+        }
+        Ok(())
+    }
+
+    /// Returns what the workers reported at `seen_us`.
+    pub(crate) fn reports(&mut self, seen_us: u64, now_us: u64) -> Vec<WorkerReport> {
+        self.advance(now_us);
+        let forgotten = seen_us.saturating_sub(REPORT_ENDED_US);
+        let reports = self.workers.values().map(|worker| {
+            let tasks = worker.tasks.iter();
+            let tasks = tasks.filter(|task| !task.ended_before(forgotten));
+            WorkerReport {
+                worker: worker.spec.clone(),
+                tasks: tasks.filter_map(|task| task.report(seen_us)).collect(),
+            }
+        });
+        reports.collect()
+    }
+
+    /// Returns all runs of tasks, in the order of their starts.
+    pub(crate) fn runs(&mut self, now_us: u64) -> Vec<TaskRun> {
+        self.advance(now_us);
+        let workers = self.workers.iter();
+        let runs = workers.flat_map(|(id, worker)| worker.tasks.iter().map(|task| task.run(id)));
+        let mut runs: Vec<_> = runs.collect();
+        runs.sort_by_key(|run| run.start_us);
+        runs
+    }
+
+    fn worker(&mut self, id: &str, now_us: u64) -> Result<&mut Worker, WorkerRefusal> {
+        let worker = self.workers.get_mut(id);
+        let worker = worker.ok_or(WorkerRefusal::UnknownWorker)?;
+        worker.advance(now_us);
+        Ok(worker)
+    }
+
+    fn advance(&mut self, now_us: u64) {
+        for worker in self.workers.values_mut() {
+            worker.advance(now_us);
+        }
+    }
+}
+
+impl Worker {
+    /// Ends tasks whose time has come, and all others if the lease lapsed.
+    fn advance(&mut self, now_us: u64) {
+        let lapsed_us = self.lease.as_ref().map_or(0, |lease| lease.until_us);
+        for task in &mut self.tasks {
+            task.advance(now_us.min(lapsed_us));
+            if now_us >= lapsed_us {
+                task.end(TaskState::Lapsed, lapsed_us);
+            }
+        }
+    }
+
+    fn check_lease(&self, epoch: u64, now_us: u64) -> Result<(), WorkerRefusal> {
+        let lease = self.lease.as_ref().ok_or(WorkerRefusal::NoLease)?;
+        if epoch != lease.epoch {
+            return Err(WorkerRefusal::Stale);
+        }
+        if now_us >= lease.until_us {
+            return Err(WorkerRefusal::NoLease);
+        }
+        Ok(())
+    }
+
+    fn start(
+        &mut self,
+        id: String,
+        epoch: u32,
+        start: StartTask,
+        fails: bool,
+        now_us: u64,
+    ) -> Result<(), WorkerRefusal> {
+        let former = self.latest.get(&id).map(|index| self.tasks[*index].epoch);
+        if former == Some(epoch) {
+            return Ok(());
+        }
+        if former.is_some_and(|former| former > epoch) {
+            return Err(WorkerRefusal::Stale);
+        }
+        if !self.has_room(&start.reserved) {
+            return Err(WorkerRefusal::NoRoom);
+        }
+        let mut task = SimulatedTask::start(id.clone(), epoch, start, now_us)?;
+        if fails {
+            task.end(TaskState::Failed, now_us);
+        }
+        self.latest.insert(id, self.tasks.len());
+        self.tasks.push(task);
+        Ok(())
+    }
+
+    fn has_room(&self, wanted: &Resources) -> bool {
+        let running = self.tasks.iter().filter(|task| task.is_running());
+        let reserved = running.map(|task| &task.reserved).chain([wanted]);
+        let sum = |part: fn(&Resources) -> u32| -> u64 {
+            reserved
+                .clone()
+                .map(|resources| u64::from(part(resources)))
+                .sum()
+        };
+        let capacity = &self.spec.capacity;
+        sum(|resources| resources.processors_milli) <= capacity.processors_milli.into()
+            && sum(|resources| resources.memory_mb) <= capacity.memory_mb.into()
+            && sum(|resources| resources.accelerators) <= capacity.accelerators.into()
+    }
+}
--- /dev/null
+++ b/crates/snipevane-standin/src/platform/workers/task.rs
@@ -0,0 +1,159 @@
+//! A task on a worker of the stand-in.
+
+use snipevane_proto::platform::{
+    Resources, StartTask, TaskReport, TaskRun, TaskSpec, TaskState, WorkerRefusal,
+};
+
+/// Speed of a task without a throttle, in percent.
+const FULL_SPEED: u8 = 100;
+
+/// End of a task.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    at_us: u64,
+    state: TaskState,
+    kept: f64,
+}
+
+/// A task, with its state at any time since its start.
+#[derive(Clone, Debug)]
+pub(super) struct SimulatedTask {
+    id: String,
+    pub(super) epoch: u32,
+    pub(super) reserved: Resources,
+    spec: TaskSpec,
+    start_us: u64,
+    /// Part done when the speed was last set.
+    done: f64,
+    /// Speeds in percent with the times since when they hold.
+    speeds: Vec<(u64, u8)>,
+    end: Option<End>,
+}
+
+impl SimulatedTask {
+    /// Starts a task.
+    pub(super) fn start(
+        id: String,
+        epoch: u32,
+        start: StartTask,
+        now_us: u64,
+    ) -> Result<Self, WorkerRefusal> {
+        let spec = serde_json::from_value(start.spec).map_err(|_| WorkerRefusal::Malformed)?;
+        Ok(Self {
+            id,
+            epoch,
+            reserved: start.reserved,
+            spec,
+            start_us: now_us,
+            done: start.kept.clamp(0.0, 1.0),
+            speeds: vec![(now_us, FULL_SPEED)],
+            end: None,
+        })
+    }
+
+    /// Returns whether the task runs.
+    pub(super) fn is_running(&self) -> bool {
+        self.end.is_none()
+    }
+
+    /// Returns whether the task ended before a time.
+    pub(super) fn ended_before(&self, time_us: u64) -> bool {
+        self.end.is_some_and(|end| end.at_us < time_us)
+    }
+
+    /// Ends the task if its time has come by `now_us`.
+    pub(super) fn advance(&mut self, now_us: u64) {
+        if self.end.is_some() {
+            return;
+        }
+        let (since, speed) = self.speed();
+        let left_us = (1.0 - self.done) * self.spec.run_ms as f64 * 1000.0;
+        let needed = left_us * f64::from(FULL_SPEED) / f64::from(speed);
+        if speed == 0 || needed > (now_us.saturating_sub(since)) as f64 {
+            return;
+        }
+        let state = if self.spec.fails {
+            TaskState::Failed
+        } else {
+            TaskState::Done
+        };
+        self.end = Some(End {
+            at_us: since + needed as u64,
+            state,
+            kept: self.done,
+        });
+    }
+
+    /// Sets the speed, in percent.
+    pub(super) fn throttle(&mut self, percent: u8, now_us: u64) {
+        self.done = self.progress(now_us);
+        self.speeds.push((now_us, percent.min(FULL_SPEED)));
+    }
+
+    /// Ends the task; a checkpoint keeps what was done.
+    pub(super) fn end(&mut self, state: TaskState, now_us: u64) {
+        let kept = if state == TaskState::Checkpointed {
+            self.progress(now_us)
+        } else {
+            0.0
+        };
+        self.end.get_or_insert(End {
+            at_us: now_us,
+            state,
+            kept,
+        });
+    }
+
+    /// Returns what the worker reported at a time; `None` before the start.
+    pub(super) fn report(&self, time_us: u64) -> Option<TaskReport> {
+        if self.start_us > time_us {
+            return None;
+        }
+        let end = self.end.filter(|end| end.at_us <= time_us);
+        let speeds = self.speeds.iter().rev();
+        let speed = speeds.clone().find(|(since, _)| *since <= time_us);
+        let speed = speed.map_or(FULL_SPEED, |(_, speed)| *speed);
+        Some(TaskReport {
+            task: self.id.clone(),
+            epoch: self.epoch,
+            state: end.map_or(TaskState::Running, |end| end.state),
+            used: self.used(if end.is_some() { 0 } else { speed }),
+            kept: end.map_or(0.0, |end| end.kept),
+        })
+    }
+
+    /// Returns the task's entry in the record.
+    pub(super) fn run(&self, worker: &str) -> TaskRun {
+        TaskRun {
+            worker: worker.to_owned(),
+            task: self.id.clone(),
+            epoch: self.epoch,
+            start_us: self.start_us,
+            end_us: self.end.map_or(0, |end| end.at_us),
+            state: self.end.map_or(TaskState::Running, |end| end.state),
+        }
+    }
+
+    fn speed(&self) -> (u64, u8) {
+        let latest = self.speeds.last().copied();
+        latest.unwrap_or((self.start_us, FULL_SPEED))
+    }
+
+    fn progress(&self, now_us: u64) -> f64 {
+        let (since, speed) = self.speed();
+        let run_us = (self.spec.run_ms * 1000).max(1) as f64;
+        let ran = now_us.saturating_sub(since) as f64 * f64::from(speed) / f64::from(FULL_SPEED);
+        (self.done + ran / run_us).min(1.0)
+    }
+
+    fn used(&self, speed: u8) -> Resources {
+        let uses = &self.spec.uses;
+        let processors = u64::from(uses.processors_milli) * u64::from(speed);
+        let gone = speed == 0 && self.end.is_some();
+        Resources {
+            processors_milli: u32::try_from(processors / u64::from(FULL_SPEED)).unwrap_or(u32::MAX),
+            memory_mb: if gone { 0 } else { uses.memory_mb },
+            accelerators: if gone { 0 } else { uses.accelerators },
+        }
+    }
+}
