Measure ways to deal out limits and to keep claims

Cause: the part of the work below a team's limit that is refused was not known, nor what the ways of at-most-once cost.

--- a/crates/snipevane-core/src/shards/deal.rs
+++ b/crates/snipevane-core/src/shards/deal.rs
@@ -1,5 +1,8 @@
 //! Distribution of units and identifiers over shards by rendezvous hashing.
 
+use std::cmp::Reverse;
+
+use rustc_hash::FxHashSet;
 use uuid::Uuid;
 
 use super::ShardName;
@@ -47,22 +50,54 @@
         }
         let mut units = vec![total / count; self.names.len()];
         let remainder = (total % count) as usize;
-        if remainder == 0 {
+        if remainder > 0 {
+            for index in self.ranked(salt).into_iter().take(remainder) {
+                units[index] += 1;
+            }
+        }
+        units
+    }
+
+    /// Deals out a number of units in grains; the result sums exactly to `total`.
+    ///
+    /// Each zone gets one unit if that takes at most half of the units, so that a zone that is cut
+    /// off can go on. The rest lies on as few shards as hold at least `grain` units each. Larger
+    /// grains are used up more evenly, at the cost of a hop from the shards that have none.
+    pub fn deal_in_grains(&self, total: u32, salt: &str, grain: u32) -> Vec<u32> {
+        let mut units = vec![0; self.names.len()];
+        let ranked = self.ranked(salt);
+        if ranked.is_empty() {
             return units;
         }
-        let key = seed(salt.as_bytes());
-        let mut ranked: Vec<(u64, usize)> = self
-            .seeds
-            .iter()
-            .enumerate()
-            .map(|(index, &seed)| (weight(seed, key), index))
-            .collect();
-        ranked.select_nth_unstable_by(remainder - 1, |a, b| b.cmp(a));
-        for &(_, index) in &ranked[..remainder] {
-            units[index] += 1;
+        let mut rest = total;
+        let bases = self.first_of_each_zone(&ranked);
+        if bases.len() <= (total / 2) as usize {
+            for index in bases {
+                units[index] = 1;
+                rest -= 1;
+            }
+        }
+        let grains = (rest / grain.max(1)).max(1) as usize;
+        let holders = grains.min(ranked.len()) as u32;
+        for (rank, &index) in (0..holders).zip(&ranked) {
+            units[index] += rest / holders + u32::from(rank < rest % holders);
         }
         units
     }
+
+    /// Returns the indices of the shards, the one with the largest weight for `salt` first.
+    fn ranked(&self, salt: &str) -> Vec<usize> {
+        let key = seed(salt.as_bytes());
+        let mut ranked: Vec<usize> = (0..self.seeds.len()).collect();
+        ranked.sort_unstable_by_key(|&index| (Reverse(weight(self.seeds[index], key)), index));
+        ranked
+    }
+
+    fn first_of_each_zone(&self, ranked: &[usize]) -> Vec<usize> {
+        let mut zones = FxHashSet::default();
+        let first = |&index: &usize| zones.insert(&self.names[index].zone);
+        ranked.iter().copied().filter(first).collect()
+    }
 }
 
 /// Deals out a number of units evenly over shards; see [`ShardSet::deal`].
--- a/crates/snipevane-measure/src/flags.rs
+++ b/crates/snipevane-measure/src/flags.rs
@@ -38,6 +38,20 @@
             /// Seeds the demand and the faults.
             optional --seed seed: u64
         }
+        /// Measures table writes and unknown outcomes of ways to run a request at most once.
+        cmd claims {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Seeds the requests and the crashes.
+            optional --seed seed: u64
+        }
+        /// Measures the part of the work below a team's limit that is refused.
+        cmd limits {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Seeds the demand.
+            optional --seed seed: u64
+        }
     }
 }
 
--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -3,9 +3,11 @@
 //! Each subcommand of `snipevane-measure` has a module of its own with a `run` function that takes
 //! the subcommand's flags.
 
+pub mod claims;
 mod error;
 pub mod flags;
 pub mod fleet;
+pub mod limits;
 
 pub use error::MeasureError;
 
@@ -20,6 +22,8 @@
     match &flags.subcommand {
         SnipevaneMeasureCmd::Kandyan(cmd) => fleet::run(fleet::Setting::Kandyan, &cmd.output()),
         SnipevaneMeasureCmd::Kartvel(cmd) => fleet::run(fleet::Setting::Kartvel, &cmd.output()),
+        SnipevaneMeasureCmd::Claims(cmd) => claims::run(cmd.json, cmd.seed),
+        SnipevaneMeasureCmd::Limits(cmd) => limits::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
     }
 }
--- /dev/null
+++ b/crates/snipevane-measure/src/limits/run.rs
@@ -0,0 +1,304 @@
+//! One run of a demand under one way to place requests.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use slotmap::SlotMap;
+use snipevane_core::ids::TeamKey;
+use snipevane_core::limits::{Limits, Unit};
+use snipevane_core::shards::{ShardName, ShardSet};
+
+use super::hints::Hints;
+use super::site::{Arrival, Size};
+use super::way::{Place, Way};
+
+/// Time between two publications of a VM's free units, in milliseconds.
+const PUBLISH_PERIOD_MS: f64 = 300.0;
+/// Least and most time of a message between two entry VMs, in milliseconds.
+const MESSAGE_MS: (f64, f64) = (0.25, 0.75);
+
+/// Counts of one run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(super) struct Counts {
+    /// Requests that arrived while their team was below its limit.
+    pub(super) eligible: u64,
+    /// Of these, the refused ones.
+    pub(super) refused: u64,
+    /// Of these, the ones run after one hop.
+    pub(super) one_hop: u64,
+    /// Of these, the ones run at the second peer asked or a later one.
+    pub(super) later_hop: u64,
+    /// Requests that ran in all.
+    pub(super) ran: u64,
+    /// Most units of any team in use above its limit.
+    pub(super) above_limit: u32,
+}
+
+/// A request that is passed on, with the peers that were asked.
+struct Forward {
+    arrival: Arrival,
+    eligible: bool,
+    tried: Vec<usize>,
+}
+
+enum What {
+    Arrive(Arrival),
+    /// A request arrives at the peer that was asked last.
+    Ask(Forward),
+    /// The refusal of the peer that was asked last arrives back.
+    Refused(Forward),
+    End {
+        vm: usize,
+        team: usize,
+        unit: Unit,
+    },
+    Publish(usize),
+}
+
+struct Event {
+    at_ms: f64,
+    number: u64,
+    what: What,
+}
+
+impl PartialEq for Event {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Event {}
+
+impl PartialOrd for Event {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Event {
+    /// Orders the earliest event highest, as the heap needs it.
+    fn cmp(&self, other: &Self) -> Ordering {
+        let time = other.at_ms.total_cmp(&self.at_ms);
+        time.then(other.number.cmp(&self.number))
+    }
+}
+
+/// One run of a demand under one way to place requests.
+pub(super) struct Run {
+    way: Way,
+    rng: ChaCha8Rng,
+    teams: Vec<TeamKey>,
+    limits: Vec<u32>,
+    /// Entry VMs with their units in the deal, by team.
+    holders: Vec<Vec<(usize, u32)>>,
+    zones: usize,
+    vms: Vec<Limits>,
+    in_use: Vec<u32>,
+    hints: Hints,
+    events: BinaryHeap<Event>,
+    number: u64,
+    now_ms: f64,
+    counts: Counts,
+}
+
+impl Run {
+    pub(super) fn new(size: Size, way: Way, seed: u64) -> Self {
+        let limits = size.limits();
+        let mut keys: SlotMap<TeamKey, ()> = SlotMap::default();
+        let teams: Vec<TeamKey> = limits.iter().map(|_| keys.insert(())).collect();
+        let shards = ShardSet::new(
+            (0..size.entry_vms())
+                .map(|vm| shard(vm, size.zones()))
+                .collect(),
+        );
+        let dealt: Vec<Vec<u32>> = limits
+            .iter()
+            .enumerate()
+            .map(|(team, &limit)| way.deal.units(&shards, limit, &format!("team-{team}")))
+            .collect();
+        let mut vms: Vec<Limits> = (0..size.entry_vms()).map(|_| Limits::default()).collect();
+        for (vm, units) in vms.iter_mut().enumerate() {
+            for (&team, dealt) in teams.iter().zip(&dealt) {
+                units.set_allowance(team, dealt[vm]);
+            }
+        }
+        let holders = dealt.into_iter().map(holders).collect();
+        let hints = Hints::new(vms.len(), teams.len());
+        Self {
+            way,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            in_use: vec![0; teams.len()],
+            teams,
+            limits,
+            holders,
+            zones: size.zones(),
+            vms,
+            hints,
+            events: BinaryHeap::new(),
+            number: 0,
+            now_ms: 0.0,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Runs the arrivals to their end and returns the counts.
+    pub(super) fn run(mut self, arrivals: &[Arrival]) -> Counts {
+        for vm in 0..self.vms.len() {
+            let phase_ms = PUBLISH_PERIOD_MS * vm as f64 / self.vms.len() as f64;
+            self.push(phase_ms, What::Publish(vm));
+        }
+        let end_ms = arrivals.last().map_or(0.0, |arrival| arrival.at_ms);
+        let mut arrivals = arrivals.iter();
+        if let Some(&first) = arrivals.next() {
+            self.push(first.at_ms, What::Arrive(first));
+        }
+        while let Some(event) = self.events.pop() {
+            self.now_ms = event.at_ms;
+            match event.what {
+                What::Arrive(arrival) => {
+                    if let Some(&next) = arrivals.next() {
+                        self.push(next.at_ms, What::Arrive(next));
+                    }
+                    self.arrive(arrival);
+                }
+                What::Ask(forward) => self.ask(forward),
+                What::Refused(forward) => self.refused(forward),
+                What::End { vm, team, unit } => {
+                    self.vms[vm].give_back(unit);
+                    self.in_use[team] -= 1;
+                }
+                What::Publish(vm) => {
+                    self.hints.publish(vm, &self.vms[vm], &self.teams);
+                    if self.now_ms < end_ms {
+                        self.push(self.now_ms + PUBLISH_PERIOD_MS, What::Publish(vm));
+                    }
+                }
+            }
+        }
+        self.counts
+    }
+
+    fn arrive(&mut self, arrival: Arrival) {
+        let eligible = self.in_use[arrival.team] < self.limits[arrival.team];
+        self.counts.eligible += u64::from(eligible);
+        if !self.start(arrival, arrival.vm) {
+            self.forward(Forward {
+                arrival,
+                eligible,
+                tried: Vec::new(),
+            });
+        }
+    }
+
+    fn ask(&mut self, forward: Forward) {
+        let peer = forward.tried.last().copied();
+        if !peer.is_some_and(|peer| self.start(forward.arrival, peer)) {
+            let at_ms = self.now_ms + self.message_ms();
+            self.push(at_ms, What::Refused(forward));
+            return;
+        }
+        if forward.eligible && forward.tried.len() == 1 {
+            self.counts.one_hop += 1;
+        } else if forward.eligible {
+            self.counts.later_hop += 1;
+        }
+    }
+
+    fn refused(&mut self, forward: Forward) {
+        if self.way.corrects()
+            && let Some(&peer) = forward.tried.last()
+        {
+            let arrival = &forward.arrival;
+            self.hints.correct(arrival.vm, peer, arrival.team, u32::MAX);
+        }
+        self.forward(forward);
+    }
+
+    /// Passes a request on, or refuses it after the last attempt.
+    fn forward(&mut self, mut forward: Forward) {
+        let Arrival { team, vm, .. } = forward.arrival;
+        let place = Place {
+            vm,
+            team,
+            zones: self.zones,
+            tried: &forward.tried,
+        };
+        let holders = &self.holders[team];
+        let peer = self.way.choose(&self.hints, holders, &place, &mut self.rng);
+        let Some(peer) = peer else {
+            self.counts.refused += u64::from(forward.eligible);
+            return;
+        };
+        if self.way.corrects() {
+            self.hints.correct(vm, peer, team, 1);
+        }
+        forward.tried.push(peer);
+        let at_ms = self.now_ms + self.message_ms();
+        self.push(at_ms, What::Ask(forward));
+    }
+
+    /// Starts a request if the VM has a free unit.
+    fn start(&mut self, arrival: Arrival, vm: usize) -> bool {
+        let team = arrival.team;
+        let Some(unit) = self.vms[vm].try_take(self.teams[team]) else {
+            return false;
+        };
+        self.in_use[team] += 1;
+        let above = self.in_use[team].saturating_sub(self.limits[team]);
+        self.counts.above_limit = self.counts.above_limit.max(above);
+        self.counts.ran += 1;
+        self.push(self.now_ms + arrival.run_ms, What::End { vm, team, unit });
+        true
+    }
+
+    fn message_ms(&mut self) -> f64 {
+        self.rng.random_range(MESSAGE_MS.0..MESSAGE_MS.1)
+    }
+
+    fn push(&mut self, at_ms: f64, what: What) {
+        self.number += 1;
+        let number = self.number;
+        self.events.push(Event {
+            at_ms,
+            number,
+            what,
+        });
+    }
+}
+
+/// Returns the number of requests that one counter for the whole fleet would run.
+pub(super) fn run_with_one_counter(size: Size, arrivals: &[Arrival]) -> u64 {
+    let limits = size.limits();
+    let mut ends: Vec<BinaryHeap<std::cmp::Reverse<u64>>> = vec![BinaryHeap::new(); limits.len()];
+    let mut ran = 0;
+    for arrival in arrivals {
+        let ends = &mut ends[arrival.team];
+        let micros = |ms: f64| (ms * 1000.0) as u64;
+        while ends
+            .peek()
+            .is_some_and(|end| end.0 <= micros(arrival.at_ms))
+        {
+            ends.pop();
+        }
+        if ends.len() < limits[arrival.team] as usize {
+            ends.push(std::cmp::Reverse(micros(arrival.at_ms + arrival.run_ms)));
+            ran += 1;
+        }
+    }
+    ran
+}
+
+fn holders(dealt: Vec<u32>) -> Vec<(usize, u32)> {
+    let holders = dealt.into_iter().enumerate();
+    holders.filter(|(_, units)| *units > 0).collect()
+}
+
+fn shard(vm: usize, zones: usize) -> ShardName {
+    ShardName {
+        zone: format!("z{}", vm % zones).into(),
+        index: (vm / zones) as u16,
+    }
+}
