--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod flags;
 pub mod fleet;
 pub mod limits;
+pub mod outage;
+pub mod routing;
 
 pub use error::MeasureError;
 
@@ -24,6 +26,8 @@
         SnipevaneMeasureCmd::Kartvel(cmd) => fleet::run(fleet::Setting::Kartvel, &cmd.output()),
         SnipevaneMeasureCmd::Claims(cmd) => claims::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Limits(cmd) => limits::run(cmd.json, cmd.seed),
+        SnipevaneMeasureCmd::Routing(cmd) => routing::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
+        SnipevaneMeasureCmd::Outage(cmd) => outage::run(cmd),
     }
 }
