Run the policy beside a naive version on seeded demand and faults

First working version: pools with bursts in turn, failures, a rack's loss, a lasting change of demand and a roll-out; tasks with wrong declared sizes, a cancelled job, broken tasks and workers, and pauses past the lease.

--- a/crates/snipevane-measure/src/fleet/mod.rs
+++ b/crates/snipevane-measure/src/fleet/mod.rs
@@ -1,28 +1,62 @@
 //! Runs of the fleet policy: pools, waves, shares and tasks beside a naive version.
 
+mod demand;
+mod faults;
+mod max_min;
+mod naive_pools;
+mod naive_tasks;
 mod output;
+mod picture;
+mod pool_policy;
+mod pool_run;
+mod report;
+mod setting;
+mod share_meter;
+mod task_policy;
+mod task_run;
+mod workload;
 
 pub use output::Output;
+pub use setting::Setting;
 
-use crate::MeasureError;
+use naive_pools::NaivePools;
+use naive_tasks::NaivePolicy;
+use pool_policy::CorePools;
+use pool_run::PoolRun;
+use report::Report;
+use task_policy::CorePolicy;
+use task_run::TaskRun;
 
-/// Size and weights of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Setting {
-    /// Kandyan's size of today.
-    Kandyan,
-    /// Kartvel's size of today.
-    Kartvel,
-    /// The target size.
-    Target,
-}
+use crate::MeasureError;
 
-/// Runs the policy and its naive version and prints both.
+/// Runs the policy and its naive version on the same demand and faults and prints both.
 ///
 /// # Errors
 ///
 /// Returns an error if the output can't be written.
 pub fn run(setting: Setting, output: &Output) -> Result<(), MeasureError> {
-    println!("{setting:?}: seed {}", output.seed);
+    let size = setting.size();
+    let seed = output.seed;
+    let pools = PoolRun::new(CorePools::new(size), size, seed).run();
+    let naive_pools = PoolRun::new(NaivePools::new(size), size, seed).run();
+    let weights = workload::weights(size.teams);
+    let policy = CorePolicy::new(&weights, size.workers, size.worker);
+    let tasks = TaskRun::new(policy, size, seed).run();
+    let naive = NaivePolicy::new(&weights, size.workers, size.worker);
+    let naive_tasks = TaskRun::new(naive, size, seed).run();
+    let report = Report::new(
+        size.name,
+        seed,
+        [&pools, &naive_pools],
+        [&tasks, &naive_tasks],
+    );
+    if let Some(file) = &output.svg {
+        picture::draw(file, &tasks.shares, &naive_tasks.shares)?;
+    }
+    if output.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{report}");
+    }
     Ok(())
 }
