Use sizes learned while a task waits, and see lasting demand that comes in bursts

The placement now asks for a task's size as it comes up. A pool counts as short while the long mean passes its capacity and work waits. A test with lasting demand in bursts was added; it failed before.

--- a/crates/snipevane-core/src/placement/placer.rs
+++ b/crates/snipevane-core/src/placement/placer.rs
@@ -194,18 +194,19 @@
 
     /// Places at most `most` waiting tasks.
     ///
-    /// `alive` tells which tasks still wait; others are dropped as they come up, so that a
-    /// cancellation costs nothing here. A unit of the team's limit is taken for each placed task.
+    /// `current` returns the size of a task by what has been learned meanwhile, or `None` if it no
+    /// longer waits; such tasks are dropped as they come up, so that a cancellation costs nothing
+    /// here. A unit of the team's limit is taken for each placed task.
     pub fn place(
         &mut self,
         now: UnixMs,
         most: usize,
         units: &mut impl Units,
-        alive: impl Fn(TaskKey) -> bool,
+        current: impl Fn(&Waiting) -> Option<Resources>,
     ) -> Vec<Placed> {
         self.age(now);
         let mut placed = Vec::new();
-        self.place_reserved(units, &alive, &mut placed);
+        self.place_reserved(units, &current, &mut placed);
         let due = self.deadlines.due(now);
         for pass in Pass::ALL {
             let mut round = Round {
@@ -215,7 +216,7 @@
                 most,
                 placed: &mut placed,
             };
-            self.place_pass(&mut round, units, &alive);
+            self.place_pass(&mut round, units, &current);
         }
         placed
     }
@@ -223,9 +224,6 @@
     /// Puts a waiting task on a worker.
     pub(super) fn start(&mut self, waiting: Waiting, worker: WorkerKey) -> Placed {
         let task = waiting.task;
-        if waiting.class == Class::Deferred {
-            self.deadlines.remove(&waiting, self.workers.total());
-        }
         self.victims.forget(task);
         self.workers.reserve(worker, task, &waiting.size);
         if let Some(account) = self.accounts.get_mut(waiting.team) {
@@ -235,6 +233,15 @@
         Placed { task, worker }
     }
 
+    /// Takes the `nth` waiting task of a class out of its queue.
+    pub(super) fn take(&mut self, team: TeamKey, class: Class, nth: usize) -> Option<Waiting> {
+        let waiting = self.accounts.get_mut(team)?.queue.remove(class, nth)?;
+        if class == Class::Deferred {
+            self.deadlines.remove(&waiting, self.workers.total());
+        }
+        Some(waiting)
+    }
+
     fn age(&mut self, now: UnixMs) {
         let passed = now.since(self.aged);
         self.aged = now;
@@ -247,27 +254,28 @@
         &mut self,
         round: &mut Round<'_>,
         units: &mut impl Units,
-        alive: &impl Fn(TaskKey) -> bool,
+        current: &impl Fn(&Waiting) -> Option<Resources>,
     ) {
         let mut order = self.order(round.pass.class());
         while let Some((_, team)) = order.pop_first() {
             if round.placed.len() >= round.most || self.lacks_room(round.pass) {
                 return;
             }
-            let Some((nth, worker)) = self.next_fit(team, round, alive) else {
+            let Some(fit) = self.next_fit(team, round, current) else {
                 continue;
             };
             // A team at its limit has no further turn.
             if !units.take(team) {
                 continue;
             }
-            let Some(account) = self.accounts.get_mut(team) else {
+            let Some(waiting) = self.take(team, round.pass.class(), fit.nth) else {
                 continue;
             };
-            let Some(waiting) = account.queue.remove(round.pass.class(), nth) else {
-                continue;
+            let waiting = Waiting {
+                size: fit.size,
+                ..waiting
             };
-            let placed = self.start(waiting, worker);
+            let placed = self.start(waiting, fit.worker);
             round.placed.push(placed);
             if let Some(account) = self.accounts.get(team) {
                 order.insert((account.order(self.workers.total()), team));
@@ -292,45 +300,36 @@
         pass == Pass::Spare && reserved + self.settings.headroom >= 1.0
     }
 
-    /// Returns the first task of a team that fits on a worker, and the worker.
+    /// Returns the first task of a team that fits on a worker.
     fn next_fit(
         &mut self,
         team: TeamKey,
         round: &Round<'_>,
-        alive: &impl Fn(TaskKey) -> bool,
-    ) -> Option<(usize, WorkerKey)> {
+        current: &impl Fn(&Waiting) -> Option<Resources>,
+    ) -> Option<Fit> {
         let class = round.pass.class();
-        let queue = &mut self.accounts.get_mut(team)?.queue;
         let mut too_large: Option<Resources> = None;
         let mut nth = 0;
         while nth < LOOK_AHEAD {
-            let waiting = *queue.get(class, nth)?;
-            if !alive(waiting.task) {
-                queue.remove(class, nth);
-                if class == Class::Deferred {
-                    self.deadlines.remove(&waiting, self.workers.total());
-                }
+            let waiting = *self.accounts.get(team)?.queue.get(class, nth)?;
+            let Some(size) = current(&waiting) else {
+                self.take(team, class, nth);
                 continue;
-            }
+            };
             let not_due = waiting.deadline.is_none_or(|at| Some(at) > round.due);
             if round.pass == Pass::Due && not_due {
                 return None;
             }
-            let hopeless = too_large.is_some_and(|size| size.fits_in(&waiting.size));
+            let hopeless = too_large.is_some_and(|other| other.fits_in(&size));
             if !hopeless {
-                if let Some(worker) = self.workers.find(&waiting.size, &waiting.avoid) {
-                    return Some((nth, worker));
+                if let Some(worker) = self.workers.find(&size, &waiting.avoid) {
+                    return Some(Fit { nth, size, worker });
                 }
-                too_large = Some(waiting.size);
+                too_large = Some(size);
             }
             if nth == 0 && round.pass != Pass::Spare {
-                Reservation::consider(
-                    &mut self.reservation,
-                    &mut self.workers,
-                    &self.settings,
-                    &waiting,
-                    round.now,
-                );
+                let waiting = Waiting { size, ..waiting };
+                self.consider_reservation(&waiting, round.now);
             }
             nth += 1;
         }
@@ -338,6 +337,13 @@
     }
 }
 
+/// A waiting task that fits on a worker.
+struct Fit {
+    nth: usize,
+    size: Resources,
+    worker: WorkerKey,
+}
+
 /// What is fixed for a pass, and what has been placed so far.
 struct Round<'a> {
     pass: Pass,
--- a/crates/snipevane-core/src/placement/reservation.rs
+++ b/crates/snipevane-core/src/placement/reservation.rs
@@ -1,7 +1,7 @@
 //! A worker that is kept free for a task that fits nowhere.
 
-use super::{Placed, Placer, PlacerSettings, Units, Waiting, Workers};
-use crate::ids::{TaskKey, WorkerKey};
+use super::{Placed, Placer, Resources, Units, Waiting};
+use crate::ids::WorkerKey;
 use crate::pools::UnixMs;
 
 /// Waiting tasks of a class among which a reserved task is looked for.
@@ -17,19 +17,14 @@
     worker: WorkerKey,
 }
 
-impl Reservation {
+impl Placer {
     /// Reserves a worker for a task that has waited long; one task has a reservation at a time.
-    pub(super) fn consider(
-        current: &mut Option<Self>,
-        workers: &mut Workers,
-        settings: &PlacerSettings,
-        waiting: &Waiting,
-        now: UnixMs,
-    ) {
-        if current.is_some() || now.since(waiting.since) < settings.reserve_after {
+    pub(super) fn consider_reservation(&mut self, waiting: &Waiting, now: UnixMs) {
+        let early = now.since(waiting.since) < self.settings.reserve_after;
+        if self.reservation.is_some() || early {
             return;
         }
-        let fitting = workers.iter().filter(|(key, worker)| {
+        let fitting = self.workers.iter().filter(|(key, worker)| {
             let large = waiting.size.dominant_part(&worker.capacity) >= LEAST_PART;
             let accepted = worker.is_open() && !waiting.avoid.contains(&Some(*key));
             large && accepted && waiting.size.fits_in(&worker.capacity)
@@ -42,20 +37,18 @@
         let Some((worker, _)) = emptiest else {
             return;
         };
-        workers.hold(worker, true);
-        *current = Some(Self {
+        self.workers.hold(worker, true);
+        self.reservation = Some(Reservation {
             waiting: *waiting,
             worker,
         });
     }
-}
 
-impl Placer {
     /// Places the task that a worker is reserved for, as soon as it fits there.
     pub(super) fn place_reserved(
         &mut self,
         units: &mut impl Units,
-        alive: &impl Fn(TaskKey) -> bool,
+        current: &impl Fn(&Waiting) -> Option<Resources>,
         placed: &mut Vec<Placed>,
     ) {
         let Some(reservation) = self.reservation else {
@@ -67,7 +60,7 @@
             return;
         };
         let closed = !worker.is_open();
-        if closed || !alive(waiting.task) || self.running.contains_key(waiting.task) {
+        if closed || current(&waiting).is_none() || self.running.contains_key(waiting.task) {
             self.workers.hold(reservation.worker, false);
             self.reservation = None;
             return;
@@ -78,7 +71,7 @@
         }
         self.workers.hold(reservation.worker, false);
         self.reservation = None;
-        let Some(account) = self.accounts.get_mut(waiting.team) else {
+        let Some(account) = self.accounts.get(waiting.team) else {
             return;
         };
         let queue = &account.queue;
@@ -92,7 +85,7 @@
         if !units.take(waiting.team) {
             return;
         }
-        account.queue.remove(waiting.class, nth);
+        self.take(waiting.team, waiting.class, nth);
         let started = self.start(waiting, reservation.worker);
         placed.push(started);
     }
--- a/crates/snipevane-core/src/placement/victims.rs
+++ b/crates/snipevane-core/src/placement/victims.rs
@@ -29,13 +29,17 @@
     ///
     /// Deferred tasks give way before normal ones, and never urgent ones. Each urgent task has room
     /// made for it once.
-    pub fn give_way(&mut self, now: UnixMs, alive: impl Fn(TaskKey) -> bool) -> Vec<TaskKey> {
+    pub fn give_way(
+        &mut self,
+        now: UnixMs,
+        current: impl Fn(&Waiting) -> Option<Resources>,
+    ) -> Vec<TaskKey> {
         let patience = self.settings.urgent_patience;
         let mut urgent: Vec<Waiting> = Vec::new();
         for account in self.accounts.values() {
             let waiting = (0..MOST_IN_ROUND).map_while(|nth| account.queue.get(Class::Urgent, nth));
             let late = waiting.filter(|waiting| {
-                alive(waiting.task)
+                current(waiting).is_some()
                     && now.since(waiting.since) >= patience
                     && !self.victims.served.contains_key(waiting.task)
             });
--- a/crates/snipevane-core/src/placement/worker_index.rs
+++ b/crates/snipevane-core/src/placement/worker_index.rs
@@ -30,6 +30,16 @@
         }
     }
 
+    /// Returns the most of each resource.
+    pub(super) fn max(&self) -> &Resources {
+        const NONE: &Resources = &Resources {
+            cpu_millis: 0,
+            memory_mib: 0,
+            accelerators: 0,
+        };
+        self.nodes.get(1).unwrap_or(NONE)
+    }
+
     /// Returns the first position with at least `size` free that is accepted.
     pub(super) fn find(&self, size: &Resources, accept: impl Fn(usize) -> bool) -> Option<usize> {
         if self.leaves == 0 {
--- a/crates/snipevane-core/src/placement/workers.rs
+++ b/crates/snipevane-core/src/placement/workers.rs
@@ -138,6 +138,11 @@
         &self.total
     }
 
+    /// Returns the most that any worker has of each resource.
+    pub fn largest(&self) -> &Resources {
+        self.capacities.max()
+    }
+
     /// Returns what is reserved on all workers.
     pub fn reserved(&self) -> &Resources {
         &self.reserved
--- a/crates/snipevane-core/src/pools/moves.rs
+++ b/crates/snipevane-core/src/pools/moves.rs
@@ -97,9 +97,9 @@
 
 /// Decides on moves between pools from their loads.
 ///
-/// A pool is short of VMs if both the short and the long mean of its demand pass its capacity, so
-/// that neither a burst that just began nor one that just ended counts. It gets VMs only if the
-/// expected wait outlasts a multiple of drain and reboot.
+/// A pool is short of VMs if the long mean of its demand passes its capacity, so that a burst that
+/// just began doesn't count, and if the short mean does or work waits, so that one that ended doesn't
+/// count either. It gets VMs only if the expected wait outlasts a multiple of drain and reboot.
 #[derive(Clone, Debug, Default)]
 pub struct MovePlanner {
     settings: MoveSettings,
@@ -281,26 +281,22 @@
         }
     }
 
-    /// Returns the demand that lasts, in VMs.
-    fn sustained(&self) -> f64 {
-        self.short_mean.min(self.long_mean)
-    }
-
     fn utilisation(&self) -> f64 {
-        self.sustained() / f64::from(self.load.serving.max(1))
+        self.long_mean / f64::from(self.load.serving.max(1))
     }
 
     /// Returns whether the expected wait outlasts what a move takes.
     fn is_short(&self, settings: &MoveSettings) -> bool {
         let capacity = f64::from(self.load.serving + self.load.arriving);
-        let sustained = self.sustained();
-        if self.load.spare || sustained <= capacity * settings.receive_above {
+        let mark = capacity * settings.receive_above;
+        let present = self.short_mean > mark || self.load.backlog > 0.0;
+        if self.load.spare || self.long_mean <= mark || !present {
             return false;
         }
-        if sustained >= capacity {
+        if self.long_mean >= capacity {
             return true;
         }
-        let wait_secs = self.load.backlog / (capacity - sustained);
+        let wait_secs = self.load.backlog / (capacity - self.long_mean);
         let move_secs = (settings.drain + settings.reboot).as_secs_f64();
         wait_secs > settings.payback * move_secs
     }
@@ -313,7 +309,7 @@
     /// Returns how many VMs bring the pool below the mark at which it counts as short.
     fn missing(&self, settings: &MoveSettings) -> u32 {
         // The long mean still rises towards a demand that began a short time ago.
-        let lasting = self.sustained().max(self.short_floor);
+        let lasting = self.long_mean.max(self.short_floor);
         let wanted = (lasting / settings.receive_above).ceil();
         let mut missing = 0;
         while f64::from(self.load.serving + self.load.arriving + missing) < wanted {
--- a/crates/snipevane-core/src/tasks/ledger.rs
+++ b/crates/snipevane-core/src/tasks/ledger.rs
@@ -152,6 +152,28 @@
         found.is_some_and(|found| found.state == TaskState::Claimed && !self.is_outdated(found))
     }
 
+    /// Returns the size of a task by what is known now, or `None` if it doesn't wait for a worker.
+    pub(super) fn current_size(&self, task: TaskKey, largest: &Resources) -> Option<Resources> {
+        if !self.is_waiting(task) {
+            return None;
+        }
+        self.estimated_size(task, largest)
+    }
+
+    /// Returns the size of a task by what is known now.
+    ///
+    /// What was seen of other tasks of its job doesn't make it larger than any worker.
+    pub(super) fn estimated_size(&self, task: TaskKey, largest: &Resources) -> Option<Resources> {
+        let found = self.tasks.get(task)?;
+        let job = self.jobs.get(found.job)?;
+        let submission = &found.submission;
+        let estimate = job.estimate(&submission.size, submission.run_time);
+        if estimate.size.fits_in(largest) {
+            return Some(estimate.size);
+        }
+        Some(submission.size)
+    }
+
     pub(super) fn start(&mut self, task: TaskKey, worker: WorkerKey, now: UnixMs) -> TaskEpoch {
         let Some(found) = self.tasks.get_mut(task) else {
             return TaskEpoch::default();
--- a/crates/snipevane-core/src/tasks/scheduler.rs
+++ b/crates/snipevane-core/src/tasks/scheduler.rs
@@ -164,10 +164,11 @@
         }
         self.ledger.forget(now.before(self.settings.retention));
         let ledger = &self.ledger;
-        let alive = |task| ledger.is_waiting(task);
+        let largest = *self.placer.workers().largest();
+        let current = |waiting: &Waiting| ledger.current_size(waiting.task, &largest);
         let most = self.settings.most_in_round;
-        let placed = self.placer.place(now, most, units, alive);
-        let give_way = self.placer.give_way(now, alive);
+        let placed = self.placer.place(now, most, units, current);
+        let give_way = self.placer.give_way(now, current);
         let mut actions = Vec::with_capacity(placed.len());
         for one in placed {
             let epoch = self.ledger.start(one.task, one.worker, now);
@@ -408,14 +409,9 @@
         let submission = &found.submission;
         let job = self.ledger.job(found.job)?;
         let estimate = job.estimate(&submission.size, submission.run_time);
-        let workers = self.placer.workers();
-        let size = if workers.could_hold(&estimate.size) {
-            estimate.size
-        } else {
-            // What was seen of other tasks doesn't keep this one from running.
-            let largest = workers.largest_for(&estimate.size);
-            largest.map_or(submission.size, |largest| largest.min(&estimate.size))
-        };
+        let size = self
+            .ledger
+            .estimated_size(task, self.placer.workers().largest())?;
         let mut avoid = found.failed_on.iter().rev().copied();
         Some(Waiting {
             task,
--- a/tests/tests/pools_moves.rs
+++ b/tests/tests/pools_moves.rs
@@ -113,6 +113,26 @@
     assert!(sec >= HOUR_SECS + 1800, "returned only after the cooldown");
 }
 
+#[test]
+fn lasting_demand_in_bursts_is_seen_as_well() {
+    let keys = Keys::new(0);
+    let (pool, reserve) = (keys.pools[0], keys.pools[1]);
+    let mut planner = MovePlanner::new(MoveSettings::default());
+    let mut backlog: f64 = 0.0;
+    let mut moved = Vec::new();
+    for sec in 0..HOUR_SECS {
+        let mut first = load(pool, 10, burst(sec, 0, 12.0));
+        backlog = (backlog + first.demand - 10.0).max(0.0);
+        first.backlog = backlog;
+        moved.extend(planner.decide(&[first, spare(reserve, 4)], UnixMs(sec * SECOND_MS)));
+        if !moved.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(moved.len(), 1);
+    assert_eq!((moved[0].from, moved[0].to), (reserve, pool));
+}
+
 #[test]
 fn a_pool_below_its_fewest_vms_is_filled_up_at_once() {
     let keys = Keys::new(0);
