Size tasks by the largest that was seen, without a margin

What a task uses beyond its size is taken from the worker's free part or throttled, so the margin bought nothing.

--- a/crates/snipevane-core/src/tasks/job.rs
+++ b/crates/snipevane-core/src/tasks/job.rs
@@ -17,9 +17,6 @@
 /// Deviations above the mean that an estimated run time covers.
 const DEVIATIONS: f64 = 2.0;
 
-/// Part, in percent, by which an estimated size lies above the most that was seen.
-const SIZE_MARGIN_PERCENT: u64 = 10;
-
 /// Part, in percent, that the largest size seen keeps with each smaller one.
 const PEAK_KEPT_PERCENT: u64 = 98;
 const PERCENT: u64 = 100;
@@ -90,7 +87,7 @@
             return declared;
         }
         let learned = Estimate {
-            size: with_margin(&self.peak),
+            size: self.peak,
             run_time: Duration::from_secs_f64(self.mean_secs + DEVIATIONS * self.deviation_secs),
         };
         if self.observations >= TRUSTED_AFTER {
@@ -131,14 +128,6 @@
     }
 }
 
-fn with_margin(size: &Resources) -> Resources {
-    Resources {
-        // Accelerators are whole.
-        accelerators: size.accelerators,
-        ..part(size, PERCENT + SIZE_MARGIN_PERCENT)
-    }
-}
-
 fn part(size: &Resources, percent: u64) -> Resources {
     Resources {
         cpu_millis: (size.cpu_millis * percent).div_ceil(PERCENT),
--- a/crates/snipevane-measure/src/fleet/naive_pools.rs
+++ b/crates/snipevane-measure/src/fleet/naive_pools.rs
@@ -20,7 +20,8 @@
 }
 
 /// Moves VMs to whichever pool lacks them now. Rolls out to one pool after the other, in batches of
-/// what the budget allows less one, each batch once the former serves again.
+/// what the budget allows less one, each batch once the former serves again;
+/// meanwhile it moves nothing.
 pub(super) struct NaivePools {
     size: Size,
     vms: Vec<NaiveVm>,
@@ -151,11 +152,10 @@
     }
 
     fn round(&mut self, loads: &[SimLoad], now: UnixMs) {
-        if (now.0 / 1000).is_multiple_of(LOOK_SECS) {
-            self.move_by_load(loads);
-        }
         if self.rolling_out && !self.rolled_out() {
             self.roll_out();
+        } else if (now.0 / 1000).is_multiple_of(LOOK_SECS) {
+            self.move_by_load(loads);
         }
     }
 
