--- a/crates/snipevane-core/src/placement/victims.rs
+++ b/crates/snipevane-core/src/placement/victims.rs
@@ -1,5 +1,7 @@
 //! Which tasks give way to urgent work that fits nowhere.
 
+use std::time::Duration;
+
 use slotmap::SecondaryMap;
 
 use super::placer::Running;
@@ -10,11 +12,11 @@
 /// Urgent tasks for which room is made in one round.
 const MOST_IN_ROUND: usize = 16;
 
-/// Tasks that were asked to give way, and the urgent tasks for which.
+/// Tasks that were asked to give way, and the urgent tasks for which, with the time.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Victims {
     asked: SecondaryMap<TaskKey, ()>,
-    served: SecondaryMap<TaskKey, ()>,
+    served: SecondaryMap<TaskKey, UnixMs>,
 }
 
 impl Victims {
@@ -22,13 +24,19 @@
         self.asked.remove(task);
         self.served.remove(task);
     }
+
+    /// Returns whether room was made for a task within the last `patience`.
+    fn served_since(&self, task: TaskKey, now: UnixMs, patience: Duration) -> bool {
+        let served = self.served.get(task);
+        served.is_some_and(|&at| now.since(at) < patience)
+    }
 }
 
 impl Placer {
     /// Returns tasks to checkpoint and stop so that urgent work which has waited long can start.
     ///
-    /// Deferred tasks give way before normal ones, and never urgent ones. Each urgent task has room
-    /// made for it once.
+    /// Deferred tasks give way before normal ones, and never urgent ones. Room is made again for an
+    /// urgent task if another one took it.
     pub fn give_way(
         &mut self,
         now: UnixMs,
@@ -41,7 +49,7 @@
             let late = waiting.filter(|waiting| {
                 current(waiting).is_some()
                     && now.since(waiting.since) >= patience
-                    && !self.victims.served.contains_key(waiting.task)
+                    && !self.victims.served_since(waiting.task, now, patience)
             });
             urgent.extend(late);
         }
@@ -55,7 +63,7 @@
             for &task in &victims {
                 self.victims.asked.insert(task, ());
             }
-            self.victims.served.insert(waiting.task, ());
+            self.victims.served.insert(waiting.task, now);
             asked.extend(victims);
         }
         asked
--- a/crates/snipevane-core/src/pools/moves.rs
+++ b/crates/snipevane-core/src/pools/moves.rs
@@ -302,8 +302,7 @@
     }
 
     fn is_idle(&self, settings: &MoveSettings) -> bool {
-        let busiest = self.short_mean.max(self.long_mean);
-        busiest < f64::from(self.load.serving) * settings.return_below
+        self.long_mean < f64::from(self.load.serving) * settings.return_below
     }
 
     /// Returns how many VMs bring the pool below the mark at which it counts as short.
--- a/crates/snipevane-measure/src/fleet/mod.rs
+++ b/crates/snipevane-measure/src/fleet/mod.rs
@@ -17,13 +17,14 @@
 mod workload;
 
 pub use output::Output;
+pub use report::{Report, Row};
 pub use setting::Setting;
 
 use naive_pools::NaivePools;
 use naive_tasks::NaivePolicy;
 use pool_policy::CorePools;
 use pool_run::PoolRun;
-use report::Report;
+use share_meter::ShareMeter;
 use task_policy::CorePolicy;
 use task_run::TaskRun;
 
@@ -35,8 +36,31 @@
 ///
 /// Returns an error if the output can't be written.
 pub fn run(setting: Setting, output: &Output) -> Result<(), MeasureError> {
+    let measured = measure_shares(setting, output.seed);
+    if let Some(file) = &output.svg {
+        picture::draw(file, &measured.policy, &measured.naive)?;
+    }
+    if output.json {
+        println!("{}", serde_json::to_string_pretty(&measured.report)?);
+    } else {
+        print!("{}", measured.report);
+    }
+    Ok(())
+}
+
+/// Runs the policy and its naive version on the same demand and faults.
+pub fn measure(setting: Setting, seed: u64) -> Report {
+    measure_shares(setting, seed).report
+}
+
+struct Measured {
+    report: Report,
+    policy: ShareMeter,
+    naive: ShareMeter,
+}
+
+fn measure_shares(setting: Setting, seed: u64) -> Measured {
     let size = setting.size();
-    let seed = output.seed;
     let pools = PoolRun::new(CorePools::new(size), size, seed).run();
     let naive_pools = PoolRun::new(NaivePools::new(size), size, seed).run();
     let weights = workload::weights(size.teams);
@@ -50,13 +74,9 @@
         [&pools, &naive_pools],
         [&tasks, &naive_tasks],
     );
-    if let Some(file) = &output.svg {
-        picture::draw(file, &tasks.shares, &naive_tasks.shares)?;
+    Measured {
+        report,
+        policy: tasks.shares,
+        naive: naive_tasks.shares,
     }
-    if output.json {
-        println!("{}", serde_json::to_string_pretty(&report)?);
-    } else {
-        print!("{report}");
-    }
-    Ok(())
 }
--- a/crates/snipevane-measure/src/fleet/report.rs
+++ b/crates/snipevane-measure/src/fleet/report.rs
@@ -12,19 +12,26 @@
 
 /// A figure of the policy beside the naive version's.
 #[derive(Clone, Debug, Serialize)]
-pub(super) struct Row {
-    pub(super) name: &'static str,
-    pub(super) unit: &'static str,
-    pub(super) policy: Option<f64>,
-    pub(super) naive: Option<f64>,
+pub struct Row {
+    /// What is measured.
+    pub name: &'static str,
+    /// Unit of the figures.
+    pub unit: &'static str,
+    /// The policy's figure; `None` if it never came to it.
+    pub policy: Option<f64>,
+    /// The naive version's figure.
+    pub naive: Option<f64>,
 }
 
 /// All figures of a run.
 #[derive(Clone, Debug, Serialize)]
-pub(super) struct Report {
-    pub(super) setting: &'static str,
-    pub(super) seed: u64,
-    pub(super) rows: Vec<Row>,
+pub struct Report {
+    /// Name of the setting.
+    pub setting: &'static str,
+    /// Seed of the demand and the faults.
+    pub seed: u64,
+    /// The figures.
+    pub rows: Vec<Row>,
 }
 
 impl Report {
--- a/crates/snipevane-measure/src/fleet/task_run.rs
+++ b/crates/snipevane-measure/src/fleet/task_run.rs
@@ -364,9 +364,10 @@
         (capacity / used.cpu_millis as f64).min(1.0)
     }
 
+    /// Returns the cores of the workers that work; no order of tasks could use the others.
     fn capacity(&self) -> f64 {
-        let up = self.workers.iter().filter(|worker| !worker.down).count();
-        up as f64 * cores(&self.size.worker)
+        let working = self.workers.iter().filter(|one| !one.down && !one.broken);
+        working.count() as f64 * cores(&self.size.worker)
     }
 
     fn use_more(&mut self, task: usize) {
--- a/tests/tests/placement.rs
+++ b/tests/tests/placement.rs
@@ -363,6 +363,25 @@
     assert_eq!(site.tasks_of(1).len(), 1);
 }
 
+#[test]
+fn room_is_made_again_if_another_urgent_task_took_it() {
+    let mut site = Site::new(&[1, 1], &[cores(4)]);
+    for _ in 0..4 {
+        site.push(0, Class::Normal, cores(1));
+    }
+    site.place(0);
+    site.push(0, Class::Urgent, cores(1));
+    let victims = site.placer.give_way(UnixMs(2 * SECOND_MS), declared);
+    assert_eq!(victims.len(), 1);
+    // A team that uses nothing comes first.
+    site.push(1, Class::Urgent, cores(1));
+    assert!(site.placer.end(victims[0]));
+    site.place(2 * SECOND_MS);
+    assert_eq!(site.tasks_of(1).len(), 1);
+    let again = site.placer.give_way(UnixMs(4 * SECOND_MS), declared);
+    assert!(again.len() == 1 && again != victims);
+}
+
 #[test]
 fn a_large_task_is_not_starved_by_small_ones() {
     let mut site = Site::new(&[1, 1], &[cores(8); 2]);
