Make room for all late urgent work in a round

Cause of starts after up to 7.5 s: room was made for 16 urgent tasks in a round, fewer than a large team's burst brings, and only after 2 s. Raising the number alone would have made rounds long, as each search looked at all workers: it now ends at the first worker where one task gives way, and goes on from there next time.

--- a/crates/snipevane-core/src/placement/placer.rs
+++ b/crates/snipevane-core/src/placement/placer.rs
@@ -31,7 +31,7 @@
     fn default() -> Self {
         Self {
             headroom: 0.1,
-            urgent_patience: Duration::from_secs(2),
+            urgent_patience: Duration::from_secs(1),
             reserve_after: Duration::from_secs(30),
         }
     }
--- a/crates/snipevane-core/src/placement/victims.rs
+++ b/crates/snipevane-core/src/placement/victims.rs
@@ -1,7 +1,5 @@
 //! Which tasks give way to urgent work that fits nowhere.
 
-use std::time::Duration;
-
 use slotmap::SecondaryMap;
 
 use super::placer::Running;
@@ -10,13 +8,19 @@
 use crate::pools::UnixMs;
 
 /// Urgent tasks for which room is made in one round.
-const MOST_IN_ROUND: usize = 16;
+const MOST_IN_ROUND: usize = 256;
+
+/// What it costs to interrupt a task, in proportion.
+const COST_OF_DEFERRED: usize = 1;
+const COST_OF_NORMAL: usize = 4;
 
-/// Tasks that were asked to give way, and the urgent tasks for which, with the time.
+/// Tasks that were asked to give way, and for which urgent tasks.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Victims {
     asked: SecondaryMap<TaskKey, ()>,
-    served: SecondaryMap<TaskKey, UnixMs>,
+    served: SecondaryMap<TaskKey, Vec<TaskKey>>,
+    /// Number of workers that the next search passes over, so that searches spread over all.
+    passed_over: usize,
 }
 
 impl Victims {
@@ -25,10 +29,10 @@
         self.served.remove(task);
     }
 
-    /// Returns whether room was made for a task within the last `patience`.
-    fn served_since(&self, task: TaskKey, now: UnixMs, patience: Duration) -> bool {
-        let served = self.served.get(task);
-        served.is_some_and(|&at| now.since(at) < patience)
+    /// Returns whether tasks that give way to this one haven't ended yet.
+    fn are_ending(&self, urgent: TaskKey) -> bool {
+        let victims = self.served.get(urgent);
+        victims.is_some_and(|all| all.iter().any(|&task| self.asked.contains_key(task)))
     }
 }
 
@@ -49,7 +53,7 @@
             let late = waiting.filter(|waiting| {
                 current(waiting).is_some()
                     && now.since(waiting.since) >= patience
-                    && !self.victims.served_since(waiting.task, now, patience)
+                    && !self.victims.are_ending(waiting.task)
             });
             urgent.extend(late);
         }
@@ -63,16 +67,22 @@
             for &task in &victims {
                 self.victims.asked.insert(task, ());
             }
-            self.victims.served.insert(waiting.task, now);
-            asked.extend(victims);
+            asked.extend(&victims);
+            self.victims.served.insert(waiting.task, victims);
         }
         asked
     }
 
-    /// Returns the tasks of the worker where the fewest have to give way.
-    fn cheapest(&self, size: &Resources) -> Option<Vec<TaskKey>> {
+    /// Returns tasks of one worker that make room, of a worker where it costs little.
+    fn cheapest(&mut self, size: &Resources) -> Option<Vec<TaskKey>> {
+        let workers = self.workers.iter().count();
+        let start = self.victims.passed_over % workers.max(1);
+        let after = self.workers.iter().skip(start);
+        let before = self.workers.iter().take(start);
         let mut best: Option<(usize, Vec<TaskKey>)> = None;
-        for (key, worker) in self.workers.iter() {
+        let mut seen = 0;
+        for (key, worker) in after.chain(before) {
+            seen += 1;
             if !worker.is_open() || !size.fits_in(&worker.capacity) {
                 continue;
             }
@@ -83,7 +93,12 @@
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, victims));
             }
+            // One task is as few as can be.
+            if cost <= COST_OF_NORMAL {
+                break;
+            }
         }
+        self.victims.passed_over = start + seen;
         best.map(|(_, victims)| victims)
     }
 
@@ -112,15 +127,13 @@
         size.fits_in(&free).then_some(victims)
     }
 
-    /// Returns what it costs to interrupt a task, in tasks without progress that matters.
+    /// Returns what it costs to interrupt a task.
     fn cost(&self, task: TaskKey) -> usize {
-        const DEFERRED: usize = 1;
-        const NORMAL: usize = 4;
         let class = self.running.get(task).map(|running| running.waiting.class);
         if class == Some(Class::Deferred) {
-            DEFERRED
+            COST_OF_DEFERRED
         } else {
-            NORMAL
+            COST_OF_NORMAL
         }
     }
 }
