--- a/crates/snipevane-cli/src/timeline.rs
+++ b/crates/snipevane-cli/src/timeline.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use snipevane_core::timeline::merge;
-use snipevane_proto::operator::{Event, Events, Timeline};
+use snipevane_proto::operator::{Event, Events, Status, Timeline};
 
 use crate::output::print_json;
 use crate::{CliError, Client, flags};
@@ -22,7 +22,13 @@
     let mut unreachable = Vec::new();
     for &entry in client.entries() {
         match client.get_from::<Events>(entry, &path).await {
-            Ok(answer) => answers.push(answer),
+            Ok(answer) => {
+                // Entry VMs that nobody named are part of the site, too.
+                if let Ok(status) = client.get_from::<Status>(entry, "/v1/status").await {
+                    unreachable.extend(status.peers.into_iter().map(|peer| peer.vm));
+                }
+                answers.push(answer);
+            }
             Err(CliError::Unreachable(why)) => unreachable.push(format!("{entry} ({why})")),
             Err(error) => return Err(error),
         }
--- a/crates/snipevane-entry/src/operator/apply.rs
+++ b/crates/snipevane-entry/src/operator/apply.rs
@@ -7,12 +7,15 @@
 use serde_json::Value;
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
-use snipevane_platform::{
-    Check, CommitError, PlatformError, Row, Transaction, Write, commit_resolved,
+use snipevane_core::config::in_force::{
+    Apply, ApplyOutcome, ApplyStep, CommitAnswer, HeadRow, Landed, ReadAnswer,
 };
+use snipevane_platform::{Check, CommitError, Transaction, Write};
 use snipevane_proto::manifest::canonical_text;
 use snipevane_proto::operator::{Applied, ApplyRequest, Problem};
 use snipevane_proto::rows::{CONFIG_HEAD, CONFIG_VERSION, ConfigHead, ConfigVersion};
+use tokio::time::sleep;
+use uuid::Uuid;
 
 use super::reply::{findings_problem, json, platform_away, problem, refuse};
 use crate::control::{Control, Platform, manifest_object};
@@ -21,16 +24,19 @@
 
 /// Time after which an operator asks again when the platform is away.
 const PLATFORM_RETRY: Duration = Duration::from_secs(5);
+/// Pause before a row is read again.
+const READ_PAUSE: Duration = Duration::from_millis(100);
 
 enum ApplyError {
     Refused(Box<Problem>),
     Away(String),
 }
 
-impl From<PlatformError> for ApplyError {
-    fn from(error: PlatformError) -> Self {
-        Self::Away(error.to_string())
-    }
+/// What the rows and the object of one manifest hold.
+struct Body {
+    text: String,
+    hash: String,
+    write_id: Uuid,
 }
 
 impl<P: Platform, C: Clock> Control<P, C> {
@@ -48,72 +54,155 @@
 
     async fn try_apply(&self, req: ApplyRequest) -> Result<Applied, ApplyError> {
         let text = checked_text(&req.manifest)?;
-        let hash = blake3::hash(text.as_bytes()).to_hex().to_string();
-        let row = self.platform.read(CONFIG_HEAD).await?;
-        let head = row.as_ref().map(|row| self.parse_head(row)).transpose()?;
-        let in_force = head.as_ref().map_or(0, |head| head.version);
-        if let Some(head) = head.as_ref().filter(|head| head.hash == hash) {
-            return Ok(Applied {
-                version: head.version,
-                already_in_force: true,
-            });
+        let body = Body {
+            hash: blake3::hash(text.as_bytes()).to_hex().to_string(),
+            text,
+            write_id: req.write_id,
+        };
+        let (mut apply, mut step) = Apply::new(req.based_on, body.hash.as_str(), body.write_id);
+        let mut former = None;
+        loop {
+            if former.as_ref() == Some(&step) {
+                sleep(READ_PAUSE).await;
+            }
+            former = Some(step.clone());
+            step = match step {
+                ApplyStep::ReadHead => apply.on_head(self.read_head().await?),
+                ApplyStep::CheckHead { row_version } => {
+                    let tx = Transaction::new(vec![check_head(row_version)], Vec::new());
+                    apply.on_check(self.commit_once(tx).await)
+                }
+                ApplyStep::PutBody => apply.on_body(self.put_body(&body).await),
+                ApplyStep::Commit {
+                    row_version,
+                    version,
+                } => {
+                    let tx = body.transaction(row_version, version);
+                    apply.on_commit(self.commit_once(tx).await)
+                }
+                ApplyStep::ReadLanded { version } => {
+                    apply.on_landed(self.read_landed(version).await?)
+                }
+                ApplyStep::Done(outcome) => return self.conclude(outcome),
+            };
+        }
+    }
+
+    fn conclude(&self, outcome: ApplyOutcome) -> Result<Applied, ApplyError> {
+        match outcome {
+            ApplyOutcome::Applied {
+                version,
+                already_in_force,
+            } => {
+                if !already_in_force {
+                    self.node.record(&kinds::CONFIG_ACCEPTED, &[&version]);
+                }
+                Ok(Applied {
+                    version,
+                    already_in_force,
+                })
+            }
+            ApplyOutcome::Conflict { in_force } => Err(conflict(in_force)),
+            ApplyOutcome::Away => Err(ApplyError::Away("nothing was accepted".to_owned())),
+            ApplyOutcome::Unknown { version } => {
+                let detail = format!(
+                    "the platform's answer was lost; apply the same manifest again, based on \
+                     version {}, to find out whether it is version {version}",
+                    version.saturating_sub(1)
+                );
+                let status = StatusCode::GATEWAY_TIMEOUT;
+                Err(refused(problem(status, "the outcome isn't known", detail)))
+            }
+        }
+    }
+
+    async fn read_head(&self) -> Result<ReadAnswer<HeadRow>, ApplyError> {
+        match self.platform.read(CONFIG_HEAD).await {
+            Err(_) => Ok(None),
+            Ok(None) => Ok(Some(HeadRow::default())),
+            Ok(Some(row)) => {
+                let head: ConfigHead = self.parse_row(&row).ok_or_else(damaged)?;
+                Ok(Some(HeadRow {
+                    row_version: Some(row.version),
+                    version: head.version,
+                    hash: head.hash.into(),
+                    write_id: head.write_id,
+                }))
+            }
+        }
+    }
+
+    async fn read_landed(&self, version: u64) -> Result<ReadAnswer<Option<Landed>>, ApplyError> {
+        match self.platform.read(&version_key(version)).await {
+            Err(_) => Ok(None),
+            Ok(None) => Ok(Some(None)),
+            Ok(Some(row)) => {
+                let entry: ConfigVersion = self.parse_row(&row).ok_or_else(damaged)?;
+                let write_id = entry.write_id;
+                Ok(Some(Some(Landed { write_id })))
+            }
         }
-        if req.based_on != in_force {
-            return Err(conflict(in_force));
+    }
+
+    async fn put_body(&self, body: &Body) -> bool {
+        let name = manifest_object(&body.hash);
+        let stored = self.platform.put(&name, Bytes::from(body.text.clone()));
+        stored.await.is_ok()
+    }
+
+    async fn commit_once(&self, tx: Transaction) -> CommitAnswer {
+        match self.platform.commit(tx).await {
+            Ok(_) => CommitAnswer::Committed,
+            Err(CommitError::Conflict { .. }) => CommitAnswer::Conflict,
+            Err(CommitError::NotApplied(_)) => CommitAnswer::NotApplied,
+            Err(CommitError::Unknown(_)) => CommitAnswer::Unknown,
         }
-        self.platform
-            .put(&manifest_object(&hash), Bytes::from(text))
-            .await?;
-        let version = in_force + 1;
+    }
+}
+
+impl Body {
+    /// Builds the write that makes this manifest a version.
+    fn transaction(&self, row_version: Option<u64>, version: u64) -> Transaction {
         let head = ConfigHead {
             version,
-            hash: hash.clone(),
-            write_id: req.write_id,
+            hash: self.hash.clone(),
+            write_id: self.write_id,
         };
-        let entry = ConfigVersion { hash };
-        let check = Check {
-            key: CONFIG_HEAD.into(),
-            expected: row.map(|row| row.version),
+        let entry = ConfigVersion {
+            hash: self.hash.clone(),
+            write_id: self.write_id,
         };
         let writes = vec![
             put(CONFIG_HEAD.into(), &head),
-            put(format!("{CONFIG_VERSION}{version}").into(), &entry),
+            put(version_key(version), &entry),
         ];
-        match commit_resolved(&self.platform, Transaction::new(vec![check], writes)).await {
-            Ok(_) => {
-                self.node.record(&kinds::CONFIG_ACCEPTED, &[&version]);
-                Ok(Applied {
-                    version,
-                    already_in_force: false,
-                })
-            }
-            Err(CommitError::Conflict { .. }) => Err(conflict(self.version_in_table().await?)),
-            Err(CommitError::NotApplied(error)) => Err(error.into()),
-            Err(CommitError::Unknown(error)) => Err(ApplyError::Away(format!(
-                "it isn't known whether version {version} was accepted: {error}; apply the same \
-                 manifest again to find out"
-            ))),
-        }
+        Transaction::new(vec![check_head(row_version)], writes)
     }
+}
 
-    async fn version_in_table(&self) -> Result<u64, ApplyError> {
-        let row = self.platform.read(CONFIG_HEAD).await?;
-        let head = row.as_ref().map(|row| self.parse_head(row)).transpose()?;
-        Ok(head.map_or(0, |head| head.version))
+fn check_head(expected: Option<u64>) -> Check {
+    Check {
+        key: CONFIG_HEAD.into(),
+        expected,
     }
+}
 
-    fn parse_head(&self, row: &Row) -> Result<ConfigHead, ApplyError> {
-        self.parse_row(row).ok_or_else(|| {
-            let status = StatusCode::INTERNAL_SERVER_ERROR;
-            let detail = format!("the row {:?} can't be parsed", row.key);
-            ApplyError::Refused(Box::new(problem(status, "the table is damaged", detail)))
-        })
-    }
+fn version_key(version: u64) -> SmolStr {
+    format!("{CONFIG_VERSION}{version}").into()
+}
+
+fn refused(problem: Problem) -> ApplyError {
+    ApplyError::Refused(Box::new(problem))
+}
+
+fn damaged() -> ApplyError {
+    let status = StatusCode::INTERNAL_SERVER_ERROR;
+    let detail = "a row of the configuration can't be parsed";
+    refused(problem(status, "the table is damaged", detail))
 }
 
 /// Checks a manifest and returns the one text from which its hash is made.
 fn checked_text(manifest: &Value) -> Result<String, ApplyError> {
-    let refused = |problem| ApplyError::Refused(Box::new(problem));
     let manifest = snipevane_core::config::check(&manifest.to_string(), "manifest")
         .map_err(|findings| refused(findings_problem(&findings)))?;
     canonical_text(&manifest).map_err(|error| {
@@ -128,10 +217,10 @@
 fn conflict(in_force: u64) -> ApplyError {
     let detail = format!("version {in_force} is in force; base the manifest on it");
     let problem = problem(StatusCode::CONFLICT, "another version is in force", detail);
-    ApplyError::Refused(Box::new(Problem {
+    refused(Problem {
         in_force: Some(in_force),
         ..problem
-    }))
+    })
 }
 
 fn put<T: serde::Serialize>(key: SmolStr, row: &T) -> Write {
--- /dev/null
+++ b/tests/tests/config_fetch.rs
@@ -0,0 +1,84 @@
+//! A zone loads a new configuration from the platform once, and passes over sources that fail.
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use snipevane_core::config::in_force::{FetchPlan, FetchSettings, PeerOffer, Source};
+
+const OWN: &str = "b-2";
+
+fn peer(vm: &str, zone: &str, reachable: bool, version: u64) -> PeerOffer {
+    PeerOffer {
+        vm: vm.into(),
+        zone: zone.into(),
+        reachable,
+        version,
+    }
+}
+
+#[rstest]
+#[case::nothing_new(Some(3), vec![peer("b-1", "b", true, 3)], None)]
+#[case::a_peer_of_the_zone_has_it(Some(4), vec![peer("b-1", "b", true, 4)], Some("b-1"))]
+#[case::the_fetcher_of_the_zone_is_at_it(Some(4), vec![peer("b-1", "b", true, 3)], None)]
+#[case::the_fetcher_is_silent(Some(4), vec![peer("b-1", "b", false, 3)], Some("platform"))]
+#[case::own_turn(Some(4), vec![peer("b-3", "b", true, 3), peer("a-1", "a", true, 4)], Some("platform"))]
+#[case::platform_away(None, vec![peer("a-1", "a", true, 4), peer("c-1", "c", true, 5)], Some("c-1"))]
+#[case::all_away(None, vec![peer("a-1", "a", false, 4)], None)]
+fn the_source_of_a_newer_version(
+    #[case] head: Option<u64>,
+    #[case] peers: Vec<PeerOffer>,
+    #[case] expected: Option<&str>,
+) {
+    let mut plan = FetchPlan::new(OWN, "b", FetchSettings::default());
+    let source = plan.next(Instant::now(), 3, head, &peers);
+    let expected = expected.map(|name| match name {
+        "platform" => Source::Platform,
+        vm => Source::Peer(vm.into()),
+    });
+    assert_eq!(source, expected);
+}
+
+#[test]
+fn a_stuck_fetcher_or_a_failed_source_is_passed_over() {
+    let settings = FetchSettings::default();
+    let mut plan = FetchPlan::new(OWN, "b", settings);
+    let start = Instant::now();
+    let peers = [peer("b-1", "b", true, 3), peer("a-1", "a", true, 4)];
+    assert_eq!(plan.next(start, 3, Some(4), &peers), None);
+    let early = start + settings.zone_patience - Duration::from_millis(1);
+    assert_eq!(plan.next(early, 3, Some(4), &peers), None);
+    let late = start + settings.zone_patience;
+    assert_eq!(plan.next(late, 3, Some(4), &peers), Some(Source::Platform));
+    plan.on_failed(Source::Platform, late);
+    let other = Some(Source::Peer("a-1".into()));
+    assert_eq!(plan.next(late, 3, Some(4), &peers), other);
+    let again = late + settings.retry_after;
+    assert_eq!(plan.next(again, 3, Some(4), &peers), Some(Source::Platform));
+}
+
+/// Over a zone of six entry VMs, one version loads the platform once.
+#[test]
+fn a_zone_fetches_a_version_from_the_platform_once() {
+    let names = ["b-1", "b-2", "b-3", "b-4", "b-5", "b-6"];
+    let mut versions = [3_u64; 6];
+    let mut plans = names.map(|vm| FetchPlan::new(vm, "b", FetchSettings::default()));
+    let mut from_platform = 0;
+    let start = Instant::now();
+    for round in 0..5_u32 {
+        let now = start + Duration::from_millis(200) * round;
+        let before = versions;
+        for (i, plan) in plans.iter_mut().enumerate() {
+            let others = (0..names.len()).filter(|other| *other != i);
+            let peers: Vec<_> = others
+                .map(|o| peer(names[o], "b", true, before[o]))
+                .collect();
+            match plan.next(now, versions[i], Some(4), &peers) {
+                Some(Source::Platform) => from_platform += 1,
+                Some(Source::Peer(_)) => {}
+                None => continue,
+            }
+            versions[i] = 4;
+        }
+    }
+    assert_eq!((versions, from_platform), ([4; 6], 1));
+}
