--- a/crates/snipevane-cli/src/apply.rs
+++ b/crates/snipevane-cli/src/apply.rs
@@ -13,7 +13,7 @@
 use crate::output::{print_json, spinner};
 use crate::{CliError, Client, check};
 
-/// Time for which `--wait` waits.
+/// Time for which `--wait` waits without `--wait-limit`.
 const WAIT_LIMIT: Duration = Duration::from_secs(60);
 /// Interval at which `--wait` asks for the state.
 const WAIT_POLL: Duration = Duration::from_millis(200);
@@ -58,7 +58,8 @@
     }
     let mut zones = BTreeMap::new();
     if cmd.wait {
-        zones = wait(client, applied.version, json).await?;
+        let limit = cmd.wait_limit.map_or(WAIT_LIMIT, Into::into);
+        zones = wait(client, applied.version, limit, json).await?;
     }
     if json {
         return print_json(&Outcome { applied, zones });
@@ -78,6 +79,7 @@
 async fn wait(
     client: &Client,
     version: u64,
+    limit: Duration,
     json: bool,
 ) -> Result<BTreeMap<String, ZoneProgress>, CliError> {
     let started = Instant::now();
@@ -105,7 +107,7 @@
             bar.finish_and_clear();
             return Ok(zones);
         }
-        if started.elapsed() >= WAIT_LIMIT {
+        if started.elapsed() >= limit {
             bar.finish_and_clear();
             return Err(CliError::Incomplete(missing(&versions, version)));
         }
@@ -119,8 +121,8 @@
 /// Asks every named entry VM; what they know of further ones fills the gaps.
 async fn versions(client: &Client) -> Versions {
     let mut versions = Versions::new();
-    for &entry in client.entries() {
-        let Ok(status) = client.get_from::<Status>(entry, "/v1/status").await else {
+    for (_, status) in client.get_all::<Status>("/v1/status").await {
+        let Ok(status) = status else {
             continue;
         };
         for peer in status.peers {
--- a/crates/snipevane-cli/src/client.rs
+++ b/crates/snipevane-cli/src/client.rs
@@ -15,13 +15,16 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snipevane_proto::operator::Problem;
+use tokio::task::JoinError;
 use tokio::time;
 
 use crate::CliError;
 
 /// Time after which an entry VM counts as not reached.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time for a whole exchange.
+/// Time for a read.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for an exchange that changes something.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -95,11 +98,6 @@
         Ok(Self::new(entries.to_vec(), key.trim()))
     }
 
-    /// Returns the operator listeners.
-    pub fn entries(&self) -> &[SocketAddr] {
-        &self.entries
-    }
-
     /// Reads from the first entry VM that answers.
     ///
     /// # Errors
@@ -110,12 +108,31 @@
         self.first(Method::GET, path, body, Retry::Always).await
     }
 
-    /// Reads from one entry VM.
-    ///
-    /// # Errors
+    /// Reads from all entry VMs at once, so that one that hangs doesn't hold up the others.
     ///
-    /// Returns an error if the entry VM doesn't answer or refuses.
-    pub async fn get_from<T: DeserializeOwned>(
+    /// Returns one result for each entry VM, in their order.
+    pub async fn get_all<T>(&self, path: &str) -> Vec<(SocketAddr, Result<T, CliError>)>
+    where
+        T: DeserializeOwned + Send + 'static,
+    {
+        let calls: Vec<_> = self
+            .entries
+            .iter()
+            .map(|&entry| {
+                let (client, path) = (self.clone(), path.to_owned());
+                let call = async move { client.get_from(entry, &path).await };
+                (entry, tokio::spawn(call))
+            })
+            .collect();
+        let mut results = Vec::new();
+        for (entry, call) in calls {
+            let failed = |error: JoinError| Err(CliError::Answer(error.to_string()));
+            results.push((entry, call.await.unwrap_or_else(failed)));
+        }
+        results
+    }
+
+    async fn get_from<T: DeserializeOwned>(
         &self,
         entry: SocketAddr,
         path: &str,
@@ -210,6 +227,11 @@
         path: &str,
         body: Bytes,
     ) -> Exchange<T> {
+        let limit = if method == Method::GET {
+            READ_TIMEOUT
+        } else {
+            EXCHANGE_TIMEOUT
+        };
         let req = Request::builder()
             .method(method)
             .uri(format!("http://{entry}{path}"))
@@ -231,10 +253,10 @@
             })?;
             collect(response).await.map_err(Exchange::Lost)
         };
-        match time::timeout(EXCHANGE_TIMEOUT, answer).await {
+        match time::timeout(limit, answer).await {
             Ok(Ok(response)) => Exchange::Done(decode(&response)),
             Ok(Err(failure)) => failure,
-            Err(_) => Exchange::Lost(format!("no answer within {EXCHANGE_TIMEOUT:?}")),
+            Err(_) => Exchange::Lost(format!("no answer within {limit:?}")),
         }
     }
 }
--- a/crates/snipevane-cli/src/error.rs
+++ b/crates/snipevane-cli/src/error.rs
@@ -77,11 +77,10 @@
 
 fn render(problem: &Problem, retry_after_s: Option<u64>) -> String {
     let mut text = format!("refused ({}): {}", problem.status, problem.title);
-    if let Some(detail) = &problem.detail {
-        text.push_str(&format!("; {detail}"));
-    }
-    if let Some(version) = problem.in_force {
-        text.push_str(&format!("; version {version} is in force"));
+    match (&problem.detail, problem.in_force) {
+        (Some(detail), _) => text.push_str(&format!("; {detail}")),
+        (None, Some(version)) => text.push_str(&format!("; version {version} is in force")),
+        (None, None) => {}
     }
     if let Some(seconds) = retry_after_s {
         text.push_str(&format!("; try again after {seconds} s"));
--- a/crates/snipevane-cli/src/flags.rs
+++ b/crates/snipevane-cli/src/flags.rs
@@ -31,6 +31,8 @@
             optional --based-on version: u64
             /// Waits until every entry VM that is known has the version in force.
             optional --wait
+            /// Longest wait; 60s if absent.
+            optional --wait-limit time: Age
         }
 
         /// Gives, withdraws and lists keys of teams.
--- a/crates/snipevane-cli/src/status.rs
+++ b/crates/snipevane-cli/src/status.rs
@@ -26,8 +26,10 @@
         status.incarnation,
         status.shard.as_deref().unwrap_or("none"),
     );
-    let reason = status.reason.as_deref().unwrap_or("");
-    println!("ready {} {reason}", yes_no(status.ready));
+    match &status.reason {
+        Some(reason) => println!("ready {}: {reason}", yes_no(status.ready)),
+        None => println!("ready {}", yes_no(status.ready)),
+    }
     println!("platform reachable {}", yes_no(status.platform_reachable));
     println!(
         "version in force {}, lowest confirmed {}",
--- a/crates/snipevane-cli/src/timeline.rs
+++ b/crates/snipevane-cli/src/timeline.rs
@@ -20,15 +20,9 @@
     let path = path(cmd);
     let mut answers = Vec::new();
     let mut unreachable = Vec::new();
-    for &entry in client.entries() {
-        match client.get_from::<Events>(entry, &path).await {
-            Ok(answer) => {
-                // Entry VMs that nobody named are part of the site, too.
-                if let Ok(status) = client.get_from::<Status>(entry, "/v1/status").await {
-                    unreachable.extend(status.peers.into_iter().map(|peer| peer.vm));
-                }
-                answers.push(answer);
-            }
+    for (entry, answer) in client.get_all::<Events>(&path).await {
+        match answer {
+            Ok(answer) => answers.push(answer),
             Err(CliError::Unreachable(why)) => unreachable.push(format!("{entry} ({why})")),
             Err(error) => return Err(error),
         }
@@ -36,6 +30,11 @@
     if answers.is_empty() {
         return Err(CliError::Unreachable(unreachable.join("; ")));
     }
+    // Entry VMs that nobody named are part of the site, too.
+    for (_, status) in client.get_all::<Status>("/v1/status").await {
+        let peers = status.map(|status| status.peers).unwrap_or_default();
+        unreachable.extend(peers.into_iter().map(|peer| peer.vm));
+    }
     let timeline = merge(answers, unreachable);
     if json {
         return print_json(&timeline);
--- a/tests/tests/cli.rs
+++ b/tests/tests/cli.rs
@@ -356,6 +356,50 @@
     .await;
 }
 
+/// A frozen entry VM holds up neither the others' lines nor the time line, and is named.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_entry_vm_is_named_and_holds_up_nothing() {
+    let options = SiteOptions::default();
+    let mut value = manifest(&options);
+    let site = Site::start(SITE, options).await;
+    let operator = Operator::of_site("frozen", &site);
+    let frozen = &site.entries[3];
+    frozen.process.signal(libc::SIGSTOP);
+    let run = operator.run(&["timeline"]);
+    assert_eq!(run.code, Some(0), "{}", run.err);
+    let address = format!("not reached: {}", operator.entries[3]);
+    assert!(run.out.contains(&address), "{}", run.out);
+    value["teams"][0]["limit"] = json!(11);
+    let file = operator.files.write("next.json", &value.to_string());
+    let args = [
+        "apply",
+        &file,
+        "--based-on",
+        "1",
+        "--wait",
+        "--wait-limit",
+        "5s",
+    ];
+    let run = operator.run(&args);
+    assert_eq!(run.code, Some(1), "{}", run.out);
+    assert!(
+        run.out.contains("zone a: version 2 in force at 2 of 2"),
+        "{}",
+        run.out
+    );
+    assert!(!run.out.contains("zone b:"), "{}", run.out);
+    let missing = format!("{} in b has version 1", frozen.vm);
+    assert!(run.err.contains(&missing), "{}", run.err);
+    frozen.process.signal(libc::SIGCONT);
+    let run = operator.run(&["apply", &file, "--based-on", "1", "--wait"]);
+    assert_eq!(run.code, Some(0), "{}", run.err);
+    assert!(
+        run.out.contains("zone b: version 2 in force at 2 of 2"),
+        "{}",
+        run.out
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stranger_is_refused_and_status_shows_the_site() {
     let site = Site::start(SITE, SiteOptions::default()).await;
