--- a/crates/snipevane-measure/src/routing/owned.rs
+++ b/crates/snipevane-measure/src/routing/owned.rs
@@ -5,131 +5,38 @@
 
 use std::time::{Duration, Instant};
 
-use rand::{RngExt, SeedableRng};
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use slotmap::SlotMap;
-use snipevane_core::ids::{ServerKey, ServiceKey, TeamKey};
-use snipevane_core::routing::{Report, RetryBudget, RetryLimits, Router, ServerSpec, Slot};
-use snipevane_core::shares::{QueueLimits, ShareQueue, Waiting};
-use snipevane_proto::manifest::Urgency;
+use smol_str::SmolStr;
+use snipevane_core::ids::ServerKey;
+use snipevane_core::routing::{Load, PeerKey, Report, Slot};
 
 use super::demand::Request;
-use super::events::Events;
-use super::layout::{
-    CONNECTIONS_PER_ENTRY_VM, ENTRY_VMS, SERVERS, SERVICES, SLOTS, ZONES, entry_vms_of, one_way,
-    servers_of, service_of, zone_of_entry_vm, zone_of_server,
-};
+use super::entry_vm::{EntryVm, Job, Keys, Popped, name_of};
+use super::layout::{ENTRY_VMS, SERVERS, SERVICES, entry_vms_of, service_of, zone_of_entry_vm};
+use super::network::{Event, Exchange, Network, Told, between};
 use super::record::{Figures, Record};
 use super::scenario::{Balanced, Scenario};
+use super::way::{Notify, Way};
 use super::{FAILING_RUN, LONGEST_WAIT};
 use crate::MeasureError;
 
-/// Time between two regular notices of free slots to the peers.
-const NOTICE_EVERY: Duration = Duration::from_millis(100);
-/// Shortest time between two notices of the same service that a freed slot causes.
-const SHORTEST_NOTICE_GAP: Duration = Duration::from_millis(5);
-/// Waiting requests per slot by which a peer's queue must be shorter to send a request there.
-const WAIT_MARGIN: f64 = 0.5;
 /// Time between two looks for requests that have waited too long.
 const EXPIRY_EVERY: Duration = Duration::from_millis(50);
 
-/// Which entry VM owns a slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Ownership {
-    /// A server's slots are dealt to all entry VMs of its zone.
-    Dealt,
-    /// All slots of a server belong to one entry VM of its zone.
-    Home,
-}
-
-/// A way of routing with owned slots.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Way {
-    pub(super) name: &'static str,
-    pub(super) ownership: Ownership,
-    /// Whether an entry VM tells its peers at once when a slot is free and nothing waits.
-    pub(super) notices_idle: bool,
-    /// Whether a request also goes to a peer to wait there, if it would wait less.
-    pub(super) balances_waits: bool,
-}
-
-/// A request on its way, with the entry VM that its caller reached.
-#[derive(Clone, Copy, Debug)]
-struct Job {
-    number: usize,
-    origin: usize,
-    /// Whether the request may wait at the peer that it was forwarded to.
-    waits_at_peer: bool,
-    retried: bool,
-}
-
-/// What an entry VM tells its peers of one service.
-#[derive(Clone, Copy, Debug, Default)]
-struct State {
-    free: u32,
-    waiting: u32,
-}
-
-enum Event {
-    Arrive(usize),
-    Forwarded {
-        to: usize,
-        job: Job,
-    },
-    Declined {
-        by: usize,
-        job: Job,
-    },
-    Start {
-        entry_vm: usize,
-        slot: Slot,
-        job: Job,
-    },
-    End {
-        entry_vm: usize,
-        slot: Slot,
-        job: Job,
-    },
-    Answer {
-        entry_vm: usize,
-        slot: Slot,
-        job: Job,
-    },
-    Notice {
-        from: usize,
-        to: usize,
-        service: usize,
-        state: State,
-    },
-    NoticeTick(usize),
-    ExpiryTick,
-    Takeover(usize),
-}
-
-struct EntryVm {
-    router: Router,
-    queues: Vec<ShareQueue<Job>>,
-    /// What each peer last told, by service.
-    peers: [[State; SERVICES]; ENTRY_VMS],
-    /// Last notice that a freed slot caused, by service.
-    noticed_at: [Option<Duration>; SERVICES],
-}
-
 /// Run of one way of routing.
 pub(super) struct OwnedRun<'a> {
     way: Way,
     scenario: &'a Scenario,
     requests: &'a [Request],
     start: Instant,
-    services: Vec<ServiceKey>,
-    team: TeamKey,
+    keys: Keys,
+    names: Vec<SmolStr>,
     entry_vms: Vec<EntryVm>,
-    retries: Vec<RetryBudget>,
     running: [u16; SERVERS],
-    events: Events<Event>,
+    network: Network,
     record: Record,
     rng: ChaCha8Rng,
-    now: Duration,
 }
 
 impl<'a> OwnedRun<'a> {
@@ -139,30 +46,20 @@
         requests: &'a [Request],
         seed: u64,
     ) -> Result<Self, MeasureError> {
-        let mut services = SlotMap::with_key();
-        let services = (0..SERVICES).map(|_| services.insert(())).collect();
-        let entry_vm = || EntryVm {
-            router: Router::default(),
-            queues: (0..SERVICES)
-                .map(|_| ShareQueue::new(QueueLimits::default()))
-                .collect(),
-            peers: [[State::default(); SERVICES]; ENTRY_VMS],
-            noticed_at: [None; SERVICES],
-        };
+        let keys = Keys::new();
+        let entry_vms = (0..ENTRY_VMS).map(|number| EntryVm::new(number, keys.clone()));
         let mut run = Self {
             way,
             scenario,
             requests,
             start: Instant::now(),
-            services,
-            team: SlotMap::with_key().insert(()),
-            entry_vms: (0..ENTRY_VMS).map(|_| entry_vm()).collect(),
-            retries: vec![RetryBudget::new(RetryLimits::default()); ENTRY_VMS],
+            entry_vms: entry_vms.collect(),
+            names: (0..ENTRY_VMS).map(name_of).collect(),
+            keys,
             running: [0; SERVERS],
-            events: Events::default(),
+            network: Network::default(),
             record: Record::new()?,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            now: Duration::ZERO,
         };
         for entry_vm in 0..ENTRY_VMS {
             run.deal_to(entry_vm, &[entry_vm]);
@@ -173,19 +70,19 @@
     /// Runs all requests to their end.
     pub(super) fn run(mut self) -> Figures {
         for (number, request) in self.requests.iter().enumerate() {
-            self.events.add(request.at, Event::Arrive(number));
+            self.network.at(request.at, Event::Arrive(number));
         }
         for entry_vm in 0..ENTRY_VMS {
-            let first = NOTICE_EVERY.mul_f64(entry_vm as f64 / ENTRY_VMS as f64);
-            self.events.add(first, Event::NoticeTick(entry_vm));
+            let every = self.way.notify.every();
+            let first = every.mul_f64(entry_vm as f64 / ENTRY_VMS as f64);
+            self.network.at(first, Event::NoticeTick(entry_vm));
         }
-        self.events.add(EXPIRY_EVERY, Event::ExpiryTick);
+        self.network.at(EXPIRY_EVERY, Event::ExpiryTick);
         if let Some((lost, at)) = self.scenario.takeover() {
-            self.events.add(at, Event::Takeover(lost));
+            self.network.at(at, Event::Takeover(lost));
         }
-        while let Some((now, event)) = self.events.next() {
-            self.record.advance(now);
-            self.now = now;
+        while let Some(event) = self.network.next() {
+            self.record.advance(self.network.now);
             self.handle(event);
         }
         self.record
@@ -196,31 +93,12 @@
         match event {
             Event::Arrive(number) => self.on_arrival(number),
             Event::Forwarded { to, job } => self.on_forwarded(to, job),
-            Event::Declined { by, job } => self.on_declined(by, job),
-            Event::Start {
-                entry_vm,
-                slot,
-                job,
-            } => self.on_start(entry_vm, slot, job),
-            Event::End {
-                entry_vm,
-                slot,
-                job,
-            } => self.on_end(entry_vm, slot, job),
-            Event::Answer {
-                entry_vm,
-                slot,
-                job,
-            } => self.on_answer(entry_vm, slot, job),
-            Event::Notice {
-                from,
-                to,
-                service,
-                state,
-            } => {
-                self.entry_vms[to].peers[from][service] = state;
-                self.start_waiting(to, service);
-            }
+            Event::Declined { by, job, load } => self.on_declined(by, job, load),
+            Event::Want(told) => self.on_want(told),
+            Event::Notice(told) => self.on_notice(told),
+            Event::Start(exchange) => self.on_start(exchange),
+            Event::End(exchange) => self.on_end(exchange),
+            Event::Answer(exchange) => self.on_answer(exchange),
             Event::NoticeTick(entry_vm) => self.on_notice_tick(entry_vm),
             Event::ExpiryTick => self.on_expiry_tick(),
             Event::Takeover(lost) => self.on_takeover(lost),
@@ -230,25 +108,16 @@
     fn on_arrival(&mut self, number: usize) {
         self.record.arrived();
         let request = self.requests[number];
-        match self.scenario.balance(request.entry_vm, number, self.now) {
+        match self
+            .scenario
+            .balance(request.entry_vm, number, self.network.now)
+        {
             Balanced::Lost => self.record.failed(),
             Balanced::To(origin) => {
-                self.retries[origin].on_request(self.team);
-                let job = Job {
-                    number,
-                    origin,
-                    waits_at_peer: false,
-                    retried: false,
-                };
+                self.entry_vms[origin].retries.on_request(self.keys.team);
+                let job = Job::new(number, origin);
                 match self.shorter_wait(origin, request.service) {
-                    Some(peer) => {
-                        let job = Job {
-                            waits_at_peer: true,
-                            ..job
-                        };
-                        self.entry_vms[origin].peers[peer][request.service].waiting += 1;
-                        self.forward(origin, peer, request.service, job);
-                    }
+                    Some(peer) => self.forward(origin, peer, job.waiting_at_peer()),
                     None => self.wait(origin, job),
                 }
             }
@@ -258,33 +127,25 @@
     /// Puts a request into the share queue and starts what can start.
     fn wait(&mut self, entry_vm: usize, job: Job) {
         let request = self.requests[job.number];
-        let waiting = Waiting {
-            team: self.team,
-            urgency: Urgency::Normal,
-            start_by: self.start + request.at + LONGEST_WAIT,
-            item: job,
-        };
+        let start_by = self.start + request.at + LONGEST_WAIT;
         let instant = self.instant();
-        let queue = &mut self.entry_vms[entry_vm].queues[request.service];
-        let before = queue.len();
-        if queue.push(waiting, instant).is_err() {
+        let vm = &mut self.entry_vms[entry_vm];
+        let before = vm.queues[request.service].len();
+        if !vm.push(request.service, job, start_by, instant) {
             self.record.refused(1);
         }
-        let after = queue.len();
+        let after = vm.queues[request.service].len();
         self.record.set_waiting(request.service, before, after);
         self.start_waiting(entry_vm, request.service);
     }
 
     fn start_waiting(&mut self, entry_vm: usize, service: usize) {
-        if self.scenario.is_lost(entry_vm, self.now) {
+        if self.scenario.is_lost(entry_vm, self.network.now) {
             return;
         }
         while !self.entry_vms[entry_vm].queues[service].is_empty() {
             let instant = self.instant();
-            let slot = self.entry_vms[entry_vm]
-                .router
-                .pick(self.services[service], instant);
-            if let Some(slot) = slot {
+            if let Some(slot) = self.entry_vms[entry_vm].pick(service, instant) {
                 match self.pop(entry_vm, service) {
                     Some(job) => self.send(entry_vm, slot, job),
                     None => {
@@ -294,118 +155,105 @@
                 }
                 continue;
             }
-            let Some(peer) = self.choose_peer(entry_vm, service) else {
+            let random = self.rng.next_u64();
+            let peers = &mut self.entry_vms[entry_vm].peers;
+            let Some(peer) = peers.with_free_slot(self.keys.services[service], random, instant)
+            else {
+                self.want(entry_vm, service);
                 return;
             };
             if let Some(job) = self.pop(entry_vm, service) {
-                self.forward(entry_vm, peer, service, job);
+                self.forward(entry_vm, peer, job);
             }
         }
     }
 
     fn pop(&mut self, entry_vm: usize, service: usize) -> Option<Job> {
         let instant = self.instant();
-        let queue = &mut self.entry_vms[entry_vm].queues[service];
-        let before = queue.len();
-        let next = queue.pop(instant, |_| true);
-        let late = queue.expire(instant);
-        let after = queue.len();
-        self.record.refused(late.len());
+        let vm = &mut self.entry_vms[entry_vm];
+        let before = vm.queues[service].len();
+        let Popped { job, late } = vm.pop(service, instant);
+        let after = vm.queues[service].len();
+        self.record.refused(late);
         self.record.set_waiting(service, before, after);
-        next.map(|next| next.item)
-    }
-
-    /// Returns a peer at which a new request would wait less by [`WAIT_MARGIN`].
-    fn shorter_wait(&mut self, entry_vm: usize, service: usize) -> Option<usize> {
-        let vm = &self.entry_vms[entry_vm];
-        let waiting = vm.queues[service].len() as u32;
-        if !self.way.balances_waits || waiting == 0 {
-            return None;
-        }
-        let wait = |entry_vm: usize, waiting: u32| {
-            let slots = owned_slots(self.way.ownership, service, entry_vm);
-            f64::from(waiting + 1) / f64::from(slots.max(1))
-        };
-        let own = wait(entry_vm, waiting);
-        let peers = (0..ENTRY_VMS).filter(|&peer| peer != entry_vm);
-        let waits = peers.map(|peer| (wait(peer, vm.peers[peer][service].waiting), peer));
-        let (least, peer) = waits.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        (own > least + WAIT_MARGIN).then_some(peer)
+        job
     }
 
-    /// Chooses a peer in proportion to the free slots that it is said to have.
-    fn choose_peer(&mut self, entry_vm: usize, service: usize) -> Option<usize> {
-        let free = self.entry_vms[entry_vm]
-            .peers
-            .map(|peer| peer[service].free);
-        let sum: u32 = free.iter().sum();
-        if sum == 0 {
+    /// Returns a peer at which a new request would wait clearly less.
+    fn shorter_wait(&mut self, entry_vm: usize, service: usize) -> Option<PeerKey> {
+        let instant = self.instant();
+        let vm = &mut self.entry_vms[entry_vm];
+        let own = vm.load(service);
+        if !self.way.balances_waits || own.waiting == 0 {
             return None;
         }
-        let mut drawn = self.rng.random_range(0..sum);
-        free.iter().position(|&free| {
-            let found = drawn < free;
-            drawn = drawn.saturating_sub(free);
-            found
-        })
+        let key = self.keys.services[service];
+        vm.peers.with_shorter_wait(key, own, instant)
     }
 
-    fn forward(&mut self, from: usize, to: usize, service: usize, job: Job) {
-        let told = &mut self.entry_vms[from].peers[to][service];
-        told.free = told.free.saturating_sub(1);
+    fn forward(&mut self, from: usize, to: PeerKey, job: Job) {
+        let name = self.entry_vms[from].peers.vm(to);
+        let Some(to) = self.names.iter().position(|known| Some(known) == name) else {
+            return;
+        };
         self.record.hops += 1;
-        let at = self.now + one_way(zone_of_entry_vm(from), zone_of_entry_vm(to));
-        self.events.add(at, Event::Forwarded { to, job });
+        self.network.send(from, to, Event::Forwarded { to, job });
     }
 
     fn on_forwarded(&mut self, to: usize, job: Job) {
         let service = self.requests[job.number].service;
         let instant = self.instant();
-        let lost = self.scenario.is_lost(to, self.now);
+        let lost = self.scenario.is_lost(to, self.network.now);
         let slot = match lost {
             true => None,
-            false => self.entry_vms[to]
-                .router
-                .pick(self.services[service], instant),
+            false => self.entry_vms[to].pick(service, instant),
         };
         match slot {
             Some(slot) => self.send(to, slot, job),
             None if job.waits_at_peer && !lost => self.wait(to, job),
             None => {
                 self.record.declined += 1;
-                let at = self.now + self.between(to, job.origin);
-                self.events.add(at, Event::Declined { by: to, job });
+                let load = match lost {
+                    true => Load::default(),
+                    false => self.entry_vms[to].load(service),
+                };
+                let declined = Event::Declined { by: to, job, load };
+                self.network.send(to, job.origin, declined);
             }
         }
     }
 
-    fn on_declined(&mut self, by: usize, job: Job) {
-        if self.scenario.is_lost(job.origin, self.now) {
+    fn on_declined(&mut self, by: usize, job: Job, load: Load) {
+        if self.scenario.is_lost(job.origin, self.network.now) {
             self.record.failed();
             return;
         }
         let service = self.requests[job.number].service;
-        self.entry_vms[job.origin].peers[by][service].free = 0;
+        let instant = self.instant();
+        let peers = &mut self.entry_vms[job.origin].peers;
+        let service = self.keys.services[service];
+        match self.way.notify {
+            Notify::OnDemand => peers.on_notice(&self.names[by], service, load, instant),
+            _ => peers.on_declined(&self.names[by], service),
+        }
         self.wait(job.origin, job);
     }
 
     fn send(&mut self, entry_vm: usize, slot: Slot, job: Job) {
-        let Some(server) = self.server_of(entry_vm, slot.server()) else {
+        let Some(server) = self.entry_vms[entry_vm].server(slot.server()) else {
             return;
         };
-        let at = self.now + one_way(zone_of_entry_vm(entry_vm), zone_of_server(server));
-        self.events.add(
-            at,
-            Event::Start {
-                entry_vm,
-                slot,
-                job,
-            },
-        );
+        let exchange = Exchange {
+            entry_vm,
+            slot,
+            job,
+        };
+        self.network
+            .send_server(entry_vm, server, Event::Start(exchange));
     }
 
-    fn on_start(&mut self, entry_vm: usize, slot: Slot, job: Job) {
-        let Some(server) = self.server_of(entry_vm, slot.server()) else {
+    fn on_start(&mut self, exchange: Exchange) {
+        let Some(server) = self.server(&exchange) else {
             return;
         };
         self.running[server] += 1;
@@ -413,110 +261,148 @@
             .started(service_of(server), self.running[server]);
         let run = match self.scenario.failing_server == Some(server) {
             true => FAILING_RUN,
-            false => self.requests[job.number].run,
+            false => self.requests[exchange.job.number].run,
         };
-        let at = self.now + run;
-        self.events.add(
-            at,
-            Event::End {
-                entry_vm,
-                slot,
-                job,
-            },
-        );
+        self.network.after(run, Event::End(exchange));
     }
 
-    fn on_end(&mut self, entry_vm: usize, slot: Slot, job: Job) {
-        let Some(server) = self.server_of(entry_vm, slot.server()) else {
+    fn on_end(&mut self, exchange: Exchange) {
+        let Some(server) = self.server(&exchange) else {
             return;
         };
         self.running[server] -= 1;
         self.record.ended(service_of(server));
-        let at = self.now + one_way(zone_of_server(server), zone_of_entry_vm(entry_vm));
-        self.events.add(
-            at,
-            Event::Answer {
-                entry_vm,
-                slot,
-                job,
-            },
-        );
+        let entry_vm = exchange.entry_vm;
+        self.network
+            .send_server(entry_vm, server, Event::Answer(exchange));
     }
 
-    fn on_answer(&mut self, entry_vm: usize, slot: Slot, job: Job) {
-        let lost = |vm| self.scenario.is_lost(vm, self.now);
-        if lost(entry_vm) || lost(job.origin) {
+    fn on_answer(&mut self, exchange: Exchange) {
+        let server = self.server(&exchange);
+        let failed = server.is_some() && server == self.scenario.failing_server;
+        let Exchange {
+            entry_vm,
+            slot,
+            job,
+        } = exchange;
+        let is_lost = |entry_vm| self.scenario.is_lost(entry_vm, self.network.now);
+        let (lost, origin_lost) = (is_lost(entry_vm), is_lost(job.origin));
+        if lost || origin_lost {
             self.record.failed();
-            if lost(entry_vm) {
-                return;
-            }
         }
-        let origin_lost = lost(job.origin);
-        let server_key = slot.server();
-        let server = self.server_of(entry_vm, server_key);
-        let failed = server.is_some() && server == self.scenario.failing_server;
+        if lost {
+            return;
+        }
         let request = self.requests[job.number];
+        let server_key = slot.server();
         let instant = self.instant();
-        let report = match failed {
-            true => Report::Failed,
-            false => Report::Answered {
-                latency: request.run,
-            },
-        };
-        let seconds = request.run.as_secs_f64();
-        let vm = &mut self.entry_vms[entry_vm];
-        vm.router.release(slot, report, instant);
-        vm.queues[request.service].charge(self.team, seconds, instant);
-        if !origin_lost {
-            match failed {
-                true => self.retry(entry_vm, server_key, job),
-                false => {
-                    let at = self.now + self.between(entry_vm, job.origin);
-                    self.record.answered(at - request.at);
-                }
-            }
+        self.entry_vms[entry_vm].release(slot, request, failed, instant);
+        if failed && !origin_lost {
+            self.retry(entry_vm, server_key, job);
+        } else if !origin_lost {
+            let at = self.network.now + between(entry_vm, job.origin);
+            self.record.answered(at - request.at);
         }
         self.start_waiting(entry_vm, request.service);
-        if self.way.notices_idle {
-            self.notice_idle(entry_vm, request.service);
+        match self.way.notify {
+            Notify::Regular => {}
+            Notify::Broadcast => self.broadcast_idle(entry_vm, request.service),
+            Notify::OnDemand => {
+                self.notice_idle(entry_vm, request.service);
+                self.tell(entry_vm, job.origin, request.service);
+            }
         }
     }
 
     fn retry(&mut self, entry_vm: usize, failed: ServerKey, job: Job) {
         let instant = self.instant();
-        if job.retried || !self.retries[entry_vm].try_retry(self.team, instant) {
+        let retries = &mut self.entry_vms[entry_vm].retries;
+        if job.is_retry || !retries.try_retry(self.keys.team, instant) {
             self.record.failed();
             return;
         }
-        let job = Job {
-            retried: true,
-            ..job
-        };
+        let job = job.retried();
         let service = self.requests[job.number].service;
         let router = &mut self.entry_vms[entry_vm].router;
-        match router.pick_other(self.services[service], failed, instant) {
+        match router.pick_other(self.keys.services[service], failed, instant) {
             Some(slot) => self.send(entry_vm, slot, job),
             None => self.wait(entry_vm, job),
         }
     }
 
-    /// Tells the peers at once of a free slot for which nothing waits here.
-    fn notice_idle(&mut self, entry_vm: usize, service: usize) {
-        let vm = &mut self.entry_vms[entry_vm];
-        let free = vm.router.free_slots(self.services[service]);
-        let recent = vm.noticed_at[service].is_some_and(|at| self.now < at + SHORTEST_NOTICE_GAP);
-        // With several slots free the peers know of some already.
-        if free == 0 || free > 2 || recent {
+    /// Tells all peers at once of a free slot for which nothing waits here.
+    fn broadcast_idle(&mut self, entry_vm: usize, service: usize) {
+        let now = self.network.now;
+        if !self.entry_vms[entry_vm].broadcast_due(service, now) {
             return;
         }
-        vm.noticed_at[service] = Some(self.now);
         for peer in 0..ENTRY_VMS {
             self.notice(entry_vm, peer, service);
         }
     }
 
+    /// Tells a peer that wants a slot of a free one for which nothing waits here.
+    fn notice_idle(&mut self, entry_vm: usize, service: usize) {
+        let instant = self.instant();
+        let vm = &mut self.entry_vms[entry_vm];
+        let load = vm.load(service);
+        let Some(name) = vm
+            .notices
+            .on_idle(self.keys.services[service], load, instant)
+        else {
+            return;
+        };
+        if let Some(peer) = self.names.iter().position(|known| *known == name) {
+            self.notice(entry_vm, peer, service);
+        }
+    }
+
+    /// Tells the peers that requests wait here for a slot.
+    fn want(&mut self, entry_vm: usize, service: usize) {
+        let instant = self.instant();
+        let key = self.keys.services[service];
+        let vm = &mut self.entry_vms[entry_vm];
+        let load = vm.load(service);
+        if self.way.notify != Notify::OnDemand || !vm.notices.want_due(key, load, instant) {
+            return;
+        }
+        let random = self.rng.next_u64();
+        for name in vm.peers.askable(key, random, instant) {
+            let Some(to) = self.names.iter().position(|known| *known == name) else {
+                continue;
+            };
+            self.record.notices += 1;
+            let told = Told {
+                from: entry_vm,
+                to,
+                service,
+                load,
+            };
+            self.network.send(entry_vm, to, Event::Want(told));
+        }
+    }
+
+    fn on_want(&mut self, told: Told) {
+        if self.scenario.is_lost(told.to, self.network.now) {
+            return;
+        }
+        let instant = self.instant();
+        let key = self.keys.services[told.service];
+        let notices = &mut self.entry_vms[told.to].notices;
+        notices.on_want(&self.names[told.from], key, instant);
+        self.notice_idle(told.to, told.service);
+    }
+
+    fn on_notice(&mut self, told: Told) {
+        let instant = self.instant();
+        let key = self.keys.services[told.service];
+        let peers = &mut self.entry_vms[told.to].peers;
+        peers.on_notice(&self.names[told.from], key, told.load, instant);
+        self.start_waiting(told.to, told.service);
+    }
+
     fn on_notice_tick(&mut self, entry_vm: usize) {
-        if self.scenario.is_lost(entry_vm, self.now) {
+        if self.scenario.is_lost(entry_vm, self.network.now) {
             return;
         }
         for service in 0..SERVICES {
@@ -529,35 +415,38 @@
         if self.is_over() {
             return;
         }
-        let at = self.now + NOTICE_EVERY;
-        self.events.add(at, Event::NoticeTick(entry_vm));
+        let every = self.way.notify.every();
+        self.network.after(every, Event::NoticeTick(entry_vm));
     }
 
+    /// Sends a notice as a message of its own.
     fn notice(&mut self, from: usize, to: usize, service: usize) {
+        if from != to {
+            self.record.notices += 1;
+            self.tell(from, to, service);
+        }
+    }
+
+    /// Tells a peer of the load, in a message of its own or in an answer.
+    fn tell(&mut self, from: usize, to: usize, service: usize) {
         if from == to {
             return;
         }
-        let vm = &self.entry_vms[from];
-        let state = State {
-            free: vm.router.free_slots(self.services[service]),
-            waiting: vm.queues[service].len() as u32,
-        };
-        self.record.notices += 1;
-        let at = self.now + self.between(from, to);
-        let notice = Event::Notice {
+        let load = self.entry_vms[from].load(service);
+        let told = Told {
             from,
             to,
             service,
-            state,
+            load,
         };
-        self.events.add(at, notice);
+        self.network.send(from, to, Event::Notice(told));
     }
 
     fn on_expiry_tick(&mut self) {
         let instant = self.instant();
         for entry_vm in 0..ENTRY_VMS {
             for service in 0..SERVICES {
-                let lost = self.scenario.is_lost(entry_vm, self.now);
+                let lost = self.scenario.is_lost(entry_vm, self.network.now);
                 let queue = &mut self.entry_vms[entry_vm].queues[service];
                 let before = queue.len();
                 if lost {
@@ -572,7 +461,7 @@
             }
         }
         if !self.is_over() {
-            self.events.add(self.now + EXPIRY_EVERY, Event::ExpiryTick);
+            self.network.after(EXPIRY_EVERY, Event::ExpiryTick);
         }
     }
 
@@ -587,68 +476,19 @@
     /// Deals the slots of some shards to an entry VM.
     fn deal_to(&mut self, entry_vm: usize, shards: &[usize]) {
         let now = self.instant();
-        let specs = (0..SERVERS).filter_map(|server| {
-            let slots: u16 = shards
-                .iter()
-                .map(|&shard| dealt_slots(self.way.ownership, server, shard))
-                .sum();
-            (slots > 0).then(|| ServerSpec {
-                vm: format!("vm-{server}").into(),
-                address: ([127, 0, 0, 1], server as u16 + 1).into(),
-                service: self.services[service_of(server)],
-                slots,
-                connections: CONNECTIONS_PER_ENTRY_VM * shards.len() as u16,
-            })
-        });
-        let specs: Vec<ServerSpec> = specs.collect();
-        self.entry_vms[entry_vm].router.sync(specs, now);
+        self.entry_vms[entry_vm].deal(self.way.ownership, shards, now);
     }
 
-    /// Returns the number of the server that a key of an entry VM's router stands for.
-    fn server_of(&self, entry_vm: usize, key: ServerKey) -> Option<usize> {
-        let server = self.entry_vms[entry_vm].router.server(key)?;
-        Some(usize::from(server.address().port()) - 1)
-    }
-
-    fn between(&self, from: usize, to: usize) -> Duration {
-        match from == to {
-            true => Duration::ZERO,
-            false => one_way(zone_of_entry_vm(from), zone_of_entry_vm(to)),
-        }
+    fn server(&self, exchange: &Exchange) -> Option<usize> {
+        self.entry_vms[exchange.entry_vm].server(exchange.slot.server())
     }
 
     fn is_over(&self) -> bool {
         let last = self.requests.last().map_or(Duration::ZERO, |last| last.at);
-        self.now > last + LONGEST_WAIT
+        self.network.now > last + LONGEST_WAIT
     }
 
     fn instant(&self) -> Instant {
-        self.start + self.now
-    }
-}
-
-/// Returns the slots of a service that belong to an entry VM's shard.
-fn owned_slots(ownership: Ownership, service: usize, shard: usize) -> u16 {
-    servers_of(service)
-        .map(|server| dealt_slots(ownership, server, shard))
-        .sum()
-}
-
-/// Returns the slots of a server that belong to an entry VM's shard.
-fn dealt_slots(ownership: Ownership, server: usize, shard: usize) -> u16 {
-    let owners = entry_vms_of(zone_of_server(server));
-    let Some(place) = owners.iter().position(|&owner| owner == shard) else {
-        return 0;
-    };
-    let count = owners.len();
-    // The shards that get one slot more than others differ from server to server.
-    let turn = (place + server / ZONES) % count;
-    match ownership {
-        Ownership::Dealt => {
-            let remainder = usize::from(SLOTS) % count;
-            SLOTS / count as u16 + u16::from(turn < remainder)
-        }
-        Ownership::Home if turn == 0 => SLOTS,
-        Ownership::Home => 0,
+        self.start + self.network.now
     }
 }
