Check the first version after a start against the table's latest row

Cause: an entry VM that restarted while reads return the row before the latest write put version 1 in force and then 2, though 2 was in force before: the new test a_restart_with_old_rows_brings_no_older_version_in_force failed so (versions [1, 2] in place of [2]). Ruled out: waiting for peers first (an entry VM may start alone). Change: the first version read from the table is put in force only after a transaction without writes that checks the row's version; the decision is core's in_force::acceptance. A version from a peer needs no check. Not covered: the first version from a peer that is itself behind, while the platform is away.

--- a/crates/snipevane-core/src/config/in_force/mod.rs
+++ b/crates/snipevane-core/src/config/in_force/mod.rs
@@ -6,4 +6,4 @@
 
 pub use apply::{Apply, ApplyOutcome, ApplyStep, CommitAnswer, HeadRow, Landed, ReadAnswer};
 pub use fetch::{FetchPlan, FetchSettings, PeerOffer, Source};
-pub use version::{Acceptance, InForce, Proof};
+pub use version::{Acceptance, InForce, Proof, acceptance};
--- a/crates/snipevane-core/src/config/in_force/version.rs
+++ b/crates/snipevane-core/src/config/in_force/version.rs
@@ -34,18 +34,26 @@
         self.version
     }
 
-    /// Offers a version, and puts it in force if it's higher and well enough known.
-    ///
-    /// The first version after a start needs more than a read of the table: the process has no
-    /// memory of what the former one on the same VM had in force, and the row may be an old one.
+    /// Offers a version, and puts it in force if [`acceptance`] says so.
     pub fn offer(&mut self, version: u64, proof: Proof) -> Acceptance {
-        if version <= self.version {
-            return Acceptance::Older;
+        let acceptance = acceptance(self.version, version, proof);
+        if acceptance == Acceptance::InForce {
+            self.version = version;
         }
-        if self.version == 0 && proof == Proof::Read {
-            return Acceptance::NeedsCheck;
-        }
-        self.version = version;
-        Acceptance::InForce
+        acceptance
+    }
+}
+
+/// Decides whether a version takes the place of the one in force, 0 if there is none.
+///
+/// The first version after a start needs more than a read of the table: the process has no memory
+/// of what the former one on the same VM had in force, and the row may be an old one.
+pub fn acceptance(in_force: u64, offered: u64, proof: Proof) -> Acceptance {
+    if offered <= in_force {
+        return Acceptance::Older;
+    }
+    if in_force == 0 && proof == Proof::Read {
+        return Acceptance::NeedsCheck;
     }
+    Acceptance::InForce
 }
--- a/crates/snipevane-entry/src/control/config.rs
+++ b/crates/snipevane-entry/src/control/config.rs
@@ -4,7 +4,9 @@
 
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
+use snipevane_core::config::in_force::{Acceptance, Proof, acceptance};
 use snipevane_core::shards::ShardName;
+use snipevane_platform::{Check, Row, Transaction};
 use snipevane_proto::manifest::Manifest;
 use snipevane_proto::rows::{CONFIG_HEAD, CONFIG_VERSION, ConfigHead, ConfigVersion, SHARD};
 
@@ -25,7 +27,7 @@
             return;
         };
         self.node.state().config_row = Some((row.version, head.version));
-        if head.version > self.node.state().site.version
+        if self.is_newer(&row, head.version).await
             && let Some(text) = self.fetch_manifest(&head.hash).await
             && let Some(former) = self.shards_with_rows().await
         {
@@ -35,6 +37,23 @@
         self.fetch_missing().await;
     }
 
+    /// Returns whether a version that was read is to be put in force.
+    async fn is_newer(&self, row: &Row, version: u64) -> bool {
+        let in_force = self.node.state().site.version;
+        match acceptance(in_force, version, Proof::Read) {
+            Acceptance::Older => false,
+            Acceptance::InForce => true,
+            Acceptance::NeedsCheck => {
+                let check = Check {
+                    key: CONFIG_HEAD.into(),
+                    expected: Some(row.version),
+                };
+                let tx = Transaction::new(vec![check], Vec::new());
+                self.platform.commit(tx).await.is_ok()
+            }
+        }
+    }
+
     /// Fetches the configuration of a peer that has a newer one in force.
     pub(crate) async fn fetch_from_peer(&self) {
         let newer = {
--- a/tests/tests/cli.rs
+++ b/tests/tests/cli.rs
@@ -270,6 +270,34 @@
     assert_eq!(run.out, "version 3: accepted\n", "{}", run.err);
 }
 
+/// An entry VM that restarts while reads return old rows doesn't go back to an older version.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restart_with_old_rows_brings_no_older_version_in_force() {
+    let options = SiteOptions::default();
+    let mut value = manifest(&options);
+    let mut site = Site::start(SITE, options).await;
+    let operator = Operator::of_site("restart", &site);
+    value["teams"][0]["limit"] = json!(11);
+    let second = operator.files.write("second.json", &value.to_string());
+    assert_eq!(operator.run(&["apply", &second, "--wait"]).code, Some(0));
+    site.platform_faults(json!({ "stale_reads": true })).await;
+    site.restart_entry(3);
+    let restarted = site.entries[3].operator();
+    until("the restarted VM has the version in force", async || {
+        restarted.get_json("/v1/status").await["version"] == 2
+    })
+    .await;
+    let events = restarted.get_json("/v1/events").await;
+    let versions: Vec<_> = events["events"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter(|event| event["number"] == 1020)
+        .map(|event| event["fields"]["version"].clone())
+        .collect();
+    assert_eq!(versions, [json!("2")]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_are_given_listed_and_withdrawn() {
     let site = Site::start(SITE, SiteOptions::default()).await;
