--- a/crates/snipevane-measure/src/flags.rs
+++ b/crates/snipevane-measure/src/flags.rs
@@ -29,6 +29,13 @@
             /// Seeds the demand and the faults.
             optional --seed seed: u64
         }
+        /// Runs the gossip between entry VMs at several sizes.
+        cmd gossip {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Seeds the choice of peers and the losses.
+            optional --seed seed: u64
+        }
         /// Runs ways of routing side by side under bursts.
         cmd routing {
             /// Prints JSON in place of the table.
--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 pub mod flags;
 pub mod fleet;
+pub mod gossip;
 pub mod routing;
 
 pub use error::MeasureError;
@@ -21,6 +22,7 @@
     match &flags.subcommand {
         SnipevaneMeasureCmd::Kandyan(cmd) => fleet::run(fleet::Setting::Kandyan, &cmd.output()),
         SnipevaneMeasureCmd::Kartvel(cmd) => fleet::run(fleet::Setting::Kartvel, &cmd.output()),
+        SnipevaneMeasureCmd::Gossip(cmd) => gossip::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Routing(cmd) => routing::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
     }
