--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod flags;
 pub mod fleet;
 pub mod gossip;
+pub mod outage;
 pub mod routing;
 
 pub use error::MeasureError;
@@ -25,5 +26,6 @@
         SnipevaneMeasureCmd::Gossip(cmd) => gossip::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Routing(cmd) => routing::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
+        SnipevaneMeasureCmd::Outage(cmd) => outage::run(cmd),
     }
 }
