--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 pub mod flags;
 pub mod fleet;
+pub mod gossip;
 pub mod limits;
 pub mod outage;
 pub mod path;
@@ -26,6 +27,7 @@
         SnipevaneMeasureCmd::Kandyan(cmd) => fleet::run(fleet::Setting::Kandyan, &cmd.output()),
         SnipevaneMeasureCmd::Kartvel(cmd) => fleet::run(fleet::Setting::Kartvel, &cmd.output()),
         SnipevaneMeasureCmd::Claims(cmd) => claims::run(cmd.json, cmd.seed),
+        SnipevaneMeasureCmd::Gossip(cmd) => gossip::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Limits(cmd) => limits::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Routing(cmd) => routing::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
