--- /dev/null
+++ b/crates/snipevane-cli/src/demo/callers.rs
@@ -0,0 +1,180 @@
+//! The demo's callers: two teams that send requests of all kinds until they are told to stop.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use http::{Method, Request, header};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use snipevane_proto::headers::{DEADLINE_MS, IDEMPOTENCY_KEY, OUTCOME, Outcome};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+
+/// Callers of each team.
+const CALLERS: usize = 24;
+/// Pause of a caller between two requests.
+const PAUSE: Duration = Duration::from_millis(5);
+/// Attempts for one identifier, each at the next entry VM.
+const ATTEMPTS: usize = 3;
+
+/// What a team's callers saw.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Tally {
+    /// Requests that were sent, retries with the same identifier not counted.
+    pub(super) sent: u64,
+    /// Requests that were answered.
+    pub(super) answered: u64,
+    /// Requests that were refused as not run, to the last attempt.
+    pub(super) not_run: u64,
+    /// Requests whose outcome isn't known.
+    pub(super) unknown: u64,
+    /// Identifiers of requests that were refused as not run at every attempt.
+    pub(super) refused_ids: BTreeSet<String>,
+    /// Identifiers of non-idempotent requests that were answered.
+    pub(super) answered_rollups: BTreeSet<String>,
+    /// Time of the last answered request, in microseconds since the Unix epoch.
+    pub(super) last_answer_us: u64,
+}
+
+impl Tally {
+    /// Adds what other callers saw.
+    pub(super) fn add(&mut self, other: Self) {
+        self.sent += other.sent;
+        self.answered += other.answered;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.refused_ids.extend(other.refused_ids);
+        self.answered_rollups.extend(other.answered_rollups);
+        self.last_answer_us = self.last_answer_us.max(other.last_answer_us);
+    }
+}
+
+/// Callers of one team.
+pub(super) struct Callers {
+    tasks: JoinSet<Tally>,
+    stop: CancellationToken,
+}
+
+impl Callers {
+    /// Starts callers that show a key, spread over the entry VMs.
+    pub(super) fn start(entries: &[SocketAddr], key: &str) -> Self {
+        let stop = CancellationToken::new();
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(HttpConnector::new());
+        let mut tasks = JoinSet::new();
+        for number in 0..CALLERS {
+            let caller = Caller {
+                client: client.clone(),
+                entries: entries.into(),
+                authorization: format!("Bearer {key}").into(),
+                number,
+            };
+            tasks.spawn(caller.call_until(stop.clone()));
+        }
+        Self { tasks, stop }
+    }
+
+    /// Stops the callers and returns what they saw.
+    pub(super) async fn stop(mut self) -> Tally {
+        self.stop.cancel();
+        let mut tally = Tally::default();
+        while let Some(part) = self.tasks.join_next().await {
+            tally.add(part.unwrap_or_default());
+        }
+        tally
+    }
+}
+
+struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    entries: Arc<[SocketAddr]>,
+    authorization: Arc<str>,
+    number: usize,
+}
+
+impl Caller {
+    async fn call_until(self, stop: CancellationToken) -> Tally {
+        let mut tally = Tally::default();
+        let mut turn = self.number;
+        while !stop.is_cancelled() {
+            turn += 1;
+            self.call(turn, &mut tally).await;
+            sleep(PAUSE).await;
+        }
+        tally
+    }
+
+    /// Sends one request; every second one isn't idempotent and is retried with its identifier.
+    async fn call(&self, turn: usize, tally: &mut Tally) {
+        tally.sent += 1;
+        let id = Uuid::now_v7().to_string();
+        let idempotent = turn.is_multiple_of(2);
+        let mut last = Outcome::NotRun;
+        let mut all_not_run = true;
+        for attempt in 0..ATTEMPTS {
+            let entry = self.entries[(turn + attempt) % self.entries.len()];
+            last = self.attempt(entry, idempotent, &id).await;
+            all_not_run &= last == Outcome::NotRun;
+            if last == Outcome::Answered {
+                break;
+            }
+        }
+        match last {
+            Outcome::Answered => {
+                tally.answered += 1;
+                tally.last_answer_us = now_us();
+                if !idempotent {
+                    tally.answered_rollups.insert(id);
+                }
+            }
+            Outcome::NotRun if all_not_run => {
+                tally.not_run += 1;
+                tally.refused_ids.insert(id);
+            }
+            Outcome::NotRun | Outcome::Unknown => tally.unknown += 1,
+        }
+    }
+
+    async fn attempt(&self, entry: SocketAddr, idempotent: bool, id: &str) -> Outcome {
+        let queue = if idempotent { "ticks" } else { "rollups" };
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{entry}/v1/queues/{queue}/demo"))
+            .header(header::AUTHORIZATION, &*self.authorization)
+            .header(IDEMPOTENCY_KEY, id)
+            .header(DEADLINE_MS, "2000")
+            .header("x-test-run-ms", "10")
+            .body(Full::new(Bytes::copy_from_slice(id.as_bytes())));
+        let Ok(req) = req else {
+            return Outcome::NotRun;
+        };
+        let Ok(response) = self.client.request(req).await else {
+            return Outcome::Unknown;
+        };
+        let outcome = response
+            .headers()
+            .get(OUTCOME)
+            .and_then(|value| value.to_str().ok());
+        let outcome = outcome.and_then(Outcome::parse).unwrap_or(Outcome::Unknown);
+        match response.into_body().collect().await {
+            Ok(_) => outcome,
+            Err(_) => Outcome::Unknown,
+        }
+    }
+}
+
+/// Returns the time in microseconds since the Unix epoch.
+pub(super) fn now_us() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/snipevane-cli/src/demo/report.rs
@@ -0,0 +1,194 @@
+//! What the stand-ins recorded, against what the callers saw.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use snipevane_proto::platform::BackendRecord;
+use snipevane_standin::most_running;
+
+use super::callers::Tally;
+use super::scenario::total;
+use crate::CliError;
+use crate::output::print_json;
+
+/// Longest time for a change or a withdrawal to hold everywhere, in seconds.
+const LONGEST_SPREAD_S: f64 = 13.0;
+/// Longest time in which a leaving backend server still gets new work, in seconds.
+const LONGEST_LEAVE_S: f64 = 5.0;
+
+/// What came of the demo.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Report {
+    sent: u64,
+    answered: u64,
+    refused_not_run: u64,
+    outcome_unknown: u64,
+    runs_recorded: usize,
+    run_twice: usize,
+    answered_without_run: usize,
+    refused_but_run: usize,
+    over_a_limit: Vec<String>,
+    config_everywhere_s: f64,
+    withdrawn_everywhere_s: f64,
+    drained_last_start_s: f64,
+    withdrawal_stored: bool,
+}
+
+impl Report {
+    /// Compares records and tallies.
+    ///
+    /// `drained` names the backend server that left, and when, in microseconds since the Unix
+    /// epoch; `seconds` holds how long the configuration and the withdrawal took.
+    pub(super) fn new(
+        records: &[BackendRecord],
+        tallies: [Tally; 2],
+        limits: &[(&str, usize)],
+        drained: (&str, u64),
+        seconds: [f64; 2],
+        withdrawal_stored: bool,
+    ) -> Self {
+        let runs = runs_by_id(records);
+        let sum = total(&tallies);
+        let over = limits.iter().filter_map(|(team, limit)| {
+            let most = most_running(records, team);
+            (most > *limit).then(|| format!("{team} ran {most} with a limit of {limit}"))
+        });
+        Self {
+            sent: sum.sent,
+            answered: sum.answered,
+            refused_not_run: sum.not_run,
+            outcome_unknown: sum.unknown,
+            runs_recorded: records.iter().map(|record| record.runs.len()).sum(),
+            run_twice: runs.values().filter(|count| **count > 1).count(),
+            answered_without_run: missing(&sum, &runs),
+            refused_but_run: sum
+                .refused_ids
+                .iter()
+                .filter(|id| runs.contains_key(*id))
+                .count(),
+            over_a_limit: over.collect(),
+            config_everywhere_s: seconds[0],
+            withdrawn_everywhere_s: seconds[1],
+            drained_last_start_s: last_start_after(records, drained),
+            withdrawal_stored,
+        }
+    }
+
+    /// Names the promises that broke.
+    pub(super) fn broken_promises(&self) -> Vec<&'static str> {
+        let promises = [
+            (self.run_twice == 0, "a non-idempotent request ran twice"),
+            (
+                self.answered_without_run == 0,
+                "a request was answered that no backend server ran",
+            ),
+            (
+                self.refused_but_run == 0,
+                "a request was refused as not run and had run",
+            ),
+            (
+                self.over_a_limit.is_empty(),
+                "a team ran more than its limit",
+            ),
+            (self.answered > 0, "no request was answered"),
+            (
+                self.config_everywhere_s <= LONGEST_SPREAD_S,
+                "a configuration was late",
+            ),
+            (
+                self.withdrawn_everywhere_s <= LONGEST_SPREAD_S,
+                "a withdrawn key went on working",
+            ),
+            (
+                self.drained_last_start_s <= LONGEST_LEAVE_S,
+                "a leaving backend server got work",
+            ),
+            (self.withdrawal_stored, "a withdrawal was lost"),
+        ];
+        promises
+            .into_iter()
+            .filter(|(kept, _)| !kept)
+            .map(|(_, what)| what)
+            .collect()
+    }
+
+    /// Prints the report.
+    pub(super) fn print(&self, json: bool) -> Result<(), CliError> {
+        if json {
+            return print_json(self);
+        }
+        println!("requests sent                      {:>8}", self.sent);
+        println!("  answered                         {:>8}", self.answered);
+        println!(
+            "  refused as not run               {:>8}",
+            self.refused_not_run
+        );
+        println!(
+            "  outcome unknown                  {:>8}",
+            self.outcome_unknown
+        );
+        println!(
+            "runs that backend servers recorded {:>8}",
+            self.runs_recorded
+        );
+        println!("  non-idempotent, run twice        {:>8}", self.run_twice);
+        println!(
+            "  answered without a run           {:>8}",
+            self.answered_without_run
+        );
+        println!(
+            "  refused as not run, but run      {:>8}",
+            self.refused_but_run
+        );
+        println!(
+            "teams over their limit             {:>8}",
+            self.over_a_limit.len()
+        );
+        println!("seconds until a new configuration");
+        println!(
+            "  was in force everywhere          {:>8.2}",
+            self.config_everywhere_s
+        );
+        println!("seconds until a key, withdrawn with the platform away,");
+        println!(
+            "  was refused everywhere           {:>8.2}",
+            self.withdrawn_everywhere_s
+        );
+        println!("seconds until a leaving backend server");
+        println!(
+            "  got its last request             {:>8.2}",
+            self.drained_last_start_s
+        );
+        for line in &self.over_a_limit {
+            println!("{line}");
+        }
+        Ok(())
+    }
+}
+
+/// Counts the runs of each non-idempotent identifier.
+fn runs_by_id(records: &[BackendRecord]) -> BTreeMap<String, usize> {
+    let mut runs = BTreeMap::new();
+    for run in records.iter().flat_map(|record| &record.runs) {
+        if run.queue == "rollups" {
+            *runs.entry(run.idempotency_key.clone()).or_default() += 1;
+        }
+    }
+    runs
+}
+
+/// Counts the non-idempotent identifiers that were answered and not run.
+fn missing(tally: &Tally, runs: &BTreeMap<String, usize>) -> usize {
+    tally
+        .answered_rollups
+        .iter()
+        .filter(|id| !runs.contains_key(*id))
+        .count()
+}
+
+fn last_start_after(records: &[BackendRecord], (server, since_us): (&str, u64)) -> f64 {
+    let starts = records.iter().filter(|record| record.server == server);
+    let starts = starts.flat_map(|record| record.runs.iter().map(|run| run.start_us));
+    let last = starts.max().unwrap_or(0).saturating_sub(since_us);
+    last as f64 / 1e6
+}
--- a/crates/snipevane-cli/src/flags.rs
+++ b/crates/snipevane-cli/src/flags.rs
@@ -63,5 +63,11 @@
             /// Shows only events of this VM.
             optional --vm vm: String
         }
+
+        /// Runs a small site inside one process and prints what its stand-ins recorded.
+        cmd demo {
+            /// Keeps the site up and prints commands to try.
+            optional --stay
+        }
     }
 }
--- a/crates/snipevane-cli/src/lib.rs
+++ b/crates/snipevane-cli/src/lib.rs
@@ -6,6 +6,7 @@
 mod apply;
 mod check;
 mod client;
+mod demo;
 mod error;
 mod flags;
 mod key;
@@ -57,10 +58,13 @@
     if let SnipevaneCmd::Check(cmd) = &flags.subcommand {
         return check::run(&cmd.file, json);
     }
+    if let SnipevaneCmd::Demo(cmd) = &flags.subcommand {
+        return runtime.block_on(demo::run(cmd.stay, json));
+    }
     let client = Client::from_files(&flags.entry, flags.operator_key_file.as_deref())?;
     runtime.block_on(async {
         match flags.subcommand {
-            SnipevaneCmd::Check(_) => Ok(()),
+            SnipevaneCmd::Check(_) | SnipevaneCmd::Demo(_) => Ok(()),
             SnipevaneCmd::Apply(cmd) => apply::run(&client, &cmd, json).await,
             SnipevaneCmd::Key(cmd) => key::run(&client, cmd.subcommand, json).await,
             SnipevaneCmd::Status(_) => status::run(&client, json).await,
