Lift a doubt by the list only if the list was read long after the sign

Cause: while the platform is away its last list stays; a server that had asked to close connections got new work again 120 s after the sign, with no news. Change: the list must have been read 120 s after the sign and still show the VM as live. A test with a platform that is away for 30 minutes fails without it.

--- a/crates/snipevane-core/src/members/vm.rs
+++ b/crates/snipevane-core/src/members/vm.rs
@@ -41,7 +41,7 @@
 pub(super) enum Listed {
     /// No list held the VM since its present incarnation showed.
     Never,
-    /// The last list holds the VM as live, since the given time.
+    /// The last list, read at the given time, holds the VM as live.
     Live(Instant),
     /// The last list holds the VM as leaving.
     Leaving,
@@ -119,8 +119,7 @@
         }
         self.returned_at = None;
         match self.listed {
-            Listed::Live(_) => return,
-            Listed::Never => {}
+            Listed::Live(_) | Listed::Never => {}
             Listed::Dropped => self.doubt = None,
             // An older list may have come late, so the VM's health has to confirm it.
             Listed::Leaving => self.doubt = Some(Doubt::Closing(now)),
@@ -178,9 +177,9 @@
             None => false,
             Some(Doubt::Refused(at)) => now.saturating_duration_since(at) < limits.refused_term,
             Some(Doubt::Closing(at)) => {
-                // The list takes less than `list_lag` to show a VM as leaving.
-                let listed_live = matches!(self.listed, Listed::Live(_));
-                !listed_live || now.saturating_duration_since(at) < limits.list_lag
+                // A list read `list_lag` after the sign would show the VM as leaving.
+                let outlived = |seen: Instant| seen >= at + limits.list_lag;
+                !matches!(self.listed, Listed::Live(seen) if outlived(seen))
             }
             Some(Doubt::Leaving(_)) => true,
         }
--- a/tests/tests/members.rs
+++ b/tests/tests/members.rs
@@ -55,6 +55,18 @@
     assert_eq!(members.view("a", later), VmView::Serving);
 }
 
+#[test]
+fn only_a_list_read_long_after_the_sign_lifts_a_doubt() {
+    let start = Instant::now();
+    let mut members = listed(start);
+    members.on_sign(start, "a", Sign::CloseHeader);
+    // The platform is away, so the list stays as it was.
+    let later = start + Duration::from_secs(1_800);
+    assert_eq!(members.view("a", later), VmView::Suspect);
+    members.on_list(later, list(&[("a", false)]));
+    assert_eq!(members.view("a", later), VmView::Serving);
+}
+
 #[test]
 fn a_healthy_server_that_closes_each_connection_stays_in_service() {
     let start = Instant::now();
