--- a/crates/snipevane-cli/src/timeline.rs
+++ b/crates/snipevane-cli/src/timeline.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use snipevane_core::timeline::merge;
-use snipevane_proto::operator::{Event, Events, Timeline};
+use snipevane_proto::operator::{Event, Events, Status, Timeline};
 
 use crate::output::print_json;
 use crate::{CliError, Client, flags};
@@ -20,8 +20,8 @@
     let path = path(cmd);
     let mut answers = Vec::new();
     let mut unreachable = Vec::new();
-    for &entry in client.entries() {
-        match client.get_from::<Events>(entry, &path).await {
+    for (entry, answer) in client.get_all::<Events>(&path).await {
+        match answer {
             Ok(answer) => answers.push(answer),
             Err(CliError::Unreachable(why)) => unreachable.push(format!("{entry} ({why})")),
             Err(error) => return Err(error),
@@ -30,6 +30,11 @@
     if answers.is_empty() {
         return Err(CliError::Unreachable(unreachable.join("; ")));
     }
+    // Entry VMs that nobody named are part of the site, too.
+    for (_, status) in client.get_all::<Status>("/v1/status").await {
+        let peers = status.map(|status| status.peers).unwrap_or_default();
+        unreachable.extend(peers.into_iter().map(|peer| peer.vm));
+    }
     let timeline = merge(answers, unreachable);
     if json {
         return print_json(&timeline);
--- a/crates/snipevane-core/src/placement/victims.rs
+++ b/crates/snipevane-core/src/placement/victims.rs
@@ -8,13 +8,19 @@
 use crate::pools::UnixMs;
 
 /// Urgent tasks for which room is made in one round.
-const MOST_IN_ROUND: usize = 16;
+const MOST_IN_ROUND: usize = 256;
 
-/// Tasks that were asked to give way, and the urgent tasks for which.
+/// What it costs to interrupt a task, in proportion.
+const COST_OF_DEFERRED: usize = 1;
+const COST_OF_NORMAL: usize = 4;
+
+/// Tasks that were asked to give way, and for which urgent tasks.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Victims {
     asked: SecondaryMap<TaskKey, ()>,
-    served: SecondaryMap<TaskKey, ()>,
+    served: SecondaryMap<TaskKey, Vec<TaskKey>>,
+    /// Number of workers that the next search passes over, so that searches spread over all.
+    passed_over: usize,
 }
 
 impl Victims {
@@ -22,22 +28,32 @@
         self.asked.remove(task);
         self.served.remove(task);
     }
+
+    /// Returns whether tasks that give way to this one haven't ended yet.
+    fn are_ending(&self, urgent: TaskKey) -> bool {
+        let victims = self.served.get(urgent);
+        victims.is_some_and(|all| all.iter().any(|&task| self.asked.contains_key(task)))
+    }
 }
 
 impl Placer {
     /// Returns tasks to checkpoint and stop so that urgent work which has waited long can start.
     ///
-    /// Deferred tasks give way before normal ones, and never urgent ones. Each urgent task has room
-    /// made for it once.
-    pub fn give_way(&mut self, now: UnixMs, alive: impl Fn(TaskKey) -> bool) -> Vec<TaskKey> {
+    /// Deferred tasks give way before normal ones, and never urgent ones. Room is made again for an
+    /// urgent task if another one took it.
+    pub fn give_way(
+        &mut self,
+        now: UnixMs,
+        current: impl Fn(&Waiting) -> Option<Resources>,
+    ) -> Vec<TaskKey> {
         let patience = self.settings.urgent_patience;
         let mut urgent: Vec<Waiting> = Vec::new();
         for account in self.accounts.values() {
             let waiting = (0..MOST_IN_ROUND).map_while(|nth| account.queue.get(Class::Urgent, nth));
             let late = waiting.filter(|waiting| {
-                alive(waiting.task)
+                current(waiting).is_some()
                     && now.since(waiting.since) >= patience
-                    && !self.victims.served.contains_key(waiting.task)
+                    && !self.victims.are_ending(waiting.task)
             });
             urgent.extend(late);
         }
@@ -51,16 +67,22 @@
             for &task in &victims {
                 self.victims.asked.insert(task, ());
             }
-            self.victims.served.insert(waiting.task, ());
-            asked.extend(victims);
+            asked.extend(&victims);
+            self.victims.served.insert(waiting.task, victims);
         }
         asked
     }
 
-    /// Returns the tasks of the worker where the fewest have to give way.
-    fn cheapest(&self, size: &Resources) -> Option<Vec<TaskKey>> {
+    /// Returns tasks of one worker that make room, of a worker where it costs little.
+    fn cheapest(&mut self, size: &Resources) -> Option<Vec<TaskKey>> {
+        let workers = self.workers.iter().count();
+        let start = self.victims.passed_over % workers.max(1);
+        let after = self.workers.iter().skip(start);
+        let before = self.workers.iter().take(start);
         let mut best: Option<(usize, Vec<TaskKey>)> = None;
-        for (key, worker) in self.workers.iter() {
+        let mut seen = 0;
+        for (key, worker) in after.chain(before) {
+            seen += 1;
             if !worker.is_open() || !size.fits_in(&worker.capacity) {
                 continue;
             }
@@ -71,7 +93,12 @@
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, victims));
             }
+            // One task is as few as can be.
+            if cost <= COST_OF_NORMAL {
+                break;
+            }
         }
+        self.victims.passed_over = start + seen;
         best.map(|(_, victims)| victims)
     }
 
@@ -100,15 +127,13 @@
         size.fits_in(&free).then_some(victims)
     }
 
-    /// Returns what it costs to interrupt a task, in tasks without progress that matters.
+    /// Returns what it costs to interrupt a task.
     fn cost(&self, task: TaskKey) -> usize {
-        const DEFERRED: usize = 1;
-        const NORMAL: usize = 4;
         let class = self.running.get(task).map(|running| running.waiting.class);
         if class == Some(Class::Deferred) {
-            DEFERRED
+            COST_OF_DEFERRED
         } else {
-            NORMAL
+            COST_OF_NORMAL
         }
     }
 }
--- a/crates/snipevane-measure/src/flags.rs
+++ b/crates/snipevane-measure/src/flags.rs
@@ -52,6 +52,20 @@
             /// Seeds the demand and the faults.
             optional --seed seed: u64
         }
+        /// Measures table writes and unknown outcomes of ways to run a request at most once.
+        cmd claims {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Seeds the requests and the crashes.
+            optional --seed seed: u64
+        }
+        /// Measures the part of the work below a team's limit that is refused.
+        cmd limits {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Seeds the demand.
+            optional --seed seed: u64
+        }
         /// Runs the writes to the platform through an outage, beside a naive version.
         cmd outage {
             /// Prints JSON in place of the table.
@@ -59,6 +73,18 @@
             /// Seeds the demand and the jitter.
             optional --seed seed: u64
         }
+        /// Measures the request path over processes on loopback, direct and through an entry VM.
+        cmd path {
+            /// Prints JSON in place of the table.
+            optional --json
+        }
+        /// Runs one process of the request path's measurement, which starts it by itself.
+        cmd part {
+            /// One of entry, platform, backend.
+            required kind: String
+            /// Settings file.
+            required settings: PathBuf
+        }
     }
 }
 
