--- a/crates/snipevane-core/src/shards/deal.rs
+++ b/crates/snipevane-core/src/shards/deal.rs
@@ -7,6 +7,15 @@
 
 use super::ShardName;
 
+/// How few shards hold a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grains {
+    /// Units that each holder has at least, but for the one unit of a zone.
+    pub least_units: u32,
+    /// Most holders beside those of one unit for a zone; up to as many shards, the deal is even.
+    pub max_holders: u32,
+}
+
 /// Shards with their hashes, for repeated look-ups.
 #[derive(Clone, Debug, Default)]
 pub struct ShardSet {
@@ -58,16 +67,17 @@
         units
     }
 
-    /// Deals out a number of units in grains; the result sums exactly to `total`.
+    /// Deals out a number of units to few shards; the result sums exactly to `total`.
     ///
     /// Each zone gets one unit if that takes at most half of the units, so that a zone that is cut
-    /// off can go on. The rest lies on as few shards as hold at least `grain` units each. Larger
-    /// grains are used up more evenly, at the cost of a hop from the shards that have none.
-    pub fn deal_in_grains(&self, total: u32, salt: &str, grain: u32) -> Vec<u32> {
+    /// off can go on. The rest lies evenly on as many shards as `grains` allows. Fewer holders use
+    /// the units up more evenly, at the cost of a hop from the shards that have none.
+    pub fn deal_in_grains(&self, total: u32, salt: &str, grains: Grains) -> Vec<u32> {
         let mut units = vec![0; self.names.len()];
         let ranked = self.ranked(salt);
-        if ranked.is_empty() {
-            return units;
+        let count = u32::try_from(ranked.len()).unwrap_or(u32::MAX);
+        if count <= grains.max_holders {
+            return self.deal(total, salt);
         }
         let mut rest = total;
         let bases = self.first_of_each_zone(&ranked);
@@ -77,8 +87,8 @@
                 rest -= 1;
             }
         }
-        let grains = (rest / grain.max(1)).max(1) as usize;
-        let holders = grains.min(ranked.len()) as u32;
+        let holders = (rest / grains.least_units.max(1)).min(grains.max_holders);
+        let holders = holders.max(1);
         for (rank, &index) in (0..holders).zip(&ranked) {
             units[index] += rest / holders + u32::from(rank < rest % holders);
         }
--- a/crates/snipevane-core/src/shards/mod.rs
+++ b/crates/snipevane-core/src/shards/mod.rs
@@ -8,7 +8,7 @@
 mod time;
 
 pub use acquire::{Acquisition, Holder, ShardRow, decide};
-pub use deal::{ShardSet, deal, shard_of};
+pub use deal::{Grains, ShardSet, deal, shard_of};
 pub use name::{ParseShardNameError, ShardName, shard_names};
 pub use owners::{IdOwners, Owner};
 pub use tenure::{Held, Observation, Tenure};
--- a/crates/snipevane-measure/src/claims/way.rs
+++ b/crates/snipevane-measure/src/claims/way.rs
@@ -9,6 +9,8 @@
     Owner { lead_s: f64 },
     /// As above; a new holder's floor is its clock plus the allowed skew if that is later.
     OwnerClockFloor { lead_s: f64 },
+    /// As the owner; while the table is away, a witness vouches for ceilings.
+    OwnerWitness { lead_s: f64 },
     /// As the owner; a row for each answer is written later.
     OwnerAndRows { lead_s: f64 },
 }
@@ -19,6 +21,7 @@
             Self::RowEach => "row for each request".to_owned(),
             Self::Owner { lead_s } => format!("owner, lead {lead_s} s"),
             Self::OwnerClockFloor { lead_s } => format!("owner, clock in floor, lead {lead_s} s"),
+            Self::OwnerWitness { lead_s } => format!("owner with witness, lead {lead_s} s"),
             Self::OwnerAndRows { lead_s } => format!("owner and rows, lead {lead_s} s"),
         }
     }
@@ -29,6 +32,7 @@
             Self::RowEach => None,
             Self::Owner { lead_s }
             | Self::OwnerClockFloor { lead_s }
+            | Self::OwnerWitness { lead_s }
             | Self::OwnerAndRows { lead_s } => Some(lead_s),
         }
     }
@@ -37,7 +41,7 @@
     pub(super) fn rows_for_request(self) -> f64 {
         match self {
             Self::RowEach => 2.0,
-            Self::Owner { .. } | Self::OwnerClockFloor { .. } => 0.0,
+            Self::Owner { .. } | Self::OwnerClockFloor { .. } | Self::OwnerWitness { .. } => 0.0,
             Self::OwnerAndRows { .. } => 1.0,
         }
     }
