Measure control of real entry VMs around an outage of the platform

Cause: the control budget and the platform's calls at the target size are to be worked out from slopes measured with real daemons.

Ruled out: counting calls inside the entry VM (the platform's record shows what really arrived).

Change: snipevane-measure control starts 2, 4 and 8 (or the numbers named) entry VMs as processes and prints processor time, memory and calls of the platform before, during and after an outage of 20 s. The sites of processes are shared with the request path's measurement.

--- a/crates/snipevane-measure/src/flags.rs
+++ b/crates/snipevane-measure/src/flags.rs
@@ -52,6 +52,13 @@
             /// Seeds the demand and the jitter.
             optional --seed seed: u64
         }
+        /// Measures what entry VMs spend on control, and how they treat the platform around an outage.
+        cmd control {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Numbers of entry VMs, by default 2, 4 and 8.
+            repeated --entries count: usize
+        }
         /// Measures the request path over processes on loopback, direct and through an entry VM.
         cmd path {
             /// Prints JSON in place of the table.
--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -4,6 +4,9 @@
 //! the subcommand's flags.
 
 mod error;
+mod site;
+
+pub mod control;
 pub mod flags;
 pub mod fleet;
 pub mod outage;
@@ -26,7 +29,8 @@
         SnipevaneMeasureCmd::Routing(cmd) => routing::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
         SnipevaneMeasureCmd::Outage(cmd) => outage::run(cmd),
+        SnipevaneMeasureCmd::Control(cmd) => control::run(cmd),
         SnipevaneMeasureCmd::Path(cmd) => path::run(cmd),
-        SnipevaneMeasureCmd::Part(cmd) => path::run_part(&cmd.kind, &cmd.settings),
+        SnipevaneMeasureCmd::Part(cmd) => site::run_part(&cmd.kind, &cmd.settings),
     }
 }
--- a/crates/snipevane-measure/src/path/load.rs
+++ b/crates/snipevane-measure/src/path/load.rs
@@ -29,15 +29,7 @@
     /// Key that the requests carry.
     pub(super) key: Option<String>,
     /// Callers.
-    pub(super) workers: usize,
-}
-
-impl Target {
-    /// Sends one request on a connection of its own.
-    pub(super) async fn probe(&self) -> io::Result<StatusCode> {
-        let mut caller = Caller::connect(self, 0).await?;
-        caller.send().await
-    }
+    pub(super) callers: usize,
 }
 
 /// What came of a load.
@@ -62,7 +54,7 @@
         per_second: f64,
         time: Duration,
     ) -> Result<Self, MeasureError> {
-        let interval = Duration::from_secs_f64(target.workers as f64 / per_second);
+        let interval = Duration::from_secs_f64(target.callers as f64 / per_second);
         Self::run(target, time, Some(interval)).await
     }
 
@@ -77,13 +69,13 @@
         interval: Option<Duration>,
     ) -> Result<Self, MeasureError> {
         let mut callers = Vec::new();
-        for number in 0..target.workers {
+        for number in 0..target.callers {
             callers.push(Caller::connect(target, number).await?);
         }
         let start = Instant::now();
         let mut tasks = JoinSet::new();
         for (number, caller) in callers.into_iter().enumerate() {
-            let share = number as f64 / target.workers as f64;
+            let share = number as f64 / target.callers as f64;
             let pace = interval.map(|interval| Pace {
                 next: start + interval.mul_f64(share),
                 interval,
--- a/crates/snipevane-measure/src/path/mod.rs
+++ b/crates/snipevane-measure/src/path/mod.rs
@@ -3,25 +3,27 @@
 //! Platform, backend servers and entry VM run as processes of their own, the load in this one.
 
 mod load;
-mod part;
-mod process;
 mod report;
-mod site;
 
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use tokio::runtime::Runtime;
 
-pub(crate) use part::run_part;
 pub use report::PathReport;
 
 use crate::error::MeasureError;
 use crate::flags::Path;
+use crate::site::{MeasuredSite, SiteSize, load_average};
 use load::{Load, Target};
 use report::{CpuPerRequest, Latency, Memory};
-use site::MeasuredSite;
 
+/// Size of the site.
+const SIZE: SiteSize = SiteSize {
+    entries: 1,
+    backends: 4,
+    slots: 8,
+};
 /// Time of one round of load.
 const ROUND: Duration = Duration::from_secs(3);
 /// Time of load before the first round.
@@ -47,9 +49,20 @@
 }
 
 async fn measure() -> Result<PathReport, MeasureError> {
-    let site = MeasuredSite::start().await?;
-    let direct = site.direct();
-    let through = site.through();
+    let site = MeasuredSite::start(SIZE).await?;
+    let callers = SIZE.backends * SIZE.slots;
+    let direct = Target {
+        addresses: site.backend_addresses(),
+        path: "/tick".into(),
+        key: None,
+        callers,
+    };
+    let through = Target {
+        addresses: vec![site.caller_address()],
+        path: "/v1/queues/ticks/tick".into(),
+        key: Some(site.key().to_owned()),
+        callers,
+    };
     for target in [&direct, &through] {
         Load::closed(target, WARM_UP).await?;
     }
@@ -86,7 +99,7 @@
         cpu,
         failed,
         memory,
-        load_average: site::load_average(),
+        load_average: load_average(),
     })
 }
 
@@ -102,7 +115,7 @@
     let requests = load.times.len().max(1) as f64;
     let per_request = |used: Duration| used.as_secs_f64() * 1e6 / requests;
     Ok(CpuPerRequest {
-        entry_us: per_request(after.entry - before.entry),
+        entry_us: per_request(after.entries - before.entries),
         backends_us: per_request(after.backends - before.backends),
     })
 }
--- a/crates/snipevane-measure/src/path/site.rs
+++ b/crates/snipevane-measure/src/site/measured_site.rs
@@ -1,27 +1,24 @@
-//! The site that is measured: one entry VM and four backend servers of one zone.
+//! The site that is measured: entry VMs and backend servers of one zone.
 
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde_json::{Value, json};
-use snipevane_proto::platform::VMS_PATH;
+use snipevane_proto::platform::{
+    FAULTS_PATH, PlatformFaults, PlatformRecord, RECORD_PATH, VMS_PATH,
+};
 use uuid::Uuid;
 
-use super::load::Target;
 use super::process::Part;
 use crate::error::MeasureError;
 
-/// Backend servers of the site.
-const BACKENDS: usize = 4;
-/// Requests that one backend server runs at once.
-const SLOTS: usize = 8;
 /// Attempts to get an answer from a site that is starting.
 const READY_ATTEMPTS: usize = 200;
 /// Pause between two of these attempts.
@@ -33,87 +30,104 @@
 /// Any free port.
 const ANY_PORT: &str = "127.0.0.1:0";
 
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Size of a site.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SiteSize {
+    /// Entry VMs.
+    pub(crate) entries: usize,
+    /// Backend servers.
+    pub(crate) backends: usize,
+    /// Requests that one backend server runs at once.
+    pub(crate) slots: usize,
+}
+
 /// The processes of the site.
-pub(super) struct MeasuredSite {
-    entry: Part,
+pub(crate) struct MeasuredSite {
+    entries: Vec<Part>,
     backends: Vec<Part>,
+    platform: Part,
+    http: HttpClient,
     key: String,
-    _platform: Part,
 }
 
 impl MeasuredSite {
     /// Starts all processes and waits until the entry VM serves.
-    pub(super) async fn start() -> Result<Self, MeasureError> {
+    pub(crate) async fn start(size: SiteSize) -> Result<Self, MeasureError> {
         let platform = Part::start("platform", &json!({ "listen": ANY_PORT }))?;
-        let mut backends = Vec::new();
-        for number in 0..BACKENDS {
-            let settings = json!({ "name": backend_name(number), "slots": SLOTS });
-            backends.push(Part::start("backend", &settings)?);
-        }
-        let entry = Part::start("entry", &entry_settings(platform.addresses[0]))?;
-        let http = Client::builder(TokioExecutor::new()).build_http();
         let mut site = Self {
-            entry,
-            backends,
+            entries: Vec::new(),
+            backends: Vec::new(),
+            http: Client::builder(TokioExecutor::new()).build_http(),
             key: String::new(),
-            _platform: platform,
+            platform,
         };
-        let vms = site.vm_list();
-        let platform = site._platform.addresses[0];
-        call(&http, Method::POST, &format!("{platform}{VMS_PATH}"), &vms).await?;
-        let operator = site.entry.addresses[2];
+        for number in 0..size.backends {
+            let settings = json!({ "name": backend_name(number), "slots": size.slots });
+            site.backends.push(Part::start("backend", &settings)?);
+        }
+        for number in 0..size.entries {
+            let settings = entry_settings(number, site.platform.addresses[0]);
+            site.entries.push(Part::start("entry", &settings)?);
+        }
+        site.post_platform(VMS_PATH, &site.vm_list()).await?;
         let apply = json!({
-            "based_on": 0, "write_id": Uuid::now_v7(), "manifest": manifest()
+            "based_on": 0, "write_id": Uuid::now_v7(), "manifest": manifest(size)
         });
-        call(
-            &http,
-            Method::POST,
-            &format!("{operator}/v1/config"),
-            &apply,
-        )
-        .await?;
+        site.post_operator("/v1/config", &apply).await?;
         let give = json!({ "team": "ledger" });
-        let given = call(&http, Method::POST, &format!("{operator}/v1/keys"), &give).await?;
+        let given = site.post_operator("/v1/keys", &give).await?;
         site.key = given["key"].as_str().unwrap_or_default().to_owned();
         site.wait_until_ready().await?;
         Ok(site)
     }
 
-    /// Returns the backend servers as a target.
-    pub(super) fn direct(&self) -> Target {
-        let addresses = self.backends.iter().map(|part| part.addresses[0]);
-        Target {
-            addresses: addresses.collect(),
-            path: "/tick".into(),
-            key: None,
-            workers: BACKENDS * SLOTS,
-        }
+    /// Sets the fault switches of the platform.
+    pub(crate) async fn set_faults(&self, faults: &PlatformFaults) -> Result<(), MeasureError> {
+        let faults = serde_json::to_value(faults)?;
+        self.post_platform(FAULTS_PATH, &faults).await?;
+        Ok(())
     }
 
-    /// Returns the entry VM as a target.
-    pub(super) fn through(&self) -> Target {
-        Target {
-            addresses: vec![self.entry.addresses[0]],
-            path: "/v1/queues/ticks/tick".into(),
-            key: Some(self.key.clone()),
-            workers: BACKENDS * SLOTS,
-        }
+    /// Fetches the platform's record.
+    pub(crate) async fn platform_record(&self) -> Result<PlatformRecord, MeasureError> {
+        let place = format!("{}{RECORD_PATH}", self.platform.addresses[0]);
+        let record = call(&self.http, Method::GET, &place, &Value::Null).await?;
+        Ok(serde_json::from_value(record)?)
     }
 
-    /// Returns the resident memory of the entry VM, in kilobytes.
-    pub(super) fn entry_rss_kb(&self) -> io::Result<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.entry.id()))?;
+    /// Returns the addresses of the backend servers.
+    pub(crate) fn backend_addresses(&self) -> Vec<SocketAddr> {
+        self.backends.iter().map(|part| part.addresses[0]).collect()
+    }
+
+    /// Returns the address of the first entry VM for callers.
+    pub(crate) fn caller_address(&self) -> SocketAddr {
+        self.entries[0].addresses[0]
+    }
+
+    /// Returns the key of a team.
+    pub(crate) fn key(&self) -> &str {
+        &self.key
+    }
+
+    /// Returns the resident memory of the first entry VM, in kilobytes.
+    pub(crate) fn entry_rss_kb(&self) -> io::Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.entries[0].id()))?;
         let line = status.lines().find(|line| line.starts_with("VmRSS:"));
         let number = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
         number.ok_or_else(|| io::Error::other("no resident memory in the process's status"))
     }
 
-    /// Returns the processor time that the entry VM and the backend servers have used.
-    pub(super) fn cpu_times(&self) -> io::Result<CpuTimes> {
-        let backends = self.backends.iter().map(|part| cpu_time(part.id()));
+    /// Returns the processor time that the entry VMs and the backend servers have used.
+    pub(crate) fn cpu_times(&self) -> io::Result<CpuTimes> {
+        let sum = |parts: &[Part]| -> io::Result<Duration> {
+            parts.iter().map(|part| cpu_time(part.id())).sum()
+        };
         Ok(CpuTimes {
-            entry: cpu_time(self.entry.id())?,
-            backends: backends.sum::<io::Result<Duration>>()?,
+            entries: sum(&self.entries)?,
+            backends: sum(&self.backends)?,
         })
     }
 
@@ -121,14 +135,7 @@
     async fn wait_until_ready(&self) -> Result<(), MeasureError> {
         let mut served = 0;
         for _ in 0..READY_ATTEMPTS {
-            if self
-                .through()
-                .probe()
-                .await
-                .is_ok_and(|status| status == StatusCode::OK)
-            {
-                served += 1;
-            }
+            served += usize::from(self.serves().await);
             // Raised deals become usable a poll or two after the first answer.
             if served > READY_ATTEMPTS / 4 {
                 return Ok(());
@@ -138,6 +145,30 @@
         Err(io::Error::other("the entry VM doesn't serve").into())
     }
 
+    async fn serves(&self) -> bool {
+        let place = format!("{}/v1/queues/ticks/probe", self.caller_address());
+        let authorization = format!("Bearer {}", self.key);
+        let answer = send(
+            &self.http,
+            Method::POST,
+            &place,
+            &authorization,
+            &Value::Null,
+        )
+        .await;
+        answer.is_ok_and(|(status, _)| status == StatusCode::OK)
+    }
+
+    async fn post_platform(&self, path: &str, body: &Value) -> Result<Value, MeasureError> {
+        let place = format!("{}{path}", self.platform.addresses[0]);
+        call(&self.http, Method::POST, &place, body).await
+    }
+
+    async fn post_operator(&self, path: &str, body: &Value) -> Result<Value, MeasureError> {
+        let place = format!("{}{path}", self.entries[0].addresses[2]);
+        call(&self.http, Method::POST, &place, body).await
+    }
+
     fn vm_list(&self) -> Value {
         let vm = |id: &str, role: &str, address: SocketAddr| {
             json!({
@@ -149,18 +180,21 @@
         let mut vms: Vec<_> = backends
             .map(|(number, part)| vm(&backend_name(number), "backend", part.addresses[0]))
             .collect();
-        vms.push(vm("entry-0", "entry", self.entry.addresses[1]));
+        let entries = self.entries.iter().enumerate();
+        vms.extend(
+            entries.map(|(number, part)| vm(&entry_name(number), "entry", part.addresses[1])),
+        );
         json!({ "vms": vms })
     }
 }
 
 /// Processor time used since the start of the processes.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct CpuTimes {
-    /// By the entry VM.
-    pub(super) entry: Duration,
+pub(crate) struct CpuTimes {
+    /// By all entry VMs.
+    pub(crate) entries: Duration,
     /// By all backend servers.
-    pub(super) backends: Duration,
+    pub(crate) backends: Duration,
 }
 
 /// Returns the processor time that a process's threads have used.
@@ -175,7 +209,7 @@
 }
 
 /// Returns the machine's load average over a minute, as the system prints it.
-pub(super) fn load_average() -> String {
+pub(crate) fn load_average() -> String {
     let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
     let first = text.split_whitespace().next();
     first.unwrap_or("unknown").to_owned()
@@ -185,27 +219,31 @@
     format!("backend-{number}")
 }
 
-fn entry_settings(platform: SocketAddr) -> Value {
+fn entry_name(number: usize) -> String {
+    format!("entry-{number}")
+}
+
+fn entry_settings(number: usize, platform: SocketAddr) -> Value {
     json!({
-        "vm": "entry-0", "zone": "a",
+        "vm": entry_name(number), "zone": "a",
         "caller_address": ANY_PORT, "peer_address": ANY_PORT, "operator_address": ANY_PORT,
         "platform_address": platform.to_string(),
         "peer_key": PEER_KEY, "operator_key": OPERATOR_KEY, "log_level": "error"
     })
 }
 
-fn manifest() -> Value {
-    let vms: Vec<_> = (0..BACKENDS).map(backend_name).collect();
+fn manifest(size: SiteSize) -> Value {
+    let vms: Vec<_> = (0..size.backends).map(backend_name).collect();
     json!({
         "site": "measured",
-        "zones": [{ "name": "a", "region": "r", "shards": 1 }],
+        "zones": [{ "name": "a", "region": "r", "shards": size.entries }],
         "teams": [{ "name": "ledger", "customer": "kandyan", "share": 1, "limit": 1000 }],
         "pools": [
             { "name": "checklists", "jobs": ["rollup"], "vms": vms },
             { "name": "spare", "spare": true }
         ],
         "services": [{
-            "name": "rollup", "pool": "checklists", "slots": SLOTS,
+            "name": "rollup", "pool": "checklists", "slots": size.slots,
             "unavailable_budget_percent": 50
         }],
         "queues": [{ "name": "ticks", "service": "rollup" }]
@@ -213,24 +251,35 @@
 }
 
 async fn call(
-    http: &Client<HttpConnector, Full<Bytes>>,
+    http: &HttpClient,
     method: Method,
     place: &str,
     body: &Value,
 ) -> Result<Value, MeasureError> {
+    let authorization = format!("Bearer {OPERATOR_KEY}");
+    let (status, body) = send(http, method, place, &authorization, body).await?;
+    if !status.is_success() {
+        let text = String::from_utf8_lossy(&body);
+        return Err(io::Error::other(format!("{place} answered {status}: {text}")).into());
+    }
+    Ok(serde_json::from_slice(&body).unwrap_or_default())
+}
+
+async fn send(
+    http: &HttpClient,
+    method: Method,
+    place: &str,
+    authorization: &str,
+    body: &Value,
+) -> io::Result<(StatusCode, Bytes)> {
     let req = Request::builder()
         .method(method)
         .uri(format!("http://{place}"))
-        .header("authorization", format!("Bearer {OPERATOR_KEY}"))
+        .header(header::AUTHORIZATION, authorization)
         .body(Full::new(Bytes::from(body.to_string())))
         .map_err(io::Error::other)?;
     let response = http.request(req).await.map_err(io::Error::other)?;
     let status = response.status();
     let body = response.into_body().collect().await;
-    let body = body.map_err(io::Error::other)?.to_bytes();
-    if !status.is_success() {
-        let text = String::from_utf8_lossy(&body);
-        return Err(io::Error::other(format!("{place} answered {status}: {text}")).into());
-    }
-    Ok(serde_json::from_slice(&body).unwrap_or_default())
+    Ok((status, body.map_err(io::Error::other)?.to_bytes()))
 }
