Test deadlines and the bound on calls in flight

Cause: a slow platform was tested only through commit_resolved. Change: one test; a commit that waited for room is known as not applied, one that was sent is unknown.

--- a/tests/tests/platform_client.rs
+++ b/tests/tests/platform_client.rs
@@ -244,6 +244,30 @@
     assert_eq!(applied(&platform), 1);
 }
 
+/// A call that waits for room in the client was not sent, so its outcome is known.
+#[tokio::test]
+async fn a_slow_platform_ends_calls_at_their_deadline() {
+    let platform = platform().await;
+    platform.set_faults(PlatformFaults {
+        slow_ms: 60_000,
+        ..PlatformFaults::default()
+    });
+    let settings = PlatformSettings {
+        address: platform.address(),
+        request_timeout: Duration::from_millis(300),
+        max_in_flight: 1,
+        ..PlatformSettings::default()
+    };
+    let client = PlatformClient::new(settings, SystemClock);
+    let (first, second) = tokio::join!(
+        client.commit(put("k", None, json!(1))),
+        client.commit(put("l", None, json!(1))),
+    );
+    assert_eq!(first, Err(CommitError::Unknown(PlatformError::Deadline)));
+    assert_eq!(second, Err(CommitError::NotApplied(PlatformError::Busy)));
+    assert_eq!(client.read("k").await, Err(PlatformError::Deadline));
+}
+
 #[tokio::test]
 async fn reads_are_sent_again_within_their_budget_only() {
     let platform = platform().await;
