See lasting demand sooner, and count what waits into the size of a move

Ruled out: the budget, which admitted both moves at once, and the spare pool, which had eight VMs left.

A pool is now short by a mean of 100 s while work waits all the time, for two minutes, and gets VMs for what waits as well.

The program no longer panics when its output is closed early.

--- a/crates/snipevane-core/src/pools/moves.rs
+++ b/crates/snipevane-core/src/pools/moves.rs
@@ -16,9 +16,9 @@
     pub reboot: Duration,
     /// A move pays if waiting would last this many times as long as drain and reboot.
     pub payback: f64,
-    /// Time constant of the short mean of demand.
+    /// Time constant of the mean of demand by which a pool is short, some intervals between bursts.
     pub short_mean: Duration,
-    /// Time constant of the long mean of demand, several times the interval between bursts.
+    /// Time constant of the mean of demand by which a pool can give VMs.
     pub long_mean: Duration,
     /// Time for which a pool must be short of VMs before it gets any.
     pub sustain: Duration,
@@ -38,7 +38,7 @@
             drain: Duration::from_secs(60),
             reboot: Duration::from_secs(180),
             payback: 2.0,
-            short_mean: Duration::from_secs(30),
+            short_mean: Duration::from_secs(100),
             long_mean: Duration::from_secs(300),
             sustain: Duration::from_secs(120),
             cooldown: Duration::from_secs(1800),
@@ -49,6 +49,13 @@
     }
 }
 
+impl MoveSettings {
+    /// Returns the wait that a move has to save to be worthwhile, in seconds.
+    fn worthwhile_secs(&self) -> f64 {
+        self.payback * (self.drain + self.reboot).as_secs_f64()
+    }
+}
+
 /// What a pool has and is asked for, in VMs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolLoad {
@@ -88,8 +95,6 @@
     long_mean: f64,
     seen: UnixMs,
     short_since: Option<UnixMs>,
-    /// Least short mean since the pool is short.
-    short_floor: f64,
     idle_since: Option<UnixMs>,
     received: Option<UnixMs>,
     gave: Option<UnixMs>,
@@ -97,9 +102,9 @@
 
 /// Decides on moves between pools from their loads.
 ///
-/// A pool is short of VMs if the long mean of its demand passes its capacity, so that a burst that
-/// just began doesn't count, and if the short mean does or work waits, so that one that ended doesn't
-/// count either. It gets VMs only if the expected wait outlasts a multiple of drain and reboot.
+/// A pool is short of VMs if the mean of its demand comes near its capacity, if work waits all the
+/// time, which bursts alone don't bring about, and if the expected wait outlasts a multiple of drain
+/// and reboot. It gets as many VMs as the mean needs, and as finish what waits in that time.
 #[derive(Clone, Debug, Default)]
 pub struct MovePlanner {
     settings: MoveSettings,
@@ -141,10 +146,6 @@
         trend.load = load;
         trend.seen = now;
         let short = trend.is_short(&settings);
-        trend.short_floor = match trend.short_since {
-            Some(_) => trend.short_floor.min(trend.short_mean),
-            None => trend.short_mean,
-        };
         trend.short_since = short.then(|| trend.short_since.unwrap_or(now));
         let idle = trend.is_idle(&settings);
         trend.idle_since = idle.then(|| trend.idle_since.unwrap_or(now));
@@ -274,7 +275,6 @@
             long_mean: load.demand,
             seen: now,
             short_since: None,
-            short_floor: 0.0,
             idle_since: None,
             received: None,
             gave: None,
@@ -282,34 +282,32 @@
     }
 
     fn utilisation(&self) -> f64 {
-        self.long_mean / f64::from(self.load.serving.max(1))
+        self.short_mean / f64::from(self.load.serving.max(1))
     }
 
     /// Returns whether the expected wait outlasts what a move takes.
     fn is_short(&self, settings: &MoveSettings) -> bool {
         let capacity = f64::from(self.load.serving + self.load.arriving);
         let mark = capacity * settings.receive_above;
-        let present = self.short_mean > mark || self.load.backlog > 0.0;
-        if self.load.spare || self.long_mean <= mark || !present {
+        let waits = self.load.backlog > 0.0 || self.load.demand > mark;
+        if self.load.spare || self.short_mean <= mark || !waits {
             return false;
         }
-        if self.long_mean >= capacity {
+        if self.short_mean >= capacity {
             return true;
         }
-        let wait_secs = self.load.backlog / (capacity - self.long_mean);
-        let move_secs = (settings.drain + settings.reboot).as_secs_f64();
-        wait_secs > settings.payback * move_secs
+        self.load.backlog / (capacity - self.short_mean) > settings.worthwhile_secs()
     }
 
     fn is_idle(&self, settings: &MoveSettings) -> bool {
         self.long_mean < f64::from(self.load.serving) * settings.return_below
     }
 
-    /// Returns how many VMs bring the pool below the mark at which it counts as short.
+    /// Returns how many VMs the pool lacks for its demand and for what waits.
     fn missing(&self, settings: &MoveSettings) -> u32 {
-        // The long mean still rises towards a demand that began a short time ago.
-        let lasting = self.long_mean.max(self.short_floor);
-        let wanted = (lasting / settings.receive_above).ceil();
+        let for_demand = self.short_mean / settings.receive_above;
+        let for_backlog = self.load.backlog / settings.worthwhile_secs();
+        let wanted = (for_demand + for_backlog).ceil();
         let mut missing = 0;
         while f64::from(self.load.serving + self.load.arriving + missing) < wanted {
             missing += 1;
--- a/crates/snipevane-measure/src/fleet/mod.rs
+++ b/crates/snipevane-measure/src/fleet/mod.rs
@@ -20,6 +20,8 @@
 pub use report::{Report, Row};
 pub use setting::Setting;
 
+use std::io::{self, Write};
+
 use naive_pools::NaivePools;
 use naive_tasks::NaivePolicy;
 use pool_policy::CorePools;
@@ -41,9 +43,13 @@
         picture::draw(file, &measured.policy, &measured.naive)?;
     }
     if output.json {
-        println!("{}", serde_json::to_string_pretty(&measured.report)?);
+        writeln!(
+            io::stdout(),
+            "{}",
+            serde_json::to_string_pretty(&measured.report)?
+        )?;
     } else {
-        print!("{}", measured.report);
+        write!(io::stdout(), "{}", measured.report)?;
     }
     Ok(())
 }
--- a/tests/tests/pools_moves.rs
+++ b/tests/tests/pools_moves.rs
@@ -167,3 +167,18 @@
         }
     );
 }
+
+#[rstest]
+#[case::a_wait_shorter_than_drain_and_reboot(100.0, false)]
+#[case::a_wait_that_outlasts_them(300.0, true)]
+fn a_move_has_to_save_more_than_it_takes(#[case] backlog: f64, #[case] pays: bool) {
+    let keys = Keys::new(0);
+    let mut planner = MovePlanner::new(MoveSettings::default());
+    let moves = decide(&mut planner, 0..HOUR_SECS / 2, |_| {
+        // Half a VM is left for what waits; drain and reboot twice are 480 s.
+        let mut first = load(keys.pools[0], 10, 9.5);
+        first.backlog = backlog;
+        vec![first, spare(keys.pools[1], 1)]
+    });
+    assert_eq!(!moves.is_empty(), pays);
+}
