Compute differences between manifests

Ruled out: a textual difference (a reordered list makes it large); items are compared by name instead, and the canonical text has its lists in name order. Change: schema Difference, core::config::difference and apply_difference. Conclusion: not yet used between entry VMs.

--- /dev/null
+++ b/crates/snipevane-core/src/config/difference.rs
@@ -0,0 +1,94 @@
+//! Differences between manifests, which entry VMs send each other in place of whole ones.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use snipevane_proto::manifest::{
+    ChangedItems, Difference, Manifest, Pool, Queue, RemovedItems, Service, Team, Zone,
+};
+
+/// An item of a manifest's list.
+trait Item: Clone + PartialEq {
+    /// Returns the name, unique in the list.
+    fn name(&self) -> &str;
+}
+
+macro_rules! items {
+    ($($item:ident),*) => {
+        $(impl Item for $item {
+            fn name(&self) -> &str {
+                &self.name
+            }
+        })*
+    };
+}
+
+items!(Zone, Team, Pool, Service, Queue);
+
+/// Returns the change that makes one manifest into another.
+pub fn difference(from: &Manifest, to: &Manifest) -> Difference {
+    let put = ChangedItems {
+        zones: changed(&from.zones, &to.zones),
+        teams: changed(&from.teams, &to.teams),
+        pools: changed(&from.pools, &to.pools),
+        services: changed(&from.services, &to.services),
+        queues: changed(&from.queues, &to.queues),
+    };
+    let removed = RemovedItems {
+        zones: removed(&from.zones, &to.zones),
+        teams: removed(&from.teams, &to.teams),
+        pools: removed(&from.pools, &to.pools),
+        services: removed(&from.services, &to.services),
+        queues: removed(&from.queues, &to.queues),
+    };
+    Difference {
+        site: to.site.clone(),
+        put,
+        removed,
+        maintenance: to.maintenance.clone(),
+        keys: to.keys.clone(),
+    }
+}
+
+/// Applies a change to the manifest that it was made from; lists come out in order of names.
+///
+/// The result is the other manifest only if `base` is the one that the change was made from:
+/// compare the hash of its canonical text.
+pub fn apply_difference(base: &Manifest, change: &Difference) -> Manifest {
+    let (put, gone) = (&change.put, &change.removed);
+    Manifest {
+        site: change.site.clone(),
+        zones: merged(&base.zones, &put.zones, &gone.zones),
+        teams: merged(&base.teams, &put.teams, &gone.teams),
+        pools: merged(&base.pools, &put.pools, &gone.pools),
+        services: merged(&base.services, &put.services, &gone.services),
+        queues: merged(&base.queues, &put.queues, &gone.queues),
+        maintenance: change.maintenance.clone(),
+        keys: change.keys.clone(),
+    }
+}
+
+fn changed<T: Item>(from: &[T], to: &[T]) -> Vec<T> {
+    let known: BTreeMap<&str, &T> = from.iter().map(|item| (item.name(), item)).collect();
+    to.iter()
+        .filter(|item| known.get(item.name()) != Some(item))
+        .cloned()
+        .collect()
+}
+
+fn removed<T: Item>(from: &[T], to: &[T]) -> Vec<String> {
+    let kept: BTreeSet<&str> = to.iter().map(Item::name).collect();
+    from.iter()
+        .map(Item::name)
+        .filter(|name| !kept.contains(name))
+        .map(str::to_owned)
+        .collect()
+}
+
+fn merged<T: Item>(base: &[T], put: &[T], gone: &[String]) -> Vec<T> {
+    let mut items: BTreeMap<&str, &T> = base.iter().map(|item| (item.name(), item)).collect();
+    for name in gone {
+        items.remove(name.as_str());
+    }
+    items.extend(put.iter().map(|item| (item.name(), item)));
+    items.into_values().cloned().collect()
+}
--- a/crates/snipevane-proto/src/manifest.rs
+++ b/crates/snipevane-proto/src/manifest.rs
@@ -6,7 +6,8 @@
 use crate::schema::{self, Mismatch};
 
 pub use crate::generated::manifest::{
-    KeyPolicy, Maintenance, Manifest, Pool, Queue, Service, Team, Urgency, Zone,
+    ChangedItems, Difference, KeyPolicy, Maintenance, Manifest, Pool, Queue, RemovedItems, Service,
+    Team, Urgency, Zone,
 };
 
 /// Schema of manifests.
@@ -14,13 +15,20 @@
 
 /// Returns the one text of a manifest, from which its hash is made.
 ///
-/// Manifests that differ only in layout, order of members or stated defaults have the same text.
+/// Manifests that differ only in layout, order of members or items, or stated defaults have the
+/// same text.
 ///
 /// # Errors
 ///
 /// Returns an error if the manifest can't be written as JSON.
 pub fn canonical_text(manifest: &Manifest) -> serde_json::Result<String> {
-    serde_json::to_string(manifest)
+    let mut sorted = manifest.clone();
+    sorted.zones.sort_by(|a, b| a.name.cmp(&b.name));
+    sorted.teams.sort_by(|a, b| a.name.cmp(&b.name));
+    sorted.pools.sort_by(|a, b| a.name.cmp(&b.name));
+    sorted.services.sort_by(|a, b| a.name.cmp(&b.name));
+    sorted.queues.sort_by(|a, b| a.name.cmp(&b.name));
+    serde_json::to_string(&sorted)
 }
 
 /// A manifest that was read, with all that doesn't follow the schema.
