--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -3,10 +3,14 @@
 //! Each subcommand of `snipevane-measure` has a module of its own with a `run` function that takes
 //! the subcommand's flags.
 
+pub mod claims;
 mod error;
 pub mod flags;
 pub mod fleet;
+pub mod gossip;
+pub mod limits;
 pub mod outage;
+pub mod path;
 pub mod routing;
 
 pub use error::MeasureError;
@@ -22,8 +26,13 @@
     match &flags.subcommand {
         SnipevaneMeasureCmd::Kandyan(cmd) => fleet::run(fleet::Setting::Kandyan, &cmd.output()),
         SnipevaneMeasureCmd::Kartvel(cmd) => fleet::run(fleet::Setting::Kartvel, &cmd.output()),
+        SnipevaneMeasureCmd::Claims(cmd) => claims::run(cmd.json, cmd.seed),
+        SnipevaneMeasureCmd::Gossip(cmd) => gossip::run(cmd.json, cmd.seed),
+        SnipevaneMeasureCmd::Limits(cmd) => limits::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Routing(cmd) => routing::run(cmd.json, cmd.seed),
         SnipevaneMeasureCmd::Target(cmd) => fleet::run(fleet::Setting::Target, &cmd.output()),
         SnipevaneMeasureCmd::Outage(cmd) => outage::run(cmd),
+        SnipevaneMeasureCmd::Path(cmd) => path::run(cmd),
+        SnipevaneMeasureCmd::Part(cmd) => path::run_part(&cmd.kind, &cmd.settings),
     }
 }
