Check answers by their digest, and bad callers by what they hold afterwards

Change: Content-Digest (RFC 9530) is checked where a backend server sends it; the stand-in sends it. Without the header a wrong length can go unnoticed. Tests: answers.rs, 10 cases: broken answers beside 12 neighbours that check every byte of theirs, late answers, callers that send garbage, too large heads, stop sending, stop reading, hang up; none holds a unit or slot afterwards.

--- a/crates/snipevane-entry/src/backend/pool.rs
+++ b/crates/snipevane-entry/src/backend/pool.rs
@@ -12,10 +12,15 @@
 use parking_lot::Mutex;
 use rustc_hash::FxHashMap;
 use smol_str::{SmolStr, format_smolstr};
+use snipevane_proto::digest;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+/// Longest time for a connection's task to end once the connection has.
+const LONGEST_END: Duration = Duration::from_millis(100);
+
 /// Why an exchange gave no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub(crate) enum ExchangeError {
@@ -64,8 +69,15 @@
     }
 }
 
-struct Idle {
+/// A connection that carries one exchange at a time.
+struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Tells, when the connection has ended, whether the server broke the protocol.
+    ended: oneshot::Receiver<bool>,
+}
+
+struct Idle {
+    connection: Connection,
     since: Instant,
 }
 
@@ -100,15 +112,15 @@
         address: SocketAddr,
         mut req: Request<Full<Bytes>>,
     ) -> Result<WholeResponse, ExchangeError> {
-        while let Some(sender) = self.take(address) {
-            match self.send(address, sender, req).await {
+        while let Some(connection) = self.take(address) {
+            match self.send(address, connection, req).await {
                 Err(Attempt::Unsent(unsent, _)) => req = *unsent,
                 Err(Attempt::Failed(error)) => return Err(error),
                 Ok(response) => return Ok(response),
             }
         }
-        let sender = self.connect(address).await?;
-        self.send(address, sender, req)
+        let connection = self.connect(address).await?;
+        self.send(address, connection, req)
             .await
             .map_err(|attempt| match attempt {
                 Attempt::Unsent(_, reason) => ExchangeError::NotSent(reason),
@@ -116,37 +128,25 @@
             })
     }
 
-    fn take(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock();
         let kept = idle.get_mut(&address)?;
-        while let Some(connection) = kept.pop() {
-            let fresh = connection.since.elapsed() < self.settings.longest_idle;
-            if fresh && !connection.sender.is_closed() {
-                return Some(connection.sender);
+        while let Some(idle) = kept.pop() {
+            let fresh = idle.since.elapsed() < self.settings.longest_idle;
+            if fresh && !idle.connection.sender.is_closed() {
+                return Some(idle.connection);
             }
         }
         None
     }
 
-    fn keep(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
-        if sender.is_closed() {
-            return;
-        }
-        let connection = Idle {
-            sender,
-            since: Instant::now(),
-        };
-        self.idle
-            .lock()
-            .entry(address)
-            .or_default()
-            .push(connection);
+    fn keep(&self, address: SocketAddr, connection: Connection) {
+        let since = Instant::now();
+        let idle = Idle { connection, since };
+        self.idle.lock().entry(address).or_default().push(idle);
     }
 
-    async fn connect(
-        &self,
-        address: SocketAddr,
-    ) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, ExchangeError> {
         let not_sent = |reason: SmolStr| ExchangeError::NotSent(reason);
         let stream = timeout(self.settings.connect_timeout, TcpStream::connect(address))
             .await
@@ -157,23 +157,24 @@
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(format_smolstr!("{error}")))?;
+        let (tx, ended) = oneshot::channel();
         tokio::spawn(async move {
-            // The exchange reports errors of the connection.
-            let _ = connection.await;
+            // Nobody waits for the end of a connection that is kept or was closed.
+            let _ = tx.send(connection.await.is_err());
         });
-        Ok(sender)
+        Ok(Connection { sender, ended })
     }
 
     async fn send(
         &self,
         address: SocketAddr,
-        mut sender: SendRequest<Full<Bytes>>,
+        mut connection: Connection,
         req: Request<Full<Bytes>>,
     ) -> Result<WholeResponse, Attempt> {
-        if let Err(error) = sender.ready().await {
+        if let Err(error) = connection.sender.ready().await {
             return Err(Attempt::Unsent(Box::new(req), format_smolstr!("{error}")));
         }
-        let response = match sender.try_send_request(req).await {
+        let response = match connection.sender.try_send_request(req).await {
             Ok(response) => response,
             Err(mut error) => {
                 let reason = format_smolstr!("{}", error.error());
@@ -184,10 +185,20 @@
             }
         };
         let whole = self.read(response).await.map_err(Attempt::Failed)?;
-        if !whole.closes {
-            self.keep(address, sender);
+        if whole.closes {
+            return Ok(whole);
         }
-        Ok(whole)
+        if connection.sender.ready().await.is_ok() {
+            self.keep(address, connection);
+            return Ok(whole);
+        }
+        // Bytes after the answer's stated end mean that the end was wrong.
+        let broken = timeout(LONGEST_END, connection.ended).await;
+        if matches!(broken, Ok(Ok(false))) {
+            return Ok(whole);
+        }
+        let reason = SmolStr::new_static("bytes follow the stated end of the answer");
+        Err(Attempt::Failed(ExchangeError::Interrupted(reason)))
     }
 
     async fn read(
@@ -206,10 +217,18 @@
             }
             ExchangeError::Interrupted(format_smolstr!("{error}"))
         })?;
+        let body = body.to_bytes();
+        // A backend server that states a wrong length can only be told by the body's digest.
+        let digest = parts.headers.get(digest::CONTENT_DIGEST);
+        let digest = digest.and_then(|value| value.to_str().ok());
+        if digest.is_some_and(|value| !digest::holds(value, &body)) {
+            let reason = SmolStr::new_static("the body doesn't have the stated digest");
+            return Err(ExchangeError::Interrupted(reason));
+        }
         Ok(WholeResponse {
             status: parts.status,
             headers: parts.headers,
-            body: body.to_bytes(),
+            body,
             closes,
         })
     }
--- a/crates/snipevane-proto/src/lib.rs
+++ b/crates/snipevane-proto/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The types are generated from the schemas in `schemas/` by the example `generate`.
 
+pub mod digest;
 pub mod headers;
 pub mod manifest;
 pub mod operator;
--- a/crates/snipevane-standin/src/backend/handler.rs
+++ b/crates/snipevane-standin/src/backend/handler.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use snipevane_core::clock::{Clock, SystemClock};
+use snipevane_proto::digest;
 use snipevane_proto::headers::{
     DEADLINE_MS, EXCHANGE, IDEMPOTENCY_KEY, OUTCOME, Outcome, QUEUE, SERVER_STATE, TEAM,
 };
@@ -183,6 +184,7 @@
             test.status
         };
         let full = serde_json::to_vec(answer).unwrap_or_default();
+        let digest = digest::of(&full);
         let mut full = Bytes::from(full);
         let length = full.len() - test.missing_bytes.min(full.len());
         let surplus = full.split_off(length);
@@ -199,6 +201,9 @@
             header::CONTENT_TYPE,
             HeaderValue::from_static("application/json"),
         );
+        if let Ok(digest) = HeaderValue::from_str(&digest) {
+            headers.insert(digest::CONTENT_DIGEST, digest);
+        }
         if let Ok(exchange) = HeaderValue::from_str(&answer.exchange) {
             headers.insert(EXCHANGE, exchange);
         }
--- /dev/null
+++ b/tests/tests/answers.rs
@@ -0,0 +1,204 @@
+//! Each caller gets its own whole answer or an error, and a bad caller holds nothing.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a test ends it")]
+
+use std::time::Duration;
+
+use http::StatusCode;
+use rstest::rstest;
+use serde_json::json;
+use snipevane_proto::headers::Outcome;
+use snipevane_tests::site::{Caller, Site, SiteOptions, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+use uuid::Uuid;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_site-process");
+/// Callers that send well-formed requests beside the bad ones.
+const NEIGHBOURS: usize = 12;
+/// Longest wait for a closed connection, far above the timeouts that the tests set.
+const GIVE_UP: Duration = Duration::from_secs(30);
+
+fn options() -> SiteOptions {
+    let mut options = SiteOptions::default();
+    options.timings["caller_read_ms"] = 400.into();
+    options.timings["caller_write_ms"] = 400.into();
+    options
+}
+
+/// Sends requests whose answers tell them apart, and checks each answer.
+async fn neighbours(caller: Caller) {
+    let mut tasks = JoinSet::new();
+    for number in 0..NEIGHBOURS {
+        let caller = caller.clone();
+        tasks.spawn(async move {
+            for turn in 0..15 {
+                let body = format!("{number}-{turn}");
+                let bytes = (100 + 37 * number).to_string();
+                let headers = [
+                    ("x-test-answer-bytes", bytes.as_str()),
+                    ("x-test-run-ms", "4"),
+                ];
+                let answer = caller.post("ticks", &headers, &body).await.unwrap();
+                assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+                assert_eq!(answer.json()["body_hash"], blake3_of(&body), "{answer:?}");
+                assert_eq!(
+                    answer.json()["padding"].as_str().unwrap().len(),
+                    100 + 37 * number
+                );
+            }
+        });
+    }
+    while let Some(done) = tasks.join_next().await {
+        done.unwrap();
+    }
+}
+
+fn blake3_of(body: &str) -> String {
+    blake3::hash(body.as_bytes()).to_hex().to_string()
+}
+
+#[rstest]
+#[case::cut_in_the_body("x-test-cut-body", "1")]
+#[case::stated_too_short("x-test-wrong-length", "7")]
+#[case::second_answer_follows("x-test-two-answers", "1")]
+#[tokio::test]
+async fn a_broken_answer_reaches_nobody_as_whole(#[case] header: &str, #[case] value: &str) {
+    let site = Site::start(PROGRAM, SiteOptions::default()).await;
+    let (_, key) = site.give_key("registry").await;
+    let caller = site.entries[0].caller().with_key(&key);
+    let beside = tokio::spawn(neighbours(caller.clone()));
+    for turn in 0..20 {
+        let id = Uuid::now_v7().to_string();
+        let body = format!("broken-{turn}");
+        let headers = [
+            (header, value),
+            ("x-test-answer-bytes", "300"),
+            ("idempotency-key", &id),
+        ];
+        let answer = caller.post("rollups", &headers, &body).await.unwrap();
+        if answer.outcome() == Some(Outcome::Answered) {
+            // Only an answer whose own bytes are whole may be passed on.
+            assert_eq!(answer.json()["body_hash"], blake3_of(&body), "{answer:?}");
+            assert_eq!(answer.json()["padding"].as_str().unwrap().len(), 300);
+        } else {
+            assert_eq!(answer.outcome(), Some(Outcome::Unknown), "{answer:?}");
+        }
+    }
+    beside.await.unwrap();
+    let runs = site.runs_by_id().await;
+    assert!(runs.values().all(|&count| count == 1), "{runs:?}");
+}
+
+#[tokio::test]
+async fn an_answer_after_the_deadline_reaches_nobody() {
+    let site = Site::start(PROGRAM, SiteOptions::default()).await;
+    let (_, key) = site.give_key("registry").await;
+    let caller = site.entries[0].caller().with_key(&key);
+    let mut late = JoinSet::new();
+    for turn in 0..8 {
+        let caller = caller.clone();
+        late.spawn(async move {
+            let headers = [("snipevane-deadline-ms", "60"), ("x-test-run-ms", "300")];
+            caller
+                .post("rollups", &headers, &format!("late-{turn}"))
+                .await
+                .unwrap()
+        });
+    }
+    while let Some(answer) = late.join_next().await {
+        let answer = answer.unwrap();
+        assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+        assert_eq!(answer.outcome(), Some(Outcome::Unknown));
+    }
+    neighbours(caller).await;
+}
+
+/// A caller that breaks the rules of HTTP, or stops in the middle.
+#[derive(Clone, Copy, Debug)]
+enum BadCaller {
+    Garbage,
+    HeaderTooLarge,
+    StopsInTheHead,
+    StopsInTheBody,
+    StopsReading,
+    HangsUp,
+}
+
+impl BadCaller {
+    fn bytes(self, key: &str) -> String {
+        let head = format!(
+            "POST /v1/queues/ticks/work HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\n"
+        );
+        match self {
+            Self::Garbage => "\u{1}\u{2}garbage\r\n\r\n".to_owned(),
+            Self::HeaderTooLarge => format!("{head}x-large: {}\r\n\r\n", "y".repeat(64 << 10)),
+            Self::StopsInTheHead => head,
+            Self::StopsInTheBody => format!("{head}content-length: 100\r\n\r\nhalf"),
+            Self::StopsReading => {
+                let one =
+                    format!("{head}content-length: 0\r\nx-test-answer-bytes: 1000000\r\n\r\n");
+                one.repeat(40)
+            }
+            Self::HangsUp => {
+                format!("{head}content-length: 0\r\nx-test-run-ms: 200\r\n\r\n")
+            }
+        }
+    }
+}
+
+#[rstest]
+#[case(BadCaller::Garbage)]
+#[case(BadCaller::HeaderTooLarge)]
+#[case(BadCaller::StopsInTheHead)]
+#[case(BadCaller::StopsInTheBody)]
+#[case(BadCaller::StopsReading)]
+#[case(BadCaller::HangsUp)]
+#[tokio::test]
+async fn a_bad_caller_is_closed_and_holds_nothing(#[case] bad: BadCaller) {
+    let site = Site::start(PROGRAM, options()).await;
+    let (_, key) = site.give_key("registry").await;
+    let entry = &site.entries[0];
+    let beside = tokio::spawn(neighbours(entry.caller().with_key(&key)));
+    let mut streams = Vec::new();
+    for _ in 0..6 {
+        let mut stream = TcpStream::connect(entry.process.addresses[0])
+            .await
+            .unwrap();
+        let _ = timeout(
+            Duration::from_millis(300),
+            stream.write_all(bad.bytes(&key).as_bytes()),
+        )
+        .await;
+        streams.push(stream);
+    }
+    match bad {
+        BadCaller::HangsUp => {
+            sleep(Duration::from_millis(50)).await;
+            streams.clear();
+        }
+        // Reads only after the entry VM must have given up on the connection.
+        BadCaller::StopsReading => sleep(Duration::from_millis(1_500)).await,
+        _ => {}
+    }
+    for mut stream in streams {
+        let mut received = Vec::new();
+        let closed = timeout(GIVE_UP, stream.read_to_end(&mut received)).await;
+        assert!(closed.is_ok(), "{bad:?}: the connection stays open");
+    }
+    beside.await.unwrap();
+    until("no unit and no slot is held", async || {
+        let status = entry.operator().get_json("/v1/status").await;
+        let zero = |list: &str| {
+            status[list]
+                .as_array()
+                .unwrap()
+                .iter()
+                .all(|item| item["in_use"] == json!(0))
+        };
+        zero("teams") && zero("servers")
+    })
+    .await;
+}
