Let successors take over waves and tasks as they stand

Cause, found on reading the core again against the issue: a successor could only begin a wave as running, so it went on with one that an operator had paused or cancelled, or that had halted. And it could only take tasks as new, so that it would have started again what still ran on workers, under an epoch that an earlier claim had.

A wave is restored with the state of its row. A task that a worker reports under the epoch of its last claim goes on there, with a unit of its team; any other waits again under a later epoch. If the team has no unit left, the worker stops the task first, so that it never runs twice at a time.

--- a/crates/snipevane-core/src/placement/placer.rs
+++ b/crates/snipevane-core/src/placement/placer.rs
@@ -178,6 +178,14 @@
         true
     }
 
+    /// Takes over a task that runs on a worker already.
+    pub fn adopt(&mut self, waiting: Waiting, worker: WorkerKey) {
+        if let Some(entry) = self.accounts.entry(waiting.team) {
+            entry.or_default();
+        }
+        self.start(waiting, worker);
+    }
+
     /// Changes the size that is reserved for a task to what it turned out to use.
     pub fn resize(&mut self, task: TaskKey, size: Resources) {
         let Some(running) = self.running.get_mut(task) else {
--- a/crates/snipevane-core/src/tasks/ledger.rs
+++ b/crates/snipevane-core/src/tasks/ledger.rs
@@ -111,6 +111,24 @@
         Ok(Submitted::New(task))
     }
 
+    /// Adds a task of a predecessor under the epoch of its last claim.
+    pub(super) fn restore(
+        &mut self,
+        submission: Submission,
+        epoch: TaskEpoch,
+        submitted: UnixMs,
+    ) -> Result<TaskKey, SubmitRefused> {
+        match self.submit(submission, submitted)? {
+            Submitted::New(task) => {
+                if let Some(found) = self.tasks.get_mut(task) {
+                    found.epoch = epoch;
+                }
+                Ok(task)
+            }
+            Submitted::Known(task) => Ok(task),
+        }
+    }
+
     /// Takes tasks whose claim is to be written, urgent ones first.
     pub(super) fn claim(&mut self, most: usize) -> Vec<TaskKey> {
         let mut claimed = Vec::new();
@@ -122,7 +140,10 @@
                 if self.drop_if_cancelled(task) {
                     continue;
                 }
-                if let Some(found) = self.tasks.get_mut(task) {
+                // A task that was restored on its worker needs no claim.
+                if let Some(found) = self.tasks.get_mut(task)
+                    && found.state == TaskState::Queued
+                {
                     found.state = TaskState::Claiming;
                     claimed.push(task);
                 }
@@ -230,6 +251,13 @@
         self.unclaimed[class as usize].push_front(task);
     }
 
+    /// Raises the epoch of a task that waits, so that reports of its former claim are stale.
+    pub(super) fn renew(&mut self, task: TaskKey) {
+        if let Some(found) = self.tasks.get_mut(task) {
+            found.epoch = TaskEpoch(found.epoch.0 + 1);
+        }
+    }
+
     /// Puts a task back whose claim wasn't written.
     pub(super) fn unclaim(&mut self, task: TaskKey) {
         if let Some(found) = self.tasks.get_mut(task)
--- a/crates/snipevane-core/src/tasks/scheduler.rs
+++ b/crates/snipevane-core/src/tasks/scheduler.rs
@@ -5,8 +5,8 @@
 use smol_str::SmolStr;
 
 use super::{
-    HealthSettings, JobKey, Ledger, Report, StopReason, Submission, SubmitRefused, Submitted,
-    TaskEpoch, TaskState, Verdict, WorkerHealth,
+    HealthSettings, JobKey, Ledger, Report, Restored, Start, StopReason, Submission, SubmitRefused,
+    Submitted, TaskAction, TaskEpoch, TaskState, Verdict, WorkerHealth,
 };
 use crate::ids::{TaskKey, TeamKey, WorkerKey};
 use crate::placement::{Class, Placer, PlacerSettings, Resources, Units, Waiting};
@@ -39,30 +39,6 @@
     }
 }
 
-/// A task on a worker, with the epoch that its reports carry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Start {
-    /// Task.
-    pub task: TaskKey,
-    /// Worker.
-    pub worker: WorkerKey,
-    /// Epoch of the claim.
-    pub epoch: TaskEpoch,
-}
-
-/// What the scheduler asks of workers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TaskAction {
-    /// Starts a task under the worker's lease.
-    Start(Start),
-    /// Saves what a task has done and stops it.
-    Checkpoint(Start),
-    /// Stops a task.
-    Stop(Start),
-    /// Holds a task to the size that is reserved for it.
-    Throttle(Start),
-}
-
 /// Runs tasks on workers: state, event and time in, actions out.
 #[derive(Clone, Debug, Default)]
 pub struct Scheduler {
@@ -136,6 +112,45 @@
         self.ledger.submit(submission, now)
     }
 
+    /// Takes over a task of a predecessor, whose last claim had this epoch.
+    ///
+    /// A task that a worker reports under that epoch goes on there, if the team has a unit for it.
+    /// Any other one waits again under a later epoch; the driver restores it only once no worker
+    /// can run it any more under a lease of the predecessor.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if another task was restored under the same identifier.
+    pub fn restore(
+        &mut self,
+        submission: Submission,
+        epoch: TaskEpoch,
+        running_on: Option<WorkerKey>,
+        submitted: UnixMs,
+        units: &mut impl Units,
+    ) -> Result<Restored, SubmitRefused> {
+        let team = submission.team;
+        if let Some(known) = self.ledger.find(team, &submission.id) {
+            return Ok(Restored::Known(known));
+        }
+        if running_on.is_some() && !units.take(team) {
+            return Ok(Restored::StopFirst);
+        }
+        let task = self.ledger.restore(submission, epoch, submitted)?;
+        let waiting = self.waiting(task);
+        let (Some(worker), Some(waiting)) = (running_on, waiting) else {
+            self.ledger.renew(task);
+            return Ok(Restored::Waits(task));
+        };
+        self.placer.adopt(waiting, worker);
+        self.ledger.start(task, worker, submitted);
+        if let Some(found) = self.ledger.get_mut(task) {
+            // When it started isn't known, so its run time teaches nothing.
+            found.started = None;
+        }
+        Ok(Restored::Runs(task))
+    }
+
     /// Takes up to `most` tasks whose claims are to be written in one batch.
     pub fn claim(&mut self, most: usize) -> Vec<TaskKey> {
         self.ledger.claim(most)
--- a/crates/snipevane-core/src/waves/wave.rs
+++ b/crates/snipevane-core/src/waves/wave.rs
@@ -72,8 +72,8 @@
 
 /// A wave: state, view of the fleet and time in, reboots out.
 ///
-/// Which VMs are done stands in their rows, so a successor that creates the wave anew with the same
-/// start goes on, beginning with few VMs again. The number of VMs that are being rebooted or watched
+/// Which VMs are done stands in their rows, so a successor that [restores](Self::restore) the wave with
+/// the same start goes on, beginning with few VMs again. The number of VMs that are being rebooted or watched
 /// grows by one with each VM that came through its watch.
 #[derive(Clone, Debug)]
 pub struct Wave {
@@ -118,16 +118,26 @@
                 });
             }
         }
-        Ok(Self {
+        Ok(Self::restore(id, settings, started, WaveState::Running))
+    }
+
+    /// Creates a wave that a predecessor began, in the state that stands in its row.
+    pub fn restore(
+        id: OperationId,
+        settings: WaveSettings,
+        started: UnixMs,
+        state: WaveState,
+    ) -> Self {
+        Self {
             id,
             settings,
             started,
-            state: WaveState::Running,
+            state,
             window: settings.first_batch.max(1),
             unproven: SecondaryMap::new(),
             blamed: SecondaryMap::new(),
             outcomes: Outcomes::default(),
-        })
+        }
     }
 
     /// Returns the wave's state.
--- a/tests/tests/tasks.rs
+++ b/tests/tests/tasks.rs
@@ -12,8 +12,8 @@
 use snipevane_core::placement::{Resources, Units};
 use snipevane_core::pools::UnixMs;
 use snipevane_core::tasks::{
-    Report, Scheduler, SchedulerSettings, Start, StopReason, Submission, SubmitRefused, Submitted,
-    TaskAction, TaskId, TaskState,
+    Report, Restored, Scheduler, SchedulerSettings, Start, StopReason, Submission, SubmitRefused,
+    Submitted, TaskAction, TaskEpoch, TaskId, TaskState,
 };
 use snipevane_proto::manifest::Urgency;
 
@@ -184,6 +184,59 @@
     assert_eq!(site.units.held[&site.teams[0]], 0);
 }
 
+#[test]
+fn a_successor_goes_on_with_what_runs_and_claims_the_rest_anew() {
+    let mut former = Site::new(2, 10);
+    let tasks: Vec<TaskKey> = (0..2).map(|id| former.submit("roll-up", id)).collect();
+    let started = former.second();
+    assert_eq!(started.len(), 2);
+    // The successor learns from a worker that the first one runs; nobody reports the second one.
+    let mut site = Site::new(2, 10);
+    for (index, start) in started.iter().enumerate() {
+        let submission = site.submission(0, "roll-up", index);
+        let running_on = (index == 0).then_some(site.workers[0]);
+        let Site {
+            scheduler,
+            units,
+            now,
+            ..
+        } = &mut site;
+        let asked = scheduler.restore(submission, start.epoch, running_on, *now, units);
+        let runs = matches!(asked, Ok(Restored::Runs(_)));
+        assert_eq!(runs, index == 0, "{asked:?}");
+    }
+    assert_eq!(site.units.held[&site.teams[0]], 1);
+    let again = site.second();
+    assert_eq!(again.len(), 1, "only the one that nobody reports");
+    assert!(again[0].task == tasks[1] && again[0].epoch > started[1].epoch);
+    assert_eq!(site.finish(&started[1]), Report::Stale);
+    assert_eq!(site.finish(&started[0]), Report::Accepted);
+    assert_eq!(site.finish(&again[0]), Report::Accepted);
+    assert_eq!(site.units.held[&site.teams[0]], 0);
+}
+
+#[test]
+fn a_task_for_which_a_successor_has_no_unit_is_stopped_before_it_waits() {
+    let mut site = Site::new(2, 0);
+    let worker = site.workers[0];
+    let epoch = TaskEpoch(3);
+    let mut restore = |running_on| {
+        let submission = site.submission(0, "roll-up", 0);
+        let Site {
+            scheduler,
+            units,
+            now,
+            ..
+        } = &mut site;
+        scheduler.restore(submission, epoch, running_on, *now, units)
+    };
+    assert_eq!(restore(Some(worker)), Ok(Restored::StopFirst));
+    assert!(matches!(restore(None), Ok(Restored::Waits(_))));
+    assert!(matches!(restore(None), Ok(Restored::Known(_))));
+    site.units.limit = 1;
+    assert!(site.second()[0].epoch > epoch);
+}
+
 #[test]
 fn a_repeated_submission_is_known_and_a_reused_identifier_refused() {
     let mut site = Site::new(1, 10);
--- a/tests/tests/waves.rs
+++ b/tests/tests/waves.rs
@@ -11,7 +11,7 @@
     Epoch, OperationId, OperationKind, ServiceBudget, Step, UnixMs, VmRow, VmState,
 };
 use snipevane_core::waves::{
-    FleetView, Pace, Reboot, VmView, Wave, WaveRefused, WaveSettings, WaveState,
+    FleetView, Halt, Pace, Reboot, VmView, Wave, WaveRefused, WaveSettings, WaveState,
 };
 use snipevane_tests::fleet::Keys;
 
@@ -199,12 +199,24 @@
     let mut fleet = Fleet::new(60, 25, urgent());
     fleet.minutes(45);
     assert!(fleet.done() > 2);
-    fleet.wave = Wave::new(WAVE, urgent(), &fleet.view, START).unwrap();
+    fleet.wave = Wave::restore(WAVE, urgent(), START, WaveState::Running);
     fleet.minutes(600);
     assert_eq!(fleet.wave.state(), WaveState::Done);
     assert!(fleet.reboots.len() == 60 && fleet.reboots.values().all(|&count| count == 1));
 }
 
+#[rstest]
+#[case::paused(WaveState::Paused)]
+#[case::halted(WaveState::Halted(Halt { failures: 2, at: START }))]
+#[case::cancelled(WaveState::Cancelled)]
+fn a_successor_does_not_go_on_with_what_was_stopped(#[case] state: WaveState) {
+    let mut fleet = Fleet::new(60, 25, urgent());
+    fleet.minutes(20);
+    fleet.wave = Wave::restore(WAVE, urgent(), START, state);
+    assert_eq!(fleet.minutes(60), 0);
+    assert_eq!(fleet.wave.state(), state);
+}
+
 #[test]
 fn a_successor_counts_the_failures_of_what_its_predecessor_rebooted() {
     let settings = WaveSettings {
@@ -215,7 +227,7 @@
     while !fleet.view.vms.iter().any(|view| view.row.booted.is_some()) {
         fleet.minute();
     }
-    fleet.wave = Wave::new(WAVE, settings, &fleet.view, START).unwrap();
+    fleet.wave = Wave::restore(WAVE, settings, START, WaveState::Running);
     assert_eq!(fleet.minutes(3), 0, "the first VM is still watched");
     let rebooted = fleet
         .view
@@ -284,7 +296,7 @@
                 1 | 2 => (0..vms).for_each(|vm| fleet.step(vm, Step::Repaired)),
                 3 => fleet.wave.pause(),
                 4 | 5 => fleet.wave.resume(),
-                6 => fleet.wave = Wave::new(WAVE, settings, &fleet.view, START).unwrap(),
+                6 => fleet.wave = Wave::restore(WAVE, settings, START, fleet.wave.state()),
                 _ => {}
             }
             let reboots = fleet.minute();
