Fetch configurations by the core's plan, and hand them on as differences

Cause: every entry VM that was behind took the whole manifest from one and the same peer (the highest address), or from the platform. Ruled out: pushing changes with heartbeats (each VM would send them to all). Change: control/config.rs asks core's FetchPlan (own zone's peers first, the platform by one entry VM of each zone, failed sources passed over); the peer call config states the version that the caller has and answers with a difference and the hash of the result, or with the whole text; the last four former versions are kept for that. The accepting entry VM takes its version at once.

--- a/crates/snipevane-entry/src/control/config.rs
+++ b/crates/snipevane-entry/src/control/config.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
-use snipevane_core::config::in_force::{Acceptance, Proof, acceptance};
+use snipevane_core::config::in_force::{Acceptance, PeerOffer, Proof, Source, acceptance};
 use snipevane_core::shards::ShardName;
 use snipevane_platform::{Check, Row, Transaction};
 use snipevane_proto::manifest::Manifest;
@@ -13,28 +13,72 @@
 use super::{Control, Platform, manifest_object};
 use crate::journal::kinds;
 use crate::node::Node;
+use crate::peer::{Peer, received_text};
 
 impl<P: Platform, C: Clock> Control<P, C> {
-    /// Reads the accepted version and puts it in force if it's newer.
+    /// Puts the newest version that is known in force, from a peer or from the platform.
     pub(crate) async fn poll_config(&self) {
-        self.fetch_from_peer().await;
+        // Peers come first, as the platform may let this wait for its timeout.
+        if let Some(Source::Peer(vm)) = self.next_source(None) {
+            self.fetch_from_peer(&vm).await;
+        }
+        let Some((row, head)) = self.read_head().await else {
+            return;
+        };
+        match self.next_source(Some(head.version)) {
+            Some(Source::Platform) => self.fetch_from_platform(&row, &head).await,
+            Some(Source::Peer(vm)) => self.fetch_from_peer(&vm).await,
+            None => {}
+        }
+        self.fetch_missing().await;
+    }
+
+    /// Puts the version in force that this entry VM has just seen accepted.
+    pub(crate) async fn take_accepted(&self) {
+        if let Some((row, head)) = self.read_head().await {
+            self.fetch_from_platform(&row, &head).await;
+        }
+        self.fetch_missing().await;
+    }
+
+    async fn read_head(&self) -> Option<(Row, ConfigHead)> {
         let read = self.platform.read(CONFIG_HEAD).await;
         self.note_platform(&read);
-        let Ok(Some(row)) = read else {
-            return;
+        let row = read.ok()??;
+        let head: ConfigHead = self.parse_row(&row)?;
+        self.node.state().config_row = Some((row.version, head.version));
+        Some((row, head))
+    }
+
+    /// Returns where a newer version is fetched now, if anywhere.
+    fn next_source(&self, head: Option<u64>) -> Option<Source> {
+        let (in_force, peers) = {
+            let state = self.node.state();
+            let offer = |(vm, peer): (&SmolStr, &Peer)| PeerOffer {
+                vm: vm.clone(),
+                zone: peer.zone.clone(),
+                reachable: peer.reachable,
+                version: peer.version,
+            };
+            let peers: Vec<_> = state.peers.iter().map(offer).collect();
+            (state.site.version, peers)
         };
-        let Some(head) = self.parse_row::<ConfigHead>(&row) else {
+        let mut plan = self.fetch_plan.lock();
+        plan.next(self.node.now(), in_force, head, &peers)
+    }
+
+    async fn fetch_from_platform(&self, row: &Row, head: &ConfigHead) {
+        if !self.is_newer(row, head.version).await {
             return;
-        };
-        self.node.state().config_row = Some((row.version, head.version));
-        if self.is_newer(&row, head.version).await
-            && let Some(text) = self.fetch_manifest(&head.hash).await
-            && let Some(former) = self.shards_with_rows().await
-        {
-            self.node
-                .put_in_force(head.version, text, former, "platform");
         }
-        self.fetch_missing().await;
+        let text = self.fetch_manifest(&head.hash).await;
+        let former = self.shards_with_rows().await;
+        let (Some(text), Some(former)) = (text, former) else {
+            let mut plan = self.fetch_plan.lock();
+            return plan.on_failed(Source::Platform, self.node.now());
+        };
+        self.node
+            .put_in_force(head.version, text, former, "platform");
     }
 
     /// Returns whether a version that was read is to be put in force.
@@ -54,29 +98,32 @@
         }
     }
 
-    /// Fetches the configuration of a peer that has a newer one in force.
-    pub(crate) async fn fetch_from_peer(&self) {
-        let newer = {
+    /// Fetches the configuration that a peer has in force.
+    async fn fetch_from_peer(&self, vm: &SmolStr) {
+        if self.try_peer(vm).await.is_none() {
+            let mut plan = self.fetch_plan.lock();
+            plan.on_failed(Source::Peer(vm.clone()), self.node.now());
+        }
+    }
+
+    async fn try_peer(&self, vm: &SmolStr) -> Option<()> {
+        let (address, have, own) = {
             let state = self.node.state();
-            let version = state.site.version;
-            let ahead = state.peers.iter().filter(|(_, peer)| peer.reachable);
-            ahead
-                .map(|(_, peer)| (peer.version, peer.address))
-                .filter(|(v, _)| *v > version)
-                .max()
+            let address = state.peers.get(vm)?.address;
+            (address, state.site.version, state.manifest.clone())
         };
-        let Some((_, address)) = newer else {
-            return;
+        let mut body = self.peers.config(address, have).await.ok()?;
+        let text = match received_text(&body, have, &own) {
+            Some(text) => text,
+            None => {
+                body = self.peers.config(address, 0).await.ok()?;
+                received_text(&body, 0, "")?
+            }
         };
-        if let Ok(body) = self.peers.config(address).await {
-            let former = body
-                .former
-                .iter()
-                .filter_map(|name| name.parse().ok())
-                .collect();
-            self.node
-                .put_in_force(body.version, body.manifest.into(), former, "peer");
-        }
+        let former = body.former.iter();
+        let former = former.filter_map(|name| name.parse().ok()).collect();
+        self.node.put_in_force(body.version, text, former, "peer");
+        Some(())
     }
 
     /// Fetches the versions that are needed to decide on raises and were never in force here.
--- a/crates/snipevane-entry/src/control/mod.rs
+++ b/crates/snipevane-entry/src/control/mod.rs
@@ -9,9 +9,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
+use snipevane_core::config::in_force::FetchPlan;
 use snipevane_platform::{ObjectStore, PlatformError, Row, Table, VmList};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
@@ -37,6 +39,8 @@
     pub(crate) platform: P,
     /// Calls to peers.
     pub(crate) peers: PeerClient,
+    /// Choice of the source of newer configurations.
+    pub(crate) fetch_plan: Mutex<FetchPlan>,
 }
 
 impl<P: Platform, C: Clock> Control<P, C> {
--- a/crates/snipevane-entry/src/daemon.rs
+++ b/crates/snipevane-entry/src/daemon.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use snipevane_core::clock::Clock;
 use snipevane_core::config::Findings;
+use snipevane_core::config::in_force::{FetchPlan, FetchSettings};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
@@ -104,10 +106,16 @@
         let vm = &node.settings.vm;
         let zone = &node.settings.zone;
         node.record(&kinds::STARTED, &[vm, zone, &node.incarnation]);
+        let fetch_plan = FetchPlan::new(
+            node.settings.vm.clone(),
+            node.settings.zone.clone(),
+            FetchSettings::default(),
+        );
         let control = Arc::new(Control {
             node,
             platform,
             peers,
+            fetch_plan: Mutex::new(fetch_plan),
         });
         let entry = Self {
             control,
--- a/crates/snipevane-entry/src/operator/apply.rs
+++ b/crates/snipevane-entry/src/operator/apply.rs
@@ -44,7 +44,7 @@
     pub(super) async fn apply(&self, req: ApplyRequest) -> Response {
         match self.try_apply(req).await {
             Ok(applied) => {
-                self.poll_config().await;
+                self.take_accepted().await;
                 json(&applied)
             }
             Err(ApplyError::Refused(problem)) => refuse(&problem),
@@ -67,7 +67,7 @@
             }
             former = Some(step.clone());
             step = match step {
-                ApplyStep::ReadHead => apply.on_head(self.read_head().await?),
+                ApplyStep::ReadHead => apply.on_head(self.read_head_row().await?),
                 ApplyStep::CheckHead { row_version } => {
                     let tx = Transaction::new(vec![check_head(row_version)], Vec::new());
                     apply.on_check(self.commit_once(tx).await)
@@ -116,7 +116,7 @@
         }
     }
 
-    async fn read_head(&self) -> Result<ReadAnswer<HeadRow>, ApplyError> {
+    async fn read_head_row(&self) -> Result<ReadAnswer<HeadRow>, ApplyError> {
         match self.platform.read(CONFIG_HEAD).await {
             Err(_) => Ok(None),
             Ok(None) => Ok(Some(HeadRow::default())),
--- a/crates/snipevane-entry/src/peer/client.rs
+++ b/crates/snipevane-entry/src/peer/client.rs
@@ -46,13 +46,18 @@
         self.client(address)?.heartbeat(heartbeat).await
     }
 
-    /// Fetches the configuration in force at a peer.
+    /// Fetches the configuration in force at a peer, as a change from the version `have` if the
+    /// peer still knows that one.
     ///
     /// # Errors
     ///
     /// Returns the client's error if none came back.
-    pub(crate) async fn config(&self, address: SocketAddr) -> Result<ConfigBody, ClientError> {
-        self.client(address)?.config().await
+    pub(crate) async fn config(
+        &self,
+        address: SocketAddr,
+        have: u64,
+    ) -> Result<ConfigBody, ClientError> {
+        self.client(address)?.config(have).await
     }
 
     fn client(&self, address: SocketAddr) -> Result<HttpClient, ClientError> {
--- /dev/null
+++ b/crates/snipevane-entry/src/peer/config.rs
@@ -0,0 +1,62 @@
+//! Configurations that entry VMs hand to each other, as changes where possible.
+
+use std::sync::Arc;
+
+use snipevane_core::clock::Clock;
+use snipevane_core::config::{apply_difference, difference};
+use snipevane_proto::manifest::{Manifest, canonical_text};
+use snipevane_proto::peer::{ConfigBody, ConfigChange};
+
+use crate::node::Node;
+
+impl<C: Clock> Node<C> {
+    /// Builds the configuration for a peer that has the version `have` in force.
+    pub(crate) fn config_body(&self, have: u64) -> ConfigBody {
+        let (version, text, base, former) = {
+            let state = self.state();
+            let base = state.recent.iter().find(|(version, _)| *version == have);
+            let former = state.former.iter().map(ToString::to_string).collect();
+            (
+                state.site.version,
+                state.manifest.clone(),
+                base.filter(|(version, _)| *version > 0).cloned(),
+                former,
+            )
+        };
+        let change = base.and_then(|(from, base)| change_between(from, &base, &text));
+        ConfigBody {
+            version,
+            manifest: change.is_none().then(|| text.to_string()),
+            change,
+            former,
+        }
+    }
+}
+
+fn change_between(from: u64, base: &str, text: &str) -> Option<ConfigChange> {
+    let base: Manifest = serde_json::from_str(base).ok()?;
+    let manifest: Manifest = serde_json::from_str(text).ok()?;
+    Some(ConfigChange {
+        from,
+        hash: blake3::hash(text.as_bytes()).to_hex().to_string(),
+        difference: serde_json::to_value(difference(&base, &manifest)).ok()?,
+    })
+}
+
+/// Returns the manifest's text in a peer's answer, given the version and the text in force here.
+///
+/// Returns nothing if the answer holds a change that starts from another version or doesn't lead
+/// to the text that the peer has.
+pub(crate) fn received_text(body: &ConfigBody, have: u64, own: &str) -> Option<Arc<str>> {
+    let Some(change) = &body.change else {
+        return body.manifest.as_deref().map(Arc::from);
+    };
+    if change.from != have {
+        return None;
+    }
+    let base: Manifest = serde_json::from_str(own).ok()?;
+    let difference = serde_json::from_value(change.difference.clone()).ok()?;
+    let text = canonical_text(&apply_difference(&base, &difference)).ok()?;
+    let hash = blake3::hash(text.as_bytes()).to_hex();
+    (hash.as_str() == change.hash).then(|| Arc::from(text))
+}
--- a/crates/snipevane-entry/src/peer/rpc.rs
+++ b/crates/snipevane-entry/src/peer/rpc.rs
@@ -26,9 +26,9 @@
     #[method(name = "heartbeat")]
     async fn heartbeat(&self, heartbeat: Heartbeat) -> Result<Heartbeat, ErrorObjectOwned>;
 
-    /// Returns the configuration in force.
+    /// Returns the configuration in force, as a change from the version `have` if possible.
     #[method(name = "config")]
-    async fn config(&self) -> Result<ConfigBody, ErrorObjectOwned>;
+    async fn config(&self, have: u64) -> Result<ConfigBody, ErrorObjectOwned>;
 }
 
 /// Answers the calls of peers.
@@ -50,13 +50,8 @@
         Ok(node.heartbeat_for(&vm))
     }
 
-    async fn config(&self) -> Result<ConfigBody, ErrorObjectOwned> {
-        let state = self.0.state();
-        Ok(ConfigBody {
-            version: state.site.version,
-            manifest: state.manifest.to_string(),
-            former: state.former.iter().map(ToString::to_string).collect(),
-        })
+    async fn config(&self, have: u64) -> Result<ConfigBody, ErrorObjectOwned> {
+        Ok(self.0.config_body(have))
     }
 }
 
--- a/crates/snipevane-entry/src/state/site_state.rs
+++ b/crates/snipevane-entry/src/state/site_state.rs
@@ -22,6 +22,8 @@
 use super::{GrantParts, HeldShard, KeptAnswer, Waiter};
 use crate::peer::Peers;
 
+/// Former versions that changes for peers can start from.
+const RECENT_VERSIONS: usize = 4;
 /// Weight of requests without a key in open queues.
 const OPEN_SHARE: u32 = 1;
 
@@ -35,6 +37,8 @@
     pub(crate) site: Site,
     /// Text of the manifest in force, as it was accepted.
     pub(crate) manifest: Arc<str>,
+    /// Versions that were in force before, oldest first, with their manifests' texts.
+    pub(crate) recent: Vec<(u64, Arc<str>)>,
     /// Shards of the configuration in force.
     pub(crate) shards: ShardSet,
     /// Deal of the limits in force.
@@ -89,6 +93,7 @@
             zone,
             site: Site::default(),
             manifest: Arc::from(""),
+            recent: Vec::new(),
             shards: ShardSet::new(Vec::new()),
             deal: VersionDeal::default(),
             former: Vec::new(),
@@ -129,8 +134,14 @@
             return false;
         }
         let first = self.site.version == 0;
+        self.recent.push((
+            self.site.version,
+            std::mem::replace(&mut self.manifest, text),
+        ));
+        if self.recent.len() > RECENT_VERSIONS {
+            self.recent.remove(0);
+        }
         self.site.apply(version, manifest);
-        self.manifest = text;
         let names = shard_names(&self.site);
         if !first && names != self.shards.names() {
             // An identifier may now belong to another shard, whose holder doesn't know it.
--- a/crates/snipevane-proto/src/peer.rs
+++ b/crates/snipevane-proto/src/peer.rs
@@ -1,7 +1,7 @@
 //! What entry VMs tell each other.
 
 pub use crate::generated::peer::{
-    ConfigBody, Forward, Free, Heartbeat, KeyState, Purpose, ShardCeiling, ShardState,
+    ConfigBody, ConfigChange, Forward, Free, Heartbeat, KeyState, Purpose, ShardCeiling, ShardState,
 };
 
 /// Version of the protocol between entry VMs.
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod naive_queue;
 pub mod naive_router;
+pub mod operator;
 pub mod requests;
 pub mod site;
 pub mod target_manifest;
