Report a peer whose clock is far ahead

Cause: a remote time more than 60 s ahead isn't adopted, which makes the order of that peer's events uncertain; nothing told the operator.

--- a/crates/snipevane-entry/src/journal/kinds.rs
+++ b/crates/snipevane-entry/src/journal/kinds.rs
@@ -49,6 +49,7 @@
     PEER_REACHABLE = 1040 Info "peer reachable" ["peer", "incarnation"];
     PEER_SILENT = 1041 Warn "peer silent" ["peer"];
     PEER_MESSAGE_REFUSED = 1042 Warn "message of a peer refused" ["peer", "reason"];
+    PEER_CLOCK_AHEAD = 1043 Warn "clock of a peer far ahead" ["peer", "ahead_ms"];
     KEY_GIVEN = 1050 Info "key given" ["key", "team"];
     KEY_WITHDRAWN = 1051 Info "key withdrawn" ["key", "team"];
     SERVER_LEAVING = 1060 Info "backend server leaving" ["server", "sign"];
--- a/crates/snipevane-entry/src/journal/record.rs
+++ b/crates/snipevane-entry/src/journal/record.rs
@@ -5,7 +5,9 @@
 use log::{log, log_enabled};
 use parking_lot::Mutex;
 use smol_str::{SmolStr, ToSmolStr};
-use snipevane_core::timeline::{EventRing, Field, Filter, Hlc, HlcClock, Level, RingLimits};
+use snipevane_core::timeline::{
+    ClockDrift, EventRing, Field, Filter, Hlc, HlcClock, Level, RingLimits,
+};
 use snipevane_proto::operator::{Events, ProcessId};
 
 use super::EventKind;
@@ -74,12 +76,15 @@
     }
 
     /// Takes over the time that came with a message; a time too far ahead is left out.
-    pub fn observe(&self, packed: u64, unix_ms: u64) {
-        let _ = self
-            .timeline
+    ///
+    /// # Errors
+    ///
+    /// Returns an error and adopts nothing if the time lies too far ahead.
+    pub fn observe(&self, packed: u64, unix_ms: u64) -> Result<(), ClockDrift> {
+        self.timeline
             .lock()
             .clock
-            .observe(Hlc::unpack(packed), unix_ms);
+            .observe(Hlc::unpack(packed), unix_ms)
     }
 
     /// Returns the events of this process that pass a filter.
--- a/crates/snipevane-entry/src/peer/rpc.rs
+++ b/crates/snipevane-entry/src/peer/rpc.rs
@@ -112,7 +112,8 @@
             .iter()
             .map(key_row)
             .collect::<Result<Vec<_>, _>>()?;
-        self.journal
+        let time = self
+            .journal
             .observe(heartbeat.logical_time, self.clock.unix_ms());
         let now = self.now();
         let mut state = self.state();
@@ -133,7 +134,14 @@
             };
             state.confirm(&name, heartbeat.settled_version);
         }
+        let drift_news = state.peers.note_drift(&heartbeat.vm, time.is_err());
         drop(state);
+        if let Err(drift) = time
+            && drift_news
+        {
+            let ahead_ms = drift.ahead.as_millis();
+            self.record(&kinds::PEER_CLOCK_AHEAD, &[&heartbeat.vm, &ahead_ms]);
+        }
         if news {
             self.record(
                 &kinds::PEER_REACHABLE,
--- a/crates/snipevane-entry/src/peer/table.rs
+++ b/crates/snipevane-entry/src/peer/table.rs
@@ -38,6 +38,7 @@
     pub(crate) keys_merged: u64,
     /// Last change of a key here that the peer has merged.
     pub(crate) keys_confirmed: u64,
+    clock_ahead: bool,
     free_units: FxHashMap<SmolStr, u32>,
     free_slots: FxHashMap<SmolStr, u32>,
 }
@@ -57,6 +58,7 @@
             shards: Vec::new(),
             keys_merged: 0,
             keys_confirmed: 0,
+            clock_ahead: false,
             free_units: FxHashMap::default(),
             free_slots: FxHashMap::default(),
         }
@@ -120,6 +122,14 @@
         self.by_vm.get(vm)
     }
 
+    /// Takes note of whether a peer's clock is far ahead; returns whether that is news.
+    pub(crate) fn note_drift(&mut self, vm: &str, ahead: bool) -> bool {
+        let Some(peer) = self.by_vm.get_mut(vm) else {
+            return false;
+        };
+        std::mem::replace(&mut peer.clock_ahead, ahead) != ahead
+    }
+
     /// Takes note of a heartbeat that reached the process `receiver`; returns whether the peer
     /// became reachable or restarted.
     pub(crate) fn on_heartbeat(
--- a/tests/tests/cli_site.rs
+++ b/tests/tests/cli_site.rs
@@ -2,8 +2,11 @@
 
 use http::Method;
 use serde_json::{Value, json};
+use snipevane_core::timeline::Hlc;
+use snipevane_proto::peer::{Heartbeat, PROTOCOL};
 use snipevane_tests::operator::Operator;
 use snipevane_tests::site::{Caller, Site, SiteOptions, manifest, until};
+use uuid::Uuid;
 
 const SITE: &str = env!("CARGO_BIN_EXE_site-process");
 const CLI: &str = env!("CARGO_BIN_EXE_cli-process");
@@ -136,6 +139,67 @@
     assert_eq!(versions, [json!("2")]);
 }
 
+/// A peer whose clock is years ahead is reported once and doesn't move the others' time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_clock_far_ahead_is_reported_and_not_adopted() {
+    let options = SiteOptions {
+        entries_per_zone: 1,
+        ..SiteOptions::default()
+    };
+    let site = Site::start(SITE, options).await;
+    let operator = Operator::of_site(CLI, "clock", &site);
+    let heartbeat = Heartbeat {
+        protocol: PROTOCOL,
+        vm: "entry-far".to_owned(),
+        zone: "b".to_owned(),
+        address: site.entries[1].peer_address().to_string(),
+        incarnation: Uuid::nil(),
+        logical_time: Hlc {
+            wall_ms: 4_000_000_000_000,
+            logical: 0,
+        }
+        .pack(),
+        ceilings: vec![],
+        config_version: 0,
+        free_slots: vec![],
+        free_units: vec![],
+        keys: vec![],
+        keys_seen: 0,
+        keys_seen_of: None,
+        keys_sequence: 0,
+        keys_since: 0,
+        platform_age_ms: 0,
+        settled_version: 0,
+        shards: vec![],
+        stopping: false,
+    };
+    let call = json!({
+        "jsonrpc": "2.0", "id": 1, "method": "peer_heartbeat", "params": [heartbeat]
+    });
+    let peer = Caller::new(site.entries[0].peer_address()).with_key(PEER_KEY);
+    let headers = [("content-type", "application/json")];
+    for _ in 0..3 {
+        let answer = peer
+            .send(Method::POST, "/rpc", &headers, call.to_string())
+            .await;
+        assert!(answer.unwrap().json()["result"].is_object());
+    }
+    let run = operator.run(&["timeline", "--vm", "entry-far"]);
+    assert_eq!(
+        run.out.matches("SV1043 clock of a peer far ahead").count(),
+        1,
+        "{}",
+        run.out
+    );
+    let all = operator.run(&["timeline", "--json"]).json();
+    let events = all["events"].as_array().cloned().unwrap_or_default();
+    assert!(
+        events
+            .iter()
+            .all(|event| event["wall_ms"].as_u64() < Some(4_000_000_000_000))
+    );
+}
+
 /// Entry VMs hand each other changes, and all of them end with the manifest that was applied.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_reaches_all_as_a_difference() {
