Drive pools from the daemon: drains, moves, reboots within the budget

Cause: the core decided on pools, and nothing carried it out. Change: rows pool/{name} and vm/{id}, a coordinator in any entry VM (taken over when its holder is no reachable peer; its former writes fail by the pool row's version), drained once every entry VM of the zone says that it runs nothing there, reboots through the platform once for each operation; operator API /v1/pools and /v1/vms/{vm}/{drain,cancel,move,reboot}. Ruled out: a lease for the coordinator: a takeover is safe at any time, so silence of its peer suffices.

--- a/crates/snipevane-core/src/pools/coordinator.rs
+++ b/crates/snipevane-core/src/pools/coordinator.rs
@@ -72,6 +72,11 @@
         self.members.get(vm).map(|member| &member.row)
     }
 
+    /// Returns a VM's failure domains.
+    pub fn place(&self, vm: VmKey) -> Option<Place> {
+        self.members.get(vm).map(|member| member.place)
+    }
+
     /// Returns the pool's VMs.
     pub fn vms(&self) -> impl Iterator<Item = (VmKey, &VmRow)> {
         self.members.iter().map(|(vm, member)| (vm, &member.row))
--- a/crates/snipevane-entry/src/control/mod.rs
+++ b/crates/snipevane-entry/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod heartbeats;
 mod keys;
 mod list;
+mod pools;
 mod shards;
 
 use std::sync::Arc;
@@ -23,6 +24,8 @@
 use crate::node::Node;
 use crate::peer::PeerClient;
 
+pub(crate) use pools::Coordinators;
+
 /// Time between two looks at the state's timers.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -39,6 +42,8 @@
     pub(crate) platform: P,
     /// Calls to peers.
     pub(crate) peers: PeerClient,
+    /// Pools that this entry VM coordinates.
+    pub(crate) coordinators: Mutex<Coordinators>,
     /// Choice of the source of newer configurations.
     pub(crate) fetch_plan: Mutex<FetchPlan>,
 }
@@ -60,6 +65,9 @@
         self.spawn(tracker, stop, poll, |control| async move {
             control.poll_shards().await
         });
+        self.spawn(tracker, stop, poll, |control| async move {
+            control.poll_pools().await;
+        });
         self.spawn(tracker, stop, timings.heartbeat, |control| async move {
             control.send_heartbeats().await;
         });
--- /dev/null
+++ b/crates/snipevane-entry/src/control/pools/coordinator.rs
@@ -0,0 +1,168 @@
+//! The pools that this entry VM coordinates, with keys for their VMs and racks.
+
+use rustc_hash::FxHashMap;
+use slotmap::{SecondaryMap, SlotMap};
+use smol_str::SmolStr;
+use snipevane_core::config::{Site, SitePool};
+use snipevane_core::ids::{PoolKey, VmKey};
+use snipevane_core::pools::{
+    Epoch, Fence, Place, PoolAction, PoolCoordinator, PoolSettings, RackId, RowVersion,
+    ServiceBudget, UnixMs, VmRow,
+};
+use snipevane_proto::rows::{PoolCoordination, VmRecord};
+
+use super::core_row;
+use crate::state::{State, Versioned};
+
+/// The coordinator of one pool.
+pub(super) struct Coordination {
+    /// The core's coordinator.
+    pub(super) core: PoolCoordinator,
+    fence: Fence,
+    /// Version of the configuration that the settings come from.
+    version: u64,
+    names: SlotMap<VmKey, SmolStr>,
+    keys: FxHashMap<SmolStr, VmKey>,
+    racks: FxHashMap<(SmolStr, SmolStr), RackId>,
+}
+
+impl Coordination {
+    /// Reads a pool's settings off the configuration.
+    pub(super) fn settings(site: &Site, key: PoolKey, pool: &SitePool) -> PoolSettings {
+        let hosted = site
+            .services
+            .iter()
+            .filter(|(_, service)| service.pool == key);
+        let services = hosted.map(|(service, settings)| ServiceBudget {
+            service,
+            unavailable_percent: settings.unavailable_budget_percent,
+        });
+        PoolSettings {
+            services: services.collect(),
+            min_vms: pool.min_vms,
+            ..PoolSettings::default()
+        }
+    }
+
+    fn new(fence: Fence, version: u64, settings: PoolSettings) -> Self {
+        Self {
+            core: PoolCoordinator::new(fence, settings),
+            fence,
+            version,
+            names: SlotMap::with_key(),
+            keys: FxHashMap::default(),
+            racks: FxHashMap::default(),
+        }
+    }
+
+    /// Returns the key of a VM.
+    pub(super) fn key(&mut self, vm: &SmolStr) -> VmKey {
+        if let Some(key) = self.keys.get(vm) {
+            return *key;
+        }
+        let key = self.names.insert(vm.clone());
+        self.keys.insert(vm.clone(), key);
+        key
+    }
+
+    /// Returns the name of a VM.
+    pub(super) fn name(&self, vm: VmKey) -> Option<SmolStr> {
+        self.names.get(vm).cloned()
+    }
+
+    /// Returns the rows of the pool's VMs.
+    pub(super) fn rows(&self) -> Vec<(VmKey, SmolStr, VmRow)> {
+        let rows = self.core.vms();
+        rows.filter_map(|(vm, row)| Some((vm, self.name(vm)?, *row)))
+            .collect()
+    }
+
+    /// Tells the core of a row, unless the VM's place isn't known.
+    pub(super) fn observe(
+        &mut self,
+        state: &State,
+        vm: &SmolStr,
+        read: &Versioned<VmRecord>,
+        now: UnixMs,
+    ) -> Vec<PoolAction> {
+        let Some(row) = core_row(&state.site, &read.row) else {
+            return Vec::new();
+        };
+        let Some(place) = self.place(state, vm) else {
+            return Vec::new();
+        };
+        let key = self.key(vm);
+        self.core
+            .observe(key, place, RowVersion(read.version), row, now)
+    }
+
+    fn place(&mut self, state: &State, vm: &SmolStr) -> Option<Place> {
+        let entry = state.list.iter().find(|entry| entry.id == *vm);
+        let (zone, rack) = match entry {
+            Some(entry) => (entry.zone.clone(), entry.rack.clone()),
+            // A VM that left the list keeps the place that it had.
+            None => return self.core_place(vm),
+        };
+        let next = RackId(u32::try_from(self.racks.len()).unwrap_or(u32::MAX));
+        let rack = *self.racks.entry((zone.clone(), rack)).or_insert(next);
+        Some(Place {
+            zone: state.site.zone(&zone)?,
+            rack,
+        })
+    }
+
+    fn core_place(&self, vm: &SmolStr) -> Option<Place> {
+        let key = self.keys.get(vm)?;
+        self.core.place(*key)
+    }
+}
+
+/// All pools that this entry VM coordinates.
+#[derive(Default)]
+pub(crate) struct Coordinators {
+    pools: SecondaryMap<PoolKey, Coordination>,
+}
+
+impl Coordinators {
+    /// Makes sure that the coordinator of a pool works under a row and a configuration version.
+    pub(super) fn adopt(
+        &mut self,
+        pool: PoolKey,
+        read: &Versioned<PoolCoordination>,
+        version: u64,
+        settings: PoolSettings,
+    ) {
+        let fence = Fence {
+            pool,
+            version: RowVersion(read.version),
+            epoch: Epoch(read.row.epoch),
+        };
+        let same = self.pools.get(pool).is_some_and(|known| {
+            known.fence == fence && known.version == version && !known.core.is_deposed()
+        });
+        if !same {
+            let coordination = Coordination::new(fence, version, settings);
+            self.pools.insert(pool, coordination);
+        }
+    }
+
+    /// Drops the coordinator of a pool that another entry VM coordinates.
+    pub(super) fn drop_pool(&mut self, pool: PoolKey) {
+        self.pools.remove(pool);
+    }
+
+    /// Returns the coordinator of a pool.
+    pub(super) fn get_mut(&mut self, pool: PoolKey) -> Option<&mut Coordination> {
+        self.pools.get_mut(pool)
+    }
+
+    /// Returns what the writes of a pool's coordinator are conditional on.
+    pub(super) fn fence(&self, pool: PoolKey) -> Option<Fence> {
+        self.pools.get(pool).map(|coordination| coordination.fence)
+    }
+
+    /// Returns the name of a VM of a pool.
+    pub(super) fn name(&self, pool: PoolKey, vm: VmKey) -> Option<SmolStr> {
+        self.pools.get(pool)?.name(vm)
+    }
+}
--- /dev/null
+++ b/crates/snipevane-entry/src/control/pools/mod.rs
@@ -0,0 +1,387 @@
+//! Drives the coordinators of the pools that this entry VM coordinates.
+
+mod convert;
+mod coordinator;
+mod operate;
+
+use std::collections::VecDeque;
+
+use smol_str::SmolStr;
+use snipevane_core::clock::Clock;
+use snipevane_core::config::SitePool;
+use snipevane_core::ids::{PoolKey, VmKey};
+use snipevane_core::pools::{PoolAction, UnixMs, VmEvent, VmState, VmWrite, WriteOutcome};
+use snipevane_platform::{Check, CommitError, Row, Transaction, VmRole, Write, commit_resolved};
+use snipevane_proto::rows::{POOL, PoolCoordination, VM, VmRecord, VmStage};
+
+use super::{Control, Platform};
+use crate::journal::kinds;
+use crate::state::Versioned;
+use convert::{core_row, proto_row};
+use coordinator::Coordination;
+pub(crate) use coordinator::Coordinators;
+
+/// Actions that are worked off at one poll at most, so that a fault can't spin.
+const MAX_ACTIONS: usize = 10_000;
+
+impl<P: Platform, C: Clock> Control<P, C> {
+    /// Reads the rows of pools and VMs, and moves on what this entry VM coordinates.
+    pub(crate) async fn poll_pools(&self) {
+        if self.node.state().site.version == 0 {
+            return;
+        }
+        if !self.read_pool_rows().await || self.node.is_stopping() {
+            return;
+        }
+        for (key, pool) in self.pools() {
+            if self.take_pool(key, &pool).await {
+                self.create_rows(key, &pool).await;
+                let actions = self.observe(key);
+                self.work_off(key, actions).await;
+                let actions = self.vm_events(key).await;
+                self.work_off(key, actions).await;
+            }
+        }
+    }
+
+    fn pools(&self) -> Vec<(PoolKey, SitePool)> {
+        let state = self.node.state();
+        state
+            .site
+            .pools
+            .iter()
+            .map(|(key, pool)| (key, pool.clone()))
+            .collect()
+    }
+
+    fn now_ms(&self) -> UnixMs {
+        UnixMs(self.node.clock.unix_ms())
+    }
+
+    /// Reads all rows of pools and VMs; returns false if the table can't be read.
+    async fn read_pool_rows(&self) -> bool {
+        let (pools, vms) = tokio::join!(self.platform.scan(POOL), self.platform.scan(VM));
+        self.note_platform(&vms);
+        let (Ok(pools), Ok(vms)) = (pools, vms) else {
+            return false;
+        };
+        let pools = self.parse_rows::<PoolCoordination>(&pools, POOL);
+        let vms = self.parse_rows::<VmRecord>(&vms, VM);
+        let now = self.node.now();
+        let mut state = self.node.state();
+        state.pool_rows.pools = pools.into_iter().collect();
+        state.put_vm_rows(vms);
+        state.sync_servers(now);
+        true
+    }
+
+    fn parse_rows<T: serde::de::DeserializeOwned>(
+        &self,
+        rows: &[Row],
+        prefix: &str,
+    ) -> Vec<(SmolStr, Versioned<T>)> {
+        let parsed = rows.iter().filter_map(|read| {
+            let name = SmolStr::new(read.key.strip_prefix(prefix)?);
+            let row = self.parse_row(read)?;
+            Some((
+                name,
+                Versioned {
+                    version: read.version,
+                    row,
+                },
+            ))
+        });
+        parsed.collect()
+    }
+
+    /// Coordinates a pool if this entry VM does already, or if its coordinator is lost.
+    async fn take_pool(&self, key: PoolKey, pool: &SitePool) -> bool {
+        let known = self.node.state().pool_rows.pools.get(&pool.name).cloned();
+        if let Some(read) = &known
+            && read.row.holder == self.node.incarnation
+        {
+            self.adopt(key, pool, read);
+            return true;
+        }
+        self.coordinators.lock().drop_pool(key);
+        if known
+            .as_ref()
+            .is_some_and(|read| self.is_coordinating(&read.row))
+        {
+            return false;
+        }
+        let row = PoolCoordination {
+            holder: self.node.incarnation,
+            vm: self.node.settings.vm.to_string(),
+            epoch: known.as_ref().map_or(0, |read| read.row.epoch) + 1,
+        };
+        let name = SmolStr::from(format!("{POOL}{}", pool.name));
+        let check = Check {
+            key: name.clone(),
+            expected: known.map(|read| read.version),
+        };
+        let value = serde_json::to_value(&row).unwrap_or_default();
+        let tx = Transaction::new(vec![check], vec![Write::Put { key: name, value }]);
+        let Ok(committed) = commit_resolved(&self.platform, tx).await else {
+            return false;
+        };
+        let Some((_, version)) = committed.versions.first() else {
+            return false;
+        };
+        self.node
+            .record(&kinds::POOL_TAKEN, &[&pool.name, &row.epoch]);
+        let read = Versioned {
+            version: *version,
+            row,
+        };
+        self.adopt(key, pool, &read);
+        self.node
+            .state()
+            .pool_rows
+            .pools
+            .insert(pool.name.clone(), read);
+        true
+    }
+
+    /// Tells whether a pool's coordinator is this process or a reachable peer.
+    ///
+    /// Taking over from one that still runs does no harm, since its writes fail from then on.
+    fn is_coordinating(&self, row: &PoolCoordination) -> bool {
+        let state = self.node.state();
+        let peer = state.peers.get(&row.vm);
+        peer.is_some_and(|peer| peer.incarnation == Some(row.holder) && peer.takes_requests())
+    }
+
+    /// Writes the first row of each VM that the manifest gives to the pool.
+    async fn create_rows(&self, key: PoolKey, pool: &SitePool) {
+        let missing: Vec<SmolStr> = {
+            let state = self.node.state();
+            let rows = &state.pool_rows.vms;
+            pool.vms
+                .iter()
+                .filter(|vm| !rows.contains_key(*vm))
+                .cloned()
+                .collect()
+        };
+        let Some(fence) = self.coordinators.lock().fence(key) else {
+            return;
+        };
+        for vm in missing {
+            let record = VmRecord {
+                pool: pool.name.to_string(),
+                state: VmStage::Serving,
+                epoch: 0,
+                operation: None,
+                since_ms: self.now_ms().0,
+                booted_ms: None,
+            };
+            let name = SmolStr::from(format!("{VM}{vm}"));
+            let checks = vec![
+                Check {
+                    key: name.clone(),
+                    expected: None,
+                },
+                Check {
+                    key: format!("{POOL}{}", pool.name).into(),
+                    expected: Some(fence.version.0),
+                },
+            ];
+            let value = serde_json::to_value(&record).unwrap_or_default();
+            let tx = Transaction::new(checks, vec![Write::Put { key: name, value }]);
+            // After any failure the next poll reads what became of it.
+            if let Ok(committed) = commit_resolved(&self.platform, tx).await
+                && let Some((_, version)) = committed.versions.first()
+            {
+                let read = Versioned {
+                    version: *version,
+                    row: record,
+                };
+                self.node.state().put_vm_rows([(vm, read)]);
+            }
+        }
+    }
+
+    /// Tells a pool's coordinator of the rows as read.
+    fn observe(&self, key: PoolKey) -> Vec<PoolAction> {
+        let now = self.now_ms();
+        let state = self.node.state();
+        let mut coordinators = self.coordinators.lock();
+        let Some(coordination) = coordinators.get_mut(key) else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        for (vm, read) in &state.pool_rows.vms {
+            actions.extend(coordination.observe(&state, vm, read, now));
+        }
+        actions
+    }
+
+    /// Collects what is seen of a pool's VMs.
+    async fn vm_events(&self, key: PoolKey) -> Vec<PoolAction> {
+        let rows = match self.coordinators.lock().get_mut(key) {
+            Some(coordination) => coordination.rows(),
+            None => return Vec::new(),
+        };
+        let mut actions = Vec::new();
+        for (vm, name, row) in rows {
+            let Some(event) = self.event_of(&name, &row).await else {
+                continue;
+            };
+            let now = self.now_ms();
+            if let Some(coordination) = self.coordinators.lock().get_mut(key) {
+                actions.extend(coordination.core.vm_event(vm, event, now));
+            }
+        }
+        actions
+    }
+
+    async fn event_of(
+        &self,
+        name: &SmolStr,
+        row: &snipevane_core::pools::VmRow,
+    ) -> Option<VmEvent> {
+        match row.state {
+            VmState::Draining => self
+                .node
+                .state()
+                .is_drained(name)
+                .then_some(VmEvent::Emptied),
+            VmState::Rebooting => {
+                let operation = row.operation.map_or(0, |operation| operation.id.0);
+                let booted = self.platform.reboot(name, operation).await;
+                matches!(booted, Ok(true)).then_some(VmEvent::Booted)
+            }
+            VmState::Serving | VmState::Ready => {
+                let state = self.node.state();
+                let listed = state.list.iter();
+                let gone = state.list_read
+                    && !listed
+                        .filter(|entry| entry.role == VmRole::Backend)
+                        .any(|entry| entry.id == *name);
+                gone.then_some(VmEvent::Failed)
+            }
+            VmState::Empty | VmState::Moving | VmState::Failed => None,
+        }
+    }
+
+    /// Does what a coordinator asks for, and what follows from it.
+    async fn work_off(&self, key: PoolKey, actions: Vec<PoolAction>) {
+        let mut actions = VecDeque::from(actions);
+        for _ in 0..MAX_ACTIONS {
+            let Some(action) = actions.pop_front() else {
+                return;
+            };
+            actions.extend(self.act(key, action).await);
+        }
+    }
+
+    async fn act(&self, key: PoolKey, action: PoolAction) -> Vec<PoolAction> {
+        match action {
+            PoolAction::Write(write) => {
+                let outcome = self.write_vm(&write).await;
+                let now = self.now_ms();
+                let mut coordinators = self.coordinators.lock();
+                let coordination = coordinators.get_mut(key);
+                coordination.map_or_else(Vec::new, |c| c.core.written(write.vm, outcome, now))
+            }
+            PoolAction::Read(vm) => self.read_vm(key, vm).await,
+            // Every entry VM reads the rows and follows them by itself.
+            PoolAction::StopNewWork(_) | PoolAction::ResumeWork(_) => Vec::new(),
+            // The next poll asks the platform, which starts a reboot once for each operation.
+            PoolAction::Reboot(_) => Vec::new(),
+            PoolAction::Abandoned { vm, .. } => {
+                if let Some(name) = self.coordinators.lock().name(key, vm) {
+                    self.node.record(&kinds::OPERATION_ABANDONED, &[&name]);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    async fn read_vm(&self, key: PoolKey, vm: VmKey) -> Vec<PoolAction> {
+        let Some(name) = self.coordinators.lock().name(key, vm) else {
+            return Vec::new();
+        };
+        let Ok(Some(read)) = self.platform.read(&format!("{VM}{name}")).await else {
+            return Vec::new();
+        };
+        let Some(row) = self.parse_row::<VmRecord>(&read) else {
+            return Vec::new();
+        };
+        let read = Versioned {
+            version: read.version,
+            row,
+        };
+        let now = self.now_ms();
+        let mut state = self.node.state();
+        state.put_vm_rows([(name.clone(), read.clone())]);
+        let mut coordinators = self.coordinators.lock();
+        let coordination = coordinators.get_mut(key);
+        coordination.map_or_else(Vec::new, |c| c.observe(&state, &name, &read, now))
+    }
+
+    /// Writes a VM's row while this entry VM coordinates its pool.
+    async fn write_vm(&self, write: &VmWrite) -> WriteOutcome {
+        let Some((vm, pool, record)) = self.record_of(write) else {
+            return WriteOutcome::Conflict;
+        };
+        let name = SmolStr::from(format!("{VM}{vm}"));
+        let pool_row = SmolStr::from(format!("{POOL}{pool}"));
+        let checks = vec![
+            Check {
+                key: name.clone(),
+                expected: Some(write.expected.0),
+            },
+            Check {
+                key: pool_row.clone(),
+                expected: Some(write.fence.version.0),
+            },
+        ];
+        let value = serde_json::to_value(&record).unwrap_or_default();
+        let tx = Transaction::new(checks, vec![Write::Put { key: name, value }]);
+        match commit_resolved(&self.platform, tx).await {
+            Ok(committed) => {
+                let Some((_, version)) = committed.versions.first() else {
+                    return WriteOutcome::Unknown;
+                };
+                let read = Versioned {
+                    version: *version,
+                    row: record.clone(),
+                };
+                let now = self.node.now();
+                let mut state = self.node.state();
+                state.put_vm_rows([(vm.clone(), read)]);
+                state.sync_servers(now);
+                drop(state);
+                let stage = record.state.to_string();
+                self.node
+                    .record(&kinds::VM_CHANGED, &[&vm, &record.pool, &stage]);
+                WriteOutcome::Written(snipevane_core::pools::RowVersion(*version))
+            }
+            Err(CommitError::Conflict { keys }) if keys.contains(&pool_row) => {
+                WriteOutcome::FenceLost
+            }
+            Err(CommitError::Conflict { .. } | CommitError::NotApplied(_)) => {
+                WriteOutcome::Conflict
+            }
+            Err(CommitError::Unknown(_)) => WriteOutcome::Unknown,
+        }
+    }
+
+    fn record_of(&self, write: &VmWrite) -> Option<(SmolStr, SmolStr, VmRecord)> {
+        let state = self.node.state();
+        let vm = self.coordinators.lock().name(write.fence.pool, write.vm)?;
+        let fenced = state.site.pools.get(write.fence.pool)?.name.clone();
+        let record = proto_row(&state.site, &write.row)?;
+        Some((vm, fenced, record))
+    }
+
+    /// Makes sure that a pool's coordinator works under the row and the configuration in force.
+    fn adopt(&self, key: PoolKey, pool: &SitePool, read: &Versioned<PoolCoordination>) {
+        // The state's lock comes before the coordinators' one everywhere.
+        let state = self.node.state();
+        let settings = Coordination::settings(&state.site, key, pool);
+        let version = state.site.version;
+        self.coordinators.lock().adopt(key, read, version, settings);
+    }
+}
--- a/crates/snipevane-entry/src/daemon.rs
+++ b/crates/snipevane-entry/src/daemon.rs
@@ -115,6 +115,7 @@
             node,
             platform,
             peers,
+            coordinators: Mutex::default(),
             fetch_plan: Mutex::new(fetch_plan),
         });
         let entry = Self {
@@ -208,14 +209,14 @@
     }
 
     fn accept_peers(&self, listener: TcpListener) {
-        let (node, stop) = (self.control.node.clone(), self.stop_loops.clone());
+        let (control, stop) = (self.control.clone(), self.stop_loops.clone());
         self.loops.spawn(async move {
             while let Some(stream) = accept(&listener, &stop).await {
-                let (node, stop) = (node.clone(), stop.clone());
+                let (control, stop) = (control.clone(), stop.clone());
                 tokio::spawn(async move {
                     tokio::select! {
                         () = stop.cancelled() => {}
-                        () = peer::serve_connection(node, stream) => {}
+                        () = peer::serve_connection(control, stream) => {}
                     }
                 });
             }
--- a/crates/snipevane-entry/src/journal/kinds.rs
+++ b/crates/snipevane-entry/src/journal/kinds.rs
@@ -57,5 +57,8 @@
     SERVER_ADDED = 1062 Info "backend server added" ["server", "service"];
     EXCHANGE_INTERRUPTED = 1070 Warn "exchange interrupted" ["server", "team", "exchange", "reason"];
     RUN_OVER_TIME = 1071 Warn "request ran over its longest time" ["server", "team", "exchange"];
+    POOL_TAKEN = 1072 Info "pool coordinated here" ["pool", "epoch"];
+    VM_CHANGED = 1073 Info "VM changed its state" ["vm", "pool", "state"];
+    OPERATION_ABANDONED = 1074 Warn "operation on a VM ended early" ["vm"];
     CALLER_REFUSED = 1080 Debug "request refused" ["status", "title", "detail"];
 }
--- a/crates/snipevane-entry/src/operator/listener.rs
+++ b/crates/snipevane-entry/src/operator/listener.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::de::DeserializeOwned;
 use snipevane_core::clock::Clock;
+use snipevane_proto::peer::Verb;
 use subtle::ConstantTimeEq;
 use tokio::io::{AsyncRead, AsyncWrite};
 
@@ -81,6 +82,12 @@
             Ok(req) => control.apply(req).await,
             Err(response) => response,
         },
+        (&Method::GET, ["v1", "pools"]) => control.list_pools(),
+        (&Method::POST, ["v1", "vms", vm, verb]) => match (verb_of(verb), read_json(body).await) {
+            (Some(verb), Ok(req)) => control.operate_vm(vm, verb, req).await,
+            (None, _) => refuse(&problem(StatusCode::NOT_FOUND, "unknown path", "")),
+            (_, Err(response)) => response,
+        },
         (&Method::GET, ["v1", "keys"]) => control.list_keys(),
         (&Method::POST, ["v1", "keys"]) => match read_json(body).await {
             Ok(req) => control.give_key(req).await,
@@ -91,6 +98,16 @@
     }
 }
 
+fn verb_of(name: &str) -> Option<Verb> {
+    match name {
+        "drain" => Some(Verb::Drain),
+        "cancel" => Some(Verb::Cancel),
+        "move" => Some(Verb::Move),
+        "reboot" => Some(Verb::Reboot),
+        _ => None,
+    }
+}
+
 async fn read_json<T: DeserializeOwned>(body: Incoming) -> Result<T, Response> {
     let bad = |detail: String| refuse(&problem(StatusCode::BAD_REQUEST, "malformed body", detail));
     let body: Bytes = match Limited::new(body, MAX_BODY_BYTES).collect().await {
--- a/crates/snipevane-entry/src/operator/mod.rs
+++ b/crates/snipevane-entry/src/operator/mod.rs
@@ -4,6 +4,7 @@
 mod events;
 mod keys;
 mod listener;
+mod pools;
 mod reply;
 mod status;
 
--- a/crates/snipevane-entry/src/peer/client.rs
+++ b/crates/snipevane-entry/src/peer/client.rs
@@ -8,7 +8,7 @@
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use parking_lot::Mutex;
 use rustc_hash::FxHashMap;
-use snipevane_proto::peer::{ConfigBody, Heartbeat};
+use snipevane_proto::peer::{ConfigBody, Heartbeat, Operate, Operated};
 
 use super::rpc::PeerApiClient;
 
@@ -60,6 +60,19 @@
         self.client(address)?.config(have).await
     }
 
+    /// Asks a pool's coordinator to carry out an operator's request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the client's error if no answer came back; the request may have been carried out.
+    pub(crate) async fn operate(
+        &self,
+        address: SocketAddr,
+        req: Operate,
+    ) -> Result<Operated, ClientError> {
+        self.client(address)?.operate(req).await
+    }
+
     fn client(&self, address: SocketAddr) -> Result<HttpClient, ClientError> {
         let mut clients = self.clients.lock();
         if let Some(client) = clients.get(&address) {
--- a/crates/snipevane-entry/src/peer/listener.rs
+++ b/crates/snipevane-entry/src/peer/listener.rs
@@ -22,6 +22,7 @@
 use tower::{BoxError, Service};
 
 use super::rpc::{PeerApiServer, PeerRpc};
+use crate::control::{Control, Platform};
 use crate::node::Node;
 use crate::request::{FORWARD, Head, Identity, Origin, Refusal, Reply, serve};
 
@@ -31,12 +32,13 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Serves one connection of a peer.
-pub(crate) async fn serve_connection<C: Clock>(
-    node: Arc<Node<C>>,
+pub(crate) async fn serve_connection<P: Platform, C: Clock>(
+    control: Arc<Control<P, C>>,
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
 ) {
     let (stop, _server) = stop_channel();
-    let methods: Methods = PeerRpc(node.clone()).into_rpc().into();
+    let node = control.node.clone();
+    let methods: Methods = PeerRpc(control).into_rpc().into();
     let config = ServerConfig::builder().max_connections(u32::MAX).build();
     let calls = Server::builder()
         .set_config(config)
--- a/crates/snipevane-entry/src/peer/rpc.rs
+++ b/crates/snipevane-entry/src/peer/rpc.rs
@@ -11,8 +11,11 @@
 use snipevane_core::clock::Clock;
 use snipevane_core::keys::KeyRow;
 use snipevane_core::shards::ShardName;
-use snipevane_proto::peer::{ConfigBody, Free, Heartbeat, KeyState, PROTOCOL, ShardState};
+use snipevane_proto::peer::{
+    ConfigBody, Free, Heartbeat, KeyState, Operate, Operated, PROTOCOL, ShardState,
+};
 
+use crate::control::{Control, Platform};
 use crate::journal::kinds;
 use crate::node::Node;
 
@@ -26,18 +29,22 @@
     #[method(name = "heartbeat")]
     async fn heartbeat(&self, heartbeat: Heartbeat) -> Result<Heartbeat, ErrorObjectOwned>;
 
+    /// Carries out an operator's request for a pool that the receiver coordinates.
+    #[method(name = "operate")]
+    async fn operate(&self, req: Operate) -> Result<Operated, ErrorObjectOwned>;
+
     /// Returns the configuration in force, as a change from the version `have` if possible.
     #[method(name = "config")]
     async fn config(&self, have: u64) -> Result<ConfigBody, ErrorObjectOwned>;
 }
 
 /// Answers the calls of peers.
-pub(crate) struct PeerRpc<C>(pub(crate) Arc<Node<C>>);
+pub(crate) struct PeerRpc<P, C>(pub(crate) Arc<Control<P, C>>);
 
 #[async_trait]
-impl<C: Clock> PeerApiServer for PeerRpc<C> {
+impl<P: Platform, C: Clock> PeerApiServer for PeerRpc<P, C> {
     async fn heartbeat(&self, heartbeat: Heartbeat) -> Result<Heartbeat, ErrorObjectOwned> {
-        let node = &self.0;
+        let node = &self.0.node;
         let vm = SmolStr::new(&heartbeat.vm);
         if let Err(reason) = node.on_heartbeat(&heartbeat) {
             node.record(&kinds::PEER_MESSAGE_REFUSED, &[&vm, &reason]);
@@ -51,7 +58,11 @@
     }
 
     async fn config(&self, have: u64) -> Result<ConfigBody, ErrorObjectOwned> {
-        Ok(self.0.config_body(have))
+        Ok(self.0.node.config_body(have))
+    }
+
+    async fn operate(&self, req: Operate) -> Result<Operated, ErrorObjectOwned> {
+        Ok(self.0.operate_here(req).await)
     }
 }
 
@@ -87,6 +98,7 @@
             keys_seen: merged,
             keys_seen_of: of,
             ceilings: state.ceilings_for(vm),
+            drained: state.drained_vms(),
             logical_time: self.journal.time_of_message(self.clock.unix_ms()),
         }
     }
--- a/crates/snipevane-entry/src/peer/table.rs
+++ b/crates/snipevane-entry/src/peer/table.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 use snipevane_core::limits::VersionDeal;
 use snipevane_core::shards::ShardName;
-use snipevane_proto::peer::Heartbeat;
+use snipevane_proto::peer::{DrainedVm, Heartbeat};
 use uuid::Uuid;
 
 /// A peer as its last heartbeat described it.
@@ -34,6 +34,8 @@
     pub(crate) platform_age: Duration,
     /// Shards that the peer holds.
     pub(crate) shards: Vec<ShardName>,
+    /// Draining VMs on which the peer runs nothing.
+    pub(crate) drained: Vec<DrainedVm>,
     /// Last change of a key at the peer that was merged here.
     pub(crate) keys_merged: u64,
     /// Last change of a key here that the peer has merged.
@@ -56,6 +58,7 @@
             settled: 0,
             platform_age: Duration::MAX,
             shards: Vec::new(),
+            drained: Vec::new(),
             keys_merged: 0,
             keys_confirmed: 0,
             clock_ahead: false,
@@ -178,6 +181,7 @@
         } else {
             0
         };
+        peer.drained.clone_from(&heartbeat.drained);
         let counts = |list: &[snipevane_proto::peer::Free]| {
             list.iter()
                 .map(|free| (SmolStr::new(&free.name), free.count))
--- a/crates/snipevane-entry/src/state/mod.rs
+++ b/crates/snipevane-entry/src/state/mod.rs
@@ -3,10 +3,12 @@
 mod ceilings;
 mod held;
 mod hints;
+mod pool_rows;
 mod servers;
 mod site_state;
 mod waiting;
 
 pub(crate) use held::{HeldShard, KeptAnswer};
+pub(crate) use pool_rows::{PoolRows, Versioned};
 pub(crate) use site_state::State;
 pub(crate) use waiting::{GrantParts, Waiter};
--- a/crates/snipevane-entry/src/state/servers.rs
+++ b/crates/snipevane-entry/src/state/servers.rs
@@ -26,7 +26,8 @@
             .map(|entry| {
                 (
                     entry.id.clone(),
-                    self.members.view(&entry.id, now) != VmView::Serving,
+                    self.members.view(&entry.id, now) != VmView::Serving
+                        || !self.takes_work(&entry.id),
                 )
             })
             .collect();
@@ -44,7 +45,7 @@
             };
             let members = self.list.iter().filter(|entry| {
                 let here = entry.role == VmRole::Backend && entry.zone == self.zone;
-                here && pool.vms.contains(&entry.id)
+                here && self.belongs_to(&entry.id, pool)
             });
             let slots = u16::try_from(slots).unwrap_or(u16::MAX);
             specs.extend(members.map(|entry| ServerSpec {
--- a/crates/snipevane-entry/src/state/site_state.rs
+++ b/crates/snipevane-entry/src/state/site_state.rs
@@ -19,7 +19,7 @@
 use snipevane_proto::manifest::Manifest;
 use uuid::Uuid;
 
-use super::{GrantParts, HeldShard, KeptAnswer, Waiter};
+use super::{GrantParts, HeldShard, KeptAnswer, PoolRows, Waiter};
 use crate::peer::Peers;
 
 /// Former versions that changes for peers can start from.
@@ -81,6 +81,8 @@
     pub(crate) other_zone_heard: Option<Instant>,
     /// Highest ceilings that shards' holders have announced, in Unix milliseconds.
     pub(crate) ceilings: FxHashMap<ShardName, u64>,
+    /// Rows of pools and VMs.
+    pub(crate) pool_rows: PoolRows,
     /// Identifiers are claimed only once every shard is known to use the same list of shards.
     pub(crate) claims_blocked: bool,
 }
@@ -115,6 +117,7 @@
             config_row: None,
             other_zone_heard: None,
             ceilings: FxHashMap::default(),
+            pool_rows: PoolRows::default(),
             claims_blocked: false,
         }
     }
--- a/crates/snipevane-platform/src/client.rs
+++ b/crates/snipevane-platform/src/client.rs
@@ -15,8 +15,8 @@
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use snipevane_core::clock::{Clock, SystemClock};
 use snipevane_proto::platform::{
-    self as message, CLIENT, COMMIT_PATH, LEASE_PATH, OBJECTS_PATH, READ_PATH, SCAN_PATH,
-    TASK_PATH, VMS_PATH, WORKERS_PATH,
+    self as message, CLIENT, COMMIT_PATH, LEASE_PATH, OBJECTS_PATH, READ_PATH, REBOOT_PATH,
+    SCAN_PATH, TASK_PATH, VMS_PATH, WORKERS_PATH,
 };
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
@@ -296,6 +296,16 @@
         let vms: message::Vms = self.call_read(Call::get(VMS_PATH)).await?.parse()?;
         vms.vms.into_iter().map(TryInto::try_into).collect()
     }
+
+    async fn reboot(&self, vm: &str, operation: u64) -> Result<bool, PlatformError> {
+        let req = message::RebootRequest {
+            id: vm.to_owned(),
+            operation,
+        };
+        let answer = self.call_read(Call::post(REBOOT_PATH, &req)?).await?;
+        let state: message::RebootState = answer.parse()?;
+        Ok(state.booted)
+    }
 }
 
 impl<C: Clock> Workers for PlatformClient<C> {
--- a/crates/snipevane-platform/src/vm_list.rs
+++ b/crates/snipevane-platform/src/vm_list.rs
@@ -34,4 +34,17 @@
     ///
     /// Returns an error if the platform didn't answer with the whole list.
     fn list(&self) -> impl Future<Output = Result<Vec<VmEntry>, PlatformError>> + Send;
+
+    /// Reboots a VM, once for each operation; returns whether it's up again.
+    ///
+    /// A repeated call with the same operation starts nothing and tells how far the reboot is.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform didn't answer; the reboot may have started.
+    fn reboot(
+        &self,
+        vm: &str,
+        operation: u64,
+    ) -> impl Future<Output = Result<bool, PlatformError>> + Send;
 }
--- a/crates/snipevane-proto/src/operator.rs
+++ b/crates/snipevane-proto/src/operator.rs
@@ -2,8 +2,8 @@
 
 pub use crate::generated::operator::{
     Applied, ApplyRequest, Config, DroppedEvents, Event, Events, GiveKey, GivenKey, KeyInfo,
-    PeerStatus, Problem, ProblemFinding, ProcessId, ServerStatus, Status, TeamStatus, Timeline,
-    Withdrawal,
+    OperateRequest, Operated, PeerStatus, PoolStatus, PoolVm, Problem, ProblemFinding, ProcessId,
+    ServerStatus, Status, TeamStatus, Timeline, Withdrawal,
 };
 
 /// Media type of refusals.
--- a/crates/snipevane-proto/src/peer.rs
+++ b/crates/snipevane-proto/src/peer.rs
@@ -1,7 +1,8 @@
 //! What entry VMs tell each other.
 
 pub use crate::generated::peer::{
-    ConfigBody, ConfigChange, Forward, Free, Heartbeat, KeyState, Purpose, ShardCeiling, ShardState,
+    ConfigBody, ConfigChange, DrainedVm, Forward, Free, Heartbeat, KeyState, Operate, Operated,
+    Purpose, ShardCeiling, ShardState, Verb,
 };
 
 /// Version of the protocol between entry VMs.
--- a/crates/snipevane-proto/src/platform.rs
+++ b/crates/snipevane-proto/src/platform.rs
@@ -2,10 +2,11 @@
 
 pub use crate::generated::platform::{
     Answer, BackendFaults, BackendRecord, Check, CommitEntry, CommitResult, Committed, Conflict,
-    Delete, LeaseRequest, PlatformFaults, PlatformRecord, Put, ReadRequest, Resources, Row, Rows,
-    RunEntry, ScanRequest, SecondEntry, StartTask, TaskAction, TaskCommand, TaskReport, TaskRun,
-    TaskSpec, TaskState, ThrottleTask, Transaction, Vm, VmRole, VmState, Vms, WorkerRefusal,
-    WorkerReport, WorkerReports, WorkerSpec, WorkerSpecs, Write, WrittenRow,
+    Delete, LeaseRequest, PlatformFaults, PlatformRecord, Put, ReadRequest, RebootEntry,
+    RebootRequest, RebootState, Resources, Row, Rows, RunEntry, ScanRequest, SecondEntry,
+    StartTask, TaskAction, TaskCommand, TaskReport, TaskRun, TaskSpec, TaskState, ThrottleTask,
+    Transaction, Vm, VmRole, VmState, Vms, WorkerRefusal, WorkerReport, WorkerReports, WorkerSpec,
+    WorkerSpecs, Write, WrittenRow,
 };
 
 /// Header in which a client of the platform gives its name.
@@ -20,6 +21,8 @@
 pub const OBJECTS_PATH: &str = "/objects/";
 /// Path of the VM list.
 pub const VMS_PATH: &str = "/vms";
+/// Path of the call that reboots a VM.
+pub const REBOOT_PATH: &str = "/vms/reboot";
 /// Path of the workers' reports.
 pub const WORKERS_PATH: &str = "/workers";
 /// Path that takes or renews the lease on a worker.
--- a/crates/snipevane-proto/src/rows.rs
+++ b/crates/snipevane-proto/src/rows.rs
@@ -1,6 +1,9 @@
 //! Rows of the platform's table.
 
-pub use crate::generated::rows::{ConfigHead, ConfigVersion, KeyRecord, ShardHolder};
+pub use crate::generated::rows::{
+    ConfigHead, ConfigVersion, KeyRecord, OperationName, OperationRecord, PoolCoordination,
+    ShardHolder, VmRecord, VmStage,
+};
 
 /// Key of the row that names the accepted configuration.
 pub const CONFIG_HEAD: &str = "config/head";
@@ -12,3 +15,7 @@
 pub const SHARD: &str = "shard/";
 /// Prefix of the rows of keys.
 pub const KEY: &str = "key/";
+/// Prefix of the rows of pools' coordinators.
+pub const POOL: &str = "pool/";
+/// Prefix of the rows of VMs.
+pub const VM: &str = "vm/";
--- a/crates/snipevane-standin/src/platform/handler.rs
+++ b/crates/snipevane-standin/src/platform/handler.rs
@@ -11,13 +11,14 @@
 use snipevane_core::clock::{Clock, SystemClock};
 use snipevane_proto::platform::{
     CLIENT, COMMIT_PATH, CommitEntry, CommitResult, Committed, Conflict, FAULTS_PATH, LEASE_PATH,
-    LeaseRequest, OBJECTS_PATH, PlatformFaults, PlatformRecord, READ_PATH, RECORD_PATH,
-    ReadRequest, Rows, SCAN_PATH, ScanRequest, TASK_PATH, TaskCommand, Transaction, VMS_PATH, Vm,
-    Vms, WORKERS_PATH, WorkerRefusal, WorkerReports, WorkerSpec, WorkerSpecs, Write,
+    LeaseRequest, OBJECTS_PATH, PlatformFaults, PlatformRecord, READ_PATH, REBOOT_PATH,
+    RECORD_PATH, ReadRequest, Rows, SCAN_PATH, ScanRequest, TASK_PATH, TaskCommand, Transaction,
+    VMS_PATH, Vm, Vms, WORKERS_PATH, WorkerRefusal, WorkerReports, WorkerSpec, WorkerSpecs, Write,
 };
 use tokio::sync::oneshot;
 
 use super::rate::Rate;
+use super::reboots::Reboots;
 use super::record::Record;
 use super::settings::PlatformStandinSettings;
 use super::store::Store;
@@ -41,6 +42,7 @@
     store: Store,
     vms: LaggingList,
     workers: WorkerFleet,
+    reboots: Reboots,
     record: Record,
     reads: Rate,
     writes: Rate,
@@ -55,6 +57,7 @@
             store: Store::default(),
             vms: LaggingList::new(settings.vms.clone()),
             workers: WorkerFleet::default(),
+            reboots: Reboots::default(),
             record: Record::default(),
             reads: Rate::new(settings.reads_per_second, now),
             writes: Rate::new(settings.writes_per_second, now),
@@ -78,6 +81,7 @@
         let state = &mut *self.state.lock();
         PlatformRecord {
             task_runs: state.workers.runs(unix_us()),
+            reboots: state.reboots.entries(),
             ..state.record.snapshot()
         }
     }
@@ -173,6 +177,7 @@
                 let workers = state.workers.reports(now_us.saturating_sub(lag_us), now_us);
                 Ok(json(StatusCode::OK, &WorkerReports { workers }))
             }
+            (&Method::POST, REBOOT_PATH) => Ok(state.reboot(&body)),
             (&Method::POST, LEASE_PATH) => state.lease(&body),
             (&Method::POST, TASK_PATH) => state.command(&body),
             _ => Ok(text(StatusCode::NOT_FOUND, "no such call")),
@@ -181,6 +186,13 @@
 }
 
 impl State {
+    fn reboot(&mut self, body: &[u8]) -> Response<Full<Bytes>> {
+        match serde_json::from_slice(body) {
+            Ok(req) => json(StatusCode::OK, &self.reboots.ask(req, unix_us())),
+            Err(error) => text(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
     fn lease(&mut self, body: &[u8]) -> Answer {
         let req: LeaseRequest = match serde_json::from_slice(body) {
             Ok(req) => req,
--- a/crates/snipevane-standin/src/platform/mod.rs
+++ b/crates/snipevane-standin/src/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod handler;
 mod rate;
+mod reboots;
 mod record;
 mod server;
 mod settings;
--- a/crates/snipevane-standin/src/platform/record.rs
+++ b/crates/snipevane-standin/src/platform/record.rs
@@ -45,6 +45,7 @@
             commits: self.commits.iter().cloned().collect(),
             seconds: self.seconds.values().cloned().collect(),
             task_runs: Vec::new(),
+            reboots: Vec::new(),
         }
     }
 }
--- a/tests/tests/cli_site.rs
+++ b/tests/tests/cli_site.rs
@@ -160,6 +160,7 @@
         }
         .pack(),
         ceilings: vec![],
+        drained: vec![],
         config_version: 0,
         free_slots: vec![],
         free_units: vec![],
