--- a/crates/snipevane-core/src/limits/deals.rs
+++ b/crates/snipevane-core/src/limits/deals.rs
@@ -12,6 +12,7 @@
 const TEAM_GRAINS: Grains = Grains {
     least_units: 64,
     max_holders: 8,
+    zone_units: 1,
 };
 
 /// Limits of all teams and the shards that they are dealt out to, under one version.
--- a/crates/snipevane-core/src/shards/deal.rs
+++ b/crates/snipevane-core/src/shards/deal.rs
@@ -10,10 +10,12 @@
 /// How few shards hold a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grains {
-    /// Units that each holder has at least, but for the one unit of a zone.
+    /// Units that each holder has at least, but for those of a zone.
     pub least_units: u32,
-    /// Most holders beside those of one unit for a zone; up to as many shards, the deal is even.
+    /// Most holders beside those for a zone; up to as many shards, the deal is even.
     pub max_holders: u32,
+    /// Units that each zone gets first if that takes at most half of all.
+    pub zone_units: u32,
 }
 
 /// Shards with their hashes, for repeated look-ups.
@@ -69,22 +71,21 @@
 
     /// Deals out a number of units to few shards; the result sums exactly to `total`.
     ///
-    /// Each zone gets one unit if that takes at most half of the units, so that a zone that is cut
-    /// off can go on. The rest lies evenly on as many shards as `grains` allows. Fewer holders use
+    /// Each zone gets some units first, so that a zone that is cut off can go on. The rest lies evenly on as many shards as `grains` allows. Fewer holders use
     /// the units up more evenly, at the cost of a hop from the shards that have none.
     pub fn deal_in_grains(&self, total: u32, salt: &str, grains: Grains) -> Vec<u32> {
         let mut units = vec![0; self.names.len()];
         let ranked = self.ranked(salt);
-        let count = u32::try_from(ranked.len()).unwrap_or(u32::MAX);
-        if count <= grains.max_holders {
+        if count_of(&ranked) <= grains.max_holders {
             return self.deal(total, salt);
         }
         let mut rest = total;
         let bases = self.first_of_each_zone(&ranked);
-        if bases.len() <= (total / 2) as usize {
+        let for_zones = grains.zone_units.saturating_mul(count_of(&bases));
+        if for_zones <= total / 2 {
+            rest -= for_zones;
             for index in bases {
-                units[index] = 1;
-                rest -= 1;
+                units[index] = grains.zone_units;
             }
         }
         let holders = (rest / grains.least_units.max(1)).min(grains.max_holders);
@@ -122,6 +123,10 @@
     ShardSet::new(shards.to_vec()).owner(id)
 }
 
+fn count_of(shards: &[usize]) -> u32 {
+    u32::try_from(shards.len()).unwrap_or(u32::MAX)
+}
+
 fn seed_of_shard(name: &ShardName) -> u64 {
     seed(name.to_string().as_bytes())
 }
--- a/crates/snipevane-measure/src/limits/mod.rs
+++ b/crates/snipevane-measure/src/limits/mod.rs
@@ -19,7 +19,7 @@
 /// Length of a run, in milliseconds.
 const LENGTH_MS: f64 = 30_000.0;
 
-const WAYS: [Way; 15] = [
+const WAYS: [Way; 17] = [
     way(Deal::Even, Choice::Holder, 0),
     way(Deal::Even, Choice::Holder, 1),
     way(Deal::Even, Choice::ZoneFirst, 1),
@@ -35,12 +35,23 @@
     way(grains(16, 8), Choice::Holder, 3),
     way(grains(1, 8), Choice::Holder, 3),
     way(grains(8, 4), Choice::Holder, 3),
+    way(without_zones(64, 8), Choice::Holder, 3),
+    way(without_zones(1, 1), Choice::Holder, 1),
 ];
 
 const fn grains(least_units: u32, max_holders: u32) -> Deal {
     Deal::Grains(Grains {
         least_units,
         max_holders,
+        zone_units: 1,
+    })
+}
+
+const fn without_zones(least_units: u32, max_holders: u32) -> Deal {
+    Deal::Grains(Grains {
+        least_units,
+        max_holders,
+        zone_units: 0,
     })
 }
 
--- a/crates/snipevane-measure/src/limits/way.rs
+++ b/crates/snipevane-measure/src/limits/way.rs
@@ -12,7 +12,7 @@
 pub(super) enum Deal {
     /// The same for each shard, but for the remainder.
     Even,
-    /// One unit for each zone, the rest on few shards.
+    /// Some units for each zone, the rest on few shards.
     Grains(Grains),
 }
 
@@ -62,13 +62,10 @@
     pub(super) fn name(self) -> String {
         let deal = match self.deal {
             Deal::Even => "even".to_owned(),
-            Deal::Grains(grains) => {
-                let Grains {
-                    least_units,
-                    max_holders,
-                } = grains;
-                format!("grains of {least_units}, {max_holders} holders")
-            }
+            Deal::Grains(grains) => format!(
+                "grains of {}, {} holders, {} a zone",
+                grains.least_units, grains.max_holders, grains.zone_units
+            ),
         };
         if self.attempts == 0 {
             return format!("{deal}, no forwarding");
--- a/tests/tests/shards.rs
+++ b/tests/tests/shards.rs
@@ -219,6 +219,7 @@
     let grains = Grains {
         least_units: grain,
         max_holders: 16,
+        zone_units: 1,
     };
     let units = set.deal_in_grains(limit, "ledger", grains);
     assert_eq!(units.iter().sum::<u32>(), limit);
