--- a/crates/snipevane-cli/src/flags.rs
+++ b/crates/snipevane-cli/src/flags.rs
@@ -31,6 +31,8 @@
             optional --based-on version: u64
             /// Waits until every entry VM that is known has the version in force.
             optional --wait
+            /// Longest wait; 60s if absent.
+            optional --wait-limit time: Age
         }
 
         /// Gives, withdraws and lists keys of teams.
@@ -61,5 +63,11 @@
             /// Shows only events of this VM.
             optional --vm vm: String
         }
+
+        /// Runs a small site inside one process and prints what its stand-ins recorded.
+        cmd demo {
+            /// Keeps the site up and prints commands to try.
+            optional --stay
+        }
     }
 }
--- a/crates/snipevane-core/benches/routing.rs
+++ b/crates/snipevane-core/benches/routing.rs
@@ -16,6 +16,8 @@
 
 const SERVERS: [usize; 4] = [50, 325, 1_300, 2_600];
 const TEAMS: [usize; 3] = [6, 40, 320];
+/// Longer than any bench runs, so that no request expires.
+const LONGEST_WAIT: Duration = Duration::from_secs(36_000);
 const ANSWERED: Report = Report::Answered {
     latency: Duration::from_millis(20),
 };
@@ -89,7 +91,7 @@
         let waiting = Waiting {
             team,
             urgency: Urgency::Normal,
-            start_by: self.now + Duration::from_secs(30),
+            start_by: self.now + LONGEST_WAIT,
             item: 0,
         };
         let pushed = self.queue.push(waiting, self.now);
@@ -148,6 +150,43 @@
     }
 }
 
+/// A pop while no team can start anything, one hold after the other.
+fn blocked_queue(c: &mut Criterion) {
+    let mut group = c.benchmark_group("pop with all teams at their limits");
+    for teams in TEAMS {
+        let mut entry_vm = EntryVm::new(50, teams);
+        group.bench_function(BenchmarkId::from_parameter(teams), |b| {
+            b.iter(|| {
+                entry_vm.now += Duration::from_micros(50);
+                black_box(entry_vm.queue.pop(entry_vm.now, |_| false).is_none());
+            });
+        });
+    }
+}
+
+/// Cancels and pushes again in a queue that is full of other requests.
+fn cancel(c: &mut Criterion) {
+    let mut group = c.benchmark_group("push and cancel");
+    for teams in TEAMS {
+        let mut entry_vm = EntryVm::new(50, teams);
+        let team = entry_vm.teams[0];
+        let now = entry_vm.now;
+        group.bench_function(BenchmarkId::from_parameter(teams), |b| {
+            b.iter(|| {
+                let waiting = Waiting {
+                    team,
+                    urgency: Urgency::Normal,
+                    start_by: now + LONGEST_WAIT,
+                    item: 0,
+                };
+                if let Ok(key) = entry_vm.queue.push(waiting, now) {
+                    black_box(entry_vm.queue.cancel(key).is_some());
+                }
+            });
+        });
+    }
+}
+
 fn decision(c: &mut Criterion) {
     let mut group = c.benchmark_group("key, limit, queue and route");
     for (servers, teams) in [(50, 6), (325, 40), (2_600, 320)] {
@@ -162,5 +201,5 @@
     }
 }
 
-criterion_group!(benches, router, queue, decision);
+criterion_group!(benches, router, queue, blocked_queue, cancel, decision);
 criterion_main!(benches);
--- a/crates/snipevane-entry/src/peer/rpc.rs
+++ b/crates/snipevane-entry/src/peer/rpc.rs
@@ -26,9 +26,9 @@
     #[method(name = "heartbeat")]
     async fn heartbeat(&self, heartbeat: Heartbeat) -> Result<Heartbeat, ErrorObjectOwned>;
 
-    /// Returns the configuration in force.
+    /// Returns the configuration in force, as a change from the version `have` if possible.
     #[method(name = "config")]
-    async fn config(&self) -> Result<ConfigBody, ErrorObjectOwned>;
+    async fn config(&self, have: u64) -> Result<ConfigBody, ErrorObjectOwned>;
 }
 
 /// Answers the calls of peers.
@@ -50,13 +50,8 @@
         Ok(node.heartbeat_for(&vm))
     }
 
-    async fn config(&self) -> Result<ConfigBody, ErrorObjectOwned> {
-        let state = self.0.state();
-        Ok(ConfigBody {
-            version: state.site.version,
-            manifest: state.manifest.to_string(),
-            former: state.former.iter().map(ToString::to_string).collect(),
-        })
+    async fn config(&self, have: u64) -> Result<ConfigBody, ErrorObjectOwned> {
+        Ok(self.0.config_body(have))
     }
 }
 
@@ -65,10 +60,9 @@
     pub(crate) fn heartbeat_for(&self, vm: &str) -> Heartbeat {
         let now = self.now();
         let state = self.state();
-        let (merged, confirmed) = state
-            .peers
-            .get(vm)
-            .map_or((0, 0), |peer| (peer.keys_merged, peer.keys_confirmed));
+        let (merged, confirmed, of) = state.peers.get(vm).map_or((0, 0, None), |peer| {
+            (peer.keys_merged, peer.keys_confirmed, peer.incarnation)
+        });
         let (rows, keys_sequence) = state.keys.changes_since(confirmed);
         let keys = rows.map(key_state).collect();
         let platform_age = state
@@ -89,7 +83,9 @@
             free_slots: state.free_slots(),
             keys,
             keys_sequence,
+            keys_since: confirmed,
             keys_seen: merged,
+            keys_seen_of: of,
             ceilings: state.ceilings_for(vm),
             logical_time: self.journal.time_of_message(self.clock.unix_ms()),
         }
@@ -116,11 +112,14 @@
             .iter()
             .map(key_row)
             .collect::<Result<Vec<_>, _>>()?;
-        self.journal
+        let time = self
+            .journal
             .observe(heartbeat.logical_time, self.clock.unix_ms());
         let now = self.now();
         let mut state = self.state();
-        let news = state.peers.on_heartbeat(heartbeat, address, now);
+        let news = state
+            .peers
+            .on_heartbeat(heartbeat, address, self.incarnation, now);
         if heartbeat.zone != state.zone.as_str() {
             state.other_zone_heard = Some(now);
         }
@@ -135,7 +134,14 @@
             };
             state.confirm(&name, heartbeat.settled_version);
         }
+        let drift_news = state.peers.note_drift(&heartbeat.vm, time.is_err());
         drop(state);
+        if let Err(drift) = time
+            && drift_news
+        {
+            let ahead_ms = drift.ahead.as_millis();
+            self.record(&kinds::PEER_CLOCK_AHEAD, &[&heartbeat.vm, &ahead_ms]);
+        }
         if news {
             self.record(
                 &kinds::PEER_REACHABLE,
--- a/crates/snipevane-entry/src/state/site_state.rs
+++ b/crates/snipevane-entry/src/state/site_state.rs
@@ -22,6 +22,8 @@
 use super::{GrantParts, HeldShard, KeptAnswer, Waiter};
 use crate::peer::Peers;
 
+/// Former versions that changes for peers can start from.
+const RECENT_VERSIONS: usize = 4;
 /// Weight of requests without a key in open queues.
 const OPEN_SHARE: u32 = 1;
 
@@ -35,6 +37,8 @@
     pub(crate) site: Site,
     /// Text of the manifest in force, as it was accepted.
     pub(crate) manifest: Arc<str>,
+    /// Versions that were in force before, oldest first, with their manifests' texts.
+    pub(crate) recent: Vec<(u64, Arc<str>)>,
     /// Shards of the configuration in force.
     pub(crate) shards: ShardSet,
     /// Deal of the limits in force.
@@ -89,6 +93,7 @@
             zone,
             site: Site::default(),
             manifest: Arc::from(""),
+            recent: Vec::new(),
             shards: ShardSet::new(Vec::new()),
             deal: VersionDeal::default(),
             former: Vec::new(),
@@ -129,8 +134,14 @@
             return false;
         }
         let first = self.site.version == 0;
+        self.recent.push((
+            self.site.version,
+            std::mem::replace(&mut self.manifest, text),
+        ));
+        if self.recent.len() > RECENT_VERSIONS {
+            self.recent.remove(0);
+        }
         self.site.apply(version, manifest);
-        self.manifest = text;
         let names = shard_names(&self.site);
         if !first && names != self.shards.names() {
             // An identifier may now belong to another shard, whose holder doesn't know it.
@@ -205,7 +216,7 @@
     pub(crate) fn use_ready_shards(&mut self, now: Instant) {
         let mut ready = Vec::new();
         for shard in &mut self.held {
-            if !shard.usable && shard.usable_at <= now {
+            if !shard.usable && !shard.closing && shard.usable_at <= now {
                 shard.usable = true;
                 ready.push(shard.name.clone());
             }
@@ -333,7 +344,8 @@
         VersionDeal::new(site.version, names, former, slots)
     }
 
-    fn is_within_deal(&self, version: u64) -> bool {
+    /// Tells whether what runs here is within a version's deal.
+    pub(crate) fn is_within_deal(&self, version: u64) -> bool {
         let units = self
             .limit_deals
             .settled(version, self.limits.in_use_by_names());
--- a/crates/snipevane-measure/src/flags.rs
+++ b/crates/snipevane-measure/src/flags.rs
@@ -29,6 +29,13 @@
             /// Seeds the demand and the faults.
             optional --seed seed: u64
         }
+        /// Runs the gossip between entry VMs at several sizes.
+        cmd gossip {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Seeds the choice of peers and the losses.
+            optional --seed seed: u64
+        }
         /// Runs ways of routing side by side under bursts.
         cmd routing {
             /// Prints JSON in place of the table.
@@ -66,6 +73,25 @@
             /// Seeds the demand and the jitter.
             optional --seed seed: u64
         }
+        /// Measures what entry VMs spend on control, and how they treat the platform around an outage.
+        cmd control {
+            /// Prints JSON in place of the table.
+            optional --json
+            /// Numbers of entry VMs, by default 2, 4 and 8.
+            repeated --entries count: usize
+        }
+        /// Measures the request path over processes on loopback, direct and through an entry VM.
+        cmd path {
+            /// Prints JSON in place of the table.
+            optional --json
+        }
+        /// Runs one process of the request path's measurement, which starts it by itself.
+        cmd part {
+            /// One of entry, platform, backend.
+            required kind: String
+            /// Settings file.
+            required settings: PathBuf
+        }
     }
 }
 
--- /dev/null
+++ b/crates/snipevane-measure/src/site/measured_site.rs
@@ -0,0 +1,285 @@
+//! The site that is measured: entry VMs and backend servers of one zone.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+use snipevane_proto::platform::{
+    FAULTS_PATH, PlatformFaults, PlatformRecord, RECORD_PATH, VMS_PATH,
+};
+use uuid::Uuid;
+
+use super::process::Part;
+use crate::error::MeasureError;
+
+/// Attempts to get an answer from a site that is starting.
+const READY_ATTEMPTS: usize = 200;
+/// Pause between two of these attempts.
+const READY_PAUSE: Duration = Duration::from_millis(50);
+/// Operators' key.
+const OPERATOR_KEY: &str = "operator-key-of-the-measurement";
+/// Key between entry VMs.
+const PEER_KEY: &str = "peer-key-of-the-measurement";
+/// Any free port.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Size of a site.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SiteSize {
+    /// Entry VMs.
+    pub(crate) entries: usize,
+    /// Backend servers.
+    pub(crate) backends: usize,
+    /// Requests that one backend server runs at once.
+    pub(crate) slots: usize,
+}
+
+/// The processes of the site.
+pub(crate) struct MeasuredSite {
+    entries: Vec<Part>,
+    backends: Vec<Part>,
+    platform: Part,
+    http: HttpClient,
+    key: String,
+}
+
+impl MeasuredSite {
+    /// Starts all processes and waits until the entry VM serves.
+    pub(crate) async fn start(size: SiteSize) -> Result<Self, MeasureError> {
+        let platform = Part::start("platform", &json!({ "listen": ANY_PORT }))?;
+        let mut site = Self {
+            entries: Vec::new(),
+            backends: Vec::new(),
+            http: Client::builder(TokioExecutor::new()).build_http(),
+            key: String::new(),
+            platform,
+        };
+        for number in 0..size.backends {
+            let settings = json!({ "name": backend_name(number), "slots": size.slots });
+            site.backends.push(Part::start("backend", &settings)?);
+        }
+        for number in 0..size.entries {
+            let settings = entry_settings(number, site.platform.addresses[0]);
+            site.entries.push(Part::start("entry", &settings)?);
+        }
+        site.post_platform(VMS_PATH, &site.vm_list()).await?;
+        let apply = json!({
+            "based_on": 0, "write_id": Uuid::now_v7(), "manifest": manifest(size)
+        });
+        site.post_operator("/v1/config", &apply).await?;
+        let give = json!({ "team": "ledger" });
+        let given = site.post_operator("/v1/keys", &give).await?;
+        site.key = given["key"].as_str().unwrap_or_default().to_owned();
+        site.wait_until_ready().await?;
+        Ok(site)
+    }
+
+    /// Sets the fault switches of the platform.
+    pub(crate) async fn set_faults(&self, faults: &PlatformFaults) -> Result<(), MeasureError> {
+        let faults = serde_json::to_value(faults)?;
+        self.post_platform(FAULTS_PATH, &faults).await?;
+        Ok(())
+    }
+
+    /// Fetches the platform's record.
+    pub(crate) async fn platform_record(&self) -> Result<PlatformRecord, MeasureError> {
+        let place = format!("{}{RECORD_PATH}", self.platform.addresses[0]);
+        let record = call(&self.http, Method::GET, &place, &Value::Null).await?;
+        Ok(serde_json::from_value(record)?)
+    }
+
+    /// Returns the addresses of the backend servers.
+    pub(crate) fn backend_addresses(&self) -> Vec<SocketAddr> {
+        self.backends.iter().map(|part| part.addresses[0]).collect()
+    }
+
+    /// Returns the address of the first entry VM for callers.
+    pub(crate) fn caller_address(&self) -> SocketAddr {
+        self.entries[0].addresses[0]
+    }
+
+    /// Returns the key of a team.
+    pub(crate) fn key(&self) -> &str {
+        &self.key
+    }
+
+    /// Returns the resident memory of the first entry VM, in kilobytes.
+    pub(crate) fn entry_rss_kb(&self) -> io::Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.entries[0].id()))?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+        number.ok_or_else(|| io::Error::other("no resident memory in the process's status"))
+    }
+
+    /// Returns the processor time that the entry VMs and the backend servers have used.
+    pub(crate) fn cpu_times(&self) -> io::Result<CpuTimes> {
+        let sum = |parts: &[Part]| -> io::Result<Duration> {
+            parts.iter().map(|part| cpu_time(part.id())).sum()
+        };
+        Ok(CpuTimes {
+            entries: sum(&self.entries)?,
+            backends: sum(&self.backends)?,
+        })
+    }
+
+    /// Waits until the entry VM has taken its shard and all slots are usable.
+    async fn wait_until_ready(&self) -> Result<(), MeasureError> {
+        let mut served = 0;
+        for _ in 0..READY_ATTEMPTS {
+            served += usize::from(self.serves().await);
+            // Raised deals become usable a poll or two after the first answer.
+            if served > READY_ATTEMPTS / 4 {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_PAUSE).await;
+        }
+        Err(io::Error::other("the entry VM doesn't serve").into())
+    }
+
+    async fn serves(&self) -> bool {
+        let place = format!("{}/v1/queues/ticks/probe", self.caller_address());
+        let authorization = format!("Bearer {}", self.key);
+        let answer = send(
+            &self.http,
+            Method::POST,
+            &place,
+            &authorization,
+            &Value::Null,
+        )
+        .await;
+        answer.is_ok_and(|(status, _)| status == StatusCode::OK)
+    }
+
+    async fn post_platform(&self, path: &str, body: &Value) -> Result<Value, MeasureError> {
+        let place = format!("{}{path}", self.platform.addresses[0]);
+        call(&self.http, Method::POST, &place, body).await
+    }
+
+    async fn post_operator(&self, path: &str, body: &Value) -> Result<Value, MeasureError> {
+        let place = format!("{}{path}", self.entries[0].addresses[2]);
+        call(&self.http, Method::POST, &place, body).await
+    }
+
+    fn vm_list(&self) -> Value {
+        let vm = |id: &str, role: &str, address: SocketAddr| {
+            json!({
+                "id": id, "role": role, "address": address.to_string(),
+                "zone": "a", "rack": "r1", "state": "live"
+            })
+        };
+        let backends = self.backends.iter().enumerate();
+        let mut vms: Vec<_> = backends
+            .map(|(number, part)| vm(&backend_name(number), "backend", part.addresses[0]))
+            .collect();
+        let entries = self.entries.iter().enumerate();
+        vms.extend(
+            entries.map(|(number, part)| vm(&entry_name(number), "entry", part.addresses[1])),
+        );
+        json!({ "vms": vms })
+    }
+}
+
+/// Processor time used since the start of the processes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CpuTimes {
+    /// By all entry VMs.
+    pub(crate) entries: Duration,
+    /// By all backend servers.
+    pub(crate) backends: Duration,
+}
+
+/// Returns the processor time that a process's threads have used.
+fn cpu_time(process: u32) -> io::Result<Duration> {
+    let mut total = Duration::ZERO;
+    for thread in std::fs::read_dir(format!("/proc/{process}/task"))? {
+        let text = std::fs::read_to_string(thread?.path().join("schedstat"))?;
+        let nanos = text.split_whitespace().next().and_then(|n| n.parse().ok());
+        total += Duration::from_nanos(nanos.unwrap_or_default());
+    }
+    Ok(total)
+}
+
+/// Returns the machine's load average over a minute, as the system prints it.
+pub(crate) fn load_average() -> String {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let first = text.split_whitespace().next();
+    first.unwrap_or("unknown").to_owned()
+}
+
+fn backend_name(number: usize) -> String {
+    format!("backend-{number}")
+}
+
+fn entry_name(number: usize) -> String {
+    format!("entry-{number}")
+}
+
+fn entry_settings(number: usize, platform: SocketAddr) -> Value {
+    json!({
+        "vm": entry_name(number), "zone": "a",
+        "caller_address": ANY_PORT, "peer_address": ANY_PORT, "operator_address": ANY_PORT,
+        "platform_address": platform.to_string(),
+        "peer_key": PEER_KEY, "operator_key": OPERATOR_KEY, "log_level": "error"
+    })
+}
+
+fn manifest(size: SiteSize) -> Value {
+    let vms: Vec<_> = (0..size.backends).map(backend_name).collect();
+    json!({
+        "site": "measured",
+        "zones": [{ "name": "a", "region": "r", "shards": size.entries }],
+        "teams": [{ "name": "ledger", "customer": "kandyan", "share": 1, "limit": 1000 }],
+        "pools": [
+            { "name": "checklists", "jobs": ["rollup"], "vms": vms },
+            { "name": "spare", "spare": true }
+        ],
+        "services": [{
+            "name": "rollup", "pool": "checklists", "slots": size.slots,
+            "unavailable_budget_percent": 50
+        }],
+        "queues": [{ "name": "ticks", "service": "rollup" }]
+    })
+}
+
+async fn call(
+    http: &HttpClient,
+    method: Method,
+    place: &str,
+    body: &Value,
+) -> Result<Value, MeasureError> {
+    let authorization = format!("Bearer {OPERATOR_KEY}");
+    let (status, body) = send(http, method, place, &authorization, body).await?;
+    if !status.is_success() {
+        let text = String::from_utf8_lossy(&body);
+        return Err(io::Error::other(format!("{place} answered {status}: {text}")).into());
+    }
+    Ok(serde_json::from_slice(&body).unwrap_or_default())
+}
+
+async fn send(
+    http: &HttpClient,
+    method: Method,
+    place: &str,
+    authorization: &str,
+    body: &Value,
+) -> io::Result<(StatusCode, Bytes)> {
+    let req = Request::builder()
+        .method(method)
+        .uri(format!("http://{place}"))
+        .header(header::AUTHORIZATION, authorization)
+        .body(Full::new(Bytes::from(body.to_string())))
+        .map_err(io::Error::other)?;
+    let response = http.request(req).await.map_err(io::Error::other)?;
+    let status = response.status();
+    let body = response.into_body().collect().await;
+    Ok((status, body.map_err(io::Error::other)?.to_bytes()))
+}
--- a/tests/tests/tasks.rs
+++ b/tests/tests/tasks.rs
@@ -12,8 +12,8 @@
 use snipevane_core::placement::{Resources, Units};
 use snipevane_core::pools::UnixMs;
 use snipevane_core::tasks::{
-    Report, Scheduler, SchedulerSettings, Start, StopReason, Submission, SubmitRefused, Submitted,
-    TaskAction, TaskId, TaskState,
+    Report, Restored, Scheduler, SchedulerSettings, Start, StopReason, Submission, SubmitRefused,
+    Submitted, TaskAction, TaskEpoch, TaskId, TaskState,
 };
 use snipevane_proto::manifest::Urgency;
 
@@ -184,6 +184,59 @@
     assert_eq!(site.units.held[&site.teams[0]], 0);
 }
 
+#[test]
+fn a_successor_goes_on_with_what_runs_and_claims_the_rest_anew() {
+    let mut former = Site::new(2, 10);
+    let tasks: Vec<TaskKey> = (0..2).map(|id| former.submit("roll-up", id)).collect();
+    let started = former.second();
+    assert_eq!(started.len(), 2);
+    // The successor learns from a worker that the first one runs; nobody reports the second one.
+    let mut site = Site::new(2, 10);
+    for (index, start) in started.iter().enumerate() {
+        let submission = site.submission(0, "roll-up", index);
+        let running_on = (index == 0).then_some(site.workers[0]);
+        let Site {
+            scheduler,
+            units,
+            now,
+            ..
+        } = &mut site;
+        let asked = scheduler.restore(submission, start.epoch, running_on, *now, units);
+        let runs = matches!(asked, Ok(Restored::Runs(_)));
+        assert_eq!(runs, index == 0, "{asked:?}");
+    }
+    assert_eq!(site.units.held[&site.teams[0]], 1);
+    let again = site.second();
+    assert_eq!(again.len(), 1, "only the one that nobody reports");
+    assert!(again[0].task == tasks[1] && again[0].epoch > started[1].epoch);
+    assert_eq!(site.finish(&started[1]), Report::Stale);
+    assert_eq!(site.finish(&started[0]), Report::Accepted);
+    assert_eq!(site.finish(&again[0]), Report::Accepted);
+    assert_eq!(site.units.held[&site.teams[0]], 0);
+}
+
+#[test]
+fn a_task_for_which_a_successor_has_no_unit_is_stopped_before_it_waits() {
+    let mut site = Site::new(2, 0);
+    let worker = site.workers[0];
+    let epoch = TaskEpoch(3);
+    let mut restore = |running_on| {
+        let submission = site.submission(0, "roll-up", 0);
+        let Site {
+            scheduler,
+            units,
+            now,
+            ..
+        } = &mut site;
+        scheduler.restore(submission, epoch, running_on, *now, units)
+    };
+    assert_eq!(restore(Some(worker)), Ok(Restored::StopFirst));
+    assert!(matches!(restore(None), Ok(Restored::Waits(_))));
+    assert!(matches!(restore(None), Ok(Restored::Known(_))));
+    site.units.limit = 1;
+    assert!(site.second()[0].epoch > epoch);
+}
+
 #[test]
 fn a_repeated_submission_is_known_and_a_reused_identifier_refused() {
     let mut site = Site::new(1, 10);
@@ -302,7 +355,7 @@
         .for_each(|&worker| site.scheduler.drain_worker(worker));
     site.run(1, |_, _| false);
     for &worker in &broken {
-        site.scheduler.add_worker(worker, cores(5));
+        site.scheduler.add_worker(worker, cores(4));
     }
     // Each broken worker in turn gets all four, and is set aside after the third failure.
     let tasks: Vec<TaskKey> = (0..4).map(|id| site.submit("one", id)).collect();
@@ -422,8 +475,8 @@
         let job = SmolStr::new("roll-up");
         site.scheduler.cancel_job(site.teams[0], &job, site.now);
     }
-    // 4 cores hold 14 tasks of a quarter and a tenth more.
-    assert_eq!((at_once[0], at_once[9]), (4, 14), "{at_once:?}");
+    // 4 cores hold 16 tasks of a quarter.
+    assert_eq!((at_once[0], at_once[9]), (4, 16), "{at_once:?}");
     let task = site.submit("roll-up", 999);
     let job = site.scheduler.ledger().get(task).unwrap().job;
     let job = site.scheduler.ledger().job(job).unwrap();
