--- a/crates/snipevane-cli/src/flags.rs
+++ b/crates/snipevane-cli/src/flags.rs
@@ -54,6 +54,35 @@
         /// Shows entry VMs, backend servers, teams and the versions in force.
         cmd status {}
 
+        /// Lists the pools with their VMs.
+        cmd pool {}
+
+        /// Empties a VM: it gets no new work and stays in its pool.
+        cmd drain {
+            /// Name of the VM.
+            required vm: String
+        }
+
+        /// Ends a drain, and a move or reboot that hasn't begun to reboot.
+        cmd undrain {
+            /// Name of the VM.
+            required vm: String
+        }
+
+        /// Moves a VM to another pool: drains, moves and reboots it.
+        cmd move {
+            /// Name of the VM.
+            required vm: String
+            /// Name of the pool.
+            required pool: String
+        }
+
+        /// Drains and reboots a VM.
+        cmd reboot {
+            /// Name of the VM.
+            required vm: String
+        }
+
         /// Merges the events of all entry VMs in causal order.
         cmd timeline {
             /// Age of the oldest event, for example `10m`.
--- a/crates/snipevane-cli/src/lib.rs
+++ b/crates/snipevane-cli/src/lib.rs
@@ -11,6 +11,7 @@
 mod flags;
 mod key;
 mod output;
+mod pool;
 mod status;
 mod timeline;
 
@@ -68,6 +69,17 @@
             SnipevaneCmd::Apply(cmd) => apply::run(&client, &cmd, json).await,
             SnipevaneCmd::Key(cmd) => key::run(&client, cmd.subcommand, json).await,
             SnipevaneCmd::Status(_) => status::run(&client, json).await,
+            SnipevaneCmd::Pool(_) => pool::list(&client, json).await,
+            SnipevaneCmd::Drain(cmd) => pool::operate(&client, &cmd.vm, "drain", None, json).await,
+            SnipevaneCmd::Undrain(cmd) => {
+                pool::operate(&client, &cmd.vm, "cancel", None, json).await
+            }
+            SnipevaneCmd::Move(cmd) => {
+                pool::operate(&client, &cmd.vm, "move", Some(cmd.pool), json).await
+            }
+            SnipevaneCmd::Reboot(cmd) => {
+                pool::operate(&client, &cmd.vm, "reboot", None, json).await
+            }
             SnipevaneCmd::Timeline(cmd) => timeline::run(&client, &cmd, json).await,
         }
     })
