Use the views of backend servers: leaving, doubted, health checks, events

Cause: every view but Serving was passed to the router as leaving, so a service whose servers each answered once with `Connection: close` had no server left until the list was 120 s newer. Nobody checked a server's health, so a server that only declines its check got new work for ever, and a doubt never ended. SV1060 was recorded for each answer of a leaving server, SV1061 and SV1062 never.

Change: Leaving and Gone set a server leaving, Suspect sets it doubted (within the ejection budget), at each read of the list and every 250 ms. `control/health.rs` checks `GET /healthz`: of servers that get nothing new each second (`Members::checks_due`), of those that serve every 3 s, on a connection of its own that is closed after the check, one round at a time, and only where a server accepts slots plus a connection for each shard of the zone. 3 s and a timeout of 1 s keep the stated 5 s. A connection that a backend server refuses is a sign too. `ServerLog` remembers what was reported, so each change is one event.

Ruled out: checks of doubted servers alone, since a declined check can be the first sign. A check on a slot of its own: it would idle a slot.

Stand-in: fault `decline_health`, header `x-test-close`.

Not proved: traffic and time of the regular checks at 2,600 servers.

--- a/crates/snipevane-entry/src/backend/pool.rs
+++ b/crates/snipevane-entry/src/backend/pool.rs
@@ -107,6 +107,19 @@
                 Ok(response) => return Ok(response),
             }
         }
+        self.exchange_once(address, req).await
+    }
+
+    /// Sends a request on a new connection and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the request may have reached the server.
+    pub(crate) async fn exchange_once(
+        &self,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Result<WholeResponse, ExchangeError> {
         let sender = self.connect(address).await?;
         self.send(address, sender, req)
             .await
--- a/crates/snipevane-entry/src/control/list.rs
+++ b/crates/snipevane-entry/src/control/list.rs
@@ -33,5 +33,7 @@
             state.put_list(list);
         }
         state.sync_servers(now);
+        drop(state);
+        self.report_servers();
     }
 }
--- a/crates/snipevane-entry/src/control/mod.rs
+++ b/crates/snipevane-entry/src/control/mod.rs
@@ -1,14 +1,16 @@
 //! Loops beside the request path: configuration, keys, list, shards, heartbeats.
 
 mod config;
+mod health;
 mod heartbeats;
 mod keys;
 mod list;
 mod shards;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
@@ -37,6 +39,8 @@
     pub(crate) platform: P,
     /// Calls to peers.
     pub(crate) peers: PeerClient,
+    /// When the health of the serving backend servers was last checked.
+    pub(crate) serving_checked_at: Mutex<Option<Instant>>,
 }
 
 impl<P: Platform, C: Clock> Control<P, C> {
@@ -59,6 +63,9 @@
         self.spawn(tracker, stop, timings.heartbeat, |control| async move {
             control.send_heartbeats().await;
         });
+        self.spawn(tracker, stop, health::HEALTH_TICK, |control| async move {
+            control.poll_health().await;
+        });
         self.spawn(tracker, stop, TICK, |control| async move { control.tick() });
     }
 
--- a/crates/snipevane-entry/src/daemon.rs
+++ b/crates/snipevane-entry/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use snipevane_core::clock::Clock;
 use snipevane_core::config::Findings;
 use tokio::net::{TcpListener, TcpStream};
@@ -108,6 +109,7 @@
             node,
             platform,
             peers,
+            serving_checked_at: Mutex::default(),
         });
         let entry = Self {
             control,
--- a/crates/snipevane-entry/src/state/mod.rs
+++ b/crates/snipevane-entry/src/state/mod.rs
@@ -3,10 +3,13 @@
 mod ceilings;
 mod held;
 mod hints;
+mod server_log;
 mod servers;
 mod site_state;
 mod waiting;
 
 pub(crate) use held::{HeldShard, KeptAnswer};
+pub(crate) use server_log::{ServerChange, ServerLog};
+pub(crate) use servers::HealthCheck;
 pub(crate) use site_state::State;
 pub(crate) use waiting::{GrantParts, Waiter};
--- a/crates/snipevane-entry/src/state/servers.rs
+++ b/crates/snipevane-entry/src/state/servers.rs
@@ -1,13 +1,29 @@
 //! Backend servers of this entry VM's zone, with the slots dealt to it.
 
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use smol_str::SmolStr;
-use snipevane_core::members::VmView;
+use snipevane_core::config::Service;
+use snipevane_core::members::{Sign, VmView};
 use snipevane_core::routing::ServerSpec;
-use snipevane_platform::{VmEntry, VmRole};
+use snipevane_platform::{VmEntry, VmRole, VmState};
 
-use super::State;
+use super::{ServerChange, State};
+
+/// Sign that the events give for the platform's list.
+const BY_LIST: &str = "list";
+/// Sign that the events give for what a backend server says in its answers.
+const BY_HEADER: &str = "header";
+
+/// A backend server whose health is to be checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct HealthCheck {
+    /// VM of the server.
+    pub(crate) vm: SmolStr,
+    /// Address of the server.
+    pub(crate) address: SocketAddr,
+}
 
 impl State {
     /// Takes over the platform's list of VMs.
@@ -19,35 +35,133 @@
     pub(crate) fn sync_servers(&mut self, now: Instant) {
         let specs = self.server_specs();
         self.router.sync(specs, now);
-        let views: Vec<(SmolStr, bool)> = self
+        self.apply_views(now);
+    }
+
+    /// Keeps new work away from the servers that leave or may leave.
+    ///
+    /// To be called regularly, because signs come between two reads of the list, and a doubt waits
+    /// until the ejection budget has room.
+    pub(crate) fn apply_views(&mut self, now: Instant) {
+        let backends = self
             .list
             .iter()
-            .filter(|entry| entry.role == VmRole::Backend)
-            .map(|entry| {
-                (
-                    entry.id.clone(),
-                    self.members.view(&entry.id, now) != VmView::Serving,
-                )
-            })
-            .collect();
-        for (vm, leaving) in views {
-            self.router.set_leaving(&vm, leaving);
+            .filter(|entry| entry.role == VmRole::Backend && entry.zone == self.zone);
+        let vms: Vec<SmolStr> = backends.map(|entry| entry.id.clone()).collect();
+        for vm in vms {
+            self.apply_view(&vm, now);
+        }
+    }
+
+    fn apply_view(&mut self, vm: &str, now: Instant) {
+        let view = self.members.view(vm, now);
+        let leaving = matches!(view, VmView::Leaving | VmView::Gone);
+        self.router.set_leaving(vm, leaving);
+        self.router.set_doubted(vm, view == VmView::Suspect);
+    }
+
+    /// Returns what changed of the zone's servers since the last call, each change once.
+    pub(crate) fn server_changes(&mut self, now: Instant) -> Vec<ServerChange> {
+        if !self.list_read || self.site.version == 0 {
+            return Vec::new();
+        }
+        let mut present = Vec::new();
+        for service in self.site.services.values() {
+            let vms = self.servers_of(service).map(|entry| entry.id.clone());
+            present.extend(vms.map(|vm| (vm, service.name.clone())));
+        }
+        let mut changes = self.server_log.note_present(&present);
+        for entry in &self.list {
+            let sign = match self.members.view(&entry.id, now) {
+                VmView::Leaving if entry.state == VmState::Leaving => Some(BY_LIST),
+                VmView::Leaving => Some(BY_HEADER),
+                // The sign that raised the doubt was reported when it came.
+                VmView::Suspect => continue,
+                VmView::Serving | VmView::Gone => None,
+            };
+            changes.extend(self.server_log.note_leaving(&entry.id, sign));
         }
+        changes
+    }
+
+    /// Takes over a sign of a server's state.
+    ///
+    /// Returns the change to report if the server said that it takes nothing new.
+    pub(crate) fn on_server_sign(
+        &mut self,
+        vm: &str,
+        sign: Sign,
+        now: Instant,
+    ) -> Option<ServerChange> {
+        self.members.on_sign(now, vm, sign);
+        let name = match sign {
+            Sign::LeavingHeader => BY_HEADER,
+            Sign::HealthDeclined => "health check",
+            _ => return None,
+        };
+        self.apply_view(vm, now);
+        self.server_log.note_leaving(vm, Some(name))
+    }
+
+    /// Lists the servers whose health is to be checked now.
+    ///
+    /// Of the servers that serve, only with `regular`: one may decline its health check before it
+    /// shows any other sign.
+    pub(crate) fn health_checks(&mut self, regular: bool, now: Instant) -> Vec<HealthCheck> {
+        let due = self.members.checks_due(now);
+        let mut checks = Vec::new();
+        for service in self.site.services.values() {
+            if !self.has_connection_for_checks(service) {
+                continue;
+            }
+            for entry in self.servers_of(service) {
+                let serving = self.members.view(&entry.id, now) == VmView::Serving;
+                let check = HealthCheck {
+                    vm: entry.id.clone(),
+                    address: entry.address,
+                };
+                let wanted = due.contains(&entry.id) || (regular && serving);
+                if wanted && !checks.contains(&check) {
+                    checks.push(check);
+                }
+            }
+        }
+        checks
+    }
+
+    /// Drops what is known of the VMs that the list dropped.
+    pub(crate) fn forget_gone(&mut self) {
+        self.members.forget_gone();
+    }
+
+    /// Tells whether a server accepts a connection for checks from each entry VM of the zone,
+    /// beside those of all slots.
+    fn has_connection_for_checks(&self, service: &Service) -> bool {
+        let holders = self.shards.names().iter();
+        let holders = holders.filter(|shard| shard.zone == self.zone).count();
+        let spare = service.connections.saturating_sub(service.slots);
+        let dealt = self.slot_deals.total_allowance(&service.name);
+        dealt > 0 && usize::from(spare) >= holders
+    }
+
+    /// Returns the listed servers of a service in this zone.
+    fn servers_of(&self, service: &Service) -> impl Iterator<Item = &VmEntry> {
+        let pool = self.site.pools.get(service.pool);
+        self.list.iter().filter(move |entry| {
+            let here = entry.role == VmRole::Backend && entry.zone == self.zone;
+            here && pool.is_some_and(|pool| pool.vms.contains(&entry.id))
+        })
     }
 
     fn server_specs(&self) -> Vec<ServerSpec> {
         let mut specs = Vec::new();
         for (key, service) in &self.site.services {
             let slots = self.slot_deals.total_allowance(&service.name);
-            let Some(pool) = self.site.pools.get(service.pool).filter(|_| slots > 0) else {
+            if slots == 0 {
                 continue;
-            };
-            let members = self.list.iter().filter(|entry| {
-                let here = entry.role == VmRole::Backend && entry.zone == self.zone;
-                here && pool.vms.contains(&entry.id)
-            });
+            }
             let slots = u16::try_from(slots).unwrap_or(u16::MAX);
-            specs.extend(members.map(|entry| ServerSpec {
+            specs.extend(self.servers_of(service).map(|entry| ServerSpec {
                 vm: entry.id.clone(),
                 address: entry.address,
                 service: key,
--- a/crates/snipevane-entry/src/state/site_state.rs
+++ b/crates/snipevane-entry/src/state/site_state.rs
@@ -19,7 +19,7 @@
 use snipevane_proto::manifest::Manifest;
 use uuid::Uuid;
 
-use super::{GrantParts, HeldShard, KeptAnswer, Waiter};
+use super::{GrantParts, HeldShard, KeptAnswer, ServerLog, Waiter};
 use crate::peer::Peers;
 
 /// Weight of requests without a key in open queues.
@@ -59,6 +59,8 @@
     pub(crate) keys: KeyStore,
     /// Signs of the VMs' states.
     pub(crate) members: Members,
+    /// Backend servers as the events so far describe them.
+    pub(crate) server_log: ServerLog,
     /// Retries of the teams.
     pub(crate) retries: RetryBudget,
     /// Other entry VMs.
@@ -101,6 +103,7 @@
             waiting: SecondaryMap::new(),
             keys: KeyStore::default(),
             members: Members::new(MembersLimits::default()),
+            server_log: ServerLog::default(),
             retries: RetryBudget::new(RetryLimits::default()),
             peers: Peers::default(),
             list: Vec::new(),
--- a/crates/snipevane-standin/src/backend/handler.rs
+++ b/crates/snipevane-standin/src/backend/handler.rs
@@ -203,6 +203,10 @@
             headers.insert(EXCHANGE, exchange);
         }
         mark_leaving(&mut response, &faults);
+        if test.closes {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
         *self.surplus.lock() = if test.two_answers {
             Bytes::from_static(FOREIGN_ANSWER)
         } else {
@@ -223,14 +227,14 @@
 
     async fn health(&self) -> Response<AnswerBody> {
         self.state.wait(|faults| !faults.freeze).await;
-        let leaving = self.state.faults.borrow().leaving;
-        let (status, reason) = if leaving {
+        let faults = self.state.faults.borrow().clone();
+        let (status, reason) = if faults.leaving || faults.decline_health {
             (StatusCode::SERVICE_UNAVAILABLE, "leaving")
         } else {
             (StatusCode::OK, "ok")
         };
         let mut response = text(status, reason).map(AnswerBody::whole);
-        mark_leaving(&mut response, &self.state.faults.borrow());
+        mark_leaving(&mut response, &faults);
         response
     }
 }
--- a/crates/snipevane-standin/src/backend/test_headers.rs
+++ b/crates/snipevane-standin/src/backend/test_headers.rs
@@ -18,6 +18,8 @@
 const WRONG_LENGTH: &str = "x-test-wrong-length";
 /// A second answer, of another exchange, follows on the connection.
 const TWO_ANSWERS: &str = "x-test-two-answers";
+/// The answer asks to close the connection.
+const CLOSE: &str = "x-test-close";
 
 /// Length that is missing if the header names none.
 const DEFAULT_MISSING_BYTES: usize = 7;
@@ -33,6 +35,7 @@
     pub(crate) cut_body: bool,
     pub(crate) missing_bytes: usize,
     pub(crate) two_answers: bool,
+    pub(crate) closes: bool,
 }
 
 impl TestHeaders {
@@ -52,6 +55,7 @@
             cut_body: req.headers().contains_key(CUT_BODY),
             missing_bytes: if wrong_length { missing } else { 0 },
             two_answers: req.headers().contains_key(TWO_ANSWERS),
+            closes: req.headers().contains_key(CLOSE),
         }
     }
 }
