--- a/crates/snipevane-entry/src/control/mod.rs
+++ b/crates/snipevane-entry/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Loops beside the request path: configuration, keys, list, shards, heartbeats.
 
 mod config;
+mod health;
 mod heartbeats;
 mod keys;
 mod list;
@@ -8,7 +9,7 @@
 mod shards;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
@@ -46,6 +47,8 @@
     pub(crate) coordinators: Mutex<Coordinators>,
     /// Choice of the source of newer configurations.
     pub(crate) fetch_plan: Mutex<FetchPlan>,
+    /// When the health of the serving backend servers was last checked.
+    pub(crate) serving_checked_at: Mutex<Option<Instant>>,
 }
 
 impl<P: Platform, C: Clock> Control<P, C> {
@@ -73,6 +76,9 @@
         self.spawn(tracker, stop, timings.heartbeat, |control| async move {
             control.send_heartbeats().await;
         });
+        self.spawn(tracker, stop, health::HEALTH_TICK, |control| async move {
+            control.poll_health().await;
+        });
         self.spawn(tracker, stop, TICK, |control| async move { control.tick() });
     }
 
--- a/crates/snipevane-entry/src/daemon.rs
+++ b/crates/snipevane-entry/src/daemon.rs
@@ -117,6 +117,7 @@
             peers,
             coordinators: Mutex::default(),
             fetch_plan: Mutex::new(fetch_plan),
+            serving_checked_at: Mutex::default(),
         });
         let entry = Self {
             control,
--- a/crates/snipevane-entry/src/state/site_state.rs
+++ b/crates/snipevane-entry/src/state/site_state.rs
@@ -19,7 +19,7 @@
 use snipevane_proto::manifest::Manifest;
 use uuid::Uuid;
 
-use super::{GrantParts, HeldShard, KeptAnswer, PoolRows, Waiter};
+use super::{GrantParts, HeldShard, KeptAnswer, PoolRows, ServerLog, Waiter};
 use crate::peer::Peers;
 
 /// Former versions that changes for peers can start from.
@@ -63,6 +63,8 @@
     pub(crate) keys: KeyStore,
     /// Signs of the VMs' states.
     pub(crate) members: Members,
+    /// Backend servers as the events so far describe them.
+    pub(crate) server_log: ServerLog,
     /// Retries of the teams.
     pub(crate) retries: RetryBudget,
     /// Other entry VMs.
@@ -110,6 +112,7 @@
             waiting: SecondaryMap::new(),
             keys: KeyStore::default(),
             members: Members::new(MembersLimits::default()),
+            server_log: ServerLog::default(),
             retries: RetryBudget::new(RetryLimits::default()),
             peers: Peers::default(),
             list: Vec::new(),
