Keep the expiries of waiting writes in order

Cause: each look at the write queue went through all waiting writes for the soonest expiry; the stand-in's handler parsed bodies in five places.

Change: an ordered index of expiries; one function that parses a body.

--- a/crates/snipevane-platform/src/writer/queue.rs
+++ b/crates/snipevane-platform/src/writer/queue.rs
@@ -1,6 +1,6 @@
 //! The writes that wait for a commit.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
@@ -88,6 +88,8 @@
     waiting: BTreeMap<Order, Entry<T>>,
     /// Waiting writes that a newer one may replace.
     replaceable: HashMap<SmolStr, Order>,
+    /// When waiting writes expire, the soonest first.
+    expiries: BTreeSet<(Instant, Order)>,
     submitted: u64,
     batch_out: bool,
 }
@@ -100,6 +102,7 @@
             pace: Pace::new(settings.pace, seed, now),
             waiting: BTreeMap::new(),
             replaceable: HashMap::new(),
+            expiries: BTreeSet::new(),
             submitted: 0,
             batch_out: false,
         }
@@ -154,13 +157,15 @@
 
     /// Removes the writes that have expired.
     pub fn expire(&mut self, now: Instant) -> Vec<Settled<T>> {
-        let expired = self.waiting.iter();
-        let expired = expired.filter(|(_, entry)| entry.write.is_expired(now));
-        let expired: Vec<Order> = expired.map(|(order, _)| *order).collect();
-        let removed = expired.into_iter().filter_map(|order| self.remove(order));
-        removed
-            .map(|entry| entry.give_up(WriteError::Expired))
-            .collect()
+        let mut settled = Vec::new();
+        while let Some((_, order)) = self.expiries.first().filter(|(at, _)| *at <= now) {
+            let order = *order;
+            match self.remove(order) {
+                Some(entry) => settled.push(entry.give_up(WriteError::Expired)),
+                None => break,
+            }
+        }
+        settled
     }
 
     /// Returns the next batch if it's time for one.
@@ -176,8 +181,7 @@
             ready = ready.max(first.submitted + self.settings.linger);
         }
         if ready > now {
-            let expiries = self.waiting.values();
-            let expiry = expiries.filter_map(|entry| entry.write.expires).min();
+            let expiry = self.expiries.first().map(|(at, _)| *at);
             return NextBatch::Wait(expiry.map_or(ready, |expiry| ready.min(expiry)));
         }
         let entries = self.take_batch(importance);
@@ -289,6 +293,9 @@
         if entry.write.condition == Condition::Any {
             self.replaceable.insert(entry.write.key.clone(), order);
         }
+        if let Some(expires) = entry.write.expires {
+            self.expiries.insert((expires, order));
+        }
         self.waiting.insert(order, entry);
     }
 
@@ -297,6 +304,9 @@
         if self.replaceable.get(&entry.write.key) == Some(&order) {
             self.replaceable.remove(&entry.write.key);
         }
+        if let Some(expires) = entry.write.expires {
+            self.expiries.remove(&(expires, order));
+        }
         Some(entry)
     }
 }
--- a/crates/snipevane-platform/src/writer/row_write.rs
+++ b/crates/snipevane-platform/src/writer/row_write.rs
@@ -65,10 +65,6 @@
             value: self.value.clone(),
         }
     }
-
-    pub(super) fn is_expired(&self, now: Instant) -> bool {
-        self.expires.is_some_and(|expires| now >= expires)
-    }
 }
 
 /// Why a write isn't known to have taken effect.
--- a/crates/snipevane-standin/src/platform/handler.rs
+++ b/crates/snipevane-standin/src/platform/handler.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
 use snipevane_core::clock::{Clock, SystemClock};
 use snipevane_proto::platform::{
     CLIENT, COMMIT_PATH, CommitEntry, CommitResult, Committed, Conflict, FAULTS_PATH, LEASE_PATH,
@@ -182,9 +183,9 @@
 
 impl State {
     fn lease(&mut self, body: &[u8]) -> Answer {
-        let req: LeaseRequest = match serde_json::from_slice(body) {
+        let req: LeaseRequest = match parse(body) {
             Ok(req) => req,
-            Err(error) => return Ok(text(StatusCode::BAD_REQUEST, error.to_string())),
+            Err(refusal) => return Ok(*refusal),
         };
         if self.faults.frozen_workers.contains(&req.worker) {
             return Err(NoAnswer);
@@ -193,9 +194,9 @@
     }
 
     fn command(&mut self, body: &[u8]) -> Answer {
-        let command: TaskCommand = match serde_json::from_slice(body) {
+        let command: TaskCommand = match parse(body) {
             Ok(command) => command,
-            Err(error) => return Ok(text(StatusCode::BAD_REQUEST, error.to_string())),
+            Err(refusal) => return Ok(*refusal),
         };
         if self.faults.frozen_workers.contains(&command.worker) {
             return Err(NoAnswer);
@@ -228,9 +229,9 @@
         if !self.admit_read(now) {
             return over_rate();
         }
-        let req: ReadRequest = match serde_json::from_slice(body) {
+        let req: ReadRequest = match parse(body) {
             Ok(req) => req,
-            Err(error) => return text(StatusCode::BAD_REQUEST, error.to_string()),
+            Err(refusal) => return *refusal,
         };
         match self.store.read(&req.key, self.faults.stale_reads) {
             Some(row) => json(StatusCode::OK, &row),
@@ -242,9 +243,9 @@
         if !self.admit_read(now) {
             return over_rate();
         }
-        let req: ScanRequest = match serde_json::from_slice(body) {
+        let req: ScanRequest = match parse(body) {
             Ok(req) => req,
-            Err(error) => return text(StatusCode::BAD_REQUEST, error.to_string()),
+            Err(refusal) => return *refusal,
         };
         let rows = self.store.scan(&req.prefix, self.faults.stale_reads);
         json(StatusCode::OK, &Rows { rows })
@@ -276,9 +277,9 @@
     }
 
     fn commit(&mut self, body: &[u8], client: String, rows_per_write: u32, now: Instant) -> Answer {
-        let tx: Transaction = match serde_json::from_slice(body) {
+        let tx: Transaction = match parse(body) {
             Ok(tx) => tx,
-            Err(error) => return Ok(text(StatusCode::BAD_REQUEST, error.to_string())),
+            Err(refusal) => return Ok(*refusal),
         };
         let rows = u32::try_from(tx.writes.len()).unwrap_or(u32::MAX);
         let cost = rows.div_ceil(rows_per_write.max(1)).max(1);
@@ -339,6 +340,11 @@
     }
 }
 
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Box<Response<Full<Bytes>>>> {
+    serde_json::from_slice(body)
+        .map_err(|error| Box::new(text(StatusCode::BAD_REQUEST, error.to_string())))
+}
+
 fn obeyed(result: Result<(), WorkerRefusal>) -> Response<Full<Bytes>> {
     match result {
         Ok(()) => json(StatusCode::OK, &()),
