Add pool and drain to the command line

Cause: the entry VM drives drains, moves and reboots since; the command line had no verbs for them. Waves aren't driven yet and so have no verb.

--- a/crates/snipevane-cli/src/flags.rs
+++ b/crates/snipevane-cli/src/flags.rs
@@ -51,6 +51,39 @@
             cmd list {}
         }
 
+        /// Shows pools, moves and reboots their VMs.
+        cmd pool {
+            /// Shows the pools with their VMs.
+            cmd show {
+                /// Name of the only pool to show.
+                optional name: String
+            }
+            /// Drains a VM, moves it to another pool and reboots it.
+            cmd move {
+                /// Name of the VM.
+                required vm: String
+                /// Pool that the VM joins.
+                required to: String
+            }
+            /// Drains a VM and reboots it.
+            cmd reboot {
+                /// Name of the VM.
+                required vm: String
+            }
+        }
+
+        /// Takes a VM out of service once its work is done, within the availability budget.
+        cmd drain {
+            /// Name of the VM.
+            required vm: String
+            /// Puts the VM back into service.
+            optional --cancel
+            /// Waits until the VM is empty.
+            optional --wait
+            /// Longest wait; 10min if absent.
+            optional --wait-limit time: Age
+        }
+
         /// Shows entry VMs, backend servers, teams and the versions in force.
         cmd status {}
 
--- a/crates/snipevane-cli/src/key.rs
+++ b/crates/snipevane-cli/src/key.rs
@@ -29,7 +29,7 @@
 }
 
 async fn withdraw(client: &Client, id: &str, json: bool) -> Result<(), CliError> {
-    if id.is_empty() || !id.chars().all(is_plain) {
+    if !is_path_segment(id) {
         return Err(CliError::Usage(format!("{id:?} is no identifier of a key")));
     }
     let path = format!("/v1/keys/{id}");
@@ -63,8 +63,10 @@
     Ok(())
 }
 
-fn is_plain(c: char) -> bool {
-    c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.')
+/// Returns whether a name can stand in a path as it is.
+pub(crate) fn is_path_segment(name: &str) -> bool {
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    !name.is_empty() && name.chars().all(is_plain)
 }
 
 fn join(zones: &[String]) -> String {
--- a/crates/snipevane-cli/src/lib.rs
+++ b/crates/snipevane-cli/src/lib.rs
@@ -1,5 +1,5 @@
-//! Command line for operators: checks and applies manifests, gives and withdraws keys, shows the
-//! state of a site and its time line.
+//! Command line for operators: checks and applies manifests, gives and withdraws keys, drains and
+//! moves VMs, shows the state of a site and its time line.
 //!
 //! Exit codes: 0 done, 1 refused or failed, 2 bad input or usage, 3 no entry VM was reached.
 
@@ -11,6 +11,7 @@
 mod flags;
 mod key;
 mod output;
+mod pool;
 mod status;
 mod timeline;
 
@@ -67,6 +68,8 @@
             SnipevaneCmd::Check(_) | SnipevaneCmd::Demo(_) => Ok(()),
             SnipevaneCmd::Apply(cmd) => apply::run(&client, &cmd, json).await,
             SnipevaneCmd::Key(cmd) => key::run(&client, cmd.subcommand, json).await,
+            SnipevaneCmd::Pool(cmd) => pool::run(&client, cmd.subcommand, json).await,
+            SnipevaneCmd::Drain(cmd) => pool::drain(&client, &cmd, json).await,
             SnipevaneCmd::Status(_) => status::run(&client, json).await,
             SnipevaneCmd::Timeline(cmd) => timeline::run(&client, &cmd, json).await,
         }
