--- a/crates/snipevane-cli/src/flags.rs
+++ b/crates/snipevane-cli/src/flags.rs
@@ -51,37 +51,41 @@
             cmd list {}
         }
 
-        /// Shows entry VMs, backend servers, teams and the versions in force.
-        cmd status {}
-
-        /// Lists the pools with their VMs.
-        cmd pool {}
-
-        /// Empties a VM: it gets no new work and stays in its pool.
-        cmd drain {
-            /// Name of the VM.
-            required vm: String
-        }
-
-        /// Ends a drain, and a move or reboot that hasn't begun to reboot.
-        cmd undrain {
-            /// Name of the VM.
-            required vm: String
+        /// Shows pools, moves and reboots their VMs.
+        cmd pool {
+            /// Shows the pools with their VMs.
+            cmd show {
+                /// Name of the only pool to show.
+                optional name: String
+            }
+            /// Drains a VM, moves it to another pool and reboots it.
+            cmd move {
+                /// Name of the VM.
+                required vm: String
+                /// Pool that the VM joins.
+                required to: String
+            }
+            /// Drains a VM and reboots it.
+            cmd reboot {
+                /// Name of the VM.
+                required vm: String
+            }
         }
 
-        /// Moves a VM to another pool: drains, moves and reboots it.
-        cmd move {
+        /// Takes a VM out of service once its work is done, within the availability budget.
+        cmd drain {
             /// Name of the VM.
             required vm: String
-            /// Name of the pool.
-            required pool: String
+            /// Puts the VM back into service.
+            optional --cancel
+            /// Waits until the VM is empty.
+            optional --wait
+            /// Longest wait; 10min if absent.
+            optional --wait-limit time: Age
         }
 
-        /// Drains and reboots a VM.
-        cmd reboot {
-            /// Name of the VM.
-            required vm: String
-        }
+        /// Shows entry VMs, backend servers, teams and the versions in force.
+        cmd status {}
 
         /// Merges the events of all entry VMs in causal order.
         cmd timeline {
--- a/crates/snipevane-cli/src/lib.rs
+++ b/crates/snipevane-cli/src/lib.rs
@@ -1,5 +1,5 @@
-//! Command line for operators: checks and applies manifests, gives and withdraws keys, shows the
-//! state of a site and its time line.
+//! Command line for operators: checks and applies manifests, gives and withdraws keys, drains and
+//! moves VMs, shows the state of a site and its time line.
 //!
 //! Exit codes: 0 done, 1 refused or failed, 2 bad input or usage, 3 no entry VM was reached.
 
@@ -68,18 +68,9 @@
             SnipevaneCmd::Check(_) | SnipevaneCmd::Demo(_) => Ok(()),
             SnipevaneCmd::Apply(cmd) => apply::run(&client, &cmd, json).await,
             SnipevaneCmd::Key(cmd) => key::run(&client, cmd.subcommand, json).await,
+            SnipevaneCmd::Pool(cmd) => pool::run(&client, cmd.subcommand, json).await,
+            SnipevaneCmd::Drain(cmd) => pool::drain(&client, &cmd, json).await,
             SnipevaneCmd::Status(_) => status::run(&client, json).await,
-            SnipevaneCmd::Pool(_) => pool::list(&client, json).await,
-            SnipevaneCmd::Drain(cmd) => pool::operate(&client, &cmd.vm, "drain", None, json).await,
-            SnipevaneCmd::Undrain(cmd) => {
-                pool::operate(&client, &cmd.vm, "cancel", None, json).await
-            }
-            SnipevaneCmd::Move(cmd) => {
-                pool::operate(&client, &cmd.vm, "move", Some(cmd.pool), json).await
-            }
-            SnipevaneCmd::Reboot(cmd) => {
-                pool::operate(&client, &cmd.vm, "reboot", None, json).await
-            }
             SnipevaneCmd::Timeline(cmd) => timeline::run(&client, &cmd, json).await,
         }
     })
