Take out the setting for TLS until something reads it

Cause: the settings accepted certificates that no listener used, so an operator would have believed the peer and operator listeners to be encrypted.

--- a/crates/snipevane-entry/src/settings/load.rs
+++ b/crates/snipevane-entry/src/settings/load.rs
@@ -145,6 +145,5 @@
         max_header_bytes: size(limits.max_header_bytes),
         max_connections: size(limits.max_connections.get()),
         max_answer_bytes: size(limits.max_answer_bytes.get()),
-        tls: settings.tls.clone(),
     }
 }
--- a/crates/snipevane-entry/src/settings/resolved.rs
+++ b/crates/snipevane-entry/src/settings/resolved.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
-use snipevane_proto::settings::{LogLevel, Tls};
+use snipevane_proto::settings::LogLevel;
 
 /// Another entry VM to start with.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,8 +91,6 @@
     pub max_connections: usize,
     /// Largest answer of a backend server, in bytes.
     pub max_answer_bytes: usize,
-    /// Certificates of the peer and operator listeners.
-    pub tls: Option<Tls>,
 }
 
 impl Default for Settings {
@@ -113,7 +111,6 @@
             max_header_bytes: 16 * 1024,
             max_connections: 4096,
             max_answer_bytes: 8 * 1024 * 1024,
-            tls: None,
         }
     }
 }
--- a/crates/snipevane-proto/src/settings.rs
+++ b/crates/snipevane-proto/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of the daemons.
 
 pub use crate::generated::entry_settings::{
-    CallerLimits, EntrySettings, LogLevel, PeerSettings, Timings, Tls,
+    CallerLimits, EntrySettings, LogLevel, PeerSettings, Timings,
 };
 
 /// Schema of the entry VM's settings.
