--- a/crates/snipevane-entry/src/state/site_state.rs
+++ b/crates/snipevane-entry/src/state/site_state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use slotmap::{Key, SecondaryMap};
 use smol_str::SmolStr;
 use snipevane_core::claims::Claim;
@@ -19,7 +19,7 @@
 use snipevane_proto::manifest::Manifest;
 use uuid::Uuid;
 
-use super::{GrantParts, HeldShard, KeptAnswer, PoolRows, Waiter};
+use super::{GrantParts, HeldShard, KeptAnswer, PoolRows, ServerLog, Waiter};
 use crate::peer::Peers;
 
 /// Former versions that changes for peers can start from.
@@ -63,12 +63,16 @@
     pub(crate) keys: KeyStore,
     /// Signs of the VMs' states.
     pub(crate) members: Members,
+    /// Backend servers as the events so far describe them.
+    pub(crate) server_log: ServerLog,
     /// Retries of the teams.
     pub(crate) retries: RetryBudget,
     /// Other entry VMs.
     pub(crate) peers: Peers,
     /// The platform's list, as read last.
     pub(crate) list: Vec<VmEntry>,
+    /// VMs that the list ever had, as far as this process has read it.
+    pub(crate) listed: FxHashSet<SmolStr>,
     /// Whether the list was ever read.
     pub(crate) list_read: bool,
     /// Time of the last answer of the platform's table.
@@ -108,9 +112,11 @@
             waiting: SecondaryMap::new(),
             keys: KeyStore::default(),
             members: Members::new(MembersLimits::default()),
+            server_log: ServerLog::default(),
             retries: RetryBudget::new(RetryLimits::default()),
             peers: Peers::default(),
             list: Vec::new(),
+            listed: FxHashSet::default(),
             list_read: false,
             platform_heard: None,
             platform_away_since: None,
