Keep the team of forwarded requests that bring their unit

Cause: `pop` asked only for the team, so a forwarded request whose sender holds the unit waited under the null team (`Work::queued_team`). All teams' forwarded requests thus shared one place in the share queue, with the share of open queues, and were charged to no team.

Change: `next_grant` uses `pop_where`, which sees whether the request needs a unit here; `queued_team` is gone.

--- a/crates/snipevane-entry/src/request/place.rs
+++ b/crates/snipevane-entry/src/request/place.rs
@@ -165,7 +165,7 @@
             ));
         };
         let waiting = Waiting {
-            team: work.queued_team(),
+            team: work.head.identity.team,
             urgency: work.urgency,
             start_by: work.start_by,
             item: Waiter {
--- a/crates/snipevane-entry/src/request/run.rs
+++ b/crates/snipevane-entry/src/request/run.rs
@@ -9,7 +9,6 @@
 use http_body_util::Full;
 use slotmap::Key;
 use snipevane_core::clock::Clock;
-use snipevane_core::ids::TeamKey;
 use snipevane_core::members::Sign;
 use snipevane_core::routing::Report;
 use snipevane_proto::headers::{DEADLINE_MS, EXCHANGE, IDEMPOTENCY_KEY, Outcome, QUEUE, TEAM};
@@ -64,15 +63,6 @@
         !self.unit_held && !self.head.identity.team.is_null()
     }
 
-    /// Returns the team whose units are waited for; the null key if none is needed.
-    pub(crate) fn queued_team(&self) -> TeamKey {
-        if self.unit_held {
-            TeamKey::null()
-        } else {
-            self.head.identity.team
-        }
-    }
-
     /// Returns the refusal of a request that found no place in time.
     pub(crate) fn refuse_busy<C: Clock>(&self, node: &Node<C>) -> Refusal {
         let state = node.state();
--- a/crates/snipevane-entry/src/state/site_state.rs
+++ b/crates/snipevane-entry/src/state/site_state.rs
@@ -285,7 +285,10 @@
         let slot = self.router.pick(service, now)?;
         let limits = &self.limits;
         let queue = self.waiting.get_mut(service)?;
-        let popped = queue.pop(now, |team| team.is_null() || limits.free(team) > 0);
+        let popped = queue.pop_where(now, |waiting| {
+            let unit_here = waiting.item.needs_unit && !waiting.team.is_null();
+            !unit_here || limits.free(waiting.team) > 0
+        });
         let Some(popped) = popped else {
             self.router.release(slot, Report::Abandoned, now);
             return None;
--- a/tests/src/site/running.rs
+++ b/tests/src/site/running.rs
@@ -40,6 +40,11 @@
         self.process.addresses[1]
     }
 
+    /// Returns the client of a peer.
+    pub fn peer(&self) -> Caller {
+        Caller::new(self.peer_address()).with_key(PEER_KEY)
+    }
+
     /// Returns an operator's client.
     pub fn operator(&self) -> Caller {
         Caller::new(self.process.addresses[2]).with_key(OPERATOR_KEY)
