--- a/crates/snipevane-entry/src/metrics.rs
+++ b/crates/snipevane-entry/src/metrics.rs
@@ -26,6 +26,12 @@
         metrics::with_local_recorder(&self.recorder, || {
             let state = node.state();
             metrics::gauge!("snipevane_config_version").set(state.site.version as f64);
+            // Calls to peers are counted by the peers' listeners.
+            let bytes = &node.peer_bytes;
+            metrics::counter!("snipevane_peer_bytes_total", "direction" => "received")
+                .absolute(bytes.received());
+            metrics::counter!("snipevane_peer_bytes_total", "direction" => "sent")
+                .absolute(bytes.sent());
             metrics::gauge!("snipevane_in_flight").set(node.in_flight() as f64);
             for (key, team) in &state.site.teams {
                 let name = team.name.to_string();
--- a/crates/snipevane-entry/src/node.rs
+++ b/crates/snipevane-entry/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::backend::{ConnectionPool, PoolSettings};
 use crate::journal::{EventKind, Journal};
+use crate::peer::PeerBytes;
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -36,6 +37,8 @@
     pub(crate) backends: ConnectionPool,
     /// Connections for forwarded requests.
     pub(crate) forwards: ConnectionPool,
+    /// Bytes of the peer listener.
+    pub(crate) peer_bytes: Arc<PeerBytes>,
     /// Grows when peers' free units and slots are news.
     hints: watch::Sender<u64>,
     state: Mutex<State>,
@@ -67,6 +70,7 @@
             journal: Journal::new(process),
             backends: ConnectionPool::new(pool),
             forwards: ConnectionPool::new(pool),
+            peer_bytes: Arc::default(),
             hints: watch::Sender::new(0),
             state: Mutex::new(state),
             stopping: AtomicBool::new(false),
--- a/crates/snipevane-entry/src/peer/listener.rs
+++ b/crates/snipevane-entry/src/peer/listener.rs
@@ -21,6 +21,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tower::{BoxError, Service};
 
+use super::counted_io::CountedIo;
 use super::rpc::{PeerApiServer, PeerRpc};
 use crate::node::Node;
 use crate::request::{FORWARD, Head, Identity, Origin, Refusal, Reply, serve};
@@ -35,6 +36,7 @@
     node: Arc<Node<C>>,
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
 ) {
+    let stream = CountedIo::new(stream, node.peer_bytes.clone());
     let (stop, _server) = stop_channel();
     let methods: Methods = PeerRpc(node.clone()).into_rpc().into();
     let config = ServerConfig::builder().max_connections(u32::MAX).build();
--- a/crates/snipevane-entry/src/peer/mod.rs
+++ b/crates/snipevane-entry/src/peer/mod.rs
@@ -1,11 +1,13 @@
 //! Other entry VMs: heartbeats, forwarded requests, and what is known of each peer.
 
 mod client;
+mod counted_io;
 mod listener;
 mod rpc;
 mod table;
 
 pub(crate) use client::PeerClient;
+pub(crate) use counted_io::PeerBytes;
 pub(crate) use listener::serve_connection;
 pub(crate) use rpc::free;
 pub(crate) use table::{Need, Peers};
--- a/tests/src/site/process.rs
+++ b/tests/src/site/process.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Returns the process's identifier.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     ///
     /// # Panics
