Send heartbeats only to peers that lack what they say

Cause: each entry VM sent each peer a full heartbeat every 250 ms.

Change: an entry VM remembers what a peer's process took over by call and sends again when that differs (times left out), when the peer wasn't heard for a third of `peer_silent_ms`, when it isn't reachable, while it lacks changes of keys, or when this entry VM counted on its room since. Only the answer to an own call counts as taken over, so a lost answer is sent again; an announced ceiling counts as heard only if the peer's process has taken it over. A withdrawal and a new version differ, so they go out as before.

Ruled out: counting answers to a peer's calls as taken over, since they may be lost.

--- a/crates/snipevane-entry/src/control/heartbeats.rs
+++ b/crates/snipevane-entry/src/control/heartbeats.rs
@@ -9,6 +9,9 @@
 use super::{Control, Platform};
 use crate::journal::kinds;
 
+/// Heartbeats that a peer gets without a change until it would count as silent.
+const KEEP_ALIVES: u32 = 3;
+
 impl<P: Platform, C: Clock> Control<P, C> {
     /// Sends one heartbeat to each peer and takes over what they answer.
     pub(crate) async fn send_heartbeats(&self) {
@@ -40,15 +43,30 @@
         }
     }
 
-    /// Returns whether the peer heard the heartbeat.
+    /// Sends a heartbeat if one is due; returns whether the peer knows what it says.
     async fn send_heartbeat(&self, vm: &SmolStr, address: SocketAddr) -> bool {
         let heartbeat = self.node.heartbeat_for(vm);
-        let Ok(answer) = self.peers.heartbeat(address, heartbeat).await else {
+        let now = self.node.now();
+        let every = self.node.settings.timings.peer_silent / KEEP_ALIVES;
+        let due = {
+            let state = self.node.state();
+            state.peers.is_heartbeat_due(vm, &heartbeat, every, now)
+        };
+        if !due {
+            return true;
+        }
+        let Ok(answer) = self.peers.heartbeat(address, heartbeat.clone()).await else {
             return false;
         };
-        if let Err(reason) = self.node.on_heartbeat(&answer) {
-            self.node
-                .record(&kinds::PEER_MESSAGE_REFUSED, &[vm, &reason]);
+        match self.node.on_heartbeat(&answer) {
+            Ok(()) => {
+                let mut state = self.node.state();
+                state.peers.note_told(vm, &heartbeat, answer.incarnation);
+            }
+            Err(reason) => {
+                self.node
+                    .record(&kinds::PEER_MESSAGE_REFUSED, &[vm, &reason]);
+            }
         }
         true
     }
--- a/crates/snipevane-entry/src/peer/table.rs
+++ b/crates/snipevane-entry/src/peer/table.rs
@@ -40,6 +40,10 @@
     pub(crate) keys_confirmed: u64,
     free_units: FxHashMap<SmolStr, u32>,
     free_slots: FxHashMap<SmolStr, u32>,
+    /// Last heartbeat that the peer took over, and the peer's process that did.
+    told: Option<(Heartbeat, Uuid)>,
+    /// Whether what is known of the peer's room was used since its last heartbeat.
+    room_used: bool,
 }
 
 impl Peer {
@@ -59,9 +63,19 @@
             keys_confirmed: 0,
             free_units: FxHashMap::default(),
             free_slots: FxHashMap::default(),
+            told: None,
+            room_used: false,
         }
     }
 
+    /// Tells whether the peer's process took over a heartbeat that says the same.
+    fn knows(&self, heartbeat: &Heartbeat) -> bool {
+        let told = self.told.as_ref();
+        told.is_some_and(|(told, process)| {
+            Some(*process) == self.incarnation && *told == without_times(heartbeat)
+        })
+    }
+
     /// Tells whether requests may be forwarded to the peer.
     pub(crate) fn takes_requests(&self) -> bool {
         self.reachable && !self.stopping && self.version > 0
@@ -175,9 +189,38 @@
         };
         peer.free_units = counts(&heartbeat.free_units);
         peer.free_slots = counts(&heartbeat.free_slots);
+        peer.room_used = false;
         news
     }
 
+    /// Tells whether a heartbeat is to be sent to a peer.
+    ///
+    /// A peer that knows all of it, and was heard within `every`, needs none. One whose room was
+    /// used is asked for what it has now.
+    pub(crate) fn is_heartbeat_due(
+        &self,
+        vm: &str,
+        heartbeat: &Heartbeat,
+        every: Duration,
+        now: Instant,
+    ) -> bool {
+        let Some(peer) = self.by_vm.get(vm) else {
+            return true;
+        };
+        let heard_lately = peer
+            .heard
+            .is_some_and(|heard| now.saturating_duration_since(heard) < every);
+        let quiet = peer.reachable && heard_lately && !peer.room_used;
+        !quiet || !heartbeat.keys.is_empty() || !peer.knows(heartbeat)
+    }
+
+    /// Takes note that a peer's process took a heartbeat over.
+    pub(crate) fn note_told(&mut self, vm: &str, heartbeat: &Heartbeat, process: Uuid) {
+        if let Some(peer) = self.by_vm.get_mut(vm) {
+            peer.told = Some((without_times(heartbeat), process));
+        }
+    }
+
     /// Marks the peers that weren't heard for too long; returns their names.
     pub(crate) fn mark_silent(&mut self, now: Instant, silent: Duration) -> Vec<SmolStr> {
         let mut lost = Vec::new();
@@ -211,6 +254,7 @@
             .iter_mut()
             .filter(|(_, peer)| fits(peer))
             .max_by_key(|(_, peer)| (peer.zone == need.zone, peer.slots(need.service)))?;
+        peer.room_used = true;
         take_one(&mut peer.free_slots, need.service);
         if let Some(team) = need.team {
             take_one(&mut peer.free_units, team);
@@ -223,6 +267,7 @@
         let Some(peer) = self.by_vm.get_mut(vm) else {
             return;
         };
+        peer.room_used = true;
         // Which of the two was missing isn't known, so neither is counted on until the next
         // heartbeat.
         peer.free_slots.remove(need.service);
@@ -265,3 +310,12 @@
         *count = count.saturating_sub(1);
     }
 }
+
+/// Returns a heartbeat without what differs in each.
+fn without_times(heartbeat: &Heartbeat) -> Heartbeat {
+    Heartbeat {
+        platform_age_ms: 0,
+        logical_time: 0,
+        ..heartbeat.clone()
+    }
+}
