--- a/crates/snipevane-entry/src/node.rs
+++ b/crates/snipevane-entry/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::backend::{ConnectionPool, PoolSettings};
 use crate::journal::{EventKind, Journal};
+use crate::peer::PeerBytes;
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -38,6 +39,8 @@
     pub(crate) forwards: ConnectionPool,
     /// Wakes the loop that fetches a version which a peer has and this process lacks.
     pub(crate) version_news: Notify,
+    /// Bytes of the peer listener.
+    pub(crate) peer_bytes: Arc<PeerBytes>,
     /// Grows when peers' free units and slots are news.
     hints: watch::Sender<u64>,
     state: Mutex<State>,
@@ -70,6 +73,7 @@
             backends: ConnectionPool::new(pool),
             forwards: ConnectionPool::new(pool),
             version_news: Notify::new(),
+            peer_bytes: Arc::default(),
             hints: watch::Sender::new(0),
             state: Mutex::new(state),
             stopping: AtomicBool::new(false),
--- a/crates/snipevane-entry/src/peer/listener.rs
+++ b/crates/snipevane-entry/src/peer/listener.rs
@@ -21,6 +21,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tower::{BoxError, Service};
 
+use super::counted_io::CountedIo;
 use super::rpc::{PeerApiServer, PeerRpc};
 use crate::control::{Control, Platform};
 use crate::node::Node;
@@ -36,6 +37,7 @@
     control: Arc<Control<P, C>>,
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
 ) {
+    let stream = CountedIo::new(stream, node.peer_bytes.clone());
     let (stop, _server) = stop_channel();
     let node = control.node.clone();
     let methods: Methods = PeerRpc(control).into_rpc().into();
--- a/crates/snipevane-entry/src/peer/mod.rs
+++ b/crates/snipevane-entry/src/peer/mod.rs
@@ -2,12 +2,14 @@
 
 mod client;
 mod config;
+mod counted_io;
 mod listener;
 mod rpc;
 mod table;
 
 pub(crate) use client::PeerClient;
 pub(crate) use config::received_text;
+pub(crate) use counted_io::PeerBytes;
 pub(crate) use listener::serve_connection;
 pub(crate) use rpc::free;
 pub(crate) use table::{Need, Peer, Peers};
