--- a/crates/snipevane-entry/src/peer/listener.rs
+++ b/crates/snipevane-entry/src/peer/listener.rs
@@ -37,9 +37,9 @@
     control: Arc<Control<P, C>>,
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
 ) {
+    let node = control.node.clone();
     let stream = CountedIo::new(stream, node.peer_bytes.clone());
     let (stop, _server) = stop_channel();
-    let node = control.node.clone();
     let methods: Methods = PeerRpc(control).into_rpc().into();
     let config = ServerConfig::builder().max_connections(u32::MAX).build();
     let calls = Server::builder()
