Leave ceilings out of heartbeats that the shards' rows hold

Cause: the ceiling of each shard grows with each write of its row, so every heartbeat differed from what the peers knew, and they relayed it.

Change: a heartbeat names a ceiling only while it lies ahead of the row, as during an outage; otherwise 0, which receivers leave out. Who takes a shard reads its row and writes it on condition of the version read, so it knows the row's ceiling from there.

--- a/crates/snipevane-entry/src/peer/rpc.rs
+++ b/crates/snipevane-entry/src/peer/rpc.rs
@@ -171,11 +171,13 @@
 }
 
 fn shard_state(shard: &crate::state::HeldShard) -> ShardState {
+    // Who takes the shard later reads the row, so only a ceiling ahead of it has to be heard.
+    let ahead = shard.announced_ms > shard.row.ceiling_ms;
     ShardState {
         zone: shard.name.zone.to_string(),
         index: shard.name.index,
         epoch: shard.row.epoch,
-        ceiling_ms: shard.announced_ms,
+        ceiling_ms: if ahead { shard.announced_ms } else { 0 },
     }
 }
 
--- a/crates/snipevane-entry/src/state/ceilings.rs
+++ b/crates/snipevane-entry/src/state/ceilings.rs
@@ -33,7 +33,9 @@
                 ceiling.ceiling_ms,
             )
         });
-        for (name, ceiling_ms) in own.chain(heard) {
+        // A row holds the ceilings of shards that announce none.
+        let announced = own.chain(heard).filter(|&(_, ceiling_ms)| ceiling_ms > 0);
+        for (name, ceiling_ms) in announced {
             let known = self.ceilings.entry(name).or_default();
             *known = ceiling_ms.max(*known);
         }
