--- a/crates/snipevane-cli/src/status.rs
+++ b/crates/snipevane-cli/src/status.rs
@@ -39,13 +39,16 @@
 
 fn print_peers(status: &Status) {
     for peer in &status.peers {
+        let age = match peer.age_ms {
+            Some(age_ms) => format!("age {age_ms} ms"),
+            None => "never heard".to_owned(),
+        };
         println!(
-            "peer {} zone {} version {} reachable {} age {} ms",
+            "peer {} zone {} version {} reachable {} {age}",
             peer.vm,
             peer.zone,
             peer.version,
             yes_no(peer.reachable),
-            peer.age_ms,
         );
     }
 }
--- a/crates/snipevane-entry/src/control/pools/coordinator.rs
+++ b/crates/snipevane-entry/src/control/pools/coordinator.rs
@@ -1,5 +1,7 @@
 //! The pools that this entry VM coordinates, with keys for their VMs and racks.
 
+use std::time::{Duration, Instant};
+
 use rustc_hash::FxHashMap;
 use slotmap::{SecondaryMap, SlotMap};
 use smol_str::SmolStr;
@@ -121,6 +123,8 @@
 #[derive(Default)]
 pub(crate) struct Coordinators {
     pools: SecondaryMap<PoolKey, Coordination>,
+    /// Versions of the pools' rows, with the time at which each was first read.
+    first_read: FxHashMap<SmolStr, (u64, Instant)>,
 }
 
 impl Coordinators {
@@ -146,6 +150,18 @@
         }
     }
 
+    /// Returns how long a pool's row has had a version, as far as this process knows.
+    pub(super) fn unchanged_for(&mut self, pool: &SmolStr, version: u64, now: Instant) -> Duration {
+        let first = self
+            .first_read
+            .entry(pool.clone())
+            .or_insert((version, now));
+        if first.0 != version {
+            *first = (version, now);
+        }
+        now.saturating_duration_since(first.1)
+    }
+
     /// Drops the coordinator of a pool that another entry VM coordinates.
     pub(super) fn drop_pool(&mut self, pool: PoolKey) {
         self.pools.remove(pool);
--- a/crates/snipevane-entry/src/control/pools/mod.rs
+++ b/crates/snipevane-entry/src/control/pools/mod.rs
@@ -5,6 +5,7 @@
 mod operate;
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
@@ -21,6 +22,9 @@
 use coordinator::Coordination;
 pub(crate) use coordinator::Coordinators;
 
+/// Time for which a listed coordinator that isn't heard keeps its pool.
+const LONGEST_SILENCE: Duration = Duration::from_secs(15);
+
 /// Actions that are worked off at one poll at most, so that a fault can't spin.
 const MAX_ACTIONS: usize = 10_000;
 
@@ -106,7 +110,7 @@
         self.coordinators.lock().drop_pool(key);
         if known
             .as_ref()
-            .is_some_and(|read| self.is_coordinating(&read.row))
+            .is_some_and(|read| self.is_coordinating(&pool.name, read))
         {
             return false;
         }
@@ -143,13 +147,25 @@
         true
     }
 
-    /// Tells whether a pool's coordinator is this process or a reachable peer.
+    /// Tells whether a pool's coordinator may still be at work.
     ///
-    /// Taking over from one that still runs does no harm, since its writes fail from then on.
-    fn is_coordinating(&self, row: &PoolCoordination) -> bool {
+    /// Taking over from one that still runs does no harm, since its writes fail from then on. Two
+    /// that can't hear each other must not take the pool from each other all the time, though.
+    fn is_coordinating(&self, pool: &SmolStr, read: &Versioned<PoolCoordination>) -> bool {
+        let now = self.node.now();
         let state = self.node.state();
-        let peer = state.peers.get(&row.vm);
-        peer.is_some_and(|peer| peer.incarnation == Some(row.holder) && peer.takes_requests())
+        let row = &read.row;
+        if let Some(peer) = state.peers.get(&row.vm)
+            && peer.reachable
+        {
+            return peer.incarnation == Some(row.holder) && peer.takes_requests();
+        }
+        let listed = !state.list_read || state.list.iter().any(|entry| entry.id == row.vm);
+        let unchanged = self
+            .coordinators
+            .lock()
+            .unchanged_for(pool, read.version, now);
+        listed && unchanged < LONGEST_SILENCE
     }
 
     /// Writes the first row of each VM that the manifest gives to the pool.
--- a/crates/snipevane-entry/src/control/shards.rs
+++ b/crates/snipevane-entry/src/control/shards.rs
@@ -257,9 +257,13 @@
 
     /// Tells whether the platform's list says that a VM is gone.
     ///
-    /// A VM that was never listed may be so new that the list doesn't have it yet.
+    /// A VM that was never listed may be so new that the list doesn't have it yet, and one that is
+    /// heard runs, whatever the list says.
     fn is_gone(&self, vm: &str) -> bool {
         let state = self.node.state();
+        if state.peers.get(vm).is_some_and(|peer| peer.reachable) {
+            return false;
+        }
         let running = self.node.now().saturating_duration_since(self.node.started);
         let was_listed = state.listed.contains(vm) || running > LONGEST_LIST_LAG;
         state.list_read && was_listed && !state.list.iter().any(|entry| entry.id == vm)
@@ -367,7 +371,8 @@
     /// Gives all shards back with nothing running, at the end of a planned stop.
     pub(crate) async fn release_shards(&self) {
         let held = std::mem::take(&mut self.node.state().held);
-        for mut shard in held {
+        // A shard that isn't usable yet stays held, since a former holder's requests may run.
+        for mut shard in held.into_iter().filter(|shard| shard.usable) {
             shard.claims.close();
             if self.release(&shard).await {
                 self.node.record(&kinds::SHARD_RELEASED, &[&shard.name]);
--- a/crates/snipevane-entry/src/operator/status.rs
+++ b/crates/snipevane-entry/src/operator/status.rs
@@ -24,7 +24,7 @@
                 zone: peer.zone.to_string(),
                 reachable: peer.reachable,
                 version: peer.version,
-                age_ms: peer.heard.map_or(u64::MAX, |heard| {
+                age_ms: peer.heard.map(|heard| {
                     u64::try_from(now.duration_since(heard).as_millis()).unwrap_or(u64::MAX)
                 }),
             })
--- a/crates/snipevane-entry/src/request/serve.rs
+++ b/crates/snipevane-entry/src/request/serve.rs
@@ -25,6 +25,8 @@
 
 /// Time after which a caller asks again for a request that is running.
 const RUNNING_RETRY: Duration = Duration::from_secs(1);
+/// Lead of an identifier's time beyond which waiting for it makes no sense.
+const LONGEST_LEAD: Duration = Duration::from_secs(60);
 /// Time after which a caller asks again when a shard has no reachable holder.
 const SHARD_RETRY: Duration = Duration::from_secs(2);
 
@@ -122,7 +124,12 @@
     }
     cancel.cancel();
     match timeout(RUNNING_RETRY, task).await {
-        Ok(reply) => joined(reply),
+        Ok(reply) => match joined(reply) {
+            Reply::Refused(refusal) if refusal.outcome == Outcome::NotRun => {
+                Reply::Refused(work.refuse_busy(node))
+            }
+            reply => reply,
+        },
         Err(_) => Reply::Refused(late()),
     }
 }
@@ -199,6 +206,10 @@
         }
         Claim::Unknown => Refusal::unknown(StatusCode::CONFLICT, "outcome unknown")
             .detail("a request with this identifier may have run; check before you send another"),
+        Claim::TooNew { retry_after } if retry_after > LONGEST_LEAD => {
+            Refusal::not_run(StatusCode::BAD_REQUEST, "identifier from the future")
+                .detail("the time in `Idempotency-Key` lies far ahead; set the clock right")
+        }
         Claim::TooNew { retry_after } => {
             Refusal::busy("the identifier can't be accepted yet", retry_after)
                 .detail("its time lies ahead, or this shard's holder can't confirm it yet")
--- a/crates/snipevane-entry/src/state/held.rs
+++ b/crates/snipevane-entry/src/state/held.rs
@@ -53,7 +53,8 @@
         if self.held.iter().any(|held| held.closing) {
             return;
         }
-        let Some(held) = self.held.last_mut() else {
+        // Requests of the former holder may run until the shard is usable.
+        let Some(held) = self.held.last_mut().filter(|held| held.usable) else {
             return;
         };
         held.closing = true;
--- a/tests/tests/failures.rs
+++ b/tests/tests/failures.rs
@@ -180,3 +180,39 @@
         assert!(unanswered.is_empty(), "{unanswered:?}");
     }
 }
+
+#[tokio::test]
+async fn a_successor_waits_for_the_requests_of_a_killed_entry_vm() {
+    let mut site = Site::start(PROGRAM, SiteOptions::default()).await;
+    let (_, key) = site.give_key("ledger").await;
+    let callers = site.callers();
+    let long = Load {
+        callers: 12,
+        requests: 1,
+        run_ms: 1_900,
+        deadline_ms: 1_950,
+        ..Load::default()
+    };
+    let filled = {
+        let key = key.clone();
+        tokio::spawn(async move { send_load(&callers, &key, &long).await })
+    };
+    ms(300).await;
+    // The killed VM's requests go on at the backend servers; its shard is taken and given on.
+    site.remove_entry(1).await;
+    ms(400).await;
+    site.start_entry("entry-a-9", "a");
+    site.publish_list().await;
+    let callers = site.callers();
+    let more = Load {
+        callers: 24,
+        requests: 20,
+        run_ms: 30,
+        seed: 3,
+        ..Load::default()
+    };
+    send_load(&callers, &key, &more).await;
+    filled.await.unwrap();
+    let ledger = site.most_running("ledger").await;
+    assert!(ledger <= 12, "ledger ran {ledger} at once");
+}
