--- a/crates/snipevane-core/src/tasks/scheduler.rs
+++ b/crates/snipevane-core/src/tasks/scheduler.rs
@@ -234,16 +234,11 @@
         now: UnixMs,
         units: &mut impl Units,
     ) -> Report {
-        let Some((found, worker)) = self.ledger.current(task, epoch) else {
-            return Report::Stale;
+        let (worker, job) = match self.take_off(task, epoch, now, units) {
+            TakenOff::Stale => return Report::Stale,
+            TakenOff::Cancelled => return Report::Accepted,
+            TakenOff::From(worker, job) => (worker, job),
         };
-        let job = found.job;
-        let stopping = matches!(found.state, TaskState::Stopping(_));
-        self.release(task, units);
-        if stopping {
-            self.ledger.end(task, TaskState::Cancelled, now);
-            return Report::Accepted;
-        }
         // What fails on a worker that was set aside says nothing against the task.
         if !self.health.is_aside(worker) {
             self.blame(task, job, worker, now);
@@ -268,14 +263,10 @@
         now: UnixMs,
         units: &mut impl Units,
     ) -> Report {
-        let Some((found, _)) = self.ledger.current(task, epoch) else {
-            return Report::Stale;
-        };
-        let stopping = matches!(found.state, TaskState::Stopping(_));
-        self.release(task, units);
-        if stopping {
-            self.ledger.end(task, TaskState::Cancelled, now);
-            return Report::Accepted;
+        match self.take_off(task, epoch, now, units) {
+            TakenOff::Stale => return Report::Stale,
+            TakenOff::Cancelled => return Report::Accepted,
+            TakenOff::From(..) => {}
         }
         if let Some(found) = self.ledger.get_mut(task) {
             found.progress = progress.clamp(found.progress, 1.0);
@@ -400,6 +391,26 @@
         }
     }
 
+    /// Takes a task off its worker whose claim ended without success.
+    fn take_off(
+        &mut self,
+        task: TaskKey,
+        epoch: TaskEpoch,
+        now: UnixMs,
+        units: &mut impl Units,
+    ) -> TakenOff {
+        let Some((found, worker)) = self.ledger.current(task, epoch) else {
+            return TakenOff::Stale;
+        };
+        let (job, state) = (found.job, found.state);
+        self.release(task, units);
+        if matches!(state, TaskState::Stopping(_)) {
+            self.ledger.end(task, TaskState::Cancelled, now);
+            return TakenOff::Cancelled;
+        }
+        TakenOff::From(worker, job)
+    }
+
     fn release(&mut self, task: TaskKey, units: &mut impl Units) {
         let team = self.ledger.get(task).map(|found| found.submission.team);
         if self.placer.end(task)
@@ -460,3 +471,13 @@
         }
     }
 }
+
+/// What became of a task that was to be taken off its worker.
+enum TakenOff {
+    /// The report is of an earlier claim.
+    Stale,
+    /// It was to be cancelled, which has happened now.
+    Cancelled,
+    /// It ran on this worker and waits for what comes next.
+    From(WorkerKey, JobKey),
+}
--- a/crates/snipevane-measure/src/fleet/faults.rs
+++ b/crates/snipevane-measure/src/fleet/faults.rs
@@ -34,13 +34,17 @@
     pub(super) to_secs: f64,
 }
 
+/// Returns the number of unplanned failures in a run of this size.
+pub(super) fn failures(vms: usize) -> usize {
+    (FAILURES_A_DAY * vms / FAILURES_AT).max(LEAST_FAILURES)
+}
+
 /// Returns the faults of a run.
 pub(super) fn faults(size: &Size, seed: u64) -> Vec<Fault> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0xfa17);
     let run_secs = size.tasks_for.as_secs_f64();
-    let failures = (FAILURES_A_DAY * size.workers / FAILURES_AT).max(LEAST_FAILURES);
     let mut faults = Vec::new();
-    for _ in 0..failures {
+    for _ in 0..failures(size.workers) {
         for (kind, for_secs) in [(FaultKind::Down, 300.0), (FaultKind::Paused, 30.0)] {
             let from_secs = rng.random_range(0.05..0.9) * run_secs;
             faults.push(Fault {
--- a/crates/snipevane-measure/src/fleet/pool_run.rs
+++ b/crates/snipevane-measure/src/fleet/pool_run.rs
@@ -5,6 +5,7 @@
 use snipevane_core::pools::{UnixMs, VmEvent};
 
 use super::demand::burst;
+use super::faults;
 use super::pool_policy::{BUDGET_PERCENT, Phase, PoolPolicy, SimLoad, rack};
 use super::setting::Size;
 
@@ -25,10 +26,6 @@
 /// Wait beyond which work counts as late, in seconds.
 const LATE_SECS: f64 = 10.0;
 
-const FAILURES_A_DAY: usize = 14;
-const FAILURES_AT: usize = 2600;
-const LEAST_FAILURES: usize = 3;
-
 /// What a run of pools showed.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PoolResult {
@@ -187,9 +184,8 @@
 /// Returns failures over the day, and the loss of a rack.
 fn failures(size: &Size, rng: &mut ChaCha8Rng) -> Vec<(u64, usize)> {
     let vms = size.pools * size.pool_vms;
-    let count = (FAILURES_A_DAY * vms / FAILURES_AT).max(LEAST_FAILURES);
     let day = size.pools_for.as_secs();
-    let mut failures: Vec<(u64, usize)> = (0..count)
+    let mut failures: Vec<(u64, usize)> = (0..faults::failures(vms))
         .map(|_| (rng.random_range(1..day), rng.random_range(0..vms)))
         .collect();
     let lost = rack(size, rng.random_range(0..vms));
