Take over a held shard's row that an unseen write left

Cause, found by reading: a write of a ceiling that landed while its answer was lost and reads were old left the holder with the row's former version, so that every later write conflicted and after 3 s the shard took no identifier any more. Change: at each poll a newer row of this process is taken over.

--- a/crates/snipevane-entry/src/control/shards.rs
+++ b/crates/snipevane-entry/src/control/shards.rs
@@ -63,6 +63,7 @@
             .collect();
         self.confirm_from_rows(&reads).await;
         self.drop_lost(&reads);
+        self.refresh_held(&reads);
         self.take_one(&reads).await;
         self.hand_back().await;
         self.write_held().await;
@@ -136,6 +137,26 @@
         }
     }
 
+    /// Takes over newer rows of held shards, left by writes whose answers were lost.
+    ///
+    /// Without this, every later write would name a version that the row no longer has.
+    fn refresh_held(&self, reads: &[Read]) {
+        let incarnation = self.node.incarnation;
+        let mut state = self.node.state();
+        for held in &mut state.held {
+            let read = reads.iter().find(|read| read.name == held.name);
+            let Some(read) = read.filter(|read| read.holder.incarnation == incarnation) else {
+                continue;
+            };
+            // A released row is left to the one who takes it next.
+            if read.version > held.row_version && !read.holder.released {
+                held.row = read.holder.clone();
+                held.row_version = read.version;
+                held.claims.set_ceiling(read.holder.ceiling_ms);
+            }
+        }
+    }
+
     /// Takes the first shard of the zone that is free.
     ///
     /// One that was never held is left to the entry VM that it was meant for, if this one holds
--- a/tests/tests/outages.rs
+++ b/tests/tests/outages.rs
@@ -308,3 +308,26 @@
         "{answers:?}"
     );
 }
+
+#[tokio::test]
+async fn identifiers_are_accepted_again_after_writes_that_landed_late() {
+    let site = Site::start(PROGRAM, SiteOptions::default()).await;
+    let (_, key) = site.give_key("ledger").await;
+    // Writes take effect, their answers are lost, and reads don't show them.
+    site.platform_faults(json!({ "stale_reads": true, "lose_answers": 200 }))
+        .await;
+    ms(2_500).await;
+    site.platform_faults(json!({})).await;
+    // Longer than the ceilings that were written last hold.
+    ms(4_500).await;
+    for _ in 0..24 {
+        let caller = site.entries[0].caller().with_key(&key);
+        let id = Uuid::now_v7().to_string();
+        let answer = caller
+            .post("rollups", &[("idempotency-key", &id)], "pack")
+            .await
+            .unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        ms(5).await;
+    }
+}
