--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -12,6 +12,7 @@
 use snipevane_core::jobs::{JobId, JobSpec, JobState, Progress, Queue, Site};
 
 use crate::clock::Clock;
+use crate::metrics;
 use crate::node::Node;
 use crate::rows::{self, PROGRESS};
 use crate::store::StoreError;
@@ -45,8 +46,11 @@
 ) -> Reply {
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
+    let came_at = node.clock.now();
     let reply = answer(node, acceptor, request).await;
     let status = reply.status();
+    let took = node.clock.now().saturating_sub(came_at);
+    metrics::request_answered(&method, status.as_u16(), took);
     if method != Method::GET || !status.is_success() {
         let version = node.site.borrow().version();
         let away = node.store.is_away();
@@ -180,6 +184,7 @@
         accepted_unix_ms: node.clock.unix_ms(),
         schedule: submission.schedule,
     };
+    log::info!("SPEC {:?}", spec.steps);
     match acceptor.accept(id, &spec).await {
         Outcome::Stored => reply::json(StatusCode::OK, callers::encode_state(JobState::Queued)),
         outcome => not_stored(node, outcome),
--- a/crates/snipevane-fleet/src/lib.rs
+++ b/crates/snipevane-fleet/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod caller;
 pub mod client;
 pub mod clock;
+mod flags;
 pub mod logging;
+pub mod metrics;
 pub mod node;
 pub mod peers;
 pub mod process;
--- /dev/null
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -0,0 +1,136 @@
+//! Counters and histograms of the process, served in the Prometheus text format.
+//!
+//! Labels come from small fixed sets, or from the names of pools and queues in the configuration.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use thiserror::Error;
+use tokio::net::TcpListener;
+
+use crate::store::CallKind;
+
+/// Upper bounds of the histograms' buckets, in seconds: from a call within a zone to a job that
+/// its caller has given up.
+const BUCKETS_S: [f64; 14] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0,
+];
+
+const TEXT_FORMAT: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
+
+/// Metrics that can't be collected.
+#[derive(Debug, Error)]
+pub enum MetricsError {
+    /// The buckets are refused.
+    #[error(transparent)]
+    Build(#[from] BuildError),
+    /// Another collector was set before.
+    #[error("another collector of metrics is set")]
+    AlreadySet,
+}
+
+/// Renders what was counted.
+#[derive(Clone)]
+pub struct Metrics {
+    handle: PrometheusHandle,
+}
+
+impl Metrics {
+    /// Starts to count.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if another collector was set in this process.
+    pub fn start() -> Result<Self, MetricsError> {
+        let recorder = PrometheusBuilder::new()
+            .set_buckets(&BUCKETS_S)?
+            .build_recorder();
+        let handle = recorder.handle();
+        metrics::set_global_recorder(recorder).map_err(|_| MetricsError::AlreadySet)?;
+        Ok(Self { handle })
+    }
+
+    /// Serves the metrics at every path of an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub async fn serve(self, address: SocketAddr) -> std::io::Result<()> {
+        let listener = TcpListener::bind(address).await?;
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let metrics = self.clone();
+            tokio::task::spawn_local(async move {
+                let service = service_fn(move |_| {
+                    let metrics = metrics.clone();
+                    async move { Ok::<_, Infallible>(metrics.answer()) }
+                });
+                let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                if let Err(error) = served.await {
+                    log::debug!("a question for metrics ended: {error}");
+                }
+            });
+        }
+    }
+
+    fn answer(&self) -> Response<Full<Bytes>> {
+        self.handle.run_upkeep();
+        let mut response = Response::new(Full::new(Bytes::from(self.handle.render())));
+        response.headers_mut().insert(CONTENT_TYPE, TEXT_FORMAT);
+        response
+    }
+}
+
+/// Counts a call to the store.
+pub(crate) fn store_called(kind: CallKind, outcome: &'static str, took: Duration) {
+    let call = kind.name();
+    counter!("snipevane_store_calls_total", "call" => call, "outcome" => outcome).increment(1);
+    histogram!("snipevane_store_call_seconds", "call" => call).record(took.as_secs_f64());
+}
+
+/// Counts a request of a caller.
+pub(crate) fn request_answered(method: &http::Method, status: u16, took: Duration) {
+    let method = match *method {
+        http::Method::GET => "GET",
+        http::Method::POST => "POST",
+        http::Method::DELETE => "DELETE",
+        _ => "other",
+    };
+    counter!("snipevane_requests_total", "method" => method, "status" => status.to_string())
+        .increment(1);
+    histogram!("snipevane_request_seconds", "method" => method).record(took.as_secs_f64());
+}
+
+/// Counts an order to a minion.
+pub(crate) fn minion_called(order: &'static str, outcome: &'static str) {
+    counter!("snipevane_minion_calls_total", "order" => order, "outcome" => outcome).increment(1);
+}
+
+/// Counts a term that this process won.
+pub(crate) fn term_won(fence: u64) {
+    counter!("snipevane_terms_won_total").increment(1);
+    gauge!("snipevane_term_fence").set(fence as f64);
+    gauge!("snipevane_term_held").set(1.0);
+}
+
+/// Takes note that this process's term is over.
+pub(crate) fn term_over() {
+    gauge!("snipevane_term_held").set(0.0);
+}
+
+/// Takes note of the configuration in force.
+pub(crate) fn configured(version: u64) {
+    gauge!("snipevane_config_version").set(version as f64);
+}
--- a/crates/snipevane-fleet/src/process.rs
+++ b/crates/snipevane-fleet/src/process.rs
@@ -1,10 +1,12 @@
 //! Start and stop of the process.
 
+use std::net::IpAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
 use log::LevelFilter;
+use smol_str::SmolStr;
 use snipevane_adapter::settings::{DEFAULT_PATH, NodeSettings, SETTINGS_VARIABLE};
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
@@ -13,6 +15,8 @@
 
 use crate::caller::{self, Acceptor};
 use crate::clock::{Clock, SystemClock};
+use crate::flags::SnipevaneFleet;
+use crate::metrics::{Metrics, MetricsError};
 use crate::node::Node;
 use crate::{logging, peers, scheduling, site_view};
 
@@ -23,12 +27,17 @@
 /// Time that open connections have to finish.
 const FINISH: Duration = Duration::from_millis(600);
 
+/// Exit code for bad settings or usage.
+const EXIT_BAD_INPUT: u8 = 2;
+
 /// A process that can't run.
 #[derive(Debug, Error)]
 enum ProcessError {
     #[error("settings file {path}: {message}")]
     Settings { path: String, message: String },
     #[error(transparent)]
+    Metrics(#[from] MetricsError),
+    #[error(transparent)]
     Io(#[from] std::io::Error),
     #[error(transparent)]
     Logger(#[from] log::SetLoggerError),
@@ -36,24 +45,54 @@
 
 /// Runs the process until it is told to stop.
 pub fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("snipevane-fleet: {error}");
+    let flags = match SnipevaneFleet::from_env() {
+        Ok(flags) => flags,
+        Err(error) => error.exit(),
+    };
+    let ended = read_settings().and_then(|settings| {
+        if flags.check {
+            println!("the settings are sound");
+            return Ok(());
+        }
+        run(settings, flags.metrics_port)
+    });
+    let Err(error) = ended else {
+        return ExitCode::SUCCESS;
+    };
+    eprintln!("snipevane-fleet: {error}");
+    match error {
+        ProcessError::Settings { .. } => ExitCode::from(EXIT_BAD_INPUT),
+        ProcessError::Metrics(_) | ProcessError::Io(_) | ProcessError::Logger(_) => {
             ExitCode::FAILURE
         }
     }
 }
 
-fn run() -> Result<(), ProcessError> {
-    let settings = read_settings()?;
+fn run(settings: NodeSettings, metrics_port: Option<u16>) -> Result<(), ProcessError> {
     logging::start(&settings.node, LevelFilter::Info)?;
     log::info!("version {} starts", env!("CARGO_PKG_VERSION"));
+    let metrics = Metrics::start()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let local = LocalSet::new();
-    local.block_on(&runtime, serve(Node::new(settings, SystemClock)))
+    local.block_on(&runtime, async {
+        if let Some(port) = metrics_port {
+            tokio::task::spawn_local(serve_metrics(metrics, settings.ip.clone(), port));
+        }
+        serve(Node::new(settings, SystemClock)).await
+    })
+}
+
+/// Serves metrics; the process goes on without them if their address can't be had.
+async fn serve_metrics(metrics: Metrics, ip: SmolStr, port: u16) {
+    let Ok(ip) = ip.parse::<IpAddr>() else {
+        log::error!("no metrics are served: {ip} is not an IP address");
+        return;
+    };
+    if let Err(error) = metrics.serve((ip, port).into()).await {
+        log::error!("no metrics are served at port {port}: {error}");
+    }
 }
 
 fn read_settings() -> Result<NodeSettings, ProcessError> {
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::metrics;
 use crate::node::Node;
 use crate::rows::{self, SCHEDULER_KEY, SCHEDULERS, SchedulerRow};
 use crate::store::{Commit, StoreError};
@@ -98,6 +99,7 @@
     };
     let holder = before.as_ref().map(|row| row.holder.clone());
     log::info!("term {} is won, after {holder:?}", row.fence);
+    metrics::term_won(row.fence);
     Some(Won {
         row,
         before,
--- a/crates/snipevane-fleet/src/scheduling/lead.rs
+++ b/crates/snipevane-fleet/src/scheduling/lead.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
+use crate::metrics;
 use crate::node::Node;
 use crate::rows::SchedulerRow;
 
@@ -85,6 +86,7 @@
             part.abort();
         }
         log::info!("term {} is over", lead.row.borrow().fence);
+        metrics::term_over();
     }
 
     fn new(node: Rc<Node<C>>, settings: TermSettings, won: Won, site: Rc<Site>) -> Self {
--- a/crates/snipevane-fleet/src/scheduling/orders.rs
+++ b/crates/snipevane-fleet/src/scheduling/orders.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use snipevane_adapter::{Request, minion};
-use snipevane_core::jobs::{Action, HoldOrder, HoldReply, OrderReply, Recipient};
+use snipevane_core::jobs::{Action, HoldOrder, HoldReply, OrderReply, Recipient, Refusal};
 
 use crate::client::{Answer, CallError};
 use crate::clock::Clock;
+use crate::metrics;
 
 use super::lead::Lead;
 
@@ -23,6 +24,7 @@
     match action {
         Action::Start(order) => {
             let reply = send(&lead, &order.to, minion::start(&order)).await;
+            metrics::minion_called("start", reply_name(reply));
             let now = lead.node.clock.now();
             lead.scheduler
                 .borrow_mut()
@@ -30,6 +32,7 @@
         }
         Action::Stop(order) => {
             let reply = send(&lead, &order.to, minion::stop(&order)).await;
+            metrics::minion_called("stop", reply_name(reply));
             let now = lead.node.clock.now();
             lead.scheduler
                 .borrow_mut()
@@ -57,6 +60,7 @@
     if reply == HoldReply::NoAnswer {
         log::debug!("minion {} doesn't list its runs", order.to.id);
     }
+    metrics::minion_called("hold", hold_name(&reply));
     let now = lead.node.clock.now();
     let unix_ms = lead.node.clock.unix_ms();
     let mut scheduler = lead.scheduler.borrow_mut();
@@ -77,6 +81,37 @@
     }
 }
 
+/// Returns the name of an order's outcome in metrics.
+fn reply_name(reply: OrderReply) -> &'static str {
+    match reply {
+        OrderReply::Done { .. } => "done",
+        OrderReply::Refused(refusal) => refusal_name(refusal),
+        OrderReply::NoAnswer => "no_answer",
+    }
+}
+
+/// Returns the name of a hold's outcome in metrics.
+fn hold_name(reply: &HoldReply) -> &'static str {
+    match reply {
+        HoldReply::Listed(_) => "done",
+        HoldReply::Refused(refusal) => refusal_name(*refusal),
+        HoldReply::NoAnswer => "no_answer",
+    }
+}
+
+fn refusal_name(refusal: Refusal) -> &'static str {
+    match refusal {
+        Refusal::Fenced => "fenced",
+        Refusal::Outdated => "outdated",
+        Refusal::LeaseOver => "lease_over",
+        Refusal::NoRoom => "no_room",
+        Refusal::NoPermit => "no_permit",
+        Refusal::Unhealthy => "unhealthy",
+        Refusal::Invalid => "invalid",
+        Refusal::OtherInstance => "other_instance",
+    }
+}
+
 /// Sends a request to a minion if the term still allows it.
 async fn call<C: Clock>(
     lead: &Lead<C>,
--- a/crates/snipevane-fleet/src/site_view.rs
+++ b/crates/snipevane-fleet/src/site_view.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::metrics;
 use crate::node::Node;
 use crate::store::StoreError;
 
@@ -77,6 +78,7 @@
             "configuration {} is in force, after {version}",
             spec.version
         );
+        metrics::configured(spec.version);
         self.site = Some(Rc::new(Site::new(spec)));
         true
     }
--- a/crates/snipevane-fleet/src/store/mod.rs
+++ b/crates/snipevane-fleet/src/store/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::client::{Answer, CallError, Client};
 use crate::clock::Clock;
+use crate::metrics;
 
 use path::Path;
 
@@ -21,6 +22,28 @@
 /// Time that a feed's answer may take beyond its wait.
 const FEED_SLACK: Duration = Duration::from_millis(1_000);
 
+/// Kind of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallKind {
+    /// Changes rows.
+    Commit,
+    /// Reads rows.
+    Read,
+    /// Waits for changes.
+    Changes,
+}
+
+impl CallKind {
+    /// Returns the kind's name in metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Commit => "commit",
+            Self::Read => "read",
+            Self::Changes => "changes",
+        }
+    }
+}
+
 /// What came of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Commit {
@@ -87,8 +110,8 @@
     ///
     /// Returns an error that tells whether the change may be done all the same.
     pub async fn commit(&self, transaction: &Transaction) -> Result<Commit, StoreError> {
-        let call = self.path.call(rows::commit(transaction), CALL_LIMIT);
-        let answer = call.await.map_err(StoreError::from)?;
+        let request = rows::commit(transaction);
+        let answer = self.call(CallKind::Commit, request, CALL_LIMIT).await?;
         match answer.status {
             200 => Ok(Commit::Done(page(&answer)?.version)),
             412 => Ok(Commit::Conflict(page(&answer)?.rows)),
@@ -117,9 +140,23 @@
         Ok(all)
     }
 
+    /// Sends a call and counts it.
+    async fn call(
+        &self,
+        kind: CallKind,
+        request: Request,
+        limit: Duration,
+    ) -> Result<Answer, StoreError> {
+        let sent_at = self.path.now();
+        let answer = self.path.call(request, limit).await;
+        let took = self.path.now().saturating_sub(sent_at);
+        metrics::store_called(kind, outcome(&answer), took);
+        Ok(answer?)
+    }
+
     async fn read_page(&self, table: &str, from: &str, to: &str) -> Result<Page, StoreError> {
-        let call = self.path.call(rows::read(table, from, to), CALL_LIMIT);
-        let answer = call.await.map_err(StoreError::from)?;
+        let request = rows::read(table, from, to);
+        let answer = self.call(CallKind::Read, request, CALL_LIMIT).await?;
         match answer.status {
             200 => page(&answer),
             _ => Err(StoreError::NothingDone),
@@ -149,8 +186,8 @@
     ) -> Result<Page, StoreError> {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(rows::MAX_WAIT_MS);
         let request = rows::changes(table, after, wait_ms);
-        let call = self.path.call(request, wait + FEED_SLACK);
-        let answer = call.await.map_err(StoreError::from)?;
+        let limit = wait + FEED_SLACK;
+        let answer = self.call(CallKind::Changes, request, limit).await?;
         match answer.status {
             200 => page(&answer),
             410 => Err(StoreError::HistoryGone),
@@ -159,6 +196,19 @@
     }
 }
 
+/// Returns the name of a call's outcome in metrics.
+fn outcome(answer: &Result<Answer, CallError>) -> &'static str {
+    match answer.as_ref().map(|answer| answer.status) {
+        Ok(200) => "done",
+        Ok(410) => "history_gone",
+        Ok(412) => "conflict",
+        Ok(429) => "too_many",
+        Ok(_) => "refused",
+        Err(CallError::NotSent) => "not_sent",
+        Err(CallError::NoAnswer) => "no_answer",
+    }
+}
+
 impl From<CallError> for StoreError {
     fn from(error: CallError) -> Self {
         match error {
--- a/crates/snipevane-fleet/src/store/path.rs
+++ b/crates/snipevane-fleet/src/store/path.rs
@@ -56,6 +56,11 @@
         })
     }
 
+    /// Returns the present time.
+    pub(super) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
     /// Names the entry VMs that pass calls on.
     pub(super) fn set_relays(&self, relays: Vec<SocketAddr>) {
         *self.relays.borrow_mut() = relays;
