Let entry VMs ask the scheduler rather than the store

A slow store carries three transactions a second, and each entry VM wrote its own. Ruled out: a cache of states on each VM fed by the progress table; its feed alone costs more calls. Change: the scheduler's row names its address. The others listen there for heartbeats (version of the row, waiting jobs, age of the confirmed configuration), ask it for states and hand it submissions, which it stores in batches and needn't read again; all fall back on the store. A heartbeat counts as a look only if its version is new, so a takeover comes as soon as before. A configuration that nobody has confirmed for 1.8 s (the scheduler: 1 s) is asked for.

--- a/crates/snipevane-core/src/jobs/ended_jobs.rs
+++ b/crates/snipevane-core/src/jobs/ended_jobs.rs
@@ -3,30 +3,36 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use rustc_hash::FxHashSet;
+use rustc_hash::FxHashMap;
 
 use super::id::JobId;
 use super::minion::millis;
+use super::progress::JobState;
 
 /// Jobs that have ended and whose state is still told.
 #[derive(Clone, Debug, Default)]
 pub(super) struct EndedJobs {
-    known: FxHashSet<JobId>,
+    known: FxHashMap<JobId, JobState>,
     /// Jobs with the times of their ends, in Unix milliseconds, about in order.
     by_end: VecDeque<(JobId, u64)>,
 }
 
 impl EndedJobs {
     /// Adds a job that ended at a time, in Unix milliseconds.
-    pub(super) fn insert(&mut self, id: JobId, ended_unix_ms: u64) {
-        if self.known.insert(id) {
+    pub(super) fn insert(&mut self, id: JobId, state: JobState, ended_unix_ms: u64) {
+        if self.known.insert(id, state).is_none() {
             self.by_end.push_back((id, ended_unix_ms));
         }
     }
 
     /// Returns whether a job has ended.
     pub(super) fn contains(&self, id: JobId) -> bool {
-        self.known.contains(&id)
+        self.known.contains_key(&id)
+    }
+
+    /// Returns the state in which a job ended.
+    pub(super) fn state(&self, id: JobId) -> Option<JobState> {
+        self.known.get(&id).copied()
     }
 
     /// Takes out up to `most` jobs that ended longer ago than `kept`.
--- a/crates/snipevane-core/src/jobs/ends.rs
+++ b/crates/snipevane-core/src/jobs/ends.rs
@@ -237,7 +237,7 @@
         if !job.state.is_final() || is_behind || has_runs(job) {
             return;
         }
-        self.ended.insert(job.id, job.ended_unix_ms);
+        self.ended.insert(job.id, job.state, job.ended_unix_ms);
         self.job_ids.remove(&job.id);
         self.scheduled.remove(&key);
         self.jobs.remove(key);
--- a/crates/snipevane-core/src/jobs/intake.rs
+++ b/crates/snipevane-core/src/jobs/intake.rs
@@ -53,8 +53,8 @@
     }
 
     /// Takes note of a job that an earlier term ended.
-    pub fn add_ended(&mut self, id: JobId, ended_unix_ms: u64) {
-        self.ended.insert(id, ended_unix_ms);
+    pub fn add_ended(&mut self, id: JobId, state: JobState, ended_unix_ms: u64) {
+        self.ended.insert(id, state, ended_unix_ms);
     }
 
     /// Cancels a job.
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -172,6 +172,21 @@
         self.jobs.get(*self.job_ids.get(&id)?)
     }
 
+    /// Returns the state of a job as callers may see it: a final one only once it is stored.
+    pub fn shown_state(&self, id: JobId) -> Option<JobState> {
+        let Some(key) = self.job_ids.get(&id) else {
+            return self.ended.state(id);
+        };
+        let state = self.jobs.get(*key)?.state;
+        let is_behind = self.dirty.contains(key) || self.storing.contains(key);
+        let shown = if state.is_final() && is_behind {
+            JobState::Running
+        } else {
+            state
+        };
+        Some(shown)
+    }
+
     /// Returns the number of jobs that haven't begun, by queue.
     pub fn waiting_jobs(&self) -> Vec<(SmolStr, u64)> {
         let mut counts: BTreeMap<SmolStr, u64> = BTreeMap::new();
--- a/crates/snipevane-fleet/src/caller/acceptor.rs
+++ b/crates/snipevane-fleet/src/caller/acceptor.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snipevane_adapter::rows::{Row, Transaction};
 use snipevane_core::jobs::{JobId, JobSpec, Progress};
@@ -12,6 +13,7 @@
 
 use crate::clock::Clock;
 use crate::node::Node;
+use crate::peers::link;
 use crate::rows::{self, INBOX, PROGRESS};
 use crate::store::{Commit, StoreError};
 
@@ -25,7 +27,7 @@
 const RETRY: Duration = Duration::from_millis(60);
 
 /// What came of a change.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// It is stored, now or before.
     Stored,
@@ -72,8 +74,24 @@
         })
     }
 
-    /// Stores a job, unless it is there already.
+    /// Stores a job, unless it is there already: through the scheduler if that can be reached,
+    /// which then needn't read it from the store.
     pub async fn accept(self: &Rc<Self>, id: JobId, spec: &JobSpec) -> Outcome {
+        if self.node.lead().is_some() {
+            return self.accept_here(id, spec).await;
+        }
+        match link::accept(&self.node, id, spec).await {
+            Some(Outcome::Stored) => Outcome::Stored,
+            Some(Outcome::NotStored) | None => self.accept_here(id, spec).await,
+            Some(Outcome::Unknown) => match self.accept_here(id, spec).await {
+                Outcome::NotStored => Outcome::Unknown,
+                outcome => outcome,
+            },
+        }
+    }
+
+    /// Stores a job by this process's own write, unless it is there already.
+    pub async fn accept_here(self: &Rc<Self>, id: JobId, spec: &JobSpec) -> Outcome {
         let key = rows::job_key(id);
         let writes = vec![
             (INBOX.into(), key.clone(), rows::encode(spec)),
@@ -84,7 +102,13 @@
             ),
         ];
         match self.write((PROGRESS.into(), key, 0), writes, false).await {
-            Answer::Outcome(outcome) => outcome,
+            Answer::Outcome(outcome) => {
+                let lead = self.node.lead().filter(|_| outcome == Outcome::Stored);
+                if let Some(lead) = lead {
+                    lead.job_stored(id, spec.clone());
+                }
+                outcome
+            }
             Answer::Conflict { .. } => Outcome::Stored,
         }
     }
--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::metrics;
 use crate::node::Node;
+use crate::peers::link;
 use crate::rows::{self, PROGRESS};
 use crate::store::StoreError;
 
@@ -208,6 +209,13 @@
 }
 
 async fn state<C: Clock>(node: &Node<C>, id: JobId) -> Reply {
+    let known = match node.lead() {
+        Some(lead) => lead.shown_state(id),
+        None => link::state(node, id).await,
+    };
+    if let Some(state) = known {
+        return reply::json(StatusCode::OK, callers::encode_state(state));
+    }
     match read_progress(node, id).await {
         Ok(Some((progress, _))) => {
             reply::json(StatusCode::OK, callers::encode_state(progress.state))
--- a/crates/snipevane-fleet/src/node.rs
+++ b/crates/snipevane-fleet/src/node.rs
@@ -11,7 +11,7 @@
 
 use crate::client::Client;
 use crate::clock::Clock;
-use crate::scheduling::SchedulerView;
+use crate::scheduling::{Lead, SchedulerView};
 use crate::site_view::SiteView;
 use crate::store::Store;
 
@@ -29,6 +29,8 @@
     pub site: RefCell<SiteView>,
     /// What is known of the scheduler.
     pub scheduler: RefCell<SchedulerView>,
+    /// The scheduler of this process's term, while it holds one.
+    lead: RefCell<Option<Rc<Lead<C>>>>,
     /// Whether the process is stopping.
     pub stopping: Cell<bool>,
     /// Told when the process begins to stop.
@@ -54,6 +56,7 @@
             store,
             site: RefCell::default(),
             scheduler: RefCell::default(),
+            lead: RefCell::new(None),
             stopping: Cell::new(false),
             stop: Notify::new(),
             site_changed: Notify::new(),
@@ -62,6 +65,16 @@
         })
     }
 
+    /// Returns the scheduler of this process's term, while it holds one.
+    pub fn lead(&self) -> Option<Rc<Lead<C>>> {
+        self.lead.borrow().clone()
+    }
+
+    /// Takes note of the scheduler of this process's term, or of the term's end.
+    pub(crate) fn set_lead(&self, lead: Option<Rc<Lead<C>>>) {
+        *self.lead.borrow_mut() = lead;
+    }
+
     /// Returns a random number in a range.
     pub fn random(&self, range: Range<f64>) -> f64 {
         self.random.borrow_mut().random_range(range)
--- a/crates/snipevane-fleet/src/rows.rs
+++ b/crates/snipevane-fleet/src/rows.rs
@@ -31,6 +31,9 @@
 pub struct SchedulerRow {
     /// Name of the VM that schedules.
     pub holder: SmolStr,
+    /// Address at which the holder serves the other entry VMs.
+    #[serde(default)]
+    pub address: SmolStr,
     /// Start of the holder's process, so that a later process on the VM isn't taken for it.
     pub process: u64,
     /// Fencing token.
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -10,6 +10,7 @@
 use crate::clock::Clock;
 use crate::metrics;
 use crate::node::Node;
+use crate::peers::{self, link};
 use crate::rows::{self, SCHEDULER_KEY, SCHEDULERS, SchedulerRow};
 use crate::store::{Commit, StoreError};
 
@@ -21,10 +22,16 @@
 /// Time between two looks when a term is about to be free.
 const CLOSE_LOOK: Duration = Duration::from_millis(120);
 
+/// Pause after a heartbeat, in which several writes of the scheduler gather.
+const BETWEEN_HEARTBEATS: Duration = Duration::from_millis(100);
+
 /// Stands for the scheduler's term until the process stops.
 pub async fn stand<C: Clock>(node: Rc<Node<C>>) {
     let settings = TermSettings::default();
     while !node.stopping.get() {
+        if follow(&node, &settings).await {
+            continue;
+        }
         let looked = look(&node, &settings).await;
         if let Err(error) = looked {
             log::debug!("the scheduler's row can't be read: {error}");
@@ -41,6 +48,19 @@
     }
 }
 
+/// Listens to the scheduler; returns whether it is there.
+async fn follow<C: Clock>(node: &Node<C>, settings: &TermSettings) -> bool {
+    let scheduler = node.scheduler.borrow().watched(node.clock.now());
+    let Some(address) = scheduler else {
+        return false;
+    };
+    let heard = link::watch(node, settings, address).await;
+    if heard {
+        sleep(BETWEEN_HEARTBEATS).await;
+    }
+    heard
+}
+
 /// Returns whether the term is free.
 ///
 /// It is free at once for a process whose predecessor on the same VM held it.
@@ -76,6 +96,7 @@
     };
     let row = SchedulerRow {
         holder: node.settings.node.clone(),
+        address: peers::own_address(node).into(),
         process: node.process,
         fence: before.as_ref().map_or(0, |row| row.fence) + 1,
         minions: before
--- a/crates/snipevane-fleet/src/scheduling/feeds.rs
+++ b/crates/snipevane-fleet/src/scheduling/feeds.rs
@@ -19,8 +19,12 @@
 /// Time that a question for changes waits.
 const FEED_WAIT: Duration = Duration::from_millis(2_500);
 
-/// Pause between two questions, in which changes gather.
-const GATHER: Duration = Duration::from_millis(15);
+/// Pause between two questions for jobs, in which changes gather; most jobs come from the entry VM
+/// that accepted them.
+const GATHER_JOBS: Duration = Duration::from_millis(200);
+
+/// Pause between two questions for minions, in which changes gather.
+const GATHER_MINIONS: Duration = Duration::from_millis(100);
 
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(150);
@@ -56,7 +60,7 @@
         .filter(|(_, progress)| progress.state.is_final())
     {
         let mut scheduler = lead.scheduler.borrow_mut();
-        scheduler.add_ended(*id, progress.ended_unix_ms);
+        scheduler.add_ended(*id, progress.state, progress.ended_unix_ms);
     }
     for row in &inbox.rows {
         take_job(lead, row, &progress, adopted);
@@ -89,7 +93,7 @@
                 }
                 version = version.max(page.version);
                 lead.wake.notify_one();
-                sleep(GATHER).await;
+                sleep(GATHER_JOBS).await;
             }
             Err(StoreError::HistoryGone) => return,
             Err(error) => {
@@ -162,7 +166,7 @@
                 }
                 version = version.max(page.version);
                 lead.wake.notify_one();
-                sleep(GATHER).await;
+                sleep(GATHER_MINIONS).await;
             }
             Err(StoreError::HistoryGone) => return,
             Err(error) => {
--- a/crates/snipevane-fleet/src/scheduling/lead.rs
+++ b/crates/snipevane-fleet/src/scheduling/lead.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
-use snipevane_core::jobs::{HiddenRuns, Scheduler, SchedulerSettings, Site};
+use snipevane_core::jobs::{
+    HiddenRuns, JobId, JobSpec, JobState, Scheduler, SchedulerSettings, Site,
+};
 use snipevane_core::term::{Term, TermSettings};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -47,7 +49,7 @@
 }
 
 /// The scheduler of this process's term.
-pub(super) struct Lead<C> {
+pub struct Lead<C> {
     pub(super) node: Rc<Node<C>>,
     pub(super) scheduler: RefCell<Scheduler>,
     pub(super) settings: TermSettings,
@@ -62,6 +64,8 @@
     pub(super) loaded: Cell<bool>,
     /// Whether the term is over for good.
     pub(super) over: Cell<bool>,
+    /// Told when the row was written.
+    pub(super) written: Notify,
     /// Told when something may be decided.
     pub(super) wake: Notify,
     /// Told when something may be stored.
@@ -75,6 +79,7 @@
             return;
         };
         let lead = Rc::new(Self::new(node, settings, won, site));
+        lead.node.set_lead(Some(lead.clone()));
         let parts: Vec<JoinHandle<()>> = vec![
             tokio::task::spawn_local(feeds::follow_jobs(lead.clone())),
             tokio::task::spawn_local(feeds::follow_minions(lead.clone())),
@@ -82,6 +87,7 @@
             tokio::task::spawn_local(vms::plan(lead.clone())),
         ];
         lead.decide_until_over().await;
+        lead.node.set_lead(None);
         for part in parts {
             part.abort();
         }
@@ -108,12 +114,34 @@
             taken_over_at,
             loaded: Cell::new(false),
             over: Cell::new(false),
+            written: Notify::new(),
             wake: Notify::new(),
             store_wake: Notify::new(),
             node,
         }
     }
 
+    /// Takes in a job that this process has just stored.
+    pub(crate) fn job_stored(&self, id: JobId, spec: JobSpec) {
+        let (now, unix_ms) = (self.node.clock.now(), self.node.clock.unix_ms());
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.add_job(id, spec, None, false, now, unix_ms);
+        drop(scheduler);
+        self.wake.notify_one();
+    }
+
+    /// Returns the state of a job as callers may see it, if the job is known.
+    pub(crate) fn shown_state(&self, id: JobId) -> Option<JobState> {
+        self.scheduler.borrow().shown_state(id)
+    }
+
+    /// Waits until the row has another version than `known`.
+    pub(crate) async fn written_after(&self, known: u64) {
+        while self.version.get() == known && !self.over.get() {
+            self.written.notified().await;
+        }
+    }
+
     /// Returns whether orders may be given.
     pub(super) fn may_order(&self) -> bool {
         let holds = self.term.borrow().holds(self.node.clock.now());
--- a/crates/snipevane-fleet/src/scheduling/mod.rs
+++ b/crates/snipevane-fleet/src/scheduling/mod.rs
@@ -9,4 +9,5 @@
 mod vms;
 
 pub use candidate::stand;
+pub use lead::Lead;
 pub use view::SchedulerView;
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -167,6 +167,8 @@
     let row = lead.row.borrow().clone();
     let mut view = lead.node.scheduler.borrow_mut();
     view.wrote(&lead.settings, row, version, lead.node.clock.now());
+    drop(view);
+    lead.written.notify_waiters();
 }
 
 /// Tells from the present row whether an earlier copy of a write was done; ends a term that
@@ -182,11 +184,14 @@
         Some((version, value)) if value == *own => {
             lead.version.set(version);
             lead.term.borrow_mut().renewed(sent_at);
+            drop(own);
+            note_own_row(lead, version);
             true
         }
         other => {
             log::warn!("the term is lost to {other:?}");
             lead.over.set(true);
+            lead.written.notify_waiters();
             false
         }
     }
--- a/crates/snipevane-fleet/src/site_view.rs
+++ b/crates/snipevane-fleet/src/site_view.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use snipevane_adapter::config;
-use snipevane_adapter::rows::Row;
+use snipevane_adapter::rows::{Page, Row};
 use snipevane_adapter::settings::Bounds;
 use snipevane_core::jobs::{Site, WaveOrder};
 use tokio::time::sleep;
@@ -15,7 +15,16 @@
 use crate::store::StoreError;
 
 /// Time that a question for changes waits; each answer confirms the configuration.
-const FEED_WAIT: Duration = Duration::from_millis(1_000);
+const FEED_WAIT: Duration = Duration::from_millis(2_500);
+
+/// Time between two looks at the age of the last confirmation.
+const CHECK_EVERY: Duration = Duration::from_millis(200);
+
+/// Age of the last confirmation at which the scheduler asks for another, for all.
+const CONFIRM_AFTER: Duration = Duration::from_millis(1_000);
+
+/// Age of the last confirmation at which the others ask for one themselves.
+const CONFIRM_ALONE_AFTER: Duration = Duration::from_millis(1_800);
 
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(150);
@@ -33,6 +42,10 @@
     /// Waves of upkeep that the operator asks for.
     pub waves: Vec<WaveOrder>,
     confirmed_at: Option<Duration>,
+    /// Version of the store up to which the operator's rows were read.
+    read_up_to: u64,
+    /// Newest version that the scheduler has told of.
+    newest_heard: u64,
 }
 
 impl SiteView {
@@ -48,6 +61,26 @@
         self.site.is_some() && self.confirmed_at.is_some_and(fresh)
     }
 
+    /// Takes note that the store held this version, and no newer one, at a time.
+    pub fn confirm(&mut self, version: u64, at: Duration) {
+        self.newest_heard = self.newest_heard.max(version);
+        if self.site.is_some() && version == self.version() {
+            self.confirmed_at = self.confirmed_at.max(Some(at));
+        }
+    }
+
+    /// Returns whether the store is to be asked, because the last confirmation is older than
+    /// `limit` or a newer version is known to exist.
+    fn wants_confirmation(&self, limit: Duration, now: Duration) -> bool {
+        let is_old = self.confirmation_age(now).is_none_or(|age| age >= limit);
+        self.site.is_some() && (is_old || self.newest_heard > self.version())
+    }
+
+    /// Returns the time since the store has confirmed the configuration.
+    pub fn confirmation_age(&self, now: Duration) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Takes in a row; returns whether the configuration changed.
     fn take(&mut self, row: &Row) -> bool {
         let Some(value) = &row.value else {
@@ -98,29 +131,51 @@
 pub async fn follow<C: Clock>(node: Rc<Node<C>>) {
     loop {
         match read_all(&node).await {
-            Ok(version) => follow_changes(&node, version).await,
+            Ok(()) => follow_changes(&node).await,
             Err(error) => log::warn!("the configuration can't be read: {error}"),
         }
         sleep(RETRY).await;
     }
 }
 
-async fn read_all<C: Clock>(node: &Node<C>) -> Result<u64, StoreError> {
+/// Asks the store for changes whenever neither it nor the scheduler has confirmed the
+/// configuration for a while.
+///
+/// A question for changes that waits confirms nothing, and the connection that it waits on may
+/// have gone silent.
+pub async fn keep_confirmed<C: Clock>(node: Rc<Node<C>>) {
+    loop {
+        sleep(CHECK_EVERY).await;
+        let limit = if node.lead().is_some() {
+            CONFIRM_AFTER
+        } else {
+            CONFIRM_ALONE_AFTER
+        };
+        let due = node
+            .site
+            .borrow()
+            .wants_confirmation(limit, node.clock.now());
+        if !due {
+            continue;
+        }
+        if let Err(error) = ask_for_changes(&node, Duration::ZERO).await {
+            log::debug!("the configuration can't be confirmed: {error}");
+        }
+    }
+}
+
+async fn read_all<C: Clock>(node: &Node<C>) -> Result<(), StoreError> {
     let asked_at = node.clock.now();
     let page = node.store.read(config::TABLE, "", "").await?;
-    take_rows(node, &page.rows, asked_at);
-    Ok(page.version)
+    take_page(node, &page, asked_at);
+    Ok(())
 }
 
 /// Follows changes until the history that is needed is gone.
-async fn follow_changes<C: Clock>(node: &Node<C>, mut version: u64) {
+async fn follow_changes<C: Clock>(node: &Node<C>) {
     loop {
-        let asked_at = node.clock.now();
-        match node.store.changes(config::TABLE, version, FEED_WAIT).await {
-            Ok(page) => {
-                take_rows(node, &page.rows, asked_at);
-                version = version.max(page.version);
-            }
+        match ask_for_changes(node, FEED_WAIT).await {
+            Ok(()) => {}
             Err(StoreError::HistoryGone) => return,
             Err(error) => {
                 log::debug!("changes of the configuration can't be read: {error}");
@@ -130,13 +185,22 @@
     }
 }
 
-fn take_rows<C: Clock>(node: &Node<C>, rows: &[Row], asked_at: Duration) {
+async fn ask_for_changes<C: Clock>(node: &Node<C>, wait: Duration) -> Result<(), StoreError> {
+    let asked_at = node.clock.now();
+    let after = node.site.borrow().read_up_to;
+    let page = node.store.changes(config::TABLE, after, wait).await?;
+    take_page(node, &page, asked_at);
+    Ok(())
+}
+
+fn take_page<C: Clock>(node: &Node<C>, page: &Page, asked_at: Duration) {
     let mut view = node.site.borrow_mut();
     let mut changed = false;
-    for row in rows {
+    for row in &page.rows {
         changed |= view.take(row);
     }
-    view.confirmed_at = Some(asked_at);
+    view.read_up_to = view.read_up_to.max(page.version);
+    view.confirmed_at = view.confirmed_at.max(Some(asked_at));
     drop(view);
     if changed {
         node.site_changed.notify_waiters();
--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -125,3 +125,29 @@
     assert_eq!(site.row()["fence"], 2);
     assert_eq!(site.started().len(), 8, "each task ran once");
 }
+
+#[test]
+fn the_scheduler_tells_states_without_a_read_of_the_store() {
+    let site = Site::start("states", 2, 2);
+    let scheduler = site.scheduler().expect("a scheduler");
+    site.submit(1 - scheduler, JOB, 2, 60_000);
+    eventually("started", || site.started().len() == 2);
+    eventually("a state without a read", || {
+        let before = site.store.reads("progress");
+        let state = site.state(1 - scheduler, JOB);
+        state.contains("in_progress") && site.store.reads("progress") == before
+    });
+}
+
+#[test]
+fn a_job_is_accepted_while_the_scheduler_is_frozen_and_runs_once() {
+    let mut site = Site::start("frozen", 2, 2);
+    let scheduler = site.scheduler().expect("a scheduler");
+    site.nodes[scheduler].freeze();
+    site.submit(1 - scheduler, JOB, 3, 100);
+    site.completes(1 - scheduler, JOB);
+    site.nodes[scheduler].thaw();
+    site.submit(scheduler, NEXT, 2, 100);
+    site.completes(scheduler, NEXT);
+    assert_eq!(site.started().len(), 5, "each task ran once");
+}
--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -168,10 +168,24 @@
 
     /// Asks the daemon to stop; returns whether it ended by itself and well.
     pub(crate) fn stop(&mut self) -> bool {
+        self.signal(rustix::process::Signal::TERM);
+        self.process.wait().expect("its end").success()
+    }
+
+    /// Stands the daemon still.
+    pub(crate) fn freeze(&mut self) {
+        self.signal(rustix::process::Signal::STOP);
+    }
+
+    /// Lets the daemon go on.
+    pub(crate) fn thaw(&mut self) {
+        self.signal(rustix::process::Signal::CONT);
+    }
+
+    fn signal(&self, signal: rustix::process::Signal) {
         let pid = i32::try_from(self.process.id()).expect("a process id");
         let pid = rustix::process::Pid::from_raw(pid).expect("a process id");
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("a signal");
-        self.process.wait().expect("its end").success()
+        rustix::process::kill_process(pid, signal).expect("a signal");
     }
 }
 
--- /dev/null
+++ b/crates/snipevane-fleet/tests/view.rs
@@ -0,0 +1,92 @@
+//! What a process takes from the scheduler's heartbeats never lets it take over too early or late.
+
+#![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
+
+use std::time::Duration;
+
+use snipevane_adapter::rows::Row;
+use snipevane_core::term::TermSettings;
+use snipevane_fleet::peers::messages::Heartbeat;
+use snipevane_fleet::rows::{self, SCHEDULER_KEY, SCHEDULERS, SchedulerRow};
+use snipevane_fleet::scheduling::SchedulerView;
+
+const START: Duration = Duration::from_secs(100);
+
+fn after(millis: u64) -> Duration {
+    START + Duration::from_millis(millis)
+}
+
+fn row(version: u64) -> Row {
+    let row = SchedulerRow {
+        holder: "a".into(),
+        address: "10.0.0.1:7000".into(),
+        ..SchedulerRow::default()
+    };
+    Row {
+        table: SCHEDULERS.into(),
+        key: SCHEDULER_KEY.into(),
+        value: Some(rows::encode(&row)),
+        version,
+    }
+}
+
+fn heartbeat(version: u64) -> Heartbeat {
+    Heartbeat {
+        version,
+        waiting: None,
+        config_version: 1,
+        config_age_ms: None,
+    }
+}
+
+fn seen_at_start(version: u64) -> (TermSettings, SchedulerView) {
+    let settings = TermSettings::default();
+    let mut view = SchedulerView::default();
+    view.saw(&settings, Some(&row(version)), START);
+    // The first look counts as one after an outage.
+    view.saw(&settings, Some(&row(version)), after(100));
+    (settings, view)
+}
+
+#[test]
+fn a_scheduler_that_writes_keeps_its_term_without_looks_at_the_store() {
+    let (settings, mut view) = seen_at_start(5);
+    for step in 1..20 {
+        assert!(view.heard(&settings, heartbeat(5 + step), after(400 * step)));
+    }
+    assert!(!view.is_free(&settings, after(400 * 20)));
+    assert_eq!(view.version(), 24);
+}
+
+#[test]
+fn heartbeats_without_a_new_version_hold_up_no_takeover() {
+    let (settings, mut view) = seen_at_start(5);
+    view.heard(&settings, heartbeat(6), after(1_000));
+    for millis in (1_100..2_500).step_by(100) {
+        view.heard(&settings, heartbeat(6), after(millis));
+    }
+    let free_at = 1_000 + (settings.term + settings.margin).as_millis() as u64;
+    assert!(!view.is_free(&settings, after(free_at - 1)));
+    assert!(view.is_free(&settings, after(free_at)));
+    assert!(!view.heard(&settings, heartbeat(6), after(free_at)));
+}
+
+/// A process that was frozen past its term may still answer with what it last knew.
+#[test]
+fn the_heartbeat_of_a_former_scheduler_is_passed_over() {
+    let (settings, mut view) = seen_at_start(9);
+    assert!(!view.heard(&settings, heartbeat(8), after(200)));
+    assert_eq!(view.version(), 9);
+    assert_eq!(view.link(after(200)), None);
+}
+
+#[test]
+fn a_scheduler_that_does_not_answer_is_not_asked_for_a_while() {
+    let (settings, mut view) = seen_at_start(5);
+    assert!(view.heard(&settings, heartbeat(6), after(200)));
+    assert!(view.link(after(300)).is_some());
+    view.link_failed(after(400));
+    assert_eq!(view.watched(after(1_300)), None);
+    assert!(view.watched(after(1_500)).is_some());
+    assert_eq!(view.link(after(1_500)), None, "not heard again yet");
+}
