Take a VM for taken down only once the list of VMs shows it

The scheduler was lost before it had stored that a VM had had its upkeep. Its successor emptied the VM again and ordered it again; the platform confirms such an order and does nothing, but the runs there were taken for ended and started elsewhere. Traced with lines on ends of runs: the run was ended 4.8 s after its start, which is the limit of emptying, without an end in any list, and was listed as active half a second later. Change: a confirmed order makes the minion doubtful; its runs end when a list of VMs that was asked for afterwards shows the VM as not up, or with another minion. Test: an_upkeep_that_is_confirmed_again_ends_no_tasks, which failed with the old way ('two runs at a time').

--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -27,6 +27,7 @@
 mod scheduler;
 mod site;
 mod spec;
+mod taken_down;
 mod upkeep;
 mod vm;
 
@@ -45,5 +46,6 @@
 pub use scheduler::{Scheduler, SchedulerSettings};
 pub use site::{Pool, Queue, Site, SiteSpec, Team};
 pub use spec::{JobSpec, MAX_STEP_TASKS, MAX_STEPS, Schedule, StepSpec};
+pub use taken_down::TakenDown;
 pub use upkeep::{Upkeep, WaveProgress};
 pub use vm::{Vm, VmOrder, VmReply, VmState, VmWork, WaveOrder};
--- /dev/null
+++ b/crates/snipevane-core/src/jobs/taken_down.rs
@@ -0,0 +1,60 @@
+//! VMs that planned work is said to have taken down, until that is certain.
+//!
+//! The platform also confirms an order that was carried out before, as after a takeover. Then the
+//! VM is up and all that it runs goes on, so only the list of VMs tells which of both happened.
+
+use std::time::Duration;
+
+use super::scheduler::Scheduler;
+use super::vm::{Vm, VmState};
+
+/// Time after a confirmed order until the list of VMs surely shows it.
+const LIST_LAG: Duration = Duration::from_millis(300);
+
+/// VMs whose orders were confirmed and that no list has shown since.
+#[derive(Clone, Debug, Default)]
+pub struct TakenDown {
+    waiting: Vec<(Vm, Duration)>,
+}
+
+impl TakenDown {
+    /// Takes note that an order for a VM was confirmed.
+    pub fn confirmed(&mut self, scheduler: &mut Scheduler, vm: Vm, now: Duration) {
+        scheduler.doubt_vm(&vm);
+        self.waiting.push((vm, now));
+    }
+
+    /// Ends the runs on VMs that a list, asked for at `asked_at`, shows as taken down.
+    pub fn settle(&mut self, scheduler: &mut Scheduler, vms: &[Vm], asked_at: Duration) {
+        self.waiting.retain(|(vm, confirmed_at)| {
+            if asked_at < *confirmed_at {
+                return true;
+            }
+            let listed = vms.iter().find(|listed| listed.name == vm.name);
+            let lives = listed
+                .is_some_and(|listed| listed.state == VmState::Up && listed.minion == vm.minion);
+            if !lives {
+                scheduler.vm_taken_down(vm);
+                return false;
+            }
+            asked_at < *confirmed_at + LIST_LAG
+        });
+    }
+}
+
+impl Scheduler {
+    /// Places nothing on a VM until its minion has listed its runs again.
+    fn doubt_vm(&mut self, vm: &Vm) {
+        if let Some(key) = self.minion_of(vm) {
+            self.doubt(key);
+        }
+    }
+
+    /// Takes note that planned work has ended all that ran on a VM.
+    fn vm_taken_down(&mut self, vm: &Vm) {
+        if let Some(key) = self.minion_of(vm) {
+            self.incarnation_gone(key);
+            self.doubt(key);
+        }
+    }
+}
--- a/crates/snipevane-core/src/jobs/upkeep.rs
+++ b/crates/snipevane-core/src/jobs/upkeep.rs
@@ -327,17 +327,6 @@
         vm.state == VmState::Up && born.is_some_and(|born| born < born_before)
     }
 
-    /// Takes note that planned work has ended all that ran on a VM.
-    pub fn vm_taken_down(&mut self, vm: &Vm) {
-        let Some(key) = self.minion_of(vm) else {
-            return;
-        };
-        self.incarnation_gone(key);
-        if let Some(minion) = self.minions.get_mut(key) {
-            minion.suspect = true;
-        }
-    }
-
     /// Ends what keeps a VM from being taken down, as far as it may; returns whether it is empty.
     ///
     /// Lasting tasks are stopped while their steps allow it. Short tasks end by themselves; if
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -10,7 +10,7 @@
 use snipevane_adapter::config;
 use snipevane_adapter::machines::{self, Holder};
 use snipevane_core::jobs::{
-    Moves, Upkeep, Vm, VmOrder, VmReply, VmState, VmWork, WaveOrder, WaveProgress,
+    Moves, TakenDown, Upkeep, Vm, VmOrder, VmReply, VmState, VmWork, WaveOrder, WaveProgress,
 };
 use tokio::time::sleep;
 
@@ -34,6 +34,7 @@
 struct Plans {
     upkeep: Upkeep,
     moves: Moves,
+    taken_down: TakenDown,
     /// VMs that the term before may have given orders lately; none before the first list.
     claimed: Option<FxHashSet<SmolStr>>,
 }
@@ -104,18 +105,24 @@
 
 async fn plan_once<C: Clock>(lead: &Rc<Lead<C>>, address: SocketAddr, plans: &Rc<RefCell<Plans>>) {
     let asked_at = lead.node.clock.now();
-    let Some(vms) = list_vms(lead, address).await else {
+    let Some(listed) = list_vms(lead, address).await else {
         return;
     };
     let now = lead.node.clock.now();
-    let seen = without_claimed(lead, &mut plans.borrow_mut(), &vms, now);
+    let seen = without_claimed(lead, &mut plans.borrow_mut(), &listed, now);
     let Some(vms) = seen else {
         return;
     };
     let orders = {
         let mut scheduler = lead.scheduler.borrow_mut();
         let mut plans = plans.borrow_mut();
-        let Plans { upkeep, moves, .. } = &mut *plans;
+        let Plans {
+            upkeep,
+            moves,
+            taken_down,
+            ..
+        } = &mut *plans;
+        taken_down.settle(&mut scheduler, &listed, asked_at);
         let mut orders = upkeep.decide(&mut scheduler, &vms, asked_at, now);
         let taken = |vm: &Vm| upkeep.occupies(&vm.name);
         orders.extend(moves.decide(&mut scheduler, &vms, taken, asked_at, now));
@@ -131,8 +138,9 @@
             log::info!("order {order:?}: {reply:?}");
             let now = lead.node.clock.now();
             if let (VmReply::Done, Some(vm)) = (reply, vm) {
-                lead.scheduler.borrow_mut().vm_taken_down(&vm);
-                lead.wake.notify_one();
+                let mut scheduler = lead.scheduler.borrow_mut();
+                let mut plans = plans.borrow_mut();
+                plans.taken_down.confirmed(&mut scheduler, vm, now);
             }
             match order.work {
                 VmWork::Upkeep { wave } => {
--- a/tests/tests/jobs_vms.rs
+++ b/tests/tests/jobs_vms.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use smol_str::{SmolStr, format_smolstr};
-use snipevane_core::jobs::{Moves, Upkeep, Vm, VmOrder, VmReply, VmState, VmWork, WaveOrder};
+use snipevane_core::jobs::{
+    JobState, Moves, TakenDown, Upkeep, Vm, VmOrder, VmReply, VmState, VmWork, WaveOrder,
+};
 use snipevane_tests::jobs::{FakeMinion, JobSite, entry, job, lasting, site, step};
 
 const START: Duration = Duration::from_secs(10);
@@ -25,9 +27,11 @@
     back: Vec<(Duration, usize)>,
     upkeep: Upkeep,
     moves: Moves,
+    taken_down: TakenDown,
     most_away: usize,
     upkept: BTreeSet<SmolStr>,
     moved: usize,
+    confirmed_again: usize,
 }
 
 impl VmSite {
@@ -55,9 +59,11 @@
             back: Vec::new(),
             upkeep: Upkeep::default(),
             moves: Moves::default(),
+            taken_down: TakenDown::default(),
             most_away: 0,
             upkept: BTreeSet::new(),
             moved: 0,
+            confirmed_again: 0,
         }
     }
 
@@ -73,6 +79,7 @@
     fn plan(&mut self) {
         let now = self.jobs.now;
         let scheduler = &mut self.jobs.scheduler;
+        self.taken_down.settle(scheduler, &self.vms, now);
         let mut orders = self.upkeep.decide(scheduler, &self.vms, now, now);
         let upkeep = &self.upkeep;
         let taken = |vm: &Vm| upkeep.occupies(&vm.name);
@@ -92,6 +99,16 @@
             .position(|vm| vm.name == order.vm)
             .expect("the VM");
         assert_eq!(self.vms[index].state, VmState::Up);
+        if let VmWork::Upkeep { wave } = order.work
+            && self.upkept.contains(&order.vm)
+        {
+            // The platform confirms what was done before, and does nothing.
+            let vm = self.vms[index].clone();
+            self.taken_down.confirmed(&mut self.jobs.scheduler, vm, now);
+            self.upkeep.replied(&order.vm, wave, VmReply::Done, now);
+            self.confirmed_again += 1;
+            return;
+        }
         let minion = self.vms[index].minion.take().expect("a minion");
         self.jobs
             .minions
@@ -102,7 +119,7 @@
             minion: Some(minion),
             ..self.vms[index].clone()
         };
-        self.jobs.scheduler.vm_taken_down(&vm);
+        self.taken_down.confirmed(&mut self.jobs.scheduler, vm, now);
         match &order.work {
             VmWork::Upkeep { wave } => {
                 self.vms[index].state = VmState::Upkeep;
@@ -174,6 +191,39 @@
     assert!(!built.upkeep.is_active());
 }
 
+/// An order that was carried out before a takeover is confirmed again, and ends nothing.
+///
+/// Seen as TWICE on klh-close trouble-3: the scheduler was lost before it had stored that a VM had
+/// had its upkeep; its successor emptied the VM again, and took its long tasks for ended.
+#[test]
+fn an_upkeep_that_is_confirmed_again_ends_no_tasks() {
+    let mut built = VmSite::new(6, 0);
+    let wave = WaveOrder {
+        number: 1,
+        vms: built.vms.iter().map(|vm| vm.name.clone()).collect(),
+        within_ms: 30_000,
+        at_once: 3,
+    };
+    let now = built.jobs.now;
+    built.upkeep.add_wave(&wave, None, now);
+    built.run(Duration::from_secs(12));
+    assert_eq!(built.upkept.len(), 6);
+    let id = built
+        .jobs
+        .submit(1, job("p0", vec![step(12, 4_000, 15_000, &[])]));
+    built.jobs.run(Duration::from_secs(1));
+    built.jobs.take_over();
+    built.upkeep = Upkeep::default();
+    let now = built.jobs.now;
+    built.upkeep.add_wave(&wave, None, now);
+    // Each start is checked against runs that live.
+    built.run(Duration::from_secs(12));
+    assert!(built.confirmed_again >= 3, "those with the tasks at least");
+    built.run(Duration::from_secs(10));
+    assert_eq!(built.jobs.records.len(), 12);
+    assert_eq!(built.jobs.state(id), JobState::Completed);
+}
+
 /// VMs whose upkeep an earlier term began count as down.
 ///
 /// Seen as LIMIT on klh-close hunt-5ab6-43.
