Tell slow and failing minions from sound ones; ask the advisor; share minions; keep caps over takeovers

Ruled out: comparing with estimates alone; they may be far too low, which made a whole pool look slow. Change: minions are compared with the median speed of their pool, avoided for 2.5 s and longer each time, then tried with one task; runs left behind get a copy where the step allows it, else they are stopped if a new start pays. Failures of a step that fails elsewhere too are forgiven. What an earlier term may have left running unheard counts against caps.

--- a/crates/snipevane-core/src/jobs/action.rs
+++ b/crates/snipevane-core/src/jobs/action.rs
@@ -5,6 +5,7 @@
 
 use smol_str::SmolStr;
 
+use super::advice::AdviceOrder;
 use super::id::TaskId;
 use super::minion::MinionKey;
 use super::run::RunKey;
@@ -56,6 +57,21 @@
     pub attempt: u32,
 }
 
+/// An order to let a task that fills work at a share of its processors.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PaceOrder {
+    /// Minion.
+    pub to: Recipient,
+    /// Run.
+    pub run: RunKey,
+    /// Task.
+    pub task: TaskId,
+    /// Attempt.
+    pub attempt: u32,
+    /// Share, in percent.
+    pub percent: u32,
+}
+
 /// A request for a minion's list of runs, which extends the leases there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HoldOrder {
@@ -69,7 +85,7 @@
     pub wait: Duration,
 }
 
-/// An order to a minion.
+/// An order to a minion, or a question for the advisor.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// Start a task.
@@ -78,4 +94,8 @@
     Stop(StopOrder),
     /// List the runs.
     Hold(HoldOrder),
+    /// Work at a share.
+    Pace(PaceOrder),
+    /// Ask the advisor which minions may run a step.
+    Ask(AdviceOrder),
 }
--- a/crates/snipevane-core/src/jobs/ends.rs
+++ b/crates/snipevane-core/src/jobs/ends.rs
@@ -5,6 +5,7 @@
 use super::job::{Job, JobKey, TaskRef};
 use super::minion::MinionKey;
 use super::progress::JobState;
+use super::queue::StepRef;
 use super::run::{EndedRun, RunEnd, RunKey};
 use super::scheduler::Scheduler;
 
@@ -21,10 +22,21 @@
         unix_ms: u64,
     ) {
         if let Some(run) = self.find_run(minion, ended.task, ended.attempt) {
+            if ended.end == RunEnd::Done {
+                self.learn_duration(run, now);
+                self.judge_end(run, now);
+            }
             self.release(run);
         }
-        self.learn_from_end(minion, ended.end, now);
-        let Some((key, at)) = self.find_task(ended.task) else {
+        let found = self.find_task(ended.task);
+        let failed_before = found.is_some_and(|(key, at)| self.has_failed(key, at));
+        let step = found.map(|(job, at)| StepRef {
+            job,
+            occurrence: at.occurrence,
+            step: at.step,
+        });
+        self.learn_from_end(minion, ended.end, step, failed_before, now);
+        let Some((key, at)) = found else {
             return;
         };
         let Some(job) = self.jobs.get_mut(key) else {
@@ -49,6 +61,28 @@
         self.requeue(key, at);
     }
 
+    /// Learns how long a task takes from a run that began afresh and is done.
+    fn learn_duration(&mut self, key: RunKey, now: Duration) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let Some(spec) = self.jobs.get(run.job).map(|job| job.spec.clone()) else {
+            return;
+        };
+        let Some(step) = spec.steps.get(run.at.step as usize) else {
+            return;
+        };
+        let on_sound_minion = self
+            .minions
+            .get(run.minion)
+            .is_some_and(|minion| !minion.on_trial);
+        if run.checkpoint.is_empty() && on_sound_minion && !step.lasting && !step.gang {
+            let took = now.saturating_sub(run.since);
+            let image = spec.image_of(step);
+            self.durations.learn(image, step.estimate(), took);
+        }
+    }
+
     /// Ends a run of which no end is listed.
     pub(super) fn end_run(&mut self, key: RunKey) {
         let Some(run) = self.runs.get(key) else {
@@ -196,25 +230,66 @@
         }
     }
 
-    fn learn_from_end(&mut self, key: MinionKey, end: RunEnd, now: Duration) {
+    /// Returns whether a run of a task has failed before.
+    fn has_failed(&self, key: JobKey, at: TaskRef) -> bool {
+        let task = self.jobs.get(key).and_then(|job| job.task(at));
+        task.is_some_and(|task| task.failed_on.is_some() || !task.failed.is_empty())
+    }
+
+    /// Avoids a minion on which run after run fails.
+    ///
+    /// A task that has failed before may be one that can never be done: then its step tells
+    /// nothing of the minions on which it failed.
+    fn learn_from_end(
+        &mut self,
+        key: MinionKey,
+        end: RunEnd,
+        step: Option<StepRef>,
+        failed_before: bool,
+        now: Duration,
+    ) {
+        match (end, step) {
+            (RunEnd::Done, _) => {
+                if let Some(minion) = self.minions.get_mut(key) {
+                    minion.failed_steps.clear();
+                }
+            }
+            (RunEnd::Failed, Some(step)) if failed_before => self.forgive(step),
+            (RunEnd::Failed, Some(step)) => self.blame(key, step, now),
+            (
+                RunEnd::Failed | RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone,
+                _,
+            ) => {}
+        }
+    }
+
+    /// Avoids a minion for a while if several runs have failed there in a row.
+    fn blame(&mut self, key: MinionKey, step: StepRef, now: Duration) {
         let settings = self.settings;
         let Some(minion) = self.minions.get_mut(key) else {
             return;
         };
-        match end {
-            RunEnd::Done => minion.failures_in_row = 0,
-            RunEnd::Failed => {
-                minion.failures_in_row += 1;
-                let Some(excess) = minion
-                    .failures_in_row
-                    .checked_sub(settings.failures_tolerated)
-                else {
-                    return;
-                };
-                let pause = settings.avoid * 2_u32.pow(excess.min(MAX_AVOID_DOUBLINGS));
-                minion.avoid_until = minion.avoid_until.max(now + pause.min(settings.avoid_max));
+        minion.failed_steps.push(step);
+        let failures = minion.failed_steps.len() as u32;
+        let Some(excess) = failures.checked_sub(settings.failures_tolerated) else {
+            return;
+        };
+        let pause = settings.avoid * 2_u32.pow(excess.min(MAX_AVOID_DOUBLINGS));
+        minion.avoid_until = minion.avoid_until.max(now + pause.min(settings.avoid_max));
+        minion.on_trial = true;
+    }
+
+    /// Takes back what failures of a step were held against minions.
+    fn forgive(&mut self, step: StepRef) {
+        let tolerated = self.settings.failures_tolerated as usize;
+        for minion in self.minions.values_mut() {
+            let failures = minion.failed_steps.len();
+            minion.failed_steps.retain(|failed| *failed != step);
+            let forgiven = minion.failed_steps.len() < failures;
+            if forgiven && failures >= tolerated && minion.failed_steps.len() < tolerated {
+                minion.avoid_until = Duration::ZERO;
+                minion.on_trial = false;
             }
-            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {}
         }
     }
 
@@ -240,6 +315,7 @@
         self.ended.insert(job.id, job.state, job.ended_unix_ms);
         self.job_ids.remove(&job.id);
         self.scheduled.remove(&key);
+        self.permits.forget(key);
         self.jobs.remove(key);
     }
 }
--- a/crates/snipevane-core/src/jobs/holds.rs
+++ b/crates/snipevane-core/src/jobs/holds.rs
@@ -28,6 +28,7 @@
             return;
         };
         let settings = self.settings;
+        let watched = self.has_short_tasks(key) || self.is_shared(key);
         let Some(minion) = self.minions.get_mut(key) else {
             return;
         };
@@ -49,16 +50,28 @@
             to,
             lease_end_ms: lease.and_then(|lease| minion.grant_lease(lease, now)),
             ack,
-            wait: if waits {
-                settings.hold_wait
-            } else {
-                Duration::ZERO
+            wait: match (waits, watched) {
+                (false, _) => Duration::ZERO,
+                (true, true) => settings.short_hold_wait,
+                (true, false) => settings.hold_wait,
             },
         };
         self.actions.push(Action::Hold(order));
     }
 }
 
+impl Scheduler {
+    /// Returns whether a minion runs tasks that end by themselves.
+    fn has_short_tasks(&self, key: MinionKey) -> bool {
+        let minion = self.minions.get(key);
+        let mut runs = minion.into_iter().flat_map(|minion| &minion.runs);
+        runs.any(|&run| {
+            self.step_of(run)
+                .is_some_and(|step| !step.lasting && !step.fills)
+        })
+    }
+}
+
 /// Returns whether a minion is to list its runs now.
 fn is_due(minion: &Minion, settings: &SchedulerSettings, now: Duration) -> bool {
     if minion.hold_in_flight || now < minion.hold_not_before {
--- a/crates/snipevane-core/src/jobs/lasting.rs
+++ b/crates/snipevane-core/src/jobs/lasting.rs
@@ -9,7 +9,7 @@
 use super::spec::StepSpec;
 
 /// Share of the work at which a lasting task serves its users, in percent.
-const AT_WORK_PERCENT: u32 = 100;
+pub(super) const AT_WORK_PERCENT: u32 = 100;
 
 /// Time that a list of runs may come later than the wait for an end.
 const HOLD_DELAY: Duration = Duration::from_millis(500);
@@ -33,11 +33,7 @@
         if !matches!(run.phase, RunPhase::Live | RunPhase::Ordered) {
             return false;
         }
-        let at = StepRef {
-            job: run.job,
-            occurrence: run.at.occurrence,
-            step: run.at.step,
-        };
+        let at = run.step();
         let most = self
             .step_of(key)
             .and_then(|step| step.may_be_away)
--- a/crates/snipevane-core/src/jobs/minion.rs
+++ b/crates/snipevane-core/src/jobs/minion.rs
@@ -8,6 +8,7 @@
 
 use crate::placement::Resources;
 
+use super::queue::StepRef;
 use super::run::RunKey;
 
 new_key_type! {
@@ -84,10 +85,20 @@
     pub hold_not_before: Duration,
     /// Holds without an answer in a row.
     pub hold_failures: u32,
-    /// Runs that failed in a row.
-    pub failures_in_row: u32,
+    /// Steps whose runs failed here since one was done.
+    pub(super) failed_steps: Vec<StepRef>,
     /// Time before which nothing new is placed here.
     pub avoid_until: Duration,
+    /// Time before which nothing new is placed here, as its runs fall behind.
+    pub slow_until: Duration,
+    /// Mean speed of its runs as a part of the expected one, and when it was read.
+    pub speed: Option<(f64, Duration)>,
+    /// Times that it was found slow since a run last kept up.
+    pub times_slow: u32,
+    /// Whether it runs only one short task at a time, until that keeps up.
+    pub on_trial: bool,
+    /// Time at which shares of its tasks were last changed.
+    pub paced_at: Duration,
     /// Whether planned work is about to take it down.
     pub cordoned: bool,
     clock: Option<ClockReading>,
@@ -116,8 +127,13 @@
             hold_in_flight: false,
             hold_not_before: Duration::ZERO,
             hold_failures: 0,
-            failures_in_row: 0,
+            failed_steps: Vec::new(),
             avoid_until: Duration::ZERO,
+            slow_until: Duration::ZERO,
+            speed: None,
+            times_slow: 0,
+            on_trial: false,
+            paced_at: Duration::ZERO,
             cordoned: false,
             clock: None,
             lease_over_at,
@@ -144,8 +160,12 @@
         self.seen = 0;
         self.stored = 0;
         self.acked = 0;
-        self.failures_in_row = 0;
+        self.failed_steps.clear();
         self.avoid_until = Duration::ZERO;
+        self.slow_until = Duration::ZERO;
+        self.speed = None;
+        self.times_slow = 0;
+        self.on_trial = false;
     }
 
     /// Returns what the minion's clock shows at least, in milliseconds.
@@ -183,6 +203,7 @@
             && !self.cordoned
             && !self.entry.draining
             && now >= self.avoid_until
+            && now >= self.slow_until
     }
 }
 
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -5,11 +5,14 @@
 //! `reports`, `ends`, `changes`.
 
 mod action;
+mod advice;
 mod changes;
 mod demand;
+mod durations;
 mod ended_jobs;
 mod ends;
 mod hidden;
+mod hidden_usage;
 mod holds;
 mod id;
 mod intake;
@@ -25,13 +28,16 @@
 mod reports;
 mod run;
 mod scheduler;
+mod sharing;
 mod site;
 mod spec;
+mod stragglers;
 mod taken_down;
 mod upkeep;
 mod vm;
 
-pub use action::{Action, HoldOrder, Recipient, StartOrder, StopOrder};
+pub use action::{Action, HoldOrder, PaceOrder, Recipient, StartOrder, StopOrder};
+pub use advice::{AdviceOrder, AdviceReply, AdviceTerms};
 pub use changes::{Changes, JobChange, SeenEnds};
 pub use demand::{Demand, Work};
 pub use hidden::HiddenRuns;
--- a/crates/snipevane-core/src/jobs/orders.rs
+++ b/crates/snipevane-core/src/jobs/orders.rs
@@ -176,7 +176,8 @@
             Refusal::NoRoom => self.avoid(minion, NO_ROOM_PAUSE, now),
             Refusal::Unhealthy | Refusal::Invalid => self.avoid(minion, UNHEALTHY_PAUSE, now),
             Refusal::OtherInstance => self.doubt(minion),
-            Refusal::Outdated | Refusal::LeaseOver | Refusal::NoPermit => {}
+            Refusal::NoPermit => self.permit_refused(key),
+            Refusal::Outdated | Refusal::LeaseOver => {}
         }
         if only_copy || refusal == Refusal::OtherInstance {
             self.end_run(key);
@@ -185,6 +186,13 @@
         }
     }
 
+    /// Forgets the permit that a run was refused with, so that the advisor is asked again.
+    fn permit_refused(&mut self, key: RunKey) {
+        if let Some(run) = self.runs.get(key) {
+            self.permits.refused(run.step(), run.minion);
+        }
+    }
+
     fn avoid(&mut self, minion: MinionKey, pause: Duration, now: Duration) {
         if let Some(minion) = self.minions.get_mut(minion) {
             minion.avoid_until = minion.avoid_until.max(now + pause);
--- a/crates/snipevane-core/src/jobs/placing.rs
+++ b/crates/snipevane-core/src/jobs/placing.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
 use super::job::{Job, TaskRef};
@@ -14,6 +14,7 @@
 use super::queue::StepRef;
 use super::run::{Run, RunPhase};
 use super::scheduler::Scheduler;
+use super::sharing::FULL_PACE;
 use super::spec::StepSpec;
 
 /// Times the time from acceptance to objective after which a job is worth nothing to its caller.
@@ -42,11 +43,13 @@
         let pools: Vec<SmolStr> = self.queues.keys().cloned().collect();
         let usable = self.usable_minions(now);
         let unheard = self.pools_unheard(now);
+        self.hidden_usage = self.hidden_usage(&unheard);
         for pool in pools {
             let hides_runs = unheard.contains(&pool);
             let minions = usable.get(&pool).map_or(&[][..], Vec::as_slice);
             self.place_pool(&pool, minions, hides_runs, now);
         }
+        self.place_copies(&usable, now);
     }
 
     fn usable_minions(&self, now: Duration) -> FxHashMap<SmolStr, Vec<MinionKey>> {
@@ -62,11 +65,6 @@
         usable
     }
 
-    /// Returns the pools with minions that may run what an earlier term ordered.
-    fn pools_unheard(&self, now: Duration) -> FxHashSet<SmolStr> {
-        self.unheard(now).map(|(_, pool)| pool.clone()).collect()
-    }
-
     fn place_pool(&mut self, pool: &str, minions: &[MinionKey], hides_runs: bool, now: Duration) {
         let Some(queue) = self.queues.get_mut(pool) else {
             return;
@@ -136,12 +134,30 @@
         if job.adopted && hides_runs && !step.speculative {
             return;
         }
+        let Some(terms) = self.advice_terms(at.job) else {
+            self.place_tasks(at, step, minions, now);
+            return;
+        };
+        let permitted = minions.iter().copied();
+        let permitted = permitted.filter(|&key| self.permit(at, key, now).is_some());
+        let permitted: Vec<MinionKey> = permitted.collect();
+        self.place_tasks(at, step, &permitted, now);
+        if !self.waiting_tasks(at, now).is_empty() {
+            self.ask_advisor(at, step, terms, minions, now);
+        }
+    }
+
+    /// Places the waiting tasks of a step as far as the given minions have room.
+    fn place_tasks(&mut self, at: StepRef, step: &StepSpec, minions: &[MinionKey], now: Duration) {
         if step.gang {
             self.place_gang(at, step, minions, now);
             return;
         }
+        let Some(team) = self.jobs.get(at.job).map(|job| job.spec.team.clone()) else {
+            return;
+        };
         for index in self.waiting_tasks(at, now) {
-            if !self.within_cap(spec.team.as_deref(), step, 1) {
+            if !self.within_cap(team.as_deref(), step, 1) {
                 return;
             }
             let task = TaskRef {
@@ -155,6 +171,48 @@
         }
     }
 
+    /// Starts second runs of tasks whose first one is behind, where room is left.
+    fn place_copies(&mut self, usable: &FxHashMap<SmolStr, Vec<MinionKey>>, now: Duration) {
+        let wanted: Vec<(StepRef, u32)> = self.copies_wanted.drain().collect();
+        for (at, index) in wanted {
+            self.place_copy(at, index, usable, now);
+        }
+    }
+
+    fn place_copy(
+        &mut self,
+        at: StepRef,
+        index: u32,
+        usable: &FxHashMap<SmolStr, Vec<MinionKey>>,
+        now: Duration,
+    ) {
+        let task = TaskRef {
+            index,
+            ..first_task(at)
+        };
+        let Some(job) = self.jobs.get(at.job) else {
+            return;
+        };
+        let runs_alone = job
+            .task(task)
+            .is_some_and(|task| !task.done && task.runs.len() == 1);
+        let spec = job.spec.clone();
+        let (Some(step), Some(minions)) =
+            (spec.steps.get(at.step as usize), usable.get(&spec.pool))
+        else {
+            return;
+        };
+        if !runs_alone || job.state.is_final() || !self.within_cap(spec.team.as_deref(), step, 1) {
+            return;
+        }
+        let sound = minions.iter().copied();
+        let sound = sound.filter(|&key| !self.minions[key].on_trial);
+        let sound: Vec<MinionKey> = sound.collect();
+        if let Some(minion) = self.choose(task, at, step, &sound) {
+            self.start(at, task, step, minion, None, now);
+        }
+    }
+
     /// Places all tasks of a gang, or none.
     fn place_gang(&mut self, at: StepRef, step: &StepSpec, minions: &[MinionKey], now: Duration) {
         let waiting = self.waiting_tasks(at, now);
@@ -265,7 +323,9 @@
         let Some(cap) = self.site.team(team).map(|team| team.cap) else {
             return true;
         };
-        let usage = self.usage.get(team).copied().unwrap_or_default();
+        let known = self.usage.get(team).copied().unwrap_or_default();
+        let hidden = self.hidden_usage.get(team).copied().unwrap_or_default();
+        let usage = known.plus(&hidden);
         let size = step.size();
         let within = |used: u64, size: u64, cap: u64| cap == 0 || used + size * tasks <= cap;
         within(usage.cpu_millis, size.cpu_millis, cap.cpu_millis)
@@ -291,6 +351,8 @@
             let minion = &self.minions[key];
             size.fits_in(&minion.room())
                 && has_label(minion, step)
+                && (!step.fills || self.has_room_to_fill(key))
+                && (!minion.on_trial || step.lasting || minion.runs.is_empty())
                 && step
                     .per_minion
                     .is_none_or(|most| self.tasks_of_step_on(at, key) < most)
@@ -347,9 +409,12 @@
         gang_attempt: Option<u32>,
         now: Duration,
     ) {
+        let permit = self.permit(at, minion, now).unwrap_or_default();
         let Some(job) = self.jobs.get_mut(at.job) else {
             return;
         };
+        let image = job.spec.image_of(step);
+        let expected = self.durations.expected(image, step.estimate());
         let id = job.task_id(task);
         let Some(state) = job.step_mut(task) else {
             return;
@@ -373,8 +438,12 @@
             retry_at: Duration::ZERO,
             in_flight: false,
             checkpoint: waiting.checkpoint.clone(),
-            permit: SmolStr::default(),
+            permit,
             percent: 0,
+            expected,
+            load: 0.0,
+            pace: FULL_PACE,
+            pace_in_flight: false,
         });
         if waiting.runs.is_empty() {
             state.waiting -= 1;
--- a/crates/snipevane-core/src/jobs/reports.rs
+++ b/crates/snipevane-core/src/jobs/reports.rs
@@ -11,6 +11,7 @@
 use super::minion::MinionKey;
 use super::run::{ActiveRun, HoldReply, Refusal, Run, RunKey, RunList, RunPhase};
 use super::scheduler::Scheduler;
+use super::sharing::FULL_PACE;
 
 /// Ends that a minion lists at most at a time.
 const ENDS_PER_LIST: usize = 500;
@@ -99,6 +100,8 @@
         for active in &list.active {
             self.run_listed(key, active, now);
         }
+        self.judge_progress(key, now);
+        self.share_minion(key, now);
         if list.ended.len() < ENDS_PER_LIST {
             self.end_missing_runs(key, &alive, asked_at);
         }
@@ -143,6 +146,7 @@
             return;
         };
         run.percent = active.percent;
+        run.load = active.load;
         let (job, at) = (run.job, run.at);
         if run.phase == RunPhase::Ordered && !run.in_flight {
             run.phase = RunPhase::Live;
@@ -185,6 +189,12 @@
             checkpoint: SmolStr::default(),
             permit: SmolStr::default(),
             percent: active.percent,
+            expected: self
+                .durations
+                .expected(spec.image_of(step), step.estimate()),
+            load: active.load,
+            pace: FULL_PACE,
+            pace_in_flight: false,
         });
         self.book(run);
         self.note_started(job);
--- a/crates/snipevane-core/src/jobs/run.rs
+++ b/crates/snipevane-core/src/jobs/run.rs
@@ -10,6 +10,7 @@
 use super::id::TaskId;
 use super::job::{JobKey, TaskRef};
 use super::minion::MinionKey;
+use super::queue::StepRef;
 
 new_key_type! {
     /// Key of a run.
@@ -62,6 +63,26 @@
     pub permit: SmolStr,
     /// Share of the work that is done, in percent, as last listed.
     pub percent: u32,
+    /// Time that it takes on a sound minion, as far as is known.
+    pub expected: Duration,
+    /// Tail of response times in milliseconds for a task with a target, else processor time in
+    /// use, as last listed.
+    pub load: f64,
+    /// Share at which it was last told to work, in percent.
+    pub pace: u32,
+    /// Whether an order to work at a share is under way.
+    pub pace_in_flight: bool,
+}
+
+impl Run {
+    /// Returns the step that it belongs to.
+    pub(super) fn step(&self) -> StepRef {
+        StepRef {
+            job: self.job,
+            occurrence: self.at.occurrence,
+            step: self.at.step,
+        }
+    }
 }
 
 /// Reason for which a minion refuses an order to start.
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -11,13 +11,15 @@
 use crate::placement::Resources;
 
 use super::action::{Action, Recipient};
+use super::advice::Permits;
+use super::durations::Durations;
 use super::ended_jobs::EndedJobs;
 use super::hidden::HiddenRuns;
 use super::id::JobId;
 use super::job::{Job, JobKey};
 use super::minion::{Minion, MinionKey};
 use super::progress::JobState;
-use super::queue::PoolQueue;
+use super::queue::{PoolQueue, StepRef};
 use super::run::{Run, RunKey};
 use super::site::Site;
 
@@ -48,6 +50,11 @@
     pub avoid_max: Duration,
     /// Pause before a task that failed is started again.
     pub failure_pause: Duration,
+    /// Longest time that a run takes to end after an order to stop.
+    pub stop: Duration,
+    /// Longest time that a hold waits on a minion with short tasks, so that those that fall behind
+    /// are seen.
+    pub short_hold_wait: Duration,
 }
 
 impl Default for SchedulerSettings {
@@ -65,6 +72,8 @@
             avoid: Duration::from_millis(1_500),
             avoid_max: Duration::from_secs(12),
             failure_pause: Duration::from_millis(20),
+            stop: Duration::from_millis(900),
+            short_hold_wait: Duration::from_millis(500),
         }
     }
 }
@@ -83,6 +92,8 @@
     /// What the runs of each team take.
     pub(super) usage: FxHashMap<SmolStr, Resources>,
     pub(super) hidden: HiddenRuns,
+    /// What runs of each team may take out of sight.
+    pub(super) hidden_usage: FxHashMap<SmolStr, Resources>,
     /// Jobs that have ended; a row read late must not bring them back.
     pub(super) ended: EndedJobs,
     /// Jobs whose row in the store is behind.
@@ -93,6 +104,12 @@
     pub(super) urgent: bool,
     /// Runs with an order to send or to repeat.
     pub(super) unsettled: FxHashSet<RunKey>,
+    /// Tasks whose only run is behind and that a second run may overtake.
+    pub(super) copies_wanted: FxHashSet<(StepRef, u32)>,
+    /// Permits of the advisor.
+    pub(super) permits: Permits,
+    /// Run times learned so far.
+    pub(super) durations: Durations,
     /// Jobs with occurrences to come.
     pub(super) scheduled: FxHashSet<JobKey>,
     pub(super) actions: Vec<Action>,
@@ -119,11 +136,15 @@
             queues: FxHashMap::default(),
             usage: FxHashMap::default(),
             hidden,
+            hidden_usage: FxHashMap::default(),
             ended: EndedJobs::default(),
             dirty: FxHashSet::default(),
             storing: FxHashSet::default(),
             urgent: false,
             unsettled: FxHashSet::default(),
+            copies_wanted: FxHashSet::default(),
+            permits: Permits::default(),
+            durations: Durations::default(),
             scheduled: FxHashSet::default(),
             actions: Vec::new(),
             deposed: false,
--- a/crates/snipevane-core/src/jobs/site.rs
+++ b/crates/snipevane-core/src/jobs/site.rs
@@ -5,6 +5,8 @@
 
 use crate::placement::Resources;
 
+use super::advice::AdviceTerms;
+
 /// A queue: a host name and path prefix under which jobs are submitted.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Queue {
@@ -26,8 +28,8 @@
     pub target_latency_ms: u64,
     /// Whether requests need no key.
     pub open: bool,
-    /// Whether the advisor must allow the minions of each step.
-    pub advised: bool,
+    /// How the advisor answers, if it must allow the minions of each step.
+    pub advice: Option<AdviceTerms>,
 }
 
 /// A pool of minions.
--- a/crates/snipevane-core/src/jobs/spec.rs
+++ b/crates/snipevane-core/src/jobs/spec.rs
@@ -62,6 +62,15 @@
         }
     }
 
+    /// Returns the name of what the tasks of a step run; tasks of one name behave alike.
+    pub fn image_of<'a>(&'a self, step: &'a StepSpec) -> &'a SmolStr {
+        if step.image.is_empty() {
+            &self.queue
+        } else {
+            &step.image
+        }
+    }
+
     /// Returns the length of the longest chain of steps, by their estimates.
     pub fn chain(&self) -> Duration {
         self.chains().into_iter().max().unwrap_or_default()
--- /dev/null
+++ b/crates/snipevane-core/src/jobs/stragglers.rs
@@ -0,0 +1,197 @@
+//! Runs that fall behind, and the minions that slow them down.
+//!
+//! Answers a load in which some minions turn several times slower, or let tasks stand still, while
+//! all that they report of themselves stays good. A minion most of whose runs are behind gets no
+//! work for a while, then one task at a time until that keeps up. Its runs start elsewhere: as a
+//! copy where the step allows one, otherwise after they were stopped, if that still pays.
+
+use std::time::Duration;
+
+use super::job::TaskRef;
+use super::minion::MinionKey;
+use super::queue::StepRef;
+use super::run::{Run, RunKey, RunPhase};
+use super::scheduler::Scheduler;
+
+/// Part of a run's expected time after which its progress is judged.
+const JUDGED_FROM: f64 = 0.4;
+
+/// Shortest time after which progress is judged, since times are rough.
+const SHORTEST_JUDGED: Duration = Duration::from_millis(250);
+
+/// Part of the usual progress below which a run is behind. Minions are compared with others of
+/// their pool, since estimates may be far off.
+const BEHIND: f64 = 0.4;
+
+/// The same for a run that is alone on its minion, which may just be an unusually long one.
+const BEHIND_ALONE: f64 = 0.2;
+
+/// Time for which a slow minion gets no work; it doubles each time that a trial fails.
+const AVOIDED: Duration = Duration::from_millis(2_500);
+const MAX_DOUBLINGS: u32 = 2;
+
+/// Times its expected time within which a run must end to show that its minion keeps up.
+const KEPT_UP: u32 = 2;
+
+/// Age up to which a minion's speed counts for what is usual in its pool.
+const SPEED_KEPT: Duration = Duration::from_millis(3_000);
+
+/// Minions whose speed must be known before one is told from the others.
+const FEWEST_PEERS: usize = 3;
+
+/// How much longer the rest of a run must take than a new one before the run is stopped.
+const STOP_PAYS: f64 = 1.5;
+
+impl Scheduler {
+    /// Judges a minion by the progress of its runs, just after it has listed them.
+    pub(super) fn judge_progress(&mut self, key: MinionKey, now: Duration) {
+        let judged = self.judged_runs(key, now);
+        if judged.is_empty() {
+            return;
+        }
+        let mean = judged.iter().map(|(_, speed)| speed).sum::<f64>() / judged.len() as f64;
+        let Some(minion) = self.minions.get_mut(key) else {
+            return;
+        };
+        minion.speed = Some((mean, now));
+        let Some(usual) = self.usual_speed(key, now) else {
+            return;
+        };
+        let part = if judged.len() == 1 {
+            BEHIND_ALONE
+        } else {
+            BEHIND
+        };
+        let limit = part * usual;
+        let behind: Vec<RunKey> = judged
+            .iter()
+            .filter(|(_, speed)| *speed < limit)
+            .map(|(run, _)| *run)
+            .collect();
+        if behind.len() * 2 <= judged.len() {
+            return;
+        }
+        self.put_on_trial(key, now);
+        for run in behind {
+            self.leave_behind(run, now);
+        }
+    }
+
+    /// Gives a minion no work for a while, and then one task at a time.
+    fn put_on_trial(&mut self, key: MinionKey, now: Duration) {
+        let Some(minion) = self.minions.get_mut(key) else {
+            return;
+        };
+        if now >= minion.slow_until {
+            minion.times_slow += 1;
+        }
+        let doublings = (minion.times_slow - 1).min(MAX_DOUBLINGS);
+        minion.slow_until = now + AVOIDED * 2_u32.pow(doublings);
+        minion.on_trial = true;
+    }
+
+    /// Returns the median speed of the minions of a pool, at most the expected one; none if too
+    /// few are known.
+    fn usual_speed(&self, key: MinionKey, now: Duration) -> Option<f64> {
+        let pool = &self.minions.get(key)?.entry.pool;
+        let peers = self
+            .minions
+            .values()
+            .filter(|peer| peer.entry.pool == *pool);
+        let recent = peers.filter_map(|peer| {
+            let (speed, at) = peer.speed?;
+            (now < at + SPEED_KEPT).then_some(speed)
+        });
+        let mut speeds: Vec<f64> = recent.collect();
+        if speeds.len() < FEWEST_PEERS {
+            return None;
+        }
+        speeds.sort_by(f64::total_cmp);
+        Some(speeds[speeds.len() / 2].min(1.0))
+    }
+
+    /// Judges a minion on trial by a run that is done.
+    pub(super) fn judge_end(&mut self, key: RunKey, now: Duration) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let kept_up = now.saturating_sub(run.since) <= run.expected * KEPT_UP;
+        if kept_up && let Some(minion) = self.minions.get_mut(run.minion) {
+            minion.on_trial = false;
+            minion.times_slow = 0;
+        }
+    }
+
+    /// Returns the runs that are old enough to be judged, with their speed: progress as a part of
+    /// the expected one.
+    fn judged_runs(&self, key: MinionKey, now: Duration) -> Vec<(RunKey, f64)> {
+        let runs = self.minions.get(key).map(|minion| &minion.runs);
+        let runs = runs.into_iter().flatten();
+        let judged = runs.filter_map(|&key| {
+            let run = self.runs.get(key)?;
+            let spec = self.step_of(key)?;
+            let is_short = !spec.lasting && !spec.fills;
+            if run.phase != RunPhase::Live || !is_short || run.expected.is_zero() {
+                return None;
+            }
+            let elapsed = now.saturating_sub(run.since);
+            let expected = elapsed.as_secs_f64() / run.expected.as_secs_f64();
+            if expected < JUDGED_FROM || elapsed < SHORTEST_JUDGED {
+                return None;
+            }
+            Some((key, progress(run) / expected.min(1.0)))
+        });
+        judged.collect()
+    }
+
+    /// Lets the task of a run that is behind start elsewhere, if that pays.
+    fn leave_behind(&mut self, key: RunKey, now: Duration) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let (at, task) = (run.step(), run.at);
+        let elapsed = now.saturating_sub(run.since);
+        let rest = rest_of(run, elapsed);
+        let Some(step) = self.step_of(key) else {
+            return;
+        };
+        if step.gang {
+            return;
+        }
+        if step.speculative {
+            self.want_copy(at, task);
+            return;
+        }
+        let again = if step.checkpoints {
+            run.expected.mul_f64(1.0 - progress(run))
+        } else {
+            run.expected
+        };
+        let stop = self.settings.stop;
+        if rest > (again + stop).mul_f64(STOP_PAYS) {
+            self.stop_run(key);
+        }
+    }
+
+    /// Takes note that a second run of a task may start.
+    fn want_copy(&mut self, at: StepRef, task: TaskRef) {
+        let Some(job) = self.jobs.get(at.job) else {
+            return;
+        };
+        let alone = job.task(task).is_some_and(|task| task.runs.len() == 1);
+        if alone {
+            self.copies_wanted.insert((at, task.index));
+        }
+    }
+}
+
+/// Returns the part of a run's work that is done.
+fn progress(run: &Run) -> f64 {
+    f64::from(run.percent) / 100.0
+}
+
+/// Returns how long the rest of a run takes at its present speed.
+fn rest_of(run: &Run, elapsed: Duration) -> Duration {
+    let done = progress(run).max(0.01);
+    elapsed.mul_f64((1.0 - done) / done)
+}
--- a/crates/snipevane-fleet/src/scheduling/orders.rs
+++ b/crates/snipevane-fleet/src/scheduling/orders.rs
@@ -4,8 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use snipevane_adapter::{Request, minion};
-use snipevane_core::jobs::{Action, HoldOrder, HoldReply, OrderReply, Recipient, Refusal};
+use snipevane_adapter::{Request, advisor, minion};
+use snipevane_core::jobs::{
+    Action, AdviceOrder, AdviceReply, HoldOrder, HoldReply, OrderReply, Recipient, Refusal,
+};
 
 use crate::client::{Answer, CallError};
 use crate::clock::Clock;
@@ -19,6 +21,12 @@
 /// Time that the answer to a hold may take beyond its wait.
 const HOLD_SLACK: Duration = Duration::from_millis(500);
 
+/// Questions to the advisor that may be under way, answered one by one.
+const ADVICE_QUEUE: u32 = 4;
+
+/// Time that the advisor's answer may take longer.
+const ADVICE_SLACK: Duration = Duration::from_millis(500);
+
 /// Carries out an order and tells the scheduler what came of it.
 pub(super) async fn carry_out<C: Clock>(lead: Rc<Lead<C>>, action: Action) {
     match action {
@@ -39,6 +47,12 @@
                 .stop_replied(order.run, reply, now);
         }
         Action::Hold(order) => hold(&lead, &order).await,
+        Action::Pace(order) => {
+            let reply = send(&lead, &order.to, minion::pace(&order)).await;
+            metrics::minion_called("pace", reply_name(reply));
+            lead.scheduler.borrow_mut().pace_replied(&order, reply);
+        }
+        Action::Ask(order) => ask(&lead, &order).await,
     }
     lead.wake.notify_one();
 }
@@ -67,6 +81,36 @@
     scheduler.hold_replied(order.to.minion, reply, asked_at, now, unix_ms);
 }
 
+/// Asks the advisor.
+async fn ask<C: Clock>(lead: &Lead<C>, order: &AdviceOrder) {
+    let asked_at = lead.node.clock.now();
+    let reply = advice(lead, order).await;
+    if reply == AdviceReply::NoAnswer {
+        log::info!("the advisor doesn't answer for step {}", order.step);
+    }
+    let now = lead.node.clock.now();
+    let mut scheduler = lead.scheduler.borrow_mut();
+    scheduler.advice_replied(order, reply, asked_at, now);
+}
+
+async fn advice<C: Clock>(lead: &Lead<C>, order: &AdviceOrder) -> AdviceReply {
+    let Some(address) = lead.node.settings.advisor else {
+        return AdviceReply::NoAnswer;
+    };
+    // Other questions may be answered before.
+    let limit = order.takes * ADVICE_QUEUE + ADVICE_SLACK;
+    let call = lead.node.client.call(address, advisor::ask(order), limit);
+    match call.await {
+        Ok(answer) if answer.status == 200 => {
+            advisor::decode_advice(&answer.body).unwrap_or_else(|error| {
+                log::warn!("{error}");
+                AdviceReply::NoAnswer
+            })
+        }
+        Ok(_) | Err(_) => AdviceReply::NoAnswer,
+    }
+}
+
 fn hold_reply(answer: &Answer) -> HoldReply {
     if answer.status != 200 {
         let refusal = minion::decode_hold_refusal(answer.status, &answer.body);
--- a/tests/src/jobs/job_site.rs
+++ b/tests/src/jobs/job_site.rs
@@ -6,10 +6,10 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use snipevane_core::jobs::{
-    Action, HiddenRuns, HoldReply, JobId, JobSpec, JobState, OrderReply, Progress, RunEnd,
-    Scheduler, SchedulerSettings, Site, StartOrder,
+    Action, AdviceReply, HiddenRuns, HoldReply, JobId, JobSpec, JobState, OrderReply, Progress,
+    Refusal, RunEnd, Scheduler, SchedulerSettings, Site, StartOrder,
 };
 use snipevane_core::placement::Resources;
 
@@ -41,6 +41,7 @@
 }
 
 enum Outcome {
+    Advice(AdviceReply, Duration),
     Order(OrderReply),
     Hold(HoldReply, Duration),
 }
@@ -68,6 +69,10 @@
     pub now: Duration,
     /// Whether changes are stored.
     pub storing: bool,
+    /// Minions that may run steps of queues with an advisor.
+    pub allowed: BTreeSet<SmolStr>,
+    /// Minions named in questions to the advisor, question by question.
+    pub asked: Vec<Vec<SmolStr>>,
     /// Tasks that fail at their ends, by step.
     pub failing_steps: BTreeSet<(JobId, u32)>,
     site: Rc<Site>,
@@ -96,6 +101,8 @@
             faults: Faults::default(),
             now: Duration::from_secs(10),
             storing: true,
+            allowed: BTreeSet::new(),
+            asked: Vec::new(),
             failing_steps: BTreeSet::new(),
             site,
             settings,
@@ -227,6 +234,16 @@
 
     /// Sends an order, with the faults that are in force.
     fn order(&mut self, action: Action) {
+        if let Action::Ask(order) = &action {
+            let reply = AdviceReply::Allowed {
+                permits: self.permits(&order.minions),
+                valid: None,
+            };
+            self.asked.push(order.minions.clone());
+            let outcome = Outcome::Advice(reply, self.now);
+            self.push(order.takes, Event::Tell(action, outcome));
+            return;
+        }
         let to = recipient(&action);
         let reached = self.minions.get(&to).is_some_and(|minion| minion.up);
         if !reached || self.cut.contains(&to) {
@@ -253,7 +270,10 @@
     fn tell_no_answer(&mut self, action: Action) {
         let outcome = match &action {
             Action::Hold(_) => Outcome::Hold(HoldReply::NoAnswer, self.now),
-            Action::Start(_) | Action::Stop(_) => Outcome::Order(OrderReply::NoAnswer),
+            Action::Start(_) | Action::Stop(_) | Action::Pace(_) => {
+                Outcome::Order(OrderReply::NoAnswer)
+            }
+            Action::Ask(_) => Outcome::Advice(AdviceReply::NoAnswer, self.now),
         };
         self.push(ORDER_LIMIT, Event::Tell(action, outcome));
     }
@@ -295,14 +315,22 @@
                 self.scheduler
                     .hold_replied(order.to.minion, reply, asked_at, now, unix_ms);
             }
-            (Action::Start(_) | Action::Stop(_), Outcome::Hold(..))
-            | (Action::Hold(_), Outcome::Order(_)) => unreachable!("an outcome of its own kind"),
+            (Action::Pace(order), Outcome::Order(reply)) => {
+                self.scheduler.pace_replied(order, reply);
+            }
+            (Action::Ask(order), Outcome::Advice(reply, asked_at)) => {
+                self.scheduler.advice_replied(order, reply, asked_at, now);
+            }
+            (action, _) => unreachable!("an outcome of another kind for {action:?}"),
         }
     }
 
     fn carry_out(&mut self, action: &Action) -> Outcome {
         let now = self.now;
         match action {
+            Action::Start(order) if !self.is_permitted(order) => {
+                Outcome::Order(OrderReply::Refused(Refusal::NoPermit))
+            }
             Action::Start(order) => {
                 let kind = self.kind(order);
                 let before = self.records.len();
@@ -329,6 +357,15 @@
                 let reply = minion.map(|minion| minion.stop(order, now));
                 Outcome::Order(reply.unwrap_or(OrderReply::NoAnswer))
             }
+            Action::Pace(order) => {
+                let minion = self
+                    .minions
+                    .get_mut(&order.to.id)
+                    .filter(|minion| minion.up);
+                let reply = minion.map(|minion| minion.pace(order, now));
+                Outcome::Order(reply.unwrap_or(OrderReply::NoAnswer))
+            }
+            Action::Ask(order) => unreachable!("{order:?} goes to no minion"),
             Action::Hold(order) => {
                 let minion = self
                     .minions
@@ -340,11 +377,32 @@
         }
     }
 
+    /// Returns the permits that the advisor gives for these minions.
+    fn permits(&self, minions: &[SmolStr]) -> Vec<(SmolStr, SmolStr)> {
+        let allowed = minions.iter().filter(|id| self.allowed.contains(*id));
+        let allowed = allowed.filter_map(|id| self.minions.get(id));
+        let permits = allowed.map(|minion| (minion.entry.id.clone(), token(minion)));
+        permits.collect()
+    }
+
+    /// Returns whether an order carries the permit that its queue asks for.
+    fn is_permitted(&self, order: &StartOrder) -> bool {
+        let queue = &self.jobs[&order.task.step.job].spec.queue;
+        let advised = self
+            .site
+            .queue(queue)
+            .is_some_and(|queue| queue.advice.is_some());
+        let minion = &self.minions[&order.to.id];
+        let allowed = self.allowed.contains(&order.to.id);
+        !advised || (allowed && order.permit == token(minion))
+    }
+
     fn kind(&self, order: &StartOrder) -> TaskKind {
         let id = order.task.step;
         let spec = &self.jobs[&id.job].spec.steps[id.step as usize];
         TaskKind {
-            size: spec.size(),
+            size: spec.booked_size(),
+            fills: spec.fills,
             run_time: (!spec.lasting).then(|| spec.estimate()),
             fails: self.failing_steps.contains(&(id.job, id.step)),
         }
@@ -420,5 +478,12 @@
         Action::Start(order) => order.to.id.clone(),
         Action::Stop(order) => order.to.id.clone(),
         Action::Hold(order) => order.to.id.clone(),
+        Action::Pace(order) => order.to.id.clone(),
+        Action::Ask(order) => unreachable!("{order:?} goes to no minion"),
     }
 }
+
+/// Returns the permit for a minion's present life.
+fn token(minion: &FakeMinion) -> SmolStr {
+    format_smolstr!("{}-{}", minion.entry.id, minion.born)
+}
--- a/tests/src/jobs/minion.rs
+++ b/tests/src/jobs/minion.rs
@@ -5,8 +5,8 @@
 
 use smol_str::SmolStr;
 use snipevane_core::jobs::{
-    ActiveRun, EndedRun, HoldOrder, HoldReply, MinionEntry, OrderReply, Refusal, RunEnd, RunList,
-    StartOrder, StopOrder, TaskId,
+    ActiveRun, EndedRun, HoldOrder, HoldReply, MinionEntry, OrderReply, PaceOrder, Refusal, RunEnd,
+    RunList, StartOrder, StopOrder, TaskId,
 };
 use snipevane_core::placement::Resources;
 
@@ -48,8 +48,16 @@
     pub run_time: Option<Duration>,
     /// Whether it fails at its end.
     pub fails: bool,
+    /// Whether it fills, and so disturbs tasks that serve.
+    pub fills: bool,
 }
 
+/// Tail of a task that serves with nothing beside it, in milliseconds.
+const QUIET_TAIL_MS: f64 = 50.0;
+
+/// What a task that fills adds to the tails beside it at its full share, in milliseconds.
+const DISTURBANCE_MS: f64 = 40.0;
+
 #[derive(Clone, Debug)]
 struct Active {
     kind: TaskKind,
@@ -57,6 +65,7 @@
     started: Duration,
     ends_at: Option<Duration>,
     stops_at: Option<Duration>,
+    pace: u32,
 }
 
 /// A minion that carries out orders as the platform's minions do.
@@ -68,6 +77,8 @@
     pub born: u64,
     /// Whether it runs.
     pub up: bool,
+    /// Factor by which the work of tasks started here takes longer.
+    pub slowness: u32,
     fence: u64,
     lease_end: Duration,
     zero: Duration,
@@ -85,6 +96,7 @@
             born: now.as_millis() as u64 + 1,
             entry,
             up: true,
+            slowness: 1,
             fence: 0,
             lease_end: Duration::ZERO,
             zero: now,
@@ -166,17 +178,47 @@
             end: None,
             noted: false,
         });
+        let kind = TaskKind {
+            run_time: kind.run_time.map(|time| time * self.slowness),
+            ..kind
+        };
         let active = Active {
             kind,
             record: records.len() - 1,
             started: now,
             ends_at: kind.run_time.map(|time| now + time),
             stops_at: None,
+            pace: 100,
         };
         self.active.insert(key, active);
         OrderReply::Done { clock_ms }
     }
 
+    /// Returns the tail of the tasks that serve here, in milliseconds.
+    pub fn tail_ms(&self) -> f64 {
+        let filling = self.active.values().filter(|active| active.kind.fills);
+        let shares = filling.map(|active| f64::from(active.pace) / 100.0);
+        QUIET_TAIL_MS + DISTURBANCE_MS * shares.sum::<f64>()
+    }
+
+    /// Returns the sum of the shares of the tasks that fill here, in percent.
+    pub fn filling(&self) -> u32 {
+        let filling = self.active.values().filter(|active| active.kind.fills);
+        filling.map(|active| active.pace).sum()
+    }
+
+    /// Carries out an order to work at a share.
+    pub fn pace(&mut self, order: &PaceOrder, now: Duration) -> OrderReply {
+        if order.to.fence < self.fence {
+            return OrderReply::Refused(Refusal::Fenced);
+        }
+        if let Some(active) = self.active.get_mut(&(order.task, order.attempt)) {
+            active.pace = order.percent;
+        }
+        let clock_ms = Some(self.clock(now));
+        OrderReply::Done { clock_ms }
+    }
+
     /// Carries out an order to stop.
     pub fn stop(&mut self, order: &StopOrder, now: Duration) -> OrderReply {
         if order.to.id != self.entry.id {
@@ -216,6 +258,7 @@
             }
         }
         self.ended.retain(|ended| ended.number > order.ack);
+        let tail_ms = self.tail_ms();
         let active = self
             .active
             .iter()
@@ -224,7 +267,7 @@
                 attempt: *attempt,
                 checkpoint: SmolStr::default(),
                 percent: percent(active, now),
-                load: 0.0,
+                load: tail_ms,
             });
         HoldReply::Listed(RunList {
             born_unix_ms: self.born,
--- a/tests/src/jobs/specs.rs
+++ b/tests/src/jobs/specs.rs
@@ -9,6 +9,11 @@
 
 /// Returns a configuration with pools `p0`, `p1` and so on, a queue for each, and a standby pool.
 pub fn site(pools: usize, cap_millis: u64) -> Site {
+    Site::new(site_spec(pools, cap_millis))
+}
+
+/// Returns the configuration of [`site`] before its look-ups are built.
+pub fn site_spec(pools: usize, cap_millis: u64) -> SiteSpec {
     let names = (0..pools).map(|number| format_smolstr!("p{number}"));
     let queues = names.clone().map(|pool| Queue {
         name: format_smolstr!("q-{pool}"),
@@ -34,7 +39,7 @@
         cpu_millis: cap_millis,
         ..Resources::default()
     };
-    Site::new(SiteSpec {
+    SiteSpec {
         version: 1,
         queues: queues.collect(),
         pools: pools.chain([standby]).collect(),
@@ -45,7 +50,7 @@
             cap,
         }],
         max_body_bytes: 1 << 18,
-    })
+    }
 }
 
 /// Returns the entry of a minion with 16 processors.
--- a/tests/tests/jobs_scheduler.rs
+++ b/tests/tests/jobs_scheduler.rs
@@ -185,6 +185,25 @@
     }
 }
 
+/// What runs on minions that a new term hasn't heard counts against its team's cap.
+#[test]
+fn a_new_term_keeps_caps_while_minions_are_out_of_reach() {
+    let mut built = capped_site(4, 16_000, 1);
+    built.submit(1, job("p0", vec![step(16, 1_000, 20_000, &[])]));
+    built.run(Duration::from_millis(500));
+    let lost = built.records[0].minion.clone();
+    built.cut.insert(lost);
+    built.list_minions();
+    built.take_over();
+    built.submit(2, job("p0", vec![step(16, 1_000, 500, &[])]));
+    // Each start is checked against the cap.
+    built.run(Duration::from_secs(5));
+    built.cut.clear();
+    built.list_minions();
+    built.run(Duration::from_secs(30));
+    assert_eq!(built.records.len(), 32);
+}
+
 /// Cuts, crashes, restarts, lost and late orders, and takeovers at random; each start is checked.
 #[test]
 fn no_task_runs_twice_under_random_faults() {
