--- /dev/null
+++ b/crates/snipevane-core/src/events.rs
@@ -0,0 +1,59 @@
+//! Numbered kinds of event, of which each daemon has a catalogue.
+
+use std::fmt::{self, Display, Formatter};
+
+/// Level of an event's line in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// Something is wrong and wants an operator.
+    Error,
+    /// Something failed and is dealt with.
+    Warn,
+    /// An ordinary decision.
+    Info,
+    /// A detail.
+    Debug,
+}
+
+impl Display for Level {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+        })
+    }
+}
+
+/// A kind of event. A number never changes its meaning.
+#[derive(Debug, PartialEq, Eq)]
+pub struct EventKind {
+    /// Number, printed as `SV1001`.
+    pub number: u16,
+    /// Level of the log record.
+    pub level: Level,
+    /// Text, the same for each event of the kind.
+    pub text: &'static str,
+    /// Names of the fields.
+    pub fields: &'static [&'static str],
+}
+
+/// Declares a constant for each kind of event, and `CATALOGUE` with all of them.
+#[macro_export]
+macro_rules! event_catalogue {
+    ($($name:ident = $number:literal $level:ident $text:literal [$($field:literal),*];)*) => {
+        $(
+            #[doc = $text]
+            pub const $name: $crate::events::EventKind = $crate::events::EventKind {
+                number: $number,
+                level: $crate::events::Level::$level,
+                text: $text,
+                fields: &[$($field),*],
+            };
+        )*
+
+        /// All kinds of event, in order of their numbers.
+        pub const CATALOGUE: &[$crate::events::EventKind] = &[$($name),*];
+    };
+}
--- a/crates/snipevane-core/src/jobs/ends.rs
+++ b/crates/snipevane-core/src/jobs/ends.rs
@@ -4,6 +4,7 @@
 
 use super::job::{Job, JobKey, TaskRef};
 use super::minion::MinionKey;
+use super::note::{Loss, Note, StopReason};
 use super::progress::JobState;
 use super::queue::StepRef;
 use super::run::{EndedRun, RunEnd, RunKey};
@@ -84,11 +85,17 @@
     }
 
     /// Ends a run of which no end is listed.
-    pub(super) fn end_run(&mut self, key: RunKey) {
+    pub(super) fn end_run(&mut self, key: RunKey, why: Loss) {
         let Some(run) = self.runs.get(key) else {
             return;
         };
         let (job, at) = (run.job, run.at);
+        self.notes.push(Note::RunLost {
+            task: run.task,
+            attempt: run.attempt,
+            minion: self.minion_id(run.minion),
+            why,
+        });
         self.release(key);
         self.requeue(job, at);
     }
@@ -179,7 +186,7 @@
         let step_done = step.is_done();
         self.dirty.insert(key);
         for run in surplus {
-            self.stop_run(run);
+            self.stop_run(run, StopReason::Surplus);
         }
         if step_done {
             self.queue_ready_steps(key);
@@ -197,6 +204,7 @@
         unix_ms: u64,
     ) {
         let pause = now + self.settings.failure_pause;
+        self.note_failure(key, at, attempt, minion);
         let failed_on = self
             .minions
             .get(minion)
@@ -230,6 +238,16 @@
         }
     }
 
+    fn note_failure(&mut self, key: JobKey, at: TaskRef, attempt: u32, minion: MinionKey) {
+        if let Some(job) = self.jobs.get(key) {
+            self.notes.push(Note::RunFailed {
+                task: job.task_id(at),
+                attempt,
+                minion: self.minion_id(minion),
+            });
+        }
+    }
+
     /// Returns whether a run of a task has failed before.
     fn has_failed(&self, key: JobKey, at: TaskRef) -> bool {
         let task = self.jobs.get(key).and_then(|job| job.task(at));
@@ -277,6 +295,8 @@
         let pause = settings.avoid * 2_u32.pow(excess.min(MAX_AVOID_DOUBLINGS));
         minion.avoid_until = minion.avoid_until.max(now + pause.min(settings.avoid_max));
         minion.on_trial = true;
+        let minion = minion.entry.id.clone();
+        self.notes.push(Note::MinionFailing { minion, failures });
     }
 
     /// Takes back what failures of a step were held against minions.
--- a/crates/snipevane-core/src/jobs/intake.rs
+++ b/crates/snipevane-core/src/jobs/intake.rs
@@ -5,6 +5,7 @@
 
 use super::id::JobId;
 use super::job::{Job, JobKey};
+use super::note::{Note, StopReason};
 use super::progress::{JobState, Progress};
 use super::queue::StepRef;
 use super::run::{RunKey, RunPhase};
@@ -43,6 +44,12 @@
             self.leave_attempts_free(&mut job);
         }
         let is_scheduled = job.spec.schedule.is_some();
+        self.notes.push(Note::JobTaken {
+            job: id,
+            pool: job.spec.pool.clone(),
+            adopted,
+            due_in: job.objective.saturating_sub(now),
+        });
         let key = self.jobs.insert(job);
         self.job_ids.insert(id, key);
         if is_scheduled {
@@ -143,7 +150,7 @@
         self.dirty.insert(key);
         self.urgent = true;
         for run in runs {
-            self.stop_run(run);
+            self.stop_run(run, StopReason::JobEnded);
         }
     }
 
@@ -156,15 +163,24 @@
     }
 
     /// Orders the end of a run.
-    pub(super) fn stop_run(&mut self, key: RunKey) {
+    pub(super) fn stop_run(&mut self, key: RunKey, why: StopReason) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
-        if matches!(run.phase, RunPhase::Ordered | RunPhase::Live) {
-            run.phase = RunPhase::Stopping;
-            run.retry_at = Duration::ZERO;
-            self.unsettled.insert(key);
+        if !matches!(run.phase, RunPhase::Ordered | RunPhase::Live) {
+            return;
         }
+        run.phase = RunPhase::Stopping;
+        run.retry_at = Duration::ZERO;
+        self.unsettled.insert(key);
+        let (task, attempt, minion) = (run.task, run.attempt, run.minion);
+        let minion = self.minion_id(minion);
+        self.notes.push(Note::RunStopped {
+            task,
+            attempt,
+            minion,
+            why,
+        });
     }
 
     fn new_job(&self, id: JobId, spec: JobSpec, now: Duration, unix_ms: u64) -> Job {
--- a/crates/snipevane-core/src/jobs/lasting.rs
+++ b/crates/snipevane-core/src/jobs/lasting.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::job::TaskRef;
+use super::note::StopReason;
 use super::queue::StepRef;
 use super::run::{Run, RunKey, RunPhase};
 use super::scheduler::Scheduler;
@@ -41,7 +42,7 @@
         let away = self.others_away(at, run.at.index, now);
         let movable = away < most.max(1);
         if movable {
-            self.stop_run(key);
+            self.stop_run(key, StopReason::Moved);
         }
         movable
     }
--- a/crates/snipevane-core/src/jobs/minion.rs
+++ b/crates/snipevane-core/src/jobs/minion.rs
@@ -71,6 +71,8 @@
     pub fence_raised: bool,
     /// Whether an order or a hold went unanswered since the last list of runs.
     pub suspect: bool,
+    /// Whether it answered the last hold.
+    pub reached: bool,
     /// Time of the last list of runs.
     pub last_contact: Option<Duration>,
     /// Number of the last end that was taken in.
@@ -120,6 +122,7 @@
             born: None,
             fence_raised: false,
             suspect: false,
+            reached: true,
             last_contact: None,
             seen: 0,
             stored: 0,
--- a/crates/snipevane-core/src/jobs/minions.rs
+++ b/crates/snipevane-core/src/jobs/minions.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use super::minion::{Minion, MinionEntry, MinionKey};
+use super::note::Loss;
 use super::run::RunKey;
 use super::scheduler::Scheduler;
 
@@ -58,6 +59,12 @@
         }
     }
 
+    /// Returns the identifier of a minion.
+    pub(super) fn minion_id(&self, key: MinionKey) -> SmolStr {
+        let minion = self.minions.get(key);
+        minion.map_or_else(SmolStr::default, |minion| minion.entry.id.clone())
+    }
+
     /// Returns the minions that may run something now or after the next decision, with their
     /// pools.
     pub fn minions_in_use(&self, now: Duration) -> Vec<(SmolStr, SmolStr)> {
@@ -140,7 +147,7 @@
             if may_be_new || alive.contains(&run) {
                 continue;
             }
-            self.end_run(run);
+            self.end_run(run, Loss::BeganAnew);
         }
     }
 
@@ -157,7 +164,7 @@
             let runs: Vec<RunKey> = runs.collect();
             for run in runs {
                 if !self.runs.get(run).is_some_and(|run| run.in_flight) {
-                    self.end_run(run);
+                    self.end_run(run, Loss::LeaseOver);
                 }
             }
             self.drop_unlisted(key);
@@ -172,7 +179,7 @@
         let runs: Vec<RunKey> = minion.runs.iter().copied().collect();
         for run in runs {
             if !self.runs.get(run).is_some_and(|run| run.in_flight) {
-                self.end_run(run);
+                self.end_run(run, Loss::IncarnationGone);
             }
         }
     }
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -21,6 +21,7 @@
 mod minion;
 mod minions;
 mod moves;
+mod note;
 mod orders;
 mod placing;
 mod progress;
@@ -45,6 +46,7 @@
 pub use job::{Job, JobKey, TaskRef};
 pub use minion::{Minion, MinionEntry, MinionKey};
 pub use moves::{MoveSettings, Moves};
+pub use note::{Loss, Note, StopReason};
 pub use progress::{DoneTasks, FailedRuns, JobState, Progress};
 pub use run::{
     ActiveRun, EndedRun, HoldReply, OrderReply, Refusal, Run, RunEnd, RunKey, RunList, RunPhase,
--- a/crates/snipevane-core/src/jobs/orders.rs
+++ b/crates/snipevane-core/src/jobs/orders.rs
@@ -8,6 +8,7 @@
 
 use super::action::{Action, Recipient, StartOrder, StopOrder};
 use super::minion::MinionKey;
+use super::note::{Loss, Note, StopReason};
 use super::run::{OrderReply, Refusal, RunKey, RunPhase};
 use super::scheduler::Scheduler;
 
@@ -54,7 +55,9 @@
                 self.read_clock(minion, clock_ms, now);
             }
             OrderReply::Refused(Refusal::Fenced) => self.deposed = true,
-            OrderReply::Refused(Refusal::OtherInstance) => self.end_run(key),
+            OrderReply::Refused(Refusal::OtherInstance) => {
+                self.end_run(key, Loss::IncarnationGone);
+            }
             OrderReply::Refused(_) | OrderReply::NoAnswer => {
                 run.retry_at = now + self.settings.order_retry;
                 self.unsettled.insert(key);
@@ -180,9 +183,9 @@
             Refusal::Outdated | Refusal::LeaseOver => {}
         }
         if only_copy || refusal == Refusal::OtherInstance {
-            self.end_run(key);
+            self.end_run(key, Loss::StartRefused(refusal));
         } else {
-            self.stop_run(key);
+            self.stop_run(key, StopReason::Unconfirmed);
         }
     }
 
@@ -206,6 +209,22 @@
         }
     }
 
+    /// Takes note that a minion didn't answer, or does again.
+    pub(super) fn note_reached(&mut self, key: MinionKey, reached: bool, now: Duration) {
+        let Some(minion) = self.minions.get_mut(key) else {
+            return;
+        };
+        if minion.reached == reached {
+            return;
+        }
+        minion.reached = reached;
+        self.notes.push(Note::MinionReached {
+            minion: minion.entry.id.clone(),
+            reached,
+            last_list: minion.last_contact.map(|at| now.saturating_sub(at)),
+        });
+    }
+
     fn read_clock(&mut self, minion: MinionKey, clock_ms: Option<u64>, now: Duration) {
         if let (Some(minion), Some(clock_ms)) = (self.minions.get_mut(minion), clock_ms) {
             minion.read_clock(clock_ms, now);
--- a/crates/snipevane-core/src/jobs/placing.rs
+++ b/crates/snipevane-core/src/jobs/placing.rs
@@ -11,6 +11,7 @@
 
 use super::job::{Job, TaskRef};
 use super::minion::{Minion, MinionKey};
+use super::note::Note;
 use super::queue::StepRef;
 use super::run::{Run, RunPhase};
 use super::scheduler::Scheduler;
@@ -123,7 +124,29 @@
         })
     }
 
+    /// Places a step's waiting tasks and takes note of how many.
     fn place_step(&mut self, at: StepRef, minions: &[MinionKey], hides_runs: bool, now: Duration) {
+        let before = self.waiting_count(at);
+        self.try_step(at, minions, hides_runs, now);
+        let waiting = self.waiting_count(at);
+        let Some(job) = self.jobs.get(at.job).filter(|_| waiting < before) else {
+            return;
+        };
+        self.notes.push(Note::Placed {
+            step: job.task_id(first_task(at)).step,
+            tasks: before - waiting,
+            waiting,
+            age: now.saturating_sub(job.accepted_at),
+        });
+    }
+
+    fn waiting_count(&self, at: StepRef) -> u32 {
+        let job = self.jobs.get(at.job);
+        let step = job.and_then(|job| job.step(first_task(at)));
+        step.map_or(0, |step| step.waiting)
+    }
+
+    fn try_step(&mut self, at: StepRef, minions: &[MinionKey], hides_runs: bool, now: Duration) {
         let Some(job) = self.jobs.get(at.job) else {
             return;
         };
@@ -209,6 +232,10 @@
         let sound = sound.filter(|&key| !self.minions[key].on_trial);
         let sound: Vec<MinionKey> = sound.collect();
         if let Some(minion) = self.choose(task, at, step, &sound) {
+            self.notes.push(Note::CopyPlaced {
+                task: job.task_id(task),
+                minion: self.minion_id(minion),
+            });
             self.start(at, task, step, minion, None, now);
         }
     }
--- a/crates/snipevane-core/src/jobs/progress.rs
+++ b/crates/snipevane-core/src/jobs/progress.rs
@@ -20,6 +20,17 @@
 }
 
 impl JobState {
+    /// Returns its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+
     /// Returns whether nothing of the job starts any more.
     pub fn is_final(self) -> bool {
         matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
--- a/crates/snipevane-core/src/jobs/reports.rs
+++ b/crates/snipevane-core/src/jobs/reports.rs
@@ -9,6 +9,7 @@
 use super::id::TaskId;
 use super::job::{JobKey, TaskRef};
 use super::minion::MinionKey;
+use super::note::{Loss, StopReason};
 use super::run::{ActiveRun, HoldReply, Refusal, Run, RunKey, RunList, RunPhase};
 use super::scheduler::Scheduler;
 use super::sharing::FULL_PACE;
@@ -35,6 +36,10 @@
         minion.hold_in_flight = false;
         match reply {
             HoldReply::Listed(list) => {
+                self.note_reached(key, true, now);
+                let Some(minion) = self.minions.get_mut(key) else {
+                    return;
+                };
                 minion.hold_failures = 0;
                 minion.hold_not_before = now + self.settings.hold_gap;
                 self.runs_listed(key, &list, asked_at, now, unix_ms);
@@ -46,6 +51,7 @@
                 self.incarnation_gone(key);
             }
             HoldReply::Refused(_) | HoldReply::NoAnswer => {
+                self.note_reached(key, false, now);
                 self.doubt(key);
                 self.hold_failed(key, now);
             }
@@ -199,7 +205,7 @@
         self.book(run);
         self.note_started(job);
         if !self.take_into_task(run, active, step.speculative) {
-            self.stop_run(run);
+            self.stop_run(run, StopReason::Unwanted);
         }
     }
 
@@ -256,7 +262,7 @@
         });
         let missing: Vec<RunKey> = missing.collect();
         for run in missing {
-            self.end_run(run);
+            self.end_run(run, Loss::NotListed);
         }
     }
 }
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -18,6 +18,7 @@
 use super::id::JobId;
 use super::job::{Job, JobKey};
 use super::minion::{Minion, MinionKey};
+use super::note::Note;
 use super::progress::JobState;
 use super::queue::{PoolQueue, StepRef};
 use super::run::{Run, RunKey};
@@ -113,6 +114,8 @@
     /// Jobs with occurrences to come.
     pub(super) scheduled: FxHashSet<JobKey>,
     pub(super) actions: Vec<Action>,
+    /// Decisions since they were last taken.
+    pub(super) notes: Vec<Note>,
     pub(super) deposed: bool,
 }
 
@@ -147,6 +150,7 @@
             durations: Durations::default(),
             scheduled: FxHashSet::default(),
             actions: Vec::new(),
+            notes: Vec::new(),
             deposed: false,
         }
     }
@@ -173,6 +177,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes the decisions that are worth a line in the log.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Returns the minions.
     pub fn minions(&self) -> impl Iterator<Item = (MinionKey, &Minion)> {
         self.minions.iter()
--- a/crates/snipevane-core/src/jobs/stragglers.rs
+++ b/crates/snipevane-core/src/jobs/stragglers.rs
@@ -9,6 +9,7 @@
 
 use super::job::TaskRef;
 use super::minion::MinionKey;
+use super::note::{Note, StopReason};
 use super::queue::StepRef;
 use super::run::{Run, RunKey, RunPhase};
 use super::scheduler::Scheduler;
@@ -71,19 +72,24 @@
         if behind.len() * 2 <= judged.len() {
             return;
         }
-        self.put_on_trial(key, now);
+        self.put_on_trial(key, mean, usual, now);
         for run in behind {
             self.leave_behind(run, now);
         }
     }
 
     /// Gives a minion no work for a while, and then one task at a time.
-    fn put_on_trial(&mut self, key: MinionKey, now: Duration) {
+    fn put_on_trial(&mut self, key: MinionKey, speed: f64, usual: f64, now: Duration) {
         let Some(minion) = self.minions.get_mut(key) else {
             return;
         };
         if now >= minion.slow_until {
             minion.times_slow += 1;
+            self.notes.push(Note::MinionSlow {
+                minion: minion.entry.id.clone(),
+                speed,
+                usual,
+            });
         }
         let doublings = (minion.times_slow - 1).min(MAX_DOUBLINGS);
         minion.slow_until = now + AVOIDED * 2_u32.pow(doublings);
@@ -169,7 +175,7 @@
         };
         let stop = self.settings.stop;
         if rest > (again + stop).mul_f64(STOP_PAYS) {
-            self.stop_run(key);
+            self.stop_run(key, StopReason::Behind);
         }
     }
 
--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod claims;
 pub mod clock;
 pub mod config;
+pub mod events;
 pub mod ids;
 pub mod jobs;
 pub mod keys;
--- a/crates/snipevane-entry/src/journal/kinds.rs
+++ b/crates/snipevane-entry/src/journal/kinds.rs
@@ -1,38 +1,6 @@
-//! Every kind of event; docs/events.md lists them, and a test compares the two.
+//! Every kind of event of the entry daemon; docs/events.md lists them, and a test compares the two.
 
-use log::Level;
-
-/// A kind of event. A number never changes its meaning.
-#[derive(Debug, PartialEq, Eq)]
-pub struct EventKind {
-    /// Number, printed as `SV1001`.
-    pub number: u16,
-    /// Level of the log record.
-    pub level: Level,
-    /// Text, the same for each event of the kind.
-    pub text: &'static str,
-    /// Names of the fields.
-    pub fields: &'static [&'static str],
-}
-
-macro_rules! catalogue {
-    ($($name:ident = $number:literal $level:ident $text:literal [$($field:literal),*];)*) => {
-        $(
-            #[doc = $text]
-            pub const $name: EventKind = EventKind {
-                number: $number,
-                level: Level::$level,
-                text: $text,
-                fields: &[$($field),*],
-            };
-        )*
-
-        /// All kinds of event, in order of their numbers.
-        pub const CATALOGUE: &[EventKind] = &[$($name),*];
-    };
-}
-
-catalogue! {
+snipevane_core::event_catalogue! {
     STARTED = 1001 Info "entry VM started" ["vm", "zone", "incarnation"];
     READY = 1002 Info "entry VM ready" ["version"];
     STOPPING = 1003 Info "planned stop begun" ["in_flight"];
--- a/crates/snipevane-entry/src/journal/mod.rs
+++ b/crates/snipevane-entry/src/journal/mod.rs
@@ -4,6 +4,7 @@
 mod record;
 mod setup;
 
-pub use kinds::{CATALOGUE, EventKind};
+pub use kinds::CATALOGUE;
 pub use record::Journal;
 pub use setup::init_log;
+pub use snipevane_core::events::EventKind;
--- a/crates/snipevane-entry/src/journal/record.rs
+++ b/crates/snipevane-entry/src/journal/record.rs
@@ -5,6 +5,7 @@
 use log::{log, log_enabled};
 use parking_lot::Mutex;
 use smol_str::{SmolStr, ToSmolStr};
+use snipevane_core::events;
 use snipevane_core::timeline::{
     ClockDrift, EventRing, Field, Filter, Hlc, HlcClock, Level, RingLimits,
 };
@@ -44,8 +45,9 @@
     /// Details (level debug) go to the log only, so that they don't push the others out of the
     /// time line.
     pub fn record(&self, kind: &EventKind, unix_ms: u64, values: &[&dyn Display]) {
-        let detail = kind.level > log::Level::Info;
-        if detail && !log_enabled!(target: TARGET, kind.level) {
+        let detail = kind.level > events::Level::Info;
+        let log_level = log_level(kind.level);
+        if detail && !log_enabled!(target: TARGET, log_level) {
             return;
         }
         let fields: Vec<Field> = kind
@@ -59,7 +61,7 @@
             // Writing to a string can't fail.
             let _ = write!(line, " {}={}", field.name, field.value);
         }
-        log!(target: TARGET, kind.level, "{line}");
+        log!(target: TARGET, log_level, "{line}");
         if detail {
             return;
         }
@@ -93,11 +95,20 @@
     }
 }
 
-fn level(level: log::Level) -> Level {
+fn log_level(level: events::Level) -> log::Level {
     match level {
-        log::Level::Error => Level::Error,
-        log::Level::Warn => Level::Warn,
-        log::Level::Info => Level::Info,
-        log::Level::Debug | log::Level::Trace => Level::Debug,
+        events::Level::Error => log::Level::Error,
+        events::Level::Warn => log::Level::Warn,
+        events::Level::Info => log::Level::Info,
+        events::Level::Debug => log::Level::Debug,
+    }
+}
+
+fn level(level: events::Level) -> Level {
+    match level {
+        events::Level::Error => Level::Error,
+        events::Level::Warn => Level::Warn,
+        events::Level::Info => Level::Info,
+        events::Level::Debug => Level::Debug,
     }
 }
--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -12,6 +12,7 @@
 use snipevane_core::jobs::{JobId, JobSpec, JobState, Progress, Queue, Site};
 
 use crate::clock::Clock;
+use crate::events;
 use crate::metrics;
 use crate::node::Node;
 use crate::peers::link;
@@ -39,7 +40,7 @@
     max_body_bytes: usize,
 }
 
-/// Answers a request and logs it if it changes something or isn't served.
+/// Answers a request and logs it if it isn't served.
 pub(crate) async fn handle<C: Clock>(
     node: &Node<C>,
     acceptor: &Rc<Acceptor<C>>,
@@ -52,12 +53,17 @@
     let status = reply.status();
     let took = node.clock.now().saturating_sub(came_at);
     metrics::request_answered(&method, status.as_u16(), took);
-    if method != Method::GET || !status.is_success() {
+    if !status.is_success() {
+        let reason = reply::reason(&reply);
         let version = node.site.borrow().version();
-        let away = node.store.is_away();
-        log::info!(
-            "request {method} {path} answered {status} under configuration {version}, store {}",
-            if away { "away" } else { "in reach" }
+        let store = if node.store.is_away() {
+            "away"
+        } else {
+            "in reach"
+        };
+        events::record(
+            &events::REFUSED,
+            &[&method, &path, &status.as_u16(), &reason, &version, &store],
         );
     }
     reply
@@ -185,9 +191,19 @@
         accepted_unix_ms: node.clock.unix_ms(),
         schedule: submission.schedule,
     };
-    log::info!("SPEC {:?}", spec.steps);
+    let asked_at = node.clock.now();
     match acceptor.accept(id, &spec).await {
-        Outcome::Stored => reply::json(StatusCode::OK, callers::encode_state(JobState::Queued)),
+        Outcome::Stored => {
+            let by = if node.lead().is_some() {
+                "scheduler"
+            } else {
+                "entry VM"
+            };
+            let took = node.clock.now().saturating_sub(asked_at).as_millis();
+            let version = node.site.borrow().version();
+            events::record(&events::ACCEPTED, &[&id, &spec.queue, &version, &by, &took]);
+            reply::json(StatusCode::OK, callers::encode_state(JobState::Queued))
+        }
         outcome => not_stored(node, outcome),
     }
 }
@@ -235,7 +251,11 @@
         return reply::json(StatusCode::OK, callers::encode_state(progress.state));
     }
     match acceptor.cancel(id, version).await {
-        Outcome::Stored => reply::json(StatusCode::OK, callers::encode_state(JobState::Cancelled)),
+        Outcome::Stored => {
+            let config = node.site.borrow().version();
+            events::record(&events::CANCELLED, &[&id, &config]);
+            reply::json(StatusCode::OK, callers::encode_state(JobState::Cancelled))
+        }
         outcome => not_stored(node, outcome),
     }
 }
--- a/crates/snipevane-fleet/src/caller/reply.rs
+++ b/crates/snipevane-fleet/src/caller/reply.rs
@@ -6,6 +6,7 @@
 use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use http_body_util::Full;
+use smol_str::SmolStr;
 use snipevane_adapter::callers;
 
 /// An answer to a caller.
@@ -20,9 +21,21 @@
     reply
 }
 
+/// Why a request isn't served, kept beside the answer for the log.
+#[derive(Clone)]
+struct Reason(SmolStr);
+
 /// Answers that a request isn't served, and why.
 pub(crate) fn error(status: StatusCode, message: &str) -> Reply {
-    json(status, callers::encode_error(message))
+    let mut reply = json(status, callers::encode_error(message));
+    reply.extensions_mut().insert(Reason(message.into()));
+    reply
+}
+
+/// Returns why a request isn't served.
+pub(crate) fn reason(reply: &Reply) -> SmolStr {
+    let reason = reply.extensions().get::<Reason>();
+    reason.map(|reason| reason.0.clone()).unwrap_or_default()
 }
 
 /// Answers that a request has not run and may be sent again after a while.
--- a/crates/snipevane-fleet/src/lib.rs
+++ b/crates/snipevane-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod client;
 pub mod clock;
+pub mod events;
 mod flags;
 pub mod logging;
 pub mod metrics;
--- a/crates/snipevane-fleet/src/logging.rs
+++ b/crates/snipevane-fleet/src/logging.rs
@@ -1,18 +1,24 @@
 //! Structured logs on standard output: a JSON object a line.
 //!
-//! Lines go through a bounded queue to a thread that writes them. A reader that stalls loses lines,
-//! which are counted; it never holds up a decision.
+//! Each kind of event has a budget of lines a second; what goes over it is counted in a line of its
+//! own. Lines go through a bounded queue to a thread that writes them: a reader that stalls loses
+//! lines, which are counted; it never holds up a decision.
+
+mod budget;
+mod lines;
 
 use std::io::{self, Write};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use log::LevelFilter;
+use log::kv::{Error, Key, Value, VisitSource};
+use parking_lot::Mutex;
+use serde_json::Map;
+
+use crate::events::{LINES_DROPPED, NUMBER};
 
-/// Lines that wait to be written at most.
-const MAX_WAITING: usize = 2_000;
+pub use budget::{Admission, Budget};
+pub use lines::Lines;
 
 /// Starts logging to standard output.
 ///
@@ -22,77 +28,67 @@
 pub fn start(node: &str, level: LevelFilter) -> Result<(), log::SetLoggerError> {
     let node = node.to_owned();
     let lines: Box<dyn Write + Send> = Box::new(Lines::start(io::stdout()));
+    let budget = Mutex::new(Budget::default());
     fern::Dispatch::new()
         .level(level)
         .format(move |out, message, record| {
-            let since_epoch = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default();
-            let line = serde_json::json!({
-                "unix_ms": since_epoch.as_millis() as u64,
-                "node": node,
-                "level": record.level().as_str(),
-                "module": record.target(),
-                "text": message.to_string(),
-            });
-            out.finish(format_args!("{line}"));
+            let unix_ms = unix_ms();
+            let mut line = Map::new();
+            line.insert("unix_ms".to_owned(), unix_ms.into());
+            line.insert("node".to_owned(), node.as_str().into());
+            line.insert("level".to_owned(), record.level().as_str().into());
+            line.insert("text".to_owned(), message.to_string().into());
+            // Fields that can't be read are left out of a line that is still of use.
+            let _ = record.key_values().visit(&mut Collector(&mut line));
+            let number = line.get(NUMBER).and_then(serde_json::Value::as_u64);
+            let Some(number) = number else {
+                line.insert("module".to_owned(), record.target().into());
+                out.finish(format_args!("{}", serde_json::Value::Object(line)));
+                return;
+            };
+            let line = serde_json::Value::Object(line);
+            match budget.lock().admit(number, unix_ms) {
+                Admission::Dropped => {}
+                Admission::Written { dropped: 0 } => out.finish(format_args!("{line}")),
+                Admission::Written { dropped } => {
+                    let count = dropped_line(&node, unix_ms, number, dropped);
+                    out.finish(format_args!("{count}\n{line}"));
+                }
+            }
         })
         .chain(lines)
         .apply()
 }
 
-/// Writes lines on a thread of its own; takes any number without waiting.
-pub struct Lines {
-    queue: SyncSender<Vec<u8>>,
-    dropped: Arc<AtomicU64>,
-    line: Vec<u8>,
+fn dropped_line(node: &str, unix_ms: u64, number: u64, dropped: u64) -> serde_json::Value {
+    serde_json::json!({
+        "unix_ms": unix_ms,
+        "node": node,
+        "level": "WARN",
+        "text": LINES_DROPPED.text,
+        NUMBER: LINES_DROPPED.number,
+        "of_event": number,
+        "lines": dropped,
+    })
 }
 
-impl Lines {
-    /// Starts the thread that writes to `out`.
-    pub fn start(out: impl Write + Send + 'static) -> Self {
-        let (queue, waiting) = sync_channel(MAX_WAITING);
-        let dropped = Arc::new(AtomicU64::new(0));
-        let counted = dropped.clone();
-        std::thread::spawn(move || write_lines(&waiting, &counted, out));
-        Self {
-            queue,
-            dropped,
-            line: Vec::new(),
-        }
-    }
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
 
-impl Write for Lines {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
+/// Collects the fields of a record.
+struct Collector<'a>(&'a mut Map<String, serde_json::Value>);
 
-    /// Hands the line over; counts it if too many wait.
-    fn flush(&mut self) -> io::Result<()> {
-        let line = std::mem::take(&mut self.line);
-        if !line.is_empty() && self.queue.try_send(line).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        }
-        Ok(())
-    }
-}
-
-fn write_lines(waiting: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut out: impl Write) {
-    while let Ok(line) = waiting.recv() {
-        let lost = dropped.swap(0, Ordering::Relaxed);
-        let noted = if lost > 0 {
-            writeln!(out, "{}", serde_json::json!({ "dropped_lines": lost }))
-        } else {
-            Ok(())
+impl<'kvs> VisitSource<'kvs> for Collector<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match value.to_u64() {
+            Some(number) => number.into(),
+            None => value.to_string().into(),
         };
-        let written = noted
-            .and_then(|()| out.write_all(&line))
-            .and_then(|()| out.flush());
-        if written.is_err() {
-            // Nobody reads the log any more, and there is no other place to say so.
-            return;
-        }
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
     }
 }
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -134,3 +134,14 @@
 pub(crate) fn configured(version: u64) {
     gauge!("snipevane_config_version").set(version as f64);
 }
+
+/// Counts tasks that were placed, of a job that was accepted a time ago.
+pub(crate) fn placed(tasks: u32, age: Duration) {
+    counter!("snipevane_tasks_placed_total").increment(u64::from(tasks));
+    histogram!("snipevane_queue_seconds").record(age.as_secs_f64());
+}
+
+/// Takes note of whether the store answers.
+pub(crate) fn store_reached(reached: bool) {
+    gauge!("snipevane_store_reached").set(f64::from(u8::from(reached)));
+}
--- a/crates/snipevane-fleet/src/process.rs
+++ b/crates/snipevane-fleet/src/process.rs
@@ -18,7 +18,7 @@
 use crate::flags::SnipevaneFleet;
 use crate::metrics::{Metrics, MetricsError};
 use crate::node::Node;
-use crate::{logging, peers, scheduling, site_view};
+use crate::{events, logging, peers, scheduling, site_view};
 
 /// Part of the time until SIGKILL for which callers are still served, in percent.
 const SERVED_PERCENT: u32 = 50;
@@ -70,7 +70,14 @@
 
 fn run(settings: NodeSettings, metrics_port: Option<u16>) -> Result<(), ProcessError> {
     logging::start(&settings.node, LevelFilter::Info)?;
-    log::info!("version {} starts", env!("CARGO_PKG_VERSION"));
+    events::record(
+        &events::STARTED,
+        &[
+            &env!("CARGO_PKG_VERSION"),
+            &settings.zone,
+            &settings.callers,
+        ],
+    );
     let metrics = Metrics::start()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -120,7 +127,7 @@
         loop {
             tokio::select! {
                 _ = terminate.recv() => break stop(&node).await,
-                _ = hangup.recv() => reload(),
+                _ = hangup.recv() => reload(&node.settings),
             }
         }
     };
@@ -134,16 +141,16 @@
 }
 
 /// Reads the settings file again; addresses of a running process stay.
-fn reload() {
+fn reload(present: &NodeSettings) {
     match read_settings() {
-        Ok(_) => log::info!("the settings were read again"),
-        Err(error) => log::error!("{error}"),
+        Ok(settings) => events::record(&events::SETTINGS_READ, &[&(settings != *present)]),
+        Err(error) => events::record(&events::SETTINGS_BAD, &[&error]),
     }
 }
 
 /// Stops: not ready, then no new requests, then no connections.
 async fn stop<C: Clock>(node: &Node<C>) {
-    log::info!("stopping");
+    events::record(&events::STOPPING, &[&node.lead().is_some()]);
     node.stopping.set(true);
     sleep(node.settings.bounds.grace * SERVED_PERCENT / PERCENT).await;
     node.stop.notify_waiters();
--- a/crates/snipevane-fleet/src/rows.rs
+++ b/crates/snipevane-fleet/src/rows.rs
@@ -5,6 +5,8 @@
 use smol_str::SmolStr;
 use snipevane_core::jobs::JobId;
 
+use crate::events;
+
 /// Table with jobs that haven't ended, and with requests to cancel them.
 pub const INBOX: &str = "jobs";
 
@@ -101,6 +103,6 @@
 pub fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Option<T> {
     let decoded = serde_json::from_slice(value);
     decoded
-        .map_err(|error| log::error!("row {key} can't be read: {error}"))
+        .map_err(|error| events::record(&events::ROW_UNREADABLE, &[&"own", &key, &error]))
         .ok()
 }
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::events;
 use crate::metrics;
 use crate::node::Node;
 use crate::peers::{self, link};
@@ -57,6 +58,13 @@
     let heard = link::watch(node, settings, address).await;
     if heard {
         sleep(BETWEEN_HEARTBEATS).await;
+    } else {
+        let view = node.scheduler.borrow();
+        let unchanged = view.unchanged_for(node.clock.now()).as_millis();
+        events::record(
+            &events::SCHEDULER_LOST,
+            &[&address, &view.version(), &unchanged],
+        );
     }
     heard
 }
@@ -114,12 +122,13 @@
         Ok(Commit::Done(version)) => version,
         Ok(Commit::Conflict(_)) => won_unseen(node, &row).await?,
         Err(error) => {
-            log::info!("the term can't be taken: {error}");
+            events::record(&events::TERM_NOT_WON, &[&row.fence, &error]);
             won_unseen(node, &row).await?
         }
     };
-    let holder = before.as_ref().map(|row| row.holder.clone());
-    log::info!("term {} is won, after {holder:?}", row.fence);
+    let holder = before.as_ref().map(|row| row.holder.as_str());
+    let after = holder.unwrap_or("none");
+    events::record(&events::TERM_WON, &[&row.fence, &version, &after]);
     metrics::term_won(row.fence);
     Some(Won {
         row,
--- a/crates/snipevane-fleet/src/scheduling/feeds.rs
+++ b/crates/snipevane-fleet/src/scheduling/feeds.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::events;
 use crate::rows::{self, INBOX, InboxKey, PROGRESS};
 use crate::store::StoreError;
 
@@ -69,7 +70,8 @@
         take_cancellation(lead, row);
     }
     if adopted {
-        log::info!("{} rows of jobs were adopted", inbox.rows.len());
+        let fence = lead.row.borrow().fence;
+        events::record(&events::JOBS_ADOPTED, &[&fence, &inbox.rows.len()]);
     }
     Ok(inbox.version)
 }
@@ -186,7 +188,7 @@
     match minion::decode_entry(&row.key, value) {
         Ok(entry) => scheduler.minion_seen(entry, lead.node.clock.now()),
         Err(error) => {
-            log::warn!("the entry {} names no minion: {error}", row.key);
+            events::record(&events::ROW_UNREADABLE, &[&minion::TABLE, &row.key, &error]);
             scheduler.minion_gone(&row.key);
         }
     }
--- a/crates/snipevane-fleet/src/scheduling/lead.rs
+++ b/crates/snipevane-fleet/src/scheduling/lead.rs
@@ -14,11 +14,12 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
+use crate::events;
 use crate::metrics;
 use crate::node::Node;
 use crate::rows::SchedulerRow;
 
-use super::{feeds, orders, storing, vms};
+use super::{feeds, notes, orders, storing, vms};
 
 /// Longest time between two decisions.
 const TICK: Duration = Duration::from_millis(50);
@@ -64,6 +65,10 @@
     pub(super) loaded: Cell<bool>,
     /// Whether the term is over for good.
     pub(super) over: Cell<bool>,
+    /// Why it is.
+    pub(super) over_reason: Cell<&'static str>,
+    /// Whether the advisor answered the last question.
+    pub(super) advisor_answers: Cell<bool>,
     /// Told when the row was written.
     pub(super) written: Notify,
     /// Told when something may be decided.
@@ -91,7 +96,8 @@
         for part in parts {
             part.abort();
         }
-        log::info!("term {} is over", lead.row.borrow().fence);
+        let fence = lead.row.borrow().fence;
+        events::record(&events::TERM_OVER, &[&fence, &lead.over_reason.get()]);
         metrics::term_over();
     }
 
@@ -115,6 +121,8 @@
             taken_over_at,
             loaded: Cell::new(false),
             over: Cell::new(false),
+            over_reason: Cell::new("the process stops"),
+            advisor_answers: Cell::new(true),
             written: Notify::new(),
             wake: Notify::new(),
             store_wake: Notify::new(),
@@ -143,6 +151,13 @@
         }
     }
 
+    /// Ends the term for good.
+    pub(super) fn end(&self, reason: &'static str) {
+        self.over_reason.set(reason);
+        self.over.set(true);
+        self.written.notify_waiters();
+    }
+
     /// Returns whether orders may be given.
     pub(super) fn may_order(&self) -> bool {
         let holds = self.term.borrow().holds(self.node.clock.now());
@@ -171,11 +186,15 @@
         }
         let actions = scheduler.decide(self.node.clock.now(), self.node.clock.unix_ms());
         if scheduler.is_deposed() {
-            log::warn!("a minion has seen a later term");
-            self.over.set(true);
+            self.end("a minion has seen a later term");
         }
         let changes = scheduler.has_changes() || scheduler.has_unrecorded_minions();
+        let notes = scheduler.take_notes();
         drop(scheduler);
+        let fence = self.row.borrow().fence;
+        for note in &notes {
+            notes::log_note(note, fence);
+        }
         if changes {
             self.store_wake.notify_one();
         }
--- a/crates/snipevane-fleet/src/scheduling/mod.rs
+++ b/crates/snipevane-fleet/src/scheduling/mod.rs
@@ -3,6 +3,7 @@
 mod candidate;
 mod feeds;
 mod lead;
+mod notes;
 mod orders;
 mod storing;
 mod view;
--- a/crates/snipevane-fleet/src/scheduling/orders.rs
+++ b/crates/snipevane-fleet/src/scheduling/orders.rs
@@ -6,14 +6,16 @@
 
 use snipevane_adapter::{Request, advisor, minion};
 use snipevane_core::jobs::{
-    Action, AdviceOrder, AdviceReply, HoldOrder, HoldReply, OrderReply, Recipient, Refusal,
+    Action, AdviceOrder, AdviceReply, HoldOrder, HoldReply, OrderReply, Recipient,
 };
 
 use crate::client::{Answer, CallError};
 use crate::clock::Clock;
+use crate::events;
 use crate::metrics;
 
 use super::lead::Lead;
+use super::notes::refusal_name;
 
 /// Longest time that a minion takes to answer an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(500);
@@ -85,8 +87,14 @@
 async fn ask<C: Clock>(lead: &Lead<C>, order: &AdviceOrder) {
     let asked_at = lead.node.clock.now();
     let reply = advice(lead, order).await;
-    if reply == AdviceReply::NoAnswer {
-        log::info!("the advisor doesn't answer for step {}", order.step);
+    let answers = reply != AdviceReply::NoAnswer;
+    if lead.advisor_answers.replace(answers) != answers {
+        let kind = if answers {
+            &events::ADVISOR_REGAINED
+        } else {
+            &events::ADVISOR_LOST
+        };
+        events::record(kind, &[&order.step]);
     }
     let now = lead.node.clock.now();
     let mut scheduler = lead.scheduler.borrow_mut();
@@ -143,19 +151,6 @@
     }
 }
 
-fn refusal_name(refusal: Refusal) -> &'static str {
-    match refusal {
-        Refusal::Fenced => "fenced",
-        Refusal::Outdated => "outdated",
-        Refusal::LeaseOver => "lease_over",
-        Refusal::NoRoom => "no_room",
-        Refusal::NoPermit => "no_permit",
-        Refusal::Unhealthy => "unhealthy",
-        Refusal::Invalid => "invalid",
-        Refusal::OtherInstance => "other_instance",
-    }
-}
-
 /// Sends a request to a minion if the term still allows it.
 async fn call<C: Clock>(
     lead: &Lead<C>,
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
+use crate::events;
 use crate::rows::{self, INBOX, PROGRESS, SCHEDULER_KEY, SCHEDULERS, SchedulerRow};
 use crate::store::{Commit, StoreError};
 
@@ -42,7 +43,7 @@
         let stored = write(&lead, &transaction).await;
         let mut scheduler = lead.scheduler.borrow_mut();
         if stored {
-            log_ends(&changes);
+            log_ends(&lead, &changes);
             scheduler.changes_stored(&changes);
             scheduler.minions_recorded(&lead.row.borrow().minions);
         } else {
@@ -57,13 +58,16 @@
 }
 
 /// Logs the jobs whose end is stored, so that callers see it.
-fn log_ends(changes: &Changes) {
+fn log_ends<C: Clock>(lead: &Lead<C>, changes: &Changes) {
+    let fence = lead.row.borrow().fence;
     let ended = changes
         .jobs
         .iter()
         .filter(|change| change.progress.state.is_final());
     for change in ended {
-        log::info!("job {} ended as {:?}", change.id, change.progress.state);
+        let state = change.progress.state.name();
+        let version = lead.version.get();
+        events::record(&events::JOB_ENDED, &[&change.id, &state, &fence, &version]);
     }
 }
 
@@ -189,9 +193,8 @@
             true
         }
         other => {
-            log::warn!("the term is lost to {other:?}");
-            lead.over.set(true);
-            lead.written.notify_waiters();
+            log::debug!("the term is lost to {other:?}");
+            lead.end("the row has another holder");
             false
         }
     }
--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -104,6 +104,11 @@
         self.row.is_some() && now.saturating_sub(self.observed.first_seen()) < age
     }
 
+    /// Returns for how long the row has been seen unchanged.
+    pub fn unchanged_for(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.observed.first_seen())
+    }
+
     /// Returns the number of a queue's jobs that haven't begun, if it is known.
     pub fn waiting_jobs(&self, queue: &str) -> Option<u64> {
         let counts = self.row.as_ref()?.waiting.as_ref()?;
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -7,14 +7,17 @@
 
 use rustc_hash::{FxHashMap, FxHashSet};
 use smol_str::SmolStr;
-use snipevane_adapter::config;
 use snipevane_adapter::machines::{self, Holder};
+use snipevane_adapter::{DecodeError, config};
 use snipevane_core::jobs::{
     Moves, TakenDown, Upkeep, Vm, VmOrder, VmReply, VmState, VmWork, WaveOrder, WaveProgress,
 };
+use thiserror::Error;
 use tokio::time::sleep;
 
+use crate::client::CallError;
 use crate::clock::Clock;
+use crate::events;
 use crate::rows::{self, WAVES, WaveRow};
 use crate::store::StoreError;
 
@@ -37,6 +40,37 @@
     taken_down: TakenDown,
     /// VMs that the term before may have given orders lately; none before the first list.
     claimed: Option<FxHashSet<SmolStr>>,
+    /// Since when the list of VMs can't be read.
+    list_lost_at: Option<Duration>,
+}
+
+impl Plans {
+    /// Logs when the list of VMs gets lost and when it is there again.
+    fn note_list(&mut self, list: &Result<Vec<Vm>, ListError>, now: Duration) {
+        match (list, self.list_lost_at) {
+            (Ok(_), Some(at)) => {
+                let away = now.saturating_sub(at).as_millis();
+                events::record(&events::VMS_REGAINED, &[&away]);
+                self.list_lost_at = None;
+            }
+            (Err(error), None) => {
+                events::record(&events::VMS_LOST, &[error]);
+                self.list_lost_at = Some(now);
+            }
+            (Ok(_), None) | (Err(_), Some(_)) => {}
+        }
+    }
+}
+
+/// A list of VMs that can't be read.
+#[derive(Debug, Error)]
+enum ListError {
+    #[error(transparent)]
+    Call(#[from] CallError),
+    #[error("status {0}")]
+    Refused(u16),
+    #[error(transparent)]
+    Unreadable(#[from] DecodeError),
 }
 
 /// Plans work on VMs until the term is over.
@@ -73,11 +107,7 @@
     };
     let now = lead.node.clock.now();
     for wave in unknown {
-        log::info!(
-            "wave {} asks for the upkeep of {} VMs",
-            wave.number,
-            wave.vms.len()
-        );
+        events::record(&events::WAVE_KNOWN, &[&wave.number, &wave.vms.len()]);
         plans
             .borrow_mut()
             .upkeep
@@ -105,10 +135,12 @@
 
 async fn plan_once<C: Clock>(lead: &Rc<Lead<C>>, address: SocketAddr, plans: &Rc<RefCell<Plans>>) {
     let asked_at = lead.node.clock.now();
-    let Some(listed) = list_vms(lead, address).await else {
+    let listed = list_vms(lead, address).await;
+    let now = lead.node.clock.now();
+    plans.borrow_mut().note_list(&listed, now);
+    let Ok(listed) = listed else {
         return;
     };
-    let now = lead.node.clock.now();
     let seen = without_claimed(lead, &mut plans.borrow_mut(), &listed, now);
     let Some(vms) = seen else {
         return;
@@ -135,7 +167,7 @@
         let plans = plans.clone();
         tokio::task::spawn_local(async move {
             let reply = send(&lead, address, &order).await;
-            log::info!("order {order:?}: {reply:?}");
+            log_order(&lead, &order, reply);
             let now = lead.node.clock.now();
             if let (VmReply::Done, Some(vm)) = (reply, vm) {
                 let mut scheduler = lead.scheduler.borrow_mut();
@@ -156,6 +188,24 @@
     lead.wake.notify_one();
 }
 
+fn log_order<C: Clock>(lead: &Lead<C>, order: &VmOrder, reply: VmReply) {
+    let work = match &order.work {
+        VmWork::Upkeep { wave } => format!("upkeep in wave {wave}"),
+        VmWork::Move { pool } => format!("move to {pool}"),
+    };
+    let reply = match reply {
+        VmReply::Done => "done",
+        VmReply::Fenced => "fenced",
+        VmReply::Busy => "busy",
+        VmReply::NotInWave => "not in the wave",
+        VmReply::Invalid => "invalid",
+        VmReply::TooMany => "nothing done",
+        VmReply::Unknown => "no answer",
+    };
+    let fence = lead.row.borrow().fence;
+    events::record(&events::VM_ORDERED, &[&order.vm, &work, &reply, &fence]);
+}
+
 /// Returns the list of VMs, in which those that the term before may have given an order lately are
 /// moving; none if it may lack such orders yet.
 ///
@@ -222,34 +272,24 @@
 }
 
 /// Reads the whole list of VMs.
-async fn list_vms<C: Clock>(lead: &Lead<C>, address: SocketAddr) -> Option<Vec<Vm>> {
+///
+/// # Errors
+///
+/// Returns why it can't be read.
+async fn list_vms<C: Clock>(lead: &Lead<C>, address: SocketAddr) -> Result<Vec<Vm>, ListError> {
     let mut vms = Vec::new();
     let mut next: Option<String> = None;
     loop {
         let request = machines::list(next.as_deref());
-        let answer = lead.node.client.call(address, request, CALL_LIMIT).await;
-        let page = match answer {
-            Ok(answer) if answer.status == 200 => machines::decode_list(&answer.body),
-            Ok(answer) => {
-                log::info!("the list of VMs is refused: status {}", answer.status);
-                return None;
-            }
-            Err(error) => {
-                log::info!("the list of VMs can't be read: {error}");
-                return None;
-            }
-        };
-        let page = match page {
-            Ok(page) => page,
-            Err(error) => {
-                log::warn!("{error}");
-                return None;
-            }
-        };
+        let answer = lead.node.client.call(address, request, CALL_LIMIT).await?;
+        if answer.status != 200 {
+            return Err(ListError::Refused(answer.status));
+        }
+        let page = machines::decode_list(&answer.body)?;
         vms.extend(page.vms);
         next = page.next;
         if next.is_none() {
-            return Some(vms);
+            return Ok(vms);
         }
     }
 }
@@ -265,7 +305,7 @@
     let request = machines::order(order, &holder);
     match lead.node.client.call(address, request, CALL_LIMIT).await {
         Ok(answer) => machines::decode_reply(answer.status, &answer.body),
-        Err(crate::client::CallError::NotSent) => VmReply::TooMany,
-        Err(crate::client::CallError::NoAnswer) => VmReply::Unknown,
+        Err(CallError::NotSent) => VmReply::TooMany,
+        Err(CallError::NoAnswer) => VmReply::Unknown,
     }
 }
--- a/crates/snipevane-fleet/src/site_view.rs
+++ b/crates/snipevane-fleet/src/site_view.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::events;
 use crate::metrics;
 use crate::node::Node;
 use crate::store::StoreError;
@@ -82,12 +83,12 @@
     }
 
     /// Takes in a row; returns whether the configuration changed.
-    fn take(&mut self, row: &Row) -> bool {
+    fn take(&mut self, row: &Row, now: Duration) -> bool {
         let Some(value) = &row.value else {
             return false;
         };
         if row.key == config::CONFIG_KEY {
-            return self.take_config(value);
+            return self.take_config(value, now);
         }
         if config::is_wave(&row.key) {
             self.take_wave(value);
@@ -95,11 +96,11 @@
         false
     }
 
-    fn take_config(&mut self, value: &[u8]) -> bool {
+    fn take_config(&mut self, value: &[u8], now: Duration) -> bool {
         let spec = match config::decode_config(value) {
             Ok(spec) => spec,
             Err(error) => {
-                log::error!("{error}");
+                events::record(&events::CONFIG_UNREADABLE, &[&self.version(), &error]);
                 return false;
             }
         };
@@ -107,10 +108,8 @@
         if self.site.is_some() && spec.version <= version {
             return false;
         }
-        log::info!(
-            "configuration {} is in force, after {version}",
-            spec.version
-        );
+        let age = self.confirmation_age(now).unwrap_or_default().as_millis();
+        events::record(&events::CONFIG_IN_FORCE, &[&spec.version, &version, &age]);
         metrics::configured(spec.version);
         self.site = Some(Rc::new(Site::new(spec)));
         true
@@ -122,7 +121,9 @@
                 self.waves.retain(|known| known.number != wave.number);
                 self.waves.push(wave);
             }
-            Err(error) => log::error!("{error}"),
+            Err(error) => {
+                events::record(&events::ROW_UNREADABLE, &[&config::TABLE, &"wave", &error]);
+            }
         }
     }
 }
@@ -194,10 +195,11 @@
 }
 
 fn take_page<C: Clock>(node: &Node<C>, page: &Page, asked_at: Duration) {
+    let now = node.clock.now();
     let mut view = node.site.borrow_mut();
     let mut changed = false;
     for row in &page.rows {
-        changed |= view.take(row);
+        changed |= view.take(row, now);
     }
     view.read_up_to = view.read_up_to.max(page.version);
     view.confirmed_at = view.confirmed_at.max(Some(asked_at));
--- a/crates/snipevane-fleet/src/store/path.rs
+++ b/crates/snipevane-fleet/src/store/path.rs
@@ -9,6 +9,7 @@
 
 use crate::client::{Answer, CallError, Client};
 use crate::clock::Clock;
+use crate::{events, metrics};
 
 /// Time after which a call that has no answer is tried through another entry VM.
 const PATIENCE: Duration = Duration::from_millis(700);
@@ -39,6 +40,8 @@
     straight: Cell<bool>,
     /// Whether the last call had no answer by any way.
     away: Cell<bool>,
+    /// Time since which calls have had no answer, while it is away.
+    lost_at: Cell<Duration>,
 }
 
 impl<C: Clock> Path<C> {
@@ -53,6 +56,7 @@
             detour_until: Cell::new(Duration::ZERO),
             straight: Cell::new(false),
             away: Cell::new(false),
+            lost_at: Cell::new(Duration::ZERO),
         })
     }
 
@@ -80,10 +84,31 @@
     ) -> Result<Answer, CallError> {
         let answer = self.try_ways(request, limit).await;
         let answered = answer.as_ref().is_ok_and(|answer| !is_refusal(answer));
-        self.away.set(!answered);
+        self.note_reached(answered);
         answer
     }
 
+    /// Takes note of whether the store answered, and logs a change.
+    fn note_reached(&self, answered: bool) {
+        let now = self.clock.now();
+        let way = if now < self.detour_until.get() {
+            "through another entry VM"
+        } else {
+            "straight"
+        };
+        if self.away.replace(!answered) != answered {
+            return;
+        }
+        if answered {
+            let away = now.saturating_sub(self.lost_at.get()).as_millis();
+            events::record(&events::STORE_REGAINED, &[&away, &way]);
+        } else {
+            self.lost_at.set(now);
+            events::record(&events::STORE_LOST, &[&way]);
+        }
+        metrics::store_reached(answered);
+    }
+
     /// Returns whether the last call had no answer by any way.
     pub(super) fn is_away(&self) -> bool {
         self.away.get()
--- a/tests/tests/events.rs
+++ b/tests/tests/events.rs
@@ -1,6 +1,6 @@
-//! The page of events and the catalogue in the code say the same.
+//! The page of events and the catalogues of both daemons say the same.
 
-use snipevane_entry::journal::CATALOGUE;
+use snipevane_core::events::EventKind;
 
 const PAGE: &str = include_str!("../../docs/events.md");
 
@@ -16,10 +16,14 @@
             [cells[0], cells[1], cells[2], cells[3]]
         })
         .collect();
-    let catalogue: Vec<[String; 4]> = CATALOGUE
+    let kinds: Vec<&EventKind> = snipevane_entry::journal::CATALOGUE
+        .iter()
+        .chain(snipevane_fleet::events::CATALOGUE)
+        .collect();
+    let catalogue: Vec<[String; 4]> = kinds
         .iter()
         .map(|kind| {
-            let level = kind.level.as_str().to_lowercase();
+            let level = kind.level.to_string();
             [
                 format!("SV{}", kind.number),
                 level,
@@ -29,6 +33,6 @@
         })
         .collect();
     assert_eq!(rows, catalogue);
-    let numbers: Vec<u16> = CATALOGUE.iter().map(|kind| kind.number).collect();
+    let numbers: Vec<u16> = kinds.iter().map(|kind| kind.number).collect();
     assert!(numbers.is_sorted_by(|a, b| a < b), "{numbers:?}");
 }
