--- a/crates/snipevane-fleet/src/logging.rs
+++ b/crates/snipevane-fleet/src/logging.rs
@@ -33,6 +33,12 @@
         .level(level)
         .format(move |out, message, record| {
             let unix_ms = unix_ms();
+            let number = record.key_values().get(Key::from(NUMBER));
+            let number = number.and_then(|number| number.to_u64());
+            let admission = number.map(|number| budget.lock().admit(number, unix_ms));
+            if admission == Some(Admission::Dropped) {
+                return;
+            }
             let mut line = Map::new();
             line.insert("unix_ms".to_owned(), unix_ms.into());
             line.insert("node".to_owned(), node.as_str().into());
@@ -40,20 +46,13 @@
             line.insert("text".to_owned(), message.to_string().into());
             // Fields that can't be read are left out of a line that is still of use.
             let _ = record.key_values().visit(&mut Collector(&mut line));
-            let number = line.get(NUMBER).and_then(serde_json::Value::as_u64);
-            let Some(number) = number else {
-                line.insert("module".to_owned(), record.target().into());
-                out.finish(format_args!("{}", serde_json::Value::Object(line)));
-                return;
-            };
             let line = serde_json::Value::Object(line);
-            match budget.lock().admit(number, unix_ms) {
-                Admission::Dropped => {}
-                Admission::Written { dropped: 0 } => out.finish(format_args!("{line}")),
-                Admission::Written { dropped } => {
+            match (number, admission) {
+                (Some(number), Some(Admission::Written { dropped })) if dropped > 0 => {
                     let count = dropped_line(&node, unix_ms, number, dropped);
                     out.finish(format_args!("{count}\n{line}"));
                 }
+                _ => out.finish(format_args!("{line}")),
             }
         })
         .chain(lines)
