Explain a job's life from the logs; show all entry VMs from their metrics

Cause: on-call engineers had to grep; a job's way over several processes and terms couldn't be told.

--- /dev/null
+++ b/crates/snipevane-cli/src/explain/life.rs
@@ -0,0 +1,198 @@
+//! The life of one job or task in causal order, with what happened around it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::{self, Display, Formatter};
+
+use serde::Serialize;
+use snipevane_core::events::EventKind;
+use snipevane_fleet::events;
+
+use super::line::Line;
+
+/// Time before the first and after the last line of a job for which its surroundings are shown, in
+/// milliseconds.
+const AROUND_MS: u64 = 2_000;
+
+/// Events that concern all jobs at the time.
+const OF_ALL: [&EventKind; 13] = [
+    &events::STARTED,
+    &events::STOPPING,
+    &events::CONFIG_IN_FORCE,
+    &events::STORE_LOST,
+    &events::STORE_REGAINED,
+    &events::ADVISOR_LOST,
+    &events::ADVISOR_REGAINED,
+    &events::VMS_LOST,
+    &events::VMS_REGAINED,
+    &events::SCHEDULER_LOST,
+    &events::TERM_WON,
+    &events::TERM_OVER,
+    &events::JOBS_ADOPTED,
+];
+
+/// Events that concern a job if one of its runs was on their minion.
+const OF_MINIONS: [&EventKind; 4] = [
+    &events::MINION_LOST,
+    &events::MINION_REGAINED,
+    &events::MINION_SLOW,
+    &events::MINION_FAILING,
+];
+
+/// What is missing in the logs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "gap")]
+pub enum Gap {
+    /// Lines of a kind were left out.
+    LinesDropped {
+        /// VM of the process.
+        node: String,
+        /// Number of the event's kind.
+        event: u64,
+        /// Number of lines.
+        lines: u64,
+    },
+    /// A process is named, and none of its lines is there.
+    NoLog {
+        /// VM of the process.
+        node: String,
+    },
+    /// No line tells how the job came.
+    NoBeginning,
+    /// No line tells how the job ended.
+    NoEnd,
+}
+
+/// The life of a job or task.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Life {
+    /// Identifier.
+    pub id: String,
+    /// Lines in causal order.
+    pub lines: Vec<Line>,
+    /// What is missing.
+    pub gaps: Vec<Gap>,
+}
+
+impl Life {
+    /// Collects the life of a job or task; none if no line tells of it.
+    pub(super) fn collect(id: &str, all: &[Line]) -> Option<Self> {
+        let own: Vec<&Line> = all.iter().filter(|line| line.tells_of(id)).collect();
+        let from = own.iter().map(|line| line.unix_ms).min()?;
+        let to = own.iter().map(|line| line.unix_ms).max()?;
+        let span = from.saturating_sub(AROUND_MS)..=to + AROUND_MS;
+        let minions: BTreeSet<String> =
+            own.iter().filter_map(|line| line.field("minion")).collect();
+        let around = all.iter().filter(|line| {
+            let on_minion = line
+                .field("minion")
+                .is_some_and(|minion| minions.contains(&minion));
+            let concerns = is_any(line, &OF_ALL) || (is_any(line, &OF_MINIONS) && on_minion);
+            span.contains(&line.unix_ms) && concerns && !line.tells_of(id)
+        });
+        let mut lines: Vec<Line> = around.chain(own.iter().copied()).cloned().collect();
+        put_in_order(&mut lines);
+        let in_span: Vec<&Line> = all
+            .iter()
+            .filter(|line| span.contains(&line.unix_ms))
+            .collect();
+        let gaps = gaps(&own, &in_span, all);
+        Some(Self {
+            id: id.to_owned(),
+            lines,
+            gaps,
+        })
+    }
+}
+
+/// Sorts lines by time, and those of a later term behind those of an earlier one, as clocks of VMs
+/// differ.
+fn put_in_order(lines: &mut [Line]) {
+    lines.sort_by_key(|line| line.unix_ms);
+    let mut latest_of_term: BTreeMap<u64, u64> = BTreeMap::new();
+    for line in lines.iter() {
+        if let Some(fence) = line.number("fence") {
+            let latest = latest_of_term.entry(fence).or_default();
+            *latest = (*latest).max(line.unix_ms);
+        }
+    }
+    let after_earlier_terms = |line: &Line| {
+        let fence = line.number("fence").unwrap_or(0);
+        let earlier = latest_of_term.range(..fence).map(|(_, latest)| *latest);
+        earlier.max().unwrap_or(0).max(line.unix_ms)
+    };
+    lines.sort_by_cached_key(|line| (after_earlier_terms(line), line.number("fence")));
+}
+
+fn gaps(own: &[&Line], in_span: &[&Line], all: &[Line]) -> Vec<Gap> {
+    let mut gaps = Vec::new();
+    for line in in_span
+        .iter()
+        .filter(|line| is(line, &events::LINES_DROPPED))
+    {
+        gaps.push(Gap::LinesDropped {
+            node: line.node.clone(),
+            event: line.number("of_event").unwrap_or(0),
+            lines: line.number("lines").unwrap_or(0),
+        });
+    }
+    let logged: BTreeSet<&str> = all.iter().map(|line| line.node.as_str()).collect();
+    let holders = in_span.iter().filter(|line| is(line, &events::TERM_WON));
+    let named: BTreeSet<String> = holders.filter_map(|line| line.field("after")).collect();
+    for node in named {
+        if node != "none" && !logged.contains(node.as_str()) {
+            gaps.push(Gap::NoLog { node });
+        }
+    }
+    let begins = [&events::ACCEPTED, &events::JOB_TAKEN, &events::REFUSED];
+    if !own.iter().any(|line| is_any(line, &begins)) {
+        gaps.push(Gap::NoBeginning);
+    }
+    let ends = [&events::JOB_ENDED, &events::REFUSED];
+    if !own.iter().any(|line| is_any(line, &ends)) {
+        gaps.push(Gap::NoEnd);
+    }
+    gaps
+}
+
+fn is(line: &Line, kind: &EventKind) -> bool {
+    line.event == Some(kind.number)
+}
+
+fn is_any(line: &Line, kinds: &[&EventKind]) -> bool {
+    kinds.iter().any(|kind| is(line, kind))
+}
+
+impl Display for Life {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let start = self.lines.first().map_or(0, |line| line.unix_ms);
+        writeln!(f, "{}, from {start} ms", self.id)?;
+        for line in &self.lines {
+            let after = line.unix_ms as f64 / 1_000.0 - start as f64 / 1_000.0;
+            let number = line
+                .event
+                .map_or_else(String::new, |number| format!("SV{number} "));
+            write!(f, "{after:>9.3} s  {:<14} {number}{}", line.node, line.text)?;
+            for name in line.fields.keys().filter(|name| *name != "level") {
+                write!(f, " {name}={}", line.field(name).unwrap_or_default())?;
+            }
+            writeln!(f)?;
+        }
+        for gap in &self.gaps {
+            writeln!(f, "missing: {gap}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Display for Gap {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::LinesDropped { node, event, lines } => {
+                write!(f, "{lines} lines of SV{event} of {node} were left out")
+            }
+            Self::NoLog { node } => write!(f, "the log of {node}"),
+            Self::NoBeginning => f.write_str("how it came"),
+            Self::NoEnd => f.write_str("how it ended"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipevane-cli/src/explain/mod.rs
@@ -0,0 +1,59 @@
+//! `snipevane explain`: the life of one job or task, from the logs of several processes.
+
+mod life;
+mod line;
+
+use std::io::Read;
+use std::path::{Path, PathBuf};
+
+use crate::output::print_json;
+use crate::{CliError, flags};
+
+pub use life::{Gap, Life};
+pub use line::{Line, read_lines};
+
+/// Explains what happened to a job or task.
+pub(crate) fn run(cmd: &flags::Explain, json: bool) -> Result<(), CliError> {
+    let lines = read_all(&cmd.log)?;
+    let life = explain(&cmd.id, &lines)?;
+    if json {
+        return print_json(&life);
+    }
+    print!("{life}");
+    Ok(())
+}
+
+/// Collects what lines of the log tell of a job, step or task.
+///
+/// # Errors
+///
+/// Returns an error if `id` names none, or no line tells of it.
+pub fn explain(id: &str, lines: &[Line]) -> Result<Life, CliError> {
+    if !line::is_id(id) {
+        let why = format!("{id:?} is no identifier of a job, step or task");
+        return Err(CliError::Usage(why));
+    }
+    Life::collect(id, lines).ok_or_else(|| CliError::Incomplete(format!("no line tells of {id}")))
+}
+
+fn read_all(files: &[PathBuf]) -> Result<Vec<Line>, CliError> {
+    if files.is_empty() {
+        let mut text = String::new();
+        let read = std::io::stdin().read_to_string(&mut text);
+        read.map_err(|source| file_error(Path::new("standard input"), source))?;
+        return Ok(read_lines(&text));
+    }
+    let mut lines = Vec::new();
+    for path in files {
+        let text = std::fs::read_to_string(path).map_err(|source| file_error(path, source))?;
+        lines.extend(read_lines(&text));
+    }
+    Ok(lines)
+}
+
+fn file_error(path: &Path, source: std::io::Error) -> CliError {
+    CliError::File {
+        path: path.to_owned(),
+        source,
+    }
+}
--- a/crates/snipevane-cli/src/flags.rs
+++ b/crates/snipevane-cli/src/flags.rs
@@ -85,7 +85,18 @@
         }
 
         /// Shows entry VMs, backend servers, teams and the versions in force.
-        cmd status {}
+        cmd status {
+            /// Address of the metrics of an entry VM that runs jobs; shows a table of all named.
+            repeated --metrics addr: SocketAddr
+        }
+
+        /// Tells the life of a job or task from the logs of the daemons that run jobs.
+        cmd explain {
+            /// Identifier of the job, step or task.
+            required id: String
+            /// File with lines of a log; standard input if none is named.
+            repeated --log file: PathBuf
+        }
 
         /// Merges the events of all entry VMs in causal order.
         cmd timeline {
--- a/crates/snipevane-cli/src/lib.rs
+++ b/crates/snipevane-cli/src/lib.rs
@@ -8,8 +8,10 @@
 mod client;
 mod demo;
 mod error;
+mod explain;
 mod flags;
 mod key;
+mod nodes;
 mod output;
 mod pool;
 mod status;
@@ -22,6 +24,8 @@
 
 pub use client::{Client, Reply};
 pub use error::CliError;
+pub use explain::{Gap, Life, Line, explain, read_lines};
+pub use nodes::{NodeRow, Samples, render_nodes};
 pub use timeline::render_timeline;
 
 use flags::{Snipevane, SnipevaneCmd};
@@ -59,13 +63,21 @@
     if let SnipevaneCmd::Check(cmd) = &flags.subcommand {
         return check::run(&cmd.file, json);
     }
+    if let SnipevaneCmd::Explain(cmd) = &flags.subcommand {
+        return explain::run(cmd, json);
+    }
+    if let SnipevaneCmd::Status(cmd) = &flags.subcommand
+        && !cmd.metrics.is_empty()
+    {
+        return runtime.block_on(nodes::run(&cmd.metrics, json));
+    }
     if let SnipevaneCmd::Demo(cmd) = &flags.subcommand {
         return runtime.block_on(demo::run(cmd.stay, json));
     }
     let client = Client::from_files(&flags.entry, flags.operator_key_file.as_deref())?;
     runtime.block_on(async {
         match flags.subcommand {
-            SnipevaneCmd::Check(_) | SnipevaneCmd::Demo(_) => Ok(()),
+            SnipevaneCmd::Check(_) | SnipevaneCmd::Demo(_) | SnipevaneCmd::Explain(_) => Ok(()),
             SnipevaneCmd::Apply(cmd) => apply::run(&client, &cmd, json).await,
             SnipevaneCmd::Key(cmd) => key::run(&client, cmd.subcommand, json).await,
             SnipevaneCmd::Pool(cmd) => pool::run(&client, cmd.subcommand, json).await,
--- /dev/null
+++ b/crates/snipevane-cli/src/nodes/table.rs
@@ -0,0 +1,98 @@
+//! A row for each entry VM.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+
+use super::samples::Samples;
+
+/// What an entry VM says of itself.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct NodeRow {
+    /// Address of its metrics.
+    pub address: SocketAddr,
+    /// Whether it answered.
+    pub reached: bool,
+    /// Version of the configuration in force.
+    pub config: Option<u64>,
+    /// Whether it holds the scheduler's term.
+    pub schedules: bool,
+    /// Fence of the last term that it held.
+    pub fence: Option<u64>,
+    /// Tasks that could run and wait; only the scheduler knows.
+    pub waiting: Option<u64>,
+    /// Age of the oldest of them, in seconds.
+    pub oldest_s: Option<f64>,
+    /// Processors that are free, in cores; only the scheduler knows.
+    pub free_cores: Option<f64>,
+    /// Whether the store answers it.
+    pub store: Option<bool>,
+}
+
+impl NodeRow {
+    /// Reads the figures off the metrics of a process; none if it didn't answer.
+    pub fn new(address: SocketAddr, samples: Option<&Samples>) -> Self {
+        let Some(samples) = samples else {
+            return Self {
+                address,
+                reached: false,
+                config: None,
+                schedules: false,
+                fence: None,
+                waiting: None,
+                oldest_s: None,
+                free_cores: None,
+                store: None,
+            };
+        };
+        let whole = |name| samples.value(name).map(|value| value as u64);
+        let schedules = samples.value("snipevane_term_held") == Some(1.0);
+        Self {
+            address,
+            reached: true,
+            config: whole("snipevane_config_version"),
+            schedules,
+            fence: whole("snipevane_term_fence"),
+            waiting: schedules.then(|| samples.sum("snipevane_tasks_waiting") as u64),
+            oldest_s: samples
+                .largest("snipevane_oldest_waiting_seconds")
+                .filter(|_| schedules),
+            free_cores: schedules.then(|| samples.sum("snipevane_free_cores")),
+            store: samples
+                .value("snipevane_store_reached")
+                .map(|value| value > 0.0),
+        }
+    }
+}
+
+/// Renders the rows as a table.
+pub fn render_nodes(rows: &[NodeRow]) -> String {
+    let mut table = format!(
+        "{:<22} {:>8} {:>10} {:>6} {:>8} {:>9} {:>11} {}\n",
+        "entry VM", "config", "schedules", "fence", "waiting", "oldest s", "free cores", "store"
+    );
+    for row in rows {
+        if !row.reached {
+            table += &format!("{:<22} not reached\n", row.address.to_string());
+            continue;
+        }
+        table += &format!(
+            "{:<22} {:>8} {:>10} {:>6} {:>8} {:>9} {:>11} {}\n",
+            row.address.to_string(),
+            text(row.config),
+            if row.schedules { "yes" } else { "no" },
+            text(row.fence),
+            text(row.waiting),
+            row.oldest_s.map_or("-".to_owned(), |s| format!("{s:.1}")),
+            row.free_cores
+                .map_or("-".to_owned(), |cores| format!("{cores:.1}")),
+            row.store
+                .map_or("-", |reached| if reached { "reached" } else { "away" }),
+        );
+    }
+    table
+}
+
+fn text(value: Option<u64>) -> String {
+    value.map_or("-".to_owned(), |value| value.to_string())
+}
--- /dev/null
+++ b/crates/snipevane-core/src/jobs/figures.rs
@@ -0,0 +1,55 @@
+//! Figures of each pool for operators.
+
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use smol_str::SmolStr;
+
+use super::scheduler::Scheduler;
+
+/// Backlog and room of a pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PoolFigures {
+    /// Tasks whose turn has come and that don't run.
+    pub waiting: u64,
+    /// Age of the oldest job with such a task.
+    pub oldest: Duration,
+    /// Runs that may exist.
+    pub runs: u64,
+    /// Minions that take work.
+    pub minions: u64,
+    /// Processors that are free on them, in thousandths of a core.
+    pub free_millis: u64,
+}
+
+impl Scheduler {
+    /// Returns the figures of each pool.
+    pub fn figures(&self, now: Duration) -> FxHashMap<SmolStr, PoolFigures> {
+        let mut figures: FxHashMap<SmolStr, PoolFigures> = FxHashMap::default();
+        for pool in self.site.pools() {
+            figures.entry(pool.name.clone()).or_default();
+        }
+        for minion in self.minions.values() {
+            let pool = figures.entry(minion.entry.pool.clone()).or_default();
+            pool.runs += minion.runs.len() as u64;
+            if minion.takes_work(now) {
+                pool.minions += 1;
+                pool.free_millis += minion.room().cpu_millis;
+            }
+        }
+        for (pool, queue) in &self.queues {
+            let pool = figures.entry(pool.clone()).or_default();
+            for at in &queue.steps {
+                let Some(job) = self.jobs.get(at.job).filter(|job| !job.state.is_final()) else {
+                    continue;
+                };
+                let waiting = self.waiting_count(*at);
+                if waiting > 0 {
+                    pool.waiting += u64::from(waiting);
+                    pool.oldest = pool.oldest.max(now.saturating_sub(job.accepted_at));
+                }
+            }
+        }
+        figures
+    }
+}
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod durations;
 mod ended_jobs;
 mod ends;
+mod figures;
 mod hidden;
 mod hidden_usage;
 mod holds;
@@ -41,6 +42,7 @@
 pub use advice::{AdviceOrder, AdviceReply, AdviceTerms};
 pub use changes::{Changes, JobChange, SeenEnds};
 pub use demand::{Demand, Work};
+pub use figures::PoolFigures;
 pub use hidden::HiddenRuns;
 pub use id::{BadId, JobId, StepId, TaskId};
 pub use job::{Job, JobKey, TaskRef};
--- a/crates/snipevane-core/src/jobs/placing.rs
+++ b/crates/snipevane-core/src/jobs/placing.rs
@@ -140,7 +140,8 @@
         });
     }
 
-    fn waiting_count(&self, at: StepRef) -> u32 {
+    /// Returns the number of tasks of a step that neither run nor are done.
+    pub(super) fn waiting_count(&self, at: StepRef) -> u32 {
         let job = self.jobs.get(at.job);
         let step = job.and_then(|job| job.step(first_task(at)));
         step.map_or(0, |step| step.waiting)
--- a/crates/snipevane-core/src/term.rs
+++ b/crates/snipevane-core/src/term.rs
@@ -55,6 +55,11 @@
         self.renewed_at = self.renewed_at.max(sent_at);
     }
 
+    /// Returns when the last successful write was sent.
+    pub fn renewed_at(&self) -> Duration {
+        self.renewed_at
+    }
+
     /// Returns whether orders may be given.
     pub fn holds(&self, now: Duration) -> bool {
         now < self.renewed_at + self.settings.term
--- a/crates/snipevane-fleet/src/logging.rs
+++ b/crates/snipevane-fleet/src/logging.rs
@@ -83,11 +83,22 @@
 
 impl<'kvs> VisitSource<'kvs> for Collector<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let value = match value.to_u64() {
+        let text = value.to_string();
+        let value = match plain_number(&text) {
             Some(number) => number.into(),
-            None => value.to_string().into(),
+            None => text.into(),
         };
         self.0.insert(key.as_str().to_owned(), value);
         Ok(())
     }
 }
+
+/// Longest text that is written as a number; identifiers of jobs are longer.
+const MAX_NUMBER_DIGITS: usize = 15;
+
+/// Returns the number that a text is, if it is written as numbers are.
+fn plain_number(text: &str) -> Option<u64> {
+    let number: u64 = text.parse().ok()?;
+    let same = text.len() <= MAX_NUMBER_DIGITS && number.to_string() == text;
+    same.then_some(number)
+}
--- a/crates/snipevane-fleet/src/logging/budget.rs
+++ b/crates/snipevane-fleet/src/logging/budget.rs
@@ -9,11 +9,20 @@
 /// Lines a second of an ordinary kind.
 const USUAL: u64 = 40;
 
+/// Lines a second of kinds with a line a job or step, without which a job's life can't be told.
+const OF_JOBS: u64 = 150;
+
 /// Lines a second of kinds that tell of a request or job that wasn't served as asked: they are what
 /// a complaint is looked up by.
 const OF_FAILURES: u64 = 400;
 
-/// Kinds with the larger budget.
+const JOBS: [u16; 4] = [
+    events::ACCEPTED.number,
+    events::CANCELLED.number,
+    events::JOB_TAKEN.number,
+    events::PLACED.number,
+];
+
 const FAILURES: [u16; 5] = [
     events::REFUSED.number,
     events::RUN_FAILED.number,
@@ -68,8 +77,11 @@
 }
 
 fn budget(number: u64) -> u64 {
-    if FAILURES.iter().any(|kind| u64::from(*kind) == number) {
+    let is_any = |kinds: &[u16]| kinds.iter().any(|kind| u64::from(*kind) == number);
+    if is_any(&FAILURES) {
         OF_FAILURES
+    } else if is_any(&JOBS) {
+        OF_JOBS
     } else {
         USUAL
     }
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -15,6 +15,8 @@
 use hyper_util::rt::TokioIo;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use smol_str::SmolStr;
+use snipevane_core::jobs::PoolFigures;
 use thiserror::Error;
 use tokio::net::TcpListener;
 
@@ -26,6 +28,8 @@
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0,
 ];
 
+const MILLIS_PER_CORE: f64 = 1_000.0;
+
 const TEXT_FORMAT: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
 
 /// Metrics that can't be collected.
@@ -108,6 +112,9 @@
         http::Method::DELETE => "DELETE",
         _ => "other",
     };
+    if matches!(status, 429 | 503) {
+        counter!("snipevane_requests_refused_total", "method" => method).increment(1);
+    }
     counter!("snipevane_requests_total", "method" => method, "status" => status.to_string())
         .increment(1);
     histogram!("snipevane_request_seconds", "method" => method).record(took.as_secs_f64());
@@ -145,3 +152,20 @@
 pub(crate) fn store_reached(reached: bool) {
     gauge!("snipevane_store_reached").set(f64::from(u8::from(reached)));
 }
+
+/// Tells the time since the scheduler's last successful write.
+pub(crate) fn term_age(age: Duration) {
+    gauge!("snipevane_term_age_seconds").set(age.as_secs_f64());
+}
+
+/// Tells backlog and room of a pool.
+pub(crate) fn pool_figures(pool: &SmolStr, figures: &PoolFigures) {
+    let pool = pool.to_string();
+    gauge!("snipevane_tasks_waiting", "pool" => pool.clone()).set(figures.waiting as f64);
+    gauge!("snipevane_oldest_waiting_seconds", "pool" => pool.clone())
+        .set(figures.oldest.as_secs_f64());
+    gauge!("snipevane_runs", "pool" => pool.clone()).set(figures.runs as f64);
+    gauge!("snipevane_minions", "pool" => pool.clone()).set(figures.minions as f64);
+    gauge!("snipevane_free_cores", "pool" => pool)
+        .set(figures.free_millis as f64 / MILLIS_PER_CORE);
+}
--- a/crates/snipevane-fleet/src/scheduling/lead.rs
+++ b/crates/snipevane-fleet/src/scheduling/lead.rs
@@ -24,6 +24,9 @@
 /// Longest time between two decisions.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two readings of the pools' figures.
+const FIGURES_EVERY: Duration = Duration::from_secs(1);
+
 /// Shortest time between two decisions, in which events gather.
 const GATHER: Duration = Duration::from_millis(3);
 
@@ -90,6 +93,7 @@
             tokio::task::spawn_local(feeds::follow_minions(lead.clone())),
             tokio::task::spawn_local(storing::store_changes(lead.clone())),
             tokio::task::spawn_local(vms::plan(lead.clone())),
+            tokio::task::spawn_local(tell_figures(lead.clone())),
         ];
         lead.decide_until_over().await;
         lead.node.set_lead(None);
@@ -204,6 +208,20 @@
     }
 }
 
+/// Tells the figures of each pool while the term lasts.
+async fn tell_figures<C: Clock>(lead: Rc<Lead<C>>) {
+    loop {
+        sleep(FIGURES_EVERY).await;
+        let figures = lead.scheduler.borrow().figures(lead.node.clock.now());
+        let renewed_at = lead.term.borrow().renewed_at();
+        let age = lead.node.clock.now().saturating_sub(renewed_at);
+        metrics::term_age(age);
+        for (pool, figures) in &figures {
+            metrics::pool_figures(pool, figures);
+        }
+    }
+}
+
 /// Returns what an earlier term may have left running out of sight.
 fn hidden_runs(won: &Won, lease: Duration, now: Duration) -> HiddenRuns {
     let Some(before) = &won.before else {
