--- a/tests/tests/explain.rs
+++ b/tests/tests/explain.rs
@@ -3,6 +3,8 @@
 //! The lines are from klh-close's day trouble-1: the scheduler's process was killed, then a zone was
 //! cut off. docs/OPERATIONS.md walks through the same three jobs.
 
+#![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
+
 use insta::assert_snapshot;
 use rstest::rstest;
 use snipevane_cli::{CliError, Gap, Line, explain, read_lines};
@@ -22,7 +24,7 @@
     let text = format!(
         "{{\"unix_ms\":{unix_ms},\"node\":\"{node}\",\"event\":{event},\"text\":\"t\",{fields}}}"
     );
-    serde_json::from_str(&text).unwrap()
+    serde_json::from_str(&text).expect("a line")
 }
 
 /// The clock of the second holder's VM is behind by a second.
