Let minions on trial take short tasks beside lasting ones

A minion on trial took a short task only if nothing ran there; a lasting task never ends, so the trial never did. With few minions in a pool, all with lasting tasks, all of them can come on trial one after the other. Change: only short tasks count. Test: minions_on_trial_take_short_tasks_beside_lasting_ones, which failed before.

--- a/crates/snipevane-core/src/jobs/holds.rs
+++ b/crates/snipevane-core/src/jobs/holds.rs
@@ -62,7 +62,7 @@
 
 impl Scheduler {
     /// Returns whether a minion runs tasks that end by themselves.
-    fn has_short_tasks(&self, key: MinionKey) -> bool {
+    pub(super) fn has_short_tasks(&self, key: MinionKey) -> bool {
         let minion = self.minions.get(key);
         let mut runs = minion.into_iter().flat_map(|minion| &minion.runs);
         runs.any(|&run| {
--- a/crates/snipevane-core/src/jobs/placing.rs
+++ b/crates/snipevane-core/src/jobs/placing.rs
@@ -380,7 +380,7 @@
             size.fits_in(&minion.room())
                 && has_label(minion, step)
                 && (!step.fills || self.has_room_to_fill(key))
-                && (!minion.on_trial || step.lasting || minion.runs.is_empty())
+                && (!minion.on_trial || step.lasting || !self.has_short_tasks(key))
                 && step
                     .per_minion
                     .is_none_or(|most| self.tasks_of_step_on(at, key) < most)
--- a/tests/src/jobs/minion.rs
+++ b/tests/src/jobs/minion.rs
@@ -79,6 +79,8 @@
     pub up: bool,
     /// Factor by which the work of tasks started here takes longer.
     pub slowness: u32,
+    /// Whether it fails all tasks at their ends.
+    pub grey: bool,
     fence: u64,
     lease_end: Duration,
     zero: Duration,
@@ -97,6 +99,7 @@
             entry,
             up: true,
             slowness: 1,
+            grey: false,
             fence: 0,
             lease_end: Duration::ZERO,
             zero: now,
@@ -293,7 +296,7 @@
             let end = if lapsed {
                 RunEnd::Lapsed
             } else if active.ends_at.is_some_and(|at| now >= at) {
-                if active.kind.fails {
+                if active.kind.fails || self.grey {
                     RunEnd::Failed
                 } else {
                     RunEnd::Done
--- a/tests/tests/jobs_stragglers.rs
+++ b/tests/tests/jobs_stragglers.rs
@@ -7,7 +7,7 @@
 
 use rstest::rstest;
 use snipevane_core::jobs::{JobId, JobState, StepSpec};
-use snipevane_tests::jobs::{FakeMinion, JobSite, entry, job, site, step};
+use snipevane_tests::jobs::{FakeMinion, JobSite, entry, job, lasting, site, step};
 
 const START: Duration = Duration::from_secs(10);
 const MINIONS: usize = 8;
@@ -138,3 +138,34 @@
     });
     assert_eq!(late.count(), 0);
 }
+
+/// A minion on trial takes one short task at a time, also beside lasting ones, which never end.
+///
+/// Seen as LOST on klh-close, deploy/days/node-freeze.toml --vary --seed 2: a step waited though most
+/// of the room was free.
+#[test]
+fn minions_on_trial_take_short_tasks_beside_lasting_ones() {
+    let minions = (0..4).map(|number| FakeMinion::new(entry(number, "p0"), START));
+    let mut built = JobSite::new(site(1, 0), minions.collect(), 1);
+    built.run(Duration::from_millis(100));
+    built.submit(1_000, job("p0", vec![lasting(4)]));
+    built.run(Duration::from_secs(2));
+    // The minions fail all that they start, one after the other.
+    for turn in 0..4 {
+        for (number, minion) in built.minions.values_mut().enumerate() {
+            minion.grey = number == turn;
+        }
+        for number in 0..12 {
+            let spec = job("p0", vec![step(1, 1_000, 200, &[])]);
+            built.submit(turn as u64 * 100 + number + 1, spec);
+            built.run(Duration::from_millis(100));
+        }
+    }
+    for minion in built.minions.values_mut() {
+        minion.grey = false;
+    }
+    built.run(Duration::from_secs(15));
+    let id = built.submit(500, job("p0", vec![short_step()]));
+    built.run(Duration::from_secs(8));
+    assert_eq!(built.state(id), JobState::Completed);
+}
