Let jobs beyond their team's share wait behind the others

Cause: a team that sends many times its usual held up all others: jobs were ranked by their latest start alone. The load is a hot tenant (7.5 times its usual) and bursts of five times the mean. Change: a team's weight is the jobs a second that it is entitled to when all is full, with two seconds' worth in hand; jobs beyond it go behind those within, and ask for no VMs but standby ones.

--- a/crates/snipevane-core/src/jobs/demand.rs
+++ b/crates/snipevane-core/src/jobs/demand.rs
@@ -61,10 +61,12 @@
         let live = self.jobs.values().filter(|job| !job.state.is_final());
         for job in live {
             let span = job.objective.saturating_sub(job.accepted_at);
-            let timely = now <= job.objective;
+            let timely = now <= job.objective && !job.beyond_share;
             let useful = now <= job.accepted_at + span * WORTHLESS_AFTER;
             let demand = demands.entry(job.spec.pool.clone()).or_default();
-            add_arrival(demand, job, now);
+            if !job.beyond_share {
+                add_arrival(demand, job, now);
+            }
             add_lasting_steps(demand, job);
             if timely {
                 add_job(&mut demand.timely, job);
--- a/crates/snipevane-core/src/jobs/intake.rs
+++ b/crates/snipevane-core/src/jobs/intake.rs
@@ -34,6 +34,7 @@
         }
         let mut job = self.new_job(id, spec, now, unix_ms);
         job.adopted = adopted;
+        job.beyond_share = !adopted && !self.is_within_share(&job.spec, now);
         if let Some(progress) = progress {
             job.restore(progress);
         }
@@ -183,6 +184,16 @@
         });
     }
 
+    /// Counts a job against its team's share; returns whether it is within it.
+    fn is_within_share(&mut self, spec: &JobSpec, now: Duration) -> bool {
+        let team = spec.team.as_ref().and_then(|team| self.site.team(team));
+        let Some(team) = team.filter(|team| team.share_per_s > 0.0) else {
+            return true;
+        };
+        let (name, per_s) = (team.name.clone(), team.share_per_s);
+        self.shares.take(&name, per_s, now)
+    }
+
     fn new_job(&self, id: JobId, spec: JobSpec, now: Duration, unix_ms: u64) -> Job {
         let queue = self.site.queue(&spec.queue).cloned().unwrap_or_default();
         let age = Duration::from_millis(unix_ms.saturating_sub(spec.accepted_unix_ms));
@@ -198,6 +209,7 @@
             state: JobState::Queued,
             occurrences: Vec::new(),
             adopted: false,
+            beyond_share: false,
             accepted_at,
             chains,
             objective,
--- a/crates/snipevane-core/src/jobs/job.rs
+++ b/crates/snipevane-core/src/jobs/job.rs
@@ -107,6 +107,8 @@
     pub occurrences: Vec<Occurrence>,
     /// Whether it was loaded at the start of the term, so that runs may exist that aren't known.
     pub adopted: bool,
+    /// Whether its team had sent more than its share when it came.
+    pub beyond_share: bool,
     /// Time of acceptance on the scheduler's clock.
     pub accepted_at: Duration,
     /// Time from the start of each step to the job's completion, by the estimates.
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -30,6 +30,7 @@
 mod reports;
 mod run;
 mod scheduler;
+mod shares;
 mod sharing;
 mod site;
 mod spec;
--- a/crates/snipevane-core/src/jobs/placing.rs
+++ b/crates/snipevane-core/src/jobs/placing.rs
@@ -33,6 +33,7 @@
 enum Class {
     Lasting,
     InTime,
+    BeyondShare,
     Late,
     Worthless,
     Fill,
@@ -110,8 +111,10 @@
             Class::Lasting
         } else if spec.fills {
             Class::Fill
-        } else if now <= latest_start {
+        } else if now <= latest_start && !job.beyond_share {
             Class::InTime
+        } else if now <= latest_start {
+            Class::BeyondShare
         } else if now <= job.accepted_at + span * WORTHLESS_AFTER {
             Class::Late
         } else {
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -22,6 +22,7 @@
 use super::progress::JobState;
 use super::queue::{PoolQueue, StepRef};
 use super::run::{Run, RunKey};
+use super::shares::Shares;
 use super::site::Site;
 
 /// Bounds that the scheduler keeps.
@@ -109,6 +110,8 @@
     pub(super) copies_wanted: FxHashSet<(StepRef, u32)>,
     /// Permits of the advisor.
     pub(super) permits: Permits,
+    /// What is left of the teams' shares.
+    pub(super) shares: Shares,
     /// Run times learned so far.
     pub(super) durations: Durations,
     /// Jobs with occurrences to come.
@@ -147,6 +150,7 @@
             unsettled: FxHashSet::default(),
             copies_wanted: FxHashSet::default(),
             permits: Permits::default(),
+            shares: Shares::default(),
             durations: Durations::default(),
             scheduled: FxHashSet::default(),
             actions: Vec::new(),
--- a/crates/snipevane-core/src/jobs/site.rs
+++ b/crates/snipevane-core/src/jobs/site.rs
@@ -50,8 +50,8 @@
     pub name: SmolStr,
     /// Keys.
     pub keys: Vec<SmolStr>,
-    /// Share when the fleet is full.
-    pub weight: u64,
+    /// Jobs a second that it is entitled to when the fleet is full; no bound if 0.
+    pub share_per_s: f64,
     /// Most that may run at a time over the whole fleet; 0 means no limit.
     pub cap: Resources,
 }
--- a/tests/src/jobs/specs.rs
+++ b/tests/src/jobs/specs.rs
@@ -46,7 +46,7 @@
         teams: vec![Team {
             name: TEAM.into(),
             keys: vec!["key".into()],
-            weight: 1,
+            share_per_s: 0.0,
             cap,
         }],
         max_body_bytes: 1 << 18,
