Let the time of a wave run on over takeovers

Change: the wave's row keeps when it was first seen. Test: a_new_term_keeps_the_time_of_a_wave, which failed before (3 VMs begun in place of 6).

--- a/crates/snipevane-core/src/jobs/upkeep.rs
+++ b/crates/snipevane-core/src/jobs/upkeep.rs
@@ -46,6 +46,7 @@
 struct Wave {
     order: WaveOrder,
     seen_at: Duration,
+    seen_unix_ms: u64,
     done: BTreeSet<SmolStr>,
     phases: BTreeMap<SmolStr, Phase>,
     completed: bool,
@@ -60,6 +61,8 @@
     pub done: Vec<SmolStr>,
     /// Whether all have had it.
     pub completed: bool,
+    /// Time at which the wave was first seen, in Unix milliseconds; 0 if that isn't known.
+    pub seen_unix_ms: u64,
 }
 
 /// Decides on the upkeep of VMs.
@@ -72,16 +75,28 @@
 
 impl Upkeep {
     /// Takes in a wave, with the progress that an earlier term stored.
-    pub fn add_wave(&mut self, order: &WaveOrder, progress: Option<&WaveProgress>, now: Duration) {
+    ///
+    /// The time that it has runs from when the first term saw it.
+    pub fn add_wave(
+        &mut self,
+        order: &WaveOrder,
+        progress: Option<&WaveProgress>,
+        now: Duration,
+        unix_ms: u64,
+    ) {
         if self.waves.contains_key(&order.number) {
             return;
         }
+        let stored = progress.map_or(0, |progress| progress.seen_unix_ms);
+        let seen_unix_ms = if stored == 0 { unix_ms } else { stored };
+        let age = Duration::from_millis(unix_ms.saturating_sub(seen_unix_ms));
         let done = progress.map_or_else(BTreeSet::new, |progress| {
             progress.done.iter().cloned().collect()
         });
         let wave = Wave {
             order: order.clone(),
-            seen_at: now,
+            seen_at: now.saturating_sub(age),
+            seen_unix_ms,
             done,
             phases: BTreeMap::new(),
             completed: progress.is_some_and(|progress| progress.completed),
@@ -112,11 +127,18 @@
     /// Returns the waves whose progress is to be stored.
     pub fn take_changes(&mut self) -> Vec<WaveProgress> {
         let changed = std::mem::take(&mut self.changed);
-        let waves = changed.iter().filter_map(|number| self.waves.get(number));
-        let progress = waves.map(|wave| WaveProgress {
+        let mut progress = self.progress();
+        progress.retain(|progress| changed.contains(&progress.number));
+        progress
+    }
+
+    /// Returns the progress of all waves.
+    pub fn progress(&self) -> Vec<WaveProgress> {
+        let progress = self.waves.values().map(|wave| WaveProgress {
             number: wave.order.number,
             done: wave.done.iter().cloned().collect(),
             completed: wave.completed,
+            seen_unix_ms: wave.seen_unix_ms,
         });
         progress.collect()
     }
--- a/crates/snipevane-fleet/src/rows.rs
+++ b/crates/snipevane-fleet/src/rows.rs
@@ -60,6 +60,9 @@
     pub done: Vec<SmolStr>,
     /// Whether all have had it.
     pub completed: bool,
+    /// Time at which the wave was first seen, in Unix milliseconds; 0 if that isn't known.
+    #[serde(default)]
+    pub seen_unix_ms: u64,
 }
 
 /// A key of the inbox.
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -105,13 +105,13 @@
             return;
         }
     };
-    let now = lead.node.clock.now();
+    let (now, unix_ms) = (lead.node.clock.now(), lead.node.clock.unix_ms());
     for wave in unknown {
         events::record(&events::WAVE_KNOWN, &[&wave.number, &wave.vms.len()]);
         plans
             .borrow_mut()
             .upkeep
-            .add_wave(&wave, stored.get(&wave.number), now);
+            .add_wave(&wave, stored.get(&wave.number), now, unix_ms);
     }
     store_progress(lead, &mut plans.borrow_mut().upkeep);
 }
@@ -127,6 +127,7 @@
             number,
             done: value.done,
             completed: value.completed,
+            seen_unix_ms: value.seen_unix_ms,
         };
         Some((number, progress))
     });
@@ -263,6 +264,7 @@
         let row = WaveRow {
             done: progress.done,
             completed: progress.completed,
+            seen_unix_ms: progress.seen_unix_ms,
         };
         writes.push((WAVES.into(), key, rows::encode(&row)));
     }
--- a/tests/tests/jobs_vms.rs
+++ b/tests/tests/jobs_vms.rs
@@ -6,9 +6,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rstest::rstest;
 use smol_str::{SmolStr, format_smolstr};
 use snipevane_core::jobs::{
     JobState, Moves, TakenDown, Upkeep, Vm, VmOrder, VmReply, VmState, VmWork, WaveOrder,
+    WaveProgress,
 };
 use snipevane_tests::jobs::{FakeMinion, JobSite, entry, job, lasting, site, step};
 
@@ -76,6 +78,11 @@
         }
     }
 
+    fn add_wave(&mut self, wave: &WaveOrder, progress: Option<&WaveProgress>) {
+        let (now, unix_ms) = (self.jobs.now, self.jobs.unix_ms());
+        self.upkeep.add_wave(wave, progress, now, unix_ms);
+    }
+
     fn plan(&mut self) {
         let now = self.jobs.now;
         let scheduler = &mut self.jobs.scheduler;
@@ -183,8 +190,7 @@
         .jobs
         .submit(2, job("p0", vec![step(30, 2_000, 900, &[])]));
     built.run(Duration::from_secs(2));
-    let now = built.jobs.now;
-    built.upkeep.add_wave(&wave, None, now);
+    built.add_wave(&wave, None);
     built.run(Duration::from_secs(60));
     assert_eq!(built.upkept.len(), 12);
     assert!(built.most_away <= 3);
@@ -204,8 +210,7 @@
         within_ms: 30_000,
         at_once: 3,
     };
-    let now = built.jobs.now;
-    built.upkeep.add_wave(&wave, None, now);
+    built.add_wave(&wave, None);
     built.run(Duration::from_secs(12));
     assert_eq!(built.upkept.len(), 6);
     let id = built
@@ -214,8 +219,7 @@
     built.jobs.run(Duration::from_secs(1));
     built.jobs.take_over();
     built.upkeep = Upkeep::default();
-    let now = built.jobs.now;
-    built.upkeep.add_wave(&wave, None, now);
+    built.add_wave(&wave, None);
     // Each start is checked against runs that live.
     built.run(Duration::from_secs(12));
     assert!(built.confirmed_again >= 3, "those with the tasks at least");
@@ -236,13 +240,12 @@
         within_ms: 60_000,
         at_once: 3,
     };
-    let now = built.jobs.now;
-    built.upkeep.add_wave(&wave, None, now);
+    built.add_wave(&wave, None);
     built.plan();
     assert_eq!(built.most_away, 3);
     let progress = built.upkeep.take_changes();
     built.upkeep = Upkeep::default();
-    built.upkeep.add_wave(&wave, progress.first(), now);
+    built.add_wave(&wave, progress.first());
     built.run(Duration::from_secs(30));
     assert_eq!(built.upkept.len(), 9);
     assert_eq!(built.most_away, 3);
@@ -271,8 +274,7 @@
         within_ms: 60_000,
         at_once: 1,
     };
-    let now = built.jobs.now;
-    built.upkeep.add_wave(&wave, None, now);
+    built.add_wave(&wave, None);
     built.run(Duration::from_millis(800));
     assert_eq!(built.upkept.len(), 0);
     let ended = built
@@ -302,8 +304,7 @@
         within_ms: 60_000,
         at_once: 1,
     };
-    let now = built.jobs.now;
-    built.upkeep.add_wave(&wave, None, now);
+    built.add_wave(&wave, None);
     built.run(Duration::from_secs(6));
     assert_eq!(built.upkept.len(), 1);
     let starts = built
@@ -341,3 +342,34 @@
     built.run(Duration::from_secs(4));
     assert_eq!(built.in_pool("p0"), 3);
 }
+
+/// The time of a wave runs on over takeovers, so that a new term hurries as the one before would.
+///
+/// Seen on klh-close trouble-3: with each term the wave seemed new, and two of 27 VMs were late.
+#[rstest]
+#[case::in_the_first_term(None, 3)]
+#[case::with_little_time_left(Some(20_000), 6)]
+fn a_new_term_keeps_the_time_of_a_wave(#[case] seen_ms_ago: Option<u64>, #[case] emptied: usize) {
+    let mut built = VmSite::new(12, 0);
+    built.jobs.submit(1, job("p0", vec![lasting(12)]));
+    built.jobs.run(Duration::from_secs(2));
+    let wave = WaveOrder {
+        number: 1,
+        vms: built.vms.iter().map(|vm| vm.name.clone()).collect(),
+        within_ms: 26_000,
+        at_once: 6,
+    };
+    let progress = seen_ms_ago.map(|ago| WaveProgress {
+        number: 1,
+        done: Vec::new(),
+        completed: false,
+        seen_unix_ms: built.jobs.unix_ms() - ago,
+    });
+    built.add_wave(&wave, progress.as_ref());
+    built.plan();
+    let begun = built
+        .vms
+        .iter()
+        .filter(|vm| built.upkeep.occupies(&vm.name));
+    assert_eq!(begun.count(), emptied);
+}
