Test bad input over processes, and that the platform's names stay in its folder

Change: 13 kinds of bad requests, 20 callers that stall, and rows that can't be read, over two daemons; a test over all sources of the product.

--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -4,6 +4,7 @@
 
 mod site;
 
+use serde_json::json;
 use site::{Site, call, eventually};
 
 const JOB: &str = "00000000000000aa";
@@ -151,3 +152,83 @@
     site.completes(scheduler, NEXT);
     assert_eq!(site.started().len(), 5, "each task ran once");
 }
+
+/// Sends the start of a request and nothing more.
+fn stall(callers: std::net::SocketAddr) -> std::net::TcpStream {
+    use std::io::Write;
+    let mut stream = std::net::TcpStream::connect(callers).expect("a connection");
+    let head = format!(
+        "POST /p/{NEXT} HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Api-Key: key\r\nContent-Length: 900\r\n\r\n{{"
+    );
+    stream.write_all(head.as_bytes()).expect("a start");
+    stream
+}
+
+/// Rows that nobody can read, entries of other writers, and callers that send what no caller should.
+#[test]
+fn bad_input_gets_its_own_answer_and_disturbs_nobody() {
+    let site = Site::start("bad", 2, 1);
+    let callers = site.nodes[0].callers;
+    site.store
+        .put("servers", "stranger", &json!({ "service": 7 }));
+    site.store.put("servers", "nowhere", &json!("text"));
+    site.store
+        .put("jobs", "0000000000000bad", &json!({ "steps": 1 }));
+    site.store.put("progress", "no-identifier", &json!([]));
+    site.store
+        .put("op", "wave/x", &json!({ "rolloutWave": "x" }));
+    let _stalled: Vec<_> = (0..20).map(|_| stall(callers)).collect();
+    let job = format!("/p/{NEXT}");
+    let large = format!(r#"{{"spec":"{}","phases":[{{}}]}}"#, "x".repeat(300_000));
+    let long = format!(r#"{{"spec":"{}","phases":[{{}}]}}"#, "x".repeat(5_000));
+    let cases = [
+        ("not JSON", "POST", job.as_str(), "key", "nonsense", 400),
+        (
+            "another type",
+            "POST",
+            &job,
+            "key",
+            r#"{"phases":"x"}"#,
+            400,
+        ),
+        ("no steps", "POST", &job, "key", r#"{"phases":[]}"#, 400),
+        (
+            "after itself",
+            "POST",
+            &job,
+            "key",
+            r#"{"phases":[{"after":[0]}]}"#,
+            400,
+        ),
+        (
+            "no tasks",
+            "POST",
+            &job,
+            "key",
+            r#"{"phases":[{"replicas":0}]}"#,
+            400,
+        ),
+        (
+            "too many tasks",
+            "POST",
+            &job,
+            "key",
+            r#"{"phases":[{"replicas":99999}]}"#,
+            400,
+        ),
+        ("too large", "POST", &job, "key", &large, 413),
+        ("too long a text", "POST", &job, "key", &long, 400),
+        ("bad identifier", "POST", "/p/xyz", "key", "{}", 404),
+        ("unknown key", "POST", &job, "other", "{}", 401),
+        ("unknown path", "GET", "/nowhere/", "key", "", 404),
+        ("unknown method", "PUT", &job, "key", "", 405),
+        ("unknown job", "GET", &job, "key", "", 410),
+    ];
+    for (what, method, path, key, body, status) in cases {
+        let answer = call(callers, method, path, key, body);
+        assert_eq!(answer.0, status, "{what}: {}", answer.1);
+    }
+    site.submit(0, JOB, 2, 50);
+    site.completes(1, JOB);
+    assert_eq!(site.started(), tasks(JOB, 2), "nothing else started");
+}
--- /dev/null
+++ b/tests/tests/platform_names.rs
@@ -0,0 +1,60 @@
+//! Names of the users' platform stand in `platform/` alone, which decodes them once.
+
+#![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// Names that the platform's interfaces use and the product doesn't.
+const NAMES: [&str; 22] = [
+    "run-start",
+    "run-stop",
+    "rows-tx",
+    "rows-get",
+    "rows-feed",
+    "ackCursor",
+    "holdMaxMs",
+    "hostMachine",
+    "rolloutWave",
+    "schemaVersion",
+    "tableName",
+    "fencingToken",
+    "grantToken",
+    "validityMs",
+    "decisionMs",
+    "drainRemainingMs",
+    "machine-move",
+    "machine-upkeep",
+    "missAllowed",
+    "antiAffinity",
+    "fillLevels",
+    "nodeName",
+];
+
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+#[test]
+fn no_source_of_the_product_names_them() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("../crates");
+    let mut files = Vec::new();
+    for entry in fs::read_dir(crates).expect("the crates") {
+        sources(&entry.expect("a crate").path().join("src"), &mut files);
+    }
+    assert!(files.len() > 200, "the sources were found");
+    let mut leaks = Vec::new();
+    for file in files {
+        let text = fs::read_to_string(&file).expect("a source");
+        let named = NAMES.iter().filter(|name| text.contains(**name));
+        leaks.extend(named.map(|name| format!("{name} in {}", file.display())));
+    }
+    assert_eq!(leaks, Vec::<String>::new());
+}
