Split placing by what is placed; keep one figure for jobs that are worthless

Change: rank.rs, gangs.rs, copies.rs; JobSite::completed_by. No decision changed. Run: the tests of jobs.

--- a/crates/snipevane-core/src/jobs/demand.rs
+++ b/crates/snipevane-core/src/jobs/demand.rs
@@ -6,12 +6,10 @@
 use smol_str::SmolStr;
 
 use super::job::{Job, Step};
+use super::rank::WORTHLESS_AFTER;
 use super::scheduler::Scheduler;
 use super::spec::StepSpec;
 
-/// Times the span from acceptance to objective after which a job no longer counts.
-const WORTHLESS_AFTER: u32 = 3;
-
 /// Time for which a job counts as having come lately.
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(800);
 
--- /dev/null
+++ b/crates/snipevane-core/src/jobs/gangs.rs
@@ -0,0 +1,111 @@
+//! Placement of gangs, whose tasks run only all together.
+
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use smol_str::SmolStr;
+
+use super::job::TaskRef;
+use super::minion::MinionKey;
+use super::placing::{first_task, has_label};
+use super::queue::StepRef;
+use super::scheduler::Scheduler;
+use super::spec::StepSpec;
+
+impl Scheduler {
+    /// Places all tasks of a gang, or none.
+    pub(super) fn place_gang(
+        &mut self,
+        at: StepRef,
+        step: &StepSpec,
+        minions: &[MinionKey],
+        now: Duration,
+    ) {
+        let waiting = self.waiting_tasks(at, now);
+        if waiting.len() < step.tasks as usize {
+            return;
+        }
+        let Some(job) = self.jobs.get(at.job) else {
+            return;
+        };
+        let team = job.spec.team.clone();
+        let Some(state) = job.step(first_task(at)) else {
+            return;
+        };
+        let attempt = state.gang_attempt + 1;
+        if !self.within_cap(team.as_deref(), step, u64::from(step.tasks)) {
+            return;
+        }
+        let Some(chosen) = self.choose_gang(at, step, minions) else {
+            return;
+        };
+        for (index, minion) in waiting.into_iter().zip(chosen) {
+            let task = TaskRef {
+                index,
+                ..first_task(at)
+            };
+            self.start(at, task, step, minion, Some(attempt), now);
+        }
+        if let Some(job) = self.jobs.get_mut(at.job)
+            && let Some(state) = job.step_mut(first_task(at))
+        {
+            state.gang_attempt = attempt;
+        }
+    }
+
+    /// Chooses a minion for each member of a gang, on one rack if that is faster and possible.
+    fn choose_gang(
+        &self,
+        at: StepRef,
+        step: &StepSpec,
+        minions: &[MinionKey],
+    ) -> Option<Vec<MinionKey>> {
+        if step.one_rack {
+            let mut racks: FxHashMap<&SmolStr, Vec<MinionKey>> = FxHashMap::default();
+            for &key in minions {
+                racks
+                    .entry(&self.minions[key].entry.rack)
+                    .or_default()
+                    .push(key);
+            }
+            let mut racks: Vec<(&SmolStr, Vec<MinionKey>)> = racks.into_iter().collect();
+            racks
+                .sort_by_key(|(rack, _)| (step.data_rack.as_ref() != Some(*rack), (*rack).clone()));
+            let mut fitting = racks
+                .iter()
+                .filter_map(|(_, rack)| self.fit_gang(at, step, rack));
+            if let Some(chosen) = fitting.next() {
+                return Some(chosen);
+            }
+        }
+        self.fit_gang(at, step, minions)
+    }
+
+    fn fit_gang(
+        &self,
+        at: StepRef,
+        step: &StepSpec,
+        minions: &[MinionKey],
+    ) -> Option<Vec<MinionKey>> {
+        let size = step.booked_size();
+        let mut chosen = Vec::with_capacity(step.tasks as usize);
+        for &key in minions {
+            let minion = &self.minions[key];
+            if !has_label(minion, step) {
+                continue;
+            }
+            let present = self.tasks_of_step_on(at, key);
+            let most = step
+                .per_minion
+                .map_or(u32::MAX, |most| most.saturating_sub(present));
+            let mut room = minion.room();
+            let mut placed = 0;
+            while placed < most && size.fits_in(&room) && chosen.len() < step.tasks as usize {
+                room = room.minus(&size);
+                placed += 1;
+                chosen.push(key);
+            }
+        }
+        (chosen.len() == step.tasks as usize).then_some(chosen)
+    }
+}
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -1,17 +1,19 @@
 //! Jobs of steps and tasks on minions: intake, placement, orders, leases, ends.
 //!
 //! [`Scheduler`] is the whole decision: events with the present time go in, orders to minions and
-//! rows to store come out. A job's way reads in this order: `intake`, `placing`, `orders`,
+//! rows to store come out. A job's way reads in this order: `intake`, `rank`, `placing`, `orders`,
 //! `reports`, `ends`, `changes`.
 
 mod action;
 mod advice;
 mod changes;
+mod copies;
 mod demand;
 mod durations;
 mod ended_jobs;
 mod ends;
 mod figures;
+mod gangs;
 mod hidden;
 mod hidden_usage;
 mod holds;
@@ -27,6 +29,7 @@
 mod placing;
 mod progress;
 mod queue;
+mod rank;
 mod reports;
 mod run;
 mod scheduler;
--- a/crates/snipevane-core/src/jobs/placing.rs
+++ b/crates/snipevane-core/src/jobs/placing.rs
@@ -1,8 +1,5 @@
-//! Placement of waiting tasks on minions.
-//!
-//! Answers a load in which each queue in turn asks for several times what its pool holds: tasks
-//! that serve users go first, then jobs that can still meet their objective, the earliest latest
-//! start first, then jobs that are late.
+//! Placement of waiting tasks on minions: steps by their rank, each task on the fullest minion that has
+//! room, lasting ones spread.
 
 use std::time::Duration;
 
@@ -18,27 +15,6 @@
 use super::sharing::FULL_PACE;
 use super::spec::StepSpec;
 
-/// Times the time from acceptance to objective after which a job is worth nothing to its caller.
-const WORTHLESS_AFTER: u32 = 3;
-
-/// Order in which steps are served; smaller first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
-    class: Class,
-    priority: u32,
-    latest_start: Duration,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Class {
-    Lasting,
-    InTime,
-    BeyondShare,
-    Late,
-    Worthless,
-    Fill,
-}
-
 impl Scheduler {
     /// Places waiting tasks, pool by pool.
     pub(super) fn place(&mut self, now: Duration) {
@@ -97,36 +73,6 @@
         step.queued
     }
 
-    fn rank(&self, at: StepRef, now: Duration) -> Option<Rank> {
-        let job = self.jobs.get(at.job)?;
-        let spec = job.spec.steps.get(at.step as usize)?;
-        let span = job.objective.saturating_sub(job.accepted_at);
-        let chain = job
-            .chains
-            .get(at.step as usize)
-            .copied()
-            .unwrap_or_default();
-        let latest_start = job.objective.saturating_sub(chain);
-        let class = if spec.lasting && !spec.fills {
-            Class::Lasting
-        } else if spec.fills {
-            Class::Fill
-        } else if now <= latest_start && !job.beyond_share {
-            Class::InTime
-        } else if now <= latest_start {
-            Class::BeyondShare
-        } else if now <= job.accepted_at + span * WORTHLESS_AFTER {
-            Class::Late
-        } else {
-            Class::Worthless
-        };
-        Some(Rank {
-            class,
-            priority: job.priority,
-            latest_start,
-        })
-    }
-
     /// Places a step's waiting tasks and takes note of how many.
     fn place_step(&mut self, at: StepRef, minions: &[MinionKey], hides_runs: bool, now: Duration) {
         let before = self.waiting_count(at);
@@ -198,144 +144,8 @@
         }
     }
 
-    /// Starts second runs of tasks whose first one is behind, where room is left.
-    fn place_copies(&mut self, usable: &FxHashMap<SmolStr, Vec<MinionKey>>, now: Duration) {
-        let wanted: Vec<(StepRef, u32)> = self.copies_wanted.drain().collect();
-        for (at, index) in wanted {
-            self.place_copy(at, index, usable, now);
-        }
-    }
-
-    fn place_copy(
-        &mut self,
-        at: StepRef,
-        index: u32,
-        usable: &FxHashMap<SmolStr, Vec<MinionKey>>,
-        now: Duration,
-    ) {
-        let task = TaskRef {
-            index,
-            ..first_task(at)
-        };
-        let Some(job) = self.jobs.get(at.job) else {
-            return;
-        };
-        let runs_alone = job
-            .task(task)
-            .is_some_and(|task| !task.done && task.runs.len() == 1);
-        let spec = job.spec.clone();
-        let (Some(step), Some(minions)) =
-            (spec.steps.get(at.step as usize), usable.get(&spec.pool))
-        else {
-            return;
-        };
-        if !runs_alone || job.state.is_final() || !self.within_cap(spec.team.as_deref(), step, 1) {
-            return;
-        }
-        let sound = minions.iter().copied();
-        let sound = sound.filter(|&key| !self.minions[key].on_trial);
-        let sound: Vec<MinionKey> = sound.collect();
-        if let Some(minion) = self.choose(task, at, step, &sound) {
-            self.notes.push(Note::CopyPlaced {
-                task: job.task_id(task),
-                minion: self.minion_id(minion),
-            });
-            self.start(at, task, step, minion, None, now);
-        }
-    }
-
-    /// Places all tasks of a gang, or none.
-    fn place_gang(&mut self, at: StepRef, step: &StepSpec, minions: &[MinionKey], now: Duration) {
-        let waiting = self.waiting_tasks(at, now);
-        if waiting.len() < step.tasks as usize {
-            return;
-        }
-        let Some(job) = self.jobs.get(at.job) else {
-            return;
-        };
-        let team = job.spec.team.clone();
-        let Some(state) = job.step(first_task(at)) else {
-            return;
-        };
-        let attempt = state.gang_attempt + 1;
-        if !self.within_cap(team.as_deref(), step, u64::from(step.tasks)) {
-            return;
-        }
-        let Some(chosen) = self.choose_gang(at, step, minions) else {
-            return;
-        };
-        for (index, minion) in waiting.into_iter().zip(chosen) {
-            let task = TaskRef {
-                index,
-                ..first_task(at)
-            };
-            self.start(at, task, step, minion, Some(attempt), now);
-        }
-        if let Some(job) = self.jobs.get_mut(at.job)
-            && let Some(state) = job.step_mut(first_task(at))
-        {
-            state.gang_attempt = attempt;
-        }
-    }
-
-    /// Chooses a minion for each member of a gang, on one rack if that is faster and possible.
-    fn choose_gang(
-        &self,
-        at: StepRef,
-        step: &StepSpec,
-        minions: &[MinionKey],
-    ) -> Option<Vec<MinionKey>> {
-        if step.one_rack {
-            let mut racks: FxHashMap<&SmolStr, Vec<MinionKey>> = FxHashMap::default();
-            for &key in minions {
-                racks
-                    .entry(&self.minions[key].entry.rack)
-                    .or_default()
-                    .push(key);
-            }
-            let mut racks: Vec<(&SmolStr, Vec<MinionKey>)> = racks.into_iter().collect();
-            racks
-                .sort_by_key(|(rack, _)| (step.data_rack.as_ref() != Some(*rack), (*rack).clone()));
-            let mut fitting = racks
-                .iter()
-                .filter_map(|(_, rack)| self.fit_gang(at, step, rack));
-            if let Some(chosen) = fitting.next() {
-                return Some(chosen);
-            }
-        }
-        self.fit_gang(at, step, minions)
-    }
-
-    fn fit_gang(
-        &self,
-        at: StepRef,
-        step: &StepSpec,
-        minions: &[MinionKey],
-    ) -> Option<Vec<MinionKey>> {
-        let size = step.booked_size();
-        let mut chosen = Vec::with_capacity(step.tasks as usize);
-        for &key in minions {
-            let minion = &self.minions[key];
-            if !has_label(minion, step) {
-                continue;
-            }
-            let present = self.tasks_of_step_on(at, key);
-            let most = step
-                .per_minion
-                .map_or(u32::MAX, |most| most.saturating_sub(present));
-            let mut room = minion.room();
-            let mut placed = 0;
-            while placed < most && size.fits_in(&room) && chosen.len() < step.tasks as usize {
-                room = room.minus(&size);
-                placed += 1;
-                chosen.push(key);
-            }
-        }
-        (chosen.len() == step.tasks as usize).then_some(chosen)
-    }
-
     /// Returns the numbers of the tasks that wait.
-    fn waiting_tasks(&self, at: StepRef, now: Duration) -> Vec<u32> {
+    pub(super) fn waiting_tasks(&self, at: StepRef, now: Duration) -> Vec<u32> {
         let job = self.jobs.get(at.job);
         let Some(step) = job.and_then(|job| job.step(first_task(at))) else {
             return Vec::new();
@@ -347,7 +157,7 @@
     }
 
     /// Returns whether a team may run so many more tasks of a step.
-    fn within_cap(&self, team: Option<&str>, step: &StepSpec, tasks: u64) -> bool {
+    pub(super) fn within_cap(&self, team: Option<&str>, step: &StepSpec, tasks: u64) -> bool {
         let Some(team) = team else {
             return true;
         };
@@ -368,7 +178,7 @@
     ///
     /// Tasks near data prefer its rack. Lasting tasks are spread, so that few are away at a time;
     /// others fill the fullest minion that has room, so that wide tasks find room elsewhere.
-    fn choose(
+    pub(super) fn choose(
         &self,
         task: TaskRef,
         at: StepRef,
@@ -406,7 +216,7 @@
         fits.min_by_key(rate)
     }
 
-    fn tasks_of_step_on(&self, at: StepRef, minion: MinionKey) -> u32 {
+    pub(super) fn tasks_of_step_on(&self, at: StepRef, minion: MinionKey) -> u32 {
         let Some(minion) = self.minions.get(minion) else {
             return 0;
         };
@@ -431,7 +241,7 @@
     }
 
     /// Books a run of a task on a minion; the order is sent with the next ones.
-    fn start(
+    pub(super) fn start(
         &mut self,
         at: StepRef,
         task: TaskRef,
@@ -485,7 +295,8 @@
     }
 }
 
-fn first_task(at: StepRef) -> TaskRef {
+/// Returns the place of a step's first task.
+pub(super) fn first_task(at: StepRef) -> TaskRef {
     TaskRef {
         occurrence: at.occurrence,
         step: at.step,
@@ -493,7 +304,8 @@
     }
 }
 
-fn has_label(minion: &Minion, step: &StepSpec) -> bool {
+/// Returns whether a minion has the label that a step asks for.
+pub(super) fn has_label(minion: &Minion, step: &StepSpec) -> bool {
     let label = step.label.as_ref();
     label.is_none_or(|label| minion.entry.labels.contains(label))
 }
--- a/tests/src/jobs/job_site.rs
+++ b/tests/src/jobs/job_site.rs
@@ -461,6 +461,13 @@
         assert!(within, "the team runs {used:?}, its cap is {cap:?}");
     }
 
+    /// Returns whether a job is completed and its last run had ended by a time.
+    pub fn completed_by(&self, id: JobId, by: Duration) -> bool {
+        let runs = self.records.iter().filter(|run| run.task.step.job == id);
+        let last = runs.filter_map(|run| run.to).max();
+        self.state(id) == JobState::Completed && last.is_some_and(|last| last <= by)
+    }
+
     /// Returns the runs of a job that live now.
     pub fn live_runs(&self, id: JobId) -> usize {
         let live = self.records.iter().filter(|record| {
--- a/tests/tests/jobs_shares.rs
+++ b/tests/tests/jobs_shares.rs
@@ -47,11 +47,9 @@
         built.run(Duration::from_millis(100));
     }
     built.run(OBJECTIVE);
-    let in_time = calm.iter().filter(|(id, at)| {
-        let runs = built.records.iter().filter(|run| run.task.step.job == *id);
-        let last = runs.filter_map(|run| run.to).max().unwrap_or(Duration::MAX);
-        built.state(*id) == JobState::Completed && last <= *at + OBJECTIVE
-    });
+    let in_time = calm
+        .iter()
+        .filter(|(id, at)| built.completed_by(*id, *at + OBJECTIVE));
     in_time.count() as f64 / calm.len() as f64
 }
 
--- a/tests/tests/jobs_stragglers.rs
+++ b/tests/tests/jobs_stragglers.rs
@@ -47,11 +47,7 @@
     }
     built.run(OBJECTIVE);
     let late_ones = submitted.iter().skip(10);
-    let ended = late_ones.map(|(id, at)| {
-        let runs = built.records.iter().filter(|run| run.task.step.job == *id);
-        let last = runs.filter_map(|run| run.to).max().unwrap_or(Duration::MAX);
-        built.state(*id) == JobState::Completed && last <= *at + OBJECTIVE
-    });
+    let ended = late_ones.map(|(id, at)| built.completed_by(*id, *at + OBJECTIVE));
     let ended: Vec<bool> = ended.collect();
     let in_time = ended.iter().filter(|in_time| **in_time).count();
     let share = in_time as f64 / ended.len() as f64;
@@ -132,10 +128,9 @@
     }
     built.run(Duration::from_secs(3));
     assert_eq!(completed(&built), JOBS);
-    let late = submitted.iter().filter(|(id, at)| {
-        let runs = built.records.iter().filter(|run| run.task.step.job == *id);
-        runs.filter_map(|run| run.to).max() > Some(*at + OBJECTIVE)
-    });
+    let late = submitted
+        .iter()
+        .filter(|(id, at)| !built.completed_by(*id, *at + OBJECTIVE));
     assert_eq!(late.count(), 0);
 }
 
