Pass no answer on that names an exchange nobody knows

The second answer came just after the connection had been given to the next request. The entry daemon compares the exchange that an answer names with its own, but took a name that it can't parse for no name. Change: an answer that names anything but the request's exchange belongs to another one.

--- a/crates/snipevane-entry/src/request/answer.rs
+++ b/crates/snipevane-entry/src/request/answer.rs
@@ -64,10 +64,15 @@
         Outcome::parse(value.to_str().ok()?)
     }
 
-    /// Returns the exchange that the backend server says the answer belongs to.
-    pub(crate) fn exchange(&self) -> Option<Uuid> {
-        let value = self.headers.get(headers::EXCHANGE)?;
-        Uuid::parse_str(value.to_str().ok()?).ok()
+    /// Returns whether the answer belongs to an exchange, as far as the backend server says.
+    ///
+    /// One that names something else belongs to another exchange, whatever that is.
+    pub(crate) fn belongs_to(&self, exchange: Uuid) -> bool {
+        let Some(value) = self.headers.get(headers::EXCHANGE) else {
+            return true;
+        };
+        let named = value.to_str().ok().and_then(|id| Uuid::parse_str(id).ok());
+        named == Some(exchange)
     }
 
     /// Tells whether the backend server says that it didn't run the request.
--- a/crates/snipevane-entry/src/request/run.rs
+++ b/crates/snipevane-entry/src/request/run.rs
@@ -207,10 +207,7 @@
         grant.report(Report::Declined);
         return Step::Retry;
     }
-    if answer
-        .exchange()
-        .is_some_and(|exchange| exchange != work.exchange)
-    {
+    if !answer.belongs_to(work.exchange) {
         // The bytes belong to another exchange, so nothing is known of this one.
         grant.report(Report::Failed);
         return Step::RetryUnknown;
--- a/crates/snipevane-standin/src/backend/handler.rs
+++ b/crates/snipevane-standin/src/backend/handler.rs
@@ -204,7 +204,12 @@
         if let Ok(digest) = HeaderValue::from_str(&digest) {
             headers.insert(digest::CONTENT_DIGEST, digest);
         }
-        if let Ok(exchange) = HeaderValue::from_str(&answer.exchange) {
+        let exchange = if test.foreign_exchange {
+            "foreign"
+        } else {
+            &answer.exchange
+        };
+        if let Ok(exchange) = HeaderValue::from_str(exchange) {
             headers.insert(EXCHANGE, exchange);
         }
         mark_leaving(&mut response, &faults);
--- a/crates/snipevane-standin/src/backend/test_headers.rs
+++ b/crates/snipevane-standin/src/backend/test_headers.rs
@@ -18,6 +18,8 @@
 const WRONG_LENGTH: &str = "x-test-wrong-length";
 /// A second answer, of another exchange, follows on the connection.
 const TWO_ANSWERS: &str = "x-test-two-answers";
+/// The answer names no exchange that the caller knows.
+const FOREIGN: &str = "x-test-foreign-exchange";
 /// The answer asks to close the connection.
 const CLOSE: &str = "x-test-close";
 
@@ -35,6 +37,7 @@
     pub(crate) cut_body: bool,
     pub(crate) missing_bytes: usize,
     pub(crate) two_answers: bool,
+    pub(crate) foreign_exchange: bool,
     pub(crate) closes: bool,
 }
 
@@ -55,6 +58,7 @@
             cut_body: req.headers().contains_key(CUT_BODY),
             missing_bytes: if wrong_length { missing } else { 0 },
             two_answers: req.headers().contains_key(TWO_ANSWERS),
+            foreign_exchange: req.headers().contains_key(FOREIGN),
             closes: req.headers().contains_key(CLOSE),
         }
     }
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -92,6 +92,20 @@
     assert!(runs.values().all(|&count| count == 1), "{runs:?}");
 }
 
+/// A second answer on a connection may come just after the next request was sent on it.
+///
+/// Seen once as a neighbour of `a_broken_answer_reaches_nobody_as_whole`, case second_answer_follows,
+/// that got the other exchange's bytes with status 200.
+#[tokio::test]
+async fn an_answer_that_names_no_known_exchange_reaches_nobody() {
+    let site = Site::start(PROGRAM, SiteOptions::default()).await;
+    let (_, key) = site.give_key("registry").await;
+    let caller = site.entries[0].caller().with_key(&key);
+    let headers = [("x-test-foreign-exchange", "1")];
+    let answer = caller.post("rollups", &headers, "body").await.unwrap();
+    assert_eq!(answer.outcome(), Some(Outcome::Unknown), "{answer:?}");
+}
+
 #[tokio::test]
 async fn an_answer_after_the_deadline_reaches_nobody() {
     let site = Site::start(PROGRAM, SiteOptions::default()).await;
