--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -175,8 +175,7 @@
     site.store
         .put("jobs", "0000000000000bad", &json!({ "steps": 1 }));
     site.store.put("progress", "no-identifier", &json!([]));
-    site.store
-        .put("op", "wave/x", &json!({ "machines": 5 }));
+    site.store.put("op", "wave/x", &json!({ "machines": 5 }));
     let _stalled: Vec<_> = (0..20).map(|_| stall(callers)).collect();
     let job = format!("/p/{NEXT}");
     let large = format!(r#"{{"spec":"{}","phases":[{{}}]}}"#, "x".repeat(300_000));
