Count a minion's back-off from its first time without overflow

Cause: found on reading. A run that keeps up may end on a minion while that is still avoided; that sets its count of times back to 0, and the next list found it slow again with 0 - 1. The release build wraps, so the minion was avoided for 10 s in place of 2.5 s; a build with checks panics. Change: the subtraction saturates. Test: a_minion_that_is_found_slow_again_before_its_time_is_over_is_avoided_on, which failed before ('attempt to subtract with overflow').

--- a/crates/snipevane-core/src/jobs/stragglers.rs
+++ b/crates/snipevane-core/src/jobs/stragglers.rs
@@ -91,7 +91,7 @@
                 usual,
             });
         }
-        let doublings = (minion.times_slow - 1).min(MAX_DOUBLINGS);
+        let doublings = minion.times_slow.saturating_sub(1).min(MAX_DOUBLINGS);
         minion.slow_until = now + AVOIDED * 2_u32.pow(doublings);
         minion.on_trial = true;
     }
--- a/tests/tests/jobs_stragglers.rs
+++ b/tests/tests/jobs_stragglers.rs
@@ -164,3 +164,27 @@
     built.run(Duration::from_secs(8));
     assert_eq!(built.state(id), JobState::Completed);
 }
+
+/// A run that kept up may end on a minion while that is avoided, and others there fall behind again.
+#[test]
+fn a_minion_that_is_found_slow_again_before_its_time_is_over_is_avoided_on() {
+    let minions = (0..4).map(|number| FakeMinion::new(entry(number, "p0"), START));
+    let mut built = JobSite::new(site(1, 0), minions.collect(), 1);
+    built.run(Duration::from_millis(100));
+    // A task that keeps up, on the minion whose later tasks don't.
+    built.submit(1, job("p0", vec![step(1, 4_000, 1_000, &[])]));
+    built.run(Duration::from_millis(100));
+    let slow = built.records[0].minion.clone();
+    built.minions.get_mut(&slow).expect("a minion").slowness = 12;
+    for number in 2..=9 {
+        let spec = StepSpec {
+            speculative: true,
+            ..step(4, 2_000, 800, &[])
+        };
+        built.submit(number, job("p0", vec![spec]));
+    }
+    built.run(Duration::from_secs(20));
+    for number in 1..=9 {
+        assert_eq!(built.state(JobId::new(number)), JobState::Completed);
+    }
+}
