Add failing tests of a scheduler on a saturated link

Holds are given up after 0.5 s although the minions have replied; 5.76 s after the last lease the runs count as over and their tasks start again, although the minions had listed their ends.

The tests model a link of fixed bandwidth that all calls share, and calls that are given up after 0.5 s as in the daemon.

--- a/tests/src/jobs/job_site.rs
+++ b/tests/src/jobs/job_site.rs
@@ -14,6 +14,7 @@
 use snipevane_core::placement::Resources;
 
 use super::minion::{FakeMinion, Record, TaskKind};
+use super::network::{Call, Network};
 
 /// Time by which one tick advances the clock of the site.
 pub const TICK: Duration = Duration::from_millis(10);
@@ -22,7 +23,7 @@
 const UNIX_START_MS: u64 = 1_000_000;
 
 /// Time after which an order counts as unanswered.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Faults of the orders to minions.
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,7 +42,8 @@
     Deliver(Action, Outcome),
 }
 
-enum Outcome {
+#[derive(Clone)]
+pub(super) enum Outcome {
     Advice(AdviceReply, Duration),
     Order(OrderReply),
     Hold(HoldReply, Duration),
@@ -66,6 +68,8 @@
     pub partitioned: BTreeSet<SmolStr>,
     /// Faults of the orders to minions.
     pub faults: Faults,
+    /// Network between the scheduler and the minions; `None` if its bandwidth is unlimited.
+    pub network: Option<Network>,
     /// The present time.
     pub now: Duration,
     /// Whether the store accepts changes.
@@ -100,6 +104,7 @@
             records: Vec::new(),
             partitioned: BTreeSet::new(),
             faults: Faults::default(),
+            network: None,
             now: Duration::from_secs(10),
             store_available: true,
             allowed: BTreeSet::new(),
@@ -183,6 +188,7 @@
             minion.advance(&mut self.records, self.now);
         }
         self.run_due_events();
+        self.run_network();
         let unix_ms = self.unix_ms();
         for action in self.scheduler.decide(self.now, unix_ms) {
             self.send_order(action);
@@ -251,6 +257,10 @@
             self.deliver_no_answer(action);
             return;
         }
+        if let Some(network) = &mut self.network {
+            network.send(action, self.now);
+            return;
+        }
         let is_hold = matches!(action, Action::Hold(_));
         if !is_hold && self.random.random_bool(self.faults.delay_rate) {
             let delay = Duration::from_millis(self.random.random_range(1_000..6_000));
@@ -268,14 +278,41 @@
         }
     }
 
-    fn deliver_no_answer(&mut self, action: Action) {
-        let outcome = match &action {
-            Action::Hold(_) => Outcome::Hold(HoldReply::NoAnswer, self.now),
-            Action::Start(_) | Action::Stop(_) | Action::SetCpuShare(_) => {
-                Outcome::Order(OrderReply::NoAnswer)
-            }
-            Action::RequestAdvice(_) => Outcome::Advice(AdviceReply::NoAnswer, self.now),
+    /// Transmits for one tick, carries out the orders that arrive, and delivers the replies that
+    /// arrive in time.
+    fn run_network(&mut self) {
+        let Some(mut network) = self.network.take() else {
+            return;
         };
+        for number in network.arrived_requests() {
+            let outcome = self.execute(network.action(number));
+            network.reply(number, outcome);
+        }
+        for (
+            Call {
+                action, sent_at, ..
+            },
+            outcome,
+        ) in network.arrived_replies()
+        {
+            let outcome = match outcome {
+                Outcome::Hold(reply, _) => Outcome::Hold(reply, sent_at),
+                outcome => outcome,
+            };
+            self.deliver(&action, outcome);
+        }
+        for Call {
+            action, sent_at, ..
+        } in network.expired(self.now)
+        {
+            let outcome = no_answer(&action, sent_at);
+            self.deliver(&action, outcome);
+        }
+        self.network = Some(network);
+    }
+
+    fn deliver_no_answer(&mut self, action: Action) {
+        let outcome = no_answer(&action, self.now);
         self.schedule(ORDER_TIMEOUT, Event::Deliver(action, outcome));
     }
 
@@ -477,6 +514,19 @@
         self.state(id) == JobState::Completed && last.is_some_and(|last| last <= by)
     }
 
+    /// Returns the starts of tasks of which an earlier run had ended as done and was listed so.
+    pub fn starts_after_listed_end(&self) -> Vec<&Record> {
+        let repeated = self.records.iter().filter(|start| {
+            self.records.iter().any(|earlier| {
+                earlier.task == start.task
+                    && earlier.end == Some(RunEnd::Done)
+                    && earlier.listed_before_lapse
+                    && earlier.to.is_some_and(|end| end < start.from)
+            })
+        });
+        repeated.collect()
+    }
+
     /// Returns the number of runs of a job that are active now.
     pub fn live_runs(&self, id: JobId) -> usize {
         let live = self.records.iter().filter(|record| {
@@ -504,6 +554,17 @@
     }
 }
 
+/// Returns the outcome of a call that was sent at `sent_at` and isn't answered.
+fn no_answer(action: &Action, sent_at: Duration) -> Outcome {
+    match action {
+        Action::Hold(_) => Outcome::Hold(HoldReply::NoAnswer, sent_at),
+        Action::Start(_) | Action::Stop(_) | Action::SetCpuShare(_) => {
+            Outcome::Order(OrderReply::NoAnswer)
+        }
+        Action::RequestAdvice(_) => Outcome::Advice(AdviceReply::NoAnswer, sent_at),
+    }
+}
+
 /// Returns the permit for a minion's present incarnation.
 fn permit_token(minion: &FakeMinion) -> SmolStr {
     format_smolstr!("{}-{}", minion.entry.id, minion.incarnation)
--- a/tests/src/jobs/minion.rs
+++ b/tests/src/jobs/minion.rs
@@ -37,6 +37,8 @@
     pub end: Option<RunEnd>,
     /// Whether the end was acknowledged before a lease of the minion expired.
     pub acked_before_lapse: bool,
+    /// Whether a run list contained the end before a lease of the minion expired.
+    pub listed_before_lapse: bool,
 }
 
 /// Properties that determine how a task runs.
@@ -181,6 +183,7 @@
             to: None,
             end: None,
             acked_before_lapse: false,
+            listed_before_lapse: false,
         });
         let kind = TaskKind {
             run_time: kind.run_time.map(|time| time * self.slowdown),
@@ -268,6 +271,11 @@
             }
         }
         self.ended.retain(|ended| ended.number > order.ack);
+        for ended in &self.ended {
+            if let Some(&record) = self.ended_records.get(&ended.number) {
+                records[record].listed_before_lapse = true;
+            }
+        }
         let tail_ms = self.tail_ms();
         let active = self
             .active
--- a/tests/src/jobs/mod.rs
+++ b/tests/src/jobs/mod.rs
@@ -5,9 +5,12 @@
 //! records. [`JobSite`] checks at each start that no guarantee towards callers is broken.
 
 mod job_site;
+mod link;
 mod minion;
+mod network;
 mod specs;
 
 pub use job_site::{Faults, JobSite, TICK};
 pub use minion::{FakeMinion, Record};
+pub use network::Network;
 pub use specs::{TEAM, entry, job, long_running_step, site, site_spec, step};
--- a/tests/tests/jobs_scheduler.rs
+++ b/tests/tests/jobs_scheduler.rs
@@ -8,9 +8,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
-use snipevane_core::jobs::{JobState, StepSpec};
+use snipevane_core::jobs::{JobId, JobState, StepSpec};
 use snipevane_tests::jobs::{
-    FakeMinion, Faults, JobSite, entry, job, long_running_step, site, step,
+    FakeMinion, Faults, JobSite, Network, entry, job, long_running_step, site, step,
 };
 
 const START: Duration = Duration::from_secs(10);
@@ -214,6 +214,33 @@
     assert_eq!(built.records.len(), 32);
 }
 
+/// Returns a site after a burst of 120 jobs, whose calls need more bandwidth than there is, and 15 s
+/// without further jobs.
+fn site_after_burst_on_slow_link() -> JobSite {
+    let mut built = job_site(40, 1);
+    built.network = Some(Network::new(125_000.0));
+    let steps = vec![step(8, 1_000, 800, &[]), step(8, 1_000, 800, &[0])];
+    for number in 1..=120 {
+        built.submit(number, job("p0", steps.clone()));
+        built.run(Duration::from_millis(50));
+    }
+    built.run(Duration::from_secs(15));
+    built
+}
+
+#[test]
+fn a_scheduler_on_a_saturated_link_starts_no_completed_task_again() {
+    let built = site_after_burst_on_slow_link();
+    assert_eq!(built.starts_after_listed_end().len(), 0);
+}
+
+#[test]
+fn a_scheduler_on_a_saturated_link_completes_its_jobs() {
+    let built = site_after_burst_on_slow_link();
+    let completed = (1..=120).filter(|&job| built.state(JobId::new(job)) == JobState::Completed);
+    assert_eq!(completed.count(), 120);
+}
+
 /// Applies network partitions, crashes, restarts, lost and late orders, store outages and takeovers
 /// at random. `JobSite` checks each start against the active and completed runs of the task.
 #[test]
