Bound the start orders in flight by how fast minions reply

Callers saw tasks run twice and most jobs late or unserved while the scheduler ran on a small entry VM.

Cause: the scheduler sent all it could place.

Change: a congestion window of start orders (start_window.rs): it grows with timely replies, shrinks when replies take over 200 ms, and ignores orders without a reply, which speak of their minions. Steps of all pools are placed in one order of rank, since the window is shared. Holds pause for the smoothed reply time where that exceeds 40 ms.

--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -37,6 +37,7 @@
 mod site;
 mod spec;
 mod speculation;
+mod start_window;
 mod stragglers;
 mod unreported_runs;
 mod unreported_usage;
--- a/crates/snipevane-core/src/jobs/orders.rs
+++ b/crates/snipevane-core/src/jobs/orders.rs
@@ -21,11 +21,17 @@
 impl Scheduler {
     /// Handles the reply to a start order.
     pub fn start_replied(&mut self, key: RunKey, reply: OrderReply, now: Duration) {
+        self.start_window.order_settled();
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         run.in_flight = false;
         let minion = run.minion;
+        if reply != OrderReply::NoAnswer {
+            let target = self.settings.reply_target;
+            self.start_window
+                .record_reply(run.start_sent_at, target, now);
+        }
         match reply {
             OrderReply::Done { clock_ms } => {
                 self.read_clock(minion, clock_ms, now);
@@ -116,7 +122,9 @@
             return;
         };
         run.in_flight = true;
+        run.start_sent_at = now;
         run.starts_sent += 1;
+        self.start_window.order_sent();
         let order = StartOrder {
             to: Recipient {
                 minion: run.minion,
--- a/crates/snipevane-core/src/jobs/placing.rs
+++ b/crates/snipevane-core/src/jobs/placing.rs
@@ -18,20 +18,29 @@
 use super::spec::StepSpec;
 
 impl Scheduler {
-    /// Places the waiting tasks of all pools, and then speculative runs.
+    /// Places the waiting tasks of all pools in the order of their rank, and then speculative runs,
+    /// as far as the congestion window allows further start orders.
     pub(super) fn place(&mut self, now: Duration) {
-        let pools: Vec<SmolStr> = self.queues.keys().cloned().collect();
+        self.placed_this_round = 0;
         let schedulable = self.schedulable_minions(now);
         let unreported_pools = self.unreported_pools(now);
         self.unreported_usage = self.estimate_unreported_usage(&unreported_pools);
-        for pool in pools {
+        for (pool, step) in self.ranked_steps(&schedulable, now) {
+            if !self.may_place_more() {
+                break;
+            }
             let has_unreported_runs = unreported_pools.contains(&pool);
             let minions = schedulable.get(&pool).map_or(&[][..], Vec::as_slice);
-            self.place_pool(&pool, minions, has_unreported_runs, now);
+            self.place_step(step, minions, has_unreported_runs, now);
         }
         self.place_speculative_runs(&schedulable, now);
     }
 
+    /// Returns whether the congestion window allows another start order.
+    pub(super) fn may_place_more(&self) -> bool {
+        self.placed_this_round < self.start_window.available()
+    }
+
     fn schedulable_minions(&self, now: Duration) -> FxHashMap<SmolStr, Vec<MinionKey>> {
         let mut schedulable: FxHashMap<SmolStr, Vec<MinionKey>> = FxHashMap::default();
         for (key, minion) in &self.minions {
@@ -45,27 +54,26 @@
         schedulable
     }
 
-    fn place_pool(
+    /// Returns the queued steps of the pools that have schedulable minions, with their pools, in the
+    /// order of their rank.
+    fn ranked_steps(
         &mut self,
-        pool: &str,
-        minions: &[MinionKey],
-        has_unreported_runs: bool,
+        schedulable: &FxHashMap<SmolStr, Vec<MinionKey>>,
         now: Duration,
-    ) {
-        let Some(queue) = self.queues.get_mut(pool) else {
-            return;
-        };
-        let mut steps = std::mem::take(&mut queue.steps);
-        steps.retain(|&step| self.update_queued(step));
-        if !minions.is_empty() {
-            steps.sort_by_cached_key(|&step| self.rank(step, now));
-            for &step in &steps {
-                self.place_step(step, minions, has_unreported_runs, now);
+    ) -> Vec<(SmolStr, StepRef)> {
+        let mut ranked = Vec::new();
+        let pools: Vec<SmolStr> = self.queues.keys().cloned().collect();
+        for pool in pools {
+            let queue = self.queues.entry(pool.clone()).or_default();
+            let mut steps = std::mem::take(&mut queue.steps);
+            steps.retain(|&step| self.update_queued(step));
+            if schedulable.contains_key(&pool) {
+                ranked.extend(steps.iter().map(|&step| (pool.clone(), step)));
             }
+            self.queues.entry(pool).or_default().steps = steps;
         }
-        if let Some(queue) = self.queues.get_mut(pool) {
-            queue.steps.append(&mut steps);
-        }
+        ranked.sort_by_cached_key(|&(_, step)| self.rank(step, now));
+        ranked
     }
 
     /// Sets a step's `queued` flag and returns it: a step stays queued while it has waiting tasks
@@ -160,7 +168,7 @@
             return;
         };
         for index in self.startable_tasks(step_ref, now) {
-            if !self.is_within_quota(team.as_deref(), step, 1) {
+            if !self.may_place_more() || !self.is_within_quota(team.as_deref(), step, 1) {
                 return;
             }
             let task = TaskRef {
@@ -312,6 +320,7 @@
             size: step.size(),
             phase: RunPhase::Starting,
             since: now,
+            start_sent_at: Duration::ZERO,
             starts_sent: 0,
             retry_at: Duration::ZERO,
             in_flight: false,
@@ -328,6 +337,7 @@
         }
         task_state.runs.push(run);
         self.pending_orders.insert(run);
+        self.placed_this_round += 1;
         self.allocate(run);
     }
 }
--- a/crates/snipevane-core/src/jobs/reports.rs
+++ b/crates/snipevane-core/src/jobs/reports.rs
@@ -43,7 +43,8 @@
                     return;
                 };
                 minion.hold_failures = 0;
-                minion.hold_not_before = now + self.settings.hold_interval;
+                let interval = self.settings.hold_interval;
+                minion.hold_not_before = now + interval.max(self.start_window.reply_time(now));
                 self.process_run_list(key, &list, asked_at, now, unix_ms);
             }
             HoldReply::Refused(Refusal::Fenced) => self.deposed = true,
@@ -205,6 +206,7 @@
             size: step.size(),
             phase: RunPhase::Running,
             since: now,
+            start_sent_at: Duration::ZERO,
             starts_sent: 1,
             retry_at: Duration::ZERO,
             in_flight: false,
--- a/crates/snipevane-core/src/jobs/run.rs
+++ b/crates/snipevane-core/src/jobs/run.rs
@@ -51,6 +51,8 @@
     pub phase: RunPhase,
     /// Time of the minion's reply that last changed the phase; the time of the placement before.
     pub since: Duration,
+    /// Time at which the start order was last sent; zero before.
+    pub start_sent_at: Duration,
     /// Number of times that the start order was sent.
     pub starts_sent: u32,
     /// Time before which no order for the run is sent again.
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -23,6 +23,7 @@
 use super::run::{Run, RunKey};
 use super::shares::JobRateLimiter;
 use super::site::Site;
+use super::start_window::StartWindow;
 use super::unreported_runs::UnreportedRuns;
 
 /// Timeouts, intervals and limits of the scheduler.
@@ -54,6 +55,8 @@
     pub failure_backoff_max: Duration,
     /// Delay before a failed task is started again.
     pub task_retry_delay: Duration,
+    /// Reply time of start orders above which fewer are sent at a time.
+    pub reply_target: Duration,
     /// Longest time that a run takes to end after a stop order.
     pub stop_timeout: Duration,
     /// Longest time that a hold waits on a minion with short tasks, so that stragglers are
@@ -76,6 +79,7 @@
             failure_backoff: Duration::from_millis(1_500),
             failure_backoff_max: Duration::from_secs(12),
             task_retry_delay: Duration::from_millis(20),
+            reply_target: Duration::from_millis(200),
             stop_timeout: Duration::from_millis(900),
             short_hold_timeout: Duration::from_millis(500),
         }
@@ -108,6 +112,10 @@
     pub(super) has_unstored_end: bool,
     /// Runs with an order to send or to repeat.
     pub(super) pending_orders: FxHashSet<RunKey>,
+    /// Bound of the start orders in flight.
+    pub(super) start_window: StartWindow,
+    /// Number of runs that the present scheduling round has placed.
+    pub(super) placed_this_round: usize,
     /// Tasks whose only run is a straggler and that may get a speculative run.
     pub(super) speculation_candidates: FxHashSet<(StepRef, u32)>,
     /// Permits that the advisor has issued.
@@ -150,6 +158,8 @@
             storing: FxHashSet::default(),
             has_unstored_end: false,
             pending_orders: FxHashSet::default(),
+            start_window: StartWindow::default(),
+            placed_this_round: 0,
             speculation_candidates: FxHashSet::default(),
             permits: Permits::default(),
             job_rates: JobRateLimiter::default(),
