Process run lists that arrive after the timeout of their hold

Cause: a hold without a reply within 0.5 s was given up and its connection reset, so a run list that came later was lost, and with it the ends that the minion had listed. A scheduler whose replies all come late (a busy VM, a link that fills up before the congestion window shrinks) heard nothing of sound minions and started done tasks again.

Change: the timeout is reported as before (the minion is suspect, the hold is repeated), but the reply is awaited for about a lease longer and processed when it comes. Lists of one incarnation may now overtake each other: one whose clock is behind the last processed is ignored. A request that wasn't sent by its timeout is still given up. Ruled out: delivering an old hold does no harm, since its fence, its lease (an absolute time) and its acknowledgement (only stored ends) stay true, and a restarted minion resets the connection.

--- a/crates/snipevane-core/src/jobs/minion.rs
+++ b/crates/snipevane-core/src/jobs/minion.rs
@@ -76,6 +76,8 @@
     pub reachable: bool,
     /// Time at which the last list of runs was received.
     pub last_contact: Option<Duration>,
+    /// Minion's clock in the last list of runs that was processed, in milliseconds.
+    pub(super) list_clock_ms: u64,
     /// Sequence number of the last run end that was received and processed.
     pub received_seq: u64,
     /// Sequence number of the last run end that is stored, so that the minion may forget it.
@@ -125,6 +127,7 @@
             suspect: false,
             reachable: true,
             last_contact: None,
+            list_clock_ms: 0,
             received_seq: 0,
             stored_seq: 0,
             acked_seq: 0,
@@ -164,6 +167,7 @@
     pub fn reset_for_incarnation(&mut self, incarnation: u64) {
         self.incarnation = Some(incarnation);
         self.clock = None;
+        self.list_clock_ms = 0;
         self.received_seq = 0;
         self.stored_seq = 0;
         self.acked_seq = 0;
--- a/crates/snipevane-core/src/jobs/reports.rs
+++ b/crates/snipevane-core/src/jobs/reports.rs
@@ -62,6 +62,28 @@
         self.remove_if_unlisted(key);
     }
 
+    /// Handles a reply to a hold that was reported as unanswered before.
+    ///
+    /// A late run list still tells which runs have ended, so that their tasks aren't started again.
+    pub fn hold_replied_late(
+        &mut self,
+        key: MinionKey,
+        reply: HoldReply,
+        asked_at: Duration,
+        now: Duration,
+        unix_ms: u64,
+    ) {
+        match reply {
+            HoldReply::Listed(list) => {
+                self.set_reachable(key, true, now);
+                self.process_run_list(key, &list, asked_at, now, unix_ms);
+                self.remove_if_unlisted(key);
+            }
+            HoldReply::Refused(Refusal::Fenced) => self.deposed = true,
+            HoldReply::Refused(_) | HoldReply::NoAnswer => {}
+        }
+    }
+
     /// Delays the next hold of a minion with exponential back-off.
     fn back_off_hold(&mut self, key: MinionKey, now: Duration) {
         let Some(minion) = self.minions.get_mut(key) else {
@@ -75,7 +97,8 @@
     /// Applies a minion's run list: new ends first, then the active runs. Runs missing from a
     /// complete list are marked as lost.
     ///
-    /// A list of an earlier incarnation than the known one is ignored.
+    /// A list is ignored if it is of an earlier incarnation than the known one, or older than the last
+    /// one of the same incarnation.
     fn process_run_list(
         &mut self,
         key: MinionKey,
@@ -93,6 +116,7 @@
             Some(born) if list.started_unix_ms > born => {
                 self.handle_restart(key, list.started_unix_ms, asked_at, &listed_runs);
             }
+            Some(_) if list.clock_ms < minion.list_clock_ms => return,
             Some(_) => {}
             None => minion.incarnation = Some(list.started_unix_ms),
         }
@@ -100,6 +124,7 @@
             return;
         };
         minion.update_clock(list.clock_ms, now);
+        minion.list_clock_ms = list.clock_ms;
         minion.fence_accepted = true;
         minion.suspect = false;
         minion.last_contact = Some(now);
--- a/crates/snipevane-fleet/src/client.rs
+++ b/crates/snipevane-fleet/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -83,6 +84,33 @@
         }
     }
 
+    /// Sends a request and waits up to `limit` for the whole response. After that, calls `on_timeout`
+    /// and, if the request was sent, waits for a late response for up to `grace` more.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no response arrives in that time; the connection is then reset.
+    pub async fn call_with_late_response(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        limit: Duration,
+        grace: Duration,
+        on_timeout: impl FnOnce(),
+    ) -> Result<Response, CallError> {
+        let sent = Cell::new(false);
+        let mut exchange = pin!(self.exchange(address, request, &sent));
+        if let Ok(answer) = timeout(limit, exchange.as_mut()).await {
+            return answer;
+        }
+        on_timeout();
+        if !sent.get() {
+            return Err(CallError::NotSent);
+        }
+        let late = timeout(grace, exchange).await;
+        late.unwrap_or(Err(CallError::NoAnswer))
+    }
+
     /// Sends a request and waits up to `limit` for the whole response, but leaves a request that
     /// was sent in flight for up to `max_duration`.
     ///
--- a/crates/snipevane-fleet/src/scheduling/orders.rs
+++ b/crates/snipevane-fleet/src/scheduling/orders.rs
@@ -1,6 +1,7 @@
 //! Sends the scheduler's orders to minions and its requests to the advisor, and reports the
 //! outcomes to the scheduler.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +25,10 @@
 /// Time that the response to a hold may take beyond its wait.
 const HOLD_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time after its timeout for which the response to a hold is still awaited: about the length of a
+/// lease, as until then the minion's runs count as active.
+const LATE_HOLD_GRACE: Duration = Duration::from_millis(5_500);
+
 /// Maximum number of requests in flight to the advisor, which answers them one by one.
 const ADVISOR_QUEUE_DEPTH: u32 = 4;
 
@@ -73,14 +78,49 @@
 }
 
 /// Sends a hold, which lists a minion's runs and extends its leases, and reports the outcome to the
-/// scheduler.
+/// scheduler. A reply that comes after the timeout is reported too.
 async fn hold<C: Clock>(leader: &Leader<C>, order: &HoldOrder) {
     let sent_at = leader.node.clock.now();
-    let limit = order.wait + HOLD_TIMEOUT_MARGIN;
-    let reply = match call(leader, &order.to, minion::hold_request(order), limit).await {
+    let overdue = Cell::new(false);
+    let on_timeout = || {
+        overdue.set(true);
+        report_hold(leader, order, HoldReply::NoAnswer, sent_at);
+        leader.wake.notify_one();
+    };
+    let reply = match call_hold(leader, order, on_timeout).await {
         Ok(response) => hold_reply(&response),
         Err(_) => HoldReply::NoAnswer,
     };
+    if overdue.get() {
+        report_late_hold(leader, order, reply, sent_at);
+    } else {
+        report_hold(leader, order, reply, sent_at);
+    }
+}
+
+/// Sends a hold, unless the term no longer allows orders, and calls `on_timeout` if it isn't
+/// answered in time.
+async fn call_hold<C: Clock>(
+    leader: &Leader<C>,
+    order: &HoldOrder,
+    on_timeout: impl FnOnce(),
+) -> Result<Response, CallError> {
+    let address = order_address(leader, &order.to)?;
+    let limit = order.wait + HOLD_TIMEOUT_MARGIN;
+    let request = minion::hold_request(order);
+    let client = &leader.node.client;
+    client
+        .call_with_late_response(address, request, limit, LATE_HOLD_GRACE, on_timeout)
+        .await
+}
+
+/// Reports the outcome of a hold to the scheduler.
+fn report_hold<C: Clock>(
+    leader: &Leader<C>,
+    order: &HoldOrder,
+    reply: HoldReply,
+    sent_at: Duration,
+) {
     if reply == HoldReply::NoAnswer {
         log::debug!("no valid list of runs from minion {}", order.to.id);
     }
@@ -91,6 +131,20 @@
     scheduler.hold_replied(order.to.minion, reply, sent_at, now, unix_ms);
 }
 
+/// Reports the reply to a hold that was reported as unanswered before.
+fn report_late_hold<C: Clock>(
+    leader: &Leader<C>,
+    order: &HoldOrder,
+    reply: HoldReply,
+    sent_at: Duration,
+) {
+    metrics::record_minion_call("late_hold", hold_reply_name(&reply));
+    let now = leader.node.clock.now();
+    let unix_ms = leader.node.clock.unix_ms();
+    let mut scheduler = leader.scheduler.borrow_mut();
+    scheduler.hold_replied_late(order.to.minion, reply, sent_at, now, unix_ms);
+}
+
 /// Requests advice on a step and reports it to the scheduler; logs when the advisor stops answering
 /// and when it answers again.
 async fn request_advice<C: Clock>(leader: &Leader<C>, order: &AdviceRequest) {
@@ -171,11 +225,15 @@
     request: Request,
     limit: Duration,
 ) -> Result<Response, CallError> {
-    let Ok(address) = to.address.parse::<SocketAddr>() else {
-        return Err(CallError::NotSent);
-    };
+    let address = order_address(leader, to)?;
+    leader.node.client.call(address, request, limit).await
+}
+
+/// Returns the address to send an order to; an error if the address is invalid or the term no
+/// longer allows orders.
+fn order_address<C: Clock>(leader: &Leader<C>, to: &Recipient) -> Result<SocketAddr, CallError> {
     if !leader.may_send_orders() {
         return Err(CallError::NotSent);
     }
-    leader.node.client.call(address, request, limit).await
+    to.address.parse().map_err(|_| CallError::NotSent)
 }
--- a/crates/snipevane-fleet/tests/client.rs
+++ b/crates/snipevane-fleet/tests/client.rs
@@ -1,8 +1,10 @@
-//! A call of the HTTP client that has timed out has no later effect.
+//! Calls of the HTTP client that time out: a call that was given up has no later effect, and a late
+//! response is delivered where it is awaited.
 
 #![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
 
-use std::io::{ErrorKind, Read};
+use std::cell::Cell;
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpListener;
 use std::time::Duration;
 
@@ -43,3 +45,34 @@
         Some(ErrorKind::ConnectionReset)
     );
 }
+
+#[test]
+fn a_late_response_is_delivered_after_the_timeout_was_reported() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the connection");
+        std::thread::sleep(Duration::from_millis(200));
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")
+            .expect("a response");
+        stream
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let local = tokio::task::LocalSet::new();
+    let timeouts = Cell::new(0);
+    let outcome = local.block_on(&runtime.expect("a runtime"), async {
+        let client = Client::default();
+        let request = rows::read_request("t", "", "");
+        let (limit, grace) = (Duration::from_millis(50), Duration::from_secs(5));
+        let call = client.call_with_late_response(address, request, limit, grace, || {
+            timeouts.set(timeouts.get() + 1);
+        });
+        call.await
+    });
+    assert_eq!(timeouts.get(), 1);
+    assert_eq!(outcome.ok().map(|response| response.status), Some(200));
+    server.join().expect("the server");
+}
--- a/tests/src/jobs/job_site.rs
+++ b/tests/src/jobs/job_site.rs
@@ -288,18 +288,8 @@
             let outcome = self.execute(network.action(number));
             network.reply(number, outcome);
         }
-        for (
-            Call {
-                action, sent_at, ..
-            },
-            outcome,
-        ) in network.arrived_replies()
-        {
-            let outcome = match outcome {
-                Outcome::Hold(reply, _) => Outcome::Hold(reply, sent_at),
-                outcome => outcome,
-            };
-            self.deliver(&action, outcome);
+        for (call, outcome) in network.arrived_replies(self.now) {
+            self.deliver_reply(&call, outcome);
         }
         for Call {
             action, sent_at, ..
@@ -311,6 +301,22 @@
         self.network = Some(network);
     }
 
+    /// Delivers the reply to a call over the network, which may have been reported as unanswered.
+    fn deliver_reply(&mut self, call: &Call, outcome: Outcome) {
+        let (now, unix_ms) = (self.now, self.unix_ms());
+        match (&call.action, outcome) {
+            (Action::Hold(order), Outcome::Hold(reply, _)) if call.overdue => {
+                let minion = order.to.minion;
+                self.scheduler
+                    .hold_replied_late(minion, reply, call.sent_at, now, unix_ms);
+            }
+            (action, Outcome::Hold(reply, _)) => {
+                self.deliver(action, Outcome::Hold(reply, call.sent_at));
+            }
+            (action, outcome) => self.deliver(action, outcome),
+        }
+    }
+
     fn deliver_no_answer(&mut self, action: Action) {
         let outcome = no_answer(&action, self.now);
         self.schedule(ORDER_TIMEOUT, Event::Deliver(action, outcome));
--- a/tests/src/jobs/network.rs
+++ b/tests/src/jobs/network.rs
@@ -1,6 +1,6 @@
 //! Network between the scheduler and the minions, whose bandwidth all calls share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use snipevane_core::jobs::{Action, HoldReply};
@@ -20,24 +20,36 @@
     pub(super) action: Action,
     pub(super) sent_at: Duration,
     pub(super) outcome: Option<Outcome>,
+    /// Whether the call was reported as unanswered.
+    pub(super) overdue: bool,
 }
 
+/// Time after its timeout for which a late reply to a hold is awaited.
+const LATE_HOLD_GRACE: Duration = Duration::from_millis(5_500);
+
 /// Network with the same bandwidth in both directions.
 ///
-/// A call that isn't answered in time is given up, as the daemon does.
+/// A call that isn't answered in time is given up, as the daemon does. Late replies to holds are still
+/// delivered.
 pub struct Network {
+    latency: Duration,
     requests: Link,
     replies: Link,
+    /// Replies that were transmitted, with the times at which they arrive.
+    in_transit: VecDeque<(Duration, CallNumber)>,
     calls: BTreeMap<CallNumber, Call>,
     next: CallNumber,
 }
 
 impl Network {
-    /// Creates an idle network with a bandwidth in bytes per second.
-    pub fn new(bytes_per_s: f64) -> Self {
+    /// Creates an idle network with a bandwidth in bytes per second, on which a reply takes `latency`
+    /// in addition to its transmission.
+    pub fn new(bytes_per_s: f64, latency: Duration) -> Self {
         Self {
+            latency,
             requests: Link::new(bytes_per_s),
             replies: Link::new(bytes_per_s),
+            in_transit: VecDeque::new(),
             calls: BTreeMap::new(),
             next: 0,
         }
@@ -54,6 +66,7 @@
             action,
             sent_at: now,
             outcome: None,
+            overdue: false,
         };
         self.calls.insert(self.next, call);
         self.next += 1;
@@ -84,9 +97,14 @@
     }
 
     /// Transmits replies for one tick, and returns those that have arrived, with their calls.
-    pub(super) fn arrived_replies(&mut self) -> Vec<(Call, Outcome)> {
-        let arrived = self.replies.advance(|_| true);
-        let answered = arrived.into_iter().filter_map(|number| {
+    pub(super) fn arrived_replies(&mut self, now: Duration) -> Vec<(Call, Outcome)> {
+        let transmitted = self.replies.advance(|_| true);
+        let arrival = now + self.latency;
+        self.in_transit
+            .extend(transmitted.into_iter().map(|number| (arrival, number)));
+        let due = self.in_transit.partition_point(|(at, _)| *at <= now);
+        let arrived: Vec<_> = self.in_transit.drain(..due).collect();
+        let answered = arrived.into_iter().filter_map(|(_, number)| {
             let mut call = self.calls.remove(&number)?;
             let outcome = call.outcome.take()?;
             Some((call, outcome))
@@ -94,13 +112,21 @@
         answered.collect()
     }
 
-    /// Gives up the calls that have been open for too long, and returns them.
+    /// Returns the calls whose timeout has passed. Holds stay open for a late reply, for up to
+    /// [`LATE_HOLD_GRACE`]; the others are given up.
     pub(super) fn expired(&mut self, now: Duration) -> Vec<Call> {
-        let calls = std::mem::take(&mut self.calls);
-        let (expired, open): (BTreeMap<_, _>, BTreeMap<_, _>) = calls
-            .into_iter()
-            .partition(|(_, call)| now >= call.sent_at + ORDER_TIMEOUT);
-        self.calls = open;
-        expired.into_values().collect()
+        let mut expired = Vec::new();
+        self.calls.retain(|_, call| {
+            if now < call.sent_at + ORDER_TIMEOUT {
+                return true;
+            }
+            if !call.overdue {
+                expired.push(call.clone());
+                call.overdue = true;
+            }
+            let is_hold = matches!(call.action, Action::Hold(_));
+            is_hold && now < call.sent_at + ORDER_TIMEOUT + LATE_HOLD_GRACE
+        });
+        expired
     }
 }
--- a/tests/tests/jobs_scheduler.rs
+++ b/tests/tests/jobs_scheduler.rs
@@ -218,7 +218,7 @@
 /// without further jobs.
 fn site_after_burst_on_slow_link() -> JobSite {
     let mut built = job_site(40, 1);
-    built.network = Some(Network::new(125_000.0));
+    built.network = Some(Network::new(125_000.0, Duration::ZERO));
     let steps = vec![step(8, 1_000, 800, &[]), step(8, 1_000, 800, &[0])];
     for number in 1..=120 {
         built.submit(number, job("p0", steps.clone()));
@@ -241,6 +241,21 @@
     assert_eq!(completed.count(), 120);
 }
 
+#[test]
+fn jobs_complete_once_although_every_reply_comes_after_its_timeout() {
+    let mut built = job_site(4, 1);
+    built.network = Some(Network::new(10_000_000.0, Duration::from_millis(700)));
+    let ids: Vec<_> = (1..=6)
+        .map(|number| built.submit(number, job("p0", two_steps())))
+        .collect();
+    built.run(Duration::from_secs(15));
+    assert_eq!(built.starts_after_listed_end().len(), 0);
+    let completed = ids
+        .iter()
+        .filter(|&&id| built.state(id) == JobState::Completed);
+    assert_eq!(completed.count(), 6);
+}
+
 /// Applies network partitions, crashes, restarts, lost and late orders, store outages and takeovers
 /// at random. `JobSite` checks each start against the active and completed runs of the task.
 #[test]
