Acknowledge the ends that are stored while other jobs wait to be stored

Cause: ends were acknowledged to minions only when one transaction took the changes of all jobs.

Change: each minion keeps the jobs of the ends that aren't stored yet, so ends are acknowledged up to the first one whose job is still to be stored. The oldest changes are stored first, so none waits forever. A change that isn't an end takes one entry of a transaction, not three, so a transaction takes up to 84 of them.

Test ends_are_acknowledged_while_changes_of_other_jobs_wait_to_be_stored: before, no end counted as stored (0, now 4).

--- a/crates/snipevane-core/src/jobs/changes.rs
+++ b/crates/snipevane-core/src/jobs/changes.rs
@@ -8,6 +8,10 @@
 use super::progress::Progress;
 use super::scheduler::Scheduler;
 
+/// Entries of a transaction that the end of a job takes: its progress, and the deletion of the rows of
+/// its submission and of a request to cancel it.
+const ENTRIES_PER_ENDED_JOB: usize = 3;
+
 /// Change of a job whose row in the store is out of date.
 #[derive(Clone, Debug)]
 pub struct JobChange {
@@ -31,7 +35,7 @@
 pub struct Changes {
     /// Jobs whose progress changed.
     pub jobs: Vec<JobChange>,
-    /// Ends that are stored once these changes are; empty if further changes remain to be taken.
+    /// Ends that are stored once these changes are.
     received: Vec<ReceivedEnds>,
 }
 
@@ -46,16 +50,18 @@
         self.has_unstored_end
     }
 
-    /// Takes the changes of up to `limit` jobs. Jobs that have ended come first, as callers may be
-    /// waiting for them.
-    pub fn take_changes(&mut self, limit: usize) -> Changes {
-        let mut keys: Vec<JobKey> = self.dirty.iter().copied().collect();
-        keys.sort_by_key(|&key| !self.jobs.get(key).is_some_and(|job| job.state.is_final()));
-        let all = keys.len() <= limit;
-        keys.truncate(limit);
+    /// Takes changes that need up to `max_entries` entries in a transaction. Jobs that have ended
+    /// come first, as callers may be waiting for them; otherwise the oldest changes come first.
+    pub fn take_changes(&mut self, max_entries: usize) -> Changes {
+        let keys = self.dirty.in_order(|key| self.has_ended(key));
         let mut changes = Changes::default();
+        let mut entries = 0;
         for key in keys {
-            self.dirty.remove(&key);
+            entries += self.entries_of(key);
+            if entries > max_entries && !changes.jobs.is_empty() {
+                break;
+            }
+            self.dirty.remove(key);
             self.storing.insert(key);
             if let Some(job) = self.jobs.get(key) {
                 changes.jobs.push(JobChange {
@@ -65,18 +71,41 @@
                 });
             }
         }
-        if all {
+        if self.dirty.is_empty() {
             self.has_unstored_end = false;
-            let received = self.minions.iter().map(|(minion, state)| ReceivedEnds {
-                minion,
-                incarnation: state.incarnation,
-                last_number: state.received_seq,
-            });
-            changes.received = received.collect();
         }
+        changes.received = self.received_ends();
         changes
     }
 
+    fn has_ended(&self, key: JobKey) -> bool {
+        let job = self.jobs.get(key);
+        job.is_some_and(|job| job.state.is_final())
+    }
+
+    /// Returns the number of entries that the change of a job takes in a transaction.
+    fn entries_of(&self, key: JobKey) -> usize {
+        if self.has_ended(key) {
+            ENTRIES_PER_ENDED_JOB
+        } else {
+            1
+        }
+    }
+
+    /// Returns for each minion the ends that are stored once all jobs are that aren't dirty.
+    fn received_ends(&self) -> Vec<ReceivedEnds> {
+        let received = self.minions.iter().map(|(minion, state)| {
+            let mut unstored = state.unstored_ends.iter();
+            let first_dirty = unstored.find(|end| self.dirty.contains(end.job));
+            ReceivedEnds {
+                minion,
+                incarnation: state.incarnation,
+                last_number: first_dirty.map_or(state.received_seq, |end| end.number - 1),
+            }
+        });
+        received.collect()
+    }
+
     /// Takes up to `limit` jobs that ended longer ago than `retention`, so that their rows can be
     /// deleted. `unix_ms` is the time of day in Unix milliseconds.
     pub fn take_expired(&mut self, retention: Duration, unix_ms: u64, limit: usize) -> Vec<JobId> {
@@ -94,7 +123,7 @@
             if let Some(minion) = self.minions.get_mut(received.minion)
                 && minion.incarnation == received.incarnation
             {
-                minion.stored_seq = minion.stored_seq.max(received.last_number);
+                minion.record_stored_ends(received.last_number);
             }
         }
     }
@@ -108,7 +137,8 @@
         for change in &changes.jobs {
             self.storing.remove(&change.key);
         }
-        self.dirty
-            .extend(changes.jobs.iter().map(|change| change.key));
+        for change in &changes.jobs {
+            self.dirty.insert(change.key);
+        }
     }
 }
--- /dev/null
+++ b/crates/snipevane-core/src/jobs/dirty_jobs.rs
@@ -0,0 +1,43 @@
+//! Jobs whose row in the store is out of date, in the order in which they became so.
+
+use rustc_hash::FxHashMap;
+
+use super::job::JobKey;
+
+/// Set of the jobs whose row in the store is out of date.
+#[derive(Clone, Debug, Default)]
+pub(super) struct DirtyJobs {
+    /// Sequence number of the change that first made the job's row out of date.
+    since: FxHashMap<JobKey, u64>,
+    next: u64,
+}
+
+impl DirtyJobs {
+    /// Adds a job; one that is already in the set keeps its place.
+    pub(super) fn insert(&mut self, key: JobKey) {
+        self.since.entry(key).or_insert(self.next);
+        self.next += 1;
+    }
+
+    /// Removes a job.
+    pub(super) fn remove(&mut self, key: JobKey) {
+        self.since.remove(&key);
+    }
+
+    /// Returns whether a job is in the set.
+    pub(super) fn contains(&self, key: JobKey) -> bool {
+        self.since.contains_key(&key)
+    }
+
+    /// Returns whether the set is empty.
+    pub(super) fn is_empty(&self) -> bool {
+        self.since.is_empty()
+    }
+
+    /// Returns the jobs that `is_urgent` holds for, and then the others, each oldest first.
+    pub(super) fn in_order(&self, is_urgent: impl Fn(JobKey) -> bool) -> Vec<JobKey> {
+        let mut keys: Vec<JobKey> = self.since.keys().copied().collect();
+        keys.sort_by_cached_key(|&key| (!is_urgent(key), self.since[&key]));
+        keys
+    }
+}
--- a/crates/snipevane-core/src/jobs/ends.rs
+++ b/crates/snipevane-core/src/jobs/ends.rs
@@ -355,7 +355,7 @@
         let Some(job) = self.jobs.get(key) else {
             return;
         };
-        let has_unstored_changes = self.dirty.contains(&key) || self.storing.contains(&key);
+        let has_unstored_changes = self.dirty.contains(key) || self.storing.contains(&key);
         if !job.state.is_final() || has_unstored_changes || has_runs(job) {
             return;
         }
--- a/crates/snipevane-core/src/jobs/minion.rs
+++ b/crates/snipevane-core/src/jobs/minion.rs
@@ -1,5 +1,6 @@
 //! The state that the scheduler keeps for a minion.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use rustc_hash::FxHashSet;
@@ -8,6 +9,7 @@
 
 use crate::placement::Resources;
 
+use super::job::JobKey;
 use super::queue::StepRef;
 use super::run::RunKey;
 
@@ -45,6 +47,15 @@
     pub started_unix_ms: u64,
 }
 
+/// A run end that was received and isn't known to be stored.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnstoredEnd {
+    /// Sequence number of the end.
+    pub(super) number: u64,
+    /// Job that the run belongs to.
+    pub(super) job: JobKey,
+}
+
 /// A reading of a minion's clock, with the time at which the scheduler received it.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
@@ -80,6 +91,8 @@
     pub(super) list_clock_ms: u64,
     /// Sequence number of the last run end that was received and processed.
     pub received_seq: u64,
+    /// Ends that were received and whose job has a change to store, by ascending number.
+    pub(super) unstored_ends: VecDeque<UnstoredEnd>,
     /// Sequence number of the last run end that is stored, so that the minion may forget it.
     pub stored_seq: u64,
     /// Sequence number of the last run end that was acknowledged to the minion.
@@ -129,6 +142,7 @@
             last_contact: None,
             list_clock_ms: 0,
             received_seq: 0,
+            unstored_ends: VecDeque::new(),
             stored_seq: 0,
             acked_seq: 0,
             hold_in_flight: false,
@@ -163,12 +177,23 @@
         }
     }
 
+    /// Records that the ends up to a number are stored.
+    pub(super) fn record_stored_ends(&mut self, last_number: u64) {
+        self.stored_seq = self.stored_seq.max(last_number);
+        while self
+            .unstored_ends
+            .pop_front_if(|end| end.number <= last_number)
+            .is_some()
+        {}
+    }
+
     /// Resets the clock, the sequence numbers and the record of failures and speed after a restart.
     pub fn reset_for_incarnation(&mut self, incarnation: u64) {
         self.incarnation = Some(incarnation);
         self.clock = None;
         self.list_clock_ms = 0;
         self.received_seq = 0;
+        self.unstored_ends.clear();
         self.stored_seq = 0;
         self.acked_seq = 0;
         self.failed_steps.clear();
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod best_effort;
 mod changes;
 mod demand;
+mod dirty_jobs;
 mod durations;
 mod ended_jobs;
 mod ends;
--- a/crates/snipevane-core/src/jobs/reports.rs
+++ b/crates/snipevane-core/src/jobs/reports.rs
@@ -10,8 +10,8 @@
 use super::event::{LossReason, StopReason};
 use super::id::TaskId;
 use super::job::{JobKey, TaskRef};
-use super::minion::MinionKey;
-use super::run::{ActiveRun, HoldReply, Refusal, Run, RunKey, RunList, RunPhase};
+use super::minion::{MinionKey, UnstoredEnd};
+use super::run::{ActiveRun, EndedRun, HoldReply, Refusal, Run, RunKey, RunList, RunPhase};
 use super::scheduler::Scheduler;
 
 /// Maximum number of ends in one run list; a list of this length may be incomplete.
@@ -129,17 +129,7 @@
         minion.suspect = false;
         minion.last_contact = Some(now);
         for ended in &list.ended {
-            if ended.number
-                > self
-                    .minions
-                    .get(key)
-                    .map_or(0, |minion| minion.received_seq)
-            {
-                self.run_ended(key, ended, now, unix_ms);
-                if let Some(minion) = self.minions.get_mut(key) {
-                    minion.received_seq = ended.number;
-                }
-            }
+            self.process_end(key, ended, now, unix_ms);
         }
         for active in &list.active {
             self.update_run(key, active, now);
@@ -151,6 +141,27 @@
         }
     }
 
+    /// Processes an end from a minion's run list, unless it was processed before.
+    fn process_end(&mut self, key: MinionKey, ended: &EndedRun, now: Duration, unix_ms: u64) {
+        let received = self.minions.get(key).map(|minion| minion.received_seq);
+        if received.is_none_or(|received| ended.number <= received) {
+            return;
+        }
+        self.run_ended(key, ended, now, unix_ms);
+        let job = self.job_ids.get(&ended.task.step.job).copied();
+        let dirty_job = job.filter(|&job| self.dirty.contains(job));
+        let Some(minion) = self.minions.get_mut(key) else {
+            return;
+        };
+        minion.received_seq = ended.number;
+        minion
+            .unstored_ends
+            .extend(dirty_job.map(|job| UnstoredEnd {
+                number: ended.number,
+                job,
+            }));
+    }
+
     /// Returns the known runs of a minion that its run list contains as active.
     fn find_listed_runs(&self, key: MinionKey, active: &[ActiveRun]) -> FxHashSet<RunKey> {
         let known = active
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -12,6 +12,7 @@
 
 use super::action::{Action, Recipient};
 use super::advice::Permits;
+use super::dirty_jobs::DirtyJobs;
 use super::durations::DurationEstimator;
 use super::ended_jobs::EndedJobs;
 use super::event::SchedulerEvent;
@@ -105,7 +106,7 @@
     /// Jobs that have ended, kept so that a stale row doesn't add them again.
     pub(super) ended: EndedJobs,
     /// Jobs whose row in the store is out of date.
-    pub(super) dirty: FxHashSet<JobKey>,
+    pub(super) dirty: DirtyJobs,
     /// Jobs whose row is being written.
     pub(super) storing: FxHashSet<JobKey>,
     /// Whether a job has reached a final state that isn't stored yet.
@@ -154,7 +155,7 @@
             unreported,
             unreported_usage: FxHashMap::default(),
             ended: EndedJobs::default(),
-            dirty: FxHashSet::default(),
+            dirty: DirtyJobs::default(),
             storing: FxHashSet::default(),
             has_unstored_end: false,
             pending_orders: FxHashSet::default(),
@@ -224,7 +225,7 @@
             return self.ended.state(id);
         };
         let state = self.jobs.get(*key)?.state;
-        let has_unstored_changes = self.dirty.contains(key) || self.storing.contains(key);
+        let has_unstored_changes = self.dirty.contains(*key) || self.storing.contains(key);
         let shown = if state.is_final() && has_unstored_changes {
             JobState::Running
         } else {
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -20,8 +20,8 @@
 
 use super::leader::Leader;
 
-/// Maximum number of jobs in one transaction; each takes up to three entries.
-const MAX_JOBS_PER_TRANSACTION: usize = 28;
+/// Maximum number of entries in one transaction for the changes of jobs.
+const MAX_JOB_ENTRIES_PER_TRANSACTION: usize = 84;
 
 /// Maximum number of progress rows, of jobs that ended long ago, that one transaction removes.
 const MAX_EXPIRED_PER_TRANSACTION: usize = 5;
@@ -45,7 +45,7 @@
         let changes = leader
             .scheduler
             .borrow_mut()
-            .take_changes(MAX_JOBS_PER_TRANSACTION);
+            .take_changes(MAX_JOB_ENTRIES_PER_TRANSACTION);
         let transaction = build_transaction(&leader, &changes);
         let stored = commit(&leader, &transaction).await;
         let mut scheduler = leader.scheduler.borrow_mut();
--- a/tests/src/jobs/job_site.rs
+++ b/tests/src/jobs/job_site.rs
@@ -227,7 +227,7 @@
     }
 
     fn store(&mut self) {
-        let changes = self.scheduler.take_changes(30);
+        let changes = self.scheduler.take_changes(90);
         for change in &changes.jobs {
             if let Some(stored) = self.jobs.get_mut(&change.id) {
                 stored.progress = change.progress.clone();
--- a/tests/tests/jobs_scheduler.rs
+++ b/tests/tests/jobs_scheduler.rs
@@ -256,6 +256,20 @@
     assert_eq!(completed.count(), 6);
 }
 
+#[test]
+fn ends_are_acknowledged_while_changes_of_other_jobs_wait_to_be_stored() {
+    let mut built = job_site(1, 1);
+    built.submit(1, job("p0", vec![step(4, 1_000, 200, &[])]));
+    built.submit(2, job("p0", vec![step(4, 1_000, 500, &[])]));
+    built.store_available = false;
+    built.run(Duration::from_secs(1));
+    let changes = built.scheduler.take_changes(1);
+    built.scheduler.changes_stored(&changes);
+    let (_, minion) = built.scheduler.minions().next().expect("a minion");
+    assert_eq!(minion.received_seq, 8);
+    assert_eq!(minion.stored_seq, 4, "the ends of the first job");
+}
+
 /// Applies network partitions, crashes, restarts, lost and late orders, store outages and takeovers
 /// at random. `JobSite` checks each start against the active and completed runs of the task.
 #[test]
