Prefer much larger VMs for the scheduler's term

Cause: any VM could win the term and kept it.

Change: a request for a heartbeat tells the sender's cores and bandwidth, and the heartbeat the largest that could take over. A much smaller VM leaves a free term to others for 0.35 s; a scheduler on a much smaller VM releases its term once a larger one has been present for 2 s, and not again for 30 s. Settings without these figures, and messages of older processes, count as equal.

--- a/crates/snipevane-core/src/term.rs
+++ b/crates/snipevane-core/src/term.rs
@@ -21,6 +21,8 @@
     pub outage_threshold: Duration,
     /// Time that the scheduler has to renew its term after an outage of the store.
     pub outage_grace: Duration,
+    /// Time for which a VM leaves a free term to much larger VMs.
+    pub smaller_vm_delay: Duration,
 }
 
 impl Default for TermSettings {
@@ -31,6 +33,7 @@
             renewal_interval: Duration::from_millis(400),
             outage_threshold: Duration::from_millis(1_100),
             outage_grace: Duration::from_millis(900),
+            smaller_vm_delay: Duration::from_millis(350),
         }
     }
 }
@@ -112,10 +115,19 @@
         self.released = released;
     }
 
-    /// Returns whether this observer may try to take over.
+    /// Returns whether an observer may try to take over.
     pub fn is_free(&self, settings: &TermSettings, now: Duration) -> bool {
-        let unchanged = now >= self.first_seen + settings.term + settings.margin;
-        self.released || (unchanged && now >= self.grace_until)
+        self.is_free_since(settings, Duration::ZERO, now)
+    }
+
+    /// Returns whether the term has been free for a time, so that an observer that leaves it to
+    /// others for this time may try to take over.
+    pub fn is_free_since(&self, settings: &TermSettings, time: Duration, now: Duration) -> bool {
+        if self.released {
+            return now >= self.first_seen + time;
+        }
+        let unchanged = now >= self.first_seen + settings.term + settings.margin + time;
+        unchanged && now >= self.grace_until
     }
 
     /// Returns when the current version of the row was first read.
--- a/crates/snipevane-fleet/src/node.rs
+++ b/crates/snipevane-fleet/src/node.rs
@@ -3,10 +3,12 @@
 use std::cell::{Cell, RefCell};
 use std::ops::Range;
 use std::rc::Rc;
+use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use snipevane_adapter::settings::NodeSettings;
+use snipevane_core::candidates::VmCapacity;
 use tokio::sync::Notify;
 
 use crate::client::Client;
@@ -29,6 +31,11 @@
     pub site_view: RefCell<SiteView>,
     /// This process's view of the scheduler, which may run on another entry VM.
     pub scheduler_view: RefCell<SchedulerView>,
+    /// Capacity of the largest VM, apart from the scheduler's, that can take over the term, as the
+    /// scheduler last said; `None` if there is none.
+    pub largest_candidate: Cell<Option<VmCapacity>>,
+    /// Time before which this process doesn't hand over a term to a larger VM again.
+    pub no_handover_until: Cell<Duration>,
     /// Scheduler of this process's term, while it holds one.
     leader: RefCell<Option<Rc<Leader<C>>>>,
     /// Whether the process is stopping.
@@ -57,6 +64,8 @@
             store,
             site_view: RefCell::default(),
             scheduler_view: RefCell::default(),
+            largest_candidate: Cell::new(None),
+            no_handover_until: Cell::new(Duration::ZERO),
             leader: RefCell::new(None),
             stopping: Cell::new(false),
             shutdown: Notify::new(),
--- a/crates/snipevane-fleet/src/peers/messages.rs
+++ b/crates/snipevane-fleet/src/peers/messages.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snipevane_adapter::{Method, Request};
+use snipevane_core::candidates::VmCapacity;
 use snipevane_core::jobs::{JobId, JobSpec, JobState};
 
 /// Path of [`WatchRequest`].
@@ -20,14 +21,20 @@
 
 /// Requests a [`Heartbeat`], which is sent once the scheduler's row has a version other than
 /// `known`, or a wait has expired.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WatchRequest {
     /// Version of the scheduler's row that the sender knows.
     pub known: u64,
+    /// Name of the sender's VM.
+    #[serde(default)]
+    pub vm: SmolStr,
+    /// Capacity of the sender's VM; `None` if the sender can't take over the term at present.
+    #[serde(default)]
+    pub capacity: Option<VmCapacity>,
 }
 
 /// State of the scheduler's term, as last stored.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Version of the scheduler's row.
     pub version: u64,
@@ -37,6 +44,10 @@
     pub config_version: u64,
     /// Time since the store last confirmed that version, in milliseconds; `None` if it never did.
     pub config_age_ms: Option<u64>,
+    /// Capacity of the largest VM, apart from the scheduler's, that can take over the term; `None` if
+    /// there is none.
+    #[serde(default)]
+    pub largest_candidate: Option<VmCapacity>,
 }
 
 /// Requests that the scheduler store and run a job.
--- a/crates/snipevane-fleet/src/peers/scheduler_client.rs
+++ b/crates/snipevane-fleet/src/peers/scheduler_client.rs
@@ -42,14 +42,13 @@
 ) -> bool {
     let known = node.scheduler_view.borrow().version();
     let sent_at = node.clock.now();
-    let heartbeat = send_request(
-        node,
-        scheduler,
-        WATCH_PATH,
-        &WatchRequest { known },
-        WATCH_TIMEOUT,
-    )
-    .await;
+    let can_take_over = !node.stopping.get() && !node.store.is_unreachable();
+    let request = WatchRequest {
+        known,
+        vm: node.settings.node.clone(),
+        capacity: can_take_over.then_some(node.settings.capacity),
+    };
+    let heartbeat = send_request(node, scheduler, WATCH_PATH, &request, WATCH_TIMEOUT).await;
     let now = node.clock.now();
     let Ok(heartbeat) = heartbeat else {
         node.scheduler_view.borrow_mut().record_call_failure(now);
@@ -62,6 +61,7 @@
         let mut site = node.site_view.borrow_mut();
         site.confirm(heartbeat.config_version, confirmed_at);
     }
+    node.largest_candidate.set(heartbeat.largest_candidate);
     node.scheduler_view
         .borrow_mut()
         .record_heartbeat(settings, heartbeat, now)
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -108,6 +108,9 @@
 /// Returns `None` if this process doesn't schedule.
 async fn heartbeat<C: Clock>(node: &Node<C>, request: WatchRequest) -> Option<Heartbeat> {
     let leader = node.leader()?;
+    if let Some(capacity) = request.capacity {
+        leader.record_candidate(&request.vm, capacity);
+    }
     let written = leader.wait_for_row_change(request.known);
     // After a timeout the heartbeat repeats the known version.
     let _ = tokio::time::timeout(WATCH_WAIT, written).await;
@@ -121,6 +124,7 @@
         waiting: row.waiting.clone(),
         config_version: site.version(),
         config_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        largest_candidate: leader.largest_candidate(),
     })
 }
 
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -76,13 +76,26 @@
 
 /// Returns whether this process may try to win the term.
 ///
-/// It may do so at once if an earlier process on the same VM held the term.
+/// It may do so at once if an earlier process on the same VM held the term. A VM that is much smaller
+/// than another candidate leaves a free term to that one for a while.
 fn may_take_over<C: Clock>(node: &Node<C>, settings: &TermSettings) -> bool {
     let view = node.scheduler_view.borrow();
     let holder = view.row.as_ref();
     let predecessor = holder
         .is_some_and(|row| row.holder == node.settings.node && row.process != node.started_unix_ms);
-    predecessor || view.is_free(settings, node.clock.now())
+    let delay = takeover_delay(node, settings);
+    predecessor || view.is_free_since(settings, delay, node.clock.now())
+}
+
+/// Returns how long this VM leaves a free term to others.
+fn takeover_delay<C: Clock>(node: &Node<C>, settings: &TermSettings) -> Duration {
+    let own = &node.settings.capacity;
+    let largest = node.largest_candidate.get();
+    if largest.is_some_and(|largest| largest.is_much_larger_than(own)) {
+        settings.smaller_vm_delay
+    } else {
+        Duration::ZERO
+    }
 }
 
 async fn read_scheduler_row<C: Clock>(
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
+use snipevane_core::candidates::{Candidates, VmCapacity};
 use snipevane_core::jobs::{
     JobId, JobSpec, JobState, Scheduler, SchedulerSettings, Site, UnreportedRuns,
 };
@@ -27,6 +28,13 @@
 /// Interval at which the metrics of the term and of the pools are updated.
 const STATS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which the holder of the term checks for a larger VM.
+const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time after a handover during which the same process doesn't hand over again, in case that the
+/// larger VM can't take over.
+const HANDOVER_PAUSE: Duration = Duration::from_secs(30);
+
 /// Shortest time between scheduling decisions, during which events accumulate.
 const MIN_DECISION_INTERVAL: Duration = Duration::from_millis(3);
 
@@ -70,6 +78,10 @@
     pub(super) taken_over_at: Option<Duration>,
     /// Whether all jobs have been read, which is required before orders are sent.
     pub(super) jobs_loaded: Cell<bool>,
+    /// Other entry VMs that could take over the term.
+    candidates: RefCell<Candidates>,
+    /// Whether the term is to be released for a larger VM.
+    handing_over: Cell<bool>,
     /// Whether the term has ended; it can't be resumed.
     pub(super) ended: Cell<bool>,
     /// Reason for the end of the term, for the log.
@@ -98,6 +110,7 @@
             tokio::task::spawn_local(storing::store_changes(leader.clone())),
             tokio::task::spawn_local(vms::run_planner(leader.clone())),
             tokio::task::spawn_local(report_pool_stats(leader.clone())),
+            tokio::task::spawn_local(hand_over_to_larger_vm(leader.clone())),
         ];
         leader.run_decision_loop().await;
         leader.node.set_leader(None);
@@ -128,6 +141,8 @@
             pending_writes: RefCell::default(),
             taken_over_at,
             jobs_loaded: Cell::new(false),
+            candidates: RefCell::new(Candidates::new(node.settings.capacity)),
+            handing_over: Cell::new(false),
             ended: Cell::new(false),
             end_reason: Cell::new("the process is stopping"),
             advisor_reachable: Cell::new(true),
@@ -152,6 +167,23 @@
         self.scheduler.borrow().visible_state(id)
     }
 
+    /// Records that another entry VM could take over the term.
+    pub(crate) fn record_candidate(&self, vm: &SmolStr, capacity: VmCapacity) {
+        let now = self.node.clock.now();
+        self.candidates.borrow_mut().record(vm, capacity, now);
+    }
+
+    /// Returns the capacity of the largest other VM that could take over the term.
+    pub(crate) fn largest_candidate(&self) -> Option<VmCapacity> {
+        let now = self.node.clock.now();
+        self.candidates.borrow().largest(now)
+    }
+
+    /// Returns whether the next write releases the term; no more orders are decided until then.
+    pub(super) fn is_releasing(&self) -> bool {
+        self.node.stopping.get() || self.handing_over.get()
+    }
+
     /// Waits until the row has a version other than `known` or the term has ended.
     pub(crate) async fn wait_for_row_change(&self, known: u64) {
         while self.version.get() == known && !self.ended.get() {
@@ -175,7 +207,7 @@
     async fn run_decision_loop(self: &Rc<Self>) {
         while !self.ended.get() {
             let _ = timeout(MAX_DECISION_INTERVAL, self.wake.notified()).await;
-            if self.node.stopping.get() {
+            if self.is_releasing() {
                 self.store_wake.notify_one();
             }
             self.decide();
@@ -184,7 +216,7 @@
     }
 
     fn decide(self: &Rc<Self>) {
-        if !self.may_send_orders() || self.node.stopping.get() {
+        if !self.may_send_orders() || self.is_releasing() {
             return;
         }
         let site = self.node.site_view.borrow().site.clone();
@@ -212,6 +244,25 @@
     }
 }
 
+/// Hands the term over once a much larger VM has been present for a while.
+async fn hand_over_to_larger_vm<C: Clock>(leader: Rc<Leader<C>>) {
+    loop {
+        sleep(HANDOVER_CHECK_INTERVAL).await;
+        let node = &leader.node;
+        let now = node.clock.now();
+        let due = leader.candidates.borrow().has_settled_larger(now);
+        if !due || now < node.no_handover_until.get() || !leader.may_send_orders() {
+            continue;
+        }
+        node.no_handover_until.set(now + HANDOVER_PAUSE);
+        node.largest_candidate.set(leader.largest_candidate());
+        leader.end_reason.set("handed over to a larger VM");
+        leader.handing_over.set(true);
+        leader.store_wake.notify_one();
+        return;
+    }
+}
+
 /// Updates the metrics of the term's age and of each pool until the term ends.
 async fn report_pool_stats<C: Clock>(leader: Rc<Leader<C>>) {
     loop {
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -86,7 +86,7 @@
         let due = {
             let scheduler = leader.scheduler.borrow();
             let renewal = leader.term.borrow().renewal_due();
-            if leader.node.stopping.get() {
+            if leader.is_releasing() {
                 now
             } else if is_urgent(leader, &scheduler) {
                 renewal.min(written_at + URGENT_BATCH_DELAY)
@@ -119,7 +119,7 @@
         row.waiting = Some(scheduler.waiting_jobs());
     }
     row.minions = scheduler.minions_in_use(leader.node.clock.now());
-    row.released = leader.node.stopping.get();
+    row.released = leader.is_releasing();
     let mut transaction = Transaction::default();
     let key = (SCHEDULERS_TABLE.into(), SCHEDULER_KEY.into());
     transaction.writes.push((key.0, key.1, rows::encode(&*row)));
--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -129,6 +129,23 @@
     assert_eq!(site.started().len(), 8, "each task ran once");
 }
 
+#[test]
+fn the_term_is_handed_to_a_much_larger_vm_and_taken_back_when_that_is_gone() {
+    let mut site = Site::start("larger", 1, 2);
+    site.submit(0, JOB, 6, 6_000);
+    eventually("started", || site.started().len() == 6);
+    site.add_node(8.0);
+    eventually("the larger VM schedules", || site.scheduler() == Some(1));
+    site.wait_until_completed(0, JOB);
+    assert_eq!(site.row()["fence"], 2);
+    assert_eq!(site.started(), tasks(JOB, 6));
+    site.nodes[1].kill();
+    eventually("the smaller VM schedules", || site.scheduler() == Some(0));
+    site.submit(0, NEXT_JOB, 2, 50);
+    site.wait_until_completed(0, NEXT_JOB);
+    assert_eq!(site.started().len(), 8, "each task ran once");
+}
+
 #[test]
 fn the_scheduler_tells_states_without_a_read_of_the_store() {
     let site = Site::start("states", 2, 2);
--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -33,6 +33,7 @@
     pub(crate) store: Store,
     pub(crate) nodes: Vec<Node>,
     pub(crate) minions: Vec<Minion>,
+    name: String,
 }
 
 impl Site {
@@ -42,12 +43,15 @@
         store.put("op", "config", &configuration());
         let minions = (0..minions).map(|number| Minion::start(&store, &format!("i-{number}"), "p"));
         let minions = minions.collect();
-        let nodes = (0..nodes).map(|number| Node::start(&store, &format!("{name}-{number}")));
-        let site = Self {
-            nodes: nodes.collect(),
+        let mut site = Self {
+            nodes: Vec::new(),
             store,
             minions,
+            name: name.to_owned(),
         };
+        for _ in 0..nodes {
+            site.add_node(1.0);
+        }
         for node in &site.nodes {
             eventually("ready", || {
                 call(node.readiness, "GET", "/readyz", "", "").0 == 200
@@ -62,6 +66,12 @@
         site
     }
 
+    /// Starts another daemon, whose VM has this many cores.
+    pub(crate) fn add_node(&mut self, cores: f64) {
+        let name = format!("{}-{}", self.name, self.nodes.len());
+        self.nodes.push(Node::start(&self.store, &name, cores));
+    }
+
     /// Returns the scheduler's row in the store.
     pub(crate) fn row(&self) -> Value {
         self.store.get("schedulers", "all").unwrap_or(Value::Null)
@@ -120,14 +130,15 @@
 }
 
 impl Node {
-    fn start(store: &Store, name: &str) -> Self {
+    fn start(store: &Store, name: &str, cores: f64) -> Self {
         let endpoint = store.add_endpoint();
         let [callers, readiness, peer] = [free_address(), free_address(), free_address()];
         let text = format!(
             "nodeName = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"a\"\n\
              internalPortRange = [{port}, {port}]\n\
              [bindAddresses]\nfrontend = \"{callers}\"\nready = \"{readiness}\"\n\
-             [platform]\naddress = \"{store}\"\n",
+             [platform]\naddress = \"{store}\"\n\
+             [limits]\ncpuShare = {cores:?}\n",
             port = peer.port(),
             store = endpoint.address,
         );
--- a/crates/snipevane-fleet/tests/view.rs
+++ b/crates/snipevane-fleet/tests/view.rs
@@ -36,6 +36,7 @@
         waiting: None,
         config_version: 1,
         config_age_ms: None,
+        largest_candidate: None,
     }
 }
 
@@ -48,6 +49,29 @@
     (settings, view)
 }
 
+#[test]
+fn a_free_term_is_left_to_larger_vms_for_a_while() {
+    let (settings, mut view) = view_at_start(5);
+    let free_at = settings.term + settings.margin;
+    let delay = settings.smaller_vm_delay;
+    assert!(view.is_free(&settings, START + free_at));
+    assert!(!view.is_free_since(&settings, delay, START + free_at));
+    assert!(view.is_free_since(&settings, delay, START + free_at + delay));
+
+    let released = SchedulerRow {
+        released: true,
+        ..SchedulerRow::default()
+    };
+    let row = Row {
+        value: Some(rows::encode(&released)),
+        ..row(6)
+    };
+    view.record_read(&settings, Some(&row), after(200));
+    assert!(view.is_free(&settings, after(200)));
+    assert!(!view.is_free_since(&settings, delay, after(200)));
+    assert!(view.is_free_since(&settings, delay, after(200) + delay));
+}
+
 #[test]
 fn a_scheduler_that_writes_keeps_its_term_without_reads_of_the_store() {
     let (settings, mut view) = view_at_start(5);
