Report when slow replies limit the start orders

Cause: nothing in logs or metrics told an on-call engineer that the scheduler itself was too slow; SV2026 and SV2054 named sound minions instead, and a trial build had to show the reply times.

The repetition of an order is one function now.

--- a/crates/snipevane-core/src/jobs/event.rs
+++ b/crates/snipevane-core/src/jobs/event.rs
@@ -119,6 +119,13 @@
         /// Number of failures in a row.
         failures: u32,
     },
+    /// Fewer start orders may be in flight, as replies are slow.
+    StartsLimited {
+        /// Number of start orders that may be in flight.
+        limit: usize,
+        /// Smoothed time that minions take to reply, as it appears to the scheduler.
+        reply_time: Duration,
+    },
     /// A minion became unreachable, or reachable again.
     MinionReachability {
         /// Minion whose reachability changed.
--- a/crates/snipevane-core/src/jobs/orders.rs
+++ b/crates/snipevane-core/src/jobs/orders.rs
@@ -27,10 +27,9 @@
         };
         run.in_flight = false;
         let minion = run.minion;
+        let sent_at = run.start_sent_at;
         if reply != OrderReply::NoAnswer {
-            let target = self.settings.reply_target;
-            self.start_window
-                .record_reply(run.start_sent_at, target, now);
+            self.record_reply_time(sent_at, now);
         }
         match reply {
             OrderReply::Done { clock_ms } => {
@@ -39,13 +38,37 @@
             }
             OrderReply::Refused(refusal) => self.start_refused(key, refusal, now),
             OrderReply::NoAnswer => {
-                run.retry_at = now + self.settings.order_retry_delay;
-                self.pending_orders.insert(key);
+                self.retry_later(key, now);
                 self.mark_suspect(minion);
             }
         }
     }
 
+    /// Schedules a repetition of a run's order.
+    fn retry_later(&mut self, key: RunKey, now: Duration) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.retry_at = now + self.settings.order_retry_delay;
+            self.pending_orders.insert(key);
+        }
+    }
+
+    /// Adapts the congestion window to the reply to a start order, and reports if it has shrunk.
+    fn record_reply_time(&mut self, sent_at: Duration, now: Duration) {
+        let target = self.settings.reply_target;
+        if self.start_window.record_reply(sent_at, target, now) {
+            self.events.push(SchedulerEvent::StartsLimited {
+                limit: self.start_window.limit(),
+                reply_time: self.start_window.reply_time(now),
+            });
+        }
+    }
+
+    /// Returns the smoothed time that minions take to reply to start orders; zero if none was sent
+    /// lately.
+    pub fn order_reply_time(&self, now: Duration) -> Duration {
+        self.start_window.reply_time(now)
+    }
+
     /// Handles the reply to a stop order.
     pub fn stop_replied(&mut self, key: RunKey, reply: OrderReply, now: Duration) {
         let Some(run) = self.runs.get_mut(key) else {
@@ -65,8 +88,7 @@
                 self.mark_run_lost(key, LossReason::IncarnationGone);
             }
             OrderReply::Refused(_) | OrderReply::NoAnswer => {
-                run.retry_at = now + self.settings.order_retry_delay;
-                self.pending_orders.insert(key);
+                self.retry_later(key, now);
                 self.mark_suspect(minion);
             }
         }
--- a/crates/snipevane-core/src/jobs/start_window.rs
+++ b/crates/snipevane-core/src/jobs/start_window.rs
@@ -65,19 +65,31 @@
 
     /// Returns how many more start orders may be sent.
     pub(super) fn available(&self) -> usize {
-        (self.limit as usize).saturating_sub(self.in_flight)
+        self.limit().saturating_sub(self.in_flight)
     }
 
-    /// Adapts the window to a reply to an order that was sent at `sent_at`. Replies that take longer
-    /// than `target` are slow.
-    pub(super) fn record_reply(&mut self, sent_at: Duration, target: Duration, now: Duration) {
+    /// Adapts the window to a reply to an order that was sent at `sent_at`, and returns whether the
+    /// window has shrunk. Replies that take longer than `target` are slow.
+    pub(super) fn record_reply(
+        &mut self,
+        sent_at: Duration,
+        target: Duration,
+        now: Duration,
+    ) -> bool {
         let elapsed = now.saturating_sub(sent_at);
         self.measure(elapsed, now);
         if elapsed > target {
-            self.shrink(sent_at, now);
-        } else if self.in_flight * 2 >= self.limit as usize {
+            return self.shrink(sent_at, now);
+        }
+        if self.in_flight * 2 >= self.limit() {
             self.grow();
         }
+        false
+    }
+
+    /// Returns the number of start orders that may be in flight.
+    pub(super) fn limit(&self) -> usize {
+        self.limit as usize
     }
 
     /// Returns the smoothed time that minions take to reply, as it appears to this process; zero
@@ -104,13 +116,15 @@
         self.limit = (self.limit + increase).min(MAX_LIMIT);
     }
 
-    /// Shrinks the window, at most once for the orders that were in flight at the same time.
-    fn shrink(&mut self, sent_at: Duration, now: Duration) {
+    /// Shrinks the window, at most once for the orders that were in flight at the same time. Returns
+    /// whether it has shrunk.
+    fn shrink(&mut self, sent_at: Duration, now: Duration) -> bool {
         if sent_at < self.shrunk_at {
-            return;
+            return false;
         }
         self.limit = (self.limit * DECREASE).max(MIN_LIMIT);
         self.slow_start_until = self.limit;
         self.shrunk_at = now;
+        true
     }
 }
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -159,6 +159,11 @@
     gauge!("snipevane_term_age_seconds").set(age.as_secs_f64());
 }
 
+/// Records the smoothed time that minions take to reply to start orders.
+pub(crate) fn set_order_reply_time(reply_time: Duration) {
+    gauge!("snipevane_order_reply_seconds").set(reply_time.as_secs_f64());
+}
+
 /// Records the backlog and the capacity of a pool.
 pub(crate) fn set_pool_stats(pool: &SmolStr, stats: &PoolStats) {
     let pool = pool.to_string();
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -271,9 +271,14 @@
             .scheduler
             .borrow()
             .pool_stats(leader.node.clock.now());
+        let reply_time = leader
+            .scheduler
+            .borrow()
+            .order_reply_time(leader.node.clock.now());
         let renewed_at = leader.term.borrow().renewed_at();
         let age = leader.node.clock.now().saturating_sub(renewed_at);
         metrics::set_term_age(age);
+        metrics::set_order_reply_time(reply_time);
         for (pool, stats) in &stats {
             metrics::set_pool_stats(pool, stats);
         }
--- a/crates/snipevane-fleet/src/scheduling/notes.rs
+++ b/crates/snipevane-fleet/src/scheduling/notes.rs
@@ -68,6 +68,12 @@
         SchedulerEvent::MinionFailing { minion, failures } => {
             record(&events::MINION_FAILING, &[minion, failures]);
         }
+        SchedulerEvent::StartsLimited { limit, reply_time } => {
+            record(
+                &events::STARTS_LIMITED,
+                &[limit, &reply_time.as_millis(), &fence],
+            );
+        }
         SchedulerEvent::MinionReachability {
             minion,
             reachable,
