--- a/crates/snipevane-measure/src/claims/mod.rs
+++ b/crates/snipevane-measure/src/claims/mod.rs
@@ -1,35 +1,38 @@
 //! Table writes and unknown outcomes of several ways to run a request at most once.
 
-mod run;
-mod way;
+mod simulation;
+mod strategy;
 
 use serde::Serialize;
 
 use crate::MeasureError;
-use run::{Counts, LENGTH_S, Run};
-use way::Way;
+use simulation::{Counts, SIMULATED_TIME_S, Simulation};
+use strategy::Strategy;
 
 const DEFAULT_SEED: u64 = 4;
 /// Shards and non-idempotent requests a second.
 const SIZES: [(usize, f64); 2] = [(7, 100.0), (96, 1000.0)];
 
-const WAYS: [Way; 8] = [
-    Way::RowEach,
-    Way::OwnerClockFloor { lead_s: 3.0 },
-    Way::Owner { lead_s: 3.0 },
-    Way::Owner { lead_s: 60.0 },
-    Way::Owner { lead_s: 1800.0 },
-    Way::OwnerWitness { lead_s: 3.0 },
-    Way::OwnerAndRows { lead_s: 3.0 },
-    Way::OwnerAndRows { lead_s: 1800.0 },
+const STRATEGIES: [Strategy; 8] = [
+    Strategy::RowPerRequest,
+    Strategy::OwnerClockFloor { lead_s: 3.0 },
+    Strategy::Owner { lead_s: 3.0 },
+    Strategy::Owner { lead_s: 60.0 },
+    Strategy::Owner { lead_s: 1800.0 },
+    Strategy::OwnerWitness { lead_s: 3.0 },
+    Strategy::OwnerAndRows { lead_s: 3.0 },
+    Strategy::OwnerAndRows { lead_s: 1800.0 },
 ];
 
 #[derive(Serialize)]
 struct Line {
     shards: usize,
-    requests_a_second: f64,
-    way: String,
-    rows_a_second: f64,
+    #[serde(rename = "requests_a_second")]
+    requests_per_second: f64,
+    #[serde(rename = "way")]
+    strategy: String,
+    #[serde(rename = "rows_a_second")]
+    rows_per_second: f64,
     #[serde(flatten)]
     counts: Counts,
 }
@@ -57,13 +60,13 @@
 }
 
 fn measure((shards, rate): (usize, f64), seed: u64) -> impl Iterator<Item = Line> {
-    WAYS.into_iter().map(move |way| {
-        let counts = Run::new(way, shards, seed).run(rate);
+    STRATEGIES.into_iter().map(move |strategy| {
+        let counts = Simulation::new(strategy, shards, seed).run(rate);
         Line {
             shards,
-            requests_a_second: rate,
-            way: way.name(),
-            rows_a_second: counts.rows / LENGTH_S,
+            requests_per_second: rate,
+            strategy: strategy.name(),
+            rows_per_second: counts.rows / SIMULATED_TIME_S,
             counts,
         }
     })
@@ -76,9 +79,9 @@
         "{:3} shards {:5} req/s {:<34} rows/s {:7.1} answered {:7.3} % unknown: ran {:6.3} %, \
          not run {:6.3} % not run {:6.3} % (in the outage {:6.3} %)",
         line.shards,
-        line.requests_a_second,
-        line.way,
-        line.rows_a_second,
+        line.requests_per_second,
+        line.strategy,
+        line.rows_per_second,
         percent(counts.answered),
         percent(counts.unknown_ran),
         percent(counts.unknown_not_run),
--- a/crates/snipevane-measure/src/claims/way.rs
+++ b/crates/snipevane-measure/src/claims/strategy.rs
@@ -2,9 +2,9 @@
 
 /// Way to run a non-idempotent request at most once.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum Way {
+pub(super) enum Strategy {
     /// A row for each request, written before it is sent and after its answer.
-    RowEach,
+    RowPerRequest,
     /// Claims in the memory of the shard's holder, bounded by a ceiling in the shard's row.
     Owner { lead_s: f64 },
     /// As above; a new holder's floor is its clock plus the allowed skew if that is later.
@@ -15,10 +15,10 @@
     OwnerAndRows { lead_s: f64 },
 }
 
-impl Way {
+impl Strategy {
     pub(super) fn name(self) -> String {
         match self {
-            Self::RowEach => "row for each request".to_owned(),
+            Self::RowPerRequest => "row for each request".to_owned(),
             Self::Owner { lead_s } => format!("owner, lead {lead_s} s"),
             Self::OwnerClockFloor { lead_s } => format!("owner, clock in floor, lead {lead_s} s"),
             Self::OwnerWitness { lead_s } => format!("owner with witness, lead {lead_s} s"),
@@ -29,7 +29,7 @@
     /// Returns the time by which a new ceiling lies above the clock, in seconds, if there is one.
     pub(super) fn lead_s(self) -> Option<f64> {
         match self {
-            Self::RowEach => None,
+            Self::RowPerRequest => None,
             Self::Owner { lead_s }
             | Self::OwnerClockFloor { lead_s }
             | Self::OwnerWitness { lead_s }
@@ -38,9 +38,9 @@
     }
 
     /// Returns the rows that a request writes by itself.
-    pub(super) fn rows_for_request(self) -> f64 {
+    pub(super) fn rows_per_request(self) -> f64 {
         match self {
-            Self::RowEach => 2.0,
+            Self::RowPerRequest => 2.0,
             Self::Owner { .. } | Self::OwnerClockFloor { .. } | Self::OwnerWitness { .. } => 0.0,
             Self::OwnerAndRows { .. } => 1.0,
         }
--- a/crates/snipevane-measure/src/control/mod.rs
+++ b/crates/snipevane-measure/src/control/mod.rs
@@ -17,9 +17,9 @@
 /// Numbers of entry VMs if none are named.
 const DEFAULT_ENTRIES: [usize; 3] = [2, 4, 8];
 /// Time for the site to settle after its start.
-const SETTLE: Duration = Duration::from_secs(5);
+const SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Time of each part of the measurement: before, during and after the outage.
-const PERIOD: Duration = Duration::from_secs(20);
+const PERIOD_LENGTH: Duration = Duration::from_secs(20);
 
 /// Runs the measurement and prints its reports.
 ///
@@ -54,21 +54,21 @@
         slots: 8,
     };
     let site = MeasuredSite::start(size).await?;
-    tokio::time::sleep(SETTLE).await;
+    tokio::time::sleep(SETTLE_TIME).await;
     let cpu_before = site.cpu_times()?.entries;
-    let before = period(&site).await?;
+    let before = measure_period(&site).await?;
     let cpu = site.cpu_times()?.entries - cpu_before;
-    let away = PlatformFaults {
+    let unavailable = PlatformFaults {
         unavailable: true,
         ..PlatformFaults::default()
     };
-    site.set_faults(&away).await?;
-    let during = period(&site).await?;
+    site.set_faults(&unavailable).await?;
+    let during = measure_period(&site).await?;
     site.set_faults(&PlatformFaults::default()).await?;
-    let after = period(&site).await?;
+    let after = measure_period(&site).await?;
     Ok(ControlReport {
         entries,
-        cpu_percent: cpu.as_secs_f64() / PERIOD.as_secs_f64() / entries as f64 * 100.0,
+        cpu_percent: cpu.as_secs_f64() / PERIOD_LENGTH.as_secs_f64() / entries as f64 * 100.0,
         rss_mb: site.entry_rss_kb()? as f64 / 1024.0,
         before: PlatformCalls::of(&before, entries),
         outage: PlatformCalls::of(&during, entries),
@@ -78,9 +78,9 @@
 }
 
 /// Waits for a period, and returns the platform's load in it.
-async fn period(site: &MeasuredSite) -> Result<Vec<SecondEntry>, MeasureError> {
+async fn measure_period(site: &MeasuredSite) -> Result<Vec<SecondEntry>, MeasureError> {
     let start = site.platform_record().await?.seconds.len();
-    tokio::time::sleep(PERIOD).await;
+    tokio::time::sleep(PERIOD_LENGTH).await;
     let seconds = site.platform_record().await?.seconds;
     Ok(seconds.into_iter().skip(start).collect())
 }
--- a/crates/snipevane-measure/src/error.rs
+++ b/crates/snipevane-measure/src/error.rs
@@ -18,7 +18,7 @@
     Histogram(String),
     /// A process of the measured site ended with an error.
     #[error("the part {0} ended with an error")]
-    Part(String),
+    Process(String),
     /// The picture couldn't be drawn.
     #[error("can't draw the picture: {0}")]
     Picture(String),
--- a/crates/snipevane-measure/src/limits/hints.rs
+++ b/crates/snipevane-measure/src/limits/hints.rs
@@ -6,7 +6,7 @@
 /// What an entry VM corrected of a peer's hint.
 #[derive(Clone, Copy, Default)]
 struct Correction {
-    round: u32,
+    publication: u32,
     taken: u32,
 }
 
@@ -14,11 +14,11 @@
 pub(super) struct Hints {
     teams: usize,
     /// Published free units, by VM and team.
-    visible: Vec<Vec<u32>>,
+    published: Vec<Vec<u32>>,
     /// Free units that are published next.
-    pending: Vec<Vec<u32>>,
+    next: Vec<Vec<u32>>,
     /// Number of publications of each VM.
-    rounds: Vec<u32>,
+    publications: Vec<u32>,
     /// Corrections by observer, then by VM and team.
     corrections: Vec<Vec<Correction>>,
 }
@@ -27,9 +27,9 @@
     pub(super) fn new(vms: usize, teams: usize) -> Self {
         Self {
             teams,
-            visible: vec![vec![0; teams]; vms],
-            pending: vec![vec![0; teams]; vms],
-            rounds: vec![1; vms],
+            published: vec![vec![0; teams]; vms],
+            next: vec![vec![0; teams]; vms],
+            publications: vec![1; vms],
             corrections: vec![vec![Correction::default(); vms * teams]; vms],
         }
     }
@@ -37,27 +37,27 @@
     /// Publishes the free units of a VM as they were one period ago.
     pub(super) fn publish(&mut self, vm: usize, limits: &TeamLimiter, teams: &[TeamKey]) {
         let now = teams.iter().map(|&team| limits.free(team)).collect();
-        self.visible[vm] = std::mem::replace(&mut self.pending[vm], now);
-        self.rounds[vm] += 1;
+        self.published[vm] = std::mem::replace(&mut self.next[vm], now);
+        self.publications[vm] += 1;
     }
 
     /// Returns the free units that `observer` expects at `vm`.
     pub(super) fn free(&self, observer: usize, vm: usize, team: usize) -> u32 {
         let correction = self.corrections[observer][vm * self.teams + team];
-        let taken = if correction.round == self.rounds[vm] {
+        let taken = if correction.publication == self.publications[vm] {
             correction.taken
         } else {
             0
         };
-        self.visible[vm][team].saturating_sub(taken)
+        self.published[vm][team].saturating_sub(taken)
     }
 
     /// Notes that `observer` took units of `vm`; `u32::MAX` if it was refused.
-    pub(super) fn correct(&mut self, observer: usize, vm: usize, team: usize, taken: u32) {
+    pub(super) fn record_taken(&mut self, observer: usize, vm: usize, team: usize, taken: u32) {
         let correction = &mut self.corrections[observer][vm * self.teams + team];
-        if correction.round != self.rounds[vm] {
+        if correction.publication != self.publications[vm] {
             *correction = Correction {
-                round: self.rounds[vm],
+                publication: self.publications[vm],
                 taken: 0,
             };
         }
--- a/crates/snipevane-measure/src/limits/mod.rs
+++ b/crates/snipevane-measure/src/limits/mod.rs
@@ -1,64 +1,71 @@
 //! Part of the work below a team's limit that is refused, for several ways to place requests.
 
 mod hints;
-mod run;
+mod simulation;
 mod site;
-mod way;
+mod strategy;
 
 use serde::Serialize;
 use snipevane_core::shards::ConcentrationSettings;
 
 use crate::MeasureError;
-use run::{Counts, Run, run_with_one_counter};
+use simulation::{Counts, Simulation, count_with_one_counter};
 use site::{Size, arrivals};
-use way::{Choice, Deal, Way};
+use strategy::{Allocation, PeerChoice, Strategy};
 
 /// Demand in a burst, as multiples of a team's limit.
-const LOADS: [f64; 3] = [0.5, 0.9, 1.25];
+const BURST_LOADS: [f64; 3] = [0.5, 0.9, 1.25];
 const DEFAULT_SEED: u64 = 4;
 /// Length of a run, in milliseconds.
-const LENGTH_MS: f64 = 30_000.0;
+const SIMULATED_TIME_MS: f64 = 30_000.0;
 
-const WAYS: [Way; 17] = [
-    way(Deal::Even, Choice::Holder, 0),
-    way(Deal::Even, Choice::Holder, 1),
-    way(Deal::Even, Choice::ZoneFirst, 1),
-    way(Deal::Even, Choice::BestHint, 1),
-    way(Deal::Even, Choice::TwoChoices, 1),
-    way(Deal::Even, Choice::TwoChoicesCorrected, 1),
-    way(Deal::Even, Choice::Holder, 3),
-    way(Deal::Even, Choice::TwoChoicesCorrected, 3),
-    way(grains(64, 95), Choice::Holder, 1),
-    way(grains(64, 95), Choice::Holder, 3),
-    way(grains(64, 8), Choice::Holder, 3),
-    way(grains(16, 95), Choice::Holder, 3),
-    way(grains(16, 8), Choice::Holder, 3),
-    way(grains(1, 8), Choice::Holder, 3),
-    way(grains(8, 4), Choice::Holder, 3),
-    way(without_zones(64, 8), Choice::Holder, 3),
-    way(without_zones(1, 1), Choice::Holder, 1),
+const STRATEGIES: [Strategy; 17] = [
+    strategy(Allocation::Even, PeerChoice::Holder, 0),
+    strategy(Allocation::Even, PeerChoice::Holder, 1),
+    strategy(Allocation::Even, PeerChoice::ZoneFirst, 1),
+    strategy(Allocation::Even, PeerChoice::BestHint, 1),
+    strategy(Allocation::Even, PeerChoice::TwoChoices, 1),
+    strategy(Allocation::Even, PeerChoice::TwoChoicesCorrected, 1),
+    strategy(Allocation::Even, PeerChoice::Holder, 3),
+    strategy(Allocation::Even, PeerChoice::TwoChoicesCorrected, 3),
+    strategy(concentrated(64, 95), PeerChoice::Holder, 1),
+    strategy(concentrated(64, 95), PeerChoice::Holder, 3),
+    strategy(concentrated(64, 8), PeerChoice::Holder, 3),
+    strategy(concentrated(16, 95), PeerChoice::Holder, 3),
+    strategy(concentrated(16, 8), PeerChoice::Holder, 3),
+    strategy(concentrated(1, 8), PeerChoice::Holder, 3),
+    strategy(concentrated(8, 4), PeerChoice::Holder, 3),
+    strategy(
+        concentrated_without_zone_units(64, 8),
+        PeerChoice::Holder,
+        3,
+    ),
+    strategy(concentrated_without_zone_units(1, 1), PeerChoice::Holder, 1),
 ];
 
-const fn grains(min_units_per_shard: u32, max_shards_with_units: u32) -> Deal {
-    Deal::Grains(ConcentrationSettings {
+const fn concentrated(min_units_per_shard: u32, max_shards_with_units: u32) -> Allocation {
+    Allocation::Concentrated(ConcentrationSettings {
         min_units_per_shard,
         max_shards_with_units,
         units_per_zone: 1,
     })
 }
 
-const fn without_zones(min_units_per_shard: u32, max_shards_with_units: u32) -> Deal {
-    Deal::Grains(ConcentrationSettings {
+const fn concentrated_without_zone_units(
+    min_units_per_shard: u32,
+    max_shards_with_units: u32,
+) -> Allocation {
+    Allocation::Concentrated(ConcentrationSettings {
         min_units_per_shard,
         max_shards_with_units,
         units_per_zone: 0,
     })
 }
 
-const fn way(deal: Deal, choice: Choice, attempts: usize) -> Way {
-    Way {
-        deal,
-        choice,
+const fn strategy(allocation: Allocation, peer_choice: PeerChoice, attempts: usize) -> Strategy {
+    Strategy {
+        allocation,
+        peer_choice,
         attempts,
     }
 }
@@ -67,7 +74,8 @@
 struct Line {
     size: Size,
     load: f64,
-    way: String,
+    #[serde(rename = "way")]
+    strategy: String,
     /// Requests that one counter for the whole fleet would run.
     one_counter_ran: u64,
     #[serde(flatten)]
@@ -98,15 +106,15 @@
 fn measure(seed: u64) -> Vec<Line> {
     let mut lines = Vec::new();
     for size in [Size::Today, Size::Target] {
-        for load in LOADS {
-            let arrivals = arrivals(size, load, LENGTH_MS, seed);
-            let one_counter_ran = run_with_one_counter(size, &arrivals);
-            lines.extend(WAYS.map(|way| Line {
+        for load in BURST_LOADS {
+            let arrivals = arrivals(size, load, SIMULATED_TIME_MS, seed);
+            let one_counter_ran = count_with_one_counter(size, &arrivals);
+            lines.extend(STRATEGIES.map(|strategy| Line {
                 size,
                 load,
-                way: way.name(),
+                strategy: strategy.name(),
                 one_counter_ran,
-                counts: Run::new(size, way, seed).run(&arrivals),
+                counts: Simulation::new(size, strategy, seed).run(&arrivals),
             }));
         }
     }
@@ -120,7 +128,7 @@
         "{} load {:.2} {:<34} refused {:6.2} one hop {:6.2} later hop {:6.2} ran {:6.2} % of one counter, above limit {}",
         line.size.name(),
         line.load,
-        line.way,
+        line.strategy,
         percent(counts.refused, counts.eligible),
         percent(counts.one_hop, counts.eligible),
         percent(counts.later_hop, counts.eligible),
--- a/crates/snipevane-measure/src/limits/run.rs
+++ b/crates/snipevane-measure/src/limits/simulation.rs
@@ -13,12 +13,12 @@
 
 use super::hints::Hints;
 use super::site::{Arrival, Size};
-use super::way::{Place, Way};
+use super::strategy::{ForwardContext, Strategy};
 
 /// Time between two publications of a VM's free units, in milliseconds.
 const PUBLISH_PERIOD_MS: f64 = 300.0;
 /// Least and most time of a message between two entry VMs, in milliseconds.
-const MESSAGE_MS: (f64, f64) = (0.25, 0.75);
+const MESSAGE_DELAY_MS: (f64, f64) = (0.25, 0.75);
 
 /// Counts of one run.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -41,15 +41,15 @@
 struct Forward {
     arrival: Arrival,
     eligible: bool,
-    tried: Vec<usize>,
+    asked_peers: Vec<usize>,
 }
 
-enum What {
+enum EventKind {
     Arrive(Arrival),
     /// A request arrives at the peer that was asked last.
-    Ask(Forward),
+    Forwarded(Forward),
     /// The refusal of the peer that was asked last arrives back.
-    Refused(Forward),
+    Declined(Forward),
     End {
         vm: usize,
         team: usize,
@@ -60,8 +60,8 @@
 
 struct Event {
     at_ms: f64,
-    number: u64,
-    what: What,
+    sequence: u64,
+    kind: EventKind,
 }
 
 impl PartialEq for Event {
@@ -82,13 +82,13 @@
     /// Orders the earliest event highest, as the heap needs it.
     fn cmp(&self, other: &Self) -> Ordering {
         let time = other.at_ms.total_cmp(&self.at_ms);
-        time.then(other.number.cmp(&self.number))
+        time.then(other.sequence.cmp(&self.sequence))
     }
 }
 
 /// One run of a demand under one way to place requests.
-pub(super) struct Run {
-    way: Way,
+pub(super) struct Simulation {
+    strategy: Strategy,
     rng: ChaCha8Rng,
     teams: Vec<TeamKey>,
     limits: Vec<u32>,
@@ -99,38 +99,42 @@
     in_use: Vec<u32>,
     hints: Hints,
     events: BinaryHeap<Event>,
-    number: u64,
+    sequence: u64,
     now_ms: f64,
     counts: Counts,
 }
 
-impl Run {
-    pub(super) fn new(size: Size, way: Way, seed: u64) -> Self {
+impl Simulation {
+    pub(super) fn new(size: Size, strategy: Strategy, seed: u64) -> Self {
         let limits = size.limits();
         let mut keys: SlotMap<TeamKey, ()> = SlotMap::default();
         let teams: Vec<TeamKey> = limits.iter().map(|_| keys.insert(())).collect();
         let shards = ShardSet::new(
             (0..size.entry_vms())
-                .map(|vm| shard(vm, size.zones()))
+                .map(|vm| shard_name(vm, size.zones()))
                 .collect(),
         );
-        let dealt: Vec<Vec<u32>> = limits
+        let allocated: Vec<Vec<u32>> = limits
             .iter()
             .enumerate()
-            .map(|(team, &limit)| way.deal.units(&shards, limit, &format!("team-{team}")))
+            .map(|(team, &limit)| {
+                strategy
+                    .allocation
+                    .allocate(&shards, limit, &format!("team-{team}"))
+            })
             .collect();
         let mut vms: Vec<TeamLimiter> = (0..size.entry_vms())
             .map(|_| TeamLimiter::default())
             .collect();
         for (vm, units) in vms.iter_mut().enumerate() {
-            for (&team, dealt) in teams.iter().zip(&dealt) {
-                units.set_allowance(team, dealt[vm]);
+            for (&team, allocated) in teams.iter().zip(&allocated) {
+                units.set_allowance(team, allocated[vm]);
             }
         }
-        let holders = dealt.into_iter().map(holders).collect();
+        let holders = allocated.into_iter().map(holders).collect();
         let hints = Hints::new(vms.len(), teams.len());
         Self {
-            way,
+            strategy,
             rng: ChaCha8Rng::seed_from_u64(seed),
             in_use: vec![0; teams.len()],
             teams,
@@ -140,7 +144,7 @@
             vms,
             hints,
             events: BinaryHeap::new(),
-            number: 0,
+            sequence: 0,
             now_ms: 0.0,
             counts: Counts::default(),
         }
@@ -150,32 +154,32 @@
     pub(super) fn run(mut self, arrivals: &[Arrival]) -> Counts {
         for vm in 0..self.vms.len() {
             let phase_ms = PUBLISH_PERIOD_MS * vm as f64 / self.vms.len() as f64;
-            self.push(phase_ms, What::Publish(vm));
+            self.push(phase_ms, EventKind::Publish(vm));
         }
         let end_ms = arrivals.last().map_or(0.0, |arrival| arrival.at_ms);
         let mut arrivals = arrivals.iter();
         if let Some(&first) = arrivals.next() {
-            self.push(first.at_ms, What::Arrive(first));
+            self.push(first.at_ms, EventKind::Arrive(first));
         }
         while let Some(event) = self.events.pop() {
             self.now_ms = event.at_ms;
-            match event.what {
-                What::Arrive(arrival) => {
+            match event.kind {
+                EventKind::Arrive(arrival) => {
                     if let Some(&next) = arrivals.next() {
-                        self.push(next.at_ms, What::Arrive(next));
+                        self.push(next.at_ms, EventKind::Arrive(next));
                     }
-                    self.arrive(arrival);
+                    self.on_arrival(arrival);
                 }
-                What::Ask(forward) => self.ask(forward),
-                What::Refused(forward) => self.refused(forward),
-                What::End { vm, team, unit } => {
+                EventKind::Forwarded(forward) => self.on_forwarded(forward),
+                EventKind::Declined(forward) => self.on_declined(forward),
+                EventKind::End { vm, team, unit } => {
                     self.vms[vm].release(unit);
                     self.in_use[team] -= 1;
                 }
-                What::Publish(vm) => {
+                EventKind::Publish(vm) => {
                     self.hints.publish(vm, &self.vms[vm], &self.teams);
                     if self.now_ms < end_ms {
-                        self.push(self.now_ms + PUBLISH_PERIOD_MS, What::Publish(vm));
+                        self.push(self.now_ms + PUBLISH_PERIOD_MS, EventKind::Publish(vm));
                     }
                 }
             }
@@ -183,38 +187,39 @@
         self.counts
     }
 
-    fn arrive(&mut self, arrival: Arrival) {
+    fn on_arrival(&mut self, arrival: Arrival) {
         let eligible = self.in_use[arrival.team] < self.limits[arrival.team];
         self.counts.eligible += u64::from(eligible);
         if !self.start(arrival, arrival.vm) {
             self.forward(Forward {
                 arrival,
                 eligible,
-                tried: Vec::new(),
+                asked_peers: Vec::new(),
             });
         }
     }
 
-    fn ask(&mut self, forward: Forward) {
-        let peer = forward.tried.last().copied();
+    fn on_forwarded(&mut self, forward: Forward) {
+        let peer = forward.asked_peers.last().copied();
         if !peer.is_some_and(|peer| self.start(forward.arrival, peer)) {
-            let at_ms = self.now_ms + self.message_ms();
-            self.push(at_ms, What::Refused(forward));
+            let at_ms = self.now_ms + self.draw_message_delay_ms();
+            self.push(at_ms, EventKind::Declined(forward));
             return;
         }
-        if forward.eligible && forward.tried.len() == 1 {
+        if forward.eligible && forward.asked_peers.len() == 1 {
             self.counts.one_hop += 1;
         } else if forward.eligible {
             self.counts.later_hop += 1;
         }
     }
 
-    fn refused(&mut self, forward: Forward) {
-        if self.way.corrects()
-            && let Some(&peer) = forward.tried.last()
+    fn on_declined(&mut self, forward: Forward) {
+        if self.strategy.corrects_hints()
+            && let Some(&peer) = forward.asked_peers.last()
         {
             let arrival = &forward.arrival;
-            self.hints.correct(arrival.vm, peer, arrival.team, u32::MAX);
+            self.hints
+                .record_taken(arrival.vm, peer, arrival.team, u32::MAX);
         }
         self.forward(forward);
     }
@@ -222,24 +227,26 @@
     /// Passes a request on, or refuses it after the last attempt.
     fn forward(&mut self, mut forward: Forward) {
         let Arrival { team, vm, .. } = forward.arrival;
-        let place = Place {
+        let cx = ForwardContext {
             vm,
             team,
             zones: self.zones,
-            tried: &forward.tried,
+            asked_peers: &forward.asked_peers,
         };
         let holders = &self.holders[team];
-        let peer = self.way.choose(&self.hints, holders, &place, &mut self.rng);
+        let peer = self
+            .strategy
+            .choose(&self.hints, holders, &cx, &mut self.rng);
         let Some(peer) = peer else {
             self.counts.refused += u64::from(forward.eligible);
             return;
         };
-        if self.way.corrects() {
-            self.hints.correct(vm, peer, team, 1);
+        if self.strategy.corrects_hints() {
+            self.hints.record_taken(vm, peer, team, 1);
         }
-        forward.tried.push(peer);
-        let at_ms = self.now_ms + self.message_ms();
-        self.push(at_ms, What::Ask(forward));
+        forward.asked_peers.push(peer);
+        let at_ms = self.now_ms + self.draw_message_delay_ms();
+        self.push(at_ms, EventKind::Forwarded(forward));
     }
 
     /// Starts a request if the VM has a free unit.
@@ -252,27 +259,31 @@
         let above = self.in_use[team].saturating_sub(self.limits[team]);
         self.counts.above_limit = self.counts.above_limit.max(above);
         self.counts.ran += 1;
-        self.push(self.now_ms + arrival.run_ms, What::End { vm, team, unit });
+        self.push(
+            self.now_ms + arrival.run_time_ms,
+            EventKind::End { vm, team, unit },
+        );
         true
     }
 
-    fn message_ms(&mut self) -> f64 {
-        self.rng.random_range(MESSAGE_MS.0..MESSAGE_MS.1)
+    fn draw_message_delay_ms(&mut self) -> f64 {
+        self.rng
+            .random_range(MESSAGE_DELAY_MS.0..MESSAGE_DELAY_MS.1)
     }
 
-    fn push(&mut self, at_ms: f64, what: What) {
-        self.number += 1;
-        let number = self.number;
+    fn push(&mut self, at_ms: f64, kind: EventKind) {
+        self.sequence += 1;
+        let sequence = self.sequence;
         self.events.push(Event {
             at_ms,
-            number,
-            what,
+            sequence,
+            kind,
         });
     }
 }
 
 /// Returns the number of requests that one counter for the whole fleet would run.
-pub(super) fn run_with_one_counter(size: Size, arrivals: &[Arrival]) -> u64 {
+pub(super) fn count_with_one_counter(size: Size, arrivals: &[Arrival]) -> u64 {
     let limits = size.limits();
     let mut ends: Vec<BinaryHeap<std::cmp::Reverse<u64>>> = vec![BinaryHeap::new(); limits.len()];
     let mut ran = 0;
@@ -286,19 +297,21 @@
             ends.pop();
         }
         if ends.len() < limits[arrival.team] as usize {
-            ends.push(std::cmp::Reverse(micros(arrival.at_ms + arrival.run_ms)));
+            ends.push(std::cmp::Reverse(micros(
+                arrival.at_ms + arrival.run_time_ms,
+            )));
             ran += 1;
         }
     }
     ran
 }
 
-fn holders(dealt: Vec<u32>) -> Vec<(usize, u32)> {
-    let holders = dealt.into_iter().enumerate();
+fn holders(allocated: Vec<u32>) -> Vec<(usize, u32)> {
+    let holders = allocated.into_iter().enumerate();
     holders.filter(|(_, units)| *units > 0).collect()
 }
 
-fn shard(vm: usize, zones: usize) -> ShardName {
+fn shard_name(vm: usize, zones: usize) -> ShardName {
     ShardName {
         zone: format!("z{}", vm % zones).into(),
         index: (vm / zones) as u16,
--- a/crates/snipevane-measure/src/limits/site.rs
+++ b/crates/snipevane-measure/src/limits/site.rs
@@ -5,11 +5,11 @@
 use serde::Serialize;
 
 /// Mean time that a request runs, in milliseconds.
-const MEAN_RUN_MS: f64 = 50.0;
+const MEAN_RUN_TIME_MS: f64 = 50.0;
 /// Length of a team's burst, in milliseconds.
 const BURST_MS: f64 = 5_000.0;
 /// Time from one burst of a team to its next, in milliseconds.
-const PERIOD_MS: f64 = 30_000.0;
+const BURST_INTERVAL_MS: f64 = 30_000.0;
 /// Demand in a burst, as a multiple of the mean.
 const BURST_FACTOR: f64 = 5.0;
 /// Demand between bursts, as a multiple of the mean.
@@ -66,7 +66,7 @@
     /// Entry VM that the balancer chose.
     pub(super) vm: usize,
     /// Time that the request runs, in milliseconds.
-    pub(super) run_ms: f64,
+    pub(super) run_time_ms: f64,
 }
 
 /// Draws the arrivals of all teams, in the order of time.
@@ -77,18 +77,18 @@
     let limits = size.limits();
     let mut arrivals = Vec::new();
     for (team, &limit) in limits.iter().enumerate() {
-        let phase_ms = PERIOD_MS * team as f64 / limits.len() as f64;
-        let peak = load * f64::from(limit) / MEAN_RUN_MS;
+        let phase_ms = BURST_INTERVAL_MS * team as f64 / limits.len() as f64;
+        let peak = load * f64::from(limit) / MEAN_RUN_TIME_MS;
         let mut at_ms = exponential(&mut rng) / peak;
         // Arrivals at the peak's rate are thinned to the rate of the time.
         while at_ms < length_ms {
-            let in_burst = (at_ms + phase_ms) % PERIOD_MS < BURST_MS;
+            let in_burst = (at_ms + phase_ms) % BURST_INTERVAL_MS < BURST_MS;
             if in_burst || rng.random::<f64>() < QUIET_FACTOR / BURST_FACTOR {
                 arrivals.push(Arrival {
                     at_ms,
                     team,
                     vm: rng.random_range(0..size.entry_vms()),
-                    run_ms: exponential(&mut rng) * MEAN_RUN_MS,
+                    run_time_ms: exponential(&mut rng) * MEAN_RUN_TIME_MS,
                 });
             }
             at_ms += exponential(&mut rng) / peak;
--- a/crates/snipevane-measure/src/limits/way.rs
+++ b/crates/snipevane-measure/src/limits/strategy.rs
@@ -9,25 +9,27 @@
 
 /// Deal of a limit over the shards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Deal {
+pub(super) enum Allocation {
     /// The same for each shard, but for the remainder.
     Even,
     /// Some units for each zone, the rest on few shards.
-    Grains(ConcentrationSettings),
+    Concentrated(ConcentrationSettings),
 }
 
-impl Deal {
-    pub(super) fn units(self, shards: &ShardSet, limit: u32, team: &str) -> Vec<u32> {
+impl Allocation {
+    pub(super) fn allocate(self, shards: &ShardSet, limit: u32, team: &str) -> Vec<u32> {
         match self {
             Self::Even => shards.allocate(limit, team),
-            Self::Grains(grains) => shards.allocate_concentrated(limit, team, grains),
+            Self::Concentrated(concentrated) => {
+                shards.allocate_concentrated(limit, team, concentrated)
+            }
         }
     }
 }
 
 /// Choice of the peer that is asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Choice {
+pub(super) enum PeerChoice {
     /// A random holder, weighted by its units in the deal.
     Holder,
     /// A holder in the own zone first, then as above.
@@ -42,47 +44,49 @@
 
 /// A team's request at its entry VM, with the peers that refused it.
 #[derive(Debug)]
-pub(super) struct Place<'a> {
+pub(super) struct ForwardContext<'a> {
     pub(super) vm: usize,
     pub(super) team: usize,
     pub(super) zones: usize,
-    pub(super) tried: &'a [usize],
+    pub(super) asked_peers: &'a [usize],
 }
 
 /// Way to deal out limits and to place requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Way {
-    pub(super) deal: Deal,
-    pub(super) choice: Choice,
+pub(super) struct Strategy {
+    pub(super) allocation: Allocation,
+    pub(super) peer_choice: PeerChoice,
     /// Number of peers that are asked at most, one after the other.
     pub(super) attempts: usize,
 }
 
-impl Way {
+impl Strategy {
     pub(super) fn name(self) -> String {
-        let deal = match self.deal {
-            Deal::Even => "even".to_owned(),
-            Deal::Grains(grains) => format!(
+        let allocation = match self.allocation {
+            Allocation::Even => "even".to_owned(),
+            Allocation::Concentrated(concentrated) => format!(
                 "grains of {}, {} holders, {} a zone",
-                grains.min_units_per_shard, grains.max_shards_with_units, grains.units_per_zone
+                concentrated.min_units_per_shard,
+                concentrated.max_shards_with_units,
+                concentrated.units_per_zone
             ),
         };
         if self.attempts == 0 {
-            return format!("{deal}, no forwarding");
+            return format!("{allocation}, no forwarding");
         }
-        let choice = match self.choice {
-            Choice::Holder => "holder",
-            Choice::ZoneFirst => "zone first",
-            Choice::BestHint => "best hint",
-            Choice::TwoChoices => "two choices",
-            Choice::TwoChoicesCorrected => "two choices corrected",
+        let peer_choice = match self.peer_choice {
+            PeerChoice::Holder => "holder",
+            PeerChoice::ZoneFirst => "zone first",
+            PeerChoice::BestHint => "best hint",
+            PeerChoice::TwoChoices => "two choices",
+            PeerChoice::TwoChoicesCorrected => "two choices corrected",
         };
-        format!("{deal}, {choice}, {}", self.attempts)
+        format!("{allocation}, {peer_choice}, {}", self.attempts)
     }
 
     /// Tells whether an entry VM corrects the hints by what it sent and was refused.
-    pub(super) fn corrects(self) -> bool {
-        self.choice == Choice::TwoChoicesCorrected
+    pub(super) fn corrects_hints(self) -> bool {
+        self.peer_choice == PeerChoice::TwoChoicesCorrected
     }
 
     /// Chooses the peer to ask among the holders of units, given with their units.
@@ -92,31 +96,31 @@
         self,
         hints: &Hints,
         holders: &[(usize, u32)],
-        place: &Place<'_>,
+        cx: &ForwardContext<'_>,
         rng: &mut ChaCha8Rng,
     ) -> Option<usize> {
-        if place.tried.len() >= self.attempts {
+        if cx.asked_peers.len() >= self.attempts {
             return None;
         }
-        let others = holders.iter().copied();
-        let others = others.filter(|(vm, _)| *vm != place.vm && !place.tried.contains(vm));
-        let others: Vec<(usize, u32)> = others.collect();
-        let free = |vm: usize| hints.free(place.vm, vm, place.team);
-        let hinted = || others.iter().filter(|(vm, _)| free(*vm) > 0);
-        let near = || {
-            others
+        let candidates = holders.iter().copied();
+        let candidates = candidates.filter(|(vm, _)| *vm != cx.vm && !cx.asked_peers.contains(vm));
+        let candidates: Vec<(usize, u32)> = candidates.collect();
+        let free = |vm: usize| hints.free(cx.vm, vm, cx.team);
+        let hinted = || candidates.iter().filter(|(vm, _)| free(*vm) > 0);
+        let same_zone = || {
+            candidates
                 .iter()
-                .filter(|(vm, _)| vm % place.zones == place.vm % place.zones)
+                .filter(|(vm, _)| vm % cx.zones == cx.vm % cx.zones)
         };
-        let preferred: Vec<(usize, u32)> = match self.choice {
-            Choice::Holder => Vec::new(),
-            Choice::ZoneFirst => near().copied().collect(),
-            Choice::BestHint => hinted()
+        let preferred: Vec<(usize, u32)> = match self.peer_choice {
+            PeerChoice::Holder => Vec::new(),
+            PeerChoice::ZoneFirst => same_zone().copied().collect(),
+            PeerChoice::BestHint => hinted()
                 .max_by_key(|(vm, _)| free(*vm))
                 .copied()
                 .into_iter()
                 .collect(),
-            Choice::TwoChoices | Choice::TwoChoicesCorrected => {
+            PeerChoice::TwoChoices | PeerChoice::TwoChoicesCorrected => {
                 let hinted: Vec<(usize, u32)> = hinted().copied().collect();
                 let picks = hinted.sample(rng, 2);
                 picks
@@ -126,22 +130,22 @@
                     .collect()
             }
         };
-        weighted(&preferred, rng).or_else(|| weighted(&others, rng))
+        pick_weighted(&preferred, rng).or_else(|| pick_weighted(&candidates, rng))
     }
 }
 
 /// Draws a holder, weighted by its units.
-fn weighted(holders: &[(usize, u32)], rng: &mut ChaCha8Rng) -> Option<usize> {
-    let total: u32 = holders.iter().map(|(_, units)| units).sum();
+fn pick_weighted(holders: &[(usize, u32)], rng: &mut ChaCha8Rng) -> Option<usize> {
+    let total: u32 = holders.iter().map(|(_, allocate)| allocate).sum();
     if total == 0 {
         return None;
     }
     let mut drawn = rng.random_range(0..total);
-    for &(vm, units) in holders {
-        if drawn < units {
+    for &(vm, allocate) in holders {
+        if drawn < allocate {
             return Some(vm);
         }
-        drawn -= units;
+        drawn -= allocate;
     }
     None
 }
--- a/crates/snipevane-measure/src/path/load.rs
+++ b/crates/snipevane-measure/src/path/load.rs
@@ -37,35 +37,38 @@
     /// Time from the start to the end.
     elapsed: Duration,
     /// Times of the requests that were answered with 200, in microseconds.
-    pub(super) times: Histogram<u64>,
+    pub(super) latencies: Histogram<u64>,
     /// Requests that were answered with another status or not at all.
     pub(super) failed: u64,
 }
 
 impl Load {
     /// Sends requests one after the other from each caller.
-    pub(super) async fn closed(target: &Target, time: Duration) -> Result<Self, MeasureError> {
-        Self::run(target, time, None).await
+    pub(super) async fn closed_loop(
+        target: &Target,
+        duration: Duration,
+    ) -> Result<Self, MeasureError> {
+        Self::run(target, duration, None).await
     }
 
     /// Sends requests at a rate over all callers.
-    pub(super) async fn paced(
+    pub(super) async fn at_rate(
         target: &Target,
         per_second: f64,
-        time: Duration,
+        duration: Duration,
     ) -> Result<Self, MeasureError> {
         let interval = Duration::from_secs_f64(target.callers as f64 / per_second);
-        Self::run(target, time, Some(interval)).await
+        Self::run(target, duration, Some(interval)).await
     }
 
     /// Returns the requests answered with 200 each second.
     pub(super) fn per_second(&self) -> f64 {
-        self.times.len() as f64 / self.elapsed.as_secs_f64()
+        self.latencies.len() as f64 / self.elapsed.as_secs_f64()
     }
 
     async fn run(
         target: &Target,
-        time: Duration,
+        duration: Duration,
         interval: Option<Duration>,
     ) -> Result<Self, MeasureError> {
         let mut callers = Vec::new();
@@ -75,21 +78,23 @@
         let start = Instant::now();
         let mut tasks = JoinSet::new();
         for (number, caller) in callers.into_iter().enumerate() {
-            let share = number as f64 / target.callers as f64;
-            let pace = interval.map(|interval| Pace {
-                next: start + interval.mul_f64(share),
+            let fraction = number as f64 / target.callers as f64;
+            let pacing = interval.map(|interval| Pacing {
+                next: start + interval.mul_f64(fraction),
                 interval,
             });
-            tasks.spawn(work(caller, start + time, pace));
+            tasks.spawn(run_caller(caller, start + duration, pacing));
         }
         let mut load = Self {
             elapsed: Duration::ZERO,
-            times: new_histogram()?,
+            latencies: new_histogram()?,
             failed: 0,
         };
         while let Some(result) = tasks.join_next().await {
-            let (times, failed) = result.map_err(io::Error::other)??;
-            load.times.add(&times).map_err(MeasureError::histogram)?;
+            let (latencies, failed) = result.map_err(io::Error::other)??;
+            load.latencies
+                .add(&latencies)
+                .map_err(MeasureError::histogram)?;
             load.failed += failed;
         }
         load.elapsed = start.elapsed();
@@ -98,12 +103,12 @@
 }
 
 /// When a caller sends its requests.
-struct Pace {
+struct Pacing {
     next: Instant,
     interval: Duration,
 }
 
-impl Pace {
+impl Pacing {
     /// Waits until the next request is due, and returns the time from which it counts.
     ///
     /// A request that is late because the former one took long counts from when it was due; the
@@ -119,26 +124,26 @@
     }
 }
 
-async fn work(
+async fn run_caller(
     mut caller: Caller,
     until: Instant,
-    mut pace: Option<Pace>,
+    mut pacing: Option<Pacing>,
 ) -> Result<(Histogram<u64>, u64), MeasureError> {
-    let mut times = new_histogram()?;
+    let mut latencies = new_histogram()?;
     let mut failed = 0;
     loop {
-        let started = match &mut pace {
-            Some(pace) => pace.wait().await,
+        let started = match &mut pacing {
+            Some(pacing) => pacing.wait().await,
             None => Instant::now(),
         };
         if started >= until {
-            return Ok((times, failed));
+            return Ok((latencies, failed));
         }
         match caller.send().await {
             Ok(StatusCode::OK) => {
                 let micros = started.elapsed().as_micros();
                 let micros = u64::try_from(micros).unwrap_or(u64::MAX);
-                times.record(micros).map_err(MeasureError::histogram)?;
+                latencies.record(micros).map_err(MeasureError::histogram)?;
             }
             Ok(_) => failed += 1,
             Err(_) => {
--- a/crates/snipevane-measure/src/path/mod.rs
+++ b/crates/snipevane-measure/src/path/mod.rs
@@ -25,9 +25,9 @@
     slots: 8,
 };
 /// Time of one round of load.
-const ROUND: Duration = Duration::from_secs(3);
+const ROUND_LENGTH: Duration = Duration::from_secs(3);
 /// Time of load before the first round.
-const WARM_UP: Duration = Duration::from_secs(1);
+const WARM_UP_LENGTH: Duration = Duration::from_secs(1);
 /// Rounds of each kind, direct and through the entry VM in turn.
 const ROUNDS: usize = 5;
 /// Open callers' connections for the memory figure.
@@ -64,28 +64,33 @@
         callers,
     };
     for target in [&direct, &through] {
-        Load::closed(target, WARM_UP).await?;
+        Load::closed_loop(target, WARM_UP_LENGTH).await?;
     }
     let mut direct_rates = Vec::new();
     let mut through_rates = Vec::new();
     let mut failed = 0;
     for _ in 0..ROUNDS {
         for (target, rates) in [(&direct, &mut direct_rates), (&through, &mut through_rates)] {
-            let load = Load::closed(target, ROUND).await?;
+            let load = Load::closed_loop(target, ROUND_LENGTH).await?;
             rates.push(load.per_second());
             failed += load.failed;
         }
     }
     let (direct_rate, through_rate) = (median(direct_rates), median(through_rates));
-    let half = through_rate / 2.0;
-    let cpu = measure_cpu(&site, &through, half).await?;
-    let mut direct_times = new_histogram()?;
-    let mut through_times = new_histogram()?;
+    let half_rate = through_rate / 2.0;
+    let cpu = measure_cpu(&site, &through, half_rate).await?;
+    let mut direct_latencies = new_histogram()?;
+    let mut through_latencies = new_histogram()?;
     for _ in 0..ROUNDS {
-        for (target, times) in [(&direct, &mut direct_times), (&through, &mut through_times)] {
-            let load = Load::paced(target, half, ROUND).await?;
+        for (target, latencies) in [
+            (&direct, &mut direct_latencies),
+            (&through, &mut through_latencies),
+        ] {
+            let load = Load::at_rate(target, half_rate, ROUND_LENGTH).await?;
             failed += load.failed;
-            times.add(&load.times).map_err(MeasureError::histogram)?;
+            latencies
+                .add(&load.latencies)
+                .map_err(MeasureError::histogram)?;
         }
     }
     let memory = measure_memory(&site, &through).await?;
@@ -93,9 +98,9 @@
         direct_per_second: direct_rate,
         through_per_second: through_rate,
         relative: through_rate / direct_rate,
-        paced_per_second: half,
-        direct: Latency::of(&direct_times),
-        through: Latency::of(&through_times),
+        paced_per_second: half_rate,
+        direct: Latency::of(&direct_latencies),
+        through: Latency::of(&through_latencies),
         cpu,
         failed,
         memory,
@@ -110,9 +115,9 @@
     per_second: f64,
 ) -> Result<CpuPerRequest, MeasureError> {
     let before = site.cpu_times()?;
-    let load = Load::paced(through, per_second, ROUND).await?;
+    let load = Load::at_rate(through, per_second, ROUND_LENGTH).await?;
     let after = site.cpu_times()?;
-    let requests = load.times.len().max(1) as f64;
+    let requests = load.latencies.len().max(1) as f64;
     let per_request = |used: Duration| used.as_secs_f64() * 1e6 / requests;
     Ok(CpuPerRequest {
         entry_us: per_request(after.entries - before.entries),
--- a/crates/snipevane-measure/src/routing/demand.rs
+++ b/crates/snipevane-measure/src/routing/demand.rs
@@ -8,15 +8,15 @@
 use super::layout::{ENTRY_VMS, SERVERS_PER_SERVICE, SERVICES, SLOTS};
 
 /// Length of a service's burst.
-const BURST: Duration = Duration::from_secs(4);
+const BURST_LENGTH: Duration = Duration::from_secs(4);
 /// Demand of a service during its burst, as a multiple of its mean.
 const BURST_FACTOR: f64 = 5.0;
 /// Demand of a service between its bursts, as a multiple of its mean.
 const QUIET_FACTOR: f64 = 0.05;
 /// Mean time that a backend server runs a request.
-const MEAN_RUN: Duration = Duration::from_millis(100);
+const MEAN_RUN_TIME: Duration = Duration::from_millis(100);
 /// Longest time that a backend server runs a request.
-pub(super) const LONGEST_RUN: Duration = Duration::from_secs(1);
+pub(super) const MAX_RUN_TIME: Duration = Duration::from_secs(1);
 
 /// One request of a run.
 #[derive(Clone, Copy, Debug)]
@@ -28,7 +28,7 @@
     /// Service that the request asks for.
     pub(super) service: usize,
     /// Time that a backend server needs.
-    pub(super) run: Duration,
+    pub(super) run_time: Duration,
 }
 
 /// Draws the requests of a run in order of their arrival.
@@ -37,29 +37,32 @@
 pub(super) fn draw(seed: u64, length: Duration, burst_load: f64) -> Vec<Request> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let slots = SERVERS_PER_SERVICE as f64 * f64::from(SLOTS);
-    let burst_rate = burst_load * slots / MEAN_RUN.as_secs_f64();
+    let burst_rate = burst_load * slots / MEAN_RUN_TIME.as_secs_f64();
     let mut requests = Vec::new();
     for service in 0..SERVICES {
         let mut at = 0.0;
         while at < length.as_secs_f64() {
-            let rate = match is_burst(service, at) {
+            let rate = match is_in_burst(service, at) {
                 true => burst_rate,
                 false => burst_rate * QUIET_FACTOR / BURST_FACTOR,
             };
             let next = at + exponential(&mut rng) / rate;
             // A gap that reaches over a change of the rate is drawn anew from the change on.
-            let change = ((at / BURST.as_secs_f64()).floor() + 1.0) * BURST.as_secs_f64();
+            let change =
+                ((at / BURST_LENGTH.as_secs_f64()).floor() + 1.0) * BURST_LENGTH.as_secs_f64();
             if next >= change {
                 at = change;
                 continue;
             }
             at = next;
-            let run = MEAN_RUN.mul_f64(exponential(&mut rng)).min(LONGEST_RUN);
+            let run_time = MEAN_RUN_TIME
+                .mul_f64(exponential(&mut rng))
+                .min(MAX_RUN_TIME);
             requests.push(Request {
                 at: Duration::from_secs_f64(at),
                 entry_vm: rng.random_range(0..ENTRY_VMS),
                 service,
-                run,
+                run_time,
             });
         }
     }
@@ -67,9 +70,9 @@
     requests
 }
 
-fn is_burst(service: usize, at: f64) -> bool {
-    let turn = (at / BURST.as_secs_f64()).floor() as usize;
-    turn % SERVICES == service
+fn is_in_burst(service: usize, at: f64) -> bool {
+    let burst_index = (at / BURST_LENGTH.as_secs_f64()).floor() as usize;
+    burst_index % SERVICES == service
 }
 
 fn exponential(rng: &mut ChaCha8Rng) -> f64 {
--- a/crates/snipevane-measure/src/routing/entry_vm.rs
+++ b/crates/snipevane-measure/src/routing/entry_vm.rs
@@ -18,22 +18,22 @@
 };
 
 /// Shortest time between two notices of one service to all peers that an idle slot causes.
-const SHORTEST_BROADCAST_GAP: Duration = Duration::from_millis(5);
+const MIN_BROADCAST_INTERVAL: Duration = Duration::from_millis(5);
 /// Free slots up to which a newly free one is worth a notice to all peers.
-const FEW_SLOTS: u32 = 2;
+const MAX_FREE_SLOTS_TO_BROADCAST: u32 = 2;
 
 /// Which entry VM owns a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Ownership {
+pub(super) enum SlotOwnership {
     /// A server's slots are dealt to all entry VMs of its zone.
-    Dealt,
+    AllEntryVms,
     /// All slots of a server belong to one entry VM of its zone.
-    Home,
+    OneEntryVm,
 }
 
 /// A request on its way, with the entry VM that its caller reached.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Job {
+pub(super) struct RoutedRequest {
     pub(super) number: usize,
     pub(super) origin: usize,
     /// Whether the request may wait at the peer that it was forwarded to.
@@ -41,7 +41,7 @@
     pub(super) is_retry: bool,
 }
 
-impl Job {
+impl RoutedRequest {
     pub(super) fn new(number: usize, origin: usize) -> Self {
         Self {
             number,
@@ -52,7 +52,7 @@
     }
 
     /// Lets the request wait at the peer that it is forwarded to.
-    pub(super) fn waiting_at_peer(self) -> Self {
+    pub(super) fn allow_waiting_at_peer(self) -> Self {
         Self {
             waits_at_peer: true,
             ..self
@@ -60,7 +60,7 @@
     }
 
     /// Marks the request as tried a second time.
-    pub(super) fn retried(self) -> Self {
+    pub(super) fn as_retry(self) -> Self {
         Self {
             is_retry: true,
             ..self
@@ -87,30 +87,30 @@
 
 /// What came of taking the next waiting request.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Popped {
-    pub(super) job: Option<Job>,
+pub(super) struct Dequeued {
+    pub(super) routed: Option<RoutedRequest>,
     /// Requests that had waited too long.
-    pub(super) late: usize,
+    pub(super) expired: usize,
 }
 
 /// State of an entry VM.
 pub(super) struct EntryVm {
     keys: Keys,
     pub(super) router: Router,
-    pub(super) queues: Vec<FairQueue<Job>>,
+    pub(super) queues: Vec<FairQueue<RoutedRequest>>,
     pub(super) peers: Peers,
-    pub(super) notices: LoadReporter,
+    pub(super) load_reporter: LoadReporter,
     pub(super) retries: RetryBudget,
     /// Last notice to all peers that an idle slot caused, by service.
-    broadcast_at: [Option<Duration>; SERVICES],
+    last_broadcast_at: [Option<Duration>; SERVICES],
 }
 
 impl EntryVm {
     pub(super) fn new(number: usize, keys: Keys) -> Self {
         let mut peers = Peers::default();
         for peer in (0..ENTRY_VMS).filter(|&peer| peer != number) {
-            let near = zone_of_entry_vm(peer) == zone_of_entry_vm(number);
-            let distance = match near {
+            let same_zone = zone_of_entry_vm(peer) == zone_of_entry_vm(number);
+            let distance = match same_zone {
                 true => Distance::Zone,
                 false => Distance::Region,
             };
@@ -123,18 +123,18 @@
                 .map(|_| FairQueue::new(QueueSettings::default()))
                 .collect(),
             peers,
-            notices: LoadReporter::default(),
+            load_reporter: LoadReporter::default(),
             retries: RetryBudget::default(),
-            broadcast_at: [None; SERVICES],
+            last_broadcast_at: [None; SERVICES],
         }
     }
 
     /// Replaces the slots by those of some shards.
-    pub(super) fn deal(&mut self, ownership: Ownership, shards: &[usize], now: Instant) {
+    pub(super) fn set_shards(&mut self, ownership: SlotOwnership, shards: &[usize], now: Instant) {
         let specs = (0..SERVERS).filter_map(|server| {
             let slots: u16 = shards
                 .iter()
-                .map(|&shard| dealt_slots(ownership, server, shard))
+                .map(|&shard| allocated_slots(ownership, server, shard))
                 .sum();
             (slots > 0).then(|| ServerSpec {
                 vm: format!("vm-{server}").into(),
@@ -161,9 +161,9 @@
     /// Returns whether all peers should hear of an idle slot; if so it counts as sent.
     pub(super) fn broadcast_due(&mut self, service: usize, now: Duration) -> bool {
         let load = self.load(service);
-        let last = &mut self.broadcast_at[service];
-        let recent = last.is_some_and(|at| now < at + SHORTEST_BROADCAST_GAP);
-        if load.waiting > 0 || load.free == 0 || load.free > FEW_SLOTS || recent {
+        let last = &mut self.last_broadcast_at[service];
+        let recent = last.is_some_and(|at| now < at + MIN_BROADCAST_INTERVAL);
+        if load.waiting > 0 || load.free == 0 || load.free > MAX_FREE_SLOTS_TO_BROADCAST || recent {
             return false;
         }
         *last = Some(now);
@@ -180,19 +180,19 @@
         let report = match failed {
             true => RequestOutcome::Failed,
             false => RequestOutcome::Answered {
-                latency: request.run,
+                latency: request.run_time,
             },
         };
         self.router.release(slot, report, now);
-        let seconds = request.run.as_secs_f64();
+        let seconds = request.run_time.as_secs_f64();
         self.queues[request.service].charge(self.keys.team, seconds, now);
     }
 
     /// Adds a waiting request; returns whether there was room.
-    pub(super) fn push(
+    pub(super) fn enqueue(
         &mut self,
         service: usize,
-        job: Job,
+        routed: RoutedRequest,
         start_by: Instant,
         now: Instant,
     ) -> bool {
@@ -200,18 +200,18 @@
             team: self.keys.team,
             urgency: Urgency::Normal,
             start_by,
-            item: job,
+            item: routed,
         };
         self.queues[service].push(waiting, now).is_ok()
     }
 
     /// Takes the next waiting request.
-    pub(super) fn pop(&mut self, service: usize, now: Instant) -> Popped {
+    pub(super) fn dequeue(&mut self, service: usize, now: Instant) -> Dequeued {
         let queue = &mut self.queues[service];
         let next = queue.pop(now, |_| true);
-        Popped {
-            job: next.map(|next| next.item),
-            late: queue.expire(now).len(),
+        Dequeued {
+            routed: next.map(|next| next.item),
+            expired: queue.expire(now).len(),
         }
     }
 
@@ -228,20 +228,20 @@
 }
 
 /// Returns the slots of a server that belong to an entry VM's shard.
-fn dealt_slots(ownership: Ownership, server: usize, shard: usize) -> u16 {
+fn allocated_slots(ownership: SlotOwnership, server: usize, shard: usize) -> u16 {
     let owners = entry_vms_of(zone_of_server(server));
-    let Some(place) = owners.iter().position(|&owner| owner == shard) else {
+    let Some(position) = owners.iter().position(|&owner| owner == shard) else {
         return 0;
     };
     let count = owners.len();
     // The shards that get one slot more than others differ from server to server.
-    let turn = (place + server / ZONES) % count;
+    let rotated = (position + server / ZONES) % count;
     match ownership {
-        Ownership::Dealt => {
+        SlotOwnership::AllEntryVms => {
             let remainder = usize::from(SLOTS) % count;
-            SLOTS / count as u16 + u16::from(turn < remainder)
+            SLOTS / count as u16 + u16::from(rotated < remainder)
         }
-        Ownership::Home if turn == 0 => SLOTS,
-        Ownership::Home => 0,
+        SlotOwnership::OneEntryVm if rotated == 0 => SLOTS,
+        SlotOwnership::OneEntryVm => 0,
     }
 }
--- a/crates/snipevane-measure/src/routing/events.rs
+++ b/crates/snipevane-measure/src/routing/events.rs
@@ -6,7 +6,7 @@
 
 struct Scheduled<E> {
     at: Duration,
-    number: u64,
+    sequence: u64,
     event: E,
 }
 
@@ -27,35 +27,39 @@
 impl<E> Ord for Scheduled<E> {
     fn cmp(&self, other: &Self) -> Ordering {
         // The heap gives the largest first, the run needs the earliest.
-        (other.at, other.number).cmp(&(self.at, self.number))
+        (other.at, other.sequence).cmp(&(self.at, self.sequence))
     }
 }
 
 /// Events that are due later; those of the same time keep their order.
-pub(super) struct Events<E> {
+pub(super) struct EventQueue<E> {
     heap: BinaryHeap<Scheduled<E>>,
-    number: u64,
+    sequence: u64,
 }
 
-impl<E> Default for Events<E> {
+impl<E> Default for EventQueue<E> {
     fn default() -> Self {
         Self {
             heap: BinaryHeap::new(),
-            number: 0,
+            sequence: 0,
         }
     }
 }
 
-impl<E> Events<E> {
+impl<E> EventQueue<E> {
     /// Adds an event.
-    pub(super) fn add(&mut self, at: Duration, event: E) {
-        let number = self.number;
-        self.number += 1;
-        self.heap.push(Scheduled { at, number, event });
+    pub(super) fn push(&mut self, at: Duration, event: E) {
+        let sequence = self.sequence;
+        self.sequence += 1;
+        self.heap.push(Scheduled {
+            at,
+            sequence,
+            event,
+        });
     }
 
     /// Takes the earliest event.
-    pub(super) fn next(&mut self) -> Option<(Duration, E)> {
+    pub(super) fn pop(&mut self) -> Option<(Duration, E)> {
         let scheduled = self.heap.pop()?;
         Some((scheduled.at, scheduled.event))
     }
--- a/crates/snipevane-measure/src/routing/ideal.rs
+++ b/crates/snipevane-measure/src/routing/ideal.rs
@@ -4,7 +4,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use super::LONGEST_WAIT;
+use super::MAX_WAIT;
 use super::demand::Request;
 use super::layout::{SERVERS_PER_SERVICE, SERVICES, SLOTS, service_of};
 use super::record::{Figures, Record};
@@ -32,12 +32,12 @@
             continue;
         };
         let start = free_at.max(request.at);
-        if start > request.at + LONGEST_WAIT {
+        if start > request.at + MAX_WAIT {
             record.refused(1);
             slots[request.service].push(Reverse(free_at));
             continue;
         }
-        let end = start + request.run;
+        let end = start + request.run_time;
         record.answered(end - request.at);
         slots[request.service].push(Reverse(end));
     }
--- a/crates/snipevane-measure/src/routing/layout.rs
+++ b/crates/snipevane-measure/src/routing/layout.rs
@@ -17,8 +17,8 @@
 /// Connections of each backend server that one entry VM may open.
 pub(super) const CONNECTIONS_PER_ENTRY_VM: u16 = 9;
 
-const ONE_WAY_IN_ZONE: Duration = Duration::from_micros(50);
-const ONE_WAY_BETWEEN_ZONES: Duration = Duration::from_micros(250);
+const DELAY_IN_ZONE: Duration = Duration::from_micros(50);
+const DELAY_BETWEEN_ZONES: Duration = Duration::from_micros(250);
 
 /// Returns the zone of an entry VM.
 pub(super) fn zone_of_entry_vm(entry_vm: usize) -> usize {
@@ -48,10 +48,10 @@
 }
 
 /// Returns the time that a message takes between two zones.
-pub(super) fn one_way(from_zone: usize, to_zone: usize) -> Duration {
+pub(super) fn network_delay(from_zone: usize, to_zone: usize) -> Duration {
     if from_zone == to_zone {
-        ONE_WAY_IN_ZONE
+        DELAY_IN_ZONE
     } else {
-        ONE_WAY_BETWEEN_ZONES
+        DELAY_BETWEEN_ZONES
     }
 }
--- a/crates/snipevane-measure/src/routing/mod.rs
+++ b/crates/snipevane-measure/src/routing/mod.rs
@@ -13,25 +13,25 @@
 mod owned;
 mod record;
 mod scenario;
+mod strategy;
 mod two_choices;
-mod way;
 
 pub use record::Figures;
 
 use std::time::Duration;
 
-use owned::OwnedRun;
-use two_choices::TwoChoicesRun;
-use way::OWNED_WAYS;
+use owned::OwnedSlotsSimulation;
+use strategy::OWNED_SLOT_STRATEGIES;
+use two_choices::TwoChoicesSimulation;
 
 use crate::MeasureError;
 
 /// Time that requests arrive for.
-const LENGTH: Duration = Duration::from_secs(100);
+const ARRIVAL_PERIOD: Duration = Duration::from_secs(100);
 /// Longest time that a request waits before it is refused.
-const LONGEST_WAIT: Duration = Duration::from_secs(3);
+const MAX_WAIT: Duration = Duration::from_secs(3);
 /// Time after which a failing server fails a request.
-const FAILING_RUN: Duration = Duration::from_millis(1);
+const FAILING_RUN_TIME: Duration = Duration::from_millis(1);
 const DEFAULT_SEED: u64 = 7;
 
 /// Runs all ways of routing in all scenarios, with arrivals for `length`.
@@ -43,12 +43,12 @@
     let mut figures = Vec::new();
     for scenario in scenario::all() {
         let requests = demand::draw(seed, length, scenario.burst_load);
-        for way in OWNED_WAYS {
-            let run = OwnedRun::new(way, &scenario, &requests, seed)?;
+        for strategy in OWNED_SLOT_STRATEGIES {
+            let run = OwnedSlotsSimulation::new(strategy, &scenario, &requests, seed)?;
             figures.push(run.run());
         }
         figures.push(ideal::run(&scenario, &requests)?);
-        let run = TwoChoicesRun::new(&scenario, &requests, seed)?;
+        let run = TwoChoicesSimulation::new(&scenario, &requests, seed)?;
         figures.push(run.run());
     }
     Ok(figures)
@@ -61,12 +61,12 @@
 /// Returns an error if the figures can't be made or written as JSON.
 pub fn run(json: bool, seed: Option<u64>) -> Result<(), MeasureError> {
     let seed = seed.unwrap_or(DEFAULT_SEED);
-    let figures = measure(seed, LENGTH)?;
+    let figures = measure(seed, ARRIVAL_PERIOD)?;
     if json {
         println!("{}", serde_json::to_string_pretty(&figures)?);
         return Ok(());
     }
-    println!("seed {seed}, {} s of arrivals", LENGTH.as_secs());
+    println!("seed {seed}, {} s of arrivals", ARRIVAL_PERIOD.as_secs());
     println!(
         "{:<22} {:<17} {:>8} {:>7} {:>7} {:>8} {:>7} {:>9} {:>6} {:>6} {:>6} {:>5} {:>8}",
         "scenario",
@@ -88,7 +88,7 @@
             "{:<22} {:<17} {:>8} {:>7.1} {:>7.1} {:>8.3} {:>7.3} {:>9.1} {:>6.3} {:>6.1} {:>6.2} \
              {:>5} {:>8.1}",
             row.scenario,
-            row.way,
+            row.strategy,
             row.requests,
             row.p50_ms,
             row.p99_ms,
--- a/crates/snipevane-measure/src/routing/network.rs
+++ b/crates/snipevane-measure/src/routing/network.rs
@@ -4,20 +4,20 @@
 
 use snipevane_core::routing::{Load, Slot};
 
-use super::entry_vm::Job;
-use super::events::Events;
-use super::layout::{one_way, zone_of_entry_vm, zone_of_server};
+use super::entry_vm::RoutedRequest;
+use super::events::EventQueue;
+use super::layout::{network_delay, zone_of_entry_vm, zone_of_server};
 
 /// A request that has a slot of an entry VM.
 pub(super) struct Exchange {
     pub(super) entry_vm: usize,
     pub(super) slot: Slot,
-    pub(super) job: Job,
+    pub(super) routed: RoutedRequest,
 }
 
 /// What an entry VM tells a peer.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Told {
+pub(super) struct LoadMessage {
     pub(super) from: usize,
     pub(super) to: usize,
     pub(super) service: usize,
@@ -29,13 +29,17 @@
     /// A request comes from the balancer.
     Arrive(usize),
     /// A peer's request arrives.
-    Forwarded { to: usize, job: Job },
+    Forwarded { to: usize, routed: RoutedRequest },
     /// A forwarded request comes back.
-    Declined { by: usize, job: Job, load: Load },
+    Declined {
+        by: usize,
+        routed: RoutedRequest,
+        load: Load,
+    },
     /// A peer wants slots.
-    Want(Told),
+    SlotRequest(LoadMessage),
     /// A peer tells of its load.
-    Notice(Told),
+    LoadReport(LoadMessage),
     /// A request arrives at its backend server.
     Start(Exchange),
     /// A backend server has run a request.
@@ -43,7 +47,7 @@
     /// An answer arrives at the entry VM that sent the request.
     Answer(Exchange),
     /// An entry VM sends its regular notices.
-    NoticeTick(usize),
+    LoadReportTick(usize),
     /// Requests that have waited too long are refused.
     ExpiryTick,
     /// A lost entry VM's slots go to a peer.
@@ -53,44 +57,44 @@
 /// Messages under way, and the time.
 #[derive(Default)]
 pub(super) struct Network {
-    events: Events<Event>,
+    events: EventQueue<Event>,
     pub(super) now: Duration,
 }
 
 impl Network {
     /// Adds an event at a given time.
     pub(super) fn at(&mut self, at: Duration, event: Event) {
-        self.events.add(at, event);
+        self.events.push(at, event);
     }
 
     /// Adds an event after some time.
-    pub(super) fn after(&mut self, passed: Duration, event: Event) {
-        self.events.add(self.now + passed, event);
+    pub(super) fn after(&mut self, delay: Duration, event: Event) {
+        self.events.push(self.now + delay, event);
     }
 
     /// Sends a message from one entry VM to another.
     pub(super) fn send(&mut self, from: usize, to: usize, event: Event) {
-        self.after(between(from, to), event);
+        self.after(peer_delay(from, to), event);
     }
 
     /// Sends a message between an entry VM and a backend server.
-    pub(super) fn send_server(&mut self, entry_vm: usize, server: usize, event: Event) {
-        let passed = one_way(zone_of_entry_vm(entry_vm), zone_of_server(server));
-        self.after(passed, event);
+    pub(super) fn send_to_server(&mut self, entry_vm: usize, server: usize, event: Event) {
+        let delay = network_delay(zone_of_entry_vm(entry_vm), zone_of_server(server));
+        self.after(delay, event);
     }
 
     /// Takes the next event and moves the time on.
     pub(super) fn next(&mut self) -> Option<Event> {
-        let (now, event) = self.events.next()?;
+        let (now, event) = self.events.pop()?;
         self.now = now;
         Some(event)
     }
 }
 
 /// Returns the time that a message between two entry VMs takes.
-pub(super) fn between(from: usize, to: usize) -> Duration {
+pub(super) fn peer_delay(from: usize, to: usize) -> Duration {
     if from == to {
         return Duration::ZERO;
     }
-    one_way(zone_of_entry_vm(from), zone_of_entry_vm(to))
+    network_delay(zone_of_entry_vm(from), zone_of_entry_vm(to))
 }
--- a/crates/snipevane-measure/src/routing/owned.rs
+++ b/crates/snipevane-measure/src/routing/owned.rs
@@ -12,26 +12,26 @@
 use snipevane_core::routing::{Load, PeerKey, RequestOutcome, Slot};
 
 use super::demand::Request;
-use super::entry_vm::{EntryVm, Job, Keys, Popped, name_of};
+use super::entry_vm::{Dequeued, EntryVm, Keys, RoutedRequest, name_of};
 use super::layout::{ENTRY_VMS, SERVERS, SERVICES, entry_vms_of, service_of, zone_of_entry_vm};
-use super::network::{Event, Exchange, Network, Told, between};
+use super::network::{Event, Exchange, LoadMessage, Network, peer_delay};
 use super::record::{Figures, Record};
-use super::scenario::{Balanced, Scenario};
-use super::way::{Notify, Way};
-use super::{FAILING_RUN, LONGEST_WAIT};
+use super::scenario::{BalancerTarget, Scenario};
+use super::strategy::{ReportMode, Strategy};
+use super::{FAILING_RUN_TIME, MAX_WAIT};
 use crate::MeasureError;
 
 /// Time between two looks for requests that have waited too long.
-const EXPIRY_EVERY: Duration = Duration::from_millis(50);
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Run of one way of routing.
-pub(super) struct OwnedRun<'a> {
-    way: Way,
+pub(super) struct OwnedSlotsSimulation<'a> {
+    strategy: Strategy,
     scenario: &'a Scenario,
     requests: &'a [Request],
     start: Instant,
     keys: Keys,
-    names: Vec<SmolStr>,
+    vm_names: Vec<SmolStr>,
     entry_vms: Vec<EntryVm>,
     running: [u16; SERVERS],
     network: Network,
@@ -39,9 +39,9 @@
     rng: ChaCha8Rng,
 }
 
-impl<'a> OwnedRun<'a> {
+impl<'a> OwnedSlotsSimulation<'a> {
     pub(super) fn new(
-        way: Way,
+        strategy: Strategy,
         scenario: &'a Scenario,
         requests: &'a [Request],
         seed: u64,
@@ -49,12 +49,12 @@
         let keys = Keys::new();
         let entry_vms = (0..ENTRY_VMS).map(|number| EntryVm::new(number, keys.clone()));
         let mut run = Self {
-            way,
+            strategy,
             scenario,
             requests,
             start: Instant::now(),
             entry_vms: entry_vms.collect(),
-            names: (0..ENTRY_VMS).map(name_of).collect(),
+            vm_names: (0..ENTRY_VMS).map(name_of).collect(),
             keys,
             running: [0; SERVERS],
             network: Network::default(),
@@ -62,7 +62,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         for entry_vm in 0..ENTRY_VMS {
-            run.deal_to(entry_vm, &[entry_vm]);
+            run.assign_shards(entry_vm, &[entry_vm]);
         }
         Ok(run)
     }
@@ -73,11 +73,11 @@
             self.network.at(request.at, Event::Arrive(number));
         }
         for entry_vm in 0..ENTRY_VMS {
-            let every = self.way.notify.every();
-            let first = every.mul_f64(entry_vm as f64 / ENTRY_VMS as f64);
-            self.network.at(first, Event::NoticeTick(entry_vm));
+            let report_interval = self.strategy.report_mode.report_interval();
+            let first = report_interval.mul_f64(entry_vm as f64 / ENTRY_VMS as f64);
+            self.network.at(first, Event::LoadReportTick(entry_vm));
         }
-        self.network.at(EXPIRY_EVERY, Event::ExpiryTick);
+        self.network.at(EXPIRY_INTERVAL, Event::ExpiryTick);
         if let Some((lost, at)) = self.scenario.takeover() {
             self.network.at(at, Event::Takeover(lost));
         }
@@ -86,20 +86,20 @@
             self.handle(event);
         }
         self.record
-            .figures(self.scenario.name, self.way.name, ENTRY_VMS)
+            .figures(self.scenario.name, self.strategy.name, ENTRY_VMS)
     }
 
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(number) => self.on_arrival(number),
-            Event::Forwarded { to, job } => self.on_forwarded(to, job),
-            Event::Declined { by, job, load } => self.on_declined(by, job, load),
-            Event::Want(told) => self.on_want(told),
-            Event::Notice(told) => self.on_notice(told),
+            Event::Forwarded { to, routed } => self.on_forwarded(to, routed),
+            Event::Declined { by, routed, load } => self.on_declined(by, routed, load),
+            Event::SlotRequest(message) => self.on_slot_request(message),
+            Event::LoadReport(message) => self.on_load_report(message),
             Event::Start(exchange) => self.on_start(exchange),
             Event::End(exchange) => self.on_end(exchange),
             Event::Answer(exchange) => self.on_answer(exchange),
-            Event::NoticeTick(entry_vm) => self.on_notice_tick(entry_vm),
+            Event::LoadReportTick(entry_vm) => self.on_load_report_tick(entry_vm),
             Event::ExpiryTick => self.on_expiry_tick(),
             Event::Takeover(lost) => self.on_takeover(lost),
         }
@@ -110,44 +110,44 @@
         let request = self.requests[number];
         match self
             .scenario
-            .balance(request.entry_vm, number, self.network.now)
+            .balancer_target(request.entry_vm, number, self.network.now)
         {
-            Balanced::Lost => self.record.failed(),
-            Balanced::To(origin) => {
+            BalancerTarget::Lost => self.record.failed(),
+            BalancerTarget::To(origin) => {
                 self.entry_vms[origin].retries.on_request(self.keys.team);
-                let job = Job::new(number, origin);
-                match self.shorter_wait(origin, request.service) {
-                    Some(peer) => self.forward(origin, peer, job.waiting_at_peer()),
-                    None => self.wait(origin, job),
+                let routed = RoutedRequest::new(number, origin);
+                match self.peer_with_shorter_wait(origin, request.service) {
+                    Some(peer) => self.forward(origin, peer, routed.allow_waiting_at_peer()),
+                    None => self.enqueue(origin, routed),
                 }
             }
         }
     }
 
     /// Puts a request into the share queue and starts what can start.
-    fn wait(&mut self, entry_vm: usize, job: Job) {
-        let request = self.requests[job.number];
-        let start_by = self.start + request.at + LONGEST_WAIT;
+    fn enqueue(&mut self, entry_vm: usize, routed: RoutedRequest) {
+        let request = self.requests[routed.number];
+        let start_by = self.start + request.at + MAX_WAIT;
         let instant = self.instant();
         let vm = &mut self.entry_vms[entry_vm];
         let before = vm.queues[request.service].len();
-        if !vm.push(request.service, job, start_by, instant) {
+        if !vm.enqueue(request.service, routed, start_by, instant) {
             self.record.refused(1);
         }
         let after = vm.queues[request.service].len();
-        self.record.set_waiting(request.service, before, after);
-        self.start_waiting(entry_vm, request.service);
+        self.record.update_waiting(request.service, before, after);
+        self.dispatch_waiting(entry_vm, request.service);
     }
 
-    fn start_waiting(&mut self, entry_vm: usize, service: usize) {
+    fn dispatch_waiting(&mut self, entry_vm: usize, service: usize) {
         if self.scenario.is_lost(entry_vm, self.network.now) {
             return;
         }
         while !self.entry_vms[entry_vm].queues[service].is_empty() {
             let instant = self.instant();
             if let Some(slot) = self.entry_vms[entry_vm].pick(service, instant) {
-                match self.pop(entry_vm, service) {
-                    Some(job) => self.send(entry_vm, slot, job),
+                match self.dequeue(entry_vm, service) {
+                    Some(routed) => self.send(entry_vm, slot, routed),
                     None => {
                         let router = &mut self.entry_vms[entry_vm].router;
                         router.release(slot, RequestOutcome::Abandoned, instant);
@@ -160,49 +160,49 @@
             let Some(peer) =
                 peers.pick_with_free_slot(self.keys.services[service], random, instant)
             else {
-                self.want(entry_vm, service);
+                self.request_slots(entry_vm, service);
                 return;
             };
-            if let Some(job) = self.pop(entry_vm, service) {
-                self.forward(entry_vm, peer, job);
+            if let Some(routed) = self.dequeue(entry_vm, service) {
+                self.forward(entry_vm, peer, routed);
             }
         }
     }
 
-    fn pop(&mut self, entry_vm: usize, service: usize) -> Option<Job> {
+    fn dequeue(&mut self, entry_vm: usize, service: usize) -> Option<RoutedRequest> {
         let instant = self.instant();
         let vm = &mut self.entry_vms[entry_vm];
         let before = vm.queues[service].len();
-        let Popped { job, late } = vm.pop(service, instant);
+        let Dequeued { routed, expired } = vm.dequeue(service, instant);
         let after = vm.queues[service].len();
-        self.record.refused(late);
-        self.record.set_waiting(service, before, after);
-        job
+        self.record.refused(expired);
+        self.record.update_waiting(service, before, after);
+        routed
     }
 
     /// Returns a peer at which a new request would wait clearly less.
-    fn shorter_wait(&mut self, entry_vm: usize, service: usize) -> Option<PeerKey> {
+    fn peer_with_shorter_wait(&mut self, entry_vm: usize, service: usize) -> Option<PeerKey> {
         let instant = self.instant();
         let vm = &mut self.entry_vms[entry_vm];
         let own = vm.load(service);
-        if !self.way.balances_waits || own.waiting == 0 {
+        if !self.strategy.balances_waits || own.waiting == 0 {
             return None;
         }
         let key = self.keys.services[service];
         vm.peers.pick_with_shorter_wait(key, own, instant)
     }
 
-    fn forward(&mut self, from: usize, to: PeerKey, job: Job) {
+    fn forward(&mut self, from: usize, to: PeerKey, routed: RoutedRequest) {
         let name = self.entry_vms[from].peers.vm(to);
-        let Some(to) = self.names.iter().position(|known| Some(known) == name) else {
+        let Some(to) = self.vm_names.iter().position(|known| Some(known) == name) else {
             return;
         };
         self.record.hops += 1;
-        self.network.send(from, to, Event::Forwarded { to, job });
+        self.network.send(from, to, Event::Forwarded { to, routed });
     }
 
-    fn on_forwarded(&mut self, to: usize, job: Job) {
-        let service = self.requests[job.number].service;
+    fn on_forwarded(&mut self, to: usize, routed: RoutedRequest) {
+        let service = self.requests[routed.number].service;
         let instant = self.instant();
         let lost = self.scenario.is_lost(to, self.network.now);
         let slot = match lost {
@@ -210,47 +210,53 @@
             false => self.entry_vms[to].pick(service, instant),
         };
         match slot {
-            Some(slot) => self.send(to, slot, job),
-            None if job.waits_at_peer && !lost => self.wait(to, job),
+            Some(slot) => self.send(to, slot, routed),
+            None if routed.waits_at_peer && !lost => self.enqueue(to, routed),
             None => {
                 self.record.declined += 1;
                 let load = match lost {
                     true => Load::default(),
                     false => self.entry_vms[to].load(service),
                 };
-                let declined = Event::Declined { by: to, job, load };
-                self.network.send(to, job.origin, declined);
+                let declined = Event::Declined {
+                    by: to,
+                    routed,
+                    load,
+                };
+                self.network.send(to, routed.origin, declined);
             }
         }
     }
 
-    fn on_declined(&mut self, by: usize, job: Job, load: Load) {
-        if self.scenario.is_lost(job.origin, self.network.now) {
+    fn on_declined(&mut self, by: usize, routed: RoutedRequest, load: Load) {
+        if self.scenario.is_lost(routed.origin, self.network.now) {
             self.record.failed();
             return;
         }
-        let service = self.requests[job.number].service;
+        let service = self.requests[routed.number].service;
         let instant = self.instant();
-        let peers = &mut self.entry_vms[job.origin].peers;
+        let peers = &mut self.entry_vms[routed.origin].peers;
         let service = self.keys.services[service];
-        match self.way.notify {
-            Notify::OnDemand => peers.on_load_report(&self.names[by], service, load, instant),
-            _ => peers.on_declined(&self.names[by], service),
+        match self.strategy.report_mode {
+            ReportMode::OnDemand => {
+                peers.on_load_report(&self.vm_names[by], service, load, instant)
+            }
+            _ => peers.on_declined(&self.vm_names[by], service),
         }
-        self.wait(job.origin, job);
+        self.enqueue(routed.origin, routed);
     }
 
-    fn send(&mut self, entry_vm: usize, slot: Slot, job: Job) {
+    fn send(&mut self, entry_vm: usize, slot: Slot, routed: RoutedRequest) {
         let Some(server) = self.entry_vms[entry_vm].server(slot.server()) else {
             return;
         };
         let exchange = Exchange {
             entry_vm,
             slot,
-            job,
+            routed,
         };
         self.network
-            .send_server(entry_vm, server, Event::Start(exchange));
+            .send_to_server(entry_vm, server, Event::Start(exchange));
     }
 
     fn on_start(&mut self, exchange: Exchange) {
@@ -260,11 +266,11 @@
         self.running[server] += 1;
         self.record
             .started(service_of(server), self.running[server]);
-        let run = match self.scenario.failing_server == Some(server) {
-            true => FAILING_RUN,
-            false => self.requests[exchange.job.number].run,
+        let run_time = match self.scenario.failing_server == Some(server) {
+            true => FAILING_RUN_TIME,
+            false => self.requests[exchange.routed.number].run_time,
         };
-        self.network.after(run, Event::End(exchange));
+        self.network.after(run_time, Event::End(exchange));
     }
 
     fn on_end(&mut self, exchange: Exchange) {
@@ -275,7 +281,7 @@
         self.record.ended(service_of(server));
         let entry_vm = exchange.entry_vm;
         self.network
-            .send_server(entry_vm, server, Event::Answer(exchange));
+            .send_to_server(entry_vm, server, Event::Answer(exchange));
     }
 
     fn on_answer(&mut self, exchange: Exchange) {
@@ -284,163 +290,166 @@
         let Exchange {
             entry_vm,
             slot,
-            job,
+            routed,
         } = exchange;
         let is_lost = |entry_vm| self.scenario.is_lost(entry_vm, self.network.now);
-        let (lost, origin_lost) = (is_lost(entry_vm), is_lost(job.origin));
-        if lost || origin_lost {
+        let (lost, is_origin_lost) = (is_lost(entry_vm), is_lost(routed.origin));
+        if lost || is_origin_lost {
             self.record.failed();
         }
         if lost {
             return;
         }
-        let request = self.requests[job.number];
+        let request = self.requests[routed.number];
         let server_key = slot.server();
         let instant = self.instant();
         self.entry_vms[entry_vm].release(slot, request, failed, instant);
-        if failed && !origin_lost {
-            self.retry(entry_vm, server_key, job);
-        } else if !origin_lost {
-            let at = self.network.now + between(entry_vm, job.origin);
+        if failed && !is_origin_lost {
+            self.retry(entry_vm, server_key, routed);
+        } else if !is_origin_lost {
+            let at = self.network.now + peer_delay(entry_vm, routed.origin);
             self.record.answered(at - request.at);
         }
-        self.start_waiting(entry_vm, request.service);
-        match self.way.notify {
-            Notify::Regular => {}
-            Notify::Broadcast => self.broadcast_idle(entry_vm, request.service),
-            Notify::OnDemand => {
-                self.notice_idle(entry_vm, request.service);
-                self.tell(entry_vm, job.origin, request.service);
+        self.dispatch_waiting(entry_vm, request.service);
+        match self.strategy.report_mode {
+            ReportMode::Periodic => {}
+            ReportMode::Broadcast => self.broadcast_idle_slot(entry_vm, request.service),
+            ReportMode::OnDemand => {
+                self.report_idle_slot(entry_vm, request.service);
+                self.send_load(entry_vm, routed.origin, request.service);
             }
         }
     }
 
-    fn retry(&mut self, entry_vm: usize, failed: ServerKey, job: Job) {
+    fn retry(&mut self, entry_vm: usize, failed: ServerKey, routed: RoutedRequest) {
         let instant = self.instant();
         let retries = &mut self.entry_vms[entry_vm].retries;
-        if job.is_retry || !retries.try_retry(self.keys.team, instant) {
+        if routed.is_retry || !retries.try_retry(self.keys.team, instant) {
             self.record.failed();
             return;
         }
-        let job = job.retried();
-        let service = self.requests[job.number].service;
+        let routed = routed.as_retry();
+        let service = self.requests[routed.number].service;
         let router = &mut self.entry_vms[entry_vm].router;
         match router.pick_other(self.keys.services[service], failed, instant) {
-            Some(slot) => self.send(entry_vm, slot, job),
-            None => self.wait(entry_vm, job),
+            Some(slot) => self.send(entry_vm, slot, routed),
+            None => self.enqueue(entry_vm, routed),
         }
     }
 
     /// Tells all peers at once of a free slot for which nothing waits here.
-    fn broadcast_idle(&mut self, entry_vm: usize, service: usize) {
+    fn broadcast_idle_slot(&mut self, entry_vm: usize, service: usize) {
         let now = self.network.now;
         if !self.entry_vms[entry_vm].broadcast_due(service, now) {
             return;
         }
         for peer in 0..ENTRY_VMS {
-            self.notice(entry_vm, peer, service);
+            self.send_load_report(entry_vm, peer, service);
         }
     }
 
     /// Tells a peer that wants a slot of a free one for which nothing waits here.
-    fn notice_idle(&mut self, entry_vm: usize, service: usize) {
+    fn report_idle_slot(&mut self, entry_vm: usize, service: usize) {
         let instant = self.instant();
         let vm = &mut self.entry_vms[entry_vm];
         let load = vm.load(service);
         let Some(name) = vm
-            .notices
+            .load_reporter
             .on_idle(self.keys.services[service], load, instant)
         else {
             return;
         };
-        if let Some(peer) = self.names.iter().position(|known| *known == name) {
-            self.notice(entry_vm, peer, service);
+        if let Some(peer) = self.vm_names.iter().position(|known| *known == name) {
+            self.send_load_report(entry_vm, peer, service);
         }
     }
 
     /// Tells the peers that requests wait here for a slot.
-    fn want(&mut self, entry_vm: usize, service: usize) {
+    fn request_slots(&mut self, entry_vm: usize, service: usize) {
         let instant = self.instant();
         let key = self.keys.services[service];
         let vm = &mut self.entry_vms[entry_vm];
         let load = vm.load(service);
-        if self.way.notify != Notify::OnDemand || !vm.notices.slot_request_due(key, load, instant) {
+        if self.strategy.report_mode != ReportMode::OnDemand
+            || !vm.load_reporter.slot_request_due(key, load, instant)
+        {
             return;
         }
         let random = self.rng.next_u64();
         for name in vm.peers.peers_to_ask(key, random, instant) {
-            let Some(to) = self.names.iter().position(|known| *known == name) else {
+            let Some(to) = self.vm_names.iter().position(|known| *known == name) else {
                 continue;
             };
-            self.record.notices += 1;
-            let told = Told {
+            self.record.load_messages += 1;
+            let message = LoadMessage {
                 from: entry_vm,
                 to,
                 service,
                 load,
             };
-            self.network.send(entry_vm, to, Event::Want(told));
+            self.network.send(entry_vm, to, Event::SlotRequest(message));
         }
     }
 
-    fn on_want(&mut self, told: Told) {
-        if self.scenario.is_lost(told.to, self.network.now) {
+    fn on_slot_request(&mut self, message: LoadMessage) {
+        if self.scenario.is_lost(message.to, self.network.now) {
             return;
         }
         let instant = self.instant();
-        let key = self.keys.services[told.service];
-        let notices = &mut self.entry_vms[told.to].notices;
-        notices.on_slot_request(&self.names[told.from], key, instant);
-        self.notice_idle(told.to, told.service);
+        let key = self.keys.services[message.service];
+        let load_reporter = &mut self.entry_vms[message.to].load_reporter;
+        load_reporter.on_slot_request(&self.vm_names[message.from], key, instant);
+        self.report_idle_slot(message.to, message.service);
     }
 
-    fn on_notice(&mut self, told: Told) {
+    fn on_load_report(&mut self, message: LoadMessage) {
         let instant = self.instant();
-        let key = self.keys.services[told.service];
-        let peers = &mut self.entry_vms[told.to].peers;
-        peers.on_load_report(&self.names[told.from], key, told.load, instant);
-        self.start_waiting(told.to, told.service);
+        let key = self.keys.services[message.service];
+        let peers = &mut self.entry_vms[message.to].peers;
+        peers.on_load_report(&self.vm_names[message.from], key, message.load, instant);
+        self.dispatch_waiting(message.to, message.service);
     }
 
-    fn on_notice_tick(&mut self, entry_vm: usize) {
+    fn on_load_report_tick(&mut self, entry_vm: usize) {
         if self.scenario.is_lost(entry_vm, self.network.now) {
             return;
         }
         for service in 0..SERVICES {
             for peer in 0..ENTRY_VMS {
-                self.notice(entry_vm, peer, service);
+                self.send_load_report(entry_vm, peer, service);
             }
         }
         // One regular message carries all services.
-        self.record.notices -= ((SERVICES - 1) * (ENTRY_VMS - 1)) as u64;
+        self.record.load_messages -= ((SERVICES - 1) * (ENTRY_VMS - 1)) as u64;
         if self.is_over() {
             return;
         }
-        let every = self.way.notify.every();
-        self.network.after(every, Event::NoticeTick(entry_vm));
+        let report_interval = self.strategy.report_mode.report_interval();
+        self.network
+            .after(report_interval, Event::LoadReportTick(entry_vm));
     }
 
     /// Sends a notice as a message of its own.
-    fn notice(&mut self, from: usize, to: usize, service: usize) {
+    fn send_load_report(&mut self, from: usize, to: usize, service: usize) {
         if from != to {
-            self.record.notices += 1;
-            self.tell(from, to, service);
+            self.record.load_messages += 1;
+            self.send_load(from, to, service);
         }
     }
 
     /// Tells a peer of the load, in a message of its own or in an answer.
-    fn tell(&mut self, from: usize, to: usize, service: usize) {
+    fn send_load(&mut self, from: usize, to: usize, service: usize) {
         if from == to {
             return;
         }
         let load = self.entry_vms[from].load(service);
-        let told = Told {
+        let message = LoadMessage {
             from,
             to,
             service,
             load,
         };
-        self.network.send(from, to, Event::Notice(told));
+        self.network.send(from, to, Event::LoadReport(message));
     }
 
     fn on_expiry_tick(&mut self) {
@@ -455,29 +464,29 @@
                         self.record.failed();
                     }
                 }
-                let late = queue.expire(instant).len();
-                self.record.refused(late);
-                self.record.set_waiting(service, before, queue.len());
-                self.start_waiting(entry_vm, service);
+                let expired = queue.expire(instant).len();
+                self.record.refused(expired);
+                self.record.update_waiting(service, before, queue.len());
+                self.dispatch_waiting(entry_vm, service);
             }
         }
         if !self.is_over() {
-            self.network.after(EXPIRY_EVERY, Event::ExpiryTick);
+            self.network.after(EXPIRY_INTERVAL, Event::ExpiryTick);
         }
     }
 
     /// Gives the lost entry VM's slots to a peer of its zone.
     fn on_takeover(&mut self, lost: usize) {
         let peers = entry_vms_of(zone_of_entry_vm(lost));
-        if let Some(&heir) = peers.iter().find(|&&peer| peer != lost) {
-            self.deal_to(heir, &[heir, lost]);
+        if let Some(&successor) = peers.iter().find(|&&peer| peer != lost) {
+            self.assign_shards(successor, &[successor, lost]);
         }
     }
 
     /// Deals the slots of some shards to an entry VM.
-    fn deal_to(&mut self, entry_vm: usize, shards: &[usize]) {
+    fn assign_shards(&mut self, entry_vm: usize, shards: &[usize]) {
         let now = self.instant();
-        self.entry_vms[entry_vm].deal(self.way.ownership, shards, now);
+        self.entry_vms[entry_vm].set_shards(self.strategy.ownership, shards, now);
     }
 
     fn server(&self, exchange: &Exchange) -> Option<usize> {
@@ -486,7 +495,7 @@
 
     fn is_over(&self) -> bool {
         let last = self.requests.last().map_or(Duration::ZERO, |last| last.at);
-        self.network.now > last + LONGEST_WAIT
+        self.network.now > last + MAX_WAIT
     }
 
     fn instant(&self) -> Instant {
--- a/crates/snipevane-measure/src/routing/record.rs
+++ b/crates/snipevane-measure/src/routing/record.rs
@@ -17,7 +17,8 @@
     /// Scenario of the run.
     pub scenario: &'static str,
     /// Way of routing.
-    pub way: &'static str,
+    #[serde(rename = "way")]
+    pub strategy: &'static str,
     /// Requests in all.
     pub requests: u64,
     /// Median time from arrival to answer, in milliseconds.
@@ -54,11 +55,11 @@
     /// Hops between entry VMs.
     pub(super) hops: u64,
     /// Messages between entry VMs about free slots.
-    pub(super) notices: u64,
+    pub(super) load_messages: u64,
     most_running: u16,
     waiting: [u64; SERVICES],
     running: [u64; SERVICES],
-    last: Duration,
+    last_event_at: Duration,
     waiting_time: Duration,
     idle_time: Duration,
     lost_slot_time: Duration,
@@ -75,11 +76,11 @@
             failed: 0,
             declined: 0,
             hops: 0,
-            notices: 0,
+            load_messages: 0,
             most_running: 0,
             waiting: [0; SERVICES],
             running: [0; SERVICES],
-            last: Duration::ZERO,
+            last_event_at: Duration::ZERO,
             waiting_time: Duration::ZERO,
             idle_time: Duration::ZERO,
             lost_slot_time: Duration::ZERO,
@@ -88,8 +89,8 @@
 
     /// Books the time up to an event.
     pub(super) fn advance(&mut self, now: Duration) {
-        let passed = now - self.last;
-        self.last = now;
+        let elapsed = now - self.last_event_at;
+        self.last_event_at = now;
         let slots = SERVERS_PER_SERVICE as u64 * u64::from(SLOTS);
         for service in 0..SERVICES {
             let waiting = self.waiting[service];
@@ -97,10 +98,10 @@
                 continue;
             }
             let idle = slots.saturating_sub(self.running[service]);
-            self.waiting_time += passed;
+            self.waiting_time += elapsed;
             if idle > 0 {
-                self.idle_time += passed;
-                self.lost_slot_time += passed.mul_f64(waiting.min(idle) as f64);
+                self.idle_time += elapsed;
+                self.lost_slot_time += elapsed.mul_f64(waiting.min(idle) as f64);
             }
         }
     }
@@ -111,7 +112,7 @@
     }
 
     /// Sets the change of a service's waiting requests.
-    pub(super) fn set_waiting(&mut self, service: usize, before: usize, after: usize) {
+    pub(super) fn update_waiting(&mut self, service: usize, before: usize, after: usize) {
         self.waiting[service] += after as u64;
         self.waiting[service] -= before as u64;
     }
@@ -146,7 +147,7 @@
     pub(super) fn figures(
         &self,
         scenario: &'static str,
-        way: &'static str,
+        strategy: &'static str,
         entry_vms: usize,
     ) -> Figures {
         let percent = |part: u64| 100.0 * part as f64 / self.requests.max(1) as f64;
@@ -154,10 +155,10 @@
             100.0 * part.as_secs_f64() / whole.as_secs_f64().max(f64::EPSILON)
         };
         let slots = SERVERS_PER_SERVICE as f64 * f64::from(SLOTS);
-        let seconds = self.last.as_secs_f64().max(f64::EPSILON);
+        let seconds = self.last_event_at.as_secs_f64().max(f64::EPSILON);
         Figures {
             scenario,
-            way,
+            strategy,
             requests: self.requests,
             p50_ms: self.latency.value_at_quantile(0.5) as f64 / 1000.0,
             p99_ms: self.latency.value_at_quantile(0.99) as f64 / 1000.0,
@@ -168,7 +169,7 @@
             idle_while_waiting_percent: ratio(self.idle_time, self.waiting_time),
             lost_slot_time_percent: ratio(self.lost_slot_time, self.waiting_time.mul_f64(slots)),
             most_running: self.most_running,
-            notices_per_second: self.notices as f64 / seconds / entry_vms as f64,
+            notices_per_second: self.load_messages as f64 / seconds / entry_vms as f64,
         }
     }
 }
--- a/crates/snipevane-measure/src/routing/scenario.rs
+++ b/crates/snipevane-measure/src/routing/scenario.rs
@@ -5,9 +5,9 @@
 use super::layout::ENTRY_VMS;
 
 /// Time until the balancer sends nothing more to a lost entry VM.
-const BALANCER_NOTICE: Duration = Duration::from_secs(1);
+const BALANCER_DETECTION_DELAY: Duration = Duration::from_secs(1);
 /// Time until the platform's list drops a lost entry VM and its requests have surely ended.
-const TAKEOVER: Duration = Duration::from_secs(10);
+const TAKEOVER_DELAY: Duration = Duration::from_secs(10);
 
 /// Demand and faults of a run.
 #[derive(Clone, Copy, Debug)]
@@ -18,12 +18,12 @@
     /// Backend server that fails each request at once.
     pub(super) failing_server: Option<usize>,
     /// Entry VM that is lost, and when.
-    pub(super) lost: Option<(usize, Duration)>,
+    pub(super) lost_entry_vm: Option<(usize, Duration)>,
 }
 
 /// What the balancer does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Balanced {
+pub(super) enum BalancerTarget {
     /// Sends it to a running entry VM.
     To(usize),
     /// Sends it to the lost entry VM, where it fails.
@@ -33,25 +33,31 @@
 impl Scenario {
     /// Returns whether an entry VM is lost at a given time.
     pub(super) fn is_lost(&self, entry_vm: usize, now: Duration) -> bool {
-        self.lost
-            .is_some_and(|(lost, at)| lost == entry_vm && now >= at)
+        self.lost_entry_vm
+            .is_some_and(|(lost_entry_vm, at)| lost_entry_vm == entry_vm && now >= at)
     }
 
     /// Returns the time at which another entry VM takes over, if one is lost.
     pub(super) fn takeover(&self) -> Option<(usize, Duration)> {
-        self.lost.map(|(lost, at)| (lost, at + TAKEOVER))
+        self.lost_entry_vm
+            .map(|(lost_entry_vm, at)| (lost_entry_vm, at + TAKEOVER_DELAY))
     }
 
     /// Returns where the balancer sends a request that it chose an entry VM for.
-    pub(super) fn balance(&self, entry_vm: usize, number: usize, now: Duration) -> Balanced {
-        let Some((_, at)) = self.lost.filter(|_| self.is_lost(entry_vm, now)) else {
-            return Balanced::To(entry_vm);
+    pub(super) fn balancer_target(
+        &self,
+        entry_vm: usize,
+        number: usize,
+        now: Duration,
+    ) -> BalancerTarget {
+        let Some((_, at)) = self.lost_entry_vm.filter(|_| self.is_lost(entry_vm, now)) else {
+            return BalancerTarget::To(entry_vm);
         };
-        if now < at + BALANCER_NOTICE {
-            return Balanced::Lost;
+        if now < at + BALANCER_DETECTION_DELAY {
+            return BalancerTarget::Lost;
         }
         // Spreads the lost entry VM's requests evenly over the others.
-        Balanced::To((entry_vm + 1 + number % (ENTRY_VMS - 1)) % ENTRY_VMS)
+        BalancerTarget::To((entry_vm + 1 + number % (ENTRY_VMS - 1)) % ENTRY_VMS)
     }
 }
 
@@ -61,7 +67,7 @@
         name: "bursts over the pool",
         burst_load: 1.25,
         failing_server: None,
-        lost: None,
+        lost_entry_vm: None,
     };
     [
         plain,
@@ -79,7 +85,7 @@
         Scenario {
             name: "one entry VM lost",
             burst_load: 0.85,
-            lost: Some((0, Duration::from_secs(42))),
+            lost_entry_vm: Some((0, Duration::from_secs(42))),
             ..plain
         },
     ]
--- a/crates/snipevane-measure/src/routing/way.rs
+++ b/crates/snipevane-measure/src/routing/strategy.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use super::entry_vm::Ownership;
+use super::entry_vm::SlotOwnership;
 
 /// How peers learn of free slots.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Notify {
+pub(super) enum ReportMode {
     /// By regular notices every 100 ms.
-    Regular,
+    Periodic,
     /// Besides, all peers hear at once of a slot that becomes idle.
     Broadcast,
     /// By regular notices every second; a peer that wants a slot hears at once of an idle one, and
@@ -16,11 +16,11 @@
     OnDemand,
 }
 
-impl Notify {
+impl ReportMode {
     /// Returns the time between two regular notices.
-    pub(super) fn every(self) -> Duration {
+    pub(super) fn report_interval(self) -> Duration {
         match self {
-            Self::Regular | Self::Broadcast => Duration::from_millis(100),
+            Self::Periodic | Self::Broadcast => Duration::from_millis(100),
             Self::OnDemand => Duration::from_secs(1),
         }
     }
@@ -28,44 +28,44 @@
 
 /// A way of routing with owned slots.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Way {
+pub(super) struct Strategy {
     pub(super) name: &'static str,
-    pub(super) ownership: Ownership,
-    pub(super) notify: Notify,
+    pub(super) ownership: SlotOwnership,
+    pub(super) report_mode: ReportMode,
     /// Whether a request also goes to a peer to wait there, if it would wait less.
     pub(super) balances_waits: bool,
 }
 
 /// All ways that are compared.
-pub(super) const OWNED_WAYS: [Way; 5] = [
-    Way {
+pub(super) const OWNED_SLOT_STRATEGIES: [Strategy; 5] = [
+    Strategy {
         name: "dealt",
-        ownership: Ownership::Dealt,
-        notify: Notify::Regular,
+        ownership: SlotOwnership::AllEntryVms,
+        report_mode: ReportMode::Periodic,
         balances_waits: false,
     },
-    Way {
+    Strategy {
         name: "dealt, broadcast",
-        ownership: Ownership::Dealt,
-        notify: Notify::Broadcast,
+        ownership: SlotOwnership::AllEntryVms,
+        report_mode: ReportMode::Broadcast,
         balances_waits: false,
     },
-    Way {
+    Strategy {
         name: "dealt, br., waits",
-        ownership: Ownership::Dealt,
-        notify: Notify::Broadcast,
+        ownership: SlotOwnership::AllEntryVms,
+        report_mode: ReportMode::Broadcast,
         balances_waits: true,
     },
-    Way {
+    Strategy {
         name: "dealt, on demand",
-        ownership: Ownership::Dealt,
-        notify: Notify::OnDemand,
+        ownership: SlotOwnership::AllEntryVms,
+        report_mode: ReportMode::OnDemand,
         balances_waits: true,
     },
-    Way {
+    Strategy {
         name: "home",
-        ownership: Ownership::Home,
-        notify: Notify::Regular,
+        ownership: SlotOwnership::OneEntryVm,
+        report_mode: ReportMode::Periodic,
         balances_waits: false,
     },
 ];
--- a/crates/snipevane-measure/src/routing/two_choices.rs
+++ b/crates/snipevane-measure/src/routing/two_choices.rs
@@ -13,50 +13,50 @@
 use snipevane_proto::manifest::Urgency;
 
 use super::demand::Request;
-use super::events::Events;
+use super::events::EventQueue;
 use super::layout::{
-    CONNECTIONS_PER_ENTRY_VM, ENTRY_VMS, SERVERS, SERVERS_PER_SERVICE, SERVICES, SLOTS, one_way,
-    servers_of, service_of, zone_of_entry_vm, zone_of_server,
+    CONNECTIONS_PER_ENTRY_VM, ENTRY_VMS, SERVERS, SERVERS_PER_SERVICE, SERVICES, SLOTS,
+    network_delay, servers_of, service_of, zone_of_entry_vm, zone_of_server,
 };
 use super::record::{Figures, Record};
-use super::scenario::{Balanced, Scenario};
-use super::{FAILING_RUN, LONGEST_WAIT};
+use super::scenario::{BalancerTarget, Scenario};
+use super::{FAILING_RUN_TIME, MAX_WAIT};
 use crate::MeasureError;
 
 const NAME: &str = "two choices";
 /// Time for which a load that an answer carried is believed.
-const VIEW_TERM: Duration = Duration::from_millis(50);
+const LOAD_VALIDITY: Duration = Duration::from_millis(50);
 /// Time between two tries for waiting requests without an answer in between.
-const TRY_EVERY: Duration = Duration::from_millis(10);
+const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Times that a request is declined before it waits.
-const MOST_TRIES: u8 = 3;
+const MAX_ATTEMPTS: u8 = 3;
 /// Failures in a row after which a server is ejected.
-const FAILURES_IN_ROW: u32 = 3;
+const FAILURE_THRESHOLD: u32 = 3;
 /// Length of the first ejection; each further one in a row is twice as long.
-const EJECTION: Duration = Duration::from_secs(1);
+const BASE_EJECTION: Duration = Duration::from_secs(1);
 
 /// A request on its way.
 #[derive(Clone, Copy, Debug)]
-struct Job {
+struct RoutedRequest {
     number: usize,
     entry_vm: usize,
     server: usize,
-    tries: u8,
-    retried: bool,
+    attempts: u8,
+    is_retry: bool,
 }
 
 enum Event {
     Arrive(usize),
-    Start(Job),
-    End(Job),
-    Answer { job: Job, load: u16 },
-    Declined(Job),
+    Start(RoutedRequest),
+    End(RoutedRequest),
+    Answer { routed: RoutedRequest, load: u16 },
+    Declined(RoutedRequest),
     Tick,
 }
 
 /// What an entry VM knows of a server.
 #[derive(Clone, Copy, Debug, Default)]
-struct View {
+struct ServerView {
     load: u16,
     seen_at: Option<Duration>,
     in_flight: u16,
@@ -65,15 +65,15 @@
     ejected_until: Duration,
 }
 
-impl View {
+impl ServerView {
     /// Returns the believed load.
     fn load(&self, now: Duration) -> u16 {
-        let fresh = self.seen_at.is_some_and(|at| now < at + VIEW_TERM);
+        let fresh = self.seen_at.is_some_and(|at| now < at + LOAD_VALIDITY);
         let seen = if fresh { self.load } else { 0 };
         seen.max(self.in_flight)
     }
 
-    fn may_try(&self, now: Duration) -> bool {
+    fn is_available(&self, now: Duration) -> bool {
         self.ejected_until <= now
             && self.in_flight < CONNECTIONS_PER_ENTRY_VM
             && self.load(now) < SLOTS
@@ -83,33 +83,33 @@
 }
 
 struct EntryVm {
-    views: [View; SERVERS],
-    queues: Vec<FairQueue<Job>>,
+    views: [ServerView; SERVERS],
+    queues: Vec<FairQueue<RoutedRequest>>,
     retries: RetryBudget,
 }
 
 /// Run of two random choices.
-pub(super) struct TwoChoicesRun<'a> {
+pub(super) struct TwoChoicesSimulation<'a> {
     scenario: &'a Scenario,
     requests: &'a [Request],
     start: Instant,
     team: TeamKey,
     entry_vms: Vec<EntryVm>,
     running: [u16; SERVERS],
-    events: Events<Event>,
+    events: EventQueue<Event>,
     record: Record,
     rng: ChaCha8Rng,
     now: Duration,
 }
 
-impl<'a> TwoChoicesRun<'a> {
+impl<'a> TwoChoicesSimulation<'a> {
     pub(super) fn new(
         scenario: &'a Scenario,
         requests: &'a [Request],
         seed: u64,
     ) -> Result<Self, MeasureError> {
         let entry_vm = || EntryVm {
-            views: [View::default(); SERVERS],
+            views: [ServerView::default(); SERVERS],
             queues: (0..SERVICES)
                 .map(|_| FairQueue::new(QueueSettings::default()))
                 .collect(),
@@ -122,7 +122,7 @@
             team: SlotMap::with_key().insert(()),
             entry_vms: (0..ENTRY_VMS).map(|_| entry_vm()).collect(),
             running: [0; SERVERS],
-            events: Events::default(),
+            events: EventQueue::default(),
             record: Record::new()?,
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: Duration::ZERO,
@@ -132,18 +132,18 @@
     /// Runs all requests to their end.
     pub(super) fn run(mut self) -> Figures {
         for (number, request) in self.requests.iter().enumerate() {
-            self.events.add(request.at, Event::Arrive(number));
+            self.events.push(request.at, Event::Arrive(number));
         }
-        self.events.add(TRY_EVERY, Event::Tick);
-        while let Some((now, event)) = self.events.next() {
+        self.events.push(QUEUE_CHECK_INTERVAL, Event::Tick);
+        while let Some((now, event)) = self.events.pop() {
             self.record.advance(now);
             self.now = now;
             match event {
                 Event::Arrive(number) => self.on_arrival(number),
-                Event::Start(job) => self.on_start(job),
-                Event::End(job) => self.on_end(job),
-                Event::Answer { job, load } => self.on_answer(job, load),
-                Event::Declined(job) => self.on_declined(job),
+                Event::Start(routed) => self.on_start(routed),
+                Event::End(routed) => self.on_end(routed),
+                Event::Answer { routed, load } => self.on_answer(routed, load),
+                Event::Declined(routed) => self.on_declined(routed),
                 Event::Tick => self.on_tick(),
             }
         }
@@ -153,41 +153,47 @@
     fn on_arrival(&mut self, number: usize) {
         self.record.arrived();
         let request = self.requests[number];
-        match self.scenario.balance(request.entry_vm, number, self.now) {
-            Balanced::Lost => self.record.failed(),
-            Balanced::To(entry_vm) => {
+        match self
+            .scenario
+            .balancer_target(request.entry_vm, number, self.now)
+        {
+            BalancerTarget::Lost => self.record.failed(),
+            BalancerTarget::To(entry_vm) => {
                 self.entry_vms[entry_vm].retries.on_request(self.team);
-                self.wait(Job {
+                self.enqueue(RoutedRequest {
                     number,
                     entry_vm,
                     server: 0,
-                    tries: 0,
-                    retried: false,
+                    attempts: 0,
+                    is_retry: false,
                 });
             }
         }
     }
 
-    fn wait(&mut self, job: Job) {
-        let request = self.requests[job.number];
+    fn enqueue(&mut self, routed: RoutedRequest) {
+        let request = self.requests[routed.number];
         let waiting = WaitingRequest {
             team: self.team,
             urgency: Urgency::Normal,
-            start_by: self.start + request.at + LONGEST_WAIT,
-            item: Job { tries: 0, ..job },
+            start_by: self.start + request.at + MAX_WAIT,
+            item: RoutedRequest {
+                attempts: 0,
+                ..routed
+            },
         };
         let instant = self.instant();
-        let queue = &mut self.entry_vms[job.entry_vm].queues[request.service];
+        let queue = &mut self.entry_vms[routed.entry_vm].queues[request.service];
         let before = queue.len();
         if queue.push(waiting, instant).is_err() {
             self.record.refused(1);
         }
         let after = queue.len();
-        self.record.set_waiting(request.service, before, after);
-        self.start_waiting(job.entry_vm, request.service);
+        self.record.update_waiting(request.service, before, after);
+        self.dispatch_waiting(routed.entry_vm, request.service);
     }
 
-    fn start_waiting(&mut self, entry_vm: usize, service: usize) {
+    fn dispatch_waiting(&mut self, entry_vm: usize, service: usize) {
         if self.scenario.is_lost(entry_vm, self.now) {
             return;
         }
@@ -199,10 +205,10 @@
             let queue = &mut self.entry_vms[entry_vm].queues[service];
             let before = queue.len();
             let next = queue.pop(instant, |_| true);
-            let late = queue.expire(instant).len();
+            let expired = queue.expire(instant).len();
             let after = queue.len();
-            self.record.refused(late);
-            self.record.set_waiting(service, before, after);
+            self.record.refused(expired);
+            self.record.update_waiting(service, before, after);
             if let Some(next) = next {
                 self.send(next.item, server);
             }
@@ -210,15 +216,20 @@
     }
 
     /// Chooses the less loaded of two random servers, in a few draws.
-    fn choose(&mut self, entry_vm: usize, service: usize, but: Option<usize>) -> Option<usize> {
+    fn choose(
+        &mut self,
+        entry_vm: usize,
+        service: usize,
+        excluded: Option<usize>,
+    ) -> Option<usize> {
         let first = servers_of(service).start;
-        for _ in 0..MOST_TRIES {
+        for _ in 0..MAX_ATTEMPTS {
             let one = first + self.rng.random_range(0..SERVERS_PER_SERVICE);
             let other = first + self.rng.random_range(0..SERVERS_PER_SERVICE);
             let views = &self.entry_vms[entry_vm].views;
             let best = [one, other]
                 .into_iter()
-                .filter(|&server| Some(server) != but && views[server].may_try(self.now))
+                .filter(|&server| Some(server) != excluded && views[server].is_available(self.now))
                 .min_by_key(|&server| views[server].load(self.now));
             if best.is_some() {
                 return best;
@@ -227,57 +238,59 @@
         None
     }
 
-    fn send(&mut self, job: Job, server: usize) {
-        let view = &mut self.entry_vms[job.entry_vm].views[server];
+    fn send(&mut self, routed: RoutedRequest, server: usize) {
+        let view = &mut self.entry_vms[routed.entry_vm].views[server];
         view.in_flight += 1;
         view.load = view.load.saturating_add(1);
-        let job = Job {
+        let routed = RoutedRequest {
             server,
-            tries: job.tries + 1,
-            ..job
+            attempts: routed.attempts + 1,
+            ..routed
         };
         self.events
-            .add(self.now + way_to_server(job), Event::Start(job));
+            .push(self.now + delay_to_server(routed), Event::Start(routed));
     }
 
-    fn on_start(&mut self, job: Job) {
-        if self.running[job.server] >= SLOTS {
+    fn on_start(&mut self, routed: RoutedRequest) {
+        if self.running[routed.server] >= SLOTS {
             self.record.declined += 1;
             self.events
-                .add(self.now + way_to_server(job), Event::Declined(job));
+                .push(self.now + delay_to_server(routed), Event::Declined(routed));
             return;
         }
-        self.running[job.server] += 1;
+        self.running[routed.server] += 1;
         self.record
-            .started(service_of(job.server), self.running[job.server]);
-        let run = match self.scenario.failing_server == Some(job.server) {
-            true => FAILING_RUN,
-            false => self.requests[job.number].run,
+            .started(service_of(routed.server), self.running[routed.server]);
+        let run_time = match self.scenario.failing_server == Some(routed.server) {
+            true => FAILING_RUN_TIME,
+            false => self.requests[routed.number].run_time,
         };
-        self.events.add(self.now + run, Event::End(job));
+        self.events.push(self.now + run_time, Event::End(routed));
     }
 
-    fn on_end(&mut self, job: Job) {
-        self.running[job.server] -= 1;
-        self.record.ended(service_of(job.server));
-        let load = self.running[job.server];
-        self.events
-            .add(self.now + way_to_server(job), Event::Answer { job, load });
+    fn on_end(&mut self, routed: RoutedRequest) {
+        self.running[routed.server] -= 1;
+        self.record.ended(service_of(routed.server));
+        let load = self.running[routed.server];
+        self.events.push(
+            self.now + delay_to_server(routed),
+            Event::Answer { routed, load },
+        );
     }
 
-    fn on_answer(&mut self, job: Job, load: u16) {
-        if self.scenario.is_lost(job.entry_vm, self.now) {
+    fn on_answer(&mut self, routed: RoutedRequest, load: u16) {
+        if self.scenario.is_lost(routed.entry_vm, self.now) {
             self.record.failed();
             return;
         }
-        let request = self.requests[job.number];
-        let failed = self.scenario.failing_server == Some(job.server);
+        let request = self.requests[routed.number];
+        let failed = self.scenario.failing_server == Some(routed.server);
         let now = self.now;
-        let view = self.note_load(job, load);
+        let view = self.record_load(routed, load);
         if failed {
             view.failures += 1;
-            if view.failures >= FAILURES_IN_ROW || view.ejections > 0 {
-                view.ejected_until = now + EJECTION * 2_u32.pow(view.ejections.min(5));
+            if view.failures >= FAILURE_THRESHOLD || view.ejections > 0 {
+                view.ejected_until = now + BASE_EJECTION * 2_u32.pow(view.ejections.min(5));
                 view.ejections += 1;
                 view.failures = 0;
             }
@@ -285,55 +298,55 @@
             (view.failures, view.ejections) = (0, 0);
         }
         let instant = self.instant();
-        self.entry_vms[job.entry_vm].queues[request.service].charge(
+        self.entry_vms[routed.entry_vm].queues[request.service].charge(
             self.team,
-            request.run.as_secs_f64(),
+            request.run_time.as_secs_f64(),
             instant,
         );
         match failed {
-            true => self.retry(job),
+            true => self.retry(routed),
             false => self.record.answered(self.now - request.at),
         }
-        self.start_waiting(job.entry_vm, request.service);
+        self.dispatch_waiting(routed.entry_vm, request.service);
     }
 
-    fn on_declined(&mut self, job: Job) {
-        if self.scenario.is_lost(job.entry_vm, self.now) {
+    fn on_declined(&mut self, routed: RoutedRequest) {
+        if self.scenario.is_lost(routed.entry_vm, self.now) {
             self.record.failed();
             return;
         }
-        self.note_load(job, SLOTS);
-        let service = self.requests[job.number].service;
-        let next = match job.tries < MOST_TRIES {
-            true => self.choose(job.entry_vm, service, Some(job.server)),
+        self.record_load(routed, SLOTS);
+        let service = self.requests[routed.number].service;
+        let next = match routed.attempts < MAX_ATTEMPTS {
+            true => self.choose(routed.entry_vm, service, Some(routed.server)),
             false => None,
         };
         match next {
-            Some(server) => self.send(job, server),
-            None => self.wait(job),
+            Some(server) => self.send(routed, server),
+            None => self.enqueue(routed),
         }
     }
 
-    fn retry(&mut self, job: Job) {
+    fn retry(&mut self, routed: RoutedRequest) {
         let instant = self.instant();
-        let retries = &mut self.entry_vms[job.entry_vm].retries;
-        if job.retried || !retries.try_retry(self.team, instant) {
+        let retries = &mut self.entry_vms[routed.entry_vm].retries;
+        if routed.is_retry || !retries.try_retry(self.team, instant) {
             self.record.failed();
             return;
         }
-        let service = self.requests[job.number].service;
-        let job = Job {
-            retried: true,
-            ..job
+        let service = self.requests[routed.number].service;
+        let routed = RoutedRequest {
+            is_retry: true,
+            ..routed
         };
-        match self.choose(job.entry_vm, service, Some(job.server)) {
-            Some(server) => self.send(job, server),
-            None => self.wait(job),
+        match self.choose(routed.entry_vm, service, Some(routed.server)) {
+            Some(server) => self.send(routed, server),
+            None => self.enqueue(routed),
         }
     }
 
-    fn note_load(&mut self, job: Job, load: u16) -> &mut View {
-        let view = &mut self.entry_vms[job.entry_vm].views[job.server];
+    fn record_load(&mut self, routed: RoutedRequest, load: u16) -> &mut ServerView {
+        let view = &mut self.entry_vms[routed.entry_vm].views[routed.server];
         view.in_flight -= 1;
         view.load = load;
         view.seen_at = Some(self.now);
@@ -350,15 +363,16 @@
                 while lost && queue.pop(instant, |_| true).is_some() {
                     self.record.failed();
                 }
-                let late = queue.expire(instant).len();
-                self.record.refused(late);
-                self.record.set_waiting(service, before, queue.len());
-                self.start_waiting(entry_vm, service);
+                let expired = queue.expire(instant).len();
+                self.record.refused(expired);
+                self.record.update_waiting(service, before, queue.len());
+                self.dispatch_waiting(entry_vm, service);
             }
         }
         let last = self.requests.last().map_or(Duration::ZERO, |last| last.at);
-        if self.now <= last + LONGEST_WAIT {
-            self.events.add(self.now + TRY_EVERY, Event::Tick);
+        if self.now <= last + MAX_WAIT {
+            self.events
+                .push(self.now + QUEUE_CHECK_INTERVAL, Event::Tick);
         }
     }
 
@@ -367,6 +381,9 @@
     }
 }
 
-fn way_to_server(job: Job) -> Duration {
-    one_way(zone_of_entry_vm(job.entry_vm), zone_of_server(job.server))
+fn delay_to_server(routed: RoutedRequest) -> Duration {
+    network_delay(
+        zone_of_entry_vm(routed.entry_vm),
+        zone_of_server(routed.server),
+    )
 }
--- a/crates/snipevane-measure/src/site/measured_site.rs
+++ b/crates/snipevane-measure/src/site/measured_site.rs
@@ -16,7 +16,7 @@
 };
 use uuid::Uuid;
 
-use super::process::Part;
+use super::process::SiteProcess;
 use crate::error::MeasureError;
 
 /// Attempts to get an answer from a site that is starting.
@@ -45,9 +45,9 @@
 
 /// The processes of the site.
 pub(crate) struct MeasuredSite {
-    entries: Vec<Part>,
-    backends: Vec<Part>,
-    platform: Part,
+    entries: Vec<SiteProcess>,
+    backends: Vec<SiteProcess>,
+    platform: SiteProcess,
     http: HttpClient,
     key: String,
 }
@@ -55,7 +55,7 @@
 impl MeasuredSite {
     /// Starts all processes and waits until the entry VM serves.
     pub(crate) async fn start(size: SiteSize) -> Result<Self, MeasureError> {
-        let platform = Part::start("platform", &json!({ "listen": ANY_PORT }))?;
+        let platform = SiteProcess::start("platform", &json!({ "listen": ANY_PORT }))?;
         let mut site = Self {
             entries: Vec::new(),
             backends: Vec::new(),
@@ -65,20 +65,21 @@
         };
         for number in 0..size.backends {
             let settings = json!({ "name": backend_name(number), "slots": size.slots });
-            site.backends.push(Part::start("backend", &settings)?);
+            site.backends
+                .push(SiteProcess::start("backend", &settings)?);
         }
         for number in 0..size.entries {
             let settings = entry_settings(number, site.platform.addresses[0]);
-            site.entries.push(Part::start("entry", &settings)?);
+            site.entries.push(SiteProcess::start("entry", &settings)?);
         }
         site.post_platform(VMS_PATH, &site.vm_list()).await?;
         let apply = json!({
             "based_on": 0, "write_id": Uuid::now_v7(), "manifest": manifest(size)
         });
         site.post_operator("/v1/config", &apply).await?;
-        let give = json!({ "team": "ledger" });
-        let given = site.post_operator("/v1/keys", &give).await?;
-        site.key = given["key"].as_str().unwrap_or_default().to_owned();
+        let request = json!({ "team": "ledger" });
+        let issued = site.post_operator("/v1/keys", &request).await?;
+        site.key = issued["key"].as_str().unwrap_or_default().to_owned();
         site.wait_until_ready().await?;
         Ok(site)
     }
@@ -92,14 +93,17 @@
 
     /// Fetches the platform's record.
     pub(crate) async fn platform_record(&self) -> Result<PlatformRecord, MeasureError> {
-        let place = format!("{}{RECORD_PATH}", self.platform.addresses[0]);
-        let record = call(&self.http, Method::GET, &place, &Value::Null).await?;
+        let endpoint = format!("{}{RECORD_PATH}", self.platform.addresses[0]);
+        let record = call(&self.http, Method::GET, &endpoint, &Value::Null).await?;
         Ok(serde_json::from_value(record)?)
     }
 
     /// Returns the addresses of the backend servers.
     pub(crate) fn backend_addresses(&self) -> Vec<SocketAddr> {
-        self.backends.iter().map(|part| part.addresses[0]).collect()
+        self.backends
+            .iter()
+            .map(|process| process.addresses[0])
+            .collect()
     }
 
     /// Returns the address of the first entry VM for callers.
@@ -122,8 +126,8 @@
 
     /// Returns the processor time that the entry VMs and the backend servers have used.
     pub(crate) fn cpu_times(&self) -> io::Result<CpuTimes> {
-        let sum = |parts: &[Part]| -> io::Result<Duration> {
-            parts.iter().map(|part| cpu_time(part.id())).sum()
+        let sum = |processes: &[SiteProcess]| -> io::Result<Duration> {
+            processes.iter().map(|process| cpu_time(process.id())).sum()
         };
         Ok(CpuTimes {
             entries: sum(&self.entries)?,
@@ -133,11 +137,11 @@
 
     /// Waits until the entry VM has taken its shard and all slots are usable.
     async fn wait_until_ready(&self) -> Result<(), MeasureError> {
-        let mut served = 0;
+        let mut successes = 0;
         for _ in 0..READY_ATTEMPTS {
-            served += usize::from(self.serves().await);
+            successes += usize::from(self.serves().await);
             // Raised deals become usable a poll or two after the first answer.
-            if served > READY_ATTEMPTS / 4 {
+            if successes > READY_ATTEMPTS / 4 {
                 return Ok(());
             }
             tokio::time::sleep(READY_PAUSE).await;
@@ -146,12 +150,12 @@
     }
 
     async fn serves(&self) -> bool {
-        let place = format!("{}/v1/queues/ticks/probe", self.caller_address());
+        let endpoint = format!("{}/v1/queues/ticks/probe", self.caller_address());
         let authorization = format!("Bearer {}", self.key);
         let answer = send(
             &self.http,
             Method::POST,
-            &place,
+            &endpoint,
             &authorization,
             &Value::Null,
         )
@@ -160,13 +164,13 @@
     }
 
     async fn post_platform(&self, path: &str, body: &Value) -> Result<Value, MeasureError> {
-        let place = format!("{}{path}", self.platform.addresses[0]);
-        call(&self.http, Method::POST, &place, body).await
+        let endpoint = format!("{}{path}", self.platform.addresses[0]);
+        call(&self.http, Method::POST, &endpoint, body).await
     }
 
     async fn post_operator(&self, path: &str, body: &Value) -> Result<Value, MeasureError> {
-        let place = format!("{}{path}", self.entries[0].addresses[2]);
-        call(&self.http, Method::POST, &place, body).await
+        let endpoint = format!("{}{path}", self.entries[0].addresses[2]);
+        call(&self.http, Method::POST, &endpoint, body).await
     }
 
     fn vm_list(&self) -> Value {
@@ -178,11 +182,11 @@
         };
         let backends = self.backends.iter().enumerate();
         let mut vms: Vec<_> = backends
-            .map(|(number, part)| vm(&backend_name(number), "backend", part.addresses[0]))
+            .map(|(number, process)| vm(&backend_name(number), "backend", process.addresses[0]))
             .collect();
         let entries = self.entries.iter().enumerate();
         vms.extend(
-            entries.map(|(number, part)| vm(&entry_name(number), "entry", part.addresses[1])),
+            entries.map(|(number, process)| vm(&entry_name(number), "entry", process.addresses[1])),
         );
         json!({ "vms": vms })
     }
@@ -253,14 +257,14 @@
 async fn call(
     http: &HttpClient,
     method: Method,
-    place: &str,
+    endpoint: &str,
     body: &Value,
 ) -> Result<Value, MeasureError> {
     let authorization = format!("Bearer {OPERATOR_KEY}");
-    let (status, body) = send(http, method, place, &authorization, body).await?;
+    let (status, body) = send(http, method, endpoint, &authorization, body).await?;
     if !status.is_success() {
         let text = String::from_utf8_lossy(&body);
-        return Err(io::Error::other(format!("{place} answered {status}: {text}")).into());
+        return Err(io::Error::other(format!("{endpoint} answered {status}: {text}")).into());
     }
     Ok(serde_json::from_slice(&body).unwrap_or_default())
 }
@@ -268,13 +272,13 @@
 async fn send(
     http: &HttpClient,
     method: Method,
-    place: &str,
+    endpoint: &str,
     authorization: &str,
     body: &Value,
 ) -> io::Result<(StatusCode, Bytes)> {
     let req = Request::builder()
         .method(method)
-        .uri(format!("http://{place}"))
+        .uri(format!("http://{endpoint}"))
         .header(header::AUTHORIZATION, authorization)
         .body(Full::new(Bytes::from(body.to_string())))
         .map_err(io::Error::other)?;
--- a/crates/snipevane-measure/src/site/part.rs
+++ b/crates/snipevane-measure/src/site/part.rs
@@ -18,10 +18,10 @@
         "entry" => snipevane_entry::process::run(settings),
         "platform" => Runtime::new()?.block_on(run_platform(Some(settings))),
         "backend" => Runtime::new()?.block_on(run_backend(Some(settings))),
-        _ => return Err(MeasureError::Part(format!("{kind} (unknown)"))),
+        _ => return Err(MeasureError::Process(format!("{kind} (unknown)"))),
     };
     if code == ExitCode::SUCCESS {
         return Ok(());
     }
-    Err(MeasureError::Part(kind.to_owned()))
+    Err(MeasureError::Process(kind.to_owned()))
 }
--- a/crates/snipevane-measure/src/site/process.rs
+++ b/crates/snipevane-measure/src/site/process.rs
@@ -9,14 +9,14 @@
 use uuid::Uuid;
 
 /// A part of the site, killed when it's dropped.
-pub(super) struct Part {
+pub(super) struct SiteProcess {
     child: Child,
     settings: PathBuf,
     /// Addresses that the process printed in its first line.
     pub(super) addresses: Vec<SocketAddr>,
 }
 
-impl Part {
+impl SiteProcess {
     /// Starts a part and waits until it's ready.
     pub(super) fn start(kind: &str, settings: &Value) -> io::Result<Self> {
         let name = format!("snipevane-measure-{}.json", Uuid::now_v7());
@@ -28,7 +28,7 @@
             .stdout(Stdio::piped())
             .spawn()?;
         let stdout = child.stdout.take();
-        let mut part = Self {
+        let mut process = Self {
             child,
             settings: path,
             addresses: Vec::new(),
@@ -38,12 +38,12 @@
             BufReader::new(stdout).read_line(&mut line)?;
         }
         let words = line.split(|c: char| c.is_whitespace() || c == '=');
-        part.addresses = words.filter_map(|word| word.parse().ok()).collect();
-        if part.addresses.is_empty() {
+        process.addresses = words.filter_map(|word| word.parse().ok()).collect();
+        if process.addresses.is_empty() {
             let message = format!("the part {kind} didn't start");
             return Err(io::Error::other(message));
         }
-        Ok(part)
+        Ok(process)
     }
 
     /// Returns the process's identifier.
@@ -52,7 +52,7 @@
     }
 }
 
-impl Drop for Part {
+impl Drop for SiteProcess {
     fn drop(&mut self) {
         // An error means that the process has ended, or that the file is gone.
         let _ = self.child.kill();
