--- a/crates/snipevane-measure/src/claims/mod.rs
+++ b/crates/snipevane-measure/src/claims/mod.rs
@@ -1,4 +1,4 @@
-//! Table writes and unknown outcomes of several ways to run a request at most once.
+//! Comparison of strategies for at-most-once execution by their table writes and unknown outcomes.
 
 mod simulation;
 mod strategy;
@@ -10,7 +10,7 @@
 use strategy::Strategy;
 
 const DEFAULT_SEED: u64 = 4;
-/// Shards and non-idempotent requests a second.
+/// Number of shards, and non-idempotent requests per second.
 const SIZES: [(usize, f64); 2] = [(7, 100.0), (96, 1000.0)];
 
 const STRATEGIES: [Strategy; 8] = [
@@ -37,7 +37,7 @@
     counts: Counts,
 }
 
-/// Runs all ways over the same crashes and outage and prints a line for each.
+/// Simulates every strategy with the same crashes and outage, and prints a line for each.
 ///
 /// # Errors
 ///
--- a/crates/snipevane-measure/src/claims/simulation.rs
+++ b/crates/snipevane-measure/src/claims/simulation.rs
@@ -1,4 +1,4 @@
-//! One run of seeded requests over crashes of holders and an outage of the table.
+//! Simulation of requests while holders of shards crash or stop and the table has an outage.
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -6,56 +6,60 @@
 
 use super::strategy::Strategy;
 
-/// Length of a run, in seconds.
+/// Length of the simulated time, in seconds.
 pub(super) const SIMULATED_TIME_S: f64 = 3600.0;
-/// Time between two ends of holders, by turns a crash and a planned stop, in seconds.
+/// Time between two ends of holders, in seconds; every second end is a planned stop, the others are
+/// crashes.
 const HOLDER_END_INTERVAL_S: f64 = 60.0;
-/// Time from a planned stop until the shard is taken and usable, in seconds.
+/// Delay from a planned stop until the next holder may use the shard, in seconds.
 const HANDOVER_DELAY_S: f64 = 0.5;
-/// Time from a crash until the list reports it and the row is taken, in seconds.
+/// Delay from a crash until the next holder has acquired the shard, in seconds; includes the delay
+/// until the platform's list reports the crash.
 const ACQUISITION_DELAY_S: f64 = 5.0;
-/// Time from the taking until the shard is usable, in seconds.
+/// Delay from the acquisition of a crashed holder's shard until it may be used, in seconds;
+/// requests of the former holder may still run in this time.
 const LONGEST_RUN_S: f64 = 10.0;
-/// Outage of the table, in seconds since the start.
+/// Start and end of the table's outage, in seconds since the start of the simulation.
 const OUTAGE_S: (f64, f64) = (1800.0, 2400.0);
-/// Allowed skew of identifiers, in seconds.
+/// Maximum time by which a caller's clock may be ahead, in seconds.
 const MAX_CLOCK_SKEW_S: f64 = 2.0;
-/// Time that a request runs, in seconds.
+/// Run time of a request, in seconds.
 const RUN_TIME_S: f64 = 0.05;
-/// Time from an answer until its row is written, where rows are written later, in seconds.
+/// Delay from a response until its row is written, if rows are written after the response, in
+/// seconds.
 const ROW_DELAY_S: f64 = 1.0;
-/// Part of the answers that don't reach their caller.
+/// Fraction of the responses that don't reach the caller.
 const LOST_RESPONSE_FRACTION: f64 = 0.02;
 /// Time between two attempts of a caller, in seconds.
 const RETRY_INTERVAL_S: f64 = 2.0;
-/// Attempts of a caller.
+/// Maximum number of attempts of a caller.
 const MAX_ATTEMPTS: u32 = 15;
 
-/// Counts of one run.
+/// Counts of one simulation.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(super) struct Counts {
-    /// Requests.
+    /// Number of requests.
     pub(super) requests: u64,
-    /// Requests whose caller got the answer.
+    /// Requests whose caller received the response.
     pub(super) answered: u64,
-    /// Requests that ran and whose outcome the caller was told to be unknown.
+    /// Requests that ran without their caller learning the outcome.
     pub(super) unknown_ran: u64,
-    /// Requests that didn't run and whose outcome the caller was told to be unknown.
+    /// Requests that didn't run and whose outcome was reported as unknown.
     pub(super) unknown_not_run: u64,
-    /// Requests that didn't run, as the caller was told each time.
+    /// Requests that didn't run and were reported as not run.
     pub(super) not_run: u64,
-    /// Of these, the ones that were made during the outage.
+    /// Those of `not_run` that were created during the outage.
     pub(super) not_run_in_outage: u64,
-    /// Rows written.
+    /// Number of rows written.
     pub(super) rows: f64,
 }
 
-/// Time during which one process holds a shard.
+/// Period in which one process holds a shard, in seconds since the start of the simulation.
 #[derive(Clone, Copy, Debug)]
 struct HoldingPeriod {
     usable_s: f64,
     end_s: f64,
-    /// Time at or below which identifiers aren't run.
+    /// Creation time at or below which new identifiers aren't run.
     floor_s: f64,
 }
 
@@ -76,18 +80,18 @@
 
 impl Simulation {
     pub(super) fn new(strategy: Strategy, shards: usize, seed: u64) -> Self {
-        let mut run = Self {
+        let mut simulation = Self {
             strategy,
             rng: ChaCha8Rng::seed_from_u64(seed),
             shards: vec![Vec::new(); shards],
             counts: Counts::default(),
         };
-        run.draw_holding_periods();
-        run.count_ceiling_writes();
-        run
+        simulation.draw_holding_periods();
+        simulation.count_ceiling_writes();
+        simulation
     }
 
-    /// Draws the requests at a rate for each second and returns the counts.
+    /// Simulates requests at a rate, in requests per second, and returns the counts.
     pub(super) fn run(mut self, rate: f64) -> Counts {
         let mut at_s = 0.0;
         loop {
@@ -99,9 +103,9 @@
         }
     }
 
-    /// Draws one end of a holder after the other, each of a random shard.
+    /// Draws the periods between the ends of holders; each end affects a random shard.
     ///
-    /// No shard is taken while the table is away.
+    /// No shard is acquired during the outage.
     fn draw_holding_periods(&mut self) {
         let count = self.shards.len();
         let mut next_periods = vec![(0.0, 0.0); count];
@@ -132,9 +136,9 @@
         }
     }
 
-    /// Returns when a shard is usable again, and the floor of its next holder.
+    /// Returns from when on the next holder may use the shard, and the next holder's floor.
     fn next_period(&self, shard: usize, end_s: f64, is_planned: bool) -> (f64, f64) {
-        // A stop in the outage can't write the released row.
+        // A holder that stops during the outage can't mark its row as released.
         let is_released = is_planned && !in_outage(end_s);
         let (acquisition_delay_s, usable_delay_s) = match is_released {
             true => (HANDOVER_DELAY_S, 0.0),
@@ -166,9 +170,9 @@
         }
     }
 
-    /// Returns the ceiling that the row of a shard holds at a time.
+    /// Returns the ceiling of a shard that may be used at a time, in seconds.
     ///
-    /// It is raised every half lead, at another phase for each shard.
+    /// The ceiling is raised every half lead, with a different phase for each shard.
     fn ceiling(&self, shard: usize, at_s: f64) -> f64 {
         let Some(lead_s) = self.strategy.lead_s() else {
             return 0.0;
@@ -257,7 +261,7 @@
         ReportedOutcome::Answered
     }
 
-    /// Tells whether the answer to a request that ran at a time was written to the table.
+    /// Returns whether the outcome of a request that ran at `ran_s` is stored in the table.
     fn has_stored_row(&self, shard: usize, ran_s: f64) -> bool {
         let ran_request =
             |period: &&HoldingPeriod| ran_s >= period.usable_s && ran_s < period.end_s;
--- a/crates/snipevane-measure/src/claims/strategy.rs
+++ b/crates/snipevane-measure/src/claims/strategy.rs
@@ -1,17 +1,18 @@
-//! Ways to run a non-idempotent request at most once.
+//! Strategies for at-most-once execution of non-idempotent requests.
 
-/// Way to run a non-idempotent request at most once.
+/// Strategy for at-most-once execution of non-idempotent requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Strategy {
-    /// A row for each request, written before it is sent and after its answer.
+    /// A row for each request is written before the request is sent and again after its response.
     RowPerRequest,
-    /// Claims in the memory of the shard's holder, bounded by a ceiling in the shard's row.
+    /// The shard's holder keeps claims in memory, bounded by a ceiling in the shard's row.
     Owner { lead_s: f64 },
-    /// As above; a new holder's floor is its clock plus the allowed skew if that is later.
+    /// As [`Strategy::Owner`], but a new holder's floor is at least its clock plus the maximum
+    /// clock skew.
     OwnerClockFloor { lead_s: f64 },
-    /// As the owner; while the table is away, a witness vouches for ceilings.
+    /// As [`Strategy::Owner`], and a witness grants higher ceilings while the table is unreachable.
     OwnerWitness { lead_s: f64 },
-    /// As the owner; a row for each answer is written later.
+    /// As [`Strategy::Owner`], and a row for each response is written later.
     OwnerAndRows { lead_s: f64 },
 }
 
@@ -26,7 +27,9 @@
         }
     }
 
-    /// Returns the time by which a new ceiling lies above the clock, in seconds, if there is one.
+    /// Returns the time by which a new ceiling is ahead of the holder's clock, in seconds.
+    ///
+    /// Returns `None` for a strategy without ceilings.
     pub(super) fn lead_s(self) -> Option<f64> {
         match self {
             Self::RowPerRequest => None,
@@ -37,7 +40,7 @@
         }
     }
 
-    /// Returns the rows that a request writes by itself.
+    /// Returns the number of rows that are written for each request.
     pub(super) fn rows_per_request(self) -> f64 {
         match self {
             Self::RowPerRequest => 2.0,
--- a/crates/snipevane-measure/src/control/mod.rs
+++ b/crates/snipevane-measure/src/control/mod.rs
@@ -1,5 +1,6 @@
-//! What entry VMs spend on control without callers, and how they treat the platform around an
-//! outage, at several sizes.
+//! Measurement of the control traffic and resources of entry VMs, before, during and after an
+//! outage
+//! of the platform.
 
 mod report;
 
@@ -14,18 +15,18 @@
 use crate::flags::Control;
 use crate::site::{MeasuredSite, SiteSize, load_average};
 
-/// Numbers of entry VMs if none are named.
+/// Numbers of entry VMs that are measured by default.
 const DEFAULT_ENTRIES: [usize; 3] = [2, 4, 8];
-/// Time for the site to settle after its start.
+/// Time that the site gets to settle after its start.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
-/// Time of each part of the measurement: before, during and after the outage.
+/// Length of each measured period: before, during and after the outage.
 const PERIOD_LENGTH: Duration = Duration::from_secs(20);
 
 /// Runs the measurement and prints its reports.
 ///
 /// # Errors
 ///
-/// Returns an error if a process doesn't start or the site doesn't get ready.
+/// Returns an error if a process doesn't start or the site doesn't become ready.
 pub(crate) fn run(flags: &Control) -> Result<(), MeasureError> {
     let runtime = Runtime::new()?;
     let sizes = if flags.entries.is_empty() {
@@ -77,7 +78,7 @@
     })
 }
 
-/// Waits for a period, and returns the platform's load in it.
+/// Waits for one period, and returns the platform's load in each of its seconds.
 async fn measure_period(site: &MeasuredSite) -> Result<Vec<SecondEntry>, MeasureError> {
     let start = site.platform_record().await?.seconds.len();
     tokio::time::sleep(PERIOD_LENGTH).await;
--- a/crates/snipevane-measure/src/control/report.rs
+++ b/crates/snipevane-measure/src/control/report.rs
@@ -1,20 +1,20 @@
-//! Figures of control.
+//! Figures of the control traffic and resources.
 
 use std::fmt;
 
 use serde::Serialize;
 use snipevane_proto::platform::SecondEntry;
 
-/// Calls of the platform's table and object store in a period.
+/// Requests to the platform's table and object store in a period.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct PlatformCalls {
-    /// Reads of one entry VM each second, mean.
+    /// Mean number of reads per second and entry VM.
     pub reads: f64,
-    /// Writes of one entry VM each second, mean.
+    /// Mean number of writes per second and entry VM.
     pub writes: f64,
-    /// Refused calls of one entry VM each second, mean.
+    /// Mean number of refused requests per second and entry VM.
     pub refused: f64,
-    /// Most calls of all entry VMs in a second.
+    /// Maximum number of requests of all entry VMs in one second.
     pub most: u64,
 }
 
@@ -46,22 +46,22 @@
     }
 }
 
-/// What the entry VMs of one zone spend on control.
+/// Control traffic and resources of the entry VMs of one zone.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ControlReport {
-    /// Entry VMs.
+    /// Number of entry VMs.
     pub entries: usize,
-    /// Processor time of one entry VM, in percent of a core.
+    /// Processor time per entry VM before the outage, as a percentage of one core.
     pub cpu_percent: f64,
-    /// Resident memory of one entry VM, in megabytes.
+    /// Resident memory of the first entry VM at the end, in megabytes.
     pub rss_mb: f64,
-    /// Calls before the outage.
+    /// Requests before the outage.
     pub before: PlatformCalls,
-    /// Calls during the outage, in which the platform refuses all.
+    /// Requests during the outage, in which the platform refuses all of them.
     pub outage: PlatformCalls,
-    /// Calls after the outage.
+    /// Requests after the outage.
     pub after: PlatformCalls,
-    /// Load average of the machine over a minute, at the end.
+    /// Load average of the machine over one minute, at the end.
     pub load_average: String,
 }
 
--- a/crates/snipevane-measure/src/error.rs
+++ b/crates/snipevane-measure/src/error.rs
@@ -1,31 +1,31 @@
-//! Why a measurement couldn't be made.
+//! Errors of measurements.
 
 use std::io;
 
 use thiserror::Error;
 
-/// Why a measurement couldn't be made.
+/// Error of a measurement.
 #[derive(Debug, Error)]
 pub enum MeasureError {
-    /// A file or socket failed.
+    /// An I/O operation failed.
     #[error(transparent)]
     Io(#[from] io::Error),
-    /// The result couldn't be written as JSON.
+    /// JSON can't be encoded or decoded.
     #[error(transparent)]
     Json(#[from] serde_json::Error),
-    /// A histogram couldn't be made.
-    #[error("can't make a histogram: {0}")]
+    /// A histogram can't be created, or a value can't be recorded.
+    #[error("can't use a histogram: {0}")]
     Histogram(String),
-    /// A process of the measured site ended with an error.
-    #[error("the part {0} ended with an error")]
+    /// A process of a measured site failed.
+    #[error("the process {0} failed")]
     Process(String),
-    /// The picture couldn't be drawn.
+    /// The picture can't be drawn.
     #[error("can't draw the picture: {0}")]
     Picture(String),
 }
 
 impl MeasureError {
-    /// Wraps an error of a histogram.
+    /// Converts the error of a histogram.
     pub(crate) fn histogram(error: impl std::fmt::Display) -> Self {
         Self::Histogram(error.to_string())
     }
--- a/crates/snipevane-measure/src/flags.rs
+++ b/crates/snipevane-measure/src/flags.rs
@@ -7,51 +7,52 @@
 use std::path::PathBuf;
 
 xflags::xflags! {
-    /// Measures the policy and the request path.
+    /// Measures policies and the request path.
     cmd snipevane-measure {
-        /// Prints the table of measured rounds of a journal of the users' bench.
+        /// Prints a table of the measured rounds in a journal of the users' bench.
         cmd rounds {
-            /// Folder with the journal's entries.
+            /// Folder that holds the journal entries.
             required --journal folder: PathBuf
         }
-        /// Runs ways of routing side by side under bursts.
+        /// Compares routing strategies by simulations of the same bursts.
         cmd routing {
-            /// Prints JSON in place of the table.
+            /// Prints the result as JSON.
             optional --json
-            /// Seeds the demand.
+            /// Seed of the random demand.
             optional --seed seed: u64
         }
-        /// Measures table writes and unknown outcomes of ways to run a request at most once.
+        /// Compares strategies for at-most-once execution by table writes and unknown outcomes.
         cmd claims {
-            /// Prints JSON in place of the table.
+            /// Prints the result as JSON.
             optional --json
-            /// Seeds the requests and the crashes.
+            /// Seed of the random requests and crashes.
             optional --seed seed: u64
         }
-        /// Measures the part of the work below a team's limit that is refused.
+        /// Compares allocations of limits by the requests refused below a team's limit.
         cmd limits {
-            /// Prints JSON in place of the table.
+            /// Prints the result as JSON.
             optional --json
-            /// Seeds the demand.
+            /// Seed of the random demand.
             optional --seed seed: u64
         }
-        /// Measures what entry VMs spend on control, and how they treat the platform around an outage.
+        /// Measures the resources and platform requests of entry VMs around an outage of the
+        /// platform.
         cmd control {
-            /// Prints JSON in place of the table.
+            /// Prints the result as JSON.
             optional --json
-            /// Numbers of entry VMs, by default 2, 4 and 8.
+            /// Number of entry VMs; 2, 4 and 8 one after the other if absent.
             repeated --entries count: usize
         }
-        /// Measures the request path over processes on loopback, direct and through an entry VM.
+        /// Measures the request path on loopback, direct and through an entry VM.
         cmd path {
-            /// Prints JSON in place of the table.
+            /// Prints the result as JSON.
             optional --json
         }
-        /// Runs one process of the request path's measurement, which starts it by itself.
+        /// Runs one process of a measured site; started by the measurements themselves.
         cmd part {
-            /// One of entry, platform, backend.
+            /// Kind of the process: entry, platform or backend.
             required kind: String
-            /// Settings file.
+            /// File of the process's settings.
             required settings: PathBuf
         }
     }
--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -1,7 +1,7 @@
-//! Measurements of policy and of the request path.
+//! Measurements of policies and of the request path.
 //!
-//! Each subcommand of `snipevane-measure` has a module of its own with a `run` function that takes
-//! the subcommand's flags.
+//! Each subcommand of `snipevane-measure` has a module with a `run` function that takes the
+//! subcommand's flags.
 
 pub mod claims;
 mod error;
@@ -18,11 +18,11 @@
 
 use flags::{SnipevaneMeasure, SnipevaneMeasureCmd};
 
-/// Runs the subcommand that the flags name.
+/// Runs the subcommand that the flags select.
 ///
 /// # Errors
 ///
-/// Returns an error if the subcommand can't finish its measurement or write its output.
+/// Returns an error if the measurement fails or its result can't be written.
 pub fn run(flags: &SnipevaneMeasure) -> Result<(), MeasureError> {
     match &flags.subcommand {
         SnipevaneMeasureCmd::Claims(cmd) => claims::run(cmd.json, cmd.seed),
--- a/crates/snipevane-measure/src/limits/hints.rs
+++ b/crates/snipevane-measure/src/limits/hints.rs
@@ -1,21 +1,21 @@
-//! What entry VMs know of each other's free units.
+//! Hints: the numbers of free units that entry VMs publish to each other.
 
 use snipevane_core::ids::TeamKey;
 use snipevane_core::limits::TeamLimiter;
 
-/// What an entry VM corrected of a peer's hint.
+/// Units that an observer took from a peer since the peer's last publication.
 #[derive(Clone, Copy, Default)]
 struct Correction {
     publication: u32,
     taken: u32,
 }
 
-/// Free units of each entry VM and team as last published.
+/// Free units of each entry VM and team, as last published.
 pub(super) struct Hints {
     teams: usize,
     /// Published free units, by VM and team.
     published: Vec<Vec<u32>>,
-    /// Free units that are published next.
+    /// Free units that are published next, by VM and team.
     next: Vec<Vec<u32>>,
     /// Number of publications of each VM.
     publications: Vec<u32>,
@@ -34,14 +34,14 @@
         }
     }
 
-    /// Publishes the free units of a VM as they were one period ago.
+    /// Publishes the free units that the VM had one publication period ago.
     pub(super) fn publish(&mut self, vm: usize, limits: &TeamLimiter, teams: &[TeamKey]) {
         let now = teams.iter().map(|&team| limits.free(team)).collect();
         self.published[vm] = std::mem::replace(&mut self.next[vm], now);
         self.publications[vm] += 1;
     }
 
-    /// Returns the free units that `observer` expects at `vm`.
+    /// Returns the number of free units that `observer` expects at `vm`.
     pub(super) fn free(&self, observer: usize, vm: usize, team: usize) -> u32 {
         let correction = self.corrections[observer][vm * self.teams + team];
         let taken = if correction.publication == self.publications[vm] {
@@ -52,7 +52,7 @@
         self.published[vm][team].saturating_sub(taken)
     }
 
-    /// Notes that `observer` took units of `vm`; `u32::MAX` if it was refused.
+    /// Records that `observer` took units of `vm`, or `u32::MAX` if `vm` declined.
     pub(super) fn record_taken(&mut self, observer: usize, vm: usize, team: usize, taken: u32) {
         let correction = &mut self.corrections[observer][vm * self.teams + team];
         if correction.publication != self.publications[vm] {
--- a/crates/snipevane-measure/src/limits/mod.rs
+++ b/crates/snipevane-measure/src/limits/mod.rs
@@ -1,4 +1,4 @@
-//! Part of the work below a team's limit that is refused, for several ways to place requests.
+//! Comparison of strategies by the fraction of requests below a team's limit that are refused.
 
 mod hints;
 mod simulation;
@@ -13,10 +13,10 @@
 use site::{Size, arrivals};
 use strategy::{Allocation, PeerChoice, Strategy};
 
-/// Demand in a burst, as multiples of a team's limit.
+/// Demand during a burst, as multiples of a team's limit.
 const BURST_LOADS: [f64; 3] = [0.5, 0.9, 1.25];
 const DEFAULT_SEED: u64 = 4;
-/// Length of a run, in milliseconds.
+/// Length of the simulated time, in milliseconds.
 const SIMULATED_TIME_MS: f64 = 30_000.0;
 
 const STRATEGIES: [Strategy; 17] = [
@@ -76,13 +76,13 @@
     load: f64,
     #[serde(rename = "way")]
     strategy: String,
-    /// Requests that one counter for the whole fleet would run.
+    /// Requests that would run if one counter enforced each limit for all entry VMs.
     one_counter_ran: u64,
     #[serde(flatten)]
     counts: Counts,
 }
 
-/// Runs all ways over the same demand and prints a line for each.
+/// Simulates every strategy with the same demand, and prints a line for each.
 ///
 /// # Errors
 ///
--- a/crates/snipevane-measure/src/limits/simulation.rs
+++ b/crates/snipevane-measure/src/limits/simulation.rs
@@ -1,4 +1,4 @@
-//! One run of a demand under one way to place requests.
+//! Simulation of the demand under one strategy.
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
@@ -15,29 +15,29 @@
 use super::site::{Arrival, Size};
 use super::strategy::{ForwardContext, Strategy};
 
-/// Time between two publications of a VM's free units, in milliseconds.
+/// Time between two publications of an entry VM's free units, in milliseconds.
 const PUBLISH_PERIOD_MS: f64 = 300.0;
-/// Least and most time of a message between two entry VMs, in milliseconds.
+/// Minimum and maximum network delay between two entry VMs, in milliseconds.
 const MESSAGE_DELAY_MS: (f64, f64) = (0.25, 0.75);
 
-/// Counts of one run.
+/// Counts of one simulation.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(super) struct Counts {
     /// Requests that arrived while their team was below its limit.
     pub(super) eligible: u64,
-    /// Of these, the refused ones.
+    /// Eligible requests that were refused.
     pub(super) refused: u64,
-    /// Of these, the ones run after one hop.
+    /// Eligible requests that ran at the first peer asked.
     pub(super) one_hop: u64,
-    /// Of these, the ones run at the second peer asked or a later one.
+    /// Eligible requests that ran at the second peer asked or a later one.
     pub(super) later_hop: u64,
-    /// Requests that ran in all.
+    /// Number of requests that ran, eligible or not.
     pub(super) ran: u64,
-    /// Most units of any team in use above its limit.
+    /// Maximum number of units by which a team exceeded its limit.
     pub(super) above_limit: u32,
 }
 
-/// A request that is passed on, with the peers that were asked.
+/// A forwarded request, with the peers that were asked for a unit.
 struct Forward {
     arrival: Arrival,
     eligible: bool,
@@ -46,9 +46,9 @@
 
 enum EventKind {
     Arrive(Arrival),
-    /// A request arrives at the peer that was asked last.
+    /// A forwarded request arrives at the peer that was asked last.
     Forwarded(Forward),
-    /// The refusal of the peer that was asked last arrives back.
+    /// The response that the peer asked last has no free unit arrives.
     Declined(Forward),
     End {
         vm: usize,
@@ -79,20 +79,20 @@
 }
 
 impl Ord for Event {
-    /// Orders the earliest event highest, as the heap needs it.
+    /// Orders the earliest event as the greatest, since the heap is a max-heap.
     fn cmp(&self, other: &Self) -> Ordering {
         let time = other.at_ms.total_cmp(&self.at_ms);
         time.then(other.sequence.cmp(&self.sequence))
     }
 }
 
-/// One run of a demand under one way to place requests.
+/// Simulation of the demand under one strategy.
 pub(super) struct Simulation {
     strategy: Strategy,
     rng: ChaCha8Rng,
     teams: Vec<TeamKey>,
     limits: Vec<u32>,
-    /// Entry VMs with their units in the deal, by team.
+    /// Entry VMs that have allocated units, with their number of units, by team.
     holders: Vec<Vec<(usize, u32)>>,
     zones: usize,
     vms: Vec<TeamLimiter>,
@@ -150,7 +150,7 @@
         }
     }
 
-    /// Runs the arrivals to their end and returns the counts.
+    /// Simulates the arrivals until the last request ends, and returns the counts.
     pub(super) fn run(mut self, arrivals: &[Arrival]) -> Counts {
         for vm in 0..self.vms.len() {
             let phase_ms = PUBLISH_PERIOD_MS * vm as f64 / self.vms.len() as f64;
@@ -224,7 +224,7 @@
         self.forward(forward);
     }
 
-    /// Passes a request on, or refuses it after the last attempt.
+    /// Forwards a request to the next peer, or refuses it after the last attempt.
     fn forward(&mut self, mut forward: Forward) {
         let Arrival { team, vm, .. } = forward.arrival;
         let cx = ForwardContext {
@@ -249,7 +249,7 @@
         self.push(at_ms, EventKind::Forwarded(forward));
     }
 
-    /// Starts a request if the VM has a free unit.
+    /// Starts a request if the entry VM has a free unit, and returns whether it did.
     fn start(&mut self, arrival: Arrival, vm: usize) -> bool {
         let team = arrival.team;
         let Some(unit) = self.vms[vm].try_acquire(self.teams[team]) else {
@@ -282,7 +282,8 @@
     }
 }
 
-/// Returns the number of requests that one counter for the whole fleet would run.
+/// Returns the number of requests that would run if one counter enforced each limit for all entry
+/// VMs.
 pub(super) fn count_with_one_counter(size: Size, arrivals: &[Arrival]) -> u64 {
     let limits = size.limits();
     let mut ends: Vec<BinaryHeap<std::cmp::Reverse<u64>>> = vec![BinaryHeap::new(); limits.len()];
--- a/crates/snipevane-measure/src/limits/site.rs
+++ b/crates/snipevane-measure/src/limits/site.rs
@@ -1,21 +1,21 @@
-//! Sizes of the measured sites and their demand.
+//! Sizes of the simulated sites and their demand.
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
-/// Mean time that a request runs, in milliseconds.
+/// Mean run time of a request, in milliseconds.
 const MEAN_RUN_TIME_MS: f64 = 50.0;
 /// Length of a team's burst, in milliseconds.
 const BURST_MS: f64 = 5_000.0;
-/// Time from one burst of a team to its next, in milliseconds.
+/// Time between the starts of two bursts of a team, in milliseconds.
 const BURST_INTERVAL_MS: f64 = 30_000.0;
-/// Demand in a burst, as a multiple of the mean.
+/// Demand during a burst, as a multiple of the mean.
 const BURST_FACTOR: f64 = 5.0;
 /// Demand between bursts, as a multiple of the mean.
 const QUIET_FACTOR: f64 = 0.05;
 
-/// Size of a measured site.
+/// Size of a simulated site.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(super) enum Size {
@@ -47,7 +47,7 @@
         }
     }
 
-    /// Returns the teams' limits, from 1 up.
+    /// Returns the limits of the teams.
     pub(super) fn limits(self) -> Vec<u32> {
         match self {
             Self::Today => vec![1, 2, 3, 20, 60, 120],
@@ -59,19 +59,21 @@
 /// One request of the demand.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Arrival {
-    /// Time of the arrival, in milliseconds.
+    /// Arrival time, in milliseconds.
     pub(super) at_ms: f64,
     /// Index of the team.
     pub(super) team: usize,
-    /// Entry VM that the balancer chose.
+    /// Entry VM that the load balancer chose.
     pub(super) vm: usize,
-    /// Time that the request runs, in milliseconds.
+    /// Run time of the request, in milliseconds.
     pub(super) run_time_ms: f64,
 }
 
-/// Draws the arrivals of all teams, in the order of time.
+/// Draws the arrivals of all teams, ordered by time.
 ///
-/// In a burst a team offers `load` times its limit; the teams' bursts come in turn.
+/// A team's demand during a burst is `load` times its limit. The bursts of the teams start one
+/// after
+/// the other.
 pub(super) fn arrivals(size: Size, load: f64, length_ms: f64, seed: u64) -> Vec<Arrival> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let limits = size.limits();
@@ -80,7 +82,7 @@
         let phase_ms = BURST_INTERVAL_MS * team as f64 / limits.len() as f64;
         let peak = load * f64::from(limit) / MEAN_RUN_TIME_MS;
         let mut at_ms = exponential(&mut rng) / peak;
-        // Arrivals at the peak's rate are thinned to the rate of the time.
+        // Arrivals are drawn at the peak rate, and thinned outside bursts.
         while at_ms < length_ms {
             let in_burst = (at_ms + phase_ms) % BURST_INTERVAL_MS < BURST_MS;
             if in_burst || rng.random::<f64>() < QUIET_FACTOR / BURST_FACTOR {
--- a/crates/snipevane-measure/src/limits/strategy.rs
+++ b/crates/snipevane-measure/src/limits/strategy.rs
@@ -1,4 +1,4 @@
-//! Ways to deal out a limit and to place a request whose entry VM has no free unit.
+//! Strategies for allocating limits, and for forwarding requests whose entry VM has no free unit.
 
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -7,12 +7,12 @@
 
 use super::hints::Hints;
 
-/// Deal of a limit over the shards.
+/// Allocation of a limit to the shards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Allocation {
-    /// The same for each shard, but for the remainder.
+    /// Each shard gets the same number of units, apart from the remainder.
     Even,
-    /// Some units for each zone, the rest on few shards.
+    /// Each zone may get a few units; the rest is concentrated on few shards.
     Concentrated(ConcentrationSettings),
 }
 
@@ -27,22 +27,23 @@
     }
 }
 
-/// Choice of the peer that is asked.
+/// Rule for choosing the peer that is asked for a unit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum PeerChoice {
-    /// A random holder, weighted by its units in the deal.
+    /// A random holder, weighted by its allocated units.
     Holder,
-    /// A holder in the own zone first, then as above.
+    /// A random holder in the same zone if there is one, otherwise as [`PeerChoice::Holder`].
     ZoneFirst,
-    /// The holder with the most free units by the hints.
+    /// The holder with the most free units according to the hints.
     BestHint,
-    /// The better of two random holders that have a free unit by the hints.
+    /// The better of two random holders that have a free unit according to the hints.
     TwoChoices,
-    /// As above; what was sent since the last hint and refusals are taken into account.
+    /// As [`PeerChoice::TwoChoices`], with hints that are corrected by the units taken and requests
+    /// declined since the last publication.
     TwoChoicesCorrected,
 }
 
-/// A team's request at its entry VM, with the peers that refused it.
+/// A request that needs a unit of a peer, and the peers that were asked already.
 #[derive(Debug)]
 pub(super) struct ForwardContext<'a> {
     pub(super) vm: usize,
@@ -51,12 +52,12 @@
     pub(super) asked_peers: &'a [usize],
 }
 
-/// Way to deal out limits and to place requests.
+/// Strategy for allocating limits and forwarding requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Strategy {
     pub(super) allocation: Allocation,
     pub(super) peer_choice: PeerChoice,
-    /// Number of peers that are asked at most, one after the other.
+    /// Maximum number of peers that are asked, one after the other.
     pub(super) attempts: usize,
 }
 
@@ -84,14 +85,15 @@
         format!("{allocation}, {peer_choice}, {}", self.attempts)
     }
 
-    /// Tells whether an entry VM corrects the hints by what it sent and was refused.
+    /// Returns whether an entry VM corrects its hints by the units taken and requests declined.
     pub(super) fn corrects_hints(self) -> bool {
         self.peer_choice == PeerChoice::TwoChoicesCorrected
     }
 
-    /// Chooses the peer to ask among the holders of units, given with their units.
+    /// Chooses the peer to ask from the holders, which are given with their allocated units.
     ///
-    /// Without a hint of a free unit, a random holder is asked.
+    /// A random holder is chosen if no hint shows a free unit. Returns `None` after the last
+    /// attempt.
     pub(super) fn choose(
         self,
         hints: &Hints,
@@ -134,7 +136,7 @@
     }
 }
 
-/// Draws a holder, weighted by its units.
+/// Picks a random holder, weighted by its allocated units.
 fn pick_weighted(holders: &[(usize, u32)], rng: &mut ChaCha8Rng) -> Option<usize> {
     let total: u32 = holders.iter().map(|(_, allocate)| allocate).sum();
     if total == 0 {
--- a/crates/snipevane-measure/src/path/load.rs
+++ b/crates/snipevane-measure/src/path/load.rs
@@ -1,4 +1,4 @@
-//! Load from many callers, each with one connection and one request at a time.
+//! Load generator with many callers, each with one connection and one request at a time.
 
 use std::io;
 use std::net::SocketAddr;
@@ -19,31 +19,31 @@
 /// Body of each request.
 const BODY: &[u8] = b"tick 4711 of 2026-12-03 reconciled";
 
-/// Where requests go.
+/// Destination of the requests.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
-    /// Addresses, taken in turn by the callers.
+    /// Addresses, assigned to the callers in round-robin order.
     pub(super) addresses: Vec<SocketAddr>,
     /// Path of the requests.
     pub(super) path: String,
-    /// Key that the requests carry.
+    /// Key that the requests carry, if any.
     pub(super) key: Option<String>,
-    /// Callers.
+    /// Number of callers.
     pub(super) callers: usize,
 }
 
-/// What came of a load.
+/// Results of a load.
 pub(super) struct Load {
-    /// Time from the start to the end.
+    /// Time from the first request to the end.
     elapsed: Duration,
-    /// Times of the requests that were answered with 200, in microseconds.
+    /// Latencies of the requests that got a response with status 200, in microseconds.
     pub(super) latencies: Histogram<u64>,
-    /// Requests that were answered with another status or not at all.
+    /// Number of requests that got another status or no response.
     pub(super) failed: u64,
 }
 
 impl Load {
-    /// Sends requests one after the other from each caller.
+    /// Generates load in which each caller sends the next request as soon as the last one ends.
     pub(super) async fn closed_loop(
         target: &Target,
         duration: Duration,
@@ -51,7 +51,7 @@
         Self::run(target, duration, None).await
     }
 
-    /// Sends requests at a rate over all callers.
+    /// Generates load at a rate of all callers together, in requests per second.
     pub(super) async fn at_rate(
         target: &Target,
         per_second: f64,
@@ -61,7 +61,7 @@
         Self::run(target, duration, Some(interval)).await
     }
 
-    /// Returns the requests answered with 200 each second.
+    /// Returns the number of responses with status 200 per second.
     pub(super) fn per_second(&self) -> f64 {
         self.latencies.len() as f64 / self.elapsed.as_secs_f64()
     }
@@ -102,17 +102,18 @@
     }
 }
 
-/// When a caller sends its requests.
+/// Times at which a caller sends its requests.
 struct Pacing {
     next: Instant,
     interval: Duration,
 }
 
 impl Pacing {
-    /// Waits until the next request is due, and returns the time from which it counts.
+    /// Waits until the next request is due, and returns the time from which its latency counts.
     ///
-    /// A request that is late because the former one took long counts from when it was due; the
-    /// timer's own delay doesn't count.
+    /// If the previous request ended too late, the latency counts from the time at which the
+    /// request
+    /// was due. The delay of the timer doesn't count.
     async fn wait(&mut self) -> Instant {
         let due = self.next;
         self.next += self.interval;
@@ -200,13 +201,13 @@
         .await
         .map_err(io::Error::other)?;
     tokio::spawn(async move {
-        // The caller sees a broken connection at its next request.
+        // The caller gets the error when it sends its next request.
         let _ = connection.await;
     });
     Ok(sender)
 }
 
-/// Opens connections, sends one request on each and keeps them open.
+/// Opens connections, sends one request on each, and keeps them open.
 pub(super) async fn open_connections(target: &Target, count: usize) -> io::Result<Vec<Caller>> {
     let mut callers = Vec::new();
     for number in 0..count {
--- a/crates/snipevane-measure/src/path/mod.rs
+++ b/crates/snipevane-measure/src/path/mod.rs
@@ -1,6 +1,7 @@
-//! The request path: direct to backend servers and through an entry VM, side by side in one run.
+//! Comparison of the request path through an entry VM with direct requests to backend servers.
 //!
-//! Platform, backend servers and entry VM run as processes of their own, the load in this one.
+//! The platform, the backend servers and the entry VM run as separate processes. The load is
+//! generated in this process.
 
 mod load;
 mod report;
@@ -24,20 +25,21 @@
     backends: 4,
     slots: 8,
 };
-/// Time of one round of load.
+/// Length of one round of load.
 const ROUND_LENGTH: Duration = Duration::from_secs(3);
-/// Time of load before the first round.
+/// Length of the warm-up before the first round.
 const WARM_UP_LENGTH: Duration = Duration::from_secs(1);
-/// Rounds of each kind, direct and through the entry VM in turn.
+/// Number of rounds, direct and through the entry VM each.
 const ROUNDS: usize = 5;
-/// Open callers' connections for the memory figure.
+/// Number of callers' connections that are opened to measure memory.
 const OPEN_CONNECTIONS: usize = 1_000;
 
 /// Runs the measurement and prints its report.
 ///
 /// # Errors
 ///
-/// Returns an error if a process doesn't start or the site doesn't get ready.
+/// Returns an error if a process doesn't start, the site doesn't become ready or a request can't be
+/// sent.
 pub(crate) fn run(flags: &Path) -> Result<(), MeasureError> {
     let report = Runtime::new()?.block_on(measure())?;
     if flags.json {
@@ -108,7 +110,7 @@
     })
 }
 
-/// Measures the processor time of a request at a rate.
+/// Measures the processor time per request at a rate.
 async fn measure_cpu(
     site: &MeasuredSite,
     through: &Target,
@@ -137,7 +139,7 @@
     })
 }
 
-/// Creates a histogram of times in microseconds.
+/// Creates a histogram of latencies in microseconds.
 fn new_histogram() -> Result<Histogram<u64>, MeasureError> {
     Histogram::new(3).map_err(MeasureError::histogram)
 }
--- a/crates/snipevane-measure/src/path/report.rs
+++ b/crates/snipevane-measure/src/path/report.rs
@@ -5,18 +5,18 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-/// Quantiles of the time of a request, in milliseconds.
+/// Quantiles of the latency, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Latency {
-    /// Half of the requests took at most this long.
+    /// Median.
     pub p50_ms: f64,
-    /// 90 % of the requests took at most this long.
+    /// 90th percentile.
     pub p90_ms: f64,
-    /// 99 % of the requests took at most this long.
+    /// 99th percentile.
     pub p99_ms: f64,
-    /// The longest time.
+    /// Maximum.
     pub max_ms: f64,
-    /// Requests measured.
+    /// Number of requests.
     pub count: u64,
 }
 
@@ -43,48 +43,49 @@
     }
 }
 
-/// Processor time of one request, in microseconds.
+/// Processor time per request, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct CpuPerRequest {
-    /// At the entry VM.
+    /// Processor time of the entry VM.
     pub entry_us: f64,
-    /// At the backend server.
+    /// Processor time of the backend servers.
     pub backends_us: f64,
 }
 
-/// Resident memory of the entry VM's process.
+/// Resident memory of the entry VM's process, before and after connections are opened.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Memory {
-    /// Callers' connections that were opened.
+    /// Number of connections that were opened.
     pub connections: usize,
-    /// Memory before, in kilobytes; the load has run by then.
+    /// Resident memory after the load rounds and before the connections are opened, in kilobytes.
     pub before_kb: u64,
-    /// Memory with the connections open, in kilobytes.
+    /// Resident memory with the connections open, in kilobytes.
     pub after_kb: u64,
 }
 
 /// Figures of the request path, direct and through an entry VM.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct PathReport {
-    /// Most requests a second straight to the backend servers, median of the rounds.
+    /// Maximum throughput direct to the backend servers, in requests per second; median of the
+    /// rounds.
     pub direct_per_second: f64,
-    /// Most requests a second through the entry VM, median of the rounds.
+    /// Maximum throughput through the entry VM, in requests per second; median of the rounds.
     pub through_per_second: f64,
-    /// Throughput through the entry VM relative to direct.
+    /// Throughput through the entry VM divided by the direct throughput.
     pub relative: f64,
-    /// Rate at which the times were measured: half of the most through the entry VM.
+    /// Rate at which the latencies were measured: half of the throughput through the entry VM.
     pub paced_per_second: f64,
-    /// Times straight to the backend servers.
+    /// Latency direct to the backend servers.
     pub direct: Latency,
-    /// Times through the entry VM.
+    /// Latency through the entry VM.
     pub through: Latency,
-    /// Processor time of a request at that rate.
+    /// Processor time per request at `paced_per_second`.
     pub cpu: CpuPerRequest,
-    /// Requests that failed in any round.
+    /// Number of requests that failed in any round.
     pub failed: u64,
     /// Memory of the entry VM.
     pub memory: Memory,
-    /// Load average of the machine over a minute, at the end.
+    /// Load average of the machine over one minute, at the end.
     pub load_average: String,
 }
 
--- a/crates/snipevane-measure/src/rounds/entry.rs
+++ b/crates/snipevane-measure/src/rounds/entry.rs
@@ -1,46 +1,46 @@
-//! Entries of the journal, as far as the table needs them.
+//! Journal entries, with the fields that the table needs.
 
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
 
-/// One call of the bench.
+/// One invocation of the bench.
 #[derive(Debug, Deserialize)]
 pub(super) struct Entry {
-    /// Start and end.
+    /// Start and end times.
     #[serde(default)]
     pub(super) at: Vec<String>,
-    /// What the bench was told to do.
+    /// Subcommand of the bench.
     pub(super) cmd: String,
-    /// Words of the call.
+    /// Arguments of the invocation.
     #[serde(default)]
     pub(super) argv: Vec<String>,
-    /// Reason that was given.
+    /// Reason given for the invocation.
     #[serde(default)]
     pub(super) why: Option<String>,
-    /// Deployment.
+    /// Name of the deployment.
     #[serde(default)]
     pub(super) site: Option<String>,
-    /// Days that were played.
+    /// Simulated days.
     #[serde(default)]
     pub(super) days: Vec<Day>,
 }
 
-/// A day that was played.
+/// One simulated day.
 #[derive(Debug, Deserialize)]
 pub(super) struct Day {
-    /// Name.
+    /// Name of the day.
     pub(super) name: String,
-    /// Worth of the day.
+    /// Score of the day, `G` in the journal.
     #[serde(rename = "G", default)]
     pub(super) worth: Option<f64>,
-    /// Rules that were broken, with how often.
+    /// Number of violations by rule.
     #[serde(default)]
     pub(super) rules: BTreeMap<String, u64>,
 }
 
 impl Entry {
-    /// Returns whether processor time was left out, so that the run is a trial.
+    /// Returns whether the run left out processor time, which makes it a trial.
     pub(super) fn is_trial(&self) -> bool {
         self.argv.iter().any(|word| word == "--no-cpu")
     }
--- a/crates/snipevane-measure/src/rounds/mod.rs
+++ b/crates/snipevane-measure/src/rounds/mod.rs
@@ -1,4 +1,4 @@
-//! The table of measured rounds, made from the users' bench's journal.
+//! Table of the measured rounds in the journal of the users' bench.
 
 mod entry;
 mod table;
@@ -9,7 +9,7 @@
 
 use entry::Entry;
 
-/// Prints the table of the rounds in a journal's folder, in Markdown.
+/// Prints the table of the rounds in a journal folder, as Markdown.
 ///
 /// # Errors
 ///
--- a/crates/snipevane-measure/src/rounds/table.rs
+++ b/crates/snipevane-measure/src/rounds/table.rs
@@ -1,14 +1,14 @@
-//! Rendering of the table.
+//! Rendering of the table of rounds as Markdown.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
 use super::entry::Entry;
 
-/// Calls whose days make up rounds.
+/// Subcommands of the bench whose days are part of rounds.
 const MEASURED: [&str; 2] = ["run", "score"];
 
-/// A round on one deployment: calls with the same reason.
+/// Round of measurements on one deployment: all invocations with the same reason.
 #[derive(Default)]
 struct Round {
     worths: BTreeMap<String, Vec<f64>>,
@@ -17,7 +17,7 @@
 
 type Key = (String, String, bool);
 
-/// Renders the rounds in the order in which they began.
+/// Renders one table for each deployment, with the rounds in order of their first invocation.
 pub(super) fn render(entries: &[Entry]) -> String {
     let mut order: Vec<Key> = Vec::new();
     let mut rounds: BTreeMap<Key, Round> = BTreeMap::new();
@@ -97,7 +97,7 @@
     }
 }
 
-/// Returns whether a name is that of a site's standard day.
+/// Returns whether a day is one of a deployment's standard days.
 fn is_standard(name: &str) -> bool {
     let slots = ["quiet-", "scale-", "trouble-"];
     let mut numbers = slots.iter().filter_map(|slot| name.strip_prefix(slot));
--- a/crates/snipevane-measure/src/routing/demand.rs
+++ b/crates/snipevane-measure/src/routing/demand.rs
@@ -1,4 +1,4 @@
-//! Requests of a run: each service in turn demands five times its mean.
+//! Demand of a simulation: the services have bursts in turn.
 
 use std::time::Duration;
 
@@ -13,27 +13,27 @@
 const BURST_FACTOR: f64 = 5.0;
 /// Demand of a service between its bursts, as a multiple of its mean.
 const QUIET_FACTOR: f64 = 0.05;
-/// Mean time that a backend server runs a request.
+/// Mean run time of a request on a backend server.
 const MEAN_RUN_TIME: Duration = Duration::from_millis(100);
-/// Longest time that a backend server runs a request.
+/// Maximum run time of a request on a backend server.
 pub(super) const MAX_RUN_TIME: Duration = Duration::from_secs(1);
 
-/// One request of a run.
+/// One request of the demand.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Request {
-    /// Time of arrival at an entry VM.
+    /// Arrival time at an entry VM.
     pub(super) at: Duration,
-    /// Entry VM that the balancer chose.
+    /// Entry VM that the load balancer chose.
     pub(super) entry_vm: usize,
-    /// Service that the request asks for.
+    /// Service that the request is for.
     pub(super) service: usize,
-    /// Time that a backend server needs.
+    /// Run time on a backend server.
     pub(super) run_time: Duration,
 }
 
-/// Draws the requests of a run in order of their arrival.
+/// Draws the requests, ordered by arrival time.
 ///
-/// `burst_load` is the demand during a burst as a multiple of what the service's slots can run.
+/// `burst_load` is the demand during a burst, as a multiple of the capacity of the service's slots.
 pub(super) fn draw(seed: u64, length: Duration, burst_load: f64) -> Vec<Request> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let slots = SERVERS_PER_SERVICE as f64 * f64::from(SLOTS);
@@ -47,7 +47,7 @@
                 false => burst_rate * QUIET_FACTOR / BURST_FACTOR,
             };
             let next = at + exponential(&mut rng) / rate;
-            // A gap that reaches over a change of the rate is drawn anew from the change on.
+            // An arrival after the next change of the rate is drawn again from the change on.
             let change =
                 ((at / BURST_LENGTH.as_secs_f64()).floor() + 1.0) * BURST_LENGTH.as_secs_f64();
             if next >= change {
--- a/crates/snipevane-measure/src/routing/entry_vm.rs
+++ b/crates/snipevane-measure/src/routing/entry_vm.rs
@@ -1,4 +1,4 @@
-//! One entry VM of a run with owned slots.
+//! One entry VM of a simulation with owned slots.
 
 use std::time::{Duration, Instant};
 
@@ -17,26 +17,26 @@
     zone_of_entry_vm, zone_of_server,
 };
 
-/// Shortest time between two notices of one service to all peers that an idle slot causes.
+/// Minimum time between two broadcasts of an idle slot of the same service.
 const MIN_BROADCAST_INTERVAL: Duration = Duration::from_millis(5);
-/// Free slots up to which a newly free one is worth a notice to all peers.
+/// Maximum number of free slots with which an idle slot is broadcast.
 const MAX_FREE_SLOTS_TO_BROADCAST: u32 = 2;
 
-/// Which entry VM owns a slot.
+/// Assignment of a backend server's slots to entry VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SlotOwnership {
-    /// A server's slots are dealt to all entry VMs of its zone.
+    /// The slots are allocated to all entry VMs of the server's zone.
     AllEntryVms,
-    /// All slots of a server belong to one entry VM of its zone.
+    /// All slots are allocated to one entry VM of the server's zone.
     OneEntryVm,
 }
 
-/// A request on its way, with the entry VM that its caller reached.
+/// A request that was sent to an entry VM, or that waits there.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RoutedRequest {
     pub(super) number: usize,
     pub(super) origin: usize,
-    /// Whether the request may wait at the peer that it was forwarded to.
+    /// Whether the request may wait at the peer that it is forwarded to.
     pub(super) waits_at_peer: bool,
     pub(super) is_retry: bool,
 }
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Lets the request wait at the peer that it is forwarded to.
+    /// Returns the request with permission to wait at the peer that it is forwarded to.
     pub(super) fn allow_waiting_at_peer(self) -> Self {
         Self {
             waits_at_peer: true,
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Marks the request as tried a second time.
+    /// Returns the request marked as a retry.
     pub(super) fn as_retry(self) -> Self {
         Self {
             is_retry: true,
@@ -68,7 +68,7 @@
     }
 }
 
-/// Keys of the services and of the team that sends all requests.
+/// Keys of the services, and of the one team that sends all requests.
 #[derive(Clone, Debug)]
 pub(super) struct Keys {
     pub(super) services: Vec<ServiceKey>,
@@ -85,11 +85,11 @@
     }
 }
 
-/// What came of taking the next waiting request.
+/// Result of removing the next waiting request from a queue.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Dequeued {
     pub(super) routed: Option<RoutedRequest>,
-    /// Requests that had waited too long.
+    /// Number of requests removed because their maximum wait had passed.
     pub(super) expired: usize,
 }
 
@@ -101,7 +101,7 @@
     pub(super) peers: Peers,
     pub(super) load_reporter: LoadReporter,
     pub(super) retries: RetryBudget,
-    /// Last notice to all peers that an idle slot caused, by service.
+    /// Time of the last broadcast of an idle slot, by service.
     last_broadcast_at: [Option<Duration>; SERVICES],
 }
 
@@ -129,7 +129,7 @@
         }
     }
 
-    /// Replaces the slots by those of some shards.
+    /// Replaces the slots by those allocated to the given shards.
     pub(super) fn set_shards(&mut self, ownership: SlotOwnership, shards: &[usize], now: Instant) {
         let specs = (0..SERVERS).filter_map(|server| {
             let slots: u16 = shards
@@ -148,7 +148,7 @@
         self.router.sync(specs, now);
     }
 
-    /// Returns what the entry VM has of a service.
+    /// Returns the entry VM's load for a service.
     pub(super) fn load(&self, service: usize) -> Load {
         let key = self.keys.services[service];
         Load {
@@ -158,7 +158,9 @@
         }
     }
 
-    /// Returns whether all peers should hear of an idle slot; if so it counts as sent.
+    /// Returns whether the broadcast of an idle slot is due.
+    ///
+    /// If it is, the broadcast counts as sent at `now`.
     pub(super) fn broadcast_due(&mut self, service: usize, now: Duration) -> bool {
         let load = self.load(service);
         let last = &mut self.last_broadcast_at[service];
@@ -170,12 +172,12 @@
         true
     }
 
-    /// Takes a slot.
+    /// Picks a slot of a service.
     pub(super) fn pick(&mut self, service: usize, now: Instant) -> Option<Slot> {
         self.router.pick(self.keys.services[service], now)
     }
 
-    /// Gives a slot back after a request ran.
+    /// Releases the slot of a request that ended.
     pub(super) fn release(&mut self, slot: Slot, request: Request, failed: bool, now: Instant) {
         let report = match failed {
             true => RequestOutcome::Failed,
@@ -188,7 +190,7 @@
         self.queues[request.service].charge(self.keys.team, seconds, now);
     }
 
-    /// Adds a waiting request; returns whether there was room.
+    /// Adds a waiting request, and returns whether the queue had room.
     pub(super) fn enqueue(
         &mut self,
         service: usize,
@@ -205,7 +207,7 @@
         self.queues[service].push(waiting, now).is_ok()
     }
 
-    /// Takes the next waiting request.
+    /// Removes the next waiting request of a service, and all expired ones.
     pub(super) fn dequeue(&mut self, service: usize, now: Instant) -> Dequeued {
         let queue = &mut self.queues[service];
         let next = queue.pop(now, |_| true);
@@ -215,7 +217,7 @@
         }
     }
 
-    /// Returns the number of the server that a key stands for.
+    /// Returns the number of the server with a key.
     pub(super) fn server(&self, key: ServerKey) -> Option<usize> {
         let server = self.router.server(key)?;
         Some(usize::from(server.address().port()) - 1)
@@ -227,14 +229,14 @@
     SmolStr::from(format!("entry-{entry_vm}"))
 }
 
-/// Returns the slots of a server that belong to an entry VM's shard.
+/// Returns the number of slots of a server that are allocated to a shard.
 fn allocated_slots(ownership: SlotOwnership, server: usize, shard: usize) -> u16 {
     let owners = entry_vms_of(zone_of_server(server));
     let Some(position) = owners.iter().position(|&owner| owner == shard) else {
         return 0;
     };
     let count = owners.len();
-    // The shards that get one slot more than others differ from server to server.
+    // The shards that get a slot of the remainder differ from server to server.
     let rotated = (position + server / ZONES) % count;
     match ownership {
         SlotOwnership::AllEntryVms => {
--- a/crates/snipevane-measure/src/routing/events.rs
+++ b/crates/snipevane-measure/src/routing/events.rs
@@ -1,4 +1,4 @@
-//! Events of a run in order of their time.
+//! Event queue of a simulation.
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
@@ -26,12 +26,12 @@
 
 impl<E> Ord for Scheduled<E> {
     fn cmp(&self, other: &Self) -> Ordering {
-        // The heap gives the largest first, the run needs the earliest.
+        // The heap is a max-heap, and the earliest event comes first.
         (other.at, other.sequence).cmp(&(self.at, self.sequence))
     }
 }
 
-/// Events that are due later; those of the same time keep their order.
+/// Queue of future events, ordered by time; events at the same time keep their order.
 pub(super) struct EventQueue<E> {
     heap: BinaryHeap<Scheduled<E>>,
     sequence: u64,
@@ -58,7 +58,7 @@
         });
     }
 
-    /// Takes the earliest event.
+    /// Removes the earliest event.
     pub(super) fn pop(&mut self) -> Option<(Duration, E)> {
         let scheduled = self.heap.pop()?;
         Some((scheduled.at, scheduled.event))
--- a/crates/snipevane-measure/src/routing/ideal.rs
+++ b/crates/snipevane-measure/src/routing/ideal.rs
@@ -1,4 +1,4 @@
-//! One queue for each service that knows all slots at once: the bound for any way of routing.
+//! Ideal routing, the bound for every strategy: one queue per service with knowledge of all slots.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -13,9 +13,10 @@
 
 const NAME: &str = "ideal";
 
-/// Runs all requests in order of their arrival, each on the slot that is free first.
+/// Runs all requests in order of arrival, each on the slot that becomes free first.
 ///
-/// Takes a failing server's slots out; knows no lost entry VM and no time between VMs.
+/// The slots of a failing server aren't used. The loss of an entry VM and network delays aren't
+/// simulated.
 pub(super) fn run(scenario: &Scenario, requests: &[Request]) -> Result<Figures, MeasureError> {
     let mut record = Record::new()?;
     let mut slots: Vec<BinaryHeap<Reverse<Duration>>> = (0..SERVICES)
--- a/crates/snipevane-measure/src/routing/layout.rs
+++ b/crates/snipevane-measure/src/routing/layout.rs
@@ -1,20 +1,20 @@
-//! Zones, entry VMs and backend servers of the run.
+//! Zones, entry VMs and backend servers of the simulated site.
 
 use std::time::Duration;
 
-/// Availability zones.
+/// Number of availability zones.
 pub(super) const ZONES: usize = 3;
-/// Entry VMs; the first zone has one more than the others.
+/// Number of entry VMs; the first zone has one more than the others.
 pub(super) const ENTRY_VMS: usize = 7;
-/// Services.
+/// Number of services.
 pub(super) const SERVICES: usize = 5;
-/// Backend servers of each service.
+/// Number of backend servers of each service.
 pub(super) const SERVERS_PER_SERVICE: usize = 10;
-/// Backend servers of all services.
+/// Number of backend servers of all services.
 pub(super) const SERVERS: usize = SERVICES * SERVERS_PER_SERVICE;
-/// Slots of each backend server.
+/// Number of slots of each backend server.
 pub(super) const SLOTS: u16 = 8;
-/// Connections of each backend server that one entry VM may open.
+/// Maximum number of connections from one entry VM to one backend server.
 pub(super) const CONNECTIONS_PER_ENTRY_VM: u16 = 9;
 
 const DELAY_IN_ZONE: Duration = Duration::from_micros(50);
@@ -47,7 +47,7 @@
         .collect()
 }
 
-/// Returns the time that a message takes between two zones.
+/// Returns the network delay between two zones.
 pub(super) fn network_delay(from_zone: usize, to_zone: usize) -> Duration {
     if from_zone == to_zone {
         DELAY_IN_ZONE
--- a/crates/snipevane-measure/src/routing/mod.rs
+++ b/crates/snipevane-measure/src/routing/mod.rs
@@ -1,8 +1,9 @@
-//! Ways of routing under bursts, in one run of the same requests.
+//! Comparison of routing strategies by simulations of the same requests under bursts.
 //!
-//! Slots dealt to all entry VMs of a zone, with several ways to tell of idle slots; one home entry
-//! VM for each backend server; two random choices without ownership; and as a bound one queue for each
-//! service that knows all slots at once.
+//! - Slots are allocated to all entry VMs of a zone, with several modes of load reports.
+//! - All slots of a backend server are allocated to one entry VM.
+//! - No entry VM owns slots; requests go to the better of two random servers.
+//! - One queue per service knows all slots, as the ideal bound.
 
 mod demand;
 mod entry_vm;
@@ -26,39 +27,39 @@
 
 use crate::MeasureError;
 
-/// Time that requests arrive for.
+/// Length of the time in which requests arrive.
 const ARRIVAL_PERIOD: Duration = Duration::from_secs(100);
-/// Longest time that a request waits before it is refused.
+/// Maximum time that a request waits before it is refused.
 const MAX_WAIT: Duration = Duration::from_secs(3);
-/// Time after which a failing server fails a request.
+/// Run time of a request on a failing server.
 const FAILING_RUN_TIME: Duration = Duration::from_millis(1);
 const DEFAULT_SEED: u64 = 7;
 
-/// Runs all ways of routing in all scenarios, with arrivals for `length`.
+/// Simulates all routing strategies in all scenarios, with arrivals for `length`.
 ///
 /// # Errors
 ///
-/// Returns an error if a histogram can't be made.
+/// Returns an error if a histogram can't be created.
 pub fn measure(seed: u64, length: Duration) -> Result<Vec<Figures>, MeasureError> {
     let mut figures = Vec::new();
     for scenario in scenario::all() {
         let requests = demand::draw(seed, length, scenario.burst_load);
         for strategy in OWNED_SLOT_STRATEGIES {
-            let run = OwnedSlotsSimulation::new(strategy, &scenario, &requests, seed)?;
-            figures.push(run.run());
+            let simulation = OwnedSlotsSimulation::new(strategy, &scenario, &requests, seed)?;
+            figures.push(simulation.run());
         }
         figures.push(ideal::run(&scenario, &requests)?);
-        let run = TwoChoicesSimulation::new(&scenario, &requests, seed)?;
-        figures.push(run.run());
+        let simulation = TwoChoicesSimulation::new(&scenario, &requests, seed)?;
+        figures.push(simulation.run());
     }
     Ok(figures)
 }
 
-/// Runs all ways of routing in all scenarios and prints the figures.
+/// Simulates all routing strategies in all scenarios, and prints the figures.
 ///
 /// # Errors
 ///
-/// Returns an error if the figures can't be made or written as JSON.
+/// Returns an error if a histogram can't be created or the figures can't be written as JSON.
 pub fn run(json: bool, seed: Option<u64>) -> Result<(), MeasureError> {
     let seed = seed.unwrap_or(DEFAULT_SEED);
     let figures = measure(seed, ARRIVAL_PERIOD)?;
--- a/crates/snipevane-measure/src/routing/network.rs
+++ b/crates/snipevane-measure/src/routing/network.rs
@@ -1,4 +1,4 @@
-//! Messages of a run with owned slots and the time that they take.
+//! Events and messages of a simulation with owned slots, and the network delays.
 
 use std::time::Duration;
 
@@ -8,14 +8,14 @@
 use super::events::EventQueue;
 use super::layout::{network_delay, zone_of_entry_vm, zone_of_server};
 
-/// A request that has a slot of an entry VM.
+/// A request that occupies a slot of an entry VM.
 pub(super) struct Exchange {
     pub(super) entry_vm: usize,
     pub(super) slot: Slot,
     pub(super) routed: RoutedRequest,
 }
 
-/// What an entry VM tells a peer.
+/// A slot request or load report of an entry VM to a peer.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LoadMessage {
     pub(super) from: usize,
@@ -24,37 +24,37 @@
     pub(super) load: Load,
 }
 
-/// What happens next in a run.
+/// Event of a simulation.
 pub(super) enum Event {
-    /// A request comes from the balancer.
+    /// A request arrives from the load balancer.
     Arrive(usize),
-    /// A peer's request arrives.
+    /// A forwarded request arrives at a peer.
     Forwarded { to: usize, routed: RoutedRequest },
-    /// A forwarded request comes back.
+    /// A peer's response that it declined a forwarded request arrives.
     Declined {
         by: usize,
         routed: RoutedRequest,
         load: Load,
     },
-    /// A peer wants slots.
+    /// A slot request arrives.
     SlotRequest(LoadMessage),
-    /// A peer tells of its load.
+    /// A load report arrives.
     LoadReport(LoadMessage),
     /// A request arrives at its backend server.
     Start(Exchange),
-    /// A backend server has run a request.
+    /// A request ends on its backend server.
     End(Exchange),
-    /// An answer arrives at the entry VM that sent the request.
+    /// A response arrives at the entry VM that sent the request.
     Answer(Exchange),
-    /// An entry VM sends its regular notices.
+    /// An entry VM's periodic load report is due.
     LoadReportTick(usize),
-    /// Requests that have waited too long are refused.
+    /// Requests whose maximum wait has passed are removed from the queues.
     ExpiryTick,
-    /// A lost entry VM's slots go to a peer.
+    /// A peer takes over the slots of a lost entry VM.
     Takeover(usize),
 }
 
-/// Messages under way, and the time.
+/// Events that are due later, and the simulated time.
 #[derive(Default)]
 pub(super) struct Network {
     events: EventQueue<Event>,
@@ -62,12 +62,12 @@
 }
 
 impl Network {
-    /// Adds an event at a given time.
+    /// Schedules an event at a time.
     pub(super) fn at(&mut self, at: Duration, event: Event) {
         self.events.push(at, event);
     }
 
-    /// Adds an event after some time.
+    /// Schedules an event after a delay.
     pub(super) fn after(&mut self, delay: Duration, event: Event) {
         self.events.push(self.now + delay, event);
     }
@@ -83,7 +83,7 @@
         self.after(delay, event);
     }
 
-    /// Takes the next event and moves the time on.
+    /// Removes the next event and advances the simulated time to it.
     pub(super) fn next(&mut self) -> Option<Event> {
         let (now, event) = self.events.pop()?;
         self.now = now;
@@ -91,7 +91,7 @@
     }
 }
 
-/// Returns the time that a message between two entry VMs takes.
+/// Returns the network delay between two entry VMs.
 pub(super) fn peer_delay(from: usize, to: usize) -> Duration {
     if from == to {
         return Duration::ZERO;
--- a/crates/snipevane-measure/src/routing/owned.rs
+++ b/crates/snipevane-measure/src/routing/owned.rs
@@ -1,7 +1,7 @@
-//! Ways of routing in which each slot belongs to one entry VM.
+//! Simulation of routing strategies in which each slot is owned by one entry VM.
 //!
-//! An entry VM without a free slot of a service passes a waiting request to a peer that is said to
-//! have one. A peer without a free slot declines, so that there is one hop at most.
+//! An entry VM that has no free slot forwards a waiting request to a peer whose load report shows
+//! one. A peer that has no free slot declines the request, so there is at most one hop.
 
 use std::time::{Duration, Instant};
 
@@ -21,10 +21,10 @@
 use super::{FAILING_RUN_TIME, MAX_WAIT};
 use crate::MeasureError;
 
-/// Time between two looks for requests that have waited too long.
+/// Time between two removals of expired requests from the queues.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Run of one way of routing.
+/// Simulation of one routing strategy with owned slots.
 pub(super) struct OwnedSlotsSimulation<'a> {
     strategy: Strategy,
     scenario: &'a Scenario,
@@ -48,7 +48,7 @@
     ) -> Result<Self, MeasureError> {
         let keys = Keys::new();
         let entry_vms = (0..ENTRY_VMS).map(|number| EntryVm::new(number, keys.clone()));
-        let mut run = Self {
+        let mut simulation = Self {
             strategy,
             scenario,
             requests,
@@ -62,12 +62,12 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         for entry_vm in 0..ENTRY_VMS {
-            run.assign_shards(entry_vm, &[entry_vm]);
+            simulation.assign_shards(entry_vm, &[entry_vm]);
         }
-        Ok(run)
+        Ok(simulation)
     }
 
-    /// Runs all requests to their end.
+    /// Simulates all requests until the last one ends, and returns the figures.
     pub(super) fn run(mut self) -> Figures {
         for (number, request) in self.requests.iter().enumerate() {
             self.network.at(request.at, Event::Arrive(number));
@@ -124,7 +124,7 @@
         }
     }
 
-    /// Puts a request into the share queue and starts what can start.
+    /// Adds a request to the fair queue, and starts as many requests as possible.
     fn enqueue(&mut self, entry_vm: usize, routed: RoutedRequest) {
         let request = self.requests[routed.number];
         let start_by = self.start + request.at + MAX_WAIT;
@@ -180,7 +180,7 @@
         routed
     }
 
-    /// Returns a peer at which a new request would wait clearly less.
+    /// Returns a peer at which a new request would wait clearly less, if there is one.
     fn peer_with_shorter_wait(&mut self, entry_vm: usize, service: usize) -> Option<PeerKey> {
         let instant = self.instant();
         let vm = &mut self.entry_vms[entry_vm];
@@ -337,7 +337,7 @@
         }
     }
 
-    /// Tells all peers at once of a free slot for which nothing waits here.
+    /// Sends a load report to all peers if an idle slot is to be broadcast.
     fn broadcast_idle_slot(&mut self, entry_vm: usize, service: usize) {
         let now = self.network.now;
         if !self.entry_vms[entry_vm].broadcast_due(service, now) {
@@ -348,7 +348,7 @@
         }
     }
 
-    /// Tells a peer that wants a slot of a free one for which nothing waits here.
+    /// Sends a load report to a peer that requested slots, if a slot is idle.
     fn report_idle_slot(&mut self, entry_vm: usize, service: usize) {
         let instant = self.instant();
         let vm = &mut self.entry_vms[entry_vm];
@@ -364,7 +364,7 @@
         }
     }
 
-    /// Tells the peers that requests wait here for a slot.
+    /// Sends slot requests to peers if they are due.
     fn request_slots(&mut self, entry_vm: usize, service: usize) {
         let instant = self.instant();
         let key = self.keys.services[service];
@@ -419,7 +419,7 @@
                 self.send_load_report(entry_vm, peer, service);
             }
         }
-        // One regular message carries all services.
+        // One periodic message carries the load for all services.
         self.record.load_messages -= ((SERVICES - 1) * (ENTRY_VMS - 1)) as u64;
         if self.is_over() {
             return;
@@ -429,7 +429,7 @@
             .after(report_interval, Event::LoadReportTick(entry_vm));
     }
 
-    /// Sends a notice as a message of its own.
+    /// Sends a load report as a separate message.
     fn send_load_report(&mut self, from: usize, to: usize, service: usize) {
         if from != to {
             self.record.load_messages += 1;
@@ -437,7 +437,7 @@
         }
     }
 
-    /// Tells a peer of the load, in a message of its own or in an answer.
+    /// Sends the load to a peer, in a load report or as part of a response.
     fn send_load(&mut self, from: usize, to: usize, service: usize) {
         if from == to {
             return;
@@ -475,7 +475,7 @@
         }
     }
 
-    /// Gives the lost entry VM's slots to a peer of its zone.
+    /// Assigns the slots of a lost entry VM to a peer in its zone.
     fn on_takeover(&mut self, lost: usize) {
         let peers = entry_vms_of(zone_of_entry_vm(lost));
         if let Some(&successor) = peers.iter().find(|&&peer| peer != lost) {
@@ -483,7 +483,7 @@
         }
     }
 
-    /// Deals the slots of some shards to an entry VM.
+    /// Assigns the slots of the given shards to an entry VM.
     fn assign_shards(&mut self, entry_vm: usize, shards: &[usize]) {
         let now = self.instant();
         self.entry_vms[entry_vm].set_shards(self.strategy.ownership, shards, now);
--- a/crates/snipevane-measure/src/routing/record.rs
+++ b/crates/snipevane-measure/src/routing/record.rs
@@ -1,4 +1,4 @@
-//! What came of the requests of a run.
+//! Outcomes and figures of a simulation.
 
 use std::time::Duration;
 
@@ -8,53 +8,54 @@
 use super::layout::{SERVERS_PER_SERVICE, SERVICES, SLOTS};
 use crate::MeasureError;
 
-const HIGHEST_LATENCY_US: u64 = 60_000_000;
-const LATENCY_DIGITS: u8 = 3;
+const MAX_LATENCY_US: u64 = 60_000_000;
+const LATENCY_SIGNIFICANT_DIGITS: u8 = 3;
 
-/// Figures of one way of routing in one scenario.
+/// Figures of one routing strategy in one scenario.
 #[derive(Clone, Debug, Serialize)]
 pub struct Figures {
-    /// Scenario of the run.
+    /// Name of the scenario.
     pub scenario: &'static str,
-    /// Way of routing.
+    /// Name of the routing strategy.
     #[serde(rename = "way")]
     pub strategy: &'static str,
-    /// Requests in all.
+    /// Number of requests.
     pub requests: u64,
-    /// Median time from arrival to answer, in milliseconds.
+    /// Median time from arrival to response, in milliseconds.
     pub p50_ms: f64,
-    /// 99th percentile of the same, in milliseconds.
+    /// 99th percentile of the time from arrival to response, in milliseconds.
     pub p99_ms: f64,
-    /// Requests refused as not run, in percent.
+    /// Percentage of requests that were refused without running.
     pub refused_percent: f64,
-    /// Requests that failed or whose outcome is unknown to the caller, in percent.
+    /// Percentage of requests that failed or whose outcome is unknown to the caller.
     pub failed_percent: f64,
-    /// Tries that a backend server or a peer declined, for each 1,000 requests.
+    /// Attempts declined by a backend server or a peer, per 1,000 requests.
     pub declined_per_1000: f64,
-    /// Hops between entry VMs for each request.
+    /// Hops between entry VMs, per request.
     pub hops_per_request: f64,
-    /// Time in which a slot of a service was idle while its requests waited, in percent of the
-    /// time in which its requests waited.
+    /// Time in which a slot of a service was idle while requests of the service waited, as a
+    /// percentage of the time in which requests waited.
     pub idle_while_waiting_percent: f64,
-    /// Slot time lost that way, in percent of all slot time while requests waited.
+    /// Slot time that was idle while requests waited, as a percentage of the slot time in which
+    /// requests waited.
     pub lost_slot_time_percent: f64,
-    /// Most requests that one backend server ran at once.
+    /// Maximum number of requests that one backend server ran at the same time.
     pub most_running: u16,
-    /// Messages between entry VMs a second and entry VM, forwarded requests left out.
+    /// Messages between entry VMs, without forwarded requests, per second and entry VM.
     pub notices_per_second: f64,
 }
 
-/// Books what happens in a run.
+/// Counts the outcomes of a simulation, and measures how long requests wait and slots are idle.
 pub(super) struct Record {
     latency: Histogram<u64>,
     requests: u64,
     refused: u64,
     failed: u64,
-    /// Tries that a backend server or a peer declined.
+    /// Number of attempts declined by a backend server or a peer.
     pub(super) declined: u64,
-    /// Hops between entry VMs.
+    /// Number of hops between entry VMs.
     pub(super) hops: u64,
-    /// Messages between entry VMs about free slots.
+    /// Number of slot requests and load reports between entry VMs.
     pub(super) load_messages: u64,
     most_running: u16,
     waiting: [u64; SERVICES],
@@ -67,7 +68,7 @@
 
 impl Record {
     pub(super) fn new() -> Result<Self, MeasureError> {
-        let latency = Histogram::new_with_max(HIGHEST_LATENCY_US, LATENCY_DIGITS)
+        let latency = Histogram::new_with_max(MAX_LATENCY_US, LATENCY_SIGNIFICANT_DIGITS)
             .map_err(|err| MeasureError::Histogram(err.to_string()))?;
         Ok(Self {
             latency,
@@ -87,7 +88,7 @@
         })
     }
 
-    /// Books the time up to an event.
+    /// Records the time that passed since the last event.
     pub(super) fn advance(&mut self, now: Duration) {
         let elapsed = now - self.last_event_at;
         self.last_event_at = now;
@@ -106,40 +107,40 @@
         }
     }
 
-    /// Books an arrival.
+    /// Records an arrival.
     pub(super) fn arrived(&mut self) {
         self.requests += 1;
     }
 
-    /// Sets the change of a service's waiting requests.
+    /// Updates the number of waiting requests by the change in the length of one queue.
     pub(super) fn update_waiting(&mut self, service: usize, before: usize, after: usize) {
         self.waiting[service] += after as u64;
         self.waiting[service] -= before as u64;
     }
 
-    /// Books that a backend server starts a request.
+    /// Records that a backend server starts a request.
     pub(super) fn started(&mut self, service: usize, running_on_server: u16) {
         self.running[service] += 1;
         self.most_running = self.most_running.max(running_on_server);
     }
 
-    /// Books that a backend server ends a request.
+    /// Records that a backend server ends a request.
     pub(super) fn ended(&mut self, service: usize) {
         self.running[service] -= 1;
     }
 
-    /// Books an answer that reached its caller.
+    /// Records a response that reached its caller.
     pub(super) fn answered(&mut self, latency: Duration) {
-        let us = u64::try_from(latency.as_micros()).unwrap_or(HIGHEST_LATENCY_US);
+        let us = u64::try_from(latency.as_micros()).unwrap_or(MAX_LATENCY_US);
         self.latency.saturating_record(us);
     }
 
-    /// Books refusals.
+    /// Records refused requests.
     pub(super) fn refused(&mut self, count: usize) {
         self.refused += count as u64;
     }
 
-    /// Books a request that failed or whose outcome is unknown.
+    /// Records a request that failed or whose outcome is unknown.
     pub(super) fn failed(&mut self) {
         self.failed += 1;
     }
--- a/crates/snipevane-measure/src/routing/scenario.rs
+++ b/crates/snipevane-measure/src/routing/scenario.rs
@@ -1,49 +1,49 @@
-//! Scenarios of a run and their faults.
+//! Scenarios of a simulation and their faults.
 
 use std::time::Duration;
 
 use super::layout::ENTRY_VMS;
 
-/// Time until the balancer sends nothing more to a lost entry VM.
+/// Delay until the load balancer sends no more requests to a lost entry VM.
 const BALANCER_DETECTION_DELAY: Duration = Duration::from_secs(1);
-/// Time until the platform's list drops a lost entry VM and its requests have surely ended.
+/// Delay until the platform's list drops a lost entry VM and all of its requests have ended.
 const TAKEOVER_DELAY: Duration = Duration::from_secs(10);
 
-/// Demand and faults of a run.
+/// Demand and faults of a simulation.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Scenario {
     pub(super) name: &'static str,
-    /// Demand during a burst as a multiple of what the service's slots can run.
+    /// Demand during a burst, as a multiple of the capacity of the service's slots.
     pub(super) burst_load: f64,
-    /// Backend server that fails each request at once.
+    /// Backend server that fails every request.
     pub(super) failing_server: Option<usize>,
-    /// Entry VM that is lost, and when.
+    /// Entry VM that is lost, and the time of the loss.
     pub(super) lost_entry_vm: Option<(usize, Duration)>,
 }
 
-/// What the balancer does with a request.
+/// Destination that the load balancer chooses for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum BalancerTarget {
-    /// Sends it to a running entry VM.
+    /// A running entry VM.
     To(usize),
-    /// Sends it to the lost entry VM, where it fails.
+    /// The lost entry VM, where the request fails.
     Lost,
 }
 
 impl Scenario {
-    /// Returns whether an entry VM is lost at a given time.
+    /// Returns whether an entry VM is lost at a time.
     pub(super) fn is_lost(&self, entry_vm: usize, now: Duration) -> bool {
         self.lost_entry_vm
             .is_some_and(|(lost_entry_vm, at)| lost_entry_vm == entry_vm && now >= at)
     }
 
-    /// Returns the time at which another entry VM takes over, if one is lost.
+    /// Returns the lost entry VM and the time at which a peer takes over, if one is lost.
     pub(super) fn takeover(&self) -> Option<(usize, Duration)> {
         self.lost_entry_vm
             .map(|(lost_entry_vm, at)| (lost_entry_vm, at + TAKEOVER_DELAY))
     }
 
-    /// Returns where the balancer sends a request that it chose an entry VM for.
+    /// Returns where the load balancer sends a request that is assigned to `entry_vm`.
     pub(super) fn balancer_target(
         &self,
         entry_vm: usize,
--- a/crates/snipevane-measure/src/routing/strategy.rs
+++ b/crates/snipevane-measure/src/routing/strategy.rs
@@ -1,23 +1,23 @@
-//! Ways of routing with owned slots.
+//! Routing strategies in which each slot is owned by one entry VM.
 
 use std::time::Duration;
 
 use super::entry_vm::SlotOwnership;
 
-/// How peers learn of free slots.
+/// When peers receive load reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ReportMode {
-    /// By regular notices every 100 ms.
+    /// Every 100 ms.
     Periodic,
-    /// Besides, all peers hear at once of a slot that becomes idle.
+    /// Every 100 ms, and to all peers as soon as a slot becomes idle.
     Broadcast,
-    /// By regular notices every second; a peer that wants a slot hears at once of an idle one, and
-    /// answers to forwarded requests carry the load.
+    /// Every second; in addition, a peer that requested slots gets a load report as soon as one
+    /// becomes idle, and responses to forwarded requests carry the load.
     OnDemand,
 }
 
 impl ReportMode {
-    /// Returns the time between two regular notices.
+    /// Returns the time between two periodic load reports.
     pub(super) fn report_interval(self) -> Duration {
         match self {
             Self::Periodic | Self::Broadcast => Duration::from_millis(100),
@@ -26,17 +26,17 @@
     }
 }
 
-/// A way of routing with owned slots.
+/// Routing strategy in which each slot is owned by one entry VM.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Strategy {
     pub(super) name: &'static str,
     pub(super) ownership: SlotOwnership,
     pub(super) report_mode: ReportMode,
-    /// Whether a request also goes to a peer to wait there, if it would wait less.
+    /// Whether a request is forwarded to wait at a peer if the wait there is shorter.
     pub(super) balances_waits: bool,
 }
 
-/// All ways that are compared.
+/// All strategies with owned slots that are compared.
 pub(super) const OWNED_SLOT_STRATEGIES: [Strategy; 5] = [
     Strategy {
         name: "dealt",
--- a/crates/snipevane-measure/src/routing/two_choices.rs
+++ b/crates/snipevane-measure/src/routing/two_choices.rs
@@ -1,6 +1,6 @@
-//! Two random choices over all backend servers, with the load that each answer carries.
+//! Simulation of routing to the better of two random servers, by the load that responses carry.
 //!
-//! No slot belongs to an entry VM. A backend server declines when its slots are taken.
+//! No entry VM owns slots. A backend server declines a request if all of its slots are taken.
 
 use std::time::{Duration, Instant};
 
@@ -24,18 +24,18 @@
 use crate::MeasureError;
 
 const NAME: &str = "two choices";
-/// Time for which a load that an answer carried is believed.
+/// Time after which a server's last reported load is ignored.
 const LOAD_VALIDITY: Duration = Duration::from_millis(50);
-/// Time between two tries for waiting requests without an answer in between.
+/// Time between two periodic attempts to start waiting requests.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
-/// Times that a request is declined before it waits.
+/// Maximum number of attempts before a declined request waits, and of draws of two servers.
 const MAX_ATTEMPTS: u8 = 3;
-/// Failures in a row after which a server is ejected.
+/// Number of consecutive failures after which a server is ejected.
 const FAILURE_THRESHOLD: u32 = 3;
-/// Length of the first ejection; each further one in a row is twice as long.
+/// Length of the first ejection; each consecutive one is twice as long.
 const BASE_EJECTION: Duration = Duration::from_secs(1);
 
-/// A request on its way.
+/// A request that was sent to a server, or that waits at an entry VM.
 #[derive(Clone, Copy, Debug)]
 struct RoutedRequest {
     number: usize,
@@ -54,7 +54,7 @@
     Tick,
 }
 
-/// What an entry VM knows of a server.
+/// State of a server as seen by one entry VM.
 #[derive(Clone, Copy, Debug, Default)]
 struct ServerView {
     load: u16,
@@ -66,7 +66,7 @@
 }
 
 impl ServerView {
-    /// Returns the believed load.
+    /// Returns the estimated load.
     fn load(&self, now: Duration) -> u16 {
         let fresh = self.seen_at.is_some_and(|at| now < at + LOAD_VALIDITY);
         let seen = if fresh { self.load } else { 0 };
@@ -77,7 +77,7 @@
         self.ejected_until <= now
             && self.in_flight < CONNECTIONS_PER_ENTRY_VM
             && self.load(now) < SLOTS
-            // A server that was ejected gets one request at a time until one is answered.
+            // An ejected server gets one request at a time until a request succeeds.
             && (self.ejections == 0 || self.in_flight == 0)
     }
 }
@@ -88,7 +88,7 @@
     retries: RetryBudget,
 }
 
-/// Run of two random choices.
+/// Simulation of routing to the better of two random servers.
 pub(super) struct TwoChoicesSimulation<'a> {
     scenario: &'a Scenario,
     requests: &'a [Request],
@@ -129,7 +129,7 @@
         })
     }
 
-    /// Runs all requests to their end.
+    /// Simulates all requests until the last one ends, and returns the figures.
     pub(super) fn run(mut self) -> Figures {
         for (number, request) in self.requests.iter().enumerate() {
             self.events.push(request.at, Event::Arrive(number));
@@ -215,7 +215,9 @@
         }
     }
 
-    /// Chooses the less loaded of two random servers, in a few draws.
+    /// Chooses the less loaded of two random servers that are available.
+    ///
+    /// Returns `None` if a few draws find no available server.
     fn choose(
         &mut self,
         entry_vm: usize,
--- a/crates/snipevane-measure/src/site/measured_site.rs
+++ b/crates/snipevane-measure/src/site/measured_site.rs
@@ -1,4 +1,4 @@
-//! The site that is measured: entry VMs and backend servers of one zone.
+//! Site of separate processes that is measured: entry VMs and backend servers of one zone.
 
 use std::io;
 use std::net::SocketAddr;
@@ -19,15 +19,15 @@
 use super::process::SiteProcess;
 use crate::error::MeasureError;
 
-/// Attempts to get an answer from a site that is starting.
+/// Maximum number of attempts to get a response from a site that is starting.
 const READY_ATTEMPTS: usize = 200;
-/// Pause between two of these attempts.
+/// Delay between two attempts.
 const READY_PAUSE: Duration = Duration::from_millis(50);
-/// Operators' key.
+/// Key of the operators.
 const OPERATOR_KEY: &str = "operator-key-of-the-measurement";
-/// Key between entry VMs.
+/// Key that entry VMs present to each other.
 const PEER_KEY: &str = "peer-key-of-the-measurement";
-/// Any free port.
+/// Address with a port that the system chooses.
 const ANY_PORT: &str = "127.0.0.1:0";
 
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
@@ -35,15 +35,15 @@
 /// Size of a site.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SiteSize {
-    /// Entry VMs.
+    /// Number of entry VMs.
     pub(crate) entries: usize,
-    /// Backend servers.
+    /// Number of backend servers.
     pub(crate) backends: usize,
-    /// Requests that one backend server runs at once.
+    /// Number of slots of each backend server.
     pub(crate) slots: usize,
 }
 
-/// The processes of the site.
+/// A running site.
 pub(crate) struct MeasuredSite {
     entries: Vec<SiteProcess>,
     backends: Vec<SiteProcess>,
@@ -53,7 +53,7 @@
 }
 
 impl MeasuredSite {
-    /// Starts all processes and waits until the entry VM serves.
+    /// Starts all processes, and waits until the first entry VM serves requests.
     pub(crate) async fn start(size: SiteSize) -> Result<Self, MeasureError> {
         let platform = SiteProcess::start("platform", &json!({ "listen": ANY_PORT }))?;
         let mut site = Self {
@@ -91,7 +91,7 @@
         Ok(())
     }
 
-    /// Fetches the platform's record.
+    /// Fetches the record of the platform's load.
     pub(crate) async fn platform_record(&self) -> Result<PlatformRecord, MeasureError> {
         let endpoint = format!("{}{RECORD_PATH}", self.platform.addresses[0]);
         let record = call(&self.http, Method::GET, &endpoint, &Value::Null).await?;
@@ -106,12 +106,12 @@
             .collect()
     }
 
-    /// Returns the address of the first entry VM for callers.
+    /// Returns the address at which the first entry VM accepts callers' requests.
     pub(crate) fn caller_address(&self) -> SocketAddr {
         self.entries[0].addresses[0]
     }
 
-    /// Returns the key of a team.
+    /// Returns the key of the team.
     pub(crate) fn key(&self) -> &str {
         &self.key
     }
@@ -121,7 +121,7 @@
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.entries[0].id()))?;
         let line = status.lines().find(|line| line.starts_with("VmRSS:"));
         let number = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
-        number.ok_or_else(|| io::Error::other("no resident memory in the process's status"))
+        number.ok_or_else(|| io::Error::other("the status of the process has no resident memory"))
     }
 
     /// Returns the processor time that the entry VMs and the backend servers have used.
@@ -135,18 +135,18 @@
         })
     }
 
-    /// Waits until the entry VM has taken its shard and all slots are usable.
+    /// Waits until the first entry VM holds its shard and all slots are usable.
     async fn wait_until_ready(&self) -> Result<(), MeasureError> {
         let mut successes = 0;
         for _ in 0..READY_ATTEMPTS {
             successes += usize::from(self.serves().await);
-            // Raised deals become usable a poll or two after the first answer.
+            // An increased allocation becomes usable some polls after the first response.
             if successes > READY_ATTEMPTS / 4 {
                 return Ok(());
             }
             tokio::time::sleep(READY_PAUSE).await;
         }
-        Err(io::Error::other("the entry VM doesn't serve").into())
+        Err(io::Error::other("the entry VM doesn't serve requests").into())
     }
 
     async fn serves(&self) -> bool {
@@ -192,16 +192,16 @@
     }
 }
 
-/// Processor time used since the start of the processes.
+/// Processor time used since the processes started.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CpuTimes {
-    /// By all entry VMs.
+    /// Processor time of all entry VMs.
     pub(crate) entries: Duration,
-    /// By all backend servers.
+    /// Processor time of all backend servers.
     pub(crate) backends: Duration,
 }
 
-/// Returns the processor time that a process's threads have used.
+/// Returns the processor time that the threads of a process have used.
 fn cpu_time(process: u32) -> io::Result<Duration> {
     let mut total = Duration::ZERO;
     for thread in std::fs::read_dir(format!("/proc/{process}/task"))? {
@@ -212,7 +212,7 @@
     Ok(total)
 }
 
-/// Returns the machine's load average over a minute, as the system prints it.
+/// Returns the machine's load average over one minute as the system prints it.
 pub(crate) fn load_average() -> String {
     let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
     let first = text.split_whitespace().next();
@@ -264,7 +264,7 @@
     let (status, body) = send(http, method, endpoint, &authorization, body).await?;
     if !status.is_success() {
         let text = String::from_utf8_lossy(&body);
-        return Err(io::Error::other(format!("{endpoint} answered {status}: {text}")).into());
+        return Err(io::Error::other(format!("{endpoint} responded with {status}: {text}")).into());
     }
     Ok(serde_json::from_slice(&body).unwrap_or_default())
 }
--- a/crates/snipevane-measure/src/site/mod.rs
+++ b/crates/snipevane-measure/src/site/mod.rs
@@ -1,4 +1,4 @@
-//! Sites of separate processes on loopback that are measured.
+//! Measured sites of separate processes on loopback.
 
 mod measured_site;
 mod part;
--- a/crates/snipevane-measure/src/site/part.rs
+++ b/crates/snipevane-measure/src/site/part.rs
@@ -1,4 +1,4 @@
-//! One process of the measured site.
+//! Runs one process of a measured site.
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -8,11 +8,11 @@
 
 use crate::error::MeasureError;
 
-/// Runs the entry VM, the platform's stand-in or a backend server's stand-in.
+/// Runs an entry VM, the platform stand-in or a backend server stand-in.
 ///
 /// # Errors
 ///
-/// Returns an error if the part doesn't end well.
+/// Returns an error if the kind is unknown or the process fails.
 pub(crate) fn run_part(kind: &str, settings: &Path) -> Result<(), MeasureError> {
     let code = match kind {
         "entry" => snipevane_entry::process::run(settings),
--- a/crates/snipevane-measure/src/site/process.rs
+++ b/crates/snipevane-measure/src/site/process.rs
@@ -1,4 +1,4 @@
-//! A child process of the measurement.
+//! Child process of a measured site.
 
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
@@ -8,16 +8,16 @@
 use serde_json::Value;
 use uuid::Uuid;
 
-/// A part of the site, killed when it's dropped.
+/// Child process of a measured site; it is killed when this value is dropped.
 pub(super) struct SiteProcess {
     child: Child,
     settings: PathBuf,
-    /// Addresses that the process printed in its first line.
+    /// Addresses in the first line that the process printed.
     pub(super) addresses: Vec<SocketAddr>,
 }
 
 impl SiteProcess {
-    /// Starts a part and waits until it's ready.
+    /// Starts a process, and waits until it is ready.
     pub(super) fn start(kind: &str, settings: &Value) -> io::Result<Self> {
         let name = format!("snipevane-measure-{}.json", Uuid::now_v7());
         let path = std::env::temp_dir().join(name);
@@ -40,13 +40,13 @@
         let words = line.split(|c: char| c.is_whitespace() || c == '=');
         process.addresses = words.filter_map(|word| word.parse().ok()).collect();
         if process.addresses.is_empty() {
-            let message = format!("the part {kind} didn't start");
+            let message = format!("the process {kind} didn't start");
             return Err(io::Error::other(message));
         }
         Ok(process)
     }
 
-    /// Returns the process's identifier.
+    /// Returns the identifier of the process.
     pub(super) fn id(&self) -> u32 {
         self.child.id()
     }
@@ -54,7 +54,7 @@
 
 impl Drop for SiteProcess {
     fn drop(&mut self) {
-        // An error means that the process has ended, or that the file is gone.
+        // Errors are ignored: the process may have ended, and the file may be gone.
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.settings);
