Drop the error of a picture that nothing draws

MeasureError::Picture had no place that makes it and none that matches it, in this crate or another; a search of the workspace showed none. The check of the crate passed.

--- a/crates/snipevane-measure/src/error.rs
+++ b/crates/snipevane-measure/src/error.rs
@@ -19,9 +19,6 @@
     /// A process of a measured site failed.
     #[error("the process {0} failed")]
     Process(String),
-    /// The picture can't be drawn.
-    #[error("can't draw the picture: {0}")]
-    Picture(String),
 }
 
 impl MeasureError {
