--- a/crates/snipevane-measure/src/routing/record.rs
+++ b/crates/snipevane-measure/src/routing/record.rs
@@ -69,7 +69,7 @@
 impl Record {
     pub(super) fn new() -> Result<Self, MeasureError> {
         let latency = Histogram::new_with_max(MAX_LATENCY_US, LATENCY_SIGNIFICANT_DIGITS)
-            .map_err(|err| MeasureError::Histogram(err.to_string()))?;
+            .map_err(MeasureError::histogram)?;
         Ok(Self {
             latency,
             requests: 0,
