--- a/crates/snipevane-measure/src/claims/simulation.rs
+++ b/crates/snipevane-measure/src/claims/simulation.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use super::strategy::Strategy;
+use crate::random::exponential;
 
 /// Length of the simulated time, in seconds.
 pub(super) const SIMULATED_TIME_S: f64 = 3600.0;
@@ -95,7 +96,7 @@
     pub(super) fn run(mut self, rate: f64) -> Counts {
         let mut at_s = 0.0;
         loop {
-            at_s += -(1.0 - self.rng.random::<f64>()).ln() / rate;
+            at_s += exponential(&mut self.rng) / rate;
             if at_s >= SIMULATED_TIME_S {
                 return self.counts;
             }
--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod claims;
 mod error;
+mod random;
 mod site;
 
 pub mod control;
--- a/crates/snipevane-measure/src/limits/site.rs
+++ b/crates/snipevane-measure/src/limits/site.rs
@@ -4,6 +4,8 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
+use crate::random::exponential;
+
 /// Mean run time of a request, in milliseconds.
 const MEAN_RUN_TIME_MS: f64 = 50.0;
 /// Length of a team's burst, in milliseconds.
@@ -99,7 +101,3 @@
     arrivals.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
     arrivals
 }
-
-fn exponential(rng: &mut ChaCha8Rng) -> f64 {
-    -(1.0 - rng.random::<f64>()).ln()
-}
--- a/crates/snipevane-measure/src/routing/demand.rs
+++ b/crates/snipevane-measure/src/routing/demand.rs
@@ -6,6 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::layout::{ENTRY_VMS, SERVERS_PER_SERVICE, SERVICES, SLOTS};
+use crate::random::exponential;
 
 /// Length of a service's burst.
 const BURST_LENGTH: Duration = Duration::from_secs(4);
@@ -74,8 +75,3 @@
     let burst_index = (at / BURST_LENGTH.as_secs_f64()).floor() as usize;
     burst_index % SERVICES == service
 }
-
-fn exponential(rng: &mut ChaCha8Rng) -> f64 {
-    let uniform: f64 = rng.random();
-    -(1.0 - uniform).ln()
-}
