Find the holder of a shard in one place

The simulation of claims searched a shard's periods twice with the same condition. HoldingPeriod::contains and one search replace both.

--- a/crates/snipevane-measure/src/claims/simulation.rs
+++ b/crates/snipevane-measure/src/claims/simulation.rs
@@ -64,6 +64,13 @@
     floor_s: f64,
 }
 
+impl HoldingPeriod {
+    /// Returns whether the process holds the shard and may use it at a time.
+    fn contains(&self, at_s: f64) -> bool {
+        at_s >= self.usable_s && at_s < self.end_s
+    }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum ReportedOutcome {
     Answered,
@@ -226,8 +233,7 @@
         at_s: f64,
         ran_at: &mut Option<f64>,
     ) -> ReportedOutcome {
-        let is_holder = |period: &&HoldingPeriod| at_s >= period.usable_s && at_s < period.end_s;
-        let Some(period) = self.shards[shard].iter().find(is_holder).copied() else {
+        let Some(period) = self.holding_period(shard, at_s) else {
             return ReportedOutcome::NotRun;
         };
         if let Some(ran_s) = *ran_at {
@@ -262,12 +268,16 @@
         ReportedOutcome::Answered
     }
 
+    /// Returns the period of the process that holds a shard at a time, if one does.
+    fn holding_period(&self, shard: usize, at_s: f64) -> Option<HoldingPeriod> {
+        let mut periods = self.shards[shard].iter();
+        periods.find(|period| period.contains(at_s)).copied()
+    }
+
     /// Returns whether the outcome of a request that ran at `ran_s` is stored in the table.
     fn has_stored_row(&self, shard: usize, ran_s: f64) -> bool {
-        let ran_request =
-            |period: &&HoldingPeriod| ran_s >= period.usable_s && ran_s < period.end_s;
-        let holder = self.shards[shard].iter().find(ran_request);
-        let held_until_s = holder.map_or(0.0, |period| period.end_s);
+        let period = self.holding_period(shard, ran_s);
+        let held_until_s = period.map_or(0.0, |period| period.end_s);
         match self.strategy {
             Strategy::RowPerRequest => held_until_s > ran_s + RUN_TIME_S,
             Strategy::Owner { .. }
