--- a/crates/snipevane-measure/src/claims/mod.rs
+++ b/crates/snipevane-measure/src/claims/mod.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::MeasureError;
+use crate::output::print_json;
 use simulation::{Counts, SIMULATED_TIME_S, Simulation};
 use strategy::Strategy;
 
@@ -49,8 +50,7 @@
         .flat_map(|size| measure(size, seed))
         .collect();
     if json {
-        println!("{}", serde_json::to_string_pretty(&lines)?);
-        return Ok(());
+        return print_json(&lines);
     }
     println!(
         "seed {seed}; an hour with a crash or a planned stop each minute and a table outage of 10 minutes"
--- a/crates/snipevane-measure/src/control/mod.rs
+++ b/crates/snipevane-measure/src/control/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::error::MeasureError;
 use crate::flags::Control;
+use crate::output::print_json;
 use crate::site::{MeasuredSite, SiteSize, load_average};
 
 /// Numbers of entry VMs that are measured by default.
@@ -43,7 +44,7 @@
         reports.push(report);
     }
     if flags.json {
-        println!("{}", serde_json::to_string_pretty(&reports)?);
+        print_json(&reports)?;
     }
     Ok(())
 }
--- a/crates/snipevane-measure/src/limits/mod.rs
+++ b/crates/snipevane-measure/src/limits/mod.rs
@@ -9,6 +9,7 @@
 use snipevane_core::shards::ConcentrationSettings;
 
 use crate::MeasureError;
+use crate::output::print_json;
 use simulation::{Counts, Simulation, count_with_one_counter};
 use site::{Size, arrivals};
 use strategy::{Allocation, PeerChoice, Strategy};
@@ -91,8 +92,7 @@
     let seed = seed.unwrap_or(DEFAULT_SEED);
     let lines = measure(seed);
     if json {
-        println!("{}", serde_json::to_string_pretty(&lines)?);
-        return Ok(());
+        return print_json(&lines);
     }
     println!(
         "seed {seed}; refused and hops in % of the requests that arrived below their team's limit"
--- a/crates/snipevane-measure/src/path/mod.rs
+++ b/crates/snipevane-measure/src/path/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::error::MeasureError;
 use crate::flags::Path;
+use crate::output::print_json;
 use crate::site::{MeasuredSite, SiteSize, load_average};
 use load::{Load, Target};
 use report::{CpuPerRequest, Latency, Memory};
@@ -43,7 +44,7 @@
 pub(crate) fn run(flags: &Path) -> Result<(), MeasureError> {
     let report = Runtime::new()?.block_on(measure())?;
     if flags.json {
-        println!("{}", serde_json::to_string_pretty(&report)?);
+        print_json(&report)?;
     } else {
         println!("{report}");
     }
--- a/crates/snipevane-measure/src/routing/mod.rs
+++ b/crates/snipevane-measure/src/routing/mod.rs
@@ -26,6 +26,7 @@
 use two_choices::TwoChoicesSimulation;
 
 use crate::MeasureError;
+use crate::output::print_json;
 
 /// Length of the time in which requests arrive.
 const ARRIVAL_PERIOD: Duration = Duration::from_secs(100);
@@ -64,8 +65,7 @@
     let seed = seed.unwrap_or(DEFAULT_SEED);
     let figures = measure(seed, ARRIVAL_PERIOD)?;
     if json {
-        println!("{}", serde_json::to_string_pretty(&figures)?);
-        return Ok(());
+        return print_json(&figures);
     }
     println!("seed {seed}, {} s of arrivals", ARRIVAL_PERIOD.as_secs());
     println!(
