--- a/crates/snipevane-measure/src/routing/record.rs
+++ b/crates/snipevane-measure/src/routing/record.rs
@@ -1,9 +1,10 @@
 //! Outcomes and figures of a simulation.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
+use snipevane_core::shares::FairQueue;
 
 use super::layout::{SERVERS_PER_SERVICE, SERVICES, SLOTS};
 use crate::MeasureError;
@@ -135,6 +136,26 @@
         self.latency.saturating_record(us);
     }
 
+    /// Removes expired requests from the queue of a service at one entry VM, and records them as
+    /// refused.
+    ///
+    /// If the entry VM is lost, all of its waiting requests are removed and recorded as failed.
+    pub(super) fn expire_waiting<T>(
+        &mut self,
+        service: usize,
+        queue: &mut FairQueue<T>,
+        is_lost: bool,
+        now: Instant,
+    ) {
+        let before = queue.len();
+        while is_lost && queue.pop(now, |_| true).is_some() {
+            self.failed();
+        }
+        let expired = queue.expire(now).len();
+        self.refused(expired);
+        self.update_waiting(service, before, queue.len());
+    }
+
     /// Records refused requests.
     pub(super) fn refused(&mut self, count: usize) {
         self.refused += count as u64;
--- a/crates/snipevane-measure/src/routing/two_choices.rs
+++ b/crates/snipevane-measure/src/routing/two_choices.rs
@@ -359,15 +359,9 @@
         let instant = self.instant();
         for entry_vm in 0..ENTRY_VMS {
             for service in 0..SERVICES {
-                let lost = self.scenario.is_lost(entry_vm, self.now);
+                let is_lost = self.scenario.is_lost(entry_vm, self.now);
                 let queue = &mut self.entry_vms[entry_vm].queues[service];
-                let before = queue.len();
-                while lost && queue.pop(instant, |_| true).is_some() {
-                    self.record.failed();
-                }
-                let expired = queue.expire(instant).len();
-                self.record.refused(expired);
-                self.record.update_waiting(service, before, queue.len());
+                self.record.expire_waiting(service, queue, is_lost, instant);
                 self.dispatch_waiting(entry_vm, service);
             }
         }
