Share the event queue between the simulations

The simulations of limits and of routing each had an event queue: a heap ordered by time and, at the same time, by the order of insertion. One queue, generic over the time, replaces both; limits keeps its times as milliseconds in a float, ordered by total_cmp as before.

--- a/crates/snipevane-measure/src/routing/events.rs
+++ b/crates/snipevane-measure/src/event_queue.rs
@@ -2,42 +2,44 @@
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
-use std::time::Duration;
 
-struct Scheduled<E> {
-    at: Duration,
+struct Scheduled<T, E> {
+    at: T,
     sequence: u64,
     event: E,
 }
 
-impl<E> PartialEq for Scheduled<E> {
+impl<T: Ord, E> PartialEq for Scheduled<T, E> {
     fn eq(&self, other: &Self) -> bool {
         self.cmp(other) == Ordering::Equal
     }
 }
 
-impl<E> Eq for Scheduled<E> {}
+impl<T: Ord, E> Eq for Scheduled<T, E> {}
 
-impl<E> PartialOrd for Scheduled<E> {
+impl<T: Ord, E> PartialOrd for Scheduled<T, E> {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl<E> Ord for Scheduled<E> {
+impl<T: Ord, E> Ord for Scheduled<T, E> {
     fn cmp(&self, other: &Self) -> Ordering {
         // The heap is a max-heap, and the earliest event comes first.
-        (other.at, other.sequence).cmp(&(self.at, self.sequence))
+        let time = other.at.cmp(&self.at);
+        time.then(other.sequence.cmp(&self.sequence))
     }
 }
 
 /// Queue of future events, ordered by time; events at the same time keep their order.
-pub(super) struct EventQueue<E> {
-    heap: BinaryHeap<Scheduled<E>>,
+///
+/// `T` is the simulated time.
+pub(crate) struct EventQueue<T, E> {
+    heap: BinaryHeap<Scheduled<T, E>>,
     sequence: u64,
 }
 
-impl<E> Default for EventQueue<E> {
+impl<T: Ord, E> Default for EventQueue<T, E> {
     fn default() -> Self {
         Self {
             heap: BinaryHeap::new(),
@@ -46,9 +48,9 @@
     }
 }
 
-impl<E> EventQueue<E> {
+impl<T: Ord, E> EventQueue<T, E> {
     /// Adds an event.
-    pub(super) fn push(&mut self, at: Duration, event: E) {
+    pub(crate) fn push(&mut self, at: T, event: E) {
         let sequence = self.sequence;
         self.sequence += 1;
         self.heap.push(Scheduled {
@@ -59,7 +61,7 @@
     }
 
     /// Removes the earliest event.
-    pub(super) fn pop(&mut self) -> Option<(Duration, E)> {
+    pub(crate) fn pop(&mut self) -> Option<(T, E)> {
         let scheduled = self.heap.pop()?;
         Some((scheduled.at, scheduled.event))
     }
--- a/crates/snipevane-measure/src/lib.rs
+++ b/crates/snipevane-measure/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod claims;
 mod error;
+mod event_queue;
 mod output;
 mod random;
 mod site;
--- a/crates/snipevane-measure/src/limits/simulation.rs
+++ b/crates/snipevane-measure/src/limits/simulation.rs
@@ -14,6 +14,7 @@
 use super::hints::Hints;
 use super::site::{Arrival, Size};
 use super::strategy::{ForwardContext, Strategy};
+use crate::event_queue::EventQueue;
 
 /// Time between two publications of an entry VM's free units, in milliseconds.
 const PUBLISH_PERIOD_MS: f64 = 300.0;
@@ -44,7 +45,7 @@
     asked_peers: Vec<usize>,
 }
 
-enum EventKind {
+enum Event {
     Arrive(Arrival),
     /// A forwarded request arrives at the peer that was asked last.
     Forwarded(Forward),
@@ -58,31 +59,27 @@
     Publish(usize),
 }
 
-struct Event {
-    at_ms: f64,
-    sequence: u64,
-    kind: EventKind,
-}
+/// Simulated time, in milliseconds.
+#[derive(Clone, Copy)]
+struct TimeMs(f64);
 
-impl PartialEq for Event {
+impl PartialEq for TimeMs {
     fn eq(&self, other: &Self) -> bool {
         self.cmp(other) == Ordering::Equal
     }
 }
 
-impl Eq for Event {}
+impl Eq for TimeMs {}
 
-impl PartialOrd for Event {
+impl PartialOrd for TimeMs {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl Ord for Event {
-    /// Orders the earliest event as the greatest, since the heap is a max-heap.
+impl Ord for TimeMs {
     fn cmp(&self, other: &Self) -> Ordering {
-        let time = other.at_ms.total_cmp(&self.at_ms);
-        time.then(other.sequence.cmp(&self.sequence))
+        self.0.total_cmp(&other.0)
     }
 }
 
@@ -98,8 +95,7 @@
     vms: Vec<TeamLimiter>,
     in_use: Vec<u32>,
     hints: Hints,
-    events: BinaryHeap<Event>,
-    sequence: u64,
+    events: EventQueue<TimeMs, Event>,
     now_ms: f64,
     counts: Counts,
 }
@@ -143,8 +139,7 @@
             zones: size.zones(),
             vms,
             hints,
-            events: BinaryHeap::new(),
-            sequence: 0,
+            events: EventQueue::default(),
             now_ms: 0.0,
             counts: Counts::default(),
         }
@@ -154,32 +149,32 @@
     pub(super) fn run(mut self, arrivals: &[Arrival]) -> Counts {
         for vm in 0..self.vms.len() {
             let phase_ms = PUBLISH_PERIOD_MS * vm as f64 / self.vms.len() as f64;
-            self.push(phase_ms, EventKind::Publish(vm));
+            self.push(phase_ms, Event::Publish(vm));
         }
         let end_ms = arrivals.last().map_or(0.0, |arrival| arrival.at_ms);
         let mut arrivals = arrivals.iter();
         if let Some(&first) = arrivals.next() {
-            self.push(first.at_ms, EventKind::Arrive(first));
+            self.push(first.at_ms, Event::Arrive(first));
         }
-        while let Some(event) = self.events.pop() {
-            self.now_ms = event.at_ms;
-            match event.kind {
-                EventKind::Arrive(arrival) => {
+        while let Some((TimeMs(now_ms), event)) = self.events.pop() {
+            self.now_ms = now_ms;
+            match event {
+                Event::Arrive(arrival) => {
                     if let Some(&next) = arrivals.next() {
-                        self.push(next.at_ms, EventKind::Arrive(next));
+                        self.push(next.at_ms, Event::Arrive(next));
                     }
                     self.on_arrival(arrival);
                 }
-                EventKind::Forwarded(forward) => self.on_forwarded(forward),
-                EventKind::Declined(forward) => self.on_declined(forward),
-                EventKind::End { vm, team, unit } => {
+                Event::Forwarded(forward) => self.on_forwarded(forward),
+                Event::Declined(forward) => self.on_declined(forward),
+                Event::End { vm, team, unit } => {
                     self.vms[vm].release(unit);
                     self.in_use[team] -= 1;
                 }
-                EventKind::Publish(vm) => {
+                Event::Publish(vm) => {
                     self.hints.publish(vm, &self.vms[vm], &self.teams);
                     if self.now_ms < end_ms {
-                        self.push(self.now_ms + PUBLISH_PERIOD_MS, EventKind::Publish(vm));
+                        self.push(self.now_ms + PUBLISH_PERIOD_MS, Event::Publish(vm));
                     }
                 }
             }
@@ -203,7 +198,7 @@
         let peer = forward.asked_peers.last().copied();
         if !peer.is_some_and(|peer| self.start(forward.arrival, peer)) {
             let at_ms = self.now_ms + self.draw_message_delay_ms();
-            self.push(at_ms, EventKind::Declined(forward));
+            self.push(at_ms, Event::Declined(forward));
             return;
         }
         if forward.eligible && forward.asked_peers.len() == 1 {
@@ -246,7 +241,7 @@
         }
         forward.asked_peers.push(peer);
         let at_ms = self.now_ms + self.draw_message_delay_ms();
-        self.push(at_ms, EventKind::Forwarded(forward));
+        self.push(at_ms, Event::Forwarded(forward));
     }
 
     /// Starts a request if the entry VM has a free unit, and returns whether it did.
@@ -261,7 +256,7 @@
         self.counts.ran += 1;
         self.push(
             self.now_ms + arrival.run_time_ms,
-            EventKind::End { vm, team, unit },
+            Event::End { vm, team, unit },
         );
         true
     }
@@ -271,14 +266,8 @@
             .random_range(MESSAGE_DELAY_MS.0..MESSAGE_DELAY_MS.1)
     }
 
-    fn push(&mut self, at_ms: f64, kind: EventKind) {
-        self.sequence += 1;
-        let sequence = self.sequence;
-        self.events.push(Event {
-            at_ms,
-            sequence,
-            kind,
-        });
+    fn push(&mut self, at_ms: f64, event: Event) {
+        self.events.push(TimeMs(at_ms), event);
     }
 }
 
--- a/crates/snipevane-measure/src/routing/mod.rs
+++ b/crates/snipevane-measure/src/routing/mod.rs
@@ -7,7 +7,6 @@
 
 mod demand;
 mod entry_vm;
-mod events;
 mod ideal;
 mod layout;
 mod network;
--- a/crates/snipevane-measure/src/routing/network.rs
+++ b/crates/snipevane-measure/src/routing/network.rs
@@ -5,8 +5,8 @@
 use snipevane_core::routing::{Load, Slot};
 
 use super::entry_vm::RoutedRequest;
-use super::events::EventQueue;
 use super::layout::{network_delay, zone_of_entry_vm, zone_of_server};
+use crate::event_queue::EventQueue;
 
 /// A request that occupies a slot of an entry VM.
 pub(super) struct Exchange {
@@ -57,7 +57,7 @@
 /// Events that are due later, and the simulated time.
 #[derive(Default)]
 pub(super) struct Network {
-    events: EventQueue<Event>,
+    events: EventQueue<Duration, Event>,
     pub(super) now: Duration,
 }
 
--- a/crates/snipevane-measure/src/routing/two_choices.rs
+++ b/crates/snipevane-measure/src/routing/two_choices.rs
@@ -13,7 +13,6 @@
 use snipevane_proto::manifest::Urgency;
 
 use super::demand::Request;
-use super::events::EventQueue;
 use super::layout::{
     CONNECTIONS_PER_ENTRY_VM, ENTRY_VMS, SERVERS, SERVERS_PER_SERVICE, SERVICES, SLOTS,
     network_delay, servers_of, service_of, zone_of_entry_vm, zone_of_server,
@@ -22,6 +21,7 @@
 use super::scenario::{BalancerTarget, Scenario};
 use super::{FAILING_RUN_TIME, MAX_WAIT};
 use crate::MeasureError;
+use crate::event_queue::EventQueue;
 
 const NAME: &str = "two choices";
 /// Time after which a server's last reported load is ignored.
@@ -96,7 +96,7 @@
     team: TeamKey,
     entry_vms: Vec<EntryVm>,
     running: [u16; SERVERS],
-    events: EventQueue<Event>,
+    events: EventQueue<Duration, Event>,
     record: Record,
     rng: ChaCha8Rng,
     now: Duration,
