--- a/crates/snipevane-measure/src/routing/mod.rs
+++ b/crates/snipevane-measure/src/routing/mod.rs
@@ -67,6 +67,11 @@
         return print_json(&figures);
     }
     println!("seed {seed}, {} s of arrivals", ARRIVAL_PERIOD.as_secs());
+    print_table(&figures);
+    Ok(())
+}
+
+fn print_table(figures: &[Figures]) {
     println!(
         "{:<22} {:<17} {:>8} {:>7} {:>7} {:>8} {:>7} {:>9} {:>6} {:>6} {:>6} {:>5} {:>8}",
         "scenario",
@@ -83,7 +88,7 @@
         "most",
         "notice/s",
     );
-    for row in &figures {
+    for row in figures {
         println!(
             "{:<22} {:<17} {:>8} {:>7.1} {:>7.1} {:>8.3} {:>7.3} {:>9.1} {:>6.3} {:>6.1} {:>6.2} \
              {:>5} {:>8.1}",
@@ -102,5 +107,4 @@
             row.notices_per_second,
         );
     }
-    Ok(())
 }
