--- a/crates/snipevane-measure/src/rounds/entry.rs
+++ b/crates/snipevane-measure/src/rounds/entry.rs
@@ -33,7 +33,7 @@
     pub(super) name: String,
     /// Score of the day, `G` in the journal.
     #[serde(rename = "G", default)]
-    pub(super) worth: Option<f64>,
+    pub(super) score: Option<f64>,
     /// Number of violations by rule.
     #[serde(default)]
     pub(super) rules: BTreeMap<String, u64>,
