Split the measurement of the request path by what it measures

One function set up the targets, measured throughput and latencies and made the report. Throughput and latencies now have a function and a type each.

--- a/crates/snipevane-measure/src/path/mod.rs
+++ b/crates/snipevane-measure/src/path/mod.rs
@@ -53,61 +53,111 @@
 
 async fn measure() -> Result<PathReport, MeasureError> {
     let site = MeasuredSite::start(SIZE).await?;
-    let callers = SIZE.backends * SIZE.slots;
-    let direct = Target {
-        addresses: site.backend_addresses(),
-        path: "/tick".into(),
-        key: None,
-        callers,
-    };
-    let through = Target {
-        addresses: vec![site.caller_address()],
-        path: "/v1/queues/ticks/tick".into(),
-        key: Some(site.key().to_owned()),
-        callers,
-    };
-    for target in [&direct, &through] {
+    let targets = Targets::of(&site);
+    for target in [&targets.direct, &targets.through] {
         Load::closed_loop(target, WARM_UP_LENGTH).await?;
     }
-    let mut direct_rates = Vec::new();
-    let mut through_rates = Vec::new();
+    let throughput = measure_throughput(&targets).await?;
+    let half_rate = throughput.through / 2.0;
+    let cpu = measure_cpu(&site, &targets.through, half_rate).await?;
+    let latencies = measure_latencies(&targets, half_rate).await?;
+    let memory = measure_memory(&site, &targets.through).await?;
+    Ok(PathReport {
+        direct_per_second: throughput.direct,
+        through_per_second: throughput.through,
+        relative: throughput.through / throughput.direct,
+        paced_per_second: half_rate,
+        direct: Latency::of(&latencies.direct),
+        through: Latency::of(&latencies.through),
+        cpu,
+        failed: throughput.failed + latencies.failed,
+        memory,
+        load_average: load_average(),
+    })
+}
+
+/// Destinations of the requests, direct and through the entry VM.
+struct Targets {
+    direct: Target,
+    through: Target,
+}
+
+impl Targets {
+    fn of(site: &MeasuredSite) -> Self {
+        let callers = SIZE.backends * SIZE.slots;
+        Self {
+            direct: Target {
+                addresses: site.backend_addresses(),
+                path: "/tick".into(),
+                key: None,
+                callers,
+            },
+            through: Target {
+                addresses: vec![site.caller_address()],
+                path: "/v1/queues/ticks/tick".into(),
+                key: Some(site.key().to_owned()),
+                callers,
+            },
+        }
+    }
+}
+
+/// Maximum throughput, in requests per second; median of the rounds.
+struct Throughput {
+    direct: f64,
+    through: f64,
+    failed: u64,
+}
+
+async fn measure_throughput(targets: &Targets) -> Result<Throughput, MeasureError> {
+    let mut direct = Vec::new();
+    let mut through = Vec::new();
     let mut failed = 0;
     for _ in 0..ROUNDS {
-        for (target, rates) in [(&direct, &mut direct_rates), (&through, &mut through_rates)] {
+        for (target, rates) in [
+            (&targets.direct, &mut direct),
+            (&targets.through, &mut through),
+        ] {
             let load = Load::closed_loop(target, ROUND_LENGTH).await?;
             rates.push(load.per_second());
             failed += load.failed;
         }
     }
-    let (direct_rate, through_rate) = (median(direct_rates), median(through_rates));
-    let half_rate = through_rate / 2.0;
-    let cpu = measure_cpu(&site, &through, half_rate).await?;
-    let mut direct_latencies = new_histogram()?;
-    let mut through_latencies = new_histogram()?;
+    Ok(Throughput {
+        direct: median(direct),
+        through: median(through),
+        failed,
+    })
+}
+
+/// Latencies of all rounds, in microseconds.
+struct Latencies {
+    direct: Histogram<u64>,
+    through: Histogram<u64>,
+    failed: u64,
+}
+
+/// Measures the latencies at a rate, in requests per second.
+async fn measure_latencies(targets: &Targets, per_second: f64) -> Result<Latencies, MeasureError> {
+    let mut direct = new_histogram()?;
+    let mut through = new_histogram()?;
+    let mut failed = 0;
     for _ in 0..ROUNDS {
         for (target, latencies) in [
-            (&direct, &mut direct_latencies),
-            (&through, &mut through_latencies),
+            (&targets.direct, &mut direct),
+            (&targets.through, &mut through),
         ] {
-            let load = Load::at_rate(target, half_rate, ROUND_LENGTH).await?;
+            let load = Load::at_rate(target, per_second, ROUND_LENGTH).await?;
             failed += load.failed;
             latencies
                 .add(&load.latencies)
                 .map_err(MeasureError::histogram)?;
         }
     }
-    let memory = measure_memory(&site, &through).await?;
-    Ok(PathReport {
-        direct_per_second: direct_rate,
-        through_per_second: through_rate,
-        relative: through_rate / direct_rate,
-        paced_per_second: half_rate,
-        direct: Latency::of(&direct_latencies),
-        through: Latency::of(&through_latencies),
-        cpu,
+    Ok(Latencies {
+        direct,
+        through,
         failed,
-        memory,
-        load_average: load_average(),
     })
 }
 
