Move the usage of processes out of the measured site

The file of the site also read processor time, resident memory and the load average from the system. They now stand in a module of their own.

--- a/crates/snipevane-measure/src/site/measured_site.rs
+++ b/crates/snipevane-measure/src/site/measured_site.rs
@@ -17,6 +17,7 @@
 use uuid::Uuid;
 
 use super::process::SiteProcess;
+use super::usage::{CpuTimes, cpu_time, resident_memory_kb};
 use crate::error::MeasureError;
 
 /// Maximum number of attempts to get a response from a site that is starting.
@@ -118,10 +119,7 @@
 
     /// Returns the resident memory of the first entry VM, in kilobytes.
     pub(crate) fn entry_rss_kb(&self) -> io::Result<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.entries[0].id()))?;
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        let number = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
-        number.ok_or_else(|| io::Error::other("the status of the process has no resident memory"))
+        resident_memory_kb(self.entries[0].id())
     }
 
     /// Returns the processor time that the entry VMs and the backend servers have used.
@@ -192,33 +190,6 @@
     }
 }
 
-/// Processor time used since the processes started.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct CpuTimes {
-    /// Processor time of all entry VMs.
-    pub(crate) entries: Duration,
-    /// Processor time of all backend servers.
-    pub(crate) backends: Duration,
-}
-
-/// Returns the processor time that the threads of a process have used.
-fn cpu_time(process: u32) -> io::Result<Duration> {
-    let mut total = Duration::ZERO;
-    for thread in std::fs::read_dir(format!("/proc/{process}/task"))? {
-        let text = std::fs::read_to_string(thread?.path().join("schedstat"))?;
-        let nanos = text.split_whitespace().next().and_then(|n| n.parse().ok());
-        total += Duration::from_nanos(nanos.unwrap_or_default());
-    }
-    Ok(total)
-}
-
-/// Returns the machine's load average over one minute as the system prints it.
-pub(crate) fn load_average() -> String {
-    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
-    let first = text.split_whitespace().next();
-    first.unwrap_or("unknown").to_owned()
-}
-
 fn backend_name(number: usize) -> String {
     format!("backend-{number}")
 }
--- a/crates/snipevane-measure/src/site/mod.rs
+++ b/crates/snipevane-measure/src/site/mod.rs
@@ -3,6 +3,8 @@
 mod measured_site;
 mod part;
 mod process;
+mod usage;
 
-pub(crate) use measured_site::{MeasuredSite, SiteSize, load_average};
+pub(crate) use measured_site::{MeasuredSite, SiteSize};
 pub(crate) use part::run_part;
+pub(crate) use usage::load_average;
