Correct terms and line breaks that a second reading found

A reader of the diff stopped at a total of units named allocate, at answers where the other crates say response, and at paragraphs with a broken line. Strategy names that the design pages cite say so. Only names and comments change.

--- a/crates/snipevane-measure/src/claims/simulation.rs
+++ b/crates/snipevane-measure/src/claims/simulation.rs
@@ -71,11 +71,13 @@
     }
 }
 
+/// Outcome that an attempt reports to the caller.
 #[derive(Clone, Copy, PartialEq)]
 enum ReportedOutcome {
     Answered,
     Unknown,
     NotRun,
+    /// The request ran, but the response didn't reach the caller.
     NoResponse,
 }
 
--- a/crates/snipevane-measure/src/claims/strategy.rs
+++ b/crates/snipevane-measure/src/claims/strategy.rs
@@ -17,6 +17,7 @@
 }
 
 impl Strategy {
+    /// Returns the name in the output, as the design page of claims has it.
     pub(super) fn name(self) -> String {
         match self {
             Self::RowPerRequest => "row for each request".to_owned(),
--- a/crates/snipevane-measure/src/control/mod.rs
+++ b/crates/snipevane-measure/src/control/mod.rs
@@ -1,6 +1,5 @@
 //! Measurement of the control traffic and resources of entry VMs, before, during and after an
-//! outage
-//! of the platform.
+//! outage of the platform.
 
 mod report;
 
--- a/crates/snipevane-measure/src/limits/site.rs
+++ b/crates/snipevane-measure/src/limits/site.rs
@@ -74,8 +74,7 @@
 /// Draws the arrivals of all teams, ordered by time.
 ///
 /// A team's demand during a burst is `load` times its limit. The bursts of the teams start one
-/// after
-/// the other.
+/// after the other.
 pub(super) fn arrivals(size: Size, load: f64, length_ms: f64, seed: u64) -> Vec<Arrival> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let limits = size.limits();
--- a/crates/snipevane-measure/src/limits/strategy.rs
+++ b/crates/snipevane-measure/src/limits/strategy.rs
@@ -62,6 +62,7 @@
 }
 
 impl Strategy {
+    /// Returns the name in the output, as the design page of limits has it.
     pub(super) fn name(self) -> String {
         let allocation = match self.allocation {
             Allocation::Even => "even".to_owned(),
@@ -92,8 +93,8 @@
 
     /// Chooses the peer to ask from the holders, which are given with their allocated units.
     ///
-    /// A random holder is chosen if no hint shows a free unit. Returns `None` after the last
-    /// attempt.
+    /// A random holder is chosen if no hint shows a free unit. Returns `None` if no peer is left to
+    /// ask, or after the last attempt.
     pub(super) fn choose(
         self,
         hints: &Hints,
@@ -138,16 +139,16 @@
 
 /// Picks a random holder, weighted by its allocated units.
 fn pick_weighted(holders: &[(usize, u32)], rng: &mut ChaCha8Rng) -> Option<usize> {
-    let total: u32 = holders.iter().map(|(_, allocate)| allocate).sum();
+    let total: u32 = holders.iter().map(|(_, units)| units).sum();
     if total == 0 {
         return None;
     }
     let mut drawn = rng.random_range(0..total);
-    for &(vm, allocate) in holders {
-        if drawn < allocate {
+    for &(vm, units) in holders {
+        if drawn < units {
             return Some(vm);
         }
-        drawn -= allocate;
+        drawn -= units;
     }
     None
 }
--- a/crates/snipevane-measure/src/path/load.rs
+++ b/crates/snipevane-measure/src/path/load.rs
@@ -112,8 +112,7 @@
     /// Waits until the next request is due, and returns the time from which its latency counts.
     ///
     /// If the previous request ended too late, the latency counts from the time at which the
-    /// request
-    /// was due. The delay of the timer doesn't count.
+    /// request was due. The delay of the timer doesn't count.
     async fn wait(&mut self) -> Instant {
         let due = self.next;
         self.next += self.interval;
--- a/crates/snipevane-measure/src/routing/network.rs
+++ b/crates/snipevane-measure/src/routing/network.rs
@@ -45,7 +45,7 @@
     /// A request ends on its backend server.
     End(Exchange),
     /// A response arrives at the entry VM that sent the request.
-    Answer(Exchange),
+    Response(Exchange),
     /// An entry VM's periodic load report is due.
     LoadReportTick(usize),
     /// Requests whose maximum wait has passed are removed from the queues.
--- a/crates/snipevane-measure/src/routing/owned.rs
+++ b/crates/snipevane-measure/src/routing/owned.rs
@@ -98,7 +98,7 @@
             Event::LoadReport(message) => self.on_load_report(message),
             Event::Start(exchange) => self.on_start(exchange),
             Event::End(exchange) => self.on_end(exchange),
-            Event::Answer(exchange) => self.on_answer(exchange),
+            Event::Response(exchange) => self.on_response(exchange),
             Event::LoadReportTick(entry_vm) => self.on_load_report_tick(entry_vm),
             Event::ExpiryTick => self.on_expiry_tick(),
             Event::Takeover(lost) => self.on_takeover(lost),
@@ -281,10 +281,10 @@
         self.record.ended(service_of(server));
         let entry_vm = exchange.entry_vm;
         self.network
-            .send_to_server(entry_vm, server, Event::Answer(exchange));
+            .send_to_server(entry_vm, server, Event::Response(exchange));
     }
 
-    fn on_answer(&mut self, exchange: Exchange) {
+    fn on_response(&mut self, exchange: Exchange) {
         let server = self.server(&exchange);
         let failed = server.is_some() && server == self.scenario.failing_server;
         let Exchange {
--- a/crates/snipevane-measure/src/routing/strategy.rs
+++ b/crates/snipevane-measure/src/routing/strategy.rs
@@ -11,7 +11,7 @@
     Periodic,
     /// Every 100 ms, and to all peers as soon as a slot becomes idle.
     Broadcast,
-    /// Every second; in addition, a peer that requested slots gets a load report as soon as one
+    /// Every second; in addition, a peer that requested slots gets a load report as soon as a slot
     /// becomes idle, and responses to forwarded requests carry the load.
     OnDemand,
 }
@@ -29,6 +29,7 @@
 /// Routing strategy in which each slot is owned by one entry VM.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Strategy {
+    /// Name in the output, as the design page of routing has it.
     pub(super) name: &'static str,
     pub(super) ownership: SlotOwnership,
     pub(super) report_mode: ReportMode,
--- a/crates/snipevane-measure/src/routing/two_choices.rs
+++ b/crates/snipevane-measure/src/routing/two_choices.rs
@@ -49,7 +49,7 @@
     Arrive(usize),
     Start(RoutedRequest),
     End(RoutedRequest),
-    Answer { routed: RoutedRequest, load: u16 },
+    Response { routed: RoutedRequest, load: u16 },
     Declined(RoutedRequest),
     Tick,
 }
@@ -142,7 +142,7 @@
                 Event::Arrive(number) => self.on_arrival(number),
                 Event::Start(routed) => self.on_start(routed),
                 Event::End(routed) => self.on_end(routed),
-                Event::Answer { routed, load } => self.on_answer(routed, load),
+                Event::Response { routed, load } => self.on_response(routed, load),
                 Event::Declined(routed) => self.on_declined(routed),
                 Event::Tick => self.on_tick(),
             }
@@ -276,11 +276,11 @@
         let load = self.running[routed.server];
         self.events.push(
             self.now + delay_to_server(routed),
-            Event::Answer { routed, load },
+            Event::Response { routed, load },
         );
     }
 
-    fn on_answer(&mut self, routed: RoutedRequest, load: u16) {
+    fn on_response(&mut self, routed: RoutedRequest, load: u16) {
         if self.scenario.is_lost(routed.entry_vm, self.now) {
             self.record.failed();
             return;
