--- a/crates/snipevane-measure/src/path/load.rs
+++ b/crates/snipevane-measure/src/path/load.rs
@@ -1,4 +1,4 @@
-//! Load from many callers, each with one connection and one request at a time.
+//! Load generator with many callers, each with one connection and one request at a time.
 
 use std::io;
 use std::net::SocketAddr;
@@ -19,53 +19,56 @@
 /// Body of each request.
 const BODY: &[u8] = b"tick 4711 of 2026-12-03 reconciled";
 
-/// Where requests go.
+/// Destination of the requests.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
-    /// Addresses, taken in turn by the callers.
+    /// Addresses, assigned to the callers in round-robin order.
     pub(super) addresses: Vec<SocketAddr>,
     /// Path of the requests.
     pub(super) path: String,
-    /// Key that the requests carry.
+    /// Key that the requests carry, if any.
     pub(super) key: Option<String>,
-    /// Callers.
+    /// Number of callers.
     pub(super) callers: usize,
 }
 
-/// What came of a load.
+/// Results of a load.
 pub(super) struct Load {
-    /// Time from the start to the end.
+    /// Time from the first request to the end.
     elapsed: Duration,
-    /// Times of the requests that were answered with 200, in microseconds.
-    pub(super) times: Histogram<u64>,
-    /// Requests that were answered with another status or not at all.
+    /// Latencies of the requests that got a response with status 200, in microseconds.
+    pub(super) latencies: Histogram<u64>,
+    /// Number of requests that got another status or no response.
     pub(super) failed: u64,
 }
 
 impl Load {
-    /// Sends requests one after the other from each caller.
-    pub(super) async fn closed(target: &Target, time: Duration) -> Result<Self, MeasureError> {
-        Self::run(target, time, None).await
+    /// Generates load in which each caller sends the next request as soon as the last one ends.
+    pub(super) async fn closed_loop(
+        target: &Target,
+        duration: Duration,
+    ) -> Result<Self, MeasureError> {
+        Self::run(target, duration, None).await
     }
 
-    /// Sends requests at a rate over all callers.
-    pub(super) async fn paced(
+    /// Generates load at a rate of all callers together, in requests per second.
+    pub(super) async fn at_rate(
         target: &Target,
         per_second: f64,
-        time: Duration,
+        duration: Duration,
     ) -> Result<Self, MeasureError> {
         let interval = Duration::from_secs_f64(target.callers as f64 / per_second);
-        Self::run(target, time, Some(interval)).await
+        Self::run(target, duration, Some(interval)).await
     }
 
-    /// Returns the requests answered with 200 each second.
+    /// Returns the number of responses with status 200 per second.
     pub(super) fn per_second(&self) -> f64 {
-        self.times.len() as f64 / self.elapsed.as_secs_f64()
+        self.latencies.len() as f64 / self.elapsed.as_secs_f64()
     }
 
     async fn run(
         target: &Target,
-        time: Duration,
+        duration: Duration,
         interval: Option<Duration>,
     ) -> Result<Self, MeasureError> {
         let mut callers = Vec::new();
@@ -75,21 +78,23 @@
         let start = Instant::now();
         let mut tasks = JoinSet::new();
         for (number, caller) in callers.into_iter().enumerate() {
-            let share = number as f64 / target.callers as f64;
-            let pace = interval.map(|interval| Pace {
-                next: start + interval.mul_f64(share),
+            let fraction = number as f64 / target.callers as f64;
+            let pacing = interval.map(|interval| Pacing {
+                next: start + interval.mul_f64(fraction),
                 interval,
             });
-            tasks.spawn(work(caller, start + time, pace));
+            tasks.spawn(run_caller(caller, start + duration, pacing));
         }
         let mut load = Self {
             elapsed: Duration::ZERO,
-            times: new_histogram()?,
+            latencies: new_histogram()?,
             failed: 0,
         };
         while let Some(result) = tasks.join_next().await {
-            let (times, failed) = result.map_err(io::Error::other)??;
-            load.times.add(&times).map_err(MeasureError::histogram)?;
+            let (latencies, failed) = result.map_err(io::Error::other)??;
+            load.latencies
+                .add(&latencies)
+                .map_err(MeasureError::histogram)?;
             load.failed += failed;
         }
         load.elapsed = start.elapsed();
@@ -97,17 +102,17 @@
     }
 }
 
-/// When a caller sends its requests.
-struct Pace {
+/// Times at which a caller sends its requests.
+struct Pacing {
     next: Instant,
     interval: Duration,
 }
 
-impl Pace {
-    /// Waits until the next request is due, and returns the time from which it counts.
+impl Pacing {
+    /// Waits until the next request is due, and returns the time from which its latency counts.
     ///
-    /// A request that is late because the former one took long counts from when it was due; the
-    /// timer's own delay doesn't count.
+    /// If the previous request ended too late, the latency counts from the time at which the
+    /// request was due. The delay of the timer doesn't count.
     async fn wait(&mut self) -> Instant {
         let due = self.next;
         self.next += self.interval;
@@ -119,26 +124,26 @@
     }
 }
 
-async fn work(
+async fn run_caller(
     mut caller: Caller,
     until: Instant,
-    mut pace: Option<Pace>,
+    mut pacing: Option<Pacing>,
 ) -> Result<(Histogram<u64>, u64), MeasureError> {
-    let mut times = new_histogram()?;
+    let mut latencies = new_histogram()?;
     let mut failed = 0;
     loop {
-        let started = match &mut pace {
-            Some(pace) => pace.wait().await,
+        let started = match &mut pacing {
+            Some(pacing) => pacing.wait().await,
             None => Instant::now(),
         };
         if started >= until {
-            return Ok((times, failed));
+            return Ok((latencies, failed));
         }
         match caller.send().await {
             Ok(StatusCode::OK) => {
                 let micros = started.elapsed().as_micros();
                 let micros = u64::try_from(micros).unwrap_or(u64::MAX);
-                times.record(micros).map_err(MeasureError::histogram)?;
+                latencies.record(micros).map_err(MeasureError::histogram)?;
             }
             Ok(_) => failed += 1,
             Err(_) => {
@@ -195,13 +200,13 @@
         .await
         .map_err(io::Error::other)?;
     tokio::spawn(async move {
-        // The caller sees a broken connection at its next request.
+        // The caller gets the error when it sends its next request.
         let _ = connection.await;
     });
     Ok(sender)
 }
 
-/// Opens connections, sends one request on each and keeps them open.
+/// Opens connections, sends one request on each, and keeps them open.
 pub(super) async fn open_connections(target: &Target, count: usize) -> io::Result<Vec<Caller>> {
     let mut callers = Vec::new();
     for number in 0..count {
--- a/crates/snipevane-measure/src/path/mod.rs
+++ b/crates/snipevane-measure/src/path/mod.rs
@@ -1,6 +1,7 @@
-//! The request path: direct to backend servers and through an entry VM, side by side in one run.
+//! Comparison of the request path through an entry VM with direct requests to backend servers.
 //!
-//! Platform, backend servers and entry VM run as processes of their own, the load in this one.
+//! The platform, the backend servers and the entry VM run as separate processes. The load is
+//! generated in this process.
 
 mod load;
 mod report;
@@ -14,6 +15,7 @@
 
 use crate::error::MeasureError;
 use crate::flags::Path;
+use crate::output::print_json;
 use crate::site::{MeasuredSite, SiteSize, load_average};
 use load::{Load, Target};
 use report::{CpuPerRequest, Latency, Memory};
@@ -24,24 +26,25 @@
     backends: 4,
     slots: 8,
 };
-/// Time of one round of load.
-const ROUND: Duration = Duration::from_secs(3);
-/// Time of load before the first round.
-const WARM_UP: Duration = Duration::from_secs(1);
-/// Rounds of each kind, direct and through the entry VM in turn.
+/// Length of one round of load.
+const ROUND_LENGTH: Duration = Duration::from_secs(3);
+/// Length of the warm-up before the first round.
+const WARM_UP_LENGTH: Duration = Duration::from_secs(1);
+/// Number of rounds, direct and through the entry VM each.
 const ROUNDS: usize = 5;
-/// Open callers' connections for the memory figure.
+/// Number of callers' connections that are opened to measure memory.
 const OPEN_CONNECTIONS: usize = 1_000;
 
 /// Runs the measurement and prints its report.
 ///
 /// # Errors
 ///
-/// Returns an error if a process doesn't start or the site doesn't get ready.
+/// Returns an error if a process doesn't start, the site doesn't become ready or a request can't be
+/// sent.
 pub(crate) fn run(flags: &Path) -> Result<(), MeasureError> {
     let report = Runtime::new()?.block_on(measure())?;
     if flags.json {
-        println!("{}", serde_json::to_string_pretty(&report)?);
+        print_json(&report)?;
     } else {
         println!("{report}");
     }
@@ -50,69 +53,124 @@
 
 async fn measure() -> Result<PathReport, MeasureError> {
     let site = MeasuredSite::start(SIZE).await?;
-    let callers = SIZE.backends * SIZE.slots;
-    let direct = Target {
-        addresses: site.backend_addresses(),
-        path: "/tick".into(),
-        key: None,
-        callers,
-    };
-    let through = Target {
-        addresses: vec![site.caller_address()],
-        path: "/v1/queues/ticks/tick".into(),
-        key: Some(site.key().to_owned()),
-        callers,
-    };
-    for target in [&direct, &through] {
-        Load::closed(target, WARM_UP).await?;
+    let targets = Targets::of(&site);
+    for target in [&targets.direct, &targets.through] {
+        Load::closed_loop(target, WARM_UP_LENGTH).await?;
     }
-    let mut direct_rates = Vec::new();
-    let mut through_rates = Vec::new();
+    let throughput = measure_throughput(&targets).await?;
+    let half_rate = throughput.through / 2.0;
+    let cpu = measure_cpu(&site, &targets.through, half_rate).await?;
+    let latencies = measure_latencies(&targets, half_rate).await?;
+    let memory = measure_memory(&site, &targets.through).await?;
+    Ok(PathReport {
+        direct_per_second: throughput.direct,
+        through_per_second: throughput.through,
+        relative: throughput.through / throughput.direct,
+        paced_per_second: half_rate,
+        direct: Latency::of(&latencies.direct),
+        through: Latency::of(&latencies.through),
+        cpu,
+        failed: throughput.failed + latencies.failed,
+        memory,
+        load_average: load_average(),
+    })
+}
+
+/// Destinations of the requests, direct and through the entry VM.
+struct Targets {
+    direct: Target,
+    through: Target,
+}
+
+impl Targets {
+    fn of(site: &MeasuredSite) -> Self {
+        let callers = SIZE.backends * SIZE.slots;
+        Self {
+            direct: Target {
+                addresses: site.backend_addresses(),
+                path: "/tick".into(),
+                key: None,
+                callers,
+            },
+            through: Target {
+                addresses: vec![site.caller_address()],
+                path: "/v1/queues/ticks/tick".into(),
+                key: Some(site.key().to_owned()),
+                callers,
+            },
+        }
+    }
+}
+
+/// Maximum throughput, in requests per second; median of the rounds.
+struct Throughput {
+    direct: f64,
+    through: f64,
+    failed: u64,
+}
+
+async fn measure_throughput(targets: &Targets) -> Result<Throughput, MeasureError> {
+    let mut direct = Vec::new();
+    let mut through = Vec::new();
     let mut failed = 0;
     for _ in 0..ROUNDS {
-        for (target, rates) in [(&direct, &mut direct_rates), (&through, &mut through_rates)] {
-            let load = Load::closed(target, ROUND).await?;
+        for (target, rates) in [
+            (&targets.direct, &mut direct),
+            (&targets.through, &mut through),
+        ] {
+            let load = Load::closed_loop(target, ROUND_LENGTH).await?;
             rates.push(load.per_second());
             failed += load.failed;
         }
     }
-    let (direct_rate, through_rate) = (median(direct_rates), median(through_rates));
-    let half = through_rate / 2.0;
-    let cpu = measure_cpu(&site, &through, half).await?;
-    let mut direct_times = new_histogram()?;
-    let mut through_times = new_histogram()?;
+    Ok(Throughput {
+        direct: median(direct),
+        through: median(through),
+        failed,
+    })
+}
+
+/// Latencies of all rounds, in microseconds.
+struct Latencies {
+    direct: Histogram<u64>,
+    through: Histogram<u64>,
+    failed: u64,
+}
+
+/// Measures the latencies at a rate, in requests per second.
+async fn measure_latencies(targets: &Targets, per_second: f64) -> Result<Latencies, MeasureError> {
+    let mut direct = new_histogram()?;
+    let mut through = new_histogram()?;
+    let mut failed = 0;
     for _ in 0..ROUNDS {
-        for (target, times) in [(&direct, &mut direct_times), (&through, &mut through_times)] {
-            let load = Load::paced(target, half, ROUND).await?;
+        for (target, latencies) in [
+            (&targets.direct, &mut direct),
+            (&targets.through, &mut through),
+        ] {
+            let load = Load::at_rate(target, per_second, ROUND_LENGTH).await?;
             failed += load.failed;
-            times.add(&load.times).map_err(MeasureError::histogram)?;
+            latencies
+                .add(&load.latencies)
+                .map_err(MeasureError::histogram)?;
         }
     }
-    let memory = measure_memory(&site, &through).await?;
-    Ok(PathReport {
-        direct_per_second: direct_rate,
-        through_per_second: through_rate,
-        relative: through_rate / direct_rate,
-        paced_per_second: half,
-        direct: Latency::of(&direct_times),
-        through: Latency::of(&through_times),
-        cpu,
+    Ok(Latencies {
+        direct,
+        through,
         failed,
-        memory,
-        load_average: load_average(),
     })
 }
 
-/// Measures the processor time of a request at a rate.
+/// Measures the processor time per request at a rate.
 async fn measure_cpu(
     site: &MeasuredSite,
     through: &Target,
     per_second: f64,
 ) -> Result<CpuPerRequest, MeasureError> {
     let before = site.cpu_times()?;
-    let load = Load::paced(through, per_second, ROUND).await?;
+    let load = Load::at_rate(through, per_second, ROUND_LENGTH).await?;
     let after = site.cpu_times()?;
-    let requests = load.times.len().max(1) as f64;
+    let requests = load.latencies.len().max(1) as f64;
     let per_request = |used: Duration| used.as_secs_f64() * 1e6 / requests;
     Ok(CpuPerRequest {
         entry_us: per_request(after.entries - before.entries),
@@ -132,7 +190,7 @@
     })
 }
 
-/// Creates a histogram of times in microseconds.
+/// Creates a histogram of latencies in microseconds.
 fn new_histogram() -> Result<Histogram<u64>, MeasureError> {
     Histogram::new(3).map_err(MeasureError::histogram)
 }
--- a/crates/snipevane-measure/src/routing/entry_vm.rs
+++ b/crates/snipevane-measure/src/routing/entry_vm.rs
@@ -1,4 +1,4 @@
-//! One entry VM of a run with owned slots.
+//! One entry VM of a simulation with owned slots.
 
 use std::time::{Duration, Instant};
 
@@ -17,31 +17,31 @@
     zone_of_entry_vm, zone_of_server,
 };
 
-/// Shortest time between two notices of one service to all peers that an idle slot causes.
-const SHORTEST_BROADCAST_GAP: Duration = Duration::from_millis(5);
-/// Free slots up to which a newly free one is worth a notice to all peers.
-const FEW_SLOTS: u32 = 2;
+/// Minimum time between two broadcasts of an idle slot of the same service.
+const MIN_BROADCAST_INTERVAL: Duration = Duration::from_millis(5);
+/// Maximum number of free slots with which an idle slot is broadcast.
+const MAX_FREE_SLOTS_TO_BROADCAST: u32 = 2;
 
-/// Which entry VM owns a slot.
+/// Assignment of a backend server's slots to entry VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Ownership {
-    /// A server's slots are dealt to all entry VMs of its zone.
-    Dealt,
-    /// All slots of a server belong to one entry VM of its zone.
-    Home,
+pub(super) enum SlotOwnership {
+    /// The slots are allocated to all entry VMs of the server's zone.
+    AllEntryVms,
+    /// All slots are allocated to one entry VM of the server's zone.
+    OneEntryVm,
 }
 
-/// A request on its way, with the entry VM that its caller reached.
+/// A request that was sent to an entry VM, or that waits there.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Job {
+pub(super) struct RoutedRequest {
     pub(super) number: usize,
     pub(super) origin: usize,
-    /// Whether the request may wait at the peer that it was forwarded to.
+    /// Whether the request may wait at the peer that it is forwarded to.
     pub(super) waits_at_peer: bool,
     pub(super) is_retry: bool,
 }
 
-impl Job {
+impl RoutedRequest {
     pub(super) fn new(number: usize, origin: usize) -> Self {
         Self {
             number,
@@ -51,16 +51,16 @@
         }
     }
 
-    /// Lets the request wait at the peer that it is forwarded to.
-    pub(super) fn waiting_at_peer(self) -> Self {
+    /// Returns the request with permission to wait at the peer that it is forwarded to.
+    pub(super) fn allow_waiting_at_peer(self) -> Self {
         Self {
             waits_at_peer: true,
             ..self
         }
     }
 
-    /// Marks the request as tried a second time.
-    pub(super) fn retried(self) -> Self {
+    /// Returns the request marked as a retry.
+    pub(super) fn as_retry(self) -> Self {
         Self {
             is_retry: true,
             ..self
@@ -68,7 +68,7 @@
     }
 }
 
-/// Keys of the services and of the team that sends all requests.
+/// Keys of the services, and of the one team that sends all requests.
 #[derive(Clone, Debug)]
 pub(super) struct Keys {
     pub(super) services: Vec<ServiceKey>,
@@ -85,32 +85,32 @@
     }
 }
 
-/// What came of taking the next waiting request.
+/// Result of removing the next waiting request from a queue.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Popped {
-    pub(super) job: Option<Job>,
-    /// Requests that had waited too long.
-    pub(super) late: usize,
+pub(super) struct Dequeued {
+    pub(super) routed: Option<RoutedRequest>,
+    /// Number of requests removed because their maximum wait had passed.
+    pub(super) expired: usize,
 }
 
 /// State of an entry VM.
 pub(super) struct EntryVm {
     keys: Keys,
     pub(super) router: Router,
-    pub(super) queues: Vec<FairQueue<Job>>,
+    pub(super) queues: Vec<FairQueue<RoutedRequest>>,
     pub(super) peers: Peers,
-    pub(super) notices: LoadReporter,
+    pub(super) load_reporter: LoadReporter,
     pub(super) retries: RetryBudget,
-    /// Last notice to all peers that an idle slot caused, by service.
-    broadcast_at: [Option<Duration>; SERVICES],
+    /// Time of the last broadcast of an idle slot, by service.
+    last_broadcast_at: [Option<Duration>; SERVICES],
 }
 
 impl EntryVm {
     pub(super) fn new(number: usize, keys: Keys) -> Self {
         let mut peers = Peers::default();
         for peer in (0..ENTRY_VMS).filter(|&peer| peer != number) {
-            let near = zone_of_entry_vm(peer) == zone_of_entry_vm(number);
-            let distance = match near {
+            let same_zone = zone_of_entry_vm(peer) == zone_of_entry_vm(number);
+            let distance = match same_zone {
                 true => Distance::Zone,
                 false => Distance::Region,
             };
@@ -123,18 +123,18 @@
                 .map(|_| FairQueue::new(QueueSettings::default()))
                 .collect(),
             peers,
-            notices: LoadReporter::default(),
+            load_reporter: LoadReporter::default(),
             retries: RetryBudget::default(),
-            broadcast_at: [None; SERVICES],
+            last_broadcast_at: [None; SERVICES],
         }
     }
 
-    /// Replaces the slots by those of some shards.
-    pub(super) fn deal(&mut self, ownership: Ownership, shards: &[usize], now: Instant) {
+    /// Replaces the slots by those allocated to the given shards.
+    pub(super) fn set_shards(&mut self, ownership: SlotOwnership, shards: &[usize], now: Instant) {
         let specs = (0..SERVERS).filter_map(|server| {
             let slots: u16 = shards
                 .iter()
-                .map(|&shard| dealt_slots(ownership, server, shard))
+                .map(|&shard| allocated_slots(ownership, server, shard))
                 .sum();
             (slots > 0).then(|| ServerSpec {
                 vm: format!("vm-{server}").into(),
@@ -148,7 +148,7 @@
         self.router.sync(specs, now);
     }
 
-    /// Returns what the entry VM has of a service.
+    /// Returns the entry VM's load for a service.
     pub(super) fn load(&self, service: usize) -> Load {
         let key = self.keys.services[service];
         Load {
@@ -158,41 +158,43 @@
         }
     }
 
-    /// Returns whether all peers should hear of an idle slot; if so it counts as sent.
+    /// Returns whether the broadcast of an idle slot is due.
+    ///
+    /// If it is, the broadcast counts as sent at `now`.
     pub(super) fn broadcast_due(&mut self, service: usize, now: Duration) -> bool {
         let load = self.load(service);
-        let last = &mut self.broadcast_at[service];
-        let recent = last.is_some_and(|at| now < at + SHORTEST_BROADCAST_GAP);
-        if load.waiting > 0 || load.free == 0 || load.free > FEW_SLOTS || recent {
+        let last = &mut self.last_broadcast_at[service];
+        let recent = last.is_some_and(|at| now < at + MIN_BROADCAST_INTERVAL);
+        if load.waiting > 0 || load.free == 0 || load.free > MAX_FREE_SLOTS_TO_BROADCAST || recent {
             return false;
         }
         *last = Some(now);
         true
     }
 
-    /// Takes a slot.
+    /// Picks a slot of a service.
     pub(super) fn pick(&mut self, service: usize, now: Instant) -> Option<Slot> {
         self.router.pick(self.keys.services[service], now)
     }
 
-    /// Gives a slot back after a request ran.
+    /// Releases the slot of a request that ended.
     pub(super) fn release(&mut self, slot: Slot, request: Request, failed: bool, now: Instant) {
         let report = match failed {
             true => RequestOutcome::Failed,
             false => RequestOutcome::Answered {
-                latency: request.run,
+                latency: request.run_time,
             },
         };
         self.router.release(slot, report, now);
-        let seconds = request.run.as_secs_f64();
+        let seconds = request.run_time.as_secs_f64();
         self.queues[request.service].charge(self.keys.team, seconds, now);
     }
 
-    /// Adds a waiting request; returns whether there was room.
-    pub(super) fn push(
+    /// Adds a waiting request, and returns whether the queue had room.
+    pub(super) fn enqueue(
         &mut self,
         service: usize,
-        job: Job,
+        routed: RoutedRequest,
         start_by: Instant,
         now: Instant,
     ) -> bool {
@@ -200,22 +202,22 @@
             team: self.keys.team,
             urgency: Urgency::Normal,
             start_by,
-            item: job,
+            item: routed,
         };
         self.queues[service].push(waiting, now).is_ok()
     }
 
-    /// Takes the next waiting request.
-    pub(super) fn pop(&mut self, service: usize, now: Instant) -> Popped {
+    /// Removes the next waiting request of a service, and all expired ones.
+    pub(super) fn dequeue(&mut self, service: usize, now: Instant) -> Dequeued {
         let queue = &mut self.queues[service];
         let next = queue.pop(now, |_| true);
-        Popped {
-            job: next.map(|next| next.item),
-            late: queue.expire(now).len(),
+        Dequeued {
+            routed: next.map(|next| next.item),
+            expired: queue.expire(now).len(),
         }
     }
 
-    /// Returns the number of the server that a key stands for.
+    /// Returns the number of the server with a key.
     pub(super) fn server(&self, key: ServerKey) -> Option<usize> {
         let server = self.router.server(key)?;
         Some(usize::from(server.address().port()) - 1)
@@ -227,21 +229,21 @@
     SmolStr::from(format!("entry-{entry_vm}"))
 }
 
-/// Returns the slots of a server that belong to an entry VM's shard.
-fn dealt_slots(ownership: Ownership, server: usize, shard: usize) -> u16 {
+/// Returns the number of slots of a server that are allocated to a shard.
+fn allocated_slots(ownership: SlotOwnership, server: usize, shard: usize) -> u16 {
     let owners = entry_vms_of(zone_of_server(server));
-    let Some(place) = owners.iter().position(|&owner| owner == shard) else {
+    let Some(position) = owners.iter().position(|&owner| owner == shard) else {
         return 0;
     };
     let count = owners.len();
-    // The shards that get one slot more than others differ from server to server.
-    let turn = (place + server / ZONES) % count;
+    // The shards that get a slot of the remainder differ from server to server.
+    let rotated = (position + server / ZONES) % count;
     match ownership {
-        Ownership::Dealt => {
+        SlotOwnership::AllEntryVms => {
             let remainder = usize::from(SLOTS) % count;
-            SLOTS / count as u16 + u16::from(turn < remainder)
+            SLOTS / count as u16 + u16::from(rotated < remainder)
         }
-        Ownership::Home if turn == 0 => SLOTS,
-        Ownership::Home => 0,
+        SlotOwnership::OneEntryVm if rotated == 0 => SLOTS,
+        SlotOwnership::OneEntryVm => 0,
     }
 }
--- a/crates/snipevane-measure/src/routing/ideal.rs
+++ b/crates/snipevane-measure/src/routing/ideal.rs
@@ -1,10 +1,10 @@
-//! One queue for each service that knows all slots at once: the bound for any way of routing.
+//! Ideal routing, the bound for every strategy: one queue per service with knowledge of all slots.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use super::LONGEST_WAIT;
+use super::MAX_WAIT;
 use super::demand::Request;
 use super::layout::{SERVERS_PER_SERVICE, SERVICES, SLOTS, service_of};
 use super::record::{Figures, Record};
@@ -13,9 +13,10 @@
 
 const NAME: &str = "ideal";
 
-/// Runs all requests in order of their arrival, each on the slot that is free first.
+/// Runs all requests in order of arrival, each on the slot that becomes free first.
 ///
-/// Takes a failing server's slots out; knows no lost entry VM and no time between VMs.
+/// The slots of a failing server aren't used. The loss of an entry VM and network delays aren't
+/// simulated.
 pub(super) fn run(scenario: &Scenario, requests: &[Request]) -> Result<Figures, MeasureError> {
     let mut record = Record::new()?;
     let mut slots: Vec<BinaryHeap<Reverse<Duration>>> = (0..SERVICES)
@@ -32,12 +33,12 @@
             continue;
         };
         let start = free_at.max(request.at);
-        if start > request.at + LONGEST_WAIT {
+        if start > request.at + MAX_WAIT {
             record.refused(1);
             slots[request.service].push(Reverse(free_at));
             continue;
         }
-        let end = start + request.run;
+        let end = start + request.run_time;
         record.answered(end - request.at);
         slots[request.service].push(Reverse(end));
     }
--- a/crates/snipevane-measure/src/routing/mod.rs
+++ b/crates/snipevane-measure/src/routing/mod.rs
@@ -1,72 +1,77 @@
-//! Ways of routing under bursts, in one run of the same requests.
+//! Comparison of routing strategies by simulations of the same requests under bursts.
 //!
-//! Slots dealt to all entry VMs of a zone, with several ways to tell of idle slots; one home entry
-//! VM for each backend server; two random choices without ownership; and as a bound one queue for each
-//! service that knows all slots at once.
+//! - Slots are allocated to all entry VMs of a zone, with several modes of load reports.
+//! - All slots of a backend server are allocated to one entry VM.
+//! - No entry VM owns slots; requests go to the better of two random servers.
+//! - One queue per service knows all slots, as the ideal bound.
 
 mod demand;
 mod entry_vm;
-mod events;
 mod ideal;
 mod layout;
 mod network;
 mod owned;
 mod record;
 mod scenario;
+mod strategy;
 mod two_choices;
-mod way;
 
 pub use record::Figures;
 
 use std::time::Duration;
 
-use owned::OwnedRun;
-use two_choices::TwoChoicesRun;
-use way::OWNED_WAYS;
+use owned::OwnedSlotsSimulation;
+use strategy::OWNED_SLOT_STRATEGIES;
+use two_choices::TwoChoicesSimulation;
 
 use crate::MeasureError;
+use crate::output::print_json;
 
-/// Time that requests arrive for.
-const LENGTH: Duration = Duration::from_secs(100);
-/// Longest time that a request waits before it is refused.
-const LONGEST_WAIT: Duration = Duration::from_secs(3);
-/// Time after which a failing server fails a request.
-const FAILING_RUN: Duration = Duration::from_millis(1);
+/// Length of the time in which requests arrive.
+const ARRIVAL_PERIOD: Duration = Duration::from_secs(100);
+/// Maximum time that a request waits before it is refused.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+/// Run time of a request on a failing server.
+const FAILING_RUN_TIME: Duration = Duration::from_millis(1);
 const DEFAULT_SEED: u64 = 7;
 
-/// Runs all ways of routing in all scenarios, with arrivals for `length`.
+/// Simulates all routing strategies in all scenarios, with arrivals for `length`.
 ///
 /// # Errors
 ///
-/// Returns an error if a histogram can't be made.
+/// Returns an error if a histogram can't be created.
 pub fn measure(seed: u64, length: Duration) -> Result<Vec<Figures>, MeasureError> {
     let mut figures = Vec::new();
     for scenario in scenario::all() {
         let requests = demand::draw(seed, length, scenario.burst_load);
-        for way in OWNED_WAYS {
-            let run = OwnedRun::new(way, &scenario, &requests, seed)?;
-            figures.push(run.run());
+        for strategy in OWNED_SLOT_STRATEGIES {
+            let simulation = OwnedSlotsSimulation::new(strategy, &scenario, &requests, seed)?;
+            figures.push(simulation.run());
         }
         figures.push(ideal::run(&scenario, &requests)?);
-        let run = TwoChoicesRun::new(&scenario, &requests, seed)?;
-        figures.push(run.run());
+        let simulation = TwoChoicesSimulation::new(&scenario, &requests, seed)?;
+        figures.push(simulation.run());
     }
     Ok(figures)
 }
 
-/// Runs all ways of routing in all scenarios and prints the figures.
+/// Simulates all routing strategies in all scenarios, and prints the figures.
 ///
 /// # Errors
 ///
-/// Returns an error if the figures can't be made or written as JSON.
+/// Returns an error if a histogram can't be created or the figures can't be written as JSON.
 pub fn run(json: bool, seed: Option<u64>) -> Result<(), MeasureError> {
     let seed = seed.unwrap_or(DEFAULT_SEED);
-    let figures = measure(seed, LENGTH)?;
+    let figures = measure(seed, ARRIVAL_PERIOD)?;
     if json {
-        println!("{}", serde_json::to_string_pretty(&figures)?);
-        return Ok(());
+        return print_json(&figures);
     }
-    println!("seed {seed}, {} s of arrivals", LENGTH.as_secs());
+    println!("seed {seed}, {} s of arrivals", ARRIVAL_PERIOD.as_secs());
+    print_table(&figures);
+    Ok(())
+}
+
+fn print_table(figures: &[Figures]) {
     println!(
         "{:<22} {:<17} {:>8} {:>7} {:>7} {:>8} {:>7} {:>9} {:>6} {:>6} {:>6} {:>5} {:>8}",
         "scenario",
@@ -83,12 +88,12 @@
         "most",
         "notice/s",
     );
-    for row in &figures {
+    for row in figures {
         println!(
             "{:<22} {:<17} {:>8} {:>7.1} {:>7.1} {:>8.3} {:>7.3} {:>9.1} {:>6.3} {:>6.1} {:>6.2} \
              {:>5} {:>8.1}",
             row.scenario,
-            row.way,
+            row.strategy,
             row.requests,
             row.p50_ms,
             row.p99_ms,
@@ -102,5 +107,4 @@
             row.notices_per_second,
         );
     }
-    Ok(())
 }
--- a/crates/snipevane-measure/src/routing/scenario.rs
+++ b/crates/snipevane-measure/src/routing/scenario.rs
@@ -1,57 +1,63 @@
-//! Scenarios of a run and their faults.
+//! Scenarios of a simulation and their faults.
 
 use std::time::Duration;
 
 use super::layout::ENTRY_VMS;
 
-/// Time until the balancer sends nothing more to a lost entry VM.
-const BALANCER_NOTICE: Duration = Duration::from_secs(1);
-/// Time until the platform's list drops a lost entry VM and its requests have surely ended.
-const TAKEOVER: Duration = Duration::from_secs(10);
+/// Delay until the load balancer sends no more requests to a lost entry VM.
+const BALANCER_DETECTION_DELAY: Duration = Duration::from_secs(1);
+/// Delay until the platform's list drops a lost entry VM and all of its requests have ended.
+const TAKEOVER_DELAY: Duration = Duration::from_secs(10);
 
-/// Demand and faults of a run.
+/// Demand and faults of a simulation.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Scenario {
     pub(super) name: &'static str,
-    /// Demand during a burst as a multiple of what the service's slots can run.
+    /// Demand during a burst, as a multiple of the capacity of the service's slots.
     pub(super) burst_load: f64,
-    /// Backend server that fails each request at once.
+    /// Backend server that fails every request.
     pub(super) failing_server: Option<usize>,
-    /// Entry VM that is lost, and when.
-    pub(super) lost: Option<(usize, Duration)>,
+    /// Entry VM that is lost, and the time of the loss.
+    pub(super) lost_entry_vm: Option<(usize, Duration)>,
 }
 
-/// What the balancer does with a request.
+/// Destination that the load balancer chooses for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Balanced {
-    /// Sends it to a running entry VM.
+pub(super) enum BalancerTarget {
+    /// A running entry VM.
     To(usize),
-    /// Sends it to the lost entry VM, where it fails.
+    /// The lost entry VM, where the request fails.
     Lost,
 }
 
 impl Scenario {
-    /// Returns whether an entry VM is lost at a given time.
+    /// Returns whether an entry VM is lost at a time.
     pub(super) fn is_lost(&self, entry_vm: usize, now: Duration) -> bool {
-        self.lost
-            .is_some_and(|(lost, at)| lost == entry_vm && now >= at)
+        self.lost_entry_vm
+            .is_some_and(|(lost_entry_vm, at)| lost_entry_vm == entry_vm && now >= at)
     }
 
-    /// Returns the time at which another entry VM takes over, if one is lost.
+    /// Returns the lost entry VM and the time at which a peer takes over, if one is lost.
     pub(super) fn takeover(&self) -> Option<(usize, Duration)> {
-        self.lost.map(|(lost, at)| (lost, at + TAKEOVER))
+        self.lost_entry_vm
+            .map(|(lost_entry_vm, at)| (lost_entry_vm, at + TAKEOVER_DELAY))
     }
 
-    /// Returns where the balancer sends a request that it chose an entry VM for.
-    pub(super) fn balance(&self, entry_vm: usize, number: usize, now: Duration) -> Balanced {
-        let Some((_, at)) = self.lost.filter(|_| self.is_lost(entry_vm, now)) else {
-            return Balanced::To(entry_vm);
+    /// Returns where the load balancer sends a request that is assigned to `entry_vm`.
+    pub(super) fn balancer_target(
+        &self,
+        entry_vm: usize,
+        number: usize,
+        now: Duration,
+    ) -> BalancerTarget {
+        let Some((_, at)) = self.lost_entry_vm.filter(|_| self.is_lost(entry_vm, now)) else {
+            return BalancerTarget::To(entry_vm);
         };
-        if now < at + BALANCER_NOTICE {
-            return Balanced::Lost;
+        if now < at + BALANCER_DETECTION_DELAY {
+            return BalancerTarget::Lost;
         }
         // Spreads the lost entry VM's requests evenly over the others.
-        Balanced::To((entry_vm + 1 + number % (ENTRY_VMS - 1)) % ENTRY_VMS)
+        BalancerTarget::To((entry_vm + 1 + number % (ENTRY_VMS - 1)) % ENTRY_VMS)
     }
 }
 
@@ -61,7 +67,7 @@
         name: "bursts over the pool",
         burst_load: 1.25,
         failing_server: None,
-        lost: None,
+        lost_entry_vm: None,
     };
     [
         plain,
@@ -79,7 +85,7 @@
         Scenario {
             name: "one entry VM lost",
             burst_load: 0.85,
-            lost: Some((0, Duration::from_secs(42))),
+            lost_entry_vm: Some((0, Duration::from_secs(42))),
             ..plain
         },
     ]
--- a/crates/snipevane-measure/src/site/measured_site.rs
+++ b/crates/snipevane-measure/src/site/measured_site.rs
@@ -1,4 +1,4 @@
-//! The site that is measured: entry VMs and backend servers of one zone.
+//! Site of separate processes that is measured: entry VMs and backend servers of one zone.
 
 use std::io;
 use std::net::SocketAddr;
@@ -16,18 +16,19 @@
 };
 use uuid::Uuid;
 
-use super::process::Part;
+use super::process::SiteProcess;
+use super::usage::{CpuTimes, cpu_time, resident_memory_kb};
 use crate::error::MeasureError;
 
-/// Attempts to get an answer from a site that is starting.
+/// Maximum number of attempts to get a response from a site that is starting.
 const READY_ATTEMPTS: usize = 200;
-/// Pause between two of these attempts.
+/// Delay between two attempts.
 const READY_PAUSE: Duration = Duration::from_millis(50);
-/// Operators' key.
+/// Key of the operators.
 const OPERATOR_KEY: &str = "operator-key-of-the-measurement";
-/// Key between entry VMs.
+/// Key that entry VMs present to each other.
 const PEER_KEY: &str = "peer-key-of-the-measurement";
-/// Any free port.
+/// Address with a port that the system chooses.
 const ANY_PORT: &str = "127.0.0.1:0";
 
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
@@ -35,27 +36,27 @@
 /// Size of a site.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SiteSize {
-    /// Entry VMs.
+    /// Number of entry VMs.
     pub(crate) entries: usize,
-    /// Backend servers.
+    /// Number of backend servers.
     pub(crate) backends: usize,
-    /// Requests that one backend server runs at once.
+    /// Number of slots of each backend server.
     pub(crate) slots: usize,
 }
 
-/// The processes of the site.
+/// A running site.
 pub(crate) struct MeasuredSite {
-    entries: Vec<Part>,
-    backends: Vec<Part>,
-    platform: Part,
+    entries: Vec<SiteProcess>,
+    backends: Vec<SiteProcess>,
+    platform: SiteProcess,
     http: HttpClient,
     key: String,
 }
 
 impl MeasuredSite {
-    /// Starts all processes and waits until the entry VM serves.
+    /// Starts all processes, and waits until the first entry VM serves requests.
     pub(crate) async fn start(size: SiteSize) -> Result<Self, MeasureError> {
-        let platform = Part::start("platform", &json!({ "listen": ANY_PORT }))?;
+        let platform = SiteProcess::start("platform", &json!({ "listen": ANY_PORT }))?;
         let mut site = Self {
             entries: Vec::new(),
             backends: Vec::new(),
@@ -65,20 +66,21 @@
         };
         for number in 0..size.backends {
             let settings = json!({ "name": backend_name(number), "slots": size.slots });
-            site.backends.push(Part::start("backend", &settings)?);
+            site.backends
+                .push(SiteProcess::start("backend", &settings)?);
         }
         for number in 0..size.entries {
             let settings = entry_settings(number, site.platform.addresses[0]);
-            site.entries.push(Part::start("entry", &settings)?);
+            site.entries.push(SiteProcess::start("entry", &settings)?);
         }
         site.post_platform(VMS_PATH, &site.vm_list()).await?;
         let apply = json!({
             "based_on": 0, "write_id": Uuid::now_v7(), "manifest": manifest(size)
         });
         site.post_operator("/v1/config", &apply).await?;
-        let give = json!({ "team": "ledger" });
-        let given = site.post_operator("/v1/keys", &give).await?;
-        site.key = given["key"].as_str().unwrap_or_default().to_owned();
+        let request = json!({ "team": "ledger" });
+        let issued = site.post_operator("/v1/keys", &request).await?;
+        site.key = issued["key"].as_str().unwrap_or_default().to_owned();
         site.wait_until_ready().await?;
         Ok(site)
     }
@@ -90,40 +92,40 @@
         Ok(())
     }
 
-    /// Fetches the platform's record.
+    /// Fetches the record of the platform's load.
     pub(crate) async fn platform_record(&self) -> Result<PlatformRecord, MeasureError> {
-        let place = format!("{}{RECORD_PATH}", self.platform.addresses[0]);
-        let record = call(&self.http, Method::GET, &place, &Value::Null).await?;
+        let endpoint = format!("{}{RECORD_PATH}", self.platform.addresses[0]);
+        let record = call(&self.http, Method::GET, &endpoint, &Value::Null).await?;
         Ok(serde_json::from_value(record)?)
     }
 
     /// Returns the addresses of the backend servers.
     pub(crate) fn backend_addresses(&self) -> Vec<SocketAddr> {
-        self.backends.iter().map(|part| part.addresses[0]).collect()
+        self.backends
+            .iter()
+            .map(|process| process.addresses[0])
+            .collect()
     }
 
-    /// Returns the address of the first entry VM for callers.
+    /// Returns the address at which the first entry VM accepts callers' requests.
     pub(crate) fn caller_address(&self) -> SocketAddr {
         self.entries[0].addresses[0]
     }
 
-    /// Returns the key of a team.
+    /// Returns the key of the team.
     pub(crate) fn key(&self) -> &str {
         &self.key
     }
 
     /// Returns the resident memory of the first entry VM, in kilobytes.
     pub(crate) fn entry_rss_kb(&self) -> io::Result<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.entries[0].id()))?;
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        let number = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
-        number.ok_or_else(|| io::Error::other("no resident memory in the process's status"))
+        resident_memory_kb(self.entries[0].id())
     }
 
     /// Returns the processor time that the entry VMs and the backend servers have used.
     pub(crate) fn cpu_times(&self) -> io::Result<CpuTimes> {
-        let sum = |parts: &[Part]| -> io::Result<Duration> {
-            parts.iter().map(|part| cpu_time(part.id())).sum()
+        let sum = |processes: &[SiteProcess]| -> io::Result<Duration> {
+            processes.iter().map(|process| cpu_time(process.id())).sum()
         };
         Ok(CpuTimes {
             entries: sum(&self.entries)?,
@@ -131,27 +133,27 @@
         })
     }
 
-    /// Waits until the entry VM has taken its shard and all slots are usable.
+    /// Waits until the first entry VM holds its shard and all slots are usable.
     async fn wait_until_ready(&self) -> Result<(), MeasureError> {
-        let mut served = 0;
+        let mut successes = 0;
         for _ in 0..READY_ATTEMPTS {
-            served += usize::from(self.serves().await);
-            // Raised deals become usable a poll or two after the first answer.
-            if served > READY_ATTEMPTS / 4 {
+            successes += usize::from(self.serves().await);
+            // An increased allocation becomes usable some polls after the first response.
+            if successes > READY_ATTEMPTS / 4 {
                 return Ok(());
             }
             tokio::time::sleep(READY_PAUSE).await;
         }
-        Err(io::Error::other("the entry VM doesn't serve").into())
+        Err(io::Error::other("the entry VM doesn't serve requests").into())
     }
 
     async fn serves(&self) -> bool {
-        let place = format!("{}/v1/queues/ticks/probe", self.caller_address());
+        let endpoint = format!("{}/v1/queues/ticks/probe", self.caller_address());
         let authorization = format!("Bearer {}", self.key);
         let answer = send(
             &self.http,
             Method::POST,
-            &place,
+            &endpoint,
             &authorization,
             &Value::Null,
         )
@@ -160,13 +162,13 @@
     }
 
     async fn post_platform(&self, path: &str, body: &Value) -> Result<Value, MeasureError> {
-        let place = format!("{}{path}", self.platform.addresses[0]);
-        call(&self.http, Method::POST, &place, body).await
+        let endpoint = format!("{}{path}", self.platform.addresses[0]);
+        call(&self.http, Method::POST, &endpoint, body).await
     }
 
     async fn post_operator(&self, path: &str, body: &Value) -> Result<Value, MeasureError> {
-        let place = format!("{}{path}", self.entries[0].addresses[2]);
-        call(&self.http, Method::POST, &place, body).await
+        let endpoint = format!("{}{path}", self.entries[0].addresses[2]);
+        call(&self.http, Method::POST, &endpoint, body).await
     }
 
     fn vm_list(&self) -> Value {
@@ -178,43 +180,16 @@
         };
         let backends = self.backends.iter().enumerate();
         let mut vms: Vec<_> = backends
-            .map(|(number, part)| vm(&backend_name(number), "backend", part.addresses[0]))
+            .map(|(number, process)| vm(&backend_name(number), "backend", process.addresses[0]))
             .collect();
         let entries = self.entries.iter().enumerate();
         vms.extend(
-            entries.map(|(number, part)| vm(&entry_name(number), "entry", part.addresses[1])),
+            entries.map(|(number, process)| vm(&entry_name(number), "entry", process.addresses[1])),
         );
         json!({ "vms": vms })
     }
 }
 
-/// Processor time used since the start of the processes.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct CpuTimes {
-    /// By all entry VMs.
-    pub(crate) entries: Duration,
-    /// By all backend servers.
-    pub(crate) backends: Duration,
-}
-
-/// Returns the processor time that a process's threads have used.
-fn cpu_time(process: u32) -> io::Result<Duration> {
-    let mut total = Duration::ZERO;
-    for thread in std::fs::read_dir(format!("/proc/{process}/task"))? {
-        let text = std::fs::read_to_string(thread?.path().join("schedstat"))?;
-        let nanos = text.split_whitespace().next().and_then(|n| n.parse().ok());
-        total += Duration::from_nanos(nanos.unwrap_or_default());
-    }
-    Ok(total)
-}
-
-/// Returns the machine's load average over a minute, as the system prints it.
-pub(crate) fn load_average() -> String {
-    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
-    let first = text.split_whitespace().next();
-    first.unwrap_or("unknown").to_owned()
-}
-
 fn backend_name(number: usize) -> String {
     format!("backend-{number}")
 }
@@ -253,14 +228,14 @@
 async fn call(
     http: &HttpClient,
     method: Method,
-    place: &str,
+    endpoint: &str,
     body: &Value,
 ) -> Result<Value, MeasureError> {
     let authorization = format!("Bearer {OPERATOR_KEY}");
-    let (status, body) = send(http, method, place, &authorization, body).await?;
+    let (status, body) = send(http, method, endpoint, &authorization, body).await?;
     if !status.is_success() {
         let text = String::from_utf8_lossy(&body);
-        return Err(io::Error::other(format!("{place} answered {status}: {text}")).into());
+        return Err(io::Error::other(format!("{endpoint} responded with {status}: {text}")).into());
     }
     Ok(serde_json::from_slice(&body).unwrap_or_default())
 }
@@ -268,13 +243,13 @@
 async fn send(
     http: &HttpClient,
     method: Method,
-    place: &str,
+    endpoint: &str,
     authorization: &str,
     body: &Value,
 ) -> io::Result<(StatusCode, Bytes)> {
     let req = Request::builder()
         .method(method)
-        .uri(format!("http://{place}"))
+        .uri(format!("http://{endpoint}"))
         .header(header::AUTHORIZATION, authorization)
         .body(Full::new(Bytes::from(body.to_string())))
         .map_err(io::Error::other)?;
--- a/crates/snipevane-measure/src/site/part.rs
+++ b/crates/snipevane-measure/src/site/part.rs
@@ -1,4 +1,4 @@
-//! One process of the measured site.
+//! Runs one process of a measured site.
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -8,20 +8,20 @@
 
 use crate::error::MeasureError;
 
-/// Runs the entry VM, the platform's stand-in or a backend server's stand-in.
+/// Runs an entry VM, the platform stand-in or a backend server stand-in.
 ///
 /// # Errors
 ///
-/// Returns an error if the part doesn't end well.
+/// Returns an error if the kind is unknown or the process fails.
 pub(crate) fn run_part(kind: &str, settings: &Path) -> Result<(), MeasureError> {
     let code = match kind {
         "entry" => snipevane_entry::process::run(settings),
         "platform" => Runtime::new()?.block_on(run_platform(Some(settings))),
         "backend" => Runtime::new()?.block_on(run_backend(Some(settings))),
-        _ => return Err(MeasureError::Part(format!("{kind} (unknown)"))),
+        _ => return Err(MeasureError::Process(format!("{kind} (unknown)"))),
     };
     if code == ExitCode::SUCCESS {
         return Ok(());
     }
-    Err(MeasureError::Part(kind.to_owned()))
+    Err(MeasureError::Process(kind.to_owned()))
 }
