Don't count a late run list as a recent contact

The hold after a late run list could acknowledge ends to an incarnation that never reported them.

Cause: the time at which any run list was processed counted as the last contact with its minion, and ends are acknowledged if that is less than 400 ms ago, as a minion takes longer to restart. A late list may be 7 s old. A long-running task also counted as ready by a list of any age. Ruled out: the check of the incarnation, as no list of the new one has come yet.

Change: a late list counts as a contact at the time at which its hold was sent.

Test: a_late_run_list_leads_to_no_acknowledgement; the hold acknowledged 4 before, and 0 now.

--- a/crates/snipevane-core/src/jobs/minion.rs
+++ b/crates/snipevane-core/src/jobs/minion.rs
@@ -85,7 +85,7 @@
     pub suspect: bool,
     /// Whether it is reachable, by the outcome of the last hold; true until one has failed.
     pub reachable: bool,
-    /// Time at which the last list of runs was received.
+    /// Time at which the minion was last known to be running, from its lists of runs.
     pub last_contact: Option<Duration>,
     /// Minion's clock in the last list of runs that was processed, in milliseconds.
     pub(super) list_clock_ms: u64,
--- a/crates/snipevane-core/src/jobs/reports.rs
+++ b/crates/snipevane-core/src/jobs/reports.rs
@@ -45,7 +45,9 @@
                 minion.hold_failures = 0;
                 let interval = self.settings.hold_interval;
                 minion.hold_not_before = now + interval.max(self.start_window.reply_time(now));
-                self.process_run_list(key, &list, asked_at, now, unix_ms);
+                if self.process_run_list(key, &list, asked_at, now, unix_ms) {
+                    self.record_contact(key, now);
+                }
             }
             HoldReply::Refused(Refusal::Fenced) => self.deposed = true,
             HoldReply::Refused(Refusal::WrongIncarnation) => {
@@ -65,6 +67,7 @@
     /// Handles a reply to a hold that was reported as unanswered before.
     ///
     /// A late run list still tells which runs have ended, so that their tasks aren't started again.
+    /// It may be as old as the hold, and the minion may have restarted since.
     pub fn hold_replied_late(
         &mut self,
         key: MinionKey,
@@ -76,7 +79,9 @@
         match reply {
             HoldReply::Listed(list) => {
                 self.set_reachable(key, true, now);
-                self.process_run_list(key, &list, asked_at, now, unix_ms);
+                if self.process_run_list(key, &list, asked_at, now, unix_ms) {
+                    self.record_contact(key, asked_at);
+                }
                 self.remove_if_unlisted(key);
             }
             HoldReply::Refused(Refusal::Fenced) => self.deposed = true,
@@ -98,7 +103,7 @@
     /// complete list are marked as lost.
     ///
     /// A list is ignored if it is of an earlier incarnation than the known one, or older than the last
-    /// one of the same incarnation.
+    /// one of the same incarnation. Returns whether it was applied.
     fn process_run_list(
         &mut self,
         key: MinionKey,
@@ -106,28 +111,27 @@
         asked_at: Duration,
         now: Duration,
         unix_ms: u64,
-    ) {
+    ) -> bool {
         let listed_runs = self.find_listed_runs(key, &list.active);
         let Some(minion) = self.minions.get_mut(key) else {
-            return;
+            return false;
         };
         match minion.incarnation {
-            Some(born) if list.started_unix_ms < born => return,
+            Some(born) if list.started_unix_ms < born => return false,
             Some(born) if list.started_unix_ms > born => {
                 self.handle_restart(key, list.started_unix_ms, asked_at, &listed_runs);
             }
-            Some(_) if list.clock_ms < minion.list_clock_ms => return,
+            Some(_) if list.clock_ms < minion.list_clock_ms => return false,
             Some(_) => {}
             None => minion.incarnation = Some(list.started_unix_ms),
         }
         let Some(minion) = self.minions.get_mut(key) else {
-            return;
+            return false;
         };
         minion.update_clock(list.clock_ms, now);
         minion.list_clock_ms = list.clock_ms;
         minion.fence_accepted = true;
         minion.suspect = false;
-        minion.last_contact = Some(now);
         for ended in &list.ended {
             self.process_end(key, ended, now, unix_ms);
         }
@@ -139,6 +143,14 @@
         if list.ended.len() < ENDS_PER_LIST {
             self.mark_missing_runs_lost(key, &listed_runs, asked_at);
         }
+        true
+    }
+
+    /// Records that a minion was running at `at`.
+    fn record_contact(&mut self, key: MinionKey, at: Duration) {
+        if let Some(minion) = self.minions.get_mut(key) {
+            minion.last_contact = minion.last_contact.max(Some(at));
+        }
     }
 
     /// Processes an end from a minion's run list, unless it was processed before.
--- a/tests/tests/jobs_scheduler.rs
+++ b/tests/tests/jobs_scheduler.rs
@@ -8,9 +8,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
-use snipevane_core::jobs::{JobId, JobState, StepSpec};
+use snipevane_core::jobs::{Action, HoldReply, JobId, JobState, RunList, StepSpec};
 use snipevane_tests::jobs::{
-    FakeMinion, Faults, JobSite, Network, entry, job, long_running_step, site, step,
+    FakeMinion, Faults, JobSite, Network, TICK, entry, job, long_running_step, site, step,
 };
 
 const START: Duration = Duration::from_secs(10);
@@ -270,6 +270,49 @@
     assert_eq!(minion.stored_seq, 4, "the ends of the first job");
 }
 
+/// Another incarnation may have replaced the one that sent a late run list, and its ends have the same
+/// numbers, so a late list must not lead to acknowledgements.
+#[test]
+fn a_late_run_list_leads_to_no_acknowledgement() {
+    let mut built = job_site(1, 1);
+    let steps = vec![step(4, 1_000, 200, &[]), step(1, 1_000, 20_000, &[])];
+    built.submit(1, job("p0", steps));
+    built.run(Duration::from_secs(1));
+    let (key, minion) = built.scheduler.minions().next().expect("a minion");
+    assert_eq!(minion.stored_seq, 4);
+    let id = minion.entry.id.clone();
+    let asked_at = built.now;
+    let list = RunList {
+        started_unix_ms: built.minions[&id].incarnation,
+        clock_ms: u64::MAX / 2,
+        active: Vec::new(),
+        ended: Vec::new(),
+    };
+    built.partitioned.insert(id);
+    built.run(Duration::from_secs(2));
+    let next_hold_near = |built: &JobSite| {
+        let minion = built.scheduler.minion(key).expect("the minion");
+        !minion.hold_in_flight && built.now + TICK * 2 >= minion.hold_not_before
+    };
+    while !next_hold_near(&built) {
+        built.tick();
+    }
+    let (now, unix_ms) = (built.now, built.unix_ms());
+    let reply = HoldReply::Listed(list);
+    built
+        .scheduler
+        .hold_replied_late(key, reply, asked_at, now, unix_ms);
+    let acks: Vec<u64> = (0..100)
+        .flat_map(|tick| built.scheduler.decide(now + TICK * tick, unix_ms))
+        .filter_map(|action| match action {
+            Action::Hold(order) => Some(order.ack),
+            _ => None,
+        })
+        .collect();
+    assert!(!acks.is_empty());
+    assert!(acks.iter().all(|&ack| ack == 0), "{acks:?}");
+}
+
 /// Applies network partitions, crashes, restarts, lost and late orders, store outages and takeovers
 /// at random. `JobSite` checks each start against the active and completed runs of the task.
 #[test]
