Find the largest candidate for the term also without figures of links

Where the settings give no bandwidths, a much smaller VM left a free term to the larger ones only by chance.

Cause: candidates were compared by the product of cores and bandwidth, which is 0 for all of them if no bandwidth is given, so the one that came last in a hash map was told as the largest.

Change: equal products are followed by cores and then by bandwidth.

--- a/crates/snipevane-core/src/candidates.rs
+++ b/crates/snipevane-core/src/candidates.rs
@@ -4,6 +4,7 @@
 //! much larger VMs go first when the term is free, and a scheduler hands its term over once a much
 //! larger VM is ready for it.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
@@ -38,8 +39,13 @@
         all && some && self != other
     }
 
-    fn product(&self) -> f64 {
-        self.cores * self.link_mbps
+    /// Compares two capacities by all figures together, and by single ones if a figure is unknown.
+    fn total_cmp(&self, other: &Self) -> Ordering {
+        let product = |capacity: &Self| capacity.cores * capacity.link_mbps;
+        product(self)
+            .total_cmp(&product(other))
+            .then(self.cores.total_cmp(&other.cores))
+            .then(self.link_mbps.total_cmp(&other.link_mbps))
     }
 }
 
@@ -92,7 +98,7 @@
         let present = self.others.values().filter(|other| other.is_present(now));
         present
             .map(|other| other.capacity)
-            .max_by(|a, b| a.product().total_cmp(&b.product()))
+            .max_by(VmCapacity::total_cmp)
     }
 
     /// Returns whether a much larger VM than the holder's has been present for a while.
--- a/tests/tests/candidates.rs
+++ b/tests/tests/candidates.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use smol_str::format_smolstr;
 use snipevane_core::candidates::{Candidates, VmCapacity};
 
 const SMALL: VmCapacity = VmCapacity {
@@ -58,3 +59,17 @@
     assert_eq!(candidates.largest(at(1_000)), Some(LARGE));
     assert_eq!(candidates.largest(at(1_500)), Some(SMALL));
 }
+
+#[test]
+fn the_largest_candidate_is_found_without_figures_of_links() {
+    let mut candidates = Candidates::new(VmCapacity::default());
+    for number in 0..8 {
+        let capacity = VmCapacity {
+            cores: f64::from(8 - number),
+            link_mbps: 0.0,
+        };
+        candidates.record(&format_smolstr!("vm-{number}"), capacity, at(0));
+    }
+    let largest = candidates.largest(at(0));
+    assert_eq!(largest.map(|capacity| capacity.cores), Some(8.0));
+}
