Settle orders for VMs before the term is handed over

Two schedulers that were both running gave orders for one VM 1.7 s apart (ONE, leaseMs is 3 s).

Cause: a handover to a larger VM released the term while orders for VMs were unanswered, and sent further ones until the release was stored. The next scheduler takes a VM for free if the list shows it as up 0.6 s after the takeover, which an order doesn't change as long as a slow platform hasn't carried it out. A process that stops, is frozen or is cut off isn't in touch, so a handover is the first case in which both holders are. Ruled out: the orders that were answered, which the next scheduler sees in the list and by the age of the minion.

Change: once a handover is due, no orders for VMs are sent, and the term is released when all are answered, or 3 s (leaseMs) after one that got no reply.

Test the_term_is_not_handed_over_while_an_order_for_a_vm_is_unanswered, with a VM API that takes 1.45 s for an order: failed three times of three (orders by both), passes three of three.

--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -80,8 +80,14 @@
     pub(super) jobs_loaded: Cell<bool>,
     /// Other entry VMs that could take over the term.
     candidates: RefCell<Candidates>,
+    /// Whether a larger VM is ready for the term, so that no more orders for VMs are sent.
+    handover_due: Cell<bool>,
     /// Whether the term is to be released for a larger VM.
     handing_over: Cell<bool>,
+    /// Number of orders for VMs that are in flight.
+    vm_orders_in_flight: Cell<usize>,
+    /// Time until which an order for a VM that got no reply may still be carried out.
+    vm_orders_settled_at: Cell<Duration>,
     /// Whether the term has ended; it can't be resumed.
     pub(super) ended: Cell<bool>,
     /// Reason for the end of the term, for the log.
@@ -142,7 +148,10 @@
             taken_over_at,
             jobs_loaded: Cell::new(false),
             candidates: RefCell::new(Candidates::new(node.settings.capacity)),
+            handover_due: Cell::new(false),
             handing_over: Cell::new(false),
+            vm_orders_in_flight: Cell::new(0),
+            vm_orders_settled_at: Cell::new(Duration::ZERO),
             ended: Cell::new(false),
             end_reason: Cell::new("the process is stopping"),
             advisor_reachable: Cell::new(true),
@@ -204,6 +213,33 @@
         holds && self.jobs_loaded.get() && !self.ended.get()
     }
 
+    /// Returns whether orders for VMs may be sent, which they may not shortly before a handover.
+    pub(super) fn may_send_vm_orders(&self) -> bool {
+        self.may_send_orders() && !self.handover_due.get()
+    }
+
+    /// Records that an order for a VM is sent.
+    pub(super) fn vm_order_sent(&self) {
+        self.vm_orders_in_flight
+            .set(self.vm_orders_in_flight.get() + 1);
+    }
+
+    /// Records that an order for a VM is no longer in flight, and whether it got a reply.
+    pub(super) fn vm_order_settled(&self, replied: bool) {
+        self.vm_orders_in_flight
+            .set(self.vm_orders_in_flight.get() - 1);
+        if !replied {
+            let vm_lease = self.node.settings.bounds.vm_lease;
+            self.vm_orders_settled_at
+                .set(self.node.clock.now() + vm_lease);
+        }
+    }
+
+    /// Returns whether an order for a VM may still be carried out.
+    fn has_open_vm_orders(&self, now: Duration) -> bool {
+        self.vm_orders_in_flight.get() > 0 || now < self.vm_orders_settled_at.get()
+    }
+
     async fn run_decision_loop(self: &Rc<Self>) {
         while !self.ended.get() {
             let _ = timeout(MAX_DECISION_INTERVAL, self.wake.notified()).await;
@@ -245,13 +281,19 @@
 }
 
 /// Hands the term over once a much larger VM has been present for a while.
+///
+/// Orders for VMs that may still be carried out are awaited first: this process goes on running, and
+/// the next scheduler must not give an order for the same VM meanwhile.
 async fn hand_over_to_larger_vm<C: Clock>(leader: Rc<Leader<C>>) {
     loop {
         sleep(HANDOVER_CHECK_INTERVAL).await;
         let node = &leader.node;
         let now = node.clock.now();
-        let due = leader.candidates.borrow().has_settled_larger(now);
-        if !due || now < node.no_handover_until.get() || !leader.may_send_orders() {
+        let due = leader.candidates.borrow().has_settled_larger(now)
+            && now >= node.no_handover_until.get()
+            && leader.may_send_orders();
+        leader.handover_due.set(due);
+        if !due || leader.has_open_vm_orders(now) {
             continue;
         }
         node.no_handover_until.set(now + HANDOVER_PAUSE);
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -84,7 +84,7 @@
     let planners = Rc::new(RefCell::new(Planners::default()));
     loop {
         load_new_waves(&leader, &planners).await;
-        if leader.may_send_orders() {
+        if leader.may_send_vm_orders() {
             plan_once(&leader, address, &planners).await;
         }
         sleep(PLAN_INTERVAL).await;
@@ -322,7 +322,7 @@
 }
 
 async fn send_order<C: Clock>(leader: &Leader<C>, address: SocketAddr, order: &VmOrder) -> VmReply {
-    if !leader.may_send_orders() {
+    if !leader.may_send_vm_orders() {
         return VmReply::NotCarriedOut;
     }
     let holder = TermHolder {
@@ -330,14 +330,13 @@
         fence: leader.row.borrow().fence,
     };
     let request = vms::order_request(order, &holder);
-    match leader
-        .node
-        .client
-        .call(address, request, CALL_TIMEOUT)
-        .await
-    {
+    leader.vm_order_sent();
+    let response = leader.node.client.call(address, request, CALL_TIMEOUT);
+    let reply = match response.await {
         Ok(response) => vms::decode_reply(response.status, &response.body),
         Err(CallError::NotSent) => VmReply::NotCarriedOut,
         Err(CallError::NoAnswer) => VmReply::Unknown,
-    }
+    };
+    leader.vm_order_settled(reply != VmReply::Unknown);
+    reply
 }
--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -5,7 +5,10 @@
 
 mod site;
 
+use std::time::Duration;
+
 use serde_json::json;
+use site::vms::VM;
 use site::{Site, call, eventually};
 
 const JOB: &str = "00000000000000aa";
@@ -146,6 +149,26 @@
     assert_eq!(site.started().len(), 8, "each task ran once");
 }
 
+/// Two schedulers that are both running must not give orders for one VM shortly one after the other.
+#[test]
+fn the_term_is_not_handed_over_while_an_order_for_a_vm_is_unanswered() {
+    let mut site = Site::start("order", 1, 1);
+    // The next scheduler takes a minion that has started lately for one under maintenance.
+    std::thread::sleep(Duration::from_secs(4));
+    site.add_node(8.0);
+    eventually("present", || {
+        site.store.get("entry_vms", "order-1").is_some()
+    });
+    std::thread::sleep(Duration::from_millis(2_100));
+    let wave = json!({ "rolloutWave": 1, "machines": [VM], "durationS": 60, "cap": 1 });
+    site.store.put("op", "wave/1", &wave);
+    eventually("the larger VM schedules", || site.scheduler() == Some(1));
+    std::thread::sleep(Duration::from_secs(3));
+    let mut holders = site.vm_api.holders();
+    holders.dedup();
+    assert_eq!(holders.len(), 1, "{holders:?}");
+}
+
 #[test]
 fn the_scheduler_tells_states_without_a_read_of_the_store() {
     let site = Site::start("states", 2, 2);
--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -16,6 +16,10 @@
 use serde_json::{Value, json};
 use snipevane_adapter_standin::{Endpoint, Minion, Store};
 
+pub(crate) mod vms;
+
+use vms::VmApi;
+
 /// Maximum time that a test waits for a condition, far longer than any takes.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -33,6 +37,7 @@
     pub(crate) store: Store,
     pub(crate) nodes: Vec<Node>,
     pub(crate) minions: Vec<Minion>,
+    pub(crate) vm_api: VmApi,
     name: String,
 }
 
@@ -47,6 +52,7 @@
             nodes: Vec::new(),
             store,
             minions,
+            vm_api: VmApi::start(),
             name: name.to_owned(),
         };
         for _ in 0..nodes {
@@ -69,7 +75,8 @@
     /// Starts another daemon, whose VM has this many cores.
     pub(crate) fn add_node(&mut self, cores: f64) {
         let name = format!("{}-{}", self.name, self.nodes.len());
-        self.nodes.push(Node::start(&self.store, &name, cores));
+        self.nodes
+            .push(Node::start(&self.store, &self.vm_api, &name, cores));
     }
 
     /// Returns the scheduler's row in the store.
@@ -130,7 +137,7 @@
 }
 
 impl Node {
-    fn start(store: &Store, name: &str, cores: f64) -> Self {
+    fn start(store: &Store, vm_api: &VmApi, name: &str, cores: f64) -> Self {
         let endpoint = store.add_endpoint();
         let [callers, readiness, peer] = [free_address(), free_address(), free_address()];
         let text = format!(
@@ -138,9 +145,11 @@
              internalPortRange = [{port}, {port}]\n\
              [bindAddresses]\nfrontend = \"{callers}\"\nready = \"{readiness}\"\n\
              [platform]\naddress = \"{store}\"\n\
+             [cloudApi]\naddress = \"{vms}\"\n\
              [limits]\ncpuShare = {cores:?}\n",
             port = peer.port(),
             store = endpoint.address,
+            vms = vm_api.address,
         );
         let settings = std::env::temp_dir().join(format!("{name}-{}.toml", std::process::id()));
         std::fs::write(&settings, text).expect("the settings file");
--- /dev/null
+++ b/crates/snipevane-fleet/tests/site/vms.rs
@@ -0,0 +1,101 @@
+//! Stand-in for the platform's VM API, which carries out orders slowly.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Name of the only VM.
+pub(crate) const VM: &str = "h-0";
+
+/// Time that an order takes, shorter than the timeout of the daemon's calls.
+const ORDER_TIME: Duration = Duration::from_millis(1_450);
+
+/// Header with the name of the daemon that sends an order.
+const HOLDER_HEADER: &str = "x-snipevane-duty-holder:";
+
+#[derive(Default)]
+struct State {
+    holders: Vec<String>,
+    under_maintenance: bool,
+}
+
+/// VM API with one VM, whose minion is the first one.
+pub(crate) struct VmApi {
+    pub(crate) address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl VmApi {
+    /// Starts the API.
+    pub(crate) fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = state.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                // A connection that breaks off has no further requests.
+                thread::spawn(move || serve(&stream, &shared));
+            }
+        });
+        Self { address, state }
+    }
+
+    /// Returns the names of the daemons that have sent the orders so far.
+    pub(crate) fn holders(&self) -> Vec<String> {
+        self.state.lock().expect("the state").holders.clone()
+    }
+}
+
+fn serve(stream: &TcpStream, state: &Mutex<State>) -> std::io::Result<()> {
+    let mut reader = BufReader::new(stream);
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Ok(());
+        }
+        let is_order = line.starts_with("POST");
+        let (mut holder, mut length) = (String::new(), 0);
+        loop {
+            let mut header = String::new();
+            reader.read_line(&mut header)?;
+            let header = header.trim().to_lowercase();
+            if header.is_empty() {
+                break;
+            }
+            if let Some(name) = header.strip_prefix(HOLDER_HEADER) {
+                holder = name.trim().to_owned();
+            }
+            if let Some(bytes) = header.strip_prefix("content-length:") {
+                length = bytes.trim().parse().unwrap_or(0);
+            }
+        }
+        let mut body = vec![0; length];
+        reader.read_exact(&mut body)?;
+        let body = if is_order {
+            state.lock().expect("the state").holders.push(holder);
+            thread::sleep(ORDER_TIME);
+            state.lock().expect("the state").under_maintenance = true;
+            "{}".to_owned()
+        } else {
+            list(&state.lock().expect("the state"))
+        };
+        let length = body.len();
+        let mut writer = stream;
+        writer.write_all(
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}").as_bytes(),
+        )?;
+    }
+}
+
+fn list(state: &State) -> String {
+    let name = if state.under_maintenance {
+        "upkeep"
+    } else {
+        "up"
+    };
+    format!(r#"{{"machines":[{{"hostMachine":"{VM}","pool":"p","state":"{name}","id":"i-0"}}]}}"#)
+}
