Store a few of the oldest changes with each write

While many jobs ended, the progress of others wasn't stored, so the ends in it weren't acknowledged.

Cause: jobs that have ended went first and take three entries of a transaction, of which 84 are free. If more than 28 jobs end per write, which a store of three transactions a second makes of 84 jobs a second, no change of a job that goes on is ever taken, so minions repeat its ends in each run list and a later term starts from the old progress.

Change: the 12 oldest changes go first, then jobs that have ended. Without such a backlog nothing changes.

Test changes_of_running_jobs_are_stored_while_many_jobs_end, 32 jobs a write: not stored within 40 writes before.

--- a/crates/snipevane-core/src/jobs/changes.rs
+++ b/crates/snipevane-core/src/jobs/changes.rs
@@ -50,8 +50,9 @@
         self.has_unstored_end
     }
 
-    /// Takes changes that need up to `max_entries` entries in a transaction. Jobs that have ended
-    /// come first, as callers may be waiting for them; otherwise the oldest changes come first.
+    /// Takes changes that need up to `max_entries` entries in a transaction. Behind a few of the
+    /// oldest changes, jobs that have ended come first, as callers may be waiting for them; otherwise
+    /// the oldest changes come first.
     pub fn take_changes(&mut self, max_entries: usize) -> Changes {
         let keys = self.dirty.in_order(|key| self.has_ended(key));
         let mut changes = Changes::default();
--- a/crates/snipevane-core/src/jobs/dirty_jobs.rs
+++ b/crates/snipevane-core/src/jobs/dirty_jobs.rs
@@ -4,6 +4,9 @@
 
 use super::job::JobKey;
 
+/// Number of the oldest jobs that go before urgent ones.
+const OLDEST_FIRST: usize = 12;
+
 /// Set of the jobs whose row in the store is out of date.
 #[derive(Clone, Debug, Default)]
 pub(super) struct DirtyJobs {
@@ -34,10 +37,14 @@
         self.since.is_empty()
     }
 
-    /// Returns the jobs that `is_urgent` holds for, and then the others, each oldest first.
+    /// Returns a few of the oldest jobs, so that none waits forever, then the jobs that `is_urgent`
+    /// holds for, and then the others, each oldest first.
     pub(super) fn in_order(&self, is_urgent: impl Fn(JobKey) -> bool) -> Vec<JobKey> {
         let mut keys: Vec<JobKey> = self.since.keys().copied().collect();
-        keys.sort_by_cached_key(|&key| (!is_urgent(key), self.since[&key]));
+        keys.sort_unstable_by_key(|key| self.since[key]);
+        if let Some(rest) = keys.get_mut(OLDEST_FIRST..) {
+            rest.sort_by_cached_key(|&key| !is_urgent(key));
+        }
         keys
     }
 }
--- a/tests/tests/jobs_scheduler.rs
+++ b/tests/tests/jobs_scheduler.rs
@@ -270,6 +270,26 @@
     assert_eq!(minion.stored_seq, 4, "the ends of the first job");
 }
 
+#[test]
+fn changes_of_running_jobs_are_stored_while_many_jobs_end() {
+    let mut built = job_site(40, 1);
+    let steps = vec![step(1, 1_000, 100, &[]), step(1, 1_000, 60_000, &[0])];
+    built.submit(1, job("p0", steps));
+    built.store_available = false;
+    let taken = (0..40).any(|round| {
+        for number in 0..32 {
+            let id = 10 + round * 32 + number;
+            built.submit(id, job("p0", vec![step(1, 1_000, 100, &[])]));
+        }
+        built.run(Duration::from_millis(250));
+        let changes = built.scheduler.take_changes(84);
+        built.scheduler.changes_stored(&changes);
+        let mut jobs = changes.jobs.iter();
+        jobs.any(|change| change.id == JobId::new(1) && change.progress.state == JobState::Running)
+    });
+    assert!(taken, "the first job's progress wasn't taken in 40 writes");
+}
+
 /// Another incarnation may have replaced the one that sent a late run list, and its ends have the same
 /// numbers, so a late list must not lead to acknowledgements.
 #[test]
