Keep VMs up until their minions have listed the runs of the earlier term

Cause: a minion that hasn't listed its runs to a new term has no known runs, so its VM looked drained.

Ruled out: the check in evict_run. It is right for known runs; here it is never reached.

Change: Scheduler::drain and is_usable hold back a VM whose minion may have unreported runs.

Result: both tests failed before the change (1 VM maintained where 0 are due, 3 moves where 0 are due) and pass with it.

--- a/crates/snipevane-core/src/jobs/maintenance.rs
+++ b/crates/snipevane-core/src/jobs/maintenance.rs
@@ -368,8 +368,12 @@
     ///
     /// Long-running tasks are evicted unless too many others of their steps are unavailable. Tasks
     /// that aren't long-running end by themselves; without `wait_for_other_tasks` they don't keep
-    /// the VM from being taken down.
+    /// the VM from being taken down. Unreported runs of an earlier term always do, as any of them
+    /// may be long-running.
     pub(super) fn drain(&mut self, vm: &Vm, wait_for_other_tasks: bool, now: Duration) -> bool {
+        if self.has_unreported_minion(vm, now) {
+            return false;
+        }
         let Some(key) = self.minion_of(vm) else {
             return true;
         };
@@ -390,6 +394,12 @@
         empty
     }
 
+    /// Returns whether a VM's minion may have unreported runs of an earlier term.
+    pub(super) fn has_unreported_minion(&self, vm: &Vm, now: Duration) -> bool {
+        let minion = vm.minion.as_ref();
+        minion.is_some_and(|id| self.is_unreported(id, now))
+    }
+
     pub(super) fn minion_of(&self, vm: &Vm) -> Option<MinionKey> {
         self.minion_ids.get(vm.minion.as_ref()?).copied()
     }
--- a/crates/snipevane-core/src/jobs/moves.rs
+++ b/crates/snipevane-core/src/jobs/moves.rs
@@ -155,7 +155,7 @@
                 vm.pool == pool.name
                     && vm.state == VmState::Up
                     && !is_excluded(vm)
-                    && (pool.standby || scheduler.is_usable(vm))
+                    && (pool.standby || scheduler.is_usable(vm, now))
                     && !self.moves.contains_key(&vm.name)
             });
             let incoming = self
@@ -350,10 +350,12 @@
         runs.any(|&run| self.step_of(run).is_some_and(|step| step.long_running))
     }
 
-    /// Returns whether a VM's minion is listed and is neither suspect nor draining.
-    fn is_usable(&self, vm: &Vm) -> bool {
+    /// Returns whether a VM's minion is listed, is neither suspect nor draining, and has no
+    /// unreported runs of an earlier term.
+    fn is_usable(&self, vm: &Vm, now: Duration) -> bool {
         let minion = self.minion_of(vm).and_then(|key| self.minions.get(key));
         minion.is_some_and(|minion| minion.listed && !minion.suspect && !minion.entry.draining)
+            && !self.has_unreported_minion(vm, now)
     }
 
     /// Returns the most processors, in thousandths of a core, and the most memory, in mebibytes, of
--- a/tests/tests/jobs_vms.rs
+++ b/tests/tests/jobs_vms.rs
@@ -38,9 +38,17 @@
 
 impl VmSite {
     fn new(in_pool: usize, in_standby: usize) -> Self {
-        let pool = |number| if number < in_pool { "p0" } else { "standby" };
-        let entries: Vec<_> = (0..in_pool + in_standby)
-            .map(|number| entry(number, pool(number)))
+        Self::with_pools(&[("p0", in_pool), ("standby", in_standby)])
+    }
+
+    /// Creates a site with this number of VMs in each pool.
+    fn with_pools(sizes: &[(&str, usize)]) -> Self {
+        let pools = sizes
+            .iter()
+            .flat_map(|(pool, size)| std::iter::repeat_n(*pool, *size));
+        let entries: Vec<_> = pools
+            .enumerate()
+            .map(|(number, pool)| entry(number, pool))
             .collect();
         let vms = entries.iter().enumerate().map(|(number, entry)| Vm {
             name: format_smolstr!("vm-{number}"),
@@ -53,7 +61,8 @@
             .into_iter()
             .map(|entry| FakeMinion::new(entry, START))
             .collect();
-        let mut jobs = JobSite::new(site(1, 0), minions, 1);
+        let work_pools = sizes.iter().filter(|(pool, _)| *pool != "standby").count();
+        let mut jobs = JobSite::new(site(work_pools, 0), minions, 1);
         jobs.run(Duration::from_millis(100));
         Self {
             jobs,
@@ -306,6 +315,63 @@
     assert_eq!(site.maintained.len(), 1);
 }
 
+/// Guards against maintenance that ends runs of an earlier term without counting them.
+///
+/// A minion that hasn't listed its runs to a new term looks idle. Its VM was taken down at once,
+/// although another task of the same step was out of reach.
+#[test]
+fn a_wave_spares_a_vm_whose_minion_has_not_listed_its_runs_to_the_new_term() {
+    let mut site = VmSite::new(6, 0);
+    let id = site.jobs.submit(1, job("p0", vec![long_running_step(4)]));
+    site.run(Duration::from_secs(2));
+    assert_eq!(site.jobs.live_runs(id), 4);
+    let silent: Vec<SmolStr> = site.jobs.records[..2]
+        .iter()
+        .map(|record| record.minion.clone())
+        .collect();
+    site.jobs.partitioned.extend(silent.iter().cloned());
+    site.jobs.take_over();
+    site.maintenance = MaintenancePlanner::default();
+    let vms = site
+        .vms
+        .iter()
+        .filter(|vm| vm.minion.as_ref() == silent.first());
+    let wave = MaintenanceWave {
+        number: 1,
+        vms: vms.map(|vm| vm.name.clone()).collect(),
+        time_limit_ms: 60_000,
+        max_unavailable: 1,
+    };
+    site.add_wave(&wave, None);
+    site.run(Duration::from_secs(4));
+    assert_eq!(site.maintained.len(), 0);
+    assert_eq!(site.jobs.live_runs(id), 4);
+    site.run(Duration::from_secs(10));
+    assert_eq!(site.maintained.len(), 1);
+}
+
+/// Guards against moves that end runs of an earlier term.
+///
+/// At the start of a term, minions that haven't listed their runs yet looked idle, and their VMs
+/// moved to a pool with a backlog.
+#[test]
+fn no_vm_moves_before_its_minion_has_listed_its_runs_to_the_new_term() {
+    let mut site = VmSite::with_pools(&[("p0", 6), ("p1", 3)]);
+    let id = site.jobs.submit(1, job("p0", vec![long_running_step(3)]));
+    site.run(Duration::from_secs(2));
+    assert_eq!(site.jobs.live_runs(id), 3);
+    site.jobs
+        .submit(2, job("p1", vec![step(60, 8_000, 5_000, &[])]));
+    site.jobs.run(Duration::from_millis(100));
+    site.jobs.take_over();
+    site.moves = MovePlanner::default();
+    site.plan();
+    assert_eq!(site.move_count, 0);
+    site.run(Duration::from_secs(2));
+    assert_eq!(site.move_count, 3, "the idle VMs move");
+    assert_eq!(site.jobs.live_runs(id), 3);
+}
+
 /// Guards against long-running tasks that are evicted and started again on the draining VM.
 #[test]
 fn a_draining_vm_gets_no_tasks() {
