Count a minion that has reported to a term as reported after it leaves

Cause: unreported_minions (jobs/minions.rs) asked each time whether the minion is known and has accepted the fence. A minion that had listed its runs to the new term and left afterwards, as on each move of a VM, was unknown again. So Scheduler::place (jobs/placing.rs) started no task of an earlier term in its pool, and estimate_unreported_usage counted all of these against their teams' caps, which held up new jobs too, until the leases of the earlier term were over.

Ruled out: minions that are gone before the takeover, as the only cause.

Change: a minion is removed from the unreported ones when it lists its runs.

Result: the test failed before the change (Running where Completed is due) and passes with it; the random test of repeated runs passes.

--- a/crates/snipevane-core/src/jobs/minions.rs
+++ b/crates/snipevane-core/src/jobs/minions.rs
@@ -104,20 +104,14 @@
         &self,
         now: Duration,
     ) -> impl Iterator<Item = (&SmolStr, &SmolStr)> {
-        let earlier = self.unreported.minions.iter();
-        earlier.filter(move |(id, _)| self.is_unreported(id, now))
+        let unreported = self.unreported.minions.iter();
+        unreported.filter(move |_| now < self.unreported.until)
     }
 
     /// Returns whether a minion may have runs of an earlier term and hasn't listed its runs in this
     /// one.
     pub(super) fn is_unreported(&self, id: &SmolStr, now: Duration) -> bool {
-        let minion = self
-            .minion_ids
-            .get(id)
-            .and_then(|&key| self.minions.get(key));
-        now < self.unreported.until
-            && self.unreported.minions.contains_key(id)
-            && !minion.is_some_and(|minion| minion.fence_accepted)
+        now < self.unreported.until && self.unreported.minions.contains_key(id)
     }
 
     /// Removes a minion if it is no longer listed, can have no runs, and has no hold in flight.
--- a/crates/snipevane-core/src/jobs/reports.rs
+++ b/crates/snipevane-core/src/jobs/reports.rs
@@ -102,6 +102,7 @@
         minion.fence_accepted = true;
         minion.suspect = false;
         minion.last_contact = Some(now);
+        self.unreported.minions.remove(&minion.entry.id);
         for ended in &list.ended {
             if ended.number
                 > self
--- a/crates/snipevane-core/src/jobs/unreported_runs.rs
+++ b/crates/snipevane-core/src/jobs/unreported_runs.rs
@@ -14,6 +14,7 @@
 pub struct UnreportedRuns {
     /// Time at which the last lease granted by an earlier term is certain to have expired.
     pub until: Duration,
-    /// Identifiers of the minions that the earlier term used, with their pools.
+    /// Identifiers of the minions that the earlier term used and that haven't listed their runs
+    /// yet, with their pools.
     pub minions: FxHashMap<SmolStr, SmolStr>,
 }
--- a/tests/tests/jobs_scheduler.rs
+++ b/tests/tests/jobs_scheduler.rs
@@ -170,6 +170,30 @@
     assert_eq!(built.state(id), JobState::Completed);
 }
 
+/// Guards against takeovers that hold up waiting tasks of a pool for as long as a lease.
+///
+/// A minion that has listed its runs to the new term and leaves afterwards, as each VM that moves
+/// does, counted as unreported again.
+#[test]
+fn a_minion_that_leaves_after_its_report_holds_up_no_tasks_of_the_earlier_term() {
+    let mut built = job_site(3, 1);
+    let id = built.submit(1, job("p0", two_steps()));
+    built.run(Duration::from_millis(100));
+    let used = built.records[0].minion.clone();
+    built.take_over();
+    built.run(Duration::from_millis(200));
+    let now = built.now;
+    let idle = built
+        .minions
+        .values_mut()
+        .find(|minion| minion.entry.id != used);
+    let idle = idle.expect("a minion without runs");
+    idle.crash(&mut built.records, now);
+    built.list_minions();
+    built.run(Duration::from_millis(1_500));
+    assert_eq!(built.state(id), JobState::Completed);
+}
+
 #[rstest]
 #[case::lost_answers(Faults { lost_reply_rate: 0.3, delay_rate: 0.0 })]
 #[case::late_orders(Faults { lost_reply_rate: 0.0, delay_rate: 0.2 })]
