Wait for no minion whose VM was taken down before a takeover

Cause: the scheduler's row names each minion until the store drops its entry, so also those whose VMs the earlier term has just moved or maintained. They never report to the next term. Until the leases of the earlier term are over, Scheduler::place (jobs/placing.rs) then starts no task of an earlier term in their pools, and estimate_unreported_usage counts these tasks against their teams' caps.

Change: a list of VMs that was requested when it shows every order of the earlier term tells which minions no longer exist. A pool with a VM in service whose minion isn't listed keeps waiting.

Result: the first test fails without the call (Running where Completed is due) and passes with it; the second guards against giving up a minion that may be alive.

--- a/crates/snipevane-core/src/jobs/unreported_runs.rs
+++ b/crates/snipevane-core/src/jobs/unreported_runs.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use smol_str::SmolStr;
 
+use super::scheduler::Scheduler;
+use super::vm::{Vm, VmState};
+
 /// Minions that may have runs from an earlier term, and the time until which they may have them.
 ///
 /// A scheduler places work only on minions that its stored row names. The row of the previous term
@@ -18,3 +21,35 @@
     /// yet, with their pools.
     pub minions: FxHashMap<SmolStr, SmolStr>,
 }
+
+impl UnreportedRuns {
+    /// Removes the minions that no longer exist according to a list of VMs, such as those whose VM
+    /// was moved right before the term ended.
+    ///
+    /// Pools with a VM whose minion the list doesn't tell keep all their minions.
+    fn remove_unhosted(&mut self, vms: &[Vm]) {
+        let in_service = |vm: &&Vm| !matches!(vm.state, VmState::Moving | VmState::Maintenance);
+        let in_service = vms.iter().filter(in_service);
+        let mut hosted: FxHashSet<&SmolStr> = FxHashSet::default();
+        let mut uncertain_pools: FxHashSet<&SmolStr> = FxHashSet::default();
+        for vm in in_service {
+            match &vm.minion {
+                Some(minion) => hosted.insert(minion),
+                None => uncertain_pools.insert(&vm.pool),
+            };
+        }
+        self.minions
+            .retain(|id, pool| hosted.contains(id) || uncertain_pools.contains(pool));
+    }
+}
+
+impl Scheduler {
+    /// Stops waiting for reports of minions of an earlier term that no longer exist.
+    ///
+    /// `vms` is a list of all VMs that shows every order of the earlier term.
+    pub fn forget_unhosted_minions(&mut self, vms: &[Vm]) {
+        if !vms.is_empty() {
+            self.unreported.remove_unhosted(vms);
+        }
+    }
+}
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -152,6 +152,7 @@
     let Ok(listed) = listed else {
         return;
     };
+    forget_unhosted_minions(leader, &listed, sent_at);
     let marked = mark_possibly_ordered(leader, &mut planners.borrow_mut(), &listed, now);
     let Some(vms) = marked else {
         return;
@@ -222,6 +223,17 @@
     );
 }
 
+/// Tells the scheduler which minions of the previous term no longer exist, if a list of VMs that was
+/// requested at `asked_at` shows every order of that term.
+fn forget_unhosted_minions<C: Clock>(leader: &Leader<C>, vms: &[Vm], asked_at: Duration) {
+    let Some(taken_over_at) = leader.taken_over_at else {
+        return;
+    };
+    if asked_at >= taken_over_at + ORDER_VISIBILITY_DELAY {
+        leader.scheduler.borrow_mut().forget_unhosted_minions(vms);
+    }
+}
+
 /// Marks as moving each VM for which the previous term may have sent a recent order, and returns
 /// the list; `None` while such orders may not show in it yet.
 ///
--- a/tests/tests/jobs_vms.rs
+++ b/tests/tests/jobs_vms.rs
@@ -95,6 +95,7 @@
     fn plan(&mut self) {
         let now = self.jobs.now;
         let scheduler = &mut self.jobs.scheduler;
+        scheduler.forget_unhosted_minions(&self.vms);
         self.pending_shutdowns.resolve(scheduler, &self.vms, now);
         let mut orders = self.maintenance.decide(scheduler, &self.vms, now, now);
         let maintenance = &self.maintenance;
@@ -372,6 +373,64 @@
     assert_eq!(site.jobs.live_runs(id), 3);
 }
 
+/// Guards against takeovers that hold up waiting tasks of a pool for as long as a lease.
+///
+/// A minion whose VM was taken down right before the takeover never reports to the new term, which
+/// waited for it.
+#[test]
+fn a_vm_taken_down_right_before_a_takeover_holds_up_no_tasks() {
+    let mut site = VmSite::new(3, 0);
+    let steps = vec![step(4, 1_000, 500, &[]), step(6, 2_000, 300, &[0])];
+    let id = site.jobs.submit(1, job("p0", steps));
+    site.jobs.run(Duration::from_millis(100));
+    let used = site.jobs.records[0].minion.clone();
+    let idle = site
+        .vms
+        .iter()
+        .filter(|vm| vm.minion.as_ref() != Some(&used));
+    let wave = MaintenanceWave {
+        number: 1,
+        vms: idle.map(|vm| vm.name.clone()).take(1).collect(),
+        time_limit_ms: 60_000,
+        max_unavailable: 1,
+    };
+    site.add_wave(&wave, None);
+    site.plan();
+    assert_eq!(site.maintained.len(), 1);
+    site.jobs.take_over();
+    site.run(Duration::from_secs(2));
+    assert_eq!(site.jobs.state(id), JobState::Completed);
+}
+
+/// Guards against tasks that run twice after a takeover.
+///
+/// A VM that is listed as down without a minion may still host one, whose runs continue.
+#[test]
+fn a_vm_whose_state_is_unknown_keeps_its_tasks_after_a_takeover() {
+    let mut site = VmSite::new(3, 0);
+    let id = site
+        .jobs
+        .submit(1, job("p0", vec![step(1, 1_000, 20_000, &[])]));
+    site.jobs.run(Duration::from_millis(100));
+    let silent = site.jobs.records[0].minion.clone();
+    site.jobs.partitioned.insert(silent.clone());
+    for vm in &mut site.vms {
+        if vm.minion.as_ref() == Some(&silent) {
+            vm.state = VmState::Down;
+            vm.minion = None;
+        }
+    }
+    site.jobs.take_over();
+    // `JobSite` checks each start against the active runs.
+    site.run(Duration::from_secs(9));
+    assert_eq!(
+        site.jobs.records.len(),
+        2,
+        "it starts once its lease is over"
+    );
+    assert_eq!(site.jobs.live_runs(id), 1);
+}
+
 /// Guards against long-running tasks that are evicted and started again on the draining VM.
 #[test]
 fn a_draining_vm_gets_no_tasks() {
