--- a/crates/snipevane-core/src/jobs/reports.rs
+++ b/crates/snipevane-core/src/jobs/reports.rs
@@ -132,6 +132,7 @@
         minion.list_clock_ms = list.clock_ms;
         minion.fence_accepted = true;
         minion.suspect = false;
+        self.unreported.minions.remove(&minion.entry.id);
         for ended in &list.ended {
             self.process_end(key, ended, now, unix_ms);
         }
