Withhold a response that is ready after the deadline, whenever the timer fires

Cause: reply_by_deadline polls the request's task before the deadline's timer, so a response that came late was passed on if both were ready when the waiting task ran again, as on a busy machine. forward_claim's timeout polls in the same order, and the wait for a cancelled request's task (up to 1 s past the deadline) passed on any response too.

Shown by tests/tests/deadlines.rs: the entry VM's clock passes the deadline of 20 s while the request runs for 300 ms, so the timer doesn't fire first.

Ruled out: a stand-in that answers early (run time 300 ms against a deadline of 60 ms in the failed test); a deadline that starts too late (it's fixed before the request is sent).

Change: serve() replaces a backend server's response, own or relayed, by 504 once the node's clock is at the deadline; refusals state what is known and stay. A claim keeps the response for the caller's retry, as before. forward_claim takes the time left from the node's clock instead of Instant::now().

--- a/crates/snipevane-entry/src/request/response.rs
+++ b/crates/snipevane-entry/src/request/response.rs
@@ -94,6 +94,15 @@
 }
 
 impl Reply {
+    /// Returns whether the reply is the response of a backend server, possibly relayed by a peer.
+    pub(crate) fn is_answered(&self) -> bool {
+        match self {
+            Self::Answered(_) => true,
+            Self::Relayed(response) => response.outcome() == Some(Outcome::Answered),
+            Self::Refused(_) => false,
+        }
+    }
+
     /// Converts the reply into an HTTP response.
     pub(crate) fn into_response(self) -> Response {
         match self {
--- a/crates/snipevane-entry/src/request/run.rs
+++ b/crates/snipevane-entry/src/request/run.rs
@@ -79,7 +79,8 @@
         Refusal::not_run(StatusCode::REQUEST_TIMEOUT, "the caller went away")
     }
 
-    fn remaining<C: Clock>(&self, node: &Node<C>) -> Duration {
+    /// Returns the time left until the deadline.
+    pub(crate) fn remaining<C: Clock>(&self, node: &Node<C>) -> Duration {
         self.deadline.saturating_duration_since(node.now())
     }
 }
--- a/crates/snipevane-entry/src/request/serve.rs
+++ b/crates/snipevane-entry/src/request/serve.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
@@ -62,12 +62,33 @@
     let needs_claim =
         !head.idempotent && head.id.is_some() && !matches!(origin, Origin::Place { .. });
     let request = Arc::new(prepare(&node, head, headers, body, origin, exchange));
-    if needs_claim {
-        return serve_claimed(node, request, origin).await;
-    }
+    let reply = if needs_claim {
+        serve_claimed(&node, &request, origin).await
+    } else {
+        serve_unclaimed(&node, &request).await
+    };
+    withhold_late_response(&node, &request, reply)
+}
+
+async fn serve_unclaimed<C: Clock>(node: &Arc<Node<C>>, request: &Arc<PreparedRequest>) -> Reply {
     let cancel = CancellationToken::new();
     let task = tokio::spawn(run(node.clone(), request.clone(), cancel.clone()));
-    reply_by_deadline(&node, &request, task, cancel).await
+    reply_by_deadline(node, request, task, cancel).await
+}
+
+/// Replaces a backend server's response by an error if the deadline has passed.
+///
+/// The timer of the deadline may fire after a response that arrived late is ready, so only the
+/// clock tells whether the response is in time. A refusal states what is known and is kept.
+fn withhold_late_response<C: Clock>(
+    node: &Node<C>,
+    request: &PreparedRequest,
+    reply: Reply,
+) -> Reply {
+    if reply.is_answered() && request.remaining(node).is_zero() {
+        return Reply::Refused(deadline_exceeded());
+    }
+    reply
 }
 
 fn prepare<C: Clock>(
@@ -116,7 +137,7 @@
     cancel: CancellationToken,
 ) -> Reply {
     let _cancel_when_dropped = cancel.clone().drop_guard();
-    let remaining = request.deadline.saturating_duration_since(node.now());
+    let remaining = request.remaining(node);
     tokio::select! {
         biased;
         reply = &mut task => return task_reply(reply),
@@ -154,8 +175,8 @@
 }
 
 async fn serve_claimed<C: Clock>(
-    node: Arc<Node<C>>,
-    request: Arc<PreparedRequest>,
+    node: &Arc<Node<C>>,
+    request: &Arc<PreparedRequest>,
     origin: Origin,
 ) -> Reply {
     let Some(id) = request.head.id else {
@@ -171,14 +192,14 @@
     let Some(shard) = shard else {
         return Reply::Refused(no_shard_holder());
     };
-    let body_hash = hash_request(&request);
+    let body_hash = hash_request(request);
     let claim = node
         .state()
         .claim(&shard, id, body_hash, node.clock.unix_ms());
     match claim {
         Some(ClaimOutcome::Run(ticket)) => run_claimed(node, request, shard, ticket).await,
         Some(claim) => duplicate_reply(claim),
-        None if origin == Origin::Caller => forward_claim(&node, &request, &shard).await,
+        None if origin == Origin::Caller => forward_claim(node, request, &shard).await,
         None => Reply::Refused(no_shard_holder()),
     }
 }
@@ -238,8 +259,8 @@
 }
 
 async fn run_claimed<C: Clock>(
-    node: Arc<Node<C>>,
-    request: Arc<PreparedRequest>,
+    node: &Arc<Node<C>>,
+    request: &Arc<PreparedRequest>,
     shard: ShardName,
     ticket: ClaimTicket,
 ) -> Reply {
@@ -258,7 +279,7 @@
             reply
         }
     });
-    reply_by_deadline(&node, &request, task, cancel).await
+    reply_by_deadline(node, request, task, cancel).await
 }
 
 fn run_outcome(reply: &Reply) -> RunOutcome<CachedResponse> {
@@ -283,7 +304,7 @@
         Ok(req) => req,
         Err(refusal) => return Reply::Refused(refusal),
     };
-    let remaining = request.deadline.saturating_duration_since(Instant::now());
+    let remaining = request.remaining(node);
     match timeout(remaining, node.forwards.exchange(address, req)).await {
         Ok(Ok(response)) => {
             let response = UpstreamResponse::new(response.status, response.headers, response.body);
