Check that a caller that stops reading is closed while it isn't reading

Cause: a_bad_caller_is_closed_and_holds_nothing::case_5 slept 1.5 s, on the assumption that the write timeout has closed the connection by then, and then read to the end. In the debug build the responses hadn't filled the socket buffers by that time, so the caller no longer stalled, got all 40 responses of 1 MB (6 callers: 240 MB), and the connection ended by the timeout for the next head.

Change: the caller has a small receive buffer and reads nothing; it writes empty lines until a write fails, which happens only once the entry VM has closed the connection. The checks after it are unchanged.

--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -10,7 +11,7 @@
 use snipevane_proto::headers::Outcome;
 use snipevane_tests::site::{Caller, Site, SiteOptions, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 use uuid::Uuid;
@@ -20,6 +21,10 @@
 const CONCURRENT_CALLERS: usize = 12;
 /// Maximum wait for a connection to be closed, far above the timeouts that the tests set.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Size of a bad caller's receive buffer, in bytes.
+const RECV_BUFFER_BYTES: u32 = 4_096;
+/// Time between two writes to a connection that is expected to be closed.
+const WRITE_INTERVAL: Duration = Duration::from_millis(20);
 
 fn options() -> SiteOptions {
     let mut options = SiteOptions::default();
@@ -164,6 +169,22 @@
     }
 }
 
+/// Connects with a receive buffer so small that the entry VM soon can't send on if nothing is read.
+async fn connect_bad_caller(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECV_BUFFER_BYTES).unwrap();
+    socket.connect(address).await.unwrap()
+}
+
+/// Writes empty lines, which HTTP ignores before a request, until the connection is closed.
+///
+/// Unlike reading, this notices the close without taking anything from the response.
+async fn write_until_closed(stream: &mut TcpStream) {
+    while stream.write_all(b"\r\n").await.is_ok() {
+        sleep(WRITE_INTERVAL).await;
+    }
+}
+
 #[rstest]
 #[case(BadCaller::Garbage)]
 #[case(BadCaller::HeaderTooLarge)]
@@ -179,9 +200,7 @@
     let concurrent = tokio::spawn(run_concurrent_callers(entry.caller().with_key(&key)));
     let mut streams = Vec::new();
     for _ in 0..6 {
-        let mut stream = TcpStream::connect(entry.process.addresses[0])
-            .await
-            .unwrap();
+        let mut stream = connect_bad_caller(entry.process.addresses[0]).await;
         let _ = timeout(
             Duration::from_millis(300),
             stream.write_all(bad.bytes(&key).as_bytes()),
@@ -194,8 +213,12 @@
             sleep(Duration::from_millis(50)).await;
             streams.clear();
         }
-        // Starts to read only after the entry VM's write timeout must have closed the connection.
-        BadCaller::StopsReading => sleep(Duration::from_millis(1_500)).await,
+        BadCaller::StopsReading => {
+            for stream in &mut streams {
+                let closed = timeout(CLOSE_TIMEOUT, write_until_closed(stream)).await;
+                assert!(closed.is_ok(), "a caller that doesn't read wasn't closed");
+            }
+        }
         _ => {}
     }
     for mut stream in streams {
