Keep idle callers' connections for a timeout of their own

Cause: hyper starts header_read_timeout as soon as the previous response is written, so `caller_read_ms` (400 ms in answers.rs, 10 s by default) also closed connections on which a caller had nothing to send. A request that is on its way at that moment meets a closed connection: `client error (SendRequest)`. On a busy machine a pooled connection of the concurrent callers easily idles for 400 ms. docs/operators/settings.md names only the time to send a head or body, and a balancer that keeps idle connections for longer than 10 s would meet the same.

Shown by tests/tests/caller_connections.rs, an_idle_connection_outlives_the_read_timeout: the client's runtime is blocked for 1.2 s between two requests, so it can't notice the close.

Ruled out: another caller's bad connection; there's none in this test, and each connection has a server task of its own.

Change: HeadTimeoutIo fails a read that is pending when the next head is overdue: `caller_read_ms` from the start of the connection or from the head's first byte, `caller_idle_ms` (new, 75 s by default, above a balancer's usual 60 s) while no byte came since the last response. A first head, half a head, and half a second head are still closed after `caller_read_ms` (3 cases, which pass before too), an idle connection after `caller_idle_ms` (fails before).

--- a/crates/snipevane-entry/src/caller/listener.rs
+++ b/crates/snipevane-entry/src/caller/listener.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use snipevane_core::clock::Clock;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::timeout;
@@ -17,6 +17,8 @@
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 
+use super::head_timeout_io::HeadTimeoutIo;
+use super::head_timer::{HeadTimeouts, HeadTimer};
 use crate::journal::kinds;
 use crate::node::Node;
 use crate::request::{Head, Origin, Refusal, Reply, Response, serve};
@@ -35,19 +37,27 @@
     shutdown: CancellationToken,
 ) {
     let timings = &node.settings.timings;
-    let mut stream = TimeoutStream::new(stream);
+    let timer = HeadTimer::new(HeadTimeouts {
+        read: timings.caller_read_timeout,
+        idle: timings.caller_idle_timeout,
+    });
+    let mut stream = TimeoutStream::new(HeadTimeoutIo::new(stream, timer.clone()));
     // Without a timeout, a caller that stops reading would keep its connection open forever.
     stream.set_write_timeout(Some(timings.caller_write_timeout));
     let service = service_fn({
         let node = node.clone();
         move |req| {
-            let node = node.clone();
-            async move { Ok::<_, Infallible>(handle_request(node, req).await) }
+            let (node, timer) = (node.clone(), timer.clone());
+            async move {
+                timer.on_request();
+                let response = handle_request(node, req).await;
+                timer.on_response();
+                Ok::<_, Infallible>(response)
+            }
         }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(timings.caller_read_timeout)
+        .header_read_timeout(None)
         .max_buf_size(node.settings.max_header_bytes)
         .serve_connection(TokioIo::new(Box::pin(stream)), service);
     let mut connection = std::pin::pin!(connection);
--- a/crates/snipevane-entry/src/settings/resolved.rs
+++ b/crates/snipevane-entry/src/settings/resolved.rs
@@ -33,6 +33,8 @@
     pub connect_timeout: Duration,
     /// Maximum time for a caller to send a request's headers or body.
     pub caller_read_timeout: Duration,
+    /// Maximum time for which a caller's connection is kept without a request.
+    pub caller_idle_timeout: Duration,
     /// Maximum time without progress while a response is written to a caller.
     pub caller_write_timeout: Duration,
     /// Time between failing the health check and closing the listener in a planned stop, in which
@@ -56,6 +58,7 @@
             platform_timeout: ms(timings.platform_timeout_ms),
             connect_timeout: ms(timings.connect_timeout_ms),
             caller_read_timeout: ms(timings.caller_read_ms),
+            caller_idle_timeout: ms(timings.caller_idle_ms),
             caller_write_timeout: ms(timings.caller_write_ms),
             deregistration_delay: ms(timings.stop_notice_ms),
         }
