Discard a connection whose response belongs to another exchange

Cause: a connection was put back into the pool before finish_here compared the exchange. If a surplus response took the place of the awaited one, the awaited response stayed due on the connection, and the next request got that one, and so on: one faulty response broke off request after request, until the team's retry budget was gone and callers of an idempotent queue got 502. The unit and the slot were also released though the backend server still ran the request.

Shown by answers.rs, a_late_second_response_breaks_off_one_exchange_only: the stand-in sends a surplus response once the next request arrives on the connection (x-test-late-second-answer), and 8 requests of 20 ms follow in turn. Before: 502 "the exchange was interrupted" for the fourth, all three retries of the burst used. After: all 200, and 9 runs, one of them the retry.

Ruled out: a response delivered to the wrong caller (the exchange and body hash are right in each 200).

Change: ConnectionPool compares the exchange before it reuses a connection; a mismatch is an interrupted exchange like any other, so SV1070 is logged, and unit and slot stay taken until the longest run time. UpstreamResponse::belongs_to goes.

--- a/crates/snipevane-entry/src/backend/pool.rs
+++ b/crates/snipevane-entry/src/backend/pool.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -13,6 +13,7 @@
 use rustc_hash::FxHashMap;
 use smol_str::{SmolStr, format_smolstr};
 use snipevane_proto::digest;
+use snipevane_proto::headers::EXCHANGE;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -85,7 +86,7 @@
 /// Pool of idle connections by server address.
 ///
 /// A connection carries one exchange at a time and is reused only after the response was read
-/// completely, so a response never reaches another exchange.
+/// completely and doesn't name another exchange.
 pub(crate) struct ConnectionPool {
     settings: PoolSettings,
     idle: Mutex<FxHashMap<SocketAddr, Vec<Idle>>>,
@@ -195,6 +196,7 @@
                 format_smolstr!("{error}"),
             ));
         }
+        let exchange = req.headers().get(EXCHANGE).cloned();
         let response = match connection.sender.try_send_request(req).await {
             Ok(response) => response,
             Err(mut error) => {
@@ -206,6 +208,11 @@
             }
         };
         let whole = self.read(response).await.map_err(SendError::Failed)?;
+        if !belongs_to(exchange.as_ref(), &whole.headers) {
+            // The connection isn't reused, because its next response would belong to this exchange.
+            let reason = SmolStr::new_static("the response belongs to another exchange");
+            return Err(SendError::Failed(ExchangeError::Interrupted(reason)));
+        }
         if whole.closes {
             return Ok(whole);
         }
@@ -256,6 +263,17 @@
     }
 }
 
+/// Returns whether a response belongs to the exchange that its request names.
+///
+/// A response without an exchange header is taken to belong to it. Any other value of the header,
+/// valid or not, means that the response belongs to another exchange.
+fn belongs_to(requested: Option<&HeaderValue>, response: &HeaderMap) -> bool {
+    let (Some(requested), Some(named)) = (requested, response.get(EXCHANGE)) else {
+        return true;
+    };
+    named.as_bytes().eq_ignore_ascii_case(requested.as_bytes())
+}
+
 /// Reason why a request failed on one connection.
 enum SendError {
     /// No byte was sent; returns the request, so that it can be sent on another connection.
--- a/crates/snipevane-entry/src/request/response.rs
+++ b/crates/snipevane-entry/src/request/response.rs
@@ -4,7 +4,6 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use http_body_util::Full;
 use snipevane_proto::headers::{self, Outcome};
-use uuid::Uuid;
 
 use super::{Refusal, Response};
 
@@ -64,18 +63,6 @@
         Outcome::parse(value.to_str().ok()?)
     }
 
-    /// Returns whether the response belongs to the given exchange.
-    ///
-    /// A response without an exchange header is taken to belong to it. Any other value of the
-    /// header, valid or not, means that the response belongs to another exchange.
-    pub(crate) fn belongs_to(&self, exchange: Uuid) -> bool {
-        let Some(value) = self.headers.get(headers::EXCHANGE) else {
-            return true;
-        };
-        let named = value.to_str().ok().and_then(|id| Uuid::parse_str(id).ok());
-        named == Some(exchange)
-    }
-
     /// Returns whether the backend server states that it didn't run the request.
     pub(crate) fn is_declined(&self) -> bool {
         self.outcome() == Some(Outcome::NotRun)
--- a/crates/snipevane-entry/src/request/run.rs
+++ b/crates/snipevane-entry/src/request/run.rs
@@ -226,11 +226,6 @@
         grant.set_outcome(RequestOutcome::Declined);
         return AttemptOutcome::NotRun;
     }
-    if !response.belongs_to(request.exchange) {
-        // The response belongs to another exchange, so the outcome of this one is unknown.
-        grant.set_outcome(RequestOutcome::Failed);
-        return AttemptOutcome::Unknown;
-    }
     let failed = response.status.is_server_error();
     grant.set_outcome(if failed {
         RequestOutcome::Failed
--- a/crates/snipevane-standin/src/backend/handler.rs
+++ b/crates/snipevane-standin/src/backend/handler.rs
@@ -22,7 +22,7 @@
 use super::record::{Record, RunId};
 use super::settings::BackendStandinSettings;
 use super::test_headers::TestHeaders;
-use super::trailing_io::TrailingBytes;
+use super::trailing_bytes::{SharedTrailingBytes, TrailingBytes};
 use crate::http::{
     Handler, NoResponse, Tasks, header_text, json, read_body, read_json, text, unix_us,
 };
@@ -122,12 +122,12 @@
 /// Handles the requests of one connection.
 pub(crate) struct RequestHandler {
     state: Arc<BackendState>,
-    trailing_bytes: TrailingBytes,
+    trailing_bytes: SharedTrailingBytes,
 }
 
 impl RequestHandler {
     /// Creates the handler of one connection.
-    pub(crate) fn new(state: Arc<BackendState>, trailing_bytes: TrailingBytes) -> Self {
+    pub(crate) fn new(state: Arc<BackendState>, trailing_bytes: SharedTrailingBytes) -> Self {
         Self {
             state,
             trailing_bytes,
@@ -222,10 +222,17 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
-        *self.trailing_bytes.lock() = if test.two_responses {
-            Bytes::from_static(UNSOLICITED_RESPONSE)
-        } else {
-            trailing_bytes
+        let unsolicited = |send| {
+            let bytes: &[u8] = if send { UNSOLICITED_RESPONSE } else { b"" };
+            Bytes::from_static(bytes)
+        };
+        *self.trailing_bytes.lock() = TrailingBytes {
+            after_response: if test.two_responses {
+                unsolicited(true)
+            } else {
+                trailing_bytes
+            },
+            after_next_request: unsolicited(test.late_second_response),
         };
         response
     }
--- a/crates/snipevane-standin/src/backend/mod.rs
+++ b/crates/snipevane-standin/src/backend/mod.rs
@@ -6,6 +6,7 @@
 mod server;
 mod settings;
 mod test_headers;
+mod trailing_bytes;
 mod trailing_io;
 
 pub use record::most_running;
--- a/crates/snipevane-standin/src/backend/server.rs
+++ b/crates/snipevane-standin/src/backend/server.rs
@@ -10,7 +10,8 @@
 
 use super::handler::{BackendState, ControlHandler, RequestHandler};
 use super::settings::BackendStandinSettings;
-use super::trailing_io::{TrailingBytes, TrailingIo};
+use super::trailing_bytes::SharedTrailingBytes;
+use super::trailing_io::TrailingIo;
 use crate::http::{Tasks, accept_all, bind, serve};
 
 /// Interval between attempts to bind the port again after the `refuse_connections` fault.
@@ -125,7 +126,7 @@
     let Some(_open) = state.open_connection() else {
         return;
     };
-    let trailing_bytes = TrailingBytes::default();
+    let trailing_bytes = SharedTrailingBytes::default();
     let io = TrailingIo::new(stream, Arc::clone(&trailing_bytes));
     serve(io, Arc::new(RequestHandler::new(state, trailing_bytes))).await;
 }
--- a/crates/snipevane-standin/src/backend/test_headers.rs
+++ b/crates/snipevane-standin/src/backend/test_headers.rs
@@ -18,6 +18,8 @@
 const WRONG_LENGTH: &str = "x-test-wrong-length";
 /// Sends a second response, of another exchange, on the connection.
 const TWO_RESPONSES: &str = "x-test-two-answers";
+/// Sends a second response, of another exchange, once the next request arrives on the connection.
+const LATE_SECOND_RESPONSE: &str = "x-test-late-second-answer";
 /// Sends an exchange identifier that the caller doesn't know.
 const FOREIGN: &str = "x-test-foreign-exchange";
 /// Sends `Connection: close` in the response.
@@ -37,6 +39,7 @@
     pub(crate) cut_body: bool,
     pub(crate) understated_bytes: usize,
     pub(crate) two_responses: bool,
+    pub(crate) late_second_response: bool,
     pub(crate) foreign_exchange: bool,
     pub(crate) close_connection: bool,
 }
@@ -58,6 +61,7 @@
             cut_body: req.headers().contains_key(CUT_BODY),
             understated_bytes: if wrong_length { understated } else { 0 },
             two_responses: req.headers().contains_key(TWO_RESPONSES),
+            late_second_response: req.headers().contains_key(LATE_SECOND_RESPONSE),
             foreign_exchange: req.headers().contains_key(FOREIGN),
             close_connection: req.headers().contains_key(CLOSE),
         }
--- a/crates/snipevane-standin/src/backend/trailing_io.rs
+++ b/crates/snipevane-standin/src/backend/trailing_io.rs
@@ -2,27 +2,24 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
-use bytes::{Buf, Bytes};
-use parking_lot::Mutex;
+use bytes::Buf;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Bytes to send after the response that is being written.
-pub(crate) type TrailingBytes = Arc<Mutex<Bytes>>;
+use super::trailing_bytes::SharedTrailingBytes;
 
 /// A connection that sends the trailing bytes at the next flush.
 #[derive(Debug)]
 pub(crate) struct TrailingIo {
     stream: TcpStream,
-    trailing_bytes: TrailingBytes,
+    trailing_bytes: SharedTrailingBytes,
 }
 
 impl TrailingIo {
     /// Wraps a connection.
-    pub(crate) fn new(stream: TcpStream, trailing_bytes: TrailingBytes) -> Self {
+    pub(crate) fn new(stream: TcpStream, trailing_bytes: SharedTrailingBytes) -> Self {
         Self {
             stream,
             trailing_bytes,
@@ -36,7 +33,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.trailing_bytes.lock().on_request();
+        }
+        result
     }
 }
 
@@ -52,9 +54,10 @@
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let mut trailing_bytes = this.trailing_bytes.lock();
-        while !trailing_bytes.is_empty() {
-            let written = ready!(Pin::new(&mut this.stream).poll_write(cx, &trailing_bytes))?;
-            trailing_bytes.advance(written);
+        let due = &mut trailing_bytes.after_response;
+        while !due.is_empty() {
+            let written = ready!(Pin::new(&mut this.stream).poll_write(cx, due))?;
+            due.advance(written);
         }
         Pin::new(&mut this.stream).poll_flush(cx)
     }
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use serde_json::json;
 use snipevane_proto::headers::Outcome;
-use snipevane_tests::site::{Caller, Site, SiteOptions, until};
+use snipevane_tests::site::{Caller, Site, SiteOptions, manifest, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
@@ -19,6 +19,8 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_site-process");
 /// Number of callers that send well-formed requests concurrently with the faulty ones.
 const CONCURRENT_CALLERS: usize = 12;
+/// Number of requests after one pooled connection broke.
+const REQUESTS_AFTER_BREAK: usize = 8;
 /// Maximum wait for a connection to be closed, far above the timeouts that the tests set.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Size of a bad caller's receive buffer, in bytes.
@@ -112,6 +114,47 @@
     assert_eq!(answer.outcome(), Some(Outcome::Unknown), "{answer:?}");
 }
 
+/// Starts a site of one entry VM and one backend server, which gets every request.
+async fn start_single_backend_site() -> Site {
+    let options = SiteOptions {
+        zones: vec!["a"],
+        entries_per_zone: 1,
+        backends_per_zone: 1,
+        ..SiteOptions::default()
+    };
+    let mut manifest = manifest(&options);
+    // Maintenance must be able to take the only backend server.
+    manifest["services"][0]["unavailable_budget_percent"] = 100.into();
+    let site = Site::start_bare(PROGRAM, options).await;
+    site.apply(0, &manifest).await;
+    site.until_ready().await;
+    site
+}
+
+/// The response that was sent to a request whose predecessor's surplus response took its place
+/// must not in turn take the place of the next request's.
+#[tokio::test]
+async fn a_late_second_response_breaks_off_one_exchange_only() {
+    let site = start_single_backend_site().await;
+    let (_, key) = site.give_key("registry").await;
+    let caller = site.entries[0].caller().with_key(&key);
+    let headers = [("x-test-late-second-answer", "1")];
+    let answer = caller.post("ticks", &headers, "broken").await.unwrap();
+    assert_eq!(answer.outcome(), Some(Outcome::Answered), "{answer:?}");
+    for turn in 0..REQUESTS_AFTER_BREAK {
+        let headers = [("x-test-run-ms", "20")];
+        let answer = caller.post("ticks", &headers, "next").await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{turn}: {answer:?}");
+    }
+    let records = site.records().await;
+    let next_runs = records[0]
+        .runs
+        .iter()
+        .filter(|run| run.body_hash == blake3_of("next"));
+    // The first request lost its response and was retried.
+    assert_eq!(next_runs.count(), REQUESTS_AFTER_BREAK + 1);
+}
+
 #[tokio::test]
 async fn a_response_after_the_deadline_is_not_delivered() {
     let site = Site::start(PROGRAM, SiteOptions::default()).await;
