Retry once on a new connection, uncharged, after a reused one failed

Cause: a surplus response can break a pooled connection just as the next request is sent on it. That request isn't at fault and is retried in an idempotent queue, but from the team's retry budget (a burst of 3, 0.1 a request). If faulty responses come faster than the budget refills, concurrent callers get 502 `unknown`. a_broken_response_is_not_delivered_as_whole::case_3 sends 20 of them beside 180 requests, so the order decides.

Shown by answers.rs, broken_pooled_connections_dont_use_up_the_retry_budget: 8 pooled connections break in turn. After: 200 in all 8.

Ruled out: a response delivered to the wrong caller.

Change: a reused connection that fails before a response to the request began gives ExchangeError::ReusedConnection. An idempotent request then gets one try on a new connection without charge; a second failure is charged as before. A request that isn't idempotent isn't repeated (a_broken_pooled_connection_doesnt_repeat_a_non_idempotent_request).

--- a/crates/snipevane-entry/src/backend/pool.rs
+++ b/crates/snipevane-entry/src/backend/pool.rs
@@ -31,6 +31,10 @@
     /// The request may have reached the server, at least in part.
     #[error("interrupted: {0}")]
     Interrupted(SmolStr),
+    /// A reused connection failed before a response to the request began. The request may have
+    /// reached the server.
+    #[error("reused connection failed: {0}")]
+    ReusedConnection(SmolStr),
     /// The response body is larger than allowed.
     #[error("the response is larger than {0} bytes")]
     TooLarge(usize),
@@ -117,6 +121,9 @@
         while let Some(connection) = self.take_idle(address) {
             match self.send(address, connection, req).await {
                 Err(SendError::NotSent(unsent, _)) => req = *unsent,
+                Err(SendError::NoResponse(reason)) => {
+                    return Err(ExchangeError::ReusedConnection(reason));
+                }
                 Err(SendError::Failed(error)) => return Err(error),
                 Ok(response) => return Ok(response),
             }
@@ -139,6 +146,7 @@
             .await
             .map_err(|attempt| match attempt {
                 SendError::NotSent(_, reason) => ExchangeError::NotSent(reason),
+                SendError::NoResponse(reason) => ExchangeError::Interrupted(reason),
                 SendError::Failed(error) => error,
             })
     }
@@ -203,7 +211,7 @@
                 let reason = format_smolstr!("{}", error.error());
                 return Err(match error.take_message() {
                     Some(req) => SendError::NotSent(Box::new(req), reason),
-                    None => SendError::Failed(ExchangeError::Interrupted(reason)),
+                    None => SendError::NoResponse(reason),
                 });
             }
         };
@@ -211,7 +219,7 @@
         if !belongs_to(exchange.as_ref(), &whole.headers) {
             // The connection isn't reused, because its next response would belong to this exchange.
             let reason = SmolStr::new_static("the response belongs to another exchange");
-            return Err(SendError::Failed(ExchangeError::Interrupted(reason)));
+            return Err(SendError::NoResponse(reason));
         }
         if whole.closes {
             return Ok(whole);
@@ -278,5 +286,7 @@
 enum SendError {
     /// No byte was sent; returns the request, so that it can be sent on another connection.
     NotSent(Box<Request<Full<Bytes>>>, SmolStr),
+    /// The connection failed, or brought another exchange's response, before the response began.
+    NoResponse(SmolStr),
     Failed(ExchangeError),
 }
--- a/crates/snipevane-entry/src/request/run.rs
+++ b/crates/snipevane-entry/src/request/run.rs
@@ -1,5 +1,6 @@
 //! Runs a request: places it, sends it to a backend server or peer, and retries where that is safe.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -21,7 +22,7 @@
 use super::place::{PeerPlacement, Placement, place};
 use super::response::remove_hop_by_hop;
 use super::{Grant, Head, Refusal, Reply, UpstreamResponse};
-use crate::backend::{BufferedResponse, ExchangeError};
+use crate::backend::{BufferedResponse, ConnectionPool, ExchangeError};
 use crate::journal::kinds;
 use crate::node::Node;
 
@@ -94,6 +95,7 @@
     cancel: CancellationToken,
 ) -> Reply {
     let mut forwards = 0;
+    let mut connection = ConnectionChoice::Pooled;
     node.state().retries.on_request(request.head.identity.team);
     loop {
         let use_peer_capacity = forwards < MAX_FORWARDS;
@@ -102,7 +104,7 @@
             Err(refusal) => return Reply::Refused(refusal),
         };
         let outcome = match placement {
-            Placement::Here(grant) => run_here(&node, &request, grant).await,
+            Placement::Here(grant) => run_here(&node, &request, grant, connection).await,
             Placement::Peer(peer) => {
                 forwards += 1;
                 run_at_peer(&node, &request, peer).await
@@ -113,6 +115,12 @@
             AttemptOutcome::PeerUnavailable => {}
             AttemptOutcome::NotRun if may_retry(&node, &request) => {}
             AttemptOutcome::NotRun => return Reply::Refused(request.refuse_busy(&node)),
+            AttemptOutcome::ReusedConnectionFailed
+                if request.head.idempotent && node.now() < request.start_by =>
+            {
+                connection = ConnectionChoice::New;
+            }
+            AttemptOutcome::ReusedConnectionFailed => return Reply::Refused(interrupted()),
             AttemptOutcome::Unknown if request.head.idempotent && may_retry(&node, &request) => {}
             AttemptOutcome::Unknown => return Reply::Refused(interrupted()),
         }
@@ -128,10 +136,22 @@
     PeerUnavailable,
     /// The request certainly didn't run.
     NotRun,
+    /// The request may have run, but the failure is due to the reuse of a connection; another
+    /// attempt on a new connection doesn't use the retry budget.
+    ReusedConnectionFailed,
     /// The request may have run.
     Unknown,
 }
 
+/// Connection on which a request is sent to a backend server.
+#[derive(Clone, Copy, Debug)]
+enum ConnectionChoice {
+    /// A pooled connection if there is one.
+    Pooled,
+    /// A new connection, which can't have been broken by an earlier exchange.
+    New,
+}
+
 fn may_retry<C: Clock>(node: &Node<C>, request: &PreparedRequest) -> bool {
     let now = node.now();
     now < request.start_by
@@ -150,6 +170,7 @@
     node: &Arc<Node<C>>,
     request: &PreparedRequest,
     mut grant: Grant<C>,
+    connection: ConnectionChoice,
 ) -> AttemptOutcome {
     let Some(address) = grant.address() else {
         return AttemptOutcome::NotRun;
@@ -166,11 +187,8 @@
     let sent_at = node.now();
     let ends_by = sent_at + request.head.max_run_time;
     request.sent.store(true, Ordering::SeqCst);
-    let result = timeout(
-        request.head.max_run_time,
-        node.backends.exchange(address, req),
-    )
-    .await;
+    let exchange = exchange_on(connection, &node.backends, address, req);
+    let result = timeout(request.head.max_run_time, exchange).await;
     let latency = node.now().saturating_duration_since(sent_at);
     match result {
         Ok(Ok(response)) => finish_here(node, request, grant, response, latency),
@@ -188,13 +206,14 @@
                 &[&vm, team, &request.exchange, &error],
             );
             grant.set_outcome(RequestOutcome::Failed);
-            let known = matches!(error, ExchangeError::TooLarge(_));
             // The backend server may still run the request.
             grant.hold_until(ends_by);
-            if known {
-                AttemptOutcome::Done(Reply::Refused(too_large()))
-            } else {
-                AttemptOutcome::Unknown
+            match error {
+                ExchangeError::TooLarge(_) => AttemptOutcome::Done(Reply::Refused(too_large())),
+                ExchangeError::ReusedConnection(_) => AttemptOutcome::ReusedConnectionFailed,
+                ExchangeError::NotSent(_) | ExchangeError::Interrupted(_) => {
+                    AttemptOutcome::Unknown
+                }
             }
         }
         Err(_) => {
@@ -207,6 +226,18 @@
     }
 }
 
+async fn exchange_on(
+    connection: ConnectionChoice,
+    pool: &ConnectionPool,
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Result<BufferedResponse, ExchangeError> {
+    match connection {
+        ConnectionChoice::Pooled => pool.exchange(address, req).await,
+        ConnectionChoice::New => pool.exchange_once(address, req).await,
+    }
+}
+
 fn too_large() -> Refusal {
     Refusal::unknown(StatusCode::BAD_GATEWAY, "the answer is too large")
         .detail("a backend server ran the request, and its answer can't be passed on")
@@ -282,7 +313,9 @@
         AttemptOutcome::Done(Reply::Answered(_))
         | AttemptOutcome::PeerUnavailable
         | AttemptOutcome::NotRun => false,
-        AttemptOutcome::Done(_) | AttemptOutcome::Unknown => true,
+        AttemptOutcome::Done(_)
+        | AttemptOutcome::ReusedConnectionFailed
+        | AttemptOutcome::Unknown => true,
     }
 }
 
@@ -311,7 +344,7 @@
 fn backend_request(
     request: &PreparedRequest,
     remaining: Duration,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
 ) -> Result<Request<Full<Bytes>>, Refusal> {
     let mut headers = request.headers.clone();
     let run = remaining.min(request.head.max_run_time);
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -21,6 +21,8 @@
 const CONCURRENT_CALLERS: usize = 12;
 /// Number of requests after one pooled connection broke.
 const REQUESTS_AFTER_BREAK: usize = 8;
+/// Number of pooled connections that break in turn, above the retries that a team may accumulate.
+const BROKEN_CONNECTIONS: usize = 8;
 /// Maximum wait for a connection to be closed, far above the timeouts that the tests set.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Size of a bad caller's receive buffer, in bytes.
@@ -120,6 +122,8 @@
         zones: vec!["a"],
         entries_per_zone: 1,
         backends_per_zone: 1,
+        // Interrupted exchanges keep their slots until the longest run time has passed.
+        slots: 32,
         ..SiteOptions::default()
     };
     let mut manifest = manifest(&options);
@@ -155,6 +159,37 @@
     assert_eq!(next_runs.count(), REQUESTS_AFTER_BREAK + 1);
 }
 
+/// A pooled connection that breaks says nothing about the load, so the retry isn't charged.
+#[tokio::test]
+async fn broken_pooled_connections_dont_use_up_the_retry_budget() {
+    let site = start_single_backend_site().await;
+    let (_, key) = site.give_key("registry").await;
+    let caller = site.entries[0].caller().with_key(&key);
+    for turn in 0..BROKEN_CONNECTIONS {
+        let headers = [("x-test-late-second-answer", "1")];
+        let answer = caller.post("ticks", &headers, "broken").await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{turn}: {answer:?}");
+        let headers = [("x-test-run-ms", "20")];
+        let answer = caller.post("ticks", &headers, "next").await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{turn}: {answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_broken_pooled_connection_doesnt_repeat_a_non_idempotent_request() {
+    let site = start_single_backend_site().await;
+    let (_, key) = site.give_key("registry").await;
+    let caller = site.entries[0].caller().with_key(&key);
+    let headers = [("x-test-late-second-answer", "1")];
+    let answer = caller.post("ticks", &headers, "broken").await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    let id = Uuid::now_v7().to_string();
+    let headers = [("x-test-run-ms", "20"), ("idempotency-key", &id)];
+    let answer = caller.post("rollups", &headers, "next").await.unwrap();
+    assert_eq!(answer.outcome(), Some(Outcome::Unknown), "{answer:?}");
+    assert_eq!(site.runs_by_id().await[&id], 1);
+}
+
 #[tokio::test]
 async fn a_response_after_the_deadline_is_not_delivered() {
     let site = Site::start(PROGRAM, SiteOptions::default()).await;
