Start tests once every entry VM knows its peers' shards

Cause: until_ready waited for a peer's first heartbeat, which may be older than the peer's shard. Until the next one a claim of that shard is refused with 503 `not-run`, "no reachable entry VM holds the identifier's shard", the response that case_2 of a_broken_response_is_not_delivered_as_whole gets from silent peers too. Which of the two causes the lost output had can't be told.

Change: an operator's status lists each peer's shards as last reported, and until_ready waits for them. No assertion changes.

--- a/crates/snipevane-entry/src/operator/status.rs
+++ b/crates/snipevane-entry/src/operator/status.rs
@@ -24,6 +24,7 @@
                 zone: peer.zone.to_string(),
                 reachable: peer.reachable,
                 version: peer.version,
+                shards: peer.shards.iter().map(ToString::to_string).collect(),
                 age_ms: peer.last_heartbeat_at.map(|at| {
                     u64::try_from(now.duration_since(at).as_millis()).unwrap_or(u64::MAX)
                 }),
--- a/tests/src/site/running.rs
+++ b/tests/src/site/running.rs
@@ -275,20 +275,21 @@
         (id, answer["key"].as_str().unwrap().to_owned())
     }
 
-    /// Waits until every entry VM has a shard and peers, and uses what is dealt to it.
+    /// Waits until every entry VM has a shard and peers whose shards it knows, and uses what is
+    /// dealt to it.
     pub async fn until_ready(&self) {
         let peers = self.entries.len() - 1;
         for entry in &self.entries {
             until("entry VMs are ready", async || {
                 let status = entry.operator().get_json("/v1/status").await;
                 let list = |name: &str| status[name].as_array().cloned().unwrap_or_default();
-                let reachable = list("peers")
+                let usable_peers = list("peers")
                     .iter()
-                    .filter(|peer| peer["reachable"] == true)
+                    .filter(|peer| peer["reachable"] == true && peer["shards"][0].is_string())
                     .count();
                 let servers = list("servers").len();
                 status["shard"].is_string()
-                    && reachable == peers
+                    && usable_peers == peers
                     && servers == self.options.backends_per_zone
             })
             .await;
