Let a busy entry VM send a late request before its deadline

Cause: a request that isn't sent by its deadline is refused as 503 `not-run`, while a_response_after_the_deadline_is_not_delivered allows only 504. With a deadline of 60 ms a slow entry VM doesn't get to send it: seen once in 5 runs on one core (14 tests at once), 503 where 504 is due. Not shown with fixed figures: between the start of the deadline and the send there's no step that a test can delay.

Change: the deadline is 1,000 ms and the run takes 1,240 ms, so the response still comes 240 ms after the deadline.

--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -225,7 +225,8 @@
     for turn in 0..8 {
         let caller = caller.clone();
         late.spawn(async move {
-            let headers = [("snipevane-deadline-ms", "60"), ("x-test-run-ms", "300")];
+            // The deadline leaves a busy entry VM time to send the request.
+            let headers = [("snipevane-deadline-ms", "1000"), ("x-test-run-ms", "1240")];
             caller
                 .post("rollups", &headers, &format!("late-{turn}"))
                 .await
