--- a/crates/snipevane-entry/src/backend/pool.rs
+++ b/crates/snipevane-entry/src/backend/pool.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -13,6 +13,7 @@
 use rustc_hash::FxHashMap;
 use smol_str::{SmolStr, format_smolstr};
 use snipevane_proto::digest;
+use snipevane_proto::headers::EXCHANGE;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -30,6 +31,10 @@
     /// The request may have reached the server, at least in part.
     #[error("interrupted: {0}")]
     Interrupted(SmolStr),
+    /// A reused connection failed before a response to the request began. The request may have
+    /// reached the server.
+    #[error("reused connection failed: {0}")]
+    ReusedConnection(SmolStr),
     /// The response body is larger than allowed.
     #[error("the response is larger than {0} bytes")]
     TooLarge(usize),
@@ -85,7 +90,7 @@
 /// Pool of idle connections by server address.
 ///
 /// A connection carries one exchange at a time and is reused only after the response was read
-/// completely, so a response never reaches another exchange.
+/// completely and doesn't name another exchange.
 pub(crate) struct ConnectionPool {
     settings: PoolSettings,
     idle: Mutex<FxHashMap<SocketAddr, Vec<Idle>>>,
@@ -116,6 +121,9 @@
         while let Some(connection) = self.take_idle(address) {
             match self.send(address, connection, req).await {
                 Err(SendError::NotSent(unsent, _)) => req = *unsent,
+                Err(SendError::NoResponse(reason)) => {
+                    return Err(ExchangeError::ReusedConnection(reason));
+                }
                 Err(SendError::Failed(error)) => return Err(error),
                 Ok(response) => return Ok(response),
             }
@@ -138,6 +146,7 @@
             .await
             .map_err(|attempt| match attempt {
                 SendError::NotSent(_, reason) => ExchangeError::NotSent(reason),
+                SendError::NoResponse(reason) => ExchangeError::Interrupted(reason),
                 SendError::Failed(error) => error,
             })
     }
@@ -195,17 +204,23 @@
                 format_smolstr!("{error}"),
             ));
         }
+        let exchange = req.headers().get(EXCHANGE).cloned();
         let response = match connection.sender.try_send_request(req).await {
             Ok(response) => response,
             Err(mut error) => {
                 let reason = format_smolstr!("{}", error.error());
                 return Err(match error.take_message() {
                     Some(req) => SendError::NotSent(Box::new(req), reason),
-                    None => SendError::Failed(ExchangeError::Interrupted(reason)),
+                    None => SendError::NoResponse(reason),
                 });
             }
         };
         let whole = self.read(response).await.map_err(SendError::Failed)?;
+        if !belongs_to(exchange.as_ref(), &whole.headers) {
+            // The connection isn't reused, because its next response would belong to this exchange.
+            let reason = SmolStr::new_static("the response belongs to another exchange");
+            return Err(SendError::NoResponse(reason));
+        }
         if whole.closes {
             return Ok(whole);
         }
@@ -256,9 +271,22 @@
     }
 }
 
+/// Returns whether a response belongs to the exchange that its request names.
+///
+/// A response without an exchange header is taken to belong to it. Any other value of the header,
+/// valid or not, means that the response belongs to another exchange.
+fn belongs_to(requested: Option<&HeaderValue>, response: &HeaderMap) -> bool {
+    let (Some(requested), Some(named)) = (requested, response.get(EXCHANGE)) else {
+        return true;
+    };
+    named.as_bytes().eq_ignore_ascii_case(requested.as_bytes())
+}
+
 /// Reason why a request failed on one connection.
 enum SendError {
     /// No byte was sent; returns the request, so that it can be sent on another connection.
     NotSent(Box<Request<Full<Bytes>>>, SmolStr),
+    /// The connection failed, or brought another exchange's response, before the response began.
+    NoResponse(SmolStr),
     Failed(ExchangeError),
 }
