--- a/crates/snipevane-standin/src/backend/handler.rs
+++ b/crates/snipevane-standin/src/backend/handler.rs
@@ -222,17 +222,18 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
-        let unsolicited = |send| {
-            let bytes: &[u8] = if send { UNSOLICITED_RESPONSE } else { b"" };
-            Bytes::from_static(bytes)
-        };
+        let unsolicited = Bytes::from_static(UNSOLICITED_RESPONSE);
         *self.trailing_bytes.lock() = TrailingBytes {
             after_response: if test.two_responses {
-                unsolicited(true)
+                unsolicited.clone()
             } else {
                 trailing_bytes
             },
-            after_next_request: unsolicited(test.late_second_response),
+            after_next_request: if test.late_second_response {
+                unsolicited
+            } else {
+                Bytes::new()
+            },
         };
         response
     }
