Use a list of VMs after a takeover by the time it was requested

Cause: a new scheduler used a list of VMs if it arrived 0.6 s after the takeover, by when every order of the term before shows in a list. A list that was requested earlier and arrives late (its timeout is 1.5 s) may not show the last orders, so the scheduler ordered the same VM again, and could take more VMs down than a wave allows.

Change: the time of the request decides, in one function for both uses of the list.

--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -152,11 +152,14 @@
     let Ok(listed) = listed else {
         return;
     };
-    forget_unhosted_minions(leader, &listed, sent_at);
-    let marked = mark_possibly_ordered(leader, &mut planners.borrow_mut(), &listed, now);
-    let Some(vms) = marked else {
+    if !shows_earlier_orders(leader, sent_at) {
         return;
-    };
+    }
+    if leader.taken_over_at.is_some() {
+        let mut scheduler = leader.scheduler.borrow_mut();
+        scheduler.forget_unhosted_minions(&listed);
+    }
+    let vms = mark_possibly_ordered(leader, &mut planners.borrow_mut(), &listed, now);
     let orders = {
         let mut scheduler = leader.scheduler.borrow_mut();
         let mut planners = planners.borrow_mut();
@@ -223,39 +226,31 @@
     );
 }
 
-/// Tells the scheduler which minions of the previous term no longer exist, if a list of VMs that was
-/// requested at `asked_at` shows every order of that term.
-fn forget_unhosted_minions<C: Clock>(leader: &Leader<C>, vms: &[Vm], asked_at: Duration) {
-    let Some(taken_over_at) = leader.taken_over_at else {
-        return;
-    };
-    if asked_at >= taken_over_at + ORDER_VISIBILITY_DELAY {
-        leader.scheduler.borrow_mut().forget_unhosted_minions(vms);
-    }
+/// Returns whether a list of VMs that was requested at `asked_at` shows every order of the previous
+/// term, whenever the list arrives.
+fn shows_earlier_orders<C: Clock>(leader: &Leader<C>, asked_at: Duration) -> bool {
+    let taken_over_at = leader.taken_over_at;
+    taken_over_at.is_none_or(|at| asked_at >= at + ORDER_VISIBILITY_DELAY)
 }
 
 /// Marks as moving each VM for which the previous term may have sent a recent order, and returns
-/// the list; `None` while such orders may not show in it yet.
+/// the list, which must show every order of that term.
 ///
-/// After [`ORDER_VISIBILITY_DELAY`], every order of the previous term shows in the list, and the
-/// VM's next minion starts only when the order is done. So a VM that is up, with a minion that has
+/// A VM's next minion starts only when an order is done. So a VM that is up, with a minion that has
 /// run for long enough, had no recent order.
 fn mark_possibly_ordered<C: Clock>(
     leader: &Leader<C>,
     planners: &mut Planners,
     vms: &[Vm],
     now: Duration,
-) -> Option<Vec<Vm>> {
+) -> Vec<Vm> {
     let Some(taken_over_at) = leader.taken_over_at else {
-        return Some(vms.to_vec());
+        return vms.to_vec();
     };
     // Time after a takeover during which an order of the previous term may still be in progress.
     let order_window = leader.node.settings.bounds.vm_lease + ORDER_VISIBILITY_DELAY;
     if now >= taken_over_at + order_window {
-        return Some(vms.to_vec());
-    }
-    if now < taken_over_at + ORDER_VISIBILITY_DELAY {
-        return None;
+        return vms.to_vec();
     }
     let started_before = leader
         .node
@@ -277,7 +272,7 @@
         },
         ..vm.clone()
     });
-    Some(marked.collect())
+    marked.collect()
 }
 
 fn millis(duration: Duration) -> u64 {
--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -169,6 +169,23 @@
     assert_eq!(holders.len(), 1, "{holders:?}");
 }
 
+/// A list of VMs that arrives late may not show the last orders of the term before.
+#[test]
+fn a_list_of_vms_that_arrives_late_after_a_takeover_is_not_used() {
+    let mut site = Site::start("late-list", 1, 1);
+    // The next scheduler takes a minion that has started lately for one under maintenance.
+    std::thread::sleep(Duration::from_secs(4));
+    site.vm_api
+        .set_delays(Duration::from_millis(900), Duration::from_millis(1_000));
+    let wave = json!({ "rolloutWave": 1, "machines": [VM], "durationS": 60, "cap": 1 });
+    site.store.put("op", "wave/1", &wave);
+    eventually("ordered", || site.vm_api.holders().len() == 1);
+    site.restart_node(0, 1.0);
+    eventually("the next term", || site.row()["fence"] == 2);
+    std::thread::sleep(Duration::from_secs(3));
+    assert_eq!(site.vm_api.holders().len(), 1, "orders for the VM");
+}
+
 #[test]
 fn the_scheduler_tells_states_without_a_read_of_the_store() {
     let site = Site::start("states", 2, 2);
--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -79,6 +79,14 @@
             .push(Node::start(&self.store, &self.vm_api, &name, cores));
     }
 
+    /// Kills a daemon and starts it again.
+    pub(crate) fn restart_node(&mut self, index: usize, cores: f64) {
+        let name = self.nodes[index].name();
+        drop(self.nodes.remove(index));
+        let node = Node::start(&self.store, &self.vm_api, &name, cores);
+        self.nodes.insert(index, node);
+    }
+
     /// Returns the scheduler's row in the store.
     pub(crate) fn row(&self) -> Value {
         self.store.get("schedulers", "all").unwrap_or(Value::Null)
--- a/crates/snipevane-fleet/tests/site/vms.rs
+++ b/crates/snipevane-fleet/tests/site/vms.rs
@@ -9,16 +9,17 @@
 /// Name of the only VM.
 pub(crate) const VM: &str = "h-0";
 
-/// Time that an order takes, shorter than the timeout of the daemon's calls.
+/// Time that an order takes unless a test sets another, shorter than the timeout of the daemon's calls.
 const ORDER_TIME: Duration = Duration::from_millis(1_450);
 
 /// Header with the name of the daemon that sends an order.
 const HOLDER_HEADER: &str = "x-snipevane-duty-holder:";
 
-#[derive(Default)]
 struct State {
     holders: Vec<String>,
     under_maintenance: bool,
+    order_time: Duration,
+    list_delay: Duration,
 }
 
 /// VM API with one VM, whose minion is the first one.
@@ -32,7 +33,12 @@
     pub(crate) fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let state = Arc::new(Mutex::new(State::default()));
+        let state = Arc::new(Mutex::new(State {
+            holders: Vec::new(),
+            under_maintenance: false,
+            order_time: ORDER_TIME,
+            list_delay: Duration::ZERO,
+        }));
         let shared = state.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -44,6 +50,13 @@
         Self { address, state }
     }
 
+    /// Sets the time that an order takes, and the time by which lists arrive after they were made.
+    pub(crate) fn set_delays(&self, order_time: Duration, list_delay: Duration) {
+        let mut state = self.state.lock().expect("the state");
+        state.order_time = order_time;
+        state.list_delay = list_delay;
+    }
+
     /// Returns the names of the daemons that have sent the orders so far.
     pub(crate) fn holders(&self) -> Vec<String> {
         self.state.lock().expect("the state").holders.clone()
@@ -77,11 +90,15 @@
         reader.read_exact(&mut body)?;
         let body = if is_order {
             state.lock().expect("the state").holders.push(holder);
-            thread::sleep(ORDER_TIME);
+            let order_time = state.lock().expect("the state").order_time;
+            thread::sleep(order_time);
             state.lock().expect("the state").under_maintenance = true;
             "{}".to_owned()
         } else {
-            list(&state.lock().expect("the state"))
+            let listed = list(&state.lock().expect("the state"));
+            let list_delay = state.lock().expect("the state").list_delay;
+            thread::sleep(list_delay);
+            listed
         };
         let length = body.len();
         let mut writer = stream;
