--- a/crates/snipevane-fleet/src/peers/scheduler_client.rs
+++ b/crates/snipevane-fleet/src/peers/scheduler_client.rs
@@ -21,7 +21,7 @@
     WatchRequest, post_request,
 };
 
-/// Timeout for a heartbeat; shorter than [`TermSettings::gap`], after which a read of the
+/// Timeout for a heartbeat; shorter than [`TermSettings::outage_threshold`], after which a read of the
 /// scheduler's row counts as late.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(500);
 
