Name the delay of a takeover and the release for a handover

The points of the review on names: is_free_since took a duration, handing_over stood beside handover_due. The test of candidates uses capacities of no deployment.

--- a/crates/snipevane-core/src/term.rs
+++ b/crates/snipevane-core/src/term.rs
@@ -117,16 +117,16 @@
 
     /// Returns whether an observer may try to take over.
     pub fn is_free(&self, settings: &TermSettings, now: Duration) -> bool {
-        self.is_free_since(settings, Duration::ZERO, now)
+        self.is_free_for(settings, Duration::ZERO, now)
     }
 
-    /// Returns whether the term has been free for a time, so that an observer that leaves it to
-    /// others for this time may try to take over.
-    pub fn is_free_since(&self, settings: &TermSettings, time: Duration, now: Duration) -> bool {
+    /// Returns whether the term has been free for `delay`, so that an observer that leaves it to
+    /// others for that long may try to take over.
+    pub fn is_free_for(&self, settings: &TermSettings, delay: Duration, now: Duration) -> bool {
         if self.released {
-            return now >= self.first_seen + time;
+            return now >= self.first_seen + delay;
         }
-        let unchanged = now >= self.first_seen + settings.term + settings.margin + time;
+        let unchanged = now >= self.first_seen + settings.term + settings.margin + delay;
         unchanged && now >= self.grace_until
     }
 
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -84,7 +84,7 @@
     let predecessor = holder
         .is_some_and(|row| row.holder == node.settings.node && row.process != node.started_unix_ms);
     let delay = takeover_delay(node, settings);
-    predecessor || view.is_free_since(settings, delay, node.clock.now())
+    predecessor || view.is_free_for(settings, delay, node.clock.now())
 }
 
 /// Returns how long this VM leaves a free term to others.
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -31,8 +31,8 @@
 /// Interval at which the holder of the term checks for a larger VM.
 const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time after a handover during which the same process doesn't hand over again, in case that the
-/// larger VM can't take over.
+/// Time after a handover during which the same process doesn't hand over again, so that the term
+/// doesn't change hands all the time if the larger VM can't take over.
 const HANDOVER_PAUSE: Duration = Duration::from_secs(30);
 
 /// Shortest time between scheduling decisions, during which events accumulate.
@@ -82,8 +82,8 @@
     candidates: RefCell<Candidates>,
     /// Whether a larger VM is ready for the term, so that no more orders for VMs are sent.
     handover_due: Cell<bool>,
-    /// Whether the term is to be released for a larger VM.
-    handing_over: Cell<bool>,
+    /// Whether the next write releases the term for a larger VM.
+    releasing_for_handover: Cell<bool>,
     /// Number of orders for VMs that are in flight.
     vm_orders_in_flight: Cell<usize>,
     /// Time until which an order for a VM that got no reply may still be carried out.
@@ -149,7 +149,7 @@
             jobs_loaded: Cell::new(false),
             candidates: RefCell::new(Candidates::new(node.settings.capacity)),
             handover_due: Cell::new(false),
-            handing_over: Cell::new(false),
+            releasing_for_handover: Cell::new(false),
             vm_orders_in_flight: Cell::new(0),
             vm_orders_settled_at: Cell::new(Duration::ZERO),
             ended: Cell::new(false),
@@ -190,7 +190,7 @@
 
     /// Returns whether the next write releases the term; no more orders are decided until then.
     pub(super) fn is_releasing(&self) -> bool {
-        self.node.stopping.get() || self.handing_over.get()
+        self.node.stopping.get() || self.releasing_for_handover.get()
     }
 
     /// Waits until the row has a version other than `known` or the term has ended.
@@ -299,7 +299,7 @@
         node.no_handover_until.set(now + HANDOVER_PAUSE);
         node.largest_candidate.set(leader.largest_candidate());
         leader.end_reason.set("handed over to a larger VM");
-        leader.handing_over.set(true);
+        leader.releasing_for_handover.set(true);
         leader.store_wake.notify_one();
         return;
     }
--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -103,9 +103,9 @@
         self.read_at.is_some() && self.observed.is_free(settings, now)
     }
 
-    /// Returns whether the term has been free for a time, as far as this process knows.
-    pub fn is_free_since(&self, settings: &TermSettings, time: Duration, now: Duration) -> bool {
-        self.read_at.is_some() && self.observed.is_free_since(settings, time, now)
+    /// Returns whether the term has been free for `delay`, as far as this process knows.
+    pub fn is_free_for(&self, settings: &TermSettings, delay: Duration, now: Duration) -> bool {
+        self.read_at.is_some() && self.observed.is_free_for(settings, delay, now)
     }
 
     /// Returns the version of the row.
--- a/crates/snipevane-fleet/tests/view.rs
+++ b/crates/snipevane-fleet/tests/view.rs
@@ -55,8 +55,8 @@
     let free_at = settings.term + settings.margin;
     let delay = settings.smaller_vm_delay;
     assert!(view.is_free(&settings, START + free_at));
-    assert!(!view.is_free_since(&settings, delay, START + free_at));
-    assert!(view.is_free_since(&settings, delay, START + free_at + delay));
+    assert!(!view.is_free_for(&settings, delay, START + free_at));
+    assert!(view.is_free_for(&settings, delay, START + free_at + delay));
 
     let released = SchedulerRow {
         released: true,
@@ -68,8 +68,8 @@
     };
     view.record_read(&settings, Some(&row), after(200));
     assert!(view.is_free(&settings, after(200)));
-    assert!(!view.is_free_since(&settings, delay, after(200)));
-    assert!(view.is_free_since(&settings, delay, after(200) + delay));
+    assert!(!view.is_free_for(&settings, delay, after(200)));
+    assert!(view.is_free_for(&settings, delay, after(200) + delay));
 }
 
 #[test]
--- a/tests/tests/candidates.rs
+++ b/tests/tests/candidates.rs
@@ -7,13 +7,13 @@
 use snipevane_core::candidates::{Candidates, VmCapacity};
 
 const SMALL: VmCapacity = VmCapacity {
-    cores: 0.12,
-    link_mbps: 10.0,
+    cores: 1.0,
+    link_mbps: 100.0,
 };
 
 const LARGE: VmCapacity = VmCapacity {
-    cores: 0.5,
-    link_mbps: 200.0,
+    cores: 4.0,
+    link_mbps: 1_000.0,
 };
 
 fn at(millis: u64) -> Duration {
@@ -24,9 +24,9 @@
 #[case::both(LARGE, SMALL, true)]
 #[case::reverse(SMALL, LARGE, false)]
 #[case::equal(LARGE, LARGE, false)]
-#[case::link_alone(VmCapacity { link_mbps: 20.0, ..SMALL }, SMALL, true)]
-#[case::slightly(VmCapacity { cores: 0.2, link_mbps: 15.0 }, SMALL, false)]
-#[case::larger_and_smaller(VmCapacity { cores: 0.5, link_mbps: 5.0 }, SMALL, false)]
+#[case::link_alone(VmCapacity { link_mbps: 200.0, ..SMALL }, SMALL, true)]
+#[case::slightly(VmCapacity { cores: 1.5, link_mbps: 150.0 }, SMALL, false)]
+#[case::larger_and_smaller(VmCapacity { cores: 4.0, link_mbps: 50.0 }, SMALL, false)]
 #[case::unknown(VmCapacity::default(), VmCapacity::default(), false)]
 fn capacities_are_compared_in_all_respects(
     #[case] one: VmCapacity,
