--- a/crates/snipevane-fleet/src/store/mod.rs
+++ b/crates/snipevane-fleet/src/store/mod.rs
@@ -16,6 +16,9 @@
 
 use transport::Transport;
 
+/// Maximum number of times that a page of a table is read until that succeeds.
+const MAX_PAGE_ATTEMPTS: u32 = 3;
+
 /// Timeout for a call that doesn't wait for changes.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -127,20 +130,40 @@
     ///
     /// Returns an error if a page can't be read.
     pub async fn read(&self, table: &str, from: &str, to: &str) -> Result<Page, StoreError> {
-        let mut all = self.read_page(table, from, to).await?;
+        let mut all = self.read_page_with_retries(table, from, to).await?;
         while all.more {
             let Some(last) = all.rows.last() else {
                 break;
             };
             // The smallest key after `last` in byte order.
             let next = format!("{}\0", last.key);
-            let page = self.read_page(table, &next, to).await?;
+            let page = self.read_page_with_retries(table, &next, to).await?;
             all.more = page.more;
             all.rows.extend(page.rows);
         }
         Ok(all)
     }
 
+    /// Reads a page, several times if need be, so that one failure doesn't discard the pages that were
+    /// read before.
+    async fn read_page_with_retries(
+        &self,
+        table: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<Page, StoreError> {
+        let mut attempts = 1;
+        loop {
+            match self.read_page(table, from, to).await {
+                Err(error) if attempts < MAX_PAGE_ATTEMPTS => {
+                    log::debug!("can't read a page of table {table}, retrying: {error}");
+                    attempts += 1;
+                }
+                result => return result,
+            }
+        }
+    }
+
     /// Sends a call and records it in the metrics.
     async fn call(
         &self,
--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -169,6 +169,23 @@
     assert_eq!(holders.len(), 1, "{holders:?}");
 }
 
+#[test]
+fn a_new_scheduler_reads_many_jobs_over_a_slow_link() {
+    let mut site = Site::start("slow-link", 1, 1);
+    site.submit(0, JOB, 2, 60_000);
+    eventually("started", || site.started().len() == 2);
+    // Their keys aren't those of jobs, so that they only make the table large.
+    for number in 0..1_000 {
+        let row = json!({ "filler": "x".repeat(2_000) });
+        site.store.put("jobs", &format!("zz-{number:04}"), &row);
+    }
+    site.store.set_read_bandwidth(1_250_000.0);
+    site.restart_node(0, 1.0);
+    eventually("the next term", || site.row()["fence"] == 2);
+    site.submit(0, NEXT_JOB, 2, 50);
+    site.wait_until_completed(0, NEXT_JOB);
+}
+
 /// A list of VMs that arrives late may not show the last orders of the term before.
 #[test]
 fn a_list_of_vms_that_arrives_late_after_a_takeover_is_not_used() {
