Hand the term over although the jobs aren't read yet

Cause: a scheduler on a small VM handed over only once it had read all jobs.

Change: holding the term is enough. Nothing is lost, as orders need the jobs too.

--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -209,8 +209,12 @@
 
     /// Returns whether orders may be sent: the term is held and all jobs have been read.
     pub(super) fn may_send_orders(&self) -> bool {
-        let holds = self.term.borrow().is_valid(self.node.clock.now());
-        holds && self.jobs_loaded.get() && !self.ended.get()
+        self.holds_term() && self.jobs_loaded.get()
+    }
+
+    /// Returns whether the term is held.
+    fn holds_term(&self) -> bool {
+        self.term.borrow().is_valid(self.node.clock.now()) && !self.ended.get()
     }
 
     /// Returns whether orders for VMs may be sent, which they may not shortly before a handover.
@@ -291,7 +295,7 @@
         let now = node.clock.now();
         let due = leader.candidates.borrow().has_settled_larger(now)
             && now >= node.no_handover_until.get()
-            && leader.may_send_orders();
+            && leader.holds_term();
         leader.handover_due.set(due);
         if !due || leader.has_open_vm_orders(now) {
             continue;
--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -186,6 +186,23 @@
     site.wait_until_completed(0, NEXT_JOB);
 }
 
+#[test]
+fn a_scheduler_that_cannot_read_the_jobs_hands_the_term_to_a_much_larger_vm() {
+    let mut site = Site::start("unread", 1, 1);
+    for number in 0..100 {
+        let row = json!({ "filler": "x".repeat(2_000) });
+        site.store.put("jobs", &format!("zz-{number:04}"), &row);
+    }
+    site.store.set_read_bandwidth(20_000.0);
+    site.restart_node(0, 1.0);
+    eventually("the next term", || site.row()["fence"] == 2);
+    site.add_node(8.0);
+    eventually("the larger VM schedules", || site.scheduler() == Some(1));
+    site.store.set_read_bandwidth(1_250_000.0);
+    site.submit(0, JOB, 2, 50);
+    site.wait_until_completed(0, JOB);
+}
+
 /// A list of VMs that arrives late may not show the last orders of the term before.
 #[test]
 fn a_list_of_vms_that_arrives_late_after_a_takeover_is_not_used() {
