Keep the stand-in of the VM API with the platform's other stand-ins

The stand-in and the rows of waves in the daemon's tests use the platform's names, which belong in platform/.

--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use serde_json::json;
-use site::vms::VM;
 use site::{Site, call, eventually};
 
 const JOB: &str = "00000000000000aa";
@@ -160,8 +159,7 @@
         site.store.get("entry_vms", "order-1").is_some()
     });
     std::thread::sleep(Duration::from_millis(2_100));
-    let wave = json!({ "rolloutWave": 1, "machines": [VM], "durationS": 60, "cap": 1 });
-    site.store.put("op", "wave/1", &wave);
+    site.store.put("op", "wave/1", &site.vm_api.wave(1));
     eventually("the larger VM schedules", || site.scheduler() == Some(1));
     std::thread::sleep(Duration::from_secs(3));
     let mut holders = site.vm_api.holders();
@@ -211,8 +209,7 @@
     std::thread::sleep(Duration::from_secs(4));
     site.vm_api
         .set_delays(Duration::from_millis(900), Duration::from_millis(1_000));
-    let wave = json!({ "rolloutWave": 1, "machines": [VM], "durationS": 60, "cap": 1 });
-    site.store.put("op", "wave/1", &wave);
+    site.store.put("op", "wave/1", &site.vm_api.wave(1));
     eventually("ordered", || site.vm_api.holders().len() == 1);
     site.restart_node(0, 1.0);
     eventually("the next term", || site.row()["fence"] == 2);
--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -14,11 +14,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use snipevane_adapter_standin::{Endpoint, Minion, Store};
-
-pub(crate) mod vms;
-
-use vms::VmApi;
+use snipevane_adapter_standin::{Endpoint, Minion, Store, VmApi};
 
 /// Maximum time that a test waits for a condition, far longer than any takes.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
