Receive a response as long as it keeps arriving

Cause: a call's timeout covered the whole response. A long poll left 0.2 to 1 s beyond its wait, a poll for confirmation 0.7 s; a configuration of 1.26 MB takes 1.0 s at 10 Mbit/s. What had been received was thrown away and requested again: by the same poll through two relays, by the poll for confirmation beside the long poll, while the copies that had been given up went on for 3 s more. All shared the link, so none was in time.

Change: a call to the store waits up to its timeout for the head of the response, then as long as parts of the body arrive (no pause of 1 s, 8 s in all). A call that is given up no longer receives a body that comes late: its connection is reset. While a response with changes of the configuration arrives, no other poll asks for it. SV2029 and snipevane_abandoned_bytes_total tell of what is given up midway, which had to be inferred from two metrics.

--- /dev/null
+++ b/crates/snipevane-fleet/src/client/incoming.rs
@@ -0,0 +1,129 @@
+//! A response that is arriving.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use tokio::time::{Instant, timeout};
+
+use crate::{events, metrics};
+
+use super::{CallError, Connection};
+
+/// Maximum size of a response body, in bytes.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
+/// Time without a further part of a body after which the response is given up.
+const MAX_PART_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Maximum time that a body may take whose parts keep arriving. The largest one takes 6.7 s at 10 Mbit/s.
+const MAX_BODY_TIME: Duration = Duration::from_secs(8);
+
+/// A response whose head has arrived. If it is dropped before its body is complete, its connection is
+/// reset, so that the rest isn't transmitted.
+pub(super) struct IncomingResponse {
+    pub(super) status: u16,
+    kind: &'static str,
+    head_bytes: usize,
+    body: Incoming,
+    received: BytesMut,
+    head_received_at: Instant,
+    /// Connection of the response; taken once the body is complete.
+    connection: Option<Connection>,
+}
+
+impl IncomingResponse {
+    /// Creates a response of a call of the given kind from its head.
+    pub(super) fn new(
+        kind: &'static str,
+        response: http::Response<Incoming>,
+        connection: Connection,
+    ) -> Self {
+        let head_bytes = metrics::head_bytes(0, response.headers());
+        Self {
+            status: response.status().as_u16(),
+            kind,
+            head_bytes,
+            body: response.into_body(),
+            received: BytesMut::new(),
+            head_received_at: Instant::now(),
+            connection: Some(connection),
+        }
+    }
+
+    /// Receives the whole body; returns it with the connection, which can be used again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails or the body is too large.
+    pub(super) async fn receive(mut self) -> Result<(Bytes, Connection), CallError> {
+        while self.receive_part().await? {}
+        self.finish()
+    }
+
+    /// Receives the body as [`Self::receive`] does, however long it takes, as long as its parts keep
+    /// arriving.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::receive`]; also returns an error if no part arrives for [`MAX_PART_INTERVAL`], or if
+    /// the body isn't complete after [`MAX_BODY_TIME`].
+    pub(super) async fn receive_while_arriving(mut self) -> Result<(Bytes, Connection), CallError> {
+        let deadline = self.head_received_at + MAX_BODY_TIME;
+        loop {
+            let limit = deadline.saturating_duration_since(Instant::now());
+            let part = timeout(limit.min(MAX_PART_INTERVAL), self.receive_part()).await;
+            if !part.unwrap_or(Err(CallError::NoAnswer))? {
+                return self.finish();
+            }
+        }
+    }
+
+    /// Receives a part of the body; returns `false` if the body is complete.
+    async fn receive_part(&mut self) -> Result<bool, CallError> {
+        let Some(frame) = self.body.frame().await else {
+            return Ok(false);
+        };
+        let frame = frame.map_err(|_| CallError::NoAnswer)?;
+        if let Ok(part) = frame.into_data() {
+            self.reserve_for(part.len())?;
+            self.received.extend_from_slice(&part);
+        }
+        Ok(true)
+    }
+
+    /// Makes room for a part and, if the length of the body is known, for the rest of it.
+    fn reserve_for(&mut self, part_bytes: usize) -> Result<(), CallError> {
+        if self.received.len() + part_bytes > MAX_BODY_BYTES {
+            log::warn!("a response of kind {} is too large", self.kind);
+            return Err(CallError::NoAnswer);
+        }
+        let rest = usize::try_from(self.body.size_hint().lower()).unwrap_or(MAX_BODY_BYTES);
+        self.received
+            .reserve((part_bytes + rest).min(MAX_BODY_BYTES));
+        Ok(())
+    }
+
+    fn finish(mut self) -> Result<(Bytes, Connection), CallError> {
+        let body = self.received.split().freeze();
+        let connection = self.connection.take().ok_or(CallError::NoAnswer)?;
+        metrics::record_received_response(self.kind, self.head_bytes + body.len());
+        Ok((body, connection))
+    }
+}
+
+impl Drop for IncomingResponse {
+    fn drop(&mut self) {
+        if self.connection.is_none() || self.received.is_empty() {
+            return;
+        }
+        let received_bytes = self.received.len();
+        let elapsed_ms = self.head_received_at.elapsed().as_millis();
+        metrics::record_abandoned_response(self.kind, received_bytes);
+        events::record(
+            &events::RESPONSE_ABANDONED,
+            &[&self.kind, &received_bytes, &elapsed_ms],
+        );
+    }
+}
--- a/crates/snipevane-fleet/src/client.rs
+++ b/crates/snipevane-fleet/src/client/mod.rs
@@ -1,5 +1,8 @@
 //! HTTP client of the daemon, with pooled connections and a timeout for each call.
 
+mod arrivals;
+mod incoming;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -7,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
@@ -15,13 +18,14 @@
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use crate::metrics;
 
-/// Maximum size of a response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+pub use arrivals::Arrivals;
+use incoming::IncomingResponse;
 
 /// Time after which a connection is closed if the peer's kernel doesn't acknowledge sent data.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -134,15 +138,40 @@
         late.unwrap_or(Err(CallError::NoAnswer))
     }
 
-    /// Sends a request and waits up to `limit` for the whole response, but leaves a request that
-    /// was sent in flight for up to `max_duration`.
+    /// Sends a request and waits up to `limit` for the head of the response, which counts among
+    /// `arrivals` until its body is complete. A body may take longer as long as its parts keep arriving.
+    ///
+    /// A response that is large for the network in between would otherwise never be received, however
+    /// often it is requested.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the head doesn't arrive in time or the body stops arriving; the connection is
+    /// then reset.
+    pub async fn call_while_arriving(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        limit: Duration,
+        arrivals: &Arrivals,
+    ) -> Result<Response, CallError> {
+        let sent = Cell::new(false);
+        let head = self.send(address, request, &sent, || true);
+        let head = timeout(limit, head).await;
+        let incoming = head.unwrap_or_else(|_| Err(timeout_error(sent.get())))?;
+        self.receive_while_arriving(address, incoming, arrivals)
+            .await
+    }
+
+    /// Sends a request as [`Self::call_while_arriving`] does, but leaves one that was sent in flight until
+    /// the head of its response arrives, for up to `max_duration`.
     ///
     /// This is for requests that are harmless if they are executed late: a slow peer can still
-    /// complete them. `on_response` is called when the response arrives, also if that is late.
+    /// complete them. `on_response` is called when the head arrives, also if that is late.
     ///
     /// # Errors
     ///
-    /// Returns an error if no response arrives within `limit`.
+    /// As for [`Self::call_while_arriving`].
     pub async fn call_detached(
         &self,
         address: SocketAddr,
@@ -150,33 +179,50 @@
         limit: Duration,
         max_duration: Duration,
         on_response: impl FnOnce() + 'static,
+        arrivals: &Arrivals,
     ) -> Result<Response, CallError> {
         let sent = Rc::new(Cell::new(false));
+        let (tx, mut rx) = oneshot::channel();
         let (client, sent_flag) = (self.clone(), sent.clone());
-        let exchange = tokio::task::spawn_local(async move {
-            let exchange = client.exchange(address, request, &sent_flag, || true);
-            let result = timeout(max_duration, exchange)
-                .await
-                .unwrap_or(Err(CallError::NoAnswer));
-            if result.is_ok() {
+        let sending = tokio::task::spawn_local(async move {
+            let head = client.send(address, request, &sent_flag, || true);
+            let head = timeout(max_duration, head).await;
+            let head = head.unwrap_or(Err(CallError::NoAnswer));
+            if head.is_ok() {
                 on_response();
             }
-            result
+            // If the call was given up, this drops the response, whose body isn't needed.
+            let _ = tx.send(head);
         });
-        let abort = exchange.abort_handle();
-        match timeout(limit, exchange).await {
-            Ok(result) => result.unwrap_or(Err(CallError::NoAnswer)),
+        match timeout(limit, &mut rx).await {
+            Ok(head) => {
+                let incoming = head.unwrap_or(Err(CallError::NoAnswer))?;
+                self.receive_while_arriving(address, incoming, arrivals)
+                    .await
+            }
             Err(_) => {
                 if !sent.get() {
-                    abort.abort();
+                    sending.abort();
                 }
                 Err(timeout_error(sent.get()))
             }
         }
     }
 
-    /// Sends a request on a pooled or new connection, if `may_send` allows it then, and reads the
-    /// response. Sets `sent` before the request is handed to the connection.
+    async fn receive_while_arriving(
+        &self,
+        address: SocketAddr,
+        incoming: IncomingResponse,
+        arrivals: &Arrivals,
+    ) -> Result<Response, CallError> {
+        let _arriving = arrivals.start();
+        let status = incoming.status;
+        let (body, connection) = incoming.receive_while_arriving().await?;
+        self.return_to_pool(address, connection);
+        Ok(Response { status, body })
+    }
+
+    /// Sends a request as [`Self::send`] does, and receives the whole response.
     async fn exchange(
         &self,
         address: SocketAddr,
@@ -184,6 +230,22 @@
         sent: &Cell<bool>,
         may_send: impl Fn() -> bool,
     ) -> Result<Response, CallError> {
+        let incoming = self.send(address, request, sent, may_send).await?;
+        let status = incoming.status;
+        let (body, connection) = incoming.receive().await?;
+        self.return_to_pool(address, connection);
+        Ok(Response { status, body })
+    }
+
+    /// Sends a request on a pooled or new connection, if `may_send` allows it then, and receives the
+    /// head of the response. Sets `sent` before the request is handed to the connection.
+    async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        sent: &Cell<bool>,
+        may_send: impl Fn() -> bool,
+    ) -> Result<IncomingResponse, CallError> {
         let mut connection = self.connection(address).await?;
         let kind = request.kind;
         let body_bytes = request.body.len();
@@ -197,15 +259,7 @@
         metrics::record_sent_request(kind, head_bytes + body_bytes);
         let response = connection.sender.send_request(request).await;
         let response = response.map_err(classify_error)?;
-        let status = response.status().as_u16();
-        let head_bytes = metrics::head_bytes(0, response.headers());
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
-            .await;
-        let body = body.map_err(|_| CallError::NoAnswer)?.to_bytes();
-        metrics::record_received_response(kind, head_bytes + body.len());
-        self.return_to_pool(address, connection);
-        Ok(Response { status, body })
+        Ok(IncomingResponse::new(kind, response, connection))
     }
 
     /// Returns an idle connection that is still open, or a new one.
--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -14,6 +14,7 @@
     CONFIG_UNREADABLE = 2011 Error "configuration can't be decoded, the previous one stays in force" ["version", "reason"];
     STORE_LOST = 2020 Warn "store not reachable" ["way"];
     STORE_REGAINED = 2021 Info "store reachable again" ["away_ms", "way"];
+    RESPONSE_ABANDONED = 2029 Warn "response given up before it was complete" ["kind", "received_bytes", "ms"];
     ADVISOR_LOST = 2022 Warn "advisor not reachable" ["step"];
     ADVISOR_REGAINED = 2023 Info "advisor reachable again" ["step"];
     VM_LIST_LOST = 2024 Warn "VM list can't be read" ["reason"];
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -172,6 +172,11 @@
     add_received_bytes(kind, Role::Client, bytes);
 }
 
+/// Records a response to a request of this process that was given up while its body was arriving.
+pub(crate) fn record_abandoned_response(kind: &'static str, received_bytes: usize) {
+    counter!("snipevane_abandoned_bytes_total", "kind" => kind).increment(received_bytes as u64);
+}
+
 /// Records a request of another entry VM.
 pub(crate) fn record_served_request(kind: &'static str, bytes: usize) {
     count_message(kind, Role::Server);
--- a/crates/snipevane-fleet/src/site_view.rs
+++ b/crates/snipevane-fleet/src/site_view.rs
@@ -28,6 +28,9 @@
 /// Age of the last confirmation at which the other entry VMs request one from the store themselves.
 const FALLBACK_CONFIRM_AFTER: Duration = Duration::from_millis(1_800);
 
+/// Interval at which it is checked whether a response has arrived that another poll waits for.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -189,7 +192,13 @@
 }
 
 /// Waits up to `wait` for changes and applies them.
+///
+/// While the response to another poll is arriving, no other one is requested: it would contain the same
+/// changes, and a large configuration may take the whole bandwidth for a second.
 async fn poll_changes<C: Clock>(node: &Node<C>, wait: Duration) -> Result<(), StoreError> {
+    while node.store.is_receiving_changes(config::TABLE) {
+        sleep(ARRIVAL_CHECK_INTERVAL).await;
+    }
     let requested_at = node.clock.now();
     let after = node.site_view.borrow().read_up_to;
     let page = node.store.changes(config::TABLE, after, wait).await?;
--- a/crates/snipevane-fleet/src/store/mod.rs
+++ b/crates/snipevane-fleet/src/store/mod.rs
@@ -2,16 +2,18 @@
 
 mod transport;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+use smol_str::SmolStr;
 use snipevane_adapter::Request;
 use snipevane_adapter::rows::{self, Page, Row, Transaction};
 use thiserror::Error;
 
-use crate::client::{CallError, Client, Response};
+use crate::client::{Arrivals, CallError, Client, Response};
 use crate::clock::Clock;
 use crate::metrics;
 
@@ -80,6 +82,8 @@
     transport: Rc<Transport<C>>,
     /// Last reading of the store's clock, in milliseconds, and the time at which its call was sent.
     clock_reading: Cell<Option<(u64, Duration)>>,
+    /// Responses with changes that are arriving, by table.
+    arriving_changes: RefCell<FxHashMap<SmolStr, Arrivals>>,
 }
 
 impl<C: Clock> StoreClient<C> {
@@ -89,6 +93,7 @@
         Self {
             transport,
             clock_reading: Cell::new(None),
+            arriving_changes: RefCell::default(),
         }
     }
 
@@ -136,7 +141,10 @@
     ///
     /// Returns an error if the store doesn't answer in time.
     pub async fn relay(&self, call: Request, limit: Duration) -> Result<Response, CallError> {
-        self.transport.call_direct(call, limit, || {}).await
+        let arrivals = Arrivals::default();
+        self.transport
+            .call_direct(call, limit, || {}, &arrivals)
+            .await
     }
 
     /// Commits a transaction.
@@ -208,9 +216,21 @@
         kind: CallKind,
         request: Request,
         limit: Duration,
+    ) -> Result<Response, StoreError> {
+        self.call_counted(kind, request, limit, &Arrivals::default())
+            .await
+    }
+
+    /// Sends a call as [`Self::call`] does. Its response counts among `arrivals` while it is arriving.
+    async fn call_counted(
+        &self,
+        kind: CallKind,
+        request: Request,
+        limit: Duration,
+        arrivals: &Arrivals,
     ) -> Result<Response, StoreError> {
         let sent_at = self.transport.now();
-        let response = self.transport.call(request, limit).await;
+        let response = self.transport.call(request, limit, arrivals).await;
         let elapsed = self.transport.now().saturating_sub(sent_at);
         metrics::record_store_call(kind, outcome_label(&response), elapsed);
         Ok(response?)
@@ -250,6 +270,16 @@
         Ok((page.rows.into_iter().next(), page.clock_ms))
     }
 
+    /// Returns whether a response with changes of a table is arriving.
+    pub fn is_receiving_changes(&self, table: &str) -> bool {
+        self.arriving_changes(table).any()
+    }
+
+    fn arriving_changes(&self, table: &str) -> Arrivals {
+        let mut arriving = self.arriving_changes.borrow_mut();
+        arriving.entry(table.into()).or_default().clone()
+    }
+
     /// Long-polls for changes of a table after a version, for up to `wait`.
     ///
     /// # Errors
@@ -264,7 +294,10 @@
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(rows::MAX_WAIT_MS);
         let request = rows::changes_request(table, after, wait_ms);
         let limit = wait + CHANGES_TIMEOUT_MARGIN;
-        let response = self.call(CallKind::Changes, request, limit).await?;
+        let arrivals = self.arriving_changes(table);
+        let response = self
+            .call_counted(CallKind::Changes, request, limit, &arrivals)
+            .await?;
         match response.status {
             200 => decode_page(&response),
             410 => Err(StoreError::HistoryGone),
--- a/crates/snipevane-fleet/src/store/transport.rs
+++ b/crates/snipevane-fleet/src/store/transport.rs
@@ -9,7 +9,7 @@
 use snipevane_adapter::Request;
 use snipevane_core::reply_time::ReplyTime;
 
-use crate::client::{CallError, Client, Response};
+use crate::client::{Arrivals, CallError, Client, Response};
 use crate::clock::Clock;
 use crate::{events, metrics};
 
@@ -82,7 +82,8 @@
         *self.relays.borrow_mut() = relays;
     }
 
-    /// Sends a call, directly or through another entry VM.
+    /// Sends a call, directly or through another entry VM. `limit` bounds the time until the response
+    /// begins to arrive; it counts among `arrivals` until it is complete.
     ///
     /// A call that is sent by several routes may be carried out twice; a conditional change is not.
     ///
@@ -94,8 +95,9 @@
         self: &Rc<Self>,
         request: Request,
         limit: Duration,
+        arrivals: &Arrivals,
     ) -> Result<Response, CallError> {
-        let response = self.call_with_failover(request, limit).await;
+        let response = self.call_with_failover(request, limit, arrivals).await;
         let reachable = response
             .as_ref()
             .is_ok_and(|response| !is_refusal(response));
@@ -134,6 +136,7 @@
         self: &Rc<Self>,
         request: Request,
         limit: Duration,
+        arrivals: &Arrivals,
     ) -> Result<Response, CallError> {
         let long_poll_wait = limit.saturating_sub(super::CALL_TIMEOUT);
         let attempt_limit = long_poll_wait + self.attempt_timeout();
@@ -143,7 +146,7 @@
         if !relay_first {
             let on_response = self.response_timer(long_poll_wait);
             match self
-                .call_direct(request.clone(), attempt_limit, on_response)
+                .call_direct(request.clone(), attempt_limit, on_response, arrivals)
                 .await
             {
                 Ok(response) if !is_refusal(&response) => return Ok(response),
@@ -155,7 +158,7 @@
         for relay in self.relays_to_try() {
             match self
                 .client
-                .call(relay, request.clone(), attempt_limit)
+                .call_while_arriving(relay, request.clone(), attempt_limit, arrivals)
                 .await
             {
                 Ok(response) if !is_refusal(&response) && response.status < 500 => {
@@ -176,22 +179,28 @@
         }
     }
 
-    /// Sends a call directly to the store. `on_response` is called when the store responds, also if
-    /// that is late.
+    /// Sends a call directly to the store. `on_response` is called when the response begins to arrive,
+    /// also if that is late.
     ///
     /// # Errors
     ///
-    /// Returns an error if no answer comes in time.
+    /// Returns an error if the response doesn't begin to arrive in time, or stops arriving.
     pub(super) async fn call_direct(
         &self,
         request: Request,
         limit: Duration,
         on_response: impl FnOnce() + 'static,
+        arrivals: &Arrivals,
     ) -> Result<Response, CallError> {
         let abort_after = limit + LATE_COMPLETION_GRACE;
-        let call = self
-            .client
-            .call_detached(self.store, request, limit, abort_after, on_response);
+        let call = self.client.call_detached(
+            self.store,
+            request,
+            limit,
+            abort_after,
+            on_response,
+            arrivals,
+        );
         let response = call.await;
         self.direct.set(
             response
--- a/crates/snipevane-fleet/tests/client.rs
+++ b/crates/snipevane-fleet/tests/client.rs
@@ -1,15 +1,16 @@
-//! Calls of the HTTP client that time out: a call that was given up has no later effect, and a late
-//! response is delivered where it is awaited.
+//! Calls of the HTTP client that time out: a call that was given up has no later effect, a late
+//! response is delivered where it is awaited, and one that keeps arriving is received whole.
 
 #![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
 
 use std::cell::Cell;
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use snipevane_adapter::rows;
-use snipevane_fleet::client::{CallError, Client};
+use snipevane_fleet::client::{Arrivals, CallError, Client, Response};
 
 /// Guards against requests that a network partition holds up and that are delivered after their
 /// call has timed out.
@@ -110,3 +111,103 @@
     assert_eq!(outcome.ok().map(|response| response.status), Some(200));
     server.join().expect("the server");
 }
+
+/// Time within which the head of a response must arrive in the tests below.
+const HEAD_LIMIT: Duration = Duration::from_millis(300);
+
+/// Number of parts of the body of the response in the tests below.
+const PARTS: usize = 20;
+
+/// Sends a head that announces [`PARTS`] bytes after `head_delay`, then `parts` of them one by one, and keeps
+/// the connection open until the client closes it. Returns the error of reading from it then.
+fn respond_slowly(
+    listener: TcpListener,
+    head_delay: Duration,
+    parts: usize,
+) -> JoinHandle<Option<ErrorKind>> {
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the connection");
+        std::thread::sleep(head_delay);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {PARTS}\r\n\r\n");
+        stream.write_all(head.as_bytes()).expect("the head");
+        for _ in 0..parts {
+            std::thread::sleep(Duration::from_millis(50));
+            stream.write_all(b"x").expect("a part");
+        }
+        let closed = stream.read_to_end(&mut Vec::new());
+        closed.err().map(|error| error.kind())
+    })
+}
+
+/// Calls a server that responds slowly; returns the outcome and whether a response was seen arriving.
+fn call_slow_server(address: SocketAddr) -> (Result<Response, CallError>, bool) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime.expect("a runtime"), async {
+        let client = Client::default();
+        let (arrivals, seen_arriving) = (Arrivals::default(), Cell::new(false));
+        let request = rows::read_request("t", "", "");
+        let in_flight = Duration::from_secs(5);
+        let call = client.call_detached(address, request, HEAD_LIMIT, in_flight, || {}, &arrivals);
+        let watch = async {
+            loop {
+                seen_arriving.set(seen_arriving.get() || arrivals.any());
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let outcome = tokio::select! {
+            outcome = call => outcome,
+            () = watch => unreachable!("it has no end"),
+        };
+        assert!(!arrivals.any(), "a response that has ended");
+        // Lets a late response arrive.
+        tokio::time::sleep(2 * HEAD_LIMIT).await;
+        client.close_all_idle();
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        (outcome, seen_arriving.get())
+    })
+}
+
+#[test]
+fn a_response_whose_body_keeps_arriving_is_received_after_the_timeout() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let server = respond_slowly(listener, Duration::ZERO, PARTS);
+    let (outcome, seen_arriving) = call_slow_server(address);
+    assert_eq!(
+        outcome.ok().map(|response| response.body.len()),
+        Some(PARTS)
+    );
+    assert!(seen_arriving);
+    server.join().expect("the server");
+}
+
+#[test]
+fn a_response_whose_body_stops_arriving_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let server = respond_slowly(listener, Duration::ZERO, 3);
+    let (outcome, seen_arriving) = call_slow_server(address);
+    assert_eq!(outcome.err(), Some(CallError::NoAnswer));
+    assert!(seen_arriving);
+    assert_eq!(
+        server.join().expect("the server"),
+        Some(ErrorKind::ConnectionReset)
+    );
+}
+
+#[test]
+fn the_body_of_a_response_that_begins_after_the_timeout_is_not_received() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let server = respond_slowly(listener, HEAD_LIMIT + HEAD_LIMIT / 2, 0);
+    let (outcome, seen_arriving) = call_slow_server(address);
+    assert_eq!(outcome.err(), Some(CallError::NoAnswer));
+    assert!(!seen_arriving);
+    assert_eq!(
+        server.join().expect("the server"),
+        Some(ErrorKind::ConnectionReset)
+    );
+}
--- a/crates/snipevane-fleet/tests/large_configuration.rs
+++ b/crates/snipevane-fleet/tests/large_configuration.rs
@@ -70,10 +70,12 @@
         node.store.set_bandwidth(LINK_BANDWIDTH);
     }
     let mut late = Vec::new();
+    let mut written_bytes = 0;
     for version in 2..=6 {
         let confirmed_at = Instant::now();
-        site.store
-            .put("op", "config", &configuration(version, MANY_QUEUES));
+        let configuration = configuration(version, MANY_QUEUES);
+        written_bytes += configuration.to_string().len() as u64;
+        site.store.put("op", "config", &configuration);
         std::thread::sleep(APPLY_LIMIT);
         let nodes = 0..site.nodes.len();
         late.extend(
@@ -87,6 +89,13 @@
         late.is_empty(),
         "not in force in time (version, daemon): {late:?}"
     );
+    for node in &site.nodes {
+        let transmitted = node.store.transmitted_bytes();
+        assert!(
+            transmitted < 2 * written_bytes,
+            "{transmitted} bytes transmitted for {written_bytes}"
+        );
+    }
 }
 
 #[test]
