Refuse requests to open queues while the configuration is unconfirmed

Cause: only requests that need a key were refused then, since the age of the confirmation was thought of as a limit for keys. A queue can be removed or added just as well.

Change: the age of the confirmation counts for every request; the refusal is 503 with a time to come back. What that costs: an entry VM that has had no confirmation for 60 % of revokeMs can neither accept jobs nor read states from the store; it reaches no scheduler either, since its heartbeats would confirm the configuration. So nothing but counts of waiting jobs, which become too old after 1.8 s, was served to open queues by that exception.

--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -149,25 +149,21 @@
 
 /// Finds the queue and the team of a request.
 ///
-/// While the configuration is unconfirmed, only requests to open queues are accepted, since a key
-/// may have been withdrawn. A request that matches no queue is told to retry as well, since its
-/// queue may be new.
+/// While the configuration is unconfirmed, every request is told to retry: a newer version may have
+/// withdrawn its key, or removed or added its queue.
 fn resolve_target<C: Clock>(
     node: &Node<C>,
     request: &Request<Incoming>,
 ) -> Result<Target, Rejection> {
     let view = node.site_view.borrow();
+    if !view.is_confirmed(node.clock.now(), &node.settings.bounds) {
+        return Err(Rejection::ConfigUnconfirmed);
+    }
     let site = view.site.clone().ok_or(Rejection::ConfigUnconfirmed)?;
-    let confirmed = view.is_confirmed(node.clock.now(), &node.settings.bounds);
     drop(view);
     let path = request.uri().path();
-    let Some(queue) = site.route(host(request), path) else {
-        let rejection = confirmed.then_some(Rejection::UnknownQueue);
-        return Err(rejection.unwrap_or(Rejection::ConfigUnconfirmed));
-    };
-    if !confirmed && !queue.open {
-        return Err(Rejection::ConfigUnconfirmed);
-    }
+    let queue = site.route(host(request), path);
+    let queue = queue.ok_or(Rejection::UnknownQueue)?;
     let team = authenticate(&site, queue, request)?;
     Ok(Target {
         path_suffix: path[queue.path_prefix.len()..].to_owned(),
