Don't serve by a configuration that is known to be out of date for too long

Change: the setting configApplyMs is read; once a newer version is known, it bounds the age of the confirmation too. The newer version was confirmed after the older one's last confirmation, so no request is served by the older one later than configApplyMs after that.

--- a/crates/snipevane-fleet/src/site_view.rs
+++ b/crates/snipevane-fleet/src/site_view.rs
@@ -61,11 +61,20 @@
     }
 
     /// Returns whether the last confirmation is recent enough: a key that a newer configuration has
-    /// withdrawn is then still within the time limit for key withdrawal.
+    /// withdrawn is then still within the time limit for key withdrawal, and a newer configuration that
+    /// is known to exist needn't be in force yet.
     pub fn is_confirmed(&self, now: Duration, bounds: &Bounds) -> bool {
-        let bound = bounds.key_withdrawal * CONFIRMED_PERCENT / PERCENT;
-        let fresh = |at: Duration| now.saturating_sub(at) < bound;
-        self.site.is_some() && self.confirmed_at.is_some_and(fresh)
+        let mut limit = bounds.key_withdrawal * CONFIRMED_PERCENT / PERCENT;
+        if self.is_outdated() {
+            limit = limit.min(bounds.config_apply);
+        }
+        let age = self.confirmation_age(now);
+        self.site.is_some() && age.is_some_and(|age| age < limit)
+    }
+
+    /// Returns whether a newer version is known to exist.
+    fn is_outdated(&self) -> bool {
+        self.newest_known > self.version()
     }
 
     /// Records that `version` was the newest version in the store at the time `at`.
@@ -80,7 +89,7 @@
     /// old or a newer version is known to exist.
     fn needs_confirmation(&self, limit: Duration, now: Duration) -> bool {
         let is_stale = self.confirmation_age(now).is_none_or(|age| age >= limit);
-        self.site.is_some() && (is_stale || self.newest_known > self.version())
+        self.site.is_some() && (is_stale || self.is_outdated())
     }
 
     /// Returns the time since the store last confirmed the configuration; none if it never has.
