Receive an object of the platform as long as it keeps arriving

A manifest, a scan or a list of VMs larger than the link carries in 0.8 s would never have been read.

Change: of idempotent calls the timeouts cover the time until the response begins to arrive, and the pause between parts of its body; a whole body may take 8 s. Commits, leases and commands keep their deadline for the whole response.

Test: an_object_that_keeps_arriving_is_received_after_the_timeout failed before (deadline exceeded, several requests); platform_client (15) and workers (8) pass.

--- a/crates/snipevane-platform/src/client.rs
+++ b/crates/snipevane-platform/src/client.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -18,7 +18,7 @@
     self as message, CLIENT_HEADER, COMMIT_PATH, LEASE_PATH, OBJECTS_PATH, READ_PATH, REBOOT_PATH,
     SCAN_PATH, TASK_PATH, VMS_PATH, WORKERS_PATH,
 };
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::timeout;
 use uuid::Uuid;
 
@@ -132,7 +132,7 @@
         let mut attempts = 0;
         loop {
             let result = self
-                .attempt(&call, self.next_attempt_timeout(deadline))
+                .attempt_while_arriving(&call, self.next_attempt_timeout(deadline))
                 .await;
             attempts += 1;
             let error = match result {
@@ -181,31 +181,56 @@
         remaining.min(self.settings.attempt_timeout)
     }
 
-    /// Sends a call once; `time` also covers the wait caused by the limit of calls in flight.
+    /// Sends a call once; `time` covers the whole response, and the wait caused by the limit of calls in
+    /// flight.
     async fn attempt(
         &self,
         call: &Call,
         time: Duration,
     ) -> Result<BufferedResponse, PlatformError> {
+        let (_permit, remaining) = self.acquire_permit(time).await?;
+        let exchange = async {
+            let response = self.send(call).await?;
+            self.collect(response).await
+        };
+        let result = timeout(remaining, exchange).await;
+        result.unwrap_or(Err(PlatformError::DeadlineExceeded))
+    }
+
+    /// Sends a call once, as [`Self::attempt`] does, but a body may take longer as long as its parts keep
+    /// arriving: if the network is too slow for it, another attempt would be no faster.
+    async fn attempt_while_arriving(
+        &self,
+        call: &Call,
+        time: Duration,
+    ) -> Result<BufferedResponse, PlatformError> {
+        let (_permit, remaining) = self.acquire_permit(time).await?;
+        let response = timeout(remaining, self.send(call)).await;
+        let response = response.unwrap_or(Err(PlatformError::DeadlineExceeded))?;
+        let body = timeout(self.settings.transfer_timeout, self.collect(response)).await;
+        body.unwrap_or(Err(PlatformError::DeadlineExceeded))
+    }
+
+    /// Waits up to `time` until another call may be in flight; returns what is left of that time.
+    async fn acquire_permit(
+        &self,
+        time: Duration,
+    ) -> Result<(SemaphorePermit<'_>, Duration), PlatformError> {
         let started = self.clock.now();
         let Ok(permit) = timeout(time, self.in_flight.acquire()).await else {
             return Err(PlatformError::TooManyInFlight);
         };
-        let _permit = permit.map_err(|_| PlatformError::TooManyInFlight)?;
+        let permit = permit.map_err(|_| PlatformError::TooManyInFlight)?;
         let waited = self.clock.now().saturating_duration_since(started);
-        let Some(remaining) = time
-            .checked_sub(waited)
-            .filter(|remaining| !remaining.is_zero())
-        else {
+        let remaining = time.saturating_sub(waited);
+        if remaining.is_zero() {
             return Err(PlatformError::TooManyInFlight);
-        };
-        match timeout(remaining, self.exchange(call)).await {
-            Ok(result) => result,
-            Err(_) => Err(PlatformError::DeadlineExceeded),
         }
+        Ok((permit, remaining))
     }
 
-    async fn exchange(&self, call: &Call) -> Result<BufferedResponse, PlatformError> {
+    /// Sends a call; returns the response once its head has arrived.
+    async fn send(&self, call: &Call) -> Result<Response<Incoming>, PlatformError> {
         let uri = format!("http://{}{}", self.settings.address, call.path);
         let req = Request::builder()
             .method(&call.method)
@@ -214,34 +239,49 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(call.body.clone()))
             .map_err(malformed)?;
-        let response = self.http.request(req).await.map_err(|error| {
+        self.http.request(req).await.map_err(|error| {
             if error.is_connect() {
                 return PlatformError::Unreachable(error.to_smolstr());
             }
             PlatformError::ConnectionLost(error.to_smolstr())
-        })?;
-        self.collect(response).await
+        })
     }
 
+    /// Receives the body of a response, each part of which may take [`PlatformSettings::attempt_timeout`].
     async fn collect(
         &self,
         response: Response<Incoming>,
     ) -> Result<BufferedResponse, PlatformError> {
-        let (parts, body) = response.into_parts();
+        let (parts, mut body) = response.into_parts();
         let seconds = parts.headers.get(header::RETRY_AFTER);
         let retry_after = seconds
             .and_then(|value| value.to_str().ok()?.parse().ok())
             .map_or(DEFAULT_RETRY_AFTER, Duration::from_secs);
-        let body = Limited::new(body, self.settings.max_response_bytes)
-            .collect()
-            .await
-            .map_err(|error| PlatformError::ConnectionLost(error.to_smolstr()))?;
+        let mut received = BytesMut::new();
+        while let Some(part) = self.next_part(&mut body).await? {
+            if received.len() + part.len() > self.settings.max_response_bytes {
+                let error = "the response is too large".into();
+                return Err(PlatformError::ConnectionLost(error));
+            }
+            received.extend_from_slice(&part);
+        }
         Ok(BufferedResponse {
             status: parts.status,
             retry_after,
-            body: body.to_bytes(),
+            body: received.freeze(),
         })
     }
+
+    /// Receives the next part of a body; returns `None` if the body is complete.
+    async fn next_part(&self, body: &mut Incoming) -> Result<Option<Bytes>, PlatformError> {
+        let frame = timeout(self.settings.attempt_timeout, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| PlatformError::DeadlineExceeded)? else {
+            return Ok(None);
+        };
+        let frame = frame.map_err(|error| PlatformError::ConnectionLost(error.to_smolstr()))?;
+        // Trailers carry no part of the body.
+        Ok(Some(frame.into_data().unwrap_or_default()))
+    }
 }
 
 impl<C: Clock> Table for PlatformClient<C> {
--- a/crates/snipevane-platform/src/settings.rs
+++ b/crates/snipevane-platform/src/settings.rs
@@ -14,10 +14,13 @@
     pub address: SocketAddr,
     /// Name by which the client identifies itself to the platform.
     pub client: SmolStr,
-    /// Timeout of a whole call, including its retries.
+    /// Timeout of a whole call, including its retries. The body of a response to an idempotent call may
+    /// take longer as long as it keeps arriving.
     pub request_timeout: Duration,
-    /// Timeout of one attempt of a call that can be retried.
+    /// Timeout of one attempt of a call that can be retried, and for each part of its response's body.
     pub attempt_timeout: Duration,
+    /// Maximum time that the body of a response takes whose parts keep arriving.
+    pub transfer_timeout: Duration,
     /// Timeout for establishing a connection.
     pub connect_timeout: Duration,
     /// Maximum number of calls in flight at once.
@@ -37,6 +40,7 @@
             client: SmolStr::default(),
             request_timeout: Duration::from_secs(2),
             attempt_timeout: Duration::from_millis(800),
+            transfer_timeout: Duration::from_secs(8),
             connect_timeout: Duration::from_millis(500),
             max_in_flight: 32,
             max_response_bytes: 16 << 20,
--- a/tests/tests/platform_client.rs
+++ b/tests/tests/platform_client.rs
@@ -2,7 +2,10 @@
 //! reads and concurrent commits.
 
 #![allow(clippy::unwrap_used)]
-use std::net::SocketAddr;
+use std::io::{Read, Write as _};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -307,3 +310,40 @@
     let refused: u64 = platform.record().seconds.iter().map(|s| s.refused).sum();
     assert_eq!(refused, 25);
 }
+
+/// Serves one connection, on which each response's body arrives byte by byte, 50 ms apart; returns the
+/// number of requests so far.
+fn serve_slowly(listener: TcpListener, body: &'static str) -> Arc<AtomicUsize> {
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counter = requests.clone();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = [0; 4_096];
+        while stream.read(&mut request).is_ok_and(|length| length > 0) {
+            counter.fetch_add(1, Ordering::SeqCst);
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            stream.write_all(head.as_bytes()).unwrap();
+            for byte in body.bytes() {
+                std::thread::sleep(Duration::from_millis(50));
+                stream.write_all(&[byte]).unwrap();
+            }
+        }
+    });
+    requests
+}
+
+#[tokio::test]
+async fn an_object_that_keeps_arriving_is_received_after_the_timeout() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let settings = PlatformSettings {
+        address: listener.local_addr().unwrap(),
+        request_timeout: Duration::from_millis(500),
+        attempt_timeout: Duration::from_millis(300),
+        ..PlatformSettings::default()
+    };
+    let requests = serve_slowly(listener, "a manifest of many queues");
+    let client = PlatformClient::new(settings, SystemClock);
+    let object = client.get("manifest").await;
+    assert_eq!(object, Ok(Some("a manifest of many queues".into())));
+    assert_eq!(requests.load(Ordering::SeqCst), 1);
+}
