Pass a relayed response on while it arrives

Change: a relay passes the head and each part of a response on as they arrive from the store, so the limit for its beginning holds as for a direct call, and each copy is carried once. If the VM that asked gives up, the relay's call is reset.

Two of the client's new tests failed in half of their runs: their server answered before it had read the request, which hyper rejects.

--- a/crates/snipevane-fleet/src/client/incoming.rs
+++ b/crates/snipevane-fleet/src/client/incoming.rs
@@ -1,10 +1,12 @@
 //! A response that is arriving.
 
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, timeout};
 
 use crate::{events, metrics};
@@ -18,7 +20,7 @@
 const MAX_PART_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Maximum time that a body may take whose parts keep arriving. The largest one takes 6.7 s at 10 Mbit/s.
-const MAX_BODY_TIME: Duration = Duration::from_secs(8);
+pub(super) const MAX_BODY_TIME: Duration = Duration::from_secs(8);
 
 /// A response whose head has arrived. If it is dropped before its body is complete, its connection is
 /// reset, so that the rest isn't transmitted.
@@ -27,7 +29,9 @@
     kind: &'static str,
     head_bytes: usize,
     body: Incoming,
+    /// What has been received, unless it is passed on.
     received: BytesMut,
+    received_bytes: usize,
     head_received_at: Instant,
     /// Connection of the response; taken once the body is complete.
     connection: Option<Connection>,
@@ -47,6 +51,7 @@
             head_bytes,
             body: response.into_body(),
             received: BytesMut::new(),
+            received_bytes: 0,
             head_received_at: Instant::now(),
             connection: Some(connection),
         }
@@ -89,6 +94,7 @@
         if let Ok(part) = frame.into_data() {
             self.reserve_for(part.len())?;
             self.received.extend_from_slice(&part);
+            self.received_bytes += part.len();
         }
         Ok(true)
     }
@@ -107,23 +113,50 @@
 
     fn finish(mut self) -> Result<(Bytes, Connection), CallError> {
         let body = self.received.split().freeze();
-        let connection = self.connection.take().ok_or(CallError::NoAnswer)?;
-        metrics::record_received_response(self.kind, self.head_bytes + body.len());
+        let connection = self.take_connection().ok_or(CallError::NoAnswer)?;
         Ok((body, connection))
     }
+
+    /// Polls for a part of the body that is passed on.
+    pub(super) fn poll_part(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CallError>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame {
+            self.received_bytes += frame.data_ref().map_or(0, Bytes::len);
+        }
+        Poll::Ready(frame.map(|frame| frame.map_err(|_| CallError::NoAnswer)))
+    }
+
+    /// Returns whether the whole body has been received.
+    pub(super) fn is_complete(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    /// Returns how much of the body hasn't been received yet.
+    pub(super) fn rest(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
+    /// Takes the connection of a complete response, which can be used again, and counts the response.
+    pub(super) fn take_connection(&mut self) -> Option<Connection> {
+        let connection = self.connection.take()?;
+        metrics::record_received_response(self.kind, self.head_bytes + self.received_bytes);
+        Some(connection)
+    }
 }
 
 impl Drop for IncomingResponse {
     fn drop(&mut self) {
-        if self.connection.is_none() || self.received.is_empty() {
+        if self.connection.is_none() || self.received_bytes == 0 {
             return;
         }
-        let received_bytes = self.received.len();
         let elapsed_ms = self.head_received_at.elapsed().as_millis();
-        metrics::record_abandoned_response(self.kind, received_bytes);
+        metrics::record_abandoned_response(self.kind, self.received_bytes);
         events::record(
             &events::RESPONSE_ABANDONED,
-            &[&self.kind, &received_bytes, &elapsed_ms],
+            &[&self.kind, &self.received_bytes, &elapsed_ms],
         );
     }
 }
--- a/crates/snipevane-fleet/src/client/mod.rs
+++ b/crates/snipevane-fleet/src/client/mod.rs
@@ -2,6 +2,7 @@
 
 mod arrivals;
 mod incoming;
+mod relayed;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -26,6 +27,7 @@
 
 pub use arrivals::Arrivals;
 use incoming::IncomingResponse;
+pub use relayed::RelayedBody;
 
 /// Time after which a connection is closed if the peer's kernel doesn't acknowledge sent data.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -181,6 +183,41 @@
         on_response: impl FnOnce() + 'static,
         arrivals: &Arrivals,
     ) -> Result<Response, CallError> {
+        let head = self.send_detached(address, request, limit, max_duration, on_response);
+        let incoming = head.await?;
+        self.receive_while_arriving(address, incoming, arrivals)
+            .await
+    }
+
+    /// Sends a request as [`Self::call_detached`] does; returns the status of the response and its body,
+    /// which may still be arriving.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the head of the response doesn't arrive within `limit`.
+    pub async fn relay_detached(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        limit: Duration,
+        max_duration: Duration,
+    ) -> Result<(u16, RelayedBody), CallError> {
+        let head = self.send_detached(address, request, limit, max_duration, || {});
+        let incoming = head.await?;
+        let status = incoming.status;
+        Ok((status, RelayedBody::new(incoming, self.clone(), address)))
+    }
+
+    /// Sends a request in a task of its own, which waits for the head of the response for up to
+    /// `max_duration`; returns the response if its head arrives within `limit`.
+    async fn send_detached(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        limit: Duration,
+        max_duration: Duration,
+        on_response: impl FnOnce() + 'static,
+    ) -> Result<IncomingResponse, CallError> {
         let sent = Rc::new(Cell::new(false));
         let (tx, mut rx) = oneshot::channel();
         let (client, sent_flag) = (self.clone(), sent.clone());
@@ -195,11 +232,7 @@
             let _ = tx.send(head);
         });
         match timeout(limit, &mut rx).await {
-            Ok(head) => {
-                let incoming = head.unwrap_or(Err(CallError::NoAnswer))?;
-                self.receive_while_arriving(address, incoming, arrivals)
-                    .await
-            }
+            Ok(head) => head.unwrap_or(Err(CallError::NoAnswer)),
             Err(_) => {
                 if !sent.get() {
                     sending.abort();
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -16,7 +16,7 @@
 use tokio::net::TcpListener;
 
 use crate::caller::JobWriter;
-use crate::client::CallError;
+use crate::client::{CallError, RelayedBody};
 use crate::clock::Clock;
 use crate::metrics;
 use crate::node::Node;
@@ -36,7 +36,8 @@
 /// Longest time that a watch request waits for another version.
 const WATCH_WAIT: Duration = Duration::from_millis(250);
 
-type Reply = Response<Full<Bytes>>;
+/// A response with a body that is known, or that is passed on as it arrives from the store.
+type Reply = Response<Either<Full<Bytes>, RelayedBody>>;
 
 /// Serves the other entry VMs until the process ends.
 ///
@@ -191,9 +192,12 @@
         body: body.to_vec(),
     };
     match node.store.relay(call, RELAY_TIMEOUT).await {
-        Ok(reply) => {
-            let status = StatusCode::from_u16(reply.status);
-            response(status.unwrap_or(StatusCode::BAD_GATEWAY), reply.body)
+        Ok((status, body)) => {
+            let status = StatusCode::from_u16(status);
+            reply(
+                status.unwrap_or(StatusCode::BAD_GATEWAY),
+                Either::Right(body),
+            )
         }
         Err(CallError::NotSent) => response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         Err(CallError::NoAnswer) => response(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
@@ -201,7 +205,11 @@
 }
 
 fn response(status: StatusCode, body: Bytes) -> Reply {
-    let mut response = Response::new(Full::new(body));
-    *response.status_mut() = status;
-    response
+    reply(status, Either::Left(Full::new(body)))
+}
+
+fn reply(status: StatusCode, body: Either<Full<Bytes>, RelayedBody>) -> Reply {
+    let mut reply = Response::new(body);
+    *reply.status_mut() = status;
+    reply
 }
--- a/crates/snipevane-fleet/src/store/mod.rs
+++ b/crates/snipevane-fleet/src/store/mod.rs
@@ -13,7 +13,7 @@
 use snipevane_adapter::rows::{self, Page, Row, Transaction};
 use thiserror::Error;
 
-use crate::client::{Arrivals, CallError, Client, Response};
+use crate::client::{Arrivals, CallError, Client, RelayedBody, Response};
 use crate::clock::Clock;
 use crate::metrics;
 
@@ -135,16 +135,18 @@
         Ok(page)
     }
 
-    /// Relays a call of another entry VM directly to the store.
+    /// Relays a call of another entry VM directly to the store; returns the status of the response and its
+    /// body, which may still be arriving.
     ///
     /// # Errors
     ///
-    /// Returns an error if the store doesn't answer in time.
-    pub async fn relay(&self, call: Request, limit: Duration) -> Result<Response, CallError> {
-        let arrivals = Arrivals::default();
-        self.transport
-            .call_direct(call, limit, || {}, &arrivals)
-            .await
+    /// Returns an error if the response doesn't begin to arrive within `limit`.
+    pub async fn relay(
+        &self,
+        call: Request,
+        limit: Duration,
+    ) -> Result<(u16, RelayedBody), CallError> {
+        self.transport.relay(call, limit).await
     }
 
     /// Commits a transaction.
--- a/crates/snipevane-fleet/src/store/transport.rs
+++ b/crates/snipevane-fleet/src/store/transport.rs
@@ -9,7 +9,7 @@
 use snipevane_adapter::Request;
 use snipevane_core::reply_time::ReplyTime;
 
-use crate::client::{Arrivals, CallError, Client, Response};
+use crate::client::{Arrivals, CallError, Client, RelayedBody, Response};
 use crate::clock::Clock;
 use crate::{events, metrics};
 
@@ -210,6 +210,29 @@
         response
     }
 
+    /// Sends a call of another entry VM directly to the store; returns the status of the response and its
+    /// body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the response doesn't begin to arrive in time.
+    pub(super) async fn relay(
+        &self,
+        request: Request,
+        limit: Duration,
+    ) -> Result<(u16, RelayedBody), CallError> {
+        let abort_after = limit + LATE_COMPLETION_GRACE;
+        let call = self
+            .client
+            .relay_detached(self.store, request, limit, abort_after);
+        let response = call.await;
+        let is_answered = response
+            .as_ref()
+            .is_ok_and(|(status, _)| !REFUSAL_STATUSES.contains(status));
+        self.direct.set(is_answered);
+        response
+    }
+
     /// Returns whether the store answered the last direct call and didn't refuse it.
     pub(super) fn is_direct(&self) -> bool {
         self.direct.get()
--- a/crates/snipevane-fleet/tests/client.rs
+++ b/crates/snipevane-fleet/tests/client.rs
@@ -118,8 +118,9 @@
 /// Number of parts of the body of the response in the tests below.
 const PARTS: usize = 20;
 
-/// Sends a head that announces [`PARTS`] bytes after `head_delay`, then `parts` of them one by one, and keeps
-/// the connection open until the client closes it. Returns the error of reading from it then.
+/// Receives a request and sends a head that announces [`PARTS`] bytes after `head_delay`, then `parts` of them
+/// one by one, and keeps the connection open until the client closes it. Returns the error of reading
+/// from it then.
 fn respond_slowly(
     listener: TcpListener,
     head_delay: Duration,
@@ -127,6 +128,8 @@
 ) -> JoinHandle<Option<ErrorKind>> {
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("the connection");
+        let received = stream.read(&mut [0; 4_096]).expect("a request");
+        assert!(received > 0, "the request is sent");
         std::thread::sleep(head_delay);
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {PARTS}\r\n\r\n");
         stream.write_all(head.as_bytes()).expect("the head");
