Use the scheduler as relay where no other address is known

It served nothing for as long as it was turned away, though it heard the scheduler. Evidence: SV2020 1 ms after its start, then no SV2010 for 75 s on one VM of four, with all others in force.

Change: as long as no address is known, the scheduler's is used, which heartbeats show to be in reach.

Test: a_vm_that_has_read_no_addresses_gets_a_configuration_through_the_scheduler failed before (60 s), passes in 6 s.

--- a/crates/snipevane-fleet/src/client/incoming.rs
+++ b/crates/snipevane-fleet/src/client/incoming.rs
@@ -11,7 +11,7 @@
 
 use crate::{events, metrics};
 
-use super::{CallError, Connection};
+use super::{CallError, Connection, Response};
 
 /// Maximum size of a response body, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
@@ -57,12 +57,12 @@
         }
     }
 
-    /// Receives the whole body; returns it with the connection, which can be used again.
+    /// Receives the whole body; returns the response and the connection, which can be used again.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection fails or the body is too large.
-    pub(super) async fn receive(mut self) -> Result<(Bytes, Connection), CallError> {
+    pub(super) async fn receive(mut self) -> Result<(Response, Connection), CallError> {
         while self.receive_part().await? {}
         self.finish()
     }
@@ -74,7 +74,9 @@
     ///
     /// As for [`Self::receive`]; also returns an error if no part arrives for [`MAX_PART_INTERVAL`], or if
     /// the body isn't complete after [`MAX_BODY_TIME`].
-    pub(super) async fn receive_while_arriving(mut self) -> Result<(Bytes, Connection), CallError> {
+    pub(super) async fn receive_while_arriving(
+        mut self,
+    ) -> Result<(Response, Connection), CallError> {
         let deadline = self.head_received_at + MAX_BODY_TIME;
         loop {
             let limit = deadline.saturating_duration_since(Instant::now());
@@ -111,10 +113,13 @@
         Ok(())
     }
 
-    fn finish(mut self) -> Result<(Bytes, Connection), CallError> {
-        let body = self.received.split().freeze();
+    fn finish(mut self) -> Result<(Response, Connection), CallError> {
+        let response = Response {
+            status: self.status,
+            body: self.received.split().freeze(),
+        };
         let connection = self.take_connection().ok_or(CallError::NoAnswer)?;
-        Ok((body, connection))
+        Ok((response, connection))
     }
 
     /// Polls for a part of the body that is passed on.
--- a/crates/snipevane-fleet/src/client/mod.rs
+++ b/crates/snipevane-fleet/src/client/mod.rs
@@ -189,8 +189,8 @@
             .await
     }
 
-    /// Sends a request as [`Self::call_detached`] does; returns the status of the response and its body,
-    /// which may still be arriving.
+    /// Sends a request as [`Self::call_detached`] does, for another process; returns the status of the
+    /// response and its body, which may still be arriving.
     ///
     /// # Errors
     ///
@@ -242,6 +242,7 @@
         }
     }
 
+    /// Receives the body of a response as long as its parts keep arriving.
     async fn receive_while_arriving(
         &self,
         address: SocketAddr,
@@ -249,10 +250,9 @@
         arrivals: &Arrivals,
     ) -> Result<Response, CallError> {
         let _arriving = arrivals.start();
-        let status = incoming.status;
-        let (body, connection) = incoming.receive_while_arriving().await?;
+        let (response, connection) = incoming.receive_while_arriving().await?;
         self.return_to_pool(address, connection);
-        Ok(Response { status, body })
+        Ok(response)
     }
 
     /// Sends a request as [`Self::send`] does, and receives the whole response.
@@ -264,10 +264,9 @@
         may_send: impl Fn() -> bool,
     ) -> Result<Response, CallError> {
         let incoming = self.send(address, request, sent, may_send).await?;
-        let status = incoming.status;
-        let (body, connection) = incoming.receive().await?;
+        let (response, connection) = incoming.receive().await?;
         self.return_to_pool(address, connection);
-        Ok(Response { status, body })
+        Ok(response)
     }
 
     /// Sends a request on a pooled or new connection, if `may_send` allows it then, and receives the
--- a/crates/snipevane-fleet/src/peers/mod.rs
+++ b/crates/snipevane-fleet/src/peers/mod.rs
@@ -39,12 +39,25 @@
             }
             Err(error) => {
                 log::debug!("can't read the addresses of the other entry VMs, retrying: {error}");
+                use_scheduler_as_relay(&node);
                 sleep(RETRY_DELAY).await;
             }
         }
     }
 }
 
+/// Makes the scheduler a relay if no other VM is known, since the others' addresses can only be read through a
+/// relay while the store refuses direct calls.
+fn use_scheduler_as_relay<C: Clock>(node: &Node<C>) {
+    if node.store.has_relays() {
+        return;
+    }
+    let view = node.scheduler_view.borrow();
+    if let Some(address) = view.reachable_address(node.clock.now()) {
+        node.store.set_relays(vec![address]);
+    }
+}
+
 /// Returns the address on which this process listens for the other entry VMs.
 pub(crate) fn own_address<C: Clock>(node: &Node<C>) -> String {
     format!("{}:{}", node.settings.ip, node.settings.peer_ports.0)
--- a/crates/snipevane-fleet/src/store/mod.rs
+++ b/crates/snipevane-fleet/src/store/mod.rs
@@ -102,6 +102,11 @@
         self.transport.set_relays(relays);
     }
 
+    /// Returns whether an entry VM is known that relays calls.
+    pub fn has_relays(&self) -> bool {
+        self.transport.has_relays()
+    }
+
     /// Returns whether the store answered the last direct call and didn't refuse it.
     pub fn is_direct(&self) -> bool {
         self.transport.is_direct()
--- a/crates/snipevane-fleet/src/store/transport.rs
+++ b/crates/snipevane-fleet/src/store/transport.rs
@@ -82,6 +82,11 @@
         *self.relays.borrow_mut() = relays;
     }
 
+    /// Returns whether an entry VM is known that relays calls.
+    pub(super) fn has_relays(&self) -> bool {
+        !self.relays.borrow().is_empty()
+    }
+
     /// Sends a call, directly or through another entry VM. `limit` bounds the time until the response
     /// begins to arrive; it counts among `arrivals` until it is complete.
     ///
@@ -202,11 +207,7 @@
             arrivals,
         );
         let response = call.await;
-        self.direct.set(
-            response
-                .as_ref()
-                .is_ok_and(|response| !is_refusal(response)),
-        );
+        self.record_direct(response.as_ref().ok().map(|response| response.status));
         response
     }
 
@@ -226,13 +227,16 @@
             .client
             .relay_detached(self.store, request, limit, abort_after);
         let response = call.await;
-        let is_answered = response
-            .as_ref()
-            .is_ok_and(|(status, _)| !REFUSAL_STATUSES.contains(status));
-        self.direct.set(is_answered);
+        self.record_direct(response.as_ref().ok().map(|(status, _)| *status));
         response
     }
 
+    /// Records the status of the response to a direct call; `None` if there was no response.
+    fn record_direct(&self, status: Option<u16>) {
+        let answered = status.is_some_and(|status| !REFUSAL_STATUSES.contains(&status));
+        self.direct.set(answered);
+    }
+
     /// Returns whether the store answered the last direct call and didn't refuse it.
     pub(super) fn is_direct(&self) -> bool {
         self.direct.get()
--- a/crates/snipevane-fleet/tests/large_configuration.rs
+++ b/crates/snipevane-fleet/tests/large_configuration.rs
@@ -25,6 +25,9 @@
 /// Time by which [`APPLY_LIMIT`] is longer for VMs that the store turns away.
 const APPLY_EXTENSION: Duration = Duration::from_secs(6);
 
+/// Time for which a poll for changes waits at most.
+const LONG_POLL: Duration = Duration::from_millis(2_500);
+
 /// Time between two changes.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(3_600);
 
@@ -142,6 +145,20 @@
     replace_configuration_through_relays(&Site::start("large-relays", 4, 1));
 }
 
+/// The addresses of the other VMs can only be read from the store, or through one of them.
+#[test]
+fn a_vm_that_has_read_no_addresses_gets_a_configuration_through_the_scheduler() {
+    let mut site = Site::start("no-relays", 1, 1);
+    site.store.put("entry_vms", "no-relays-0", &Value::Null);
+    site.add_node(1.0);
+    site::eventually("served", || status_of_queue(&site, 1, 1) == 404);
+    site.nodes[1].store.set_unavailable(true);
+    // A poll that the store has received before is still answered.
+    std::thread::sleep(LONG_POLL);
+    site.store.put("op", "config", &configuration(2, 0));
+    site::eventually("in force", || status_of_queue(&site, 1, 2) == 200);
+}
+
 #[test]
 fn an_open_queue_is_not_served_by_a_configuration_that_is_out_of_date() {
     let site = Site::start("open-queue", 1, 1);
