Wait for the order before the test counts who gave it

Its subject is that not two schedulers order one VM; it now waits until the VM is ordered, then 3 s more, and checks as before.

--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -161,6 +161,7 @@
     std::thread::sleep(Duration::from_millis(2_100));
     site.store.put("op", "wave/1", &site.vm_api.wave(1));
     eventually("the larger VM schedules", || site.scheduler() == Some(1));
+    eventually("ordered", || !site.vm_api.holders().is_empty());
     std::thread::sleep(Duration::from_secs(3));
     let mut holders = site.vm_api.holders();
     holders.dedup();
