--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -14,7 +14,6 @@
     CONFIG_UNREADABLE = 2011 Error "configuration can't be decoded, the previous one stays in force" ["version", "reason"];
     STORE_LOST = 2020 Warn "store not reachable" ["way"];
     STORE_REGAINED = 2021 Info "store reachable again" ["away_ms", "way"];
-    RESPONSE_ABANDONED = 2029 Warn "response given up before it was complete" ["kind", "received_bytes", "ms"];
     ADVISOR_LOST = 2022 Warn "advisor not reachable" ["step"];
     ADVISOR_REGAINED = 2023 Info "advisor reachable again" ["step"];
     VM_LIST_LOST = 2024 Warn "VM list can't be read" ["reason"];
@@ -22,6 +21,7 @@
     MINION_LOST = 2026 Warn "minion not reachable" ["minion", "last_list_ms"];
     MINION_REGAINED = 2027 Info "minion reachable again" ["minion", "last_list_ms"];
     SCHEDULER_LOST = 2028 Info "no valid heartbeat from the scheduler" ["scheduler", "row_version", "unchanged_ms"];
+    RESPONSE_ABANDONED = 2029 Warn "response given up before it was complete" ["kind", "received_bytes", "ms"];
     TERM_WON = 2030 Info "term won" ["fence", "row_version", "after"];
     TERM_CLAIM_FAILED = 2031 Info "write of a term claim failed" ["fence", "reason"];
     TERM_ENDED = 2032 Info "term ended" ["fence", "reason"];
