Let the tests of relays show what they name, and nothing else

Two of them were in KNOWN-RED.txt for causes that weren't traced. Traced now: - Stuck for 60 s, once more in 4 runs beside three busy loops: the VM was turned away 60 ms after its start, before it had read the others' addresses or the scheduler's row, so it could know nobody (SV2020 8 ms after SV2030). The tests wait for the read now, as the older test of relays does. - Late on a VM that carries two copies (2.15 s of 3 s): a debug build decodes 1.2 MB in 0.65 s, in force 1.73 s after a change where 1.07 s is the link's share; with base64, serde_json, adapter and stand-in optimised 1.23 s. Now the store turns all away but the scheduler, so three poll through it, and it fails in 3 of 3 runs (versions 3 to 6).

--- a/crates/snipevane-fleet/tests/large_configuration.rs
+++ b/crates/snipevane-fleet/tests/large_configuration.rs
@@ -28,6 +28,9 @@
 /// Time for which a poll for changes waits at most.
 const LONG_POLL: Duration = Duration::from_millis(2_500);
 
+/// Time within which each daemon has read the addresses of the others after the start.
+const ADDRESSES_READ: Duration = Duration::from_secs(7);
+
 /// Time between two changes.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(3_600);
 
@@ -111,21 +114,21 @@
     }
 }
 
-/// Replaces the configuration while the store turns every second VM away, and checks that it is in force in
-/// time on the others, which relay for them, and at last on those.
+/// Replaces the configuration while the store turns all VMs but the scheduler's away, and checks that it is in
+/// force in time there, which relays for the others, and at last on those.
 fn replace_configuration_through_relays(site: &Site) {
+    std::thread::sleep(ADDRESSES_READ);
     for node in &site.nodes {
         node.store.set_bandwidth(LINK_BANDWIDTH);
     }
     let scheduler = site.scheduler().expect("a scheduler");
-    let is_sound = |node: usize| node % 2 == scheduler % 2;
-    let turned_away = (0..site.nodes.len()).filter(|&node| !is_sound(node));
+    let turned_away = (0..site.nodes.len()).filter(|&node| node != scheduler);
     for node in turned_away.clone() {
         site.nodes[node].store.set_unavailable(true);
     }
     let (_, mut late) = replace_configuration(site);
     let written_at = Instant::now();
-    late.retain(|&(_, node)| is_sound(node));
+    late.retain(|&(_, node)| node == scheduler);
     assert_eq!(late, [], "not in force in time (version, daemon)");
     for node in turned_away {
         site::eventually("in force", || {
