Relay changes of the configuration to one VM at a time

While the store turns VMs away, each polls through others, and a relay left long polls of several at the store: a change came to all of them and to the relay's own poll at the same moment. On a link of 10 Mbit/s four copies of 1.2 MB take 4.3 s, so the relay, which is sound, was late (3 s).

Change: a relay takes turns. One poll for the configuration is passed on at a time, from its request until its body is gone, 8 s at most if whoever asked hangs; others are told that it is busy and ask again, elsewhere first.

--- a/crates/snipevane-fleet/src/client/arrivals.rs
+++ b/crates/snipevane-fleet/src/client/arrivals.rs
@@ -1,9 +1,9 @@
-//! Count of responses that are arriving.
+//! Count of responses that are awaited or arriving.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Counts the responses whose head has arrived, but not yet their whole body.
+/// Counts responses of which something is still to arrive.
 #[derive(Clone, Debug, Default)]
 pub struct Arrivals {
     count: Rc<Cell<u32>>,
@@ -16,7 +16,7 @@
     }
 
     /// Counts a response until the returned guard is dropped.
-    pub(super) fn start(&self) -> ArrivalGuard {
+    pub fn start(&self) -> ArrivalGuard {
         self.count.set(self.count.get() + 1);
         ArrivalGuard {
             count: self.count.clone(),
@@ -25,7 +25,8 @@
 }
 
 /// Counts a response in [`Arrivals`] until it is dropped.
-pub(super) struct ArrivalGuard {
+#[must_use]
+pub struct ArrivalGuard {
     count: Rc<Cell<u32>>,
 }
 
--- a/crates/snipevane-fleet/src/client/mod.rs
+++ b/crates/snipevane-fleet/src/client/mod.rs
@@ -25,7 +25,7 @@
 
 use crate::metrics;
 
-pub use arrivals::Arrivals;
+pub use arrivals::{ArrivalGuard, Arrivals};
 use incoming::IncomingResponse;
 pub use relayed::RelayedBody;
 
--- a/crates/snipevane-fleet/src/client/relayed.rs
+++ b/crates/snipevane-fleet/src/client/relayed.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Sleep, sleep};
 
 use super::incoming::{IncomingResponse, MAX_BODY_TIME};
-use super::{CallError, Client};
+use super::{ArrivalGuard, CallError, Client};
 
 /// Body of a response of another process, which is read as fast as it is passed on.
 pub struct RelayedBody {
@@ -18,6 +18,8 @@
     client: Client,
     address: SocketAddr,
     timeout: Pin<Box<Sleep>>,
+    /// Counts the response until its body is dropped.
+    guard: Option<ArrivalGuard>,
 }
 
 impl RelayedBody {
@@ -27,8 +29,14 @@
             client,
             address,
             timeout: Box::pin(sleep(MAX_BODY_TIME)),
+            guard: None,
         }
     }
+
+    /// Keeps a guard that counts the response until its body is dropped.
+    pub(crate) fn hold(&mut self, guard: Option<ArrivalGuard>) {
+        self.guard = guard;
+    }
 }
 
 impl Body for RelayedBody {
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -177,6 +177,11 @@
     counter!("snipevane_abandoned_bytes_total", "kind" => kind).increment(received_bytes as u64);
 }
 
+/// Records a poll of another entry VM that wasn't relayed, as another response was being relayed.
+pub(crate) fn record_busy_relay() {
+    counter!("snipevane_relays_busy_total").increment(1);
+}
+
 /// Records a request of another entry VM.
 pub(crate) fn record_served_request(kind: &'static str, bytes: usize) {
     count_message(kind, Role::Server);
--- a/crates/snipevane-fleet/src/node.rs
+++ b/crates/snipevane-fleet/src/node.rs
@@ -13,6 +13,7 @@
 
 use crate::client::Client;
 use crate::clock::Clock;
+use crate::peers::RelayTurn;
 use crate::scheduling::{Leader, SchedulerView};
 use crate::site_view::SiteView;
 use crate::store::StoreClient;
@@ -27,6 +28,8 @@
     pub client: Client,
     /// Client of the store.
     pub store: StoreClient<C>,
+    /// Turn of relaying changes of the configuration to another entry VM.
+    pub config_relay_turn: RelayTurn,
     /// Configuration in force and its last confirmation.
     pub site_view: RefCell<SiteView>,
     /// This process's view of the scheduler, which may run on another entry VM.
@@ -62,6 +65,7 @@
             clock,
             client,
             store,
+            config_relay_turn: RelayTurn::default(),
             site_view: RefCell::default(),
             scheduler_view: RefCell::default(),
             largest_candidate: Cell::new(None),
--- a/crates/snipevane-fleet/src/peers/messages.rs
+++ b/crates/snipevane-fleet/src/peers/messages.rs
@@ -19,6 +19,10 @@
 /// Status returned by an entry VM that doesn't hold the scheduler's term.
 pub(super) const NOT_SCHEDULING: StatusCode = StatusCode::CONFLICT;
 
+/// Status returned by a relay that already passes on a response of the same kind. It isn't one with which
+/// the store refuses calls, so that the sender doesn't take the store for unreachable.
+pub(super) const RELAY_BUSY: StatusCode = StatusCode::CONFLICT;
+
 /// Requests a [`Heartbeat`], which is sent once the scheduler's row has a version other than
 /// `known`, or a wait has expired.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/snipevane-fleet/src/peers/mod.rs
+++ b/crates/snipevane-fleet/src/peers/mod.rs
@@ -2,6 +2,7 @@
 //! requests to the one that schedules, and relaying of calls to the store.
 
 pub mod messages;
+mod relay_turn;
 pub(crate) mod scheduler_client;
 mod server;
 
@@ -17,6 +18,7 @@
 use crate::rows::{self, PEERS_TABLE};
 use crate::store::StoreError;
 
+pub use relay_turn::RelayTurn;
 pub use server::serve;
 
 /// Interval between reads of the other entry VMs' addresses.
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -12,7 +12,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
-use snipevane_adapter::{Method, Request};
+use snipevane_adapter::{Method, Request, config, rows as store_rows};
 use tokio::net::TcpListener;
 
 use crate::caller::JobWriter;
@@ -23,8 +23,8 @@
 use crate::rows;
 
 use super::messages::{
-    ACCEPT_PATH, Heartbeat, NOT_SCHEDULING, STATE_PATH, StateRequest, StateResponse, SubmitRequest,
-    WATCH_PATH, WatchRequest, message_kind,
+    ACCEPT_PATH, Heartbeat, NOT_SCHEDULING, RELAY_BUSY, STATE_PATH, StateRequest, StateResponse,
+    SubmitRequest, WATCH_PATH, WatchRequest, message_kind,
 };
 
 /// Timeout for a relayed call, long enough for a long poll for changes.
@@ -180,10 +180,23 @@
 }
 
 /// Relays a call to the store; refuses it if this VM's last direct call to the store failed.
+///
+/// Of responses with changes of the configuration, one is passed on at a time, and none is waited for:
+/// several large ones at once would fill this VM's link for longer than its own may take to be in force.
 async fn relay<C: Clock>(node: &Node<C>, method: Method, path: String, body: &Bytes) -> Reply {
     if !node.store.is_direct() {
         return response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     }
+    let config_path = store_rows::changes_path_without_wait(&path, config::TABLE);
+    let mut turn = None;
+    if config_path.is_some() {
+        turn = node.config_relay_turn.try_take(node.clock.now());
+        if turn.is_none() {
+            metrics::record_busy_relay();
+            return response(RELAY_BUSY, Bytes::new());
+        }
+    }
+    let path = config_path.unwrap_or(path);
     let call = Request {
         kind: "relay",
         method,
@@ -192,7 +205,8 @@
         body: body.to_vec(),
     };
     match node.store.relay(call, RELAY_TIMEOUT).await {
-        Ok((status, body)) => {
+        Ok((status, mut body)) => {
+            body.hold(turn);
             let status = StatusCode::from_u16(status);
             reply(
                 status.unwrap_or(StatusCode::BAD_GATEWAY),
--- a/crates/snipevane-fleet/src/site_view.rs
+++ b/crates/snipevane-fleet/src/site_view.rs
@@ -18,6 +18,10 @@
 /// Time that a long poll for changes waits. Each response confirms the configuration.
 const CHANGES_WAIT: Duration = Duration::from_millis(2_500);
 
+/// Interval between polls for changes while the store doesn't answer direct calls. Relays don't wait for
+/// changes of the configuration.
+const RELAYED_POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Interval at which the age of the last confirmation is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -190,7 +194,8 @@
 async fn follow_changes<C: Clock>(node: &Node<C>) {
     loop {
         match poll_changes(node, CHANGES_WAIT).await {
-            Ok(()) => {}
+            Ok(()) if node.store.is_direct() => {}
+            Ok(()) => sleep(RELAYED_POLL_INTERVAL).await,
             Err(StoreError::HistoryGone) => return,
             Err(error) => {
                 log::debug!("reading configuration changes failed: {error}; retrying");
