--- a/crates/snipevane-core/src/jobs/action.rs
+++ b/crates/snipevane-core/src/jobs/action.rs
@@ -8,10 +8,10 @@
 
 use smol_str::SmolStr;
 
-use super::advice::AdviceRequest;
-use super::id::TaskId;
-use super::minion::MinionKey;
-use super::run::RunKey;
+use super::minions::minion::MinionKey;
+use super::model::id::TaskId;
+use super::model::run::RunKey;
+use super::placing::advice::AdviceRequest;
 
 /// Minion that an order is addressed to.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/snipevane-core/src/jobs/changes.rs
+++ b/crates/snipevane-core/src/jobs/ending/changes.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use super::id::JobId;
-use super::job::JobKey;
-use super::minion::MinionKey;
-use super::progress::Progress;
-use super::scheduler::Scheduler;
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::model::id::JobId;
+use crate::jobs::model::job::JobKey;
+use crate::jobs::model::progress::Progress;
+use crate::jobs::scheduler::Scheduler;
 
 /// Entries of a transaction that the end of a job takes: its progress, and the deletion of the rows of
 /// its submission and of a request to cancel it.
--- a/crates/snipevane-core/src/jobs/crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/crashes.rs
@@ -8,14 +8,14 @@
 
 use rustc_hash::FxHashSet;
 
-use super::event::{LossReason, SchedulerEvent};
-use super::hosted_minions::HostedMinions;
-use super::job::{JobKey, TaskRef};
-use super::minion::{Crash, MinionKey};
-use super::progress::JobState;
-use super::run::{Run, RunKey, RunPhase};
-use super::scheduler::Scheduler;
-use super::vm::Vm;
+use crate::jobs::event::{LossReason, SchedulerEvent};
+use crate::jobs::minions::hosted_minions::HostedMinions;
+use crate::jobs::minions::minion::{Crash, MinionKey};
+use crate::jobs::model::job::{JobKey, TaskRef};
+use crate::jobs::model::progress::JobState;
+use crate::jobs::model::run::{Run, RunKey, RunPhase};
+use crate::jobs::scheduler::Scheduler;
+use crate::jobs::upkeep::vm::Vm;
 
 /// Time after its start for which a run may be the cause of a crash, if others are older.
 const TRIAL_PERIOD: Duration = Duration::from_millis(300);
@@ -59,7 +59,7 @@
 
     /// Ends runs on a minion that no longer exists, and records a crash unless the minion was to
     /// leave.
-    pub(super) fn end_runs_of_gone_minion(
+    pub(in crate::jobs) fn end_runs_of_gone_minion(
         &mut self,
         key: MinionKey,
         runs: &[RunKey],
@@ -145,7 +145,7 @@
     }
 
     /// Returns whether a run's minion isn't known to have outlived its start.
-    pub(super) fn is_fresh(&self, run: &Run) -> bool {
+    pub(in crate::jobs) fn is_fresh(&self, run: &Run) -> bool {
         let minion = self.minions.get(run.minion);
         let last_contact = minion.and_then(|minion| minion.last_contact);
         let outlived = last_contact.is_some_and(|at| at >= run.since + TRIAL_PERIOD);
@@ -153,7 +153,7 @@
     }
 
     /// Records the crash of an attempt's minion under a task.
-    pub(super) fn record_task_crash(
+    pub(in crate::jobs) fn record_task_crash(
         &mut self,
         key: JobKey,
         task: TaskRef,
@@ -175,7 +175,7 @@
 
     /// Marks the record of crashes under a job's tasks as changed, so that it is stored before any
     /// of them starts again.
-    pub(super) fn crash_record_changed(&mut self, key: JobKey) {
+    pub(in crate::jobs) fn crash_record_changed(&mut self, key: JobKey) {
         if let Some(job) = self.jobs.get_mut(key) {
             job.crash_changes += 1;
             self.dirty.insert(key);
@@ -184,7 +184,7 @@
     }
 
     /// Finds the tasks of a job that are to be given up by the stored record of crashes.
-    pub(super) fn find_crashing_tasks(&mut self, key: JobKey) {
+    pub(in crate::jobs) fn find_crashing_tasks(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(key) else {
             return;
         };
@@ -203,7 +203,7 @@
     }
 
     /// Fails the jobs whose tasks have crashed too many minions.
-    pub(super) fn give_up_crashing_tasks(&mut self, unix_ms: u64) {
+    pub(in crate::jobs) fn give_up_crashing_tasks(&mut self, unix_ms: u64) {
         for (key, task_ref) in std::mem::take(&mut self.crashing_tasks) {
             let Some(job) = self.jobs.get(key).filter(|job| !job.state.is_final()) else {
                 continue;
@@ -221,7 +221,7 @@
     }
 
     /// Returns whether minions have crashed under a task.
-    pub(super) fn is_suspect_task(&self, job: JobKey, task: TaskRef) -> bool {
+    pub(in crate::jobs) fn is_suspect_task(&self, job: JobKey, task: TaskRef) -> bool {
         let task = self.jobs.get(job).and_then(|job| job.task(task));
         task.is_some_and(|task| !task.crashes.is_empty())
     }
--- a/crates/snipevane-core/src/jobs/dirty_jobs.rs
+++ b/crates/snipevane-core/src/jobs/ending/dirty_jobs.rs
@@ -2,14 +2,14 @@
 
 use rustc_hash::FxHashMap;
 
-use super::job::JobKey;
+use crate::jobs::model::job::JobKey;
 
 /// Number of the oldest jobs that go before urgent ones.
 const OLDEST_FIRST: usize = 12;
 
 /// Set of the jobs whose row in the store is out of date.
 #[derive(Clone, Debug, Default)]
-pub(super) struct DirtyJobs {
+pub(in crate::jobs) struct DirtyJobs {
     /// Sequence number of the change that first made the job's row out of date.
     since: FxHashMap<JobKey, u64>,
     next: u64,
@@ -17,29 +17,29 @@
 
 impl DirtyJobs {
     /// Adds a job; one that is already in the set keeps its place.
-    pub(super) fn insert(&mut self, key: JobKey) {
+    pub(in crate::jobs) fn insert(&mut self, key: JobKey) {
         self.since.entry(key).or_insert(self.next);
         self.next += 1;
     }
 
     /// Removes a job.
-    pub(super) fn remove(&mut self, key: JobKey) {
+    pub(in crate::jobs) fn remove(&mut self, key: JobKey) {
         self.since.remove(&key);
     }
 
     /// Returns whether a job is in the set.
-    pub(super) fn contains(&self, key: JobKey) -> bool {
+    pub(in crate::jobs) fn contains(&self, key: JobKey) -> bool {
         self.since.contains_key(&key)
     }
 
     /// Returns whether the set is empty.
-    pub(super) fn is_empty(&self) -> bool {
+    pub(in crate::jobs) fn is_empty(&self) -> bool {
         self.since.is_empty()
     }
 
     /// Returns a few of the oldest jobs, so that none waits forever, then the jobs that `is_urgent`
     /// holds for, and then the others, each oldest first.
-    pub(super) fn in_order(&self, is_urgent: impl Fn(JobKey) -> bool) -> Vec<JobKey> {
+    pub(in crate::jobs) fn in_order(&self, is_urgent: impl Fn(JobKey) -> bool) -> Vec<JobKey> {
         let mut keys: Vec<JobKey> = self.since.keys().copied().collect();
         keys.sort_unstable_by_key(|key| self.since[key]);
         if let Some(rest) = keys.get_mut(OLDEST_FIRST..) {
--- a/crates/snipevane-core/src/jobs/ends.rs
+++ b/crates/snipevane-core/src/jobs/ending/ends.rs
@@ -2,20 +2,20 @@
 
 use std::time::Duration;
 
-use super::event::{LossReason, SchedulerEvent, StopReason};
-use super::job::{Job, JobKey, TaskRef};
-use super::minion::MinionKey;
-use super::progress::JobState;
-use super::queue::StepRef;
-use super::run::{EndedRun, RunEnd, RunKey};
-use super::scheduler::Scheduler;
+use crate::jobs::event::{LossReason, SchedulerEvent, StopReason};
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::model::job::{Job, JobKey, TaskRef};
+use crate::jobs::model::progress::JobState;
+use crate::jobs::model::run::{EndedRun, RunEnd, RunKey};
+use crate::jobs::queueing::queue::StepRef;
+use crate::jobs::scheduler::Scheduler;
 
 /// Maximum number of times that the back-off of a failing minion is doubled.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
 impl Scheduler {
     /// Processes an end from a minion's run list.
-    pub(super) fn run_ended(
+    pub(in crate::jobs) fn run_ended(
         &mut self,
         minion: MinionKey,
         ended: &EndedRun,
@@ -94,7 +94,7 @@
     }
 
     /// Releases a run that counts as lost, as no run list reports its end, and requeues its task.
-    pub(super) fn mark_run_lost(&mut self, key: RunKey, reason: LossReason) {
+    pub(in crate::jobs) fn mark_run_lost(&mut self, key: RunKey, reason: LossReason) {
         let Some(run) = self.runs.get(key) else {
             return;
         };
@@ -111,7 +111,7 @@
     }
 
     /// Allocates the resources of a run on its minion and counts them towards its team's usage.
-    pub(super) fn allocate(&mut self, key: RunKey) {
+    pub(in crate::jobs) fn allocate(&mut self, key: RunKey) {
         let Some(run) = self.runs.get(key) else {
             return;
         };
@@ -344,7 +344,7 @@
     }
 
     /// Marks a queued job as running, as one of its tasks has started.
-    pub(super) fn mark_started(&mut self, key: JobKey) {
+    pub(in crate::jobs) fn mark_started(&mut self, key: JobKey) {
         if let Some(job) = self.jobs.get_mut(key)
             && job.state == JobState::Queued
         {
@@ -355,7 +355,7 @@
 
     /// Drops a job from memory once it has ended, its final state is stored, and it has no runs
     /// left.
-    pub(super) fn drop_ended_job(&mut self, key: JobKey) {
+    pub(in crate::jobs) fn drop_ended_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(key) else {
             return;
         };
--- /dev/null
+++ b/crates/snipevane-core/src/jobs/ending/mod.rs
@@ -0,0 +1,9 @@
+//! Ends of runs and jobs, crashes, and the rows to store.
+
+pub(super) mod changes;
+pub(super) mod crashes;
+pub(super) mod dirty_jobs;
+pub(super) mod ends;
+pub(super) mod task_crashes;
+pub(super) mod trial;
+pub(super) mod trials;
--- a/crates/snipevane-core/src/jobs/task_crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/task_crashes.rs
@@ -29,12 +29,12 @@
 
     /// Returns whether the task has been a suspect only beside others, and not repeatedly, so that it is
     /// unlikely to be the cause.
-    pub(super) fn is_unlikely_cause(&self) -> bool {
+    pub(in crate::jobs) fn is_unlikely_cause(&self) -> bool {
         self.attributed == 0 && self.attempts.len() <= 1
     }
 
     /// Records the crash of an attempt's minion.
-    pub(super) fn record(&mut self, attempt: u32, is_attributed: bool) {
+    pub(in crate::jobs) fn record(&mut self, attempt: u32, is_attributed: bool) {
         self.end_trial(attempt);
         if !self.attempts.contains(&attempt) {
             self.attempts.push(attempt);
@@ -43,7 +43,7 @@
     }
 
     /// Records that an attempt has ended; returns whether it was on trial.
-    pub(super) fn end_trial(&mut self, attempt: u32) -> bool {
+    pub(in crate::jobs) fn end_trial(&mut self, attempt: u32) -> bool {
         let is_over = |trial: &mut Trial| trial.attempt == attempt;
         self.on_trial.take_if(is_over).is_some()
     }
--- a/crates/snipevane-core/src/jobs/trials.rs
+++ b/crates/snipevane-core/src/jobs/ending/trials.rs
@@ -4,14 +4,14 @@
 //! start, so that a crash tells whether that job is the cause. Crashes, and the attempt that
 //! follows them, are stored before the attempt is started, so that a later term knows them.
 
-use super::job::{JobKey, TaskRef};
-use super::minion::MinionKey;
-use super::placing::first_task_ref;
-use super::queue::StepRef;
-use super::run::{Run, RunKey};
-use super::scheduler::Scheduler;
 use super::task_crashes::TaskCrashes;
 use super::trial::Trial;
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::model::job::{JobKey, TaskRef};
+use crate::jobs::model::run::{Run, RunKey};
+use crate::jobs::placing::tasks::first_task_ref;
+use crate::jobs::queueing::queue::StepRef;
+use crate::jobs::scheduler::Scheduler;
 
 /// Inverse of the share of a pool's minions with runs on trial up to which a likely cause of crashes
 /// gets another one.
@@ -24,7 +24,7 @@
     }
 
     /// Ends the trial of an attempt that has ended in another way than by a crash.
-    pub(super) fn end_trial(&mut self, key: JobKey, task: TaskRef, attempt: u32) {
+    pub(in crate::jobs) fn end_trial(&mut self, key: JobKey, task: TaskRef, attempt: u32) {
         let task = self.jobs.get_mut(key).and_then(|job| job.task_mut(task));
         if task.is_some_and(|task| task.crashes.end_trial(attempt)) {
             self.dirty.insert(key);
@@ -33,7 +33,7 @@
 
     /// Returns whether an earlier term placed a run on trial of a step's tasks whose outcome isn't
     /// known.
-    pub(super) fn has_earlier_trials(&self, step_ref: StepRef) -> bool {
+    pub(in crate::jobs) fn has_earlier_trials(&self, step_ref: StepRef) -> bool {
         !self.earlier_trials(step_ref).is_empty()
     }
 
@@ -52,7 +52,7 @@
     /// Settles the runs on trial that an earlier term placed and that no minion has listed, now that
     /// all minions of that term have reported or are gone: their minions have crashed, or the runs
     /// never started.
-    pub(super) fn settle_earlier_trials(&mut self, step_ref: StepRef) {
+    pub(in crate::jobs) fn settle_earlier_trials(&mut self, step_ref: StepRef) {
         for (index, trial) in self.earlier_trials(step_ref) {
             let task = TaskRef {
                 index,
@@ -78,7 +78,7 @@
 
     /// Puts a new run on trial if minions have crashed under its task, and reserves its minion for
     /// its job.
-    pub(super) fn begin_trial(&mut self, key: RunKey) {
+    pub(in crate::jobs) fn begin_trial(&mut self, key: RunKey) {
         let Some(run) = self.runs.get(key) else {
             return;
         };
@@ -102,7 +102,7 @@
     }
 
     /// Ends the trials on the minions that have outlived them.
-    pub(super) fn end_trials(&mut self) {
+    pub(in crate::jobs) fn end_trials(&mut self) {
         let reserved = self.minions.iter();
         let reserved = reserved.filter(|(_, minion)| minion.trial.is_some());
         let over = reserved.filter(|(_, minion)| {
@@ -119,7 +119,11 @@
 
     /// Returns whether another of these minions may get a run of a task with these crashes, on trial if
     /// there are any.
-    pub(super) fn may_begin_trial(&self, crashes: &TaskCrashes, minions: &[MinionKey]) -> bool {
+    pub(in crate::jobs) fn may_begin_trial(
+        &self,
+        crashes: &TaskCrashes,
+        minions: &[MinionKey],
+    ) -> bool {
         if crashes.is_unlikely_cause() {
             return true;
         }
@@ -131,7 +135,7 @@
     }
 
     /// Returns the number of fresh runs on a minion.
-    pub(super) fn fresh_run_count(&self, key: MinionKey) -> usize {
+    pub(in crate::jobs) fn fresh_run_count(&self, key: MinionKey) -> usize {
         let runs = self.minions.get(key).map(|minion| &minion.runs);
         let runs = runs.into_iter().flatten();
         let runs = runs.filter_map(|&run| self.runs.get(run));
@@ -139,7 +143,7 @@
     }
 
     /// Returns whether a new run waits until the record of crashes under its job's tasks is stored.
-    pub(super) fn awaits_crash_record(&self, run: &Run) -> bool {
+    pub(in crate::jobs) fn awaits_crash_record(&self, run: &Run) -> bool {
         let job = self.jobs.get(run.job);
         job.is_some_and(|job| {
             let task = job.task(run.task_ref);
--- a/crates/snipevane-core/src/jobs/event.rs
+++ b/crates/snipevane-core/src/jobs/event.rs
@@ -4,8 +4,8 @@
 
 use smol_str::SmolStr;
 
-use super::id::{JobId, StepId, TaskId};
-use super::run::Refusal;
+use super::model::id::{JobId, StepId, TaskId};
+use super::model::run::Refusal;
 
 /// Reason for which a run counts as lost although no run list reports its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/snipevane-core/src/jobs/durations.rs
+++ b/crates/snipevane-core/src/jobs/intake/durations.rs
@@ -22,13 +22,13 @@
 
 /// Estimator of run times, which learns the ratio of run times to declared estimates by image.
 #[derive(Clone, Debug, Default)]
-pub(super) struct DurationEstimator {
+pub(in crate::jobs) struct DurationEstimator {
     by_image: FxHashMap<SmolStr, RatioAverage>,
 }
 
 impl DurationEstimator {
     /// Learns from a completed task: its declared estimate and the time that it took.
-    pub(super) fn learn(&mut self, image: &SmolStr, estimate: Duration, took: Duration) {
+    pub(in crate::jobs) fn learn(&mut self, image: &SmolStr, estimate: Duration, took: Duration) {
         if estimate.is_zero() {
             return;
         }
@@ -43,7 +43,7 @@
     }
 
     /// Returns the expected run time of a task with a declared estimate.
-    pub(super) fn expected(&self, image: &SmolStr, estimate: Duration) -> Duration {
+    pub(in crate::jobs) fn expected(&self, image: &SmolStr, estimate: Duration) -> Duration {
         let average = self.by_image.get(image);
         let trusted = average.filter(|average| average.runs >= MIN_RUNS);
         trusted.map_or(estimate, |average| estimate.mul_f64(average.ratio))
--- a/crates/snipevane-core/src/jobs/ended_jobs.rs
+++ b/crates/snipevane-core/src/jobs/intake/ended_jobs.rs
@@ -5,13 +5,13 @@
 
 use rustc_hash::FxHashMap;
 
-use super::id::JobId;
-use super::minion::millis;
-use super::progress::JobState;
+use crate::jobs::minions::minion::millis;
+use crate::jobs::model::id::JobId;
+use crate::jobs::model::progress::JobState;
 
 /// Ended jobs whose final state callers can still query.
 #[derive(Clone, Debug, Default)]
-pub(super) struct EndedJobs {
+pub(in crate::jobs) struct EndedJobs {
     states: FxHashMap<JobId, JobState>,
     /// Jobs with the times at which they ended, in Unix milliseconds, approximately in order of
     /// time.
@@ -22,25 +22,25 @@
     /// Adds a job that ended at `ended_unix_ms`, in Unix milliseconds.
     ///
     /// If the job is already known, only its state is updated.
-    pub(super) fn insert(&mut self, id: JobId, state: JobState, ended_unix_ms: u64) {
+    pub(in crate::jobs) fn insert(&mut self, id: JobId, state: JobState, ended_unix_ms: u64) {
         if self.states.insert(id, state).is_none() {
             self.by_end.push_back((id, ended_unix_ms));
         }
     }
 
     /// Returns whether a job is among the ended jobs.
-    pub(super) fn contains(&self, id: JobId) -> bool {
+    pub(in crate::jobs) fn contains(&self, id: JobId) -> bool {
         self.states.contains_key(&id)
     }
 
     /// Returns the final state of a job; `None` if the job isn't among the ended jobs.
-    pub(super) fn state(&self, id: JobId) -> Option<JobState> {
+    pub(in crate::jobs) fn state(&self, id: JobId) -> Option<JobState> {
         self.states.get(&id).copied()
     }
 
     /// Removes and returns up to `limit` jobs that ended longer ago than `retention`. `unix_ms` is
     /// the time of day in Unix milliseconds.
-    pub(super) fn take_expired(
+    pub(in crate::jobs) fn take_expired(
         &mut self,
         retention: Duration,
         unix_ms: u64,
--- a/crates/snipevane-core/src/jobs/intake.rs
+++ b/crates/snipevane-core/src/jobs/intake/submissions.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::event::{SchedulerEvent, StopReason};
-use super::id::JobId;
-use super::job::{Job, JobKey};
-use super::progress::{JobState, Progress};
-use super::queue::StepRef;
-use super::run::{RunKey, RunPhase};
-use super::scheduler::Scheduler;
-use super::spec::JobSpec;
+use crate::jobs::event::{SchedulerEvent, StopReason};
+use crate::jobs::model::id::JobId;
+use crate::jobs::model::job::{Job, JobKey};
+use crate::jobs::model::progress::{JobState, Progress};
+use crate::jobs::model::run::{RunKey, RunPhase};
+use crate::jobs::model::spec::JobSpec;
+use crate::jobs::queueing::queue::StepRef;
+use crate::jobs::scheduler::Scheduler;
 
 /// Attempt numbers reserved for each earlier term in the tasks of adopted jobs.
 const ATTEMPTS_PER_TERM: u64 = 20;
@@ -78,7 +78,7 @@
     }
 
     /// Adds the occurrences of scheduled jobs that are due.
-    pub(super) fn add_due_occurrences(&mut self, now: Duration, unix_ms: u64) {
+    pub(in crate::jobs) fn add_due_occurrences(&mut self, now: Duration, unix_ms: u64) {
         let keys: Vec<JobKey> = self.scheduled.iter().copied().collect();
         for key in keys {
             self.add_due_occurrences_of(key, now, unix_ms);
@@ -108,7 +108,7 @@
     }
 
     /// Adds the steps of a job whose dependencies are done to the pool's queue.
-    pub(super) fn enqueue_ready_steps(&mut self, key: JobKey) {
+    pub(in crate::jobs) fn enqueue_ready_steps(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
@@ -135,7 +135,7 @@
     }
 
     /// Moves a job to a final state and stops its runs.
-    pub(super) fn end_job(&mut self, key: JobKey, state: JobState, unix_ms: u64) {
+    pub(in crate::jobs) fn end_job(&mut self, key: JobKey, state: JobState, unix_ms: u64) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
@@ -160,7 +160,7 @@
     }
 
     /// Completes a job if all its tasks are done.
-    pub(super) fn complete_if_done(&mut self, key: JobKey, unix_ms: u64) {
+    pub(in crate::jobs) fn complete_if_done(&mut self, key: JobKey, unix_ms: u64) {
         let is_done = self.jobs.get(key).is_some_and(Job::is_done);
         if is_done {
             self.end_job(key, JobState::Completed, unix_ms);
@@ -168,7 +168,7 @@
     }
 
     /// Stops a run; the stop order is sent with the next orders.
-    pub(super) fn stop_run(&mut self, key: RunKey, reason: StopReason) {
+    pub(in crate::jobs) fn stop_run(&mut self, key: RunKey, reason: StopReason) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
--- a/crates/snipevane-core/src/jobs/hosted_minions.rs
+++ b/crates/snipevane-core/src/jobs/minions/hosted_minions.rs
@@ -3,11 +3,11 @@
 use rustc_hash::FxHashSet;
 use smol_str::SmolStr;
 
-use super::vm::{Vm, VmState};
+use crate::jobs::upkeep::vm::{Vm, VmState};
 
 /// Minions that the VMs in a list host.
 #[derive(Default)]
-pub(super) struct HostedMinions<'a> {
+pub(in crate::jobs) struct HostedMinions<'a> {
     ids: FxHashSet<&'a SmolStr>,
     /// Pools with a VM that may host a minion that the list doesn't tell.
     uncertain_pools: FxHashSet<&'a SmolStr>,
@@ -15,7 +15,7 @@
 
 impl<'a> HostedMinions<'a> {
     /// Collects the minions of a list of all VMs.
-    pub(super) fn new(vms: &'a [Vm]) -> Self {
+    pub(in crate::jobs) fn new(vms: &'a [Vm]) -> Self {
         let mut hosted = Self::default();
         for vm in vms {
             match (vm.state, &vm.minion) {
@@ -32,7 +32,7 @@
     }
 
     /// Returns whether a minion of this pool may exist.
-    pub(super) fn may_contain(&self, id: &SmolStr, pool: &SmolStr) -> bool {
+    pub(in crate::jobs) fn may_contain(&self, id: &SmolStr, pool: &SmolStr) -> bool {
         self.ids.contains(id) || self.uncertain_pools.contains(pool)
     }
 }
--- a/crates/snipevane-core/src/jobs/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -10,10 +10,10 @@
 use crate::placement::Resources;
 use crate::reply_time::ReplyTime;
 
-use super::job::JobKey;
-use super::queue::StepRef;
-use super::run::RunKey;
-use super::transmissions::Transmissions;
+use crate::jobs::model::job::JobKey;
+use crate::jobs::model::run::RunKey;
+use crate::jobs::queueing::queue::StepRef;
+use crate::jobs::running::transmissions::Transmissions;
 
 new_key_type! {
     /// Key of a minion.
@@ -60,20 +60,20 @@
 
 /// A run end that was received and isn't known to be stored.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct UnstoredEnd {
+pub(in crate::jobs) struct UnstoredEnd {
     /// Sequence number of the end.
-    pub(super) number: u64,
+    pub(in crate::jobs) number: u64,
     /// Job that the run belongs to.
-    pub(super) job: JobKey,
+    pub(in crate::jobs) job: JobKey,
 }
 
 /// What is known of the crash of a minion.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Crash {
+pub(in crate::jobs) struct Crash {
     /// Job that is the most likely cause, if there is one.
-    pub(super) cause: Option<JobKey>,
+    pub(in crate::jobs) cause: Option<JobKey>,
     /// Whether the minion had runs whose start it isn't known to have outlived.
-    pub(super) had_fresh_runs: bool,
+    pub(in crate::jobs) had_fresh_runs: bool,
 }
 
 /// A reading of a minion's clock, with the time at which the scheduler received it.
@@ -107,15 +107,15 @@
     pub reachable: bool,
     /// Whether its last list contains runs of tasks that the scheduler doesn't know, which take up an
     /// unknown part of its capacity until they have ended.
-    pub(super) has_unknown_runs: bool,
+    pub(in crate::jobs) has_unknown_runs: bool,
     /// Time at which the minion was last known to be running, from its lists of runs.
     pub last_contact: Option<Duration>,
     /// Minion's clock in the last list of runs that was processed, in milliseconds.
-    pub(super) list_clock_ms: u64,
+    pub(in crate::jobs) list_clock_ms: u64,
     /// Sequence number of the last run end that was received and processed.
     pub received_seq: u64,
     /// Ends that were received and whose job has a change to store, by ascending number.
-    pub(super) unstored_ends: VecDeque<UnstoredEnd>,
+    pub(in crate::jobs) unstored_ends: VecDeque<UnstoredEnd>,
     /// Sequence number of the last run end that is stored, so that the minion may forget it.
     pub stored_seq: u64,
     /// Sequence number of the last run end that was acknowledged to the minion.
@@ -123,21 +123,21 @@
     /// Transmissions of the present hold.
     pub holds: Transmissions,
     /// Longest time for which the minion may hold back its reply to the last hold.
-    pub(super) hold_wait: Duration,
+    pub(in crate::jobs) hold_wait: Duration,
     /// Time on the minion's clock to which the present hold extends the leases, if it does.
-    pub(super) hold_lease_end_ms: Option<u64>,
+    pub(in crate::jobs) hold_lease_end_ms: Option<u64>,
     /// Time that its replies to orders take.
-    pub(super) reply_time: ReplyTime,
+    pub(in crate::jobs) reply_time: ReplyTime,
     /// Time at which an order was last sent to it again for want of a reply.
-    pub(super) repeated_at: Option<Duration>,
+    pub(in crate::jobs) repeated_at: Option<Duration>,
     /// Number of orders that were sent to it again since its last reply.
-    pub(super) repeats_since_reply: u32,
+    pub(in crate::jobs) repeats_since_reply: u32,
     /// Time before which no further hold is sent.
     pub hold_not_before: Duration,
     /// Consecutive holds that failed.
     pub hold_failures: u32,
     /// Steps of the runs that have failed here since a run was last done, one entry per failure.
-    pub(super) failed_steps: Vec<StepRef>,
+    pub(in crate::jobs) failed_steps: Vec<StepRef>,
     /// Time before which nothing new is placed here because runs failed or orders were refused.
     pub failure_backoff_until: Duration,
     /// Time before which nothing new is placed here because its runs are slow.
@@ -153,11 +153,11 @@
     /// Whether it gets no new work because maintenance or a move of its VM is in progress.
     pub cordoned: bool,
     /// Job with a run on trial here; no other job gets work here meanwhile.
-    pub(super) trial: Option<JobKey>,
+    pub(in crate::jobs) trial: Option<JobKey>,
     /// Time at which a restart was last noticed.
-    pub(super) restarted_at: Option<Duration>,
+    pub(in crate::jobs) restarted_at: Option<Duration>,
     /// Crash of the present incarnation, once it is known.
-    pub(super) crash: Option<Crash>,
+    pub(in crate::jobs) crash: Option<Crash>,
     clock: Option<ClockReading>,
     /// Time at which all leases have expired, even if the minion's clock runs at the lowest rate.
     leases_expire_at: Duration,
@@ -226,7 +226,7 @@
     }
 
     /// Records that the ends up to a number are stored.
-    pub(super) fn record_stored_ends(&mut self, last_number: u64) {
+    pub(in crate::jobs) fn record_stored_ends(&mut self, last_number: u64) {
         self.stored_seq = self.stored_seq.max(last_number);
         while self
             .unstored_ends
@@ -239,7 +239,7 @@
     ///
     /// Another incarnation may have used the same sequence numbers for ends that weren't read yet, so
     /// nothing is acknowledged to a minion that may have restarted.
-    pub(super) fn acknowledge_ends(&mut self, now: Duration) -> u64 {
+    pub(in crate::jobs) fn acknowledge_ends(&mut self, now: Duration) -> u64 {
         let same_incarnation = self
             .last_contact
             .is_some_and(|at| now < at + MIN_RESTART_TIME);
@@ -251,13 +251,13 @@
     }
 
     /// Returns whether the minion may get a task of a job although it, or the task, may be on trial.
-    pub(super) fn trial_allows(&self, job: JobKey, may_begin_trial: bool) -> bool {
+    pub(in crate::jobs) fn trial_allows(&self, job: JobKey, may_begin_trial: bool) -> bool {
         self.trial
             .map_or(may_begin_trial, |on_trial| on_trial == job)
     }
 
     /// Returns whether the minion has left an order unanswered lately.
-    pub(super) fn is_doubtful(&self, now: Duration) -> bool {
+    pub(in crate::jobs) fn is_doubtful(&self, now: Duration) -> bool {
         self.repeated_at.is_some_and(|at| now < at + DOUBT_PERIOD)
     }
 
@@ -332,6 +332,6 @@
 }
 
 /// Converts a duration to whole milliseconds, at most `u64::MAX`.
-pub(super) fn millis(duration: Duration) -> u64 {
+pub(in crate::jobs) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/snipevane-core/src/jobs/minions/mod.rs
@@ -0,0 +1,5 @@
+//! Minions in use and what is known of each.
+
+pub(super) mod hosted_minions;
+pub(super) mod minion;
+pub(super) mod registry;
--- a/crates/snipevane-core/src/jobs/minions.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -5,10 +5,10 @@
 use rustc_hash::FxHashSet;
 use smol_str::SmolStr;
 
-use super::event::LossReason;
 use super::minion::{Minion, MinionEntry, MinionKey};
-use super::run::RunKey;
-use super::scheduler::Scheduler;
+use crate::jobs::event::LossReason;
+use crate::jobs::model::run::RunKey;
+use crate::jobs::scheduler::Scheduler;
 
 impl Scheduler {
     /// Adds a minion, or updates its entry.
@@ -89,7 +89,7 @@
 
     /// Returns whether the capacities of a pool's minions may be relied on: they enforce them, or their
     /// list was confirmed lately.
-    pub(super) fn has_reliable_capacities(&self, pool: &str, now: Duration) -> bool {
+    pub(in crate::jobs) fn has_reliable_capacities(&self, pool: &str, now: Duration) -> bool {
         let enforced = self
             .site
             .pool(pool)
@@ -100,7 +100,7 @@
     }
 
     /// Returns the identifier of a minion.
-    pub(super) fn minion_id(&self, key: MinionKey) -> SmolStr {
+    pub(in crate::jobs) fn minion_id(&self, key: MinionKey) -> SmolStr {
         let minion = self.minions.get(key);
         minion.map_or_else(SmolStr::default, |minion| minion.entry.id.clone())
     }
@@ -136,7 +136,7 @@
 
     /// Returns the identifiers and pools of the minions that may have runs of an earlier term and
     /// haven't listed their runs in this one.
-    pub(super) fn unreported_minions(
+    pub(in crate::jobs) fn unreported_minions(
         &self,
         now: Duration,
     ) -> impl Iterator<Item = (&SmolStr, &SmolStr)> {
@@ -146,12 +146,12 @@
 
     /// Returns whether a minion may have runs of an earlier term and hasn't listed its runs in this
     /// one.
-    pub(super) fn is_unreported(&self, id: &SmolStr, now: Duration) -> bool {
+    pub(in crate::jobs) fn is_unreported(&self, id: &SmolStr, now: Duration) -> bool {
         now < self.unreported.until && self.unreported.minions.contains_key(id)
     }
 
     /// Removes a minion if it is no longer listed, can have no runs, and has no hold in flight.
-    pub(super) fn remove_if_unlisted(&mut self, key: MinionKey) {
+    pub(in crate::jobs) fn remove_if_unlisted(&mut self, key: MinionKey) {
         let Some(minion) = self.minions.get(key) else {
             return;
         };
@@ -166,7 +166,7 @@
     ///
     /// Runs that were ordered or confirmed at `asked_at` or later, that have an order in flight, or
     /// that are in `alive` may belong to the present incarnation and are kept.
-    pub(super) fn handle_restart(
+    pub(in crate::jobs) fn handle_restart(
         &mut self,
         key: MinionKey,
         incarnation: u64,
@@ -192,7 +192,7 @@
     }
 
     /// Ends the runs of suspect or unlisted minions whose leases are certain to have expired.
-    pub(super) fn end_expired_runs(&mut self, now: Duration) {
+    pub(in crate::jobs) fn end_expired_runs(&mut self, now: Duration) {
         let margin = self.settings.lease_margin;
         let expired = self.minions.iter().filter(|(_, minion)| {
             let doubtful = minion.suspect || !minion.listed;
@@ -213,7 +213,7 @@
 
     /// Ends all runs of a minion whose VM was taken down as planned, except those with an order in
     /// flight.
-    pub(super) fn end_runs_of_vm_taken_down(&mut self, key: MinionKey) {
+    pub(in crate::jobs) fn end_runs_of_vm_taken_down(&mut self, key: MinionKey) {
         for run in self.runs_without_open_orders(key) {
             self.mark_run_lost(run, LossReason::IncarnationGone);
         }
@@ -221,7 +221,7 @@
 
     /// Ends all runs of a minion whose incarnation no longer exists, except those with an order in
     /// flight.
-    pub(super) fn handle_lost_incarnation(&mut self, key: MinionKey, reason: LossReason) {
+    pub(in crate::jobs) fn handle_lost_incarnation(&mut self, key: MinionKey, reason: LossReason) {
         let ended = self.runs_without_open_orders(key);
         self.end_runs_of_gone_minion(key, &ended, reason);
     }
--- a/crates/snipevane-core/src/jobs/job.rs
+++ b/crates/snipevane-core/src/jobs/model/job.rs
@@ -10,7 +10,7 @@
 use super::progress::{CrashedRuns, DoneTasks, FailedRuns, JobState, Progress, collapse_ranges};
 use super::run::RunKey;
 use super::spec::{JobSpec, StepSpec};
-use super::task_crashes::TaskCrashes;
+use crate::jobs::ending::task_crashes::TaskCrashes;
 
 new_key_type! {
     /// Key of a job in the scheduler's job map.
--- /dev/null
+++ b/crates/snipevane-core/src/jobs/model/mod.rs
@@ -0,0 +1,8 @@
+//! Jobs, runs and the site configuration: the data on which all decisions work.
+
+pub(super) mod id;
+pub(super) mod job;
+pub(super) mod progress;
+pub(super) mod run;
+pub(super) mod site;
+pub(super) mod spec;
--- a/crates/snipevane-core/src/jobs/progress.rs
+++ b/crates/snipevane-core/src/jobs/model/progress.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::trial::Trial;
+use crate::jobs::ending::trial::Trial;
 
 /// State of a job.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -106,7 +106,7 @@
 }
 
 /// Collapses ascending numbers into contiguous ranges, given as first and last number.
-pub(super) fn collapse_ranges(numbers: impl Iterator<Item = u32>) -> Vec<(u32, u32)> {
+pub(in crate::jobs) fn collapse_ranges(numbers: impl Iterator<Item = u32>) -> Vec<(u32, u32)> {
     let mut ranges: Vec<(u32, u32)> = Vec::new();
     for number in numbers {
         match ranges.last_mut() {
--- a/crates/snipevane-core/src/jobs/run.rs
+++ b/crates/snipevane-core/src/jobs/model/run.rs
@@ -9,9 +9,9 @@
 
 use super::id::TaskId;
 use super::job::{JobKey, TaskRef};
-use super::minion::MinionKey;
-use super::queue::StepRef;
-use super::transmissions::Transmissions;
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::queueing::queue::StepRef;
+use crate::jobs::running::transmissions::Transmissions;
 
 new_key_type! {
     /// Key of a run in the scheduler's run map.
@@ -81,7 +81,7 @@
 
 impl Run {
     /// Returns the step that the run belongs to.
-    pub(super) fn step(&self) -> StepRef {
+    pub(in crate::jobs) fn step(&self) -> StepRef {
         StepRef {
             job: self.job,
             occurrence: self.task_ref.occurrence,
--- a/crates/snipevane-core/src/jobs/site.rs
+++ b/crates/snipevane-core/src/jobs/model/site.rs
@@ -5,7 +5,7 @@
 
 use crate::placement::Resources;
 
-use super::advice::AdvisorSettings;
+use crate::jobs::placing::advice::AdvisorSettings;
 
 /// A queue: a host name and path prefix under which jobs are submitted.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/snipevane-core/src/jobs/advice.rs
+++ b/crates/snipevane-core/src/jobs/placing/advice.rs
@@ -9,13 +9,13 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use smol_str::SmolStr;
 
-use super::action::Action;
-use super::id::StepId;
-use super::job::{JobKey, TaskRef};
-use super::minion::MinionKey;
-use super::queue::StepRef;
-use super::scheduler::Scheduler;
-use super::spec::StepSpec;
+use crate::jobs::action::Action;
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::model::id::StepId;
+use crate::jobs::model::job::{JobKey, TaskRef};
+use crate::jobs::model::spec::StepSpec;
+use crate::jobs::queueing::queue::StepRef;
+use crate::jobs::scheduler::Scheduler;
 
 /// Largest number of minions that a request names. The latency objective of a step leaves time for
 /// one request of this size.
@@ -86,19 +86,19 @@
 
 /// Permits and requests of all steps.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Permits {
+pub(in crate::jobs) struct Permits {
     steps: FxHashMap<StepRef, StepPermits>,
     in_flight: usize,
 }
 
 impl Permits {
     /// Removes the permits of a job's steps.
-    pub(super) fn remove_job(&mut self, job: JobKey) {
+    pub(in crate::jobs) fn remove_job(&mut self, job: JobKey) {
         self.steps.retain(|step, _| step.job != job);
     }
 
     /// Removes a permit that a minion has refused.
-    pub(super) fn remove(&mut self, at: StepRef, minion: MinionKey) {
+    pub(in crate::jobs) fn remove(&mut self, at: StepRef, minion: MinionKey) {
         if let Some(step) = self.steps.get_mut(&at) {
             step.permits.remove(&minion);
         }
@@ -107,20 +107,25 @@
 
 impl Scheduler {
     /// Returns the settings of the advisor if the steps of a job need its permits.
-    pub(super) fn advisor_settings(&self, job: JobKey) -> Option<AdvisorSettings> {
+    pub(in crate::jobs) fn advisor_settings(&self, job: JobKey) -> Option<AdvisorSettings> {
         let queue = &self.jobs.get(job)?.spec.queue;
         self.site.queue(queue)?.advisor
     }
 
     /// Returns the permit for a step on a minion's present incarnation, if there is a valid one.
-    pub(super) fn permit(&self, at: StepRef, minion: MinionKey, now: Duration) -> Option<SmolStr> {
+    pub(in crate::jobs) fn permit(
+        &self,
+        at: StepRef,
+        minion: MinionKey,
+        now: Duration,
+    ) -> Option<SmolStr> {
         let permit = self.permits.steps.get(&at)?.permits.get(&minion)?;
         let same_incarnation = self.minions.get(minion)?.incarnation == permit.incarnation;
         (same_incarnation && now < permit.expires_at).then(|| permit.token.clone())
     }
 
     /// Asks the advisor for more minions for a step with waiting tasks.
-    pub(super) fn ask_advisor(
+    pub(in crate::jobs) fn ask_advisor(
         &mut self,
         at: StepRef,
         step: &StepSpec,
--- a/crates/snipevane-core/src/jobs/gangs.rs
+++ b/crates/snipevane-core/src/jobs/placing/gangs.rs
@@ -5,16 +5,16 @@
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
-use super::job::TaskRef;
-use super::minion::MinionKey;
-use super::placing::{first_task_ref, has_label};
-use super::queue::StepRef;
-use super::scheduler::Scheduler;
-use super::spec::StepSpec;
+use super::tasks::{first_task_ref, has_label};
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::model::job::TaskRef;
+use crate::jobs::model::spec::StepSpec;
+use crate::jobs::queueing::queue::StepRef;
+use crate::jobs::scheduler::Scheduler;
 
 impl Scheduler {
     /// Places either all tasks of a gang or none.
-    pub(super) fn place_gang(
+    pub(in crate::jobs) fn place_gang(
         &mut self,
         step_ref: StepRef,
         step: &StepSpec,
--- /dev/null
+++ b/crates/snipevane-core/src/jobs/placing/mod.rs
@@ -0,0 +1,8 @@
+//! Choice of minions for waiting tasks.
+
+pub(super) mod advice;
+pub(super) mod gangs;
+pub(super) mod speculation;
+pub(super) mod tasks;
+pub(super) mod unreported_runs;
+pub(super) mod unreported_usage;
--- a/crates/snipevane-core/src/jobs/speculation.rs
+++ b/crates/snipevane-core/src/jobs/placing/speculation.rs
@@ -5,16 +5,16 @@
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
-use super::event::SchedulerEvent;
-use super::job::TaskRef;
-use super::minion::MinionKey;
-use super::placing::first_task_ref;
-use super::queue::StepRef;
-use super::scheduler::Scheduler;
+use super::tasks::first_task_ref;
+use crate::jobs::event::SchedulerEvent;
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::model::job::TaskRef;
+use crate::jobs::queueing::queue::StepRef;
+use crate::jobs::scheduler::Scheduler;
 
 impl Scheduler {
     /// Places speculative runs for the candidates, where room is left.
-    pub(super) fn place_speculative_runs(
+    pub(in crate::jobs) fn place_speculative_runs(
         &mut self,
         schedulable: &FxHashMap<SmolStr, Vec<MinionKey>>,
         now: Duration,
--- a/crates/snipevane-core/src/jobs/placing.rs
+++ b/crates/snipevane-core/src/jobs/placing/tasks.rs
@@ -8,20 +8,20 @@
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
-use super::best_effort::FULL_CPU_SHARE;
-use super::event::SchedulerEvent;
-use super::job::{Job, TaskRef};
-use super::minion::{Minion, MinionKey};
-use super::queue::StepRef;
-use super::run::{Run, RunPhase};
-use super::scheduler::Scheduler;
-use super::spec::StepSpec;
-use super::transmissions::Transmissions;
+use crate::jobs::event::SchedulerEvent;
+use crate::jobs::minions::minion::{Minion, MinionKey};
+use crate::jobs::model::job::{Job, TaskRef};
+use crate::jobs::model::run::{Run, RunPhase};
+use crate::jobs::model::spec::StepSpec;
+use crate::jobs::queueing::queue::StepRef;
+use crate::jobs::running::best_effort::FULL_CPU_SHARE;
+use crate::jobs::running::transmissions::Transmissions;
+use crate::jobs::scheduler::Scheduler;
 
 impl Scheduler {
     /// Places the waiting tasks of all pools in the order of their rank, and then speculative runs,
     /// as far as the congestion window allows further start orders.
-    pub(super) fn place(&mut self, now: Duration) {
+    pub(in crate::jobs) fn place(&mut self, now: Duration) {
         self.placed_this_round = 0;
         let schedulable = self.schedulable_minions(now);
         let unreported_pools = self.unreported_pools(now);
@@ -38,7 +38,7 @@
     }
 
     /// Returns whether the congestion window allows another start order.
-    pub(super) fn may_place_more(&self) -> bool {
+    pub(in crate::jobs) fn may_place_more(&self) -> bool {
         self.placed_this_round < self.start_window.available()
     }
 
@@ -115,7 +115,7 @@
     }
 
     /// Returns the number of tasks of a step that neither run nor are done.
-    pub(super) fn waiting_count(&self, step_ref: StepRef) -> u32 {
+    pub(in crate::jobs) fn waiting_count(&self, step_ref: StepRef) -> u32 {
         let job = self.jobs.get(step_ref.job);
         let step = job.and_then(|job| job.step(first_task_ref(step_ref)));
         step.map_or(0, |step| step.waiting)
@@ -188,7 +188,7 @@
     }
 
     /// Returns the indices of the waiting tasks whose retry delay, if any, is over.
-    pub(super) fn startable_tasks(&self, step_ref: StepRef, now: Duration) -> Vec<u32> {
+    pub(in crate::jobs) fn startable_tasks(&self, step_ref: StepRef, now: Duration) -> Vec<u32> {
         let job = self.jobs.get(step_ref.job);
         let Some(step) = job.and_then(|job| job.step(first_task_ref(step_ref))) else {
             return Vec::new();
@@ -205,7 +205,12 @@
     /// Returns whether `tasks` more tasks of a step fit in a team's quota.
     ///
     /// Unreported runs of earlier terms count as well. A quota of 0 means no limit.
-    pub(super) fn is_within_quota(&self, team: Option<&str>, step: &StepSpec, tasks: u64) -> bool {
+    pub(in crate::jobs) fn is_within_quota(
+        &self,
+        team: Option<&str>,
+        step: &StepSpec,
+        tasks: u64,
+    ) -> bool {
         let Some(team) = team else {
             return true;
         };
@@ -229,7 +234,7 @@
     /// that few are unavailable at a time. Other tasks go to the minion with the least free CPU
     /// that has room, so that large tasks find room elsewhere. Tasks under which minions have crashed
     /// go to the minion with the fewest fresh runs.
-    pub(super) fn choose_minion(
+    pub(in crate::jobs) fn choose_minion(
         &self,
         task: TaskRef,
         step_ref: StepRef,
@@ -274,7 +279,11 @@
         fits.min_by_key(score)
     }
 
-    pub(super) fn step_tasks_on_minion(&self, step_ref: StepRef, minion: MinionKey) -> u32 {
+    pub(in crate::jobs) fn step_tasks_on_minion(
+        &self,
+        step_ref: StepRef,
+        minion: MinionKey,
+    ) -> u32 {
         let Some(minion) = self.minions.get(minion) else {
             return 0;
         };
@@ -302,7 +311,7 @@
 
     /// Creates a run of a task and allocates its resources on a minion; the start order is sent
     /// with the next orders.
-    pub(super) fn start_run(
+    pub(in crate::jobs) fn start_run(
         &mut self,
         step_ref: StepRef,
         task: TaskRef,
@@ -361,7 +370,7 @@
 }
 
 /// Returns the reference of a step's first task.
-pub(super) fn first_task_ref(step_ref: StepRef) -> TaskRef {
+pub(in crate::jobs) fn first_task_ref(step_ref: StepRef) -> TaskRef {
     TaskRef {
         occurrence: step_ref.occurrence,
         step: step_ref.step,
@@ -370,7 +379,7 @@
 }
 
 /// Returns whether a minion has the label that a step requires, if any.
-pub(super) fn has_label(minion: &Minion, step: &StepSpec) -> bool {
+pub(in crate::jobs) fn has_label(minion: &Minion, step: &StepSpec) -> bool {
     let label = step.label.as_ref();
     label.is_none_or(|label| minion.entry.labels.contains(label))
 }
--- a/crates/snipevane-core/src/jobs/unreported_runs.rs
+++ b/crates/snipevane-core/src/jobs/placing/unreported_runs.rs
@@ -5,9 +5,9 @@
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
-use super::hosted_minions::HostedMinions;
-use super::scheduler::Scheduler;
-use super::vm::Vm;
+use crate::jobs::minions::hosted_minions::HostedMinions;
+use crate::jobs::scheduler::Scheduler;
+use crate::jobs::upkeep::vm::Vm;
 
 /// Minions that may have runs from an earlier term, and the time until which they may have them.
 ///
--- a/crates/snipevane-core/src/jobs/unreported_usage.rs
+++ b/crates/snipevane-core/src/jobs/placing/unreported_usage.rs
@@ -7,8 +7,8 @@
 
 use crate::placement::Resources;
 
-use super::job::Job;
-use super::scheduler::Scheduler;
+use crate::jobs::model::job::Job;
+use crate::jobs::scheduler::Scheduler;
 
 impl Scheduler {
     /// Returns for each team the most resources that unreported runs of an earlier term may use.
@@ -16,7 +16,7 @@
     /// As long as some minion of a job's pool hasn't reported its runs, this counts each task of a
     /// job from an earlier term that could have started, hasn't completed and has no known run.
     /// `pools` are the pools with such minions.
-    pub(super) fn estimate_unreported_usage(
+    pub(in crate::jobs) fn estimate_unreported_usage(
         &self,
         pools: &FxHashSet<SmolStr>,
     ) -> FxHashMap<SmolStr, Resources> {
@@ -38,7 +38,7 @@
     }
 
     /// Returns the pools with minions that may have unreported runs of an earlier term.
-    pub(super) fn unreported_pools(&self, now: Duration) -> FxHashSet<SmolStr> {
+    pub(in crate::jobs) fn unreported_pools(&self, now: Duration) -> FxHashSet<SmolStr> {
         self.unreported_minions(now)
             .map(|(_, pool)| pool.clone())
             .collect()
--- a/crates/snipevane-core/src/jobs/demand.rs
+++ b/crates/snipevane-core/src/jobs/pools/demand.rs
@@ -5,10 +5,10 @@
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
-use super::job::{Job, Step};
-use super::rank::EXPIRY_FACTOR;
-use super::scheduler::Scheduler;
-use super::spec::StepSpec;
+use crate::jobs::model::job::{Job, Step};
+use crate::jobs::model::spec::StepSpec;
+use crate::jobs::queueing::rank::EXPIRY_FACTOR;
+use crate::jobs::scheduler::Scheduler;
 
 /// Window in which an accepted job counts as a recent arrival.
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(800);
--- a/crates/snipevane-core/src/jobs/moves.rs
+++ b/crates/snipevane-core/src/jobs/pools/moves.rs
@@ -12,8 +12,8 @@
 use smol_str::SmolStr;
 
 use super::demand::{Demand, Work};
-use super::scheduler::Scheduler;
-use super::vm::{Vm, VmOperation, VmOrder, VmReply, VmState};
+use crate::jobs::scheduler::Scheduler;
+use crate::jobs::upkeep::vm::{Vm, VmOperation, VmOrder, VmReply, VmState};
 
 /// Settings for moves of VMs between pools.
 #[derive(Clone, Copy, Debug)]
@@ -369,7 +369,7 @@
         let largest = |capacity: (u64, u64), (millis, mib): (u64, u64)| {
             (capacity.0.max(millis), capacity.1.max(mib))
         };
-        let sizes = |minion: &super::minion::Minion| {
+        let sizes = |minion: &crate::jobs::minions::minion::Minion| {
             (
                 minion.entry.capacity.cpu_millis,
                 minion.entry.capacity.memory_mib,
--- a/crates/snipevane-core/src/jobs/pool_stats.rs
+++ b/crates/snipevane-core/src/jobs/pools/pool_stats.rs
@@ -5,7 +5,7 @@
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
-use super::scheduler::Scheduler;
+use crate::jobs::scheduler::Scheduler;
 
 /// Backlog and free capacity of a pool.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- /dev/null
+++ b/crates/snipevane-core/src/jobs/queueing/mod.rs
@@ -0,0 +1,5 @@
+//! Order in which waiting steps are placed.
+
+pub(super) mod queue;
+pub(super) mod rank;
+pub(super) mod shares;
--- a/crates/snipevane-core/src/jobs/queue.rs
+++ b/crates/snipevane-core/src/jobs/queueing/queue.rs
@@ -1,21 +1,21 @@
 //! Queues of the steps with waiting tasks, one for each pool.
 
-use super::job::JobKey;
+use crate::jobs::model::job::JobKey;
 
 /// Reference to a step of an occurrence of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(super) struct StepRef {
+pub(in crate::jobs) struct StepRef {
     /// Key of the job.
-    pub(super) job: JobKey,
+    pub(in crate::jobs) job: JobKey,
     /// Index of the occurrence, from 0.
-    pub(super) occurrence: u32,
+    pub(in crate::jobs) occurrence: u32,
     /// Index of the step in the job, from 0.
-    pub(super) step: u32,
+    pub(in crate::jobs) step: u32,
 }
 
 /// Steps of a pool whose dependencies are done and that have waiting tasks.
 #[derive(Clone, Debug, Default)]
-pub(super) struct PoolQueue {
+pub(in crate::jobs) struct PoolQueue {
     /// Queued steps, in no particular order.
-    pub(super) steps: Vec<StepRef>,
+    pub(in crate::jobs) steps: Vec<StepRef>,
 }
--- a/crates/snipevane-core/src/jobs/rank.rs
+++ b/crates/snipevane-core/src/jobs/queueing/rank.rs
@@ -9,15 +9,15 @@
 use std::time::Duration;
 
 use super::queue::StepRef;
-use super::scheduler::Scheduler;
+use crate::jobs::scheduler::Scheduler;
 
 /// Multiple of the time between acceptance and deadline after which a job has expired: its result
 /// has no value to the caller any more.
-pub(super) const EXPIRY_FACTOR: u32 = 3;
+pub(in crate::jobs) const EXPIRY_FACTOR: u32 = 3;
 
 /// Position of a step in the scheduling order; smaller ranks go first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Rank {
+pub(in crate::jobs) struct Rank {
     class: ServiceClass,
     priority: u32,
     latest_start: Duration,
@@ -35,7 +35,7 @@
 
 impl Scheduler {
     /// Returns the rank of a step, or `None` if its job or step doesn't exist.
-    pub(super) fn rank(&self, step_ref: StepRef, now: Duration) -> Option<Rank> {
+    pub(in crate::jobs) fn rank(&self, step_ref: StepRef, now: Duration) -> Option<Rank> {
         let job = self.jobs.get(step_ref.job)?;
         let spec = job.spec.steps.get(step_ref.step as usize)?;
         let time_allowed = job.deadline.saturating_sub(job.accepted_at);
--- a/crates/snipevane-core/src/jobs/shares.rs
+++ b/crates/snipevane-core/src/jobs/queueing/shares.rs
@@ -21,7 +21,7 @@
 
 /// Rate limiter of the jobs that teams submit.
 #[derive(Clone, Debug, Default)]
-pub(super) struct JobRateLimiter {
+pub(in crate::jobs) struct JobRateLimiter {
     buckets: FxHashMap<SmolStr, TokenBucket>,
 }
 
@@ -29,7 +29,12 @@
     /// Takes a token for a job of a team; `share_per_s` is the team's share in jobs per second.
     ///
     /// Returns whether there was a token, and so whether the job is within the share.
-    pub(super) fn take_token(&mut self, team: &SmolStr, share_per_s: f64, now: Duration) -> bool {
+    pub(in crate::jobs) fn take_token(
+        &mut self,
+        team: &SmolStr,
+        share_per_s: f64,
+        now: Duration,
+    ) -> bool {
         let capacity = (share_per_s * BURST_WINDOW.as_secs_f64()).max(1.0);
         let bucket = self.buckets.entry(team.clone()).or_insert(TokenBucket {
             tokens: capacity,
--- a/crates/snipevane-core/src/jobs/best_effort.rs
+++ b/crates/snipevane-core/src/jobs/running/best_effort.rs
@@ -6,14 +6,14 @@
 
 use std::time::Duration;
 
-use super::action::{Action, CpuShareOrder};
 use super::long_running::READY_PERCENT;
-use super::minion::MinionKey;
-use super::run::{OrderReply, Refusal, RunKey, RunPhase};
-use super::scheduler::Scheduler;
+use crate::jobs::action::{Action, CpuShareOrder};
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::model::run::{OrderReply, Refusal, RunKey, RunPhase};
+use crate::jobs::scheduler::Scheduler;
 
 /// Full CPU share of a best-effort task, in percent.
-pub(super) const FULL_CPU_SHARE: u32 = 100;
+pub(in crate::jobs) const FULL_CPU_SHARE: u32 = 100;
 
 /// Ratio of tail latency to target above which the tail latency of a minion counts as high.
 const HIGH_TAIL_RATIO: f64 = 0.9;
@@ -48,7 +48,7 @@
 impl Scheduler {
     /// Adjusts the CPU shares of the best-effort tasks on a minion, just after it has listed its
     /// runs.
-    pub(super) fn adjust_cpu_shares(&mut self, key: MinionKey, now: Duration) {
+    pub(in crate::jobs) fn adjust_cpu_shares(&mut self, key: MinionKey, now: Duration) {
         let best_effort_runs = self.best_effort_runs(key);
         if best_effort_runs.is_empty() {
             return;
@@ -83,7 +83,7 @@
 
     /// Returns whether a best-effort task may start on a minion: tail latency isn't high and no
     /// best-effort task there is throttled.
-    pub(super) fn accepts_best_effort_tasks(&self, key: MinionKey) -> bool {
+    pub(in crate::jobs) fn accepts_best_effort_tasks(&self, key: MinionKey) -> bool {
         let is_unthrottled = |(_, share)| share == FULL_CPU_SHARE;
         self.tail_latency(key) != TailLatency::High
             && self.best_effort_runs(key).into_iter().all(is_unthrottled)
@@ -91,7 +91,7 @@
 
     /// Returns whether a minion runs both latency-sensitive and best-effort tasks, so that its tail
     /// latencies must be watched.
-    pub(super) fn has_mixed_tasks(&self, key: MinionKey) -> bool {
+    pub(in crate::jobs) fn has_mixed_tasks(&self, key: MinionKey) -> bool {
         let minion = self.minions.get(key);
         let mut runs = minion.into_iter().flat_map(|minion| &minion.runs);
         let has_latency_sensitive = runs.any(|&run| {
--- a/crates/snipevane-core/src/jobs/holds.rs
+++ b/crates/snipevane-core/src/jobs/running/holds.rs
@@ -5,15 +5,15 @@
 
 use std::time::Duration;
 
-use super::action::{Action, HoldOrder};
-use super::event::RepeatedOrder;
-use super::minion::{Minion, MinionKey};
-use super::scheduler::{Scheduler, SchedulerSettings};
+use crate::jobs::action::{Action, HoldOrder};
+use crate::jobs::event::RepeatedOrder;
+use crate::jobs::minions::minion::{Minion, MinionKey};
+use crate::jobs::scheduler::{Scheduler, SchedulerSettings};
 
 impl Scheduler {
     /// Sends holds to minions that have runs, known or not, or ends to acknowledge, or whose last run list is
     /// missing, in doubt or too old.
-    pub(super) fn send_holds(&mut self, now: Duration) {
+    pub(in crate::jobs) fn send_holds(&mut self, now: Duration) {
         let settings = self.settings;
         let due = self
             .minions
@@ -113,7 +113,7 @@
 impl Scheduler {
     /// Returns whether a minion has runs of short tasks, that is, of tasks that are neither
     /// long-running nor best-effort.
-    pub(super) fn has_short_tasks(&self, key: MinionKey) -> bool {
+    pub(in crate::jobs) fn has_short_tasks(&self, key: MinionKey) -> bool {
         let minion = self.minions.get(key);
         let mut runs = minion.into_iter().flat_map(|minion| &minion.runs);
         runs.any(|&run| {
--- a/crates/snipevane-core/src/jobs/long_running.rs
+++ b/crates/snipevane-core/src/jobs/running/long_running.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use super::event::StopReason;
-use super::job::TaskRef;
-use super::queue::StepRef;
-use super::run::{Run, RunKey, RunPhase};
-use super::scheduler::Scheduler;
-use super::spec::StepSpec;
+use crate::jobs::event::StopReason;
+use crate::jobs::model::job::TaskRef;
+use crate::jobs::model::run::{Run, RunKey, RunPhase};
+use crate::jobs::model::spec::StepSpec;
+use crate::jobs::queueing::queue::StepRef;
+use crate::jobs::scheduler::Scheduler;
 
 /// Reported progress at which a long-running task is ready to serve its users, in percent.
-pub(super) const READY_PERCENT: u32 = 100;
+pub(in crate::jobs) const READY_PERCENT: u32 = 100;
 
 /// Time by which a list of runs may arrive later than the end of the wait of its hold.
 const HOLD_GRACE: Duration = Duration::from_millis(500);
@@ -21,7 +21,7 @@
 
 impl Scheduler {
     /// Returns the step that a run belongs to.
-    pub(super) fn step_of(&self, run: RunKey) -> Option<&StepSpec> {
+    pub(in crate::jobs) fn step_of(&self, run: RunKey) -> Option<&StepSpec> {
         let run = self.runs.get(run)?;
         let job = self.jobs.get(run.job)?;
         job.spec.steps.get(run.task_ref.step as usize)
@@ -29,7 +29,7 @@
 
     /// Evicts a run of a long-running task, so that the task starts on another minion, unless too
     /// many other tasks of its step are unavailable; returns whether the run is stopped.
-    pub(super) fn evict_run(&mut self, key: RunKey, now: Duration) -> bool {
+    pub(in crate::jobs) fn evict_run(&mut self, key: RunKey, now: Duration) -> bool {
         let Some(run) = self.runs.get(key) else {
             return false;
         };
--- a/crates/snipevane-core/src/jobs/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -6,12 +6,12 @@
 
 use std::time::Duration;
 
-use super::action::{Action, Recipient, StartOrder, StopOrder};
-use super::event::{LossReason, RepeatedOrder, SchedulerEvent, StopReason};
-use super::minion::MinionKey;
-use super::run::{OrderReply, Refusal, RunKey, RunPhase};
-use super::scheduler::Scheduler;
 use super::transmissions::Settled;
+use crate::jobs::action::{Action, Recipient, StartOrder, StopOrder};
+use crate::jobs::event::{LossReason, RepeatedOrder, SchedulerEvent, StopReason};
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::model::run::{OrderReply, Refusal, RunKey, RunPhase};
+use crate::jobs::scheduler::Scheduler;
 
 /// Time for which no work is placed on a minion that had less free capacity than expected.
 const INSUFFICIENT_CAPACITY_PAUSE: Duration = Duration::from_millis(100);
@@ -150,7 +150,7 @@
     }
 
     /// Repeats the start and stop orders whose replies are overdue.
-    pub(super) fn repeat_orders(&mut self, now: Duration) {
+    pub(in crate::jobs) fn repeat_orders(&mut self, now: Duration) {
         let keys: Vec<RunKey> = self.pending_orders.iter().copied().collect();
         for key in keys {
             self.repeat_order(key, now);
@@ -193,7 +193,7 @@
     }
 
     /// Sends the orders that are new, and those that were unanswered until their timeout.
-    pub(super) fn send_orders(&mut self, now: Duration) {
+    pub(in crate::jobs) fn send_orders(&mut self, now: Duration) {
         let keys: Vec<RunKey> = self.pending_orders.iter().copied().collect();
         for key in keys {
             self.send_order(key, now);
@@ -283,7 +283,7 @@
     }
 
     /// Records that a minion has carried out a start order, by its reply or its run list.
-    pub(super) fn start_confirmed(&mut self, key: RunKey, now: Duration) {
+    pub(in crate::jobs) fn start_confirmed(&mut self, key: RunKey, now: Duration) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
@@ -346,14 +346,19 @@
     }
 
     /// Marks a minion as suspect: nothing is placed on it until it has reported its runs again.
-    pub(super) fn mark_suspect(&mut self, minion: MinionKey) {
+    pub(in crate::jobs) fn mark_suspect(&mut self, minion: MinionKey) {
         if let Some(minion) = self.minions.get_mut(minion) {
             minion.suspect = true;
         }
     }
 
     /// Records whether a minion answers, and reports the change if there is one.
-    pub(super) fn set_reachable(&mut self, key: MinionKey, reachable: bool, now: Duration) {
+    pub(in crate::jobs) fn set_reachable(
+        &mut self,
+        key: MinionKey,
+        reachable: bool,
+        now: Duration,
+    ) {
         let Some(minion) = self.minions.get_mut(key) else {
             return;
         };
--- a/crates/snipevane-core/src/jobs/repeat_budget.rs
+++ b/crates/snipevane-core/src/jobs/running/repeat_budget.rs
@@ -8,7 +8,7 @@
 /// Each reply pays for one repeat, so a scheduler whose minions or network link don't reply sends few
 /// of them, and never more than twice the orders that are answered.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct RepeatBudget {
+pub(in crate::jobs) struct RepeatBudget {
     repeats: u32,
 }
 
@@ -22,12 +22,12 @@
 
 impl RepeatBudget {
     /// Records a reply to an order.
-    pub(super) fn record_reply(&mut self) {
+    pub(in crate::jobs) fn record_reply(&mut self) {
         self.repeats = MAX_REPEATS.min(self.repeats + 1);
     }
 
     /// Takes one repeat out of the budget, and returns whether there was one.
-    pub(super) fn take(&mut self) -> bool {
+    pub(in crate::jobs) fn take(&mut self) -> bool {
         let Some(left) = self.repeats.checked_sub(1) else {
             return false;
         };
--- a/crates/snipevane-core/src/jobs/repeats.rs
+++ b/crates/snipevane-core/src/jobs/running/repeats.rs
@@ -11,11 +11,11 @@
 
 use crate::reply_time::ReplyTime;
 
-use super::event::{RepeatedOrder, SchedulerEvent};
-use super::minion::MinionKey;
 use super::repeat_budget::RepeatBudget;
-use super::scheduler::Scheduler;
 use super::transmissions::Transmissions;
+use crate::jobs::event::{RepeatedOrder, SchedulerEvent};
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::scheduler::Scheduler;
 
 /// Time after which a reply is overdue if no reply time was measured lately.
 const DEFAULT_REPLY_TIMEOUT: Duration = Duration::from_millis(120);
@@ -32,9 +32,9 @@
 
 /// Replies to orders as far as they matter for repeats.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Replies {
+pub(in crate::jobs) struct Replies {
     /// Times that the replies of all minions take.
-    pub(super) time: ReplyTime,
+    pub(in crate::jobs) time: ReplyTime,
     /// Latest time at which an order was sent that has been answered.
     answered_sent_at: Duration,
     budget: RepeatBudget,
@@ -43,7 +43,12 @@
 impl Scheduler {
     /// Records a reply of a minion to an order that was sent at `sent_at` and that it answers at
     /// once.
-    pub(super) fn record_prompt_reply(&mut self, key: MinionKey, sent_at: Duration, now: Duration) {
+    pub(in crate::jobs) fn record_prompt_reply(
+        &mut self,
+        key: MinionKey,
+        sent_at: Duration,
+        now: Duration,
+    ) {
         let elapsed = now.saturating_sub(sent_at);
         self.replies.time.record(elapsed, now);
         if let Some(minion) = self.minions.get_mut(key) {
@@ -53,7 +58,7 @@
     }
 
     /// Records a reply of a minion to an order that was sent at `sent_at`.
-    pub(super) fn record_reply(&mut self, key: MinionKey, sent_at: Duration) {
+    pub(in crate::jobs) fn record_reply(&mut self, key: MinionKey, sent_at: Duration) {
         if let Some(minion) = self.minions.get_mut(key) {
             minion.repeats_since_reply = 0;
         }
@@ -64,7 +69,7 @@
     /// Returns whether an order is to be sent again now, and takes the repeat out of the budget.
     ///
     /// `wait` is the time for which the minion may hold back its reply.
-    pub(super) fn take_repeat(
+    pub(in crate::jobs) fn take_repeat(
         &mut self,
         key: MinionKey,
         order: &Transmissions,
@@ -76,7 +81,7 @@
 
     /// Returns whether an order may be sent again although its reply isn't overdue, and takes the repeat
     /// out of the budget.
-    pub(super) fn take_early_repeat(
+    pub(in crate::jobs) fn take_early_repeat(
         &mut self,
         key: MinionKey,
         order: &Transmissions,
@@ -93,7 +98,7 @@
     }
 
     /// Reports that an order was sent again.
-    pub(super) fn report_repeat(
+    pub(in crate::jobs) fn report_repeat(
         &mut self,
         key: MinionKey,
         order: RepeatedOrder,
--- a/crates/snipevane-core/src/jobs/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -5,15 +5,17 @@
 use rustc_hash::FxHashSet;
 use smol_str::SmolStr;
 
-use super::action::{Action, StopOrder};
 use super::best_effort::FULL_CPU_SHARE;
-use super::event::{LossReason, StopReason};
-use super::id::TaskId;
-use super::job::{JobKey, TaskRef};
-use super::minion::{MinionKey, UnstoredEnd};
-use super::run::{ActiveRun, EndedRun, HoldReply, Refusal, Run, RunKey, RunList, RunPhase};
-use super::scheduler::Scheduler;
 use super::transmissions::{Settled, Transmissions};
+use crate::jobs::action::{Action, StopOrder};
+use crate::jobs::event::{LossReason, StopReason};
+use crate::jobs::minions::minion::{MinionKey, UnstoredEnd};
+use crate::jobs::model::id::TaskId;
+use crate::jobs::model::job::{JobKey, TaskRef};
+use crate::jobs::model::run::{
+    ActiveRun, EndedRun, HoldReply, Refusal, Run, RunKey, RunList, RunPhase,
+};
+use crate::jobs::scheduler::Scheduler;
 
 /// Maximum number of ends in one run list; a list of this length may be incomplete.
 const ENDS_PER_LIST: usize = 500;
@@ -219,7 +221,12 @@
     }
 
     /// Returns the run of an attempt of a task on a minion.
-    pub(super) fn find_run(&self, minion: MinionKey, task: TaskId, attempt: u32) -> Option<RunKey> {
+    pub(in crate::jobs) fn find_run(
+        &self,
+        minion: MinionKey,
+        task: TaskId,
+        attempt: u32,
+    ) -> Option<RunKey> {
         let (job, task_ref) = self.find_task(task)?;
         let task = self.jobs.get(job)?.task(task_ref)?;
         let mut runs = task.runs.iter().copied();
@@ -230,7 +237,7 @@
     }
 
     /// Returns the job of a task and the task's position in it.
-    pub(super) fn find_task(&self, task: TaskId) -> Option<(JobKey, TaskRef)> {
+    pub(in crate::jobs) fn find_task(&self, task: TaskId) -> Option<(JobKey, TaskRef)> {
         let job = *self.job_ids.get(&task.step.job)?;
         let task_ref = TaskRef {
             occurrence: task.step.occurrence,
--- a/crates/snipevane-core/src/jobs/start_window.rs
+++ b/crates/snipevane-core/src/jobs/running/start_window.rs
@@ -23,7 +23,7 @@
 
 /// Number of start orders that may be in flight.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct StartWindow {
+pub(in crate::jobs) struct StartWindow {
     limit: f64,
     /// Limit up to which the window grows by one with each timely reply.
     slow_start_until: f64,
@@ -44,23 +44,23 @@
 
 impl StartWindow {
     /// Records that a start order was sent.
-    pub(super) fn order_sent(&mut self) {
+    pub(in crate::jobs) fn order_sent(&mut self) {
         self.in_flight += 1;
     }
 
     /// Records that the outcome of a start order is known.
-    pub(super) fn order_settled(&mut self) {
+    pub(in crate::jobs) fn order_settled(&mut self) {
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
     /// Returns how many more start orders may be sent.
-    pub(super) fn available(&self) -> usize {
+    pub(in crate::jobs) fn available(&self) -> usize {
         self.limit().saturating_sub(self.in_flight)
     }
 
     /// Adapts the window to a reply to an order that was sent at `sent_at`, and returns whether the
     /// window has shrunk. Replies that take longer than `target` are slow.
-    pub(super) fn record_reply(
+    pub(in crate::jobs) fn record_reply(
         &mut self,
         sent_at: Duration,
         target: Duration,
@@ -77,7 +77,7 @@
     }
 
     /// Returns the number of start orders that may be in flight.
-    pub(super) fn limit(&self) -> usize {
+    pub(in crate::jobs) fn limit(&self) -> usize {
         self.limit as usize
     }
 
--- a/crates/snipevane-core/src/jobs/stragglers.rs
+++ b/crates/snipevane-core/src/jobs/running/stragglers.rs
@@ -8,12 +8,12 @@
 
 use std::time::Duration;
 
-use super::event::{SchedulerEvent, StopReason};
-use super::job::TaskRef;
-use super::minion::MinionKey;
-use super::queue::StepRef;
-use super::run::{Run, RunKey, RunPhase};
-use super::scheduler::Scheduler;
+use crate::jobs::event::{SchedulerEvent, StopReason};
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::model::job::TaskRef;
+use crate::jobs::model::run::{Run, RunKey, RunPhase};
+use crate::jobs::queueing::queue::StepRef;
+use crate::jobs::scheduler::Scheduler;
 
 /// Fraction of a run's expected duration after which its progress is evaluated.
 const MIN_EXPECTED_PROGRESS: f64 = 0.4;
@@ -55,7 +55,7 @@
     ///
     /// If more than half of them are stragglers, the minion backs off and is put on probation, and
     /// the stragglers are started elsewhere.
-    pub(super) fn detect_stragglers(&mut self, key: MinionKey, now: Duration) {
+    pub(in crate::jobs) fn detect_stragglers(&mut self, key: MinionKey, now: Duration) {
         let measured = self.measured_runs(key, now);
         if measured.is_empty() {
             return;
@@ -130,7 +130,7 @@
     }
 
     /// Ends the probation of a minion if a run that is done there was on time.
-    pub(super) fn end_probation_if_on_time(&mut self, key: RunKey, now: Duration) {
+    pub(in crate::jobs) fn end_probation_if_on_time(&mut self, key: RunKey, now: Duration) {
         let Some(run) = self.runs.get(key) else {
             return;
         };
--- a/crates/snipevane-core/src/jobs/transmissions.rs
+++ b/crates/snipevane-core/src/jobs/running/transmissions.rs
@@ -14,7 +14,7 @@
 
 /// What the outcome of a transmission says about its order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Settled {
+pub(in crate::jobs) enum Settled {
     /// The transmission belongs to an order whose outcome was known before.
     Superseded,
     /// Other transmissions of the order may still be answered.
@@ -38,7 +38,7 @@
 
 impl Transmissions {
     /// Records a transmission. It is the first one of a new order if none is open.
-    pub(super) fn record_sent(&mut self, now: Duration) {
+    pub(in crate::jobs) fn record_sent(&mut self, now: Duration) {
         if self.open == 0 {
             self.sent = 0;
             self.first_sent_at = now;
@@ -50,7 +50,7 @@
     }
 
     /// Records that the outcome of the transmission that was sent at `sent_at` is known.
-    pub(super) fn settle(&mut self, sent_at: Duration) -> Settled {
+    pub(in crate::jobs) fn settle(&mut self, sent_at: Duration) -> Settled {
         self.outstanding = self.outstanding.saturating_sub(1);
         if self.open == 0 || sent_at < self.first_sent_at {
             return Settled::Superseded;
@@ -64,12 +64,12 @@
     }
 
     /// Records that the order has an outcome, whatever becomes of its open transmissions.
-    pub(super) fn close(&mut self) {
+    pub(in crate::jobs) fn close(&mut self) {
         self.open = 0;
     }
 
     /// Returns whether the present order has no outcome yet.
-    pub(super) fn is_open(&self) -> bool {
+    pub(in crate::jobs) fn is_open(&self) -> bool {
         self.open > 0
     }
 
@@ -80,22 +80,22 @@
 
     /// Returns whether so many transmissions of the present order are unanswered that its recipient
     /// is suspect.
-    pub(super) fn is_suspect(&self) -> bool {
+    pub(in crate::jobs) fn is_suspect(&self) -> bool {
         self.open > 0 && self.sent > SUSPECT_AFTER
     }
 
     /// Returns whether the present order may be sent again.
-    pub(super) fn may_repeat(&self) -> bool {
+    pub(in crate::jobs) fn may_repeat(&self) -> bool {
         self.open > 0 && self.sent < MAX_TRANSMISSIONS
     }
 
     /// Returns the number of transmissions of the present order.
-    pub(super) fn count(&self) -> u32 {
+    pub(in crate::jobs) fn count(&self) -> u32 {
         self.sent
     }
 
     /// Returns the time of the last transmission.
-    pub(super) fn last_sent_at(&self) -> Duration {
+    pub(in crate::jobs) fn last_sent_at(&self) -> Duration {
         self.last_sent_at
     }
 }
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -11,22 +11,22 @@
 use crate::placement::Resources;
 
 use super::action::{Action, Recipient};
-use super::advice::Permits;
-use super::dirty_jobs::DirtyJobs;
-use super::durations::DurationEstimator;
-use super::ended_jobs::EndedJobs;
+use super::ending::dirty_jobs::DirtyJobs;
 use super::event::SchedulerEvent;
-use super::id::JobId;
-use super::job::{Job, JobKey, TaskRef};
-use super::minion::{Minion, MinionKey};
-use super::progress::JobState;
-use super::queue::{PoolQueue, StepRef};
-use super::repeats::Replies;
-use super::run::{Run, RunKey};
-use super::shares::JobRateLimiter;
-use super::site::Site;
-use super::start_window::StartWindow;
-use super::unreported_runs::UnreportedRuns;
+use super::intake::durations::DurationEstimator;
+use super::intake::ended_jobs::EndedJobs;
+use super::minions::minion::{Minion, MinionKey};
+use super::model::id::JobId;
+use super::model::job::{Job, JobKey, TaskRef};
+use super::model::progress::JobState;
+use super::model::run::{Run, RunKey};
+use super::model::site::Site;
+use super::placing::advice::Permits;
+use super::placing::unreported_runs::UnreportedRuns;
+use super::queueing::queue::{PoolQueue, StepRef};
+use super::queueing::shares::JobRateLimiter;
+use super::running::repeats::Replies;
+use super::running::start_window::StartWindow;
 
 /// Timeouts, intervals and limits of the scheduler.
 #[derive(Clone, Copy, Debug)]
--- a/crates/snipevane-core/src/jobs/maintenance.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/maintenance.rs
@@ -10,9 +10,9 @@
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
-use super::minion::MinionKey;
-use super::scheduler::Scheduler;
 use super::vm::{MaintenanceWave, Vm, VmOperation, VmOrder, VmReply, VmState};
+use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::scheduler::Scheduler;
 
 /// Part of a pool that may be draining or down at the same time, in percent, unless the wave would
 /// be late. Idle VMs may exceed it.
@@ -340,7 +340,7 @@
 
 impl Scheduler {
     /// Returns the number of runs on a VM.
-    pub(super) fn run_count_on(&self, vm: &Vm) -> usize {
+    pub(in crate::jobs) fn run_count_on(&self, vm: &Vm) -> usize {
         let minion = self.minion_of(vm).and_then(|key| self.minions.get(key));
         minion.map_or(0, |minion| minion.runs.len())
     }
@@ -362,7 +362,12 @@
     /// that aren't long-running end by themselves; without `wait_for_other_tasks` they don't keep
     /// the VM from being taken down. Unreported runs of an earlier term always do, as any of them
     /// may be long-running.
-    pub(super) fn drain(&mut self, vm: &Vm, wait_for_other_tasks: bool, now: Duration) -> bool {
+    pub(in crate::jobs) fn drain(
+        &mut self,
+        vm: &Vm,
+        wait_for_other_tasks: bool,
+        now: Duration,
+    ) -> bool {
         if self.has_unreported_minion(vm, now) {
             return false;
         }
@@ -387,12 +392,12 @@
     }
 
     /// Returns whether a VM's minion may have unreported runs of an earlier term.
-    pub(super) fn has_unreported_minion(&self, vm: &Vm, now: Duration) -> bool {
+    pub(in crate::jobs) fn has_unreported_minion(&self, vm: &Vm, now: Duration) -> bool {
         let minion = vm.minion.as_ref();
         minion.is_some_and(|id| self.is_unreported(id, now))
     }
 
-    pub(super) fn minion_of(&self, vm: &Vm) -> Option<MinionKey> {
+    pub(in crate::jobs) fn minion_of(&self, vm: &Vm) -> Option<MinionKey> {
         self.minion_ids.get(vm.minion.as_ref()?).copied()
     }
 }
--- a/crates/snipevane-core/src/jobs/pending_shutdowns.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/pending_shutdowns.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
-use super::scheduler::Scheduler;
 use super::vm::{Vm, VmState};
+use crate::jobs::scheduler::Scheduler;
 
 /// Longest time from the confirmation of an order until the list of VMs shows its effect.
 const LIST_LAG: Duration = Duration::from_millis(300);
