Start nothing in evacuated availability zones, and prefer warm minions

Cause: the operator's request to evacuate a zone (a row of its table) was read by nobody, so tasks went on starting there; nor was the time known for which a minion stays slow after its start.

Change: the rows are read with the configuration by every entry VM and given to the scheduler before each decision. It places nothing in these zones, sends no start again there, withdraws starts that aren't confirmed, and leaves the zones' VMs out of moves. Cold minions get work where no warm one has room, aren't taken for slow, and don't count for learned durations.

--- a/crates/snipevane-core/src/jobs/ending/ends.rs
+++ b/crates/snipevane-core/src/jobs/ending/ends.rs
@@ -85,7 +85,7 @@
         let on_healthy_minion = self
             .minions
             .get(run.minion)
-            .is_some_and(|minion| !minion.on_probation);
+            .is_some_and(|minion| !minion.on_probation && run.since >= minion.cold_until);
         if run.checkpoint.is_empty() && on_healthy_minion && !step.long_running && !step.gang {
             let duration = now.saturating_sub(run.since);
             let image = spec.image_of(step);
--- a/crates/snipevane-core/src/jobs/event.rs
+++ b/crates/snipevane-core/src/jobs/event.rs
@@ -22,6 +22,8 @@
     NotHosted,
     /// Another minion has registered with the minion's address.
     AddressTaken,
+    /// The start order hadn't been sent when the minion's availability zone was evacuated.
+    ZoneEvacuated,
     /// The minion refused the start order.
     StartRefused(Refusal),
 }
@@ -35,6 +37,8 @@
     Redundant,
     /// The run is a straggler, and starting the task again is faster.
     Straggler,
+    /// The minion's availability zone is evacuated, and the start isn't confirmed.
+    ZoneEvacuated,
     /// The VM is to be taken down.
     Evicted,
     /// The start wasn't confirmed.
@@ -168,6 +172,25 @@
         /// Number of transmissions of the order so far.
         transmissions: u32,
     },
+    /// Nothing new starts in an availability zone, as the operator has requested its evacuation.
+    ZoneEvacuated {
+        /// The zone.
+        zone: SmolStr,
+        /// Number of its minions.
+        minions: usize,
+        /// Number of runs that may exist there.
+        runs: usize,
+    },
+    /// The operator has withdrawn the request to evacuate an availability zone.
+    ZoneRestored {
+        /// The zone.
+        zone: SmolStr,
+    },
+    /// Nothing starts anywhere while the operator's requests to evacuate zones aren't confirmed.
+    PlacementPaused {
+        /// Whether the pause begins; otherwise it ends.
+        paused: bool,
+    },
     /// A minion became unreachable, or reachable again.
     MinionReachability {
         /// Minion whose reachability changed.
--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -54,6 +54,8 @@
     pub draining: bool,
     /// Time until a draining minion leaves, in milliseconds, if the entry gives it.
     pub drain_remaining_ms: Option<u64>,
+    /// Time for which the minion stays slow after its start, in milliseconds; 0 once it is warm.
+    pub warmup_left_ms: u64,
     /// Start of the present incarnation, in Unix milliseconds; 0 if unknown.
     pub started_unix_ms: u64,
 }
@@ -150,6 +152,8 @@
     pub on_probation: bool,
     /// Time at which CPU shares of its tasks were last changed.
     pub cpu_shares_changed_at: Duration,
+    /// Time until which it is cold, that is, slow because it has just started.
+    pub cold_until: Duration,
     /// Whether it gets no new work because maintenance or a move of its VM is in progress.
     pub cordoned: bool,
     /// Job with a run on trial here; no other job gets work here meanwhile.
@@ -200,6 +204,7 @@
             slow_count: 0,
             on_probation: false,
             cpu_shares_changed_at: Duration::ZERO,
+            cold_until: Duration::ZERO,
             cordoned: false,
             trial: None,
             restarted_at: None,
@@ -256,6 +261,21 @@
             .map_or(may_begin_trial, |on_trial| on_trial == job)
     }
 
+    /// Records the time for which the entry, read at `now`, says that the minion stays slow.
+    pub(in crate::jobs) fn record_warmup(&mut self, now: Duration) {
+        let left = Duration::from_millis(self.entry.warmup_left_ms);
+        self.cold_until = if left.is_zero() {
+            self.cold_until.min(now)
+        } else {
+            now + left
+        };
+    }
+
+    /// Returns whether the minion is cold, that is, slow because it has just started.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+
     /// Returns whether the minion has left an order unanswered lately.
     pub(in crate::jobs) fn is_doubtful(&self, now: Duration) -> bool {
         self.repeated_at.is_some_and(|at| now < at + DOUBT_PERIOD)
--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -20,6 +20,7 @@
             let id = entry.id.clone();
             let mut minion = Minion::new(entry, self.unreported.until);
             minion.recorded = self.unreported.minions.contains_key(&id);
+            minion.record_warmup(now);
             let key = self.minions.insert(minion);
             self.minion_ids.insert(id, key);
             return;
@@ -40,6 +41,7 @@
         };
         let address_changed = minion.entry.address != entry.address;
         minion.entry = entry;
+        minion.record_warmup(now);
         minion.listed = true;
         if address_changed {
             minion.hold_failures = 0;
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -38,6 +38,7 @@
 pub use pools::pool_stats::PoolStats;
 pub use running::transmissions::Transmissions;
 pub use scheduler::{Scheduler, SchedulerSettings};
+pub use upkeep::evacuation::EvacuatedZones;
 pub use upkeep::maintenance::{MaintenancePlanner, WaveProgress};
 pub use upkeep::ordered_vms::{OrderedVm, OrderedVms};
 pub use upkeep::pending_shutdowns::PendingShutdowns;
--- a/crates/snipevane-core/src/jobs/placing/speculation.rs
+++ b/crates/snipevane-core/src/jobs/placing/speculation.rs
@@ -60,7 +60,7 @@
         let healthy = minions.iter().copied();
         let healthy = healthy.filter(|&key| !self.minions[key].on_probation);
         let healthy: Vec<MinionKey> = healthy.collect();
-        if let Some(minion) = self.choose_minion(task, step_ref, step, &healthy) {
+        if let Some(minion) = self.choose_minion(task, step_ref, step, &healthy, now) {
             self.events.push(SchedulerEvent::SpeculativeRunPlaced {
                 task: job.task_id(task),
                 minion: self.minion_id(minion),
--- a/crates/snipevane-core/src/jobs/placing/tasks.rs
+++ b/crates/snipevane-core/src/jobs/placing/tasks.rs
@@ -23,6 +23,9 @@
     /// as far as the congestion window allows further start orders.
     pub(in crate::jobs) fn place(&mut self, now: Duration) {
         self.placed_this_round = 0;
+        if !self.evacuations_confirmed {
+            return;
+        }
         let schedulable = self.schedulable_minions(now);
         let unreported_pools = self.unreported_pools(now);
         self.unreported_usage = self.estimate_unreported_usage(&unreported_pools);
@@ -45,7 +48,7 @@
     fn schedulable_minions(&self, now: Duration) -> FxHashMap<SmolStr, Vec<MinionKey>> {
         let mut schedulable: FxHashMap<SmolStr, Vec<MinionKey>> = FxHashMap::default();
         for (key, minion) in &self.minions {
-            if minion.is_schedulable(now) {
+            if minion.is_schedulable(now) && !self.is_evacuated(&minion.entry.zone) {
                 schedulable
                     .entry(minion.entry.pool.clone())
                     .or_default()
@@ -53,6 +56,10 @@
             }
         }
         schedulable.retain(|pool, _| self.has_reliable_capacities(pool, now));
+        for minions in schedulable.values_mut() {
+            // Gangs take the first minions that have room.
+            minions.sort_by_key(|&key| self.minions[key].is_cold(now));
+        }
         schedulable
     }
 
@@ -179,7 +186,7 @@
                 index,
                 ..first_task_ref(step_ref)
             };
-            if let Some(minion) = self.choose_minion(task, step_ref, step, minions) {
+            if let Some(minion) = self.choose_minion(task, step_ref, step, minions, now) {
                 self.start_run(step_ref, task, step, minion, None, now);
             } else if !self.is_suspect_task(step_ref.job, task) {
                 return;
@@ -229,8 +236,8 @@
 
     /// Chooses the minion for a task.
     ///
-    /// The minion on which the task failed last is chosen only if no other one fits, and the rack
-    /// of the task's data is preferred. Long-running tasks are spread over racks and minions, so
+    /// The minion on which the task failed last is chosen only if no other one fits, a cold minion only
+    /// if no warm one fits, and the rack of the task's data is preferred. Long-running tasks are spread over racks and minions, so
     /// that few are unavailable at a time. Other tasks go to the minion with the least free CPU
     /// that has room, so that large tasks find room elsewhere. Tasks under which minions have crashed
     /// go to the minion with the fewest fresh runs.
@@ -240,6 +247,7 @@
         step_ref: StepRef,
         step: &StepSpec,
         minions: &[MinionKey],
+        now: Duration,
     ) -> Option<MinionKey> {
         let size = step.allocated_size();
         let job = self.jobs.get(step_ref.job)?;
@@ -261,6 +269,7 @@
         let score = |key: &MinionKey| {
             let minion = &self.minions[*key];
             let failed_here = failed_on.as_ref() == Some(&minion.entry.id);
+            let cold = minion.is_cold(now);
             let off_data_rack = step
                 .data_rack
                 .as_ref()
@@ -268,12 +277,24 @@
             let room = minion.free_capacity().cpu_millis;
             if is_suspect {
                 let fresh_runs = self.fresh_run_count(*key) as u32;
-                (failed_here, off_data_rack, fresh_runs, u64::MAX - room)
+                (
+                    failed_here,
+                    cold,
+                    off_data_rack,
+                    fresh_runs,
+                    u64::MAX - room,
+                )
             } else if step.long_running {
                 let tasks_on_rack = self.step_tasks_on_rack(job, step_ref, &minion.entry.rack);
-                (failed_here, off_data_rack, tasks_on_rack, u64::MAX - room)
+                (
+                    failed_here,
+                    cold,
+                    off_data_rack,
+                    tasks_on_rack,
+                    u64::MAX - room,
+                )
             } else {
-                (failed_here, off_data_rack, 0_u32, room)
+                (failed_here, cold, off_data_rack, 0_u32, room)
             }
         };
         fits.min_by_key(score)
--- a/crates/snipevane-core/src/jobs/pools/moves.rs
+++ b/crates/snipevane-core/src/jobs/pools/moves.rs
@@ -12,6 +12,7 @@
 use smol_str::SmolStr;
 
 use super::demand::{Demand, Work};
+use crate::jobs::minions::minion::Minion;
 use crate::jobs::scheduler::Scheduler;
 use crate::jobs::upkeep::vm::{Vm, VmOperation, VmOrder, VmReply, VmState};
 
@@ -155,6 +156,7 @@
                 vm.pool == pool.name
                     && vm.state == VmState::Up
                     && !is_excluded(vm)
+                    && !scheduler.is_evacuated(&vm.zone)
                     && (pool.standby || scheduler.is_usable(vm, now))
                     && !self.moves.contains_key(&vm.name)
             });
@@ -369,7 +371,7 @@
         let largest = |capacity: (u64, u64), (millis, mib): (u64, u64)| {
             (capacity.0.max(millis), capacity.1.max(mib))
         };
-        let sizes = |minion: &crate::jobs::minions::minion::Minion| {
+        let sizes = |minion: &Minion| {
             (
                 minion.entry.capacity.cpu_millis,
                 minion.entry.capacity.memory_mib,
--- a/crates/snipevane-core/src/jobs/pools/pool_stats.rs
+++ b/crates/snipevane-core/src/jobs/pools/pool_stats.rs
@@ -32,7 +32,7 @@
         for minion in self.minions.values() {
             let pool = pool_stats.entry(minion.entry.pool.clone()).or_default();
             pool.runs += minion.runs.len() as u64;
-            if minion.is_schedulable(now) {
+            if minion.is_schedulable(now) && !self.is_evacuated(&minion.entry.zone) {
                 pool.minions += 1;
                 pool.free_cpu_millis += minion.free_capacity().cpu_millis;
             }
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -163,7 +163,8 @@
             return;
         };
         let (minion, phase, transmissions) = (run.minion, run.phase, run.transmissions);
-        let is_blocked = phase == RunPhase::Starting && self.start_window.available() == 0;
+        let may_start = self.start_window.available() > 0 && self.may_send_start_to(minion);
+        let is_blocked = phase == RunPhase::Starting && !may_start;
         if is_blocked || !self.take_repeat(minion, &transmissions, Duration::ZERO, now) {
             return;
         }
@@ -211,6 +212,9 @@
         if run.transmissions.is_open() || now < run.retry_at || self.awaits_crash_record(run) {
             return;
         }
+        if run.phase == RunPhase::Starting && !self.may_send_start_to(run.minion) {
+            return;
+        }
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
--- a/crates/snipevane-core/src/jobs/running/stragglers.rs
+++ b/crates/snipevane-core/src/jobs/running/stragglers.rs
@@ -150,12 +150,13 @@
             let run = self.runs.get(key)?;
             let spec = self.step_of(key)?;
             let is_short = !spec.long_running && !spec.best_effort;
+            let began_cold = run.since < self.minions.get(run.minion)?.cold_until;
             if run.phase != RunPhase::Running || !is_short || run.expected_duration.is_zero() {
                 return None;
             }
             let elapsed = now.saturating_sub(run.since);
             let expected = elapsed.as_secs_f64() / run.expected_duration.as_secs_f64();
-            if expected < MIN_EXPECTED_PROGRESS || elapsed < MIN_ELAPSED {
+            if began_cold || expected < MIN_EXPECTED_PROGRESS || elapsed < MIN_ELAPSED {
                 return None;
             }
             Some((key, progress(run) / expected.min(1.0)))
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -27,6 +27,7 @@
 use super::queueing::shares::JobRateLimiter;
 use super::running::repeats::Replies;
 use super::running::start_window::StartWindow;
+use super::upkeep::evacuation::EvacuatedZones;
 
 /// Timeouts, intervals and limits of the scheduler.
 #[derive(Clone, Copy, Debug)]
@@ -106,6 +107,10 @@
     pub(super) minion_ids: FxHashMap<SmolStr, MinionKey>,
     /// Time at which the list of minions was last known to be up to date.
     pub(super) minions_confirmed_at: Option<Duration>,
+    /// Availability zones in which nothing may start.
+    pub(super) evacuated: EvacuatedZones,
+    /// Whether the operator's requests to evacuate zones are known to be up to date.
+    pub(super) evacuations_confirmed: bool,
     pub(super) jobs: SlotMap<JobKey, Job>,
     pub(super) job_ids: FxHashMap<JobId, JobKey>,
     pub(super) runs: SlotMap<RunKey, Run>,
@@ -164,6 +169,8 @@
             minions: SlotMap::with_key(),
             minion_ids: FxHashMap::default(),
             minions_confirmed_at: None,
+            evacuated: EvacuatedZones::default(),
+            evacuations_confirmed: true,
             jobs: SlotMap::with_key(),
             job_ids: FxHashMap::default(),
             runs: SlotMap::with_key(),
@@ -209,6 +216,7 @@
         self.end_expired_runs(now);
         self.give_up_crashing_tasks(unix_ms);
         self.end_trials();
+        self.withdraw_starts_in_evacuated_zones();
         self.repeat_orders(now);
         self.place(now);
         self.send_orders(now);
--- a/crates/snipevane-core/src/jobs/upkeep/mod.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/mod.rs
@@ -1,5 +1,6 @@
 //! VMs and their maintenance.
 
+pub(super) mod evacuation;
 pub(super) mod maintenance;
 pub(super) mod ordered_vms;
 pub(super) mod pending_shutdowns;
--- a/crates/snipevane-core/src/jobs/upkeep/vm.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/vm.rs
@@ -9,6 +9,8 @@
     pub name: SmolStr,
     /// Pool that the VM belongs to.
     pub pool: SmolStr,
+    /// Availability zone; empty if the list doesn't name it.
+    pub zone: SmolStr,
     /// State of the VM.
     pub state: VmState,
     /// Identifier of the minion on the VM, if there is one.
--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -44,6 +44,10 @@
     MINION_CRASHED = 2062 Warn "minion has crashed" ["minion", "runs", "cause", "fence"];
     WAVE_LOADED = 2070 Info "maintenance wave loaded" ["wave", "vms"];
     VM_ORDER_OUTCOME = 2071 Info "outcome of an order to a VM" ["vm", "work", "reply", "fence"];
+    ZONE_EVACUATED = 2072 Warn "nothing new starts in an evacuated availability zone" ["zone", "minions", "runs", "fence"];
+    ZONE_RESTORED = 2073 Info "availability zone no longer evacuated" ["zone", "fence"];
+    PLACEMENT_PAUSED = 2074 Warn "nothing starts, as the operator's requests aren't confirmed" ["fence"];
+    PLACEMENT_RESUMED = 2075 Info "starts go on, as the operator's requests are confirmed" ["fence"];
     ROW_UNREADABLE = 2080 Error "row can't be read" ["table", "key", "reason"];
     LINES_DROPPED = 2090 Warn "log lines dropped, rate limit of the event exceeded" ["event", "lines"];
 }
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -98,6 +98,11 @@
     }
 }
 
+/// Records the number of availability zones that are evacuated.
+pub(crate) fn set_evacuated_zones(zones: usize) {
+    gauge!("snipevane_evacuated_zones").set(zones as f64);
+}
+
 /// Records a call to the store.
 pub(crate) fn record_store_call(kind: CallKind, outcome: &'static str, elapsed: Duration) {
     let call = kind.name();
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -291,15 +291,24 @@
         }
     }
 
+    /// Gives the scheduler the configuration and the evacuated zones as last read.
+    fn apply_site_view(&self, scheduler: &mut Scheduler) {
+        let view = self.node.site_view.borrow();
+        if let Some(site) = &view.site {
+            scheduler.set_site(site.clone());
+        }
+        scheduler.set_evacuated_zones(&view.evacuated);
+        let now = self.node.clock.now();
+        let bounds = &self.node.settings.bounds;
+        scheduler.set_evacuations_confirmed(view.is_evacuation_confirmed(now, bounds));
+    }
+
     fn decide(self: &Rc<Self>) {
         if !self.may_send_orders() || self.is_releasing() {
             return;
         }
-        let site = self.node.site_view.borrow().site.clone();
         let mut scheduler = self.scheduler.borrow_mut();
-        if let Some(site) = site {
-            scheduler.set_site(site);
-        }
+        self.apply_site_view(&mut scheduler);
         let actions = scheduler.decide(self.node.clock.now(), self.node.clock.unix_ms());
         if scheduler.is_deposed() {
             self.end("a minion has accepted a later term");
--- a/crates/snipevane-fleet/src/scheduling/notes.rs
+++ b/crates/snipevane-fleet/src/scheduling/notes.rs
@@ -97,6 +97,18 @@
             minion,
             transmissions,
         } => log_repeated_order(*order, minion, *transmissions, fence),
+        SchedulerEvent::ZoneEvacuated {
+            zone,
+            minions,
+            runs,
+        } => record(&events::ZONE_EVACUATED, &[zone, minions, runs, &fence]),
+        SchedulerEvent::ZoneRestored { zone } => record(&events::ZONE_RESTORED, &[zone, &fence]),
+        SchedulerEvent::PlacementPaused { paused: true } => {
+            record(&events::PLACEMENT_PAUSED, &[&fence]);
+        }
+        SchedulerEvent::PlacementPaused { paused: false } => {
+            record(&events::PLACEMENT_RESUMED, &[&fence]);
+        }
         SchedulerEvent::MinionReachability {
             minion,
             reachable,
@@ -140,6 +152,7 @@
         LossReason::NotListed => "not listed",
         LossReason::IncarnationGone => "incarnation gone",
         LossReason::NotHosted => "on no VM",
+        LossReason::ZoneEvacuated => "its zone is evacuated",
         LossReason::AddressTaken => "address taken",
         LossReason::StartRefused(refusal) => refusal_name(refusal),
     }
@@ -150,6 +163,7 @@
         StopReason::JobEnded => "job ended",
         StopReason::Redundant => "another run is done",
         StopReason::Straggler => "falls behind",
+        StopReason::ZoneEvacuated => "its zone is evacuated",
         StopReason::Evicted => "its VM is drained",
         StopReason::StartUnconfirmed => "start not confirmed",
         StopReason::Orphaned => "left by an earlier term",
--- a/crates/snipevane-fleet/src/site_view.rs
+++ b/crates/snipevane-fleet/src/site_view.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use smol_str::SmolStr;
 use snipevane_adapter::config;
 use snipevane_adapter::rows::{Page, Row};
 use snipevane_adapter::settings::Bounds;
-use snipevane_core::jobs::{MaintenanceWave, Site};
+use snipevane_core::jobs::{EvacuatedZones, MaintenanceWave, Site};
 use tokio::time::sleep;
 
 use crate::clock::Clock;
@@ -50,8 +51,12 @@
     pub site: Option<Rc<Site>>,
     /// Maintenance waves that the operator has requested.
     pub waves: Vec<MaintenanceWave>,
+    /// Availability zones that the operator has requested to evacuate.
+    pub evacuated: EvacuatedZones,
     /// Time at which the store last confirmed that the configuration is the newest.
     confirmed_at: Option<Duration>,
+    /// Time at which the last response with the operator's rows, or their changes, was requested.
+    rows_read_at: Option<Duration>,
     /// Version of the store up to which the operator's rows have been read.
     read_up_to: u64,
     /// Newest configuration version that the scheduler's heartbeats have reported.
@@ -76,6 +81,14 @@
         self.site.is_some() && age.is_some_and(|age| age < limit)
     }
 
+    /// Returns whether the set of evacuated zones was confirmed recently enough that a request which has been
+    /// made since is still within the time limit for evacuations; always true if the platform sets none.
+    pub fn is_evacuation_confirmed(&self, now: Duration, bounds: &Bounds) -> bool {
+        let limit = bounds.evacuation * CONFIRMED_PERCENT / PERCENT;
+        let age = now.saturating_sub(self.rows_read_at.unwrap_or_default());
+        bounds.evacuation.is_zero() || (self.rows_read_at.is_some() && age < limit)
+    }
+
     /// Returns whether a newer version is known to exist.
     fn is_outdated(&self) -> bool {
         self.newest_known > self.version()
@@ -103,6 +116,10 @@
 
     /// Applies a row of the operator; returns whether the configuration changed.
     fn apply_row(&mut self, row: &Row, now: Duration) -> bool {
+        if let Some(zone) = config::evacuated_zone(&row.key) {
+            self.apply_evacuation(zone, row.value.is_some());
+            return false;
+        }
         let Some(value) = &row.value else {
             return false;
         };
@@ -134,6 +151,33 @@
         true
     }
 
+    fn apply_evacuation(&mut self, zone: &str, requested: bool) {
+        let changed = if requested {
+            self.evacuated.insert(zone.into())
+        } else {
+            self.evacuated.remove(zone)
+        };
+        if changed {
+            metrics::set_evacuated_zones(self.evacuated.len());
+        }
+    }
+
+    /// Forgets the evacuations whose rows aren't among all of the operator's rows.
+    fn retain_evacuations(&mut self, rows: &[Row]) {
+        let requested = rows.iter().filter(|row| row.value.is_some());
+        let requested: EvacuatedZones = requested
+            .filter_map(|row| config::evacuated_zone(&row.key).map(SmolStr::from))
+            .collect();
+        let lifted = self.evacuated.iter();
+        let lifted: Vec<SmolStr> = lifted
+            .filter(|zone| !requested.contains(zone))
+            .cloned()
+            .collect();
+        for zone in lifted {
+            self.apply_evacuation(&zone, false);
+        }
+    }
+
     fn apply_wave(&mut self, value: &[u8]) {
         match config::decode_wave(value) {
             Ok(wave) => {
@@ -186,6 +230,7 @@
 async fn read_all<C: Clock>(node: &Node<C>) -> Result<(), StoreError> {
     let requested_at = node.clock.now();
     let page = node.store.read(config::TABLE, "", "").await?;
+    node.site_view.borrow_mut().retain_evacuations(&page.rows);
     apply_page(node, &page, requested_at);
     Ok(())
 }
@@ -231,6 +276,7 @@
     }
     view.read_up_to = view.read_up_to.max(page.version);
     view.confirmed_at = view.confirmed_at.max(Some(requested_at));
+    view.rows_read_at = view.rows_read_at.max(Some(requested_at));
     drop(view);
     if changed {
         node.site_changed.notify_waiters();
--- a/tests/src/jobs/job_site/crashes.rs
+++ b/tests/src/jobs/job_site/crashes.rs
@@ -90,6 +90,7 @@
             Vm {
                 name: minion.entry.address.clone(),
                 pool: minion.entry.pool.clone(),
+                zone: minion.entry.zone.clone(),
                 state: hidden.unwrap_or(VmState::Up),
                 minion: hidden.is_none().then(|| id.clone()),
             }
@@ -97,6 +98,7 @@
         let down = self.down_until.iter().map(|(_, id)| Vm {
             name: self.minions[id].entry.address.clone(),
             pool: self.minions[id].entry.pool.clone(),
+            zone: self.minions[id].entry.zone.clone(),
             state: VmState::Down,
             minion: None,
         });
--- a/tests/tests/jobs_vms/vm_site.rs
+++ b/tests/tests/jobs_vms/vm_site.rs
@@ -49,6 +49,7 @@
         let vms = entries.iter().enumerate().map(|(number, entry)| Vm {
             name: format_smolstr!("vm-{number}"),
             pool: entry.pool.clone(),
+            zone: entry.zone.clone(),
             state: VmState::Up,
             minion: Some(entry.id.clone()),
         });
