--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -13,8 +13,8 @@
 use rand::rngs::StdRng;
 use smol_str::SmolStr;
 use snipevane_core::jobs::{
-    Action, AdviceReply, HoldReply, JobId, JobSpec, JobState, OrderReply, Progress, Scheduler,
-    SchedulerSettings, Site, TaskId, UnreportedRuns, VmState,
+    Action, AdviceReply, EvacuatedZones, HoldReply, JobId, JobSpec, JobState, OrderReply, Progress,
+    Scheduler, SchedulerSettings, Site, TaskId, UnreportedRuns, VmState,
 };
 
 use super::minion::{FakeMinion, Record};
@@ -85,6 +85,8 @@
     pub network: Option<Network>,
     /// The present time.
     pub now: Duration,
+    /// Availability zones that the operator has requested to evacuate, as the scheduler knows them.
+    pub evacuated: EvacuatedZones,
     /// Whether changes of the list of minions reach the scheduler.
     pub minion_feed_available: bool,
     /// Whether the store accepts changes.
@@ -136,6 +138,7 @@
             starts_sent: 0,
             network: None,
             now: Duration::from_secs(10),
+            evacuated: EvacuatedZones::default(),
             minion_feed_available: true,
             store_available: true,
             allowed: BTreeSet::new(),
@@ -253,6 +256,7 @@
         if self.minion_feed_available {
             self.scheduler.confirm_minions(self.now);
         }
+        self.scheduler.set_evacuated_zones(&self.evacuated);
         let unix_ms = self.unix_ms();
         for action in self.scheduler.decide(self.now, unix_ms) {
             self.send_order(action);
