Bound the number of VMs that are ordered at a time

Cause: every VM that is ordered is named in the scheduler's row for about six seconds. With 3,000 minions and little to do, the planner ordered 2,300 moves to standby at once; the row grew past the store's limit of 64 KB, every write was refused ('a value is too long'), the term ended unnoticed, and each next term did the same.

Change: 600 VMs at most are reserved. The planner returns no more orders than there is room for, those for pools in use first, and drains no more VMs to standby than can be ordered. The rows of minions are decoded without the scheduler's own row, which logged SV2080 at each takeover.

Tests: the most reservations fit in a row; an idle fleet goes to standby a few VMs at a time.

--- a/crates/snipevane-core/src/jobs/pools/moves.rs
+++ b/crates/snipevane-core/src/jobs/pools/moves.rs
@@ -94,20 +94,22 @@
     /// Decides which VMs to move, and returns the orders to send now.
     ///
     /// `vms` is the list of VMs that was requested at `asked_at`. VMs for which `is_excluded` is
-    /// true are neither counted nor chosen for a move.
+    /// true are neither counted nor chosen for a move. At most `max_orders` orders are returned; those for
+    /// VMs that join a pool in use come before those to standby pools.
     pub fn decide(
         &mut self,
         scheduler: &mut Scheduler,
         vms: &[Vm],
         is_excluded: impl Fn(&Vm) -> bool,
+        max_orders: usize,
         asked_at: Duration,
         now: Duration,
     ) -> Vec<VmOrder> {
         self.remove_finished(vms, asked_at, now);
         let mut plans = self.plan(scheduler, vms, &is_excluded, now);
         self.scale_up(scheduler, &mut plans, now);
-        self.scale_down(scheduler, &plans, now);
-        self.orders(scheduler, vms, now)
+        self.scale_down(scheduler, &plans, max_orders, now);
+        self.orders(scheduler, vms, max_orders, now)
     }
 
     /// Applies the outcome of an order.
@@ -243,10 +245,21 @@
     }
 
     /// Moves idle VMs of pools that have had a surplus for a while to a standby pool.
-    fn scale_down(&mut self, scheduler: &Scheduler, plans: &[PoolPlan<'_>], now: Duration) {
+    ///
+    /// No more VMs are drained than can be ordered soon, as they get no work while they wait.
+    fn scale_down(
+        &mut self,
+        scheduler: &Scheduler,
+        plans: &[PoolPlan<'_>],
+        max_orders: usize,
+        now: Duration,
+    ) {
         let Some(standby) = plans.iter().find(|plan| plan.standby) else {
             return;
         };
+        let draining = self.moves.values();
+        let draining = draining.filter(|planned| matches!(planned.phase, Phase::Draining));
+        let mut room = max_orders.saturating_sub(draining.count());
         for plan in plans.iter().filter(|plan| !plan.standby) {
             let surplus = plan.surplus(true);
             if surplus == 0 {
@@ -259,7 +272,8 @@
             }
             let mut idle: Vec<&Vm> = plan.vms.clone();
             idle.retain(|vm| scheduler.run_count_on(vm) == 0);
-            for vm in idle.into_iter().take(surplus) {
+            for vm in idle.into_iter().take(surplus.min(room)) {
+                room -= 1;
                 let planned = Move {
                     to: standby.name.clone(),
                     phase: Phase::Draining,
@@ -269,17 +283,29 @@
         }
     }
 
-    /// Returns the orders for draining VMs that have no runs any more.
-    fn orders(&mut self, scheduler: &mut Scheduler, vms: &[Vm], now: Duration) -> Vec<VmOrder> {
+    /// Returns the orders for draining VMs that have no runs any more, `max_orders` at most. Moves to standby
+    /// pools come last.
+    fn orders(
+        &mut self,
+        scheduler: &Scheduler,
+        vms: &[Vm],
+        max_orders: usize,
+        now: Duration,
+    ) -> Vec<VmOrder> {
+        let idle = vms.iter().filter_map(|vm| {
+            let planned = self.moves.get(&vm.name)?;
+            let is_draining = matches!(planned.phase, Phase::Draining);
+            let pool = scheduler.site.pool(&planned.to);
+            let to_standby = pool.is_some_and(|pool| pool.standby);
+            (is_draining && scheduler.run_count_on(vm) == 0).then_some((to_standby, vm))
+        });
+        let mut idle: Vec<(bool, &Vm)> = idle.collect();
+        idle.sort_by_key(|&(to_standby, _)| to_standby);
         let mut orders = Vec::new();
-        for vm in vms {
+        for (_, vm) in idle.into_iter().take(max_orders) {
             let Some(planned) = self.moves.get_mut(&vm.name) else {
                 continue;
             };
-            let is_draining = matches!(planned.phase, Phase::Draining);
-            if !is_draining || scheduler.run_count_on(vm) > 0 {
-                continue;
-            }
             planned.phase = Phase::Ordered { at: now };
             orders.push(VmOrder {
                 vm: vm.name.clone(),
--- a/crates/snipevane-core/src/jobs/upkeep/ordered_vms.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/ordered_vms.rs
@@ -10,6 +10,12 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+/// Largest number of VMs that are reserved for new orders.
+///
+/// The scheduler's row names them all, and is written several times a second. An entry takes about 45
+/// bytes, so they take 27 KB of the 64 KB that a row may have; a row that is too large would end the term.
+const MAX_RESERVED: usize = 600;
+
 /// A VM for which an order was sent lately, or is about to be.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderedVm {
@@ -82,6 +88,11 @@
         self.reserved_until.keys().any(|vm| !self.is_stored(vm))
     }
 
+    /// Returns the number of further VMs that may be ordered.
+    pub fn room(&self) -> usize {
+        MAX_RESERVED.saturating_sub(self.reserved_until.len())
+    }
+
     /// Returns the VMs with the times until which they are reserved.
     pub fn reserved(&self) -> &FxHashMap<SmolStr, Duration> {
         &self.reserved_until
--- a/crates/snipevane-fleet/src/scheduling/minion_rows.rs
+++ b/crates/snipevane-fleet/src/scheduling/minion_rows.rs
@@ -51,14 +51,11 @@
         for row in table {
             let number = row.key.strip_prefix(KEY_PREFIX);
             let number = number.and_then(|number| number.parse::<usize>().ok());
-            let minions = row
-                .value
-                .as_ref()
-                .and_then(|value| rows::decode(&row.key, value));
-            let (Some(number), Some(minions)) = (number, minions) else {
+            let (Some(number), Some(value)) = (number, &row.value) else {
                 continue;
             };
-            if let Some(row) = decoded.rows.get_mut(number) {
+            let minions = rows::decode(&row.key, value);
+            if let (Some(row), Some(minions)) = (decoded.rows.get_mut(number), minions) {
                 *row = minions;
             }
         }
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -174,7 +174,10 @@
         scheduler.end_runs_of_unhosted_minions(&listed, sent_at);
         let mut orders = maintenance.decide(&mut scheduler, &vms, sent_at, now);
         let under_maintenance = |vm: &Vm| maintenance.is_in_progress(&vm.name);
-        orders.extend(moves.decide(&mut scheduler, &vms, under_maintenance, sent_at, now));
+        let room = leader.ordered_vms.borrow().room();
+        let room = room.saturating_sub(orders.len());
+        let move_orders = moves.decide(&mut scheduler, &vms, under_maintenance, room, sent_at, now);
+        orders.extend(move_orders);
         scheduler.update_cordons(&vms, |vm| {
             under_maintenance(vm) || moves.is_in_progress(&vm.name)
         });
--- a/tests/tests/jobs_vms/main.rs
+++ b/tests/tests/jobs_vms/main.rs
@@ -360,3 +360,27 @@
         .filter(|vm| site.maintenance.is_in_progress(&vm.name));
     assert_eq!(begun.count(), draining);
 }
+
+/// Each ordered VM is named in the scheduler's row, so a fleet that falls idle must not be moved to standby
+/// all at once.
+#[test]
+fn an_idle_fleet_goes_to_standby_a_few_vms_at_a_time() {
+    let mut site = VmSite::new(60, 2);
+    site.max_orders = 5;
+    site.run(Duration::from_secs(20));
+    assert_eq!(site.most_orders, 5);
+    assert!(site.move_count >= 50, "{} moves", site.move_count);
+}
+
+/// VMs that wait for their order to standby get no work, so only as many may wait as can be ordered; and a pool
+/// with a backlog gets its VMs before they do.
+#[test]
+fn a_pool_with_a_backlog_goes_before_moves_to_standby() {
+    let mut site = VmSite::with_pools(&[("p0", 40), ("p1", 3), ("standby", 8)]);
+    site.max_orders = 2;
+    site.run(Duration::from_secs(3));
+    let spec = job("p1", vec![step(96, 2_000, 900, &[])]);
+    let id = site.jobs.submit(1, spec);
+    site.run(Duration::from_secs(6));
+    assert_eq!(site.jobs.state(id), JobState::Completed);
+}
--- a/tests/tests/jobs_vms/vm_site.rs
+++ b/tests/tests/jobs_vms/vm_site.rs
@@ -26,6 +26,10 @@
     pub(crate) maintenance: MaintenancePlanner,
     pub(crate) moves: MovePlanner,
     pub(crate) pending_shutdowns: PendingShutdowns,
+    /// Number of moves that may be ordered in a planning round.
+    pub(crate) max_orders: usize,
+    /// Largest number of moves that were ordered in a planning round.
+    pub(crate) most_orders: usize,
     pub(crate) max_down: usize,
     pub(crate) maintained: BTreeSet<SmolStr>,
     pub(crate) move_count: usize,
@@ -68,6 +72,8 @@
             maintenance: MaintenancePlanner::default(),
             moves: MovePlanner::default(),
             pending_shutdowns: PendingShutdowns::default(),
+            max_orders: usize::MAX,
+            most_orders: 0,
             max_down: 0,
             maintained: BTreeSet::new(),
             move_count: 0,
@@ -97,10 +103,12 @@
         let mut orders = self.maintenance.decide(scheduler, &self.vms, now, now);
         let maintenance = &self.maintenance;
         let in_maintenance = |vm: &Vm| maintenance.is_in_progress(&vm.name);
-        orders.extend(
-            self.moves
-                .decide(scheduler, &self.vms, in_maintenance, now, now),
-        );
+        let max_orders = self.max_orders;
+        let moves = self
+            .moves
+            .decide(scheduler, &self.vms, in_maintenance, max_orders, now, now);
+        self.most_orders = self.most_orders.max(moves.len());
+        orders.extend(moves);
         let moves = &self.moves;
         scheduler.update_cordons(&self.vms, |vm| {
             in_maintenance(vm) || moves.is_in_progress(&vm.name)
--- a/tests/tests/ordered_vms.rs
+++ b/tests/tests/ordered_vms.rs
@@ -1,6 +1,8 @@
 //! A VM is recorded in the scheduler's row before it is ordered, and the next terms leave it alone for
 //! as long as its order may still be carried out.
 
+#![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
+
 use std::time::Duration;
 
 use rstest::rstest;
@@ -106,3 +108,20 @@
     assert!(ordered.is_stored(&vm()));
     assert!(!ordered.has_unstored());
 }
+
+/// The scheduler's row names all reserved VMs. A row beyond the store's limit of 64 KB is refused, and the
+/// term ends.
+#[test]
+fn the_most_reservations_fit_in_a_row() {
+    let mut ordered = OrderedVms::default();
+    let mut number = 0;
+    while ordered.room() > 0 {
+        let name = format!("host-machine-{number:024}");
+        ordered.reserve(&name.into(), START + WINDOW);
+        number += 1;
+    }
+    assert!(number >= 500, "moves must not wait for each other");
+    let row = serde_json::to_vec(&ordered.to_store(START)).expect("the row is encoded");
+    let encoded_bytes = row.len().div_ceil(3) * 4;
+    assert!(encoded_bytes < 60_000, "{encoded_bytes} bytes");
+}
