Evict a long-running task only where another minion has room

In the same round the VMs that begin to drain aren't cordoned yet, and counted as room for each other's tasks.

Change: an eviction needs room for the task beside those of its step that wait or are being stopped, from the round after the VM was cordoned on; after 12 s it doesn't, as all VMs of a pool may drain at once.

--- a/crates/snipevane-core/src/jobs/running/long_running.rs
+++ b/crates/snipevane-core/src/jobs/running/long_running.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use crate::jobs::event::StopReason;
+use crate::jobs::minions::minion::Minion;
 use crate::jobs::model::job::TaskRef;
 use crate::jobs::model::run::{Run, RunKey, RunPhase};
 use crate::jobs::model::spec::StepSpec;
+use crate::jobs::placing::tasks::has_label;
 use crate::jobs::queueing::queue::StepRef;
 use crate::jobs::scheduler::Scheduler;
 
@@ -29,7 +31,15 @@
 
     /// Evicts a run of a long-running task, so that the task starts on another minion, unless too
     /// many other tasks of its step are unavailable; returns whether the run is stopped.
-    pub(in crate::jobs) fn evict_run(&mut self, key: RunKey, now: Duration) -> bool {
+    ///
+    /// With `needs_room`, the run isn't stopped either while no other minion has room for the task: it
+    /// would wait although its own minion could go on serving.
+    pub(in crate::jobs) fn evict_run(
+        &mut self,
+        key: RunKey,
+        needs_room: bool,
+        now: Duration,
+    ) -> bool {
         let Some(run) = self.runs.get(key) else {
             return false;
         };
@@ -42,13 +52,47 @@
             .and_then(|step| step.max_unavailable)
             .unwrap_or(DEFAULT_MAX_UNAVAILABLE);
         let unavailable = self.other_unavailable_tasks(at, run.task_ref.index, now);
-        let may_evict = unavailable < max_unavailable.max(1);
+        let may_evict = unavailable < max_unavailable.max(1)
+            && (!needs_room || self.has_room_elsewhere(key, now));
         if may_evict {
             self.stop_run(key, StopReason::Evicted);
         }
         may_evict
     }
 
+    /// Returns whether other minions of the pool have room for the task of a run, beside the tasks of its
+    /// step that wait already or are being stopped.
+    fn has_room_elsewhere(&self, key: RunKey, now: Duration) -> bool {
+        let (Some(run), Some(step)) = (self.runs.get(key), self.step_of(key)) else {
+            return false;
+        };
+        let at = run.step();
+        let stopping = self.runs.values().filter(|other| {
+            other.step() == at
+                && matches!(other.phase, RunPhase::Stopping | RunPhase::StopConfirmed)
+        });
+        let needed = 1 + self.waiting_count(at) + stopping.count() as u32;
+        let pool = self.minions.get(run.minion).map(|own| &own.entry.pool);
+        let others = self.minions.iter().filter(|(other, minion)| {
+            *other != run.minion
+                && Some(&minion.entry.pool) == pool
+                && minion.is_schedulable(now)
+                && !self.is_evacuated(&minion.entry.zone)
+                && has_label(minion, step)
+        });
+        let mut room = 0;
+        for (other, minion) in others {
+            let present = self.step_tasks_on_minion(at, other);
+            let limit = step.max_per_minion.unwrap_or(u32::MAX);
+            let limit = limit.saturating_sub(present).min(needed - room);
+            room += fitting_tasks(step, minion, limit);
+            if room >= needed {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Returns the number of other tasks of a step that aren't ready.
     fn other_unavailable_tasks(&self, at: StepRef, index: u32, now: Duration) -> u32 {
         let Some(job) = self.jobs.get(at.job) else {
@@ -86,3 +130,15 @@
         ready && heard && !minion.suspect
     }
 }
+
+/// Returns how many tasks of a step fit in a minion's free capacity, `limit` at most.
+fn fitting_tasks(step: &StepSpec, minion: &Minion, limit: u32) -> u32 {
+    let size = step.allocated_size();
+    let mut free = minion.free_capacity();
+    let mut count = 0;
+    while count < limit && size.fits_in(&free) {
+        free = free.minus(&size);
+        count += 1;
+    }
+    count
+}
--- a/crates/snipevane-core/src/jobs/upkeep/maintenance.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/maintenance.rs
@@ -26,6 +26,10 @@
 /// ended.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(4_000);
 
+/// Time after which the long-running tasks of a draining VM are evicted even if no other minion has room
+/// for them. If the VMs of a whole pool drain, none would have room before one of them is done.
+const EVICTION_TIMEOUT: Duration = Duration::from_millis(12_000);
+
 /// Longest time from the execution of an order until the list of VMs shows it.
 const LIST_LAG: Duration = Duration::from_millis(300);
 
@@ -44,6 +48,17 @@
     Down { since: Duration },
 }
 
+/// What the drain of a VM still waits for.
+#[derive(Clone, Copy, Debug)]
+struct DrainWaits {
+    /// Whether tasks that aren't long-running keep the VM from being taken down.
+    for_other_tasks: bool,
+    /// Whether the VM is still to be cordoned, so that long-running tasks stay.
+    for_cordon: bool,
+    /// Whether long-running tasks stay until another minion has room for them.
+    for_room: bool,
+}
+
 /// A wave and its progress.
 #[derive(Clone, Debug)]
 struct Wave {
@@ -307,9 +322,14 @@
                     let Some(vm) = vms.get(name) else {
                         continue;
                     };
-                    let wait_for_other_tasks = now < since + DRAIN_TIMEOUT;
-                    scheduler.drain(vm, wait_for_other_tasks, now)
-                        && down < self.spec.max_unavailable
+                    let waits = DrainWaits {
+                        for_other_tasks: now < since + DRAIN_TIMEOUT,
+                        // The VMs that begin to drain in this round aren't cordoned yet, so they would
+                        // count as room for each other's tasks.
+                        for_cordon: now <= since,
+                        for_room: now < since + EVICTION_TIMEOUT,
+                    };
+                    scheduler.drain(vm, waits, now) && down < self.spec.max_unavailable
                 }
                 Phase::Ordered { retry_at } => retry_at.is_some_and(|at| now >= at),
                 Phase::Down { .. } => false,
@@ -359,15 +379,9 @@
     /// Drains a VM as far as its tasks allow now; returns whether it may be taken down.
     ///
     /// Long-running tasks are evicted unless too many others of their steps are unavailable. Tasks
-    /// that aren't long-running end by themselves; without `wait_for_other_tasks` they don't keep
-    /// the VM from being taken down. Unreported runs of an earlier term always do, as any of them
+    /// that aren't long-running end by themselves. Unreported runs of an earlier term always do, as any of them
     /// may be long-running.
-    pub(in crate::jobs) fn drain(
-        &mut self,
-        vm: &Vm,
-        wait_for_other_tasks: bool,
-        now: Duration,
-    ) -> bool {
+    fn drain(&mut self, vm: &Vm, waits: DrainWaits, now: Duration) -> bool {
         if self.has_unreported_minion(vm, now) {
             return false;
         }
@@ -383,8 +397,10 @@
             let is_long_running = self.step_of(run).is_some_and(|step| step.long_running);
             if is_long_running {
                 empty = false;
-                self.evict_run(run, now);
-            } else if wait_for_other_tasks {
+                if !waits.for_cordon {
+                    self.evict_run(run, waits.for_room, now);
+                }
+            } else if waits.for_other_tasks {
                 empty = false;
             }
         }
--- a/tests/tests/jobs_vms/main.rs
+++ b/tests/tests/jobs_vms/main.rs
@@ -10,7 +10,7 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 use snipevane_core::jobs::{
-    JobState, MaintenancePlanner, MaintenanceWave, MovePlanner, VmState, WaveProgress,
+    JobState, MaintenancePlanner, MaintenanceWave, MovePlanner, StepSpec, VmState, WaveProgress,
 };
 use snipevane_tests::jobs::{job, long_running_step, step};
 
@@ -384,3 +384,47 @@
     site.run(Duration::from_secs(6));
     assert_eq!(site.jobs.state(id), JobState::Completed);
 }
+
+/// Guards against a long-running task that is evicted while every other place for it is on a VM that is cordoned
+/// for the same wave, and then waits although minions look free.
+///
+/// Two tasks a minion at most, three quarters of the places taken, and half of the pool drains at once.
+#[test]
+fn a_long_running_task_is_evicted_only_once_another_minion_has_room() {
+    let mut site = VmSite::new(8, 0);
+    let id = site.jobs.submit(
+        1,
+        job(
+            "p0",
+            vec![StepSpec {
+                max_per_minion: Some(2),
+                max_unavailable: Some(12),
+                ..long_running_step(12)
+            }],
+        ),
+    );
+    site.run(Duration::from_secs(2));
+    let wave = MaintenanceWave {
+        number: 1,
+        vms: site.vms.iter().take(4).map(|vm| vm.name.clone()).collect(),
+        time_limit_ms: 1_000,
+        max_unavailable: 4,
+    };
+    site.add_wave(&wave, None);
+    // A stop takes 0.3 s, so an evicted task that finds room at once runs again well within this time.
+    let restart_time = Duration::from_millis(1_000);
+    let mut longest = Duration::ZERO;
+    let mut waiting_since = None;
+    for _ in 0..300 {
+        site.run(Duration::from_millis(100));
+        if site.jobs.scheduler.runs().count() >= 12 {
+            waiting_since = None;
+        } else {
+            let since = *waiting_since.get_or_insert(site.jobs.now);
+            longest = longest.max(site.jobs.now.saturating_sub(since));
+        }
+    }
+    assert!(!site.maintenance.has_active_wave(), "the wave ends");
+    assert_eq!(site.jobs.state(id), JobState::Running);
+    assert!(longest < restart_time, "a task waited {longest:?}");
+}
