Give the daemons of each test process a loopback address of their own

Cause, believed: test processes chose ports by their process ID modulo 360, bound them once and left them to the daemon. That it was this in the failed run can't be shown; nothing of it was kept.

Change: the address is made of the process ID, the port of a counter, so no two daemons can meet.

--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -7,10 +7,10 @@
 )]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -151,12 +151,13 @@
         let endpoint = store.add_endpoint();
         let [callers, readiness, peer] = [free_address(), free_address(), free_address()];
         let text = format!(
-            "nodeName = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"a\"\n\
+            "nodeName = \"{name}\"\nip = \"{ip}\"\nzone = \"a\"\n\
              internalPortRange = [{port}, {port}]\n\
              [bindAddresses]\nfrontend = \"{callers}\"\nready = \"{readiness}\"\n\
              [platform]\naddress = \"{store}\"\n\
              [cloudApi]\naddress = \"{vms}\"\n\
              [limits]\ncpuShare = {cores:?}\n",
+            ip = host(),
             port = peer.port(),
             store = endpoint.address,
             vms = vm_api.address,
@@ -244,28 +245,25 @@
     })
 }
 
-/// First port that tests use. The ports are below the ephemeral range of the system, so that no
-/// outgoing connection takes one in the meantime.
-const FIRST_PORT: u32 = 12_000;
-/// Number of ports that tests use.
-const PORT_COUNT: u32 = 18_000;
+/// First port that the daemons of a test process use.
+const FIRST_PORT: u16 = 12_000;
 
-/// Distance between the first ports of test processes with consecutive process IDs, so that
-/// concurrent processes begin with different ports.
-const PORTS_PER_PROCESS: u32 = 50;
+static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
 
-static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+/// Returns the loopback address that the daemons of this test process use.
+///
+/// It is made of the process ID, so that no other test process uses the same addresses: a port that another
+/// one took between the choice of the port and the start of the daemon ended the daemon.
+fn host() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    // Process IDs are below 2^22.
+    Ipv4Addr::new(127, 64 | high, middle, low)
+}
 
-/// Returns a loopback address with a free port.
+/// Returns an address that no other daemon uses.
 fn free_address() -> SocketAddr {
-    let first = std::process::id() * PORTS_PER_PROCESS;
-    loop {
-        let number = first.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::SeqCst)) % PORT_COUNT;
-        let port = u16::try_from(FIRST_PORT + number).expect("a port");
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
-            return listener.local_addr().expect("an address");
-        }
-    }
+    let port = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
+    SocketAddr::from((host(), port))
 }
 
 /// Waits until a condition holds; fails the test after `WAIT_TIMEOUT`.
