Release the scheduler's term if most entry VMs can't reach its holder

Change: entry VMs that read fresh renewals but get no heartbeats report that in the table 'reach'; a holder that 60 % of them can't reach for 0.5 s releases its term, and those that heard it leave the free term to the others (docs/design/reach.md, SV2036, SV2037).

--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod members;
 pub mod placement;
 pub mod pools;
+pub mod reach;
 pub mod reply_time;
 pub mod routing;
 pub mod shards;
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -17,6 +17,7 @@
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use smol_str::SmolStr;
 use snipevane_core::jobs::PoolStats;
+use snipevane_core::reach::ReachCounts;
 use thiserror::Error;
 use tokio::net::TcpListener;
 
@@ -98,6 +99,12 @@
     }
 }
 
+/// Records how many entry VMs reach the scheduler and how many report that they don't.
+pub(crate) fn set_reach(counts: ReachCounts) {
+    gauge!("snipevane_entry_vms_reached").set(counts.reached as f64);
+    gauge!("snipevane_entry_vms_unreached").set(counts.unreached as f64);
+}
+
 /// Records the number of availability zones that are evacuated.
 pub(crate) fn set_evacuated_zones(zones: usize) {
     gauge!("snipevane_evacuated_zones").set(zones as f64);
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -127,6 +127,7 @@
 /// Returns `None` if this process doesn't schedule.
 async fn heartbeat<C: Clock>(node: &Node<C>, request: WatchRequest) -> Option<Heartbeat> {
     let leader = node.leader()?;
+    leader.record_heard(&request.vm);
     if let Some(capacity) = request.capacity {
         leader.record_candidate(&request.vm, capacity);
     }
--- a/crates/snipevane-fleet/src/process.rs
+++ b/crates/snipevane-fleet/src/process.rs
@@ -122,6 +122,7 @@
     tokio::task::spawn_local(site_view::keep_confirmed(node.clone()));
     tokio::task::spawn_local(peers::run_discovery(node.clone()));
     tokio::task::spawn_local(scheduling::run_candidate(node.clone()));
+    tokio::task::spawn_local(scheduling::report_unheard_terms(node.clone()));
     let callers = caller::serve_callers(node.clone(), job_writer.clone());
     let readiness = caller::serve_readiness(node.clone());
     let peers = peers::serve(node.clone(), job_writer.clone());
--- a/crates/snipevane-fleet/src/rows.rs
+++ b/crates/snipevane-fleet/src/rows.rs
@@ -21,6 +21,9 @@
 /// Table of the addresses of the entry VMs.
 pub const PEERS_TABLE: &str = "entry_vms";
 
+/// Table of the reports of entry VMs that get no heartbeats of a term.
+pub const REACH_TABLE: &str = "reach";
+
 /// Table of the progress of maintenance waves.
 pub const WAVES_TABLE: &str = "waves";
 
@@ -52,6 +55,9 @@
     /// Whether the holder has released its term.
     #[serde(default)]
     pub released: bool,
+    /// Whether the holder has released its term because most entry VMs can't reach it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub released_unreached: bool,
     /// Number of jobs that haven't started, by queue; `None` until the term has loaded all jobs.
     #[serde(default)]
     pub waiting: Option<Vec<(SmolStr, u64)>>,
@@ -82,6 +88,13 @@
     }
 }
 
+/// Report of an entry VM that it gets no heartbeats of a term that is being renewed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReachRow {
+    /// Fencing token of the term.
+    pub fence: u64,
+}
+
 /// Progress of a maintenance wave.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaveRow {
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -11,6 +11,7 @@
 use snipevane_core::jobs::{
     JobId, JobSpec, JobState, OrderedVms, Scheduler, SchedulerSettings, Site, UnreportedRuns,
 };
+use snipevane_core::reach::{Reach, ReachSettings};
 use snipevane_core::term::{Term, TermSettings};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -24,7 +25,7 @@
 use crate::store::{CommitOutcome, StoreError};
 
 use super::minion_rows::MinionRows;
-use super::{feeds, notes, orders, storing, vms};
+use super::{feeds, notes, orders, reach, storing, vms};
 
 /// Longest time between scheduling decisions.
 const MAX_DECISION_INTERVAL: Duration = Duration::from_millis(50);
@@ -97,8 +98,12 @@
     pub(super) jobs_loaded: Cell<bool>,
     /// Other entry VMs that could take over the term.
     candidates: RefCell<Candidates>,
+    /// Who reaches this process.
+    pub(super) reach: RefCell<Reach>,
     /// Whether a larger VM is ready for the term, so that no more orders for VMs are sent.
     handover_due: Cell<bool>,
+    /// Whether most entry VMs can't reach this process, so that no more orders for VMs are sent.
+    handover_due_for_reach: Cell<bool>,
     /// Whether the next write releases the term for a larger VM.
     releasing_for_handover: Cell<bool>,
     /// Number of orders for VMs that are in flight.
@@ -134,6 +139,8 @@
             tokio::task::spawn_local(vms::run_planner(leader.clone())),
             tokio::task::spawn_local(report_pool_stats(leader.clone())),
             tokio::task::spawn_local(hand_over_to_larger_vm(leader.clone())),
+            tokio::task::spawn_local(reach::follow_reports(leader.clone())),
+            tokio::task::spawn_local(reach::release_if_unreached(leader.clone())),
         ];
         leader.run_decision_loop().await;
         leader.node.set_leader(None);
@@ -172,7 +179,13 @@
             ordered_vms: RefCell::new(ordered_vms),
             jobs_loaded: Cell::new(false),
             candidates: RefCell::new(Candidates::new(node.settings.capacity)),
+            reach: RefCell::new(Reach::new(
+                ReachSettings::default(),
+                won.sent_at,
+                won.previous.is_some_and(|row| row.released_unreached),
+            )),
             handover_due: Cell::new(false),
+            handover_due_for_reach: Cell::new(false),
             releasing_for_handover: Cell::new(false),
             vm_orders_in_flight: Cell::new(0),
             vm_orders_settled_at: Cell::new(Duration::ZERO),
@@ -255,7 +268,8 @@
 
     /// Returns whether orders for VMs may be sent, which they may not shortly before a handover.
     pub(super) fn may_send_vm_orders(&self) -> bool {
-        self.may_send_orders() && !self.handover_due.get()
+        let handover_due = self.handover_due.get() || self.handover_due_for_reach.get();
+        self.may_send_orders() && !handover_due
     }
 
     /// Records that an order for a VM is sent.
@@ -275,8 +289,35 @@
         }
     }
 
+    /// Returns the fencing token of the term.
+    pub(super) fn fence(&self) -> u64 {
+        self.row.borrow().fence
+    }
+
+    /// Records a request for a heartbeat.
+    pub(crate) fn record_heard(&self, vm: &SmolStr) {
+        let now = self.node.clock.now();
+        self.reach.borrow_mut().record_heard(vm, now);
+    }
+
+    /// Sets whether the term is about to be released for its reach.
+    pub(super) fn set_handover_due_for_reach(&self, due: bool) {
+        self.handover_due_for_reach.set(due);
+    }
+
+    /// Releases the term with the next write, for the entry VMs that can't reach this one.
+    pub(super) fn release_unreached(&self) {
+        self.node
+            .no_handover_until
+            .set(self.node.clock.now() + HANDOVER_PAUSE);
+        self.row.borrow_mut().released_unreached = true;
+        self.end_reason.set("most entry VMs can't reach this one");
+        self.releasing_for_handover.set(true);
+        self.store_wake.notify_one();
+    }
+
     /// Returns whether an order for a VM may still be carried out.
-    fn has_open_vm_orders(&self, now: Duration) -> bool {
+    pub(super) fn has_open_vm_orders(&self, now: Duration) -> bool {
         self.vm_orders_in_flight.get() > 0 || now < self.vm_orders_settled_at.get()
     }
 
--- a/crates/snipevane-fleet/src/scheduling/mod.rs
+++ b/crates/snipevane-fleet/src/scheduling/mod.rs
@@ -6,10 +6,12 @@
 mod minion_rows;
 mod notes;
 mod orders;
+mod reach;
 mod storing;
 mod view;
 mod vms;
 
 pub use candidate::run_candidate;
 pub use leader::Leader;
+pub use reach::report_unheard_terms;
 pub use view::SchedulerView;
--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -12,6 +12,12 @@
 /// Age up to which a heartbeat shows that the scheduler is reachable.
 const HEARTBEAT_VALIDITY: Duration = Duration::from_millis(1_000);
 
+/// Time without a heartbeat after which a term counts as unheard.
+const UNHEARD_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Age of the last change of the row up to which its term counts as being renewed.
+const RENEWED_WITHIN: Duration = Duration::from_millis(1_000);
+
 /// Time for which no requests go to the scheduler after a failed one.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(1_000);
 
@@ -24,6 +30,10 @@
     read_at: Option<Duration>,
     heartbeat_at: Option<Duration>,
     failed_at: Option<Duration>,
+    /// Time since which the row's term is known and no heartbeat of it came.
+    unheard_since: Option<Duration>,
+    /// Time of the last heartbeat of any term.
+    last_heard_at: Option<Duration>,
 }
 
 impl SchedulerView {
@@ -39,7 +49,11 @@
         now: Duration,
     ) {
         let value = row.and_then(|row| row.value.as_ref());
+        let known_fence = self.row.as_ref().map(|row| row.fence);
         self.row = value.and_then(|value| rows::decode(SCHEDULER_KEY, value));
+        if self.row.as_ref().map(|row| row.fence) != known_fence {
+            self.unheard_since = Some(now);
+        }
         let released = self.row.as_ref().is_none_or(|row| row.released);
         let version = row.map_or(0, |row| row.version);
         let age = self.row.as_ref().map(|row| row.least_age(clock_ms));
@@ -85,6 +99,8 @@
         }
         row.waiting = heartbeat.waiting;
         self.heartbeat_at = Some(now);
+        self.unheard_since = Some(now);
+        self.last_heard_at = Some(now);
         !self.observed.is_free(settings, now)
     }
 
@@ -94,6 +110,24 @@
         self.failed_at = Some(now);
     }
 
+    /// Returns the fencing token of the term that is being renewed although no heartbeat of it came for a
+    /// while.
+    pub fn unheard_term(&self, now: Duration) -> Option<u64> {
+        let row = self.row.as_ref().filter(|row| !row.released)?;
+        let unheard = self
+            .unheard_since
+            .is_some_and(|since| now >= since + UNHEARD_AFTER);
+        (unheard && self.is_fresh(RENEWED_WITHIN, now)).then_some(row.fence)
+    }
+
+    /// Returns whether this process heard the holder that has released its term because most entry VMs can't
+    /// reach it.
+    pub fn is_released_for_others(&self, now: Duration) -> bool {
+        let unreached = self.row.as_ref().is_some_and(|row| row.released_unreached);
+        let heard = self.last_heard_at;
+        unreached && heard.is_some_and(|at| now < at + UNHEARD_AFTER)
+    }
+
     /// Returns the address at which to watch the scheduler; `None` if the row must be read instead.
     pub fn watch_address(&self, now: Duration) -> Option<SocketAddr> {
         let row = self.row.as_ref().filter(|row| !row.released)?;
