Keep the scheduler's writes short while its VM is cut off from the store, and hand the term over

Cause: a process whose direct calls to the store failed tried the direct route first again after each second and waited 0.7 s for its timeout, and took the relays in turn, of which some were cut off as well.

Change: calls stay on the relay that works; the direct route is probed beside them; relays are tried in a different order by each VM. A holder that has reached the store only through others for 1 s hands its term over to a VM that reaches it directly.

--- a/crates/snipevane-core/src/candidates.rs
+++ b/crates/snipevane-core/src/candidates.rs
@@ -101,6 +101,13 @@
             .max_by(VmCapacity::total_cmp)
     }
 
+    /// Returns whether some VM has been present for a while.
+    pub fn has_settled(&self, now: Duration) -> bool {
+        self.others
+            .values()
+            .any(|other| other.is_present(now) && now >= other.present_since + SETTLING_TIME)
+    }
+
     /// Returns whether a much larger VM than the holder's has been present for a while.
     pub fn has_settled_larger(&self, now: Duration) -> bool {
         self.others.values().any(|other| {
--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -28,8 +28,8 @@
     JOBS_ADOPTED = 2033 Info "jobs of the previous term read" ["fence", "jobs"];
     STARTS_LIMITED = 2034 Warn "fewer start orders at a time, as replies are slow" ["limit", "reply_ms", "fence"];
     ORDER_REPEATED = 2035 Info "order sent again, as its reply is overdue" ["order", "task", "attempt", "minion", "transmissions", "fence"];
-    TERM_UNHEARD = 2036 Warn "no heartbeats of a term that is being renewed, reported in the store" ["fence"];
-    TERM_UNREACHED = 2037 Warn "term released, as most entry VMs can't reach its holder" ["unreached", "reached", "fence"];
+    TERM_UNHEARD = 2038 Warn "no heartbeats of a term that is being renewed, reported in the store" ["fence"];
+    TERM_UNREACHED = 2039 Warn "term released, as most entry VMs can't reach its holder" ["unreached", "reached", "fence"];
     JOB_ACCEPTED = 2040 Info "job accepted" ["job", "queue", "config", "by", "ms"];
     REQUEST_REFUSED = 2041 Info "request refused" ["method", "path", "status", "reason", "config", "store"];
     CANCELLATION_STORED = 2042 Info "cancellation stored" ["job", "config"];
--- a/crates/snipevane-fleet/src/peers/mod.rs
+++ b/crates/snipevane-fleet/src/peers/mod.rs
@@ -35,7 +35,10 @@
     }
     loop {
         match read_peers(&node).await {
-            Ok(peers) => {
+            Ok(mut peers) => {
+                // Entry VMs that are cut off from the store at once begin with different relays.
+                let first = node.random(0.0..peers.len().max(1) as f64) as usize;
+                peers.rotate_left(first);
                 node.store.set_relays(peers);
                 sleep(REFRESH_INTERVAL).await;
             }
--- a/crates/snipevane-fleet/src/peers/scheduler_client.rs
+++ b/crates/snipevane-fleet/src/peers/scheduler_client.rs
@@ -50,7 +50,7 @@
 ) -> bool {
     let known = node.scheduler_view.borrow().version();
     let sent_at = node.clock.now();
-    let can_take_over = !node.stopping.get() && !node.store.is_unreachable();
+    let can_take_over = !node.stopping.get() && node.store.is_direct();
     let request = WatchRequest {
         known,
         vm: node.settings.node.clone(),
--- a/crates/snipevane-fleet/src/rows.rs
+++ b/crates/snipevane-fleet/src/rows.rs
@@ -30,6 +30,9 @@
 /// Key of the scheduler's row.
 pub const SCHEDULER_KEY: &str = "all";
 
+/// Smallest key after [`SCHEDULER_KEY`].
+pub const SCHEDULER_KEY_END: &str = "all\0";
+
 /// Suffix of the key of a request to cancel a job.
 const CANCEL_SUFFIX: &str = ".cancel";
 
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -91,14 +91,14 @@
     predecessor || view.is_free_for(settings, delay, node.clock.now())
 }
 
-/// Returns how long this VM leaves a free term to others: to larger VMs, or to those that couldn't reach the
-/// holder before.
+/// Returns how long this VM leaves a free term to others: to larger VMs, to those that couldn't reach the
+/// holder before, or to those that reach the store directly.
 fn takeover_delay<C: Clock>(node: &Node<C>, settings: &TermSettings) -> Duration {
     let own = &node.settings.capacity;
     let largest = node.largest_candidate.get();
     let is_smaller = largest.is_some_and(|largest| largest.is_much_larger_than(own));
     let view = node.scheduler_view.borrow();
-    if view.is_released_for_others(node.clock.now()) {
+    if view.is_released_for_others(node.clock.now()) || !node.store.is_direct() {
         settings.smaller_vm_delay * 2
     } else if is_smaller {
         settings.smaller_vm_delay
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -36,6 +36,10 @@
 /// Interval at which the holder of the term checks for a larger VM.
 const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which a scheduler reaches the store only through other entry VMs before it hands its term over. Each
+/// of its writes then takes a detour, and all submissions wait for them.
+const MAX_RELAYED_TIME: Duration = Duration::from_millis(1_000);
+
 /// Time after a handover during which the same process doesn't hand over again, so that the term
 /// doesn't change hands all the time if the larger VM can't take over.
 const HANDOVER_PAUSE: Duration = Duration::from_secs(30);
@@ -138,7 +142,7 @@
             tokio::task::spawn_local(storing::store_changes(leader.clone())),
             tokio::task::spawn_local(vms::run_planner(leader.clone())),
             tokio::task::spawn_local(report_pool_stats(leader.clone())),
-            tokio::task::spawn_local(hand_over_to_larger_vm(leader.clone())),
+            tokio::task::spawn_local(hand_over_to_better_vm(leader.clone())),
             tokio::task::spawn_local(reach::follow_reports(leader.clone())),
             tokio::task::spawn_local(reach::release_if_unreached(leader.clone())),
         ];
@@ -300,6 +304,19 @@
         self.reach.borrow_mut().record_heard(vm, now);
     }
 
+    /// Returns why another VM should hold the term, if one should. The store last answered this VM directly at
+    /// `direct_at`.
+    fn handover_reason(&self, direct_at: Duration, now: Duration) -> Option<&'static str> {
+        let candidates = self.candidates.borrow();
+        if candidates.has_settled_larger(now) {
+            Some("handed over to a larger VM")
+        } else if now >= direct_at + MAX_RELAYED_TIME && candidates.has_settled(now) {
+            Some("handed over to a VM that reaches the store")
+        } else {
+            None
+        }
+    }
+
     /// Sets whether the term is about to be released for its reach.
     pub(super) fn set_handover_due_for_reach(&self, due: bool) {
         self.handover_due_for_reach.set(due);
@@ -370,25 +387,33 @@
     }
 }
 
-/// Hands the term over once a much larger VM has been present for a while.
+/// Hands the term over once a much larger VM has been present for a while, or once this VM has reached the
+/// store only through others for a while.
 ///
 /// Orders for VMs that may still be carried out are awaited first: this process goes on running, and
 /// the next scheduler must not give an order for the same VM meanwhile.
-async fn hand_over_to_larger_vm<C: Clock>(leader: Rc<Leader<C>>) {
+async fn hand_over_to_better_vm<C: Clock>(leader: Rc<Leader<C>>) {
+    let mut direct_at = leader.node.clock.now();
     loop {
         sleep(HANDOVER_CHECK_INTERVAL).await;
         let node = &leader.node;
         let now = node.clock.now();
-        let due = leader.candidates.borrow().has_settled_larger(now)
-            && now >= node.no_handover_until.get()
-            && leader.holds_term();
-        leader.handover_due.set(due);
-        if !due || leader.has_open_vm_orders(now) {
+        if node.store.is_direct() {
+            direct_at = now;
+        }
+        let reason = leader.handover_reason(direct_at, now);
+        let due = now >= node.no_handover_until.get() && leader.holds_term();
+        let reason = reason.filter(|_| due);
+        leader.handover_due.set(reason.is_some());
+        let Some(reason) = reason else {
+            continue;
+        };
+        if leader.has_open_vm_orders(now) {
             continue;
         }
         node.no_handover_until.set(now + HANDOVER_PAUSE);
         node.largest_candidate.set(leader.largest_candidate());
-        leader.end_reason.set("handed over to a larger VM");
+        leader.end_reason.set(reason);
         leader.releasing_for_handover.set(true);
         leader.store_wake.notify_one();
         return;
--- a/crates/snipevane-fleet/src/store/transport.rs
+++ b/crates/snipevane-fleet/src/store/transport.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use snipevane_adapter::Request;
+use snipevane_adapter::rows;
 use snipevane_core::reply_time::ReplyTime;
 
 use crate::client::{Arrivals, CallError, Client, RelayedBody, Response};
 use crate::clock::Clock;
+use crate::rows::{SCHEDULER_KEY, SCHEDULER_KEY_END, SCHEDULERS_TABLE};
 use crate::{events, metrics};
 
 /// Bounds of the timeout for one attempt, in addition to the wait of a long poll; the next attempt goes
@@ -26,8 +28,8 @@
 /// out.
 const LATE_COMPLETION_GRACE: Duration = Duration::from_millis(3_000);
 
-/// Time for which calls go through other entry VMs before a direct call is tried first again.
-const RELAY_FIRST_PERIOD: Duration = Duration::from_millis(1_000);
+/// Interval between probes of the direct route while calls go through other entry VMs.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Maximum number of other entry VMs tried for a call.
 const MAX_RELAYS: usize = 2;
@@ -41,10 +43,12 @@
     client: Client,
     store: SocketAddr,
     relays: RefCell<Vec<SocketAddr>>,
-    /// Index of the relay to try first.
-    next_relay: Cell<usize>,
-    /// Time until which relays are used without a direct call first.
-    relay_first_until: Cell<Duration>,
+    /// Relay to try first: the one that relayed the last call, or one after a relay that failed.
+    preferred_relay: Cell<Option<SocketAddr>>,
+    /// Whether calls go through relays without a direct call first, as the last direct one failed.
+    relays_first: Cell<bool>,
+    /// Time at which the direct route was last probed.
+    probed_at: Cell<Duration>,
     /// Whether the store answered the last direct call and didn't refuse it.
     direct: Cell<bool>,
     /// Whether the last call was refused or unanswered on every route.
@@ -63,8 +67,9 @@
             client,
             store,
             relays: RefCell::default(),
-            next_relay: Cell::new(0),
-            relay_first_until: Cell::new(Duration::ZERO),
+            preferred_relay: Cell::new(None),
+            relays_first: Cell::new(false),
+            probed_at: Cell::new(Duration::ZERO),
             direct: Cell::new(false),
             unreachable: Cell::new(false),
             unreachable_since: Cell::new(Duration::ZERO),
@@ -113,7 +118,7 @@
     /// Records whether the store is reachable, and logs a change.
     fn record_reachability(&self, reachable: bool) {
         let now = self.clock.now();
-        let route = if now < self.relay_first_until.get() {
+        let route = if self.relays_first.get() {
             "through another entry VM"
         } else {
             "straight"
@@ -145,10 +150,11 @@
     ) -> Result<Response, CallError> {
         let long_poll_wait = limit.saturating_sub(super::CALL_TIMEOUT);
         let attempt_limit = long_poll_wait + self.attempt_timeout();
-        let relay_first = self.clock.now() < self.relay_first_until.get();
         let mut uncertain = false;
         let mut refused = None;
-        if !relay_first {
+        if self.relays_first.get() {
+            self.probe_direct_route();
+        } else {
             let on_response = self.response_timer(long_poll_wait);
             match self
                 .call_direct(request.clone(), attempt_limit, on_response, arrivals)
@@ -167,16 +173,16 @@
                 .await
             {
                 Ok(response) if !is_refusal(&response) && response.status < 500 => {
-                    if !relay_first {
-                        self.prefer_relay(relay);
-                    }
+                    self.preferred_relay.set(Some(relay));
+                    self.relays_first.set(!self.direct.get());
                     return Ok(response);
                 }
                 Ok(response) => uncertain |= response.status >= 500 && !is_refusal(&response),
                 Err(error) => uncertain |= error == CallError::NoAnswer,
             }
+            self.prefer_relay_after(relay);
         }
-        self.relay_first_until.set(Duration::ZERO);
+        self.relays_first.set(false);
         match refused {
             _ if uncertain => Err(CallError::NoAnswer),
             Some(response) => Ok(response),
@@ -269,22 +275,44 @@
             .clamp(MIN_ATTEMPT_TIMEOUT, MAX_ATTEMPT_TIMEOUT)
     }
 
-    fn prefer_relay(&self, relay: SocketAddr) {
+    /// Checks in the background, at intervals, whether the store answers direct calls again.
+    ///
+    /// A call that tried the direct route first would wait for its timeout: while this VM is cut off from the
+    /// store, each second one of the scheduler's writes took 0.7 s longer.
+    fn probe_direct_route(self: &Rc<Self>) {
+        let now = self.clock.now();
+        if now < self.probed_at.get() + PROBE_INTERVAL {
+            return;
+        }
+        self.probed_at.set(now);
+        let transport = self.clone();
+        tokio::task::spawn_local(async move {
+            let probe = rows::read_request(SCHEDULERS_TABLE, SCHEDULER_KEY, SCHEDULER_KEY_END);
+            let limit = transport.attempt_timeout();
+            let response = transport
+                .call_direct(probe, limit, || {}, &Arrivals::default())
+                .await;
+            if response.is_ok_and(|response| !is_refusal(&response)) {
+                transport.relays_first.set(false);
+            }
+        });
+    }
+
+    /// Prefers the relay that follows one that has failed.
+    fn prefer_relay_after(&self, failed: SocketAddr) {
         let relays = self.relays.borrow();
-        let index = relays.iter().position(|known| *known == relay);
-        self.next_relay.set(index.unwrap_or(0));
-        self.relay_first_until
-            .set(self.clock.now() + RELAY_FIRST_PERIOD);
+        let index = relays.iter().position(|known| *known == failed);
+        let next = index.map_or(0, |index| index + 1) % relays.len().max(1);
+        self.preferred_relay.set(relays.get(next).copied());
     }
 
     fn relays_to_try(&self) -> Vec<SocketAddr> {
         let relays = self.relays.borrow();
-        let first = self.next_relay.get();
-        if !relays.is_empty() {
-            self.next_relay.set((first + 1) % relays.len());
-        }
-        let rotated = relays.iter().cycle().skip(first).take(relays.len());
-        rotated.take(MAX_RELAYS).copied().collect()
+        let preferred = self.preferred_relay.get();
+        let first = relays.iter().position(|relay| Some(*relay) == preferred);
+        let rotated = relays.iter().cycle().skip(first.unwrap_or(0));
+        let rotated = rotated.take(relays.len().min(MAX_RELAYS));
+        rotated.copied().collect()
     }
 }
 
--- a/crates/snipevane-fleet/tests/store_client.rs
+++ b/crates/snipevane-fleet/tests/store_client.rs
@@ -80,3 +80,53 @@
         assert_eq!(client.latest_clock_ms(), None);
     });
 }
+
+/// Guards against calls that try the silent direct route first each second and wait for its timeout of 0.7 s.
+#[test]
+fn only_the_first_call_waits_for_a_store_that_has_fallen_silent() {
+    let store = Store::default();
+    let (direct, relay) = (store.add_endpoint(), store.add_endpoint());
+    run(async {
+        let client = StoreClient::new(SystemClock, Client::default(), direct.address);
+        client.set_relays(vec![relay.address]);
+        client.get(TABLE, "key").await.expect("a page");
+        direct.set_silent(true);
+        client.get(TABLE, "key").await.expect("a page");
+        let end = Instant::now() + Duration::from_secs(3);
+        while Instant::now() < end {
+            let sent_at = Instant::now();
+            client.get(TABLE, "key").await.expect("a page");
+            let elapsed = sent_at.elapsed();
+            assert!(elapsed < Duration::from_millis(350), "{elapsed:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(!client.is_direct());
+        direct.set_silent(false);
+        let end = Instant::now() + Duration::from_secs(3);
+        while !client.is_direct() {
+            assert!(Instant::now() < end, "the direct route isn't used again");
+            client.get(TABLE, "key").await.expect("a page");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+/// A relay that works is kept, so that one that is cut off as well isn't tried each second call.
+#[test]
+fn a_relay_that_works_is_kept() {
+    let store = Store::default();
+    let direct = store.add_endpoint();
+    let relays = [store.add_endpoint(), store.add_endpoint()];
+    direct.set_silent(true);
+    relays[0].set_silent(true);
+    run(async {
+        let client = StoreClient::new(SystemClock, Client::default(), direct.address);
+        client.set_relays(relays.iter().map(|relay| relay.address).collect());
+        client.get(TABLE, "key").await.expect("a page");
+        for _ in 0..4 {
+            let sent_at = Instant::now();
+            client.get(TABLE, "key").await.expect("a page");
+            assert!(sent_at.elapsed() < Duration::from_millis(350));
+        }
+    });
+}
