Send start orders through entry VMs in the minions' zones

Cause: the scheduler's VM sends 1,270 to 1,340 bytes for each start order, of which 1,000 are the job's payload. A deployment with links of 250 KB/s needs 208 KB/s for start orders alone.

Change: the scheduler sends start orders in batches, with each job's payload once, to entry VMs that it has heard within the last second in the minion's zone, if there are at least three. A sender's permission comes with the heartbeat and ends the granted time after the request for it was sent; it is checked for the fencing token directly before each order, together with an expiry of 250 ms on the sender's clock. Outcomes are streamed as they become known. Orders whose sender reports no outcome are sent again directly with the same attempt, without counting against the minion; the sender is excluded for 2 s. A term is released once all batches are reported or expired. Both fields of the heartbeat are optional, so old and new processes work side by side.

The bounds of release_due aren't tested over processes.

--- a/crates/snipevane-core/src/jobs/action.rs
+++ b/crates/snipevane-core/src/jobs/action.rs
@@ -45,6 +45,8 @@
     pub checkpoint: SmolStr,
     /// Permit of the advisor; empty if none is needed.
     pub permit: SmolStr,
+    /// Number of transmissions of the order, including this one.
+    pub transmission: u32,
 }
 
 /// Order to stop a run.
--- a/crates/snipevane-core/src/jobs/model/run.rs
+++ b/crates/snipevane-core/src/jobs/model/run.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 use smol_str::SmolStr;
 
@@ -91,7 +92,8 @@
 }
 
 /// Reason for which a minion refuses an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Refusal {
     /// The minion has seen a higher fencing token.
     Fenced,
@@ -112,7 +114,8 @@
 }
 
 /// Reply to an order that starts or changes a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum OrderReply {
     /// The order was carried out.
     Done {
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -52,6 +52,21 @@
         }
     }
 
+    /// Handles that a sender didn't report whether it sent a start order, which it got at `sent_at`.
+    ///
+    /// The order is sent again at once. It says nothing about the minion, so it doesn't count as unanswered.
+    pub fn start_undelivered(&mut self, key: RunKey, sent_at: Duration, now: Duration) {
+        self.start_window.order_settled();
+        let settled = self.settle_order(key, OrderReply::NoAnswer, sent_at, now);
+        if let Some((_, RunPhase::Starting, Settled::Last)) = settled
+            && let Some(run) = self.runs.get_mut(key)
+        {
+            run.transmissions.close();
+            run.retry_at = now;
+            self.pending_orders.insert(key);
+        }
+    }
+
     /// Records the outcome of a transmission of a run's order. Returns the run's minion and phase, and what
     /// the outcome says about the order; `None` if the run is no longer known.
     fn settle_order(
@@ -265,6 +280,7 @@
             lease_end_ms,
             checkpoint: run.checkpoint.clone(),
             permit: run.permit.clone(),
+            transmission: run.starts_sent,
         };
         self.actions.push(Action::Start(order));
     }
--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pools;
 pub mod reply_time;
 pub mod routing;
+pub mod senders;
 pub mod shards;
 pub mod shares;
 pub mod term;
--- a/crates/snipevane-fleet/src/client/incoming.rs
+++ b/crates/snipevane-fleet/src/client/incoming.rs
@@ -87,6 +87,26 @@
         }
     }
 
+    /// Receives the body and passes its parts, with the status, to `on_part` as they arrive; returns the
+    /// connection, which can be used again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails.
+    pub(super) async fn receive_in_parts(
+        mut self,
+        mut on_part: impl FnMut(u16, &[u8]),
+    ) -> Result<Connection, CallError> {
+        while let Some(frame) = self.body.frame().await {
+            let frame = frame.map_err(|_| CallError::NoAnswer)?;
+            if let Some(part) = frame.data_ref() {
+                self.received_bytes += part.len();
+                on_part(self.status, part);
+            }
+        }
+        self.take_connection().ok_or(CallError::NoAnswer)
+    }
+
     /// Receives a part of the body; returns `false` if the body is complete.
     async fn receive_part(&mut self) -> Result<bool, CallError> {
         let Some(frame) = self.body.frame().await else {
--- a/crates/snipevane-fleet/src/client/mod.rs
+++ b/crates/snipevane-fleet/src/client/mod.rs
@@ -21,7 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::metrics;
 
@@ -140,6 +140,35 @@
         late.unwrap_or(Err(CallError::NoAnswer))
     }
 
+    /// Sends a request as [`Self::call_if`] does, waits up to `head_limit` for the head of the response,
+    /// and up to `limit` in all for its body, whose parts are passed to `on_part` as they arrive. Returns the
+    /// status of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the request may not be sent, or if the response isn't complete in time; the
+    /// connection is then reset.
+    pub async fn call_in_parts(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        head_limit: Duration,
+        limit: Duration,
+        may_send: impl Fn() -> bool,
+        on_part: impl FnMut(u16, &[u8]),
+    ) -> Result<u16, CallError> {
+        let deadline = Instant::now() + limit;
+        let sent = Cell::new(false);
+        let head = self.send(address, request, &sent, may_send);
+        let head = timeout(head_limit, head).await;
+        let incoming = head.unwrap_or_else(|_| Err(timeout_error(sent.get())))?;
+        let status = incoming.status;
+        let body = timeout_at(deadline, incoming.receive_in_parts(on_part)).await;
+        let connection = body.unwrap_or(Err(CallError::NoAnswer))?;
+        self.return_to_pool(address, connection);
+        Ok(status)
+    }
+
     /// Sends a request and waits up to `limit` for the head of the response, which counts among
     /// `arrivals` until its body is complete. A body may take longer as long as its parts keep arriving.
     ///
--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -28,6 +28,8 @@
     JOBS_ADOPTED = 2033 Info "jobs of the previous term read" ["fence", "jobs"];
     STARTS_LIMITED = 2034 Warn "fewer start orders at a time, as replies are slow" ["limit", "reply_ms", "fence"];
     ORDER_REPEATED = 2035 Info "order sent again, as its reply is overdue" ["order", "task", "attempt", "minion", "transmissions", "fence"];
+    SENDER_EXCLUDED = 2036 Warn "entry VM gets no start orders to send for a while" ["vm", "reason", "orders", "fence"];
+    START_UNDELIVERED = 2037 Info "start order sent again, as its sender didn't report a reply" ["task", "attempt", "minion", "vm", "reason", "fence"];
     JOB_ACCEPTED = 2040 Info "job accepted" ["job", "queue", "config", "by", "ms"];
     REQUEST_REFUSED = 2041 Info "request refused" ["method", "path", "status", "reason", "config", "store"];
     CANCELLATION_STORED = 2042 Info "cancellation stored" ["job", "config"];
--- a/crates/snipevane-fleet/src/lib.rs
+++ b/crates/snipevane-fleet/src/lib.rs
@@ -4,7 +4,7 @@
 //! store, and reports their state. One of the processes, the leader, holds the scheduler's term and
 //! runs [`scheduling`]: it reads new jobs from the store, makes decisions with
 //! [`snipevane_core::jobs::Scheduler`], sends orders to minions, and writes the ends of jobs to the
-//! store.
+//! store. Other processes send start orders on its behalf ([`senders`]).
 
 pub mod caller;
 pub mod client;
@@ -18,5 +18,6 @@
 pub mod process;
 pub mod rows;
 pub mod scheduling;
+pub mod senders;
 pub mod site_view;
 pub mod store;
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -197,6 +197,26 @@
     counter!("snipevane_tasks_given_up_total").increment(1);
 }
 
+/// Records a part of the body of a response to another entry VM that is sent as it becomes known.
+pub(crate) fn record_served_part(kind: &'static str, bytes: usize) {
+    add_sent_bytes(kind, Role::Server, bytes);
+}
+
+/// Counts start orders by the way in which they leave the scheduler: `sender` or `scheduler`.
+pub(crate) fn record_starts_sent(by: &'static str, orders: usize) {
+    counter!("snipevane_starts_sent_total", "by" => by).increment(orders as u64);
+}
+
+/// Counts a batch of start orders that failed.
+pub(crate) fn record_failed_batch(reason: &'static str) {
+    counter!("snipevane_start_batches_failed_total", "reason" => reason).increment(1);
+}
+
+/// Records the number of entry VMs that can send orders for this process.
+pub(crate) fn set_usable_senders(senders: usize) {
+    gauge!("snipevane_senders").set(senders as f64);
+}
+
 /// Records a request of another entry VM.
 pub(crate) fn record_served_request(kind: &'static str, bytes: usize) {
     count_message(kind, Role::Server);
--- a/crates/snipevane-fleet/src/node.rs
+++ b/crates/snipevane-fleet/src/node.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::peers::RelayTurn;
 use crate::scheduling::{Leader, SchedulerView};
+use crate::senders::OrderSender;
 use crate::site_view::SiteView;
 use crate::store::StoreClient;
 
@@ -34,6 +35,8 @@
     pub site_view: RefCell<SiteView>,
     /// This process's view of the scheduler, which may run on another entry VM.
     pub scheduler_view: RefCell<SchedulerView>,
+    /// Sender of start orders on behalf of a scheduler on another entry VM.
+    pub order_sender: OrderSender,
     /// Capacity of the largest VM, apart from the scheduler's, that can take over the term, as the
     /// scheduler last said; `None` if there is none.
     pub largest_candidate: Cell<Option<VmCapacity>>,
@@ -68,6 +71,7 @@
             config_relay_turn: RelayTurn::default(),
             site_view: RefCell::default(),
             scheduler_view: RefCell::default(),
+            order_sender: OrderSender::default(),
             largest_candidate: Cell::new(None),
             no_handover_until: Cell::new(Duration::ZERO),
             leader: RefCell::new(None),
--- a/crates/snipevane-fleet/src/peers/messages.rs
+++ b/crates/snipevane-fleet/src/peers/messages.rs
@@ -6,6 +6,9 @@
 use snipevane_adapter::{Method, Request};
 use snipevane_core::candidates::VmCapacity;
 use snipevane_core::jobs::{JobId, JobSpec, JobState};
+use snipevane_core::senders::{SenderOffer, TermGrant};
+
+use crate::senders::messages::STARTS_PATH;
 
 /// Path of [`WatchRequest`].
 pub(super) const WATCH_PATH: &str = "/scheduler/watch";
@@ -35,6 +38,9 @@
     /// Capacity of the sender's VM; `None` if the sender can't take over the term at present.
     #[serde(default)]
     pub capacity: Option<VmCapacity>,
+    /// Offer to send start orders; `None` if the sender is stopping or of a version that can't.
+    #[serde(default)]
+    pub offer: Option<SenderOffer>,
 }
 
 /// State of the scheduler's term, as last stored.
@@ -52,6 +58,10 @@
     /// there is none.
     #[serde(default)]
     pub largest_candidate: Option<VmCapacity>,
+    /// Grant to send start orders; `None` if no orders may be sent at present, or if the scheduler's version
+    /// uses no senders.
+    #[serde(default)]
+    pub grant: Option<TermGrant>,
 }
 
 /// Requests that the scheduler store and run a job.
@@ -83,12 +93,13 @@
         WATCH_PATH => "heartbeat",
         ACCEPT_PATH => "submission",
         STATE_PATH => "state",
+        STARTS_PATH => "start_batch",
         _ => "relay",
     }
 }
 
 /// Builds a POST request that carries a message to another entry VM.
-pub(super) fn post_request<T: Serialize>(path: &'static str, message: &T) -> Request {
+pub(crate) fn post_request<T: Serialize>(path: &'static str, message: &T) -> Request {
     Request {
         kind: message_kind(path),
         method: Method::Post,
--- a/crates/snipevane-fleet/src/peers/scheduler_client.rs
+++ b/crates/snipevane-fleet/src/peers/scheduler_client.rs
@@ -16,6 +16,7 @@
 use crate::client::CallError;
 use crate::clock::Clock;
 use crate::node::Node;
+use crate::senders;
 
 use super::messages::{
     ACCEPT_PATH, Heartbeat, STATE_PATH, StateRequest, StateResponse, SubmitRequest, WATCH_PATH,
@@ -55,6 +56,7 @@
         known,
         vm: node.settings.node.clone(),
         capacity: can_take_over.then_some(node.settings.capacity),
+        offer: senders::offer(node),
     };
     let heartbeat = send_request(node, scheduler, WATCH_PATH, &request, WATCH_TIMEOUT).await;
     let now = node.clock.now();
@@ -63,6 +65,9 @@
         return false;
     };
     let heartbeat: Heartbeat = heartbeat;
+    if let Some(grant) = heartbeat.grant {
+        node.order_sender.renew_permission(grant, sent_at);
+    }
     if let Some(age_ms) = heartbeat.config_age_ms {
         // The age was taken after the request was sent, so the confirmation is no older than this.
         let confirmed_at = sent_at.saturating_sub(Duration::from_millis(age_ms));
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -21,6 +21,8 @@
 use crate::metrics;
 use crate::node::Node;
 use crate::rows;
+use crate::senders::messages::{STARTS_PATH, StartsRequest};
+use crate::senders::{self, OutcomeStream};
 
 use super::messages::{
     ACCEPT_PATH, Heartbeat, NOT_SCHEDULING, RELAY_BUSY, STATE_PATH, StateRequest, StateResponse,
@@ -36,8 +38,11 @@
 /// Longest time that a watch request waits for another version.
 const WATCH_WAIT: Duration = Duration::from_millis(250);
 
-/// A response with a body that is known, or that is passed on as it arrives from the store.
-type Reply = Response<Either<Full<Bytes>, RelayedBody>>;
+/// A response with a body that is known, that is passed on as it arrives from the store, or that is sent as
+/// the outcomes of orders become known.
+type Reply = Response<ReplyBody>;
+
+type ReplyBody = Either<Full<Bytes>, Either<RelayedBody, OutcomeStream>>;
 
 /// Serves the other entry VMs until the process ends.
 ///
@@ -70,7 +75,7 @@
 }
 
 async fn handle<C: Clock>(
-    node: &Node<C>,
+    node: &Rc<Node<C>>,
     job_writer: &Rc<JobWriter<C>>,
     request: http::Request<Incoming>,
 ) -> Reply {
@@ -98,7 +103,7 @@
 }
 
 async fn answer<C: Clock>(
-    node: &Node<C>,
+    node: &Rc<Node<C>>,
     job_writer: &Rc<JobWriter<C>>,
     method: Method,
     path: String,
@@ -117,6 +122,10 @@
             Some(request) => job_state(node, request),
             None => bad_request(),
         },
+        STARTS_PATH => match rows::decode::<StartsRequest>(STARTS_PATH, body) {
+            Some(request) => send_starts(node, request),
+            None => bad_request(),
+        },
         _ => relay(node, method, path, body).await,
     }
 }
@@ -130,6 +139,7 @@
     if let Some(capacity) = request.capacity {
         leader.record_candidate(&request.vm, capacity);
     }
+    leader.record_sender(&request.vm, request.offer);
     let written = leader.wait_for_row_change(request.known);
     // After a timeout the heartbeat repeats the known version.
     let _ = tokio::time::timeout(WATCH_WAIT, written).await;
@@ -144,6 +154,7 @@
         config_version: site.version(),
         config_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
         largest_candidate: leader.largest_candidate(),
+        grant: leader.term_grant(),
     })
 }
 
@@ -166,6 +177,14 @@
     scheduler_response(state)
 }
 
+/// Sends start orders on behalf of the scheduler; their outcomes are reported as they become known.
+fn send_starts<C: Clock>(node: &Rc<Node<C>>, request: StartsRequest) -> Reply {
+    match senders::send_starts(node, request) {
+        Ok(outcomes) => reply(StatusCode::OK, Either::Right(Either::Right(outcomes))),
+        Err(refusal) => response(refusal.status(), Bytes::new()),
+    }
+}
+
 /// Returns the response to a message that can't be decoded.
 fn bad_request() -> Reply {
     response(StatusCode::BAD_REQUEST, Bytes::new())
@@ -210,7 +229,7 @@
             let status = StatusCode::from_u16(status);
             reply(
                 status.unwrap_or(StatusCode::BAD_GATEWAY),
-                Either::Right(body),
+                Either::Right(Either::Left(body)),
             )
         }
         Err(CallError::NotSent) => response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
@@ -222,7 +241,7 @@
     reply(status, Either::Left(Full::new(body)))
 }
 
-fn reply(status: StatusCode, body: Either<Full<Bytes>, RelayedBody>) -> Reply {
+fn reply(status: StatusCode, body: ReplyBody) -> Reply {
     let mut reply = Response::new(body);
     *reply.status_mut() = status;
     reply
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -9,8 +9,10 @@
 use snipevane_adapter::rows::Transaction;
 use snipevane_core::candidates::{Candidates, VmCapacity};
 use snipevane_core::jobs::{
-    JobId, JobSpec, JobState, OrderedVms, Scheduler, SchedulerSettings, Site, UnreportedRuns,
+    Action, JobId, JobSpec, JobState, OrderedVms, Scheduler, SchedulerSettings, Site, StartOrder,
+    UnreportedRuns,
 };
+use snipevane_core::senders::{Assignment, SenderOffer, SenderPool, SenderSettings, TermGrant};
 use snipevane_core::term::{Term, TermSettings};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -21,6 +23,7 @@
 use crate::metrics;
 use crate::node::Node;
 use crate::rows::SchedulerRow;
+use crate::senders;
 use crate::store::{CommitOutcome, StoreError};
 
 use super::minion_rows::MinionRows;
@@ -74,8 +77,8 @@
 
 /// The scheduler while this process holds the scheduler's term.
 pub struct Leader<C> {
-    pub(super) node: Rc<Node<C>>,
-    pub(super) scheduler: RefCell<Scheduler>,
+    pub(crate) node: Rc<Node<C>>,
+    pub(crate) scheduler: RefCell<Scheduler>,
     pub(super) settings: TermSettings,
     pub(super) term: RefCell<Term>,
     pub(super) row: RefCell<SchedulerRow>,
@@ -97,6 +100,8 @@
     pub(super) jobs_loaded: Cell<bool>,
     /// Other entry VMs that could take over the term.
     candidates: RefCell<Candidates>,
+    /// Other entry VMs that can send start orders.
+    pub(crate) senders: RefCell<SenderPool>,
     /// Whether a larger VM is ready for the term, so that no more orders for VMs are sent.
     handover_due: Cell<bool>,
     /// Whether the next write releases the term for a larger VM.
@@ -114,7 +119,7 @@
     /// Notified when the row has been written or the term has ended.
     pub(super) row_written: Notify,
     /// Notified when a scheduling decision may be possible.
-    pub(super) wake: Notify,
+    pub(crate) wake: Notify,
     /// Notified when there may be something to store.
     pub(super) store_wake: Notify,
 }
@@ -172,6 +177,7 @@
             ordered_vms: RefCell::new(ordered_vms),
             jobs_loaded: Cell::new(false),
             candidates: RefCell::new(Candidates::new(node.settings.capacity)),
+            senders: RefCell::new(SenderPool::new(SenderSettings::default())),
             handover_due: Cell::new(false),
             releasing_for_handover: Cell::new(false),
             vm_orders_in_flight: Cell::new(0),
@@ -224,6 +230,35 @@
         self.candidates.borrow().largest(now)
     }
 
+    /// Records that another entry VM was heard, and its offer to send start orders, if it has one.
+    pub(crate) fn record_sender(&self, vm: &SmolStr, offer: Option<SenderOffer>) {
+        let now = self.node.clock.now();
+        let mut senders = self.senders.borrow_mut();
+        match offer {
+            Some(offer) => senders.record_offer(vm, offer, now),
+            None => senders.record_no_offer(vm),
+        }
+    }
+
+    /// Returns the grant to send orders under the term; `None` if no more orders are decided.
+    pub(crate) fn term_grant(&self) -> Option<TermGrant> {
+        if !self.may_send_orders() || self.is_releasing() {
+            return None;
+        }
+        let term_end = self.term.borrow().end();
+        TermGrant::new(self.fence(), term_end, self.node.clock.now())
+    }
+
+    /// Returns the fencing token of the term.
+    pub(crate) fn fence(&self) -> u64 {
+        self.row.borrow().fence
+    }
+
+    /// Returns the time from which a term that is to be released may be: senders send no more orders then.
+    pub(super) fn release_due(&self) -> Duration {
+        self.senders.borrow().sending_ends_at()
+    }
+
     /// Returns whether the next write releases the term; no more orders are decided until then.
     pub(super) fn is_releasing(&self) -> bool {
         self.node.stopping.get() || self.releasing_for_handover.get()
@@ -244,7 +279,7 @@
     }
 
     /// Returns whether orders may be sent: the term is held and all jobs have been read.
-    pub(super) fn may_send_orders(&self) -> bool {
+    pub(crate) fn may_send_orders(&self) -> bool {
         self.holds_term() && self.jobs_loaded.get()
     }
 
@@ -323,10 +358,40 @@
         if changes {
             self.store_wake.notify_one();
         }
+        self.send(actions);
+    }
+
+    /// Sends orders: start orders through senders where these are to be used, all others directly.
+    fn send(self: &Rc<Self>, actions: Vec<Action>) {
+        let mut starts = Vec::new();
+        let mut others = Vec::new();
         for action in actions {
+            match action {
+                Action::Start(order) => starts.push(order),
+                other => others.push(other),
+            }
+        }
+        let assignment = self.assign_starts(starts);
+        metrics::record_starts_sent("scheduler", assignment.direct.len());
+        for batch in assignment.batches {
+            metrics::record_starts_sent("sender", batch.starts.len());
+            tokio::task::spawn_local(senders::send_batch(self.clone(), batch));
+        }
+        let direct = assignment.direct.into_iter().map(Action::Start);
+        for action in direct.chain(others) {
             tokio::task::spawn_local(orders::execute(self.clone(), action));
         }
     }
+
+    fn assign_starts(&self, starts: Vec<StartOrder>) -> Assignment {
+        let scheduler = self.scheduler.borrow();
+        let zone_of = |order: &StartOrder| {
+            let minion = scheduler.minion(order.to.minion)?;
+            Some(minion.entry.zone.clone())
+        };
+        let now = self.node.clock.now();
+        self.senders.borrow_mut().assign(starts, zone_of, now)
+    }
 }
 
 /// Hands the term over once a much larger VM has been present for a while.
@@ -370,6 +435,8 @@
         let age = leader.node.clock.now().saturating_sub(renewed_at);
         metrics::set_term_age(age);
         metrics::set_order_reply_time(reply_time);
+        let senders = leader.senders.borrow().usable(leader.node.clock.now());
+        metrics::set_usable_senders(senders);
         for (pool, stats) in &stats {
             metrics::set_pool_stats(pool, stats);
         }
--- a/crates/snipevane-fleet/src/scheduling/mod.rs
+++ b/crates/snipevane-fleet/src/scheduling/mod.rs
@@ -12,4 +12,5 @@
 
 pub use candidate::run_candidate;
 pub use leader::Leader;
+pub(crate) use orders::{ORDER_TIMEOUT, reply_name};
 pub use view::SchedulerView;
--- a/crates/snipevane-fleet/src/scheduling/orders.rs
+++ b/crates/snipevane-fleet/src/scheduling/orders.rs
@@ -20,7 +20,7 @@
 use super::notes::refusal_name;
 
 /// Timeout for an order to a minion, other than a hold.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time that the response to a hold may take beyond its wait.
 const HOLD_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
@@ -210,7 +210,7 @@
 }
 
 /// Returns the metric label of an order's outcome.
-fn reply_name(reply: OrderReply) -> &'static str {
+pub(crate) fn reply_name(reply: OrderReply) -> &'static str {
     match reply {
         OrderReply::Done { .. } => "done",
         OrderReply::Refused(refusal) => refusal_name(refusal),
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -100,7 +100,7 @@
             let scheduler = leader.scheduler.borrow();
             let renewal = leader.term.borrow().renewal_due();
             if leader.is_releasing() {
-                now
+                leader.release_due().min(renewal)
             } else if is_urgent(leader, &scheduler) {
                 renewal.min(written_at + URGENT_BATCH_DELAY)
             } else if scheduler.has_changes() {
@@ -143,7 +143,8 @@
     minion_rows: &MinionRows,
 ) -> Transaction {
     prepare_row(leader);
-    leader.row.borrow_mut().released = leader.is_releasing();
+    leader.row.borrow_mut().released =
+        leader.is_releasing() && leader.node.clock.now() >= leader.release_due();
     let mut transaction = Transaction::default();
     transaction
         .writes
--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
 
+#[allow(dead_code, reason = "the module is shared with other tests")]
 mod site;
 
 use std::time::Duration;
--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -24,6 +24,9 @@
     process: Child,
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
+    /// Address for the other daemons.
+    pub(crate) peers: SocketAddr,
+    metrics: SocketAddr,
     pub(crate) store: Endpoint,
     settings: PathBuf,
 }
@@ -149,7 +152,7 @@
 impl Node {
     fn start(store: &Store, vm_api: &VmApi, name: &str, cores: f64) -> Self {
         let endpoint = store.add_endpoint();
-        let [callers, readiness, peer] = [free_address(), free_address(), free_address()];
+        let [callers, readiness, peers, metrics] = std::array::from_fn(|_| free_address());
         let text = format!(
             "nodeName = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"a\"\n\
              internalPortRange = [{port}, {port}]\n\
@@ -157,7 +160,7 @@
              [platform]\naddress = \"{store}\"\n\
              [cloudApi]\naddress = \"{vms}\"\n\
              [limits]\ncpuShare = {cores:?}\n",
-            port = peer.port(),
+            port = peers.port(),
             store = endpoint.address,
             vms = vm_api.address,
         );
@@ -165,6 +168,7 @@
         std::fs::write(&settings, text).expect("the settings file");
         let process = Command::new(env!("CARGO_BIN_EXE_snipevane-fleet"))
             .env("SNIPEVANE_SETTINGS", &settings)
+            .args(["--metrics-port", &metrics.port().to_string()])
             .stdout(if std::env::var_os("SITE_LOG").is_some() {
                 Stdio::inherit()
             } else {
@@ -175,12 +179,15 @@
             process: process.expect("the daemon"),
             callers,
             readiness,
+            peers,
+            metrics,
             store: endpoint,
             settings,
         }
     }
 
-    fn name(&self) -> String {
+    /// Returns the name of the daemon's VM.
+    pub(crate) fn name(&self) -> String {
         let stem = self
             .settings
             .file_stem()
@@ -190,6 +197,17 @@
         stem[..end].to_owned()
     }
 
+    /// Returns the sum of a metric over the series with these labels, written as `name=\"value\"`.
+    pub(crate) fn metric(&self, name: &str, labels: &[&str]) -> f64 {
+        let text = call(self.metrics, "GET", "/", "", "").1;
+        let lines = text.lines().filter(|line| {
+            let series = line.split([' ', '{']).next();
+            series == Some(name) && labels.iter().all(|label| line.contains(label))
+        });
+        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        values.sum()
+    }
+
     /// Kills the daemon with SIGKILL.
     pub(crate) fn kill(&mut self) {
         self.process.kill().expect("a kill");
--- a/crates/snipevane-fleet/tests/view.rs
+++ b/crates/snipevane-fleet/tests/view.rs
@@ -49,6 +49,7 @@
         config_version: 1,
         config_age_ms: None,
         largest_candidate: None,
+        grant: None,
     }
 }
 
--- a/tests/src/jobs/job_site/delivery.rs
+++ b/tests/src/jobs/job_site/delivery.rs
@@ -8,7 +8,7 @@
 
 use super::super::minion::{FakeMinion, TaskKind};
 use super::super::network::Call;
-use super::{Event, Faults, JobSite, ORDER_TIMEOUT, Outcome};
+use super::{Event, Faults, JobSite, ORDER_TIMEOUT, Outcome, SEND_WINDOW};
 
 impl JobSite {
     /// Sends an order, subject to the present faults.
@@ -35,6 +35,9 @@
             return;
         }
         let faults = self.faults_of(&to);
+        if faults.failed_sender_rate > 0.0 && self.fails_on_the_way(&action, faults) {
+            return;
+        }
         if self.random.random_bool(faults.lost_request_rate) {
             self.deliver_no_answer(action);
             return;
@@ -59,6 +62,25 @@
         }
     }
 
+    /// Returns whether the sender of an order fails; schedules what comes of the order then.
+    fn fails_on_the_way(&mut self, action: &Action, faults: Faults) -> bool {
+        let Action::Start(order) = action else {
+            return false;
+        };
+        if order.transmission > 1 || !self.random.random_bool(faults.failed_sender_rate) {
+            return false;
+        }
+        if self.random.random_bool(0.5) {
+            let delay = SEND_WINDOW.mul_f64(self.random.random());
+            let incarnation = self.minions[&order.to.id].incarnation;
+            self.schedule(delay, Event::Execute(action.clone(), incarnation));
+        }
+        let delay = SEND_WINDOW.mul_f64(self.random.random());
+        let outcome = Outcome::Undelivered(self.now);
+        self.schedule(delay, Event::Deliver(action.clone(), outcome));
+        true
+    }
+
     /// Returns the faults of orders to a minion.
     fn faults_of(&self, minion: &SmolStr) -> Faults {
         let faulty = self.faulty_minions.is_empty() || self.faulty_minions.contains(minion);
@@ -150,6 +172,9 @@
             (Action::Start(order), Outcome::Order(reply, sent_at)) => {
                 self.scheduler.start_replied(order.run, reply, sent_at, now);
             }
+            (Action::Start(order), Outcome::Undelivered(sent_at)) => {
+                self.scheduler.start_undelivered(order.run, sent_at, now);
+            }
             (Action::Stop(order), Outcome::Order(reply, sent_at)) => {
                 self.scheduler.stop_replied(order.run, reply, sent_at, now);
             }
--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -30,6 +30,9 @@
 /// Time after which an order counts as unanswered.
 pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time in which a sender may send an order.
+pub(super) const SEND_WINDOW: Duration = Duration::from_millis(250);
+
 /// Faults of the orders to minions.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
@@ -41,6 +44,9 @@
     pub delay_rate: f64,
     /// Share of holds that aren't answered and are carried out 1 to 6 s later.
     pub hold_delay_rate: f64,
+    /// Share of the first transmissions of start orders whose sender fails. It carries out half of them,
+    /// within [`SEND_WINDOW`]; independently of that, the scheduler learns of the failure within that time.
+    pub failed_sender_rate: f64,
 }
 
 /// An event that is due later.
@@ -56,6 +62,8 @@
     Advice(AdviceReply, Duration),
     Order(OrderReply, Duration),
     Hold(HoldReply, Duration),
+    /// The sender of a start order that was sent at this time has failed.
+    Undelivered(Duration),
 }
 
 /// A job in the store.
--- a/tests/tests/jobs_room.rs
+++ b/tests/tests/jobs_room.rs
@@ -143,6 +143,7 @@
             lost_request_rate: 0.1,
             delay_rate: 0.05,
             hold_delay_rate: 0.05,
+            ..Faults::default()
         };
         built.lists_vms = seed % 2 == 0;
         for round in 0..60 {
