Read the list of VMs every 400 ms while nothing depends on it

Change: a second pause of 200 ms while no wave, move or shutdown is open, no VM is moving or under maintenance, and all minions answer. A move starts at most 200 ms later when demand rises.

--- a/crates/snipevane-core/src/jobs/pools/moves.rs
+++ b/crates/snipevane-core/src/jobs/pools/moves.rs
@@ -86,6 +86,11 @@
 }
 
 impl MovePlanner {
+    /// Returns whether no move is planned or ordered.
+    pub fn is_idle(&self) -> bool {
+        self.moves.is_empty()
+    }
+
     /// Returns whether a move of a VM is planned or ordered.
     pub fn is_in_progress(&self, vm: &str) -> bool {
         self.moves.contains_key(vm)
--- a/crates/snipevane-core/src/jobs/upkeep/mod.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/mod.rs
@@ -5,3 +5,4 @@
 pub(super) mod ordered_vms;
 pub(super) mod pending_shutdowns;
 pub(super) mod vm;
+pub(super) mod vm_list;
--- a/crates/snipevane-core/src/jobs/upkeep/pending_shutdowns.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/pending_shutdowns.rs
@@ -20,6 +20,11 @@
 }
 
 impl PendingShutdowns {
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     /// Adds a VM for which an order was confirmed, and marks its minion as suspect.
     pub fn add(&mut self, scheduler: &mut Scheduler, vm: Vm, now: Duration) {
         scheduler.mark_vm_suspect(&vm);
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -28,6 +28,10 @@
 /// Pause between planning rounds.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Further pause while no work on VMs is planned or in progress and all minions answer. A move starts later by
+/// this at most when demand rises.
+const IDLE_PLAN_PAUSE: Duration = Duration::from_millis(200);
+
 /// Time after which an order of the previous term is certain to show in the list of VMs.
 const ORDER_VISIBILITY_DELAY: Duration = Duration::from_millis(600);
 
@@ -46,9 +50,20 @@
     pending_shutdowns: PendingShutdowns,
     /// Time since which the list of VMs can't be read; `None` while it can be.
     list_unreadable_since: Option<Duration>,
+    /// Whether the last list shows VMs that are moving or under maintenance.
+    vms_changing: bool,
 }
 
 impl Planners {
+    /// Returns whether the list of VMs can be read, and no work on VMs is planned or in progress.
+    fn is_idle(&self) -> bool {
+        self.list_unreadable_since.is_none()
+            && !self.vms_changing
+            && !self.maintenance.has_active_wave()
+            && self.moves.is_idle()
+            && self.pending_shutdowns.is_empty()
+    }
+
     /// Logs when the list of VMs becomes unreadable and when it can be read again.
     fn log_list_state(&mut self, list: &Result<Vec<Vm>, ListError>, now: Duration) {
         match (list, self.list_unreadable_since) {
@@ -89,6 +104,9 @@
             plan_once(&leader, address, &planners).await;
         }
         sleep(PLAN_INTERVAL).await;
+        if planners.borrow().is_idle() && !leader.scheduler.borrow().awaits_vm_list() {
+            sleep(IDLE_PLAN_PAUSE).await;
+        }
     }
 }
 
@@ -153,6 +171,7 @@
     let Ok(listed) = listed else {
         return;
     };
+    planners.borrow_mut().vms_changing = listed.iter().any(is_changing);
     if !shows_earlier_orders(leader, sent_at) {
         return;
     }
@@ -207,6 +226,10 @@
     leader.wake.notify_one();
 }
 
+fn is_changing(vm: &Vm) -> bool {
+    matches!(vm.state, VmState::Moving | VmState::Maintenance)
+}
+
 fn log_order<C: Clock>(leader: &Leader<C>, order: &VmOrder, reply: VmReply) {
     let work = match &order.operation {
         VmOperation::Maintenance { wave } => format!("maintenance in wave {wave}"),
--- a/tests/tests/jobs_vms/main.rs
+++ b/tests/tests/jobs_vms/main.rs
@@ -360,3 +360,33 @@
         .filter(|vm| site.maintenance.is_in_progress(&vm.name));
     assert_eq!(begun.count(), draining);
 }
+
+/// The list of VMs is read less often while nothing depends on it. Guards against moves, maintenance and
+/// losses of minions that are seen late.
+#[test]
+fn work_on_vms_and_silent_minions_need_the_list_of_vms_often() {
+    let mut site = VmSite::new(6, 3);
+    // VMs of the idle pool move to the standby pool first.
+    site.run(Duration::from_secs(15));
+    assert!(site.moves.is_idle() && site.pending_shutdowns.is_empty());
+    assert!(!site.jobs.scheduler.awaits_vm_list());
+    let wave = MaintenanceWave {
+        number: 1,
+        vms: vec![site.vms[0].name.clone()],
+        time_limit_ms: 30_000,
+        max_unavailable: 1,
+    };
+    site.add_wave(&wave, None);
+    assert!(site.maintenance.has_active_wave());
+    site.run(Duration::from_secs(12));
+    assert!(!site.maintenance.has_active_wave(), "the wave is done");
+    site.jobs
+        .submit(1, job("p0", vec![step(200, 2_000, 3_000, &[])]));
+    site.jobs.run(Duration::from_millis(100));
+    site.plan();
+    assert!(!site.moves.is_idle(), "VMs move to the pool");
+    let busy = site.jobs.records.last().expect("a run").minion.clone();
+    site.jobs.partitioned.insert(busy);
+    site.jobs.run(Duration::from_secs(3));
+    assert!(site.jobs.scheduler.awaits_vm_list());
+}
