--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod reach;
 pub mod reply_time;
 pub mod routing;
+pub mod senders;
 pub mod shards;
 pub mod shares;
 pub mod term;
--- a/crates/snipevane-fleet/src/scheduling/mod.rs
+++ b/crates/snipevane-fleet/src/scheduling/mod.rs
@@ -13,5 +13,6 @@
 
 pub use candidate::run_candidate;
 pub use leader::Leader;
+pub(crate) use orders::{ORDER_TIMEOUT, reply_name};
 pub use reach::report_unheard_terms;
 pub use view::SchedulerView;
