Estimate whether a new job would be done while it has value

Cause: under a burst of five times a pool's capacity nearly all jobs are accepted, and those that end without value take capacity from others.

`queueing/precedence.rs` alone says which work goes before a new job. VMs that could move to the pool count (`MoveOutlook`); the uncertain part of the estimate doesn't. Nothing calls it yet.

--- /dev/null
+++ b/crates/snipevane-core/src/jobs/admission/snapshot.rs
@@ -0,0 +1,245 @@
+//! Summary of the committed work of loaded pools, which the scheduler sends to the entry VMs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rustc_hash::{FxHashMap, FxHashSet};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::drain::Capacity;
+use crate::jobs::minions::minion::{Minion, millis};
+use crate::jobs::model::job::{Job, Step};
+use crate::jobs::model::spec::StepSpec;
+use crate::jobs::pools::moves::MoveOutlook;
+use crate::jobs::queueing::precedence::Precedence;
+use crate::jobs::scheduler::Scheduler;
+
+/// Upper bounds of the classes of latest starts, in milliseconds from the time of the snapshot. Fine classes
+/// up to the usual slack of jobs, about 2 s, keep the error of a comparison with a new job small.
+const LATEST_START_BOUNDS_MS: [u64; 12] = [
+    250, 500, 750, 1_000, 1_250, 1_500, 1_750, 2_000, 3_000, 4_000, 6_000, 8_000,
+];
+
+/// Drain time below which a pool isn't part of the snapshot. No caller is told to wait for less than a
+/// second, so that a smaller backlog is no reason to reject a job; and in most seconds the snapshot is empty.
+const MIN_DRAIN_TIME: Duration = Duration::from_secs(1);
+
+/// Time over which the rate of accepted work is measured: about the age that a snapshot reaches.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(500);
+
+/// Part of the expected work that counts as certain if its run times are learned, in percent. Run times
+/// scatter by half, so that their moving average has a standard error of 14 %; two of these are left out.
+const LEARNED_CERTAIN_PERCENT: u64 = 70;
+
+/// Part of the declared work that counts as certain, in percent. Declared run times are off by half.
+pub(super) const DECLARED_CERTAIN_PERCENT: u64 = 50;
+
+pub(super) const PERCENT: u64 = 100;
+
+/// Committed work of the pools whose backlog takes a second or more.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct AdmissionSnapshot {
+    pub(super) pools: Vec<PoolLoad>,
+    /// Teams with committed work in these pools that have used up their share.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) teams_over_share: Vec<SmolStr>,
+}
+
+/// Committed work and processors of a pool.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(super) struct PoolLoad {
+    pub(super) pool: SmolStr,
+    pub(super) capacity: Capacity,
+    /// Part of the backlog that is certain, in percent.
+    pub(super) certain_percent: u64,
+    /// Backlog of each priority, the highest priority (the lowest number) first.
+    pub(super) backlog: Vec<PriorityBacklog>,
+}
+
+/// Work of the jobs of one priority that may still have value, in milliseconds of a core.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(super) struct PriorityBacklog {
+    pub(super) priority: u32,
+    /// Work that can be in time, by its latest start: a class for each bound, and one for the rest.
+    pub(super) on_time: Vec<u64>,
+    /// Work that can be in time, of teams over their share.
+    pub(super) over_share: u64,
+    /// Work that can't be in time.
+    pub(super) late: u64,
+    /// Work accepted per second.
+    pub(super) accepted_per_s: u64,
+}
+
+impl PriorityBacklog {
+    fn new(priority: u32) -> Self {
+        Self {
+            priority,
+            on_time: vec![0; LATEST_START_BOUNDS_MS.len() + 1],
+            ..Self::default()
+        }
+    }
+
+    /// Returns all work.
+    pub(super) fn total(&self) -> u64 {
+        self.on_time.iter().sum::<u64>() + self.over_share + self.late
+    }
+
+    /// Returns the work that can be in time and whose latest start is certainly within `slack`.
+    pub(super) fn due_within(&self, slack: Duration) -> u64 {
+        let bounds = LATEST_START_BOUNDS_MS.iter().zip(&self.on_time);
+        let due = bounds.filter(|(bound, _)| **bound <= millis(slack));
+        due.map(|(_, work)| work).sum()
+    }
+}
+
+/// Work of a pool while it is being summed up.
+#[derive(Default)]
+struct Sum {
+    by_priority: BTreeMap<u32, PriorityBacklog>,
+    expected: u64,
+    certain: u64,
+    teams: FxHashSet<SmolStr>,
+}
+
+impl Scheduler {
+    /// Returns the committed work of the loaded pools; `None` while it isn't known.
+    ///
+    /// VMs that could move to a pool according to `outlook` arrive there after `move_time` at the earliest.
+    pub fn admission_snapshot(
+        &self,
+        outlook: &MoveOutlook,
+        move_time: Duration,
+        now: Duration,
+    ) -> Option<AdmissionSnapshot> {
+        if self.minions_confirmed_at.is_none() || !self.evacuations_confirmed {
+            return None;
+        }
+        let capacities = self.pool_capacities(outlook, move_time);
+        // Tasks that may run unseen on minions of an earlier term would count as waiting.
+        let unreported = self.unreported_pools(now);
+        let mut snapshot = AdmissionSnapshot::default();
+        let mut teams = FxHashSet::default();
+        for (pool, sum) in self.committed_work(now) {
+            let capacity = capacities.get(&pool).copied().unwrap_or_default();
+            let drain_time = capacity.drain_time(sum.certain);
+            let is_loaded = drain_time.is_some_and(|time| time >= MIN_DRAIN_TIME);
+            if !is_loaded || unreported.contains(&pool) {
+                continue;
+            }
+            teams.extend(sum.teams);
+            snapshot.pools.push(PoolLoad {
+                pool,
+                capacity,
+                certain_percent: sum.certain * PERCENT / sum.expected.max(1),
+                backlog: sum.by_priority.into_values().collect(),
+            });
+        }
+        let over_share = teams
+            .into_iter()
+            .filter(|team| self.is_over_share(team, now));
+        snapshot.teams_over_share = over_share.collect();
+        snapshot.teams_over_share.sort();
+        Some(snapshot)
+    }
+
+    /// Returns the processors of each pool for tasks that aren't long-running. Minions that are unreachable or
+    /// avoided count too, as they may be back in a moment.
+    fn pool_capacities(
+        &self,
+        outlook: &MoveOutlook,
+        move_time: Duration,
+    ) -> FxHashMap<SmolStr, Capacity> {
+        let mut capacities: FxHashMap<SmolStr, Capacity> = FxHashMap::default();
+        for minion in self.minions.values() {
+            if !minion.listed || minion.entry.draining || self.is_evacuated(&minion.entry.zone) {
+                continue;
+            }
+            let capacity = capacities.entry(minion.entry.pool.clone()).or_default();
+            let total = minion.entry.capacity.cpu_millis;
+            capacity.cpu_millis += total.saturating_sub(self.long_running_cpu_millis(minion));
+        }
+        for pool in self.site.pools() {
+            let vms = outlook.vms_for(&pool.name) as u64;
+            let (vm_cpu_millis, _) = self.largest_capacity(&pool.name);
+            let capacity = capacities.entry(pool.name.clone()).or_default();
+            capacity.incoming_cpu_millis = vms * vm_cpu_millis;
+            capacity.incoming_in_ms = millis(move_time);
+        }
+        capacities
+    }
+
+    /// Returns the processors that the long-running tasks on a minion take.
+    fn long_running_cpu_millis(&self, minion: &Minion) -> u64 {
+        let runs = minion.runs.iter().copied();
+        let long_running =
+            runs.filter(|&run| self.step_of(run).is_some_and(|step| step.long_running));
+        let runs = long_running.filter_map(|run| self.runs.get(run));
+        runs.map(|run| run.allocated.cpu_millis).sum()
+    }
+
+    fn committed_work(&self, now: Duration) -> BTreeMap<SmolStr, Sum> {
+        let mut sums: BTreeMap<SmolStr, Sum> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            let sum = sums.entry(job.spec.pool.clone()).or_default();
+            for (number, spec) in job.spec.steps.iter().enumerate() {
+                let steps = job.occurrences.iter();
+                let steps = steps.filter_map(|occurrence| occurrence.steps.get(number));
+                for step in steps.filter(|_| !spec.long_running) {
+                    self.add_step(sum, job, number, (step, spec), now);
+                }
+            }
+        }
+        sums
+    }
+
+    fn add_step(
+        &self,
+        sum: &mut Sum,
+        job: &Job,
+        number: usize,
+        (step, spec): (&Step, &StepSpec),
+        now: Duration,
+    ) {
+        let precedence = self.precedence(job, number, now);
+        if precedence == Precedence::Behind {
+            return;
+        }
+        let image = job.spec.image_of(spec);
+        let task_ms = self
+            .durations
+            .expected(image, spec.estimate())
+            .as_secs_f64()
+            * spec.cpu_millis as f64;
+        let waiting = f64::from(step.waiting);
+        let running = step.tasks.len() as f64 - f64::from(step.done) - waiting;
+        // On average, a running task has done half of its work.
+        let work = ((waiting + running / 2.0) * task_ms) as u64;
+        let certain_percent = if self.durations.has_learned(image) {
+            LEARNED_CERTAIN_PERCENT
+        } else {
+            DECLARED_CERTAIN_PERCENT
+        };
+        sum.expected += work;
+        sum.certain += work * certain_percent / PERCENT;
+        sum.teams.extend(job.spec.team.clone());
+        let backlog = sum
+            .by_priority
+            .entry(job.priority)
+            .or_insert_with(|| PriorityBacklog::new(job.priority));
+        match precedence {
+            Precedence::LatestStart(at) => {
+                let left = millis(at.saturating_sub(now));
+                let class = LATEST_START_BOUNDS_MS.partition_point(|&bound| bound < left);
+                backlog.on_time[class] += work;
+            }
+            Precedence::OverShare => backlog.over_share += work,
+            Precedence::Late => backlog.late += work,
+            Precedence::Behind => {}
+        }
+        if now <= job.accepted_at + ARRIVAL_WINDOW {
+            let all = f64::from(spec.tasks) * task_ms / ARRIVAL_WINDOW.as_secs_f64();
+            backlog.accepted_per_s += all as u64;
+        }
+    }
+}
--- a/crates/snipevane-core/src/jobs/intake/durations.rs
+++ b/crates/snipevane-core/src/jobs/intake/durations.rs
@@ -48,4 +48,10 @@
         let trusted = average.filter(|average| average.runs >= MIN_RUNS);
         trusted.map_or(estimate, |average| estimate.mul_f64(average.ratio))
     }
+
+    /// Returns whether the expected run times of an image are learned.
+    pub(in crate::jobs) fn has_learned(&self, image: &SmolStr) -> bool {
+        let average = self.by_image.get(image);
+        average.is_some_and(|average| average.runs >= MIN_RUNS)
+    }
 }
--- a/crates/snipevane-core/src/jobs/intake/submissions.rs
+++ b/crates/snipevane-core/src/jobs/intake/submissions.rs
@@ -205,8 +205,7 @@
         let accepted_at = now.saturating_sub(age);
         let chains = spec.critical_paths();
         let critical_path = chains.iter().max().copied().unwrap_or_default();
-        let slack = critical_path.mul_f64(queue.slack_factor.max(1.0));
-        let deadline = accepted_at + slack + Duration::from_millis(queue.target_latency_ms);
+        let deadline = accepted_at + queue.time_allowed(critical_path);
         Job {
             id,
             payload: Rc::from(spec.payload.as_str()),
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 //! modules in this order: `intake`, `queueing`, `placing`, `running`, `ending`.
 
 mod action;
+mod admission;
 mod ending;
 mod event;
 mod intake;
@@ -18,6 +19,8 @@
 mod upkeep;
 
 pub use action::{Action, CpuShareOrder, HoldOrder, Recipient, StartOrder, StopOrder};
+pub use admission::estimate::{JobDemand, Rejection};
+pub use admission::snapshot::AdmissionSnapshot;
 pub use ending::changes::{Changes, JobChange, ReceivedEnds};
 pub use ending::task_crashes::TaskCrashes;
 pub use ending::trial::Trial;
@@ -34,7 +37,7 @@
 pub use placing::advice::{AdviceReply, AdviceRequest, AdvisorSettings};
 pub use placing::unreported_runs::UnreportedRuns;
 pub use pools::demand::{Demand, Work};
-pub use pools::moves::{MovePlanner, MoveSettings};
+pub use pools::moves::{MoveOutlook, MovePlanner, MoveSettings};
 pub use pools::pool_stats::PoolStats;
 pub use running::transmissions::Transmissions;
 pub use scheduler::{Scheduler, SchedulerSettings};
--- a/crates/snipevane-core/src/jobs/model/site.rs
+++ b/crates/snipevane-core/src/jobs/model/site.rs
@@ -1,5 +1,7 @@
 //! The site configuration in force: queues, pools, teams and their API keys.
 
+use std::time::Duration;
+
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
@@ -32,6 +34,14 @@
     pub advisor: Option<AdvisorSettings>,
 }
 
+impl Queue {
+    /// Returns the time from the acceptance of a job to its deadline, given the length of its critical path.
+    pub fn time_allowed(&self, critical_path: Duration) -> Duration {
+        let slack = critical_path.mul_f64(self.slack_factor.max(1.0));
+        slack + Duration::from_millis(self.target_latency_ms)
+    }
+}
+
 /// A pool of minions.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Pool {
--- a/crates/snipevane-core/src/jobs/pools/moves.rs
+++ b/crates/snipevane-core/src/jobs/pools/moves.rs
@@ -69,6 +69,32 @@
     moves: BTreeMap<SmolStr, Move>,
     /// Time from which the scale-down delay of a pool with a surplus of VMs counts.
     surplus_since: FxHashMap<SmolStr, Duration>,
+    /// VMs that pools could get, as of the last decision.
+    outlook: MoveOutlook,
+}
+
+/// VMs that pools could get within the time of a move.
+#[derive(Clone, Debug, Default)]
+pub struct MoveOutlook {
+    pools: FxHashMap<SmolStr, PoolOutlook>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolOutlook {
+    /// Number of VMs that are moving to the pool.
+    incoming: usize,
+    /// Number of VMs that other pools could get from this one.
+    spare: usize,
+}
+
+impl MoveOutlook {
+    /// Returns the number of VMs that a pool could get at most: those that are moving to it, and those
+    /// that other pools could spare.
+    pub fn vms_for(&self, pool: &str) -> usize {
+        let incoming = self.pools.get(pool).map_or(0, |pool| pool.incoming);
+        let others = self.pools.iter().filter(|(name, _)| *name != pool);
+        incoming + others.map(|(_, other)| other.spare).sum::<usize>()
+    }
 }
 
 /// The VMs that a pool has and needs.
@@ -106,10 +132,16 @@
         self.remove_finished(vms, asked_at, now);
         let mut plans = self.plan(scheduler, vms, &is_excluded, now);
         self.scale_up(scheduler, &mut plans, now);
+        self.outlook = outlook(&plans);
         self.scale_down(scheduler, &plans, now);
         self.orders(scheduler, vms, now)
     }
 
+    /// Returns the VMs that pools could get, as of the last decision.
+    pub fn outlook(&self) -> &MoveOutlook {
+        &self.outlook
+    }
+
     /// Applies the outcome of an order.
     pub fn replied(&mut self, vm: &str, reply: VmReply) {
         match reply {
@@ -311,6 +343,22 @@
     }
 }
 
+/// Returns the VMs that pools could get.
+///
+/// A standby pool spares all its VMs, another one those beyond the need of jobs that can be in time.
+fn outlook(plans: &[PoolPlan<'_>]) -> MoveOutlook {
+    let pools = plans.iter().map(|plan| {
+        let outlook = PoolOutlook {
+            incoming: plan.incoming,
+            spare: plan.surplus(false),
+        };
+        (plan.name.clone(), outlook)
+    });
+    MoveOutlook {
+        pools: pools.collect(),
+    }
+}
+
 fn largest_shortfall(plans: &[PoolPlan<'_>], include_late: bool) -> Option<usize> {
     let short_pools = (0..plans.len()).filter(|&index| plans[index].shortfall(include_late) > 0);
     short_pools.max_by_key(|&index| plans[index].shortfall(include_late))
@@ -362,7 +410,7 @@
 
     /// Returns the most processors, in thousandths of a core, and the most memory, in mebibytes, of
     /// any minion of a pool, or of any minion at all if the pool has none.
-    fn largest_capacity(&self, pool: &str) -> (u64, u64) {
+    pub(in crate::jobs) fn largest_capacity(&self, pool: &str) -> (u64, u64) {
         let of_pool = self
             .minions
             .values()
--- a/crates/snipevane-core/src/jobs/queueing/shares.rs
+++ b/crates/snipevane-core/src/jobs/queueing/shares.rs
@@ -49,4 +49,14 @@
         }
         within
     }
+
+    /// Returns whether [`Self::take_token`] would find a token; `share_per_s` is the team's share in jobs
+    /// per second.
+    pub(in crate::jobs) fn has_token(&self, team: &str, share_per_s: f64, now: Duration) -> bool {
+        let Some(bucket) = self.buckets.get(team) else {
+            return true;
+        };
+        let elapsed_s = now.saturating_sub(bucket.updated_at).as_secs_f64();
+        bucket.tokens + elapsed_s * share_per_s >= 1.0
+    }
 }
--- /dev/null
+++ b/tests/tests/jobs_admission.rs
@@ -0,0 +1,431 @@
+//! Admission control under bursts: a pool gets five times its capacity for 4 s, the length of the bursts of
+//! callers. Entry VMs decide by snapshots that are up to half a second old, and callers retry up to four times.
+
+#![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rstest::rstest;
+use smol_str::SmolStr;
+use snipevane_core::jobs::{
+    AdmissionSnapshot, JobDemand, JobId, JobSpec, JobState, MoveOutlook, Rejection, Schedule,
+    Scheduler, SchedulerSettings, Site, StepSpec, Team, UnreportedRuns,
+};
+use snipevane_tests::jobs::{
+    FakeMinion, JobSite, TEAM, TICK, entry, job, long_running_step, site, site_spec, step,
+};
+
+const START: Duration = Duration::from_secs(10);
+
+/// Four minions have 64 cores, which complete five of the jobs of [`two_steps`] per second.
+const MINIONS: usize = 4;
+
+const BURST: Duration = Duration::from_secs(4);
+
+/// Interval between the jobs of a burst: 25 jobs per second, five times the capacity.
+const BURST_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Number of entry VMs, each of which gets a snapshot at a time of its own.
+const ENTRY_VMS: usize = 5;
+
+/// Interval between the snapshots that an entry VM gets.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
+
+const MAX_RETRIES: u32 = 4;
+
+/// Time that a VM takes to move to another pool.
+const MOVE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time from the first attempt to the deadline of [`two_steps`]: 1.6 times 1.6 s, and 600 ms.
+const TIME_ALLOWED: Duration = Duration::from_millis(3_160);
+
+/// Multiple of the time allowed for which a result has value.
+const EXPIRY_FACTOR: u32 = 3;
+
+fn two_steps() -> JobSpec {
+    job(
+        "p0",
+        vec![step(8, 1_000, 800, &[]), step(8, 1_000, 800, &[0])],
+    )
+}
+
+/// Returns why a job of the test's queue is rejected by a snapshot of this age.
+fn rejection(snapshot: &AdmissionSnapshot, spec: &JobSpec, age: Duration) -> Option<Rejection> {
+    let queue = site_spec(1, 0).queues.remove(0);
+    snapshot.rejection(&JobDemand::new(spec, &queue)?, age)
+}
+
+/// A caller that retries as it is told.
+#[derive(Clone, Copy)]
+struct Caller {
+    number: u64,
+    first_attempt: Duration,
+    retries: u32,
+}
+
+#[derive(Default)]
+struct EntryVm {
+    snapshot: Option<(AdmissionSnapshot, Duration)>,
+}
+
+/// A site whose callers submit jobs through entry VMs.
+struct Load {
+    site: JobSite,
+    admission: bool,
+    outlook: MoveOutlook,
+    entry_vms: Vec<EntryVm>,
+    /// Callers by the time of their next attempt.
+    due: BTreeMap<(Duration, u64), Caller>,
+    accepted: BTreeMap<u64, Accepted>,
+    rejections: usize,
+    snapshot_interval: Duration,
+}
+
+/// An accepted job, and the attempt of its caller that was accepted.
+struct Accepted {
+    id: JobId,
+    caller: Caller,
+    at: Duration,
+}
+
+impl Load {
+    fn new(seed: u64, admission: bool) -> Self {
+        let minions = (0..MINIONS).map(|number| FakeMinion::new(entry(number, "p0"), START));
+        let mut site = JobSite::new(site(1, 0), minions.collect(), seed);
+        site.run(Duration::from_millis(100));
+        Self {
+            site,
+            admission,
+            outlook: MoveOutlook::default(),
+            entry_vms: (0..ENTRY_VMS).map(|_| EntryVm::default()).collect(),
+            due: BTreeMap::new(),
+            accepted: BTreeMap::new(),
+            rejections: 0,
+            snapshot_interval: SNAPSHOT_INTERVAL,
+        }
+    }
+
+    /// Adds callers whose first attempts follow each other at this interval, for this time.
+    fn add_callers(&mut self, interval: Duration, time: Duration) {
+        let count = time.as_millis() / interval.as_millis();
+        for index in 0..count as u64 {
+            let number = index + 1;
+            let at = self.site.now + interval * index as u32;
+            let caller = Caller {
+                number,
+                first_attempt: at,
+                retries: 0,
+            };
+            self.due.insert((at, number), caller);
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.site.now + time;
+        while self.site.now < end {
+            self.refresh_snapshots();
+            while let Some(entry) = self.due.first_entry() {
+                if entry.key().0 > self.site.now {
+                    break;
+                }
+                let caller = entry.remove();
+                self.attempt(caller);
+            }
+            self.site.tick();
+        }
+    }
+
+    fn refresh_snapshots(&mut self) {
+        let ticks = (self.snapshot_interval.as_millis() / TICK.as_millis()) as usize;
+        let tick = (self.site.now.as_millis() / TICK.as_millis()) as usize;
+        for (index, vm) in self.entry_vms.iter_mut().enumerate() {
+            if tick % ticks == index * ticks / ENTRY_VMS {
+                let now = self.site.now;
+                let snapshot =
+                    self.site
+                        .scheduler
+                        .admission_snapshot(&self.outlook, MOVE_TIME, now);
+                vm.snapshot = snapshot.map(|snapshot| (snapshot, now));
+            }
+        }
+    }
+
+    fn attempt(&mut self, caller: Caller) {
+        let spec = two_steps();
+        let now = self.site.now;
+        let vm = &self.entry_vms[(caller.number as usize + caller.retries as usize) % ENTRY_VMS];
+        let known = vm.snapshot.as_ref().filter(|_| self.admission);
+        let rejection =
+            known.and_then(|(snapshot, at)| rejection(snapshot, &spec, now.saturating_sub(*at)));
+        let Some(rejection) = rejection else {
+            let id = self.site.submit(caller.number, spec);
+            self.accepted.insert(
+                caller.number,
+                Accepted {
+                    id,
+                    caller,
+                    at: now,
+                },
+            );
+            return;
+        };
+        self.rejections += 1;
+        if caller.retries == MAX_RETRIES {
+            return;
+        }
+        // Spreads the retries as the jitter does.
+        let jitter = 1.0 + (caller.number % 7) as f64 / 20.0;
+        let wait = rejection.retry_after.mul_f64(jitter).as_secs_f64().ceil();
+        let again = Caller {
+            retries: caller.retries + 1,
+            ..caller
+        };
+        let at = now + Duration::from_secs_f64(wait);
+        self.due.insert((at, caller.number), again);
+    }
+
+    fn completed_within(&self, time: Duration) -> usize {
+        let accepted = self.accepted.values();
+        let completed = accepted.filter(|accepted| {
+            let by = accepted.caller.first_attempt + time;
+            self.site.completed_by(accepted.id, by)
+        });
+        completed.count()
+    }
+
+    /// Returns what the callers get: the results in time count 14 times as much as the later ones that still
+    /// have value.
+    fn value(&self) -> usize {
+        let in_time = self.completed_within(TIME_ALLOWED);
+        let with_value = self.completed_within(TIME_ALLOWED * EXPIRY_FACTOR);
+        in_time * 13 + with_value
+    }
+}
+
+/// Guards against rejections that serve callers worse, or that are false.
+#[rstest]
+fn a_burst_of_five_times_the_capacity_serves_no_fewer_callers_in_time_with_rejections(
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let [without, with] = [false, true].map(|admission| {
+        let mut load = Load::new(seed, admission);
+        load.add_callers(BURST_INTERVAL, BURST);
+        load.run(Duration::from_secs(40));
+        println!(
+            "seed {seed}, admission {admission}: {} in time, {} with value, {} rejections, {} accepted",
+            load.completed_within(TIME_ALLOWED),
+            load.completed_within(TIME_ALLOWED * EXPIRY_FACTOR),
+            load.rejections,
+            load.accepted.len(),
+        );
+        load
+    });
+    assert_eq!(without.rejections, 0);
+    assert!(with.rejections >= 5, "{} rejections", with.rejections);
+    let in_time = [&without, &with].map(|load| load.completed_within(TIME_ALLOWED));
+    assert!(in_time[0] <= in_time[1], "{in_time:?} jobs in time");
+    assert!(without.value() <= with.value());
+
+    let returned = with.accepted.values();
+    let returned: Vec<&Accepted> = returned.filter(|job| job.caller.retries > 0).collect();
+    let done_within = |job: &Accepted, time| with.site.completed_by(job.id, job.at + time);
+    for job in &returned {
+        assert_eq!(job.caller.retries, 1, "rejected again after its time");
+        let served = done_within(job, TIME_ALLOWED * EXPIRY_FACTOR);
+        assert!(served, "job {:?} was told to return in vain", job.id);
+    }
+    let in_time = returned.iter();
+    let in_time = in_time.filter(|job| done_within(job, TIME_ALLOWED)).count();
+    println!(
+        "{in_time} of {} that return are in time then",
+        returned.len()
+    );
+    assert!(in_time * 10 >= returned.len() * 8);
+    assert_eq!(
+        with.accepted.len(),
+        100,
+        "every caller is served in the end"
+    );
+    // Each start belongs to an accepted attempt, so that no rejected attempt has run.
+    for record in &with.site.records {
+        let accepted = &with.accepted[&record.task.step.job.number()];
+        assert!(record.from >= accepted.at);
+    }
+}
+
+/// Guards against rejections while there is room: a load of 90 % of the capacity, and bursts that the pool works
+/// off while their results have value.
+#[rstest]
+#[case::steady(Duration::from_millis(222), Duration::from_secs(12))]
+#[case::short_burst(BURST_INTERVAL, Duration::from_millis(1_500))]
+#[case::twice_the_capacity(Duration::from_millis(100), BURST)]
+fn nothing_is_rejected_that_is_done_while_it_has_value(
+    #[case] interval: Duration,
+    #[case] time: Duration,
+) {
+    let mut load = Load::new(1, true);
+    load.add_callers(interval, time);
+    load.run(time + Duration::from_secs(20));
+    assert_eq!(load.rejections, 0);
+    let in_time = load.completed_within(TIME_ALLOWED * EXPIRY_FACTOR);
+    assert_eq!(in_time, load.accepted.len());
+}
+
+/// Guards against entry VMs that each accept as many jobs as there is room for by the same snapshot.
+#[test]
+fn entry_vms_with_old_snapshots_accept_about_as_much_as_with_fresh_ones() {
+    let accepted_in_burst = [TICK * ENTRY_VMS as u32, SNAPSHOT_INTERVAL].map(|snapshot_interval| {
+        let mut load = Load::new(1, true);
+        load.snapshot_interval = snapshot_interval;
+        load.add_callers(BURST_INTERVAL, BURST);
+        load.run(BURST);
+        load.accepted.len()
+    });
+    println!("accepted in the burst with fresh and old snapshots: {accepted_in_burst:?}");
+    let [fresh, old] = accepted_in_burst;
+    assert!(
+        old <= fresh + 5,
+        "{old} accepted with old snapshots, {fresh} with fresh ones"
+    );
+}
+
+/// Returns a site in the overload of a burst, and a snapshot by which a job is rejected.
+fn overloaded() -> (Load, AdmissionSnapshot) {
+    let mut load = Load::new(1, false);
+    load.add_callers(BURST_INTERVAL, BURST);
+    load.run(BURST);
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    assert!(rejection(&snapshot, &two_steps(), Duration::ZERO).is_some());
+    (load, snapshot)
+}
+
+/// Guards against rejections by a snapshot that no longer tells anything, as while the scheduler is gone.
+#[test]
+fn an_old_snapshot_rejects_nothing() {
+    let (_, snapshot) = overloaded();
+    let spec = two_steps();
+    assert!(rejection(&snapshot, &spec, Duration::from_millis(500)).is_some());
+    assert!(rejection(&snapshot, &spec, Duration::from_millis(1_001)).is_none());
+}
+
+/// Guards against rejections by a new term that doesn't know yet what runs: tasks that go on running on
+/// minions of the term before count as waiting until these have listed them.
+#[test]
+fn a_takeover_during_the_overload_rejects_nothing_until_the_minions_have_listed_their_runs() {
+    let (mut load, _) = overloaded();
+    load.admission = true;
+    let silent: SmolStr = "i-0".into();
+    load.site.partitioned.insert(silent.clone());
+    load.site.take_over();
+    let empty = Scheduler::new(
+        SchedulerSettings::default(),
+        9,
+        Rc::new(site(1, 0)),
+        UnreportedRuns::default(),
+    );
+    let snapshot = empty.admission_snapshot(&load.outlook, MOVE_TIME, load.site.now);
+    assert_eq!(snapshot, None, "no list of minions has been read");
+
+    let end = load.site.now + Duration::from_secs(1);
+    while load.site.now < end {
+        load.site.tick();
+        let now = load.site.now;
+        let snapshot = load
+            .site
+            .scheduler
+            .admission_snapshot(&load.outlook, MOVE_TIME, now);
+        let snapshot = snapshot.expect("the list of minions is known");
+        assert_eq!(rejection(&snapshot, &two_steps(), Duration::ZERO), None);
+    }
+    load.site.partitioned.remove(&silent);
+    load.site.list_minions();
+    load.run(Duration::from_secs(60));
+    for accepted in load.accepted.values() {
+        assert_eq!(load.site.state(accepted.id), JobState::Completed);
+    }
+}
+
+/// Guards against rejections of jobs whose value doesn't depend on a deadline.
+#[rstest]
+#[case::long_running(job("p0", vec![long_running_step(1)]))]
+#[case::best_effort(job("p0", vec![StepSpec { best_effort: true, ..step(1, 100, 100, &[]) }]))]
+#[case::scheduled(JobSpec {
+    schedule: Some(Schedule { first_unix_ms: 0, interval_ms: 1_000, occurrences: 2 }),
+    ..two_steps()
+})]
+fn exempt_jobs_are_accepted_under_overload(#[case] spec: JobSpec) {
+    let (_, snapshot) = overloaded();
+    assert_eq!(rejection(&snapshot, &spec, Duration::ZERO), None);
+}
+
+/// Guards against rejections of small jobs that go before the late and the large ones.
+#[test]
+fn a_job_that_is_placed_before_the_backlog_is_accepted() {
+    let mut load = Load::new(1, false);
+    let large = job("p0", vec![step(800, 1_000, 8_000, &[])]);
+    load.site.submit(1, large);
+    load.run(Duration::from_millis(500));
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    assert_ne!(snapshot, AdmissionSnapshot::default(), "the pool is loaded");
+    assert_eq!(rejection(&snapshot, &two_steps(), Duration::ZERO), None);
+}
+
+/// Guards against rejections of the jobs of a team within its share because of another team's jobs.
+#[test]
+fn a_team_over_its_share_is_rejected_before_another() {
+    let mut spec = site_spec(1, 0);
+    let teams = [TEAM, "other"].map(|name| Team {
+        name: name.into(),
+        share_per_s: 2.0,
+        ..Team::default()
+    });
+    spec.teams = teams.to_vec();
+    let minions = (0..MINIONS).map(|number| FakeMinion::new(entry(number, "p0"), START));
+    let mut load = Load::new(1, false);
+    load.site = JobSite::new(Site::new(spec), minions.collect(), 1);
+    load.run(Duration::from_millis(100));
+    load.add_callers(BURST_INTERVAL / 2, Duration::from_millis(1_700));
+    load.run(Duration::from_millis(1_700));
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    let other = JobSpec {
+        team: Some("other".into()),
+        ..two_steps()
+    };
+    assert!(rejection(&snapshot, &two_steps(), Duration::ZERO).is_some());
+    assert_eq!(rejection(&snapshot, &other, Duration::ZERO), None);
+}
+
+/// Guards against heartbeats that a small link can't carry: the scheduler sends them to each entry VM three times
+/// a second.
+#[test]
+fn a_snapshot_is_small_and_empty_without_load() {
+    let (_, snapshot) = overloaded();
+    let bytes = serde_json::to_string(&snapshot).expect("JSON").len();
+    assert!(bytes <= 320, "{bytes} bytes for a loaded pool");
+    let mut load = Load::new(1, false);
+    load.site.submit(1, two_steps());
+    load.run(Duration::from_millis(100));
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    assert_eq!(snapshot, Some(AdmissionSnapshot::default()));
+}
--- a/tests/tests/jobs_vms/main.rs
+++ b/tests/tests/jobs_vms/main.rs
@@ -10,11 +10,12 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 use snipevane_core::jobs::{
-    JobState, MaintenancePlanner, MaintenanceWave, MovePlanner, VmState, WaveProgress,
+    JobDemand, JobState, MaintenancePlanner, MaintenanceWave, MoveOutlook, MovePlanner, VmState,
+    WaveProgress,
 };
-use snipevane_tests::jobs::{job, long_running_step, step};
+use snipevane_tests::jobs::{job, long_running_step, site_spec, step};
 
-use crate::vm_site::VmSite;
+use crate::vm_site::{DOWNTIME, VmSite};
 
 #[test]
 fn a_wave_takes_each_vm_down_once_and_no_more_at_once_than_it_allows() {
@@ -360,3 +361,43 @@
         .filter(|vm| site.maintenance.is_in_progress(&vm.name));
     assert_eq!(begun.count(), draining);
 }
+
+/// Guards against rejections because of the processors that a pool has at the beginning of a burst, although VMs
+/// move to it within the next seconds.
+#[test]
+fn nothing_is_rejected_in_a_burst_that_vms_of_a_standby_pool_work_off() {
+    let mut site = VmSite::new(2, 10);
+    let queue = site_spec(1, 0).queues.remove(0);
+    let spec = job(
+        "p0",
+        vec![step(8, 1_000, 800, &[]), step(8, 1_000, 800, &[0])],
+    );
+    let demand = JobDemand::new(&spec, &queue).expect("a job with a deadline");
+    let value_lasts = queue.time_allowed(spec.critical_path()) * 3;
+    let mut submitted = Vec::new();
+    let mut rejected_without_moves = 0;
+    for round in 0..8_u64 {
+        for number in 0..15 {
+            let now = site.jobs.now;
+            let rejects = |outlook: &MoveOutlook| {
+                let scheduler = &site.jobs.scheduler;
+                let snapshot = scheduler.admission_snapshot(outlook, DOWNTIME, now);
+                let snapshot = snapshot.expect("the work is known");
+                snapshot.rejection(&demand, Duration::ZERO).is_some()
+            };
+            assert!(!rejects(site.moves.outlook()), "rejected in round {round}");
+            rejected_without_moves += u32::from(rejects(&MoveOutlook::default()));
+            let id = site.jobs.submit(round * 100 + number, spec.clone());
+            submitted.push((id, now));
+        }
+        // Plans once and runs for half a second.
+        site.run(Duration::from_millis(500));
+    }
+    site.run(Duration::from_secs(20));
+    assert!(rejected_without_moves > 0, "the load needs the VMs");
+    let late = submitted
+        .iter()
+        .filter(|(id, at)| !site.jobs.completed_by(*id, *at + value_lasts));
+    let late = late.count();
+    assert!(late * 10 <= submitted.len(), "{late} jobs had no value");
+}
--- a/tests/tests/jobs_vms/vm_site.rs
+++ b/tests/tests/jobs_vms/vm_site.rs
@@ -13,7 +13,7 @@
 const START: Duration = Duration::from_secs(10);
 
 /// Time for which a VM is down for maintenance or a move.
-const DOWNTIME: Duration = Duration::from_millis(2_000);
+pub(crate) const DOWNTIME: Duration = Duration::from_millis(2_000);
 
 /// Interval between two decisions on VMs.
 const PLAN_INTERVAL: Duration = Duration::from_millis(400);
