Reject jobs at the entry VM that would be done too late

An entry VM answers 503 with Retry-After before anything is written, if the job would end past three times the time allowed; the scheduler's VM uses its own scheduler. Since 503 states that the job never runs, the identifier is looked up first: in the submissions of the last 10 s here and at the scheduler, at the scheduler itself and in the row. If one knows it or doesn't answer, the job is accepted.

Measured: tests/admission.rs (real daemons) and tests/view.rs pass. The tests of tests/admission.rs failed without the look-up, without the record of submissions (the repeat while the store is slow), and without the report in the heartbeat.

--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -20,6 +20,7 @@
 use crate::rows::{self, PROGRESS_TABLE};
 use crate::store::StoreError;
 
+use super::admission;
 use super::job_writer::{JobWriter, Outcome};
 use super::reply::{self, Reply};
 
@@ -219,15 +220,19 @@
         Ok(submission) => submission,
         Err(error) => return reply::error(StatusCode::BAD_REQUEST, &error.to_string()),
     };
+    let queue = target.queue;
     let spec = JobSpec {
-        queue: target.queue.name,
-        pool: target.queue.pool,
+        queue: queue.name.clone(),
+        pool: queue.pool.clone(),
         team: target.team,
         payload: submission.payload,
         steps: submission.steps,
         accepted_unix_ms: node.clock.unix_ms(),
         schedule: submission.schedule,
     };
+    if let Some(rejection) = admission::reject(node, job_writer, id, &spec, &queue).await {
+        return rejection;
+    }
     let submitted_at = node.clock.now();
     match job_writer.accept(id, &spec).await {
         Outcome::Stored => {
@@ -303,7 +308,7 @@
 }
 
 /// Reads a job's progress and its row's version; none if the row is missing or can't be decoded.
-async fn read_progress<C: Clock>(
+pub(super) async fn read_progress<C: Clock>(
     node: &Node<C>,
     id: JobId,
 ) -> Result<Option<(Progress, u64)>, StoreError> {
--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snipevane_adapter::rows::{Row, Transaction};
@@ -23,6 +24,11 @@
 /// Time after which a change is no longer retried.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// Time after which the write of a job that was submitted here has been carried out or given up: the write is
+/// retried for [`WRITE_TIMEOUT`], its last attempt waits up to 0.8 s for its turn and 1.5 s for the store, and
+/// the rest is a margin for a store that carries out a call after its timeout.
+const SUBMISSION_SETTLED: Duration = Duration::from_secs(10);
+
 /// Delay before a failed batch is written again.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -67,6 +73,10 @@
     node: Rc<Node<C>>,
     pending: RefCell<Vec<PendingChange>>,
     writing: Cell<bool>,
+    /// Jobs that were submitted lately, with the times of their last submissions.
+    submitted: RefCell<FxHashMap<JobId, Duration>>,
+    /// Time at which the settled ones of these were last removed.
+    submitted_pruned_at: Cell<Duration>,
 }
 
 impl<C: Clock> JobWriter<C> {
@@ -76,14 +86,37 @@
             node,
             pending: RefCell::default(),
             writing: Cell::new(false),
+            submitted: RefCell::default(),
+            submitted_pruned_at: Cell::new(Duration::ZERO),
         })
     }
 
+    /// Returns whether a job was submitted to this process lately, so that it may be stored or may still be.
+    pub(crate) fn may_be_stored(&self, id: JobId) -> bool {
+        let now = self.node.clock.now();
+        let submitted = self.submitted.borrow();
+        submitted
+            .get(&id)
+            .is_some_and(|at| now < *at + SUBMISSION_SETTLED)
+    }
+
+    /// Records that a job is being submitted.
+    fn record_submission(&self, id: JobId) {
+        let now = self.node.clock.now();
+        let mut submitted = self.submitted.borrow_mut();
+        submitted.insert(id, now);
+        if now >= self.submitted_pruned_at.get() + SUBMISSION_SETTLED {
+            self.submitted_pruned_at.set(now);
+            submitted.retain(|_, at| now < *at + SUBMISSION_SETTLED);
+        }
+    }
+
     /// Stores a job, unless it is already stored.
     ///
     /// The job goes through the scheduler if that is reachable: the scheduler then needn't read it
     /// from the store.
     pub async fn accept(self: &Rc<Self>, id: JobId, spec: &JobSpec) -> Outcome {
+        self.record_submission(id);
         if self.node.leader().is_some() {
             return self.accept_locally(id, spec).await;
         }
@@ -99,6 +132,7 @@
 
     /// Stores a job with a write of this process, unless it is already stored.
     pub async fn accept_locally(self: &Rc<Self>, id: JobId, spec: &JobSpec) -> Outcome {
+        self.record_submission(id);
         let key = rows::job_key(id);
         let writes = vec![
             (JOBS_TABLE.into(), key.clone(), rows::encode(spec)),
--- a/crates/snipevane-fleet/src/caller/mod.rs
+++ b/crates/snipevane-fleet/src/caller/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP interface for callers, which submit jobs, query their state and cancel them.
 
+mod admission;
 mod handler;
 mod job_writer;
 mod listener;
--- a/crates/snipevane-fleet/src/logging/rate_limiter.rs
+++ b/crates/snipevane-fleet/src/logging/rate_limiter.rs
@@ -24,8 +24,9 @@
     events::TASKS_PLACED.number,
 ];
 
-const FAILURE_EVENTS: [u16; 6] = [
+const FAILURE_EVENTS: [u16; 7] = [
     events::REQUEST_REFUSED.number,
+    events::JOB_REJECTED.number,
     events::RUN_FAILED.number,
     events::RUN_LOST.number,
     events::JOB_ENDED.number,
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -187,6 +187,18 @@
     counter!("snipevane_relays_busy_total").increment(1);
 }
 
+/// Counts a job that admission control rejects.
+pub(crate) fn record_rejected_job(pool: &SmolStr, reason: &'static str) {
+    counter!("snipevane_jobs_rejected_total", "pool" => pool.to_string(), "reason" => reason)
+        .increment(1);
+}
+
+/// Counts a job that admission control would reject, but that may be accepted already.
+pub(crate) fn record_waived_rejection(pool: &SmolStr, reason: &'static str) {
+    counter!("snipevane_rejections_waived_total", "pool" => pool.to_string(), "reason" => reason)
+        .increment(1);
+}
+
 /// Counts a minion that has crashed.
 pub(crate) fn record_minion_crash() {
     counter!("snipevane_minion_crashes_total").increment(1);
--- a/crates/snipevane-fleet/src/peers/messages.rs
+++ b/crates/snipevane-fleet/src/peers/messages.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 use snipevane_adapter::{Method, Request};
 use snipevane_core::candidates::VmCapacity;
-use snipevane_core::jobs::{JobId, JobSpec, JobState};
+use snipevane_core::jobs::{AdmissionSnapshot, JobId, JobSpec, JobState};
 
 /// Path of [`WatchRequest`].
 pub(super) const WATCH_PATH: &str = "/scheduler/watch";
@@ -52,6 +52,19 @@
     /// there is none.
     #[serde(default)]
     pub largest_candidate: Option<VmCapacity>,
+    /// Committed work of loaded pools; `None` while it isn't known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admission: Option<AdmissionReport>,
+}
+
+/// Committed work of loaded pools, with the time at which it was summed up.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AdmissionReport {
+    /// Committed work.
+    pub snapshot: AdmissionSnapshot,
+    /// Time from the arrival of the request for the heartbeat until the snapshot was taken, in milliseconds;
+    /// negative if it was taken before.
+    pub taken_after_ms: i64,
 }
 
 /// Requests that the scheduler store and run a job.
@@ -75,6 +88,10 @@
 pub struct StateResponse {
     /// State; `None` if the scheduler doesn't know the job.
     pub state: Option<JobState>,
+    /// Whether the job was submitted to the scheduler's process lately, so that it may be stored or may still
+    /// be; `None` if the process doesn't tell.
+    #[serde(default)]
+    pub may_be_stored: Option<bool>,
 }
 
 /// Returns the kind of the messages with a path, for metrics.
--- a/crates/snipevane-fleet/src/peers/scheduler_client.rs
+++ b/crates/snipevane-fleet/src/peers/scheduler_client.rs
@@ -62,7 +62,7 @@
         node.scheduler_view.borrow_mut().record_call_failure(now);
         return false;
     };
-    let heartbeat: Heartbeat = heartbeat;
+    let mut heartbeat: Heartbeat = heartbeat;
     if let Some(age_ms) = heartbeat.config_age_ms {
         // The age was taken after the request was sent, so the confirmation is no older than this.
         let confirmed_at = sent_at.saturating_sub(Duration::from_millis(age_ms));
@@ -70,9 +70,13 @@
         site.confirm(heartbeat.config_version, confirmed_at);
     }
     node.largest_candidate.set(heartbeat.largest_candidate);
-    node.scheduler_view
-        .borrow_mut()
-        .record_heartbeat(settings, heartbeat, now)
+    let admission = heartbeat.admission.take();
+    let mut view = node.scheduler_view.borrow_mut();
+    let is_held = view.record_heartbeat(settings, heartbeat, now);
+    if is_held {
+        view.record_admission(admission, sent_at);
+    }
+    is_held
 }
 
 /// Asks the scheduler to store a job.
@@ -126,16 +130,9 @@
         .scheduler_view
         .borrow()
         .reachable_address(node.clock.now())?;
-    match send_request(
-        node,
-        scheduler,
-        STATE_PATH,
-        &StateRequest { id },
-        STATE_TIMEOUT,
-    )
-    .await
-    {
-        Ok(StateResponse { state }) => state,
+    let request = StateRequest { id };
+    match send_request(node, scheduler, STATE_PATH, &request, STATE_TIMEOUT).await {
+        Ok(StateResponse { state, .. }) => state,
         Err(error) => {
             log::debug!("the scheduler gave no state of job {id}, reading the store: {error}");
             node.scheduler_view
@@ -146,6 +143,30 @@
     }
 }
 
+/// Asks the scheduler whether it knows a job or may have stored it; returns `None` if it doesn't tell.
+pub(crate) async fn is_known<C: Clock>(node: &Node<C>, id: JobId) -> Option<bool> {
+    let scheduler = node
+        .scheduler_view
+        .borrow()
+        .reachable_address(node.clock.now())?;
+    let request = StateRequest { id };
+    match send_request(node, scheduler, STATE_PATH, &request, STATE_TIMEOUT).await {
+        Ok(response) => {
+            let response: StateResponse = response;
+            response
+                .may_be_stored
+                .map(|may_be_stored| may_be_stored || response.state.is_some())
+        }
+        Err(error) => {
+            log::debug!("the scheduler didn't tell whether it knows job {id}: {error}");
+            node.scheduler_view
+                .borrow_mut()
+                .record_call_failure(node.clock.now());
+            None
+        }
+    }
+}
+
 /// Sends a message to the scheduler and decodes the response.
 ///
 /// A response that can't be decoded counts as [`CallError::NoAnswer`], one with an error status as
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -21,10 +21,11 @@
 use crate::metrics;
 use crate::node::Node;
 use crate::rows;
+use crate::scheduling::Leader;
 
 use super::messages::{
-    ACCEPT_PATH, Heartbeat, NOT_SCHEDULING, RELAY_BUSY, STATE_PATH, StateRequest, StateResponse,
-    SubmitRequest, WATCH_PATH, WatchRequest, message_kind,
+    ACCEPT_PATH, AdmissionReport, Heartbeat, NOT_SCHEDULING, RELAY_BUSY, STATE_PATH, StateRequest,
+    StateResponse, SubmitRequest, WATCH_PATH, WatchRequest, message_kind,
 };
 
 /// Timeout for a relayed call, long enough for a long poll for changes.
@@ -114,7 +115,7 @@
             None => bad_request(),
         },
         STATE_PATH => match rows::decode::<StateRequest>(STATE_PATH, body) {
-            Some(request) => job_state(node, request),
+            Some(request) => job_state(node, job_writer, request),
             None => bad_request(),
         },
         _ => relay(node, method, path, body).await,
@@ -127,6 +128,7 @@
 /// Returns `None` if this process doesn't schedule.
 async fn heartbeat<C: Clock>(node: &Node<C>, request: WatchRequest) -> Option<Heartbeat> {
     let leader = node.leader()?;
+    let received_at = node.clock.now();
     if let Some(capacity) = request.capacity {
         leader.record_candidate(&request.vm, capacity);
     }
@@ -144,6 +146,20 @@
         config_version: site.version(),
         config_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
         largest_candidate: leader.largest_candidate(),
+        admission: admission_report(&leader, received_at),
+    })
+}
+
+/// Returns the committed work of loaded pools for a heartbeat whose request arrived at `received_at`.
+fn admission_report<C: Clock>(
+    leader: &Leader<C>,
+    received_at: Duration,
+) -> Option<AdmissionReport> {
+    let (snapshot, taken_at) = leader.admission_snapshot()?;
+    let millis = |duration: Duration| i64::try_from(duration.as_millis()).unwrap_or(i64::MAX);
+    Some(AdmissionReport {
+        snapshot: (*snapshot).clone(),
+        taken_after_ms: millis(taken_at) - millis(received_at),
     })
 }
 
@@ -159,9 +175,10 @@
     scheduler_response(Some(outcome))
 }
 
-fn job_state<C: Clock>(node: &Node<C>, request: StateRequest) -> Reply {
+fn job_state<C: Clock>(node: &Node<C>, job_writer: &JobWriter<C>, request: StateRequest) -> Reply {
     let state = node.leader().map(|leader| StateResponse {
         state: leader.visible_state(request.id),
+        may_be_stored: Some(job_writer.may_be_stored(request.id)),
     });
     scheduler_response(state)
 }
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -9,7 +9,8 @@
 use snipevane_adapter::rows::Transaction;
 use snipevane_core::candidates::{Candidates, VmCapacity};
 use snipevane_core::jobs::{
-    JobId, JobSpec, JobState, OrderedVms, Scheduler, SchedulerSettings, Site, UnreportedRuns,
+    AdmissionSnapshot, JobId, JobSpec, JobState, MoveOutlook, OrderedVms, Scheduler,
+    SchedulerSettings, Site, UnreportedRuns,
 };
 use snipevane_core::term::{Term, TermSettings};
 use tokio::sync::Notify;
@@ -42,6 +43,10 @@
 /// Shortest time between scheduling decisions, during which events accumulate.
 const MIN_DECISION_INTERVAL: Duration = Duration::from_millis(3);
 
+/// Age up to which a summary of the committed work is used again. It serves all entry VMs, since summing up the
+/// work for each heartbeat would take a notable part of a small VM's processor.
+const ADMISSION_SNAPSHOT_MAX_AGE: Duration = Duration::from_millis(100);
+
 /// Safety margin in [`UnreportedRuns::until`], after which the runs of the last lease that an
 /// earlier term may have granted have certainly ended.
 ///
@@ -93,6 +98,10 @@
     pub(super) previously_ordered_vms: Option<FxHashMap<SmolStr, Duration>>,
     /// VMs that are or were ordered lately.
     pub(super) ordered_vms: RefCell<OrderedVms>,
+    /// VMs that pools could get; `None` until the first plan of moves.
+    pub(super) move_outlook: RefCell<Option<MoveOutlook>>,
+    /// Committed work of loaded pools, with the time at which it was summed up.
+    admission: RefCell<Option<(Rc<AdmissionSnapshot>, Duration)>>,
     /// Whether all jobs have been read, which is required before orders are sent.
     pub(super) jobs_loaded: Cell<bool>,
     /// Other entry VMs that could take over the term.
@@ -170,6 +179,8 @@
             taken_over_at,
             previously_ordered_vms,
             ordered_vms: RefCell::new(ordered_vms),
+            move_outlook: RefCell::default(),
+            admission: RefCell::default(),
             jobs_loaded: Cell::new(false),
             candidates: RefCell::new(Candidates::new(node.settings.capacity)),
             handover_due: Cell::new(false),
@@ -212,6 +223,33 @@
         self.scheduler.borrow().visible_state(id)
     }
 
+    /// Returns the committed work of loaded pools and the time at which it was summed up; `None` while it
+    /// isn't known, as after a takeover.
+    pub(crate) fn admission_snapshot(&self) -> Option<(Rc<AdmissionSnapshot>, Duration)> {
+        if !self.may_send_orders() || self.is_releasing() {
+            return None;
+        }
+        let now = self.node.clock.now();
+        let mut cached = self.admission.borrow_mut();
+        if let Some((snapshot, taken_at)) = cached.as_ref()
+            && now < *taken_at + ADMISSION_SNAPSHOT_MAX_AGE
+        {
+            return Some((snapshot.clone(), *taken_at));
+        }
+        let outlook = self.move_outlook.borrow();
+        let unplanned = MoveOutlook::default();
+        let outlook = match (outlook.as_ref(), self.node.settings.vm_api_address) {
+            (Some(outlook), _) => outlook,
+            (None, None) => &unplanned,
+            (None, Some(_)) => return None,
+        };
+        let move_time = self.node.settings.bounds.move_time;
+        let scheduler = self.scheduler.borrow();
+        let snapshot = scheduler.admission_snapshot(outlook, move_time, now);
+        *cached = snapshot.map(|snapshot| (Rc::new(snapshot), now));
+        cached.clone()
+    }
+
     /// Records that another entry VM could take over the term.
     pub(crate) fn record_candidate(&self, vm: &SmolStr, capacity: VmCapacity) {
         let now = self.node.clock.now();
--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use snipevane_adapter::rows::Row;
+use snipevane_core::jobs::AdmissionSnapshot;
 use snipevane_core::term::{ObservedTerm, TermSettings};
 
-use crate::peers::messages::Heartbeat;
+use crate::peers::messages::{AdmissionReport, Heartbeat};
 use crate::rows::{self, SCHEDULER_KEY, SchedulerRow};
 
 /// Age up to which a heartbeat shows that the scheduler is reachable.
@@ -24,6 +25,9 @@
     read_at: Option<Duration>,
     heartbeat_at: Option<Duration>,
     failed_at: Option<Duration>,
+    /// Committed work of loaded pools as the scheduler last reported it, with the earliest time at which it can
+    /// have been summed up.
+    admission: Option<(AdmissionSnapshot, Duration)>,
 }
 
 impl SchedulerView {
@@ -47,6 +51,7 @@
         self.observed
             .record_read(settings, version, released, written_by, now);
         self.read_at = Some(now);
+        self.admission = None;
     }
 
     /// Records the row as this process has written it.
@@ -61,6 +66,7 @@
             .record_read(settings, version, row.released, now, now);
         self.row = Some(row);
         self.read_at = Some(now);
+        self.admission = None;
     }
 
     /// Records a heartbeat; returns whether it is current and shows that the term is held.
@@ -88,6 +94,28 @@
         !self.observed.is_free(settings, now)
     }
 
+    /// Records the committed work that came with a current heartbeat, which was requested at `sent_at`.
+    ///
+    /// Its age is counted from the request, so that a response that was delayed isn't taken for a recent one.
+    pub fn record_admission(&mut self, report: Option<AdmissionReport>, sent_at: Duration) {
+        self.admission = report.map(|report| {
+            let offset = Duration::from_millis(report.taken_after_ms.unsigned_abs());
+            let taken_at = if report.taken_after_ms >= 0 {
+                sent_at + offset
+            } else {
+                sent_at.saturating_sub(offset)
+            };
+            (report.snapshot, taken_at)
+        });
+    }
+
+    /// Returns the committed work of loaded pools, and the earliest time at which it was summed up; `None` if
+    /// the scheduler hasn't reported it since its row was read.
+    pub fn admission_snapshot(&self) -> Option<(&AdmissionSnapshot, Duration)> {
+        let (snapshot, taken_at) = self.admission.as_ref()?;
+        Some((snapshot, *taken_at))
+    }
+
     /// Records that a request to the scheduler failed.
     pub fn record_call_failure(&mut self, now: Duration) {
         self.heartbeat_at = None;
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -175,6 +175,7 @@
         let mut orders = maintenance.decide(&mut scheduler, &vms, sent_at, now);
         let under_maintenance = |vm: &Vm| maintenance.is_in_progress(&vm.name);
         orders.extend(moves.decide(&mut scheduler, &vms, under_maintenance, sent_at, now));
+        *leader.move_outlook.borrow_mut() = Some(moves.outlook().clone());
         scheduler.update_cordons(&vms, |vm| {
             under_maintenance(vm) || moves.is_in_progress(&vm.name)
         });
--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -19,6 +19,10 @@
 /// Maximum time that a test waits for a condition, far longer than any takes.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time for which callers wait for an answer unless a test names another, in milliseconds. It is also the
+/// time that a daemon assumes.
+const CALLER_WAIT_MS: u64 = 3_000;
+
 /// A daemon process with an address of the store of its own, at which calls can be refused.
 pub(crate) struct Node {
     process: Child,
@@ -285,9 +289,22 @@
     path: &str,
     key: &str,
     body: &str,
+) -> (u16, String) {
+    call_with_wait(address, method, path, key, body, CALLER_WAIT_MS)
+}
+
+/// Sends a request, as [`call`] does, whose caller waits for this many milliseconds.
+pub(crate) fn call_with_wait(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    key: &str,
+    body: &str,
+    wait_ms: u64,
 ) -> (u16, String) {
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Api-Key: {key}\r\n\
+         X-Snipevane-Deadline-Ms: {wait_ms}\r\n\
          Content-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
         body.len(),
     );
--- a/crates/snipevane-fleet/tests/view.rs
+++ b/crates/snipevane-fleet/tests/view.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use snipevane_adapter::rows::Row;
+use snipevane_core::jobs::AdmissionSnapshot;
 use snipevane_core::term::TermSettings;
-use snipevane_fleet::peers::messages::Heartbeat;
+use snipevane_fleet::peers::messages::{AdmissionReport, Heartbeat};
 use snipevane_fleet::rows::{self, SCHEDULER_KEY, SCHEDULERS_TABLE, SchedulerRow};
 use snipevane_fleet::scheduling::SchedulerView;
 
@@ -49,6 +50,7 @@
         config_version: 1,
         config_age_ms: None,
         largest_candidate: None,
+        admission: None,
     }
 }
 
@@ -153,3 +155,45 @@
     assert!(!view.is_free(&settings, START));
     assert!(view.is_free(&settings, START + settings.outage_grace));
 }
+
+fn admission_report(taken_after_ms: i64) -> Option<AdmissionReport> {
+    Some(AdmissionReport {
+        snapshot: AdmissionSnapshot::default(),
+        taken_after_ms,
+    })
+}
+
+/// Guards against an old snapshot that is taken for a recent one because its response was read late, as by a
+/// process that was suspended.
+#[test]
+fn the_age_of_an_admission_snapshot_counts_from_the_request() {
+    let (_, mut view) = view_at_start(5);
+    let taken_at = |view: &SchedulerView| view.admission_snapshot().map(|(_, at)| at);
+    assert_eq!(taken_at(&view), None);
+    view.record_admission(admission_report(200), after(300));
+    assert_eq!(taken_at(&view), Some(after(500)));
+    view.record_admission(admission_report(-100), after(300));
+    assert_eq!(taken_at(&view), Some(after(200)));
+    view.record_admission(None, after(900));
+    assert_eq!(taken_at(&view), None);
+}
+
+/// Guards against rejections by what a former scheduler knew: a row that was read may be another one's.
+#[test]
+fn a_row_that_was_read_makes_the_admission_snapshot_invalid() {
+    let (settings, mut view) = view_at_start(5);
+    view.record_admission(admission_report(0), after(300));
+    view.record_read(&settings, Some(&row(6)), 0, after(400));
+    assert!(view.admission_snapshot().is_none());
+}
+
+/// Guards against a release that doesn't understand the heartbeats of the one before, or the other way round.
+#[test]
+fn heartbeats_of_old_and_new_processes_are_understood() {
+    let old = br#"{"version":5,"waiting":null,"config_version":1,"config_age_ms":null}"#;
+    let decoded = rows::decode::<Heartbeat>("heartbeat", old);
+    assert_eq!(decoded, Some(heartbeat(5)));
+    let encoded = rows::encode(&heartbeat(5));
+    let text = String::from_utf8(encoded).expect("JSON");
+    assert!(!text.contains("admission"), "{text}");
+}
