--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -21,12 +21,13 @@
 use crate::metrics;
 use crate::node::Node;
 use crate::rows;
+use crate::scheduling::Leader;
 use crate::senders::messages::{STARTS_PATH, StartsRequest};
 use crate::senders::{self, OutcomeStream};
 
 use super::messages::{
-    ACCEPT_PATH, Heartbeat, NOT_SCHEDULING, RELAY_BUSY, STATE_PATH, StateRequest, StateResponse,
-    SubmitRequest, WATCH_PATH, WatchRequest, message_kind,
+    ACCEPT_PATH, AdmissionReport, Heartbeat, NOT_SCHEDULING, RELAY_BUSY, STATE_PATH, StateRequest,
+    StateResponse, SubmitRequest, WATCH_PATH, WatchRequest, message_kind,
 };
 
 /// Timeout for a relayed call, long enough for a long poll for changes.
@@ -119,7 +120,7 @@
             None => bad_request(),
         },
         STATE_PATH => match rows::decode::<StateRequest>(STATE_PATH, body) {
-            Some(request) => job_state(node, request),
+            Some(request) => job_state(node, job_writer, request),
             None => bad_request(),
         },
         STARTS_PATH => match rows::decode::<StartsRequest>(STARTS_PATH, body) {
@@ -137,6 +138,7 @@
 async fn heartbeat<C: Clock>(node: &Node<C>, request: WatchRequest) -> Option<Heartbeat> {
     let leader = node.leader()?;
     leader.record_heard(&request.vm);
+    let received_at = node.clock.now();
     if let Some(capacity) = request.capacity {
         leader.record_candidate(&request.vm, capacity);
     }
@@ -156,6 +158,20 @@
         config_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
         largest_candidate: leader.largest_candidate(),
         grant: leader.term_grant(),
+        admission: admission_report(&leader, received_at),
+    })
+}
+
+/// Returns the committed work of loaded pools for a heartbeat whose request arrived at `received_at`.
+fn admission_report<C: Clock>(
+    leader: &Leader<C>,
+    received_at: Duration,
+) -> Option<AdmissionReport> {
+    let (snapshot, taken_at) = leader.admission_snapshot()?;
+    let millis = |duration: Duration| i64::try_from(duration.as_millis()).unwrap_or(i64::MAX);
+    Some(AdmissionReport {
+        snapshot: (*snapshot).clone(),
+        taken_after_ms: millis(taken_at) - millis(received_at),
     })
 }
 
@@ -171,9 +187,10 @@
     scheduler_response(Some(outcome))
 }
 
-fn job_state<C: Clock>(node: &Node<C>, request: StateRequest) -> Reply {
+fn job_state<C: Clock>(node: &Node<C>, job_writer: &JobWriter<C>, request: StateRequest) -> Reply {
     let state = node.leader().map(|leader| StateResponse {
         state: leader.visible_state(request.id),
+        may_be_stored: Some(job_writer.may_be_stored(request.id)),
     });
     scheduler_response(state)
 }
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -197,6 +197,7 @@
         let room = room.saturating_sub(orders.len());
         let move_orders = moves.decide(&mut scheduler, &vms, under_maintenance, room, sent_at, now);
         orders.extend(move_orders);
+        *leader.move_outlook.borrow_mut() = Some(moves.outlook().clone());
         scheduler.update_cordons(&vms, |vm| {
             under_maintenance(vm) || moves.is_in_progress(&vm.name)
         });
