Let observers wait longer for a holder whose writes are slow

Cause: a write is sent when the one before is answered.

Change: the row, and the heartbeat, say for how long observers have to wait (observer_wait_ms: two writes at the longest time of the last 5 to 10 s, the renewal interval and the delay of the observation; 4 s at most). It is left out while that is no more than the term's 1.4 s, so that rows are the same bytes as before at a fast store. The holder's own term stays 1.4 s: it sends no order later than before, so an older observer that ignores the field is as safe as before, and a newer one only waits longer.

--- a/crates/snipevane-core/src/term.rs
+++ b/crates/snipevane-core/src/term.rs
@@ -4,6 +4,9 @@
 //! term's length has passed since it sent its last successful write. An observer takes over once it
 //! has seen the row unchanged for the term's length and a margin. Both measure with their own
 //! monotonic clock, which includes time in suspension, so no clocks are compared.
+//!
+//! While the store is slow, the row asks observers to wait longer. The scheduler itself stops sending
+//! orders at the same time as ever, so an observer that doesn't know of the request takes over safely too.
 
 use std::time::Duration;
 
@@ -23,6 +26,10 @@
     pub outage_grace: Duration,
     /// Time for which a VM leaves a free term to much larger VMs.
     pub smaller_vm_delay: Duration,
+    /// Time that may pass until an observer sees a write that was committed, while the store is slow.
+    pub observation_delay: Duration,
+    /// Longest time, in place of `term`, for which a row may ask observers to wait.
+    pub max_observer_wait: Duration,
 }
 
 impl Default for TermSettings {
@@ -34,7 +41,60 @@
             outage_threshold: Duration::from_millis(1_100),
             outage_grace: Duration::from_millis(900),
             smaller_vm_delay: Duration::from_millis(350),
+            // The pause between two heartbeats, or a read of the row that takes 200 ms, with jitter.
+            observation_delay: Duration::from_millis(500),
+            // A write that the store queues for a second, carries out in 250 ms and answers in 200 ms
+            // needs 3.8 s. A holder that was killed is followed that much later at most.
+            max_observer_wait: Duration::from_millis(4_000),
+        }
+    }
+}
+
+impl TermSettings {
+    /// Returns how long observers have to wait for a change of the row, without the margin, if a write
+    /// takes `commit_time` at most.
+    ///
+    /// Until an observer sees a write, one may have been sent just before it, and another after it.
+    pub fn observer_wait(&self, commit_time: Duration) -> Duration {
+        let wait = commit_time * 2 + self.renewal_interval + self.observation_delay;
+        wait.clamp(self.term, self.max_observer_wait)
+    }
+}
+
+/// Longest time that the scheduler's writes took lately.
+///
+/// All times are readings of one monotonic clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CommitTimes {
+    /// Start of the period that `current` covers.
+    period_start: Duration,
+    current: Duration,
+    previous: Duration,
+}
+
+impl CommitTimes {
+    /// Time after which a slow write no longer counts, at the earliest; at the latest after twice this
+    /// time. A store that is slow for some seconds answers several writes within it.
+    const PERIOD: Duration = Duration::from_secs(5);
+
+    /// Records a write that was committed at `now` and took `elapsed`.
+    pub fn record(&mut self, elapsed: Duration, now: Duration) {
+        if now >= self.period_start + Self::PERIOD {
+            let has_gap = now >= self.period_start + Self::PERIOD * 2;
+            self.previous = if has_gap {
+                Duration::ZERO
+            } else {
+                self.current
+            };
+            self.current = Duration::ZERO;
+            self.period_start = now;
         }
+        self.current = self.current.max(elapsed);
+    }
+
+    /// Returns the longest time that a write took lately.
+    pub fn longest(&self) -> Duration {
+        self.current.max(self.previous)
     }
 }
 
@@ -92,6 +152,9 @@
     last_seen: Duration,
     /// Time before which the scheduler may still be renewing after an outage of the store.
     grace_until: Duration,
+    /// Time, in place of the term's length, for which the row asks observers to wait; zero if it asks
+    /// for none.
+    requested_wait: Duration,
     released: bool,
 }
 
@@ -117,6 +180,13 @@
         self.released = released;
     }
 
+    /// Sets the time, in place of the term's length, for which the row asks observers to wait.
+    ///
+    /// A shorter time than the term's length, or one longer than allowed, has no effect.
+    pub fn set_requested_wait(&mut self, wait: Duration) {
+        self.requested_wait = wait;
+    }
+
     /// Returns whether an observer may try to take over.
     pub fn is_free(&self, settings: &TermSettings, now: Duration) -> bool {
         self.is_free_for(settings, Duration::ZERO, now)
@@ -128,7 +198,10 @@
         if self.released {
             return now >= self.first_seen + delay;
         }
-        let unchanged = now >= self.first_seen + settings.term + settings.margin + delay;
+        let wait = self
+            .requested_wait
+            .clamp(settings.term, settings.max_observer_wait);
+        let unchanged = now >= self.first_seen + wait + settings.margin + delay;
         unchanged && now >= self.grace_until
     }
 
--- a/crates/snipevane-fleet/src/peers/messages.rs
+++ b/crates/snipevane-fleet/src/peers/messages.rs
@@ -42,6 +42,9 @@
 pub struct Heartbeat {
     /// Version of the scheduler's row.
     pub version: u64,
+    /// Time for which the row asks observers to wait, in milliseconds; `None` if it asks for none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub observer_wait_ms: Option<u64>,
     /// Number of jobs that haven't started, by queue; `None` until this term has loaded all jobs.
     pub waiting: Option<Vec<(SmolStr, u64)>>,
     /// Version of the configuration in force at the scheduler.
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -140,6 +140,7 @@
     let age = site.confirmation_age(node.clock.now());
     Some(Heartbeat {
         version: view.version(),
+        observer_wait_ms: row.observer_wait_ms,
         waiting: row.waiting.clone(),
         config_version: site.version(),
         config_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
--- a/crates/snipevane-fleet/src/rows.rs
+++ b/crates/snipevane-fleet/src/rows.rs
@@ -49,6 +49,10 @@
     /// doesn't know the clock.
     #[serde(default)]
     pub sent_clock_ms: Option<u64>,
+    /// Time, in milliseconds and in place of the term's length, that observers wait for a change of the row
+    /// before they take over; `None` while the store is as fast as usual.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub observer_wait_ms: Option<u64>,
     /// Whether the holder has released its term.
     #[serde(default)]
     pub released: bool,
@@ -75,6 +79,11 @@
         self.holder == other.holder && self.process == other.process && self.fence == other.fence
     }
 
+    /// Returns the time for which the row asks observers to wait; zero if it asks for none.
+    pub fn observer_wait(&self) -> Duration {
+        Duration::from_millis(self.observer_wait_ms.unwrap_or(0))
+    }
+
     /// Returns the least time since the write, if the store's clock shows `clock_ms` now.
     pub fn least_age(&self, clock_ms: u64) -> Duration {
         let sent_ms = self.sent_clock_ms.unwrap_or(clock_ms);
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -158,6 +158,8 @@
             .as_ref()
             .map_or(Some(Vec::new()), |row| row.ordered_vms.clone()),
         sent_clock_ms: node.store.latest_clock_ms(),
+        // The store may still be slow, of which this term has measured nothing yet.
+        observer_wait_ms: previous.as_ref().and_then(|row| row.observer_wait_ms),
         ..SchedulerRow::default()
     };
     let transaction = Transaction {
@@ -169,7 +171,9 @@
         )],
         ..Transaction::default()
     };
-    let version = match node.store.commit(&transaction).await {
+    let committed = node.store.commit(&transaction).await;
+    let commit_time = node.clock.now().saturating_sub(sent_at);
+    let version = match committed {
         Ok(CommitOutcome::Committed(version)) => version,
         Ok(CommitOutcome::Conflict(_)) => confirm_uncertain_win(node, &row).await?,
         Err(error) => {
@@ -188,6 +192,7 @@
         previous_seen_at,
         version,
         sent_at,
+        commit_time,
     })
 }
 
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -11,7 +11,7 @@
 use snipevane_core::jobs::{
     JobId, JobSpec, JobState, OrderedVms, Scheduler, SchedulerSettings, Site, UnreportedRuns,
 };
-use snipevane_core::term::{Term, TermSettings};
+use snipevane_core::term::{CommitTimes, Term, TermSettings};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
@@ -70,6 +70,8 @@
     pub(super) version: u64,
     /// Time at which the write was sent.
     pub(super) sent_at: Duration,
+    /// Time that the write took.
+    pub(super) commit_time: Duration,
 }
 
 /// The scheduler while this process holds the scheduler's term.
@@ -78,6 +80,8 @@
     pub(super) scheduler: RefCell<Scheduler>,
     pub(super) settings: TermSettings,
     pub(super) term: RefCell<Term>,
+    /// Times that the writes of the term took.
+    pub(super) commit_times: Cell<CommitTimes>,
     pub(super) row: RefCell<SchedulerRow>,
     pub(super) version: Cell<u64>,
     /// Rows of the minions in use, as last stored.
@@ -158,10 +162,13 @@
         let adopted = won.row.ordered_vms.as_deref();
         let ordered_vms = OrderedVms::adopt(adopted.unwrap_or_default(), won.previous_seen_at);
         let previously_ordered_vms = adopted.map(|_| ordered_vms.reserved().clone());
+        let mut commit_times = CommitTimes::default();
+        commit_times.record(won.commit_time, node.clock.now());
         Self {
             scheduler: RefCell::new(scheduler),
             settings,
             term: RefCell::new(Term::new(settings, won.sent_at)),
+            commit_times: Cell::new(commit_times),
             row: RefCell::new(won.row),
             version: Cell::new(won.version),
             minion_rows: RefCell::new(won.minion_rows),
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -178,11 +178,21 @@
     transaction
 }
 
+/// Returns the time that observers have to wait, in milliseconds, if it exceeds the term's length.
+fn requested_observer_wait_ms<C: Clock>(leader: &Leader<C>) -> Option<u64> {
+    let wait = leader
+        .settings
+        .observer_wait(leader.commit_times.get().longest());
+    let is_longer = wait > leader.settings.term;
+    is_longer.then(|| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// Returns a transaction with the scheduler's row, on condition that the row still has the version of
 /// the write before.
 fn with_row<C: Clock>(leader: &Leader<C>, changes: &Transaction) -> Transaction {
     let mut row = leader.row.borrow_mut();
     row.sent_clock_ms = leader.node.store.latest_clock_ms();
+    row.observer_wait_ms = requested_observer_wait_ms(leader);
     let mut transaction = changes.clone();
     transaction.conditions.push((
         SCHEDULERS_TABLE.into(),
@@ -209,6 +219,7 @@
     loop {
         match leader.node.store.commit(&with_row(leader, changes)).await {
             Ok(CommitOutcome::Committed(version)) => {
+                record_commit_time(leader, last_sent);
                 record_commit(leader, version, last_sent);
                 return true;
             }
@@ -248,6 +259,7 @@
     let sent_at = leader.node.clock.now();
     match leader.node.store.commit(&with_row(leader, changes)).await? {
         CommitOutcome::Committed(version) => {
+            record_commit_time(leader, sent_at);
             record_commit(leader, version, sent_at);
             Ok(CommitOutcome::Committed(version))
         }
@@ -263,6 +275,15 @@
     }
 }
 
+/// Records how long a write took whose commit was reported. A commit that shows only in a conflict tells
+/// more about lost answers than about the time that the store needs.
+fn record_commit_time<C: Clock>(leader: &Leader<C>, sent_at: Duration) {
+    let now = leader.node.clock.now();
+    let mut commit_times = leader.commit_times.get();
+    commit_times.record(now.saturating_sub(sent_at), now);
+    leader.commit_times.set(commit_times);
+}
+
 /// Records that the scheduler's row was committed by a write that was sent at `sent_at` or later.
 fn record_commit<C: Clock>(leader: &Leader<C>, version: u64, sent_at: Duration) {
     leader.version.set(version);
--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -46,6 +46,8 @@
         let written_by = now.saturating_sub(age.unwrap_or_default());
         self.observed
             .record_read(settings, version, released, written_by, now);
+        let wait = self.row.as_ref().map(SchedulerRow::observer_wait);
+        self.observed.set_requested_wait(wait.unwrap_or_default());
         self.read_at = Some(now);
     }
 
@@ -59,6 +61,7 @@
     ) {
         self.observed
             .record_read(settings, version, row.released, now, now);
+        self.observed.set_requested_wait(row.observer_wait());
         self.row = Some(row);
         self.read_at = Some(now);
     }
@@ -82,6 +85,8 @@
         if heartbeat.version > self.observed.version() {
             self.observed
                 .record_read(settings, heartbeat.version, false, now, now);
+            row.observer_wait_ms = heartbeat.observer_wait_ms;
+            self.observed.set_requested_wait(row.observer_wait());
         }
         row.waiting = heartbeat.waiting;
         self.heartbeat_at = Some(now);
--- a/crates/snipevane-fleet/tests/view.rs
+++ b/crates/snipevane-fleet/tests/view.rs
@@ -45,6 +45,7 @@
 fn heartbeat(version: u64) -> Heartbeat {
     Heartbeat {
         version,
+        observer_wait_ms: None,
         waiting: None,
         config_version: 1,
         config_age_ms: None,
@@ -153,3 +154,39 @@
     assert!(!view.is_free(&settings, START));
     assert!(view.is_free(&settings, START + settings.outage_grace));
 }
+
+/// A store that carries four writes a second takes over a second to answer one; the holder must not be
+/// followed meanwhile, and a killed holder is followed once the requested time is over.
+#[test]
+fn a_holder_that_asks_for_more_time_is_followed_later() {
+    let (settings, mut view) = view_at_start(5);
+    let slow = Heartbeat {
+        observer_wait_ms: Some(3_000),
+        ..heartbeat(6)
+    };
+    assert!(view.record_heartbeat(&settings, slow, after(1_000)));
+    let free_at = 4_000 + settings.margin.as_millis() as u64;
+    assert!(!view.is_free(&settings, after(free_at - 1)));
+    assert!(view.is_free(&settings, after(free_at)));
+    // The next write is as fast as usual, and asks for no more time.
+    view.record_heartbeat(&settings, heartbeat(7), after(2_000));
+    let free_at = 2_000 + (settings.term + settings.margin).as_millis() as u64;
+    assert!(view.is_free(&settings, after(free_at)));
+}
+
+/// A row that asks for too long or too little a time must neither block takeovers nor cut a term short.
+#[test]
+fn the_time_for_which_a_row_may_ask_is_bounded() {
+    let settings = TermSettings::default();
+    for (asked_ms, waits) in [(0, settings.term), (60_000, settings.max_observer_wait)] {
+        let (_, mut view) = view_at_start(5);
+        let asking = Heartbeat {
+            observer_wait_ms: Some(asked_ms),
+            ..heartbeat(6)
+        };
+        view.record_heartbeat(&settings, asking, after(200));
+        let free_at = after(200) + waits + settings.margin;
+        assert!(!view.is_free(&settings, free_at - Duration::from_millis(1)));
+        assert!(view.is_free(&settings, free_at));
+    }
+}
