Write submissions and the scheduler's changes in one stream

Cause: submissions and the scheduler's changes took turns, a transaction each. While the store carries four writes a second, submissions got half of these; a submission that waited for its turn until its caller gave up was answered 504, although it had never been sent.

Change: - A transaction of callers also carries the scheduler's changes that are due, up to 100 entries; the scheduler's writer gives way to waiting callers while their transactions have room. Batches are taken when they can be sent, and are limited to 500,000 bytes. - A submission that would not be written within 2.5 s is refused at once, or withdrawn before it is sent, with the time until the queue is empty. Attempts of unknown outcome are remembered for 60 s, so that no repeat is told that nothing was done. Other entry VMs pass such a refusal on (Outcome::Busy, sent only to processes that know it) and don't write the job themselves. - Metrics: transactions, their entries and the wait for a turn by kind, the longest write and the wait of observers.

With the memory of uncertain attempts disabled, the test of a killed holder and that of lost answers fail ("was refused but is stored").

--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod shares;
 pub mod term;
 pub mod timeline;
+pub mod write_queue;
--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -27,6 +27,10 @@
 /// configuration, the store or the scheduler.
 const RETRY_AFTER_BASE: Duration = Duration::from_secs(1);
 
+/// Largest factor by which the time until the queue of writes is empty is lengthened, so that callers don't
+/// all come back at once.
+const RETRY_JITTER: f64 = 1.5;
+
 /// Time for which a caller is assumed to wait if its request doesn't tell.
 const DEFAULT_CALLER_WAIT: Duration = Duration::from_millis(3_000);
 
@@ -257,13 +261,19 @@
 
 /// Returns the response to a change that isn't stored or whose outcome is unknown.
 fn not_stored_reply<C: Clock>(node: &Node<C>, outcome: Outcome) -> Reply {
-    if outcome == Outcome::NotStored {
-        return retry_later(node, "the store is away; nothing was done");
+    match outcome {
+        Outcome::NotStored => retry_later(node, "the store is away; nothing was done"),
+        Outcome::Busy { retry_after_ms } => {
+            let delay = Duration::from_millis(retry_after_ms).max(RETRY_AFTER_BASE);
+            let delay = delay.mul_f64(node.random(1.0..RETRY_JITTER));
+            let message = "the store is slow; nothing was done";
+            reply::with_retry_after(StatusCode::SERVICE_UNAVAILABLE, message, delay)
+        }
+        Outcome::Stored | Outcome::Unknown => reply::error(
+            StatusCode::GATEWAY_TIMEOUT,
+            "the store did not answer in time",
+        ),
     }
-    reply::error(
-        StatusCode::GATEWAY_TIMEOUT,
-        "the store did not answer in time",
-    )
 }
 
 async fn get_state<C: Clock>(node: &Node<C>, id: JobId) -> Reply {
--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -4,12 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snipevane_adapter::rows::{Row, Transaction};
 use snipevane_core::jobs::{JobId, JobSpec, Progress};
+use snipevane_core::write_queue::WriteQueue;
 use tokio::sync::oneshot;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
 use crate::node::Node;
@@ -35,10 +37,36 @@
     NotStored,
     /// The change may be stored, or may still be stored later.
     Unknown,
+    /// The change isn't stored and won't be, as more changes wait than the store carries in time.
+    Busy {
+        /// Time until these changes are written, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
+/// Time within which a change must be written so that its caller is still answered. Callers usually wait
+/// 3 s, and an answer through another entry VM takes part of that.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Longest measured time of a write that is taken into account when a change is written or refused: a
+/// longer one shows a lost answer rather than a slow store.
+const MAX_EXPECTED_COMMIT_TIME: Duration = Duration::from_millis(1_000);
+
+/// Maximum size of the values in one transaction, in bytes. In Base64, with the entries' names and changes
+/// of the scheduler, they stay within the platform's limit of 1 MB.
+const MAX_BATCH_BYTES: usize = 500_000;
+
+/// Time for which a write of unknown outcome is remembered. A caller repeats a submission up to four times
+/// and waits 3 s each time.
+const UNCERTAIN_RETENTION: Duration = Duration::from_secs(60);
+
+/// Number of remembered writes above which expired ones are removed.
+const MAX_UNCERTAIN: usize = 1_000;
+
 /// A change to one job that is queued to be written.
 struct PendingChange {
+    /// Number that identifies the change in this process.
+    number: u64,
     /// Table, key and expected version of the row on which the change is conditional.
     condition: (SmolStr, SmolStr, u64),
     /// Rows to write.
@@ -66,7 +94,13 @@
 pub struct JobWriter<C> {
     node: Rc<Node<C>>,
     pending: RefCell<Vec<PendingChange>>,
+    next_number: Cell<u64>,
     writing: Cell<bool>,
+    /// Whether a transaction is under way.
+    committing: Cell<bool>,
+    /// Keys of jobs whose submission may be stored by an attempt without an answer, with the time of the
+    /// attempt. A repeat of the submission must not be answered that nothing was done.
+    uncertain: RefCell<FxHashMap<SmolStr, Duration>>,
 }
 
 impl<C: Clock> JobWriter<C> {
@@ -75,7 +109,10 @@
         Rc::new(Self {
             node,
             pending: RefCell::default(),
+            next_number: Cell::new(0),
             writing: Cell::new(false),
+            committing: Cell::new(false),
+            uncertain: RefCell::default(),
         })
     }
 
@@ -87,19 +124,68 @@
         if self.node.leader().is_some() {
             return self.accept_locally(id, spec).await;
         }
-        match scheduler_client::submit_job(&self.node, id, spec).await {
-            Some(Outcome::Stored) => Outcome::Stored,
-            Some(Outcome::NotStored) | None => self.accept_locally(id, spec).await,
-            Some(Outcome::Unknown) => match self.accept_locally(id, spec).await {
-                Outcome::NotStored => Outcome::Unknown,
-                outcome => outcome,
-            },
+        let key = rows::job_key(id);
+        let was_uncertain = self.is_uncertain(&key);
+        // Remembered first, as the caller's wait may end this call at any time.
+        self.mark_uncertain(&key);
+        let outcome = match scheduler_client::submit_job(&self.node, id, spec).await {
+            Some(outcome @ (Outcome::Stored | Outcome::Busy { .. })) => outcome,
+            Some(Outcome::Unknown) if self.leaves_writes_to_scheduler() => Outcome::Unknown,
+            Some(Outcome::Unknown) => self.accept_locally(id, spec).await,
+            Some(Outcome::NotStored) | None => {
+                if !was_uncertain {
+                    self.uncertain.borrow_mut().remove(&key);
+                }
+                return self.accept_locally(id, spec).await;
+            }
+        };
+        if outcome == Outcome::Stored || (!was_uncertain && is_not_stored(outcome)) {
+            self.uncertain.borrow_mut().remove(&key);
+        }
+        if was_uncertain && is_not_stored(outcome) {
+            return Outcome::Unknown;
         }
+        outcome
+    }
+
+    /// Returns whether the scheduler is heard and has found the store slow, so that a write of this process
+    /// would only delay those of the scheduler.
+    fn leaves_writes_to_scheduler(&self) -> bool {
+        let view = self.node.scheduler_view.borrow();
+        view.is_store_slow() && view.reachable_address(self.node.clock.now()).is_some()
+    }
+
+    fn is_uncertain(&self, key: &SmolStr) -> bool {
+        let now = self.node.clock.now();
+        let marked_at = self.uncertain.borrow().get(key).copied();
+        marked_at.is_some_and(|at| now < at + UNCERTAIN_RETENTION)
+    }
+
+    /// Returns whether another change of the same job waits, is being written or may have been written.
+    fn may_be_stored(&self, key: &SmolStr, number: Option<u64>) -> bool {
+        let pending = self.pending.borrow();
+        let mut others = pending
+            .iter()
+            .filter(|change| Some(change.number) != number);
+        self.is_uncertain(key) || others.any(|change| change.condition.1 == *key)
+    }
+
+    fn mark_uncertain(&self, key: &SmolStr) {
+        let now = self.node.clock.now();
+        let mut uncertain = self.uncertain.borrow_mut();
+        if uncertain.len() >= MAX_UNCERTAIN {
+            uncertain.retain(|_, at| now < *at + UNCERTAIN_RETENTION);
+        }
+        uncertain.insert(key.clone(), now);
     }
 
     /// Stores a job with a write of this process, unless it is already stored.
     pub async fn accept_locally(self: &Rc<Self>, id: JobId, spec: &JobSpec) -> Outcome {
         let key = rows::job_key(id);
+        let leader = self.node.leader();
+        if leader.is_some_and(|leader| leader.visible_state(id).is_some()) {
+            return Outcome::Stored;
+        }
         let writes = vec![
             (JOBS_TABLE.into(), key.clone(), rows::encode(spec)),
             (
@@ -150,45 +236,135 @@
         writes: Vec<(SmolStr, SmolStr, Vec<u8>)>,
         conflict_if_absent: bool,
     ) -> WriteResult {
+        let may_be_stored = self.may_be_stored(&condition.1, None);
         if self.node.store.is_unreachable() {
-            return WriteResult::Outcome(Outcome::NotStored);
+            let outcome = if may_be_stored {
+                Outcome::Unknown
+            } else {
+                Outcome::NotStored
+            };
+            return WriteResult::Outcome(outcome);
         }
-        let (result_tx, result_rx) = oneshot::channel();
+        let outcome_unknown = self.is_uncertain(&condition.1);
+        if let Some(refusal) = self.refusal().filter(|_| !may_be_stored) {
+            return WriteResult::Outcome(refusal);
+        }
+        let (result_tx, mut result_rx) = oneshot::channel();
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
         self.pending.borrow_mut().push(PendingChange {
+            number,
             condition,
             writes,
             conflict_if_absent,
             queued_at: self.node.clock.now(),
-            outcome_unknown: false,
+            outcome_unknown,
             result_tx,
         });
         if !self.writing.replace(true) {
             let job_writer = self.clone();
             tokio::task::spawn_local(async move { job_writer.write_pending().await });
         }
-        result_rx
-            .await
-            .unwrap_or(WriteResult::Outcome(Outcome::Unknown))
+        let unknown = WriteResult::Outcome(Outcome::Unknown);
+        match timeout(WRITE_TIMEOUT, &mut result_rx).await {
+            Ok(result) => result.unwrap_or(unknown),
+            Err(_) if self.withdraw(number).is_some() => {
+                WriteResult::Outcome(busy(self.queue().drain_time()))
+            }
+            Err(_) => result_rx.await.unwrap_or(unknown),
+        }
+    }
+
+    /// Returns the refusal of a change that the store wouldn't carry in time, if it is slow.
+    ///
+    /// Only a scheduler that knows the stored jobs refuses: another process may have stored the change
+    /// in an earlier attempt.
+    fn refusal(&self) -> Option<Outcome> {
+        let leader = self.node.leader()?;
+        if !leader.knows_stored_jobs() {
+            return None;
+        }
+        let delay = self.queue().retry_delay(ANSWER_TIMEOUT)?;
+        Some(busy(delay))
+    }
+
+    /// Returns the queue of changes that wait, with the time that a write takes.
+    fn queue(&self) -> WriteQueue {
+        WriteQueue {
+            waiting: self.pending.borrow().len(),
+            max_batch: MAX_BATCH,
+            is_writing: self.committing.get(),
+            commit_time: self.expected_commit_time(),
+        }
+    }
+
+    /// Returns the time that the next write is expected to take; zero if this process doesn't schedule.
+    fn expected_commit_time(&self) -> Duration {
+        let leader = self.node.leader();
+        let commit_time = leader.map(|leader| leader.commit_time());
+        commit_time
+            .unwrap_or_default()
+            .min(MAX_EXPECTED_COMMIT_TIME)
+    }
+
+    /// Removes and returns a change that waits, if it was certainly never sent.
+    fn withdraw(&self, number: u64) -> Option<PendingChange> {
+        let index = {
+            let pending = self.pending.borrow();
+            let index = pending.iter().position(|change| change.number == number)?;
+            let change = &pending[index];
+            if change.outcome_unknown || self.may_be_stored(&change.condition.1, Some(number)) {
+                return None;
+            }
+            index
+        };
+        Some(self.pending.borrow_mut().remove(index))
     }
 
     /// Writes batches until no change is queued.
     async fn write_pending(&self) {
         // Lets requests that were read in the same turn of the runtime share a transaction.
         tokio::task::yield_now().await;
-        loop {
+        while !self.pending.borrow().is_empty() {
+            let Some(leader) = self.node.leader() else {
+                let batch = self.take_batch();
+                let transaction = build_transaction(&batch);
+                let result = self.node.store.commit(&transaction).await;
+                self.settle_batch(batch, result).await;
+                continue;
+            };
+            // The batch is taken when it can be sent, so that it contains all changes that wait by then.
+            let Some(turn) = leader.callers_turn().await else {
+                let waiting = std::mem::take(&mut *self.pending.borrow_mut());
+                self.retry(waiting).await;
+                continue;
+            };
             let batch = self.take_batch();
             if batch.is_empty() {
-                self.writing.set(false);
-                return;
+                continue;
             }
-            self.write_batch(batch).await;
+            let transaction = build_transaction(&batch);
+            self.committing.set(true);
+            let result = leader.commit_for_callers(turn, &transaction).await;
+            self.committing.set(false);
+            self.settle_batch(batch, result).await;
         }
+        self.writing.set(false);
     }
 
     /// Removes the next batch from the queue.
     fn take_batch(&self) -> Vec<PendingChange> {
+        self.refuse_late_changes();
         let mut pending = self.pending.borrow_mut();
-        let count = pending.len().min(MAX_BATCH);
+        let mut bytes = 0;
+        if pending.is_empty() {
+            return Vec::new();
+        }
+        let within_limit = pending.iter().take(MAX_BATCH).take_while(|change| {
+            bytes += change.size();
+            bytes <= MAX_BATCH_BYTES
+        });
+        let count = within_limit.count().max(1).min(pending.len());
         let mut batch: Vec<PendingChange> = pending.drain(..count).collect();
         // A transaction may contain a row only once, so later changes of a row are queued again.
         let mut index = 1;
@@ -203,19 +379,46 @@
                 index += 1;
             }
         }
+        drop(pending);
+        // A repeat that arrives while the batch is being written must not be refused as not run.
+        for change in &batch {
+            self.mark_uncertain(&change.condition.1);
+        }
         batch
     }
 
-    async fn write_batch(&self, mut batch: Vec<PendingChange>) {
-        let mut transaction = Transaction::default();
+    /// Refuses changes that were never sent and wouldn't be written while their callers wait.
+    fn refuse_late_changes(&self) {
+        let answered_at = self.node.clock.now() + self.expected_commit_time();
+        let late: Vec<u64> = {
+            let pending = self.pending.borrow();
+            let late = pending
+                .iter()
+                .filter(|change| answered_at > change.queued_at + ANSWER_TIMEOUT);
+            late.map(|change| change.number).collect()
+        };
+        for number in late {
+            let outcome = busy(self.queue().drain_time());
+            if let Some(change) = self.withdraw(number) {
+                send_result(change, WriteResult::Outcome(outcome));
+            }
+        }
+    }
+
+    /// Reports the result of a transaction to the callers of its changes, and queues those again that
+    /// are to be written again.
+    async fn settle_batch(
+        &self,
+        mut batch: Vec<PendingChange>,
+        result: Result<CommitOutcome, StoreError>,
+    ) {
+        let is_applied = matches!(result, Ok(CommitOutcome::Committed(_)));
+        let is_certain = !matches!(result, Err(StoreError::NoAnswer | StoreError::HistoryGone));
         for change in &batch {
-            transaction.conditions.push(change.condition.clone());
-            transaction.writes.extend(change.writes.iter().cloned());
+            if is_applied || (is_certain && !change.outcome_unknown) {
+                self.uncertain.borrow_mut().remove(&change.condition.1);
+            }
         }
-        let result = match self.node.leader() {
-            Some(leader) => leader.commit_for_callers(&transaction).await,
-            None => self.node.store.commit(&transaction).await,
-        };
         match result {
             Ok(CommitOutcome::Committed(_)) => {
                 for change in batch {
@@ -247,6 +450,7 @@
             if version == *expected {
                 rest.push(change);
             } else if change.conflict_if_absent || version != 0 {
+                self.uncertain.borrow_mut().remove(&change.condition.1);
                 send_result(change, WriteResult::Conflict { version });
             }
         }
@@ -271,7 +475,9 @@
                 now > change.queued_at + WRITE_TIMEOUT || (unreachable && !change.outcome_unknown)
             });
         for change in expired {
-            let outcome = if change.outcome_unknown {
+            let is_uncertain = change.outcome_unknown
+                || self.may_be_stored(&change.condition.1, Some(change.number));
+            let outcome = if is_uncertain {
                 Outcome::Unknown
             } else {
                 Outcome::NotStored
@@ -286,6 +492,35 @@
     }
 }
 
+impl PendingChange {
+    /// Returns the size of the values that the change writes, in bytes.
+    fn size(&self) -> usize {
+        self.writes.iter().map(|(_, _, value)| value.len()).sum()
+    }
+}
+
+/// Returns a transaction with changes.
+fn build_transaction(batch: &[PendingChange]) -> Transaction {
+    let mut transaction = Transaction::default();
+    for change in batch {
+        transaction.conditions.push(change.condition.clone());
+        transaction.writes.extend(change.writes.iter().cloned());
+    }
+    transaction
+}
+
+/// Returns the outcome of a change that isn't written because others take until `drain_time`.
+fn busy(drain_time: Duration) -> Outcome {
+    Outcome::Busy {
+        retry_after_ms: u64::try_from(drain_time.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+/// Returns whether an outcome states that a change isn't stored and won't be.
+fn is_not_stored(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::NotStored | Outcome::Busy { .. })
+}
+
 /// Sends the result of a change to its caller, which may have disconnected.
 fn send_result(change: PendingChange, result: WriteResult) {
     let _ = change.result_tx.send(result);
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -110,6 +110,14 @@
     histogram!("snipevane_store_call_seconds", "call" => call).record(elapsed.as_secs_f64());
 }
 
+/// Records a transaction of the scheduler's process, by the kind of changes that it was written for: its
+/// number of entries, and the time for which they waited for their turn.
+pub(crate) fn record_transaction(kind: &'static str, entries: usize, waited: Duration) {
+    counter!("snipevane_transactions_total", "kind" => kind).increment(1);
+    counter!("snipevane_transaction_entries_total", "kind" => kind).increment(entries as u64);
+    histogram!("snipevane_transaction_turn_seconds", "kind" => kind).record(waited.as_secs_f64());
+}
+
 /// Records a request of a caller.
 pub(crate) fn record_request(method: &http::Method, status: u16, elapsed: Duration) {
     let method = match *method {
@@ -255,6 +263,16 @@
     gauge!("snipevane_term_age_seconds").set(age.as_secs_f64());
 }
 
+/// Records the longest time that a write of the term took lately.
+pub(crate) fn set_longest_commit_time(time: Duration) {
+    gauge!("snipevane_longest_commit_seconds").set(time.as_secs_f64());
+}
+
+/// Records the time that observers wait for a change of the scheduler's row before they take over.
+pub(crate) fn set_observer_wait(wait: Duration) {
+    gauge!("snipevane_observer_wait_seconds").set(wait.as_secs_f64());
+}
+
 /// Records the smoothed time that minions take to reply to orders.
 pub(crate) fn set_order_reply_time(reply_time: Duration) {
     gauge!("snipevane_order_reply_seconds").set(reply_time.as_secs_f64());
--- a/crates/snipevane-fleet/src/peers/messages.rs
+++ b/crates/snipevane-fleet/src/peers/messages.rs
@@ -64,6 +64,9 @@
     pub id: JobId,
     /// Specification of the job.
     pub spec: JobSpec,
+    /// Whether the sender knows the outcome [`Outcome::Busy`](crate::caller::Outcome::Busy).
+    #[serde(default)]
+    pub accepts_busy: bool,
 }
 
 /// Requests the state of a job.
--- a/crates/snipevane-fleet/src/peers/scheduler_client.rs
+++ b/crates/snipevane-fleet/src/peers/scheduler_client.rs
@@ -91,6 +91,7 @@
     let request = SubmitRequest {
         id,
         spec: spec.clone(),
+        accepts_busy: true,
     };
     let submission = send_request(node, scheduler, ACCEPT_PATH, &request, MAX_SUBMIT_TIMEOUT);
     let result = tokio::select! {
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -15,7 +15,7 @@
 use snipevane_adapter::{Method, Request, config, rows as store_rows};
 use tokio::net::TcpListener;
 
-use crate::caller::JobWriter;
+use crate::caller::{JobWriter, Outcome};
 use crate::client::{CallError, RelayedBody};
 use crate::clock::Clock;
 use crate::metrics;
@@ -157,6 +157,10 @@
         return response(NOT_SCHEDULING, Bytes::new());
     }
     let outcome = job_writer.accept_locally(request.id, &request.spec).await;
+    let outcome = match outcome {
+        Outcome::Busy { .. } if !request.accepts_busy => Outcome::NotStored,
+        outcome => outcome,
+    };
     scheduler_response(Some(outcome))
 }
 
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -24,6 +24,7 @@
 use crate::store::{CommitOutcome, StoreError};
 
 use super::minion_rows::MinionRows;
+use super::storing::CallersTurn;
 use super::{feeds, notes, orders, storing, vms};
 
 /// Longest time between scheduling decisions.
@@ -88,6 +89,12 @@
     pub(super) minion_rows: RefCell<MinionRows>,
     /// Held while a write of the term is under way, as each one depends on the one before.
     pub(super) write_turn: tokio::sync::Mutex<()>,
+    /// Time at which the scheduler's changes were last taken for a write.
+    pub(super) changes_written_at: Cell<Duration>,
+    /// Whether changes of callers wait for the turn to write.
+    pub(super) callers_waiting: Cell<bool>,
+    /// Whether the transactions of callers have room for the scheduler's changes, as far as is known.
+    pub(super) callers_carry_changes: Cell<bool>,
     /// Rows to write in the next transaction: table, key, value.
     pub(super) pending_writes: RefCell<Vec<(SmolStr, SmolStr, Vec<u8>)>>,
     /// Start of the term; `None` for the first term, before which no orders were sent.
@@ -173,6 +180,9 @@
             version: Cell::new(won.version),
             minion_rows: RefCell::new(won.minion_rows),
             write_turn: tokio::sync::Mutex::default(),
+            changes_written_at: Cell::new(node.clock.now()),
+            callers_waiting: Cell::new(false),
+            callers_carry_changes: Cell::new(true),
             pending_writes: RefCell::default(),
             taken_over_at,
             previously_ordered_vms,
@@ -202,6 +212,22 @@
         self.wake.notify_one();
     }
 
+    /// Returns the longest time that a write took lately.
+    pub(crate) fn commit_time(&self) -> Duration {
+        self.commit_times.get().longest()
+    }
+
+    /// Returns whether all stored jobs are known, apart from those that other processes have just stored.
+    pub(crate) fn knows_stored_jobs(&self) -> bool {
+        self.jobs_loaded.get()
+    }
+
+    /// Waits for the turn to write changes of callers; returns `None` if it takes too long or the term is
+    /// over.
+    pub(crate) async fn callers_turn(&self) -> Option<CallersTurn<'_>> {
+        storing::callers_turn(self).await
+    }
+
     /// Commits changes of callers together with the scheduler's row, so that the write renews the term.
     ///
     /// # Errors
@@ -209,9 +235,10 @@
     /// Returns an error that tells whether the changes may be committed nevertheless.
     pub(crate) async fn commit_for_callers(
         &self,
+        turn: CallersTurn<'_>,
         changes: &Transaction,
     ) -> Result<CommitOutcome, StoreError> {
-        storing::commit_for_callers(self, changes).await
+        storing::commit_for_callers(self, turn, changes).await
     }
 
     /// Returns the state of a job as shown to callers, if the job is known.
@@ -377,6 +404,9 @@
         let age = leader.node.clock.now().saturating_sub(renewed_at);
         metrics::set_term_age(age);
         metrics::set_order_reply_time(reply_time);
+        let commit_time = leader.commit_time();
+        metrics::set_longest_commit_time(commit_time);
+        metrics::set_observer_wait(leader.settings.observer_wait(commit_time));
         for (pool, stats) in &stats {
             metrics::set_pool_stats(pool, stats);
         }
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -1,5 +1,8 @@
 //! Stores the scheduler's changes and renews its term with each write.
 //!
+//! Submissions and cancellations share a transaction with the scheduler's changes that are due, so that
+//! both wait for one write while the store is slow.
+//!
 //! Every write replaces the scheduler's row, on condition that the row still has the version of the
 //! write before. So the writes of a term take effect in order, and none takes effect after another
 //! process has won the term.
@@ -7,12 +10,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use snipevane_adapter::rows::{Row, Transaction};
+use smol_str::SmolStr;
+use snipevane_adapter::rows::{MAX_TRANSACTION_ENTRIES, Row, Transaction};
 use snipevane_core::jobs::{Changes, Scheduler};
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
 use crate::events;
+use crate::metrics;
 use crate::rows::{
     self, JOBS_TABLE, PROGRESS_TABLE, SCHEDULER_KEY, SCHEDULERS_TABLE, SchedulerRow,
 };
@@ -24,6 +29,13 @@
 /// Maximum number of entries in one transaction for the changes of jobs.
 const MAX_JOB_ENTRIES_PER_TRANSACTION: usize = 70;
 
+/// Number of entries that the scheduler's row takes: a condition and a write.
+const ROW_ENTRIES: usize = 2;
+
+/// Smallest room for changes of jobs that a transaction of callers is filled up with: the entries of a job
+/// that has ended.
+const MIN_JOB_ENTRIES: usize = 3;
+
 /// Maximum number of progress rows, of jobs that ended long ago, that one transaction removes.
 const MAX_EXPIRED_PER_TRANSACTION: usize = 5;
 
@@ -41,42 +53,76 @@
 /// Delay before a failed write is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(80);
 
-/// Stores changes until the term ends.
-pub(super) async fn store_changes<C: Clock>(leader: Rc<Leader<C>>) {
-    let mut written_at = leader.node.clock.now();
-    while !leader.ended.get() {
-        wait_until_write_due(&leader, written_at).await;
-        let turn = leader.write_turn.lock().await;
-        written_at = leader.node.clock.now();
-        let changes = leader
-            .scheduler
-            .borrow_mut()
-            .take_changes(MAX_JOB_ENTRIES_PER_TRANSACTION);
-        let minions = leader
-            .scheduler
-            .borrow()
-            .minions_in_use(leader.node.clock.now());
+/// The scheduler's changes in one write.
+struct OwnChanges {
+    jobs: Changes,
+    minions: Vec<(SmolStr, SmolStr)>,
+    minion_rows: MinionRows,
+}
+
+impl OwnChanges {
+    /// Takes changes of jobs that need up to `max_job_entries` entries, and the minions in use.
+    fn take<C: Clock>(leader: &Leader<C>, max_job_entries: usize) -> Self {
+        let now = leader.node.clock.now();
+        leader.changes_written_at.set(now);
+        let mut scheduler = leader.scheduler.borrow_mut();
+        let jobs = scheduler.take_changes(max_job_entries);
+        let minions = scheduler.minions_in_use(now);
         let minion_rows = MinionRows::new(&minions);
-        let transaction = build_transaction(&leader, &changes, &minion_rows);
-        let stored = commit(&leader, &transaction).await;
-        drop(turn);
+        Self {
+            jobs,
+            minions,
+            minion_rows,
+        }
+    }
+
+    /// Reports to the scheduler whether the changes were committed.
+    fn settle<C: Clock>(self, leader: &Leader<C>, stored: bool) {
         let mut scheduler = leader.scheduler.borrow_mut();
         if stored {
-            log_ended_jobs(&leader, &changes);
-            scheduler.changes_stored(&changes);
-            scheduler.mark_minions_recorded(&minions);
-            *leader.minion_rows.borrow_mut() = minion_rows;
+            log_ended_jobs(leader, &self.jobs);
+            scheduler.changes_stored(&self.jobs);
+            scheduler.mark_minions_recorded(&self.minions);
+            *leader.minion_rows.borrow_mut() = self.minion_rows;
         } else {
-            scheduler.changes_failed(&changes);
+            scheduler.changes_failed(&self.jobs);
         }
         drop(scheduler);
+        leader.wake.notify_one();
+    }
+}
+
+/// Stores changes until the term ends.
+pub(super) async fn store_changes<C: Clock>(leader: Rc<Leader<C>>) {
+    while !leader.ended.get() {
+        wait_until_write_due(&leader).await;
+        let queued_at = leader.node.clock.now();
+        let turn = leader.write_turn.lock().await;
+        let now = leader.node.clock.now();
+        if !is_write_due(&leader, now) || leaves_turn_to_callers(&leader) {
+            drop(turn);
+            continue;
+        }
+        let changes = OwnChanges::take(&leader, MAX_JOB_ENTRIES_PER_TRANSACTION);
+        let transaction = build_transaction(&leader, &changes);
+        let entries = transaction.entry_count() + ROW_ENTRIES;
+        metrics::record_transaction("changes", entries, now.saturating_sub(queued_at));
+        let stored = commit(&leader, &transaction).await;
+        drop(turn);
+        leader.callers_carry_changes.set(true);
+        changes.settle(&leader, stored);
         if leader.row.borrow().released {
             leader.ended.set(true);
         }
-        leader.wake.notify_one();
     }
 }
 
+/// Returns whether callers' changes wait for a turn and their transactions have room for the scheduler's
+/// changes, so that a write for these alone would only take up the store's time.
+fn leaves_turn_to_callers<C: Clock>(leader: &Leader<C>) -> bool {
+    leader.callers_waiting.get() && leader.callers_carry_changes.get() && !leader.is_releasing()
+}
+
 /// Logs the jobs whose end is now stored and thus visible to callers.
 fn log_ended_jobs<C: Clock>(leader: &Leader<C>, changes: &Changes) {
     let fence = leader.row.borrow().fence;
@@ -93,22 +139,10 @@
 
 /// Waits until a write is due: for urgent changes, for other changes, to renew the term, or because
 /// the process stops.
-async fn wait_until_write_due<C: Clock>(leader: &Leader<C>, written_at: Duration) {
+async fn wait_until_write_due<C: Clock>(leader: &Leader<C>) {
     loop {
         let now = leader.node.clock.now();
-        let due = {
-            let scheduler = leader.scheduler.borrow();
-            let renewal = leader.term.borrow().renewal_due();
-            if leader.is_releasing() {
-                now
-            } else if is_urgent(leader, &scheduler) {
-                renewal.min(written_at + URGENT_BATCH_DELAY)
-            } else if scheduler.has_changes() {
-                renewal.min(written_at + BATCH_DELAY)
-            } else {
-                renewal
-            }
-        };
+        let due = write_due_at(leader, now);
         if due <= now {
             return;
         }
@@ -116,6 +150,26 @@
     }
 }
 
+fn is_write_due<C: Clock>(leader: &Leader<C>, now: Duration) -> bool {
+    write_due_at(leader, now) <= now
+}
+
+/// Returns the time at which the next write is due.
+fn write_due_at<C: Clock>(leader: &Leader<C>, now: Duration) -> Duration {
+    let scheduler = leader.scheduler.borrow();
+    let renewal = leader.term.borrow().renewal_due();
+    let written_at = leader.changes_written_at.get();
+    if leader.is_releasing() {
+        now
+    } else if is_urgent(leader, &scheduler) {
+        renewal.min(written_at + URGENT_BATCH_DELAY)
+    } else if scheduler.has_changes() {
+        renewal.min(written_at + BATCH_DELAY)
+    } else {
+        renewal
+    }
+}
+
 fn is_urgent<C: Clock>(leader: &Leader<C>, scheduler: &Scheduler) -> bool {
     scheduler.has_urgent_changes()
         || scheduler.has_unrecorded_minions()
@@ -137,17 +191,11 @@
 
 /// Builds the next write: the scheduler's row, changed rows of minions in use, changes of jobs,
 /// pending rows and the removal of expired jobs.
-fn build_transaction<C: Clock>(
-    leader: &Leader<C>,
-    changes: &Changes,
-    minion_rows: &MinionRows,
-) -> Transaction {
+fn build_transaction<C: Clock>(leader: &Leader<C>, changes: &OwnChanges) -> Transaction {
     prepare_row(leader);
     leader.row.borrow_mut().released = leader.is_releasing();
     let mut transaction = Transaction::default();
-    transaction
-        .writes
-        .extend(minion_rows.changes_from(&leader.minion_rows.borrow()));
+    add_own_changes(leader, changes, &mut transaction);
     let retention = leader.node.settings.bounds.status_retention;
     let unix_ms = leader.node.clock.unix_ms();
     let expired =
@@ -163,7 +211,19 @@
     transaction
         .writes
         .append(&mut leader.pending_writes.borrow_mut());
-    for change in &changes.jobs {
+    transaction
+}
+
+/// Adds changed rows of minions in use and changes of jobs to a transaction.
+fn add_own_changes<C: Clock>(
+    leader: &Leader<C>,
+    changes: &OwnChanges,
+    transaction: &mut Transaction,
+) {
+    let stored_minions = leader.minion_rows.borrow();
+    let minion_writes = changes.minion_rows.changes_from(&stored_minions);
+    transaction.writes.extend(minion_writes);
+    for change in &changes.jobs.jobs {
         let key = rows::job_key(change.id);
         if change.progress.state.is_final() {
             transaction.removals.push((JOBS_TABLE.into(), key.clone()));
@@ -175,7 +235,6 @@
             .writes
             .push((PROGRESS_TABLE.into(), key, rows::encode(&change.progress)));
     }
-    transaction
 }
 
 /// Returns the time that observers have to wait, in milliseconds, if it exceeds the term's length.
@@ -239,25 +298,87 @@
     }
 }
 
-/// Commits changes of callers together with the scheduler's row, so that the write renews the term.
+/// Turn to write changes of callers.
+pub(crate) struct CallersTurn<'a> {
+    _turn: tokio::sync::MutexGuard<'a, ()>,
+    /// Time for which the turn was awaited.
+    waited: Duration,
+}
+
+/// Waits for the turn to write changes of callers; returns `None` if it takes too long or the term is
+/// over.
+pub(super) async fn callers_turn<C: Clock>(leader: &Leader<C>) -> Option<CallersTurn<'_>> {
+    let queued_at = leader.node.clock.now();
+    leader.callers_waiting.set(true);
+    let turn = timeout(CALLERS_TURN_TIMEOUT, leader.write_turn.lock()).await;
+    leader.callers_waiting.set(false);
+    let turn = turn.ok()?;
+    if leader.ended.get() || leader.row.borrow().released {
+        return None;
+    }
+    let waited = leader.node.clock.now().saturating_sub(queued_at);
+    Some(CallersTurn {
+        _turn: turn,
+        waited,
+    })
+}
+
+/// Commits changes of callers together with the scheduler's row, so that the write renews the term, and
+/// with changes of the scheduler that are due, so that these need no write of their own.
 ///
 /// # Errors
 ///
-/// Returns an error that tells whether the changes may be committed nevertheless.
+/// Returns an error that tells whether the changes of callers may be committed nevertheless.
 pub(super) async fn commit_for_callers<C: Clock>(
     leader: &Leader<C>,
+    turn: CallersTurn<'_>,
     changes: &Transaction,
 ) -> Result<CommitOutcome, StoreError> {
-    let turn = timeout(CALLERS_TURN_TIMEOUT, leader.write_turn.lock()).await;
-    let Ok(_turn) = turn else {
-        return Err(StoreError::NotApplied);
-    };
-    if leader.ended.get() || leader.row.borrow().released {
-        return Err(StoreError::NotApplied);
-    }
     prepare_row(leader);
+    let mut transaction = changes.clone();
+    let own_changes = take_due_changes(leader, changes.entry_count());
+    if let Some(own_changes) = &own_changes {
+        add_own_changes(leader, own_changes, &mut transaction);
+    }
+    let entries = transaction.entry_count() + ROW_ENTRIES;
+    metrics::record_transaction("submissions", entries, turn.waited);
+    let result = commit_once(leader, &transaction).await;
+    drop(turn);
+    if let Some(own_changes) = own_changes {
+        let stored = matches!(result, Ok(CommitOutcome::Committed(_)));
+        own_changes.settle(leader, stored);
+        // The scheduler's writer takes the next turn for what had no room or wasn't committed.
+        let carried = stored && !leader.scheduler.borrow().has_changes();
+        leader.callers_carry_changes.set(carried);
+    } else if is_write_due(leader, leader.node.clock.now()) {
+        leader.callers_carry_changes.set(false);
+    }
+    result
+}
+
+/// Takes the scheduler's changes if they are due and a transaction with this many entries of callers has
+/// room for them.
+fn take_due_changes<C: Clock>(leader: &Leader<C>, callers_entries: usize) -> Option<OwnChanges> {
+    let now = leader.node.clock.now();
+    if leader.is_releasing() || !is_write_due(leader, now) {
+        return None;
+    }
+    let minions = leader.scheduler.borrow().minions_in_use(now);
+    let changed_rows = MinionRows::new(&minions).changes_from(&leader.minion_rows.borrow());
+    let used = callers_entries + ROW_ENTRIES + changed_rows.len();
+    let room = MAX_TRANSACTION_ENTRIES.saturating_sub(used);
+    let max_job_entries = room.min(MAX_JOB_ENTRIES_PER_TRANSACTION);
+    (room >= MIN_JOB_ENTRIES).then(|| OwnChanges::take(leader, max_job_entries))
+}
+
+/// Commits a transaction together with the scheduler's row, without retries.
+async fn commit_once<C: Clock>(
+    leader: &Leader<C>,
+    transaction: &Transaction,
+) -> Result<CommitOutcome, StoreError> {
     let sent_at = leader.node.clock.now();
-    match leader.node.store.commit(&with_row(leader, changes)).await? {
+    let transaction = with_row(leader, transaction);
+    match leader.node.store.commit(&transaction).await? {
         CommitOutcome::Committed(version) => {
             record_commit_time(leader, sent_at);
             record_commit(leader, version, sent_at);
--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -125,6 +125,12 @@
         self.read_at.is_some() && self.observed.is_free_for(settings, delay, now)
     }
 
+    /// Returns whether the scheduler has measured that the store is slow.
+    pub fn is_store_slow(&self) -> bool {
+        let row = self.row.as_ref();
+        row.is_some_and(|row| row.observer_wait_ms.is_some())
+    }
+
     /// Returns the version of the row.
     pub fn version(&self) -> u64 {
         self.observed.version()
