--- a/crates/snipevane-fleet/src/caller/admission.rs
+++ b/crates/snipevane-fleet/src/caller/admission.rs
@@ -99,7 +99,7 @@
     job_writer: &JobWriter<C>,
     id: JobId,
 ) -> Earlier {
-    if job_writer.may_be_stored(id) {
+    if job_writer.was_submitted_lately(id) {
         return Earlier::Possible;
     }
     let known_to_scheduler = match node.leader() {
@@ -112,7 +112,7 @@
         None => return Earlier::Unknown,
     }
     match read_progress(node, id).await {
-        Ok(None) if !job_writer.may_be_stored(id) => Earlier::None,
+        Ok(None) if !job_writer.was_submitted_lately(id) => Earlier::None,
         Ok(_) => Earlier::Possible,
         Err(_) => Earlier::Unknown,
     }
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -15,7 +15,7 @@
 use snipevane_adapter::{Method, Request, config, rows as store_rows};
 use tokio::net::TcpListener;
 
-use crate::caller::JobWriter;
+use crate::caller::{JobWriter, Outcome};
 use crate::client::{CallError, RelayedBody};
 use crate::clock::Clock;
 use crate::metrics;
@@ -153,6 +153,7 @@
     let age = site.confirmation_age(node.clock.now());
     Some(Heartbeat {
         version: view.version(),
+        observer_wait_ms: row.observer_wait_ms,
         waiting: row.waiting.clone(),
         config_version: site.version(),
         config_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
@@ -184,13 +185,17 @@
         return response(NOT_SCHEDULING, Bytes::new());
     }
     let outcome = job_writer.accept_locally(request.id, &request.spec).await;
+    let outcome = match outcome {
+        Outcome::Busy { .. } if !request.accepts_busy => Outcome::NotStored,
+        outcome => outcome,
+    };
     scheduler_response(Some(outcome))
 }
 
 fn job_state<C: Clock>(node: &Node<C>, job_writer: &JobWriter<C>, request: StateRequest) -> Reply {
     let state = node.leader().map(|leader| StateResponse {
         state: leader.visible_state(request.id),
-        may_be_stored: Some(job_writer.may_be_stored(request.id)),
+        may_be_stored: Some(job_writer.was_submitted_lately(request.id)),
     });
     scheduler_response(state)
 }
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -14,7 +14,7 @@
 };
 use snipevane_core::reach::{Reach, ReachSettings};
 use snipevane_core::senders::{Assignment, SenderOffer, SenderPool, SenderSettings, TermGrant};
-use snipevane_core::term::{Term, TermSettings};
+use snipevane_core::term::{CommitTimes, Term, TermSettings};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
@@ -28,6 +28,7 @@
 use crate::store::{CommitOutcome, StoreError};
 
 use super::minion_rows::MinionRows;
+use super::storing::CallersTurn;
 use super::{feeds, notes, orders, reach, storing, vms};
 
 /// Longest time between scheduling decisions.
@@ -82,6 +83,8 @@
     pub(super) version: u64,
     /// Time at which the write was sent.
     pub(super) sent_at: Duration,
+    /// Time that the write took.
+    pub(super) commit_time: Duration,
 }
 
 /// The scheduler while this process holds the scheduler's term.
@@ -90,12 +93,20 @@
     pub(crate) scheduler: RefCell<Scheduler>,
     pub(super) settings: TermSettings,
     pub(super) term: RefCell<Term>,
+    /// Times that the writes of the term took.
+    pub(super) commit_times: Cell<CommitTimes>,
     pub(super) row: RefCell<SchedulerRow>,
     pub(super) version: Cell<u64>,
     /// Rows of the minions in use, as last stored.
     pub(super) minion_rows: RefCell<MinionRows>,
     /// Held while a write of the term is under way, as each one depends on the one before.
     pub(super) write_turn: tokio::sync::Mutex<()>,
+    /// Time at which the scheduler's changes were last taken for a write.
+    pub(super) changes_written_at: Cell<Duration>,
+    /// Whether changes of callers wait for the turn to write.
+    pub(super) callers_waiting: Cell<bool>,
+    /// Whether the transactions of callers have room for the scheduler's changes, as far as is known.
+    pub(super) callers_carry_changes: Cell<bool>,
     /// Rows to write in the next transaction: table, key, value.
     pub(super) pending_writes: RefCell<Vec<(SmolStr, SmolStr, Vec<u8>)>>,
     /// Start of the term; `None` for the first term, before which no orders were sent.
@@ -182,14 +193,20 @@
         let adopted = won.row.ordered_vms.as_deref();
         let ordered_vms = OrderedVms::adopt(adopted.unwrap_or_default(), won.previous_seen_at);
         let previously_ordered_vms = adopted.map(|_| ordered_vms.reserved().clone());
+        let mut commit_times = CommitTimes::default();
+        commit_times.record(won.commit_time, node.clock.now());
         Self {
             scheduler: RefCell::new(scheduler),
             settings,
             term: RefCell::new(Term::new(settings, won.sent_at)),
+            commit_times: Cell::new(commit_times),
             row: RefCell::new(won.row),
             version: Cell::new(won.version),
             minion_rows: RefCell::new(won.minion_rows),
             write_turn: tokio::sync::Mutex::default(),
+            changes_written_at: Cell::new(node.clock.now()),
+            callers_waiting: Cell::new(false),
+            callers_carry_changes: Cell::new(true),
             pending_writes: RefCell::default(),
             taken_over_at,
             previously_ordered_vms,
@@ -228,6 +245,22 @@
         self.wake.notify_one();
     }
 
+    /// Returns the longest time that a write took lately.
+    pub(crate) fn commit_time(&self) -> Duration {
+        self.commit_times.get().longest()
+    }
+
+    /// Returns whether all stored jobs are known, apart from those that other processes have just stored.
+    pub(crate) fn knows_stored_jobs(&self) -> bool {
+        self.jobs_loaded.get()
+    }
+
+    /// Waits for the turn to write changes of callers; returns `None` if it takes too long or the term is
+    /// over.
+    pub(crate) async fn callers_turn(&self) -> Option<CallersTurn<'_>> {
+        storing::callers_turn(self).await
+    }
+
     /// Commits changes of callers together with the scheduler's row, so that the write renews the term.
     ///
     /// # Errors
@@ -235,9 +268,10 @@
     /// Returns an error that tells whether the changes may be committed nevertheless.
     pub(crate) async fn commit_for_callers(
         &self,
+        turn: CallersTurn<'_>,
         changes: &Transaction,
     ) -> Result<CommitOutcome, StoreError> {
-        storing::commit_for_callers(self, changes).await
+        storing::commit_for_callers(self, turn, changes).await
     }
 
     /// Returns the state of a job as shown to callers, if the job is known.
@@ -535,6 +569,9 @@
         metrics::set_order_reply_time(reply_time);
         let senders = leader.senders.borrow().usable(leader.node.clock.now());
         metrics::set_usable_senders(senders);
+        let commit_time = leader.commit_time();
+        metrics::set_longest_commit_time(commit_time);
+        metrics::set_observer_wait(leader.settings.observer_wait(commit_time));
         for (pool, stats) in &stats {
             metrics::set_pool_stats(pool, stats);
         }
--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -64,6 +64,8 @@
         let written_by = now.saturating_sub(age.unwrap_or_default());
         self.observed
             .record_read(settings, version, released, written_by, now);
+        let wait = self.row.as_ref().map(SchedulerRow::observer_wait);
+        self.observed.set_requested_wait(wait.unwrap_or_default());
         self.read_at = Some(now);
         self.admission = None;
     }
@@ -78,6 +80,7 @@
     ) {
         self.observed
             .record_read(settings, version, row.released, now, now);
+        self.observed.set_requested_wait(row.observer_wait());
         self.row = Some(row);
         self.read_at = Some(now);
         self.admission = None;
@@ -102,6 +105,8 @@
         if heartbeat.version > self.observed.version() {
             self.observed
                 .record_read(settings, heartbeat.version, false, now, now);
+            row.observer_wait_ms = heartbeat.observer_wait_ms;
+            self.observed.set_requested_wait(row.observer_wait());
         }
         row.waiting = heartbeat.waiting;
         self.heartbeat_at = Some(now);
@@ -182,6 +187,12 @@
         self.read_at.is_some() && self.observed.is_free_for(settings, delay, now)
     }
 
+    /// Returns whether the scheduler has measured that the store is slow.
+    pub fn is_store_slow(&self) -> bool {
+        let row = self.row.as_ref();
+        row.is_some_and(|row| row.observer_wait_ms.is_some())
+    }
+
     /// Returns the version of the row.
     pub fn version(&self) -> u64 {
         self.observed.version()
