Keep best-effort images apart from the tasks that they disturb

Cause: all best-effort runs of a minion were throttled by halves as soon as one latency-sensitive task there neared its target, whichever of them disturbed it, and placement knew nothing of it, so that the next one was placed there again. After a takeover, the share of a throttled run was taken for a full one, so that the run was never raised again.

Change: the effect of each best-effort image on each latency-sensitive one is learned from differences between periods of one run (jobs/interference). Placement prefers minions without a bad neighbour, on both sides; throttling begins with the image that disturbs; new runs begin with the share that fits; runs that can't work move if another minion is better. A new term sets the shares of adopted runs, which run lists don't show. The fake minion measures tail latencies over 500 ms, with noise, by pairs of images, and carries out shares 100 ms late.

--- a/crates/snipevane-core/src/jobs/event.rs
+++ b/crates/snipevane-core/src/jobs/event.rs
@@ -41,6 +41,8 @@
     ZoneEvacuated,
     /// The VM is to be taken down.
     Evicted,
+    /// It can't work beside a latency-sensitive task that it disturbs, and another minion has room.
+    Interference,
     /// The start wasn't confirmed.
     StartUnconfirmed,
     /// An earlier term started the run, and it is no longer needed.
@@ -149,6 +151,26 @@
         /// 1.
         usual: f64,
     },
+    /// Two images are kept apart from now on, or no longer.
+    PairSeparation {
+        /// Image of the latency-sensitive tasks.
+        latency_sensitive: SmolStr,
+        /// Image of the best-effort tasks that disturb them.
+        best_effort: SmolStr,
+        /// Whether they are kept apart from now on.
+        apart: bool,
+        /// Estimated amount that a best-effort task at its full CPU share adds to the tail latency,
+        /// in milliseconds.
+        added_ms: f64,
+        /// Target of the tail latency, in milliseconds.
+        target_ms: f64,
+        /// Probability that the amount exceeds a tenth of the target.
+        confidence: f64,
+        /// Number of changes that the estimate was learned from.
+        changes: u32,
+        /// Number of pairs that are kept apart now.
+        pairs_apart: usize,
+    },
     /// A minion gets no work for a while, as several runs in a row failed there.
     MinionFailing {
         /// Minion that fails runs.
--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -152,6 +152,8 @@
     pub on_probation: bool,
     /// Time at which CPU shares of its tasks were last changed.
     pub cpu_shares_changed_at: Duration,
+    /// Time since which tail latency is high in its run lists, if it is.
+    pub(in crate::jobs) tail_high_since: Option<Duration>,
     /// Time until which it is cold, that is, slow because it has just started.
     pub cold_until: Duration,
     /// Whether it gets no new work because maintenance or a move of its VM is in progress.
@@ -204,6 +206,7 @@
             slow_count: 0,
             on_probation: false,
             cpu_shares_changed_at: Duration::ZERO,
+            tail_high_since: None,
             cold_until: Duration::ZERO,
             cordoned: false,
             trial: None,
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -8,6 +8,7 @@
 mod ending;
 mod event;
 mod intake;
+mod interference;
 mod minions;
 mod model;
 mod placing;
--- a/crates/snipevane-core/src/jobs/model/run.rs
+++ b/crates/snipevane-core/src/jobs/model/run.rs
@@ -77,6 +77,11 @@
     pub cpu_share: u32,
     /// Whether the reply to an order that sets the CPU share is outstanding.
     pub cpu_share_in_flight: bool,
+    /// Time since which the CPU share is known to be in force. That of an adopted run isn't known, as
+    /// run lists don't contain it.
+    pub cpu_share_since: Option<Duration>,
+    /// Time since which the CPU share is less than half, if it is.
+    pub throttled_since: Option<Duration>,
 }
 
 impl Run {
--- a/crates/snipevane-core/src/jobs/placing/tasks.rs
+++ b/crates/snipevane-core/src/jobs/placing/tasks.rs
@@ -237,7 +237,8 @@
     /// Chooses the minion for a task.
     ///
     /// The minion on which the task failed last is chosen only if no other one fits, a cold minion only
-    /// if no warm one fits, and the rack of the task's data is preferred. Long-running tasks are spread over racks and minions, so
+    /// if no warm one fits, one with a neighbour that the task is kept apart from only if no other one
+    /// fits, and the rack of the task's data is preferred. Long-running tasks are spread over racks and minions, so
     /// that few are unavailable at a time. Other tasks go to the minion with the least free CPU
     /// that has room, so that large tasks find room elsewhere. Tasks under which minions have crashed
     /// go to the minion with the fewest fresh runs.
@@ -254,6 +255,7 @@
         let failed_on = job.task(task).and_then(|task| task.failed_on.clone());
         let crashes = &job.task(task)?.crashes;
         let is_suspect = !crashes.is_empty();
+        let bad_neighbours = self.bad_neighbours_of(&job.spec, step);
         let may_begin_trial = self.may_begin_trial(crashes, minions);
         let fits = minions.iter().copied().filter(|&key| {
             let minion = &self.minions[key];
@@ -270,6 +272,7 @@
             let minion = &self.minions[*key];
             let failed_here = failed_on.as_ref() == Some(&minion.entry.id);
             let cold = minion.is_cold(now);
+            let disturbs = self.has_bad_neighbour(*key, &bad_neighbours, step);
             let off_data_rack = step
                 .data_rack
                 .as_ref()
@@ -280,6 +283,7 @@
                 (
                     failed_here,
                     cold,
+                    disturbs,
                     off_data_rack,
                     fresh_runs,
                     u64::MAX - room,
@@ -289,12 +293,13 @@
                 (
                     failed_here,
                     cold,
+                    disturbs,
                     off_data_rack,
                     tasks_on_rack,
                     u64::MAX - room,
                 )
             } else {
-                (failed_here, cold, off_data_rack, 0_u32, room)
+                (failed_here, cold, disturbs, off_data_rack, 0_u32, room)
             }
         };
         fits.min_by_key(score)
@@ -378,6 +383,8 @@
             load: 0.0,
             cpu_share: FULL_CPU_SHARE,
             cpu_share_in_flight: false,
+            cpu_share_since: Some(now),
+            throttled_since: None,
         });
         if task_state.runs.is_empty() {
             state.waiting -= 1;
--- a/crates/snipevane-core/src/jobs/running/best_effort.rs
+++ b/crates/snipevane-core/src/jobs/running/best_effort.rs
@@ -2,7 +2,8 @@
 //!
 //! Load on the same processors raises the tail latency of latency-sensitive tasks, by amounts that
 //! change within seconds. As soon as one of these tasks nears its target, the CPU shares of the
-//! best-effort tasks are halved repeatedly, down to 0. They are raised again in small steps.
+//! best-effort tasks are lowered repeatedly, down to 0. They are raised again in small steps.
+//! `interference::shares` decides which of them, and by how much.
 
 use std::time::Duration;
 
@@ -16,16 +17,20 @@
 pub(in crate::jobs) const FULL_CPU_SHARE: u32 = 100;
 
 /// Ratio of tail latency to target above which the tail latency of a minion counts as high.
-const HIGH_TAIL_RATIO: f64 = 0.9;
+pub(in crate::jobs) const HIGH_TAIL_RATIO: f64 = 0.9;
 
 /// Ratio of tail latency to target below which the tail latency of a minion counts as low.
 const LOW_TAIL_RATIO: f64 = 0.65;
 
 /// Smallest CPU share above 0, in percent; smaller ones do more harm than they are worth.
-const MIN_CPU_SHARE: u32 = 12;
+pub(in crate::jobs) const MIN_CPU_SHARE: u32 = 12;
+
+/// CPU share below which a task makes too little progress to stay where it is if another minion has
+/// room, in percent: elsewhere it takes less than half of the time.
+const USEFUL_CPU_SHARE: u32 = 50;
 
 /// Step by which a CPU share is raised, in percentage points.
-const CPU_SHARE_STEP: u32 = 20;
+pub(in crate::jobs) const CPU_SHARE_STEP: u32 = 20;
 
 /// Least time between a change of the CPU shares and a decrease: a lower share takes this long to
 /// show in the tail latencies, which are measured over half a second.
@@ -34,6 +39,14 @@
 /// Least time between a change of the CPU shares and an increase.
 const INCREASE_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// Time without a change of the CPU shares after which an experiment shows which image has to be
+/// throttled. It costs a task up to 3 s of its work.
+const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// CPU share that an adopted best-effort run is set to beside a latency-sensitive task, in percent. The
+/// share that the earlier term left is unknown: a full one would disturb, none would be kept for long.
+const ADOPTED_CPU_SHARE: u32 = 50;
+
 /// Tail latency of the latency-sensitive tasks on a minion, compared with their targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum TailLatency {
@@ -58,29 +71,62 @@
             return;
         };
         let elapsed = now.saturating_sub(minion.cpu_shares_changed_at);
-        let adjusted = |share: u32| match tail_latency {
-            TailLatency::High if elapsed >= DECREASE_INTERVAL => decrease_cpu_share(share),
-            TailLatency::Low if elapsed >= INCREASE_INTERVAL => {
-                (share + CPU_SHARE_STEP).min(FULL_CPU_SHARE)
+        let high_since =
+            (tail_latency == TailLatency::High).then(|| minion.tail_high_since.unwrap_or(now));
+        minion.tail_high_since = high_since;
+        let unconfirmed = self.shares_of_adopted_runs(key, &best_effort_runs, tail_latency);
+        let adjusted = match high_since {
+            _ if !unconfirmed.is_empty() => unconfirmed,
+            Some(since) if elapsed >= DECREASE_INTERVAL => {
+                let high_for = now.saturating_sub(since);
+                self.decreased_shares(key, &best_effort_runs, high_for)
+            }
+            None if elapsed >= INCREASE_INTERVAL => {
+                let is_low = tail_latency == TailLatency::Low;
+                let raised = self.raised_shares(key, &best_effort_runs, is_low);
+                if raised.is_empty() && elapsed >= PROBE_INTERVAL {
+                    self.probing_shares(key, &best_effort_runs)
+                } else {
+                    raised
+                }
             }
-            TailLatency::High | TailLatency::Low | TailLatency::Acceptable => share,
+            Some(_) | None => Vec::new(),
         };
-        let changed = best_effort_runs
-            .into_iter()
-            .map(|(run, current)| (run, current, adjusted(current)));
-        let changed: Vec<(RunKey, u32)> = changed
-            .filter(|(_, current, adjusted)| current != adjusted)
-            .map(|(run, _, adjusted)| (run, adjusted))
-            .collect();
+        let is_change = |(run, share): &(RunKey, u32)| {
+            let run = self.runs.get(*run);
+            run.is_some_and(|run| run.cpu_share != *share || run.cpu_share_since.is_none())
+        };
+        let changed: Vec<(RunKey, u32)> = adjusted.into_iter().filter(is_change).collect();
         if changed.is_empty() {
             return;
         }
-        minion.cpu_shares_changed_at = now;
+        if let Some(minion) = self.minions.get_mut(key) {
+            minion.cpu_shares_changed_at = now;
+        }
         for (run, percent) in changed {
             self.send_cpu_share(run, percent);
         }
     }
 
+    /// Returns the CPU shares to set for adopted runs whose share isn't known.
+    fn shares_of_adopted_runs(
+        &self,
+        key: MinionKey,
+        best_effort_runs: &[(RunKey, u32)],
+        tail_latency: TailLatency,
+    ) -> Vec<(RunKey, u32)> {
+        let share = match tail_latency {
+            TailLatency::High => 0,
+            _ if self.has_mixed_tasks(key) => ADOPTED_CPU_SHARE,
+            TailLatency::Low | TailLatency::Acceptable => FULL_CPU_SHARE,
+        };
+        let adopted = best_effort_runs.iter().filter(|(run, _)| {
+            let run = self.runs.get(*run);
+            run.is_some_and(|run| run.cpu_share_since.is_none())
+        });
+        adopted.map(|&(run, _)| (run, share)).collect()
+    }
+
     /// Returns whether a best-effort task may start on a minion: tail latency isn't high and no
     /// best-effort task there is throttled.
     pub(in crate::jobs) fn accepts_best_effort_tasks(&self, key: MinionKey) -> bool {
@@ -134,6 +180,15 @@
         }
     }
 
+    /// Limits a best-effort run that has just started beside a task that its image is kept apart from, so
+    /// that the task doesn't have to exceed its target first.
+    pub(in crate::jobs) fn limit_new_run(&mut self, key: RunKey, now: Duration) {
+        let share = self.initial_share(key, now);
+        if share < FULL_CPU_SHARE {
+            self.send_cpu_share(key, share);
+        }
+    }
+
     fn send_cpu_share(&mut self, key: RunKey, percent: u32) {
         let Some(run) = self.runs.get(key) else {
             return;
@@ -156,7 +211,7 @@
     ///
     /// Without an answer the known share stays as it was, so that the next list of runs leads to
     /// the order again.
-    pub fn cpu_share_replied(&mut self, order: &CpuShareOrder, reply: OrderReply) {
+    pub fn cpu_share_replied(&mut self, order: &CpuShareOrder, reply: OrderReply, now: Duration) {
         if reply == OrderReply::Refused(Refusal::Fenced) {
             self.deposed = true;
         }
@@ -166,6 +221,9 @@
         run.cpu_share_in_flight = false;
         if matches!(reply, OrderReply::Done { .. }) {
             run.cpu_share = order.percent;
+            run.cpu_share_since = Some(now);
+            let throttled_since = run.throttled_since.unwrap_or(now);
+            run.throttled_since = (order.percent < USEFUL_CPU_SHARE).then_some(throttled_since);
         }
         let minion = run.minion;
         if reply == OrderReply::NoAnswer {
@@ -175,7 +233,7 @@
 }
 
 /// Returns half of a CPU share, or 0 if that is below the smallest useful one.
-fn decrease_cpu_share(share: u32) -> u32 {
+pub(in crate::jobs) fn decrease_cpu_share(share: u32) -> u32 {
     let half = share / 2;
     if half < MIN_CPU_SHARE { 0 } else { half }
 }
--- a/crates/snipevane-core/src/jobs/running/long_running.rs
+++ b/crates/snipevane-core/src/jobs/running/long_running.rs
@@ -30,6 +30,16 @@
     /// Evicts a run of a long-running task, so that the task starts on another minion, unless too
     /// many other tasks of its step are unavailable; returns whether the run is stopped.
     pub(in crate::jobs) fn evict_run(&mut self, key: RunKey, now: Duration) -> bool {
+        let may_evict = self.may_evict(key, now);
+        if may_evict {
+            self.stop_run(key, StopReason::Evicted);
+        }
+        may_evict
+    }
+
+    /// Returns whether a run of a long-running task may be evicted, as few enough other tasks of its step
+    /// are unavailable.
+    pub(in crate::jobs) fn may_evict(&self, key: RunKey, now: Duration) -> bool {
         let Some(run) = self.runs.get(key) else {
             return false;
         };
@@ -42,11 +52,7 @@
             .and_then(|step| step.max_unavailable)
             .unwrap_or(DEFAULT_MAX_UNAVAILABLE);
         let unavailable = self.other_unavailable_tasks(at, run.task_ref.index, now);
-        let may_evict = unavailable < max_unavailable.max(1);
-        if may_evict {
-            self.stop_run(key, StopReason::Evicted);
-        }
-        may_evict
+        unavailable < max_unavailable.max(1)
     }
 
     /// Returns the number of other tasks of a step that aren't ready.
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -291,13 +291,14 @@
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
+        let job = run.job;
         if run.phase == RunPhase::Starting {
             run.phase = RunPhase::Running;
             run.since = now;
             run.transmissions.close();
             self.pending_orders.remove(&key);
+            self.limit_new_run(key, now);
         }
-        let job = run.job;
         self.mark_started(job);
     }
 
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -168,7 +168,9 @@
             self.update_run(key, active, now);
         }
         self.detect_stragglers(key, now);
+        self.observe_interference(key, now);
         self.adjust_cpu_shares(key, now);
+        self.relocate_interfering_run(key, now);
         if list.ended.len() < ENDS_PER_LIST {
             self.mark_missing_runs_lost(key, &listed_runs, asked_at);
         }
@@ -308,6 +310,8 @@
             load: active.load,
             cpu_share: FULL_CPU_SHARE,
             cpu_share_in_flight: false,
+            cpu_share_since: (!step.best_effort).then_some(now),
+            throttled_since: None,
         });
         self.allocate(run);
         self.mark_started(job);
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -15,6 +15,7 @@
 use super::event::SchedulerEvent;
 use super::intake::durations::DurationEstimator;
 use super::intake::ended_jobs::EndedJobs;
+use super::interference::effects::Interference;
 use super::minions::minion::{Minion, MinionKey};
 use super::model::id::JobId;
 use super::model::job::{Job, JobKey, TaskRef};
@@ -72,6 +73,9 @@
     /// Longest time that a hold waits on a minion that has left an order unanswered lately, so that
     /// a lost hold is noticed soon.
     pub doubtful_hold_timeout: Duration,
+    /// Whether best-effort tasks are kept apart from the latency-sensitive tasks that they are
+    /// seen to disturb.
+    pub separates_interfering_tasks: bool,
 }
 
 impl Default for SchedulerSettings {
@@ -94,6 +98,7 @@
             stop_timeout: Duration::from_millis(900),
             short_hold_timeout: Duration::from_millis(500),
             doubtful_hold_timeout: Duration::from_millis(150),
+            separates_interfering_tasks: true,
         }
     }
 }
@@ -146,6 +151,8 @@
     pub(super) job_rates: JobRateLimiter,
     /// Estimator of run times, which learns from completed tasks.
     pub(super) durations: DurationEstimator,
+    /// What is known of the images that interfere with others on a minion.
+    pub(super) interference: Interference,
     /// Jobs with future occurrences.
     pub(super) scheduled: FxHashSet<JobKey>,
     pub(super) actions: Vec<Action>,
@@ -191,6 +198,7 @@
             permits: Permits::default(),
             job_rates: JobRateLimiter::default(),
             durations: DurationEstimator::default(),
+            interference: Interference::default(),
             scheduled: FxHashSet::default(),
             actions: Vec::new(),
             events: Vec::new(),
@@ -218,6 +226,7 @@
         self.end_trials();
         self.withdraw_starts_in_evacuated_zones();
         self.repeat_orders(now);
+        self.events.extend(self.interference.age(now));
         self.place(now);
         self.send_orders(now);
         self.send_holds(now);
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -192,6 +192,16 @@
     counter!("snipevane_minion_crashes_total").increment(1);
 }
 
+/// Records the number of pairs of images that are kept apart.
+pub(crate) fn set_pairs_kept_apart(pairs: usize) {
+    gauge!("snipevane_pairs_kept_apart").set(pairs as f64);
+}
+
+/// Counts a best-effort run that is stopped to start elsewhere, as it can't work beside others.
+pub(crate) fn record_relocation() {
+    counter!("snipevane_best_effort_relocations_total").increment(1);
+}
+
 /// Counts a task that is given up because it crashes minions.
 pub(crate) fn record_task_given_up() {
     counter!("snipevane_tasks_given_up_total").increment(1);
@@ -232,6 +242,7 @@
 /// Records that this process's term ended.
 pub(crate) fn record_term_ended() {
     gauge!("snipevane_term_held").set(0.0);
+    gauge!("snipevane_pairs_kept_apart").set(0.0);
 }
 
 /// Records the version of the configuration in force.
--- a/crates/snipevane-fleet/src/scheduling/notes.rs
+++ b/crates/snipevane-fleet/src/scheduling/notes.rs
@@ -71,10 +71,50 @@
             attempt,
             minion,
             reason,
-        } => record(
-            &events::RUN_STOPPED,
-            &[task, attempt, minion, &stop_reason(*reason), &fence],
-        ),
+        } => {
+            if *reason == StopReason::Interference {
+                metrics::record_relocation();
+            }
+            record(
+                &events::RUN_STOPPED,
+                &[task, attempt, minion, &stop_reason(*reason), &fence],
+            );
+        }
+        SchedulerEvent::PairSeparation {
+            latency_sensitive,
+            best_effort,
+            apart,
+            added_ms,
+            target_ms,
+            confidence,
+            changes,
+            pairs_apart,
+        } => {
+            metrics::set_pairs_kept_apart(*pairs_apart);
+            let kind = if *apart {
+                &events::PAIR_KEPT_APART
+            } else {
+                &events::PAIR_RELEASED
+            };
+            let figures = [
+                format!("{added_ms:.1}"),
+                format!("{target_ms:.0}"),
+                format!("{confidence:.3}"),
+            ];
+            let [added_ms, target_ms, confidence] = &figures;
+            record(
+                kind,
+                &[
+                    latency_sensitive,
+                    best_effort,
+                    added_ms,
+                    target_ms,
+                    confidence,
+                    changes,
+                    &fence,
+                ],
+            );
+        }
         SchedulerEvent::MinionSlow {
             minion,
             speed,
@@ -165,6 +205,7 @@
         StopReason::Straggler => "falls behind",
         StopReason::ZoneEvacuated => "its zone is evacuated",
         StopReason::Evicted => "its VM is drained",
+        StopReason::Interference => "disturbs another task",
         StopReason::StartUnconfirmed => "start not confirmed",
         StopReason::Orphaned => "left by an earlier term",
     }
--- a/crates/snipevane-fleet/src/scheduling/orders.rs
+++ b/crates/snipevane-fleet/src/scheduling/orders.rs
@@ -62,10 +62,11 @@
         Action::SetCpuShare(order) => {
             let reply = send(&leader, &order.to, minion::cpu_share_request(&order)).await;
             metrics::record_minion_call("pace", reply_name(reply));
+            let now = leader.node.clock.now();
             leader
                 .scheduler
                 .borrow_mut()
-                .cpu_share_replied(&order, reply);
+                .cpu_share_replied(&order, reply, now);
         }
         Action::RequestAdvice(order) => request_advice(&leader, &order).await,
     }
--- a/tests/src/jobs/job_site/delivery.rs
+++ b/tests/src/jobs/job_site/delivery.rs
@@ -158,7 +158,7 @@
                     .hold_replied(order.to.minion, reply, asked_at, now, unix_ms);
             }
             (Action::SetCpuShare(order), Outcome::Order(reply, _)) => {
-                self.scheduler.cpu_share_replied(order, reply);
+                self.scheduler.cpu_share_replied(order, reply, now);
             }
             (Action::RequestAdvice(order), Outcome::Advice(reply, asked_at)) => {
                 self.scheduler.advice_replied(order, reply, asked_at, now);
@@ -245,6 +245,8 @@
         let spec = &self.jobs[&id.job].spec.steps[id.step as usize];
         TaskKind {
             size: spec.allocated_size(),
+            image: spec.image.clone(),
+            tail_target_ms: spec.tail_latency_target_ms,
             best_effort: spec.best_effort,
             run_time: (!spec.long_running).then(|| spec.estimate()),
             fails: self.failing_steps.contains(&(id.job, id.step)),
--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -120,8 +120,17 @@
 impl JobSite {
     /// Creates a site with these minions, which are listed at once.
     pub fn new(site: Site, minions: Vec<FakeMinion>, seed: u64) -> Self {
+        Self::with_settings(site, minions, SchedulerSettings::default(), seed)
+    }
+
+    /// Creates a site like [`JobSite::new`] whose scheduler has these settings.
+    pub fn with_settings(
+        site: Site,
+        minions: Vec<FakeMinion>,
+        settings: SchedulerSettings,
+        seed: u64,
+    ) -> Self {
         let site = Rc::new(site);
-        let settings = SchedulerSettings::default();
         let scheduler = Scheduler::new(settings, 1, site.clone(), UnreportedRuns::default());
         let named = minions
             .into_iter()
--- a/tests/src/jobs/minion.rs
+++ b/tests/src/jobs/minion.rs
@@ -1,8 +1,10 @@
 //! Fake minion that carries out the scheduler's orders in simulated time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
 use snipevane_core::jobs::{
     ActiveRun, CpuShareOrder, EndedRun, HoldOrder, HoldReply, MinionEntry, OrderReply, Refusal,
@@ -42,7 +44,7 @@
 }
 
 /// Properties that determine how a task runs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct TaskKind {
     /// Resources that the task uses.
     pub size: Resources,
@@ -54,6 +56,49 @@
     pub crashes_after: Option<Duration>,
     /// Whether the task is best-effort, and so interferes with latency-sensitive tasks.
     pub best_effort: bool,
+    /// Image that the task runs.
+    pub image: SmolStr,
+    /// Target of the tail latency in milliseconds; 0 if the task isn't latency-sensitive.
+    pub tail_target_ms: u64,
+}
+
+/// How the tasks on a minion interfere, and what it reports of it.
+#[derive(Clone, Debug)]
+pub struct Interference {
+    /// Amounts that a best-effort image at its full CPU share adds to the tail latency of a
+    /// latency-sensitive one, in milliseconds, by the names of both; [`INTERFERENCE_MS`] for other
+    /// pairs.
+    pub added_ms: BTreeMap<(&'static str, &'static str), f64>,
+    /// Factor of all tail latencies, which stands for a slow minion or a higher load.
+    pub tail_factor: f64,
+    /// Largest error of a reported tail latency, as a fraction of it.
+    pub noise: f64,
+    /// Tail latency that is reported whatever it really is, in milliseconds.
+    pub reported_ms: Option<f64>,
+    random: ChaCha8Rng,
+}
+
+impl Default for Interference {
+    fn default() -> Self {
+        Self {
+            added_ms: BTreeMap::new(),
+            tail_factor: 1.0,
+            noise: 0.0,
+            reported_ms: None,
+            random: ChaCha8Rng::seed_from_u64(0),
+        }
+    }
+}
+
+impl Interference {
+    /// Returns figures with errors up to this fraction, drawn from a seed.
+    pub fn with_noise(noise: f64, seed: u64) -> Self {
+        Self {
+            noise,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            ..Self::default()
+        }
+    }
 }
 
 /// Tail latency of a latency-sensitive task on an otherwise idle minion, in milliseconds.
@@ -63,6 +108,12 @@
 /// latency-sensitive tasks on its minion, in milliseconds.
 const INTERFERENCE_MS: f64 = 40.0;
 
+/// Time that a CPU share takes to take effect.
+const THROTTLE_DELAY: Duration = Duration::from_millis(100);
+
+/// Time over which a reported tail latency is averaged.
+const FIGURE_WINDOW: Duration = Duration::from_millis(500);
+
 #[derive(Clone, Debug)]
 struct Active {
     kind: TaskKind,
@@ -72,6 +123,10 @@
     stops_at: Option<Duration>,
     crashes_at: Option<Duration>,
     cpu_share: u32,
+    /// CPU share that takes effect later, with the time from which on it does.
+    next_cpu_share: Option<(Duration, u32)>,
+    /// Tail latencies within the last [`FIGURE_WINDOW`].
+    tails_ms: VecDeque<(Duration, f64)>,
 }
 
 /// Minion that carries out orders as the minions of the platform do.
@@ -87,6 +142,8 @@
     pub slowdown: u32,
     /// Whether all tasks fail at their ends while the minion itself keeps working.
     pub fails_all_tasks: bool,
+    /// How its tasks interfere.
+    pub interference: Interference,
     /// Whether the minion refuses runs that exceed its room.
     pub enforces_capacity: bool,
     /// Room of the minion, with the times from which on it was so. The entry shows it later.
@@ -111,6 +168,7 @@
             entry,
             up: true,
             slowdown: 1,
+            interference: Interference::default(),
             fails_all_tasks: false,
             fence: 0,
             lease_end: Duration::ZERO,
@@ -146,6 +204,7 @@
     pub fn restart(&mut self, now: Duration) {
         *self = Self {
             enforces_capacity: self.enforces_capacity,
+            interference: self.interference.clone(),
             ..Self::new(self.entry.clone(), now)
         };
     }
@@ -250,26 +309,100 @@
             ..kind
         };
         let active = Active {
+            ends_at: kind.run_time.map(|time| now + time),
+            crashes_at: kind.crashes_after.map(|time| now + time),
             kind,
             record: records.len() - 1,
             started: now,
-            ends_at: kind.run_time.map(|time| now + time),
             stops_at: None,
-            crashes_at: kind.crashes_after.map(|time| now + time),
             cpu_share: 100,
+            next_cpu_share: None,
+            tails_ms: VecDeque::new(),
         };
         self.active.insert(key, active);
         OrderReply::Done { clock_ms }
     }
 
-    /// Returns the tail latency of the latency-sensitive tasks on the minion, in milliseconds.
+    /// Returns the tail latency of latency-sensitive tasks on the minion that have no image of their
+    /// own, in milliseconds.
     pub fn tail_ms(&self) -> f64 {
+        self.tail_ms_of("")
+    }
+
+    /// Returns the tail latency of the latency-sensitive tasks of an image, in milliseconds.
+    fn tail_ms_of(&self, image: &str) -> f64 {
         let best_effort = self
             .active
             .values()
             .filter(|active| active.kind.best_effort);
-        let shares = best_effort.map(|active| f64::from(active.cpu_share) / 100.0);
-        BASELINE_TAIL_MS + INTERFERENCE_MS * shares.sum::<f64>()
+        let added = best_effort.map(|active| {
+            let pairs = self.interference.added_ms.iter();
+            let mut pairs = pairs.filter(|((task, other), _)| {
+                *task == image && *other == active.kind.image.as_str()
+            });
+            let amount = pairs.next().map_or(INTERFERENCE_MS, |(_, amount)| *amount);
+            amount * f64::from(active.cpu_share) / 100.0
+        });
+        (BASELINE_TAIL_MS + added.sum::<f64>()) * self.interference.tail_factor
+    }
+
+    /// Returns the number of latency-sensitive tasks over their target while best-effort tasks beside
+    /// them work.
+    pub fn tasks_over_target(&self) -> usize {
+        if self.best_effort_cpu_share() == 0 {
+            return 0;
+        }
+        let tasks = self.active.values().map(|active| &active.kind);
+        let over = tasks.filter(|kind| {
+            let target = kind.tail_target_ms;
+            target > 0 && self.tail_ms_of(&kind.image) > target as f64
+        });
+        over.count()
+    }
+
+    /// Returns the numbers of active runs by image.
+    pub fn images(&self) -> BTreeMap<SmolStr, usize> {
+        let mut images = BTreeMap::new();
+        for active in self.active.values() {
+            *images.entry(active.kind.image.clone()).or_default() += 1;
+        }
+        images
+    }
+
+    /// Puts the CPU shares into force whose time has come.
+    fn apply_cpu_shares(&mut self, now: Duration) {
+        for active in self.active.values_mut() {
+            if let Some((_, share)) = active.next_cpu_share.take_if(|(at, _)| now >= *at) {
+                active.cpu_share = share;
+            }
+        }
+    }
+
+    /// Measures the tail latencies.
+    fn measure_tails(&mut self, now: Duration) {
+        let images = self.active.values().map(|active| active.kind.image.clone());
+        let images: Vec<SmolStr> = images.collect();
+        let tails = images.iter().map(|image| self.tail_ms_of(image));
+        let tails: Vec<f64> = tails.collect();
+        for (active, tail_ms) in self.active.values_mut().zip(tails) {
+            active.tails_ms.push_back((now, tail_ms));
+            let from = now.saturating_sub(FIGURE_WINDOW);
+            active.tails_ms.retain(|(at, _)| *at > from);
+        }
+    }
+
+    /// Returns the tail latency of a run as the minion reports it, in milliseconds.
+    fn reported_tail_ms(&mut self, run: &(TaskId, u32)) -> f64 {
+        let tails = &self.active[run].tails_ms;
+        let sum: f64 = tails.iter().map(|(_, tail_ms)| tail_ms).sum();
+        let tail_ms = sum / tails.len().max(1) as f64;
+        let figures = &mut self.interference;
+        let error = if figures.noise > 0.0 {
+            figures.random.random_range(-figures.noise..figures.noise)
+        } else {
+            0.0
+        };
+        figures.reported_ms.unwrap_or(tail_ms * (1.0 + error))
     }
 
     /// Returns the sum of the CPU shares of the best-effort tasks on the minion, in percent.
@@ -281,13 +414,20 @@
         best_effort.map(|active| active.cpu_share).sum()
     }
 
+    /// Returns the sum of the CPU shares of an image's tasks on the minion, in percent.
+    pub fn cpu_share_of(&self, image: &str) -> u32 {
+        let runs = self.active.values();
+        let runs = runs.filter(|active| active.kind.image == image);
+        runs.map(|active| active.cpu_share).sum()
+    }
+
     /// Carries out an order that sets the CPU share of a run.
     pub fn set_cpu_share(&mut self, order: &CpuShareOrder, now: Duration) -> OrderReply {
         if order.to.fence < self.fence {
             return OrderReply::Refused(Refusal::Fenced);
         }
         if let Some(active) = self.active.get_mut(&(order.task, order.attempt)) {
-            active.cpu_share = order.percent;
+            active.next_cpu_share = Some((now + THROTTLE_DELAY, order.percent));
         }
         let clock_ms = Some(self.clock(now));
         OrderReply::Done { clock_ms }
@@ -337,16 +477,19 @@
                 records[record].listed_before_lapse = true;
             }
         }
-        let tail_ms = self.tail_ms();
+        let keys: Vec<(TaskId, u32)> = self.active.keys().copied().collect();
+        let loads = keys.iter().map(|key| self.reported_tail_ms(key));
+        let loads: Vec<f64> = loads.collect();
         let active = self
             .active
             .iter()
-            .map(|((task, attempt), active)| ActiveRun {
+            .zip(loads)
+            .map(|(((task, attempt), active), load)| ActiveRun {
                 task: *task,
                 attempt: *attempt,
                 checkpoint: SmolStr::default(),
                 progress_percent: percent(active, now),
-                load: tail_ms,
+                load,
             });
         HoldReply::Listed(RunList {
             started_unix_ms: self.incarnation,
@@ -364,6 +507,14 @@
     /// Advances the minion to `now`: ends the runs that complete, fail, are stopped or have lost
     /// their lease.
     pub fn advance(&mut self, records: &mut [Record], now: Duration) {
+        self.apply_cpu_shares(now);
+        if self
+            .active
+            .values()
+            .any(|active| active.kind.tail_target_ms > 0)
+        {
+            self.measure_tails(now);
+        }
         let lapsed = now > self.lease_end;
         if lapsed {
             // Ends from before the lease expired no longer count as acknowledged in time.
--- a/tests/src/jobs/mod.rs
+++ b/tests/src/jobs/mod.rs
@@ -11,6 +11,6 @@
 mod specs;
 
 pub use job_site::{Faults, JobSite, TICK};
-pub use minion::{FakeMinion, Record};
+pub use minion::{FakeMinion, Interference, Record};
 pub use network::Network;
 pub use specs::{TEAM, entry, job, long_running_step, site, site_spec, step};
