--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod ending;
 mod event;
 mod intake;
+mod interference;
 mod minions;
 mod model;
 mod placing;
--- a/crates/snipevane-core/src/jobs/running/long_running.rs
+++ b/crates/snipevane-core/src/jobs/running/long_running.rs
@@ -40,6 +40,17 @@
         needs_room: bool,
         now: Duration,
     ) -> bool {
+        let may_evict =
+            self.may_evict(key, now) && (!needs_room || self.has_room_elsewhere(key, now));
+        if may_evict {
+            self.stop_run(key, StopReason::Evicted);
+        }
+        may_evict
+    }
+
+    /// Returns whether a run of a long-running task may be evicted, as few enough other tasks of its step
+    /// are unavailable.
+    pub(in crate::jobs) fn may_evict(&self, key: RunKey, now: Duration) -> bool {
         let Some(run) = self.runs.get(key) else {
             return false;
         };
@@ -52,12 +63,7 @@
             .and_then(|step| step.max_unavailable)
             .unwrap_or(DEFAULT_MAX_UNAVAILABLE);
         let unavailable = self.other_unavailable_tasks(at, run.task_ref.index, now);
-        let may_evict = unavailable < max_unavailable.max(1)
-            && (!needs_room || self.has_room_elsewhere(key, now));
-        if may_evict {
-            self.stop_run(key, StopReason::Evicted);
-        }
-        may_evict
+        unavailable < max_unavailable.max(1)
     }
 
     /// Returns whether other minions of the pool have room for the task of a run, beside the tasks of its
