Report minions that can't be connected to as silent

Cause: the batch's validity was checked again after a connection attempt had timed out. The attempt lasts 500 ms and the batch is valid for 250 ms, so a minion whose VM is gone always counted as an order that its sender didn't send: the sender was excluded for 2 s, and the minion did not become suspect.

Change: an order counts as not sent only if the check before sending refused it.

The new test failed before the change.

--- a/crates/snipevane-fleet/src/senders/order_sender.rs
+++ b/crates/snipevane-fleet/src/senders/order_sender.rs
@@ -111,16 +111,22 @@
     reporter: &OutcomeReporter,
 ) -> Option<OrderReply> {
     let address = order.to.address.parse().ok()?;
-    // A scheduler that no longer waits sends the order again itself.
-    let may_send = || validity.allows(node) && reporter.is_awaited();
+    let refused = Cell::new(false);
+    let may_send = || {
+        // A scheduler that no longer waits sends the order again itself.
+        let allowed = validity.allows(node) && reporter.is_awaited();
+        refused.set(!allowed);
+        allowed
+    };
     let request = minion::start_request(order);
     let call = node
         .client
         .call_if(address, request, ORDER_TIMEOUT, may_send);
     let reply = match call.await {
         Ok(response) => minion::decode_reply(response.status, &response.body),
-        // The minion can't be reached, as far as this VM knows, if the order might still be sent.
-        Err(CallError::NotSent) if !may_send() => return None,
+        Err(CallError::NotSent) if refused.get() => return None,
+        // A minion that can't be connected to counts as silent, although the batch expires before the
+        // attempt times out.
         Err(CallError::NotSent | CallError::NoAnswer) => OrderReply::NoAnswer,
     };
     metrics::record_minion_call("start_for_scheduler", reply_name(reply));
--- a/crates/snipevane-fleet/tests/senders.rs
+++ b/crates/snipevane-fleet/tests/senders.rs
@@ -15,6 +15,7 @@
 use snipevane_core::jobs::{MinionKey, Recipient, RunKey, StartOrder};
 use snipevane_core::senders::{SenderOffer, SenderPool, SenderSettings};
 use snipevane_fleet::clock::{Clock, SystemClock};
+use socket2::{Domain, Socket, Type};
 
 const JOB: &str = "00000000000000aa";
 const NEXT_JOB: &str = "00000000000000bb";
@@ -260,3 +261,28 @@
         "{response}"
     );
 }
+
+/// Guards against senders that are excluded, and minions that aren't suspected, because connections to
+/// minions that are gone take longer than the batch is valid.
+#[test]
+fn a_minion_that_cannot_be_connected_to_counts_as_one_that_does_not_reply() {
+    let (site, scheduler) = site_with_senders("unconnectable", 4, 1);
+    let sender = &site.nodes[(scheduler + 1) % 4];
+    // The queue of connections is full, so that further ones get no reply.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("an address");
+    socket.listen(0).expect("a listener");
+    let address = socket.local_addr().expect("an address");
+    let address = address.as_socket().expect("an IP address");
+    let _queued = TcpStream::connect(address).expect("a connection");
+    let mut body: Value =
+        serde_json::from_str(&batch(&site, fence(&site), 1, 250)).expect("a batch");
+    body["starts"][0]["address"] = json!(address.to_string());
+    let (status, response) = call(sender.peers, "POST", STARTS_PATH, "", &body.to_string());
+    assert_eq!(status, 200);
+    assert!(
+        response.contains("\"start\":0,\"reply\":\"no_answer\""),
+        "{response}"
+    );
+}
