Assign batches only to senders that have the term's permission

Cause: an entry VM counted as a sender from its first watch request in a term, before the heartbeat with the grant had reached it, and also while its permission had lapsed. It refused the batches with 409 and was excluded for 2 s, at the beginning of a term, when most orders are due.

Change: the offer names the fencing token of the sender's valid permission, and the scheduler uses the offer only if it is that of its term.

The new test failed before the change (16 orders went to VMs without permission).

--- a/crates/snipevane-core/src/senders/offer.rs
+++ b/crates/snipevane-core/src/senders/offer.rs
@@ -26,6 +26,9 @@
     pub capacity: VmCapacity,
     /// Reading of the VM's monotonic clock when the offer was made, in milliseconds.
     pub clock_ms: u64,
+    /// Fencing token that the VM had permission for when the offer was made; 0 if it had none.
+    #[serde(default)]
+    pub permitted_fence: u64,
 }
 
 impl SenderOffer {
--- a/crates/snipevane-core/src/senders/permission.rs
+++ b/crates/snipevane-core/src/senders/permission.rs
@@ -49,8 +49,13 @@
         }
     }
 
+    /// Returns the fencing token with which orders may be sent at `now`; `None` if there is none.
+    pub fn valid_fence(&self, now: Duration) -> Option<u64> {
+        (now < self.until).then_some(self.fence)
+    }
+
     /// Returns whether orders with this fencing token may be sent at `now`.
     pub fn allows(&self, fence: u64, now: Duration) -> bool {
-        fence == self.fence && now < self.until
+        self.valid_fence(now) == Some(fence)
     }
 }
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -231,10 +231,12 @@
     }
 
     /// Records that another entry VM was heard, and its offer to send start orders, if it has one.
+    ///
+    /// A VM that no grant of this term has reached yet would refuse batches.
     pub(crate) fn record_sender(&self, vm: &SmolStr, offer: Option<SenderOffer>) {
         let now = self.node.clock.now();
         let mut senders = self.senders.borrow_mut();
-        match offer {
+        match offer.filter(|offer| offer.permitted_fence == self.fence()) {
             Some(offer) => senders.record_offer(vm, offer, now),
             None => senders.record_no_offer(vm),
         }
--- a/crates/snipevane-fleet/src/senders/order_sender.rs
+++ b/crates/snipevane-fleet/src/senders/order_sender.rs
@@ -59,11 +59,14 @@
     if node.stopping.get() {
         return None;
     }
+    let now = node.clock.now();
+    let permission = node.order_sender.permission.get();
     Some(SenderOffer {
         zone: node.settings.zone.clone(),
         address: peers::own_address(node).into(),
         capacity: node.settings.capacity,
-        clock_ms: clock_ms(node.clock.now()),
+        clock_ms: clock_ms(now),
+        permitted_fence: permission.valid_fence(now).unwrap_or(0),
     })
 }
 
--- a/crates/snipevane-fleet/tests/senders.rs
+++ b/crates/snipevane-fleet/tests/senders.rs
@@ -286,3 +286,35 @@
         "{response}"
     );
 }
+
+/// Guards against senders that are excluded at the beginning of a term, when most orders are due, because
+/// they get batches before the term's first grant has reached them.
+#[test]
+fn a_vm_without_permission_under_the_term_gets_no_batches() {
+    let site = Site::start("unpermitted", 1, 2);
+    let scheduler = &site.nodes[0];
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").expect("an address");
+    let address = unused.local_addr().expect("an address").to_string();
+    for fence in [0, fence(&site) + 1] {
+        for number in 0..3 {
+            let request = json!({
+                "known": 0,
+                "vm": format!("vm-{number}"),
+                "offer": {
+                    "zone": "a", "address": &address, "clock_ms": now_ms(), "permitted_fence": fence,
+                    "capacity": { "cores": 1.0, "link_mbps": 0.0 },
+                },
+            });
+            let path = "/scheduler/watch";
+            eventually("heartbeat", || {
+                call(scheduler.peers, "POST", path, "", &request.to_string()).0 == 200
+            });
+        }
+        let job = format!("00000000000000a{fence}");
+        site.submit(0, &job, 8, 50);
+        site.wait_until_completed(0, &job);
+    }
+    let by_senders = ["by=\"sender\""];
+    let sent = scheduler.metric("snipevane_starts_sent_total", &by_senders);
+    assert_eq!(sent, 0.0);
+}
--- a/tests/tests/senders.rs
+++ b/tests/tests/senders.rs
@@ -48,6 +48,7 @@
         address: "127.0.0.1:1".into(),
         capacity,
         clock_ms: 5_000,
+        permitted_fence: 7,
     }
 }
 
