Skip the assignment to senders when no start orders are due

Cause: each scheduling decision, up to 300 a second, built the list of usable senders of all zones, also when it had no start orders.

Change: return early.

--- a/crates/snipevane-core/src/senders/pool.rs
+++ b/crates/snipevane-core/src/senders/pool.rs
@@ -171,6 +171,9 @@
         now: Duration,
     ) -> Assignment {
         let mut assignment = Assignment::default();
+        if starts.is_empty() {
+            return assignment;
+        }
         let mut by_sender: BTreeMap<SmolStr, Vec<StartOrder>> = BTreeMap::new();
         let zones = self.usable_by_zone(now);
         for order in starts {
