Take over from a process on the same VM after its batches have expired

Cause: a restarted process takes over the term of its predecessor at once, 25 ms after the kill in the test. A sender may send the orders of a batch for 250 ms after they were decided, if it is too slow or frozen to see that the batch's connection is gone: these are orders outside a valid term.

Change: a process claims the term 250 ms (send_window) after its start at the earliest.

--- a/crates/snipevane-fleet/src/node.rs
+++ b/crates/snipevane-fleet/src/node.rs
@@ -53,6 +53,8 @@
     /// Start time of the process in Unix milliseconds, which distinguishes it from earlier
     /// processes on the VM.
     pub started_unix_ms: u64,
+    /// Start time of the process on its monotonic clock.
+    pub started_at: Duration,
     rng: RefCell<StdRng>,
 }
 
@@ -62,6 +64,7 @@
         let client = Client::default();
         let store = StoreClient::new(clock.clone(), client.clone(), settings.store_address);
         let started_unix_ms = clock.unix_ms();
+        let started_at = clock.now();
         let rng = StdRng::seed_from_u64(started_unix_ms ^ seed_of(&settings.ip));
         Rc::new(Self {
             settings,
@@ -79,6 +82,7 @@
             shutdown: Notify::new(),
             site_changed: Notify::new(),
             started_unix_ms,
+            started_at,
             rng: RefCell::new(rng),
         })
     }
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use snipevane_adapter::rows::Transaction;
+use snipevane_core::senders::SenderSettings;
 use snipevane_core::term::TermSettings;
 use tokio::time::sleep;
 
@@ -46,11 +47,11 @@
         let term_free = may_take_over(&node, &settings);
         let can_schedule =
             row_read.is_ok() && !node.stopping.get() && node.site_view.borrow().site.is_some();
-        if term_free
-            && can_schedule
-            && let Some(won) = take_over(&node).await
-        {
-            Leader::run(node.clone(), settings, won).await;
+        if term_free && can_schedule {
+            await_batches_of_predecessor(&node).await;
+            if let Some(won) = take_over(&node).await {
+                Leader::run(node.clone(), settings, won).await;
+            }
         }
         sleep(poll_delay(&node, &settings)).await;
     }
@@ -91,6 +92,12 @@
     predecessor || view.is_free_for(settings, delay, node.clock.now())
 }
 
+/// Waits until no sender may send start orders any more that an earlier process on this VM decided.
+async fn await_batches_of_predecessor<C: Clock>(node: &Node<C>) {
+    let batches_end = node.started_at + SenderSettings::default().send_window;
+    sleep(batches_end.saturating_sub(node.clock.now())).await;
+}
+
 /// Returns how long this VM leaves a free term to others.
 fn takeover_delay<C: Clock>(node: &Node<C>, settings: &TermSettings) -> Duration {
     let own = &node.settings.capacity;
--- a/crates/snipevane-fleet/tests/senders.rs
+++ b/crates/snipevane-fleet/tests/senders.rs
@@ -318,3 +318,18 @@
     let sent = scheduler.metric("snipevane_starts_sent_total", &by_senders);
     assert_eq!(sent, 0.0);
 }
+
+/// Guards against a term that begins while senders may still send orders of the previous one: a process
+/// that is started again takes over the term of its predecessor at once.
+#[test]
+fn a_restarted_scheduler_takes_over_once_the_batches_of_its_predecessor_have_expired() {
+    let (mut site, scheduler) = site_with_senders("restart", 4, 1);
+    let fence_before = fence(&site);
+    let killed_at = Instant::now();
+    site.restart_node(scheduler, 1.0);
+    eventually("another term", || fence(&site) > fence_before);
+    let elapsed = killed_at.elapsed();
+    assert_eq!(site.scheduler(), Some(scheduler), "it took over at once");
+    let window = SenderSettings::default().send_window;
+    assert!(elapsed >= window, "{elapsed:?}");
+}
