Count an invalid address of a minion as no reply to its sender

Cause: a sender reported an order whose minion has an invalid address as not sent, without a log line, so the scheduler excluded the sender for 2 s with each such order.

Change: it logs the minion and reports no reply, as orders that the scheduler sends itself do.

The new test failed before the change.

--- a/crates/snipevane-fleet/src/senders/order_sender.rs
+++ b/crates/snipevane-fleet/src/senders/order_sender.rs
@@ -113,7 +113,10 @@
     validity: Validity,
     reporter: &OutcomeReporter,
 ) -> Option<OrderReply> {
-    let address = order.to.address.parse().ok()?;
+    let Ok(address) = order.to.address.parse() else {
+        log::warn!("invalid address of minion {}", order.to.id);
+        return Some(OrderReply::NoAnswer);
+    };
     let refused = Cell::new(false);
     let may_send = || {
         // A scheduler that no longer waits sends the order again itself.
--- a/crates/snipevane-fleet/tests/senders.rs
+++ b/crates/snipevane-fleet/tests/senders.rs
@@ -333,3 +333,19 @@
     let window = SenderSettings::default().send_window;
     assert!(elapsed >= window, "{elapsed:?}");
 }
+
+/// Guards against senders that are excluded because of a minion whose entry is invalid.
+#[test]
+fn an_invalid_address_of_a_minion_counts_as_no_reply() {
+    let (site, scheduler) = site_with_senders("address", 4, 1);
+    let sender = &site.nodes[(scheduler + 1) % 4];
+    let mut body: Value =
+        serde_json::from_str(&batch(&site, fence(&site), 1, 1_000)).expect("a batch");
+    body["starts"][0]["address"] = json!("nowhere");
+    let (status, response) = call(sender.peers, "POST", STARTS_PATH, "", &body.to_string());
+    assert_eq!(status, 200);
+    assert!(
+        response.contains("\"start\":0,\"reply\":\"no_answer\""),
+        "{response}"
+    );
+}
