--- a/crates/snipevane-core/src/senders/pool.rs
+++ b/crates/snipevane-core/src/senders/pool.rs
@@ -28,7 +28,7 @@
     /// Maximum size of the payloads in a batch, in bytes, which a link of 10 Mbit/s carries within 50 ms.
     pub max_batch_payload_bytes: usize,
     /// Number of consecutive orders without a reply of their minions after which a sender has failed: its
-    /// own way to the minions may be cut.
+    /// own way to the minions may be cut. Consecutive orders to the same minion count once.
     pub max_unanswered: u32,
 }
 
@@ -80,6 +80,8 @@
     excluded_until: Duration,
     orders_in_flight: usize,
     unanswered_in_row: u32,
+    /// Minion of the last order that got no reply; empty if the last one got a reply.
+    unanswered_minion: SmolStr,
 }
 
 impl Sender {
@@ -143,6 +145,7 @@
             excluded_until: Duration::ZERO,
             orders_in_flight: 0,
             unanswered_in_row: 0,
+            unanswered_minion: SmolStr::default(),
         };
         self.senders.insert(vm.clone(), sender);
     }
@@ -199,17 +202,28 @@
         assignment
     }
 
-    /// Records that the outcome of an order of a sender is known; `answered` tells whether its minion
+    /// Records that the outcome of an order of a sender to a minion is known; `answered` tells whether its minion
     /// replied, if it was sent. Returns whether the sender has failed because its minions don't reply.
-    pub fn record_outcome(&mut self, vm: &SmolStr, answered: Option<bool>) -> bool {
+    pub fn record_outcome(
+        &mut self,
+        vm: &SmolStr,
+        minion: &SmolStr,
+        answered: Option<bool>,
+    ) -> bool {
         let Some(sender) = self.senders.get_mut(vm) else {
             return false;
         };
         sender.orders_in_flight = sender.orders_in_flight.saturating_sub(1);
         match answered {
-            Some(true) => sender.unanswered_in_row = 0,
-            Some(false) => sender.unanswered_in_row += 1,
-            None => {}
+            Some(true) => {
+                sender.unanswered_in_row = 0;
+                sender.unanswered_minion = SmolStr::default();
+            }
+            Some(false) if sender.unanswered_minion != *minion => {
+                sender.unanswered_in_row += 1;
+                sender.unanswered_minion = minion.clone();
+            }
+            Some(false) | None => {}
         }
         sender.unanswered_in_row >= self.settings.max_unanswered
     }
@@ -234,6 +248,7 @@
         let was_usable = now >= sender.excluded_until;
         sender.excluded_until = now + self.settings.exclusion;
         sender.unanswered_in_row = 0;
+        sender.unanswered_minion = SmolStr::default();
         was_usable
     }
 
--- a/crates/snipevane-fleet/src/senders/dispatch.rs
+++ b/crates/snipevane-fleet/src/senders/dispatch.rs
@@ -97,11 +97,11 @@
     fn replied(&mut self, order: &StartOrder, reply: OrderReply) {
         metrics::record_minion_call("start", reply_name(reply));
         let answered = reply != OrderReply::NoAnswer;
-        let failed = self
-            .leader
-            .senders
-            .borrow_mut()
-            .record_outcome(&self.vm, Some(answered));
+        let failed =
+            self.leader
+                .senders
+                .borrow_mut()
+                .record_outcome(&self.vm, &order.to.id, Some(answered));
         if failed {
             self.sender_failed("minions don't reply to it");
         }
@@ -113,7 +113,10 @@
     fn undelivered(&mut self, order: &StartOrder, reason: &'static str) {
         self.sender_failed(reason);
         let leader = &self.leader;
-        leader.senders.borrow_mut().record_outcome(&self.vm, None);
+        leader
+            .senders
+            .borrow_mut()
+            .record_outcome(&self.vm, &order.to.id, None);
         events::record(
             &events::START_UNDELIVERED,
             &[
