--- a/crates/snipevane-fleet/tests/senders.rs
+++ b/crates/snipevane-fleet/tests/senders.rs
@@ -15,6 +15,7 @@
 use snipevane_core::jobs::{MinionKey, Recipient, RunKey, StartOrder};
 use snipevane_core::senders::{SenderOffer, SenderPool, SenderSettings};
 use snipevane_fleet::clock::{Clock, SystemClock};
+use socket2::{Domain, Socket, Type};
 
 const JOB: &str = "00000000000000aa";
 const NEXT_JOB: &str = "00000000000000bb";
@@ -260,3 +261,91 @@
         "{response}"
     );
 }
+
+/// Guards against senders that are excluded, and minions that aren't suspected, because connections to
+/// minions that are gone take longer than the batch is valid.
+#[test]
+fn a_minion_that_cannot_be_connected_to_counts_as_one_that_does_not_reply() {
+    let (site, scheduler) = site_with_senders("unconnectable", 4, 1);
+    let sender = &site.nodes[(scheduler + 1) % 4];
+    // The queue of connections is full, so that further ones get no reply.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("an address");
+    socket.listen(0).expect("a listener");
+    let address = socket.local_addr().expect("an address");
+    let address = address.as_socket().expect("an IP address");
+    let _queued = TcpStream::connect(address).expect("a connection");
+    let mut body: Value =
+        serde_json::from_str(&batch(&site, fence(&site), 1, 250)).expect("a batch");
+    body["starts"][0]["address"] = json!(address.to_string());
+    let (status, response) = call(sender.peers, "POST", STARTS_PATH, "", &body.to_string());
+    assert_eq!(status, 200);
+    assert!(
+        response.contains("\"start\":0,\"reply\":\"no_answer\""),
+        "{response}"
+    );
+}
+
+/// Guards against senders that are excluded at the beginning of a term, when most orders are due, because
+/// they get batches before the term's first grant has reached them.
+#[test]
+fn a_vm_without_permission_under_the_term_gets_no_batches() {
+    let site = Site::start("unpermitted", 1, 2);
+    let scheduler = &site.nodes[0];
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").expect("an address");
+    let address = unused.local_addr().expect("an address").to_string();
+    for fence in [0, fence(&site) + 1] {
+        for number in 0..3 {
+            let request = json!({
+                "known": 0,
+                "vm": format!("vm-{number}"),
+                "offer": {
+                    "zone": "a", "address": &address, "clock_ms": now_ms(), "permitted_fence": fence,
+                    "capacity": { "cores": 1.0, "link_mbps": 0.0 },
+                },
+            });
+            let path = "/scheduler/watch";
+            eventually("heartbeat", || {
+                call(scheduler.peers, "POST", path, "", &request.to_string()).0 == 200
+            });
+        }
+        let job = format!("00000000000000a{fence}");
+        site.submit(0, &job, 8, 50);
+        site.wait_until_completed(0, &job);
+    }
+    let by_senders = ["by=\"sender\""];
+    let sent = scheduler.metric("snipevane_starts_sent_total", &by_senders);
+    assert_eq!(sent, 0.0);
+}
+
+/// Guards against a term that begins while senders may still send orders of the previous one: a process
+/// that is started again takes over the term of its predecessor at once.
+#[test]
+fn a_restarted_scheduler_takes_over_once_the_batches_of_its_predecessor_have_expired() {
+    let (mut site, scheduler) = site_with_senders("restart", 4, 1);
+    let fence_before = fence(&site);
+    let killed_at = Instant::now();
+    site.restart_node(scheduler, 1.0);
+    eventually("another term", || fence(&site) > fence_before);
+    let elapsed = killed_at.elapsed();
+    assert_eq!(site.scheduler(), Some(scheduler), "it took over at once");
+    let window = SenderSettings::default().send_window;
+    assert!(elapsed >= window, "{elapsed:?}");
+}
+
+/// Guards against senders that are excluded because of a minion whose entry is invalid.
+#[test]
+fn an_invalid_address_of_a_minion_counts_as_no_reply() {
+    let (site, scheduler) = site_with_senders("address", 4, 1);
+    let sender = &site.nodes[(scheduler + 1) % 4];
+    let mut body: Value =
+        serde_json::from_str(&batch(&site, fence(&site), 1, 1_000)).expect("a batch");
+    body["starts"][0]["address"] = json!("nowhere");
+    let (status, response) = call(sender.peers, "POST", STARTS_PATH, "", &body.to_string());
+    assert_eq!(status, 200);
+    assert!(
+        response.contains("\"start\":0,\"reply\":\"no_answer\""),
+        "{response}"
+    );
+}
