Fix two panics in the arithmetic of admission control

A pool without minions to which VMs could move (capacity 0 now, more later) and no work before the job divided zero by zero; Duration::from_secs_f64 panics on NaN. The scheduler's process met this with a pool whose jobs are all long-running, best-effort or expired, an entry VM with a job of a higher priority than the backlog. No work now takes no time.

Callers may declare any run time and the product with the percentage overflowed, which panics with overflow checks and gives a wrong sum without them. The work of a step is now capped at 10^12 core-ms.

--- a/crates/snipevane-core/src/jobs/admission/drain.rs
+++ b/crates/snipevane-core/src/jobs/admission/drain.rs
@@ -30,6 +30,10 @@
         if all_cores <= 0.0 {
             return None;
         }
+        // Without present processors, the quotient below would be zero by zero.
+        if core_ms == 0 {
+            return Some(Duration::ZERO);
+        }
         let work = core_ms as f64;
         let until_incoming_ms = self.incoming_in_ms as f64;
         let done_by_then = present * until_incoming_ms;
--- a/crates/snipevane-core/src/jobs/admission/snapshot.rs
+++ b/crates/snipevane-core/src/jobs/admission/snapshot.rs
@@ -35,6 +35,10 @@
 /// Part of the declared work that counts as certain, in percent. Declared run times are off by half.
 pub(super) const DECLARED_CERTAIN_PERCENT: u64 = 50;
 
+/// Most work of a step that is counted, in milliseconds of a core: 30 years of a core. Callers may declare any
+/// run time, and the sums and percentages of 100,000 such steps don't overflow.
+const MAX_STEP_WORK: u64 = 1_000_000_000_000;
+
 pub(super) const PERCENT: u64 = 100;
 
 /// Committed work of the pools whose backlog takes a second or more.
@@ -215,6 +219,7 @@
         let running = step.tasks.len() as f64 - f64::from(step.done) - waiting;
         // On average, a running task has done half of its work.
         let work = ((waiting + running / 2.0) * task_ms) as u64;
+        let work = work.min(MAX_STEP_WORK);
         let certain_percent = if self.durations.has_learned(image) {
             LEARNED_CERTAIN_PERCENT
         } else {
@@ -239,7 +244,7 @@
         }
         if now <= job.accepted_at + ARRIVAL_WINDOW {
             let all = f64::from(spec.tasks) * task_ms / ARRIVAL_WINDOW.as_secs_f64();
-            backlog.accepted_per_s += all as u64;
+            backlog.accepted_per_s += (all as u64).min(MAX_STEP_WORK);
         }
     }
 }
--- a/tests/tests/jobs_admission.rs
+++ b/tests/tests/jobs_admission.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use serde_json::json;
 use smol_str::SmolStr;
 use snipevane_core::jobs::{
     AdmissionSnapshot, JobDemand, JobId, JobSpec, JobState, MoveOutlook, Rejection, Schedule,
@@ -447,3 +448,41 @@
         "the backlog grows by {grown_by} core-ms, not by about {expected}"
     );
 }
+
+/// Guards against a panic (zero divided by zero) for a pool whose minions are all gone, as when its zones are
+/// evacuated, while VMs can move to it: nothing is placed before a job of higher priority than the backlog.
+#[test]
+fn a_job_without_work_before_it_is_accepted_by_a_pool_that_has_no_minions_yet() {
+    let snapshot = json!({
+        "pools": [{
+            "pool": "p0",
+            "capacity": { "now": 0, "more": 16_000, "in_ms": 1_500 },
+            "certain_percent": 50,
+            "backlog": [{
+                "priority": u32::MAX,
+                "on_time": vec![900_000; 13],
+                "over_share": 0,
+                "late": 0,
+                "accepted_per_s": 0,
+            }],
+        }],
+    });
+    let snapshot: AdmissionSnapshot = serde_json::from_value(snapshot).expect("a snapshot");
+    assert_eq!(rejection(&snapshot, &two_steps(), Duration::ZERO), None);
+}
+
+/// Guards against sums that overflow by the run time that a caller declares.
+#[test]
+fn a_job_with_the_longest_run_time_that_can_be_declared_breaks_no_snapshot() {
+    let mut load = Load::new(1, false);
+    load.site
+        .submit(1, job("p0", vec![step(2_000, 1_000, u64::MAX, &[])]));
+    load.site.tick();
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    assert_eq!(rejection(&snapshot, &two_steps(), Duration::ZERO), None);
+}
