Don't treat a team that has just used its tokens as over its share

If it was taken in between, the team's next job was measured against all timely work and rejected, although it would have had a token. Only teams with committed jobs over their share are listed.

--- a/crates/snipevane-core/src/jobs/admission/snapshot.rs
+++ b/crates/snipevane-core/src/jobs/admission/snapshot.rs
@@ -45,7 +45,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct AdmissionSnapshot {
     pub(super) pools: Vec<PoolLoad>,
-    /// Teams with committed work in these pools that have used up their share.
+    /// Teams with committed work over their share in these pools that have used up their share.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) teams_over_share: Vec<SmolStr>,
 }
@@ -103,6 +103,7 @@
     by_priority: BTreeMap<u32, PriorityBacklog>,
     expected: u64,
     certain: u64,
+    /// Teams with jobs over their share.
     teams: FxHashSet<SmolStr>,
 }
 
@@ -227,7 +228,11 @@
         };
         sum.expected += work;
         sum.certain += work * certain_percent / PERCENT;
-        sum.teams.extend(job.spec.team.clone());
+        // A team without a token, but without a job over its share, gets its next token in time for the next
+        // job if it goes on at its rate.
+        if job.over_rate_share {
+            sum.teams.extend(job.spec.team.clone());
+        }
         let backlog = sum
             .by_priority
             .entry(job.priority)
--- a/tests/tests/jobs_admission.rs
+++ b/tests/tests/jobs_admission.rs
@@ -505,3 +505,40 @@
     let age = Duration::from_millis(900);
     assert_eq!(rejection(&snapshot, &two_steps(), age), None);
 }
+
+/// Guards against rejections of a team that is over its share at the time of the snapshot, but within it when
+/// its next job comes.
+#[test]
+fn a_team_that_is_within_its_share_a_moment_later_is_not_rejected_for_it() {
+    let mut spec = site_spec(1, 0);
+    let teams = [(TEAM, 2.0), ("other", 2.0)].map(|(name, share_per_s)| Team {
+        name: name.into(),
+        share_per_s,
+        ..Team::default()
+    });
+    spec.teams = teams.to_vec();
+    let minions = (0..MINIONS).map(|number| FakeMinion::new(entry(number, "p0"), START));
+    let mut load = Load::new(1, false);
+    load.site = JobSite::new(Site::new(spec), minions.collect(), 1);
+    load.run(Duration::from_millis(100));
+    load.add_callers(BURST_INTERVAL / 2, Duration::from_millis(1_700));
+    load.run(Duration::from_millis(1_700));
+    let other = JobSpec {
+        team: Some("other".into()),
+        ..two_steps()
+    };
+    // The tokens of 2 s, so that the next one comes in half a second.
+    for number in 0..4 {
+        load.site.submit(1_000 + number, other.clone());
+    }
+    load.site.tick();
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    let age = Duration::from_millis(600);
+    assert!(rejection(&snapshot, &two_steps(), age).is_some());
+    assert_eq!(rejection(&snapshot, &other, age), None);
+}
