--- a/crates/snipevane-core/src/jobs/admission/snapshot.rs
+++ b/crates/snipevane-core/src/jobs/admission/snapshot.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::drain::Capacity;
+use super::drain::{Capacity, millicores_to_cores};
 use crate::jobs::minions::minion::{Minion, millis};
 use crate::jobs::model::job::{Job, Step};
 use crate::jobs::model::spec::StepSpec;
@@ -107,6 +107,31 @@
     teams: FxHashSet<SmolStr>,
 }
 
+/// Work of a pool by team.
+type TeamSums = BTreeMap<Option<SmolStr>, Sum>;
+
+impl Sum {
+    /// Adds a part of other work.
+    fn add(&mut self, other: Self, part: f64) {
+        let scaled = |work: u64| (work as f64 * part) as u64;
+        self.expected += scaled(other.expected);
+        self.certain += scaled(other.certain);
+        self.teams.extend(other.teams);
+        for (priority, work) in other.by_priority {
+            let backlog = self
+                .by_priority
+                .entry(priority)
+                .or_insert_with(|| PriorityBacklog::new(priority));
+            for (class, work) in backlog.on_time.iter_mut().zip(work.on_time) {
+                *class += scaled(work);
+            }
+            backlog.over_share += scaled(work.over_share);
+            backlog.late += scaled(work.late);
+            backlog.accepted_per_s += scaled(work.accepted_per_s);
+        }
+    }
+}
+
 impl Scheduler {
     /// Returns the committed work of the loaded pools; `None` while it isn't known.
     ///
@@ -125,8 +150,9 @@
         let unreported = self.unreported_pools(now);
         let mut snapshot = AdmissionSnapshot::default();
         let mut teams = FxHashSet::default();
-        for (pool, sum) in self.committed_work(now) {
+        for (pool, teams_work) in self.committed_work(now) {
             let capacity = capacities.get(&pool).copied().unwrap_or_default();
+            let sum = self.within_quotas(teams_work, &capacity);
             let drain_time = capacity.drain_time(sum.certain);
             let is_loaded = drain_time.is_some_and(|time| time >= MIN_DRAIN_TIME);
             if !is_loaded || unreported.contains(&pool) {
@@ -183,10 +209,12 @@
         runs.map(|run| run.allocated.cpu_millis).sum()
     }
 
-    fn committed_work(&self, now: Duration) -> BTreeMap<SmolStr, Sum> {
-        let mut sums: BTreeMap<SmolStr, Sum> = BTreeMap::new();
+    /// Returns the committed work of each pool by team.
+    fn committed_work(&self, now: Duration) -> BTreeMap<SmolStr, TeamSums> {
+        let mut sums: BTreeMap<SmolStr, TeamSums> = BTreeMap::new();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
-            let sum = sums.entry(job.spec.pool.clone()).or_default();
+            let teams = sums.entry(job.spec.pool.clone()).or_default();
+            let sum = teams.entry(job.spec.team.clone()).or_default();
             for (number, spec) in job.spec.steps.iter().enumerate() {
                 let steps = job.occurrences.iter();
                 let steps = steps.filter_map(|occurrence| occurrence.steps.get(number));
@@ -198,6 +226,29 @@
         sums
     }
 
+    /// Returns the work of a pool, of which a team's part is reduced to what its quota lets it do until the
+    /// pool has worked off the rest. Work that waits for a quota leaves processors to new jobs of other teams.
+    fn within_quotas(&self, teams: TeamSums, capacity: &Capacity) -> Sum {
+        let with_quotas = teams.into_iter().map(|(team, sum)| {
+            let team = team.as_ref().and_then(|team| self.site.team(team));
+            let quota = team.map(|team| team.quota.cpu_millis);
+            (sum, quota.filter(|&quota| quota > 0))
+        });
+        let teams: Vec<(Sum, Option<u64>)> = with_quotas.collect();
+        let work: Vec<_> = teams
+            .iter()
+            .map(|(sum, quota)| (sum.expected, *quota))
+            .collect();
+        let busy_ms = capacity.busy_ms(&work);
+        let mut all = Sum::default();
+        for (sum, quota) in teams {
+            let possible = quota.map(|quota| millicores_to_cores(quota) * busy_ms);
+            let part = possible.map_or(1.0, |work| work / sum.expected.max(1) as f64);
+            all.add(sum, part.min(1.0));
+        }
+        all
+    }
+
     fn add_step(
         &self,
         sum: &mut Sum,
--- a/tests/tests/jobs_admission.rs
+++ b/tests/tests/jobs_admission.rs
@@ -14,6 +14,7 @@
     AdmissionSnapshot, JobDemand, JobId, JobSpec, JobState, MoveOutlook, Rejection, Schedule,
     Scheduler, SchedulerSettings, Site, StepSpec, Team, UnreportedRuns,
 };
+use snipevane_core::placement::Resources;
 use snipevane_tests::jobs::{
     FakeMinion, JobSite, TEAM, TICK, entry, job, long_running_step, site, site_spec, step,
 };
@@ -542,3 +543,35 @@
     assert!(rejection(&snapshot, &two_steps(), age).is_some());
     assert_eq!(rejection(&snapshot, &other, age), None);
 }
+
+/// Guards against rejections by work that waits for its team's quota: it leaves most of the pool to others.
+#[test]
+fn work_that_waits_for_a_quota_rejects_no_job_of_another_team() {
+    let mut spec = site_spec(1, 0);
+    let teams = [(TEAM, 8_000), ("other", 0)].map(|(name, cpu_millis)| Team {
+        name: name.into(),
+        quota: Resources {
+            cpu_millis,
+            ..Resources::default()
+        },
+        ..Team::default()
+    });
+    spec.teams = teams.to_vec();
+    let minions = (0..MINIONS).map(|number| FakeMinion::new(entry(number, "p0"), START));
+    let mut load = Load::new(1, false);
+    load.site = JobSite::new(Site::new(spec), minions.collect(), 1);
+    load.run(Duration::from_millis(100));
+    load.add_callers(BURST_INTERVAL / 2, Duration::from_millis(1_700));
+    load.run(Duration::from_millis(1_700));
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    let other = JobSpec {
+        team: Some("other".into()),
+        ..two_steps()
+    };
+    assert_eq!(rejection(&snapshot, &other, Duration::ZERO), None);
+}
