Treat a progress row that can't be decoded as a stored job

The look-up before a rejection took a row that this version can't decode for a missing one, and answered 503 'never runs' for a stored job. It now looks at whether the row is there.

--- a/crates/snipevane-fleet/src/caller/admission.rs
+++ b/crates/snipevane-fleet/src/caller/admission.rs
@@ -14,7 +14,7 @@
 use crate::node::Node;
 use crate::peers::scheduler_client;
 
-use super::handler::read_progress;
+use super::handler::read_progress_row;
 use super::job_writer::JobWriter;
 use super::reply::{self, Reply};
 
@@ -111,7 +111,8 @@
         Some(true) => return Earlier::Possible,
         None => return Earlier::Unknown,
     }
-    match read_progress(node, id).await {
+    // A row that this version can't decode is a stored job too.
+    match read_progress_row(node, id).await {
         Ok(None) if !job_writer.may_be_stored(id) => Earlier::None,
         Ok(_) => Earlier::Possible,
         Err(_) => Earlier::Unknown,
--- a/crates/snipevane-fleet/tests/admission.rs
+++ b/crates/snipevane-fleet/tests/admission.rs
@@ -103,3 +103,15 @@
     let repeat = submit(&site, repeating, REPEATED_JOB, 1);
     assert_eq!((first.0, repeat.0), (504, 200), "{} {}", first.1, repeat.1);
 }
+
+/// Guards against a rejection that says "never runs" of a job whose row a process of a later version has written.
+#[test]
+fn a_stored_job_whose_row_cannot_be_decoded_is_not_rejected() {
+    let (site, scheduler) = overloaded_site("admission-row");
+    let other = (scheduler + 1) % 3;
+    assert_eq!(submit(&site, other, NEW_JOB, 1).0, 503);
+    let row = json!("of a later version");
+    site.store.put("progress", REPEATED_JOB, &row);
+    let repeat = submit(&site, other, REPEATED_JOB, 1);
+    assert_eq!(repeat.0, 200, "{}", repeat.1);
+}
