Limit Retry-After to the time for which the backlog has value

Retry-After was the drain time of all work that is due earlier, 198 s for a backlog of 400 s. New jobs are placed before work without value, so that a retry is accepted and in time after three times the allowed time at the latest.

--- a/crates/snipevane-core/src/jobs/admission/estimate.rs
+++ b/crates/snipevane-core/src/jobs/admission/estimate.rs
@@ -102,15 +102,21 @@
         if completes_in <= value_lasts {
             return None;
         }
-        let expected_wait = load.capacity.drain_time(due_earlier)?;
+        let mut expected_wait = load
+            .capacity
+            .drain_time(due_earlier)?
+            .saturating_sub(job.slack());
+        // Work that is due earlier is done or has no value by then, and new jobs are placed before it. It is late
+        // sooner, but callers that return into late work are served worse.
+        if !is_over_share {
+            expected_wait = expected_wait.min(value_lasts);
+        }
         Some(Rejection {
             completes_in,
             value_lasts,
             backlog_core_ms: backlog,
             cpu_millis: load.capacity.cpu_millis + load.capacity.incoming_cpu_millis,
-            retry_after: expected_wait
-                .saturating_sub(job.slack())
-                .max(MIN_RETRY_AFTER),
+            retry_after: expected_wait.max(MIN_RETRY_AFTER),
         })
     }
 }
--- a/tests/tests/jobs_admission.rs
+++ b/tests/tests/jobs_admission.rs
@@ -608,3 +608,37 @@
 fn pool(number: usize) -> String {
     format!("p{number}")
 }
+
+/// Guards against a `Retry-After` of the whole drain time: the backlog has no value long before, and new jobs
+/// are then placed before it.
+#[test]
+fn a_caller_is_told_to_return_once_the_backlog_has_no_value() {
+    let mut load = Load::new(1, false);
+    for number in 0..2_000 {
+        load.site.submit(number, two_steps());
+    }
+    load.run(Duration::from_millis(300));
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    let rejected = rejection(&snapshot, &two_steps(), Duration::ZERO);
+    let retry_after = rejected.expect("a rejection").retry_after;
+    assert!(
+        retry_after <= TIME_ALLOWED * EXPIRY_FACTOR,
+        "{retry_after:?}"
+    );
+    load.run(retry_after);
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    assert_eq!(rejection(&snapshot, &two_steps(), Duration::ZERO), None);
+    let id = load.site.submit(5_000, two_steps());
+    load.run(TIME_ALLOWED);
+    assert!(load.site.completed_by(id, now + TIME_ALLOWED));
+}
