--- a/crates/snipevane-core/src/jobs/admission/snapshot.rs
+++ b/crates/snipevane-core/src/jobs/admission/snapshot.rs
@@ -1,5 +1,6 @@
 //! Summary of the committed work of loaded pools, which the scheduler sends to the entry VMs.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::drain::Capacity;
+use super::drain::{Capacity, millicores_to_cores};
 use crate::jobs::minions::minion::{Minion, millis};
 use crate::jobs::model::job::{Job, Step};
 use crate::jobs::model::spec::StepSpec;
@@ -25,6 +26,10 @@
 /// second, so that a smaller backlog is no reason to reject a job; and in most seconds the snapshot is empty.
 const MIN_DRAIN_TIME: Duration = Duration::from_secs(1);
 
+/// Most pools in a snapshot, those with the longest drain times. With 97 entry VMs, four pools take about
+/// 180 KB/s of the scheduler's link, and a small link carries 250 KB/s.
+const MAX_POOLS: usize = 4;
+
 /// Time over which the rate of accepted work is measured: about the age that a snapshot reaches.
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(500);
 
@@ -35,13 +40,17 @@
 /// Part of the declared work that counts as certain, in percent. Declared run times are off by half.
 pub(super) const DECLARED_CERTAIN_PERCENT: u64 = 50;
 
+/// Most work of a step that is counted, in milliseconds of a core: 30 years of a core. Callers may declare any
+/// run time, and the sums and percentages of 100,000 such steps don't overflow.
+const MAX_STEP_WORK: u64 = 1_000_000_000_000;
+
 pub(super) const PERCENT: u64 = 100;
 
 /// Committed work of the pools whose backlog takes a second or more.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct AdmissionSnapshot {
     pub(super) pools: Vec<PoolLoad>,
-    /// Teams with committed work in these pools that have used up their share.
+    /// Teams with committed work over their share in these pools that have used up their share.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) teams_over_share: Vec<SmolStr>,
 }
@@ -99,9 +108,35 @@
     by_priority: BTreeMap<u32, PriorityBacklog>,
     expected: u64,
     certain: u64,
+    /// Teams with jobs over their share.
     teams: FxHashSet<SmolStr>,
 }
 
+/// Work of a pool by team.
+type TeamSums = BTreeMap<Option<SmolStr>, Sum>;
+
+impl Sum {
+    /// Adds a part of other work.
+    fn add(&mut self, other: Self, part: f64) {
+        let scaled = |work: u64| (work as f64 * part) as u64;
+        self.expected += scaled(other.expected);
+        self.certain += scaled(other.certain);
+        self.teams.extend(other.teams);
+        for (priority, work) in other.by_priority {
+            let backlog = self
+                .by_priority
+                .entry(priority)
+                .or_insert_with(|| PriorityBacklog::new(priority));
+            for (class, work) in backlog.on_time.iter_mut().zip(work.on_time) {
+                *class += scaled(work);
+            }
+            backlog.over_share += scaled(work.over_share);
+            backlog.late += scaled(work.late);
+            backlog.accepted_per_s += scaled(work.accepted_per_s);
+        }
+    }
+}
+
 impl Scheduler {
     /// Returns the committed work of the loaded pools; `None` while it isn't known.
     ///
@@ -118,22 +153,30 @@
         let capacities = self.pool_capacities(outlook, move_time);
         // Tasks that may run unseen on minions of an earlier term would count as waiting.
         let unreported = self.unreported_pools(now);
-        let mut snapshot = AdmissionSnapshot::default();
-        let mut teams = FxHashSet::default();
-        for (pool, sum) in self.committed_work(now) {
+        let mut loaded = Vec::new();
+        for (pool, teams_work) in self.committed_work(now) {
             let capacity = capacities.get(&pool).copied().unwrap_or_default();
+            let sum = self.within_quotas(teams_work, &capacity);
             let drain_time = capacity.drain_time(sum.certain);
-            let is_loaded = drain_time.is_some_and(|time| time >= MIN_DRAIN_TIME);
-            if !is_loaded || unreported.contains(&pool) {
+            let drain_time = drain_time.filter(|time| *time >= MIN_DRAIN_TIME);
+            let Some(drain_time) = drain_time.filter(|_| !unreported.contains(&pool)) else {
                 continue;
-            }
-            teams.extend(sum.teams);
-            snapshot.pools.push(PoolLoad {
+            };
+            let load = PoolLoad {
                 pool,
                 capacity,
                 certain_percent: sum.certain * PERCENT / sum.expected.max(1),
                 backlog: sum.by_priority.into_values().collect(),
-            });
+            };
+            loaded.push((drain_time, load, sum.teams));
+        }
+        loaded.sort_by_key(|(drain_time, ..)| Reverse(*drain_time));
+        loaded.truncate(MAX_POOLS);
+        let mut snapshot = AdmissionSnapshot::default();
+        let mut teams = FxHashSet::default();
+        for (_, load, teams_of_pool) in loaded {
+            snapshot.pools.push(load);
+            teams.extend(teams_of_pool);
         }
         let over_share = teams
             .into_iter()
@@ -178,10 +221,12 @@
         runs.map(|run| run.allocated.cpu_millis).sum()
     }
 
-    fn committed_work(&self, now: Duration) -> BTreeMap<SmolStr, Sum> {
-        let mut sums: BTreeMap<SmolStr, Sum> = BTreeMap::new();
+    /// Returns the committed work of each pool by team.
+    fn committed_work(&self, now: Duration) -> BTreeMap<SmolStr, TeamSums> {
+        let mut sums: BTreeMap<SmolStr, TeamSums> = BTreeMap::new();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
-            let sum = sums.entry(job.spec.pool.clone()).or_default();
+            let teams = sums.entry(job.spec.pool.clone()).or_default();
+            let sum = teams.entry(job.spec.team.clone()).or_default();
             for (number, spec) in job.spec.steps.iter().enumerate() {
                 let steps = job.occurrences.iter();
                 let steps = steps.filter_map(|occurrence| occurrence.steps.get(number));
@@ -193,6 +238,29 @@
         sums
     }
 
+    /// Returns the work of a pool, of which a team's part is reduced to what its quota lets it do until the
+    /// pool has worked off the rest. Work that waits for a quota leaves processors to new jobs of other teams.
+    fn within_quotas(&self, teams: TeamSums, capacity: &Capacity) -> Sum {
+        let with_quotas = teams.into_iter().map(|(team, sum)| {
+            let team = team.as_ref().and_then(|team| self.site.team(team));
+            let quota = team.map(|team| team.quota.cpu_millis);
+            (sum, quota.filter(|&quota| quota > 0))
+        });
+        let teams: Vec<(Sum, Option<u64>)> = with_quotas.collect();
+        let work: Vec<_> = teams
+            .iter()
+            .map(|(sum, quota)| (sum.expected, *quota))
+            .collect();
+        let busy_ms = capacity.busy_ms(&work);
+        let mut all = Sum::default();
+        for (sum, quota) in teams {
+            let possible = quota.map(|quota| millicores_to_cores(quota) * busy_ms);
+            let part = possible.map_or(1.0, |work| work / sum.expected.max(1) as f64);
+            all.add(sum, part.min(1.0));
+        }
+        all
+    }
+
     fn add_step(
         &self,
         sum: &mut Sum,
@@ -215,6 +283,7 @@
         let running = step.tasks.len() as f64 - f64::from(step.done) - waiting;
         // On average, a running task has done half of its work.
         let work = ((waiting + running / 2.0) * task_ms) as u64;
+        let work = work.min(MAX_STEP_WORK);
         let certain_percent = if self.durations.has_learned(image) {
             LEARNED_CERTAIN_PERCENT
         } else {
@@ -222,7 +291,11 @@
         };
         sum.expected += work;
         sum.certain += work * certain_percent / PERCENT;
-        sum.teams.extend(job.spec.team.clone());
+        // A team without a token, but without a job over its share, gets its next token in time for the next
+        // job if it goes on at its rate.
+        if job.over_rate_share {
+            sum.teams.extend(job.spec.team.clone());
+        }
         let backlog = sum
             .by_priority
             .entry(job.priority)
@@ -239,7 +312,7 @@
         }
         if now <= job.accepted_at + ARRIVAL_WINDOW {
             let all = f64::from(spec.tasks) * task_ms / ARRIVAL_WINDOW.as_secs_f64();
-            backlog.accepted_per_s += all as u64;
+            backlog.accepted_per_s += (all as u64).min(MAX_STEP_WORK);
         }
     }
 }
--- a/tests/tests/jobs_admission.rs
+++ b/tests/tests/jobs_admission.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use serde_json::json;
 use smol_str::SmolStr;
 use snipevane_core::jobs::{
     AdmissionSnapshot, JobDemand, JobId, JobSpec, JobState, MoveOutlook, Rejection, Schedule,
     Scheduler, SchedulerSettings, Site, StepSpec, Team, UnreportedRuns,
 };
+use snipevane_core::placement::Resources;
 use snipevane_tests::jobs::{
     FakeMinion, JobSite, TEAM, TICK, entry, job, long_running_step, site, site_spec, step,
 };
@@ -447,3 +449,196 @@
         "the backlog grows by {grown_by} core-ms, not by about {expected}"
     );
 }
+
+/// Guards against a panic (zero divided by zero) for a pool whose minions are all gone, as when its zones are
+/// evacuated, while VMs can move to it: nothing is placed before a job of higher priority than the backlog.
+#[test]
+fn a_job_without_work_before_it_is_accepted_by_a_pool_that_has_no_minions_yet() {
+    let snapshot = json!({
+        "pools": [{
+            "pool": "p0",
+            "capacity": { "now": 0, "more": 16_000, "in_ms": 1_500 },
+            "certain_percent": 50,
+            "backlog": [{
+                "priority": u32::MAX,
+                "on_time": vec![900_000; 13],
+                "over_share": 0,
+                "late": 0,
+                "accepted_per_s": 0,
+            }],
+        }],
+    });
+    let snapshot: AdmissionSnapshot = serde_json::from_value(snapshot).expect("a snapshot");
+    assert_eq!(rejection(&snapshot, &two_steps(), Duration::ZERO), None);
+}
+
+/// Guards against sums that overflow by the run time that a caller declares.
+#[test]
+fn a_job_with_the_longest_run_time_that_can_be_declared_breaks_no_snapshot() {
+    let mut load = Load::new(1, false);
+    load.site
+        .submit(1, job("p0", vec![step(2_000, 1_000, u64::MAX, &[])]));
+    load.site.tick();
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    assert_eq!(rejection(&snapshot, &two_steps(), Duration::ZERO), None);
+}
+
+/// Guards against an extrapolation that takes a large job, accepted just before the snapshot, for work that
+/// goes before each new job: the small one can be in time, and is placed first.
+#[test]
+fn a_large_job_accepted_before_the_snapshot_rejects_no_small_one_after_it() {
+    let mut load = Load::new(1, false);
+    let large = job("p0", vec![step(800, 1_000, 8_000, &[])]);
+    load.site.submit(1, large);
+    load.run(Duration::from_millis(100));
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    assert_ne!(snapshot, AdmissionSnapshot::default(), "the pool is loaded");
+    let age = Duration::from_millis(900);
+    assert_eq!(rejection(&snapshot, &two_steps(), age), None);
+}
+
+/// Guards against rejections of a team that is over its share at the time of the snapshot, but within it when
+/// its next job comes.
+#[test]
+fn a_team_that_is_within_its_share_a_moment_later_is_not_rejected_for_it() {
+    let mut spec = site_spec(1, 0);
+    let teams = [(TEAM, 2.0), ("other", 2.0)].map(|(name, share_per_s)| Team {
+        name: name.into(),
+        share_per_s,
+        ..Team::default()
+    });
+    spec.teams = teams.to_vec();
+    let minions = (0..MINIONS).map(|number| FakeMinion::new(entry(number, "p0"), START));
+    let mut load = Load::new(1, false);
+    load.site = JobSite::new(Site::new(spec), minions.collect(), 1);
+    load.run(Duration::from_millis(100));
+    load.add_callers(BURST_INTERVAL / 2, Duration::from_millis(1_700));
+    load.run(Duration::from_millis(1_700));
+    let other = JobSpec {
+        team: Some("other".into()),
+        ..two_steps()
+    };
+    // The tokens of 2 s, so that the next one comes in half a second.
+    for number in 0..4 {
+        load.site.submit(1_000 + number, other.clone());
+    }
+    load.site.tick();
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    let age = Duration::from_millis(600);
+    assert!(rejection(&snapshot, &two_steps(), age).is_some());
+    assert_eq!(rejection(&snapshot, &other, age), None);
+}
+
+/// Guards against rejections by work that waits for its team's quota: it leaves most of the pool to others.
+#[test]
+fn work_that_waits_for_a_quota_rejects_no_job_of_another_team() {
+    let mut spec = site_spec(1, 0);
+    let teams = [(TEAM, 8_000), ("other", 0)].map(|(name, cpu_millis)| Team {
+        name: name.into(),
+        quota: Resources {
+            cpu_millis,
+            ..Resources::default()
+        },
+        ..Team::default()
+    });
+    spec.teams = teams.to_vec();
+    let minions = (0..MINIONS).map(|number| FakeMinion::new(entry(number, "p0"), START));
+    let mut load = Load::new(1, false);
+    load.site = JobSite::new(Site::new(spec), minions.collect(), 1);
+    load.run(Duration::from_millis(100));
+    load.add_callers(BURST_INTERVAL / 2, Duration::from_millis(1_700));
+    load.run(Duration::from_millis(1_700));
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    let other = JobSpec {
+        team: Some("other".into()),
+        ..two_steps()
+    };
+    assert_eq!(rejection(&snapshot, &other, Duration::ZERO), None);
+}
+
+/// Guards against heartbeats that grow with the number of loaded pools, as when all of 56 pools lose capacity: they
+/// would take more than the scheduler's link.
+#[test]
+fn a_snapshot_names_the_most_loaded_pools_only() {
+    const POOLS: usize = 8;
+    let minions = (0..POOLS).map(|number| FakeMinion::new(entry(number, &pool(number)), START));
+    let mut load = Load::new(1, false);
+    load.site = JobSite::new(site(POOLS, 0), minions.collect(), 1);
+    load.run(Duration::from_millis(100));
+    for number in 0..POOLS {
+        // The last pools have the most work.
+        let tasks = 100 + 20 * number as u32;
+        let spec = job(&pool(number), vec![step(tasks, 1_000, 1_500, &[])]);
+        load.site.submit(number as u64, spec);
+    }
+    load.site.tick();
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = serde_json::to_string(&snapshot.expect("the work is known")).expect("JSON");
+    assert!(snapshot.len() <= 4 * 320, "{} bytes", snapshot.len());
+    for number in 0..POOLS {
+        let name = format!("\"{}\"", pool(number));
+        assert_eq!(snapshot.contains(&name), number >= POOLS - 4, "{name}");
+    }
+}
+
+fn pool(number: usize) -> String {
+    format!("p{number}")
+}
+
+/// Guards against a `Retry-After` of the whole drain time: the backlog has no value long before, and new jobs
+/// are then placed before it.
+#[test]
+fn a_caller_is_told_to_return_once_the_backlog_has_no_value() {
+    let mut load = Load::new(1, false);
+    for number in 0..2_000 {
+        load.site.submit(number, two_steps());
+    }
+    load.run(Duration::from_millis(300));
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    let rejected = rejection(&snapshot, &two_steps(), Duration::ZERO);
+    let retry_after = rejected.expect("a rejection").retry_after;
+    assert!(
+        retry_after <= TIME_ALLOWED * EXPIRY_FACTOR,
+        "{retry_after:?}"
+    );
+    load.run(retry_after);
+    let now = load.site.now;
+    let snapshot = load
+        .site
+        .scheduler
+        .admission_snapshot(&load.outlook, MOVE_TIME, now);
+    let snapshot = snapshot.expect("the work is known");
+    assert_eq!(rejection(&snapshot, &two_steps(), Duration::ZERO), None);
+    let id = load.site.submit(5_000, two_steps());
+    load.run(TIME_ALLOWED);
+    assert!(load.site.completed_by(id, now + TIME_ALLOWED));
+}
