Raise throttled best-effort runs on trial where the tail latency stays low

A best-effort run at share 0 was never raised again if one step of the learned effect didn't fit below the target (from 1.5 times the target on): at 0 nothing is measured, the mean doesn't age, and the effect may have ended. Its job never ended. The most throttled run now gets 12 points more if the tail latency is low and nothing has changed for 5 s.

--- a/crates/snipevane-core/src/jobs/interference/shares.rs
+++ b/crates/snipevane-core/src/jobs/interference/shares.rs
@@ -240,6 +240,17 @@
         suspects.map(|run| (run.key, 0)).collect()
     }
 
+    /// Returns the most throttled of these best-effort runs, with a share that is higher by the
+    /// smallest useful one.
+    ///
+    /// It is tried where the known effects call for no raise although the tail latency is low: the
+    /// effect may have ended, which doesn't show while the share stays.
+    pub(in crate::jobs) fn trial_share(&self, runs: &[(RunKey, u32)]) -> Option<(RunKey, u32)> {
+        let throttled = runs.iter().filter(|(_, share)| *share < FULL_CPU_SHARE);
+        let lowest = throttled.min_by_key(|(run, share)| (*share, *run));
+        lowest.map(|&(run, share)| (run, (share + MIN_CPU_SHARE).min(FULL_CPU_SHARE)))
+    }
+
     /// Returns the CPU share with which a run that has just started leaves the tasks that its image is kept
     /// apart from under their targets, by their last figures.
     pub(in crate::jobs) fn initial_share(&self, key: RunKey, now: Duration) -> u32 {
--- a/crates/snipevane-core/src/jobs/running/best_effort.rs
+++ b/crates/snipevane-core/src/jobs/running/best_effort.rs
@@ -84,10 +84,16 @@
             None if elapsed >= INCREASE_INTERVAL => {
                 let is_low = tail_latency == TailLatency::Low;
                 let raised = self.raised_shares(key, &best_effort_runs, is_low);
-                if raised.is_empty() && elapsed >= PROBE_INTERVAL {
-                    self.probing_shares(key, &best_effort_runs)
-                } else {
+                if !raised.is_empty() || elapsed < PROBE_INTERVAL {
                     raised
+                } else {
+                    let probing = self.probing_shares(key, &best_effort_runs);
+                    let trial = self.trial_share(&best_effort_runs).filter(|_| is_low);
+                    if probing.is_empty() {
+                        trial.into_iter().collect()
+                    } else {
+                        probing
+                    }
                 }
             }
             Some(_) | None => Vec::new(),
--- a/tests/tests/jobs_interference.rs
+++ b/tests/tests/jobs_interference.rs
@@ -435,3 +435,23 @@
     trial.run(Duration::from_secs(20));
     assert_eq!(trial.site.minions["i-0"].cpu_share_of(ENCODE), 300);
 }
+
+/// Guards against a run that stays at 0, and so never ends, because a strong effect was learned that
+/// no longer exists: at 0 nothing is measured, and by the known effect not even one step fits.
+#[rstest]
+#[case::four_times_the_target(400.0)]
+#[case::twice_the_target(200.0)]
+fn a_run_is_raised_again_after_a_strong_effect_has_ended(#[case] added_ms: f64) {
+    let mut trial = Trial::new(1, true, 9);
+    let minion = trial.site.minions.get_mut("i-0").expect("a minion");
+    minion.interference.added_ms = [((API, ENCODE), added_ms)].into();
+    trial.submit(api(1));
+    trial.run(Duration::from_secs(2));
+    trial.submit(long_running_best_effort(ENCODE, 1));
+    trial.run(Duration::from_secs(60));
+    assert!(trial.longest < MAX_TIME_OVER_TARGET, "{:?}", trial.longest);
+    let minion = trial.site.minions.get_mut("i-0").expect("a minion");
+    minion.interference.added_ms = [((API, ENCODE), 0.0)].into();
+    trial.run(Duration::from_secs(120));
+    assert_eq!(trial.site.minions["i-0"].cpu_share_of(ENCODE), 100);
+}
