Keep submissions marked until the scheduler knows the stored job

Cause: the mark of a submission of unknown outcome was removed when its write was committed or conflicted, also if the caller had been answered 504 meanwhile and the scheduler had not read the row yet. A repeat was then refused with 503 although the job was stored. A change queued before another change of the same job was written, and a cancellation that conflicted after an attempt without an answer, could also be refused so. A process without a term sent an empty transaction if all its changes were refused as late.

Change: the mark is removed only if the write was certainly not applied or the scheduler knows the job. A change takes over the mark when it is sent. A cancellation of unknown outcome is answered 504.

--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -98,7 +98,7 @@
     writing: Cell<bool>,
     /// Whether a transaction is under way.
     committing: Cell<bool>,
-    /// Keys of jobs whose submission may be stored by an attempt without an answer, with the time of the
+    /// Keys of jobs whose submission may be stored without the scheduler knowing of it, with the time of the
     /// attempt. A repeat of the submission must not be answered that nothing was done.
     uncertain: RefCell<FxHashMap<SmolStr, Duration>>,
 }
@@ -131,7 +131,8 @@
         let outcome = match scheduler_client::submit_job(&self.node, id, spec).await {
             Some(outcome @ (Outcome::Stored | Outcome::Busy { .. })) => outcome,
             Some(Outcome::Unknown) if self.leaves_writes_to_scheduler() => Outcome::Unknown,
-            Some(Outcome::Unknown) => self.accept_locally(id, spec).await,
+            // The mark stays, as the scheduler learns only later of a job that is stored from here.
+            Some(Outcome::Unknown) => return self.accept_locally(id, spec).await,
             Some(Outcome::NotStored) | None => {
                 if !was_uncertain {
                     self.uncertain.borrow_mut().remove(&key);
@@ -195,13 +196,14 @@
             ),
         ];
         match self
-            .write((PROGRESS_TABLE.into(), key, 0), writes, false)
+            .write((PROGRESS_TABLE.into(), key.clone(), 0), writes, false)
             .await
         {
             WriteResult::Outcome(outcome) => {
                 let leader = self.node.leader().filter(|_| outcome == Outcome::Stored);
                 if let Some(leader) = leader {
                     leader.job_stored(id, spec.clone());
+                    self.uncertain.borrow_mut().remove(&key);
                 }
                 outcome
             }
@@ -224,7 +226,12 @@
                 WriteResult::Conflict { version: newer } => version = newer,
             }
             if self.node.clock.now() > started + WRITE_TIMEOUT {
-                return Outcome::NotStored;
+                // An earlier attempt without an answer may have stored the request.
+                return if self.is_uncertain(&key) {
+                    Outcome::Unknown
+                } else {
+                    Outcome::NotStored
+                };
             }
         }
     }
@@ -328,6 +335,9 @@
         while !self.pending.borrow().is_empty() {
             let Some(leader) = self.node.leader() else {
                 let batch = self.take_batch();
+                if batch.is_empty() {
+                    continue;
+                }
                 let transaction = build_transaction(&batch);
                 let result = self.node.store.commit(&transaction).await;
                 self.settle_batch(batch, result).await;
@@ -381,7 +391,9 @@
         }
         drop(pending);
         // A repeat that arrives while the batch is being written must not be refused as not run.
-        for change in &batch {
+        for change in &mut batch {
+            // Another change of the job may have been written since this one was queued.
+            change.outcome_unknown |= self.is_uncertain(&change.condition.1);
             self.mark_uncertain(&change.condition.1);
         }
         batch
@@ -412,10 +424,14 @@
         mut batch: Vec<PendingChange>,
         result: Result<CommitOutcome, StoreError>,
     ) {
-        let is_applied = matches!(result, Ok(CommitOutcome::Committed(_)));
-        let is_certain = !matches!(result, Err(StoreError::NoAnswer | StoreError::HistoryGone));
+        // The mark of a stored job stays until the scheduler knows the job: the caller may have gone, and a
+        // repeat may arrive before the scheduler has read the row.
+        let is_not_applied = matches!(
+            result,
+            Ok(CommitOutcome::Conflict(_)) | Err(StoreError::NotApplied)
+        );
         for change in &batch {
-            if is_applied || (is_certain && !change.outcome_unknown) {
+            if is_not_applied && !change.outcome_unknown {
                 self.uncertain.borrow_mut().remove(&change.condition.1);
             }
         }
@@ -450,7 +466,10 @@
             if version == *expected {
                 rest.push(change);
             } else if change.conflict_if_absent || version != 0 {
-                self.uncertain.borrow_mut().remove(&change.condition.1);
+                if !change.conflict_if_absent {
+                    // A submission conflicts with a job that is stored already.
+                    self.mark_uncertain(&change.condition.1);
+                }
                 send_result(change, WriteResult::Conflict { version });
             }
         }
