Refuse no submission that an earlier term may have stored

Cause: a submission that waited too long was refused with 503 also by a scheduler that had not read all stored jobs yet, or that had read the job since. A repeat of a submission that the term before had stored without an answer was so refused although the job was to run.

Change: such a change stays queued until its outcome is known or its caller is answered 504.

--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -314,8 +314,16 @@
             .min(MAX_EXPECTED_COMMIT_TIME)
     }
 
-    /// Removes and returns a change that waits, if it was certainly never sent.
+    /// Removes and returns a change that waits, if it was certainly never sent, also not by a process that
+    /// held the term before.
     fn withdraw(&self, number: u64) -> Option<PendingChange> {
+        let leader = self.node.leader();
+        if leader
+            .as_ref()
+            .is_some_and(|leader| !leader.knows_stored_jobs())
+        {
+            return None;
+        }
         let index = {
             let pending = self.pending.borrow();
             let index = pending.iter().position(|change| change.number == number)?;
@@ -323,6 +331,14 @@
             if change.outcome_unknown || self.may_be_stored(&change.condition.1, Some(number)) {
                 return None;
             }
+            // The job may have been read from the store since its submission was queued.
+            let is_known = leader.is_some_and(|leader| {
+                let id = change.condition.1.parse::<JobId>();
+                id.is_ok_and(|id| leader.visible_state(id).is_some())
+            });
+            if is_known && !change.conflict_if_absent {
+                return None;
+            }
             index
         };
         Some(self.pending.borrow_mut().remove(index))
