Change each row at most once in a transaction

Cause: a transaction of callers' changes may also contain the scheduler's changes. If both were of one job (its end and a request to cancel it, or its progress and a repeat of its submission after a lost answer), the transaction named a row twice. The store refuses such a transaction, with all other submissions in it.

Change: the scheduler's changes are left to its own write if it has one of such a job.

--- a/crates/snipevane-core/src/jobs/ending/changes.rs
+++ b/crates/snipevane-core/src/jobs/ending/changes.rs
@@ -47,6 +47,12 @@
         !self.dirty.is_empty()
     }
 
+    /// Returns whether a change of a job is to be stored.
+    pub fn has_change_of(&self, id: JobId) -> bool {
+        let key = self.job_ids.get(&id);
+        key.is_some_and(|key| self.dirty.contains(*key))
+    }
+
     /// Returns whether a caller, or a task to be started again, may be waiting for a change to be
     /// stored.
     pub fn has_urgent_changes(&self) -> bool {
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -12,7 +12,7 @@
 
 use smol_str::SmolStr;
 use snipevane_adapter::rows::{MAX_TRANSACTION_ENTRIES, Row, Transaction};
-use snipevane_core::jobs::{Changes, Scheduler};
+use snipevane_core::jobs::{Changes, JobId, Scheduler};
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
@@ -336,7 +336,7 @@
 ) -> Result<CommitOutcome, StoreError> {
     prepare_row(leader);
     let mut transaction = changes.clone();
-    let own_changes = take_due_changes(leader, changes.entry_count());
+    let own_changes = take_due_changes(leader, changes);
     if let Some(own_changes) = &own_changes {
         add_own_changes(leader, own_changes, &mut transaction);
     }
@@ -356,21 +356,35 @@
     result
 }
 
-/// Takes the scheduler's changes if they are due and a transaction with this many entries of callers has
-/// room for them.
-fn take_due_changes<C: Clock>(leader: &Leader<C>, callers_entries: usize) -> Option<OwnChanges> {
+/// Takes the scheduler's changes if they are due and a transaction with changes of callers has room for
+/// them.
+fn take_due_changes<C: Clock>(
+    leader: &Leader<C>,
+    callers_changes: &Transaction,
+) -> Option<OwnChanges> {
     let now = leader.node.clock.now();
     if leader.is_releasing() || !is_write_due(leader, now) {
         return None;
     }
+    // A transaction may contain a row only once, and both could write the rows of such a job.
+    let mut conditions = callers_changes.conditions.iter();
+    if conditions.any(|(_, key, _)| has_change_of(leader, key)) {
+        return None;
+    }
     let minions = leader.scheduler.borrow().minions_in_use(now);
     let changed_rows = MinionRows::new(&minions).changes_from(&leader.minion_rows.borrow());
-    let used = callers_entries + ROW_ENTRIES + changed_rows.len();
+    let used = callers_changes.entry_count() + ROW_ENTRIES + changed_rows.len();
     let room = MAX_TRANSACTION_ENTRIES.saturating_sub(used);
     let max_job_entries = room.min(MAX_JOB_ENTRIES_PER_TRANSACTION);
     (room >= MIN_JOB_ENTRIES).then(|| OwnChanges::take(leader, max_job_entries))
 }
 
+/// Returns whether the scheduler has changes of the job with a key to store.
+fn has_change_of<C: Clock>(leader: &Leader<C>, job_key: &SmolStr) -> bool {
+    let id = job_key.parse::<JobId>();
+    id.is_ok_and(|id| leader.scheduler.borrow().has_change_of(id))
+}
+
 /// Commits a transaction together with the scheduler's row, without retries.
 async fn commit_once<C: Clock>(
     leader: &Leader<C>,
--- a/crates/snipevane-fleet/tests/slow_store.rs
+++ b/crates/snipevane-fleet/tests/slow_store.rs
@@ -311,3 +311,33 @@
     assert!(accepted > 0);
     assert!(refused_by_store > 0, "the store refused nothing");
 }
+
+/// A job that ends or progresses while a request to cancel it, or a repeat of its submission, waits must not
+/// make a transaction invalid that also contains other callers' changes.
+#[test]
+fn a_transaction_changes_each_row_once() {
+    let site = Site::start("slow-once", 3, 2);
+    std::thread::sleep(Duration::from_secs(2));
+    let nodes: Vec<usize> = (0..3).collect();
+    slow_down(&site);
+    site.store.set_slowness(SLOWNESS / 4);
+    site.store.lose_answers(Some(3));
+    let end = Instant::now() + SLOW_PERIOD;
+    std::thread::scope(|scope| {
+        let site = &site;
+        scope.spawn(move || submit_by_many(site, 'a', &nodes, end));
+        for caller in 0..CALLERS {
+            scope.spawn(move || {
+                let address = site.nodes[caller % 3].callers;
+                let mut number = 1;
+                while Instant::now() < end {
+                    let path = format!("/p/a{caller:07x}{number:08x}");
+                    let answer = call(address, "DELETE", &path, "key", "");
+                    number += usize::from(answer.0 == 200);
+                }
+            });
+        }
+    });
+    speed_up(&site);
+    assert_eq!(site.store.invalid_count(), 0, "a row was changed twice");
+}
