Write rows of minions again after a write without an answer

Cause: a transaction of callers' changes is not repeated until its outcome is known, as the scheduler's own write is. If it left out a minion that had gone, was committed and its answer was lost, and the minion joined again before the next write, then this write found its row unchanged and recorded the minion, although the stored row did not name it. A new term would not have known of its runs. Also, callers' transactions that never contain the rows of maintenance waves made the scheduler's writer yield for as long as callers waited.

Change: rows that a write without an answer may have replaced are written again. The writer does not yield while rows of waves wait.

--- a/crates/snipevane-fleet/src/scheduling/minion_rows.rs
+++ b/crates/snipevane-fleet/src/scheduling/minion_rows.rs
@@ -24,12 +24,15 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct MinionRows {
     rows: Vec<Vec<MinionInUse>>,
+    /// Whether a write without an answer may have replaced the row, by number of the row.
+    unknown: [bool; ROW_COUNT],
 }
 
 impl Default for MinionRows {
     fn default() -> Self {
         Self {
             rows: vec![Vec::new(); ROW_COUNT],
+            unknown: [false; ROW_COUNT],
         }
     }
 }
@@ -72,10 +75,18 @@
         minions
     }
 
+    /// Marks the rows that differ in a write without an answer, so that the next write contains them also if
+    /// they are the same again by then.
+    pub(super) fn mark_unknown(&mut self, written: &Self) {
+        for (number, row) in written.rows.iter().enumerate() {
+            self.unknown[number] |= self.rows[number] != *row;
+        }
+    }
+
     /// Returns the rows that differ from those stored, as table, key and value.
     pub(super) fn changes_from(&self, stored: &Self) -> Vec<(SmolStr, SmolStr, Vec<u8>)> {
         let rows = self.rows.iter().zip(&stored.rows).enumerate();
-        let changed = rows.filter(|(_, (row, stored))| row != stored);
+        let changed = rows.filter(|(number, (row, known))| stored.unknown[*number] || row != known);
         let encoded = changed.map(|(number, (row, _))| {
             let key = format_smolstr!("{KEY_PREFIX}{number:02}");
             (SCHEDULERS_TABLE.into(), key, rows::encode(row))
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -346,9 +346,15 @@
     drop(turn);
     if let Some(own_changes) = own_changes {
         let stored = matches!(result, Ok(CommitOutcome::Committed(_)));
+        if matches!(result, Err(StoreError::NoAnswer | StoreError::HistoryGone)) {
+            let written = &own_changes.minion_rows;
+            leader.minion_rows.borrow_mut().mark_unknown(written);
+        }
         own_changes.settle(leader, stored);
         // The scheduler's writer takes the next turn for what had no room or wasn't committed.
-        let carried = stored && !leader.scheduler.borrow().has_changes();
+        let has_more =
+            leader.scheduler.borrow().has_changes() || !leader.pending_writes.borrow().is_empty();
+        let carried = stored && !has_more;
         leader.callers_carry_changes.set(carried);
     } else if is_write_due(leader, leader.node.clock.now()) {
         leader.callers_carry_changes.set(false);
