Refuse transactions with 429 regularly in the test of lost answers

Cause: whether the stand-in refused anything depended on copies of calls that arrived at the same time.

Change: every fifth transaction is refused as well; the checks are unchanged.

--- a/crates/snipevane-fleet/tests/slow_store.rs
+++ b/crates/snipevane-fleet/tests/slow_store.rs
@@ -152,6 +152,7 @@
 
 fn speed_up(site: &Site) {
     site.store.lose_answers(None);
+    site.store.refuse(None);
     site.store.set_slowness(1);
 }
 
@@ -297,6 +298,8 @@
     slow_down(&site);
     site.store.set_max_queue_time(Some(Duration::ZERO));
     site.store.lose_answers(Some(7));
+    // Without copies of lost calls and writes of other entry VMs, an empty queue refuses nothing.
+    site.store.refuse(Some(5));
     let nodes: Vec<usize> = (0..4).collect();
     let submitted = submit_by_many(&site, 'a', &nodes, Instant::now() + SLOW_PERIOD);
     let refused_by_store = site.store.refused_count();
