Keep the mark of a submission whose earlier change still waits

Cause: the mark of a submission was removed after the scheduler had refused it, also if a change of an earlier attempt had waited at the start of the call and had been sent meanwhile.

Change: a change that waits counts as an earlier attempt of unknown outcome.

Tests: answers_are_true_... passed in 1 of 1 run; before, it failed in 2 of 6 runs, so this is no proof that the false refusal has gone.

--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -125,7 +125,8 @@
             return self.accept_locally(id, spec).await;
         }
         let key = rows::job_key(id);
-        let was_uncertain = self.is_uncertain(&key);
+        // A change of an earlier attempt that still waits may be written while this call is under way.
+        let was_uncertain = self.may_be_stored(&key, None);
         // Remembered first, as the caller's wait may end this call at any time.
         self.mark_uncertain(&key);
         let outcome = match scheduler_client::submit_job(&self.node, id, spec).await {
