--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -107,7 +107,7 @@
     submitted_pruned_at: Cell<Duration>,
     /// Whether a transaction is under way.
     committing: Cell<bool>,
-    /// Keys of jobs whose submission may be stored by an attempt without an answer, with the time of the
+    /// Keys of jobs whose submission may be stored without the scheduler knowing of it, with the time of the
     /// attempt. A repeat of the submission must not be answered that nothing was done.
     uncertain: RefCell<FxHashMap<SmolStr, Duration>>,
 }
@@ -157,13 +157,15 @@
             return self.accept_locally(id, spec).await;
         }
         let key = rows::job_key(id);
-        let was_uncertain = self.is_uncertain(&key);
+        // A change of an earlier attempt that still waits may be written while this call is under way.
+        let was_uncertain = self.may_be_stored(&key, None);
         // Remembered first, as the caller's wait may end this call at any time.
         self.mark_uncertain(&key);
         let outcome = match scheduler_client::submit_job(&self.node, id, spec).await {
             Some(outcome @ (Outcome::Stored | Outcome::Busy { .. })) => outcome,
             Some(Outcome::Unknown) if self.leaves_writes_to_scheduler() => Outcome::Unknown,
-            Some(Outcome::Unknown) => self.accept_locally(id, spec).await,
+            // The mark stays, as the scheduler learns only later of a job that is stored from here.
+            Some(Outcome::Unknown) => return self.accept_locally(id, spec).await,
             Some(Outcome::NotStored) | None => {
                 if !was_uncertain {
                     self.uncertain.borrow_mut().remove(&key);
@@ -228,13 +230,14 @@
             ),
         ];
         match self
-            .write((PROGRESS_TABLE.into(), key, 0), writes, false)
+            .write((PROGRESS_TABLE.into(), key.clone(), 0), writes, false)
             .await
         {
             WriteResult::Outcome(outcome) => {
                 let leader = self.node.leader().filter(|_| outcome == Outcome::Stored);
                 if let Some(leader) = leader {
                     leader.job_stored(id, spec.clone());
+                    self.uncertain.borrow_mut().remove(&key);
                 }
                 outcome
             }
@@ -257,7 +260,12 @@
                 WriteResult::Conflict { version: newer } => version = newer,
             }
             if self.node.clock.now() > started + WRITE_TIMEOUT {
-                return Outcome::NotStored;
+                // An earlier attempt without an answer may have stored the request.
+                return if self.is_uncertain(&key) {
+                    Outcome::Unknown
+                } else {
+                    Outcome::NotStored
+                };
             }
         }
     }
@@ -340,8 +348,16 @@
             .min(MAX_EXPECTED_COMMIT_TIME)
     }
 
-    /// Removes and returns a change that waits, if it was certainly never sent.
+    /// Removes and returns a change that waits, if it was certainly never sent, also not by a process that
+    /// held the term before.
     fn withdraw(&self, number: u64) -> Option<PendingChange> {
+        let leader = self.node.leader();
+        if leader
+            .as_ref()
+            .is_some_and(|leader| !leader.knows_stored_jobs())
+        {
+            return None;
+        }
         let index = {
             let pending = self.pending.borrow();
             let index = pending.iter().position(|change| change.number == number)?;
@@ -349,6 +365,14 @@
             if change.outcome_unknown || self.may_be_stored(&change.condition.1, Some(number)) {
                 return None;
             }
+            // The job may have been read from the store since its submission was queued.
+            let is_known = leader.is_some_and(|leader| {
+                let id = change.condition.1.parse::<JobId>();
+                id.is_ok_and(|id| leader.visible_state(id).is_some())
+            });
+            if is_known && !change.conflict_if_absent {
+                return None;
+            }
             index
         };
         Some(self.pending.borrow_mut().remove(index))
@@ -361,6 +385,9 @@
         while !self.pending.borrow().is_empty() {
             let Some(leader) = self.node.leader() else {
                 let batch = self.take_batch();
+                if batch.is_empty() {
+                    continue;
+                }
                 let transaction = build_transaction(&batch);
                 let result = self.node.store.commit(&transaction).await;
                 self.settle_batch(batch, result).await;
@@ -414,7 +441,9 @@
         }
         drop(pending);
         // A repeat that arrives while the batch is being written must not be refused as not run.
-        for change in &batch {
+        for change in &mut batch {
+            // Another change of the job may have been written since this one was queued.
+            change.outcome_unknown |= self.is_uncertain(&change.condition.1);
             self.mark_uncertain(&change.condition.1);
         }
         batch
@@ -445,10 +474,14 @@
         mut batch: Vec<PendingChange>,
         result: Result<CommitOutcome, StoreError>,
     ) {
-        let is_applied = matches!(result, Ok(CommitOutcome::Committed(_)));
-        let is_certain = !matches!(result, Err(StoreError::NoAnswer | StoreError::HistoryGone));
+        // The mark of a stored job stays until the scheduler knows the job: the caller may have gone, and a
+        // repeat may arrive before the scheduler has read the row.
+        let is_not_applied = matches!(
+            result,
+            Ok(CommitOutcome::Conflict(_)) | Err(StoreError::NotApplied)
+        );
         for change in &batch {
-            if is_applied || (is_certain && !change.outcome_unknown) {
+            if is_not_applied && !change.outcome_unknown {
                 self.uncertain.borrow_mut().remove(&change.condition.1);
             }
         }
@@ -483,7 +516,10 @@
             if version == *expected {
                 rest.push(change);
             } else if change.conflict_if_absent || version != 0 {
-                self.uncertain.borrow_mut().remove(&change.condition.1);
+                if !change.conflict_if_absent {
+                    // A submission conflicts with a job that is stored already.
+                    self.mark_uncertain(&change.condition.1);
+                }
                 send_result(change, WriteResult::Conflict { version });
             }
         }
