Reject nothing while an entry VM may be storing submissions by itself

Cause: a rejection says that the job never runs, but an entry VM that is cut off from the scheduler, or frozen with a request, may store a first submission of the same identifier a moment later (found in review, by reading).

Test without a network: the reach is complete only from 10 s after the last message of a VM that has fallen silent.

--- a/crates/snipevane-core/src/reach.rs
+++ b/crates/snipevane-core/src/reach.rs
@@ -24,6 +24,9 @@
     pub min_unreached: usize,
     /// Time for which the majority must have lasted.
     pub settling_time: Duration,
+    /// Time after which nothing that an entry VM did without the scheduler, such as writing a submission to the
+    /// store by itself, is still under way.
+    pub settled_after: Duration,
     /// Age of a term from which it may be released.
     pub min_term_age: Duration,
     /// The same for a term that followed such a release, so that the term doesn't go to and fro while a cut
@@ -39,6 +42,7 @@
             min_unreached_percent: 60,
             min_unreached: 3,
             settling_time: Duration::from_millis(500),
+            settled_after: Duration::from_secs(10),
             min_term_age: Duration::from_secs(3),
             min_age_after_release: Duration::from_secs(15),
         }
@@ -58,6 +62,7 @@
 #[derive(Clone, Debug)]
 pub struct Reach {
     settings: ReachSettings,
+    won_at: Duration,
     /// Time from which the term may be released.
     may_release_at: Duration,
     heard_at: FxHashMap<SmolStr, Duration>,
@@ -77,6 +82,7 @@
         };
         Self {
             settings,
+            won_at,
             may_release_at: won_at + min_age,
             heard_at: FxHashMap::default(),
             reported_at: FxHashMap::default(),
@@ -116,6 +122,17 @@
         }
     }
 
+    /// Returns whether every entry VM that may still be writing a submission by itself is reached.
+    ///
+    /// One that was heard and has fallen silent may be cut off or frozen with a submission that it stores later.
+    /// Its caller may repeat the submission elsewhere, where nothing is known of the first one.
+    pub fn is_complete(&self, now: Duration) -> bool {
+        let is_settled = |at: Duration| now >= at + self.settings.settled_after;
+        let mut heard = self.heard_at.values();
+        let silent = heard.any(|&at| now >= at + self.settings.heard_validity && !is_settled(at));
+        is_settled(self.won_at) && !silent && self.counts(now).unreached == 0
+    }
+
     /// Returns whether the holder should release its term, and records since when a majority can't reach it.
     pub fn should_release(&mut self, now: Duration) -> bool {
         let ReachCounts { reached, unreached } = self.counts(now);
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -280,12 +280,16 @@
     }
 
     /// Returns the committed work of loaded pools and the time at which it was summed up; `None` while it
-    /// isn't known, as after a takeover.
+    /// isn't known, as after a takeover, or while an entry VM may be storing submissions that this process doesn't
+    /// know of: a rejection of a repeat of such a submission would be false.
     pub(crate) fn admission_snapshot(&self) -> Option<(Rc<AdmissionSnapshot>, Duration)> {
         if !self.may_send_orders() || self.is_releasing() {
             return None;
         }
         let now = self.node.clock.now();
+        if !self.reach.borrow().is_complete(now) {
+            return None;
+        }
         let mut cached = self.admission.borrow_mut();
         if let Some((snapshot, taken_at)) = cached.as_ref()
             && now < *taken_at + ADMISSION_SNAPSHOT_MAX_AGE
--- a/tests/tests/reach.rs
+++ b/tests/tests/reach.rs
@@ -111,3 +111,34 @@
     }
     assert!((1..=5).contains(&releases), "{releases} releases");
 }
+
+/// Guards against a rejection of a submission that an entry VM which has just fallen silent may still be storing.
+#[test]
+fn an_entry_vm_that_has_fallen_silent_leaves_the_reach_incomplete_until_its_work_is_settled() {
+    let mut reach = Reach::new(ReachSettings::default(), WON_AT, false);
+    let mut now = WON_AT;
+    let hear = |reach: &mut Reach, vms: usize, now: Duration| {
+        for number in 0..vms {
+            reach.record_heard(&vm(number), now);
+        }
+    };
+    hear(&mut reach, VMS, now);
+    assert!(!reach.is_complete(now), "entry VMs that were never heard");
+    let mut complete_after = None;
+    while now < WON_AT + Duration::from_secs(40) {
+        // One falls silent after 20 s.
+        let silent = now >= WON_AT + Duration::from_secs(20);
+        hear(&mut reach, if silent { VMS - 1 } else { VMS }, now);
+        let elapsed = (now - WON_AT).as_millis();
+        if elapsed == 19_750 {
+            assert!(reach.is_complete(now));
+        }
+        if (22_000..29_000).contains(&elapsed) {
+            assert!(!reach.is_complete(now), "{elapsed} ms");
+        } else if elapsed >= 29_000 && reach.is_complete(now) {
+            complete_after.get_or_insert(elapsed);
+        }
+        now += TICK;
+    }
+    assert_eq!(complete_after, Some(29_750));
+}
