Let the daemon tests of admission wait until a term may reject

They also waited too short a time for the backlog to count as due before a new job (its class of latest starts is 6 s, 0.6 s after its acceptance), so they depended on when the last heartbeat came.

--- a/crates/snipevane-fleet/tests/admission.rs
+++ b/crates/snipevane-fleet/tests/admission.rs
@@ -10,6 +10,7 @@
 
 use serde_json::json;
 use site::{Site, call, call_with_wait, eventually};
+use snipevane_core::reach::ReachSettings;
 
 /// Estimated run time of a task. A job that starts within 6.6 s is in time (1.6 times the estimate and 0.6 s), so
 /// that a new job waits behind the backlog for that long, on a slow machine too.
@@ -42,13 +43,15 @@
 /// index of the scheduler.
 fn overloaded_site(name: &str) -> (Site, usize) {
     let site = Site::start(name, 3, 1);
-    // All entry VMs have heard the scheduler by then, and it has planned the pools.
-    std::thread::sleep(Duration::from_secs(2));
+    // All entry VMs have heard the scheduler by then, and it has planned the pools. A young term rejects
+    // nothing, as entry VMs may still be storing submissions by themselves.
+    std::thread::sleep(ReachSettings::default().settled_after + Duration::from_secs(1));
     let scheduler = site.scheduler().expect("a scheduler");
     assert_eq!(submit(&site, scheduler, KNOWN_JOB, 1).0, 200);
     assert_eq!(submit(&site, scheduler, LARGE_JOB, 2_000).0, 200);
-    // Each entry VM gets a snapshot at least each 0.55 s.
-    std::thread::sleep(Duration::from_millis(900));
+    // The backlog counts as due before a new job once its latest start, 6.6 s after its acceptance, is at most 6 s
+    // away, the next bound of the snapshot's classes. Each entry VM gets a snapshot at least each 0.55 s.
+    std::thread::sleep(Duration::from_millis(1_500));
     (site, scheduler)
 }
 
