Hand the term over only after two seconds without the direct route to the store

Cause: the holder counted as cut off from the store after one second in which no direct answer was seen at a check each 0.25 s.

--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -41,8 +41,9 @@
 const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time for which a scheduler reaches the store only through other entry VMs before it hands its term over. Each
-/// of its writes then takes a detour, and all submissions wait for them.
-const MAX_RELAYED_TIME: Duration = Duration::from_millis(1_000);
+/// of its writes then takes a detour, and all submissions wait for them. Several probes of the direct route fail in
+/// that time, so that single lost or refused calls don't end a term.
+const MAX_RELAYED_TIME: Duration = Duration::from_millis(2_000);
 
 /// Time after a handover during which the same process doesn't hand over again, so that the term
 /// doesn't change hands all the time if the larger VM can't take over.
@@ -411,13 +412,14 @@
         self.reach.borrow_mut().record_heard(vm, now);
     }
 
-    /// Returns why another VM should hold the term, if one should. The store last answered this VM directly at
-    /// `direct_at`.
-    fn handover_reason(&self, direct_at: Duration, now: Duration) -> Option<&'static str> {
+    /// Returns why another VM should hold the term, if one should.
+    fn handover_reason(&self, now: Duration) -> Option<&'static str> {
+        let relayed_since = self.node.store.relayed_since();
+        let is_cut_off = relayed_since.is_some_and(|since| now >= since + MAX_RELAYED_TIME);
         let candidates = self.candidates.borrow();
         if candidates.has_settled_larger(now) {
             Some("handed over to a larger VM")
-        } else if now >= direct_at + MAX_RELAYED_TIME && candidates.has_settled(now) {
+        } else if is_cut_off && candidates.has_settled(now) {
             Some("handed over to a VM that reaches the store")
         } else {
             None
@@ -530,15 +532,11 @@
 /// Orders for VMs that may still be carried out are awaited first: this process goes on running, and
 /// the next scheduler must not give an order for the same VM meanwhile.
 async fn hand_over_to_better_vm<C: Clock>(leader: Rc<Leader<C>>) {
-    let mut direct_at = leader.node.clock.now();
     loop {
         sleep(HANDOVER_CHECK_INTERVAL).await;
         let node = &leader.node;
         let now = node.clock.now();
-        if node.store.is_direct() {
-            direct_at = now;
-        }
-        let reason = leader.handover_reason(direct_at, now);
+        let reason = leader.handover_reason(now);
         let due = now >= node.no_handover_until.get() && leader.holds_term();
         let reason = reason.filter(|_| due);
         leader.handover_due.set(reason.is_some());
--- a/crates/snipevane-fleet/src/store/mod.rs
+++ b/crates/snipevane-fleet/src/store/mod.rs
@@ -112,6 +112,12 @@
         self.transport.is_direct()
     }
 
+    /// Returns since when calls have gone through other entry VMs because the store doesn't answer direct ones;
+    /// `None` if they don't.
+    pub fn relayed_since(&self) -> Option<Duration> {
+        self.transport.relayed_since()
+    }
+
     /// Returns whether the last call was refused or unanswered on every route.
     ///
     /// Another call would then only add to the calls whose outcome is unknown.
--- a/crates/snipevane-fleet/src/store/transport.rs
+++ b/crates/snipevane-fleet/src/store/transport.rs
@@ -29,7 +29,7 @@
 const LATE_COMPLETION_GRACE: Duration = Duration::from_millis(3_000);
 
 /// Interval between probes of the direct route while calls go through other entry VMs.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Maximum number of other entry VMs tried for a call.
 const MAX_RELAYS: usize = 2;
@@ -45,8 +45,9 @@
     relays: RefCell<Vec<SocketAddr>>,
     /// Relay to try first: the one that relayed the last call, or one after a relay that failed.
     preferred_relay: Cell<Option<SocketAddr>>,
-    /// Whether calls go through relays without a direct call first, as the last direct one failed.
-    relays_first: Cell<bool>,
+    /// Time since which calls go through relays without a direct call first, as the direct route failed; `None`
+    /// while it is used.
+    relayed_since: Cell<Option<Duration>>,
     /// Time at which the direct route was last probed.
     probed_at: Cell<Duration>,
     /// Whether the store answered the last direct call and didn't refuse it.
@@ -68,7 +69,7 @@
             store,
             relays: RefCell::default(),
             preferred_relay: Cell::new(None),
-            relays_first: Cell::new(false),
+            relayed_since: Cell::new(None),
             probed_at: Cell::new(Duration::ZERO),
             direct: Cell::new(false),
             unreachable: Cell::new(false),
@@ -118,7 +119,7 @@
     /// Records whether the store is reachable, and logs a change.
     fn record_reachability(&self, reachable: bool) {
         let now = self.clock.now();
-        let route = if self.relays_first.get() {
+        let route = if self.relayed_since.get().is_some() {
             "through another entry VM"
         } else {
             "straight"
@@ -152,7 +153,7 @@
         let attempt_limit = long_poll_wait + self.attempt_timeout();
         let mut uncertain = false;
         let mut refused = None;
-        if self.relays_first.get() {
+        if self.relayed_since.get().is_some() {
             self.probe_direct_route();
         } else {
             let on_response = self.response_timer(long_poll_wait);
@@ -174,7 +175,7 @@
             {
                 Ok(response) if !is_refusal(&response) && response.status < 500 => {
                     self.preferred_relay.set(Some(relay));
-                    self.relays_first.set(!self.direct.get());
+                    self.keep_relaying();
                     return Ok(response);
                 }
                 Ok(response) => uncertain |= response.status >= 500 && !is_refusal(&response),
@@ -182,7 +183,7 @@
             }
             self.prefer_relay_after(relay);
         }
-        self.relays_first.set(false);
+        self.relayed_since.set(None);
         match refused {
             _ if uncertain => Err(CallError::NoAnswer),
             Some(response) => Ok(response),
@@ -241,6 +242,21 @@
     fn record_direct(&self, status: Option<u16>) {
         let answered = status.is_some_and(|status| !REFUSAL_STATUSES.contains(&status));
         self.direct.set(answered);
+        if answered {
+            self.relayed_since.set(None);
+        }
+    }
+
+    /// Lets calls go through relays from now on, unless the direct route works.
+    fn keep_relaying(&self) {
+        if !self.direct.get() && self.relayed_since.get().is_none() {
+            self.relayed_since.set(Some(self.clock.now()));
+        }
+    }
+
+    /// Returns since when calls have gone through other entry VMs; `None` if they don't.
+    pub(super) fn relayed_since(&self) -> Option<Duration> {
+        self.relayed_since.get()
     }
 
     /// Returns whether the store answered the last direct call and didn't refuse it.
@@ -289,12 +305,10 @@
         tokio::task::spawn_local(async move {
             let probe = rows::read_request(SCHEDULERS_TABLE, SCHEDULER_KEY, SCHEDULER_KEY_END);
             let limit = transport.attempt_timeout();
-            let response = transport
+            // The outcome is recorded as that of every direct call.
+            let _ = transport
                 .call_direct(probe, limit, || {}, &Arrivals::default())
                 .await;
-            if response.is_ok_and(|response| !is_refusal(&response)) {
-                transport.relays_first.set(false);
-            }
         });
     }
 
