--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -29,7 +29,7 @@
 
 use super::minion_rows::MinionRows;
 use super::storing::CallersTurn;
-use super::{feeds, notes, orders, reach, storing, vms};
+use super::{feeds, handover, notes, orders, reach, storing, vms};
 
 /// Longest time between scheduling decisions.
 const MAX_DECISION_INTERVAL: Duration = Duration::from_millis(50);
@@ -37,17 +37,9 @@
 /// Interval at which the metrics of the term and of the pools are updated.
 const STATS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval at which the holder of the term checks for a larger VM.
-const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Time for which a scheduler reaches the store only through other entry VMs before it hands its term over. Each
-/// of its writes then takes a detour, and all submissions wait for them. Several probes of the direct route fail in
-/// that time, so that single lost or refused calls don't end a term.
-const MAX_RELAYED_TIME: Duration = Duration::from_millis(2_000);
-
 /// Time after a handover during which the same process doesn't hand over again, so that the term
 /// doesn't change hands all the time if the larger VM can't take over.
-const HANDOVER_PAUSE: Duration = Duration::from_secs(30);
+pub(super) const HANDOVER_PAUSE: Duration = Duration::from_secs(30);
 
 /// Shortest time between scheduling decisions, during which events accumulate.
 const MIN_DECISION_INTERVAL: Duration = Duration::from_millis(3);
@@ -124,17 +116,17 @@
     /// Whether all jobs have been read, which is required before orders are sent.
     pub(super) jobs_loaded: Cell<bool>,
     /// Other entry VMs that could take over the term.
-    candidates: RefCell<Candidates>,
+    pub(super) candidates: RefCell<Candidates>,
     /// Who reaches this process.
     pub(super) reach: RefCell<Reach>,
     /// Other entry VMs that can send start orders.
     pub(crate) senders: RefCell<SenderPool>,
     /// Whether a larger VM is ready for the term, so that no more orders for VMs are sent.
-    handover_due: Cell<bool>,
+    pub(super) handover_due: Cell<bool>,
     /// Whether most entry VMs can't reach this process, so that no more orders for VMs are sent.
     handover_due_for_reach: Cell<bool>,
     /// Whether the next write releases the term for a larger VM.
-    releasing_for_handover: Cell<bool>,
+    pub(super) releasing_for_handover: Cell<bool>,
     /// Number of orders for VMs that are in flight.
     vm_orders_in_flight: Cell<usize>,
     /// Time until which an order for a VM that got no reply may still be carried out.
@@ -167,7 +159,7 @@
             tokio::task::spawn_local(storing::store_changes(leader.clone())),
             tokio::task::spawn_local(vms::run_planner(leader.clone())),
             tokio::task::spawn_local(report_pool_stats(leader.clone())),
-            tokio::task::spawn_local(hand_over_to_better_vm(leader.clone())),
+            tokio::task::spawn_local(handover::hand_over_to_better_vm(leader.clone())),
             tokio::task::spawn_local(reach::follow_reports(leader.clone())),
             tokio::task::spawn_local(reach::release_if_unreached(leader.clone())),
         ];
@@ -379,7 +371,7 @@
     }
 
     /// Returns whether the term is held.
-    fn holds_term(&self) -> bool {
+    pub(super) fn holds_term(&self) -> bool {
         self.term.borrow().is_valid(self.node.clock.now()) && !self.ended.get()
     }
 
@@ -412,20 +404,6 @@
         self.reach.borrow_mut().record_heard(vm, now);
     }
 
-    /// Returns why another VM should hold the term, if one should.
-    fn handover_reason(&self, now: Duration) -> Option<&'static str> {
-        let relayed_since = self.node.store.relayed_since();
-        let is_cut_off = relayed_since.is_some_and(|since| now >= since + MAX_RELAYED_TIME);
-        let candidates = self.candidates.borrow();
-        if candidates.has_settled_larger(now) {
-            Some("handed over to a larger VM")
-        } else if is_cut_off && candidates.has_settled(now) {
-            Some("handed over to a VM that reaches the store")
-        } else {
-            None
-        }
-    }
-
     /// Sets whether the term is about to be released for its reach.
     pub(super) fn set_handover_due_for_reach(&self, due: bool) {
         self.handover_due_for_reach.set(due);
@@ -526,35 +504,6 @@
     }
 }
 
-/// Hands the term over once a much larger VM has been present for a while, or once this VM has reached the
-/// store only through others for a while.
-///
-/// Orders for VMs that may still be carried out are awaited first: this process goes on running, and
-/// the next scheduler must not give an order for the same VM meanwhile.
-async fn hand_over_to_better_vm<C: Clock>(leader: Rc<Leader<C>>) {
-    loop {
-        sleep(HANDOVER_CHECK_INTERVAL).await;
-        let node = &leader.node;
-        let now = node.clock.now();
-        let reason = leader.handover_reason(now);
-        let due = now >= node.no_handover_until.get() && leader.holds_term();
-        let reason = reason.filter(|_| due);
-        leader.handover_due.set(reason.is_some());
-        let Some(reason) = reason else {
-            continue;
-        };
-        if leader.has_open_vm_orders(now) {
-            continue;
-        }
-        node.no_handover_until.set(now + HANDOVER_PAUSE);
-        node.largest_candidate.set(leader.largest_candidate());
-        leader.end_reason.set(reason);
-        leader.releasing_for_handover.set(true);
-        leader.store_wake.notify_one();
-        return;
-    }
-}
-
 /// Updates the metrics of the term's age and of each pool until the term ends.
 async fn report_pool_stats<C: Clock>(leader: Rc<Leader<C>>) {
     loop {
--- a/crates/snipevane-fleet/src/scheduling/mod.rs
+++ b/crates/snipevane-fleet/src/scheduling/mod.rs
@@ -2,6 +2,7 @@
 
 mod candidate;
 mod feeds;
+mod handover;
 mod leader;
 mod minion_rows;
 mod notes;
