Evict no long-running task right after a takeover

Change: evictions wait 1.5 s after a takeover (the longest stop and 0.6 s). jobs_vms, jobs_scheduler and jobs_evacuation pass.

--- a/crates/snipevane-core/src/jobs/running/long_running.rs
+++ b/crates/snipevane-core/src/jobs/running/long_running.rs
@@ -17,6 +17,9 @@
 /// Time by which a list of runs may arrive later than the end of the wait of its hold.
 const HOLD_GRACE: Duration = Duration::from_millis(500);
 
+/// Longest time from the end of a stopped run until a run list shows it.
+const STOP_LIST_LAG: Duration = Duration::from_millis(600);
+
 /// Number of tasks of a step that may be unavailable at the same time for planned work on VMs, if
 /// the step names no number.
 const DEFAULT_MAX_UNAVAILABLE: u32 = 1;
@@ -29,6 +32,12 @@
         job.spec.steps.get(run.task_ref.step as usize)
     }
 
+    /// Lets no long-running task be evicted until the stop orders of an earlier term, which this one took over at
+    /// `taken_over_at`, show in the run lists. Until then, tasks that are being stopped look available.
+    pub fn delay_evictions(&mut self, taken_over_at: Duration) {
+        self.no_evictions_before = taken_over_at + self.settings.stop_timeout + STOP_LIST_LAG;
+    }
+
     /// Evicts a run of a long-running task, so that the task starts on another minion, unless too
     /// many other tasks of its step are unavailable; returns whether the run is stopped.
     ///
@@ -63,7 +72,7 @@
             .and_then(|step| step.max_unavailable)
             .unwrap_or(DEFAULT_MAX_UNAVAILABLE);
         let unavailable = self.other_unavailable_tasks(at, run.task_ref.index, now);
-        unavailable < max_unavailable.max(1)
+        now >= self.no_evictions_before && unavailable < max_unavailable.max(1)
     }
 
     /// Returns whether other minions of the pool have room for the task of a run, beside the tasks of its
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -159,6 +159,8 @@
     /// Events for the log since they were last taken.
     pub(super) events: Vec<SchedulerEvent>,
     pub(super) deposed: bool,
+    /// Time before which no long-running task is evicted.
+    pub(super) no_evictions_before: Duration,
 }
 
 impl Scheduler {
@@ -203,6 +205,7 @@
             actions: Vec::new(),
             events: Vec::new(),
             deposed: false,
+            no_evictions_before: Duration::ZERO,
         }
     }
 
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -182,7 +182,10 @@
         };
         let taken_over_at = won.previous.as_ref().map(|_| won.sent_at);
         let unreported = unreported_runs(&won, bounds.max_lease.min(MAX_LEASE), node.clock.now());
-        let scheduler = Scheduler::new(scheduler_settings, won.row.fence, site, unreported);
+        let mut scheduler = Scheduler::new(scheduler_settings, won.row.fence, site, unreported);
+        if let Some(at) = taken_over_at {
+            scheduler.delay_evictions(at);
+        }
         let adopted = won.row.ordered_vms.as_deref();
         let ordered_vms = OrderedVms::adopt(adopted.unwrap_or_default(), won.previous_seen_at);
         let previously_ordered_vms = adopted.map(|_| ordered_vms.reserved().clone());
