Place long-running tasks on VMs that aren't due for maintenance

Cause: a wave evicts long-running tasks one by one; where they started next didn't depend on the wave, so they were evicted again from VMs that it took down later (needs_maintenance was used by nothing).

Change: the minions of VMs that waves name and whose maintenance hasn't begun are marked, and long-running tasks go there last.

--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -158,6 +158,9 @@
     pub cold_until: Duration,
     /// Whether it gets no new work because maintenance or a move of its VM is in progress.
     pub cordoned: bool,
+    /// Whether maintenance of its VM is requested and hasn't begun, so that long-running tasks would have to
+    /// leave soon.
+    pub awaits_maintenance: bool,
     /// Job with a run on trial here; no other job gets work here meanwhile.
     pub(in crate::jobs) trial: Option<JobKey>,
     /// Time at which a restart was last noticed.
@@ -209,6 +212,7 @@
             tail_high_since: None,
             cold_until: Duration::ZERO,
             cordoned: false,
+            awaits_maintenance: false,
             trial: None,
             restarted_at: None,
             crash: None,
--- a/crates/snipevane-core/src/jobs/placing/tasks.rs
+++ b/crates/snipevane-core/src/jobs/placing/tasks.rs
@@ -272,6 +272,7 @@
             let minion = &self.minions[*key];
             let failed_here = failed_on.as_ref() == Some(&minion.entry.id);
             let cold = minion.is_cold(now);
+            let leaves_soon = step.long_running && minion.awaits_maintenance;
             let disturbs = self.has_bad_neighbour(*key, &bad_neighbours, step);
             let off_data_rack = step
                 .data_rack
@@ -283,6 +284,7 @@
                 (
                     failed_here,
                     cold,
+                    leaves_soon,
                     disturbs,
                     off_data_rack,
                     fresh_runs,
@@ -293,13 +295,22 @@
                 (
                     failed_here,
                     cold,
+                    leaves_soon,
                     disturbs,
                     off_data_rack,
                     tasks_on_rack,
                     u64::MAX - room,
                 )
             } else {
-                (failed_here, cold, disturbs, off_data_rack, 0_u32, room)
+                (
+                    failed_here,
+                    cold,
+                    leaves_soon,
+                    disturbs,
+                    off_data_rack,
+                    0_u32,
+                    room,
+                )
             }
         };
         fits.min_by_key(score)
--- a/crates/snipevane-core/src/jobs/upkeep/maintenance.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/maintenance.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use smol_str::SmolStr;
 
 use super::vm::{MaintenanceWave, Vm, VmOperation, VmOrder, VmReply, VmState};
@@ -133,13 +133,14 @@
         self.waves.contains_key(&number)
     }
 
-    /// Returns whether some wave names a VM whose maintenance hasn't begun.
-    pub fn needs_maintenance(&self, vm: &str) -> bool {
-        let mut active = self.waves.values().filter(|wave| !wave.completed);
-        active.any(|wave| {
-            let named = wave.spec.vms.iter().any(|name| name == vm);
-            named && !wave.settled.contains(vm)
-        })
+    /// Returns the VMs that waves name and whose maintenance hasn't begun.
+    pub fn awaiting_vms(&self) -> FxHashSet<&SmolStr> {
+        let active = self.waves.values().filter(|wave| !wave.completed);
+        let awaiting = active.flat_map(|wave| {
+            let named = wave.spec.vms.iter();
+            named.filter(|name| !wave.settled.contains(*name))
+        });
+        awaiting.collect()
     }
 
     /// Returns the progress that has changed since the last call and is to be stored.
@@ -376,6 +377,16 @@
         }
     }
 
+    /// Marks the minions of the VMs whose maintenance is requested and hasn't begun, and no others of `vms`.
+    pub fn mark_awaiting_maintenance(&mut self, vms: &[Vm], awaiting: &FxHashSet<&SmolStr>) {
+        for vm in vms {
+            let key = self.minion_of(vm);
+            if let Some(minion) = key.and_then(|key| self.minions.get_mut(key)) {
+                minion.awaits_maintenance = awaiting.contains(&vm.name);
+            }
+        }
+    }
+
     /// Drains a VM as far as its tasks allow now; returns whether it may be taken down.
     ///
     /// Long-running tasks are evicted unless too many others of their steps are unavailable. Tasks
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -191,6 +191,7 @@
         } = &mut *planners;
         pending_shutdowns.resolve(&mut scheduler, &listed, sent_at);
         scheduler.end_runs_of_unhosted_minions(&listed, sent_at);
+        scheduler.mark_awaiting_maintenance(&vms, &maintenance.awaiting_vms());
         let mut orders = maintenance.decide(&mut scheduler, &vms, sent_at, now);
         let under_maintenance = |vm: &Vm| maintenance.is_in_progress(&vm.name);
         let room = leader.ordered_vms.borrow().room();
--- a/tests/tests/jobs_vms/main.rs
+++ b/tests/tests/jobs_vms/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
 
+mod evictions;
 mod vm_site;
 
 use std::time::Duration;
--- a/tests/tests/jobs_vms/vm_site.rs
+++ b/tests/tests/jobs_vms/vm_site.rs
@@ -100,6 +100,7 @@
         let scheduler = &mut self.jobs.scheduler;
         scheduler.forget_unhosted_minions(&self.vms);
         self.pending_shutdowns.resolve(scheduler, &self.vms, now);
+        scheduler.mark_awaiting_maintenance(&self.vms, &self.maintenance.awaiting_vms());
         let mut orders = self.maintenance.decide(scheduler, &self.vms, now, now);
         let maintenance = &self.maintenance;
         let in_maintenance = |vm: &Vm| maintenance.is_in_progress(&vm.name);
