--- a/review/standin/fleetsim.py
+++ b/review/standin/fleetsim.py
@@ -263,7 +263,9 @@
                 or any(size > STORE["rowBytes"] for size in sizes):
             if self.refused_sizes == 0:
                 largest = max(zip(sizes, [name(entry) for entry in write]), default=None)
-                self.record(f"store: 400, a transaction is larger than the page allows; largest row {largest}")
+                entries = len(expected) + len(write) + len(remove)
+                self.record.say(f"store: 400, a transaction is larger than the page allows: {entries} entries; largest "
+                                f"row {largest}")
             self.refused_sizes += 1
             return 400, {}
         async with self.turn:
@@ -323,10 +325,12 @@
         self.site, self.name, self.pool, self.zone, self.rack = site, name, pool, zone, rack
         self.state = "up"
         self.minion = None
+        self.upkeeps = set()     # waves for which its upkeep has begun
 
     async def boot(self):
-        self.minion = await Minion(self).start()
-        self.state = "up"
+        if not self.site.closing:
+            self.minion = await Minion(self).start()
+            self.state = "up"
 
     async def crash(self, back_after_s=None):
         """The machine loses power; after `back_after_s` another minion is up on it."""
@@ -337,11 +341,15 @@
             await asyncio.sleep(back_after_s)
             await self.boot()
 
-    async def away(self, state, seconds, pool=None):
+    def leave(self, state, seconds, pool=None):
+        """Everything on the machine ends at once; a new minion is there after `seconds`."""
         minion, self.minion, self.state = self.minion, None, state
+        self.pool = pool or self.pool
         minion.die()
+        self.site.spawn(self.come_back(minion, seconds))
+
+    async def come_back(self, minion, seconds):
         await self.site.store.remove("servers", minion.id)
-        self.pool = pool or self.pool
         await asyncio.sleep(seconds)
         await self.boot()
 
@@ -363,12 +371,20 @@
         machine = found[0]
         if path == "/machine-move" and machine.pool == body["pool"]:
             return 200, {}
+        wave = body.get("rolloutWave")
+        if path == "/machine-upkeep":
+            requested = self.site.store.get("op", f"wave/{wave}")
+            if not requested or machine.name not in requested["machines"]:
+                return 409, {"reason": "wave"}
+            if wave in machine.upkeeps:
+                return 200, {}
         if machine.state != "up":
             return 409, {"reason": "busy"}
         if path == "/machine-move":
-            self.site.spawn(machine.away("moving", BOUNDS["migrationS"], body["pool"]))
+            machine.leave("moving", BOUNDS["migrationS"], body["pool"])
         else:
-            self.site.spawn(machine.away("upkeep", BOUNDS["maintenanceS"]))
+            machine.upkeeps.add(wave)
+            machine.leave("upkeep", BOUNDS["maintenanceS"])
         return 200, {}
 
     def entry(self, machine):
@@ -794,6 +810,44 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+async def lost_jobs(site, record, queue, accepted):
+    """LOST: finish_s after the end of the traffic a job isn't known or gets no answer in time; or, for 3 s, it has
+    nothing running while a task's turn has come, with under half of the capacity in use. `accepted` maps the jobs that
+    were acknowledged, and not cancelled, to the times of that; none of them has a task that can't be done."""
+    broken = []
+    states = {}
+
+    async def ask(name):
+        status, value = (await site.ask("GET", queue, name))[-1]
+        states[name] = value.get("state") if status == 200 and value else status
+
+    await asyncio.gather(*[ask(name) for name in accepted])
+    open_jobs = {name for name, state in states.items() if state != "completed"}
+    idle = {name: 0 for name in open_jobs}
+    rounds = 30
+    for _ in range(rounds):
+        await asyncio.sleep(0.1)
+        room = sum(1 for machine in site.machines if machine.minion) * site.capacity["cpu"]
+        for name in open_jobs:
+            if not site.running(name) and site.used_cpu() < room / 2:
+                idle[name] += 1
+    for name in sorted(open_jobs, key=lambda name: accepted[name]):
+        if idle[name] == rounds:
+            broken.append(f"LOST: job {name}, accepted at {accepted[name]:.1f} s, is shown as {states[name]}, and for "
+                          f"3 s nothing of it ran, with {site.used_cpu()} of {room} thousandths of a core in use")
+    counts = {state: list(states.values()).count(state) for state in set(states.values())}
+    record.say(f"states at the end: {counts}")
+    record.say(f"transactions that the store turned away for their size: {site.store.refused_sizes}")
+    return broken
+
+
+def roll_up():
+    """An ordinary job: two steps of six tasks, one after the other."""
+    body = job(6, {"ms": 800, "cpu": 880, "mem": 1600})
+    body["phases"].append({**body["phases"][0], "after": [0]})
+    return body
+
+
 def configuration(version=1, routes=None, services=("closeboard",), tenants=None):
     return {
         "version": version,
