--- a/review/standin/fleetsim.py
+++ b/review/standin/fleetsim.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -577,6 +578,12 @@
 
 # ---------------------------------------------------------------- the project's program
 
+def end_with_parent():
+    """Lets the kernel end the new process when this one ends, however that comes about."""
+    pr_set_pdeathsig = 1
+    ctypes.CDLL(None).prctl(pr_set_pdeathsig, signal.SIGKILL)
+
+
 class EntryVm:
     """A process of the project's program, with a loopback address of its own."""
 
@@ -620,7 +627,7 @@
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env["SNIPEVANE_SETTINGS"] = self.settings
         self.process = subprocess.Popen(PROGRAM, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=self.log,
-                                        stderr=self.log)
+                                        stderr=self.log, preexec_fn=end_with_parent)
         self.site.record(f"entry VM {self.name}: started")
 
     def signal(self, number):
