Replace a holder of the term that runs but can't write

Cause: an observer that gets heartbeats doesn't read the scheduler's row. Heartbeats that show an old version end once the term looks free, and the read that follows came more than `outage_threshold` (1.1 s) after the one before, because of the heartbeats. That counted as an outage of the store, which gives the holder another 0.9 s; in these, heartbeats delayed the next read again, and so on. Ruled out: a slow read (5 ms here) and a lost claim (no SV2031 in the record).

Change: a gap between two reads is a sign of an outage only if a read failed in it, took longer than the threshold, or the process has just started.

--- a/crates/snipevane-fleet/src/peers/scheduler_client.rs
+++ b/crates/snipevane-fleet/src/peers/scheduler_client.rs
@@ -23,8 +23,7 @@
     WatchRequest, post_request,
 };
 
-/// Timeout for a heartbeat; shorter than [`TermSettings::outage_threshold`], after which a read of the
-/// scheduler's row counts as late.
+/// Timeout for a heartbeat. The scheduler's row is read at once if none comes.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time after which a job is no longer left to a scheduler without heartbeats, so that time is left to
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -37,7 +37,7 @@
 pub async fn run_candidate<C: Clock>(node: Rc<Node<C>>) {
     let settings = TermSettings::default();
     while !node.stopping.get() {
-        if watch_scheduler(&node, &settings).await {
+        if watch_scheduler(&node, &settings).await && !is_renewal_overdue(&node, &settings) {
             continue;
         }
         let row_read = read_scheduler_row(&node, &settings).await;
@@ -79,6 +79,13 @@
     scheduler_alive
 }
 
+/// Returns whether the scheduler's row has stood still for so long that it should be read, whatever the
+/// heartbeats show.
+fn is_renewal_overdue<C: Clock>(node: &Node<C>, settings: &TermSettings) -> bool {
+    let view = node.scheduler_view.borrow();
+    view.is_renewal_overdue(settings, node.clock.now())
+}
+
 /// Returns whether this process may try to win the term.
 ///
 /// It may do so at once if an earlier process on the same VM held the term. A VM that is much smaller
@@ -118,16 +125,18 @@
     node: &Node<C>,
     settings: &TermSettings,
 ) -> Result<(), StoreError> {
-    let (row, clock_ms) = node
+    let asked_at = node.clock.now();
+    let read = node
         .store
         .get_with_clock(SCHEDULERS_TABLE, SCHEDULER_KEY)
-        .await?;
-    node.scheduler_view.borrow_mut().record_read(
-        settings,
-        row.as_ref(),
-        clock_ms,
-        node.clock.now(),
-    );
+        .await;
+    let now = node.clock.now();
+    let mut view = node.scheduler_view.borrow_mut();
+    if read.is_err() || now > asked_at + settings.outage_threshold {
+        view.record_read_failure();
+    }
+    let (row, clock_ms) = read?;
+    view.record_read(settings, row.as_ref(), clock_ms, now);
     Ok(())
 }
 
--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -70,6 +70,11 @@
         self.admission = None;
     }
 
+    /// Records that the row couldn't be read, or only after the store's outage threshold.
+    pub fn record_read_failure(&mut self) {
+        self.observed.record_read_failure();
+    }
+
     /// Records the row as this process has written it.
     pub fn record_write(
         &mut self,
@@ -177,6 +182,11 @@
         self.watch_address(now).filter(|_| fresh)
     }
 
+    /// Returns whether the row has stood still for so long that it should be read.
+    pub fn is_renewal_overdue(&self, settings: &TermSettings, now: Duration) -> bool {
+        self.observed.is_renewal_overdue(settings, now)
+    }
+
     /// Returns whether the term is free, as far as this process knows.
     pub fn is_free(&self, settings: &TermSettings, now: Duration) -> bool {
         self.read_at.is_some() && self.observed.is_free(settings, now)
