Build each transaction within the store's limits

Cause: the scheduler's write took all progress of waves that was queued, two rows a wave, beside up to 70 entries of jobs. The store accepts 100 entries and 1 MB a call, and turned the call away each time. A new term queued the progress of every wave ever requested, also if it was stored.

Change: `TransactionBuilder` is the one place that adds changes to a transaction of the scheduler, each as a whole or not at all, within both limits and with room kept for the scheduler's row. What isn't committed is put back. A wave whose stored progress is unchanged isn't written again.

--- a/crates/snipevane-core/src/jobs/ending/changes.rs
+++ b/crates/snipevane-core/src/jobs/ending/changes.rs
@@ -8,10 +8,6 @@
 use crate::jobs::model::progress::Progress;
 use crate::jobs::scheduler::Scheduler;
 
-/// Entries of a transaction that the end of a job takes: its progress, and the deletion of the rows of
-/// its submission and of a request to cancel it.
-const ENTRIES_PER_ENDED_JOB: usize = 3;
-
 /// Change of a job whose row in the store is out of date.
 #[derive(Clone, Debug)]
 pub struct JobChange {
@@ -59,28 +55,26 @@
         self.has_urgent_change
     }
 
-    /// Takes changes that need up to `max_entries` entries in a transaction. Behind a few of the
-    /// oldest changes, jobs that have ended come first, as callers may be waiting for them; otherwise
-    /// the oldest changes come first.
-    pub fn take_changes(&mut self, max_entries: usize) -> Changes {
-        let keys = self.dirty.in_order(|key| self.has_ended(key));
+    /// Takes changes for as long as `admit` returns that a further one has room. Behind a few of the oldest
+    /// changes, jobs that have ended come first, as callers may be waiting for them; otherwise the oldest
+    /// changes come first.
+    pub fn take_changes(&mut self, mut admit: impl FnMut(&JobChange) -> bool) -> Changes {
         let mut changes = Changes::default();
-        let mut entries = 0;
-        for key in keys {
-            entries += self.entries_of(key);
-            if entries > max_entries && !changes.jobs.is_empty() {
-                break;
-            }
-            self.dirty.remove(key);
-            self.storing.insert(key);
+        for key in self.dirty.in_order(|key| self.has_ended(key)) {
             if let Some(job) = self.jobs.get(key) {
-                changes.jobs.push(JobChange {
+                let change = JobChange {
                     id: job.id,
                     progress: job.progress(),
                     key,
                     crash_changes: job.crash_changes,
-                });
+                };
+                if !admit(&change) {
+                    break;
+                }
+                changes.jobs.push(change);
             }
+            self.dirty.remove(key);
+            self.storing.insert(key);
         }
         if self.dirty.is_empty() {
             self.has_urgent_change = false;
@@ -94,15 +88,6 @@
         job.is_some_and(|job| job.state.is_final())
     }
 
-    /// Returns the number of entries that the change of a job takes in a transaction.
-    fn entries_of(&self, key: JobKey) -> usize {
-        if self.has_ended(key) {
-            ENTRIES_PER_ENDED_JOB
-        } else {
-            1
-        }
-    }
-
     /// Returns for each minion the ends that are stored once all jobs are that aren't dirty.
     fn received_ends(&self) -> Vec<ReceivedEnds> {
         let received = self.minions.iter().map(|(minion, state)| {
@@ -117,10 +102,15 @@
         received.collect()
     }
 
-    /// Takes up to `limit` jobs that ended longer ago than `retention`, so that their rows can be
-    /// deleted. `unix_ms` is the time of day in Unix milliseconds.
-    pub fn take_expired(&mut self, retention: Duration, unix_ms: u64, limit: usize) -> Vec<JobId> {
-        self.ended.take_expired(retention, unix_ms, limit)
+    /// Returns a job that ended longer ago than `retention`, so that its rows can be deleted. `unix_ms` is the
+    /// time of day in Unix milliseconds.
+    pub fn next_expired(&self, retention: Duration, unix_ms: u64) -> Option<JobId> {
+        self.ended.next_expired(retention, unix_ms)
+    }
+
+    /// Forgets the job that [`Self::next_expired`] has returned, as its rows are being deleted.
+    pub fn forget_ended_job(&mut self, id: JobId) {
+        self.ended.remove(id);
     }
 
     /// Records that changes were stored, so that the ends in them can be acknowledged to the
--- a/crates/snipevane-core/src/jobs/intake/ended_jobs.rs
+++ b/crates/snipevane-core/src/jobs/intake/ended_jobs.rs
@@ -38,23 +38,16 @@
         self.states.get(&id).copied()
     }
 
-    /// Removes and returns up to `limit` jobs that ended longer ago than `retention`. `unix_ms` is
-    /// the time of day in Unix milliseconds.
-    pub(in crate::jobs) fn take_expired(
-        &mut self,
-        retention: Duration,
-        unix_ms: u64,
-        limit: usize,
-    ) -> Vec<JobId> {
-        let mut expired = Vec::new();
-        while let Some(&(id, ended)) = self.by_end.front() {
-            if expired.len() == limit || unix_ms <= ended.saturating_add(millis(retention)) {
-                break;
-            }
-            self.by_end.pop_front();
-            self.states.remove(&id);
-            expired.push(id);
-        }
-        expired
+    /// Returns the job that ended longest ago, if that is longer than `retention`. `unix_ms` is the time of
+    /// day in Unix milliseconds.
+    pub(in crate::jobs) fn next_expired(&self, retention: Duration, unix_ms: u64) -> Option<JobId> {
+        let &(id, ended) = self.by_end.front()?;
+        (unix_ms > ended.saturating_add(millis(retention))).then_some(id)
+    }
+
+    /// Removes a job that [`Self::next_expired`] has returned.
+    pub(in crate::jobs) fn remove(&mut self, id: JobId) {
+        self.by_end.pop_front_if(|(first, _)| *first == id);
+        self.states.remove(&id);
     }
 }
--- a/crates/snipevane-core/src/jobs/upkeep/maintenance.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/maintenance.rs
@@ -120,7 +120,9 @@
             phases: BTreeMap::new(),
             completed: progress.is_some_and(|progress| progress.completed),
         };
-        self.changed.insert(spec.number);
+        if stored == 0 {
+            self.changed.insert(spec.number);
+        }
         self.waves.insert(spec.number, wave);
     }
 
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -1,6 +1,7 @@
 //! The scheduler during a term that this process holds.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use snipevane_core::candidates::{Candidates, VmCapacity};
 use snipevane_core::jobs::{
     Action, AdmissionSnapshot, JobId, JobSpec, JobState, MoveOutlook, OrderedVms, Scheduler,
-    SchedulerSettings, Site, StartOrder, UnreportedRuns,
+    SchedulerSettings, Site, StartOrder, UnreportedRuns, WaveProgress,
 };
 use snipevane_core::reach::{Reach, ReachSettings};
 use snipevane_core::senders::{Assignment, SenderOffer, SenderPool, SenderSettings, TermGrant};
@@ -100,8 +101,8 @@
     pub(super) callers_waiting: Cell<bool>,
     /// Whether the transactions of callers have room for the scheduler's changes, as far as is known.
     pub(super) callers_carry_changes: Cell<bool>,
-    /// Rows to write in the next transaction: table, key, value.
-    pub(super) pending_writes: RefCell<Vec<(SmolStr, SmolStr, Vec<u8>)>>,
+    /// Progress of waves that is to be stored, oldest first.
+    pub(super) pending_waves: RefCell<VecDeque<WaveProgress>>,
     /// Start of the term; `None` for the first term, before which no orders were sent.
     pub(super) taken_over_at: Option<Duration>,
     /// VMs for which the previous term may have sent recent orders, with the times until which they are
@@ -203,7 +204,7 @@
             changes_written_at: Cell::new(node.clock.now()),
             callers_waiting: Cell::new(false),
             callers_carry_changes: Cell::new(true),
-            pending_writes: RefCell::default(),
+            pending_waves: RefCell::default(),
             taken_over_at,
             previously_ordered_vms,
             ordered_vms: RefCell::new(ordered_vms),
--- a/crates/snipevane-fleet/src/scheduling/mod.rs
+++ b/crates/snipevane-fleet/src/scheduling/mod.rs
@@ -7,10 +7,12 @@
 mod minion_rows;
 mod notes;
 mod orders;
+mod own_changes;
 mod reach;
 mod storing;
 mod view;
 mod vms;
+mod wave_rows;
 
 pub use candidate::run_candidate;
 pub use leader::Leader;
--- /dev/null
+++ b/crates/snipevane-fleet/src/scheduling/own_changes.rs
@@ -0,0 +1,175 @@
+//! The scheduler's changes in one write: which ones a transaction has room for, and what follows from its
+//! outcome.
+
+use smol_str::SmolStr;
+use snipevane_adapter::rows::Transaction;
+use snipevane_core::jobs::{Changes, JobChange, JobId, WaveProgress};
+
+use crate::clock::Clock;
+use crate::events;
+use crate::rows::{self, JOBS_TABLE, PROGRESS_TABLE};
+use crate::store::TransactionBuilder;
+
+use super::leader::Leader;
+use super::minion_rows::{MinionInUse, MinionRows};
+use super::wave_rows;
+
+/// Maximum number of waves whose progress one transaction contains, so that changes of jobs have room beside
+/// any number of waves.
+const MAX_WAVES: usize = 8;
+
+/// Maximum number of entries in one transaction for the changes of jobs.
+const MAX_JOB_ENTRIES: usize = 70;
+
+/// Maximum number of progress rows, of jobs that ended long ago, that one transaction removes.
+const MAX_EXPIRED: usize = 5;
+
+/// The scheduler's changes in one write.
+#[derive(Default)]
+pub(super) struct OwnChanges {
+    /// Minions in use, with their rows, if some of the rows change.
+    minions: Option<(Vec<MinionInUse>, MinionRows)>,
+    waves: Vec<WaveProgress>,
+    jobs: Changes,
+    /// Jobs that ended long ago, whose progress is removed.
+    expired: Vec<JobId>,
+}
+
+impl OwnChanges {
+    /// Takes the changes that a transaction has room for, and adds them to it: first the
+    /// minions in use, without which nothing new is placed on them, then a few waves, then jobs.
+    pub(super) fn take<C: Clock>(leader: &Leader<C>, builder: &mut TransactionBuilder) -> Self {
+        leader.changes_written_at.set(leader.node.clock.now());
+        let mut taken = Self::default();
+        taken.take_minions(leader, builder);
+        taken.take_waves(leader, builder);
+        taken.take_jobs(leader, builder);
+        taken.take_expired(leader, builder);
+        taken
+    }
+
+    fn take_minions<C: Clock>(&mut self, leader: &Leader<C>, builder: &mut TransactionBuilder) {
+        let minions = leader
+            .scheduler
+            .borrow()
+            .minions_in_use(leader.node.clock.now());
+        let minion_rows = MinionRows::new(&minions);
+        let part = Transaction {
+            writes: minion_rows.changes_from(&leader.minion_rows.borrow()),
+            ..Transaction::default()
+        };
+        let is_unchanged = part.writes.is_empty();
+        if is_unchanged && !leader.scheduler.borrow().has_unrecorded_minions() {
+            return;
+        }
+        if builder.add(part) {
+            self.minions = Some((minions, minion_rows));
+        }
+    }
+
+    fn take_waves<C: Clock>(&mut self, leader: &Leader<C>, builder: &mut TransactionBuilder) {
+        let mut pending = leader.pending_waves.borrow_mut();
+        while self.waves.len() < MAX_WAVES
+            && let Some(wave) = pending.front()
+            && builder.add(wave_rows::encode(wave))
+        {
+            self.waves.extend(pending.pop_front());
+        }
+    }
+
+    fn take_jobs<C: Clock>(&mut self, leader: &Leader<C>, builder: &mut TransactionBuilder) {
+        let max_entries = builder.entry_count() + MAX_JOB_ENTRIES;
+        let admit = |change: &JobChange| {
+            let part = encode_change(change);
+            builder.entry_count() + part.entry_count() <= max_entries && builder.add(part)
+        };
+        self.jobs = leader.scheduler.borrow_mut().take_changes(admit);
+    }
+
+    fn take_expired<C: Clock>(&mut self, leader: &Leader<C>, builder: &mut TransactionBuilder) {
+        let retention = leader.node.settings.bounds.status_retention;
+        let unix_ms = leader.node.clock.unix_ms();
+        let mut scheduler = leader.scheduler.borrow_mut();
+        while self.expired.len() < MAX_EXPIRED
+            && let Some(id) = scheduler.next_expired(retention, unix_ms)
+        {
+            let part = Transaction {
+                removals: vec![(PROGRESS_TABLE.into(), rows::job_key(id))],
+                ..Transaction::default()
+            };
+            if !builder.add(part) {
+                return;
+            }
+            scheduler.forget_ended_job(id);
+            self.expired.push(id);
+        }
+    }
+
+    /// Records that the transaction may have been committed although there was no answer.
+    pub(super) fn mark_unknown<C: Clock>(&self, leader: &Leader<C>) {
+        if let Some((_, written)) = &self.minions {
+            leader.minion_rows.borrow_mut().mark_unknown(written);
+        }
+    }
+
+    /// Reports to the scheduler whether the changes were committed; those that weren't are taken again.
+    pub(super) fn settle<C: Clock>(self, leader: &Leader<C>, stored: bool) {
+        if stored {
+            self.record_stored(leader);
+        } else {
+            self.put_back(leader);
+        }
+        leader.wake.notify_one();
+    }
+
+    fn record_stored<C: Clock>(self, leader: &Leader<C>) {
+        let mut scheduler = leader.scheduler.borrow_mut();
+        log_ended_jobs(leader, &self.jobs);
+        scheduler.changes_stored(&self.jobs);
+        if let Some((minions, minion_rows)) = self.minions {
+            scheduler.mark_minions_recorded(&minions);
+            *leader.minion_rows.borrow_mut() = minion_rows;
+        }
+    }
+
+    fn put_back<C: Clock>(self, leader: &Leader<C>) {
+        leader.scheduler.borrow_mut().changes_failed(&self.jobs);
+        let mut pending = leader.pending_waves.borrow_mut();
+        for wave in self.waves.into_iter().rev() {
+            let is_outdated = pending.iter().any(|newer| newer.number == wave.number);
+            if !is_outdated {
+                pending.push_front(wave);
+            }
+        }
+    }
+}
+
+/// Returns the entries that store the change of a job.
+fn encode_change(change: &JobChange) -> Transaction {
+    let key: SmolStr = rows::job_key(change.id);
+    let mut transaction = Transaction::default();
+    if change.progress.state.is_final() {
+        transaction.removals.push((JOBS_TABLE.into(), key.clone()));
+        transaction
+            .removals
+            .push((JOBS_TABLE.into(), rows::cancel_key(change.id)));
+    }
+    transaction
+        .writes
+        .push((PROGRESS_TABLE.into(), key, rows::encode(&change.progress)));
+    transaction
+}
+
+/// Logs the jobs whose end is now stored and thus visible to callers.
+fn log_ended_jobs<C: Clock>(leader: &Leader<C>, changes: &Changes) {
+    let fence = leader.row.borrow().fence;
+    let ended = changes
+        .jobs
+        .iter()
+        .filter(|change| change.progress.state.is_final());
+    for change in ended {
+        let state = change.progress.state.name();
+        let version = leader.version.get();
+        events::record(&events::JOB_ENDED, &[&change.id, &state, &fence, &version]);
+    }
+}
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -11,33 +11,24 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
-use snipevane_adapter::rows::{MAX_TRANSACTION_ENTRIES, Row, Transaction};
-use snipevane_core::jobs::{Changes, JobId, Scheduler};
+use snipevane_adapter::rows::{Row, Transaction};
+use snipevane_core::jobs::{JobId, Scheduler};
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
-use crate::events;
 use crate::metrics;
-use crate::rows::{
-    self, JOBS_TABLE, PROGRESS_TABLE, SCHEDULER_KEY, SCHEDULERS_TABLE, SchedulerRow,
-};
-use crate::store::{CommitOutcome, StoreError};
+use crate::rows::{self, SCHEDULER_KEY, SCHEDULERS_TABLE, SchedulerRow};
+use crate::store::{CommitOutcome, StoreError, TransactionBuilder};
 
 use super::leader::Leader;
-use super::minion_rows::MinionRows;
-
-/// Maximum number of entries in one transaction for the changes of jobs.
-const MAX_JOB_ENTRIES_PER_TRANSACTION: usize = 70;
+use super::own_changes::OwnChanges;
 
 /// Number of entries that the scheduler's row takes: a condition and a write.
 const ROW_ENTRIES: usize = 2;
 
-/// Smallest room for changes of jobs that a transaction of callers is filled up with: the entries of a job
-/// that has ended.
-const MIN_JOB_ENTRIES: usize = 3;
-
-/// Maximum number of progress rows, of jobs that ended long ago, that one transaction removes.
-const MAX_EXPIRED_PER_TRANSACTION: usize = 5;
+/// Number of bytes by which the scheduler's row may grow between the build of a transaction and its last
+/// attempt: its times get longer.
+const ROW_GROWTH_BYTES: usize = 100;
 
 /// Time for which changes that aren't urgent are batched.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
@@ -53,45 +44,6 @@
 /// Delay before a failed write is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(80);
 
-/// The scheduler's changes in one write.
-struct OwnChanges {
-    jobs: Changes,
-    minions: Vec<(SmolStr, SmolStr)>,
-    minion_rows: MinionRows,
-}
-
-impl OwnChanges {
-    /// Takes changes of jobs that need up to `max_job_entries` entries, and the minions in use.
-    fn take<C: Clock>(leader: &Leader<C>, max_job_entries: usize) -> Self {
-        let now = leader.node.clock.now();
-        leader.changes_written_at.set(now);
-        let mut scheduler = leader.scheduler.borrow_mut();
-        let jobs = scheduler.take_changes(max_job_entries);
-        let minions = scheduler.minions_in_use(now);
-        let minion_rows = MinionRows::new(&minions);
-        Self {
-            jobs,
-            minions,
-            minion_rows,
-        }
-    }
-
-    /// Reports to the scheduler whether the changes were committed.
-    fn settle<C: Clock>(self, leader: &Leader<C>, stored: bool) {
-        let mut scheduler = leader.scheduler.borrow_mut();
-        if stored {
-            log_ended_jobs(leader, &self.jobs);
-            scheduler.changes_stored(&self.jobs);
-            scheduler.mark_minions_recorded(&self.minions);
-            *leader.minion_rows.borrow_mut() = self.minion_rows;
-        } else {
-            scheduler.changes_failed(&self.jobs);
-        }
-        drop(scheduler);
-        leader.wake.notify_one();
-    }
-}
-
 /// Stores changes until the term ends.
 pub(super) async fn store_changes<C: Clock>(leader: Rc<Leader<C>>) {
     while !leader.ended.get() {
@@ -103,8 +55,7 @@
             drop(turn);
             continue;
         }
-        let changes = OwnChanges::take(&leader, MAX_JOB_ENTRIES_PER_TRANSACTION);
-        let transaction = build_transaction(&leader, &changes);
+        let (changes, transaction) = build_transaction(&leader);
         let entries = transaction.entry_count() + ROW_ENTRIES;
         metrics::record_transaction("changes", entries, now.saturating_sub(queued_at));
         let stored = commit(&leader, &transaction).await;
@@ -123,20 +74,6 @@
     leader.callers_waiting.get() && leader.callers_carry_changes.get() && !leader.is_releasing()
 }
 
-/// Logs the jobs whose end is now stored and thus visible to callers.
-fn log_ended_jobs<C: Clock>(leader: &Leader<C>, changes: &Changes) {
-    let fence = leader.row.borrow().fence;
-    let ended = changes
-        .jobs
-        .iter()
-        .filter(|change| change.progress.state.is_final());
-    for change in ended {
-        let state = change.progress.state.name();
-        let version = leader.version.get();
-        events::record(&events::JOB_ENDED, &[&change.id, &state, &fence, &version]);
-    }
-}
-
 /// Waits until a write is due: for urgent changes, for other changes, to renew the term, or because
 /// the process stops.
 async fn wait_until_write_due<C: Clock>(leader: &Leader<C>) {
@@ -174,7 +111,7 @@
     scheduler.has_urgent_changes()
         || scheduler.has_unrecorded_minions()
         || leader.ordered_vms.borrow().has_unstored()
-        || !leader.pending_writes.borrow().is_empty()
+        || !leader.pending_waves.borrow().is_empty()
 }
 
 /// Prepares the scheduler's row for the next write.
@@ -189,53 +126,24 @@
     row.ordered_vms = Some(leader.ordered_vms.borrow_mut().to_store(now));
 }
 
-/// Builds the next write: the scheduler's row, changed rows of minions in use, changes of jobs,
-/// pending rows and the removal of expired jobs.
-fn build_transaction<C: Clock>(leader: &Leader<C>, changes: &OwnChanges) -> Transaction {
+/// Builds the next write without the scheduler's row: as many of the changes as it has room for.
+fn build_transaction<C: Clock>(leader: &Leader<C>) -> (OwnChanges, Transaction) {
     prepare_row(leader);
     leader.row.borrow_mut().released =
         leader.is_releasing() && leader.node.clock.now() >= leader.release_due();
-    let mut transaction = Transaction::default();
-    add_own_changes(leader, changes, &mut transaction);
-    let retention = leader.node.settings.bounds.status_retention;
-    let unix_ms = leader.node.clock.unix_ms();
-    let expired =
-        leader
-            .scheduler
-            .borrow_mut()
-            .take_expired(retention, unix_ms, MAX_EXPIRED_PER_TRANSACTION);
-    for id in expired {
-        transaction
-            .removals
-            .push((PROGRESS_TABLE.into(), rows::job_key(id)));
-    }
-    transaction
-        .writes
-        .append(&mut leader.pending_writes.borrow_mut());
-    transaction
+    let mut builder = builder_with_row(leader);
+    let changes = OwnChanges::take(leader, &mut builder);
+    (changes, builder.build())
 }
 
-/// Adds changed rows of minions in use and changes of jobs to a transaction.
-fn add_own_changes<C: Clock>(
-    leader: &Leader<C>,
-    changes: &OwnChanges,
-    transaction: &mut Transaction,
-) {
-    let stored_minions = leader.minion_rows.borrow();
-    let minion_writes = changes.minion_rows.changes_from(&stored_minions);
-    transaction.writes.extend(minion_writes);
-    for change in &changes.jobs.jobs {
-        let key = rows::job_key(change.id);
-        if change.progress.state.is_final() {
-            transaction.removals.push((JOBS_TABLE.into(), key.clone()));
-            transaction
-                .removals
-                .push((JOBS_TABLE.into(), rows::cancel_key(change.id)));
-        }
-        transaction
-            .writes
-            .push((PROGRESS_TABLE.into(), key, rows::encode(&change.progress)));
+/// Returns a builder that keeps room for the scheduler's row.
+fn builder_with_row<C: Clock>(leader: &Leader<C>) -> TransactionBuilder {
+    let mut row = with_row(leader, &Transaction::default());
+    for (_, _, value) in &mut row.writes {
+        // The row is encoded again when it is sent, with other times.
+        value.resize(value.len() + ROW_GROWTH_BYTES, 0);
     }
+    TransactionBuilder::with_reserve(&row)
 }
 
 /// Returns the time that observers have to wait, in milliseconds, if it exceeds the term's length.
@@ -336,11 +244,7 @@
     changes: &Transaction,
 ) -> Result<CommitOutcome, StoreError> {
     prepare_row(leader);
-    let mut transaction = changes.clone();
-    let own_changes = take_due_changes(leader, changes);
-    if let Some(own_changes) = &own_changes {
-        add_own_changes(leader, own_changes, &mut transaction);
-    }
+    let (own_changes, transaction) = add_due_changes(leader, changes);
     let entries = transaction.entry_count() + ROW_ENTRIES;
     metrics::record_transaction("submissions", entries, turn.waited);
     let result = commit_once(leader, &transaction).await;
@@ -348,13 +252,12 @@
     if let Some(own_changes) = own_changes {
         let stored = matches!(result, Ok(CommitOutcome::Committed(_)));
         if matches!(result, Err(StoreError::NoAnswer | StoreError::HistoryGone)) {
-            let written = &own_changes.minion_rows;
-            leader.minion_rows.borrow_mut().mark_unknown(written);
+            own_changes.mark_unknown(leader);
         }
         own_changes.settle(leader, stored);
         // The scheduler's writer takes the next turn for what had no room or wasn't committed.
         let has_more =
-            leader.scheduler.borrow().has_changes() || !leader.pending_writes.borrow().is_empty();
+            leader.scheduler.borrow().has_changes() || !leader.pending_waves.borrow().is_empty();
         let carried = stored && !has_more;
         leader.callers_carry_changes.set(carried);
     } else if is_write_due(leader, leader.node.clock.now()) {
@@ -363,27 +266,26 @@
     result
 }
 
-/// Takes the scheduler's changes if they are due and a transaction with changes of callers has room for
-/// them.
-fn take_due_changes<C: Clock>(
+/// Adds the scheduler's changes, if they are due and have room, to changes of callers.
+fn add_due_changes<C: Clock>(
     leader: &Leader<C>,
     callers_changes: &Transaction,
-) -> Option<OwnChanges> {
+) -> (Option<OwnChanges>, Transaction) {
     let now = leader.node.clock.now();
-    if leader.is_releasing() || !is_write_due(leader, now) {
-        return None;
-    }
     // A transaction may contain a row only once, and both could write the rows of such a job.
     let mut conditions = callers_changes.conditions.iter();
-    if conditions.any(|(_, key, _)| has_change_of(leader, key)) {
-        return None;
+    let is_exclusive = leader.is_releasing()
+        || !is_write_due(leader, now)
+        || conditions.any(|(_, key, _)| has_change_of(leader, key));
+    if is_exclusive {
+        return (None, callers_changes.clone());
+    }
+    let mut builder = builder_with_row(leader);
+    if !builder.add(callers_changes.clone()) {
+        return (None, callers_changes.clone());
     }
-    let minions = leader.scheduler.borrow().minions_in_use(now);
-    let changed_rows = MinionRows::new(&minions).changes_from(&leader.minion_rows.borrow());
-    let used = callers_changes.entry_count() + ROW_ENTRIES + changed_rows.len();
-    let room = MAX_TRANSACTION_ENTRIES.saturating_sub(used);
-    let max_job_entries = room.min(MAX_JOB_ENTRIES_PER_TRANSACTION);
-    (room >= MIN_JOB_ENTRIES).then(|| OwnChanges::take(leader, max_job_entries))
+    let changes = OwnChanges::take(leader, &mut builder);
+    (Some(changes), builder.build())
 }
 
 /// Returns whether the scheduler has changes of the job with a key to store.
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -8,8 +8,8 @@
 
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
+use snipevane_adapter::DecodeError;
 use snipevane_adapter::vms::{self, TermHolder};
-use snipevane_adapter::{DecodeError, config};
 use snipevane_core::jobs::{
     MaintenancePlanner, MaintenanceWave, MovePlanner, PendingShutdowns, Vm, VmOperation, VmOrder,
     VmReply, VmState, WaveProgress,
@@ -20,10 +20,11 @@
 use crate::client::CallError;
 use crate::clock::Clock;
 use crate::events;
-use crate::rows::{self, WAVES_TABLE, WaveRow};
+use crate::rows::WAVES_TABLE;
 use crate::store::StoreError;
 
 use super::leader::Leader;
+use super::wave_rows;
 
 /// Pause between planning rounds.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
@@ -144,17 +145,8 @@
     leader: &Leader<C>,
 ) -> Result<FxHashMap<u64, WaveProgress>, StoreError> {
     let page = leader.node.store.read(WAVES_TABLE, "", "").await?;
-    let progress = page.rows.iter().filter_map(|row| {
-        let number = row.key.parse().ok()?;
-        let value: WaveRow = rows::decode(&row.key, row.value.as_ref()?)?;
-        let progress = WaveProgress {
-            number,
-            settled: value.done,
-            completed: value.completed,
-            seen_unix_ms: value.seen_unix_ms,
-        };
-        Some((number, progress))
-    });
+    let progress = page.rows.iter().filter_map(wave_rows::decode);
+    let progress = progress.map(|progress| (progress.number, progress));
     Ok(progress.collect())
 }
 
@@ -290,24 +282,13 @@
     marked.collect()
 }
 
-/// Adds changes of the waves' progress to the next transaction.
+/// Queues changes of the waves' progress to be stored.
 fn store_progress<C: Clock>(leader: &Leader<C>, maintenance: &mut MaintenancePlanner) {
-    let mut writes = leader.pending_writes.borrow_mut();
+    let mut pending = leader.pending_waves.borrow_mut();
     for progress in maintenance.take_changes() {
-        let key: SmolStr = config::wave_status_key(progress.number).into();
-        let status = config::encode_wave_status(progress.completed);
-        writes.retain(|(table, written, _)| table != config::STATUS_TABLE || *written != key);
-        writes.push((config::STATUS_TABLE.into(), key, status));
-        let key: SmolStr = progress.number.to_string().into();
-        writes.retain(|(table, written, _)| table != WAVES_TABLE || *written != key);
-        let row = WaveRow {
-            done: progress.settled,
-            completed: progress.completed,
-            seen_unix_ms: progress.seen_unix_ms,
-        };
-        writes.push((WAVES_TABLE.into(), key, rows::encode(&row)));
+        wave_rows::enqueue(&mut pending, progress);
     }
-    if !writes.is_empty() {
+    if !pending.is_empty() {
         leader.store_wake.notify_one();
     }
 }
--- a/crates/snipevane-fleet/src/store/mod.rs
+++ b/crates/snipevane-fleet/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's store.
 
+mod builder;
 mod transport;
 
 use std::cell::{Cell, RefCell};
@@ -17,6 +18,7 @@
 use crate::clock::Clock;
 use crate::metrics;
 
+pub(crate) use builder::TransactionBuilder;
 use transport::Transport;
 
 /// Maximum number of times that a page of a table is read until that succeeds.
--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -14,8 +14,8 @@
 use rand::rngs::StdRng;
 use smol_str::SmolStr;
 use snipevane_core::jobs::{
-    Action, AdviceReply, EvacuatedZones, HoldReply, JobId, JobSpec, JobState, OrderReply, Progress,
-    Scheduler, SchedulerSettings, Site, TaskId, UnreportedRuns, VmState,
+    Action, AdviceReply, EvacuatedZones, HoldReply, JobChange, JobId, JobSpec, JobState,
+    OrderReply, Progress, Scheduler, SchedulerSettings, Site, TaskId, UnreportedRuns, VmState,
 };
 
 use super::minion::{FakeMinion, Record};
@@ -34,6 +34,25 @@
 /// Time in which a sender may send an order.
 pub(super) const SEND_WINDOW: Duration = Duration::from_millis(250);
 
+/// Entries of a transaction that the end of a job takes: its progress, and the deletion of the rows of its
+/// submission and of a request to cancel it.
+const ENTRIES_PER_ENDED_JOB: usize = 3;
+
+/// Returns whether a transaction has room for a further change, for one with this many entries. The first
+/// change always has room.
+pub fn room_for(max_entries: usize) -> impl FnMut(&JobChange) -> bool {
+    let mut entries = 0;
+    move |change| {
+        let is_first = entries == 0;
+        entries += if change.progress.state.is_final() {
+            ENTRIES_PER_ENDED_JOB
+        } else {
+            1
+        };
+        is_first || entries <= max_entries
+    }
+}
+
 /// Faults of the orders to minions.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
@@ -317,7 +336,7 @@
     }
 
     fn store(&mut self) {
-        let changes = self.scheduler.take_changes(90);
+        let changes = self.scheduler.take_changes(room_for(90));
         for change in &changes.jobs {
             if let Some(stored) = self.jobs.get_mut(&change.id) {
                 stored.progress = change.progress.clone();
--- a/tests/src/jobs/mod.rs
+++ b/tests/src/jobs/mod.rs
@@ -10,7 +10,7 @@
 mod network;
 mod specs;
 
-pub use job_site::{Faults, JobSite, TICK};
+pub use job_site::{Faults, JobSite, TICK, room_for};
 pub use minion::{FakeMinion, Interference, Record};
 pub use network::Network;
 pub use specs::{TEAM, entry, job, long_running_step, site, site_spec, step};
--- a/tests/tests/jobs_scheduler.rs
+++ b/tests/tests/jobs_scheduler.rs
@@ -10,7 +10,7 @@
 use rstest::rstest;
 use snipevane_core::jobs::{Action, HoldReply, JobId, JobState, RunList, StepSpec};
 use snipevane_tests::jobs::{
-    FakeMinion, Faults, JobSite, Network, TICK, entry, job, long_running_step, site, step,
+    FakeMinion, Faults, JobSite, Network, TICK, entry, job, long_running_step, room_for, site, step,
 };
 
 const START: Duration = Duration::from_secs(10);
@@ -100,18 +100,16 @@
     assert_eq!(built.state(id), JobState::Completed);
     let retention = Duration::from_secs(5);
     let unix_ms = built.unix_ms();
-    assert!(
-        built
-            .scheduler
-            .take_expired(retention, unix_ms, 9)
-            .is_empty()
-    );
+    assert_eq!(built.scheduler.next_expired(retention, unix_ms), None);
     built.submit(1, spec);
     built.run(Duration::from_secs(1));
     assert_eq!(built.records.len(), 1);
     built.run(Duration::from_secs(5));
     let unix_ms = built.unix_ms();
-    assert_eq!(built.scheduler.take_expired(retention, unix_ms, 9), [id]);
+    let expired = built.scheduler.next_expired(retention, unix_ms);
+    assert_eq!(expired, Some(id));
+    built.scheduler.forget_ended_job(id);
+    assert_eq!(built.scheduler.next_expired(retention, unix_ms), None);
 }
 
 /// Holds to a minion that is gone must not renew its lease, or its tasks never start elsewhere.
@@ -283,7 +281,7 @@
     built.submit(2, job("p0", vec![step(4, 1_000, 500, &[])]));
     built.store_available = false;
     built.run(Duration::from_secs(1));
-    let changes = built.scheduler.take_changes(1);
+    let changes = built.scheduler.take_changes(room_for(1));
     built.scheduler.changes_stored(&changes);
     let (_, minion) = built.scheduler.minions().next().expect("a minion");
     assert_eq!(minion.received_seq, 8);
@@ -302,7 +300,7 @@
             built.submit(id, job("p0", vec![step(1, 1_000, 100, &[])]));
         }
         built.run(Duration::from_millis(250));
-        let changes = built.scheduler.take_changes(84);
+        let changes = built.scheduler.take_changes(room_for(84));
         built.scheduler.changes_stored(&changes);
         let mut jobs = changes.jobs.iter();
         jobs.any(|change| change.id == JobId::new(1) && change.progress.state == JobState::Running)
