Let a holder renew after a lost answer, once for each version

Cause: a holder whose answer is lost learns of the outcome after the timeout of its call, 1.5 s, longer than its term. Two other ways were tried on the way: reading a row that stands still early (then observers learn of the unanswered write before the holder does, and no heartbeat counts any more), and a longer wait while heartbeats come (contradicts `heartbeats_without_a_new_version_do_not_delay_takeover`).

Change: a long time between two reads counts as an outage as before, but without a failed read only once for each version of the row. So a holder that can't write is followed after the term, the margin, 0.9 s and two rounds of the observer.

--- a/crates/snipevane-core/src/term.rs
+++ b/crates/snipevane-core/src/term.rs
@@ -10,10 +10,6 @@
 
 use std::time::Duration;
 
-/// Part of an observer's wait after which a row that stands still is read. The rest leaves time for a read to
-/// fail during an outage of the store, so that the outage doesn't count against the scheduler.
-const OVERDUE_FRACTION: f64 = 0.65;
-
 /// Durations that decide when a term ends and when an observer may take over.
 #[derive(Clone, Copy, Debug)]
 pub struct TermSettings {
@@ -24,8 +20,7 @@
     pub margin: Duration,
     /// Maximum time between two writes of the scheduler.
     pub renewal_interval: Duration,
-    /// Time without an answer from the store, after a read that failed, after which the observer assumes an
-    /// outage of the store.
+    /// Time between two reads of the row after which the observer assumes an outage of the store.
     pub outage_threshold: Duration,
     /// Time that the scheduler has to renew its term after an outage of the store.
     pub outage_grace: Duration,
@@ -157,6 +152,8 @@
     last_seen: Duration,
     /// Whether a read of the row has failed since the last one that was answered.
     read_failed: bool,
+    /// Version of the row for which the scheduler was last given time to renew.
+    grace_version: Option<u64>,
     /// Time before which the scheduler may still be renewing after an outage of the store.
     grace_until: Duration,
     /// Time, in place of the term's length, for which the row asks observers to wait; zero if it asks
@@ -167,9 +164,6 @@
 
 impl ObservedTerm {
     /// Records that a read of the row failed, or was answered only after the outage threshold.
-    ///
-    /// Without such a read, a long time between two reads is no sign of an outage: observers don't read the
-    /// row while heartbeats tell its version, also if that stands still because the scheduler can't write.
     pub fn record_read_failure(&mut self) {
         self.read_failed = true;
     }
@@ -184,10 +178,12 @@
         written_by: Duration,
         now: Duration,
     ) {
-        // Before its first read, a process knows nothing of the store.
-        let had_no_answer = self.read_failed || self.last_seen.is_zero();
-        if had_no_answer && now > self.last_seen + settings.outage_threshold {
+        // Observers don't read the row while heartbeats tell its version, so a long time between two reads may
+        // only mean that the scheduler runs and can't write. It is given time for that once a version.
+        let may_be_outage = self.read_failed || self.grace_version != Some(version);
+        if may_be_outage && now > self.last_seen + settings.outage_threshold {
             self.grace_until = now + settings.outage_grace;
+            self.grace_version = Some(version);
         }
         self.read_failed = false;
         self.last_seen = now;
@@ -216,22 +212,13 @@
         if self.released {
             return now >= self.first_seen + delay;
         }
-        let unchanged = now >= self.first_seen + self.wait(settings) + settings.margin + delay;
+        let wait = self
+            .requested_wait
+            .clamp(settings.term, settings.max_observer_wait);
+        let unchanged = now >= self.first_seen + wait + settings.margin + delay;
         unchanged && now >= self.grace_until
     }
 
-    /// Returns whether the row has stood still for so long that it should be read, although heartbeats show
-    /// that the scheduler's process runs: the scheduler, or this process too, may not reach the store.
-    pub fn is_renewal_overdue(&self, settings: &TermSettings, now: Duration) -> bool {
-        now >= self.first_seen + self.wait(settings).mul_f64(OVERDUE_FRACTION)
-    }
-
-    /// Returns the time for which the row must stand still before the term is free, without the margin.
-    fn wait(&self, settings: &TermSettings) -> Duration {
-        self.requested_wait
-            .clamp(settings.term, settings.max_observer_wait)
-    }
-
     /// Returns a time by which the current version of the row was written: when it was first read, or
     /// earlier.
     pub fn first_seen(&self) -> Duration {
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -37,7 +37,7 @@
 pub async fn run_candidate<C: Clock>(node: Rc<Node<C>>) {
     let settings = TermSettings::default();
     while !node.stopping.get() {
-        if watch_scheduler(&node, &settings).await && !is_renewal_overdue(&node, &settings) {
+        if watch_scheduler(&node, &settings).await {
             continue;
         }
         let row_read = read_scheduler_row(&node, &settings).await;
@@ -79,13 +79,6 @@
     scheduler_alive
 }
 
-/// Returns whether the scheduler's row has stood still for so long that it should be read, whatever the
-/// heartbeats show.
-fn is_renewal_overdue<C: Clock>(node: &Node<C>, settings: &TermSettings) -> bool {
-    let view = node.scheduler_view.borrow();
-    view.is_renewal_overdue(settings, node.clock.now())
-}
-
 /// Returns whether this process may try to win the term.
 ///
 /// It may do so at once if an earlier process on the same VM held the term. A VM that is much smaller
--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -182,11 +182,6 @@
         self.watch_address(now).filter(|_| fresh)
     }
 
-    /// Returns whether the row has stood still for so long that it should be read.
-    pub fn is_renewal_overdue(&self, settings: &TermSettings, now: Duration) -> bool {
-        self.observed.is_renewal_overdue(settings, now)
-    }
-
     /// Returns whether the term is free, as far as this process knows.
     pub fn is_free(&self, settings: &TermSettings, now: Duration) -> bool {
         self.read_at.is_some() && self.observed.is_free(settings, now)
