Give up what the store rejects for good, and nothing else

Cause: the client mapped 400 and 403 to "not applied", like 429 and 503, which may be sent again.

Change: `StoreError::Rejected` is a refusal for good. `BatchLimit` (core) halves the number of changes after each, writes the scheduler's row alone in between, so that the term goes on, and names the change at fault once it was alone: a job fails, a submission gets 422, a wave's progress or a removal stays unstored, each with SV2081 and a counter. If the row alone is rejected, the term ends and another process takes over. Submissions share no transaction with the scheduler's changes meanwhile.

Measured: with 20 sound jobs beside one whose progress, or whose end, is rejected, all are completed in the same term, with at most 30 rejected transactions, and the job at fault is failed; the same for a submission among 20 callers and for one wave of 150.

--- a/crates/snipevane-core/src/jobs/ending/changes.rs
+++ b/crates/snipevane-core/src/jobs/ending/changes.rs
@@ -5,7 +5,7 @@
 use crate::jobs::minions::minion::MinionKey;
 use crate::jobs::model::id::JobId;
 use crate::jobs::model::job::JobKey;
-use crate::jobs::model::progress::Progress;
+use crate::jobs::model::progress::{JobState, Progress};
 use crate::jobs::scheduler::Scheduler;
 
 /// Change of a job whose row in the store is out of date.
@@ -146,4 +146,16 @@
             self.dirty.insert(change.key);
         }
     }
+    /// Ends a job whose change the store rejects for good: the job fails, as its progress can't be stored.
+    ///
+    /// If the job has ended already, its end stays unstored for the rest of the term.
+    pub fn change_rejected(&mut self, change: &JobChange, unix_ms: u64) {
+        self.storing.remove(&change.key);
+        self.dirty.remove(change.key);
+        if change.progress.state.is_final() {
+            self.drop_ended_job(change.key);
+        } else {
+            self.end_job(change.key, JobState::Failed, unix_ms);
+        }
+    }
 }
--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! the modules [`keys`], [`limits`], [`shares`] and [`routing`], in this order. For non-idempotent
 //! requests, [`claims`] decides whether they run at all.
 
+pub mod batch_limit;
 pub mod candidates;
 pub mod claims;
 pub mod clock;
--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -274,6 +274,10 @@
             let message = "the store is slow; nothing was done";
             reply::with_retry_after(StatusCode::SERVICE_UNAVAILABLE, message, delay)
         }
+        Outcome::Rejected => reply::error(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the store rejects the change for good; nothing was done",
+        ),
         Outcome::Stored | Outcome::Unknown => reply::error(
             StatusCode::GATEWAY_TIMEOUT,
             "the store did not answer in time",
--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -8,12 +8,15 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snipevane_adapter::rows::{Row, Transaction};
+use snipevane_core::batch_limit::{BatchLimit, Fault};
 use snipevane_core::jobs::{JobId, JobSpec, Progress};
 use snipevane_core::write_queue::WriteQueue;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
+use crate::events;
+use crate::metrics;
 use crate::node::Node;
 use crate::peers::scheduler_client;
 use crate::rows::{self, JOBS_TABLE, PROGRESS_TABLE};
@@ -40,6 +43,8 @@
     Stored,
     /// The change isn't stored and won't be.
     NotStored,
+    /// The change isn't stored, and the store will never accept it.
+    Rejected,
     /// The change may be stored, or may still be stored later.
     Unknown,
     /// The change isn't stored and won't be, as more changes wait than the store carries in time.
@@ -107,6 +112,8 @@
     submitted_pruned_at: Cell<Duration>,
     /// Whether a transaction is under way.
     committing: Cell<bool>,
+    /// Limit of the changes in a transaction, while the store rejects some for good.
+    batch_limit: Cell<BatchLimit>,
     /// Keys of jobs whose submission may be stored without the scheduler knowing of it, with the time of the
     /// attempt. A repeat of the submission must not be answered that nothing was done.
     uncertain: RefCell<FxHashMap<SmolStr, Duration>>,
@@ -123,6 +130,7 @@
             submitted: RefCell::default(),
             submitted_pruned_at: Cell::new(Duration::ZERO),
             committing: Cell::new(false),
+            batch_limit: Cell::default(),
             uncertain: RefCell::default(),
         })
     }
@@ -162,7 +170,7 @@
         // Remembered first, as the caller's wait may end this call at any time.
         self.mark_uncertain(&key);
         let outcome = match scheduler_client::submit_job(&self.node, id, spec).await {
-            Some(outcome @ (Outcome::Stored | Outcome::Busy { .. })) => outcome,
+            Some(outcome @ (Outcome::Stored | Outcome::Rejected | Outcome::Busy { .. })) => outcome,
             Some(Outcome::Unknown) if self.leaves_writes_to_scheduler() => Outcome::Unknown,
             // The mark stays, as the scheduler learns only later of a job that is stored from here.
             Some(Outcome::Unknown) => return self.accept_locally(id, spec).await,
@@ -420,7 +428,8 @@
         if pending.is_empty() {
             return Vec::new();
         }
-        let within_limit = pending.iter().take(MAX_BATCH).take_while(|change| {
+        let max_changes = self.batch_limit.get().max_changes().clamp(1, MAX_BATCH);
+        let within_limit = pending.iter().take(max_changes).take_while(|change| {
             bytes += change.size();
             bytes <= MAX_BATCH_BYTES
         });
@@ -478,7 +487,7 @@
         // repeat may arrive before the scheduler has read the row.
         let is_not_applied = matches!(
             result,
-            Ok(CommitOutcome::Conflict(_)) | Err(StoreError::NotApplied)
+            Ok(CommitOutcome::Conflict(_)) | Err(StoreError::NotApplied | StoreError::Rejected)
         );
         for change in &batch {
             if is_not_applied && !change.outcome_unknown {
@@ -487,6 +496,9 @@
         }
         match result {
             Ok(CommitOutcome::Committed(_)) => {
+                let mut limit = self.batch_limit.get();
+                limit.record_accepted();
+                self.batch_limit.set(limit);
                 for change in batch {
                     send_result(change, WriteResult::Outcome(Outcome::Stored));
                 }
@@ -494,6 +506,7 @@
             Ok(CommitOutcome::Conflict(current_rows)) => {
                 self.report_conflicts(batch, &current_rows)
             }
+            Err(StoreError::Rejected) => self.split_rejected(batch),
             Err(error) => {
                 for change in &mut batch {
                     change.outcome_unknown |= error != StoreError::NotApplied;
@@ -503,6 +516,29 @@
         }
     }
 
+    /// Queues a batch that the store rejects for good again, to be written in smaller ones, or reports the
+    /// rejection if it is due to the only change.
+    fn split_rejected(&self, mut batch: Vec<PendingChange>) {
+        let mut limit = self.batch_limit.get();
+        let fault = limit.record_rejected(batch.len());
+        self.batch_limit.set(limit);
+        if fault == Fault::SomeChange {
+            self.requeue(batch);
+            return;
+        }
+        for change in batch.drain(..) {
+            metrics::record_rejected_change("submission");
+            let key = &change.condition.1;
+            events::record(&events::CHANGE_REJECTED, &[&"submission", key, &0]);
+            let outcome = if change.outcome_unknown {
+                Outcome::Unknown
+            } else {
+                Outcome::Rejected
+            };
+            send_result(change, WriteResult::Outcome(outcome));
+        }
+    }
+
     /// Reports a conflict for each change whose condition doesn't hold, and queues the others for
     /// the next batch.
     fn report_conflicts(&self, batch: Vec<PendingChange>, current_rows: &[Row]) {
@@ -587,7 +623,10 @@
 
 /// Returns whether an outcome states that a change isn't stored and won't be.
 fn is_not_stored(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::NotStored | Outcome::Busy { .. })
+    matches!(
+        outcome,
+        Outcome::NotStored | Outcome::Rejected | Outcome::Busy { .. }
+    )
 }
 
 /// Sends the result of a change to its caller, which may have disconnected.
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -229,6 +229,11 @@
     counter!("snipevane_best_effort_relocations_total").increment(1);
 }
 
+/// Counts a change that is given up because the store rejects it for good.
+pub(crate) fn record_rejected_change(kind: &'static str) {
+    counter!("snipevane_changes_rejected_total", "kind" => kind).increment(1);
+}
+
 /// Counts a long-running task that isn't started for a while because it crashes minions.
 pub(crate) fn record_task_suspended() {
     counter!("snipevane_tasks_suspended_total").increment(1);
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -8,6 +8,7 @@
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 use snipevane_adapter::rows::Transaction;
+use snipevane_core::batch_limit::BatchLimit;
 use snipevane_core::candidates::{Candidates, VmCapacity};
 use snipevane_core::jobs::{
     Action, AdmissionSnapshot, JobId, JobSpec, JobState, MoveOutlook, OrderedVms, Scheduler,
@@ -101,6 +102,8 @@
     pub(super) callers_waiting: Cell<bool>,
     /// Whether the transactions of callers have room for the scheduler's changes, as far as is known.
     pub(super) callers_carry_changes: Cell<bool>,
+    /// Limit of the scheduler's changes in a transaction, while the store rejects some for good.
+    pub(super) batch_limit: Cell<BatchLimit>,
     /// Progress of waves that is to be stored, oldest first.
     pub(super) pending_waves: RefCell<VecDeque<WaveProgress>>,
     /// Start of the term; `None` for the first term, before which no orders were sent.
@@ -204,6 +207,7 @@
             changes_written_at: Cell::new(node.clock.now()),
             callers_waiting: Cell::new(false),
             callers_carry_changes: Cell::new(true),
+            batch_limit: Cell::default(),
             pending_waves: RefCell::default(),
             taken_over_at,
             previously_ordered_vms,
--- a/crates/snipevane-fleet/src/scheduling/own_changes.rs
+++ b/crates/snipevane-fleet/src/scheduling/own_changes.rs
@@ -12,6 +12,7 @@
 
 use super::leader::Leader;
 use super::minion_rows::{MinionInUse, MinionRows};
+use super::storing::report_rejected;
 use super::wave_rows;
 
 /// Maximum number of waves whose progress one transaction contains, so that changes of jobs have room beside
@@ -36,19 +37,35 @@
 }
 
 impl OwnChanges {
-    /// Takes the changes that a transaction has room for, and adds them to it: first the
+    /// Takes up to `max_changes` changes that a transaction has room for, and adds them to it: first the
     /// minions in use, without which nothing new is placed on them, then a few waves, then jobs.
-    pub(super) fn take<C: Clock>(leader: &Leader<C>, builder: &mut TransactionBuilder) -> Self {
+    pub(super) fn take<C: Clock>(
+        leader: &Leader<C>,
+        builder: &mut TransactionBuilder,
+        max_changes: usize,
+    ) -> Self {
         leader.changes_written_at.set(leader.node.clock.now());
         let mut taken = Self::default();
-        taken.take_minions(leader, builder);
-        taken.take_waves(leader, builder);
-        taken.take_jobs(leader, builder);
-        taken.take_expired(leader, builder);
+        taken.take_minions(leader, builder, max_changes);
+        taken.take_waves(leader, builder, max_changes);
+        taken.take_jobs(leader, builder, max_changes);
+        taken.take_expired(leader, builder, max_changes);
         taken
     }
 
-    fn take_minions<C: Clock>(&mut self, leader: &Leader<C>, builder: &mut TransactionBuilder) {
+    /// Returns the number of changes, of which each is stored as a whole.
+    pub(super) fn count(&self) -> usize {
+        let minions = usize::from(self.minions.is_some());
+        let expired = usize::from(!self.expired.is_empty());
+        minions + self.waves.len() + self.jobs.jobs.len() + expired
+    }
+
+    fn take_minions<C: Clock>(
+        &mut self,
+        leader: &Leader<C>,
+        builder: &mut TransactionBuilder,
+        max_changes: usize,
+    ) {
         let minions = leader
             .scheduler
             .borrow()
@@ -62,14 +79,20 @@
         if is_unchanged && !leader.scheduler.borrow().has_unrecorded_minions() {
             return;
         }
-        if builder.add(part) {
+        if max_changes > 0 && builder.add(part) {
             self.minions = Some((minions, minion_rows));
         }
     }
 
-    fn take_waves<C: Clock>(&mut self, leader: &Leader<C>, builder: &mut TransactionBuilder) {
+    fn take_waves<C: Clock>(
+        &mut self,
+        leader: &Leader<C>,
+        builder: &mut TransactionBuilder,
+        max_changes: usize,
+    ) {
         let mut pending = leader.pending_waves.borrow_mut();
-        while self.waves.len() < MAX_WAVES
+        while self.count() < max_changes
+            && self.waves.len() < MAX_WAVES
             && let Some(wave) = pending.front()
             && builder.add(wave_rows::encode(wave))
         {
@@ -77,16 +100,34 @@
         }
     }
 
-    fn take_jobs<C: Clock>(&mut self, leader: &Leader<C>, builder: &mut TransactionBuilder) {
+    fn take_jobs<C: Clock>(
+        &mut self,
+        leader: &Leader<C>,
+        builder: &mut TransactionBuilder,
+        max_changes: usize,
+    ) {
         let max_entries = builder.entry_count() + MAX_JOB_ENTRIES;
+        let mut room = max_changes.saturating_sub(self.count());
         let admit = |change: &JobChange| {
             let part = encode_change(change);
-            builder.entry_count() + part.entry_count() <= max_entries && builder.add(part)
+            let fits = room > 0
+                && builder.entry_count() + part.entry_count() <= max_entries
+                && builder.add(part);
+            room = room.saturating_sub(1);
+            fits
         };
         self.jobs = leader.scheduler.borrow_mut().take_changes(admit);
     }
 
-    fn take_expired<C: Clock>(&mut self, leader: &Leader<C>, builder: &mut TransactionBuilder) {
+    fn take_expired<C: Clock>(
+        &mut self,
+        leader: &Leader<C>,
+        builder: &mut TransactionBuilder,
+        max_changes: usize,
+    ) {
+        if self.count() >= max_changes {
+            return;
+        }
         let retention = leader.node.settings.bounds.status_retention;
         let unix_ms = leader.node.clock.unix_ms();
         let mut scheduler = leader.scheduler.borrow_mut();
@@ -142,6 +183,32 @@
             }
         }
     }
+
+    /// Gives up the only change, which the store rejects for good, with a definite outcome.
+    ///
+    /// A job fails. The progress of a wave, or the removal of old rows, stays unstored.
+    pub(super) fn give_up<C: Clock>(self, leader: &Leader<C>) {
+        let unix_ms = leader.node.clock.unix_ms();
+        for change in &self.jobs.jobs {
+            report_rejected(leader, "job", &change.id.to_string());
+            leader
+                .scheduler
+                .borrow_mut()
+                .change_rejected(change, unix_ms);
+        }
+        for wave in &self.waves {
+            report_rejected(leader, "wave", &wave.number.to_string());
+        }
+        for id in &self.expired {
+            report_rejected(leader, "removal", &id.to_string());
+        }
+        if self.minions.is_some() {
+            // Without these rows, the next term wouldn't know which minions may have runs.
+            report_rejected(leader, "minions", "");
+            leader.end("the store rejects the rows of the minions in use");
+        }
+        leader.wake.notify_one();
+    }
 }
 
 /// Returns the entries that store the change of a job.
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -12,10 +12,12 @@
 
 use smol_str::SmolStr;
 use snipevane_adapter::rows::{Row, Transaction};
+use snipevane_core::batch_limit::{BatchLimit, Fault};
 use snipevane_core::jobs::{JobId, Scheduler};
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
+use crate::events;
 use crate::metrics;
 use crate::rows::{self, SCHEDULER_KEY, SCHEDULERS_TABLE, SchedulerRow};
 use crate::store::{CommitOutcome, StoreError, TransactionBuilder};
@@ -58,16 +60,60 @@
         let (changes, transaction) = build_transaction(&leader);
         let entries = transaction.entry_count() + ROW_ENTRIES;
         metrics::record_transaction("changes", entries, now.saturating_sub(queued_at));
-        let stored = commit(&leader, &transaction).await;
+        let result = commit(&leader, &transaction).await;
         drop(turn);
         leader.callers_carry_changes.set(true);
-        changes.settle(&leader, stored);
-        if leader.row.borrow().released {
-            leader.ended.set(true);
+        match result {
+            CommitResult::Rejected => handle_rejection(&leader, changes),
+            CommitResult::Committed | CommitResult::TermLost => {
+                let stored = result == CommitResult::Committed;
+                if stored {
+                    record_accepted(&leader);
+                }
+                changes.settle(&leader, stored);
+                if leader.row.borrow().released {
+                    leader.ended.set(true);
+                }
+            }
+        }
+    }
+}
+
+fn record_accepted<C: Clock>(leader: &Leader<C>) {
+    let mut limit = leader.batch_limit.get();
+    limit.record_accepted();
+    leader.batch_limit.set(limit);
+}
+
+/// Handles a transaction that the store rejects for good: its changes are split further, the one at fault is
+/// given up, or the term ends if the scheduler's row itself is rejected.
+fn handle_rejection<C: Clock>(leader: &Leader<C>, changes: OwnChanges) {
+    let mut limit = leader.batch_limit.get();
+    let fault = limit.record_rejected(changes.count());
+    leader.batch_limit.set(limit);
+    match fault {
+        Fault::SomeChange => changes.settle(leader, false),
+        Fault::Change => changes.give_up(leader),
+        Fault::Common => {
+            changes.settle(leader, false);
+            end_rejected_term(leader);
         }
     }
 }
 
+/// Ends the term because the store rejects the scheduler's row, so that another process takes over.
+fn end_rejected_term<C: Clock>(leader: &Leader<C>) {
+    report_rejected(leader, "term", SCHEDULER_KEY);
+    leader.end("the store rejects the scheduler's row");
+}
+
+/// Reports a change that the store rejects for good.
+pub(super) fn report_rejected<C: Clock>(leader: &Leader<C>, kind: &'static str, key: &str) {
+    let fence = leader.row.borrow().fence;
+    metrics::record_rejected_change(kind);
+    events::record(&events::CHANGE_REJECTED, &[&kind, &key, &fence]);
+}
+
 /// Returns whether callers' changes wait for a turn and their transactions have room for the scheduler's
 /// changes, so that a write for these alone would only take up the store's time.
 fn leaves_turn_to_callers<C: Clock>(leader: &Leader<C>) -> bool {
@@ -132,7 +178,8 @@
     leader.row.borrow_mut().released =
         leader.is_releasing() && leader.node.clock.now() >= leader.release_due();
     let mut builder = builder_with_row(leader);
-    let changes = OwnChanges::take(leader, &mut builder);
+    let max_changes = leader.batch_limit.get().max_changes();
+    let changes = OwnChanges::take(leader, &mut builder, max_changes);
     (changes, builder.build())
 }
 
@@ -175,9 +222,18 @@
     transaction
 }
 
-/// Commits changes and the scheduler's row, with retries until the outcome is known; returns whether
-/// they were committed.
-async fn commit<C: Clock>(leader: &Leader<C>, changes: &Transaction) -> bool {
+/// Result of a write of the scheduler's changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CommitResult {
+    Committed,
+    /// Another process has won the term.
+    TermLost,
+    /// The store rejects the transaction for good.
+    Rejected,
+}
+
+/// Commits changes and the scheduler's row, with retries until the outcome is known.
+async fn commit<C: Clock>(leader: &Leader<C>, changes: &Transaction) -> CommitResult {
     // A write without a response may be committed at any time after it was first sent. A reported
     // commit is the one of the last attempt, so the term counts from `last_sent`. If a conflict
     // shows that an earlier attempt was committed, only `first_sent` is certain to be no later
@@ -189,16 +245,17 @@
             Ok(CommitOutcome::Committed(version)) => {
                 record_commit_time(leader, last_sent);
                 record_commit(leader, version, last_sent);
-                return true;
+                return CommitResult::Committed;
             }
             Ok(CommitOutcome::Conflict(rows)) => match resolve_conflict(leader, &rows) {
                 RowConflict::Committed(version) => {
                     record_commit(leader, version, first_sent);
-                    return true;
+                    return CommitResult::Committed;
                 }
                 RowConflict::EarlierWrite | RowConflict::None => {}
-                RowConflict::TermLost => return false,
+                RowConflict::TermLost => return CommitResult::TermLost,
             },
+            Err(StoreError::Rejected) => return CommitResult::Rejected,
             Err(StoreError::HistoryGone | StoreError::NotApplied | StoreError::NoAnswer) => {
                 sleep(RETRY_DELAY).await;
             }
@@ -247,7 +304,10 @@
     let (own_changes, transaction) = add_due_changes(leader, changes);
     let entries = transaction.entry_count() + ROW_ENTRIES;
     metrics::record_transaction("submissions", entries, turn.waited);
-    let result = commit_once(leader, &transaction).await;
+    let mut result = commit_once(leader, &transaction).await;
+    if result == Err(StoreError::Rejected) {
+        result = commit_after_rejection(leader, changes, own_changes.is_some()).await;
+    }
     drop(turn);
     if let Some(own_changes) = own_changes {
         let stored = matches!(result, Ok(CommitOutcome::Committed(_)));
@@ -276,6 +336,7 @@
     let mut conditions = callers_changes.conditions.iter();
     let is_exclusive = leader.is_releasing()
         || !is_write_due(leader, now)
+        || leader.batch_limit.get() != BatchLimit::default()
         || conditions.any(|(_, key, _)| has_change_of(leader, key));
     if is_exclusive {
         return (None, callers_changes.clone());
@@ -284,10 +345,31 @@
     if !builder.add(callers_changes.clone()) {
         return (None, callers_changes.clone());
     }
-    let changes = OwnChanges::take(leader, &mut builder);
+    let changes = OwnChanges::take(leader, &mut builder, usize::MAX);
     (Some(changes), builder.build())
 }
 
+/// Commits changes of callers without those of the scheduler, after the store has rejected a transaction.
+///
+/// If it rejects them too, the scheduler's row is written alone, which shows whether the row is at fault.
+async fn commit_after_rejection<C: Clock>(
+    leader: &Leader<C>,
+    changes: &Transaction,
+    had_own_changes: bool,
+) -> Result<CommitOutcome, StoreError> {
+    if had_own_changes {
+        let result = commit_once(leader, changes).await;
+        if result != Err(StoreError::Rejected) {
+            return result;
+        }
+    }
+    if commit_once(leader, &Transaction::default()).await == Err(StoreError::Rejected) {
+        end_rejected_term(leader);
+        return Err(StoreError::NotApplied);
+    }
+    Err(StoreError::Rejected)
+}
+
 /// Returns whether the scheduler has changes of the job with a key to store.
 fn has_change_of<C: Clock>(leader: &Leader<C>, job_key: &SmolStr) -> bool {
     let id = job_key.parse::<JobId>();
--- a/crates/snipevane-fleet/src/store/mod.rs
+++ b/crates/snipevane-fleet/src/store/mod.rs
@@ -68,9 +68,12 @@
 /// A call to the store that failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum StoreError {
-    /// The call wasn't carried out.
+    /// The call wasn't carried out, and may be sent again.
     #[error("the store did not carry out the call")]
     NotApplied,
+    /// The call wasn't carried out, and never will be however often it is sent.
+    #[error("the store rejects the call for good")]
+    Rejected,
     /// The call may have been carried out, or may be later.
     #[error("the store did not answer")]
     NoAnswer,
@@ -180,7 +183,8 @@
                 let page = self.decode_page(&response, asked_at)?;
                 Ok(CommitOutcome::Conflict(page.rows))
             }
-            429 | 503 | 400 | 403 | 507 => Err(StoreError::NotApplied),
+            400 | 403 | 413 => Err(StoreError::Rejected),
+            429 | 503 | 507 => Err(StoreError::NotApplied),
             _ => Err(StoreError::NoAnswer),
         }
     }
@@ -327,6 +331,7 @@
         Ok(200) => "done",
         Ok(410) => "history_gone",
         Ok(412) => "conflict",
+        Ok(400 | 403 | 413) => "rejected",
         Ok(429) => "too_many",
         Ok(_) => "refused",
         Err(CallError::NotSent) => "not_sent",
--- a/crates/snipevane-fleet/tests/store_limits.rs
+++ b/crates/snipevane-fleet/tests/store_limits.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use site::{Site, eventually};
+use site::{Site, call, eventually};
 
 /// Longest time until another entry VM takes over from a holder that can't write: the wait of observers, with
 /// reads and heartbeats in between.
@@ -88,3 +88,129 @@
     site.wait_until_completed(other, "00000000000000b2");
     assert_eq!(site.store.invalid_count(), 0);
 }
+
+/// Number of jobs beside the one whose rows the store rejects.
+const SOUND_JOBS: u32 = 20;
+
+/// Largest number of transactions that may be rejected until the change at fault is given up, among those of
+/// all jobs: a few splits, and those of the job's end.
+const MAX_REJECTIONS: u64 = 30;
+
+/// Submits jobs beside one whose rows the store rejects, waits until they are completed, and checks that the
+/// term went on and that the rejected transactions weren't sent again and again.
+fn check_sound_jobs(site: &Site, rejected_id: &str) {
+    let fence = site.row()["fence"].clone();
+    let two_steps = json!({
+        "spec": "2000",
+        "phases": [
+            { "replicas": 2, "cpu": 1_000, "memMb": 100, "estimateMs": 2_000 },
+            { "replicas": 2, "cpu": 1_000, "memMb": 100, "estimateMs": 2_000, "after": [0] },
+        ],
+    });
+    let path = format!("/p/{rejected_id}");
+    let submitted = call(
+        site.nodes[0].callers,
+        "POST",
+        &path,
+        "key",
+        &two_steps.to_string(),
+    );
+    assert_eq!(submitted.0, 200);
+    let ids: Vec<String> = (0..SOUND_JOBS)
+        .map(|n| format!("{:016x}", 0xc000 + n))
+        .collect();
+    for id in &ids {
+        site.submit(0, id, 2, 200);
+    }
+    for id in &ids {
+        site.wait_until_completed(0, id);
+    }
+    // Long enough for a change that is sent again and again to show.
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(site.row()["fence"], fence, "the scheduler lost its term");
+    let rejected = site.store.rejected_count();
+    assert!((1..=MAX_REJECTIONS).contains(&rejected), "{rejected}");
+}
+
+/// Guards against a transaction that is sent again for ever although the store will never accept it.
+#[test]
+fn a_job_whose_progress_is_rejected_fails_alone() {
+    let site = Site::start("rejected-job", 2, 2);
+    let id = "00000000000000d1";
+    site.store.reject(move |writes| {
+        let mut writes = writes.iter();
+        writes.any(|(table, key, row)| table == "progress" && key == id && row["done"].is_array())
+    });
+    check_sound_jobs(&site, id);
+    eventually("failed", || site.state(0, id).contains("failed"));
+    let progress = site.store.get("progress", id);
+    assert_eq!(progress.expect("a row")["state"], "failed");
+}
+
+/// Guards against the end of a job that is written again for ever although the store will never accept it.
+#[test]
+fn a_job_whose_end_is_rejected_keeps_no_other_from_ending() {
+    let site = Site::start("rejected-end", 2, 2);
+    let id = "00000000000000d2";
+    site.store.reject(move |writes| {
+        let mut writes = writes.iter();
+        writes.any(|(table, key, row)| table == "progress" && key == id && row["state"] != "queued")
+    });
+    check_sound_jobs(&site, id);
+}
+
+/// Guards against a rejected submission that takes the submissions of other callers with it.
+#[test]
+fn a_submission_that_is_rejected_disturbs_no_other_caller() {
+    let site = Site::start("rejected-submission", 2, 1);
+    let id = "00000000000000d3";
+    site.store.reject(move |writes| {
+        let mut writes = writes.iter();
+        writes.any(|(table, key, _)| table == "jobs" && key == id)
+    });
+    // The store carries few transactions, so that submissions share them.
+    site.store
+        .set_times(Duration::ZERO, Duration::from_millis(50));
+    let body = json!({
+        "spec": "50", "phases": [{ "replicas": 1, "cpu": 100, "memMb": 10, "estimateMs": 50 }],
+    });
+    let body = body.to_string();
+    let statuses: Vec<u16> = std::thread::scope(|scope| {
+        let body = &body;
+        let callers = site.nodes[0].callers;
+        let ids = (0..SOUND_JOBS).map(|n| format!("{:016x}", 0xe000 + n));
+        let ids = ids.chain([id.to_owned()]);
+        let calls = ids.map(|id| {
+            scope.spawn(move || call(callers, "POST", &format!("/p/{id}"), "key", body).0)
+        });
+        let calls: Vec<_> = calls.collect();
+        calls
+            .into_iter()
+            .map(|status| status.join().expect("a caller"))
+            .collect()
+    });
+    let (rejected, sound) = statuses.split_last().expect("statuses");
+    assert_eq!(*rejected, 422);
+    assert!(sound.iter().all(|&status| status == 200), "{sound:?}");
+    assert!(site.store.rejected_count() <= MAX_REJECTIONS);
+}
+
+/// Guards against a wave whose progress is rejected and that keeps jobs and other waves from being stored.
+#[test]
+fn a_wave_whose_progress_is_rejected_stops_no_other() {
+    let site = Site::start("rejected-wave", 2, 1);
+    site.store.reject(|writes| {
+        let mut writes = writes.iter();
+        writes.any(|(table, key, _)| table == "waves" && key == "7")
+    });
+    request_waves(&site);
+    eventually("completed waves", || {
+        (1..=WAVES).filter(|&number| number != 7).all(|number| {
+            let status = site.store.get("status", &format!("wave/{number}"));
+            status.is_some_and(|status| status["state"] == "completed")
+        })
+    });
+    site.submit(0, "00000000000000d4", 2, 100);
+    site.wait_until_completed(0, "00000000000000d4");
+    assert!(site.store.rejected_count() <= MAX_REJECTIONS);
+}
