Bound the rows of a job's progress

A kill of the holder didn't help, as the next term met the same limit.

Cause: the progress row got an entry of 47 bytes for each step of each occurrence ever done, one for each task with a failed attempt and one for each with a crash, and the store takes 65,536 bytes a row.

Change: entries that are the same are stored once, for ranges of occurrences (done tasks) or of tasks (failed attempts), and failures of completed tasks aren't stored. Single entries are bounded, as are the records of crashes (1,000, those of the most crashes). What still exceeds two thirds of `rowBytes` is spread over up to 8 numbered rows in one transaction (`progress_rows`), which a new term reads together and the end of the job removes.

--- a/crates/snipevane-core/src/jobs/ending/changes.rs
+++ b/crates/snipevane-core/src/jobs/ending/changes.rs
@@ -15,6 +15,8 @@
     pub id: JobId,
     /// Progress to store.
     pub progress: Progress,
+    /// Number of further rows in which parts of the progress may be stored.
+    pub stored_parts: u32,
     key: JobKey,
     /// Number of changes to the record of crashes that the progress contains.
     crash_changes: u32,
@@ -65,6 +67,7 @@
                 let change = JobChange {
                     id: job.id,
                     progress: job.progress(),
+                    stored_parts: job.stored_parts,
                     key,
                     crash_changes: job.crash_changes,
                 };
@@ -113,6 +116,14 @@
         self.ended.remove(id);
     }
 
+    /// Records that the progress of a job is being written to this number of further rows.
+    pub fn record_progress_parts(&mut self, id: JobId, parts: u32) {
+        let key = self.job_ids.get(&id);
+        if let Some(job) = key.and_then(|&key| self.jobs.get_mut(key)) {
+            job.stored_parts = job.stored_parts.max(parts);
+        }
+    }
+
     /// Records that changes were stored, so that the ends in them can be acknowledged to the
     /// minions.
     pub fn changes_stored(&mut self, changes: &Changes) {
--- a/crates/snipevane-core/src/jobs/intake/submissions.rs
+++ b/crates/snipevane-core/src/jobs/intake/submissions.rs
@@ -222,6 +222,7 @@
             max_attempts: queue.max_attempts.max(1),
             crash_changes: 0,
             stored_crash_changes: 0,
+            stored_parts: 0,
             ended_unix_ms: 0,
         }
     }
--- a/crates/snipevane-core/src/jobs/model/job.rs
+++ b/crates/snipevane-core/src/jobs/model/job.rs
@@ -1,5 +1,6 @@
 //! In-memory state of a job: its occurrences, steps and tasks.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -85,6 +86,13 @@
     pub fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
     }
+
+    /// Returns the indices of the completed tasks, as ranges with first and last index.
+    fn done_ranges(&self) -> Vec<(u32, u32)> {
+        let tasks = self.tasks.iter().enumerate();
+        let done = tasks.filter(|(_, task)| task.done);
+        collapse_ranges(done.map(|(index, _)| index as u32))
+    }
 }
 
 /// One execution of all steps of a job; a scheduled job has several.
@@ -134,6 +142,8 @@
     pub crash_changes: u32,
     /// Number of these changes that are known to be stored.
     pub stored_crash_changes: u32,
+    /// Number of further rows in which parts of the progress may be stored.
+    pub stored_parts: u32,
     /// Time at which the state became final, in Unix milliseconds; 0 before.
     pub ended_unix_ms: u64,
 }
@@ -223,38 +233,50 @@
         if self.state.is_final() {
             return progress;
         }
+        self.add_done(&mut progress);
         for (number, occurrence) in self.occurrences.iter().enumerate() {
             for (step, state) in occurrence.steps.iter().enumerate() {
                 let position = (number as u32, step as u32);
-                add_done(&mut progress, position, state);
                 add_failed(&mut progress, position, state);
                 add_crashed(&mut progress, position, state);
             }
         }
+        progress.limit_crashes();
         progress
     }
 
+    /// Adds the completed tasks to the progress to store: one entry for all occurrences of a step in which the
+    /// same tasks are completed.
+    fn add_done(&self, progress: &mut Progress) {
+        let mut occurrences: BTreeMap<(u32, Vec<(u32, u32)>), Vec<u32>> = BTreeMap::new();
+        for (number, occurrence) in self.occurrences.iter().enumerate() {
+            let steps = occurrence.steps.iter().enumerate();
+            for (step, state) in steps.filter(|(_, state)| state.done > 0) {
+                let same = occurrences.entry((step as u32, state.done_ranges()));
+                same.or_default().push(number as u32);
+            }
+        }
+        for ((step, ranges), occurrences) in &occurrences {
+            progress.add_done(*step, ranges, occurrences);
+        }
+    }
+
     /// Restores the progress that was read from the store.
     pub fn restore(&mut self, progress: &Progress) {
         self.state = progress.state;
         self.ended_unix_ms = progress.ended_unix_ms;
+        self.stored_parts = progress.parts;
         if self.state.is_final() {
             return;
         }
         for done in &progress.done {
-            self.restore_done(done);
+            for occurrence in done.occurrences() {
+                self.restore_done(occurrence, done);
+            }
         }
         for failed in &progress.failed {
-            let task_ref = TaskRef {
-                occurrence: failed.occurrence,
-                step: failed.step,
-                index: failed.task,
-            };
-            self.add_occurrences_through(failed.occurrence);
-            if let Some(task) = self.task_mut(task_ref) {
-                task.failed_attempts.clone_from(&failed.attempts);
-                let highest = failed.attempts.iter().max().copied();
-                task.last_attempt = task.last_attempt.max(highest.unwrap_or(0));
+            for task in failed.tasks() {
+                self.restore_failed(task, failed);
             }
         }
         for crashed in &progress.crashed {
@@ -276,10 +298,25 @@
         task.last_attempt = task.last_attempt.max(task.crashes.last_attempt());
     }
 
-    fn restore_done(&mut self, done: &DoneTasks) {
-        self.add_occurrences_through(done.occurrence);
+    fn restore_failed(&mut self, task: u32, failed: &FailedRuns) {
         let task_ref = TaskRef {
-            occurrence: done.occurrence,
+            occurrence: failed.occurrence,
+            step: failed.step,
+            index: task,
+        };
+        self.add_occurrences_through(failed.occurrence);
+        let Some(task) = self.task_mut(task_ref) else {
+            return;
+        };
+        task.failed_attempts.extend(&failed.attempts);
+        let highest = failed.attempts.iter().max().copied();
+        task.last_attempt = task.last_attempt.max(highest.unwrap_or(0));
+    }
+
+    fn restore_done(&mut self, occurrence: u32, done: &DoneTasks) {
+        self.add_occurrences_through(occurrence);
+        let task_ref = TaskRef {
+            occurrence,
             step: done.step,
             index: 0,
         };
@@ -309,34 +346,19 @@
     }
 }
 
-/// Adds the completed tasks of a step to the progress to store.
-fn add_done(progress: &mut Progress, (occurrence, step): (u32, u32), state: &Step) {
-    if state.done == 0 {
-        return;
-    }
-    let numbered = state.tasks.iter().enumerate();
-    let done = numbered
-        .filter(|(_, task)| task.done)
-        .map(|(index, _)| index as u32);
-    progress.done.push(DoneTasks {
-        occurrence,
-        step,
-        ranges: collapse_ranges(done),
-    });
-}
-
-/// Adds the failed attempts of a step's tasks to the progress to store.
-fn add_failed(progress: &mut Progress, (occurrence, step): (u32, u32), state: &Step) {
+/// Adds the failed attempts of a step's tasks to the progress to store: one entry for all tasks with the same
+/// attempts. A completed task doesn't start again, so its failures don't count any more.
+fn add_failed(progress: &mut Progress, position: (u32, u32), state: &Step) {
+    let mut tasks: BTreeMap<&[u32], Vec<u32>> = BTreeMap::new();
     for (index, task) in state.tasks.iter().enumerate() {
-        if !task.failed_attempts.is_empty() {
-            progress.failed.push(FailedRuns {
-                occurrence,
-                step,
-                task: index as u32,
-                attempts: task.failed_attempts.clone(),
-            });
+        if !task.done && !task.failed_attempts.is_empty() {
+            let same = tasks.entry(&task.failed_attempts);
+            same.or_default().push(index as u32);
         }
     }
+    for (attempts, tasks) in &tasks {
+        progress.add_failed(position, attempts, tasks);
+    }
 }
 
 /// Adds the crashes under a step's tasks to the progress to store.
--- a/crates/snipevane-core/src/jobs/model/progress.rs
+++ b/crates/snipevane-core/src/jobs/model/progress.rs
@@ -39,28 +39,60 @@
     }
 }
 
-/// Completed tasks of one step.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Largest number of ranges, or of attempts, in one entry of the progress, so that no entry is larger than a
+/// row of the store.
+const MAX_ENTRY_ITEMS: usize = 500;
+
+/// Largest number of records of crashes that are stored. Further ones, which matter least, are forgotten by the
+/// next term.
+const MAX_CRASH_RECORDS: usize = 1_000;
+
+/// Completed tasks of one step, which are the same in several occurrences.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DoneTasks {
-    /// Index of the occurrence.
+    /// Index of the first occurrence.
     pub occurrence: u32,
     /// Index of the step.
     pub step: u32,
     /// Contiguous ranges of task indices, as first and last index.
     pub ranges: Vec<(u32, u32)>,
+    /// Further occurrences, as ranges with first and last index.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub further_occurrences: Vec<(u32, u32)>,
+}
+
+impl DoneTasks {
+    /// Returns the indices of all occurrences.
+    pub(in crate::jobs) fn occurrences(&self) -> impl Iterator<Item = u32> + '_ {
+        let further = self.further_occurrences.iter();
+        let further = further.flat_map(|&(first, last)| first..=last);
+        std::iter::once(self.occurrence).chain(further)
+    }
 }
 
-/// Failed attempts of one task.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Failed attempts, which are the same for several tasks of one step.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FailedRuns {
     /// Index of the occurrence.
     pub occurrence: u32,
     /// Index of the step.
     pub step: u32,
-    /// Index of the task in its step.
+    /// Index of the first task in its step.
     pub task: u32,
     /// Numbers of the attempts that failed.
     pub attempts: Vec<u32>,
+    /// Further tasks, as ranges with first and last index.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub further_tasks: Vec<(u32, u32)>,
+}
+
+impl FailedRuns {
+    /// Returns the indices of all tasks.
+    pub(in crate::jobs) fn tasks(&self) -> impl Iterator<Item = u32> + '_ {
+        let further = self.further_tasks.iter();
+        let further = further.flat_map(|&(first, last)| first..=last);
+        std::iter::once(self.task).chain(further)
+    }
 }
 
 /// Crashes of minions that had a run of one task.
@@ -88,7 +120,7 @@
     pub on_trial: Option<Trial>,
 }
 
-/// Stored progress of a job.
+/// Stored progress of a job, or a part of it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     /// State of the job.
@@ -105,6 +137,67 @@
     /// Time at which the state became final, in Unix milliseconds; 0 before.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub ended_unix_ms: u64,
+    /// Number of further rows with parts of the progress.
+    #[serde(default, skip_serializing_if = "is_zero_count")]
+    pub parts: u32,
+}
+
+impl Progress {
+    /// Adds the tasks that are completed in each of these occurrences of a step, given in ascending order.
+    pub(in crate::jobs) fn add_done(
+        &mut self,
+        step: u32,
+        ranges: &[(u32, u32)],
+        occurrences: &[u32],
+    ) {
+        for (first, further) in split_ranges(occurrences.iter().copied()) {
+            for ranges in ranges.chunks(MAX_ENTRY_ITEMS) {
+                self.done.push(DoneTasks {
+                    occurrence: first,
+                    step,
+                    ranges: ranges.to_vec(),
+                    further_occurrences: further.clone(),
+                });
+            }
+        }
+    }
+
+    /// Adds the attempts that failed for each of these tasks of a step, given in ascending order.
+    pub(in crate::jobs) fn add_failed(
+        &mut self,
+        (occurrence, step): (u32, u32),
+        attempts: &[u32],
+        tasks: &[u32],
+    ) {
+        for (first, further) in split_ranges(tasks.iter().copied()) {
+            for attempts in attempts.chunks(MAX_ENTRY_ITEMS) {
+                self.failed.push(FailedRuns {
+                    occurrence,
+                    step,
+                    task: first,
+                    attempts: attempts.to_vec(),
+                    further_tasks: further.clone(),
+                });
+            }
+        }
+    }
+
+    /// Keeps only as many records of crashes as are stored: those of the most crashes.
+    pub(in crate::jobs) fn limit_crashes(&mut self) {
+        if self.crashed.len() > MAX_CRASH_RECORDS {
+            let weight = |record: &CrashedRuns| (record.attributed, record.attempts.len());
+            self.crashed
+                .sort_by_key(|record| std::cmp::Reverse(weight(record)));
+            self.crashed.truncate(MAX_CRASH_RECORDS);
+        }
+    }
+
+    /// Adds a part of the progress that was stored in a row of its own.
+    pub fn merge(&mut self, part: Self) {
+        self.done.extend(part.done);
+        self.failed.extend(part.failed);
+        self.crashed.extend(part.crashed);
+    }
 }
 
 fn is_zero(value: &u64) -> bool {
@@ -126,3 +219,17 @@
     }
     ranges
 }
+
+/// Splits ascending numbers into entries, each with the first number and the further ones as ranges.
+fn split_ranges(numbers: impl Iterator<Item = u32>) -> Vec<(u32, Vec<(u32, u32)>)> {
+    let ranges = collapse_ranges(numbers);
+    let entries = ranges.chunks(MAX_ENTRY_ITEMS).filter_map(|chunk| {
+        let (&(first, last), rest) = chunk.split_first()?;
+        let mut further = rest.to_vec();
+        if first < last {
+            further.insert(0, (first + 1, last));
+        }
+        Some((first, further))
+    });
+    entries.collect()
+}
--- a/crates/snipevane-fleet/src/lib.rs
+++ b/crates/snipevane-fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod peers;
 pub mod process;
+pub mod progress_rows;
 pub mod rows;
 pub mod scheduling;
 pub mod senders;
--- a/crates/snipevane-fleet/src/scheduling/feeds.rs
+++ b/crates/snipevane-fleet/src/scheduling/feeds.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::Clock;
 use crate::events;
+use crate::progress_rows;
 use crate::rows::{self, JOBS_TABLE, JobsTableKey, PROGRESS_TABLE};
 use crate::store::StoreError;
 
@@ -83,11 +84,7 @@
     leader: &Leader<C>,
 ) -> Result<FxHashMap<JobId, Progress>, StoreError> {
     let page = leader.node.store.read(PROGRESS_TABLE, "", "").await?;
-    let decoded = page.rows.iter().filter_map(|row| {
-        let id = row.key.parse().ok()?;
-        Some((id, rows::decode(&row.key, row.value.as_ref()?)?))
-    });
-    Ok(decoded.collect())
+    Ok(progress_rows::decode_all(&page.rows))
 }
 
 async fn follow_job_changes<C: Clock>(leader: &Leader<C>, mut version: u64) {
--- a/crates/snipevane-fleet/src/scheduling/own_changes.rs
+++ b/crates/snipevane-fleet/src/scheduling/own_changes.rs
@@ -1,13 +1,13 @@
 //! The scheduler's changes in one write: which ones a transaction has room for, and what follows from its
 //! outcome.
 
-use smol_str::SmolStr;
 use snipevane_adapter::rows::Transaction;
 use snipevane_core::jobs::{Changes, JobChange, JobId, WaveProgress};
 
 use crate::clock::Clock;
 use crate::events;
-use crate::rows::{self, JOBS_TABLE, PROGRESS_TABLE};
+use crate::progress_rows;
+use crate::rows::{self, PROGRESS_TABLE};
 use crate::store::TransactionBuilder;
 
 use super::leader::Leader;
@@ -107,16 +107,42 @@
         max_changes: usize,
     ) {
         let max_entries = builder.entry_count() + MAX_JOB_ENTRIES;
+        let max_row_bytes = leader.node.settings.max_row_bytes;
         let mut room = max_changes.saturating_sub(self.count());
+        let mut parts: Vec<(JobId, u32)> = Vec::new();
+        let mut too_large: Option<JobChange> = None;
         let admit = |change: &JobChange| {
-            let part = encode_change(change);
-            let fits = room > 0
-                && builder.entry_count() + part.entry_count() <= max_entries
-                && builder.add(part);
-            room = room.saturating_sub(1);
-            fits
+            if room == 0 {
+                return false;
+            }
+            let encoded = progress_rows::encode(
+                change.id,
+                &change.progress,
+                change.stored_parts,
+                max_row_bytes,
+            );
+            let Ok((part, further)) = encoded else {
+                too_large = Some(change.clone());
+                return false;
+            };
+            if builder.entry_count() + part.entry_count() > max_entries || !builder.add(part) {
+                return false;
+            }
+            room -= 1;
+            if further > 0 {
+                parts.push((change.id, further));
+            }
+            true
         };
-        self.jobs = leader.scheduler.borrow_mut().take_changes(admit);
+        let mut scheduler = leader.scheduler.borrow_mut();
+        self.jobs = scheduler.take_changes(admit);
+        for (id, further) in parts {
+            scheduler.record_progress_parts(id, further);
+        }
+        drop(scheduler);
+        if let Some(change) = too_large {
+            give_up_job(leader, &change);
+        }
     }
 
     fn take_expired<C: Clock>(
@@ -188,13 +214,8 @@
     ///
     /// A job fails. The progress of a wave, or the removal of old rows, stays unstored.
     pub(super) fn give_up<C: Clock>(self, leader: &Leader<C>) {
-        let unix_ms = leader.node.clock.unix_ms();
         for change in &self.jobs.jobs {
-            report_rejected(leader, "job", &change.id.to_string());
-            leader
-                .scheduler
-                .borrow_mut()
-                .change_rejected(change, unix_ms);
+            give_up_job(leader, change);
         }
         for wave in &self.waves {
             report_rejected(leader, "wave", &wave.number.to_string());
@@ -211,20 +232,12 @@
     }
 }
 
-/// Returns the entries that store the change of a job.
-fn encode_change(change: &JobChange) -> Transaction {
-    let key: SmolStr = rows::job_key(change.id);
-    let mut transaction = Transaction::default();
-    if change.progress.state.is_final() {
-        transaction.removals.push((JOBS_TABLE.into(), key.clone()));
-        transaction
-            .removals
-            .push((JOBS_TABLE.into(), rows::cancel_key(change.id)));
-    }
-    transaction
-        .writes
-        .push((PROGRESS_TABLE.into(), key, rows::encode(&change.progress)));
-    transaction
+/// Ends a job whose progress can't be stored.
+fn give_up_job<C: Clock>(leader: &Leader<C>, change: &JobChange) {
+    let unix_ms = leader.node.clock.unix_ms();
+    report_rejected(leader, "job", &change.id.to_string());
+    let mut scheduler = leader.scheduler.borrow_mut();
+    scheduler.change_rejected(change, unix_ms);
 }
 
 /// Logs the jobs whose end is now stored and thus visible to callers.
--- /dev/null
+++ b/crates/snipevane-fleet/tests/progress_rows.rs
@@ -0,0 +1,140 @@
+//! Tests of the rows that store the progress of jobs: none exceeds the store's limit, and the progress that a new
+//! term reads is the one that was written.
+
+#![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
+
+use std::collections::BTreeMap;
+
+use rstest::rstest;
+use smol_str::SmolStr;
+use snipevane_adapter::rows::{MAX_TRANSACTION_BYTES, Row, Transaction};
+use snipevane_core::jobs::{CrashedRuns, DoneTasks, FailedRuns, JobId, JobState, Progress};
+use snipevane_fleet::progress_rows::{decode_all, encode};
+
+const MAX_ROW_BYTES: usize = 65_536;
+
+/// Progress of a job that repeats, of which every other occurrence has done its second step.
+fn overlapping_occurrences(occurrences: u32) -> Progress {
+    let done = |step: u32, occurrence: u32| DoneTasks {
+        occurrence,
+        step,
+        ranges: vec![(0, 3)],
+        further_occurrences: Vec::new(),
+    };
+    let first = (0..occurrences).map(|occurrence| done(0, occurrence));
+    let second = (0..occurrences).step_by(2);
+    let second = second.map(|occurrence| done(1, occurrence));
+    Progress {
+        state: JobState::Running,
+        done: first.chain(second).collect(),
+        ..Progress::default()
+    }
+}
+
+/// Progress of a wide step, each of whose tasks has failed once or under whose runs a minion has crashed.
+fn wide_step(tasks: u32) -> Progress {
+    let failed = (0..tasks).step_by(2).map(|task| FailedRuns {
+        task,
+        attempts: vec![task + 1],
+        ..FailedRuns::default()
+    });
+    let crashed = (1..tasks).step_by(2).map(|task| CrashedRuns {
+        task,
+        attempts: vec![1, 2],
+        ..CrashedRuns::default()
+    });
+    Progress {
+        state: JobState::Running,
+        failed: failed.collect(),
+        crashed: crashed.collect(),
+        ..Progress::default()
+    }
+}
+
+/// Applies a transaction to the table of progress, and checks the size of each row.
+fn apply(table: &mut BTreeMap<SmolStr, Vec<u8>>, transaction: &Transaction) {
+    assert!(transaction.max_encoded_bytes() < MAX_TRANSACTION_BYTES);
+    for (_, key, value) in &transaction.writes {
+        assert!(
+            value.len().div_ceil(3) * 4 <= MAX_ROW_BYTES,
+            "{} bytes",
+            value.len()
+        );
+        table.insert(key.clone(), value.clone());
+    }
+    let removals = transaction.removals.iter();
+    for (_, key) in removals.filter(|(name, _)| name == "progress") {
+        table.remove(key);
+    }
+}
+
+fn read(table: &BTreeMap<SmolStr, Vec<u8>>) -> BTreeMap<JobId, Progress> {
+    let rows = table.iter().map(|(key, value)| Row {
+        table: "progress".into(),
+        key: key.clone(),
+        version: 1,
+        value: Some(value.clone()),
+    });
+    let rows: Vec<Row> = rows.collect();
+    decode_all(&rows).into_iter().collect()
+}
+
+/// Guards against progress that outgrows a row, which the store rejects for good.
+#[rstest]
+#[case::small(overlapping_occurrences(3), 0)]
+#[case::many_occurrences(overlapping_occurrences(2_500), 3)]
+#[case::wide_step(wide_step(3_000), 3)]
+fn large_progress_is_spread_over_rows(#[case] progress: Progress, #[case] min_further: u32) {
+    let id = JobId::new(7);
+    let mut table = BTreeMap::new();
+    let (transaction, further) =
+        encode(id, &progress, 0, MAX_ROW_BYTES).expect("progress that fits");
+    assert!(further >= min_further);
+    apply(&mut table, &transaction);
+    let other = JobId::new(8);
+    let (transaction, _) =
+        encode(other, &overlapping_occurrences(1), 0, MAX_ROW_BYTES).expect("fits");
+    apply(&mut table, &transaction);
+    let stored = read(&table);
+    let expected = Progress {
+        parts: further,
+        ..progress
+    };
+    assert_eq!(stored[&id], expected);
+    assert_eq!(stored.len(), 2);
+}
+
+/// Guards against parts of earlier progress that are read again, or left over once the job has ended.
+#[test]
+fn parts_of_earlier_progress_do_not_stay() {
+    let id = JobId::new(7);
+    let mut table = BTreeMap::new();
+    let (transaction, further) =
+        encode(id, &wide_step(3_000), 0, MAX_ROW_BYTES).expect("progress that fits");
+    apply(&mut table, &transaction);
+    let smaller = overlapping_occurrences(2);
+    let (transaction, still) = encode(id, &smaller, further, MAX_ROW_BYTES).expect("fits");
+    assert_eq!(still, further);
+    apply(&mut table, &transaction);
+    let expected = Progress {
+        parts: further,
+        ..smaller
+    };
+    assert_eq!(read(&table)[&id], expected);
+    let ended = Progress {
+        state: JobState::Completed,
+        ended_unix_ms: 5,
+        ..Progress::default()
+    };
+    let (transaction, _) = encode(id, &ended, further, MAX_ROW_BYTES).expect("fits");
+    apply(&mut table, &transaction);
+    assert_eq!(table.len(), 1);
+    assert_eq!(read(&table)[&id], ended);
+}
+
+/// Guards against progress without a bound: what no transaction has room for is told, so that the job ends.
+#[test]
+fn progress_that_fits_in_no_transaction_is_told() {
+    let error = encode(JobId::new(7), &wide_step(20_000), 0, MAX_ROW_BYTES);
+    assert!(error.is_err_and(|error| error.needed_rows > 8));
+}
--- a/crates/snipevane-fleet/tests/store_limits.rs
+++ b/crates/snipevane-fleet/tests/store_limits.rs
@@ -214,3 +214,44 @@
     site.wait_until_completed(0, "00000000000000d4");
     assert!(site.store.rejected_count() <= MAX_REJECTIONS);
 }
+
+/// Guards against a job that repeats and whose progress outgrows a row of the store, after which nothing is stored
+/// any more, also by the next term.
+#[test]
+fn a_job_that_repeats_often_stops_no_other() {
+    let mut site = Site::start("repeats", 3, 2);
+    let phase = |after: &[u32]| json!({ "replicas": 1, "cpu": 10, "memMb": 1, "estimateMs": 20, "after": after });
+    let now_ms = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .expect("a time after 1970");
+    let body = json!({
+        "spec": "20",
+        "phases": [phase(&[]), phase(&[0]), phase(&[1]), phase(&[2])],
+        "repeatCount": REPEATS, "intervalMs": 10, "startAtMs": now_ms.as_millis() as u64,
+    });
+    let id = "00000000000000f1";
+    let path = format!("/p/{id}");
+    let submitted = call(
+        site.nodes[0].callers,
+        "POST",
+        &path,
+        "key",
+        &body.to_string(),
+    );
+    assert_eq!(submitted.0, 200);
+    std::thread::sleep(Duration::from_secs(5));
+    let holder = site.scheduler().expect("a scheduler");
+    site.nodes[holder].kill();
+    let other = (holder + 1) % 3;
+    site.submit(other, "00000000000000f2", 4, 100);
+    site.wait_until_completed(other, "00000000000000f2");
+    site.wait_until_completed(other, id);
+    assert_eq!(site.store.invalid_count(), 0);
+    assert_eq!(site.store.keys("progress").len(), 2);
+    let mut ended: Vec<String> = site.started();
+    ended.dedup();
+    assert_eq!(ended.len(), 4 * REPEATS + 4, "each task has started");
+}
+
+/// Number of occurrences of the job that repeats; without a bound, its progress had over 180,000 bytes.
+const REPEATS: usize = 1_000;
--- a/tests/src/jobs/job_site/delivery.rs
+++ b/tests/src/jobs/job_site/delivery.rs
@@ -4,7 +4,9 @@
 
 use rand::RngExt;
 use smol_str::{SmolStr, format_smolstr};
-use snipevane_core::jobs::{Action, AdviceReply, HoldReply, OrderReply, Refusal, StartOrder};
+use snipevane_core::jobs::{
+    Action, AdviceReply, HoldReply, MinionKey, OrderReply, Refusal, StartOrder,
+};
 
 use super::super::minion::{FakeMinion, TaskKind};
 use super::super::network::Call;
@@ -26,6 +28,12 @@
         self.starts_sent += usize::from(matches!(action, Action::Start(_)));
         let to = recipient(&action);
         let reachable = self.minions.get(&to).is_some_and(|minion| minion.up);
+        if self.reaches_another_minion(&action) {
+            let outcome = refused_by_another(&action, self.now);
+            let delay = Duration::from_millis(self.random.random_range(1..30));
+            self.schedule(delay, Event::Deliver(action, outcome));
+            return;
+        }
         if !reachable || self.partitioned.contains(&to) {
             self.deliver_no_answer(action);
             return;
@@ -62,6 +70,26 @@
         }
     }
 
+    /// Returns whether another minion answers at the address to which an order goes. It refuses the order.
+    fn reaches_another_minion(&self, action: &Action) -> bool {
+        let known = self.scheduler.minion(recipient_key(action));
+        let Some(address) = known.map(|minion| &minion.entry.address) else {
+            return false;
+        };
+        let to = recipient(action);
+        let is_recipient_there = self
+            .minions
+            .get(&to)
+            .is_some_and(|minion| minion.up && minion.entry.address == *address);
+        let mut others = self.minions.iter().filter(|(id, minion)| {
+            **id != to
+                && minion.up
+                && !self.partitioned.contains(*id)
+                && minion.entry.address == *address
+        });
+        !is_recipient_there && others.next().is_some()
+    }
+
     /// Returns whether the sender of an order fails; schedules what comes of the order then.
     fn fails_on_the_way(&mut self, action: &Action, faults: Faults) -> bool {
         let Action::Start(order) = action else {
@@ -278,10 +306,40 @@
             } else {
                 Some(spec.estimate())
             },
-            fails: self.failing_steps.contains(&(id.job, id.step)),
+            fails: self.failing_steps.contains(&(id.job, id.step)) || self.fails_first_run(order),
             crashes_after: self.crashing_tasks.get(&order.task).copied(),
         }
     }
+
+    /// Returns whether this is the first run of a task whose first run fails.
+    fn fails_first_run(&self, order: &StartOrder) -> bool {
+        let selected = self.first_failure_every;
+        let selected = selected.is_some_and(|every| order.task.index.is_multiple_of(every));
+        selected && !self.records.iter().any(|run| run.task == order.task)
+    }
+}
+
+/// Returns the outcome of an order that reaches another minion than the intended one.
+fn refused_by_another(action: &Action, sent_at: Duration) -> Outcome {
+    match action {
+        Action::Hold(_) => Outcome::Hold(HoldReply::Refused(Refusal::WrongIncarnation), sent_at),
+        _ => Outcome::Order(OrderReply::Refused(Refusal::WrongIncarnation), sent_at),
+    }
+}
+
+/// Returns the key of the minion that an order is addressed to.
+///
+/// # Panics
+///
+/// Panics on a request to the advisor.
+fn recipient_key(action: &Action) -> MinionKey {
+    match action {
+        Action::Start(order) => order.to.minion,
+        Action::Stop(order) => order.to.minion,
+        Action::Hold(order) => order.to.minion,
+        Action::SetCpuShare(order) => order.to.minion,
+        Action::RequestAdvice(order) => unreachable!("{order:?} goes to no minion"),
+    }
 }
 
 /// Returns the identifier of the minion that an order is addressed to.
--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -127,6 +127,8 @@
     pub advice_requests: Vec<Vec<SmolStr>>,
     /// Steps whose tasks fail at the end of their run time.
     pub failing_steps: BTreeSet<(JobId, u32)>,
+    /// The first run of each task whose index is a multiple of this fails; `None` if none does.
+    pub first_failure_every: Option<u32>,
     /// Tasks that crash each minion that starts them, with the time from the start to the crash.
     pub crashing_tasks: BTreeMap<TaskId, Duration>,
     /// Whether a minion that has crashed comes back under its former identifier.
@@ -184,6 +186,7 @@
             allowed: BTreeSet::new(),
             advice_requests: Vec::new(),
             failing_steps: BTreeSet::new(),
+            first_failure_every: None,
             crashing_tasks: BTreeMap::new(),
             crashed_minions_keep_ids: false,
             lists_vms: false,
@@ -335,6 +338,15 @@
         self.list_minions();
     }
 
+    /// Returns the progress of a job as last stored.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the job was never submitted.
+    pub fn stored_progress(&self, id: JobId) -> &Progress {
+        &self.jobs[&id].progress
+    }
+
     fn store(&mut self) {
         let changes = self.scheduler.take_changes(room_for(90));
         for change in &changes.jobs {
