End runs only on the word of their minion

Cause: `upsert_minion` took a new entry with a known address and a later start as proof that the earlier minion there was gone, and an entry with a known identifier and a later start as proof of a restart, and ended their runs. Any writer can write such an entry. A third way was found beside them: an entry that gives a minion another address, where whatever answers refuses orders for it, which counted as proof too.

Change: entries end no runs. One that tells of another minion at the address, or of a restart, makes the scheduler ask the known incarnation for its runs at once, without waiting for a long poll in flight, and place nothing there until it has listed them; its list or its refusal decides. A refusal by another incarnation counts only at the address at which the minion last listed its runs. `LossReason::AddressTaken` is gone.

--- a/crates/snipevane-core/src/jobs/event.rs
+++ b/crates/snipevane-core/src/jobs/event.rs
@@ -20,8 +20,6 @@
     IncarnationGone,
     /// The minion doesn't answer, and no VM hosts it.
     NotHosted,
-    /// Another minion has registered with the minion's address.
-    AddressTaken,
     /// The start order hadn't been sent when the minion's availability zone was evacuated.
     ZoneEvacuated,
     /// The minion refused the start order.
--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -13,10 +13,11 @@
 impl Scheduler {
     /// Adds a minion, or updates its entry.
     ///
-    /// Ends the runs of the earlier incarnation if the entry shows that the minion has restarted.
+    /// Others may write entries too, so an entry ends no runs. If it tells that a minion has restarted, or that
+    /// another one has its address, the known incarnation is asked for its runs at once.
     pub fn upsert_minion(&mut self, entry: MinionEntry, now: Duration) {
         let Some(&key) = self.minion_ids.get(&entry.id) else {
-            self.end_runs_at_address(&entry);
+            self.ask_minion_at_address(&entry, now);
             let id = entry.id.clone();
             let mut minion = Minion::new(entry, self.unreported.until);
             minion.recorded = self.unreported.minions.contains_key(&id);
@@ -32,13 +33,6 @@
             && minion
                 .incarnation
                 .is_some_and(|incarnation| incarnation < entry.started_unix_ms);
-        if restarted {
-            let incarnation = entry.started_unix_ms;
-            self.handle_restart(key, incarnation, Duration::MAX, &FxHashSet::default(), now);
-        }
-        let Some(minion) = self.minions.get_mut(key) else {
-            return;
-        };
         let address_changed = minion.entry.address != entry.address;
         minion.entry = entry;
         minion.record_warmup(now);
@@ -46,11 +40,15 @@
         if address_changed {
             minion.hold_failures = 0;
             minion.hold_not_before = now;
+            minion.address_changed_at = now;
+        }
+        if restarted {
+            self.ask_for_runs(key, now);
         }
     }
 
-    /// Ends the runs of an earlier minion at the address of one that has just joined.
-    fn end_runs_at_address(&mut self, joined: &MinionEntry) {
+    /// Asks an earlier minion at the address of one that has just joined whether it still runs.
+    fn ask_minion_at_address(&mut self, joined: &MinionEntry, now: Duration) {
         let mut minions = self.minions.iter();
         let earlier = minions.find(|(_, minion)| {
             let began_earlier = minion
@@ -59,8 +57,7 @@
             minion.entry.address == joined.address && began_earlier
         });
         if let Some((key, _)) = earlier {
-            self.handle_lost_incarnation(key, LossReason::AddressTaken);
-            self.mark_suspect(key);
+            self.ask_for_runs(key, now);
         }
     }
 
@@ -221,6 +218,15 @@
         }
     }
 
+    /// Handles the refusal of a hold by another incarnation: ends all runs of the minion, except those with an order
+    /// in flight, unless the address isn't the one at which the minion listed them.
+    pub(in crate::jobs) fn handle_other_incarnation(&mut self, key: MinionKey) {
+        let minion = self.minions.get(key);
+        if minion.is_some_and(Minion::is_where_it_listed_runs) {
+            self.handle_lost_incarnation(key, LossReason::IncarnationGone);
+        }
+    }
+
     /// Ends all runs of a minion whose incarnation no longer exists, except those with an order in
     /// flight.
     pub(in crate::jobs) fn handle_lost_incarnation(&mut self, key: MinionKey, reason: LossReason) {
--- a/crates/snipevane-core/src/jobs/running/holds.rs
+++ b/crates/snipevane-core/src/jobs/running/holds.rs
@@ -50,6 +50,19 @@
         }
     }
 
+    /// Asks a minion for its runs at once, also if it may still answer a long poll, and places nothing on it until
+    /// it has listed them.
+    pub(in crate::jobs) fn ask_for_runs(&mut self, key: MinionKey, now: Duration) {
+        let Some(minion) = self.minions.get_mut(key) else {
+            return;
+        };
+        minion.suspect = true;
+        minion.hold_not_before = now;
+        if minion.holds.may_repeat() {
+            self.repeat_hold(key, now);
+        }
+    }
+
     /// Sends the present hold to a minion again, to be answered without waiting.
     fn repeat_hold(&mut self, key: MinionKey, now: Duration) {
         let (Some(to), Some(minion)) = (self.recipient(key), self.minions.get_mut(key)) else {
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -9,7 +9,7 @@
 use super::transmissions::Settled;
 use crate::jobs::action::{Action, Recipient, StartOrder, StopOrder};
 use crate::jobs::event::{LossReason, RepeatedOrder, SchedulerEvent, StopReason};
-use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::minions::minion::{Minion, MinionKey};
 use crate::jobs::model::run::{OrderReply, Refusal, RunKey, RunPhase};
 use crate::jobs::scheduler::Scheduler;
 
@@ -138,7 +138,7 @@
                 self.stop_confirmed(key, now);
             }
             OrderReply::Refused(Refusal::Fenced) => self.deposed = true,
-            OrderReply::Refused(Refusal::WrongIncarnation) => {
+            OrderReply::Refused(Refusal::WrongIncarnation) if self.is_asked_for_runs(minion) => {
                 self.end_runs_of_gone_minion(minion, &[key], LossReason::IncarnationGone);
             }
             OrderReply::Refused(_) | OrderReply::NoAnswer
@@ -152,6 +152,12 @@
         }
     }
 
+    /// Returns whether orders to a minion go to the address at which it listed its runs.
+    fn is_asked_for_runs(&self, key: MinionKey) -> bool {
+        let minion = self.minions.get(key);
+        minion.is_some_and(Minion::is_where_it_listed_runs)
+    }
+
     fn stop_confirmed(&mut self, key: RunKey, now: Duration) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
@@ -346,7 +352,7 @@
         let reason = LossReason::StartRefused(refusal);
         if sent_once {
             self.mark_run_lost(key, reason);
-        } else if refusal == Refusal::WrongIncarnation {
+        } else if refusal == Refusal::WrongIncarnation && self.is_asked_for_runs(minion) {
             // An earlier transmission may have reached the incarnation that is gone.
             self.end_runs_of_gone_minion(minion, &[key], reason);
         } else {
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -54,7 +54,7 @@
             HoldReply::Refused(Refusal::WrongIncarnation) => {
                 self.mark_suspect(key);
                 self.back_off_hold(key, now);
-                self.handle_lost_incarnation(key, LossReason::IncarnationGone);
+                self.handle_other_incarnation(key);
             }
             HoldReply::NoAnswer if settled != Settled::Last => {}
             HoldReply::Refused(_) | HoldReply::NoAnswer => {
@@ -159,6 +159,9 @@
         minion.list_clock_ms = list.clock_ms;
         minion.fence_accepted = true;
         minion.suspect = false;
+        if asked_at > minion.address_changed_at {
+            minion.listed_at = minion.entry.address.clone();
+        }
         minion.has_unknown_runs = has_unknown_runs;
         self.unreported.minions.remove(&minion.entry.id);
         for ended in &list.ended {
--- a/crates/snipevane-fleet/src/scheduling/notes.rs
+++ b/crates/snipevane-fleet/src/scheduling/notes.rs
@@ -256,7 +256,6 @@
         LossReason::IncarnationGone => "incarnation gone",
         LossReason::NotHosted => "on no VM",
         LossReason::ZoneEvacuated => "its zone is evacuated",
-        LossReason::AddressTaken => "address taken",
         LossReason::StartRefused(refusal) => refusal_name(refusal),
     }
 }
