Reject a job larger than a row of the store at once

Cause: nothing compared a job's row with the store's limit, which the settings file gives.

Measured: 30 jobs of 1,000 steps beside 20 small ones, all at once: the large ones get 413 and the small ones 200, each within 1 s, and no transaction is rejected.

--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -35,7 +35,7 @@
     ActiveRun, EndedRun, HoldReply, OrderReply, Refusal, Run, RunEnd, RunKey, RunList, RunPhase,
 };
 pub use model::site::{Pool, Queue, Site, SiteSpec, Team};
-pub use model::spec::{JobSpec, MAX_STEP_TASKS, MAX_STEPS, Schedule, StepSpec};
+pub use model::spec::{JobSpec, MAX_JOB_TASKS, MAX_STEP_TASKS, MAX_STEPS, Schedule, StepSpec};
 pub use placing::advice::{AdviceReply, AdviceRequest, AdvisorSettings};
 pub use placing::unreported_runs::UnreportedRuns;
 pub use pools::demand::{Demand, Work};
--- a/crates/snipevane-core/src/jobs/model/spec.rs
+++ b/crates/snipevane-core/src/jobs/model/spec.rs
@@ -13,6 +13,9 @@
 /// Largest number of steps in a job.
 pub const MAX_STEPS: usize = 1_000;
 
+/// Largest number of tasks in one occurrence of a job. The scheduler keeps about 300 bytes for each in memory.
+pub const MAX_JOB_TASKS: u64 = 100_000;
+
 /// A job as submitted: steps of tasks that run once or at regular intervals.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -234,6 +234,9 @@
         accepted_unix_ms: node.clock.unix_ms(),
         schedule: submission.schedule,
     };
+    if let Some(rejection) = reject_too_large(node, id, &spec) {
+        return rejection;
+    }
     if let Some(rejection) = admission::reject(node, job_writer, id, &spec, &queue).await {
         return rejection;
     }
@@ -257,6 +260,22 @@
     }
 }
 
+/// Returns the response to a submission that fits in no row of the store; `None` if it does.
+fn reject_too_large<C: Clock>(node: &Node<C>, id: JobId, spec: &JobSpec) -> Option<Reply> {
+    let bytes = rows::encode(spec).len();
+    let max_bytes = node.settings.max_row_bytes;
+    if bytes <= max_bytes {
+        return None;
+    }
+    events::record(
+        &events::JOB_TOO_LARGE,
+        &[&id, &spec.queue, &bytes, &max_bytes],
+    );
+    let message =
+        format!("the job takes {bytes} bytes as stored, {max_bytes} at most; it never runs");
+    Some(reply::error(StatusCode::PAYLOAD_TOO_LARGE, &message))
+}
+
 /// Returns a response to a request that had no effect, with a randomized time after which the
 /// caller may retry.
 fn retry_later<C: Clock>(node: &Node<C>, message: &str) -> Reply {
--- a/crates/snipevane-fleet/tests/store_limits.rs
+++ b/crates/snipevane-fleet/tests/store_limits.rs
@@ -255,3 +255,41 @@
 
 /// Number of occurrences of the job that repeats; without a bound, its progress had over 180,000 bytes.
 const REPEATS: usize = 1_000;
+
+/// Number of jobs larger than a row that are submitted at the same time as sound ones.
+const LARGE_JOBS: u32 = 30;
+
+/// Guards against a job that fits in no row of the store and that delays the submissions of other callers.
+#[test]
+fn a_job_larger_than_a_row_is_rejected_at_once_and_disturbs_no_other_caller() {
+    let site = Site::start("large-jobs", 2, 1);
+    let step =
+        json!({ "replicas": 1, "cpu": 100, "memMb": 10, "estimateMs": 100, "image": "img-0001" });
+    let large = json!({ "spec": "50", "phases": vec![step.clone(); 1_000] }).to_string();
+    let small = json!({ "spec": "50", "phases": [step] }).to_string();
+    let submit = |number: u32, body: &str| {
+        let sent_at = Instant::now();
+        let callers = site.nodes[number as usize % 2].callers;
+        let answer = call(callers, "POST", &format!("/p/{number:016x}"), "key", body);
+        (answer, sent_at.elapsed())
+    };
+    std::thread::scope(|scope| {
+        let (submit, large, small) = (&submit, &large, &small);
+        let large_jobs = (0..LARGE_JOBS).map(|n| scope.spawn(move || submit(0x1000 + n, large)));
+        let large_jobs: Vec<_> = large_jobs.collect();
+        let small_jobs = (0..SOUND_JOBS).map(|n| scope.spawn(move || submit(0x2000 + n, small)));
+        let small_jobs: Vec<_> = small_jobs.collect();
+        for answer in large_jobs {
+            let ((status, text), elapsed) = answer.join().expect("a caller");
+            assert_eq!(status, 413, "{text}");
+            assert!(text.contains("65536 at most"), "{text}");
+            assert!(elapsed < Duration::from_secs(1), "{elapsed:?}");
+        }
+        for answer in small_jobs {
+            let ((status, text), elapsed) = answer.join().expect("a caller");
+            assert_eq!(status, 200, "{text}");
+            assert!(elapsed < Duration::from_secs(1), "{elapsed:?}");
+        }
+    });
+    assert_eq!(site.store.invalid_count(), 0);
+}
