Keep the scheduler's row within the store's limit however many VMs are ordered

Moves stop at 600, but waves of maintenance didn't, nor did the limit know how long names are. With 1,400 VMs, or 600 with names of 80 bytes, each write of the row would have been rejected, and so each term have ended.

Change: a reservation is refused once the row has 600 VMs or 45,000 bytes of them.

Measured: the new test offers 2,600 VMs with names of 4, 37 and 200 bytes; the rows stay under 48,000 bytes, and room is free again once reservations are over. Before, `reserve` took all of them.

--- a/crates/snipevane-core/src/jobs/upkeep/ordered_vms.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/ordered_vms.rs
@@ -10,12 +10,18 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// Largest number of VMs that are reserved for new orders.
+/// Largest number of VMs that are reserved.
 ///
-/// The scheduler's row names them all, and is written several times a second. An entry takes about 45
-/// bytes, so they take 27 KB of the 64 KB that a row may have; a row that is too large would end the term.
+/// The scheduler's row names them all, and is written several times a second.
 const MAX_RESERVED: usize = 600;
 
+/// Largest size of the encoded VMs that are reserved, in bytes. A row may have 64 KB, of which the rest is for the
+/// numbers of waiting jobs; a row that is too large would end the term.
+const MAX_RESERVED_BYTES: usize = 45_000;
+
+/// Size of an encoded VM without its name, in bytes, at most.
+const ENTRY_OVERHEAD_BYTES: usize = 40;
+
 /// A VM for which an order was sent lately, or is about to be.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderedVm {
@@ -51,9 +57,26 @@
         }
     }
 
-    /// Reserves a VM that is to be ordered, or was, until a time that replaces the one before.
-    pub fn reserve(&mut self, vm: &SmolStr, reserved_until: Duration) {
+    /// Reserves a VM that is to be ordered, or was, until a time that replaces the one before; returns whether
+    /// the row has room for it. A VM that is reserved already always has room.
+    pub fn reserve(&mut self, vm: &SmolStr, reserved_until: Duration) -> bool {
+        if !self.reserved_until.contains_key(vm) && !self.has_room_for(vm) {
+            return false;
+        }
         self.reserved_until.insert(vm.clone(), reserved_until);
+        true
+    }
+
+    fn has_room_for(&self, vm: &SmolStr) -> bool {
+        let has_place = self.reserved_until.len() < MAX_RESERVED;
+        has_place && vm.len() + ENTRY_OVERHEAD_BYTES <= self.free_bytes()
+    }
+
+    /// Returns the size that further VMs may have in the row, in bytes.
+    fn free_bytes(&self) -> usize {
+        let names = self.reserved_until.keys();
+        let used: usize = names.map(|name| name.len() + ENTRY_OVERHEAD_BYTES).sum();
+        MAX_RESERVED_BYTES.saturating_sub(used)
     }
 
     /// Drops the VMs that are no longer reserved, and returns the others for the next row, in ascending
@@ -88,9 +111,13 @@
         self.reserved_until.keys().any(|vm| !self.is_stored(vm))
     }
 
-    /// Returns the number of further VMs that may be ordered.
+    /// Returns the number of further VMs that may be ordered, if their names are no longer than those that are
+    /// reserved.
     pub fn room(&self) -> usize {
-        MAX_RESERVED.saturating_sub(self.reserved_until.len())
+        let longest = self.reserved_until.keys().map(SmolStr::len).max();
+        let by_bytes = self.free_bytes() / (longest.unwrap_or(0) + ENTRY_OVERHEAD_BYTES);
+        let by_number = MAX_RESERVED.saturating_sub(self.reserved_until.len());
+        by_number.min(by_bytes)
     }
 
     /// Returns the VMs with the times until which they are reserved.
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -320,15 +320,18 @@
     }
 }
 
-/// Records a VM that is to be ordered in the scheduler's row; returns whether the row was stored in
-/// time.
+/// Records a VM that is to be ordered in the scheduler's row; returns whether the row had room for it and was
+/// stored in time.
 async fn record_order<C: Clock>(leader: &Leader<C>, vm: &SmolStr) -> bool {
     let window = order_window(leader.node.settings.bounds.vm_lease);
     let carried_out_by = leader.node.clock.now() + RECORD_TIMEOUT + CALL_TIMEOUT;
-    leader
+    let has_room = leader
         .ordered_vms
         .borrow_mut()
         .reserve(vm, carried_out_by + window);
+    if !has_room {
+        return false;
+    }
     leader.store_wake.notify_one();
     let stored = async {
         while !leader.ordered_vms.borrow().is_stored(vm) && !leader.ended.get() {
--- a/tests/tests/ordered_vms.rs
+++ b/tests/tests/ordered_vms.rs
@@ -125,3 +125,20 @@
     let encoded_bytes = row.len().div_ceil(3) * 4;
     assert!(encoded_bytes < 60_000, "{encoded_bytes} bytes");
 }
+
+/// Guards against a scheduler's row that outgrows the store's limit, which ends the term, because waves order more
+/// VMs, or VMs with longer names, than it has room for.
+#[rstest]
+fn reservations_beyond_the_room_of_the_row_are_refused(#[values(4, 37, 200)] name_bytes: usize) {
+    let mut ordered = OrderedVms::default();
+    let name = |number: usize| -> SmolStr { format!("{number:0name_bytes$}").into() };
+    let accepted = (0..2_600).filter(|&number| ordered.reserve(&name(number), START + WINDOW));
+    assert!(accepted.count() >= 150);
+    let row = serde_json::to_vec(&ordered.to_store(START)).expect("the row is encoded");
+    assert!(row.len() < 48_000, "{} bytes", row.len());
+    assert!(ordered.reserve(&name(0), START + WINDOW * 2), "a known VM");
+    assert!(!ordered.reserve(&name(2_599), START + WINDOW));
+    // Reservations that are over leave room.
+    assert!(ordered.to_store(START + WINDOW * 3).is_empty());
+    assert!(ordered.reserve(&name(2_599), START + WINDOW * 4));
+}
