Resume all members of a gang from the same checkpoint

Cause: each task kept the last checkpoint that its own run had listed, and was started from that.

Change: a checkpoint of any member is recorded for all tasks of the gang (`Step::record_checkpoint`, which replaces three copies of the same lines).

--- a/crates/snipevane-core/src/jobs/ending/ends.rs
+++ b/crates/snipevane-core/src/jobs/ending/ends.rs
@@ -62,6 +62,7 @@
             return;
         };
         step.gang_attempt = step.gang_attempt.max(ended.attempt);
+        step.record_checkpoint(task_ref.index, &ended.checkpoint);
         let Some(task) = step.tasks.get_mut(task_ref.index as usize) else {
             return;
         };
@@ -69,9 +70,6 @@
         if task.crashes.end_trial(ended.attempt) {
             self.dirty.insert(key);
         }
-        if !ended.checkpoint.is_empty() {
-            task.checkpoint = ended.checkpoint.clone();
-        }
         let is_long_running = self.is_long_running(key, task_ref);
         match ended.end {
             _ if is_long_running && is_ordered => {}
--- a/crates/snipevane-core/src/jobs/model/job.rs
+++ b/crates/snipevane-core/src/jobs/model/job.rs
@@ -42,7 +42,7 @@
     pub crashes: TaskCrashes,
     /// Highest attempt number that is known to have been used.
     pub last_attempt: u32,
-    /// Last checkpoint that the task saved; empty if there is none.
+    /// Last checkpoint that the task, or another member of its gang, saved; empty if there is none.
     pub checkpoint: SmolStr,
     /// Time before which the task isn't started again after a failure.
     pub not_before: Duration,
@@ -63,6 +63,8 @@
     pub waiting: u32,
     /// Whether the step is in the queue of its pool.
     pub queued: bool,
+    /// Whether the tasks form a gang.
+    pub is_gang: bool,
     /// Attempt number that all members of the gang share.
     pub gang_attempt: u32,
 }
@@ -78,6 +80,7 @@
             done: 0,
             waiting: spec.tasks,
             queued: false,
+            is_gang: spec.gang,
             gang_attempt: 0,
         }
     }
@@ -87,6 +90,22 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Records the checkpoint that a task has saved; an empty one changes nothing.
+    ///
+    /// All members of a gang resume from the same checkpoint, and that of any of them is valid for all.
+    pub fn record_checkpoint(&mut self, index: u32, checkpoint: &SmolStr) {
+        if checkpoint.is_empty() {
+            return;
+        }
+        if self.is_gang {
+            for task in &mut self.tasks {
+                task.checkpoint.clone_from(checkpoint);
+            }
+        } else if let Some(task) = self.tasks.get_mut(index as usize) {
+            task.checkpoint.clone_from(checkpoint);
+        }
+    }
+
     /// Returns the indices of the completed tasks, as ranges with first and last index.
     fn done_ranges(&self) -> Vec<(u32, u32)> {
         let tasks = self.tasks.iter().enumerate();
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -266,13 +266,12 @@
         let (job, task_ref) = (run.job, run.task_ref);
         self.start_confirmed(run_key, now);
         self.drop_outlived_crashes(run_key, now);
-        if !active.checkpoint.is_empty()
-            && let Some(task) = self
-                .jobs
-                .get_mut(job)
-                .and_then(|job| job.task_mut(task_ref))
-        {
-            task.checkpoint = active.checkpoint.clone();
+        let step = self
+            .jobs
+            .get_mut(job)
+            .and_then(|job| job.step_mut(task_ref));
+        if let Some(step) = step {
+            step.record_checkpoint(task_ref.index, &active.checkpoint);
         }
     }
 
@@ -338,6 +337,7 @@
             return false;
         };
         step.gang_attempt = step.gang_attempt.max(active.attempt);
+        step.record_checkpoint(task_ref.index, &active.checkpoint);
         let Some(task) = step.tasks.get_mut(task_ref.index as usize) else {
             return false;
         };
@@ -345,9 +345,6 @@
         let wanted = !is_final && !task.done && (was_waiting || speculative);
         task.runs.push(key);
         task.last_attempt = task.last_attempt.max(active.attempt);
-        if !active.checkpoint.is_empty() {
-            task.checkpoint = active.checkpoint.clone();
-        }
         if was_waiting {
             step.waiting -= 1;
         }
--- a/tests/src/jobs/job_site/delivery.rs
+++ b/tests/src/jobs/job_site/delivery.rs
@@ -299,6 +299,7 @@
         TaskKind {
             size: spec.allocated_size(),
             image: spec.image.clone(),
+            checkpoints: spec.checkpoints,
             tail_target_ms: spec.tail_latency_target_ms,
             best_effort: spec.best_effort,
             run_time: if spec.long_running {
--- a/tests/src/jobs/minion.rs
+++ b/tests/src/jobs/minion.rs
@@ -5,7 +5,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use snipevane_core::jobs::{
     ActiveRun, CpuShareOrder, EndedRun, HoldOrder, HoldReply, MinionEntry, OrderReply, Refusal,
     RunEnd, RunList, StartOrder, StepId, StopOrder, TaskId,
@@ -31,6 +31,8 @@
     pub incarnation: u64,
     /// Sequence number of the end in the incarnation; 0 while the run is active.
     pub end_number: u64,
+    /// Checkpoint from which the run was told to resume; empty if there was none.
+    pub checkpoint: SmolStr,
     /// Time at which the run started.
     pub from: Duration,
     /// Time at which the run ended.
@@ -43,6 +45,9 @@
     pub listed_before_lapse: bool,
 }
 
+/// Time between two checkpoints of a run.
+const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Properties that determine how a task runs.
 #[derive(Clone, Debug)]
 pub struct TaskKind {
@@ -50,6 +55,8 @@
     pub size: Resources,
     /// Run time; none for a long-running task.
     pub run_time: Option<Duration>,
+    /// Whether the task saves checkpoints.
+    pub checkpoints: bool,
     /// How the task ends after its run time.
     pub ends_as: RunEnd,
     /// Time after its start at which the task crashes its minion; none for a sound task.
@@ -298,6 +305,7 @@
             minion: self.entry.id.clone(),
             incarnation: self.incarnation,
             end_number: 0,
+            checkpoint: order.checkpoint.clone(),
             from: now,
             to: None,
             end: None,
@@ -487,7 +495,7 @@
             .map(|(((task, attempt), active), load)| ActiveRun {
                 task: *task,
                 attempt: *attempt,
-                checkpoint: SmolStr::default(),
+                checkpoint: checkpoint(*task, active, now),
                 progress_percent: percent(active, now),
                 load,
             });
@@ -584,6 +592,15 @@
     }
 }
 
+/// Returns the last checkpoint that a run has saved; each task saves others.
+fn checkpoint(task: TaskId, active: &Active, now: Duration) -> SmolStr {
+    let number = (now - active.started).as_millis() / CHECKPOINT_INTERVAL.as_millis();
+    if !active.kind.checkpoints || number == 0 {
+        return SmolStr::default();
+    }
+    format_smolstr!("{number:08}-{}", task.index)
+}
+
 fn percent(active: &Active, now: Duration) -> u32 {
     let whole = active.kind.run_time.unwrap_or(STARTUP_TIME);
     let done = (now - active.started).as_secs_f64() / whole.as_secs_f64();
