Keep a job on the terms on which it was accepted

Cause: a new term took attempts, priority, deadline and advisor from the queue of the present configuration, and all zero if there was none.

Change: `JobTerms` are stored with the job at its submission and decide for as long as it lives, whatever becomes of its queue and of the term. Jobs that an earlier version has stored go by their queue, as before.

--- a/crates/snipevane-core/benches/jobs.rs
+++ b/crates/snipevane-core/benches/jobs.rs
@@ -87,6 +87,7 @@
         }],
         accepted_unix_ms: UNIX_MS,
         schedule: None,
+        terms: None,
     }
 }
 
--- a/crates/snipevane-core/src/jobs/admission/snapshot.rs
+++ b/crates/snipevane-core/src/jobs/admission/snapshot.rs
@@ -298,8 +298,8 @@
         }
         let backlog = sum
             .by_priority
-            .entry(job.priority)
-            .or_insert_with(|| PriorityBacklog::new(job.priority));
+            .entry(job.terms.priority)
+            .or_insert_with(|| PriorityBacklog::new(job.terms.priority));
         match precedence {
             Precedence::LatestStart(at) => {
                 let left = millis(at.saturating_sub(now));
--- a/crates/snipevane-core/src/jobs/ending/ends.rs
+++ b/crates/snipevane-core/src/jobs/ending/ends.rs
@@ -287,7 +287,7 @@
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
-        let max_attempts = job.max_attempts as usize;
+        let max_attempts = job.terms.max_attempts.max(1) as usize;
         let spec = &job.spec.steps[task_ref.step as usize];
         let gang = spec.gang;
         // Failed attempts of a gang are counted on its first task.
--- a/crates/snipevane-core/src/jobs/intake/submissions.rs
+++ b/crates/snipevane-core/src/jobs/intake/submissions.rs
@@ -9,6 +9,7 @@
 use crate::jobs::model::progress::{JobState, Progress};
 use crate::jobs::model::run::{RunKey, RunPhase};
 use crate::jobs::model::spec::JobSpec;
+use crate::jobs::model::terms::JobTerms;
 use crate::jobs::queueing::queue::StepRef;
 use crate::jobs::scheduler::Scheduler;
 
@@ -201,12 +202,15 @@
     }
 
     fn new_job(&self, id: JobId, spec: JobSpec, now: Duration, unix_ms: u64) -> Job {
-        let queue = self.site.queue(&spec.queue).cloned().unwrap_or_default();
+        let terms = spec.terms.unwrap_or_else(|| {
+            let queue = self.site.queue(&spec.queue);
+            queue.map(JobTerms::from).unwrap_or_default()
+        });
         let age = Duration::from_millis(unix_ms.saturating_sub(spec.accepted_unix_ms));
         let accepted_at = now.saturating_sub(age);
         let chains = spec.critical_paths();
         let critical_path = chains.iter().max().copied().unwrap_or_default();
-        let deadline = accepted_at + queue.time_allowed(critical_path);
+        let deadline = accepted_at + terms.time_allowed(critical_path);
         Job {
             id,
             payload: Rc::from(spec.payload.as_str()),
@@ -218,8 +222,7 @@
             accepted_at,
             critical_paths: chains,
             deadline,
-            priority: queue.priority,
-            max_attempts: queue.max_attempts.max(1),
+            terms,
             crash_changes: 0,
             stored_crash_changes: 0,
             stored_parts: 0,
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -36,6 +36,7 @@
 };
 pub use model::site::{Pool, Queue, Site, SiteSpec, Team};
 pub use model::spec::{JobSpec, MAX_JOB_TASKS, MAX_STEP_TASKS, MAX_STEPS, Schedule, StepSpec};
+pub use model::terms::JobTerms;
 pub use placing::advice::{AdviceReply, AdviceRequest, AdvisorSettings};
 pub use placing::unreported_runs::UnreportedRuns;
 pub use pools::demand::{Demand, Work};
--- a/crates/snipevane-core/src/jobs/model/job.rs
+++ b/crates/snipevane-core/src/jobs/model/job.rs
@@ -11,6 +11,7 @@
 use super::progress::{CrashedRuns, DoneTasks, FailedRuns, JobState, Progress, collapse_ranges};
 use super::run::RunKey;
 use super::spec::{JobSpec, StepSpec};
+use super::terms::JobTerms;
 use crate::jobs::ending::task_crashes::TaskCrashes;
 
 new_key_type! {
@@ -153,10 +154,8 @@
     pub critical_paths: Vec<Duration>,
     /// Time by which the job should complete, on the scheduler's clock.
     pub deadline: Duration,
-    /// Priority of its queue.
-    pub priority: u32,
-    /// Number of failed attempts of one task at which the job fails.
-    pub max_attempts: u32,
+    /// Terms on which it was accepted.
+    pub terms: JobTerms,
     /// Number of changes to the record of crashes under its tasks.
     pub crash_changes: u32,
     /// Number of these changes that are known to be stored.
--- a/crates/snipevane-core/src/jobs/model/mod.rs
+++ b/crates/snipevane-core/src/jobs/model/mod.rs
@@ -6,3 +6,4 @@
 pub(super) mod run;
 pub(super) mod site;
 pub(super) mod spec;
+pub(super) mod terms;
--- a/crates/snipevane-core/src/jobs/model/site.rs
+++ b/crates/snipevane-core/src/jobs/model/site.rs
@@ -7,6 +7,7 @@
 
 use crate::placement::Resources;
 
+use super::terms::JobTerms;
 use crate::jobs::placing::advice::AdvisorSettings;
 
 /// A queue: a host name and path prefix under which jobs are submitted.
@@ -37,8 +38,7 @@
 impl Queue {
     /// Returns the time from the acceptance of a job to its deadline, given the length of its critical path.
     pub fn time_allowed(&self, critical_path: Duration) -> Duration {
-        let slack = critical_path.mul_f64(self.slack_factor.max(1.0));
-        slack + Duration::from_millis(self.target_latency_ms)
+        JobTerms::from(self).time_allowed(critical_path)
     }
 }
 
--- a/crates/snipevane-core/src/jobs/model/spec.rs
+++ b/crates/snipevane-core/src/jobs/model/spec.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::terms::JobTerms;
 use crate::placement::Resources;
 
 /// Largest number of tasks in a step.
@@ -35,6 +36,9 @@
     /// Times at which the steps run; none for a job that runs once and immediately.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub schedule: Option<Schedule>,
+    /// Terms on which the job was accepted; none if an earlier version accepted it, so that its queue decides.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<JobTerms>,
 }
 
 /// Schedule of a job that runs repeatedly.
--- a/crates/snipevane-core/src/jobs/placing/advice.rs
+++ b/crates/snipevane-core/src/jobs/placing/advice.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rustc_hash::{FxHashMap, FxHashSet};
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::jobs::action::Action;
@@ -31,7 +32,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Settings of the advisor for a queue: how long it takes to answer and how long permits hold.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdvisorSettings {
     /// Time that the advisor takes for a request, apart from the minions that it names.
     pub base_latency: Duration,
@@ -108,8 +109,7 @@
 impl Scheduler {
     /// Returns the settings of the advisor if the steps of a job need its permits.
     pub(in crate::jobs) fn advisor_settings(&self, job: JobKey) -> Option<AdvisorSettings> {
-        let queue = &self.jobs.get(job)?.spec.queue;
-        self.site.queue(queue)?.advisor
+        self.jobs.get(job)?.terms.advisor
     }
 
     /// Returns the permit for a step on a minion's present incarnation, if there is a valid one.
--- a/crates/snipevane-core/src/jobs/queueing/rank.rs
+++ b/crates/snipevane-core/src/jobs/queueing/rank.rs
@@ -60,7 +60,7 @@
         };
         Some(Rank {
             class,
-            priority: job.priority,
+            priority: job.terms.priority,
             latest_start,
         })
     }
--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 use snipevane_adapter::callers::{self, API_KEY_HEADER, DEADLINE_HEADER};
-use snipevane_core::jobs::{JobId, JobSpec, JobState, Progress, Queue, Site};
+use snipevane_core::jobs::{JobId, JobSpec, JobState, JobTerms, Progress, Queue, Site};
 use tokio::time::timeout;
 
 use crate::clock::Clock;
@@ -233,6 +233,7 @@
         steps: submission.steps,
         accepted_unix_ms: node.clock.unix_ms(),
         schedule: submission.schedule,
+        terms: Some(JobTerms::from(&queue)),
     };
     if let Some(rejection) = reject_too_large(node, id, &spec) {
         return rejection;
--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -313,6 +313,12 @@
         }
     }
 
+    /// Replaces the configuration, as an operator does.
+    pub fn set_site(&mut self, site: Site) {
+        self.site = Rc::new(site);
+        self.scheduler.set_site(self.site.clone());
+    }
+
     /// Starts the next term with a new scheduler; all that the former one hasn't stored is lost.
     pub fn take_over(&mut self) {
         self.fence += 1;
--- a/tests/src/jobs/specs.rs
+++ b/tests/src/jobs/specs.rs
@@ -105,5 +105,6 @@
         steps,
         accepted_unix_ms: 0,
         schedule: None,
+        terms: None,
     }
 }
