--- a/crates/snipevane-core/src/jobs/model/job.rs
+++ b/crates/snipevane-core/src/jobs/model/job.rs
@@ -14,6 +14,9 @@
 use super::terms::JobTerms;
 use crate::jobs::ending::task_crashes::TaskCrashes;
 
+/// Contiguous ranges of indices, as first and last index.
+type IndexRanges = Vec<(u32, u32)>;
+
 new_key_type! {
     /// Key of a job in the scheduler's job map.
     pub struct JobKey;
@@ -108,7 +111,7 @@
     }
 
     /// Returns the indices of the completed tasks, as ranges with first and last index.
-    fn done_ranges(&self) -> Vec<(u32, u32)> {
+    fn done_ranges(&self) -> IndexRanges {
         let tasks = self.tasks.iter().enumerate();
         let done = tasks.filter(|(_, task)| task.done);
         collapse_ranges(done.map(|(index, _)| index as u32))
@@ -266,7 +269,7 @@
     /// Adds the completed tasks to the progress to store: one entry for all occurrences of a step in which the
     /// same tasks are completed.
     fn add_done(&self, progress: &mut Progress) {
-        let mut occurrences: BTreeMap<(u32, Vec<(u32, u32)>), Vec<u32>> = BTreeMap::new();
+        let mut occurrences: BTreeMap<(u32, IndexRanges), Vec<u32>> = BTreeMap::new();
         for (number, occurrence) in self.occurrences.iter().enumerate() {
             let steps = occurrence.steps.iter().enumerate();
             for (step, state) in steps.filter(|(_, state)| state.done > 0) {
