Don't take rejected changes for stored that shared a write with submissions

Ends of runs could have been acknowledged that were never stored.

Change: what was left out is settled by itself. If the callers' part is accepted, the scheduler's part is at fault and is split further. The test for it showed two more faults of the new code under a steady load of submissions: the scheduler's writer left its turn to callers that carried nothing of it, and a change that was put back lost its place, so that the one at fault was never alone. Both are mended: it takes its turn while the limit is in force, and a change keeps its place (`DirtyJobs::put_back`). A batch of submissions is split without a write of the row in between.

--- a/crates/snipevane-core/src/batch_limit.rs
+++ b/crates/snipevane-core/src/batch_limit.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Lets the next transaction contain changes even after a rejection, for a writer that needn't renew a term.
+    pub fn skip_renewal(&mut self) {
+        self.renews_first = false;
+    }
+
     /// Records that the store has accepted a transaction.
     pub fn record_accepted(&mut self) {
         if self.renews_first {
--- a/crates/snipevane-core/src/jobs/ending/changes.rs
+++ b/crates/snipevane-core/src/jobs/ending/changes.rs
@@ -18,6 +18,8 @@
     /// Number of further rows in which parts of the progress may be stored.
     pub stored_parts: u32,
     key: JobKey,
+    /// Place of the job among those whose row is out of date.
+    place: u64,
     /// Number of changes to the record of crashes that the progress contains.
     crash_changes: u32,
 }
@@ -69,6 +71,7 @@
                     progress: job.progress(),
                     stored_parts: job.stored_parts,
                     key,
+                    place: self.dirty.place(key),
                     crash_changes: job.crash_changes,
                 };
                 if !admit(&change) {
@@ -154,7 +157,7 @@
             self.storing.remove(&change.key);
         }
         for change in &changes.jobs {
-            self.dirty.insert(change.key);
+            self.dirty.put_back(change.key, change.place);
         }
     }
     /// Ends a job whose change the store rejects for good: the job fails, as its progress can't be stored.
--- a/crates/snipevane-core/src/jobs/ending/dirty_jobs.rs
+++ b/crates/snipevane-core/src/jobs/ending/dirty_jobs.rs
@@ -27,6 +27,17 @@
         self.since.remove(&key);
     }
 
+    /// Returns the place of a job; behind all others if it isn't in the set.
+    pub(in crate::jobs) fn place(&self, key: JobKey) -> u64 {
+        self.since.get(&key).copied().unwrap_or(u64::MAX)
+    }
+
+    /// Puts a job that was removed back in its place.
+    pub(in crate::jobs) fn put_back(&mut self, key: JobKey, place: u64) {
+        let since = self.since.entry(key).or_insert(place);
+        *since = place.min(*since);
+    }
+
     /// Returns whether a job is in the set.
     pub(in crate::jobs) fn contains(&self, key: JobKey) -> bool {
         self.since.contains_key(&key)
--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -521,6 +521,7 @@
     fn split_rejected(&self, mut batch: Vec<PendingChange>) {
         let mut limit = self.batch_limit.get();
         let fault = limit.record_rejected(batch.len());
+        limit.skip_renewal();
         self.batch_limit.set(limit);
         if fault == Fault::SomeChange {
             self.requeue(batch);
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -117,7 +117,9 @@
 /// Returns whether callers' changes wait for a turn and their transactions have room for the scheduler's
 /// changes, so that a write for these alone would only take up the store's time.
 fn leaves_turn_to_callers<C: Clock>(leader: &Leader<C>) -> bool {
-    leader.callers_waiting.get() && leader.callers_carry_changes.get() && !leader.is_releasing()
+    let callers_carry_changes =
+        leader.callers_carry_changes.get() && leader.batch_limit.get() == BatchLimit::default();
+    leader.callers_waiting.get() && callers_carry_changes && !leader.is_releasing()
 }
 
 /// Waits until a write is due: for urgent changes, for other changes, to renew the term, or because
@@ -301,12 +303,16 @@
     changes: &Transaction,
 ) -> Result<CommitOutcome, StoreError> {
     prepare_row(leader);
-    let (own_changes, transaction) = add_due_changes(leader, changes);
+    let (mut own_changes, transaction) = add_due_changes(leader, changes);
     let entries = transaction.entry_count() + ROW_ENTRIES;
     metrics::record_transaction("submissions", entries, turn.waited);
     let mut result = commit_once(leader, &transaction).await;
     if result == Err(StoreError::Rejected) {
-        result = commit_after_rejection(leader, changes, own_changes.is_some()).await;
+        let left_out = own_changes.take();
+        result = commit_after_rejection(leader, changes, left_out.is_some()).await;
+        if let Some(left_out) = left_out {
+            settle_left_out(leader, left_out, result.is_ok());
+        }
     }
     drop(turn);
     if let Some(own_changes) = own_changes {
@@ -349,9 +355,23 @@
     (Some(changes), builder.build())
 }
 
+/// Settles changes of the scheduler that were left out of a transaction of callers after the store had rejected
+/// both together. They are at fault if it has accepted those of the callers. The scheduler's writer takes the
+/// next turn for them.
+fn settle_left_out<C: Clock>(leader: &Leader<C>, left_out: OwnChanges, others_accepted: bool) {
+    leader.callers_carry_changes.set(false);
+    if others_accepted && left_out.count() > 0 {
+        handle_rejection(leader, left_out);
+    } else {
+        left_out.settle(leader, false);
+    }
+    leader.store_wake.notify_one();
+}
+
 /// Commits changes of callers without those of the scheduler, after the store has rejected a transaction.
 ///
-/// If it rejects them too, the scheduler's row is written alone, which shows whether the row is at fault.
+/// If it rejects a single change too, the scheduler's row is written alone, which shows whether the row is at
+/// fault. Several changes are split first.
 async fn commit_after_rejection<C: Clock>(
     leader: &Leader<C>,
     changes: &Transaction,
@@ -363,7 +383,9 @@
             return result;
         }
     }
-    if commit_once(leader, &Transaction::default()).await == Err(StoreError::Rejected) {
+    let is_single = changes.conditions.len() == 1;
+    if is_single && commit_once(leader, &Transaction::default()).await == Err(StoreError::Rejected)
+    {
         end_rejected_term(leader);
         return Err(StoreError::NotApplied);
     }
--- a/crates/snipevane-fleet/tests/store_limits.rs
+++ b/crates/snipevane-fleet/tests/store_limits.rs
@@ -159,6 +159,54 @@
     check_sound_jobs(&site, id);
 }
 
+/// Guards against a rejected change that counts as stored, and whose ends are acknowledged, because the submissions that
+/// it shared a transaction with were stored without it.
+#[test]
+fn a_rejected_change_beside_submissions_does_not_count_as_stored() {
+    let site = Site::start("rejected-beside", 2, 2);
+    let id = "00000000000000d5";
+    site.store.reject(move |writes| {
+        let mut writes = writes.iter();
+        writes.any(|(table, key, row)| table == "progress" && key == id && row["done"].is_array())
+    });
+    let callers = site.nodes[0].callers;
+    let submit = |id: &str, body: &serde_json::Value| {
+        call(
+            callers,
+            "POST",
+            &format!("/p/{id}"),
+            "key",
+            &body.to_string(),
+        )
+        .0
+    };
+    let step = json!({ "replicas": 2, "cpu": 100, "memMb": 10, "estimateMs": 3_000 });
+    let mut second = step.clone();
+    second["after"] = json!([0]);
+    assert_eq!(
+        submit(id, &json!({ "spec": "3000", "phases": [step, second] })),
+        200
+    );
+    let sound = json!({ "spec": "50", "phases": [{ "replicas": 1, "cpu": 10, "memMb": 1, "estimateMs": 50 }] });
+    std::thread::scope(|scope| {
+        for caller in 0..8 {
+            let (submit, sound) = (&submit, &sound);
+            scope.spawn(move || {
+                let end = Instant::now() + Duration::from_secs(8);
+                let mut number = 0;
+                while Instant::now() < end {
+                    submit(&format!("{:08x}{number:08x}", 0xd500 + caller), sound);
+                    number += 1;
+                }
+            });
+        }
+    });
+    let is_over = |state: &str| state.contains("failed") || state.contains("completed");
+    eventually("an end", || is_over(&site.state(0, id)));
+    let state = site.state(0, id);
+    assert!(state.contains("failed"), "{state}");
+}
+
 /// Guards against a rejected submission that takes the submissions of other callers with it.
 #[test]
 fn a_submission_that_is_rejected_disturbs_no_other_caller() {
