Leave out entries of pools that no configuration names

Change: such an entry is kept aside, reported once (SV2076, a counter), and used once a configuration names its pool. A known minion whose entry turns so gets nothing new, and keeps its address and runs. Minions that an earlier term used are taken as before.

--- a/crates/snipevane-core/src/jobs/event.rs
+++ b/crates/snipevane-core/src/jobs/event.rs
@@ -264,6 +264,13 @@
         /// Whether the pause begins; otherwise it ends.
         paused: bool,
     },
+    /// An entry was left out, as the configuration doesn't name its pool.
+    MinionLeftOut {
+        /// Minion that the entry names.
+        minion: SmolStr,
+        /// Pool that the entry names.
+        pool: SmolStr,
+    },
     /// A minion became unreachable, or reachable again.
     MinionReachability {
         /// Minion whose reachability changed.
--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use super::minion::{Minion, MinionEntry, MinionKey};
-use crate::jobs::event::LossReason;
+use crate::jobs::event::{LossReason, SchedulerEvent};
 use crate::jobs::model::run::RunKey;
 use crate::jobs::scheduler::Scheduler;
 
@@ -16,6 +16,11 @@
     /// Others may write entries too, so an entry ends no runs. If it tells that a minion has restarted, or that
     /// another one has its address, the known incarnation is asked for its runs at once.
     pub fn upsert_minion(&mut self, entry: MinionEntry, now: Duration) {
+        if !self.is_in_use(&entry) {
+            self.leave_out(entry);
+            return;
+        }
+        self.left_out.remove(&entry.id);
         let Some(&key) = self.minion_ids.get(&entry.id) else {
             self.ask_minion_at_address(&entry, now);
             let id = entry.id.clone();
@@ -47,6 +52,35 @@
         }
     }
 
+    /// Returns whether an entry names a minion to use: one of a pool that the configuration names, or one that an
+    /// earlier term used.
+    fn is_in_use(&self, entry: &MinionEntry) -> bool {
+        self.site.pool(&entry.pool).is_some() || self.unreported.minions.contains_key(&entry.id)
+    }
+
+    /// Leaves out an entry of a pool that the configuration doesn't name, until it does. What is known of the
+    /// minion stays, but nothing new is placed on it.
+    fn leave_out(&mut self, entry: MinionEntry) {
+        let is_new = !self.left_out.contains_key(&entry.id);
+        let (minion, pool) = (entry.id.clone(), entry.pool.clone());
+        self.unlist_minion(&minion);
+        self.left_out.insert(minion.clone(), entry);
+        if is_new {
+            self.events
+                .push(SchedulerEvent::MinionLeftOut { minion, pool });
+        }
+    }
+
+    /// Adds the minions that were left out and whose pools the configuration names now.
+    pub(in crate::jobs) fn add_minions_of_new_pools(&mut self, now: Duration) {
+        let entries = self.left_out.values();
+        let known = entries.filter(|entry| self.site.pool(&entry.pool).is_some());
+        let known: Vec<MinionEntry> = known.cloned().collect();
+        for entry in known {
+            self.upsert_minion(entry, now);
+        }
+    }
+
     /// Asks an earlier minion at the address of one that has just joined whether it still runs.
     fn ask_minion_at_address(&mut self, joined: &MinionEntry, now: Duration) {
         let mut minions = self.minions.iter();
@@ -63,6 +97,7 @@
 
     /// Marks a minion as no longer listed, and removes it once it can have no runs.
     pub fn unlist_minion(&mut self, id: &str) {
+        self.left_out.remove(id);
         let Some(&key) = self.minion_ids.get(id) else {
             return;
         };
@@ -74,7 +109,8 @@
 
     /// Marks all minions but these as no longer listed.
     pub fn retain_minions(&mut self, ids: &FxHashSet<SmolStr>) {
-        let gone = self.minion_ids.keys().filter(|id| !ids.contains(*id));
+        let known = self.minion_ids.keys().chain(self.left_out.keys());
+        let gone = known.filter(|id| !ids.contains(*id));
         let gone: Vec<SmolStr> = gone.cloned().collect();
         for id in gone {
             self.unlist_minion(&id);
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -16,7 +16,7 @@
 use super::intake::durations::DurationEstimator;
 use super::intake::ended_jobs::EndedJobs;
 use super::interference::effects::Interference;
-use super::minions::minion::{Minion, MinionKey};
+use super::minions::minion::{Minion, MinionEntry, MinionKey};
 use super::model::id::JobId;
 use super::model::job::{Job, JobKey, TaskRef};
 use super::model::progress::JobState;
@@ -110,6 +110,8 @@
     pub(super) site: Rc<Site>,
     pub(super) minions: SlotMap<MinionKey, Minion>,
     pub(super) minion_ids: FxHashMap<SmolStr, MinionKey>,
+    /// Entries of minions of pools that the configuration doesn't name.
+    pub(super) left_out: FxHashMap<SmolStr, MinionEntry>,
     /// Time at which the list of minions was last known to be up to date.
     pub(super) minions_confirmed_at: Option<Duration>,
     /// Availability zones in which nothing may start.
@@ -179,6 +181,7 @@
             site,
             minions: SlotMap::with_key(),
             minion_ids: FxHashMap::default(),
+            left_out: FxHashMap::default(),
             minions_confirmed_at: None,
             evacuated: EvacuatedZones::default(),
             evacuations_confirmed: true,
@@ -226,6 +229,7 @@
     ///
     /// `unix_ms` is the current wall-clock time in Unix milliseconds.
     pub fn decide(&mut self, now: Duration, unix_ms: u64) -> Vec<Action> {
+        self.add_minions_of_new_pools(now);
         self.add_due_occurrences(now, unix_ms);
         self.end_expired_runs(now);
         self.give_up_crashing_tasks(now, unix_ms);
--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -60,6 +60,7 @@
     ZONE_RESTORED = 2073 Info "availability zone no longer evacuated" ["zone", "fence"];
     PLACEMENT_PAUSED = 2074 Warn "nothing starts, as the operator's requests aren't confirmed" ["fence"];
     PLACEMENT_RESUMED = 2075 Info "starts go on, as the operator's requests are confirmed" ["fence"];
+    MINION_LEFT_OUT = 2076 Warn "entry of a minion left out, as no configuration names its pool" ["minion", "pool", "fence"];
     ROW_UNREADABLE = 2080 Error "row can't be read" ["table", "key", "reason"];
     CHANGE_REJECTED = 2081 Error "change given up, as the store rejects it for good" ["kind", "key", "fence"];
     LINES_DROPPED = 2090 Warn "log lines dropped, rate limit of the event exceeded" ["event", "lines"];
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -229,6 +229,11 @@
     counter!("snipevane_best_effort_relocations_total").increment(1);
 }
 
+/// Counts an entry of a minion that is left out, as the configuration doesn't name its pool.
+pub(crate) fn record_minion_left_out() {
+    counter!("snipevane_minions_left_out_total").increment(1);
+}
+
 /// Counts a change that is given up because the store rejects it for good.
 pub(crate) fn record_rejected_change(kind: &'static str) {
     counter!("snipevane_changes_rejected_total", "kind" => kind).increment(1);
--- a/crates/snipevane-fleet/src/scheduling/notes.rs
+++ b/crates/snipevane-fleet/src/scheduling/notes.rs
@@ -178,6 +178,10 @@
                 ],
             );
         }
+        SchedulerEvent::MinionLeftOut { minion, pool } => {
+            metrics::record_minion_left_out();
+            record(&events::MINION_LEFT_OUT, &[minion, pool, &fence]);
+        }
         SchedulerEvent::MinionSlow {
             minion,
             speed,
--- a/tests/tests/jobs_minion_entries.rs
+++ b/tests/tests/jobs_minion_entries.rs
@@ -7,8 +7,12 @@
 
 use rstest::rstest;
 use smol_str::{SmolStr, format_smolstr};
-use snipevane_core::jobs::{JobId, JobState, MinionEntry, SchedulerEvent, StepSpec};
-use snipevane_tests::jobs::{FakeMinion, JobSite, entry, job, long_running_step, site, step};
+use snipevane_core::jobs::{
+    JobId, JobSpec, JobState, MinionEntry, Pool, SchedulerEvent, Site, StepSpec,
+};
+use snipevane_tests::jobs::{
+    FakeMinion, JobSite, entry, job, long_running_step, site, site_spec, step,
+};
 
 const START: Duration = Duration::from_secs(10);
 
@@ -128,3 +132,70 @@
     let is_lost = |event: &&SchedulerEvent| matches!(event, SchedulerEvent::RunLost { minion, .. } if *minion == gone);
     assert_eq!(events.iter().filter(is_lost).count(), runs);
 }
+
+/// Returns a configuration that also names a pool.
+fn site_with_pool(name: &str) -> Site {
+    let mut spec = site_spec(1, 0);
+    spec.pools.push(Pool {
+        name: name.into(),
+        enforces_capacity: true,
+        standby: false,
+    });
+    spec.queues[0].pool = name.into();
+    Site::new(spec)
+}
+
+/// Guards against entries of unknown pools that change what is recorded, counted or asked, although they name no minion
+/// to use.
+#[test]
+fn entries_of_unknown_pools_change_nothing() {
+    let mut built = job_site();
+    let (minions, pools) = (
+        built.scheduler.minions_in_use(built.now),
+        built.scheduler.pool_stats(built.now).len(),
+    );
+    let about = built
+        .minions
+        .values()
+        .next()
+        .expect("a minion")
+        .entry
+        .clone();
+    for number in 0..40 {
+        let entry = Foreign::UnknownPool.entry(&about, number);
+        built.scheduler.upsert_minion(entry, built.now);
+        built.run(Duration::from_millis(50));
+    }
+    assert_eq!(built.scheduler.minions_in_use(built.now), minions);
+    assert_eq!(built.scheduler.pool_stats(built.now).len(), pools);
+    assert_eq!(built.scheduler.minions().count(), minions.len());
+    let events = built.scheduler.take_events();
+    let is_report = |event: &&SchedulerEvent| matches!(event, SchedulerEvent::MinionLeftOut { .. });
+    assert_eq!(
+        events.iter().filter(is_report).count(),
+        40,
+        "one report for each"
+    );
+}
+
+/// Guards against a minion that is never used because its entry came before the configuration that names its pool.
+#[test]
+fn a_minion_of_a_new_pool_is_used_once_the_pool_is_known() {
+    let mut built = job_site();
+    let mut joined = FakeMinion::new(entry(9, "later"), built.now);
+    joined.entry.started_unix_ms = joined.incarnation;
+    let joined_id = joined.entry.id.clone();
+    built.minions.insert(joined_id.clone(), joined);
+    built.list_minions();
+    built.run(Duration::from_secs(1));
+    built.set_site(site_with_pool("later"));
+    built.run(Duration::from_millis(200));
+    let spec = JobSpec {
+        queue: "q-p0".into(),
+        ..job("later", vec![step(2, 1_000, 500, &[])])
+    };
+    let id = built.submit(1, spec);
+    built.run(Duration::from_secs(2));
+    assert_eq!(built.state(id), JobState::Completed);
+    assert!(built.records.iter().all(|run| run.minion == joined_id));
+}
