Bound the scheduler's row and the rows of minions for any fleet

The 16 rows of minions had no bound but the size of the fleet, and were one change of up to 1 MB, which a full transaction could never take.

Change: counts of over 12,000 bytes go with heartbeats only. A bucket of minions has as many rows of up to 40,000 bytes as it needs; each row is a change by itself, and a minion is recorded once the row that names it is stored.

--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -160,7 +160,10 @@
     }
 
     /// Marks these minions as named by the stored row.
-    pub fn mark_minions_recorded(&mut self, minions: &[(SmolStr, SmolStr)]) {
+    pub fn mark_minions_recorded<'a>(
+        &mut self,
+        minions: impl IntoIterator<Item = &'a (SmolStr, SmolStr)>,
+    ) {
         for (id, _) in minions {
             let key = self.minion_ids.get(id);
             if let Some(minion) = key.and_then(|&key| self.minions.get_mut(key)) {
--- a/crates/snipevane-fleet/src/lib.rs
+++ b/crates/snipevane-fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod flags;
 pub mod logging;
 pub mod metrics;
+pub mod minion_rows;
 pub mod node;
 pub mod peers;
 pub mod process;
--- a/crates/snipevane-fleet/src/rows.rs
+++ b/crates/snipevane-fleet/src/rows.rs
@@ -65,7 +65,8 @@
     /// Whether the holder has released its term because most entry VMs can't reach it.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub released_unreached: bool,
-    /// Number of jobs that haven't started, by queue; `None` until the term has loaded all jobs.
+    /// Number of jobs that haven't started, by queue; `None` until the term has loaded all jobs, and while so many
+    /// queues have such jobs that only heartbeats carry the counts.
     #[serde(default)]
     pub waiting: Option<Vec<(SmolStr, u64)>>,
     /// Minions that may have runs, with their pools, if the holder's version kept them here.
@@ -100,6 +101,16 @@
     }
 }
 
+/// Largest size of the numbers of waiting jobs in the scheduler's row, in bytes. With the VMs ordered lately, they stay
+/// within the size of a row.
+const MAX_COUNTS_BYTES: usize = 12_000;
+
+/// Returns the numbers of waiting jobs if they have room in the scheduler's row.
+pub fn bounded_counts(waiting: &[(SmolStr, u64)]) -> Option<Vec<(SmolStr, u64)>> {
+    let has_room = encode(&waiting).len() <= MAX_COUNTS_BYTES;
+    has_room.then(|| waiting.to_vec())
+}
+
 /// Report of an entry VM that it gets no heartbeats of a term that is being renewed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReachRow {
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -18,7 +18,7 @@
 use crate::store::{CommitOutcome, StoreError};
 
 use super::leader::{Leader, WonTerm};
-use super::minion_rows::MinionRows;
+use crate::minion_rows::MinionRows;
 
 /// Longest delay between reads of the scheduler's row.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -29,9 +29,9 @@
 use crate::senders;
 use crate::store::{CommitOutcome, StoreError};
 
-use super::minion_rows::MinionRows;
 use super::storing::CallersTurn;
 use super::{feeds, handover, notes, orders, reach, storing, vms};
+use crate::minion_rows::MinionRows;
 
 /// Longest time between scheduling decisions.
 const MAX_DECISION_INTERVAL: Duration = Duration::from_millis(50);
@@ -92,6 +92,8 @@
     pub(super) commit_times: Cell<CommitTimes>,
     pub(super) row: RefCell<SchedulerRow>,
     pub(super) version: Cell<u64>,
+    /// Number of jobs that haven't started, by queue; `None` until all jobs are loaded.
+    pub(super) waiting: RefCell<Option<Vec<(SmolStr, u64)>>>,
     /// Rows of the minions in use, as last stored.
     pub(super) minion_rows: RefCell<MinionRows>,
     /// Held while a write of the term is under way, as each one depends on the one before.
@@ -204,6 +206,7 @@
             version: Cell::new(won.version),
             minion_rows: RefCell::new(won.minion_rows),
             write_turn: tokio::sync::Mutex::default(),
+            waiting: RefCell::default(),
             changes_written_at: Cell::new(node.clock.now()),
             callers_waiting: Cell::new(false),
             callers_carry_changes: Cell::new(true),
@@ -544,7 +547,7 @@
     let Some(previous) = &won.previous else {
         return UnreportedRuns::default();
     };
-    let in_rows = won.minion_rows.minions();
+    let in_rows = won.minion_rows.minions().cloned();
     let minions = previous.minions.iter().cloned().chain(in_rows);
     UnreportedRuns {
         until: now + lease * PERCENT / MIN_CLOCK_RATE_PERCENT + EARLIER_TERM_LEASE_MARGIN,
--- a/crates/snipevane-fleet/src/scheduling/mod.rs
+++ b/crates/snipevane-fleet/src/scheduling/mod.rs
@@ -4,7 +4,6 @@
 mod feeds;
 mod handover;
 mod leader;
-mod minion_rows;
 mod notes;
 mod orders;
 mod own_changes;
--- a/crates/snipevane-fleet/src/scheduling/own_changes.rs
+++ b/crates/snipevane-fleet/src/scheduling/own_changes.rs
@@ -11,10 +11,10 @@
 use crate::store::TransactionBuilder;
 
 use super::leader::Leader;
-use super::minion_rows::{MinionInUse, MinionRows};
 use super::storing::report_rejected;
 use super::wave_rows;
 
+use crate::minion_rows::{self, MinionInUse, MinionRows, RowPlace};
 /// Maximum number of waves whose progress one transaction contains, so that changes of jobs have room beside
 /// any number of waves.
 const MAX_WAVES: usize = 8;
@@ -28,8 +28,8 @@
 /// The scheduler's changes in one write.
 #[derive(Default)]
 pub(super) struct OwnChanges {
-    /// Minions in use, with their rows, if some of the rows change.
-    minions: Option<(Vec<MinionInUse>, MinionRows)>,
+    /// Rows that name minions in use.
+    minion_rows: Vec<(RowPlace, Vec<MinionInUse>)>,
     waves: Vec<WaveProgress>,
     jobs: Changes,
     /// Jobs that ended long ago, whose progress is removed.
@@ -46,7 +46,7 @@
     ) -> Self {
         leader.changes_written_at.set(leader.node.clock.now());
         let mut taken = Self::default();
-        taken.take_minions(leader, builder, max_changes);
+        taken.take_minion_rows(leader, builder, max_changes);
         taken.take_waves(leader, builder, max_changes);
         taken.take_jobs(leader, builder, max_changes);
         taken.take_expired(leader, builder, max_changes);
@@ -55,32 +55,24 @@
 
     /// Returns the number of changes, of which each is stored as a whole.
     pub(super) fn count(&self) -> usize {
-        let minions = usize::from(self.minions.is_some());
         let expired = usize::from(!self.expired.is_empty());
-        minions + self.waves.len() + self.jobs.jobs.len() + expired
+        self.minion_rows.len() + self.waves.len() + self.jobs.jobs.len() + expired
     }
 
-    fn take_minions<C: Clock>(
+    fn take_minion_rows<C: Clock>(
         &mut self,
         leader: &Leader<C>,
         builder: &mut TransactionBuilder,
         max_changes: usize,
     ) {
-        let minions = leader
-            .scheduler
-            .borrow()
-            .minions_in_use(leader.node.clock.now());
-        let minion_rows = MinionRows::new(&minions);
-        let part = Transaction {
-            writes: minion_rows.changes_from(&leader.minion_rows.borrow()),
-            ..Transaction::default()
-        };
-        let is_unchanged = part.writes.is_empty();
-        if is_unchanged && !leader.scheduler.borrow().has_unrecorded_minions() {
-            return;
-        }
-        if max_changes > 0 && builder.add(part) {
-            self.minions = Some((minions, minion_rows));
+        let now = leader.node.clock.now();
+        let minions = leader.scheduler.borrow().minions_in_use(now);
+        let wanted = MinionRows::new(&minions);
+        for (place, row) in wanted.changes_from(&leader.minion_rows.borrow()) {
+            if self.count() >= max_changes || !builder.add(minion_rows::encode(place, &row)) {
+                return;
+            }
+            self.minion_rows.push((place, row));
         }
     }
 
@@ -174,8 +166,8 @@
 
     /// Records that the transaction may have been committed although there was no answer.
     pub(super) fn mark_unknown<C: Clock>(&self, leader: &Leader<C>) {
-        if let Some((_, written)) = &self.minions {
-            leader.minion_rows.borrow_mut().mark_unknown(written);
+        for (place, _) in &self.minion_rows {
+            leader.minion_rows.borrow_mut().mark_unknown(*place);
         }
     }
 
@@ -193,9 +185,12 @@
         let mut scheduler = leader.scheduler.borrow_mut();
         log_ended_jobs(leader, &self.jobs);
         scheduler.changes_stored(&self.jobs);
-        if let Some((minions, minion_rows)) = self.minions {
-            scheduler.mark_minions_recorded(&minions);
-            *leader.minion_rows.borrow_mut() = minion_rows;
+        let mut minion_rows = leader.minion_rows.borrow_mut();
+        for (place, row) in self.minion_rows {
+            minion_rows.record_stored(place, row);
+        }
+        if scheduler.has_unrecorded_minions() {
+            scheduler.mark_minions_recorded(minion_rows.known_minions());
         }
     }
 
@@ -223,7 +218,7 @@
         for id in &self.expired {
             report_rejected(leader, "removal", &id.to_string());
         }
-        if self.minions.is_some() {
+        if !self.minion_rows.is_empty() {
             // Without these rows, the next term wouldn't know which minions may have runs.
             report_rejected(leader, "minions", "");
             leader.end("the store rejects the rows of the minions in use");
--- a/crates/snipevane-fleet/src/scheduling/storing.rs
+++ b/crates/snipevane-fleet/src/scheduling/storing.rs
@@ -167,7 +167,9 @@
     let mut row = leader.row.borrow_mut();
     row.write += 1;
     if leader.jobs_loaded.get() {
-        row.waiting = Some(leader.scheduler.borrow().waiting_jobs());
+        let waiting = leader.scheduler.borrow().waiting_jobs();
+        row.waiting = rows::bounded_counts(&waiting);
+        *leader.waiting.borrow_mut() = Some(waiting);
     }
     row.minions.clear();
     let now = leader.node.clock.now();
@@ -442,7 +444,9 @@
 /// Updates this process's own view of the scheduler with the written row, as other processes do by
 /// reading it from the store, and notifies watchers.
 fn publish_row<C: Clock>(leader: &Leader<C>, version: u64) {
-    let row = leader.row.borrow().clone();
+    let mut row = leader.row.borrow().clone();
+    // Heartbeats carry the counts also if these have no room in the row.
+    row.waiting.clone_from(&leader.waiting.borrow());
     leader.ordered_vms.borrow_mut().mark_stored();
     let mut view = leader.node.scheduler_view.borrow_mut();
     view.record_write(&leader.settings, row, version, leader.node.clock.now());
