Accept jobs larger than a row, and keep the form of rows while it fits

Progress was written with ranges also where the form of the last version would have fitted, so that a roll back to it would have run completed tasks again.

Change: a submission larger than a row is stored in numbered chunks beside a first row that earlier versions can't decode and leave alone; a term reads them together, and the end of the job removes them. Only a job that no transaction has room for gets 413. Batches of submissions go through `TransactionBuilder` like the scheduler's changes, so that there is one place that counts entries and bytes (in Base64). Progress keeps the form of earlier versions as long as that fits in a row. `Outcome::Rejected` goes to those entry VMs only that know it.

--- a/crates/snipevane-core/src/jobs/ending/changes.rs
+++ b/crates/snipevane-core/src/jobs/ending/changes.rs
@@ -41,6 +41,14 @@
     received: Vec<ReceivedEnds>,
 }
 
+impl Changes {
+    /// Returns the changes of jobs that have ended.
+    pub fn ended(&self) -> impl Iterator<Item = &JobChange> {
+        let jobs = self.jobs.iter();
+        jobs.filter(|change| change.progress.state.is_final())
+    }
+}
+
 impl Scheduler {
     /// Returns whether any changes are to be stored.
     pub fn has_changes(&self) -> bool {
--- a/crates/snipevane-core/src/jobs/model/progress.rs
+++ b/crates/snipevane-core/src/jobs/model/progress.rs
@@ -62,6 +62,15 @@
 }
 
 impl DoneTasks {
+    /// Returns an entry for each occurrence.
+    fn by_occurrence(&self) -> impl Iterator<Item = Self> + '_ {
+        self.occurrences().map(|occurrence| Self {
+            occurrence,
+            further_occurrences: Vec::new(),
+            ..self.clone()
+        })
+    }
+
     /// Returns the indices of all occurrences.
     pub(in crate::jobs) fn occurrences(&self) -> impl Iterator<Item = u32> + '_ {
         let further = self.further_occurrences.iter();
@@ -87,6 +96,15 @@
 }
 
 impl FailedRuns {
+    /// Returns an entry for each task.
+    fn by_task(&self) -> impl Iterator<Item = Self> + '_ {
+        self.tasks().map(|task| Self {
+            task,
+            further_tasks: Vec::new(),
+            ..self.clone()
+        })
+    }
+
     /// Returns the indices of all tasks.
     pub(in crate::jobs) fn tasks(&self) -> impl Iterator<Item = u32> + '_ {
         let further = self.further_tasks.iter();
@@ -192,6 +210,27 @@
         }
     }
 
+    /// Returns the progress with an entry for each occurrence and each task, as versions before the ranges stored
+    /// it; `None` if that takes more than `max_entries` entries.
+    pub fn without_ranges(&self, max_entries: usize) -> Option<Self> {
+        let done = self.done.iter().map(|entry| entry.occurrences().count());
+        let failed = self.failed.iter().map(|entry| entry.tasks().count());
+        if done.chain(failed).sum::<usize>() > max_entries {
+            return None;
+        }
+        let mut done: Vec<DoneTasks> = self
+            .done
+            .iter()
+            .flat_map(DoneTasks::by_occurrence)
+            .collect();
+        done.sort_by_key(|entry| (entry.occurrence, entry.step));
+        Some(Self {
+            done,
+            failed: self.failed.iter().flat_map(FailedRuns::by_task).collect(),
+            ..self.clone()
+        })
+    }
+
     /// Adds a part of the progress that was stored in a row of its own.
     pub fn merge(&mut self, part: Self) {
         self.done.extend(part.done);
--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -9,19 +9,21 @@
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 use snipevane_adapter::callers::{self, API_KEY_HEADER, DEADLINE_HEADER};
+use snipevane_adapter::rows::Transaction;
 use snipevane_core::jobs::{JobId, JobSpec, JobState, JobTerms, Progress, Queue, Site};
 use tokio::time::timeout;
 
 use crate::clock::Clock;
 use crate::events;
+use crate::job_rows;
 use crate::metrics;
 use crate::node::Node;
 use crate::peers::scheduler_client;
 use crate::rows::{self, PROGRESS_TABLE};
-use crate::store::StoreError;
+use crate::store::{StoreError, TransactionBuilder};
 
 use super::admission;
-use super::job_writer::{JobWriter, Outcome};
+use super::job_writer::{self, JobWriter, Outcome};
 use super::reply::{self, Reply};
 
 /// Shortest time after which a caller is told to retry if this process lacks a current
@@ -261,19 +263,23 @@
     }
 }
 
-/// Returns the response to a submission that fits in no row of the store; `None` if it does.
+/// Returns the response to a submission that fits in no transaction; `None` if it does.
 fn reject_too_large<C: Clock>(node: &Node<C>, id: JobId, spec: &JobSpec) -> Option<Reply> {
-    let bytes = rows::encode(spec).len();
-    let max_bytes = node.settings.max_row_bytes;
-    if bytes <= max_bytes {
+    let max_row_bytes = node.settings.max_row_bytes;
+    let writes = job_rows::encode(id, spec, max_row_bytes).writes;
+    let bytes: usize = writes.iter().map(|(_, _, value)| value.len()).sum();
+    let mut builder = TransactionBuilder::with_room_for_row(max_row_bytes);
+    // The condition and the first row of its progress.
+    let has_rest = builder.add(job_writer::acceptance(id));
+    let entries = Transaction {
+        writes,
+        ..Transaction::default()
+    };
+    if has_rest && builder.add(entries) {
         return None;
     }
-    events::record(
-        &events::JOB_TOO_LARGE,
-        &[&id, &spec.queue, &bytes, &max_bytes],
-    );
-    let message =
-        format!("the job takes {bytes} bytes as stored, {max_bytes} at most; it never runs");
+    events::record(&events::JOB_TOO_LARGE, &[&id, &spec.queue, &bytes]);
+    let message = format!("the job takes {bytes} bytes, more than a transaction; it never runs");
     Some(reply::error(StatusCode::PAYLOAD_TOO_LARGE, &message))
 }
 
--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snipevane_adapter::rows::{Row, Transaction};
@@ -16,11 +15,16 @@
 
 use crate::clock::Clock;
 use crate::events;
+use crate::job_rows::{self, JobRows};
 use crate::metrics;
 use crate::node::Node;
 use crate::peers::scheduler_client;
 use crate::rows::{self, JOBS_TABLE, PROGRESS_TABLE};
-use crate::store::{CommitOutcome, StoreError};
+use crate::store::{CommitOutcome, StoreError, TransactionBuilder};
+
+use super::pending_change::{PendingChange, WriteResult};
+use super::recent_submissions::RecentSubmissions;
+use super::uncertain_writes::UncertainWrites;
 
 /// Maximum number of changes in one transaction. Each change takes up to three entries.
 const MAX_BATCH: usize = 30;
@@ -28,11 +32,6 @@
 /// Time after which a change is no longer retried.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_200);
 
-/// Time after which the write of a job that was submitted here has been carried out or given up: the write is
-/// retried for [`WRITE_TIMEOUT`], its last attempt waits up to 0.8 s for its turn and 1.5 s for the store, and
-/// the rest is a margin for a store that carries out a call after its timeout.
-const SUBMISSION_SETTLED: Duration = Duration::from_secs(10);
-
 /// Delay before a failed batch is written again.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -62,42 +61,10 @@
 /// longer one shows a lost answer rather than a slow store.
 const MAX_EXPECTED_COMMIT_TIME: Duration = Duration::from_millis(1_000);
 
-/// Maximum size of the values in one transaction, in bytes. In Base64, with the entries' names and changes
-/// of the scheduler, they stay within the platform's limit of 1 MB.
-const MAX_BATCH_BYTES: usize = 500_000;
-
-/// Time for which a write of unknown outcome is remembered. A caller repeats a submission up to four times
-/// and waits 3 s each time.
-const UNCERTAIN_RETENTION: Duration = Duration::from_secs(60);
-
-/// Number of remembered writes above which expired ones are removed.
-const MAX_UNCERTAIN: usize = 1_000;
-
-/// A change to one job that is queued to be written.
-struct PendingChange {
-    /// Number that identifies the change in this process.
-    number: u64,
-    /// Table, key and expected version of the row on which the change is conditional.
-    condition: (SmolStr, SmolStr, u64),
-    /// Rows to write.
-    writes: Vec<(SmolStr, SmolStr, Vec<u8>)>,
-    /// Whether a conflict is also reported if the row is absent, which has version 0.
-    conflict_if_absent: bool,
-    /// Time on the monotonic clock at which the change was queued.
-    queued_at: Duration,
-    /// Whether an earlier write of the change may have been applied although it failed.
-    outcome_unknown: bool,
-    result_tx: oneshot::Sender<WriteResult>,
-}
-
-/// Result of a conditional write.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum WriteResult {
-    Outcome(Outcome),
-    /// The condition didn't hold; the row has this version, or 0 if it is absent.
-    Conflict {
-        version: u64,
-    },
+/// Changes that are written together.
+struct Batch {
+    changes: Vec<PendingChange>,
+    transaction: Transaction,
 }
 
 /// Writes callers' jobs and cancellations to the store.
@@ -106,17 +73,12 @@
     pending: RefCell<Vec<PendingChange>>,
     next_number: Cell<u64>,
     writing: Cell<bool>,
-    /// Jobs that were submitted lately, with the times of their last submissions.
-    submitted: RefCell<FxHashMap<JobId, Duration>>,
-    /// Time at which the settled ones of these were last removed.
-    submitted_pruned_at: Cell<Duration>,
+    submitted: RecentSubmissions,
     /// Whether a transaction is under way.
     committing: Cell<bool>,
     /// Limit of the changes in a transaction, while the store rejects some for good.
     batch_limit: Cell<BatchLimit>,
-    /// Keys of jobs whose submission may be stored without the scheduler knowing of it, with the time of the
-    /// attempt. A repeat of the submission must not be answered that nothing was done.
-    uncertain: RefCell<FxHashMap<SmolStr, Duration>>,
+    uncertain: UncertainWrites,
 }
 
 impl<C: Clock> JobWriter<C> {
@@ -127,32 +89,21 @@
             pending: RefCell::default(),
             next_number: Cell::new(0),
             writing: Cell::new(false),
-            submitted: RefCell::default(),
-            submitted_pruned_at: Cell::new(Duration::ZERO),
+            submitted: RecentSubmissions::default(),
             committing: Cell::new(false),
             batch_limit: Cell::default(),
-            uncertain: RefCell::default(),
+            uncertain: UncertainWrites::default(),
         })
     }
 
     /// Returns whether a job was submitted to this process lately, so that it may be stored or may still be.
     pub(crate) fn was_submitted_lately(&self, id: JobId) -> bool {
-        let now = self.node.clock.now();
-        let submitted = self.submitted.borrow();
-        submitted
-            .get(&id)
-            .is_some_and(|at| now < *at + SUBMISSION_SETTLED)
+        self.submitted.contains(id, self.node.clock.now())
     }
 
     /// Records that a job is being submitted.
     fn record_submission(&self, id: JobId) {
-        let now = self.node.clock.now();
-        let mut submitted = self.submitted.borrow_mut();
-        submitted.insert(id, now);
-        if now >= self.submitted_pruned_at.get() + SUBMISSION_SETTLED {
-            self.submitted_pruned_at.set(now);
-            submitted.retain(|_, at| now < *at + SUBMISSION_SETTLED);
-        }
+        self.submitted.record(id, self.node.clock.now());
     }
 
     /// Stores a job, unless it is already stored.
@@ -176,13 +127,13 @@
             Some(Outcome::Unknown) => return self.accept_locally(id, spec).await,
             Some(Outcome::NotStored) | None => {
                 if !was_uncertain {
-                    self.uncertain.borrow_mut().remove(&key);
+                    self.uncertain.clear(&key);
                 }
                 return self.accept_locally(id, spec).await;
             }
         };
         if outcome == Outcome::Stored || (!was_uncertain && is_not_stored(outcome)) {
-            self.uncertain.borrow_mut().remove(&key);
+            self.uncertain.clear(&key);
         }
         if was_uncertain && is_not_stored(outcome) {
             return Outcome::Unknown;
@@ -198,9 +149,7 @@
     }
 
     fn is_uncertain(&self, key: &SmolStr) -> bool {
-        let now = self.node.clock.now();
-        let marked_at = self.uncertain.borrow().get(key).copied();
-        marked_at.is_some_and(|at| now < at + UNCERTAIN_RETENTION)
+        self.uncertain.contains(key, self.node.clock.now())
     }
 
     /// Returns whether another change of the same job waits, is being written or may have been written.
@@ -213,12 +162,7 @@
     }
 
     fn mark_uncertain(&self, key: &SmolStr) {
-        let now = self.node.clock.now();
-        let mut uncertain = self.uncertain.borrow_mut();
-        if uncertain.len() >= MAX_UNCERTAIN {
-            uncertain.retain(|_, at| now < *at + UNCERTAIN_RETENTION);
-        }
-        uncertain.insert(key.clone(), now);
+        self.uncertain.mark(key, self.node.clock.now());
     }
 
     /// Stores a job with a write of this process, unless it is already stored.
@@ -229,14 +173,9 @@
         if leader.is_some_and(|leader| leader.visible_state(id).is_some()) {
             return Outcome::Stored;
         }
-        let writes = vec![
-            (JOBS_TABLE.into(), key.clone(), rows::encode(spec)),
-            (
-                PROGRESS_TABLE.into(),
-                key.clone(),
-                rows::encode(&Progress::default()),
-            ),
-        ];
+        let JobRows { mut writes, chunks } =
+            job_rows::encode(id, spec, self.node.settings.max_row_bytes);
+        writes.append(&mut acceptance(id).writes);
         match self
             .write((PROGRESS_TABLE.into(), key.clone(), 0), writes, false)
             .await
@@ -244,8 +183,8 @@
             WriteResult::Outcome(outcome) => {
                 let leader = self.node.leader().filter(|_| outcome == Outcome::Stored);
                 if let Some(leader) = leader {
-                    leader.job_stored(id, spec.clone());
-                    self.uncertain.borrow_mut().remove(&key);
+                    leader.job_stored(id, spec.clone(), chunks);
+                    self.uncertain.clear(&key);
                 }
                 outcome
             }
@@ -393,12 +332,11 @@
         while !self.pending.borrow().is_empty() {
             let Some(leader) = self.node.leader() else {
                 let batch = self.take_batch();
-                if batch.is_empty() {
+                if batch.changes.is_empty() {
                     continue;
                 }
-                let transaction = build_transaction(&batch);
-                let result = self.node.store.commit(&transaction).await;
-                self.settle_batch(batch, result).await;
+                let result = self.node.store.commit(&batch.transaction).await;
+                self.settle_batch(batch.changes, result).await;
                 continue;
             };
             // The batch is taken when it can be sent, so that it contains all changes that wait by then.
@@ -408,54 +346,47 @@
                 continue;
             };
             let batch = self.take_batch();
-            if batch.is_empty() {
+            if batch.changes.is_empty() {
                 continue;
             }
-            let transaction = build_transaction(&batch);
             self.committing.set(true);
-            let result = leader.commit_for_callers(turn, &transaction).await;
+            let result = leader.commit_for_callers(turn, &batch.transaction).await;
             self.committing.set(false);
-            self.settle_batch(batch, result).await;
+            self.settle_batch(batch.changes, result).await;
         }
         self.writing.set(false);
     }
 
-    /// Removes the next batch from the queue.
-    fn take_batch(&self) -> Vec<PendingChange> {
+    /// Removes the next batch from the queue: the oldest changes that a transaction has room for.
+    fn take_batch(&self) -> Batch {
         self.refuse_late_changes();
-        let mut pending = self.pending.borrow_mut();
-        let mut bytes = 0;
-        if pending.is_empty() {
-            return Vec::new();
-        }
         let max_changes = self.batch_limit.get().max_changes().clamp(1, MAX_BATCH);
-        let within_limit = pending.iter().take(max_changes).take_while(|change| {
-            bytes += change.size();
-            bytes <= MAX_BATCH_BYTES
-        });
-        let count = within_limit.count().max(1).min(pending.len());
-        let mut batch: Vec<PendingChange> = pending.drain(..count).collect();
-        // A transaction may contain a row only once, so later changes of a row are queued again.
-        let mut index = 1;
-        while index < batch.len() {
-            let (earlier, rest) = batch.split_at(index);
-            if earlier
-                .iter()
-                .any(|change| change.condition.1 == rest[0].condition.1)
-            {
-                pending.push(batch.remove(index));
+        let mut builder = TransactionBuilder::with_room_for_row(self.node.settings.max_row_bytes);
+        let mut batch: Vec<PendingChange> = Vec::new();
+        let mut rest: Vec<PendingChange> = Vec::new();
+        let mut is_full = false;
+        for change in self.pending.borrow_mut().drain(..) {
+            // A transaction may contain a row only once, so a later change of a row waits.
+            let is_repeated = batch.iter().any(|earlier| earlier.key() == change.key());
+            is_full |= batch.len() == max_changes;
+            is_full = is_full || !is_repeated && !builder.add(change.entries());
+            if is_full || is_repeated {
+                rest.push(change);
             } else {
-                index += 1;
+                batch.push(change);
             }
         }
-        drop(pending);
+        *self.pending.borrow_mut() = rest;
         // A repeat that arrives while the batch is being written must not be refused as not run.
         for change in &mut batch {
             // Another change of the job may have been written since this one was queued.
-            change.outcome_unknown |= self.is_uncertain(&change.condition.1);
-            self.mark_uncertain(&change.condition.1);
+            change.outcome_unknown |= self.is_uncertain(change.key());
+            self.mark_uncertain(change.key());
+        }
+        Batch {
+            changes: batch,
+            transaction: builder.build(),
         }
-        batch
     }
 
     /// Refuses changes that were never sent and wouldn't be written while their callers wait.
@@ -471,7 +402,7 @@
         for number in late {
             let outcome = busy(self.queue().drain_time());
             if let Some(change) = self.withdraw(number) {
-                send_result(change, WriteResult::Outcome(outcome));
+                change.finish(WriteResult::Outcome(outcome));
             }
         }
     }
@@ -491,7 +422,7 @@
         );
         for change in &batch {
             if is_not_applied && !change.outcome_unknown {
-                self.uncertain.borrow_mut().remove(&change.condition.1);
+                self.uncertain.clear(change.key());
             }
         }
         match result {
@@ -500,7 +431,7 @@
                 limit.record_accepted();
                 self.batch_limit.set(limit);
                 for change in batch {
-                    send_result(change, WriteResult::Outcome(Outcome::Stored));
+                    change.finish(WriteResult::Outcome(Outcome::Stored));
                 }
             }
             Ok(CommitOutcome::Conflict(current_rows)) => {
@@ -536,7 +467,7 @@
             } else {
                 Outcome::Rejected
             };
-            send_result(change, WriteResult::Outcome(outcome));
+            change.finish(WriteResult::Outcome(outcome));
         }
     }
 
@@ -557,7 +488,7 @@
                     // A submission conflicts with a job that is stored already.
                     self.mark_uncertain(&change.condition.1);
                 }
-                send_result(change, WriteResult::Conflict { version });
+                change.finish(WriteResult::Conflict { version });
             }
         }
         self.requeue(rest);
@@ -588,7 +519,7 @@
             } else {
                 Outcome::NotStored
             };
-            send_result(change, WriteResult::Outcome(outcome));
+            change.finish(WriteResult::Outcome(outcome));
         }
         if rest.is_empty() {
             return;
@@ -598,23 +529,21 @@
     }
 }
 
-impl PendingChange {
-    /// Returns the size of the values that the change writes, in bytes.
-    fn size(&self) -> usize {
-        self.writes.iter().map(|(_, _, value)| value.len()).sum()
+/// Returns the entries of each submission, besides the rows of the job: the first row of its progress, on condition
+/// that there is none.
+pub(super) fn acceptance(id: JobId) -> Transaction {
+    let key = rows::job_key(id);
+    Transaction {
+        conditions: vec![(PROGRESS_TABLE.into(), key.clone(), 0)],
+        writes: vec![(
+            PROGRESS_TABLE.into(),
+            key,
+            rows::encode(&Progress::default()),
+        )],
+        ..Transaction::default()
     }
 }
 
-/// Returns a transaction with changes.
-fn build_transaction(batch: &[PendingChange]) -> Transaction {
-    let mut transaction = Transaction::default();
-    for change in batch {
-        transaction.conditions.push(change.condition.clone());
-        transaction.writes.extend(change.writes.iter().cloned());
-    }
-    transaction
-}
-
 /// Returns the outcome of a change that isn't written because others take until `drain_time`.
 fn busy(drain_time: Duration) -> Outcome {
     Outcome::Busy {
@@ -629,8 +558,3 @@
         Outcome::NotStored | Outcome::Rejected | Outcome::Busy { .. }
     )
 }
-
-/// Sends the result of a change to its caller, which may have disconnected.
-fn send_result(change: PendingChange, result: WriteResult) {
-    let _ = change.result_tx.send(result);
-}
--- a/crates/snipevane-fleet/src/caller/mod.rs
+++ b/crates/snipevane-fleet/src/caller/mod.rs
@@ -4,7 +4,10 @@
 mod handler;
 mod job_writer;
 mod listener;
+mod pending_change;
+mod recent_submissions;
 mod reply;
+mod uncertain_writes;
 
 pub use job_writer::{JobWriter, Outcome};
 pub use listener::{serve_callers, serve_readiness};
--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -36,7 +36,7 @@
     REQUEST_REFUSED = 2041 Info "request refused" ["method", "path", "status", "reason", "config", "store"];
     CANCELLATION_STORED = 2042 Info "cancellation stored" ["job", "config"];
     JOB_REJECTED = 2043 Info "job rejected, as its result would come too late" ["job", "queue", "pool", "completes_ms", "value_ms", "backlog_core_ms", "cpu_millis", "age_ms", "retry_ms"];
-    JOB_TOO_LARGE = 2044 Warn "job rejected, as it is larger than a row of the store" ["job", "queue", "bytes", "max_bytes"];
+    JOB_TOO_LARGE = 2044 Warn "job rejected, as it is larger than a transaction of the store" ["job", "queue", "bytes"];
     JOB_ENQUEUED = 2050 Info "job added to its pool's queue" ["job", "pool", "fence", "adopted", "due_ms"];
     TASKS_PLACED = 2051 Info "tasks placed" ["step", "tasks", "waiting", "age_ms", "fence"];
     SPECULATIVE_RUN_PLACED = 2052 Info "speculative run of a task placed" ["task", "minion", "fence"];
--- a/crates/snipevane-fleet/src/lib.rs
+++ b/crates/snipevane-fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod events;
 mod flags;
+pub mod job_rows;
 pub mod logging;
 pub mod metrics;
 pub mod minion_rows;
--- a/crates/snipevane-fleet/src/peers/messages.rs
+++ b/crates/snipevane-fleet/src/peers/messages.rs
@@ -90,6 +90,9 @@
     /// Whether the sender knows the outcome [`Outcome::Busy`](crate::caller::Outcome::Busy).
     #[serde(default)]
     pub accepts_busy: bool,
+    /// Whether the sender understands [`Outcome::Rejected`].
+    #[serde(default)]
+    pub accepts_rejected: bool,
 }
 
 /// Requests the state of a job.
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -187,6 +187,7 @@
     let outcome = job_writer.accept_locally(request.id, &request.spec).await;
     let outcome = match outcome {
         Outcome::Busy { .. } if !request.accepts_busy => Outcome::NotStored,
+        Outcome::Rejected if !request.accepts_rejected => Outcome::NotStored,
         outcome => outcome,
     };
     scheduler_response(Some(outcome))
--- a/crates/snipevane-fleet/src/progress_rows.rs
+++ b/crates/snipevane-fleet/src/progress_rows.rs
@@ -1,7 +1,9 @@
 //! Rows of the progress of jobs.
 //!
-//! Most jobs have one row. Progress that is too large for a row is spread over several: the first one has the
-//! job's key, its state and the number of the others, which have numbered keys and contain parts of the lists.
+//! Most jobs have one row, of the form that earlier versions wrote, so that these can read it too. If that form is too
+//! large for a row, equal entries are stored once with ranges. What is still too large is spread over several rows:
+//! the first one has the job's key, its state and the number of the others, which have numbered keys and contain
+//! parts of the lists.
 
 use rustc_hash::FxHashMap;
 use serde::Serialize;
@@ -10,7 +12,7 @@
 use snipevane_core::jobs::{JobId, Progress};
 use thiserror::Error;
 
-use crate::rows::{self, JOBS_TABLE, PROGRESS_TABLE};
+use crate::rows::{self, PROGRESS_TABLE};
 
 /// Largest number of rows of one job, which together fit in a transaction.
 const MAX_ROWS: usize = 8;
@@ -19,6 +21,9 @@
 const FILL_NUMERATOR: usize = 2;
 const FILL_DENOMINATOR: usize = 3;
 
+/// Smallest size of an entry, in bytes.
+const MIN_ENTRY_BYTES: usize = 40;
+
 /// Size of the encoded state and names of the lists in a row, in bytes, at most.
 const ROW_OVERHEAD_BYTES: usize = 160;
 
@@ -30,9 +35,9 @@
     pub needed_rows: usize,
 }
 
-/// Returns the entries that store the progress of a job, and the number of rows beside the first one. Parts of
-/// earlier progress may be stored in `stored_parts` further rows; `max_row_bytes` is the largest value that a row
-/// may have.
+/// Returns the entries that store the progress of a job that hasn't ended, and the number of rows beside the first
+/// one. Parts of earlier progress may be stored in `stored_parts` further rows; `max_row_bytes` is the largest value
+/// that a row may have.
 ///
 /// # Errors
 ///
@@ -43,10 +48,14 @@
     stored_parts: u32,
     max_row_bytes: usize,
 ) -> Result<(Transaction, u32), TooLarge> {
-    if progress.state.is_final() {
-        return Ok((encode_end(id, progress, stored_parts), 0));
-    }
     let max_bytes = max_row_bytes * FILL_NUMERATOR / FILL_DENOMINATOR;
+    if let Some(value) = encode_without_ranges(progress, stored_parts, max_bytes) {
+        let transaction = Transaction {
+            writes: vec![(PROGRESS_TABLE.into(), rows::job_key(id), value)],
+            ..Transaction::default()
+        };
+        return Ok((transaction, 0));
+    }
     let parts = split(progress, stored_parts, max_bytes);
     if parts.len() > MAX_ROWS {
         return Err(TooLarge {
@@ -65,17 +74,33 @@
     Ok((transaction, further))
 }
 
-/// Returns the entries that store the end of a job: its state alone stays, and all its other rows are removed.
-fn encode_end(id: JobId, progress: &Progress, stored_parts: u32) -> Transaction {
-    let key = rows::job_key(id);
+/// Returns the value of the only row, in the form of earlier versions; `None` if that is too large, or other rows may
+/// have been written.
+fn encode_without_ranges(
+    progress: &Progress,
+    stored_parts: u32,
+    max_bytes: usize,
+) -> Option<Vec<u8>> {
+    if stored_parts > 0 {
+        return None;
+    }
+    let expanded = progress.without_ranges(max_bytes / MIN_ENTRY_BYTES)?;
+    let value = rows::encode(&expanded);
+    (value.len() <= max_bytes).then_some(value)
+}
+
+/// Returns the entries that store the end of a job: its state alone stays, and further rows of its progress are
+/// removed.
+pub fn encode_end(id: JobId, progress: &Progress, stored_parts: u32) -> Transaction {
     let further = 1..=stored_parts;
-    let further = further.map(|number| (PROGRESS_TABLE.into(), row_key(id, number)));
-    let mut removals: Vec<(SmolStr, SmolStr)> = further.collect();
-    removals.push((JOBS_TABLE.into(), key.clone()));
-    removals.push((JOBS_TABLE.into(), rows::cancel_key(id)));
+    let removals = further.map(|number| (PROGRESS_TABLE.into(), row_key(id, number)));
     Transaction {
-        writes: vec![(PROGRESS_TABLE.into(), key, rows::encode(progress))],
-        removals,
+        writes: vec![(
+            PROGRESS_TABLE.into(),
+            rows::job_key(id),
+            rows::encode(progress),
+        )],
+        removals: removals.collect(),
         ..Transaction::default()
     }
 }
--- a/crates/snipevane-fleet/src/scheduling/feeds.rs
+++ b/crates/snipevane-fleet/src/scheduling/feeds.rs
@@ -7,13 +7,14 @@
 use smol_str::SmolStr;
 use snipevane_adapter::minion;
 use snipevane_adapter::rows::Row;
-use snipevane_core::jobs::{JobId, JobSpec, Progress};
+use snipevane_core::jobs::{JobId, Progress};
 use tokio::time::sleep;
 
 use crate::clock::Clock;
 use crate::events;
+use crate::job_rows::{self, ReadJob};
 use crate::progress_rows;
-use crate::rows::{self, JOBS_TABLE, JobsTableKey, PROGRESS_TABLE};
+use crate::rows::{JOBS_TABLE, JobsTableKey, PROGRESS_TABLE};
 use crate::store::StoreError;
 
 use super::leader::Leader;
@@ -67,9 +68,7 @@
         let mut scheduler = leader.scheduler.borrow_mut();
         scheduler.add_ended_job(*id, progress.state, progress.ended_unix_ms);
     }
-    for row in &inbox.rows {
-        apply_job_row(leader, row, &progress, adopted);
-    }
+    add_jobs(leader, &inbox.rows, &progress, adopted);
     for row in &inbox.rows {
         apply_cancel_row(leader, row);
     }
@@ -96,9 +95,10 @@
             .await
         {
             Ok(page) => {
-                for row in &page.rows {
-                    apply_job_row(leader, row, &FxHashMap::default(), false);
-                    apply_cancel_row(leader, row);
+                if let Err(error) = apply_job_changes(leader, &page.rows).await {
+                    log::debug!("can't read a job of several rows, retrying: {error}");
+                    sleep(RETRY_DELAY).await;
+                    continue;
                 }
                 version = version.max(page.version);
                 leader.wake.notify_one();
@@ -113,23 +113,54 @@
     }
 }
 
-fn apply_job_row<C: Clock>(
+/// Applies new jobs and cancellations.
+///
+/// # Errors
+///
+/// Returns an error if the rest of a job of several rows can't be read.
+async fn apply_job_changes<C: Clock>(leader: &Leader<C>, rows: &[Row]) -> Result<(), StoreError> {
+    for id in add_jobs(leader, rows, &FxHashMap::default(), false) {
+        add_incomplete_job(leader, id).await?;
+    }
+    for row in rows {
+        apply_cancel_row(leader, row);
+    }
+    Ok(())
+}
+
+/// Adds the jobs among rows to the scheduler; returns those of which rows are missing.
+fn add_jobs<C: Clock>(
     leader: &Leader<C>,
-    row: &Row,
+    rows: &[Row],
     progress: &FxHashMap<JobId, Progress>,
     adopted: bool,
-) {
-    let (Some(JobsTableKey::Job(id)), Some(value)) = (JobsTableKey::parse(&row.key), &row.value)
-    else {
-        return;
-    };
-    let Some(spec) = rows::decode::<JobSpec>(&row.key, value) else {
-        return;
-    };
+) -> Vec<JobId> {
     let now = leader.node.clock.now();
     let unix_ms = leader.node.clock.unix_ms();
-    let mut scheduler = leader.scheduler.borrow_mut();
-    scheduler.add_job(id, spec, progress.get(&id), adopted, now, unix_ms);
+    let mut incomplete = Vec::new();
+    for (id, read) in job_rows::decode_all(rows) {
+        match read {
+            ReadJob::Whole(spec, chunks) => {
+                leader.record_chunks(id, chunks);
+                let mut scheduler = leader.scheduler.borrow_mut();
+                scheduler.add_job(id, *spec, progress.get(&id), adopted, now, unix_ms);
+            }
+            ReadJob::Incomplete => incomplete.push(id),
+        }
+    }
+    incomplete
+}
+
+/// Reads all rows of a job, of which a page of changes had only some, and adds it.
+///
+/// # Errors
+///
+/// Returns an error if the store doesn't answer.
+async fn add_incomplete_job<C: Clock>(leader: &Leader<C>, id: JobId) -> Result<(), StoreError> {
+    let (from, to) = job_rows::key_range(id);
+    let page = leader.node.store.read(JOBS_TABLE, &from, &to).await?;
+    add_jobs(leader, &page.rows, &FxHashMap::default(), false);
+    Ok(())
 }
 
 fn apply_cancel_row<C: Clock>(leader: &Leader<C>, row: &Row) {
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -106,6 +106,8 @@
     pub(super) callers_carry_changes: Cell<bool>,
     /// Limit of the scheduler's changes in a transaction, while the store rejects some for good.
     pub(super) batch_limit: Cell<BatchLimit>,
+    /// Number of rows beside the first one of each job that is stored in several.
+    pub(super) job_chunks: RefCell<FxHashMap<JobId, u32>>,
     /// Progress of waves that is to be stored, oldest first.
     pub(super) pending_waves: RefCell<VecDeque<WaveProgress>>,
     /// Start of the term; `None` for the first term, before which no orders were sent.
@@ -204,13 +206,14 @@
             commit_times: Cell::new(commit_times),
             row: RefCell::new(won.row),
             version: Cell::new(won.version),
+            waiting: RefCell::default(),
             minion_rows: RefCell::new(won.minion_rows),
             write_turn: tokio::sync::Mutex::default(),
-            waiting: RefCell::default(),
             changes_written_at: Cell::new(node.clock.now()),
             callers_waiting: Cell::new(false),
             callers_carry_changes: Cell::new(true),
             batch_limit: Cell::default(),
+            job_chunks: RefCell::default(),
             pending_waves: RefCell::default(),
             taken_over_at,
             previously_ordered_vms,
@@ -240,8 +243,9 @@
         }
     }
 
-    /// Adds a job that this process has just stored to the scheduler.
-    pub(crate) fn job_stored(&self, id: JobId, spec: JobSpec) {
+    /// Adds a job that this process has just stored in `chunks` rows beside the first one.
+    pub(crate) fn job_stored(&self, id: JobId, spec: JobSpec, chunks: u32) {
+        self.record_chunks(id, chunks);
         let (now, unix_ms) = (self.node.clock.now(), self.node.clock.unix_ms());
         let mut scheduler = self.scheduler.borrow_mut();
         scheduler.add_job(id, spec, None, false, now, unix_ms);
@@ -249,6 +253,13 @@
         self.wake.notify_one();
     }
 
+    /// Records in how many rows beside the first one a job is stored.
+    pub(super) fn record_chunks(&self, id: JobId, chunks: u32) {
+        if chunks > 0 {
+            self.job_chunks.borrow_mut().insert(id, chunks);
+        }
+    }
+
     /// Returns the longest time that a write took lately.
     pub(crate) fn commit_time(&self) -> Duration {
         self.commit_times.get().longest()
--- a/crates/snipevane-fleet/src/scheduling/own_changes.rs
+++ b/crates/snipevane-fleet/src/scheduling/own_changes.rs
@@ -6,15 +6,16 @@
 
 use crate::clock::Clock;
 use crate::events;
-use crate::progress_rows;
+use crate::job_rows;
+use crate::progress_rows::{self, TooLarge};
 use crate::rows::{self, PROGRESS_TABLE};
 use crate::store::TransactionBuilder;
 
 use super::leader::Leader;
 use super::storing::report_rejected;
 use super::wave_rows;
-
 use crate::minion_rows::{self, MinionInUse, MinionRows, RowPlace};
+
 /// Maximum number of waves whose progress one transaction contains, so that changes of jobs have room beside
 /// any number of waves.
 const MAX_WAVES: usize = 8;
@@ -99,7 +100,6 @@
         max_changes: usize,
     ) {
         let max_entries = builder.entry_count() + MAX_JOB_ENTRIES;
-        let max_row_bytes = leader.node.settings.max_row_bytes;
         let mut room = max_changes.saturating_sub(self.count());
         let mut parts: Vec<(JobId, u32)> = Vec::new();
         let mut too_large: Option<JobChange> = None;
@@ -107,12 +107,7 @@
             if room == 0 {
                 return false;
             }
-            let encoded = progress_rows::encode(
-                change.id,
-                &change.progress,
-                change.stored_parts,
-                max_row_bytes,
-            );
+            let encoded = encode_change(leader, change);
             let Ok((part, further)) = encoded else {
                 too_large = Some(change.clone());
                 return false;
@@ -184,6 +179,9 @@
     fn record_stored<C: Clock>(self, leader: &Leader<C>) {
         let mut scheduler = leader.scheduler.borrow_mut();
         log_ended_jobs(leader, &self.jobs);
+        for change in self.jobs.ended() {
+            leader.job_chunks.borrow_mut().remove(&change.id);
+        }
         scheduler.changes_stored(&self.jobs);
         let mut minion_rows = leader.minion_rows.borrow_mut();
         for (place, row) in self.minion_rows {
@@ -227,6 +225,31 @@
     }
 }
 
+/// Returns the entries that store the change of a job, and the number of rows of its progress beside the first one.
+///
+/// # Errors
+///
+/// Returns an error if the progress needs too many rows.
+fn encode_change<C: Clock>(
+    leader: &Leader<C>,
+    change: &JobChange,
+) -> Result<(Transaction, u32), TooLarge> {
+    let JobChange {
+        id,
+        progress,
+        stored_parts,
+        ..
+    } = change;
+    if !progress.state.is_final() {
+        let max_row_bytes = leader.node.settings.max_row_bytes;
+        return progress_rows::encode(*id, progress, *stored_parts, max_row_bytes);
+    }
+    let chunks = leader.job_chunks.borrow().get(id).copied();
+    let mut transaction = progress_rows::encode_end(*id, progress, *stored_parts);
+    transaction.append(job_rows::removal(*id, chunks.unwrap_or(0)));
+    Ok((transaction, 0))
+}
+
 /// Ends a job whose progress can't be stored.
 fn give_up_job<C: Clock>(leader: &Leader<C>, change: &JobChange) {
     let unix_ms = leader.node.clock.unix_ms();
@@ -238,11 +261,7 @@
 /// Logs the jobs whose end is now stored and thus visible to callers.
 fn log_ended_jobs<C: Clock>(leader: &Leader<C>, changes: &Changes) {
     let fence = leader.row.borrow().fence;
-    let ended = changes
-        .jobs
-        .iter()
-        .filter(|change| change.progress.state.is_final());
-    for change in ended {
+    for change in changes.ended() {
         let state = change.progress.state.name();
         let version = leader.version.get();
         events::record(&events::JOB_ENDED, &[&change.id, &state, &fence, &version]);
--- a/crates/snipevane-fleet/src/store/builder.rs
+++ b/crates/snipevane-fleet/src/store/builder.rs
@@ -1,5 +1,6 @@
 //! Builder of transactions that stay within the store's limits.
 
+use smol_str::SmolStr;
 use snipevane_adapter::rows::{MAX_TRANSACTION_BYTES, MAX_TRANSACTION_ENTRIES, Transaction};
 
 /// Builds a transaction from parts, each of which is added as a whole or not at all.
@@ -24,6 +25,16 @@
         }
     }
 
+    /// Creates a builder that keeps room for one row of this size, with a condition on it.
+    pub(crate) fn with_room_for_row(row_bytes: usize) -> Self {
+        let key = SmolStr::default();
+        Self::with_reserve(&Transaction {
+            conditions: vec![(key.clone(), key.clone(), 0)],
+            writes: vec![(key.clone(), key, vec![0; row_bytes])],
+            ..Transaction::default()
+        })
+    }
+
     /// Adds a part if the transaction stays within the limits; returns whether it does.
     pub(crate) fn add(&mut self, part: Transaction) -> bool {
         let entries = self.transaction.entry_count() + part.entry_count();
--- a/crates/snipevane-fleet/tests/progress_rows.rs
+++ b/crates/snipevane-fleet/tests/progress_rows.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 use snipevane_adapter::rows::{MAX_TRANSACTION_BYTES, Row, Transaction};
 use snipevane_core::jobs::{CrashedRuns, DoneTasks, FailedRuns, JobId, JobState, Progress};
-use snipevane_fleet::progress_rows::{decode_all, encode};
+use snipevane_fleet::progress_rows::{decode_all, encode, encode_end};
 
 const MAX_ROW_BYTES: usize = 65_536;
 
@@ -24,9 +24,11 @@
     let first = (0..occurrences).map(|occurrence| done(0, occurrence));
     let second = (0..occurrences).step_by(2);
     let second = second.map(|occurrence| done(1, occurrence));
+    let mut done: Vec<DoneTasks> = first.chain(second).collect();
+    done.sort_by_key(|entry| (entry.occurrence, entry.step));
     Progress {
         state: JobState::Running,
-        done: first.chain(second).collect(),
+        done,
         ..Progress::default()
     }
 }
@@ -126,8 +128,7 @@
         ended_unix_ms: 5,
         ..Progress::default()
     };
-    let (transaction, _) = encode(id, &ended, further, MAX_ROW_BYTES).expect("fits");
-    apply(&mut table, &transaction);
+    apply(&mut table, &encode_end(id, &ended, further));
     assert_eq!(table.len(), 1);
     assert_eq!(read(&table)[&id], ended);
 }
@@ -138,3 +139,44 @@
     let error = encode(JobId::new(7), &wide_step(20_000), 0, MAX_ROW_BYTES);
     assert!(error.is_err_and(|error| error.needed_rows > 8));
 }
+
+/// Guards against progress that the last version can't read after a roll back to it: as long as its form fits in a row,
+/// it is written.
+#[test]
+fn the_progress_of_most_jobs_has_the_form_of_earlier_versions() {
+    let progress = Progress {
+        state: JobState::Running,
+        done: vec![
+            DoneTasks {
+                occurrence: 0,
+                step: 0,
+                ranges: vec![(0, 3)],
+                further_occurrences: vec![(1, 2)],
+            },
+            DoneTasks {
+                occurrence: 0,
+                step: 1,
+                ranges: vec![(0, 1), (3, 3)],
+                further_occurrences: Vec::new(),
+            },
+        ],
+        failed: vec![FailedRuns {
+            occurrence: 2,
+            step: 1,
+            task: 4,
+            attempts: vec![1, 2],
+            further_tasks: vec![(6, 6)],
+        }],
+        ..Progress::default()
+    };
+    let (transaction, further) = encode(JobId::new(7), &progress, 0, MAX_ROW_BYTES).expect("fits");
+    let written = std::str::from_utf8(&transaction.writes[0].2).expect("text");
+    let expected = concat!(
+        r#"{"state":"running","done":[{"occurrence":0,"step":0,"ranges":[[0,3]]},"#,
+        r#"{"occurrence":0,"step":1,"ranges":[[0,1],[3,3]]},{"occurrence":1,"step":0,"ranges":[[0,3]]},"#,
+        r#"{"occurrence":2,"step":0,"ranges":[[0,3]]}],"failed":[{"occurrence":2,"step":1,"task":4,"attempts":[1,2]},"#,
+        r#"{"occurrence":2,"step":1,"task":6,"attempts":[1,2]}]}"#,
+    );
+    assert_eq!(written, expected);
+    assert_eq!((transaction.writes.len(), further), (1, 0));
+}
