Keep the platform's names out of the daemon's tests

Cause: `store_limits` wrote a wave of the platform's format by hand, and three older test files did so with settings and a submission; the test of names looked at the product's sources only.

Change: the stand-ins in `platform/` build waves, submissions and settings files, and the test of names reads the tests of the crates too.

Measured: the stricter test failed with three findings (after the wave had moved) and passes; `admission`, `check` and `store_limits` pass.

--- a/crates/snipevane-fleet/tests/admission.rs
+++ b/crates/snipevane-fleet/tests/admission.rs
@@ -10,6 +10,7 @@
 
 use serde_json::json;
 use site::{Site, call, call_with_wait, eventually};
+use snipevane_adapter_standin::{Step, submission};
 use snipevane_core::reach::ReachSettings;
 
 /// Estimated run time of a task. A job that starts within 6.6 s is in time (1.6 times the estimate and 0.6 s), so
@@ -96,10 +97,12 @@
         .set_times(Duration::ZERO, Duration::from_millis(400));
     let path = format!("/p/{REPEATED_JOB}");
     // A best-effort job is exempt, so that its submission is accepted under the overload.
-    let exempt = json!({
-        "spec": "100",
-        "phases": [{ "cpu": 100, "memMb": 10, "estimateMs": 100, "fillLevels": true }],
-    });
+    let step = Step {
+        estimate_ms: 100,
+        best_effort: true,
+        ..Step::default()
+    };
+    let exempt = submission("100", &[step]);
     let callers = site.nodes[rejecting].callers;
     let body = exempt.to_string();
     let first = call_with_wait(callers, "POST", &path, "key", &body, 500);
--- a/crates/snipevane-fleet/tests/check.rs
+++ b/crates/snipevane-fleet/tests/check.rs
@@ -5,17 +5,7 @@
 
 use std::process::{Command, Output};
 
-const VALID_SETTINGS: &str = r#"
-nodeName = "entry-a-1"
-ip = "127.0.0.1"
-internalPortRange = [7100, 7115]
-fieldOfALaterRelease = 1
-[bindAddresses]
-frontend = "127.0.0.1:8000"
-ready = "127.0.0.1:8003"
-[platform]
-address = "127.0.0.1:8009"
-"#;
+use snipevane_adapter_standin::VALID_SETTINGS;
 
 fn run(name: &str, text: &str, arguments: &[&str]) -> Output {
     let file = std::env::temp_dir().join(format!("check-{name}-{}.toml", std::process::id()));
--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use snipevane_adapter_standin::{Endpoint, Minion, Store, VmApi};
+use snipevane_adapter_standin::{Endpoint, EntryVmSettings, Minion, Store, VmApi};
 
 /// Maximum time that a test waits for a condition, far longer than any takes.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -75,6 +75,16 @@
         site
     }
 
+    /// Lets callers send bodies of up to this many bytes, and waits until all daemons do.
+    pub(crate) fn set_max_body_bytes(&self, bytes: u64) {
+        let mut configuration = configuration();
+        configuration["version"] = json!(2);
+        configuration["limits"]["maxBodyBytes"] = json!(bytes);
+        self.store.put("op", "config", &configuration);
+        // The bound of the time in which a configuration must be in force.
+        std::thread::sleep(Duration::from_secs(2));
+    }
+
     /// Starts another daemon, whose VM has this many cores.
     pub(crate) fn add_node(&mut self, cores: f64) {
         let name = format!("{}-{}", self.name, self.nodes.len());
@@ -157,18 +167,17 @@
     fn start(store: &Store, vm_api: &VmApi, name: &str, cores: f64) -> Self {
         let endpoint = store.add_endpoint();
         let [callers, readiness, peers, metrics] = std::array::from_fn(|_| free_address());
-        let text = format!(
-            "nodeName = \"{name}\"\nip = \"{ip}\"\nzone = \"a\"\n\
-             internalPortRange = [{port}, {port}]\n\
-             [bindAddresses]\nfrontend = \"{callers}\"\nready = \"{readiness}\"\n\
-             [platform]\naddress = \"{store}\"\n\
-             [cloudApi]\naddress = \"{vms}\"\n\
-             [limits]\ncpuShare = {cores:?}\n",
-            ip = host(),
-            port = peers.port(),
-            store = endpoint.address,
-            vms = vm_api.address,
-        );
+        let text = EntryVmSettings {
+            name,
+            ip: host().into(),
+            callers,
+            readiness,
+            peer_port: peers.port(),
+            store: endpoint.address,
+            vm_api: vm_api.address,
+            cores,
+        }
+        .text();
         let settings = std::env::temp_dir().join(format!("{name}-{}.toml", std::process::id()));
         std::fs::write(&settings, text).expect("the settings file");
         let process = Command::new(env!("CARGO_BIN_EXE_snipevane-fleet"))
--- a/tests/tests/platform_names.rs
+++ b/tests/tests/platform_names.rs
@@ -48,7 +48,13 @@
     let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("../crates");
     let mut files = Vec::new();
     for entry in fs::read_dir(crates).expect("the crates") {
-        collect_sources(&entry.expect("a crate").path().join("src"), &mut files);
+        let folder = entry.expect("a crate").path();
+        collect_sources(&folder.join("src"), &mut files);
+        // The stand-ins in `platform/` speak the platform's names for the tests of daemons too.
+        let tests = folder.join("tests");
+        if tests.exists() {
+            collect_sources(&tests, &mut files);
+        }
     }
     assert!(files.len() > 200, "the sources were found");
     let mut leaks = Vec::new();
