Log what is known of runs that are treated as ended, and of restarts

On-call engineers couldn't tell from the log whether a run that was treated as ended had begun, or which incarnation of its minion its order went to, so that the hypotheses of the incident with restarts all leave the same lines.

Change: SV2054 carries whether the minion has confirmed the start, and the starts of the incarnation that the order was sent to and of the one known now. SV2077 tells of a restart, SV2078 of a list that was ignored as one of an earlier incarnation. Runs keep the time at which their begin was confirmed, and the incarnation that was known when they were ordered. No decision depends on them yet.

--- a/crates/snipevane-core/src/jobs/ending/ends.rs
+++ b/crates/snipevane-core/src/jobs/ending/ends.rs
@@ -117,11 +117,15 @@
             return;
         };
         let (job, task_ref, attempt) = (run.job, run.task_ref, run.attempt);
+        let minion = self.minions.get(run.minion);
         self.events.push(SchedulerEvent::RunLost {
             task: run.task,
             attempt: run.attempt,
             minion: self.minion_id(run.minion),
             reason,
+            began: run.began_at.is_some(),
+            sent_to: run.sent_to,
+            incarnation: minion.and_then(|minion| minion.incarnation),
         });
         self.release_run(key);
         self.end_trial(job, task_ref, attempt);
--- a/crates/snipevane-core/src/jobs/event.rs
+++ b/crates/snipevane-core/src/jobs/event.rs
@@ -109,6 +109,35 @@
         minion: SmolStr,
         /// Reason for which it counts as lost.
         reason: LossReason,
+        /// Whether the minion has confirmed that the run had begun.
+        began: bool,
+        /// Start of the incarnation to which the start order was last sent, in Unix milliseconds; `None` if it
+        /// wasn't sent.
+        sent_to: Option<u64>,
+        /// Start of the incarnation that is known now, in Unix milliseconds.
+        incarnation: Option<u64>,
+    },
+    /// A minion has restarted under its identifier.
+    MinionRestarted {
+        /// Minion that has restarted.
+        minion: SmolStr,
+        /// Start of the earlier incarnation, in Unix milliseconds.
+        from: u64,
+        /// Start of the present incarnation, in Unix milliseconds.
+        to: u64,
+        /// Number of runs that ended with the earlier incarnation.
+        ended: usize,
+        /// Number of runs that the present incarnation lists, or may have begun.
+        kept: usize,
+    },
+    /// A run list was ignored, as it may be of an earlier incarnation of the minion.
+    RunListIgnored {
+        /// Minion that sent the list.
+        minion: SmolStr,
+        /// Start of the incarnation that sent the list, in Unix milliseconds.
+        listed: u64,
+        /// Start of the incarnation that is known, in Unix milliseconds.
+        known: u64,
     },
     /// A minion has crashed.
     MinionCrashed {
--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -222,6 +222,13 @@
             !may_be_new && !alive.contains(run)
         });
         let ended: Vec<RunKey> = ended.collect();
+        self.events.push(SchedulerEvent::MinionRestarted {
+            minion: minion.entry.id.clone(),
+            from: minion.incarnation.unwrap_or_default(),
+            to: incarnation,
+            ended: ended.len(),
+            kept: minion.runs.len() - ended.len(),
+        });
         self.end_runs_of_gone_minion(key, &ended, LossReason::MinionRestarted);
         if let Some(minion) = self.minions.get_mut(key) {
             minion.reset_for_incarnation(incarnation);
--- a/crates/snipevane-core/src/jobs/model/run.rs
+++ b/crates/snipevane-core/src/jobs/model/run.rs
@@ -58,6 +58,11 @@
     pub starts_sent: u32,
     /// Time at which the start order was first sent, or the run was adopted.
     pub first_sent_at: Option<Duration>,
+    /// Start of the incarnation of the minion that was known when the start order was last sent, in Unix
+    /// milliseconds.
+    pub sent_to: Option<u64>,
+    /// Time at which the minion first confirmed that the run has begun, by its reply or its list.
+    pub began_at: Option<Duration>,
     /// Time before which no order for the run is sent again.
     pub retry_at: Duration,
     /// Number of times that the start order got no reply until its timeout.
--- a/crates/snipevane-core/src/jobs/placing/tasks.rs
+++ b/crates/snipevane-core/src/jobs/placing/tasks.rs
@@ -385,6 +385,8 @@
             since: now,
             starts_sent: 0,
             first_sent_at: None,
+            sent_to: None,
+            began_at: None,
             retry_at: Duration::ZERO,
             unanswered_starts: 0,
             transmissions: Transmissions::default(),
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -38,6 +38,7 @@
         match reply {
             OrderReply::Done { clock_ms } => {
                 self.read_clock(minion, clock_ms, now);
+                self.record_begin(key, now);
                 self.start_confirmed(key, now);
             }
             OrderReply::Refused(Refusal::Fenced) => self.deposed = true,
@@ -271,6 +272,7 @@
         run.transmissions.record_sent(now);
         run.starts_sent += 1;
         run.first_sent_at.get_or_insert(now);
+        run.sent_to = minion.incarnation;
         self.start_window.order_sent();
         let order = StartOrder {
             to: Recipient {
@@ -309,6 +311,13 @@
         self.actions.push(Action::Stop(order));
     }
 
+    /// Records that a minion has confirmed that a run has begun.
+    pub(in crate::jobs) fn record_begin(&mut self, key: RunKey, now: Duration) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.began_at.get_or_insert(now);
+        }
+    }
+
     /// Records that a minion has carried out a start order, by its reply or its run list.
     pub(in crate::jobs) fn start_confirmed(&mut self, key: RunKey, now: Duration) {
         let Some(run) = self.runs.get_mut(key) else {
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -143,7 +143,14 @@
             return false;
         };
         match minion.incarnation {
-            Some(born) if list.started_unix_ms < born => return false,
+            Some(born) if list.started_unix_ms < born => {
+                self.events.push(SchedulerEvent::RunListIgnored {
+                    minion: minion.entry.id.clone(),
+                    listed: list.started_unix_ms,
+                    known: born,
+                });
+                return false;
+            }
             Some(born) if list.started_unix_ms > born => {
                 let incarnation = list.started_unix_ms;
                 self.handle_restart(key, incarnation, asked_at, &listed_runs, now);
@@ -264,6 +271,7 @@
         run.progress_percent = active.progress_percent;
         run.load = active.load;
         let (job, task_ref) = (run.job, run.task_ref);
+        self.record_begin(run_key, now);
         self.start_confirmed(run_key, now);
         self.drop_outlived_crashes(run_key, now);
         let step = self
@@ -301,6 +309,8 @@
             since: now,
             starts_sent: 1,
             first_sent_at: Some(now),
+            sent_to: self.minions.get(key).and_then(|minion| minion.incarnation),
+            began_at: Some(now),
             retry_at: Duration::ZERO,
             unanswered_starts: 0,
             transmissions: Transmissions::default(),
--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -41,7 +41,7 @@
     TASKS_PLACED = 2051 Info "tasks placed" ["step", "tasks", "waiting", "age_ms", "fence"];
     SPECULATIVE_RUN_PLACED = 2052 Info "speculative run of a task placed" ["task", "minion", "fence"];
     RUN_FAILED = 2053 Info "run failed" ["task", "attempt", "minion", "fence"];
-    RUN_LOST = 2054 Warn "run treated as ended without a reported end" ["task", "attempt", "minion", "reason", "fence"];
+    RUN_LOST = 2054 Warn "run treated as ended without a reported end" ["task", "attempt", "minion", "reason", "began", "sent_to", "incarnation", "fence"];
     RUN_STOPPED = 2055 Info "run stopped" ["task", "attempt", "minion", "reason", "fence"];
     JOB_ENDED = 2056 Info "job ended" ["job", "state", "fence", "row_version"];
     TASK_GIVEN_UP = 2057 Warn "job given up, as one of its tasks crashes minions" ["task", "crashes", "attributed", "fence"];
@@ -61,6 +61,8 @@
     PLACEMENT_PAUSED = 2074 Warn "nothing starts, as the operator's requests aren't confirmed" ["fence"];
     PLACEMENT_RESUMED = 2075 Info "starts go on, as the operator's requests are confirmed" ["fence"];
     MINION_LEFT_OUT = 2076 Warn "entry of a minion left out, as no configuration names its pool" ["minion", "pool", "fence"];
+    MINION_RESTARTED = 2077 Info "minion has restarted under its id" ["minion", "from", "to", "ended", "kept", "fence"];
+    RUN_LIST_IGNORED = 2078 Info "list of runs ignored, as it may be of an earlier incarnation" ["minion", "listed", "known", "fence"];
     ROW_UNREADABLE = 2080 Error "row can't be read" ["table", "key", "reason"];
     CHANGE_REJECTED = 2081 Error "change given up, as the store rejects it for good" ["kind", "key", "fence"];
     LINES_DROPPED = 2090 Warn "log lines dropped, rate limit of the event exceeded" ["event", "lines"];
--- a/crates/snipevane-fleet/src/scheduling/notes.rs
+++ b/crates/snipevane-fleet/src/scheduling/notes.rs
@@ -45,10 +45,37 @@
             attempt,
             minion,
             reason,
+            began,
+            sent_to,
+            incarnation,
         } => record(
             &events::RUN_LOST,
-            &[task, attempt, minion, &loss_reason(*reason), &fence],
+            &[
+                task,
+                attempt,
+                minion,
+                &loss_reason(*reason),
+                began,
+                &format_incarnation(*sent_to),
+                &format_incarnation(*incarnation),
+                &fence,
+            ],
         ),
+        SchedulerEvent::MinionRestarted {
+            minion,
+            from,
+            to,
+            ended,
+            kept,
+        } => record(
+            &events::MINION_RESTARTED,
+            &[minion, from, to, ended, kept, &fence],
+        ),
+        SchedulerEvent::RunListIgnored {
+            minion,
+            listed,
+            known,
+        } => record(&events::RUN_LIST_IGNORED, &[minion, listed, known, &fence]),
         SchedulerEvent::MinionCrashed {
             minion,
             runs,
@@ -252,6 +279,11 @@
     age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string())
 }
 
+/// Formats the start of an incarnation in Unix milliseconds; returns "none" if none is known.
+fn format_incarnation(started_unix_ms: Option<u64>) -> String {
+    started_unix_ms.map_or_else(|| "none".to_owned(), |at| at.to_string())
+}
+
 fn loss_reason(reason: LossReason) -> &'static str {
     match reason {
         LossReason::LeaseExpired => "lease over",
