Give the interference of fake minions a file of its own

minion.rs of the simulated site held two types with their impls, 608 lines: the fake minion, and how its tasks interfere. The second one moves to interference.rs, with the amount that it adds by default. Nothing else changes; its seeded generator becomes visible to its sibling, which draws the errors of reported figures.

--- a/tests/src/jobs/minion.rs
+++ b/tests/src/jobs/minion.rs
@@ -3,8 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
+use rand::RngExt;
 use smol_str::{SmolStr, format_smolstr};
 use snipevane_core::jobs::{
     ActiveRun, CpuShareOrder, EndedRun, HoldOrder, HoldReply, MinionEntry, OrderReply, Refusal,
@@ -12,6 +11,8 @@
 };
 use snipevane_core::placement::Resources;
 
+use super::interference::{INTERFERENCE_MS, Interference};
+
 /// Time that a run takes to end after a stop order.
 pub(super) const STOP_TIME: Duration = Duration::from_millis(300);
 
@@ -69,52 +70,9 @@
     pub tail_target_ms: u64,
 }
 
-/// How the tasks on a minion interfere, and what it reports of it.
-#[derive(Clone, Debug)]
-pub struct Interference {
-    /// Amounts that a best-effort image at its full CPU share adds to the tail latency of a
-    /// latency-sensitive one, in milliseconds, by the names of both; [`INTERFERENCE_MS`] for other
-    /// pairs.
-    pub added_ms: BTreeMap<(&'static str, &'static str), f64>,
-    /// Factor of all tail latencies, which stands for a slow minion or a higher load.
-    pub tail_factor: f64,
-    /// Largest error of a reported tail latency, as a fraction of it.
-    pub noise: f64,
-    /// Tail latency that is reported whatever it really is, in milliseconds.
-    pub reported_ms: Option<f64>,
-    random: ChaCha8Rng,
-}
-
-impl Default for Interference {
-    fn default() -> Self {
-        Self {
-            added_ms: BTreeMap::new(),
-            tail_factor: 1.0,
-            noise: 0.0,
-            reported_ms: None,
-            random: ChaCha8Rng::seed_from_u64(0),
-        }
-    }
-}
-
-impl Interference {
-    /// Returns figures with errors up to this fraction, drawn from a seed.
-    pub fn with_noise(noise: f64, seed: u64) -> Self {
-        Self {
-            noise,
-            random: ChaCha8Rng::seed_from_u64(seed),
-            ..Self::default()
-        }
-    }
-}
-
 /// Tail latency of a latency-sensitive task on an otherwise idle minion, in milliseconds.
 const BASELINE_TAIL_MS: f64 = 50.0;
 
-/// Amount that a best-effort task at its full CPU share adds to the tail latency of the
-/// latency-sensitive tasks on its minion, in milliseconds.
-const INTERFERENCE_MS: f64 = 40.0;
-
 /// Time that a CPU share takes to take effect.
 const THROTTLE_DELAY: Duration = Duration::from_millis(100);
 
