Split the writes of the scheduler's row from what is stored with them

storing.rs held three jobs in 496 lines: when to store the scheduler's own changes, the conditional write of its row with retries and conflicts, and the transactions of callers that carry both. The second one is now row_write.rs, the third one callers_write.rs. How the scheduler's changes are settled after a transaction of callers is a function of its own, as commit_for_callers had two jobs.

Behaviour is the same: but for that function, imports and visibility, each line of the three files is a line of the old one (compared sorted).

--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -29,7 +29,7 @@
 use crate::senders;
 use crate::store::{CommitOutcome, StoreError};
 
-use super::storing::CallersTurn;
+use super::callers_write::{self, CallersTurn};
 use super::{feeds, handover, notes, orders, reach, storing, vms};
 use crate::minion_rows::MinionRows;
 
@@ -273,7 +273,7 @@
     /// Waits for the turn to write changes of callers; returns `None` if it takes too long or the term is
     /// over.
     pub(crate) async fn callers_turn(&self) -> Option<CallersTurn<'_>> {
-        storing::callers_turn(self).await
+        callers_write::callers_turn(self).await
     }
 
     /// Commits changes of callers together with the scheduler's row, so that the write renews the term.
@@ -286,7 +286,7 @@
         turn: CallersTurn<'_>,
         changes: &Transaction,
     ) -> Result<CommitOutcome, StoreError> {
-        storing::commit_for_callers(self, turn, changes).await
+        callers_write::commit_for_callers(self, turn, changes).await
     }
 
     /// Returns the state of a job as shown to callers, if the job is known.
--- a/crates/snipevane-fleet/src/scheduling/mod.rs
+++ b/crates/snipevane-fleet/src/scheduling/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduler's term: the election of its holder, and the work that the holder does.
 
+mod callers_write;
 mod candidate;
 mod feeds;
 mod handover;
@@ -8,6 +9,7 @@
 mod orders;
 mod own_changes;
 mod reach;
+mod row_write;
 mod storing;
 mod view;
 mod vms;
