Give the outcomes of callers' changes a file and their constructors

job_writer.rs held two types. The outcome of a change moves to outcome.rs, and the free functions that make or judge one become its methods. The choice between 'not stored' and 'unknown' for a change that is given up stood three times; it is Outcome::given_up now.

Behaviour is the same.

--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -23,7 +23,8 @@
 use crate::store::{StoreError, TransactionBuilder};
 
 use super::admission;
-use super::job_writer::{self, JobWriter, Outcome};
+use super::job_writer::{self, JobWriter};
+use super::outcome::Outcome;
 use super::reply::{self, Reply};
 
 /// Shortest time after which a caller is told to retry if this process lacks a current
--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snipevane_adapter::rows::{Row, Transaction};
 use snipevane_core::batch_limit::{BatchLimit, Fault};
@@ -22,6 +21,7 @@
 use crate::rows::{self, JOBS_TABLE, PROGRESS_TABLE};
 use crate::store::{CommitOutcome, StoreError, TransactionBuilder};
 
+use super::outcome::Outcome;
 use super::pending_change::{PendingChange, WriteResult};
 use super::recent_submissions::RecentSubmissions;
 use super::uncertain_writes::UncertainWrites;
@@ -35,24 +35,6 @@
 /// Delay before a failed batch is written again.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
-/// Outcome of a change.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Outcome {
-    /// The change is stored, by this call or an earlier one.
-    Stored,
-    /// The change isn't stored and won't be.
-    NotStored,
-    /// The change isn't stored, and the store will never accept it.
-    Rejected,
-    /// The change may be stored, or may still be stored later.
-    Unknown,
-    /// The change isn't stored and won't be, as more changes wait than the store carries in time.
-    Busy {
-        /// Time until these changes are written, in milliseconds.
-        retry_after_ms: u64,
-    },
-}
-
 /// Time within which a change must be written so that its caller is still answered. Callers usually wait
 /// 3 s, and an answer through another entry VM takes part of that.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -132,10 +114,10 @@
                 return self.accept_locally(id, spec).await;
             }
         };
-        if outcome == Outcome::Stored || (!was_uncertain && is_not_stored(outcome)) {
+        if outcome == Outcome::Stored || (!was_uncertain && outcome.is_not_stored()) {
             self.uncertain.clear(&key);
         }
-        if was_uncertain && is_not_stored(outcome) {
+        if was_uncertain && outcome.is_not_stored() {
             return Outcome::Unknown;
         }
         outcome
@@ -208,11 +190,7 @@
             }
             if self.node.clock.now() > started + WRITE_TIMEOUT {
                 // An earlier attempt without an answer may have stored the request.
-                return if self.is_uncertain(&key) {
-                    Outcome::Unknown
-                } else {
-                    Outcome::NotStored
-                };
+                return Outcome::given_up(self.is_uncertain(&key));
             }
         }
     }
@@ -226,12 +204,7 @@
     ) -> WriteResult {
         let may_be_stored = self.may_be_stored(&condition.1, None);
         if self.node.store.is_unreachable() {
-            let outcome = if may_be_stored {
-                Outcome::Unknown
-            } else {
-                Outcome::NotStored
-            };
-            return WriteResult::Outcome(outcome);
+            return WriteResult::Outcome(Outcome::given_up(may_be_stored));
         }
         let outcome_unknown = self.is_uncertain(&condition.1);
         if let Some(refusal) = self.refusal().filter(|_| !may_be_stored) {
@@ -257,7 +230,7 @@
         match timeout(WRITE_TIMEOUT, &mut result_rx).await {
             Ok(result) => result.unwrap_or(unknown),
             Err(_) if self.withdraw(number).is_some() => {
-                WriteResult::Outcome(busy(self.queue().drain_time()))
+                WriteResult::Outcome(Outcome::busy(self.queue().drain_time()))
             }
             Err(_) => result_rx.await.unwrap_or(unknown),
         }
@@ -273,7 +246,7 @@
             return None;
         }
         let delay = self.queue().retry_delay(ANSWER_TIMEOUT)?;
-        Some(busy(delay))
+        Some(Outcome::busy(delay))
     }
 
     /// Returns the queue of changes that wait, with the time that a write takes.
@@ -400,7 +373,7 @@
             late.map(|change| change.number).collect()
         };
         for number in late {
-            let outcome = busy(self.queue().drain_time());
+            let outcome = Outcome::busy(self.queue().drain_time());
             if let Some(change) = self.withdraw(number) {
                 change.finish(WriteResult::Outcome(outcome));
             }
@@ -514,12 +487,7 @@
         for change in expired {
             let is_uncertain = change.outcome_unknown
                 || self.may_be_stored(&change.condition.1, Some(change.number));
-            let outcome = if is_uncertain {
-                Outcome::Unknown
-            } else {
-                Outcome::NotStored
-            };
-            change.finish(WriteResult::Outcome(outcome));
+            change.finish(WriteResult::Outcome(Outcome::given_up(is_uncertain)));
         }
         if rest.is_empty() {
             return;
@@ -543,18 +511,3 @@
         ..Transaction::default()
     }
 }
-
-/// Returns the outcome of a change that isn't written because others take until `drain_time`.
-fn busy(drain_time: Duration) -> Outcome {
-    Outcome::Busy {
-        retry_after_ms: u64::try_from(drain_time.as_millis()).unwrap_or(u64::MAX),
-    }
-}
-
-/// Returns whether an outcome states that a change isn't stored and won't be.
-fn is_not_stored(outcome: Outcome) -> bool {
-    matches!(
-        outcome,
-        Outcome::NotStored | Outcome::Rejected | Outcome::Busy { .. }
-    )
-}
--- a/crates/snipevane-fleet/src/caller/mod.rs
+++ b/crates/snipevane-fleet/src/caller/mod.rs
@@ -4,10 +4,12 @@
 mod handler;
 mod job_writer;
 mod listener;
+mod outcome;
 mod pending_change;
 mod recent_submissions;
 mod reply;
 mod uncertain_writes;
 
-pub use job_writer::{JobWriter, Outcome};
+pub use job_writer::JobWriter;
 pub use listener::{serve_callers, serve_readiness};
+pub use outcome::Outcome;
--- a/crates/snipevane-fleet/src/caller/pending_change.rs
+++ b/crates/snipevane-fleet/src/caller/pending_change.rs
@@ -6,7 +6,7 @@
 use snipevane_adapter::rows::Transaction;
 use tokio::sync::oneshot;
 
-use super::job_writer::Outcome;
+use super::outcome::Outcome;
 
 /// Result of a conditional write.
 #[derive(Clone, Copy, PartialEq, Eq)]
