Move the queue of callers' changes out of their writer

JobWriter held the queue (a vector and a counter in cells) beside the writes, so that each method of it spelled out borrows, searches and removals. ChangeQueue, in a file of its own, has the queue and how a batch is taken from it; the writer keeps what it decides: which changes may be withdrawn, refused or written again.

Behaviour is the same.

--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -1,6 +1,6 @@
 //! Writes accepted jobs and cancellations to the store, batched into transactions.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
 use crate::rows::{self, JOBS_TABLE, PROGRESS_TABLE};
 use crate::store::{CommitOutcome, StoreError, TransactionBuilder};
 
+use super::change_queue::{Batch, ChangeQueue};
 use super::outcome::Outcome;
 use super::pending_change::{PendingChange, WriteResult};
 use super::recent_submissions::RecentSubmissions;
@@ -43,17 +44,11 @@
 /// longer one shows a lost answer rather than a slow store.
 const MAX_EXPECTED_COMMIT_TIME: Duration = Duration::from_millis(1_000);
 
-/// Changes that are written together.
-struct Batch {
-    changes: Vec<PendingChange>,
-    transaction: Transaction,
-}
-
 /// Writes callers' jobs and cancellations to the store.
 pub struct JobWriter<C> {
     node: Rc<Node<C>>,
-    pending: RefCell<Vec<PendingChange>>,
-    next_number: Cell<u64>,
+    pending: ChangeQueue,
+    /// Whether a task writes the queued changes.
     writing: Cell<bool>,
     submitted: RecentSubmissions,
     /// Whether a transaction is under way.
@@ -68,8 +63,7 @@
     pub fn new(node: Rc<Node<C>>) -> Rc<Self> {
         Rc::new(Self {
             node,
-            pending: RefCell::default(),
-            next_number: Cell::new(0),
+            pending: ChangeQueue::default(),
             writing: Cell::new(false),
             submitted: RecentSubmissions::default(),
             committing: Cell::new(false),
@@ -136,11 +130,7 @@
 
     /// Returns whether another change of the same job waits, is being written or may have been written.
     fn may_be_stored(&self, key: &SmolStr, number: Option<u64>) -> bool {
-        let pending = self.pending.borrow();
-        let mut others = pending
-            .iter()
-            .filter(|change| Some(change.number) != number);
-        self.is_uncertain(key) || others.any(|change| change.condition.1 == *key)
+        self.is_uncertain(key) || self.pending.has_other(key, number)
     }
 
     fn mark_uncertain(&self, key: &SmolStr) {
@@ -211,9 +201,8 @@
             return WriteResult::Outcome(refusal);
         }
         let (result_tx, mut result_rx) = oneshot::channel();
-        let number = self.next_number.get();
-        self.next_number.set(number + 1);
-        self.pending.borrow_mut().push(PendingChange {
+        let number = self.pending.next_number();
+        self.pending.push(PendingChange {
             number,
             condition,
             writes,
@@ -252,7 +241,7 @@
     /// Returns the queue of changes that wait, with the time that a write takes.
     fn queue(&self) -> WriteQueue {
         WriteQueue {
-            waiting: self.pending.borrow().len(),
+            waiting: self.pending.len(),
             max_batch: MAX_BATCH,
             is_writing: self.committing.get(),
             commit_time: self.expected_commit_time(),
@@ -278,31 +267,24 @@
         {
             return None;
         }
-        let index = {
-            let pending = self.pending.borrow();
-            let index = pending.iter().position(|change| change.number == number)?;
-            let change = &pending[index];
-            if change.outcome_unknown || self.may_be_stored(&change.condition.1, Some(number)) {
-                return None;
+        self.pending.remove_if(number, |change| {
+            if change.outcome_unknown || self.may_be_stored(change.key(), Some(number)) {
+                return false;
             }
             // The job may have been read from the store since its submission was queued.
             let is_known = leader.is_some_and(|leader| {
-                let id = change.condition.1.parse::<JobId>();
+                let id = change.key().parse::<JobId>();
                 id.is_ok_and(|id| leader.visible_state(id).is_some())
             });
-            if is_known && !change.conflict_if_absent {
-                return None;
-            }
-            index
-        };
-        Some(self.pending.borrow_mut().remove(index))
+            !is_known || change.conflict_if_absent
+        })
     }
 
     /// Writes batches until no change is queued.
     async fn write_pending(&self) {
         // Lets requests that were read in the same turn of the runtime share a transaction.
         tokio::task::yield_now().await;
-        while !self.pending.borrow().is_empty() {
+        while !self.pending.is_empty() {
             let Some(leader) = self.node.leader() else {
                 let batch = self.take_batch();
                 if batch.changes.is_empty() {
@@ -314,8 +296,7 @@
             };
             // The batch is taken when it can be sent, so that it contains all changes that wait by then.
             let Some(turn) = leader.callers_turn().await else {
-                let waiting = std::mem::take(&mut *self.pending.borrow_mut());
-                self.retry(waiting).await;
+                self.retry(self.pending.take_all()).await;
                 continue;
             };
             let batch = self.take_batch();
@@ -334,45 +315,22 @@
     fn take_batch(&self) -> Batch {
         self.refuse_late_changes();
         let max_changes = self.batch_limit.get().max_changes().clamp(1, MAX_BATCH);
-        let mut builder = TransactionBuilder::with_room_for_row(self.node.settings.max_row_bytes);
-        let mut batch: Vec<PendingChange> = Vec::new();
-        let mut rest: Vec<PendingChange> = Vec::new();
-        let mut is_full = false;
-        for change in self.pending.borrow_mut().drain(..) {
-            // A transaction may contain a row only once, so a later change of a row waits.
-            let is_repeated = batch.iter().any(|earlier| earlier.key() == change.key());
-            is_full |= batch.len() == max_changes;
-            is_full = is_full || !is_repeated && !builder.add(change.entries());
-            if is_full || is_repeated {
-                rest.push(change);
-            } else {
-                batch.push(change);
-            }
-        }
-        *self.pending.borrow_mut() = rest;
+        let builder = TransactionBuilder::with_room_for_row(self.node.settings.max_row_bytes);
+        let mut batch = self.pending.take_batch(max_changes, builder);
         // A repeat that arrives while the batch is being written must not be refused as not run.
-        for change in &mut batch {
+        for change in &mut batch.changes {
             // Another change of the job may have been written since this one was queued.
             change.outcome_unknown |= self.is_uncertain(change.key());
             self.mark_uncertain(change.key());
         }
-        Batch {
-            changes: batch,
-            transaction: builder.build(),
-        }
+        batch
     }
 
     /// Refuses changes that were never sent and wouldn't be written while their callers wait.
     fn refuse_late_changes(&self) {
         let answered_at = self.node.clock.now() + self.expected_commit_time();
-        let late: Vec<u64> = {
-            let pending = self.pending.borrow();
-            let late = pending
-                .iter()
-                .filter(|change| answered_at > change.queued_at + ANSWER_TIMEOUT);
-            late.map(|change| change.number).collect()
-        };
-        for number in late {
+        let oldest_in_time = answered_at.saturating_sub(ANSWER_TIMEOUT);
+        for number in self.pending.queued_before(oldest_in_time) {
             let outcome = Outcome::busy(self.queue().drain_time());
             if let Some(change) = self.withdraw(number) {
                 change.finish(WriteResult::Outcome(outcome));
@@ -428,12 +386,12 @@
         limit.skip_renewal();
         self.batch_limit.set(limit);
         if fault == Fault::SomeChange {
-            self.requeue(batch);
+            self.pending.requeue(batch);
             return;
         }
         for change in batch.drain(..) {
             metrics::record_rejected_change("submission");
-            let key = &change.condition.1;
+            let key = change.key();
             events::record(&events::CHANGE_REJECTED, &[&"submission", key, &0]);
             let outcome = if change.outcome_unknown {
                 Outcome::Unknown
@@ -459,19 +417,12 @@
             } else if change.conflict_if_absent || version != 0 {
                 if !change.conflict_if_absent {
                     // A submission conflicts with a job that is stored already.
-                    self.mark_uncertain(&change.condition.1);
+                    self.mark_uncertain(change.key());
                 }
                 change.finish(WriteResult::Conflict { version });
             }
         }
-        self.requeue(rest);
-    }
-
-    /// Puts changes at the front of the queue.
-    fn requeue(&self, mut changes: Vec<PendingChange>) {
-        let mut pending = self.pending.borrow_mut();
-        changes.append(&mut pending);
-        *pending = changes;
+        self.pending.requeue(rest);
     }
 
     /// Queues a failed batch again after a delay, without the changes that have expired.
@@ -485,14 +436,14 @@
                 now > change.queued_at + WRITE_TIMEOUT || (unreachable && !change.outcome_unknown)
             });
         for change in expired {
-            let is_uncertain = change.outcome_unknown
-                || self.may_be_stored(&change.condition.1, Some(change.number));
+            let is_uncertain =
+                change.outcome_unknown || self.may_be_stored(change.key(), Some(change.number));
             change.finish(WriteResult::Outcome(Outcome::given_up(is_uncertain)));
         }
         if rest.is_empty() {
             return;
         }
-        self.requeue(rest);
+        self.pending.requeue(rest);
         sleep(RETRY_DELAY).await;
     }
 }
