--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -17,7 +17,8 @@
 use crate::rows::{self, SCHEDULER_KEY, SCHEDULERS_TABLE, SchedulerRow};
 use crate::store::{CommitOutcome, StoreError};
 
-use super::leader::{Leader, WonTerm};
+use super::leader::Leader;
+use super::won_term::WonTerm;
 use crate::minion_rows::MinionRows;
 
 /// Longest delay between reads of the scheduler's row.
--- a/crates/snipevane-fleet/src/scheduling/handover.rs
+++ b/crates/snipevane-fleet/src/scheduling/handover.rs
@@ -34,7 +34,7 @@
         let Some(reason) = reason else {
             continue;
         };
-        if leader.has_open_vm_orders(now) {
+        if leader.open_vm_orders.any(now) {
             continue;
         }
         node.no_handover_until.set(now + HANDOVER_PAUSE);
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -11,77 +11,39 @@
 use snipevane_core::batch_limit::BatchLimit;
 use snipevane_core::candidates::{Candidates, VmCapacity};
 use snipevane_core::jobs::{
-    Action, AdmissionSnapshot, JobId, JobSpec, JobState, MoveOutlook, OrderedVms, Scheduler,
-    SchedulerSettings, Site, StartOrder, UnreportedRuns, WaveProgress,
+    AdmissionSnapshot, JobId, JobSpec, JobState, MoveOutlook, OrderedVms, Scheduler,
+    SchedulerSettings, Site, WaveProgress,
 };
 use snipevane_core::reach::{Reach, ReachSettings};
-use snipevane_core::senders::{Assignment, SenderOffer, SenderPool, SenderSettings, TermGrant};
+use snipevane_core::senders::{SenderOffer, SenderPool, SenderSettings, TermGrant};
 use snipevane_core::term::{CommitTimes, Term, TermSettings};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
 use crate::events;
 use crate::metrics;
+use crate::minion_rows::MinionRows;
 use crate::node::Node;
 use crate::rows::SchedulerRow;
-use crate::senders;
 use crate::store::{CommitOutcome, StoreError};
 
 use super::callers_write::{self, CallersTurn};
-use super::{feeds, handover, notes, orders, reach, storing, vms};
-use crate::minion_rows::MinionRows;
-
-/// Longest time between scheduling decisions.
-const MAX_DECISION_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Interval at which the metrics of the term and of the pools are updated.
-const STATS_INTERVAL: Duration = Duration::from_secs(1);
+use super::open_vm_orders::OpenVmOrders;
+use super::won_term::WonTerm;
+use super::{decisions, feeds, handover, reach, stats, storing, vms};
 
 /// Time after a handover during which the same process doesn't hand over again, so that the term
 /// doesn't change hands all the time if the larger VM can't take over.
 pub(super) const HANDOVER_PAUSE: Duration = Duration::from_secs(30);
 
-/// Shortest time between scheduling decisions, during which events accumulate.
-const MIN_DECISION_INTERVAL: Duration = Duration::from_millis(3);
-
 /// Age up to which a summary of the committed work is used again. It serves all entry VMs, since summing up the
 /// work for each heartbeat would take a notable part of a small VM's processor.
 const ADMISSION_SNAPSHOT_MAX_AGE: Duration = Duration::from_millis(100);
 
-/// Safety margin in [`UnreportedRuns::until`], after which the runs of the last lease that an
-/// earlier term may have granted have certainly ended.
-///
-/// `SchedulerSettings::lease_margin` is a further margin, which the scheduler adds before it treats
-/// the runs that it knows of as ended, whichever term granted their leases.
-const EARLIER_TERM_LEASE_MARGIN: Duration = Duration::from_millis(200);
-
 /// Longest lease granted; the tasks of a lost minion wait this long before they start elsewhere.
 const MAX_LEASE: Duration = Duration::from_millis(5_500);
 
-/// Lowest rate of a minion's clock relative to this process's clock, in percent.
-const MIN_CLOCK_RATE_PERCENT: u32 = 98;
-const PERCENT: u32 = 100;
-
-/// A term that this process has won.
-pub(super) struct WonTerm {
-    /// Scheduler's row that was written.
-    pub(super) row: SchedulerRow,
-    /// Row of the previous term; `None` for the first term.
-    pub(super) previous: Option<SchedulerRow>,
-    /// Rows of the minions that the previous term used.
-    pub(super) minion_rows: MinionRows,
-    /// Time by which the row of the previous term had been written.
-    pub(super) previous_seen_at: Duration,
-    /// Version of the written row.
-    pub(super) version: u64,
-    /// Time at which the write was sent.
-    pub(super) sent_at: Duration,
-    /// Time that the write took.
-    pub(super) commit_time: Duration,
-}
-
 /// The scheduler while this process holds the scheduler's term.
 pub struct Leader<C> {
     pub(crate) node: Rc<Node<C>>,
@@ -135,10 +97,8 @@
     handover_due_for_reach: Cell<bool>,
     /// Whether the next write releases the term for a larger VM.
     pub(super) releasing_for_handover: Cell<bool>,
-    /// Number of orders for VMs that are in flight.
-    vm_orders_in_flight: Cell<usize>,
-    /// Time until which an order for a VM that got no reply may still be carried out.
-    vm_orders_settled_at: Cell<Duration>,
+    /// Orders for VMs that may still be carried out.
+    pub(super) open_vm_orders: OpenVmOrders,
     /// Whether the term has ended; it can't be resumed.
     pub(super) ended: Cell<bool>,
     /// Reason for the end of the term, for the log.
@@ -166,12 +126,12 @@
             tokio::task::spawn_local(feeds::follow_minions(leader.clone())),
             tokio::task::spawn_local(storing::store_changes(leader.clone())),
             tokio::task::spawn_local(vms::run_planner(leader.clone())),
-            tokio::task::spawn_local(report_pool_stats(leader.clone())),
+            tokio::task::spawn_local(stats::report_stats(leader.clone())),
             tokio::task::spawn_local(handover::hand_over_to_better_vm(leader.clone())),
             tokio::task::spawn_local(reach::follow_reports(leader.clone())),
             tokio::task::spawn_local(reach::release_if_unreached(leader.clone())),
         ];
-        leader.run_decision_loop().await;
+        decisions::run_decision_loop(&leader).await;
         leader.node.set_leader(None);
         for task in tasks {
             task.abort();
@@ -189,7 +149,7 @@
             ..SchedulerSettings::default()
         };
         let taken_over_at = won.previous.as_ref().map(|_| won.sent_at);
-        let unreported = unreported_runs(&won, bounds.max_lease.min(MAX_LEASE), node.clock.now());
+        let unreported = won.unreported_runs(scheduler_settings.lease, node.clock.now());
         let mut scheduler = Scheduler::new(scheduler_settings, won.row.fence, site, unreported);
         if let Some(at) = taken_over_at {
             scheduler.distrust_lists_before_stops(at);
@@ -231,8 +191,7 @@
             handover_due: Cell::new(false),
             handover_due_for_reach: Cell::new(false),
             releasing_for_handover: Cell::new(false),
-            vm_orders_in_flight: Cell::new(0),
-            vm_orders_settled_at: Cell::new(Duration::ZERO),
+            open_vm_orders: OpenVmOrders::default(),
             ended: Cell::new(false),
             end_reason: Cell::new("the process is stopping"),
             advisor_reachable: Cell::new(true),
@@ -403,23 +362,6 @@
         self.may_send_orders() && !handover_due
     }
 
-    /// Records that an order for a VM is sent.
-    pub(super) fn vm_order_sent(&self) {
-        self.vm_orders_in_flight
-            .set(self.vm_orders_in_flight.get() + 1);
-    }
-
-    /// Records that an order for a VM is no longer in flight, and whether it got a reply.
-    pub(super) fn vm_order_settled(&self, replied: bool) {
-        self.vm_orders_in_flight
-            .set(self.vm_orders_in_flight.get() - 1);
-        if !replied {
-            let vm_lease = self.node.settings.bounds.vm_lease;
-            self.vm_orders_settled_at
-                .set(self.node.clock.now() + vm_lease);
-        }
-    }
-
     /// Records a request for a heartbeat.
     pub(crate) fn record_heard(&self, vm: &SmolStr) {
         let now = self.node.clock.now();
@@ -441,127 +383,4 @@
         self.releasing_for_handover.set(true);
         self.store_wake.notify_one();
     }
-
-    /// Returns whether an order for a VM may still be carried out.
-    pub(super) fn has_open_vm_orders(&self, now: Duration) -> bool {
-        self.vm_orders_in_flight.get() > 0 || now < self.vm_orders_settled_at.get()
-    }
-
-    async fn run_decision_loop(self: &Rc<Self>) {
-        while !self.ended.get() {
-            let _ = timeout(MAX_DECISION_INTERVAL, self.wake.notified()).await;
-            if self.is_releasing() {
-                self.store_wake.notify_one();
-            }
-            self.decide();
-            sleep(MIN_DECISION_INTERVAL).await;
-        }
-    }
-
-    /// Gives the scheduler the configuration and the evacuated zones as last read.
-    fn apply_site_view(&self, scheduler: &mut Scheduler) {
-        let view = self.node.site_view.borrow();
-        if let Some(site) = &view.site {
-            scheduler.set_site(site.clone());
-        }
-        scheduler.set_evacuated_zones(&view.evacuated);
-        let now = self.node.clock.now();
-        let bounds = &self.node.settings.bounds;
-        scheduler.set_evacuations_confirmed(view.is_evacuation_confirmed(now, bounds));
-    }
-
-    fn decide(self: &Rc<Self>) {
-        if !self.may_send_orders() || self.is_releasing() {
-            return;
-        }
-        let mut scheduler = self.scheduler.borrow_mut();
-        self.apply_site_view(&mut scheduler);
-        let actions = scheduler.decide(self.node.clock.now(), self.node.clock.unix_ms());
-        if scheduler.is_deposed() {
-            self.end("a minion has accepted a later term");
-        }
-        let changes = scheduler.has_changes() || scheduler.has_unrecorded_minions();
-        let scheduler_events = scheduler.take_events();
-        drop(scheduler);
-        let fence = self.row.borrow().fence;
-        for event in &scheduler_events {
-            notes::log_event(event, fence);
-        }
-        if changes {
-            self.store_wake.notify_one();
-        }
-        self.send(actions);
-    }
-
-    /// Sends orders: start orders through senders where these are to be used, all others directly.
-    fn send(self: &Rc<Self>, actions: Vec<Action>) {
-        let mut starts = Vec::new();
-        let mut others = Vec::new();
-        for action in actions {
-            match action {
-                Action::Start(order) => starts.push(order),
-                other => others.push(other),
-            }
-        }
-        let assignment = self.assign_starts(starts);
-        metrics::record_starts_sent("scheduler", assignment.direct.len());
-        for batch in assignment.batches {
-            metrics::record_starts_sent("sender", batch.starts.len());
-            tokio::task::spawn_local(senders::send_batch(self.clone(), batch));
-        }
-        let direct = assignment.direct.into_iter().map(Action::Start);
-        for action in direct.chain(others) {
-            tokio::task::spawn_local(orders::execute(self.clone(), action));
-        }
-    }
-
-    fn assign_starts(&self, starts: Vec<StartOrder>) -> Assignment {
-        let scheduler = self.scheduler.borrow();
-        let zone_of = |order: &StartOrder| {
-            let minion = scheduler.minion(order.to.minion)?;
-            Some(minion.entry.zone.clone())
-        };
-        let now = self.node.clock.now();
-        self.senders.borrow_mut().assign(starts, zone_of, now)
-    }
-}
-
-/// Updates the metrics of the term's age and of each pool until the term ends.
-async fn report_pool_stats<C: Clock>(leader: Rc<Leader<C>>) {
-    loop {
-        sleep(STATS_INTERVAL).await;
-        let stats = leader
-            .scheduler
-            .borrow()
-            .pool_stats(leader.node.clock.now());
-        let reply_time = leader
-            .scheduler
-            .borrow()
-            .order_reply_time(leader.node.clock.now());
-        let renewed_at = leader.term.borrow().renewed_at();
-        let age = leader.node.clock.now().saturating_sub(renewed_at);
-        metrics::set_term_age(age);
-        metrics::set_order_reply_time(reply_time);
-        let senders = leader.senders.borrow().usable(leader.node.clock.now());
-        metrics::set_usable_senders(senders);
-        let commit_time = leader.commit_time();
-        metrics::set_longest_commit_time(commit_time);
-        metrics::set_observer_wait(leader.settings.observer_wait(commit_time));
-        for (pool, stats) in &stats {
-            metrics::set_pool_stats(pool, stats);
-        }
-    }
-}
-
-/// Returns the runs of earlier terms that may still exist on minions that haven't listed them yet.
-fn unreported_runs(won: &WonTerm, lease: Duration, now: Duration) -> UnreportedRuns {
-    let Some(previous) = &won.previous else {
-        return UnreportedRuns::default();
-    };
-    let in_rows = won.minion_rows.minions().cloned();
-    let minions = previous.minions.iter().cloned().chain(in_rows);
-    UnreportedRuns {
-        until: now + lease * PERCENT / MIN_CLOCK_RATE_PERCENT + EARLIER_TERM_LEASE_MARGIN,
-        minions: minions.collect(),
-    }
 }
--- a/crates/snipevane-fleet/src/scheduling/mod.rs
+++ b/crates/snipevane-fleet/src/scheduling/mod.rs
@@ -2,18 +2,22 @@
 
 mod callers_write;
 mod candidate;
+mod decisions;
 mod feeds;
 mod handover;
 mod leader;
 mod notes;
+mod open_vm_orders;
 mod orders;
 mod own_changes;
 mod reach;
 mod row_write;
+mod stats;
 mod storing;
 mod view;
 mod vms;
 mod wave_rows;
+mod won_term;
 
 pub use candidate::run_candidate;
 pub use leader::Leader;
--- a/crates/snipevane-fleet/src/scheduling/reach.rs
+++ b/crates/snipevane-fleet/src/scheduling/reach.rs
@@ -111,7 +111,7 @@
         metrics::set_reach(counts);
         let due = leader.reach.borrow_mut().should_release(now);
         leader.set_handover_due_for_reach(due);
-        if !due || leader.has_open_vm_orders(now) {
+        if !due || leader.open_vm_orders.any(now) {
             continue;
         }
         events::record(
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -350,7 +350,7 @@
         fence: leader.row.borrow().fence,
     };
     let request = vms::order_request(order, &holder);
-    leader.vm_order_sent();
+    leader.open_vm_orders.record_sent();
     let may_send = || leader.may_send_vm_orders();
     let client = &leader.node.client;
     let response = client.call_if(address, request, CALL_TIMEOUT, may_send);
@@ -359,10 +359,15 @@
         Err(CallError::NotSent) => VmReply::NotCarriedOut,
         Err(CallError::NoAnswer) => VmReply::Unknown,
     };
-    leader.vm_order_settled(reply != VmReply::Unknown);
-    if reply != VmReply::Unknown {
-        let window = order_window(leader.node.settings.bounds.vm_lease);
-        let until = leader.node.clock.now() + window;
+    let (now, vm_lease) = (
+        leader.node.clock.now(),
+        leader.node.settings.bounds.vm_lease,
+    );
+    if reply == VmReply::Unknown {
+        leader.open_vm_orders.record_no_reply(now + vm_lease);
+    } else {
+        leader.open_vm_orders.record_reply();
+        let until = now + order_window(vm_lease);
         leader.ordered_vms.borrow_mut().reserve(&order.vm, until);
     }
     reply
