Give the client's connections, their pool and its error a file each

An open connection, the pool of idle ones and the error of a call have a file each now, with the functions that make them as their methods. The wait for the head of a response within a limit stood twice; it is Client::receive_head.

Behaviour is the same.

--- a/crates/snipevane-fleet/src/client/mod.rs
+++ b/crates/snipevane-fleet/src/client/mod.rs
@@ -1,10 +1,13 @@
 //! HTTP client of the daemon, with pooled connections and a timeout for each call.
 
 mod arrivals;
+mod call_error;
+mod connection;
+mod idle_connections;
 mod incoming;
 mod relayed;
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -12,29 +15,19 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
-use rustc_hash::FxHashMap;
 use snipevane_adapter::{Method, Request};
-use socket2::SockRef;
-use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::metrics;
 
 pub use arrivals::{ArrivalGuard, Arrivals};
+pub use call_error::CallError;
+use connection::Connection;
+use idle_connections::IdleConnections;
 use incoming::IncomingResponse;
 pub use relayed::RelayedBody;
 
-/// Time after which a connection is closed if the peer's kernel doesn't acknowledge sent data.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
-
-/// Maximum number of idle connections kept for each address.
-const MAX_IDLE_PER_ADDRESS: usize = 4;
-
 /// A response with its whole body.
 #[derive(Clone, Debug)]
 pub struct Response {
@@ -44,33 +37,10 @@
     pub body: Bytes,
 }
 
-/// Error of a call that got no response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum CallError {
-    /// The request was not sent, so it has no effect.
-    #[error("request not sent")]
-    NotSent,
-    /// The request was sent; it may have been executed, or may still be.
-    #[error("no response")]
-    NoAnswer,
-}
-
-/// An open connection, which is reset when it is dropped.
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// HTTP client with a pool of idle connections.
 #[derive(Clone, Default)]
 pub struct Client {
-    idle: Rc<RefCell<FxHashMap<SocketAddr, Vec<Connection>>>>,
+    idle: Rc<IdleConnections>,
 }
 
 impl Client {
@@ -106,10 +76,8 @@
     ) -> Result<Response, CallError> {
         let sent = Cell::new(false);
         let exchange = self.exchange(address, request, &sent, may_send);
-        match timeout(limit, exchange).await {
-            Ok(answer) => answer,
-            Err(_) => Err(timeout_error(sent.get())),
-        }
+        let answer = timeout(limit, exchange).await;
+        answer.unwrap_or_else(|_| Err(CallError::timed_out(sent.get())))
     }
 
     /// Sends a request as [`Self::call_if`] does. After `limit`, calls `on_timeout` and, if the request
@@ -158,10 +126,8 @@
         on_part: impl FnMut(u16, &[u8]),
     ) -> Result<u16, CallError> {
         let deadline = Instant::now() + limit;
-        let sent = Cell::new(false);
-        let head = self.send(address, request, &sent, may_send);
-        let head = timeout(head_limit, head).await;
-        let incoming = head.unwrap_or_else(|_| Err(timeout_error(sent.get())))?;
+        let head = self.receive_head(address, request, head_limit, may_send);
+        let incoming = head.await?;
         let status = incoming.status;
         let body = timeout_at(deadline, incoming.receive_in_parts(on_part)).await;
         let connection = body.unwrap_or(Err(CallError::NoAnswer))?;
@@ -186,10 +152,8 @@
         limit: Duration,
         arrivals: &Arrivals,
     ) -> Result<Response, CallError> {
-        let sent = Cell::new(false);
-        let head = self.send(address, request, &sent, || true);
-        let head = timeout(limit, head).await;
-        let incoming = head.unwrap_or_else(|_| Err(timeout_error(sent.get())))?;
+        let head = self.receive_head(address, request, limit, || true);
+        let incoming = head.await?;
         self.receive_while_arriving(address, incoming, arrivals)
             .await
     }
@@ -237,6 +201,20 @@
         Ok((status, RelayedBody::new(incoming, self.clone(), address)))
     }
 
+    /// Sends a request as [`Self::send`] does, and waits up to `limit` for the head of the response.
+    async fn receive_head(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        limit: Duration,
+        may_send: impl Fn() -> bool,
+    ) -> Result<IncomingResponse, CallError> {
+        let sent = Cell::new(false);
+        let head = self.send(address, request, &sent, may_send);
+        let head = timeout(limit, head).await;
+        head.unwrap_or_else(|_| Err(CallError::timed_out(sent.get())))
+    }
+
     /// Sends a request in a task of its own, which waits for the head of the response for up to
     /// `max_duration`; returns the response if its head arrives within `limit`.
     async fn send_detached(
@@ -266,7 +244,7 @@
                 if !sent.get() {
                     sending.abort();
                 }
-                Err(timeout_error(sent.get()))
+                Err(CallError::timed_out(sent.get()))
             }
         }
     }
@@ -319,93 +297,36 @@
         sent.set(true);
         metrics::record_sent_request(kind, head_bytes + body_bytes);
         let response = connection.sender.send_request(request).await;
-        let response = response.map_err(classify_error)?;
+        let response = response.map_err(|error| CallError::from_http(&error))?;
         Ok(IncomingResponse::new(kind, response, connection))
     }
 
     /// Returns an idle connection that is still open, or a new one.
     async fn connection(&self, address: SocketAddr) -> Result<Connection, CallError> {
-        while let Some(mut connection) = self.take_idle(address) {
+        while let Some(mut connection) = self.idle.take(address) {
             if connection.sender.ready().await.is_ok() {
                 return Ok(connection);
             }
         }
-        connect(address).await.map_err(|error| {
+        Connection::open(address).await.map_err(|error| {
             log::debug!("connecting to {address} failed: {error}");
             CallError::NotSent
         })
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
-        self.idle.borrow_mut().get_mut(&address)?.pop()
-    }
-
     /// Returns a connection to the pool, unless it is closed or the pool is full.
     fn return_to_pool(&self, address: SocketAddr, connection: Connection) {
-        if connection.sender.is_closed() {
-            return;
-        }
-        let mut idle = self.idle.borrow_mut();
-        let idle = idle.entry(address).or_default();
-        if idle.len() < MAX_IDLE_PER_ADDRESS {
-            idle.push(connection);
-        }
+        self.idle.keep(address, connection);
     }
 
     /// Closes all idle connections to an address.
     pub fn close_idle(&self, address: SocketAddr) {
-        self.idle.borrow_mut().remove(&address);
+        self.idle.close(address);
     }
 
     /// Closes all idle connections.
     pub fn close_all_idle(&self) {
-        self.idle.borrow_mut().clear();
-    }
-}
-
-#[derive(Debug, Error)]
-enum ConnectError {
-    #[error(transparent)]
-    Io(#[from] std::io::Error),
-    #[error(transparent)]
-    Http(#[from] hyper::Error),
-}
-
-async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(&stream);
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    // Closing resets the connection, so that unsent bytes of an abandoned call are not delivered
-    // once a network partition heals.
-    socket.set_linger(Some(Duration::ZERO))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let task = tokio::task::spawn_local(async move {
-        if let Err(error) = connection.await {
-            log::debug!("connection to {address} failed: {error}");
-        }
-    });
-    Ok(Connection {
-        sender,
-        task: task.abort_handle(),
-    })
-}
-
-/// Returns the error for a call that timed out.
-fn timeout_error(sent: bool) -> CallError {
-    if sent {
-        CallError::NoAnswer
-    } else {
-        CallError::NotSent
-    }
-}
-
-/// Maps an HTTP error to whether the request may have been written before it occurred.
-fn classify_error(error: hyper::Error) -> CallError {
-    if error.is_canceled() {
-        CallError::NotSent
-    } else {
-        CallError::NoAnswer
+        self.idle.close_all();
     }
 }
 
