Separate a request's destination and the reads of progress from its handler

Target with its rejection is target.rs, the reads are stored_progress.rs, and the two log lines are functions of their own. The responses stay in the handler.

Behaviour is the same.

--- a/crates/snipevane-fleet/src/caller/admission.rs
+++ b/crates/snipevane-fleet/src/caller/admission.rs
@@ -14,9 +14,9 @@
 use crate::node::Node;
 use crate::peers::scheduler_client;
 
-use super::handler::read_progress_row;
 use super::job_writer::JobWriter;
 use super::reply::{self, Reply};
+use super::stored_progress::read_progress_row;
 
 /// Range of the random factor of `Retry-After`. The callers that are rejected in the last second of a burst
 /// would otherwise return within one second; at three tenths, the time of a long wait still serves them.
--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -3,14 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::header::HOST;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use smol_str::SmolStr;
-use snipevane_adapter::callers::{self, API_KEY_HEADER, DEADLINE_HEADER};
+use snipevane_adapter::callers::{self, DEADLINE_HEADER};
 use snipevane_adapter::rows::Transaction;
-use snipevane_core::jobs::{JobId, JobSpec, JobState, JobTerms, Progress, Queue, Site};
+use snipevane_core::jobs::{JobId, JobSpec, JobState, JobTerms, Queue};
 use tokio::time::timeout;
 
 use crate::clock::Clock;
@@ -19,13 +17,14 @@
 use crate::metrics;
 use crate::node::Node;
 use crate::peers::scheduler_client;
-use crate::rows::{self, PROGRESS_TABLE};
-use crate::store::{StoreError, TransactionBuilder};
+use crate::store::TransactionBuilder;
 
 use super::admission;
 use super::job_writer::{self, JobWriter};
 use super::outcome::Outcome;
 use super::reply::{self, Reply};
+use super::stored_progress::read_progress;
+use super::target::{Rejection, Target};
 
 /// Shortest time after which a caller is told to retry if this process lacks a current
 /// configuration, the store or the scheduler.
@@ -44,18 +43,6 @@
 /// Maximum age at which the scheduler's counts of waiting jobs are still returned.
 const MAX_COUNT_AGE: Duration = Duration::from_millis(1_800);
 
-/// Maximum number of attempts to read a row from the store.
-const MAX_READ_ATTEMPTS: u32 = 2;
-
-/// Destination of a request.
-struct Target {
-    queue: Queue,
-    team: Option<SmolStr>,
-    /// Path after the queue's prefix; empty for the queue itself, otherwise a job's identifier.
-    path_suffix: String,
-    max_body_bytes: usize,
-}
-
 /// Handles a request, and logs it if the response isn't a success.
 pub(crate) async fn handle<C: Clock>(
     node: &Node<C>,
@@ -70,36 +57,35 @@
     let elapsed = node.clock.now().saturating_sub(received_at);
     metrics::record_request(&method, status.as_u16(), elapsed);
     if !status.is_success() {
-        let reason = reply::reason(&reply);
-        let config_version = node.site_view.borrow().version();
-        let store = if node.store.is_unreachable() {
-            "away"
-        } else {
-            "in reach"
-        };
-        events::record(
-            &events::REQUEST_REFUSED,
-            &[
-                &method,
-                &path,
-                &status.as_u16(),
-                &reason,
-                &config_version,
-                &store,
-            ],
-        );
+        log_refusal(node, &method, &path, &reply);
     }
     reply
 }
 
+/// Logs a response that isn't a success.
+fn log_refusal<C: Clock>(node: &Node<C>, method: &Method, path: &str, reply: &Reply) {
+    let status = reply.status().as_u16();
+    let reason = reply::reason(reply);
+    let config_version = node.site_view.borrow().version();
+    let store = if node.store.is_unreachable() {
+        "away"
+    } else {
+        "in reach"
+    };
+    events::record(
+        &events::REQUEST_REFUSED,
+        &[method, &path, &status, &reason, &config_version, &store],
+    );
+}
+
 async fn dispatch<C: Clock>(
     node: &Node<C>,
     job_writer: &Rc<JobWriter<C>>,
     request: Request<Incoming>,
 ) -> Reply {
-    let target = match resolve_target(node, &request) {
+    let target = match Target::resolve(node, &request) {
         Ok(target) => target,
-        Err(rejection) => return rejection.reply(node),
+        Err(rejection) => return rejection_reply(node, rejection),
     };
     if target.path_suffix.is_empty() {
         return match *request.method() {
@@ -134,81 +120,15 @@
     wait_ms.map_or(DEFAULT_CALLER_WAIT, Duration::from_millis)
 }
 
-/// Reason why a request is rejected before it reaches its queue.
-#[derive(Clone, Copy)]
-enum Rejection {
-    /// There is no configuration, or it may be outdated.
-    ConfigUnconfirmed,
-    /// No queue matches the host and path.
-    UnknownQueue,
-    /// The request has no key, or one that belongs to no team.
-    UnknownKey,
-}
-
-impl Rejection {
-    fn reply<C: Clock>(self, node: &Node<C>) -> Reply {
-        match self {
-            Self::ConfigUnconfirmed => retry_later(node, "the configuration may be out of date"),
-            Self::UnknownQueue => reply::error(StatusCode::NOT_FOUND, "no such queue"),
-            Self::UnknownKey => reply::error(StatusCode::UNAUTHORIZED, "unknown key"),
-        }
+/// Returns the response to a request that is rejected before it reaches its queue.
+fn rejection_reply<C: Clock>(node: &Node<C>, rejection: Rejection) -> Reply {
+    match rejection {
+        Rejection::ConfigUnconfirmed => retry_later(node, "the configuration may be out of date"),
+        Rejection::UnknownQueue => reply::error(StatusCode::NOT_FOUND, "no such queue"),
+        Rejection::UnknownKey => reply::error(StatusCode::UNAUTHORIZED, "unknown key"),
     }
 }
 
-/// Finds the queue and the team of a request.
-///
-/// While the configuration is unconfirmed, every request is told to retry: a newer version may have
-/// withdrawn its key, or removed or added its queue.
-fn resolve_target<C: Clock>(
-    node: &Node<C>,
-    request: &Request<Incoming>,
-) -> Result<Target, Rejection> {
-    let view = node.site_view.borrow();
-    if !view.is_confirmed(node.clock.now(), &node.settings.bounds) {
-        return Err(Rejection::ConfigUnconfirmed);
-    }
-    let site = view.site.clone().ok_or(Rejection::ConfigUnconfirmed)?;
-    drop(view);
-    let path = request.uri().path();
-    let queue = site.route(host(request), path);
-    let queue = queue.ok_or(Rejection::UnknownQueue)?;
-    let team = authenticate(&site, queue, request)?;
-    Ok(Target {
-        path_suffix: path[queue.path_prefix.len()..].to_owned(),
-        queue: queue.clone(),
-        team,
-        max_body_bytes: site.max_body_bytes(),
-    })
-}
-
-/// Returns the host name of a request, without the port.
-fn host(request: &Request<Incoming>) -> &str {
-    let header = request
-        .headers()
-        .get(HOST)
-        .and_then(|host| host.to_str().ok());
-    let host = header.or_else(|| request.uri().host()).unwrap_or_default();
-    host.split(':').next().unwrap_or_default()
-}
-
-/// Returns the team whose key the request carries; none if the queue is open and the request has
-/// no known key.
-fn authenticate(
-    site: &Site,
-    queue: &Queue,
-    request: &Request<Incoming>,
-) -> Result<Option<SmolStr>, Rejection> {
-    let key = request
-        .headers()
-        .get(API_KEY_HEADER)
-        .and_then(|key| key.to_str().ok());
-    let team = key.and_then(|key| site.team_of_key(key));
-    if team.is_none() && !queue.open {
-        return Err(Rejection::UnknownKey);
-    }
-    Ok(team.map(|team| team.name.clone()))
-}
-
 async fn submit<C: Clock>(
     node: &Node<C>,
     job_writer: &Rc<JobWriter<C>>,
@@ -247,23 +167,28 @@
     let submitted_at = node.clock.now();
     match job_writer.accept(id, &spec).await {
         Outcome::Stored => {
-            let receiver_role = if node.leader().is_some() {
-                "scheduler"
-            } else {
-                "entry VM"
-            };
-            let elapsed = node.clock.now().saturating_sub(submitted_at).as_millis();
-            let config_version = node.site_view.borrow().version();
-            events::record(
-                &events::JOB_ACCEPTED,
-                &[&id, &spec.queue, &config_version, &receiver_role, &elapsed],
-            );
+            log_acceptance(node, id, &spec, submitted_at);
             reply::json(StatusCode::OK, callers::encode_state(JobState::Queued))
         }
         outcome => not_stored_reply(node, outcome),
     }
 }
 
+/// Logs a job that was submitted at `submitted_at` and is stored now.
+fn log_acceptance<C: Clock>(node: &Node<C>, id: JobId, spec: &JobSpec, submitted_at: Duration) {
+    let receiver_role = if node.leader().is_some() {
+        "scheduler"
+    } else {
+        "entry VM"
+    };
+    let elapsed = node.clock.now().saturating_sub(submitted_at).as_millis();
+    let config_version = node.site_view.borrow().version();
+    events::record(
+        &events::JOB_ACCEPTED,
+        &[&id, &spec.queue, &config_version, &receiver_role, &elapsed],
+    );
+}
+
 /// Returns the response to a submission that fits in no transaction; `None` if it does.
 fn reject_too_large<C: Clock>(node: &Node<C>, id: JobId, spec: &JobSpec) -> Option<Reply> {
     let max_row_bytes = node.settings.max_row_bytes;
@@ -348,43 +273,6 @@
     }
 }
 
-/// Reads a job's progress and its row's version; none if the row is missing or can't be decoded.
-async fn read_progress<C: Clock>(
-    node: &Node<C>,
-    id: JobId,
-) -> Result<Option<(Progress, u64)>, StoreError> {
-    let found = read_progress_row(node, id).await?;
-    let decoded = found.and_then(|(value, row_version)| {
-        rows::decode::<Progress>(&rows::job_key(id), &value).map(|progress| (progress, row_version))
-    });
-    Ok(decoded)
-}
-
-/// Reads the value and the version of a job's progress row; none if the row is missing.
-pub(super) async fn read_progress_row<C: Clock>(
-    node: &Node<C>,
-    id: JobId,
-) -> Result<Option<(Vec<u8>, u64)>, StoreError> {
-    if node.store.is_unreachable() {
-        return Err(StoreError::NotApplied);
-    }
-    let key = rows::job_key(id);
-    let mut attempts = 0;
-    loop {
-        attempts += 1;
-        match node.store.get(PROGRESS_TABLE, &key).await {
-            Ok(row) => return Ok(row.and_then(|row| Some((row.value?, row.version)))),
-            Err(error) if attempts >= MAX_READ_ATTEMPTS => {
-                log::debug!(
-                    "reading the progress of job {id} failed after {attempts} attempts: {error}"
-                );
-                return Err(error);
-            }
-            Err(_) => {}
-        }
-    }
-}
-
 /// Returns the number of a queue's waiting jobs as the scheduler last reported it.
 fn waiting_jobs<C: Clock>(node: &Node<C>, queue: &Queue) -> Reply {
     let view = node.scheduler_view.borrow();
--- a/crates/snipevane-fleet/src/caller/mod.rs
+++ b/crates/snipevane-fleet/src/caller/mod.rs
@@ -9,6 +9,8 @@
 mod pending_change;
 mod recent_submissions;
 mod reply;
+mod stored_progress;
+mod target;
 mod uncertain_writes;
 
 pub use job_writer::JobWriter;
