Give the kinds and the errors of calls to the store a file each

store/mod.rs held four types. The kind of a call and the error of one move to files of their own, with their impls.

Behaviour is the same.

--- a/crates/snipevane-fleet/src/store/mod.rs
+++ b/crates/snipevane-fleet/src/store/mod.rs
@@ -1,6 +1,8 @@
 //! Client of the platform's store.
 
 mod builder;
+mod call_kind;
+mod error;
 mod transport;
 
 use std::cell::{Cell, RefCell};
@@ -12,13 +14,14 @@
 use smol_str::SmolStr;
 use snipevane_adapter::Request;
 use snipevane_adapter::rows::{self, Page, Row, Transaction};
-use thiserror::Error;
 
 use crate::client::{Arrivals, CallError, Client, RelayedBody, Response};
 use crate::clock::Clock;
 use crate::metrics;
 
 pub(crate) use builder::TransactionBuilder;
+pub(crate) use call_kind::CallKind;
+pub use error::StoreError;
 use transport::Transport;
 
 /// Maximum number of times that a page of a table is read until that succeeds.
@@ -34,28 +37,6 @@
 /// Time that the response to a long poll for changes may take beyond its wait.
 const CHANGES_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_000);
 
-/// Kind of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CallKind {
-    /// Commits a transaction.
-    Commit,
-    /// Reads rows.
-    Read,
-    /// Waits for changes of rows.
-    Changes,
-}
-
-impl CallKind {
-    /// Returns the kind's name in metrics.
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            Self::Commit => "commit",
-            Self::Read => "read",
-            Self::Changes => "changes",
-        }
-    }
-}
-
 /// Outcome of a transaction that the store answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CommitOutcome {
@@ -65,23 +46,6 @@
     Conflict(Vec<Row>),
 }
 
-/// A call to the store that failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum StoreError {
-    /// The call wasn't carried out, and may be sent again.
-    #[error("the store did not carry out the call")]
-    NotApplied,
-    /// The call wasn't carried out, and never will be however often it is sent.
-    #[error("the store rejects the call for good")]
-    Rejected,
-    /// The call may have been carried out, or may be later.
-    #[error("the store did not answer")]
-    NoAnswer,
-    /// The store no longer has the requested changes.
-    #[error("the store no longer has the requested changes")]
-    HistoryGone,
-}
-
 /// Client of the store.
 pub struct StoreClient<C> {
     transport: Rc<Transport<C>>,
@@ -339,15 +303,6 @@
     }
 }
 
-impl From<CallError> for StoreError {
-    fn from(error: CallError) -> Self {
-        match error {
-            CallError::NotSent => Self::NotApplied,
-            CallError::NoAnswer => Self::NoAnswer,
-        }
-    }
-}
-
 fn decode_page(response: &Response) -> Result<Page, StoreError> {
     rows::decode_page(&response.body).map_err(|error| {
         log::warn!(
