Write rows of VMs in one place

The coordinator of a pool wrote the row of a VM in two functions, each with the same two conditions, transaction and reading of the new version.

Behaviour is the same. Measured: pools (12), pools_moves (8), pools_site (6) and cli_pools (1) pass; clippy of snipevane-entry has no warning.

--- a/crates/snipevane-entry/src/control/pools/mod.rs
+++ b/crates/snipevane-entry/src/control/pools/mod.rs
@@ -3,6 +3,7 @@
 mod convert;
 mod coordinator;
 mod operate;
+mod vm_rows;
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -10,15 +11,15 @@
 use smol_str::SmolStr;
 use snipevane_core::clock::Clock;
 use snipevane_core::config::SitePool;
-use snipevane_core::ids::{PoolKey, VmKey};
-use snipevane_core::pools::{PoolAction, UnixMs, VmEvent, VmState, VmWrite, WriteOutcome};
-use snipevane_platform::{Check, CommitError, Row, Transaction, VmRole, Write, commit_resolved};
-use snipevane_proto::rows::{POOL_PREFIX, PoolCoordination, VM_PREFIX, VmRecord, VmStage};
+use snipevane_core::ids::PoolKey;
+use snipevane_core::pools::{PoolAction, UnixMs, VmEvent, VmState};
+use snipevane_platform::{Check, Row, Transaction, VmRole, Write, commit_resolved};
+use snipevane_proto::rows::{POOL_PREFIX, PoolCoordination, VM_PREFIX, VmRecord};
 
 use super::{Control, Platform};
 use crate::journal::kinds;
 use crate::state::Versioned;
-use convert::{core_row, proto_row};
+use convert::core_row;
 use coordinator::Coordination;
 pub(crate) use coordinator::Coordinators;
 
@@ -119,37 +120,45 @@
         {
             return false;
         }
+        let Some(read) = self.take_over_pool(pool, known).await else {
+            return false;
+        };
+        self.ensure_coordinator(key, pool, &read);
+        self.node
+            .state()
+            .pool_rows
+            .pools
+            .insert(pool.name.clone(), read);
+        true
+    }
+
+    /// Writes this entry VM as a pool's coordinator into the pool's row, on condition that the row is
+    /// unchanged; returns the row, or `None` if it wasn't written.
+    async fn take_over_pool(
+        &self,
+        pool: &SitePool,
+        known: Option<Versioned<PoolCoordination>>,
+    ) -> Option<Versioned<PoolCoordination>> {
         let row = PoolCoordination {
             holder: self.node.incarnation,
             vm: self.node.settings.vm.to_string(),
             epoch: known.as_ref().map_or(0, |read| read.row.epoch) + 1,
         };
-        let name = SmolStr::from(format!("{POOL_PREFIX}{}", pool.name));
+        let key = SmolStr::from(format!("{POOL_PREFIX}{}", pool.name));
         let check = Check {
-            key: name.clone(),
+            key: key.clone(),
             expected: known.map(|read| read.version),
         };
         let value = serde_json::to_value(&row).unwrap_or_default();
-        let tx = Transaction::new(vec![check], vec![Write::Put { key: name, value }]);
-        let Ok(committed) = commit_resolved(&self.platform, tx).await else {
-            return false;
-        };
-        let Some((_, version)) = committed.versions.first() else {
-            return false;
-        };
+        let tx = Transaction::new(vec![check], vec![Write::Put { key, value }]);
+        let committed = commit_resolved(&self.platform, tx).await.ok()?;
+        let (_, version) = committed.versions.first()?;
         self.node
             .record(&kinds::POOL_COORDINATED, &[&pool.name, &row.epoch]);
-        let read = Versioned {
+        Some(Versioned {
             version: *version,
             row,
-        };
-        self.ensure_coordinator(key, pool, &read);
-        self.node
-            .state()
-            .pool_rows
-            .pools
-            .insert(pool.name.clone(), read);
-        true
+        })
     }
 
     /// Returns whether a pool's recorded coordinator may still be running.
@@ -173,55 +182,6 @@
         listed && unchanged < COORDINATOR_TIMEOUT
     }
 
-    /// Creates the rows of the VMs that the manifest assigns to the pool and that have no row yet.
-    async fn create_missing_vm_rows(&self, key: PoolKey, pool: &SitePool) {
-        let missing: Vec<SmolStr> = {
-            let state = self.node.state();
-            let rows = &state.pool_rows.vms;
-            pool.vms
-                .iter()
-                .filter(|vm| !rows.contains_key(*vm))
-                .cloned()
-                .collect()
-        };
-        let Some(fence) = self.coordinators.lock().fence(key) else {
-            return;
-        };
-        for vm in missing {
-            let record = VmRecord {
-                pool: pool.name.to_string(),
-                state: VmStage::Serving,
-                epoch: 0,
-                operation: None,
-                since_ms: self.now_ms().0,
-                booted_ms: None,
-            };
-            let name = SmolStr::from(format!("{VM_PREFIX}{vm}"));
-            let checks = vec![
-                Check {
-                    key: name.clone(),
-                    expected: None,
-                },
-                Check {
-                    key: format!("{POOL_PREFIX}{}", pool.name).into(),
-                    expected: Some(fence.version.0),
-                },
-            ];
-            let value = serde_json::to_value(&record).unwrap_or_default();
-            let tx = Transaction::new(checks, vec![Write::Put { key: name, value }]);
-            // After a failure the outcome is learned from the rows that the next poll reads.
-            if let Ok(committed) = commit_resolved(&self.platform, tx).await
-                && let Some((_, version)) = committed.versions.first()
-            {
-                let read = Versioned {
-                    version: *version,
-                    row: record,
-                };
-                self.node.state().upsert_vm_rows([(vm, read)]);
-            }
-        }
-    }
-
     /// Passes the rows as last read to a pool's coordinator.
     fn observe(&self, key: PoolKey) -> Vec<PoolAction> {
         let now = self.now_ms();
@@ -326,85 +286,6 @@
         }
     }
 
-    async fn read_vm(&self, key: PoolKey, vm: VmKey) -> Vec<PoolAction> {
-        let Some(name) = self.coordinators.lock().name(key, vm) else {
-            return Vec::new();
-        };
-        let Ok(Some(read)) = self.platform.read(&format!("{VM_PREFIX}{name}")).await else {
-            return Vec::new();
-        };
-        let Some(row) = self.parse_row::<VmRecord>(&read) else {
-            return Vec::new();
-        };
-        let read = Versioned {
-            version: read.version,
-            row,
-        };
-        let now = self.now_ms();
-        let mut state = self.node.state();
-        state.upsert_vm_rows([(name.clone(), read.clone())]);
-        let mut coordinators = self.coordinators.lock();
-        let coordination = coordinators.get_mut(key);
-        coordination.map_or_else(Vec::new, |c| c.observe(&state, &name, &read, now))
-    }
-
-    /// Writes a VM's row, on condition that the row is unchanged and that this entry VM still
-    /// coordinates the pool.
-    async fn write_vm(&self, write: &VmWrite) -> WriteOutcome {
-        let Some((vm, pool, record)) = self.vm_record(write) else {
-            return WriteOutcome::Conflict;
-        };
-        let name = SmolStr::from(format!("{VM_PREFIX}{vm}"));
-        let pool_row = SmolStr::from(format!("{POOL_PREFIX}{pool}"));
-        let checks = vec![
-            Check {
-                key: name.clone(),
-                expected: Some(write.expected.0),
-            },
-            Check {
-                key: pool_row.clone(),
-                expected: Some(write.fence.version.0),
-            },
-        ];
-        let value = serde_json::to_value(&record).unwrap_or_default();
-        let tx = Transaction::new(checks, vec![Write::Put { key: name, value }]);
-        match commit_resolved(&self.platform, tx).await {
-            Ok(committed) => {
-                let Some((_, version)) = committed.versions.first() else {
-                    return WriteOutcome::Unknown;
-                };
-                let read = Versioned {
-                    version: *version,
-                    row: record.clone(),
-                };
-                let now = self.node.now();
-                let mut state = self.node.state();
-                state.upsert_vm_rows([(vm.clone(), read)]);
-                state.sync_servers(now);
-                drop(state);
-                let stage = record.state.to_string();
-                self.node
-                    .record(&kinds::VM_CHANGED, &[&vm, &record.pool, &stage]);
-                WriteOutcome::Written(snipevane_core::pools::RowVersion(*version))
-            }
-            Err(CommitError::Conflict { keys }) if keys.contains(&pool_row) => {
-                WriteOutcome::FenceLost
-            }
-            Err(CommitError::Conflict { .. } | CommitError::NotApplied(_)) => {
-                WriteOutcome::Conflict
-            }
-            Err(CommitError::Unknown(_)) => WriteOutcome::Unknown,
-        }
-    }
-
-    fn vm_record(&self, write: &VmWrite) -> Option<(SmolStr, SmolStr, VmRecord)> {
-        let state = self.node.state();
-        let vm = self.coordinators.lock().name(write.fence.pool, write.vm)?;
-        let pool_name = state.site.pools.get(write.fence.pool)?.name.clone();
-        let record = proto_row(&state.site, &write.row)?;
-        Some((vm, pool_name, record))
-    }
-
     /// Ensures that a pool has a coordinator for the row as read and the configuration in force.
     fn ensure_coordinator(
         &self,
