Count a crash only under runs that are known to have begun

Cause: a crash counted against a run if its minion had been heard of after the order was sent, or had confirmed a stop, or if an earlier term had put the attempt on trial and no minion listed it. All three conclude from what isn't known of a run that it had begun: a list may be made before the order arrives, a stop is confirmed also where nothing runs, and an order on trial may never have been sent.

Evidence: the site of the tests gets orders that are on their way for up to 80 ms while lists aren't, and minions that restart under their ids within 0.6 s, at the same or another address.

Change: a crash counts if the minion had confirmed the begin of the run, by its reply or its list. Orders whose fate isn't known are kept apart: they make a short task a suspect, and never count towards giving up. They still count as aboard, so that no other job is taken for the only one beside them, but a job of which nothing is known to have begun isn't named as the cause. A run on trial carries whether its begin was confirmed, and that is stored at once; a new term counts it only then. Runs that turn out to have ended with an incarnation after its restart was noticed no longer count as a crash of the present one; they are attributed to no job. How fresh a run is, and how long it has worked, are measured from its confirmed begin, not from a confirmed stop.

Rows: records without the new fields are read as unconfirmed, and records without such evidence are written as before (test).

--- a/crates/snipevane-core/src/jobs/ending/crash_evidence.rs
+++ b/crates/snipevane-core/src/jobs/ending/crash_evidence.rs
@@ -26,8 +26,10 @@
 pub struct CrashEvidence {
     /// Whether the task is long-running.
     pub long_running: bool,
-    /// Number of crashes under the task that it hasn't outlived since.
+    /// Number of crashes under runs of the task that had begun and that it hasn't outlived since.
     pub crashes: usize,
+    /// Number of crashes of minions that were ordered to start the task and aren't known to have begun to.
+    pub unconfirmed: usize,
     /// Number of these for which the task's job is the most likely cause.
     pub attributed: usize,
     /// Shortest time for which the task worked before one of these crashes.
@@ -54,7 +56,7 @@
             (self.is_long_running_cause(), self.is_long_running_suspect())
         } else {
             let is_cause = self.attributed >= MAX_ATTRIBUTED || self.crashes >= MAX_CRASHES;
-            (is_cause, self.crashes > 0)
+            (is_cause, self.crashes + self.unconfirmed > 0)
         };
         if is_cause {
             Verdict::Cause
--- a/crates/snipevane-core/src/jobs/ending/crash_report.rs
+++ b/crates/snipevane-core/src/jobs/ending/crash_report.rs
@@ -9,7 +9,7 @@
     pub(in crate::jobs) attempt: u32,
     /// Whether the task's job is the most likely cause.
     pub(in crate::jobs) attributed: bool,
-    /// Time for which the attempt is known to have worked; `None` if it wasn't seen to run.
+    /// Time for which the attempt is known to have worked; `None` if it isn't known to have begun.
     pub(in crate::jobs) work: Option<Duration>,
     /// Number of crashes of this term so far that no task explains.
     pub(in crate::jobs) unexplained: usize,
--- a/crates/snipevane-core/src/jobs/ending/crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/crashes.rs
@@ -70,11 +70,7 @@
         runs: &[RunKey],
         reason: LossReason,
     ) {
-        let is_leaving = self
-            .minions
-            .get(key)
-            .is_none_or(|minion| minion.entry.draining || minion.cordoned);
-        if !is_leaving && !runs.is_empty() {
+        if !self.is_leaving(key) && !runs.is_empty() {
             self.record_crash(key, runs);
         }
         for &run in runs {
@@ -82,13 +78,47 @@
         }
     }
 
-    /// Records the crash of a minion under the tasks that may have caused it.
+    /// Ends runs that turn out to have ended with a minion's former incarnation, after its restart was noticed.
+    ///
+    /// What else ran there isn't known any more, so the crash is attributed to no job.
+    pub(in crate::jobs) fn end_runs_of_former_incarnation(
+        &mut self,
+        key: MinionKey,
+        runs: &[RunKey],
+        reason: LossReason,
+    ) {
+        let counts = !self.is_leaving(key);
+        for &run in runs {
+            let known = self.runs.get(run).filter(|_| counts);
+            if let Some(known) = known {
+                let (job, task) = (known.job, known.task_ref);
+                let report = CrashReport {
+                    attempt: known.attempt,
+                    attributed: false,
+                    work: known.began_at.map(|_| Duration::ZERO),
+                    unexplained: self.unexplained_crashes,
+                    is_unexplained: false,
+                };
+                self.record_task_crash(job, task, &report);
+            }
+            self.mark_run_lost(run, reason);
+        }
+    }
+
+    /// Returns whether a minion was to leave, or isn't known.
+    fn is_leaving(&self, key: MinionKey) -> bool {
+        let minion = self.minions.get(key);
+        minion.is_none_or(|minion| minion.entry.draining || minion.cordoned)
+    }
+
+    /// Records the crash of a minion under the tasks that may have caused it. It counts against those whose runs
+    /// are known to have begun, and makes the others suspects.
     fn record_crash(&mut self, key: MinionKey, ended: &[RunKey]) {
         let Some(crash) = self.crash_of(key) else {
             return;
         };
         for &run in ended {
-            let Some(run) = self.runs.get(run).filter(|run| self.may_have_started(run)) else {
+            let Some(run) = self.runs.get(run).filter(|run| self.may_have_begun(run)) else {
                 continue;
             };
             let is_possible_cause = crash.cause.is_none_or(|cause| cause == run.job);
@@ -96,7 +126,7 @@
                 let (job, task) = (run.job, run.task_ref);
                 let report = CrashReport {
                     attempt: run.attempt,
-                    attributed: crash.cause.is_some(),
+                    attributed: crash.cause.is_some() && run.began_at.is_some(),
                     work: self.time_at_work(run),
                     unexplained: self.unexplained_crashes,
                     is_unexplained: !crash.has_likely_cause,
@@ -129,21 +159,23 @@
     }
 
     /// Determines the job that has most likely crashed a minion: the only one with runs there, else the
-    /// only one with fresh runs on trial, else the only one with fresh runs.
+    /// only one with fresh runs on trial, else the only one with fresh runs. It is none if no run of that job is
+    /// known to have begun.
     fn examine_crash(&self, key: MinionKey) -> Crash {
         let runs = self.minions.get(key).map(|minion| &minion.runs);
         let runs = runs.into_iter().flatten();
         let runs = runs.filter_map(|&run| self.runs.get(run));
-        let started: Vec<&Run> = runs.filter(|run| self.may_have_started(run)).collect();
-        let fresh = started.iter().copied().filter(|run| self.is_fresh(run));
+        let aboard: Vec<&Run> = runs.filter(|run| self.may_have_begun(run)).collect();
+        let fresh = aboard.iter().copied().filter(|run| self.is_fresh(run));
         let fresh: Vec<&Run> = fresh.collect();
         let on_trial = fresh.iter().copied();
         let on_trial = on_trial.filter(|run| self.is_suspect_task(run.job, run.task_ref));
-        let cause = only_job(started.iter().copied())
+        let cause = only_job(aboard.iter().copied())
             .or_else(|| only_job(on_trial))
             .or_else(|| only_job(fresh.iter().copied()));
-        let mut aboard = started.iter();
-        let has_likely_cause = aboard.any(|run| {
+        let begun = || aboard.iter().filter(|run| run.began_at.is_some());
+        let cause = cause.filter(|&job| begun().any(|run| run.job == job));
+        let has_likely_cause = begun().any(|run| {
             let task = self
                 .jobs
                 .get(run.job)
@@ -157,29 +189,29 @@
         }
     }
 
-    /// Returns whether a run's minion may have started it before its crash: it has confirmed the start,
-    /// or was heard of after the order was sent.
-    fn may_have_started(&self, run: &Run) -> bool {
+    /// Returns whether a run's minion may have begun it before its crash: it has confirmed the start or a stop,
+    /// or was heard of after the order was sent. The order may have arrived later still, or never.
+    fn may_have_begun(&self, run: &Run) -> bool {
         let minion = self.minions.get(run.minion);
         let last_contact = minion.and_then(|minion| minion.last_contact);
-        let is_confirmed = matches!(run.phase, RunPhase::Running | RunPhase::StopConfirmed);
-        is_confirmed || (run.first_sent_at.is_some() && last_contact >= run.first_sent_at)
+        let is_answered = matches!(run.phase, RunPhase::Running | RunPhase::StopConfirmed);
+        is_answered || (run.first_sent_at.is_some() && last_contact >= run.first_sent_at)
     }
 
     /// Returns whether a run's minion isn't known to have outlived its start.
     pub(in crate::jobs) fn is_fresh(&self, run: &Run) -> bool {
         let minion = self.minions.get(run.minion);
         let last_contact = minion.and_then(|minion| minion.last_contact);
-        let outlived = last_contact.is_some_and(|at| at >= run.since + TRIAL_PERIOD);
-        run.phase == RunPhase::Starting || !outlived
+        let proven_at = run.began_at.map(|at| at + TRIAL_PERIOD);
+        proven_at.is_none_or(|at| last_contact < Some(at))
     }
 
-    /// Returns the time for which a run is known to have worked: from its start until its minion was last
-    /// heard of. Returns `None` if it isn't known to have started.
+    /// Returns the time for which a run is known to have worked: from its confirmed begin until its minion was
+    /// last heard of. Returns `None` if it isn't known to have begun.
     fn time_at_work(&self, run: &Run) -> Option<Duration> {
-        let last_contact = self.minions.get(run.minion)?.last_contact?;
-        let has_started = matches!(run.phase, RunPhase::Running | RunPhase::StopConfirmed);
-        has_started.then(|| last_contact.saturating_sub(run.since))
+        let began_at = run.began_at?;
+        let last_contact = self.minions.get(run.minion)?.last_contact;
+        Some(last_contact.map_or(Duration::ZERO, |at| at.saturating_sub(began_at)))
     }
 
     /// Records a crash under a task.
--- a/crates/snipevane-core/src/jobs/ending/task_crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/task_crashes.rs
@@ -23,6 +23,8 @@
     crashes: Vec<TaskCrash>,
     /// Number of crashes for which the task's job is the most likely cause.
     attributed: u32,
+    /// Attempts whose minions crashed and aren't known to have begun them, the latest ones.
+    unconfirmed: Vec<u32>,
     /// Crashes from the first of these to the last that no task explains.
     unexplained: UnexplainedCrashes,
     /// Run on trial.
@@ -48,6 +50,7 @@
         });
         self.crashes = crashes.collect();
         self.attributed = stored.attributed;
+        self.unconfirmed.clone_from(&stored.unconfirmed);
         self.unexplained = UnexplainedCrashes::restore(stored.unexplained as usize);
         self.on_trial.clone_from(&stored.on_trial);
     }
@@ -61,6 +64,7 @@
             work_ms: work_ms.collect(),
             unexplained: self.unexplained.count() as u32,
             attributed: self.attributed,
+            unconfirmed: self.unconfirmed.clone(),
             on_trial: self.on_trial.clone(),
             ..position
         }
@@ -74,15 +78,17 @@
     /// Returns the highest number of an attempt in the record; 0 if there is none.
     pub(in crate::jobs) fn last_attempt(&self) -> u32 {
         let on_trial = self.on_trial.iter().map(|trial| trial.attempt);
-        self.attempts().chain(on_trial).max().unwrap_or(0)
+        let unconfirmed = self.unconfirmed.iter().copied();
+        let attempts = self.attempts().chain(unconfirmed).chain(on_trial);
+        attempts.max().unwrap_or(0)
     }
 
     /// Returns whether there is nothing to store.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty()
+        self.crashes.is_empty() && self.unconfirmed.is_empty()
     }
 
-    /// Returns the number of crashes.
+    /// Returns the number of crashes under runs that had begun.
     pub fn len(&self) -> usize {
         self.crashes.len()
     }
@@ -102,6 +108,16 @@
         self.on_trial = Some(trial);
     }
 
+    /// Records that the minion of an attempt has confirmed its begin; returns whether that changes the record.
+    pub(in crate::jobs) fn confirm_trial(&mut self, attempt: u32) -> bool {
+        let on_trial = self.on_trial.as_mut();
+        let Some(trial) = on_trial.filter(|trial| trial.attempt == attempt && !trial.began) else {
+            return false;
+        };
+        trial.began = true;
+        true
+    }
+
     /// Returns whether the record must be stored before the task starts again, as its starts are limited
     /// over all terms.
     pub(in crate::jobs) fn limits_starts(&self) -> bool {
@@ -117,7 +133,8 @@
     /// Returns whether the task has been a suspect only beside others, and not repeatedly, so that it is
     /// unlikely to be the cause.
     pub(in crate::jobs) fn is_unlikely_cause(&self) -> bool {
-        !self.is_suspect() || self.attributed == 0 && self.len() <= 1
+        let crashes = self.len() + self.unconfirmed.len();
+        !self.is_suspect() || self.attributed == 0 && crashes <= 1
     }
 
     /// Returns whether the task may be the cause of the crashes.
@@ -131,19 +148,25 @@
         CrashEvidence {
             long_running: self.long_running,
             crashes: self.len(),
+            unconfirmed: self.unconfirmed.len(),
             attributed: self.attributed as usize,
             shortest_work: work.min().unwrap_or_default(),
             unexplained: self.unexplained.count(),
         }
     }
 
-    /// Records a crash, unless it is recorded already.
+    /// Records a crash, unless it is recorded already. One under an attempt that isn't known to have begun is
+    /// recorded apart.
     pub(in crate::jobs) fn record(&mut self, report: &CrashReport) {
         self.end_trial(report.attempt);
         if self.attempts().any(|known| known == report.attempt) {
             return;
         }
-        let work = report.work.unwrap_or_default();
+        let Some(work) = report.work else {
+            self.record_unconfirmed(report.attempt);
+            return;
+        };
+        self.unconfirmed.retain(|known| *known != report.attempt);
         self.outlive(work);
         if self.crashes.is_empty() {
             self.unexplained = UnexplainedCrashes::starting_after(report);
@@ -160,6 +183,18 @@
         }
     }
 
+    /// Records the crash of a minion that was ordered to start an attempt and isn't known to have begun it. That
+    /// is thin evidence, so nothing is recorded if the starts aren't limited.
+    fn record_unconfirmed(&mut self, attempt: u32) {
+        if self.long_running || self.unconfirmed.contains(&attempt) {
+            return;
+        }
+        self.unconfirmed.push(attempt);
+        if self.unconfirmed.len() > MAX_KEPT {
+            self.unconfirmed.remove(0);
+        }
+    }
+
     /// Drops the crashes that a long-running task has outlived with an attempt that has worked for `work`;
     /// returns whether there were any.
     pub(in crate::jobs) fn outlive(&mut self, work: Duration) -> bool {
--- a/crates/snipevane-core/src/jobs/ending/trial.rs
+++ b/crates/snipevane-core/src/jobs/ending/trial.rs
@@ -12,4 +12,7 @@
     pub minion: SmolStr,
     /// Start of the minion's incarnation, in Unix milliseconds.
     pub incarnation: u64,
+    /// Whether the minion has confirmed that the attempt has begun.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub began: bool,
 }
--- a/crates/snipevane-core/src/jobs/ending/trials.rs
+++ b/crates/snipevane-core/src/jobs/ending/trials.rs
@@ -4,6 +4,8 @@
 //! start, so that a crash tells whether that job is the cause. Crashes, and the attempt that
 //! follows them, are stored before the attempt is started, so that a later term knows them.
 
+use std::time::Duration;
+
 use super::crash_report::CrashReport;
 use super::task_crashes::TaskCrashes;
 use super::trial::Trial;
@@ -52,7 +54,7 @@
 
     /// Settles the runs on trial that an earlier term placed and that no minion has listed, now that
     /// all minions of that term have reported or are gone: their minions have crashed, or the runs
-    /// never started.
+    /// never started. Only a run whose begin was confirmed counts as a crash.
     pub(in crate::jobs) fn settle_earlier_trials(&mut self, step_ref: StepRef) {
         for (index, trial) in self.earlier_trials(step_ref) {
             let task = TaskRef {
@@ -64,8 +66,8 @@
             } else {
                 let report = CrashReport {
                     attempt: trial.attempt,
-                    attributed: true,
-                    work: None,
+                    attributed: trial.began,
+                    work: trial.began.then_some(Duration::ZERO),
                     unexplained: self.unexplained_crashes,
                     is_unexplained: false,
                 };
@@ -97,6 +99,7 @@
             return;
         };
         let (job, task, attempt, minion) = (run.job, run.task_ref, run.attempt, run.minion);
+        let began = run.began_at.is_some();
         if !self.is_suspect_task(job, task) {
             return;
         }
@@ -108,6 +111,7 @@
             attempt,
             minion: minion.entry.id.clone(),
             incarnation: minion.incarnation.unwrap_or_default(),
+            began,
         };
         if let Some(task) = self.jobs.get_mut(job).and_then(|job| job.task_mut(task)) {
             task.crashes.begin_trial(trial);
@@ -115,6 +119,19 @@
         self.crash_record_changed(job);
     }
 
+    /// Records that a run has begun, if it is on trial, so that a later term knows.
+    pub(in crate::jobs) fn confirm_trial(&mut self, key: RunKey) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let (job, task, attempt) = (run.job, run.task_ref, run.attempt);
+        let task = self.jobs.get_mut(job).and_then(|job| job.task_mut(task));
+        if task.is_some_and(|task| task.crashes.confirm_trial(attempt)) {
+            self.dirty.insert(job);
+            self.has_urgent_change = true;
+        }
+    }
+
     /// Ends the trials on the minions that have outlived them.
     pub(in crate::jobs) fn end_trials(&mut self) {
         let reserved = self.minions.iter();
--- a/crates/snipevane-core/src/jobs/model/progress.rs
+++ b/crates/snipevane-core/src/jobs/model/progress.rs
@@ -127,6 +127,9 @@
     /// Number of these crashes that are attributed to the job.
     #[serde(default)]
     pub attributed: u32,
+    /// Numbers of the attempts whose minions crashed and aren't known to have begun them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unconfirmed: Vec<u32>,
     /// Times for which the attempts had worked, in milliseconds; only of a long-running task.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub work_ms: Vec<u64>,
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -411,7 +411,7 @@
                 let first_sent_at = run.and_then(|run| run.first_sent_at);
                 first_sent_at.is_some() && first_sent_at < restarted_at
             });
-        self.end_runs_of_gone_minion(key, &crashed, LossReason::NotListed);
+        self.end_runs_of_former_incarnation(key, &crashed, LossReason::NotListed);
         for run in missing {
             self.mark_run_lost(run, LossReason::NotListed);
         }
--- a/tests/tests/jobs_long_running_crashes.rs
+++ b/tests/tests/jobs_long_running_crashes.rs
@@ -136,6 +136,7 @@
             attempt: 2,
             minion: entry(0, "p0").id,
             incarnation: 9_000,
+            began: true,
         }),
         ..CrashedRuns::default()
     };
@@ -185,6 +186,7 @@
     CrashEvidence {
         long_running: true,
         crashes,
+        unconfirmed: 0,
         attributed: crashes,
         shortest_work: Duration::from_secs(work_s),
         unexplained,
