Add long plays with restarts, odd entries, late calls and takeovers

The plays are started by hand: minions crash and are back within 0.8 s, at the same address or another one, with clocks that may be set back; start orders, lists and answers are late or lost; others write entries with the minion's identifier or address; schedulers are killed or suspended. Callers submit jobs all the while. The checks are those of the short test, and a job with a task for each minion completes at the end.

--- a/crates/snipevane-fleet/tests/restarts.rs
+++ b/crates/snipevane-fleet/tests/restarts.rs
@@ -8,15 +8,63 @@
 #[allow(dead_code, reason = "the module is shared with other tests")]
 mod site;
 
+#[path = "restarts/callers.rs"]
+mod callers;
+#[path = "restarts/disturbances.rs"]
+mod disturbances;
 #[path = "restarts/play.rs"]
 mod play;
 
+use std::time::Duration;
+
+use disturbances::Disturbances;
 use play::Play;
+use rstest::rstest;
 
 /// Rounds of the test that CI plays.
 const ROUNDS: u64 = 6;
 const SEED: u64 = 54;
 
+/// Time for which CI disturbs minions and daemons.
+const DISTURBED_TIME: Duration = Duration::from_secs(12);
+
+const RESTARTS: Disturbances = Disturbances {
+    restarts: true,
+    clocks_back: false,
+    late_calls: false,
+    odd_entries: false,
+    takeovers: false,
+};
+
+const CLOCKS_BACK: Disturbances = Disturbances {
+    clocks_back: true,
+    ..RESTARTS
+};
+
+const LATE_CALLS: Disturbances = Disturbances {
+    late_calls: true,
+    ..RESTARTS
+};
+
+const ODD_ENTRIES: Disturbances = Disturbances {
+    odd_entries: true,
+    late_calls: true,
+    ..RESTARTS
+};
+
+const TAKEOVERS: Disturbances = Disturbances {
+    takeovers: true,
+    ..RESTARTS
+};
+
+const ALL: Disturbances = Disturbances {
+    restarts: true,
+    clocks_back: true,
+    late_calls: true,
+    odd_entries: true,
+    takeovers: true,
+};
+
 /// Returns a number from the environment, or `default`.
 fn setting(name: &str, default: u64) -> u64 {
     let text = std::env::var(name).unwrap_or_default();
@@ -45,3 +93,23 @@
         setting("RESTARTS_ROUNDS", 30),
     );
 }
+
+fn play_disturbances(disturbances: Disturbances, seed: u64, time: Duration) {
+    println!("{disturbances:?}");
+    let mut play = Play::start("disturbed", seed, 4, 6);
+    play.disturb(disturbances, time);
+    play.check();
+}
+
+#[rstest]
+#[case::restarts(RESTARTS)]
+#[case::clocks_back(CLOCKS_BACK)]
+#[case::late_calls(LATE_CALLS)]
+#[case::odd_entries(ODD_ENTRIES)]
+#[case::takeovers(TAKEOVERS)]
+#[case::all(ALL)]
+#[ignore = "long; started by hand with RESTARTS_SECONDS and RESTARTS_SEED"]
+fn tasks_run_once_and_jobs_end_beside(#[case] disturbances: Disturbances) {
+    let time = Duration::from_secs(setting("RESTARTS_SECONDS", DISTURBED_TIME.as_secs()));
+    play_disturbances(disturbances, setting("RESTARTS_SEED", SEED), time);
+}
--- a/crates/snipevane-fleet/tests/restarts/play.rs
+++ b/crates/snipevane-fleet/tests/restarts/play.rs
@@ -10,6 +10,7 @@
     submission,
 };
 
+use super::callers::Addresses;
 use crate::site::{Site, call, eventually};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
@@ -34,12 +35,14 @@
 
 /// A site whose minions restart, and what happened there.
 pub(crate) struct Play {
-    site: Site,
+    pub(super) site: Site,
     record: RunRecord,
-    minions: Vec<RestartingMinion>,
+    pub(super) minions: Vec<RestartingMinion>,
     hosts: Vec<HostVm>,
     jobs: Vec<Job>,
-    rng: StdRng,
+    /// Index of the daemon that is suspended, if one is.
+    pub(super) suspended: Option<usize>,
+    pub(super) rng: StdRng,
     seed: u64,
     started_at: Instant,
 }
@@ -55,6 +58,7 @@
             minions: Vec::new(),
             hosts: Vec::new(),
             jobs: Vec::new(),
+            suspended: None,
             rng: StdRng::seed_from_u64(seed),
             seed,
             started_at: Instant::now(),
@@ -137,7 +141,7 @@
     }
 
     /// Submits a job of tasks that each run on a minion of their own.
-    fn submit_apart(&mut self, tasks: u32) -> String {
+    pub(super) fn submit_apart(&mut self, tasks: u32) -> String {
         let id = format!("{:016x}", self.rng.random::<u64>());
         let step = Step {
             tasks,
@@ -153,13 +157,26 @@
         eventually("accepted", || {
             call(callers, "POST", &path, "key", &body).0 == 200
         });
-        self.jobs.push(Job {
-            id: id.clone(),
-            state: None,
-        });
+        self.add_job(id.clone());
         id
     }
 
+    /// Adds a job that callers have submitted and that was accepted.
+    pub(super) fn add_job(&mut self, id: String) {
+        self.jobs.push(Job { id, state: None });
+    }
+
+    /// Tells callers the present addresses of the daemons.
+    pub(super) fn share_addresses(&self, addresses: &Addresses) {
+        let callers = self.site.nodes.iter().map(|node| node.callers).collect();
+        *addresses.lock().expect("the addresses") = callers;
+    }
+
+    /// Prints what happens, with its time.
+    pub(super) fn note(&self, text: &str) {
+        println!("{} ms: {text}", self.started_at.elapsed().as_millis());
+    }
+
     fn add_minion(&mut self) {
         let number = self.hosts.len() + 1;
         let id = format!("i-{number}");
