Take a minion that leaves during a takeover for no crash

Callers would see a sound job fail after one crash: the minion of its run on trial drained and left as planned, another scheduler took over about then, found the run on no minion, and counted a second crash.

Cause: of a run on trial the stored record tells only the minion. That the minion was due to leave is known to the former scheduler and lost with it, and a minion that is gone was taken for one that has crashed.

Change: a run on trial whose minion drains, or whose VM is cordoned, is stored as one whose loss is no crash, in the field that tells whether its begin was confirmed. A scheduler that sees the minion leave decides as before.

--- a/crates/snipevane-core/src/jobs/ending/crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/crashes.rs
@@ -106,7 +106,7 @@
     }
 
     /// Returns whether a minion was to leave, or isn't known.
-    fn is_leaving(&self, key: MinionKey) -> bool {
+    pub(super) fn is_leaving(&self, key: MinionKey) -> bool {
         let minion = self.minions.get(key);
         minion.is_none_or(|minion| minion.entry.draining || minion.cordoned)
     }
--- a/crates/snipevane-core/src/jobs/ending/task_crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/task_crashes.rs
@@ -108,13 +108,15 @@
         self.on_trial = Some(trial);
     }
 
-    /// Records that the minion of an attempt has confirmed its begin; returns whether that changes the record.
-    pub(in crate::jobs) fn confirm_trial(&mut self, attempt: u32) -> bool {
+    /// Records whether the loss of an attempt's minion is a crash under it, if the attempt is on trial; returns
+    /// whether that changes the record.
+    pub(in crate::jobs) fn set_trial_began(&mut self, attempt: u32, began: bool) -> bool {
         let on_trial = self.on_trial.as_mut();
-        let Some(trial) = on_trial.filter(|trial| trial.attempt == attempt && !trial.began) else {
+        let changed = |trial: &&mut Trial| trial.attempt == attempt && trial.began != began;
+        let Some(trial) = on_trial.filter(changed) else {
             return false;
         };
-        trial.began = true;
+        trial.began = began;
         true
     }
 
--- a/crates/snipevane-core/src/jobs/ending/trial.rs
+++ b/crates/snipevane-core/src/jobs/ending/trial.rs
@@ -12,7 +12,8 @@
     pub minion: SmolStr,
     /// Start of the minion's incarnation, in Unix milliseconds.
     pub incarnation: u64,
-    /// Whether the minion has confirmed that the attempt has begun.
+    /// Whether the minion has confirmed that the attempt has begun, and isn't due to leave, so that its loss is a
+    /// crash under the attempt.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub began: bool,
 }
--- a/crates/snipevane-core/src/jobs/ending/trials.rs
+++ b/crates/snipevane-core/src/jobs/ending/trials.rs
@@ -99,7 +99,7 @@
             return;
         };
         let (job, task, attempt, minion) = (run.job, run.task_ref, run.attempt, run.minion);
-        let began = run.began_at.is_some();
+        let began = self.loss_is_crash(run);
         if !self.is_suspect_task(job, task) {
             return;
         }
@@ -119,19 +119,36 @@
         self.crash_record_changed(job);
     }
 
-    /// Records that a run has begun, if it is on trial, so that a later term knows.
-    pub(in crate::jobs) fn confirm_trial(&mut self, key: RunKey) {
+    /// Records whether the loss of a run's minion is a crash under the run, if it is on trial, so that a later
+    /// term knows.
+    pub(in crate::jobs) fn update_trial(&mut self, key: RunKey) {
         let Some(run) = self.runs.get(key) else {
             return;
         };
         let (job, task, attempt) = (run.job, run.task_ref, run.attempt);
+        let began = self.loss_is_crash(run);
         let task = self.jobs.get_mut(job).and_then(|job| job.task_mut(task));
-        if task.is_some_and(|task| task.crashes.confirm_trial(attempt)) {
+        if task.is_some_and(|task| task.crashes.set_trial_began(attempt, began)) {
             self.dirty.insert(job);
             self.has_urgent_change = true;
         }
     }
 
+    /// Returns whether a run is known to have begun on a minion that isn't due to leave.
+    fn loss_is_crash(&self, run: &Run) -> bool {
+        run.began_at.is_some() && !self.is_leaving(run.minion)
+    }
+
+    /// Updates the runs on trial on the minions that are due to leave.
+    pub(in crate::jobs) fn update_trials_on_leaving_minions(&mut self) {
+        let leaving = self.minions.keys().filter(|&key| self.is_leaving(key));
+        let runs = leaving.flat_map(|key| &self.minions[key].runs);
+        let runs: Vec<RunKey> = runs.copied().collect();
+        for run in runs {
+            self.update_trial(run);
+        }
+    }
+
     /// Ends the trials on the minions that have outlived them.
     pub(in crate::jobs) fn end_trials(&mut self) {
         let reserved = self.minions.iter();
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -316,7 +316,7 @@
         if let Some(run) = self.runs.get_mut(key) {
             run.began_at.get_or_insert(now);
         }
-        self.confirm_trial(key);
+        self.update_trial(key);
     }
 
     /// Records that a minion has carried out a start order, by its reply or its run list.
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -234,6 +234,7 @@
         self.end_expired_runs(now);
         self.give_up_crashing_tasks(now, unix_ms);
         self.end_trials();
+        self.update_trials_on_leaving_minions();
         self.withdraw_starts_in_evacuated_zones();
         self.repeat_orders(now);
         self.events.extend(self.interference.age(now));
--- a/tests/tests/jobs_restarts.rs
+++ b/tests/tests/jobs_restarts.rs
@@ -25,6 +25,9 @@
 /// Number of seeds of a case.
 const SEEDS: u64 = 60;
 
+/// Number of seeds of a case in which a minion leaves.
+const LEAVING_SEEDS: u64 = 20;
+
 /// Time in which a job has ended after its minions are back.
 const END_TIME: Duration = Duration::from_secs(20);
 
@@ -206,3 +209,32 @@
     assert_eq!(record.unconfirmed, Vec::<u32>::new());
     assert_eq!(serde_json::to_string(&record).expect("JSON"), stored);
 }
+
+/// Guards against a minion that leaves as planned during a takeover and counts as one that has crashed.
+#[rstest]
+fn a_minion_that_leaves_during_a_takeover_has_not_crashed(
+    #[values(apart(), gang())] step: StepSpec,
+) {
+    let failed = (0..LEAVING_SEEDS).filter(|&seed| {
+        let mut built = job_site(seed);
+        let mut random = StdRng::seed_from_u64(seed);
+        let id = built.submit(1, job("p0", vec![step.clone()]));
+        built.run(Duration::from_millis(random.random_range(500..1_500)));
+        let lost = built.records.last().expect("the task runs").clone();
+        built.lose_minion(&lost.minion);
+        built.run(Duration::from_millis(random.random_range(1_000..2_000)));
+        let mut runs = built.records.iter();
+        let run = runs.rfind(|run| run.task == lost.task);
+        let leaving = run.expect("the task runs again").minion.clone();
+        let minion = built.minions.get_mut(&leaving).expect("a known minion");
+        minion.entry.draining = true;
+        built.list_minions();
+        built.run(Duration::from_millis(random.random_range(200..800)));
+        built.lose_minion(&leaving);
+        built.take_over();
+        built.run(END_TIME);
+        built.state(id) != JobState::Completed
+    });
+    let failed: Vec<u64> = failed.collect();
+    assert!(failed.is_empty(), "seeds {failed:?} of {LEAVING_SEEDS}");
+}
