Add a test of refusals from an address that was wrong for a moment

The test writes an entry that gives a minion with a run the address of another minion, waits until the other minion has refused a hold for it (421), and restores the entry while the refusal is on its way. The refusal is then judged by the present address, which is the one at which the minion listed its runs, so that the runs of a living minion are treated as ended and start again elsewhere. No task may run twice at once or after an acknowledged end, and all jobs complete.

--- a/crates/snipevane-fleet/tests/restarts.rs
+++ b/crates/snipevane-fleet/tests/restarts.rs
@@ -85,6 +85,20 @@
     play_orders_that_die(SEED, ROUNDS);
 }
 
+fn play_wrong_addresses(seed: u64, rounds: u64) {
+    let mut play = Play::start("addresses", seed, 4, 5);
+    for round in 0..rounds {
+        play.confuse_addresses(round);
+    }
+    play.check();
+}
+
+/// Guards against a task that runs twice because its minion's entry had another minion's address for a moment.
+#[test]
+fn a_refusal_from_an_address_that_was_wrong_for_a_moment_ends_no_runs() {
+    play_wrong_addresses(SEED, ROUNDS);
+}
+
 #[test]
 #[ignore = "long; started by hand with RESTARTS_ROUNDS and RESTARTS_SEED"]
 fn orders_that_die_with_their_minions_for_many_rounds() {
--- a/crates/snipevane-fleet/tests/restarts/play.rs
+++ b/crates/snipevane-fleet/tests/restarts/play.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use snipevane_adapter_standin::{
-    Conduct, HostVm, RecordedRun, Restart, RestartingMinion, RunOutcome, RunRecord, Step,
+    Conduct, HostVm, OddEntry, RecordedRun, Restart, RestartingMinion, RunOutcome, RunRecord, Step,
     submission,
 };
 
@@ -18,6 +18,9 @@
 /// Time that a task runs, in milliseconds.
 const RUN_MS: u64 = 1_500;
 
+/// Time after which a refusal arrives.
+const REFUSAL_DELAY: Duration = Duration::from_millis(250);
+
 /// Longest time that a round waits for the moment at which it crashes a minion.
 const MOMENT_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -111,6 +114,37 @@
         self.add_minion();
     }
 
+    /// Gives a minion with a run the address of another one, until the other one has refused a call for it and the
+    /// refusal is on its way.
+    pub(crate) fn confuse_addresses(&mut self, round: u64) {
+        let job = self.submit_apart(2);
+        self.wait_for("both tasks begun", |play| play.runs_of(&job).len() == 2);
+        let confused = self.minion_of(&format!("{job}.0.0.1"));
+        let runs = self.runs_of(&job);
+        let is_idle = |minion: &RestartingMinion| runs.iter().all(|run| run.minion != minion.id());
+        let other = self.minions.iter().position(is_idle).expect("a minion");
+        self.minions[other].set_conduct(Conduct {
+            answer_delay: REFUSAL_DELAY,
+            ..Conduct::default()
+        });
+        let refused = self.minions[other].refused_count();
+        let minion = &self.minions[confused];
+        minion.publish_odd_entry(&OddEntry {
+            id: minion.id().to_owned(),
+            address: self.minions[other].address(),
+            later: Duration::ZERO,
+        });
+        let end = Instant::now() + MOMENT_TIMEOUT;
+        while self.minions[other].refused_count() == refused && Instant::now() < end {
+            sleep(POLL_INTERVAL);
+        }
+        let refusals = self.minions[other].refused_count() - refused;
+        self.note(&format!("round {round}: {refusals} refusals"));
+        minion.register();
+        self.wait_until_ended(&job);
+        self.calm();
+    }
+
     /// Checks what must hold.
     pub(crate) fn check(&mut self) {
         let end = Instant::now() + FINISH_TIME;
