Add a test of a minion whose clock is set back between incarnations

Callers' jobs wait for good once the minions of their pool are back with their clocks set back.

The only minion crashes under a task and is back under its identifier within 0.6 s, with a start 60 s, then 120 s before the present. Its lists carry an earlier start than the known one and are ignored for good, so that its crashed run never ends and nothing is placed there. The job has to end within 14 s, by what callers see and the minion's record.

--- a/crates/snipevane-fleet/tests/restarts.rs
+++ b/crates/snipevane-fleet/tests/restarts.rs
@@ -25,6 +25,9 @@
 const ROUNDS: u64 = 6;
 const SEED: u64 = 54;
 
+/// Rounds of the test that sets a clock back.
+const CLOCK_ROUNDS: u64 = 2;
+
 /// Time for which CI disturbs minions and daemons.
 const DISTURBED_TIME: Duration = Duration::from_secs(12);
 
@@ -99,6 +102,18 @@
     play_wrong_addresses(SEED, ROUNDS);
 }
 
+/// Guards against a minion that gets no work, and whose runs don't end, once its clock was set back.
+#[test]
+fn a_minion_that_is_back_with_its_clock_set_back_is_heard() {
+    let mut play = Play::start("clock-back", SEED, 3, 1);
+    for round in 0..CLOCK_ROUNDS {
+        if !play.set_clock_back(round) {
+            break;
+        }
+    }
+    play.check();
+}
+
 #[test]
 #[ignore = "long; started by hand with RESTARTS_ROUNDS and RESTARTS_SEED"]
 fn orders_that_die_with_their_minions_for_many_rounds() {
--- a/crates/snipevane-fleet/tests/restarts/play.rs
+++ b/crates/snipevane-fleet/tests/restarts/play.rs
@@ -21,6 +21,9 @@
 /// Time after which a refusal arrives.
 const REFUSAL_DELAY: Duration = Duration::from_millis(250);
 
+/// Time by which a minion's clock is set back further in each round.
+const CLOCK_STEP: Duration = Duration::from_secs(60);
+
 /// Longest time that a round waits for the moment at which it crashes a minion.
 const MOMENT_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -145,6 +148,27 @@
         self.calm();
     }
 
+    /// Crashes the minion of a task; it is back with its clock set back further than in the rounds before. Returns
+    /// whether the task's job has ended in time.
+    pub(crate) fn set_clock_back(&mut self, round: u64) -> bool {
+        let job = self.submit_apart(1);
+        self.wait_for("the task begun", |play| play.runs_of(&job).len() == 1);
+        let index = self.minion_of(&format!("{job}.0.0.0"));
+        self.minions[index].kill();
+        let down_ms = self.rng.random_range(0..MAX_DOWN_MS);
+        sleep(Duration::from_millis(down_ms));
+        let back = CLOCK_STEP * u32::try_from(round + 1).expect("a number");
+        self.note(&format!(
+            "round {round}: down for {down_ms} ms, clock {back:?} back"
+        ));
+        self.minions[index].come_back(Restart {
+            clock_back: back,
+            ..Restart::default()
+        });
+        self.wait_until_ended(&job);
+        self.jobs.last().is_some_and(|job| job.state.is_some())
+    }
+
     /// Checks what must hold.
     pub(crate) fn check(&mut self) {
         let end = Instant::now() + FINISH_TIME;
