Judge refusals by the address that their order went to

Callers' tasks ran twice at the same time after the list of minions had named another address for a busy minion for a moment: what answers there refuses the order, and all runs of the minion counted as ended while they worked on.

Cause: whether the refusal came from the address at which the minion had listed its runs was decided by its entry at the time of the refusal. Once the entry was right again, a refusal from the wrong address counted as the minion's. The address of a list was guessed in the same way, from the time at which the entry had changed; but the daemon takes the time of an order when it is sent, which is after its address was decided.

Change: replies come with the order that they answer (its recipient), and both are judged by the address in it. `address_changed_at` is gone.

--- a/crates/snipevane-core/benches/jobs.rs
+++ b/crates/snipevane-core/benches/jobs.rs
@@ -101,11 +101,11 @@
                     clock_ms: 1,
                     ..RunList::default()
                 });
-                scheduler.hold_replied(order.to.minion, list, NOW, NOW, UNIX_MS);
+                scheduler.hold_replied(&order.to, list, NOW, NOW, UNIX_MS);
             }
             Action::Start(order) => {
                 let done = OrderReply::Done { clock_ms: Some(1) };
-                scheduler.start_replied(order.run, done, NOW, NOW);
+                scheduler.start_replied(&order, done, NOW, NOW);
             }
             Action::Stop(_) | Action::SetCpuShare(_) | Action::RequestAdvice(_) => {}
         }
--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -114,8 +114,6 @@
     pub(in crate::jobs) has_unknown_runs: bool,
     /// Address at which it last listed its runs; empty before.
     pub(in crate::jobs) listed_at: SmolStr,
-    /// Time at which its entry's address last changed.
-    pub(in crate::jobs) address_changed_at: Duration,
     /// Time at which the minion was last known to be running, from its lists of runs.
     pub last_contact: Option<Duration>,
     /// Minion's clock in the last list of runs that was processed, in milliseconds.
@@ -195,7 +193,6 @@
             reachable: true,
             has_unknown_runs: false,
             listed_at: SmolStr::default(),
-            address_changed_at: Duration::ZERO,
             last_contact: None,
             list_clock_ms: 0,
             received_seq: 0,
@@ -343,12 +340,6 @@
         self.entry.capacity.minus(&self.allocated)
     }
 
-    /// Returns whether the entry has the address at which the minion last listed its runs. What answers at another
-    /// address knows nothing of these runs.
-    pub(in crate::jobs) fn is_where_it_listed_runs(&self) -> bool {
-        self.listed_at.is_empty() || self.listed_at == self.entry.address
-    }
-
     /// Returns whether the entry describes the present incarnation, as far as is known. Another one may be
     /// of a smaller kind.
     fn has_current_entry(&self) -> bool {
--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use super::minion::{Minion, MinionEntry, MinionKey};
+use crate::jobs::action::Recipient;
 use crate::jobs::event::{LossReason, SchedulerEvent};
 use crate::jobs::model::run::RunKey;
 use crate::jobs::scheduler::Scheduler;
@@ -45,7 +46,6 @@
         if address_changed {
             minion.hold_failures = 0;
             minion.hold_not_before = now;
-            minion.address_changed_at = now;
         }
         if restarted {
             self.ask_for_runs(key, now);
@@ -265,11 +265,10 @@
     }
 
     /// Handles the refusal of a hold by another incarnation: ends all runs of the minion, except those with an order
-    /// in flight, unless the address isn't the one at which the minion listed them.
-    pub(in crate::jobs) fn handle_other_incarnation(&mut self, key: MinionKey) {
-        let minion = self.minions.get(key);
-        if minion.is_some_and(Minion::is_where_it_listed_runs) {
-            self.handle_lost_incarnation(key, LossReason::IncarnationGone);
+    /// in flight, unless the hold didn't go to the address at which the minion listed them.
+    pub(in crate::jobs) fn handle_other_incarnation(&mut self, to: &Recipient) {
+        if self.has_listed_runs_at(to) {
+            self.handle_lost_incarnation(to.minion, LossReason::IncarnationGone);
         }
     }
 
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -9,7 +9,7 @@
 use super::transmissions::Settled;
 use crate::jobs::action::{Action, Recipient, StartOrder, StopOrder};
 use crate::jobs::event::{LossReason, RepeatedOrder, SchedulerEvent, StopReason};
-use crate::jobs::minions::minion::{Minion, MinionKey};
+use crate::jobs::minions::minion::MinionKey;
 use crate::jobs::model::run::{OrderReply, Refusal, RunKey, RunPhase};
 use crate::jobs::scheduler::Scheduler;
 
@@ -23,11 +23,12 @@
     /// Handles the reply to a start order that was sent at `sent_at`.
     pub fn start_replied(
         &mut self,
-        key: RunKey,
+        order: &StartOrder,
         reply: OrderReply,
         sent_at: Duration,
         now: Duration,
     ) {
+        let key = order.run;
         self.start_window.order_settled();
         let Some((minion, phase, settled)) = self.settle_order(key, reply, sent_at, now) else {
             return;
@@ -43,7 +44,7 @@
             }
             OrderReply::Refused(Refusal::Fenced) => self.deposed = true,
             OrderReply::Refused(refusal) if phase != RunPhase::Running => {
-                self.start_refused(key, refusal, now);
+                self.start_refused(key, &order.to, refusal, now);
             }
             OrderReply::NoAnswer if phase == RunPhase::Starting && settled == Settled::Last => {
                 self.start_unanswered(key, now);
@@ -125,11 +126,12 @@
     /// Handles the reply to a stop order that was sent at `sent_at`.
     pub fn stop_replied(
         &mut self,
-        key: RunKey,
+        order: &StopOrder,
         reply: OrderReply,
         sent_at: Duration,
         now: Duration,
     ) {
+        let key = order.run;
         let Some((minion, phase, settled)) = self.settle_order(key, reply, sent_at, now) else {
             return;
         };
@@ -139,7 +141,9 @@
                 self.stop_confirmed(key, now);
             }
             OrderReply::Refused(Refusal::Fenced) => self.deposed = true,
-            OrderReply::Refused(Refusal::WrongIncarnation) if self.is_asked_for_runs(minion) => {
+            OrderReply::Refused(Refusal::WrongIncarnation)
+                if self.has_listed_runs_at(&order.to) =>
+            {
                 self.end_runs_of_gone_minion(minion, &[key], LossReason::IncarnationGone);
             }
             OrderReply::Refused(_) | OrderReply::NoAnswer
@@ -153,10 +157,11 @@
         }
     }
 
-    /// Returns whether orders to a minion go to the address at which it listed its runs.
-    fn is_asked_for_runs(&self, key: MinionKey) -> bool {
-        let minion = self.minions.get(key);
-        minion.is_some_and(Minion::is_where_it_listed_runs)
+    /// Returns whether an order went to the address at which its minion last listed its runs. What answers at
+    /// another address knows nothing of them.
+    pub(in crate::jobs) fn has_listed_runs_at(&self, to: &Recipient) -> bool {
+        let minion = self.minions.get(to.minion);
+        minion.is_some_and(|minion| minion.listed_at == to.address)
     }
 
     fn stop_confirmed(&mut self, key: RunKey, now: Duration) {
@@ -335,7 +340,7 @@
         self.mark_started(job);
     }
 
-    fn start_refused(&mut self, key: RunKey, refusal: Refusal, now: Duration) {
+    fn start_refused(&mut self, key: RunKey, to: &Recipient, refusal: Refusal, now: Duration) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
@@ -362,7 +367,7 @@
         let reason = LossReason::StartRefused(refusal);
         if sent_once {
             self.mark_run_lost(key, reason);
-        } else if refusal == Refusal::WrongIncarnation && self.is_asked_for_runs(minion) {
+        } else if refusal == Refusal::WrongIncarnation && self.has_listed_runs_at(to) {
             // An earlier transmission may have reached the incarnation that is gone.
             self.end_runs_of_gone_minion(minion, &[key], reason);
         } else {
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -7,7 +7,7 @@
 
 use super::best_effort::FULL_CPU_SHARE;
 use super::transmissions::{Settled, Transmissions};
-use crate::jobs::action::{Action, StopOrder};
+use crate::jobs::action::{Action, Recipient, StopOrder};
 use crate::jobs::event::{LossReason, SchedulerEvent, StopReason};
 use crate::jobs::minions::minion::{MinionKey, UnstoredEnd};
 use crate::jobs::model::id::TaskId;
@@ -29,12 +29,13 @@
     /// `unix_ms` is the time of day in Unix milliseconds.
     pub fn hold_replied(
         &mut self,
-        key: MinionKey,
+        to: &Recipient,
         reply: HoldReply,
         asked_at: Duration,
         now: Duration,
         unix_ms: u64,
     ) {
+        let key = to.minion;
         let Some(minion) = self.minions.get_mut(key) else {
             return;
         };
@@ -46,7 +47,7 @@
             HoldReply::Listed(list) => {
                 self.set_reachable(key, true, now);
                 self.delay_next_hold(key, settled, now);
-                if self.process_run_list(key, &list, asked_at, now, unix_ms) {
+                if self.process_run_list(to, &list, asked_at, now, unix_ms) {
                     self.record_contact(key, now);
                 }
             }
@@ -54,7 +55,7 @@
             HoldReply::Refused(Refusal::WrongIncarnation) => {
                 self.mark_suspect(key);
                 self.back_off_hold(key, now);
-                self.handle_other_incarnation(key);
+                self.handle_other_incarnation(to);
             }
             HoldReply::NoAnswer if settled != Settled::Last => {}
             HoldReply::Refused(_) | HoldReply::NoAnswer => {
@@ -95,16 +96,17 @@
     /// It may be as old as the hold, and the minion may have restarted since.
     pub fn hold_replied_late(
         &mut self,
-        key: MinionKey,
+        to: &Recipient,
         reply: HoldReply,
         asked_at: Duration,
         now: Duration,
         unix_ms: u64,
     ) {
+        let key = to.minion;
         match reply {
             HoldReply::Listed(list) => {
                 self.set_reachable(key, true, now);
-                if self.process_run_list(key, &list, asked_at, now, unix_ms) {
+                if self.process_run_list(to, &list, asked_at, now, unix_ms) {
                     self.record_contact(key, asked_at);
                 }
                 self.remove_if_unlisted(key);
@@ -131,12 +133,13 @@
     /// one of the same incarnation. Returns whether it was applied.
     fn process_run_list(
         &mut self,
-        key: MinionKey,
+        to: &Recipient,
         list: &RunList,
         asked_at: Duration,
         now: Duration,
         unix_ms: u64,
     ) -> bool {
+        let key = to.minion;
         let listed_runs = self.find_listed_runs(key, &list.active);
         let has_unknown_runs = self.has_unknown_tasks(&list.active);
         let Some(minion) = self.minions.get_mut(key) else {
@@ -166,9 +169,7 @@
         minion.list_clock_ms = list.clock_ms;
         minion.fence_accepted = true;
         minion.suspect = false;
-        if asked_at > minion.address_changed_at {
-            minion.listed_at = minion.entry.address.clone();
-        }
+        minion.listed_at = to.address.clone();
         minion.has_unknown_runs = has_unknown_runs;
         self.unreported.minions.remove(&minion.entry.id);
         for ended in &list.ended {
--- a/crates/snipevane-fleet/src/scheduling/orders.rs
+++ b/crates/snipevane-fleet/src/scheduling/orders.rs
@@ -46,7 +46,7 @@
             leader
                 .scheduler
                 .borrow_mut()
-                .start_replied(order.run, reply, sent_at, now);
+                .start_replied(&order, reply, sent_at, now);
         }
         Action::Stop(order) => {
             let sent_at = leader.node.clock.now();
@@ -56,7 +56,7 @@
             leader
                 .scheduler
                 .borrow_mut()
-                .stop_replied(order.run, reply, sent_at, now);
+                .stop_replied(&order, reply, sent_at, now);
         }
         Action::Hold(order) => hold(&leader, &order).await,
         Action::SetCpuShare(order) => {
@@ -138,7 +138,7 @@
     let now = leader.node.clock.now();
     let unix_ms = leader.node.clock.unix_ms();
     let mut scheduler = leader.scheduler.borrow_mut();
-    scheduler.hold_replied(order.to.minion, reply, sent_at, now, unix_ms);
+    scheduler.hold_replied(&order.to, reply, sent_at, now, unix_ms);
 }
 
 /// Reports the reply to a hold that was reported as unanswered before.
@@ -152,7 +152,7 @@
     let now = leader.node.clock.now();
     let unix_ms = leader.node.clock.unix_ms();
     let mut scheduler = leader.scheduler.borrow_mut();
-    scheduler.hold_replied_late(order.to.minion, reply, sent_at, now, unix_ms);
+    scheduler.hold_replied_late(&order.to, reply, sent_at, now, unix_ms);
 }
 
 /// Requests advice on a step and reports it to the scheduler; logs when the advisor stops answering
--- a/crates/snipevane-fleet/src/senders/dispatch.rs
+++ b/crates/snipevane-fleet/src/senders/dispatch.rs
@@ -107,7 +107,7 @@
         }
         let now = self.leader.node.clock.now();
         let mut scheduler = self.leader.scheduler.borrow_mut();
-        scheduler.start_replied(order.run, reply, self.sent_at, now);
+        scheduler.start_replied(order, reply, self.sent_at, now);
     }
 
     fn undelivered(&mut self, order: &StartOrder, reason: &'static str) {
--- a/tests/src/jobs/job_site/delivery.rs
+++ b/tests/src/jobs/job_site/delivery.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use smol_str::{SmolStr, format_smolstr};
 use snipevane_core::jobs::{
-    Action, AdviceReply, HoldReply, MinionKey, OrderReply, Refusal, RunEnd, StartOrder,
+    Action, AdviceReply, HoldReply, MinionKey, OrderReply, Recipient, Refusal, RunEnd, StartOrder,
 };
 
 use super::super::minion::{FakeMinion, TaskKind};
@@ -37,7 +37,7 @@
         if self.takes_a_while(&action) || self.refuses_connection(&action) {
             return;
         }
-        if !reachable || self.partitioned.contains(&to) {
+        if !reachable || self.partitioned.contains(&to) || !self.is_at_address(&action) {
             self.deliver_no_answer(action);
             return;
         }
@@ -64,6 +64,10 @@
             self.deliver_no_answer(action);
             return;
         }
+        if !faults.max_transit.is_zero() {
+            self.send_in_transit(action);
+            return;
+        }
         let outcome = self.execute(&action, false);
         if self.random.random_bool(faults.lost_reply_rate) {
             self.deliver_no_answer(action);
@@ -73,6 +77,13 @@
         }
     }
 
+    /// Returns whether the minion that an order is for has the address that it goes to.
+    fn is_at_address(&self, action: &Action) -> bool {
+        let to = sent_to(action);
+        let minion = self.minions.get(&to.id);
+        minion.is_some_and(|minion| minion.entry.address == to.address)
+    }
+
     /// Returns whether another minion answers at the address to which an order goes. It refuses the order.
     fn reaches_another_minion(&self, action: &Action) -> bool {
         let known = self.scheduler.minion(recipient_key(action));
@@ -150,9 +161,8 @@
         let (now, unix_ms) = (self.now, self.unix_ms());
         match (&call.action, outcome) {
             (Action::Hold(order), Outcome::Hold(reply, _)) if call.overdue => {
-                let minion = order.to.minion;
                 self.scheduler
-                    .hold_replied_late(minion, reply, call.sent_at, now, unix_ms);
+                    .hold_replied_late(&order.to, reply, call.sent_at, now, unix_ms);
             }
             (action, Outcome::Hold(reply, _)) => {
                 self.deliver(action, Outcome::Hold(reply, call.sent_at));
@@ -188,11 +198,27 @@
         for (_, _, event) in due {
             match event {
                 Event::Execute(action, incarnation) => {
-                    if self.minions[&recipient(&action)].incarnation == incarnation {
+                    let is_same = self.minions[&recipient(&action)].incarnation == incarnation;
+                    if is_same || self.faults.delayed_orders_outlive_incarnation {
                         self.execute(&action, true);
                     }
                 }
-                Event::Arrive(action, sent_at) => self.arrive(action, sent_at),
+                Event::ArriveAtAddress(action, sent_at) => {
+                    self.arrive_at_address(action, sent_at);
+                }
+                Event::Arrive(action, incarnation, sent_at) => {
+                    self.arrive(action, incarnation, sent_at);
+                }
+                Event::DeliverLate(action, reply, asked_at) => {
+                    let unix_ms = self.unix_ms();
+                    self.scheduler.hold_replied_late(
+                        sent_to(&action),
+                        reply,
+                        asked_at,
+                        now,
+                        unix_ms,
+                    );
+                }
                 Event::Deliver(action, outcome) => self.deliver(&action, outcome),
             }
         }
@@ -202,17 +228,17 @@
         let (now, unix_ms) = (self.now, self.unix_ms());
         match (action, outcome) {
             (Action::Start(order), Outcome::Order(reply, sent_at)) => {
-                self.scheduler.start_replied(order.run, reply, sent_at, now);
+                self.scheduler.start_replied(order, reply, sent_at, now);
             }
             (Action::Start(order), Outcome::Undelivered(sent_at)) => {
                 self.scheduler.start_undelivered(order.run, sent_at, now);
             }
             (Action::Stop(order), Outcome::Order(reply, sent_at)) => {
-                self.scheduler.stop_replied(order.run, reply, sent_at, now);
+                self.scheduler.stop_replied(order, reply, sent_at, now);
             }
             (Action::Hold(order), Outcome::Hold(reply, asked_at)) => {
                 self.scheduler
-                    .hold_replied(order.to.minion, reply, asked_at, now, unix_ms);
+                    .hold_replied(&order.to, reply, asked_at, now, unix_ms);
             }
             (Action::SetCpuShare(order), Outcome::Order(reply, _)) => {
                 self.scheduler.cpu_share_replied(order, reply, now);
@@ -344,38 +370,38 @@
     }
 }
 
-/// Returns the key of the minion that an order is addressed to.
+/// Returns where an order goes.
 ///
 /// # Panics
 ///
 /// Panics on a request to the advisor.
-fn recipient_key(action: &Action) -> MinionKey {
+pub(super) fn sent_to(action: &Action) -> &Recipient {
     match action {
-        Action::Start(order) => order.to.minion,
-        Action::Stop(order) => order.to.minion,
-        Action::Hold(order) => order.to.minion,
-        Action::SetCpuShare(order) => order.to.minion,
+        Action::Start(order) => &order.to,
+        Action::Stop(order) => &order.to,
+        Action::Hold(order) => &order.to,
+        Action::SetCpuShare(order) => &order.to,
         Action::RequestAdvice(order) => unreachable!("{order:?} goes to no minion"),
     }
 }
 
+/// Returns the key of the minion that an order is addressed to.
+fn recipient_key(action: &Action) -> MinionKey {
+    sent_to(action).minion
+}
+
 /// Returns the identifier of the minion that an order is addressed to.
-///
-/// # Panics
-///
-/// Panics on a request to the advisor.
 pub(super) fn recipient(action: &Action) -> SmolStr {
-    match action {
-        Action::Start(order) => order.to.id.clone(),
-        Action::Stop(order) => order.to.id.clone(),
-        Action::Hold(order) => order.to.id.clone(),
-        Action::SetCpuShare(order) => order.to.id.clone(),
-        Action::RequestAdvice(order) => unreachable!("{order:?} goes to no minion"),
-    }
+    sent_to(action).id.clone()
+}
+
+/// Returns the fencing token that an order carries.
+pub(super) fn fence(action: &Action) -> u64 {
+    sent_to(action).fence
 }
 
 /// Returns the outcome of a call that was sent at `sent_at` and isn't answered.
-fn no_answer(action: &Action, sent_at: Duration) -> Outcome {
+pub(super) fn no_answer(action: &Action, sent_at: Duration) -> Outcome {
     match action {
         Action::Hold(_) => Outcome::Hold(HoldReply::NoAnswer, sent_at),
         Action::Start(_) | Action::Stop(_) | Action::SetCpuShare(_) => {
--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -4,9 +4,12 @@
 mod checks;
 mod crashes;
 mod delivery;
+mod incarnations;
 mod restarts;
 mod rooms;
 
+pub use incarnations::Restart;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,10 +19,11 @@
 use smol_str::SmolStr;
 use snipevane_core::jobs::{
     Action, AdviceReply, EvacuatedZones, HoldReply, JobChange, JobId, JobSpec, JobState,
-    OrderReply, Progress, RunEnd, Scheduler, SchedulerSettings, Site, TaskId, UnreportedRuns,
-    VmState,
+    MinionEntry, OrderReply, Progress, RunEnd, Scheduler, SchedulerSettings, Site, TaskId,
+    UnreportedRuns, VmState,
 };
 
+use self::incarnations::PendingRestart;
 use super::minion::{FakeMinion, Record};
 use super::network::Network;
 use super::specs::{job, step};
@@ -70,6 +74,13 @@
     /// Share of the first transmissions of start orders whose sender fails. It carries out half of them,
     /// within [`SEND_WINDOW`]; independently of that, the scheduler learns of the failure within that time.
     pub failed_sender_rate: f64,
+    /// Longest time that an order takes to arrive, and again its answer; zero if orders arrive at once and
+    /// answers within 30 ms. An order that arrives after the end of its incarnation is lost.
+    pub max_transit: Duration,
+    /// Share of run lists that arrive up to 2 s after they were made, with a [`Faults::max_transit`].
+    pub late_list_rate: f64,
+    /// Whether delayed orders are carried out by the incarnation that then has the identifier.
+    pub delayed_orders_outlive_incarnation: bool,
 }
 
 /// An event that is due later.
@@ -77,9 +88,13 @@
     /// Carry out a delayed order if its minion still has this incarnation.
     Execute(Action, u64),
     /// Let an order that was sent at this time arrive at its address.
-    Arrive(Action, Duration),
+    ArriveAtAddress(Action, Duration),
     /// Report the outcome of an order to the scheduler.
     Deliver(Action, Outcome),
+    /// Let an order arrive that was sent to this incarnation at this time.
+    Arrive(Action, u64, Duration),
+    /// Report the reply to a hold that was sent at this time and has been reported as unanswered.
+    DeliverLate(Action, HoldReply, Duration),
 }
 
 #[derive(Clone)]
@@ -91,6 +106,18 @@
     Undelivered(Duration),
 }
 
+impl Outcome {
+    /// Returns the outcome of an order that was sent at this time.
+    fn sent_at(self, sent_at: Duration) -> Self {
+        match self {
+            Self::Advice(reply, _) => Self::Advice(reply, sent_at),
+            Self::Order(reply, _) => Self::Order(reply, sent_at),
+            Self::Hold(reply, _) => Self::Hold(reply, sent_at),
+            Self::Undelivered(_) => Self::Undelivered(sent_at),
+        }
+    }
+}
+
 /// A job in the store.
 struct Stored {
     spec: JobSpec,
@@ -152,6 +179,10 @@
     /// Minions that have crashed, with the times at which they are back.
     down_until: Vec<(Duration, SmolStr)>,
     planned_restarts: Vec<PlannedRestart>,
+    /// Next steps of restarts under the same identifier, with their times.
+    restarts: Vec<(Duration, PendingRestart)>,
+    /// Entries that the list of minions has in place of the minions' own.
+    shown_entries: BTreeMap<SmolStr, MinionEntry>,
     site: Rc<Site>,
     settings: SchedulerSettings,
     fence: u64,
@@ -206,6 +237,8 @@
             unlisted_rooms: Vec::new(),
             down_until: Vec::new(),
             planned_restarts: Vec::new(),
+            restarts: Vec::new(),
+            shown_entries: BTreeMap::new(),
             site,
             settings,
             fence: 1,
@@ -281,7 +314,11 @@
             .minions
             .values()
             .filter(|minion| minion.up && !self.partitioned.contains(&minion.entry.id));
-        let entries: Vec<_> = listed.map(|minion| minion.entry.clone()).collect();
+        let entries = listed.map(|minion| {
+            let shown = self.shown_entries.get(&minion.entry.id);
+            shown.unwrap_or(&minion.entry).clone()
+        });
+        let entries: Vec<_> = entries.collect();
         let ids = entries.iter().map(|entry| entry.id.clone()).collect();
         for entry in entries {
             self.scheduler.upsert_minion(entry, self.now);
@@ -306,6 +343,7 @@
         self.crash_minions();
         self.restart_minions();
         self.run_planned_restarts();
+        self.run_restarts();
         self.list_vms();
         self.list_changed_rooms();
         self.run_due_events();
@@ -340,8 +378,12 @@
         self.scheduler = Scheduler::new(self.settings, self.fence, self.site.clone(), unreported);
         self.scheduler.distrust_lists_before_stops(self.now);
         // Outcomes for the former scheduler are dropped; its orders may still be carried out.
-        self.events
-            .retain(|(_, _, event)| matches!(event, Event::Execute(..) | Event::Arrive(..)));
+        self.events.retain(|(_, _, event)| {
+            matches!(
+                event,
+                Event::Execute(..) | Event::Arrive(..) | Event::ArriveAtAddress(..)
+            )
+        });
         let (now, unix_ms) = (self.now, self.unix_ms());
         let live = self
             .jobs
@@ -358,6 +400,11 @@
         self.list_minions();
     }
 
+    /// Returns the fencing token of the present term.
+    fn scheduler_fence(&self) -> u64 {
+        self.fence
+    }
+
     /// Returns the progress of a job as last stored.
     ///
     /// # Panics
--- a/tests/src/jobs/job_site/restarts.rs
+++ b/tests/src/jobs/job_site/restarts.rs
@@ -96,14 +96,14 @@
             return false;
         }
         let travel = Duration::from_millis(self.random.random_range(0..=max_ms));
-        let event = Event::Arrive(action.clone(), self.now);
+        let event = Event::ArriveAtAddress(action.clone(), self.now);
         self.schedule(travel, event);
         true
     }
 
     /// Lets an order that was sent at `sent_at` arrive at its address: the present incarnation there carries it out,
     /// another minion refuses it, and nothing answers if there is none.
-    pub(super) fn arrive(&mut self, action: Action, sent_at: Duration) {
+    pub(super) fn arrive_at_address(&mut self, action: Action, sent_at: Duration) {
         let to = recipient(&action);
         let address = address_of(&action);
         let answering = self.minions.values();
--- a/tests/src/jobs/mod.rs
+++ b/tests/src/jobs/mod.rs
@@ -12,7 +12,7 @@
 mod specs;
 
 pub use interference::Interference;
-pub use job_site::{Faults, JobSite, TICK, room_for};
+pub use job_site::{Faults, JobSite, Restart, TICK, room_for};
 pub use minion::{FakeMinion, Record};
 pub use network::Network;
 pub use specs::{TEAM, entry, job, long_running_step, site, site_spec, step};
--- a/tests/tests/jobs_minion_entries.rs
+++ b/tests/tests/jobs_minion_entries.rs
@@ -11,7 +11,7 @@
     JobId, JobSpec, JobState, MinionEntry, Pool, SchedulerEvent, Site, StepSpec,
 };
 use snipevane_tests::jobs::{
-    FakeMinion, JobSite, entry, job, long_running_step, site, site_spec, step,
+    FakeMinion, JobSite, TICK, entry, job, long_running_step, site, site_spec, step,
 };
 
 const START: Duration = Duration::from_secs(10);
@@ -199,3 +199,27 @@
     assert_eq!(built.state(id), JobState::Completed);
     assert!(built.records.iter().all(|run| run.minion == joined_id));
 }
+
+/// Guards against tasks that run twice because a refusal from a wrong address comes after the entry is right again.
+#[rstest]
+fn refusals_from_an_earlier_address_end_no_runs(
+    #[values(1, 2, 3, 4)] seed: u64,
+    #[values(0, 1, 2)] ticks_until_right: u32,
+) {
+    let minions = (0..4).map(|number| FakeMinion::new(entry(number, "p0"), START));
+    let mut built = JobSite::new(site(1, 0), minions.collect(), seed);
+    let id = built.submit(1, job("p0", vec![step(TASKS as u32, 1_000, 9_000, &[])]));
+    built.run(Duration::from_secs(1));
+    let busy = busy_minion(&built, id);
+    let about = built.minions[&busy].entry.clone();
+    for number in 0..10 {
+        let odd = Foreign::OtherAddress.entry(&about, number);
+        built.scheduler.upsert_minion(odd, built.now);
+        built.run(TICK * (1 + ticks_until_right));
+        built.scheduler.upsert_minion(about.clone(), built.now);
+        built.run(Duration::from_millis(300));
+    }
+    built.run(Duration::from_secs(20));
+    assert_eq!(built.state(id), JobState::Completed);
+    assert_eq!(built.records.len(), TASKS, "each task has run once");
+}
--- a/tests/tests/jobs_scheduler.rs
+++ b/tests/tests/jobs_scheduler.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
-use snipevane_core::jobs::{Action, HoldReply, JobId, JobState, RunList, StepSpec};
+use snipevane_core::jobs::{Action, HoldReply, JobId, JobState, Recipient, RunList, StepSpec};
 use snipevane_tests::jobs::{
     FakeMinion, Faults, JobSite, Network, TICK, entry, job, long_running_step, room_for, site, step,
 };
@@ -337,9 +337,21 @@
     }
     let (now, unix_ms) = (built.now, built.unix_ms());
     let reply = HoldReply::Listed(list);
+    let entry = built
+        .scheduler
+        .minion(key)
+        .expect("the minion")
+        .entry
+        .clone();
+    let to = Recipient {
+        minion: key,
+        id: entry.id,
+        address: entry.address,
+        fence: 1,
+    };
     built
         .scheduler
-        .hold_replied_late(key, reply, asked_at, now, unix_ms);
+        .hold_replied_late(&to, reply, asked_at, now, unix_ms);
     let acks: Vec<u64> = (0..100)
         .flat_map(|tick| built.scheduler.decide(now + TICK * tick, unix_ms))
         .filter_map(|action| match action {
