Order incarnations by when their lists were asked for

Callers' jobs hung, and minions got no work for good, after a minion had restarted with its time of day set back: all its lists were ignored. Tasks also ran twice at the same time.

Cause: the start of an incarnation, by the minion's time of day, was taken for its place in the order of incarnations. A list with an earlier start was ignored for ever, so that runs of the former incarnation never ended; an entry of the former one with a later start counted as the present one.

Change: `Incarnations` says of which incarnation a list is. One that was asked for after the known incarnation had been heard of isn't of an earlier one, so another start there is a restart, whichever way the start moved. A list that was asked for before is uncertain: it is ignored, and the minion is asked again at once. An entry is outdated if it names the incarnation before the known one, or was read before the known one was heard of; one that names neither is a reason to ask. A new entry at the address of a known minion is a reason to ask too, whatever start it names.

--- a/crates/snipevane-core/src/jobs/ending/changes.rs
+++ b/crates/snipevane-core/src/jobs/ending/changes.rs
@@ -109,7 +109,7 @@
             let first_dirty = unstored.find(|end| self.dirty.contains(end.job));
             ReceivedEnds {
                 minion,
-                incarnation: state.incarnation,
+                incarnation: state.incarnation(),
                 last_number: first_dirty.map_or(state.received_seq, |end| end.number - 1),
             }
         });
@@ -148,7 +148,7 @@
         }
         for received in &changes.received {
             if let Some(minion) = self.minions.get_mut(received.minion)
-                && minion.incarnation == received.incarnation
+                && minion.incarnation() == received.incarnation
             {
                 minion.record_stored_ends(received.last_number);
             }
--- a/crates/snipevane-core/src/jobs/ending/ends.rs
+++ b/crates/snipevane-core/src/jobs/ending/ends.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::jobs::event::{LossReason, SchedulerEvent, StopReason};
-use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::minions::minion::{Minion, MinionKey};
 use crate::jobs::model::job::{Job, JobKey, TaskRef};
 use crate::jobs::model::progress::JobState;
 use crate::jobs::model::run::{EndedRun, Run, RunEnd, RunKey};
@@ -125,7 +125,7 @@
             reason,
             began: run.began_at.is_some(),
             sent_to: run.sent_to,
-            incarnation: minion.and_then(|minion| minion.incarnation),
+            incarnation: minion.and_then(Minion::incarnation),
         });
         self.release_run(key);
         self.end_trial(job, task_ref, attempt);
--- a/crates/snipevane-core/src/jobs/ending/trials.rs
+++ b/crates/snipevane-core/src/jobs/ending/trials.rs
@@ -88,7 +88,7 @@
         let key = self.minion_by_id(&trial.minion);
         let minion = key.and_then(|key| self.minions.get(key));
         minion.is_some_and(|minion| {
-            minion.fence_accepted && minion.incarnation == Some(trial.incarnation)
+            minion.fence_accepted && minion.incarnation() == Some(trial.incarnation)
         })
     }
 
@@ -110,7 +110,7 @@
         let trial = Trial {
             attempt,
             minion: minion.entry.id.clone(),
-            incarnation: minion.incarnation.unwrap_or_default(),
+            incarnation: minion.incarnation().unwrap_or_default(),
             began,
         };
         if let Some(task) = self.jobs.get_mut(job).and_then(|job| job.task_mut(task)) {
--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -7,6 +7,7 @@
 use slotmap::new_key_type;
 use smol_str::SmolStr;
 
+use super::incarnations::Incarnations;
 use crate::placement::Resources;
 use crate::reply_time::ReplyTime;
 
@@ -100,8 +101,10 @@
     pub allocated: Resources,
     /// Runs that may exist on the minion.
     pub runs: FxHashSet<RunKey>,
-    /// Start time of the last known incarnation, in Unix milliseconds.
-    pub incarnation: Option<u64>,
+    /// Incarnations that are known from its lists of runs.
+    pub(in crate::jobs) incarnations: Incarnations,
+    /// Time at which its entry was last read.
+    pub(in crate::jobs) entry_read_at: Duration,
     /// Whether the minion has accepted the present term's fencing token.
     pub fence_accepted: bool,
     /// Whether the state of its runs is in doubt, for example because an order or a hold went
@@ -187,7 +190,8 @@
             recorded: false,
             allocated: Resources::default(),
             runs: FxHashSet::default(),
-            incarnation: None,
+            incarnations: Incarnations::default(),
+            entry_read_at: Duration::ZERO,
             fence_accepted: false,
             suspect: false,
             reachable: true,
@@ -294,8 +298,8 @@
     }
 
     /// Resets the clock, the sequence numbers and the record of failures and speed after a restart.
-    pub fn reset_for_incarnation(&mut self, incarnation: u64) {
-        self.incarnation = Some(incarnation);
+    pub(in crate::jobs) fn reset_for_incarnation(&mut self, incarnation: u64, now: Duration) {
+        self.incarnations.record(incarnation, now);
         self.clock = None;
         self.list_clock_ms = 0;
         self.received_seq = 0;
@@ -312,6 +316,11 @@
         self.has_unknown_runs = false;
     }
 
+    /// Returns the start of the last known incarnation, in Unix milliseconds.
+    pub fn incarnation(&self) -> Option<u64> {
+        self.incarnations.known()
+    }
+
     /// Returns the lowest value that the minion's clock can show now, in milliseconds; `None` if
     /// the clock hasn't been read.
     pub fn clock_lower_bound(&self, now: Duration) -> Option<u64> {
@@ -344,7 +353,9 @@
     /// of a smaller kind.
     fn has_current_entry(&self) -> bool {
         let entry_start = self.entry.started_unix_ms;
-        entry_start == 0 || self.incarnation <= Some(entry_start)
+        !self
+            .incarnations
+            .is_outdated(entry_start, self.entry_read_at)
     }
 
     /// Returns whether new work may be placed here.
--- a/crates/snipevane-core/src/jobs/minions/mod.rs
+++ b/crates/snipevane-core/src/jobs/minions/mod.rs
@@ -1,5 +1,6 @@
 //! Minions in use and what is known of each.
 
 pub(super) mod hosted_minions;
+pub(super) mod incarnations;
 pub(super) mod minion;
 pub(super) mod registry;
--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -27,6 +27,7 @@
             let id = entry.id.clone();
             let mut minion = Minion::new(entry, self.unreported.until);
             minion.recorded = self.unreported.minions.contains_key(&id);
+            minion.entry_read_at = now;
             minion.record_warmup(now);
             let key = self.minions.insert(minion);
             self.minion_ids.insert(id, key);
@@ -35,19 +36,19 @@
         let Some(minion) = self.minions.get_mut(key) else {
             return;
         };
-        let restarted = entry.started_unix_ms != 0
-            && minion
-                .incarnation
-                .is_some_and(|incarnation| incarnation < entry.started_unix_ms);
+        let start_changed = minion.entry.started_unix_ms != entry.started_unix_ms;
+        let may_have_restarted =
+            start_changed && minion.incarnations.may_be_new(entry.started_unix_ms);
         let address_changed = minion.entry.address != entry.address;
         minion.entry = entry;
+        minion.entry_read_at = now;
         minion.record_warmup(now);
         minion.listed = true;
         if address_changed {
             minion.hold_failures = 0;
             minion.hold_not_before = now;
         }
-        if restarted {
+        if may_have_restarted {
             self.ask_for_runs(key, now);
         }
     }
@@ -85,10 +86,7 @@
     fn ask_minion_at_address(&mut self, joined: &MinionEntry, now: Duration) {
         let mut minions = self.minions.iter();
         let earlier = minions.find(|(_, minion)| {
-            let began_earlier = minion
-                .incarnation
-                .is_some_and(|incarnation| incarnation < joined.started_unix_ms);
-            minion.entry.address == joined.address && began_earlier
+            minion.entry.address == joined.address && minion.incarnation().is_some()
         });
         if let Some((key, _)) = earlier {
             self.ask_for_runs(key, now);
@@ -224,14 +222,14 @@
         let ended: Vec<RunKey> = ended.collect();
         self.events.push(SchedulerEvent::MinionRestarted {
             minion: minion.entry.id.clone(),
-            from: minion.incarnation.unwrap_or_default(),
+            from: minion.incarnation().unwrap_or_default(),
             to: incarnation,
             ended: ended.len(),
             kept: minion.runs.len() - ended.len(),
         });
         self.end_runs_of_gone_minion(key, &ended, LossReason::MinionRestarted);
         if let Some(minion) = self.minions.get_mut(key) {
-            minion.reset_for_incarnation(incarnation);
+            minion.reset_for_incarnation(incarnation, now);
             minion.restarted_at = Some(now);
         }
     }
--- a/crates/snipevane-core/src/jobs/placing/advice.rs
+++ b/crates/snipevane-core/src/jobs/placing/advice.rs
@@ -11,7 +11,7 @@
 use smol_str::SmolStr;
 
 use crate::jobs::action::Action;
-use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::minions::minion::{Minion, MinionKey};
 use crate::jobs::model::id::StepId;
 use crate::jobs::model::job::{JobKey, TaskRef};
 use crate::jobs::model::spec::StepSpec;
@@ -120,7 +120,7 @@
         now: Duration,
     ) -> Option<SmolStr> {
         let permit = self.permits.steps.get(&at)?.permits.get(&minion)?;
-        let same_incarnation = self.minions.get(minion)?.incarnation == permit.incarnation;
+        let same_incarnation = self.minions.get(minion)?.incarnation() == permit.incarnation;
         (same_incarnation && now < permit.expires_at).then(|| permit.token.clone())
     }
 
@@ -224,7 +224,7 @@
             let Some(&key) = self.minion_ids.get(id) else {
                 continue;
             };
-            let incarnation = self.minions.get(key).and_then(|minion| minion.incarnation);
+            let incarnation = self.minions.get(key).and_then(Minion::incarnation);
             match allowed.get(id) {
                 Some(token) => {
                     let token = token.clone();
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -277,7 +277,7 @@
         run.transmissions.record_sent(now);
         run.starts_sent += 1;
         run.first_sent_at.get_or_insert(now);
-        run.sent_to = minion.incarnation;
+        run.sent_to = minion.incarnation();
         self.start_window.order_sent();
         let order = StartOrder {
             to: Recipient {
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -9,7 +9,8 @@
 use super::transmissions::{Settled, Transmissions};
 use crate::jobs::action::{Action, Recipient, StopOrder};
 use crate::jobs::event::{LossReason, SchedulerEvent, StopReason};
-use crate::jobs::minions::minion::{MinionKey, UnstoredEnd};
+use crate::jobs::minions::incarnations::ListOrigin;
+use crate::jobs::minions::minion::{Minion, MinionKey, UnstoredEnd};
 use crate::jobs::model::id::TaskId;
 use crate::jobs::model::job::{JobKey, TaskRef};
 use crate::jobs::model::run::{
@@ -129,8 +130,9 @@
     /// Applies a minion's run list: new ends first, then the active runs. Runs missing from a
     /// complete list are marked as lost.
     ///
-    /// A list is ignored if it is of an earlier incarnation than the known one, or older than the last
-    /// one of the same incarnation. Returns whether it was applied.
+    /// A list is ignored if it is older than the last one of the same incarnation. So is one of another
+    /// incarnation that may be an earlier one; the minion is then asked again at once. Returns whether the list
+    /// was applied.
     fn process_run_list(
         &mut self,
         to: &Recipient,
@@ -145,22 +147,17 @@
         let Some(minion) = self.minions.get_mut(key) else {
             return false;
         };
-        match minion.incarnation {
-            Some(born) if list.started_unix_ms < born => {
-                self.events.push(SchedulerEvent::RunListIgnored {
-                    minion: minion.entry.id.clone(),
-                    listed: list.started_unix_ms,
-                    known: born,
-                });
+        let start = list.started_unix_ms;
+        match minion.incarnations.origin_of(start, asked_at) {
+            ListOrigin::First => minion.incarnations.record(start, now),
+            ListOrigin::Known if list.clock_ms < minion.list_clock_ms => return false,
+            ListOrigin::Known => {}
+            ListOrigin::Later => self.handle_restart(key, start, asked_at, &listed_runs, now),
+            ListOrigin::Uncertain => {
+                self.ignore_list(key, start);
+                self.ask_for_runs(key, now);
                 return false;
             }
-            Some(born) if list.started_unix_ms > born => {
-                let incarnation = list.started_unix_ms;
-                self.handle_restart(key, incarnation, asked_at, &listed_runs, now);
-            }
-            Some(_) if list.clock_ms < minion.list_clock_ms => return false,
-            Some(_) => {}
-            None => minion.incarnation = Some(list.started_unix_ms),
         }
         let Some(minion) = self.minions.get_mut(key) else {
             return false;
@@ -188,6 +185,18 @@
         true
     }
 
+    /// Reports that a run list is ignored, as its incarnation may be an earlier one.
+    fn ignore_list(&mut self, key: MinionKey, start: u64) {
+        let Some(minion) = self.minions.get(key) else {
+            return;
+        };
+        self.events.push(SchedulerEvent::RunListIgnored {
+            minion: minion.entry.id.clone(),
+            listed: start,
+            known: minion.incarnation().unwrap_or_default(),
+        });
+    }
+
     /// Records that a minion was running at `at`.
     fn record_contact(&mut self, key: MinionKey, at: Duration) {
         if let Some(minion) = self.minions.get_mut(key) {
@@ -310,7 +319,7 @@
             since: now,
             starts_sent: 1,
             first_sent_at: Some(now),
-            sent_to: self.minions.get(key).and_then(|minion| minion.incarnation),
+            sent_to: self.minions.get(key).and_then(Minion::incarnation),
             began_at: Some(now),
             retry_at: Duration::ZERO,
             unanswered_starts: 0,
