Stop starts of unknown fate before a restart ends their runs

Callers' tasks ran twice at the same time after a minion had restarted: a start order without an answer was carried out seconds later, by the next incarnation, while the task ran elsewhere.

Cause: a restart ended all runs that the list of the next incarnation didn't contain, also those whose start order may be carried out yet. The next incarnation knows nothing of what the one before has stopped or ended.

Change: a run of an earlier incarnation with a start order that was never answered is stopped on the present one and ends with its next list. Its crash is recorded at the restart, as before. Runs that the list of the next incarnation contains as ended are its own, and don't count as ended by the restart; no test shows that part by itself.

FakeMinion shortens leases to 6 s, as minions do. Without that, an order sent by the clock of the former incarnation gave the next one a lease of up to twice that, and an end that had lapsed counted as acknowledged.

--- a/crates/snipevane-core/src/jobs/ending/crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/crashes.rs
@@ -70,38 +70,44 @@
         runs: &[RunKey],
         reason: LossReason,
     ) {
-        if !self.is_leaving(key) && !runs.is_empty() {
-            self.record_crash(key, runs);
-        }
+        self.record_end_of_incarnation(key, runs);
         for &run in runs {
             self.mark_run_lost(run, reason);
         }
     }
 
-    /// Ends runs that turn out to have ended with a minion's former incarnation, after its restart was noticed.
+    /// Records a crash of a minion under these runs, unless the minion was to leave.
+    pub(in crate::jobs) fn record_end_of_incarnation(&mut self, key: MinionKey, runs: &[RunKey]) {
+        if !self.is_leaving(key) && !runs.is_empty() {
+            self.record_crash(key, runs);
+        }
+    }
+
+    /// Records the crash of a minion's former incarnation under runs that turn out to have ended with it after its
+    /// restart was noticed.
     ///
     /// What else ran there isn't known any more, so the crash is attributed to no job.
-    pub(in crate::jobs) fn end_runs_of_former_incarnation(
+    pub(in crate::jobs) fn record_end_of_former_incarnation(
         &mut self,
         key: MinionKey,
         runs: &[RunKey],
-        reason: LossReason,
     ) {
-        let counts = !self.is_leaving(key);
+        if self.is_leaving(key) {
+            return;
+        }
         for &run in runs {
-            let known = self.runs.get(run).filter(|_| counts);
-            if let Some(known) = known {
-                let (job, task) = (known.job, known.task_ref);
-                let report = CrashReport {
-                    attempt: known.attempt,
-                    attributed: false,
-                    work: known.began_at.map(|_| Duration::ZERO),
-                    unexplained: self.unexplained_crashes,
-                    is_unexplained: false,
-                };
-                self.record_task_crash(job, task, &report);
-            }
-            self.mark_run_lost(run, reason);
+            let Some(run) = self.runs.get(run) else {
+                continue;
+            };
+            let (job, task) = (run.job, run.task_ref);
+            let report = CrashReport {
+                attempt: run.attempt,
+                attributed: false,
+                work: run.began_at.map(|_| Duration::ZERO),
+                unexplained: self.unexplained_crashes,
+                is_unexplained: false,
+            };
+            self.record_task_crash(job, task, &report);
         }
     }
 
--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -201,13 +201,13 @@
     /// Handles a restart of a minion: ends the runs of its earlier incarnation.
     ///
     /// Runs that were ordered or confirmed at `asked_at` or later, that have an order in flight, or
-    /// that are in `alive` may belong to the present incarnation and are kept.
+    /// that are in `own`, may belong to the present incarnation and are kept.
     pub(in crate::jobs) fn handle_restart(
         &mut self,
         key: MinionKey,
         incarnation: u64,
         asked_at: Duration,
-        alive: &FxHashSet<RunKey>,
+        own: &FxHashSet<RunKey>,
         now: Duration,
     ) {
         let Some(minion) = self.minions.get(key) else {
@@ -217,7 +217,7 @@
             let may_be_new = self.runs.get(*run).is_none_or(|state| {
                 state.transmissions.is_outstanding() || state.since >= asked_at
             });
-            !may_be_new && !alive.contains(run)
+            !may_be_new && !own.contains(run)
         });
         let ended: Vec<RunKey> = ended.collect();
         self.events.push(SchedulerEvent::MinionRestarted {
@@ -227,13 +227,33 @@
             ended: ended.len(),
             kept: minion.runs.len() - ended.len(),
         });
-        self.end_runs_of_gone_minion(key, &ended, LossReason::MinionRestarted);
+        self.record_end_of_incarnation(key, &ended);
+        self.end_runs_of_former_incarnation(&ended, LossReason::MinionRestarted, now);
         if let Some(minion) = self.minions.get_mut(key) {
             minion.reset_for_incarnation(incarnation, now);
             minion.restarted_at = Some(now);
         }
     }
 
+    /// Ends runs of a former incarnation of a minion.
+    ///
+    /// Those of which a start order may be carried out yet are stopped on the present incarnation first.
+    pub(in crate::jobs) fn end_runs_of_former_incarnation(
+        &mut self,
+        runs: &[RunKey],
+        reason: LossReason,
+        now: Duration,
+    ) {
+        for &run in runs {
+            let state = self.runs.get(run);
+            if state.is_some_and(|state| state.transmissions.may_be_carried_out()) {
+                self.stop_late_start(run, now);
+            } else {
+                self.mark_run_lost(run, reason);
+            }
+        }
+    }
+
     /// Ends the runs of suspect or unlisted minions whose leases are certain to have expired.
     pub(in crate::jobs) fn end_expired_runs(&mut self, now: Duration) {
         let margin = self.settings.lease_margin;
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -81,7 +81,9 @@
         let run = self.runs.get_mut(key)?;
         let settled = run.transmissions.settle(sent_at);
         let (minion, phase) = (run.minion, run.phase);
-        if reply != OrderReply::NoAnswer {
+        if reply == OrderReply::NoAnswer {
+            run.transmissions.record_unanswered();
+        } else {
             self.record_prompt_reply(minion, sent_at, now);
         }
         Some((minion, phase, settled))
@@ -157,6 +159,21 @@
         }
     }
 
+    /// Stops a run of a former incarnation of which a start order may be carried out yet.
+    ///
+    /// The present incarnation, which knows nothing of the run, refuses that order once it has confirmed the stop;
+    /// the run counts as ended by its next list.
+    pub(in crate::jobs) fn stop_late_start(&mut self, key: RunKey, now: Duration) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        run.phase = RunPhase::Starting;
+        run.began_at = None;
+        run.first_sent_at = Some(now);
+        run.progress_percent = 0;
+        self.stop_run(key, StopReason::StartUnconfirmed);
+    }
+
     /// Returns whether an order went to the address at which its minion last listed its runs. What answers at
     /// another address knows nothing of them.
     pub(in crate::jobs) fn has_listed_runs_at(&self, to: &Recipient) -> bool {
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -152,7 +152,11 @@
             ListOrigin::First => minion.incarnations.record(start, now),
             ListOrigin::Known if list.clock_ms < minion.list_clock_ms => return false,
             ListOrigin::Known => {}
-            ListOrigin::Later => self.handle_restart(key, start, asked_at, &listed_runs, now),
+            ListOrigin::Later => {
+                let ended = self.find_ended_runs(key, &list.ended);
+                let own_runs = listed_runs.union(&ended).copied().collect();
+                self.handle_restart(key, start, asked_at, &own_runs, now);
+            }
             ListOrigin::Uncertain => {
                 self.ignore_list(key, start);
                 self.ask_for_runs(key, now);
@@ -180,7 +184,7 @@
         self.adjust_cpu_shares(key, now);
         self.relocate_interfering_run(key, now);
         if list.ended.len() < ENDS_PER_LIST {
-            self.mark_missing_runs_lost(key, &listed_runs, asked_at);
+            self.mark_missing_runs_lost(key, &listed_runs, asked_at, now);
         }
         true
     }
@@ -233,6 +237,14 @@
         known.collect()
     }
 
+    /// Returns the known runs of a minion that its run list contains as ended.
+    fn find_ended_runs(&self, key: MinionKey, ended: &[EndedRun]) -> FxHashSet<RunKey> {
+        let known = ended
+            .iter()
+            .filter_map(|run| self.find_run(key, run.task, run.attempt));
+        known.collect()
+    }
+
     /// Returns whether any of these runs belongs to a task that the scheduler doesn't know.
     fn has_unknown_tasks(&self, active: &[ActiveRun]) -> bool {
         active.iter().any(|run| {
@@ -397,6 +409,7 @@
         key: MinionKey,
         listed_runs: &FxHashSet<RunKey>,
         asked_at: Duration,
+        now: Duration,
     ) {
         let Some(minion) = self.minions.get(key) else {
             return;
@@ -421,7 +434,8 @@
                 let first_sent_at = run.and_then(|run| run.first_sent_at);
                 first_sent_at.is_some() && first_sent_at < restarted_at
             });
-        self.end_runs_of_former_incarnation(key, &crashed, LossReason::NotListed);
+        self.record_end_of_former_incarnation(key, &crashed);
+        self.end_runs_of_former_incarnation(&crashed, LossReason::NotListed, now);
         for run in missing {
             self.mark_run_lost(run, LossReason::NotListed);
         }
--- a/crates/snipevane-core/src/jobs/running/transmissions.rs
+++ b/crates/snipevane-core/src/jobs/running/transmissions.rs
@@ -32,6 +32,8 @@
     open: u32,
     /// Number of transmissions of the present order.
     sent: u32,
+    /// Whether a transmission of any order was never answered, so that it may be carried out yet.
+    has_unanswered: bool,
     first_sent_at: Duration,
     last_sent_at: Duration,
 }
@@ -63,6 +65,16 @@
         }
     }
 
+    /// Records that a transmission is never answered.
+    pub(in crate::jobs) fn record_unanswered(&mut self) {
+        self.has_unanswered = true;
+    }
+
+    /// Returns whether a transmission may be carried out yet that has no answer, or will have none.
+    pub(in crate::jobs) fn may_be_carried_out(&self) -> bool {
+        self.has_unanswered || self.is_outstanding()
+    }
+
     /// Records that the order has an outcome, whatever becomes of its open transmissions.
     pub(in crate::jobs) fn close(&mut self) {
         self.open = 0;
--- a/tests/src/jobs/minion.rs
+++ b/tests/src/jobs/minion.rs
@@ -19,6 +19,9 @@
 /// Time after which a long-running task is ready.
 pub(super) const STARTUP_TIME: Duration = Duration::from_millis(400);
 
+/// Longest lease.
+const MAX_LEASE: Duration = Duration::from_secs(6);
+
 /// Record of a run on a minion, which outlives the minion.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -252,7 +255,7 @@
         if order.lease_end_ms <= self.clock(now) {
             return OrderReply::Refused(Refusal::LeaseExpired);
         }
-        self.lease(order.lease_end_ms);
+        self.lease(order.lease_end_ms, now);
         let fits = self.used().plus(&kind.size).fits_in(&self.room());
         if self.enforces_capacity && !fits {
             return OrderReply::Refused(Refusal::InsufficientCapacity);
@@ -430,7 +433,7 @@
         }
         self.fence = order.to.fence;
         if let Some(end) = order.lease_end_ms {
-            self.lease(end);
+            self.lease(end, now);
         }
         for ended in self.ended.iter().filter(|ended| ended.number <= order.ack) {
             if let Some(&record) = self.ended_records.get(&ended.number) {
@@ -465,9 +468,10 @@
         })
     }
 
-    fn lease(&mut self, end_ms: u64) {
+    /// Extends the lease to a time on the minion's clock; a longer one than [`MAX_LEASE`] is shortened.
+    fn lease(&mut self, end_ms: u64, now: Duration) {
         let end = self.clock_origin + Duration::from_millis(end_ms);
-        self.lease_end = self.lease_end.max(end);
+        self.lease_end = self.lease_end.max(end.min(now + MAX_LEASE));
     }
 
     /// Advances the minion to `now`: ends the runs that complete, fail, are stopped or have lost
--- a/tests/tests/jobs_incarnations.rs
+++ b/tests/tests/jobs_incarnations.rs
@@ -218,6 +218,16 @@
     }
 }
 
+/// Returns faults by which unanswered orders are carried out seconds later, by the incarnation that then has the
+/// identifier.
+fn late_orders() -> Faults {
+    Faults {
+        delay_rate: 0.05,
+        delayed_orders_outlive_incarnation: true,
+        ..transit()
+    }
+}
+
 /// Guards against tasks that run twice, and minions that get no work for good, after restarts whose starts step back.
 #[rstest]
 #[case::prompt(Faults::default())]
@@ -227,6 +237,28 @@
     #[case] faults: Faults,
     #[values(1, 2, 3, 4, 5, 6)] seed: u64,
 ) {
+    play(faults, seed);
+}
+
+/// Guards against tasks that run twice because an order of unknown fate is dropped at a restart, and is then carried
+/// out by the next incarnation.
+#[rstest]
+fn orders_that_outlive_an_incarnation_run_no_task_twice(#[values(1, 2, 3, 6, 7, 8)] seed: u64) {
+    play(late_orders(), seed);
+}
+
+/// Guards against starts of tasks that are done, by an order that the next incarnation carries out late.
+#[rstest]
+fn orders_of_ended_runs_start_nothing_after_a_restart(#[values(4, 5)] seed: u64) {
+    play(late_orders(), seed);
+}
+
+/// Plays trouble and what follows, and checks what the minions did.
+///
+/// # Panics
+///
+/// Panics with the seed if a task has run twice, a job hasn't ended or a minion gets no work.
+fn play(faults: Faults, seed: u64) {
     let mut built = Troubled::new(faults, seed);
     built.run_troubled();
     built.calm_down();
