--- a/crates/snipevane-fleet/tests/restarts.rs
+++ b/crates/snipevane-fleet/tests/restarts.rs
@@ -10,10 +10,14 @@
 
 #[path = "restarts/callers.rs"]
 mod callers;
+#[path = "restarts/checks.rs"]
+mod checks;
 #[path = "restarts/disturbances.rs"]
 mod disturbances;
 #[path = "restarts/play.rs"]
 mod play;
+#[path = "restarts/rounds.rs"]
+mod rounds;
 
 use std::time::Duration;
 
