Wait for the longest lease of runs that another incarnation may have begun

What callers saw: a task ran twice at the same time (TWICE), once on a minion that had restarted under its id and then couldn't be reached.

Cause: the end of a lease is given on the minion's clock, which starts anew with each incarnation. An order for the earlier incarnation that the next one carries out gives it a lease of the clock's difference, which it shortens to the longest that minions grant (holdMaxMs). The scheduler counted the shorter lease that it had meant, so it took the run for ended too early. A lease never shortens, so noticing the restart afterwards didn't help.

Change: a run that no answer shows to be of the known incarnation counts as ended by its lease only after the longest lease. After a restart that goes for all runs of the minion, counted from the last order sent on the earlier clock.

Left: a takeover waits for the lease that the term before meant, not for the longest.

--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -184,6 +184,9 @@
     clock: Option<ClockReading>,
     /// Time at which all leases have expired, even if the minion's clock runs at the lowest rate.
     leases_expire_at: Duration,
+    /// The same if another incarnation than the known one got the last order, whose clock is lower, so that it
+    /// grants the longest lease.
+    longest_leases_expire_at: Duration,
 }
 
 impl Minion {
@@ -240,6 +243,7 @@
             crash: None,
             clock: None,
             leases_expire_at,
+            longest_leases_expire_at: leases_expire_at,
         }
     }
 
@@ -299,6 +303,7 @@
     pub(in crate::jobs) fn reset_for_incarnation(&mut self, incarnation: u64, now: Duration) {
         self.incarnations.record(incarnation, now);
         self.clock = None;
+        self.leases_expire_at = self.longest_leases_expire_at;
         self.list_clock_ms = 0;
         self.received_seq = 0;
         self.unstored_ends.clear();
@@ -332,18 +337,33 @@
     }
 
     /// Grants a lease of `length` from now and returns its end on the minion's clock, in
-    /// milliseconds; `None` if the clock hasn't been read.
-    pub fn grant_lease(&mut self, length: Duration, now: Duration) -> Option<u64> {
+    /// milliseconds; `None` if the clock hasn't been read. Minions shorten a longer lease to `longest`.
+    pub fn grant_lease(
+        &mut self,
+        length: Duration,
+        longest: Duration,
+        now: Duration,
+    ) -> Option<u64> {
         let end = self.clock_lower_bound(now)? + millis(length);
-        let expires_at = now + length * PERCENT / SLOWEST_CLOCK_PERCENT;
-        self.leases_expire_at = self.leases_expire_at.max(expires_at);
+        self.leases_expire_at = self.leases_expire_at.max(latest_expiry(length, now));
+        let longest = latest_expiry(longest.max(length), now);
+        self.longest_leases_expire_at = self.longest_leases_expire_at.max(longest);
         Some(end)
     }
 
-    /// Returns whether all runs are certain to have ended because their leases expired more than
-    /// `margin` ago.
-    pub fn leases_expired(&self, margin: Duration, now: Duration) -> bool {
-        now > self.leases_expire_at + margin
+    /// Returns whether a run is certain to have ended because its lease expired more than `margin` ago.
+    pub(in crate::jobs) fn lease_expired(
+        &self,
+        run: RunKey,
+        margin: Duration,
+        now: Duration,
+    ) -> bool {
+        let expires_at = if self.unproven_runs.contains(&run) {
+            self.longest_leases_expire_at
+        } else {
+            self.leases_expire_at
+        };
+        now > expires_at + margin
     }
 
     /// Returns the capacity that isn't allocated.
@@ -377,6 +397,11 @@
     }
 }
 
+/// Returns the time at which a lease granted now has expired even if the minion's clock runs at the lowest rate.
+fn latest_expiry(length: Duration, now: Duration) -> Duration {
+    now + length * PERCENT / SLOWEST_CLOCK_PERCENT
+}
+
 /// Converts a duration to whole milliseconds, at most `u64::MAX`.
 pub(in crate::jobs) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/crates/snipevane-core/src/jobs/running/holds.rs
+++ b/crates/snipevane-core/src/jobs/running/holds.rs
@@ -109,7 +109,8 @@
             Some(settings.lease)
         };
         minion.holds.record_sent(now);
-        minion.hold_lease_end_ms = lease.and_then(|lease| minion.grant_lease(lease, now));
+        minion.hold_lease_end_ms =
+            lease.and_then(|lease| minion.grant_lease(lease, settings.max_lease, now));
         minion.hold_wait = match (may_wait, needs_short_wait) {
             (false, _) => Duration::ZERO,
             (true, _) if minion.is_doubtful(now) => settings.doubtful_hold_timeout,
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -282,14 +282,14 @@
     }
 
     fn send_start(&mut self, key: RunKey, now: Duration) {
-        let lease = self.settings.lease;
+        let (lease, longest) = (self.settings.lease, self.settings.max_lease);
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         let Some(minion) = self.minions.get_mut(run.minion) else {
             return;
         };
-        let Some(lease_end_ms) = minion.grant_lease(lease, now) else {
+        let Some(lease_end_ms) = minion.grant_lease(lease, longest, now) else {
             return;
         };
         let Some(job) = self.jobs.get(run.job) else {
--- a/tests/src/jobs/minion.rs
+++ b/tests/src/jobs/minion.rs
@@ -16,12 +16,12 @@
 /// Time that a run takes to end after a stop order.
 pub(super) const STOP_TIME: Duration = Duration::from_millis(300);
 
+/// Longest lease; a longer one is shortened.
+const MAX_LEASE: Duration = Duration::from_secs(6);
+
 /// Time after which a long-running task is ready.
 pub(super) const STARTUP_TIME: Duration = Duration::from_millis(400);
 
-/// Longest lease.
-const MAX_LEASE: Duration = Duration::from_secs(6);
-
 /// Record of a run on a minion, which outlives the minion.
 #[derive(Clone, Debug)]
 pub struct Record {
