Read a minion's clock only from answers to orders sent since its restart

What callers could see: a task that runs twice at the same time after its minion restarted under its id.

Cause: an answer of the earlier incarnation that arrives after the restart was noticed set the clock of the known one, as it is ahead of it. From then on all leases were given on that clock, so the minion shortened them to its longest rather than the one meant, and its own readings were ignored as too low until it had caught up.

Evidence: a_late_answer_of_an_earlier_incarnation_sets_no_clock: before, the lower bound of the clock of a minion that has just started is 15100 ms after such an answer.

Change: the clock in an answer counts only if its order was sent after the restart was noticed; the same goes for what it shows of who has begun a run. Every list sets the clock anyway.

--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -263,6 +263,12 @@
         }
     }
 
+    /// Returns whether a restart was noticed after this time.
+    pub(in crate::jobs) fn restarted_since(&self, at: Duration) -> bool {
+        self.restarted_at
+            .is_some_and(|restarted_at| at < restarted_at)
+    }
+
     /// Records that the ends up to a number are stored.
     pub(in crate::jobs) fn record_stored_ends(&mut self, last_number: u64) {
         self.stored_seq = self.stored_seq.max(last_number);
--- a/crates/snipevane-core/src/jobs/running/acknowledgements.rs
+++ b/crates/snipevane-core/src/jobs/running/acknowledgements.rs
@@ -132,7 +132,7 @@
         let (Some(minion), Some(clock_ms)) = (minion, clock_ms) else {
             return;
         };
-        if minion.is_own_clock(clock_ms, now) {
+        if minion.is_own_clock(clock_ms, now) && !minion.restarted_since(sent_at) {
             minion.alive_at = minion.alive_at.max(sent_at);
             minion.unproven_runs.remove(&key);
         }
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -39,7 +39,7 @@
         match reply {
             OrderReply::Done { clock_ms } => {
                 self.prove_run(key, clock_ms, sent_at, now);
-                self.read_clock(minion, clock_ms, now);
+                self.read_clock(minion, clock_ms, sent_at, now);
                 self.record_begin(key, now);
                 self.start_confirmed(key, now);
             }
@@ -140,7 +140,7 @@
         };
         match reply {
             OrderReply::Done { clock_ms } => {
-                self.read_clock(minion, clock_ms, now);
+                self.read_clock(minion, clock_ms, sent_at, now);
                 self.stop_confirmed(key, now);
             }
             OrderReply::Refused(Refusal::Fenced) => self.deposed = true,
@@ -438,8 +438,19 @@
         });
     }
 
-    fn read_clock(&mut self, minion: MinionKey, clock_ms: Option<u64>, now: Duration) {
-        if let (Some(minion), Some(clock_ms)) = (self.minions.get_mut(minion), clock_ms) {
+    /// Records the clock in the answer to an order that was sent at `sent_at`.
+    ///
+    /// An order from before the last restart may have been answered by the incarnation before.
+    fn read_clock(
+        &mut self,
+        minion: MinionKey,
+        clock_ms: Option<u64>,
+        sent_at: Duration,
+        now: Duration,
+    ) {
+        if let (Some(minion), Some(clock_ms)) = (self.minions.get_mut(minion), clock_ms)
+            && !minion.restarted_since(sent_at)
+        {
             minion.update_clock(clock_ms, now);
         }
     }
