End no runs by a list that doesn't tell what became of a VM

What callers could see: a task that runs twice at the same time (TWICE).

Cause: the platform also confirms an order that was carried out before, so only the list of VMs tells whether the runs on the VM have ended. Any entry but "up, with the same minion" counted as taken down: a state that isn't known, a minion that isn't named, a VM that an incomplete or empty list leaves out, and a VM that is down but still names its minion, which the other reader of the list (HostedMinions) takes for one that may run.

Change: runs end if the VM is moving, under maintenance, down without a minion, or has another minion. If the list tells neither that nor that the VM is up with the same minion, the next list decides, for at most 10 s; by then the leases have.

--- a/crates/snipevane-core/src/jobs/upkeep/pending_shutdowns.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/pending_shutdowns.rs
@@ -13,6 +13,18 @@
 /// Longest time from the confirmation of an order until the list of VMs shows its effect.
 const LIST_LAG: Duration = Duration::from_millis(300);
 
+/// Time after the confirmation of an order from which the leases on a VM of which the list tells nothing certain have
+/// decided about its runs.
+const UNCERTAIN_PERIOD: Duration = Duration::from_secs(10);
+
+/// What a list tells of a VM for which an order was confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    TakenDown,
+    StillUp,
+    Uncertain,
+}
+
 /// VMs whose orders were confirmed, while the list of VMs may not show the effect yet.
 #[derive(Clone, Debug, Default)]
 pub struct PendingShutdowns {
@@ -34,20 +46,20 @@
     /// Ends the runs on the VMs that a list, requested at `asked_at`, shows as taken down.
     ///
     /// VMs that are still up once the list must show the effect are removed, and their runs
-    /// continue.
+    /// continue. So do those on VMs of which the list doesn't tell whether they are up with the same minion.
     pub fn resolve(&mut self, scheduler: &mut Scheduler, vms: &[Vm], asked_at: Duration) {
         self.waiting.retain(|(vm, confirmed_at)| {
             if asked_at < *confirmed_at {
                 return true;
             }
-            let listed = vms.iter().find(|listed| listed.name == vm.name);
-            let still_up = listed
-                .is_some_and(|listed| listed.state == VmState::Up && listed.minion == vm.minion);
-            if !still_up {
-                scheduler.handle_vm_shutdown(vm);
-                return false;
+            match fate(vm, vms) {
+                Fate::TakenDown => {
+                    scheduler.handle_vm_shutdown(vm);
+                    false
+                }
+                Fate::StillUp => asked_at < *confirmed_at + LIST_LAG,
+                Fate::Uncertain => asked_at < *confirmed_at + UNCERTAIN_PERIOD,
             }
-            asked_at < *confirmed_at + LIST_LAG
         });
     }
 }
@@ -68,3 +80,19 @@
         }
     }
 }
+
+/// Returns what a list tells of a VM as it was when an order for it was confirmed.
+fn fate(ordered: &Vm, vms: &[Vm]) -> Fate {
+    let listed = vms.iter().find(|listed| listed.name == ordered.name);
+    let Some(listed) = listed else {
+        return Fate::Uncertain;
+    };
+    match (listed.state, &listed.minion) {
+        (VmState::Moving | VmState::Maintenance, _) | (VmState::Down, None) => Fate::TakenDown,
+        (_, Some(minion)) if ordered.minion.as_ref() != Some(minion) => Fate::TakenDown,
+        (VmState::Up, Some(_)) => Fate::StillUp,
+        (VmState::Up | VmState::Unknown, None) | (VmState::Down | VmState::Unknown, Some(_)) => {
+            Fate::Uncertain
+        }
+    }
+}
