--- a/tests/src/jobs/job_site/incarnations.rs
+++ b/tests/src/jobs/job_site/incarnations.rs
@@ -80,6 +80,22 @@
         self.restarts.push((at, PendingRestart::Listing(id)));
     }
 
+    /// Makes a minion tell another start although it hasn't restarted, as after a change of its time of day.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such minion.
+    pub fn shift_start(&mut self, id: &SmolStr, born: u64) {
+        let minion = self.minions.get_mut(id).expect("a known minion");
+        let runs = self.records.iter_mut();
+        let runs = runs.filter(|run| run.minion == *id && run.incarnation == minion.incarnation);
+        for run in runs {
+            run.incarnation = born;
+        }
+        minion.incarnation = born;
+        minion.entry.started_unix_ms = born;
+    }
+
     /// Puts an entry about a minion into the list that isn't its own.
     pub fn show_entry(&mut self, entry: MinionEntry) {
         if self.minions.contains_key(&entry.id) {
--- a/tests/tests/jobs_incarnations.rs
+++ b/tests/tests/jobs_incarnations.rs
@@ -10,7 +10,7 @@
 use rstest::rstest;
 use smol_str::{SmolStr, format_smolstr};
 use snipevane_core::jobs::{JobId, JobState, MinionEntry, StepSpec};
-use snipevane_tests::jobs::{FakeMinion, Faults, JobSite, Restart, entry, job, site, step};
+use snipevane_tests::jobs::{FakeMinion, Faults, JobSite, Restart, TICK, entry, job, site, step};
 
 const START: Duration = Duration::from_secs(10);
 const MINIONS: usize = 5;
@@ -283,3 +283,35 @@
     });
     assert_eq!(given_up, seeds.map(|seed| (seed, Vec::new())));
 }
+
+/// Guards against tasks that run twice on one minion, and jobs that hang, because its start shifts while it works.
+#[rstest]
+fn a_start_that_shifts_ends_no_runs(
+    #[values(5_000, 20_000)] born: u64,
+    #[values(0, 1, 2, 10)] list_ticks_later: u32,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut site = Troubled::new(Faults::default(), seed).site;
+    for minion in site.minions.values_mut() {
+        minion.entry.started_unix_ms = minion.incarnation;
+    }
+    site.list_minions();
+    site.run(Duration::from_millis(100));
+    let spec = StepSpec {
+        max_per_minion: Some(1),
+        ..step(MINIONS as u32, 1_000, 9_000, &[])
+    };
+    let id = site.submit(1, job("p0", vec![spec]));
+    site.run(Duration::from_secs(1));
+    let busy = site.records[0].minion.clone();
+    let shifted = MinionEntry {
+        started_unix_ms: born,
+        ..site.minions[&busy].entry.clone()
+    };
+    site.scheduler.upsert_minion(shifted, site.now);
+    site.run(TICK * list_ticks_later);
+    site.shift_start(&busy, born);
+    site.run(CALM);
+    assert_eq!(site.state(id), JobState::Completed);
+    assert_eq!(site.records.len(), MINIONS, "each task has run once");
+}
