Count the answer to an acknowledgement only for the incarnation it was for

An acknowledgement for the earlier incarnation that the next one answered late counted as one of the next one's ends, so that these were not acknowledged until there were more of them; past 500 its lists are never complete.

Cause: the start in the answer was compared with the incarnation known when the answer came, not with the one that the hold was for.

Evidence: `the_answer_to_an_acknowledgement_counts_for_no_later_incarnation` failed before: 4 ends of the earlier incarnation counted for the next one.

Change: an answer to a hold that was asked for before the restart was noticed acknowledges nothing.

Measured: the test passes.

--- a/crates/snipevane-core/src/jobs/running/acknowledgements.rs
+++ b/crates/snipevane-core/src/jobs/running/acknowledgements.rs
@@ -114,6 +114,7 @@
         let ack = minion.sent_acks.record_answer(asked_at);
         if let HoldReply::Listed(list) = reply
             && minion.incarnation() == Some(list.started_unix_ms)
+            && !minion.restarted_since(asked_at)
         {
             minion.acked_seq = minion.acked_seq.max(ack);
         }
--- /dev/null
+++ b/tests/tests/jobs_restart_answers.rs
@@ -0,0 +1,56 @@
+//! Tests of answers of the next incarnation of a minion to calls for the earlier one.
+
+#![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use snipevane_core::jobs::{HoldReply, Recipient, RunList};
+use snipevane_tests::jobs::{FakeMinion, JobSite, entry, job, site, step};
+
+const START: Duration = Duration::from_secs(10);
+
+fn job_site() -> JobSite {
+    let minion = FakeMinion::new(entry(0, "p0"), START);
+    let mut built = JobSite::new(site(1, 0), vec![minion], 1);
+    built.run(Duration::from_secs(2));
+    built
+}
+
+fn id() -> SmolStr {
+    entry(0, "p0").id
+}
+
+/// Guards against ends that are never acknowledged, because the next incarnation has answered an acknowledgement for the
+/// earlier one.
+#[test]
+fn the_answer_to_an_acknowledgement_counts_for_no_later_incarnation() {
+    let mut built = job_site();
+    built.delay_next_ack(&id());
+    built.submit(1, job("p0", vec![step(4, 1_000, 200, &[])]));
+    while built.delayed_ack().is_none() {
+        built.tick();
+    }
+    let asked_at = built.delayed_ack().expect("a delayed hold");
+    built.restart_under_its_id(&id(), Duration::from_millis(200));
+    built.run(Duration::from_secs(1));
+    let (key, minion) = built.scheduler.minions().next().expect("a minion");
+    let to = Recipient {
+        minion: key,
+        id: id(),
+        address: minion.entry.address.clone(),
+        fence: 1,
+    };
+    let list = RunList {
+        started_unix_ms: built.minions[&id()].incarnation,
+        clock_ms: 10_000,
+        ..RunList::default()
+    };
+    let (now, unix_ms) = (built.now, built.unix_ms());
+    let reply = HoldReply::Listed(list);
+    built
+        .scheduler
+        .hold_replied_late(&to, reply, asked_at, now, unix_ms);
+    let minion = built.scheduler.minion(key).expect("a minion");
+    assert_eq!(minion.acked_seq, 0);
+}
