Extend no lease of a minion that may have restarted

A minion that may have restarted is asked again with the lease of the hold that is open; the next incarnation, whose clock is lower, takes that for the longest lease from then on, while the scheduler counts from when it was first given.

Evidence: `a_minion_that_may_have_restarted_is_asked_without_a_lease` failed before for 3 of 8 moments, those at which a hold is open.

Change: a hold that is repeated to a minion in doubt carries no lease, as a first hold to one does, and a restart forgets the lease of the open hold.

Measured: the 8 cases pass. Left: a call for the earlier incarnation that is carried out seconds later still gives the next one the longest lease from then on.

--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -309,6 +309,7 @@
     pub(in crate::jobs) fn reset_for_incarnation(&mut self, incarnation: u64, now: Duration) {
         self.incarnations.record(incarnation, now);
         self.clock = None;
+        self.hold_lease_end_ms = None;
         self.leases_expire_at = self.longest_leases_expire_at;
         self.list_clock_ms = 0;
         self.received_seq = 0;
--- a/crates/snipevane-core/src/jobs/running/holds.rs
+++ b/crates/snipevane-core/src/jobs/running/holds.rs
@@ -72,9 +72,11 @@
         let transmissions = minion.holds;
         minion.sent_acks.record_sent(0, now);
         minion.hold_wait = Duration::ZERO;
+        // The clock of another incarnation may answer, on which this lease would end later.
+        let lease_end_ms = minion.hold_lease_end_ms.filter(|_| !minion.suspect);
         let order = HoldOrder {
             to,
-            lease_end_ms: minion.hold_lease_end_ms,
+            lease_end_ms,
             ack: 0,
             wait: Duration::ZERO,
         };
--- a/tests/tests/jobs_restart_answers.rs
+++ b/tests/tests/jobs_restart_answers.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use smol_str::SmolStr;
-use snipevane_core::jobs::{HoldReply, Recipient, RunList};
-use snipevane_tests::jobs::{FakeMinion, JobSite, entry, job, site, step};
+use snipevane_core::jobs::{Action, HoldReply, MinionEntry, Recipient, RunList};
+use snipevane_tests::jobs::{FakeMinion, JobSite, TICK, entry, job, site, step};
 
 const START: Duration = Duration::from_secs(10);
 
@@ -54,3 +55,25 @@
     let minion = built.scheduler.minion(key).expect("a minion");
     assert_eq!(minion.acked_seq, 0);
 }
+
+/// Guards against tasks that run twice, because a minion that may have restarted is given a lease on its earlier clock.
+#[rstest]
+fn a_minion_that_may_have_restarted_is_asked_without_a_lease(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] ticks: u32,
+) {
+    let mut built = job_site();
+    built.submit(1, job("p0", vec![step(1, 1_000, 20_000, &[])]));
+    built.run(Duration::from_secs(1) + TICK * ticks);
+    let restarted = MinionEntry {
+        started_unix_ms: u64::MAX / 2,
+        ..built.minions[&id()].entry.clone()
+    };
+    built.scheduler.upsert_minion(restarted, built.now);
+    let unix_ms = built.unix_ms();
+    let actions = built.scheduler.decide(built.now, unix_ms);
+    let leases = actions.iter().filter_map(|action| match action {
+        Action::Hold(order) => order.lease_end_ms,
+        _ => None,
+    });
+    assert_eq!(leases.count(), 0);
+}
