Forget orders without an answer once they can't be carried out any more

One order without an answer, however long ago, made a restart stop the run on the next incarnation before its task started elsewhere; if that one can't be reached, the task waits for the longest lease.

Cause: that an order had no answer was kept for as long as the run.

Evidence: `a_start_that_was_unanswered_long_ago_delays_no_restart_of_its_task` failed before, ten seconds after the order.

Change: the time of the last order without an answer is kept, and counts for the longest time after which a call is carried out late (6 s).

Measured: the test passes; jobs_incarnations, jobs_acknowledgements and jobs_lease_clocks give the same results as before.

--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -246,7 +246,7 @@
     ) {
         for &run in runs {
             let state = self.runs.get(run);
-            if state.is_some_and(|state| state.transmissions.may_be_carried_out()) {
+            if state.is_some_and(|state| state.transmissions.may_be_carried_out(now)) {
                 self.stop_late_start(run, now);
             } else {
                 self.mark_run_lost(run, reason);
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -83,7 +83,7 @@
         let settled = run.transmissions.settle(sent_at);
         let (minion, phase) = (run.minion, run.phase);
         if reply == OrderReply::NoAnswer {
-            run.transmissions.record_unanswered();
+            run.transmissions.record_unanswered(sent_at);
         } else {
             self.record_prompt_reply(minion, sent_at, now);
         }
--- a/crates/snipevane-core/src/jobs/running/sent_acks.rs
+++ b/crates/snipevane-core/src/jobs/running/sent_acks.rs
@@ -3,8 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Longest time after which a call without an answer is still carried out.
-const LATE_CALL_PERIOD: Duration = Duration::from_secs(6);
+use super::transmissions::LATE_CALL_PERIOD;
 
 /// A hold that isn't known to be answered.
 #[derive(Clone, Copy, Debug)]
--- a/crates/snipevane-core/src/jobs/running/transmissions.rs
+++ b/crates/snipevane-core/src/jobs/running/transmissions.rs
@@ -9,6 +9,9 @@
 /// Maximum number of transmissions of an order.
 const MAX_TRANSMISSIONS: u32 = 6;
 
+/// Longest time after which a call without an answer is still carried out.
+pub(super) const LATE_CALL_PERIOD: Duration = Duration::from_secs(6);
+
 /// Number of transmissions without a reply after which the recipient counts as suspect.
 const SUSPECT_AFTER: u32 = 3;
 
@@ -32,8 +35,8 @@
     open: u32,
     /// Number of transmissions of the present order.
     sent: u32,
-    /// Whether a transmission of any order was never answered, so that it may be carried out yet.
-    has_unanswered: bool,
+    /// Time of the last transmission of any order that was never answered, and may be carried out yet.
+    unanswered_at: Option<Duration>,
     first_sent_at: Duration,
     last_sent_at: Duration,
 }
@@ -65,14 +68,15 @@
         }
     }
 
-    /// Records that a transmission is never answered.
-    pub(in crate::jobs) fn record_unanswered(&mut self) {
-        self.has_unanswered = true;
+    /// Records that the transmission that was sent at `sent_at` is never answered.
+    pub(in crate::jobs) fn record_unanswered(&mut self, sent_at: Duration) {
+        self.unanswered_at = self.unanswered_at.max(Some(sent_at));
     }
 
     /// Returns whether a transmission may be carried out yet that has no answer, or will have none.
-    pub(in crate::jobs) fn may_be_carried_out(&self) -> bool {
-        self.has_unanswered || self.is_outstanding()
+    pub(in crate::jobs) fn may_be_carried_out(&self, now: Duration) -> bool {
+        let unanswered_at = self.unanswered_at;
+        self.is_outstanding() || unanswered_at.is_some_and(|at| now <= at + LATE_CALL_PERIOD)
     }
 
     /// Records that the order has an outcome, whatever becomes of its open transmissions.
--- a/tests/tests/jobs_restart_answers.rs
+++ b/tests/tests/jobs_restart_answers.rs
@@ -6,8 +6,10 @@
 
 use rstest::rstest;
 use smol_str::SmolStr;
-use snipevane_core::jobs::{Action, HoldReply, MinionEntry, Recipient, RunList};
-use snipevane_tests::jobs::{FakeMinion, JobSite, TICK, entry, job, site, step};
+use snipevane_core::jobs::{
+    Action, HoldReply, LossReason, MinionEntry, Recipient, RunList, SchedulerEvent,
+};
+use snipevane_tests::jobs::{FakeMinion, Faults, JobSite, TICK, entry, job, site, step};
 
 const START: Duration = Duration::from_secs(10);
 
@@ -77,3 +79,23 @@
     });
     assert_eq!(leases.count(), 0);
 }
+
+/// Guards against a task that starts later after a crash, because one of its orders was unanswered long before.
+#[test]
+fn a_start_that_was_unanswered_long_ago_delays_no_restart_of_its_task() {
+    let mut built = job_site();
+    built.faults.lost_reply_rate = 1.0;
+    built.submit(1, job("p0", vec![step(1, 1_000, 60_000, &[])]));
+    built.run(Duration::from_secs(1));
+    built.faults = Faults::default();
+    built.run(Duration::from_secs(10));
+    built.scheduler.take_events();
+    built.restart_under_its_id(&id(), Duration::from_millis(500));
+    built.run(Duration::from_secs(1));
+    let events = built.scheduler.take_events();
+    let is_lost = |event: &&SchedulerEvent| {
+        let reason = LossReason::MinionRestarted;
+        matches!(event, SchedulerEvent::RunLost { reason: lost, .. } if *lost == reason)
+    };
+    assert_eq!(events.iter().filter(is_lost).count(), 1);
+}
