--- a/crates/snipevane-core/src/jobs/running/holds.rs
+++ b/crates/snipevane-core/src/jobs/running/holds.rs
@@ -86,9 +86,10 @@
 
     /// Sends a hold to a minion.
     ///
-    /// The minion replies without waiting if it has no runs, hasn't accepted the fencing token yet
-    /// or is suspect, or if the hold acknowledges ends, or starts are held back until one does. It waits for a shorter time if it has short tasks, runs on trial, or both
-    /// best-effort and latency-sensitive tasks, or if it has left an order unanswered lately.
+    /// The minion replies without waiting if it has no runs, hasn't accepted the fencing token yet or is suspect,
+    /// or if the hold acknowledges ends, or starts are held back until one does. It waits for a shorter time if it
+    /// has short tasks, runs on trial, or both best-effort and latency-sensitive tasks, or if it has left an order
+    /// unanswered lately.
     fn send_hold(&mut self, key: MinionKey, now: Duration) {
         let Some(to) = self.recipient(key) else {
             return;
