Acknowledge ends with fewer holds

Cause: while starts were held back for an acknowledgement, holds didn't wait, so that the minion was asked every 40 ms, and each busy minion got a hold of its own for acknowledgements each second.

Change: only the hold that acknowledges doesn't wait, and there is one each 2 s at most. That leaves time within the 4 s in which ends must be acknowledged.

--- a/crates/snipevane-core/src/jobs/running/acknowledgements.rs
+++ b/crates/snipevane-core/src/jobs/running/acknowledgements.rs
@@ -15,7 +15,10 @@
 use crate::jobs::scheduler::Scheduler;
 
 /// Least time between two acknowledgements to one minion.
-const ACK_INTERVAL: Duration = Duration::from_secs(1);
+const ACK_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Least time between the beginnings of two pauses of the starts to one minion.
+const PAUSE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Longest time for which starts are held back at once.
 const MAX_PAUSE: Duration = Duration::from_millis(300);
@@ -41,7 +44,7 @@
     /// Holds back starts from now, unless that was done lately.
     fn await_ack(&mut self, now: Duration) {
         let since = self.ack_awaited_since;
-        if since.is_none_or(|since| now >= since + ACK_INTERVAL) {
+        if since.is_none_or(|since| now >= since + PAUSE_INTERVAL) {
             self.ack_awaited_since = Some(now);
         }
     }
--- a/crates/snipevane-core/src/jobs/running/holds.rs
+++ b/crates/snipevane-core/src/jobs/running/holds.rs
@@ -87,9 +87,8 @@
     /// Sends a hold to a minion.
     ///
     /// The minion replies without waiting if it has no runs, hasn't accepted the fencing token yet or is suspect,
-    /// or if the hold acknowledges ends, or starts are held back until one does. It waits for a shorter time if it
-    /// has short tasks, runs on trial, or both best-effort and latency-sensitive tasks, or if it has left an order
-    /// unanswered lately.
+    /// or if the hold acknowledges ends. It waits for a shorter time if it has short tasks, runs on trial, or both
+    /// best-effort and latency-sensitive tasks, or if it has left an order unanswered lately.
     fn send_hold(&mut self, key: MinionKey, now: Duration) {
         let Some(to) = self.recipient(key) else {
             return;
@@ -101,9 +100,8 @@
             return;
         };
         let needs_short_wait = has_watched_tasks || minion.trial.is_some();
-        let concerns_ends = ack > 0 || minion.awaits_ack(now);
         let may_wait =
-            !concerns_ends && !minion.runs.is_empty() && minion.fence_accepted && !minion.suspect;
+            ack == 0 && !minion.runs.is_empty() && minion.fence_accepted && !minion.suspect;
         // The lease of an unreachable minion isn't renewed, so that it expires and its tasks can
         // start elsewhere.
         let lease = if minion.suspect {
