Take back the acknowledgements that wait for proof, and the leases that rest on them

Cause: a minion answers a poll at once while it has ends that aren't acknowledged, so each delay of an acknowledgement is paid in polls.

--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -14,7 +14,6 @@
 use crate::jobs::model::job::JobKey;
 use crate::jobs::model::run::RunKey;
 use crate::jobs::queueing::queue::StepRef;
-use crate::jobs::running::sent_acks::SentAcks;
 use crate::jobs::running::transmissions::Transmissions;
 
 new_key_type! {
@@ -26,6 +25,12 @@
 const SLOWEST_CLOCK_PERCENT: u32 = 98;
 const PERCENT: u32 = 100;
 
+/// Lower bound of the time that a minion takes to restart.
+///
+/// If the last run list is more recent than that, the incarnation that sent it is certain to
+/// receive the next hold.
+const MIN_RESTART_TIME: Duration = Duration::from_millis(400);
+
 /// Time for which a minion is doubtful after it has left an order unanswered.
 const DOUBT_PERIOD: Duration = Duration::from_secs(3);
 
@@ -122,20 +127,8 @@
     pub(in crate::jobs) unstored_ends: VecDeque<UnstoredEnd>,
     /// Sequence number of the last run end that is stored, so that the minion may forget it.
     pub stored_seq: u64,
-    /// Sequence number of the last run end whose acknowledgement the minion has answered.
+    /// Sequence number of the last run end that was acknowledged to the minion.
     pub acked_seq: u64,
-    /// Time at which a hold last acknowledged ends of the known incarnation.
-    pub(in crate::jobs) acked_at: Option<Duration>,
-    /// Time since which starts are held back until ends can be acknowledged, if they are.
-    pub(in crate::jobs) ack_awaited_since: Option<Duration>,
-    /// Holds that aren't known to be answered, with the ends that they acknowledge.
-    pub(in crate::jobs) sent_acks: SentAcks,
-    /// Time until which acknowledgements for an earlier incarnation may arrive.
-    pub(in crate::jobs) stray_acks_until: Duration,
-    /// Latest time at which a call was sent that the known incarnation has answered.
-    pub(in crate::jobs) alive_at: Duration,
-    /// Runs that another incarnation than the known one may have begun, as no answer shows which one did.
-    pub(in crate::jobs) unproven_runs: FxHashSet<RunKey>,
     /// Transmissions of the present hold.
     pub holds: Transmissions,
     /// Longest time for which the minion may hold back its reply to the last hold.
@@ -184,9 +177,6 @@
     clock: Option<ClockReading>,
     /// Time at which all leases have expired, even if the minion's clock runs at the lowest rate.
     leases_expire_at: Duration,
-    /// The same if another incarnation than the known one got the last order, whose clock is lower, so that it
-    /// grants the longest lease.
-    longest_leases_expire_at: Duration,
 }
 
 impl Minion {
@@ -213,12 +203,6 @@
             unstored_ends: VecDeque::new(),
             stored_seq: 0,
             acked_seq: 0,
-            acked_at: None,
-            ack_awaited_since: None,
-            sent_acks: SentAcks::default(),
-            stray_acks_until: Duration::ZERO,
-            alive_at: Duration::ZERO,
-            unproven_runs: FxHashSet::default(),
             holds: Transmissions::default(),
             hold_wait: Duration::ZERO,
             hold_lease_end_ms: None,
@@ -243,7 +227,6 @@
             crash: None,
             clock: None,
             leases_expire_at,
-            longest_leases_expire_at: leases_expire_at,
         }
     }
 
@@ -279,6 +262,21 @@
         {}
     }
 
+    /// Returns the number of the last end that a hold may acknowledge now, and records that it does.
+    ///
+    /// Another incarnation may have used the same sequence numbers for ends that weren't read yet, so
+    /// nothing is acknowledged to a minion that may have restarted.
+    pub(in crate::jobs) fn acknowledge_ends(&mut self, now: Duration) -> u64 {
+        let same_incarnation = self
+            .last_contact
+            .is_some_and(|at| now < at + MIN_RESTART_TIME);
+        if !same_incarnation {
+            return 0;
+        }
+        self.acked_seq = self.acked_seq.max(self.stored_seq);
+        self.stored_seq
+    }
+
     /// Returns whether the minion may get a task of a job although it, or the task, may be on trial.
     pub(in crate::jobs) fn trial_allows(&self, job: JobKey, may_begin_trial: bool) -> bool {
         self.trial
@@ -310,16 +308,11 @@
         self.incarnations.record(incarnation, now);
         self.clock = None;
         self.hold_lease_end_ms = None;
-        self.leases_expire_at = self.longest_leases_expire_at;
         self.list_clock_ms = 0;
         self.received_seq = 0;
         self.unstored_ends.clear();
         self.stored_seq = 0;
         self.acked_seq = 0;
-        self.acked_at = None;
-        self.ack_awaited_since = None;
-        self.stray_acks_until = self.sent_acks.arrive_until();
-        self.unproven_runs = self.runs.clone();
         self.failed_steps.clear();
         self.failure_backoff_until = Duration::ZERO;
         self.slow_backoff_until = Duration::ZERO;
@@ -344,33 +337,18 @@
     }
 
     /// Grants a lease of `length` from now and returns its end on the minion's clock, in
-    /// milliseconds; `None` if the clock hasn't been read. Minions shorten a longer lease to `longest`.
-    pub fn grant_lease(
-        &mut self,
-        length: Duration,
-        longest: Duration,
-        now: Duration,
-    ) -> Option<u64> {
+    /// milliseconds; `None` if the clock hasn't been read.
+    pub fn grant_lease(&mut self, length: Duration, now: Duration) -> Option<u64> {
         let end = self.clock_lower_bound(now)? + millis(length);
-        self.leases_expire_at = self.leases_expire_at.max(latest_expiry(length, now));
-        let longest = latest_expiry(longest.max(length), now);
-        self.longest_leases_expire_at = self.longest_leases_expire_at.max(longest);
+        let expires_at = now + length * PERCENT / SLOWEST_CLOCK_PERCENT;
+        self.leases_expire_at = self.leases_expire_at.max(expires_at);
         Some(end)
     }
 
-    /// Returns whether a run is certain to have ended because its lease expired more than `margin` ago.
-    pub(in crate::jobs) fn lease_expired(
-        &self,
-        run: RunKey,
-        margin: Duration,
-        now: Duration,
-    ) -> bool {
-        let expires_at = if self.unproven_runs.contains(&run) {
-            self.longest_leases_expire_at
-        } else {
-            self.leases_expire_at
-        };
-        now > expires_at + margin
+    /// Returns whether all runs are certain to have ended because their leases expired more than
+    /// `margin` ago.
+    pub fn leases_expired(&self, margin: Duration, now: Duration) -> bool {
+        now > self.leases_expire_at + margin
     }
 
     /// Returns the capacity that isn't allocated.
@@ -400,15 +378,9 @@
             && self.allocated.fits_in(&self.entry.capacity)
             && now >= self.failure_backoff_until
             && now >= self.slow_backoff_until
-            && now >= self.stray_acks_until
     }
 }
 
-/// Returns the time at which a lease granted now has expired even if the minion's clock runs at the lowest rate.
-fn latest_expiry(length: Duration, now: Duration) -> Duration {
-    now + length * PERCENT / SLOWEST_CLOCK_PERCENT
-}
-
 /// Converts a duration to whole milliseconds, at most `u64::MAX`.
 pub(in crate::jobs) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -257,17 +257,15 @@
     /// Ends the runs of suspect or unlisted minions whose leases are certain to have expired.
     pub(in crate::jobs) fn end_expired_runs(&mut self, now: Duration) {
         let margin = self.settings.lease_margin;
-        let doubtful = self.minions.iter().filter(|(_, minion)| {
-            let is_doubtful = minion.suspect || !minion.listed;
-            is_doubtful && !minion.runs.is_empty()
+        let expired = self.minions.iter().filter(|(_, minion)| {
+            let doubtful = minion.suspect || !minion.listed;
+            doubtful && !minion.runs.is_empty() && minion.leases_expired(margin, now)
         });
-        let doubtful: Vec<MinionKey> = doubtful.map(|(key, _)| key).collect();
-        for key in doubtful {
-            let minion = &self.minions[key];
-            let expired = minion.runs.iter().copied();
-            let expired = expired.filter(|&run| minion.lease_expired(run, margin, now));
-            let expired: Vec<RunKey> = expired.collect();
-            for run in expired {
+        let expired: Vec<MinionKey> = expired.map(|(key, _)| key).collect();
+        for key in expired {
+            let runs = self.minions[key].runs.iter().copied();
+            let runs: Vec<RunKey> = runs.collect();
+            for run in runs {
                 if !self.has_order_outstanding(run) {
                     self.mark_run_lost(run, LossReason::LeaseExpired);
                 }
--- a/crates/snipevane-core/src/jobs/running/holds.rs
+++ b/crates/snipevane-core/src/jobs/running/holds.rs
@@ -70,14 +70,13 @@
         };
         minion.holds.record_sent(now);
         let transmissions = minion.holds;
-        minion.sent_acks.record_sent(0, now);
         minion.hold_wait = Duration::ZERO;
         // The clock of another incarnation may answer, on which this lease would end later.
         let lease_end_ms = minion.hold_lease_end_ms.filter(|_| !minion.suspect);
         let order = HoldOrder {
             to,
             lease_end_ms,
-            ack: 0,
+            ack: minion.acknowledge_ends(now),
             wait: Duration::ZERO,
         };
         self.actions.push(Action::Hold(order));
@@ -86,22 +85,21 @@
 
     /// Sends a hold to a minion.
     ///
-    /// The minion replies without waiting if it has no runs, hasn't accepted the fencing token yet or is suspect,
-    /// or if the hold acknowledges ends. It waits for a shorter time if it has short tasks, runs on trial, or both
+    /// The minion replies without waiting if it has no runs, hasn't accepted the fencing token yet
+    /// or is suspect. It waits for a shorter time if it has short tasks, runs on trial, or both
     /// best-effort and latency-sensitive tasks, or if it has left an order unanswered lately.
     fn send_hold(&mut self, key: MinionKey, now: Duration) {
         let Some(to) = self.recipient(key) else {
             return;
         };
         let settings = self.settings;
-        let ack = self.acknowledge_ends(key, now);
         let has_watched_tasks = self.has_short_tasks(key) || self.has_mixed_tasks(key);
         let Some(minion) = self.minions.get_mut(key) else {
             return;
         };
         let needs_short_wait = has_watched_tasks || minion.trial.is_some();
-        let may_wait =
-            ack == 0 && !minion.runs.is_empty() && minion.fence_accepted && !minion.suspect;
+        let ack = minion.acknowledge_ends(now);
+        let may_wait = !minion.runs.is_empty() && minion.fence_accepted && !minion.suspect;
         // The lease of an unreachable minion isn't renewed, so that it expires and its tasks can
         // start elsewhere.
         let lease = if minion.suspect {
@@ -110,8 +108,7 @@
             Some(settings.lease)
         };
         minion.holds.record_sent(now);
-        minion.hold_lease_end_ms =
-            lease.and_then(|lease| minion.grant_lease(lease, settings.max_lease, now));
+        minion.hold_lease_end_ms = lease.and_then(|lease| minion.grant_lease(lease, now));
         minion.hold_wait = match (may_wait, needs_short_wait) {
             (false, _) => Duration::ZERO,
             (true, _) if minion.is_doubtful(now) => settings.doubtful_hold_timeout,
@@ -152,7 +149,7 @@
     if !minion.listed {
         return false;
     }
-    if !minion.fence_accepted || minion.suspect || minion.has_ends_to_acknowledge(now) {
+    if !minion.fence_accepted || minion.suspect || minion.stored_seq > minion.acked_seq {
         return true;
     }
     let last = minion.last_contact.unwrap_or(Duration::ZERO);
--- a/crates/snipevane-core/src/jobs/running/mod.rs
+++ b/crates/snipevane-core/src/jobs/running/mod.rs
@@ -1,6 +1,5 @@
 //! Orders to minions, their run lists, and the supervision of runs.
 
-pub(super) mod acknowledgements;
 pub(super) mod best_effort;
 pub(super) mod holds;
 pub(super) mod long_running;
@@ -8,7 +7,6 @@
 pub(super) mod repeat_budget;
 pub(super) mod repeats;
 pub(super) mod reports;
-pub(super) mod sent_acks;
 pub(super) mod start_window;
 pub(super) mod stragglers;
 pub(super) mod transmissions;
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -38,7 +38,6 @@
         }
         match reply {
             OrderReply::Done { clock_ms } => {
-                self.prove_run(key, clock_ms, sent_at, now);
                 self.read_clock(minion, clock_ms, sent_at, now);
                 self.record_begin(key, now);
                 self.start_confirmed(key, now);
@@ -260,9 +259,6 @@
         if run.phase == RunPhase::Starting && !self.may_send_start_to(run.minion) {
             return;
         }
-        if run.starts_sent == 0 && self.holds_back_starts(run.minion, now) {
-            return;
-        }
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
@@ -282,14 +278,14 @@
     }
 
     fn send_start(&mut self, key: RunKey, now: Duration) {
-        let (lease, longest) = (self.settings.lease, self.settings.max_lease);
+        let lease = self.settings.lease;
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         let Some(minion) = self.minions.get_mut(run.minion) else {
             return;
         };
-        let Some(lease_end_ms) = minion.grant_lease(lease, longest, now) else {
+        let Some(lease_end_ms) = minion.grant_lease(lease, now) else {
             return;
         };
         let Some(job) = self.jobs.get(run.job) else {
@@ -299,7 +295,6 @@
         run.starts_sent += 1;
         run.first_sent_at.get_or_insert(now);
         run.sent_to = minion.incarnation();
-        minion.unproven_runs.insert(key);
         self.start_window.order_sent();
         let order = StartOrder {
             to: Recipient {
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -41,7 +41,6 @@
             return;
         };
         let settled = minion.holds.settle(asked_at);
-        self.acks_answered(key, &reply, asked_at);
         if reply != HoldReply::NoAnswer {
             self.hold_answered(key, settled, asked_at);
         }
@@ -105,7 +104,6 @@
         unix_ms: u64,
     ) {
         let key = to.minion;
-        self.acks_answered(key, &reply, asked_at);
         match reply {
             HoldReply::Listed(list) => {
                 self.set_reachable(key, true, now);
@@ -169,8 +167,6 @@
             return false;
         };
         minion.update_clock(list.clock_ms, now);
-        minion.alive_at = minion.alive_at.max(asked_at);
-        minion.prove_runs(&listed_runs);
         minion.list_clock_ms = list.clock_ms;
         minion.fence_accepted = true;
         minion.suspect = false;
--- a/crates/snipevane-core/src/jobs/running/transmissions.rs
+++ b/crates/snipevane-core/src/jobs/running/transmissions.rs
@@ -10,7 +10,7 @@
 const MAX_TRANSMISSIONS: u32 = 6;
 
 /// Longest time after which a call without an answer is still carried out.
-pub(super) const LATE_CALL_PERIOD: Duration = Duration::from_secs(6);
+const LATE_CALL_PERIOD: Duration = Duration::from_secs(6);
 
 /// Number of transmissions without a reply after which the recipient counts as suspect.
 const SUSPECT_AFTER: u32 = 3;
