Count attempts of calls to the store by purpose and route

Callers saw no answer for 10 s and more after a loss of all entry VMs, while the store was in order. The counters told how many commits and reads failed, not what they were for, nor that a call that the store refuses is sent again through two other entry VMs. So they couldn't tell claims and renewals of a term that wait behind callers' changes from polls that use up the reads.

Each attempt now counts in snipevane_store_attempts_total, by purpose, route and outcome. No change of logic.

--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -19,7 +19,7 @@
 use crate::node::Node;
 use crate::peers::scheduler_client;
 use crate::rows::{self, JOBS_TABLE, PROGRESS_TABLE};
-use crate::store::{CommitOutcome, StoreError, TransactionBuilder};
+use crate::store::{CommitOutcome, Purpose, StoreError, TransactionBuilder};
 
 use super::change_queue::{Batch, ChangeQueue};
 use super::outcome::Outcome;
@@ -290,7 +290,11 @@
                 if batch.changes.is_empty() {
                     continue;
                 }
-                let result = self.node.store.commit(&batch.transaction).await;
+                let result = self
+                    .node
+                    .store
+                    .commit(Purpose::CallersWrite, &batch.transaction)
+                    .await;
                 self.settle_batch(batch.changes, result).await;
                 continue;
             };
--- a/crates/snipevane-fleet/src/caller/stored_progress.rs
+++ b/crates/snipevane-fleet/src/caller/stored_progress.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::node::Node;
 use crate::rows::{self, PROGRESS_TABLE};
-use crate::store::StoreError;
+use crate::store::{Purpose, StoreError};
 
 /// Maximum number of attempts to read a row from the store.
 const MAX_READ_ATTEMPTS: u32 = 2;
@@ -34,7 +34,11 @@
     let mut attempts = 0;
     loop {
         attempts += 1;
-        match node.store.get(PROGRESS_TABLE, &key).await {
+        match node
+            .store
+            .get(Purpose::CallersRead, PROGRESS_TABLE, &key)
+            .await
+        {
             Ok(row) => return Ok(row.and_then(|row| Some((row.value?, row.version)))),
             Err(error) if attempts >= MAX_READ_ATTEMPTS => {
                 log::debug!(
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -21,7 +21,7 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 
-use crate::store::CallKind;
+use crate::store::{CallKind, Purpose};
 
 /// Upper bounds of the histogram buckets, in seconds. They range from a call within a zone to a job
 /// whose caller has stopped waiting.
@@ -117,6 +117,15 @@
     histogram!("snipevane_store_call_seconds", "call" => call).record(elapsed.as_secs_f64());
 }
 
+/// Records one attempt of a call to the store, by a route: `direct`, or `relayed` by another entry VM.
+///
+/// A call may take several attempts. A relayed one also counts at the entry VM that relays it.
+pub(crate) fn record_store_attempt(purpose: Purpose, route: &'static str, outcome: &'static str) {
+    let purpose = purpose.name();
+    counter!("snipevane_store_attempts_total", "purpose" => purpose, "route" => route, "outcome" => outcome)
+        .increment(1);
+}
+
 /// Records a transaction of the scheduler's process, by the kind of changes that it was written for: its
 /// number of entries, and the time for which they waited for their turn.
 pub(crate) fn record_transaction(kind: &'static str, entries: usize, waited: Duration) {
--- a/crates/snipevane-fleet/src/peers/mod.rs
+++ b/crates/snipevane-fleet/src/peers/mod.rs
@@ -16,7 +16,7 @@
 use crate::clock::Clock;
 use crate::node::Node;
 use crate::rows::{self, PEERS_TABLE};
-use crate::store::StoreError;
+use crate::store::{Purpose, StoreError};
 
 pub use relay_turn::RelayTurn;
 pub use server::serve;
@@ -74,11 +74,17 @@
         writes: vec![(PEERS_TABLE.into(), node.settings.node.clone(), address)],
         ..Transaction::default()
     };
-    node.store.commit(&transaction).await.map(|_| ())
+    node.store
+        .commit(Purpose::Registration, &transaction)
+        .await
+        .map(|_| ())
 }
 
 async fn read_peers<C: Clock>(node: &Node<C>) -> Result<Vec<SocketAddr>, StoreError> {
-    let page = node.store.read(PEERS_TABLE, "", "").await?;
+    let page = node
+        .store
+        .read(Purpose::Discovery, PEERS_TABLE, "", "")
+        .await?;
     let others = page.rows.iter().filter(|row| row.key != node.settings.node);
     let addresses = others.filter_map(|row| {
         let address: String = rows::decode(&row.key, row.value.as_ref()?)?;
--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -15,7 +15,7 @@
 use crate::node::Node;
 use crate::peers::{self, scheduler_client};
 use crate::rows::{self, SCHEDULER_KEY, SCHEDULERS_TABLE, SchedulerRow};
-use crate::store::{CommitOutcome, StoreError};
+use crate::store::{CommitOutcome, Purpose, StoreError};
 
 use super::leader::Leader;
 use super::won_term::WonTerm;
@@ -122,7 +122,7 @@
     let asked_at = node.clock.now();
     let read = node
         .store
-        .get_with_clock(SCHEDULERS_TABLE, SCHEDULER_KEY)
+        .get_with_clock(Purpose::TermPoll, SCHEDULERS_TABLE, SCHEDULER_KEY)
         .await;
     let now = node.clock.now();
     let mut view = node.scheduler_view.borrow_mut();
@@ -186,7 +186,7 @@
         )],
         ..Transaction::default()
     };
-    let committed = node.store.commit(&transaction).await;
+    let committed = node.store.commit(Purpose::TermClaim, &transaction).await;
     let commit_time = node.clock.now().saturating_sub(sent_at);
     let version = match committed {
         Ok(CommitOutcome::Committed(version)) => version,
@@ -216,7 +216,11 @@
 /// Returns `None` if that fails until the term is over.
 async fn read_minion_rows<C: Clock>(node: &Node<C>, term_end: Duration) -> Option<MinionRows> {
     loop {
-        match node.store.read(SCHEDULERS_TABLE, "", "").await {
+        match node
+            .store
+            .read(Purpose::SchedulerRead, SCHEDULERS_TABLE, "", "")
+            .await
+        {
             Ok(page) => return Some(MinionRows::decode(&page.rows)),
             Err(error) => log::warn!("can't read the minions in use, retrying: {error}"),
         }
@@ -231,7 +235,7 @@
 async fn confirm_uncertain_win<C: Clock>(node: &Node<C>, row: &SchedulerRow) -> Option<u64> {
     let present = node
         .store
-        .get(SCHEDULERS_TABLE, SCHEDULER_KEY)
+        .get(Purpose::TermClaim, SCHEDULERS_TABLE, SCHEDULER_KEY)
         .await
         .ok()??;
     let value: SchedulerRow = rows::decode(SCHEDULER_KEY, present.value.as_ref()?)?;
--- a/crates/snipevane-fleet/src/scheduling/feeds.rs
+++ b/crates/snipevane-fleet/src/scheduling/feeds.rs
@@ -15,7 +15,7 @@
 use crate::job_rows::{self, ReadJob};
 use crate::progress_rows;
 use crate::rows::{JOBS_TABLE, JobsTableKey, PROGRESS_TABLE};
-use crate::store::StoreError;
+use crate::store::{Purpose, StoreError};
 
 use super::leader::Leader;
 
@@ -55,7 +55,11 @@
 /// stored is read too.
 async fn read_jobs<C: Clock>(leader: &Leader<C>, first: bool) -> Result<u64, StoreError> {
     let adopted = first && leader.row.borrow().fence > 1;
-    let inbox = leader.node.store.read(JOBS_TABLE, "", "").await?;
+    let inbox = leader
+        .node
+        .store
+        .read(Purpose::SchedulerRead, JOBS_TABLE, "", "")
+        .await?;
     let progress = if adopted {
         read_progress(leader).await?
     } else {
@@ -82,7 +86,11 @@
 async fn read_progress<C: Clock>(
     leader: &Leader<C>,
 ) -> Result<FxHashMap<JobId, Progress>, StoreError> {
-    let page = leader.node.store.read(PROGRESS_TABLE, "", "").await?;
+    let page = leader
+        .node
+        .store
+        .read(Purpose::SchedulerRead, PROGRESS_TABLE, "", "")
+        .await?;
     Ok(progress_rows::decode_all(&page.rows))
 }
 
@@ -91,7 +99,7 @@
         match leader
             .node
             .store
-            .changes(JOBS_TABLE, version, FEED_WAIT)
+            .changes(Purpose::SchedulerRead, JOBS_TABLE, version, FEED_WAIT)
             .await
         {
             Ok(page) => {
@@ -158,7 +166,11 @@
 /// Returns an error if the store doesn't answer.
 async fn add_incomplete_job<C: Clock>(leader: &Leader<C>, id: JobId) -> Result<(), StoreError> {
     let (from, to) = job_rows::key_range(id);
-    let page = leader.node.store.read(JOBS_TABLE, &from, &to).await?;
+    let page = leader
+        .node
+        .store
+        .read(Purpose::SchedulerRead, JOBS_TABLE, &from, &to)
+        .await?;
     add_jobs(leader, &page.rows, &FxHashMap::default(), false);
     Ok(())
 }
@@ -184,7 +196,11 @@
 }
 
 async fn read_minions<C: Clock>(leader: &Leader<C>) -> Result<u64, StoreError> {
-    let page = leader.node.store.read(minion::TABLE, "", "").await?;
+    let page = leader
+        .node
+        .store
+        .read(Purpose::SchedulerRead, minion::TABLE, "", "")
+        .await?;
     let listed: FxHashSet<SmolStr> = page.rows.iter().map(|row| row.key.clone()).collect();
     for row in &page.rows {
         apply_minion_row(leader, row);
@@ -202,7 +218,7 @@
         match leader
             .node
             .store
-            .changes(minion::TABLE, version, FEED_WAIT)
+            .changes(Purpose::SchedulerRead, minion::TABLE, version, FEED_WAIT)
             .await
         {
             Ok(page) => {
--- a/crates/snipevane-fleet/src/scheduling/reach.rs
+++ b/crates/snipevane-fleet/src/scheduling/reach.rs
@@ -12,7 +12,7 @@
 use crate::metrics;
 use crate::node::Node;
 use crate::rows::{self, REACH_TABLE, ReachRow};
-use crate::store::StoreError;
+use crate::store::{Purpose, StoreError};
 
 use super::leader::Leader;
 
@@ -45,7 +45,7 @@
             )],
             ..Transaction::default()
         };
-        match node.store.commit(&transaction).await {
+        match node.store.commit(Purpose::ReachReport, &transaction).await {
             Ok(_) => {
                 events::record(&events::TERM_UNHEARD, &[&fence]);
                 sleep(REPORT_INTERVAL).await;
@@ -68,7 +68,12 @@
 /// Follows the reports until the term ends.
 pub(super) async fn follow_reports<C: Clock>(leader: Rc<Leader<C>>) {
     loop {
-        match leader.node.store.read(REACH_TABLE, "", "").await {
+        match leader
+            .node
+            .store
+            .read(Purpose::SchedulerRead, REACH_TABLE, "", "")
+            .await
+        {
             Ok(page) => follow_changes(&leader, page.version).await,
             Err(error) => log::debug!("can't read reports of entry VMs, retrying: {error}"),
         }
@@ -78,7 +83,11 @@
 
 async fn follow_changes<C: Clock>(leader: &Leader<C>, mut version: u64) {
     loop {
-        let changes = leader.node.store.changes(REACH_TABLE, version, FEED_WAIT);
+        let changes =
+            leader
+                .node
+                .store
+                .changes(Purpose::SchedulerRead, REACH_TABLE, version, FEED_WAIT);
         match changes.await {
             Ok(page) => {
                 let now = leader.node.clock.now();
--- a/crates/snipevane-fleet/src/scheduling/row_write.rs
+++ b/crates/snipevane-fleet/src/scheduling/row_write.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::Clock;
 use crate::rows::{self, SCHEDULER_KEY, SCHEDULERS_TABLE, SchedulerRow};
-use crate::store::{CommitOutcome, StoreError};
+use crate::store::{CommitOutcome, Purpose, StoreError};
 
 use super::leader::Leader;
 
@@ -37,7 +37,12 @@
     let first_sent = leader.node.clock.now();
     let mut last_sent = first_sent;
     loop {
-        match leader.node.store.commit(&with_row(leader, changes)).await {
+        match leader
+            .node
+            .store
+            .commit(Purpose::TermWrite, &with_row(leader, changes))
+            .await
+        {
             Ok(CommitOutcome::Committed(version)) => {
                 record_commit_time(leader, last_sent);
                 record_commit(leader, version, last_sent);
@@ -67,7 +72,12 @@
 ) -> Result<CommitOutcome, StoreError> {
     let sent_at = leader.node.clock.now();
     let transaction = with_row(leader, transaction);
-    match leader.node.store.commit(&transaction).await? {
+    match leader
+        .node
+        .store
+        .commit(Purpose::TermWrite, &transaction)
+        .await?
+    {
         CommitOutcome::Committed(version) => {
             record_commit_time(leader, sent_at);
             record_commit(leader, version, sent_at);
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -21,7 +21,7 @@
 use crate::clock::Clock;
 use crate::events;
 use crate::rows::WAVES_TABLE;
-use crate::store::StoreError;
+use crate::store::{Purpose, StoreError};
 
 use super::leader::Leader;
 use super::wave_rows;
@@ -144,7 +144,11 @@
 async fn stored_progress<C: Clock>(
     leader: &Leader<C>,
 ) -> Result<FxHashMap<u64, WaveProgress>, StoreError> {
-    let page = leader.node.store.read(WAVES_TABLE, "", "").await?;
+    let page = leader
+        .node
+        .store
+        .read(Purpose::SchedulerRead, WAVES_TABLE, "", "")
+        .await?;
     let progress = page.rows.iter().filter_map(wave_rows::decode);
     let progress = progress.map(|progress| (progress.number, progress));
     Ok(progress.collect())
--- a/crates/snipevane-fleet/src/site_view.rs
+++ b/crates/snipevane-fleet/src/site_view.rs
@@ -14,7 +14,7 @@
 use crate::events;
 use crate::metrics;
 use crate::node::Node;
-use crate::store::StoreError;
+use crate::store::{Purpose, StoreError};
 
 /// Time that a long poll for changes waits. Each response confirms the configuration.
 const CHANGES_WAIT: Duration = Duration::from_millis(2_500);
@@ -229,7 +229,10 @@
 
 async fn read_all<C: Clock>(node: &Node<C>) -> Result<(), StoreError> {
     let requested_at = node.clock.now();
-    let page = node.store.read(config::TABLE, "", "").await?;
+    let page = node
+        .store
+        .read(Purpose::Configuration, config::TABLE, "", "")
+        .await?;
     node.site_view.borrow_mut().retain_evacuations(&page.rows);
     apply_page(node, &page, requested_at);
     Ok(())
@@ -260,7 +263,10 @@
     }
     let requested_at = node.clock.now();
     let after = node.site_view.borrow().read_up_to;
-    let page = node.store.changes(config::TABLE, after, wait).await?;
+    let page = node
+        .store
+        .changes(Purpose::Configuration, config::TABLE, after, wait)
+        .await?;
     apply_page(node, &page, requested_at);
     Ok(())
 }
--- a/crates/snipevane-fleet/src/store/mod.rs
+++ b/crates/snipevane-fleet/src/store/mod.rs
@@ -3,6 +3,7 @@
 mod builder;
 mod call_kind;
 mod error;
+mod purpose;
 mod transport;
 
 use std::cell::{Cell, RefCell};
@@ -22,7 +23,8 @@
 pub(crate) use builder::TransactionBuilder;
 pub(crate) use call_kind::CallKind;
 pub use error::StoreError;
-use transport::Transport;
+pub use purpose::Purpose;
+use transport::{Transport, outcome_label};
 
 /// Maximum number of times that a page of a table is read until that succeeds.
 const MAX_PAGE_ATTEMPTS: u32 = 3;
@@ -134,10 +136,16 @@
     /// # Errors
     ///
     /// Returns an error that tells whether the transaction may be committed nevertheless.
-    pub async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, StoreError> {
+    pub async fn commit(
+        &self,
+        purpose: Purpose,
+        transaction: &Transaction,
+    ) -> Result<CommitOutcome, StoreError> {
         let request = rows::commit_request(transaction);
         let asked_at = self.transport.now();
-        let response = self.call(CallKind::Commit, request, CALL_TIMEOUT).await?;
+        let response = self
+            .call(purpose, CallKind::Commit, request, CALL_TIMEOUT)
+            .await?;
         match response.status {
             200 => {
                 let page = self.decode_page(&response, asked_at)?;
@@ -158,15 +166,25 @@
     /// # Errors
     ///
     /// Returns an error if a page can't be read.
-    pub async fn read(&self, table: &str, from: &str, to: &str) -> Result<Page, StoreError> {
-        let mut all = self.read_page_with_retries(table, from, to).await?;
+    pub async fn read(
+        &self,
+        purpose: Purpose,
+        table: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<Page, StoreError> {
+        let mut all = self
+            .read_page_with_retries(purpose, table, from, to)
+            .await?;
         while all.more {
             let Some(last) = all.rows.last() else {
                 break;
             };
             // The smallest key after `last` in byte order.
             let next = format!("{}\0", last.key);
-            let page = self.read_page_with_retries(table, &next, to).await?;
+            let page = self
+                .read_page_with_retries(purpose, table, &next, to)
+                .await?;
             all.more = page.more;
             all.rows.extend(page.rows);
         }
@@ -177,13 +195,14 @@
     /// read before.
     async fn read_page_with_retries(
         &self,
+        purpose: Purpose,
         table: &str,
         from: &str,
         to: &str,
     ) -> Result<Page, StoreError> {
         let mut attempts = 1;
         loop {
-            match self.read_page(table, from, to).await {
+            match self.read_page(purpose, table, from, to).await {
                 Err(error) if attempts < MAX_PAGE_ATTEMPTS => {
                     log::debug!("can't read a page of table {table}, retrying: {error}");
                     attempts += 1;
@@ -196,33 +215,43 @@
     /// Sends a call and records it in the metrics.
     async fn call(
         &self,
+        purpose: Purpose,
         kind: CallKind,
         request: Request,
         limit: Duration,
     ) -> Result<Response, StoreError> {
-        self.call_counted(kind, request, limit, &Arrivals::default())
+        self.call_counted(purpose, kind, request, limit, &Arrivals::default())
             .await
     }
 
     /// Sends a call as [`Self::call`] does. Its response counts among `arrivals` while it is arriving.
     async fn call_counted(
         &self,
+        purpose: Purpose,
         kind: CallKind,
         request: Request,
         limit: Duration,
         arrivals: &Arrivals,
     ) -> Result<Response, StoreError> {
         let sent_at = self.transport.now();
-        let response = self.transport.call(request, limit, arrivals).await;
+        let response = self.transport.call(purpose, request, limit, arrivals).await;
         let elapsed = self.transport.now().saturating_sub(sent_at);
         metrics::record_store_call(kind, outcome_label(&response), elapsed);
         Ok(response?)
     }
 
-    async fn read_page(&self, table: &str, from: &str, to: &str) -> Result<Page, StoreError> {
+    async fn read_page(
+        &self,
+        purpose: Purpose,
+        table: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<Page, StoreError> {
         let request = rows::read_request(table, from, to);
         let asked_at = self.transport.now();
-        let response = self.call(CallKind::Read, request, CALL_TIMEOUT).await?;
+        let response = self
+            .call(purpose, CallKind::Read, request, CALL_TIMEOUT)
+            .await?;
         match response.status {
             200 => self.decode_page(&response, asked_at),
             _ => Err(StoreError::NotApplied),
@@ -234,8 +263,13 @@
     /// # Errors
     ///
     /// Returns an error if the store doesn't answer.
-    pub async fn get(&self, table: &str, key: &str) -> Result<Option<Row>, StoreError> {
-        let (row, _) = self.get_with_clock(table, key).await?;
+    pub async fn get(
+        &self,
+        purpose: Purpose,
+        table: &str,
+        key: &str,
+    ) -> Result<Option<Row>, StoreError> {
+        let (row, _) = self.get_with_clock(purpose, table, key).await?;
         Ok(row)
     }
 
@@ -246,10 +280,13 @@
     /// Returns an error if the store doesn't answer.
     pub async fn get_with_clock(
         &self,
+        purpose: Purpose,
         table: &str,
         key: &str,
     ) -> Result<(Option<Row>, u64), StoreError> {
-        let page = self.read_page(table, key, &format!("{key}\0")).await?;
+        let page = self
+            .read_page(purpose, table, key, &format!("{key}\0"))
+            .await?;
         Ok((page.rows.into_iter().next(), page.clock_ms))
     }
 
@@ -270,6 +307,7 @@
     /// Returns an error if the store doesn't answer, or no longer has the changes.
     pub async fn changes(
         &self,
+        purpose: Purpose,
         table: &str,
         after: u64,
         wait: Duration,
@@ -279,7 +317,7 @@
         let limit = wait + CHANGES_TIMEOUT_MARGIN;
         let arrivals = self.arriving_changes(table);
         let response = self
-            .call_counted(CallKind::Changes, request, limit, &arrivals)
+            .call_counted(purpose, CallKind::Changes, request, limit, &arrivals)
             .await?;
         match response.status {
             200 => decode_page(&response),
@@ -289,20 +327,6 @@
     }
 }
 
-/// Returns the metric label of a call's outcome.
-fn outcome_label(response: &Result<Response, CallError>) -> &'static str {
-    match response.as_ref().map(|response| response.status) {
-        Ok(200) => "done",
-        Ok(410) => "history_gone",
-        Ok(412) => "conflict",
-        Ok(400 | 403 | 413) => "rejected",
-        Ok(429) => "too_many",
-        Ok(_) => "refused",
-        Err(CallError::NotSent) => "not_sent",
-        Err(CallError::NoAnswer) => "no_answer",
-    }
-}
-
 fn decode_page(response: &Response) -> Result<Page, StoreError> {
     rows::decode_page(&response.body).map_err(|error| {
         log::warn!(
--- a/crates/snipevane-fleet/src/store/transport.rs
+++ b/crates/snipevane-fleet/src/store/transport.rs
@@ -15,6 +15,8 @@
 use crate::rows::{SCHEDULER_KEY, SCHEDULER_KEY_END, SCHEDULERS_TABLE};
 use crate::{events, metrics};
 
+use super::Purpose;
+
 /// Bounds of the timeout for one attempt, in addition to the wait of a long poll; the next attempt goes
 /// through another entry VM. Within them, the timeout follows the store's response times, as a store
 /// that is slow gets slower by calls that are sent twice.
@@ -104,11 +106,14 @@
     /// out.
     pub(super) async fn call(
         self: &Rc<Self>,
+        purpose: Purpose,
         request: Request,
         limit: Duration,
         arrivals: &Arrivals,
     ) -> Result<Response, CallError> {
-        let response = self.call_with_failover(request, limit, arrivals).await;
+        let response = self
+            .call_with_failover(purpose, request, limit, arrivals)
+            .await;
         let reachable = response
             .as_ref()
             .is_ok_and(|response| !is_refusal(response));
@@ -145,6 +150,7 @@
     /// Tries a direct call, unless relays are preferred at present, and then the relays.
     async fn call_with_failover(
         self: &Rc<Self>,
+        purpose: Purpose,
         request: Request,
         limit: Duration,
         arrivals: &Arrivals,
@@ -158,7 +164,13 @@
         } else {
             let on_response = self.response_timer(long_poll_wait);
             match self
-                .call_direct(request.clone(), attempt_limit, on_response, arrivals)
+                .call_direct(
+                    purpose,
+                    request.clone(),
+                    attempt_limit,
+                    on_response,
+                    arrivals,
+                )
                 .await
             {
                 Ok(response) if !is_refusal(&response) => return Ok(response),
@@ -168,11 +180,12 @@
             log::debug!("store refused or didn't answer a direct call; trying relays");
         }
         for relay in self.relays_to_try() {
-            match self
+            let response = self
                 .client
                 .call_while_arriving(relay, request.clone(), attempt_limit, arrivals)
-                .await
-            {
+                .await;
+            metrics::record_store_attempt(purpose, "relayed", outcome_label(&response));
+            match response {
                 Ok(response) if !is_refusal(&response) && response.status < 500 => {
                     self.preferred_relay.set(Some(relay));
                     self.keep_relaying();
@@ -199,6 +212,7 @@
     /// Returns an error if the response doesn't begin to arrive in time, or stops arriving.
     pub(super) async fn call_direct(
         &self,
+        purpose: Purpose,
         request: Request,
         limit: Duration,
         on_response: impl FnOnce() + 'static,
@@ -214,6 +228,7 @@
             arrivals,
         );
         let response = call.await;
+        metrics::record_store_attempt(purpose, "direct", outcome_label(&response));
         self.record_direct(response.as_ref().ok().map(|response| response.status));
         response
     }
@@ -234,7 +249,10 @@
             .client
             .relay_detached(self.store, request, limit, abort_after);
         let response = call.await;
-        self.record_direct(response.as_ref().ok().map(|(status, _)| *status));
+        let status = response.as_ref().map(|(status, _)| *status);
+        let outcome = status_label(status.map_err(|error| *error));
+        metrics::record_store_attempt(Purpose::Relay, "direct", outcome);
+        self.record_direct(status.ok());
         response
     }
 
@@ -307,7 +325,13 @@
             let limit = transport.attempt_timeout();
             // The outcome is recorded as that of every direct call.
             let _ = transport
-                .call_direct(probe, limit, || {}, &Arrivals::default())
+                .call_direct(
+                    Purpose::RouteProbe,
+                    probe,
+                    limit,
+                    || {},
+                    &Arrivals::default(),
+                )
                 .await;
         });
     }
@@ -333,3 +357,23 @@
 fn is_refusal(response: &Response) -> bool {
     REFUSAL_STATUSES.contains(&response.status)
 }
+
+/// Returns the metric label of a call's outcome.
+pub(super) fn outcome_label(response: &Result<Response, CallError>) -> &'static str {
+    let status = response.as_ref().map(|response| response.status);
+    status_label(status.map_err(|error| *error))
+}
+
+/// Returns the metric label of the outcome of a call with this status.
+fn status_label(status: Result<u16, CallError>) -> &'static str {
+    match status {
+        Ok(200) => "done",
+        Ok(410) => "history_gone",
+        Ok(412) => "conflict",
+        Ok(400 | 403 | 413) => "rejected",
+        Ok(429) => "too_many",
+        Ok(_) => "refused",
+        Err(CallError::NotSent) => "not_sent",
+        Err(CallError::NoAnswer) => "no_answer",
+    }
+}
--- a/crates/snipevane-fleet/tests/store_client.rs
+++ b/crates/snipevane-fleet/tests/store_client.rs
@@ -9,7 +9,7 @@
 use snipevane_adapter_standin::Store;
 use snipevane_fleet::client::Client;
 use snipevane_fleet::clock::{Clock, SystemClock};
-use snipevane_fleet::store::StoreClient;
+use snipevane_fleet::store::{Purpose, StoreClient};
 
 /// Table that the tests read.
 const TABLE: &str = "table";
@@ -31,7 +31,10 @@
         client.set_relays(vec![relay]);
         for answer_ms in [500, 600, 700, 800, 900, 1_000] {
             store.set_times(Duration::from_millis(answer_ms), Duration::ZERO);
-            client.get(TABLE, "key").await.expect("a page");
+            client
+                .get(Purpose::TermPoll, TABLE, "key")
+                .await
+                .expect("a page");
         }
     });
     assert_eq!(store.read_count(TABLE), 6);
@@ -69,9 +72,15 @@
         assert_eq!(client.latest_clock_ms(), None, "not read yet");
         // The stand-in's clock starts at zero, which counts as no reading.
         tokio::time::sleep(Duration::from_millis(20)).await;
-        client.get(TABLE, "key").await.expect("a page");
+        client
+            .get(Purpose::TermPoll, TABLE, "key")
+            .await
+            .expect("a page");
         tokio::time::sleep(Duration::from_millis(20)).await;
-        client.get(TABLE, "key").await.expect("a page");
+        client
+            .get(Purpose::TermPoll, TABLE, "key")
+            .await
+            .expect("a page");
         let read = client.latest_clock_ms().expect("a reading");
         clock.offset.set(Duration::from_secs(4));
         let later = client.latest_clock_ms().expect("a reading");
@@ -89,13 +98,22 @@
     run(async {
         let client = StoreClient::new(SystemClock, Client::default(), direct.address);
         client.set_relays(vec![relay.address]);
-        client.get(TABLE, "key").await.expect("a page");
+        client
+            .get(Purpose::TermPoll, TABLE, "key")
+            .await
+            .expect("a page");
         direct.set_silent(true);
-        client.get(TABLE, "key").await.expect("a page");
+        client
+            .get(Purpose::TermPoll, TABLE, "key")
+            .await
+            .expect("a page");
         let end = Instant::now() + Duration::from_secs(3);
         while Instant::now() < end {
             let sent_at = Instant::now();
-            client.get(TABLE, "key").await.expect("a page");
+            client
+                .get(Purpose::TermPoll, TABLE, "key")
+                .await
+                .expect("a page");
             let elapsed = sent_at.elapsed();
             assert!(elapsed < Duration::from_millis(350), "{elapsed:?}");
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -105,7 +123,10 @@
         let end = Instant::now() + Duration::from_secs(3);
         while !client.is_direct() {
             assert!(Instant::now() < end, "the direct route isn't used again");
-            client.get(TABLE, "key").await.expect("a page");
+            client
+                .get(Purpose::TermPoll, TABLE, "key")
+                .await
+                .expect("a page");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     });
@@ -122,10 +143,16 @@
     run(async {
         let client = StoreClient::new(SystemClock, Client::default(), direct.address);
         client.set_relays(relays.iter().map(|relay| relay.address).collect());
-        client.get(TABLE, "key").await.expect("a page");
+        client
+            .get(Purpose::TermPoll, TABLE, "key")
+            .await
+            .expect("a page");
         for _ in 0..4 {
             let sent_at = Instant::now();
-            client.get(TABLE, "key").await.expect("a page");
+            client
+                .get(Purpose::TermPoll, TABLE, "key")
+                .await
+                .expect("a page");
             assert!(sent_at.elapsed() < Duration::from_millis(350));
         }
     });
