Test the return of all entry VMs to a store of small capacity

Callers saw few jobs accepted and long runs lapse, still so 14 s after all entry VMs of a site of 301 were back, although there were few requests.

The test plays that with 14 daemons. Its transactions take 107 ms, so that one of each VM takes the store 1.5 s, as 300 of 5 ms do; the limit of reads is scaled in the same way.

--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use snipevane_adapter_standin::{Endpoint, EntryVmSettings, Minion, Store, VmApi};
+use snipevane_adapter_standin::{Endpoint, EntryVmSettings, Minion, StatedRates, Store, VmApi};
 
 /// Maximum time that a test waits for a condition, far longer than any takes.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -42,11 +42,23 @@
     pub(crate) minions: Vec<Minion>,
     pub(crate) vm_api: VmApi,
     name: String,
+    /// Rates of the store that the settings of daemons state.
+    store_rates: StatedRates,
 }
 
 impl Site {
     /// Starts daemons and minions, and waits until the daemons are ready and one of them schedules.
     pub(crate) fn start(name: &str, nodes: usize, minions: usize) -> Self {
+        Self::start_with_rates(name, nodes, minions, StatedRates::default())
+    }
+
+    /// Starts a site as [`Self::start`] does, with settings that state these rates of the store.
+    pub(crate) fn start_with_rates(
+        name: &str,
+        nodes: usize,
+        minions: usize,
+        store_rates: StatedRates,
+    ) -> Self {
         let store = Store::default();
         store.put("op", "config", &configuration());
         let minions = (0..minions).map(|number| Minion::start(&store, &format!("i-{number}"), "p"));
@@ -57,6 +69,7 @@
             minions,
             vm_api: VmApi::start(),
             name: name.to_owned(),
+            store_rates,
         };
         for _ in 0..nodes {
             site.add_node(1.0);
@@ -88,18 +101,39 @@
     /// Starts another daemon, whose VM has this many cores.
     pub(crate) fn add_node(&mut self, cores: f64) {
         let name = format!("{}-{}", self.name, self.nodes.len());
-        self.nodes
-            .push(Node::start(&self.store, &self.vm_api, &name, cores));
+        let node = self.start_node(&name, cores);
+        self.nodes.push(node);
     }
 
     /// Kills a daemon and starts it again.
     pub(crate) fn restart_node(&mut self, index: usize, cores: f64) {
         let name = self.nodes[index].name();
         drop(self.nodes.remove(index));
-        let node = Node::start(&self.store, &self.vm_api, &name, cores);
+        let node = self.start_node(&name, cores);
         self.nodes.insert(index, node);
     }
 
+    /// Kills all daemons at once and starts them again after `downtime`, but for `lost`, if any.
+    pub(crate) fn restart_all(&mut self, downtime: Duration, lost: Option<usize>) {
+        let mut names: Vec<String> = self.nodes.iter().map(Node::name).collect();
+        for node in &mut self.nodes {
+            node.kill();
+        }
+        self.nodes.clear();
+        if let Some(lost) = lost {
+            names.remove(lost);
+        }
+        std::thread::sleep(downtime);
+        for name in names {
+            let node = self.start_node(&name, 1.0);
+            self.nodes.push(node);
+        }
+    }
+
+    fn start_node(&self, name: &str, cores: f64) -> Node {
+        Node::start(&self.store, self.store_rates, &self.vm_api, name, cores)
+    }
+
     /// Returns the scheduler's row in the store.
     pub(crate) fn row(&self) -> Value {
         self.store.get("schedulers", "all").unwrap_or(Value::Null)
@@ -164,7 +198,13 @@
 }
 
 impl Node {
-    fn start(store: &Store, vm_api: &VmApi, name: &str, cores: f64) -> Self {
+    fn start(
+        store: &Store,
+        store_rates: StatedRates,
+        vm_api: &VmApi,
+        name: &str,
+        cores: f64,
+    ) -> Self {
         let endpoint = store.add_endpoint();
         let [callers, readiness, peers, metrics] = std::array::from_fn(|_| free_address());
         let text = EntryVmSettings {
@@ -174,6 +214,7 @@
             readiness,
             peer_port: peers.port(),
             store: endpoint.address,
+            store_rates,
             vm_api: vm_api.address,
             cores,
         }
--- /dev/null
+++ b/crates/snipevane-fleet/tests/store_capacity.rs
@@ -0,0 +1,105 @@
+//! Tests with real daemons and a store whose capacity is small compared with the number of entry VMs.
+//!
+//! The store's times and limits are those of 300 entry VMs, a transaction of 5 ms and 2,000 reads a second,
+//! scaled to the number of daemons.
+
+#![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
+
+#[allow(dead_code, reason = "the module is shared with other tests")]
+mod site;
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use serde_json::json;
+use site::{Site, call};
+use snipevane_adapter_standin::StatedRates;
+
+/// Number of entry VMs, and of those whose load on the store they stand for.
+const ENTRY_VMS: usize = 14;
+const MODELLED_VMS: usize = 300;
+
+/// Times and limits of the store that the entry VMs model.
+const MODELLED_TRANSACTION_MS: usize = 5;
+const MODELLED_READS_PER_S: usize = 2_000;
+
+/// Time for which transactions wait at most; the store refuses those that would wait longer.
+const MAX_QUEUE_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which all entry VMs are down.
+const DOWNTIME: Duration = Duration::from_millis(1_600);
+
+/// Time from their return in which the entry VMs must serve again: a goal of the platform.
+const MAX_RETURN_TIME: Duration = Duration::from_secs(2);
+
+/// Time for which the first term must last afterwards.
+const TERM_CHECK_TIME: Duration = Duration::from_secs(5);
+
+/// Returns the rates of the store for [`ENTRY_VMS`].
+fn rates() -> StatedRates {
+    let transaction_ms = MODELLED_TRANSACTION_MS * MODELLED_VMS / ENTRY_VMS;
+    let reads_per_s = MODELLED_READS_PER_S * ENTRY_VMS / MODELLED_VMS;
+    StatedRates {
+        reads_per_s: u32::try_from(reads_per_s).expect("a small number"),
+        transaction_ms: transaction_ms as f64,
+    }
+}
+
+/// Submits one job again and again until it is accepted; returns the time that this takes.
+fn accepted_after(site: &Site, id: &str, end: Instant) -> Option<Duration> {
+    let body = json!({
+        "spec": "50",
+        "phases": [{ "replicas": 1, "cpu": 100, "memMb": 10, "estimateMs": 50 }],
+    });
+    let start = Instant::now();
+    let mut number = 0;
+    while Instant::now() < end {
+        let callers = site.nodes[number % site.nodes.len()].callers;
+        number += 1;
+        let path = format!("/p/{id}");
+        if call(callers, "POST", &path, "key", &body.to_string()).0 == 200 {
+            return Some(start.elapsed());
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    None
+}
+
+/// Guards against claims, registrations and polls that fill the store as all entry VMs return at once: renewals of
+/// the first term waited longer than the term lasts, so that term followed term and nothing ran.
+///
+/// A process on the former holder's VM may claim its term at once; if that VM isn't back, all others compete.
+#[rstest]
+fn a_term_is_won_and_kept_after_the_loss_of_all_entry_vms(
+    #[values(true, false)] holder_returns: bool,
+) {
+    let rates = rates();
+    let name = format!("capacity-{holder_returns}");
+    let mut site = Site::start_with_rates(&name, ENTRY_VMS, 2, rates);
+    // All entry VMs are registered and watch the scheduler.
+    std::thread::sleep(Duration::from_secs(2));
+    let transaction_time = Duration::from_secs_f64(rates.transaction_ms / 1_000.0);
+    site.store.set_times(Duration::ZERO, transaction_time);
+    site.store.set_max_queue_time(Some(MAX_QUEUE_TIME));
+    site.store.set_max_reads_per_s(Some(rates.reads_per_s));
+    let fence = site.row()["fence"].as_u64().expect("a term");
+    let holder = site.scheduler().filter(|_| !holder_returns);
+    site.restart_all(DOWNTIME, holder);
+    let transactions = site.store.transaction_count();
+    let started_at = Instant::now();
+    let accepted = accepted_after(&site, "00000000000000aa", started_at + MAX_RETURN_TIME * 5);
+    std::thread::sleep(TERM_CHECK_TIME);
+    let terms = site.row()["fence"].as_u64().expect("a term") - fence;
+    let refused_reads = site.store.refused_read_count();
+    let transactions = site.store.transaction_count() - transactions;
+    println!(
+        "accepted after {accepted:?}; {terms} terms, {refused_reads} reads refused, {transactions} transactions"
+    );
+    assert_eq!(terms, 1, "the first term was lost");
+    assert!(
+        accepted.is_some_and(|after| after < MAX_RETURN_TIME),
+        "{accepted:?}"
+    );
+    let state = site.state(0, "00000000000000aa");
+    assert!(state.contains("completed"), "{state}");
+}
