Poll the scheduler's row and claim its term within the store's rates

As a term became free, each entry VM read the scheduler's row every 72 to 120 ms, 3,000 times a second at 300 VMs, and claimed the term as soon as it saw it free. The part of the store carried out up to a second of claims before the winner's first renewal, and refused calls beyond that, so that terms followed each other (8 to 10 in the test of 14 VMs).

The interval of polls is now at least the number of VMs divided by a quarter of the store's reads, and failed reads are retried with exponential backoff. A VM that sees the term free draws a random turn over twice the time that the store takes for one transaction of each VM, reads the row again in its turn, and claims the term only if it is still free. A process on the former holder's VM needs no turn. VMs that leave a term to larger ones wait a quarter of that time longer. The time for batches of a predecessor is awaited before the last read, not between it and the claim.

A claim that fails on a condition takes the row from the response, and one that the store refused isn't read back: both are certain.

--- a/crates/snipevane-fleet/src/scheduling/candidate.rs
+++ b/crates/snipevane-fleet/src/scheduling/candidate.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use snipevane_adapter::rows::Transaction;
+use snipevane_adapter::rows::{Row, Transaction};
+use snipevane_core::backoff::Backoff;
+use snipevane_core::claim_turn::ClaimTurn;
 use snipevane_core::senders::SenderSettings;
 use snipevane_core::term::TermSettings;
 use tokio::time::sleep;
@@ -21,12 +23,21 @@
 use super::won_term::WonTerm;
 use crate::minion_rows::MinionRows;
 
-/// Longest delay between reads of the scheduler's row.
+/// Longest delay between reads of the scheduler's row, unless the store can't serve as many.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Longest delay between reads when the term is about to become free.
+/// Longest delay between reads when the term is about to become free, unless the store can't serve as many.
 const TAKEOVER_POLL_INTERVAL: Duration = Duration::from_millis(120);
 
+/// Bounds of the time over which the claims of a free term are spread. The lower one is for the first term of a site,
+/// when not all entry VMs are registered.
+const FIRST_CLAIM_SPREAD: Duration = Duration::from_millis(300);
+const MAX_CLAIM_SPREAD: Duration = Duration::from_millis(4_000);
+
+/// Share of the time over which claims are spread that a smaller VM waits in addition, as a divisor: nearly always,
+/// one of several larger VMs has claimed the term by then.
+const SMALLER_VM_SPREAD_DIVISOR: u32 = 4;
+
 /// Delay before a failed read of the previous term's minions is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -37,25 +48,71 @@
 /// is held; repeats this until the process stops.
 pub async fn run_candidate<C: Clock>(node: Rc<Node<C>>) {
     let settings = TermSettings::default();
+    let mut turn = ClaimTurn::default();
+    let mut backoff = Backoff::new(TAKEOVER_POLL_INTERVAL, POLL_INTERVAL);
     while !node.stopping.get() {
         if watch_scheduler(&node, &settings).await {
+            turn.record_held();
             continue;
         }
-        let row_read = read_scheduler_row(&node, &settings).await;
-        if let Err(error) = row_read {
-            log::debug!("can't read the scheduler's row, retrying: {error}");
-        }
-        let term_free = may_take_over(&node, &settings);
-        let can_schedule =
-            row_read.is_ok() && !node.stopping.get() && node.site_view.borrow().site.is_some();
-        if term_free && can_schedule {
-            await_batches_of_predecessor(&node).await;
-            if let Some(won) = take_over(&node).await {
-                Leader::run(node.clone(), settings, won).await;
+        let delay = match read_scheduler_row(&node, &settings).await {
+            Ok(()) => {
+                backoff.reset();
+                claim_in_turn(&node, &settings, &mut turn).await;
+                poll_delay(&node, &settings, &turn)
+            }
+            Err(error) => {
+                log::debug!("can't read the scheduler's row, retrying: {error}");
+                node.read_interval(backoff.next_delay(node.random(0.0..1.0)))
             }
+        };
+        sleep(delay).await;
+    }
+}
+
+/// Claims the term if it is free by the row that was just read and it is this process's turn, and schedules for as long
+/// as it is held.
+async fn claim_in_turn<C: Clock>(
+    node: &Rc<Node<C>>,
+    settings: &TermSettings,
+    turn: &mut ClaimTurn,
+) {
+    if !may_take_over(node, settings) {
+        turn.record_held();
+        return;
+    }
+    let Some(spread) = claim_spread(node) else {
+        return;
+    };
+    let now = node.clock.now();
+    let earliest = now.max(end_of_predecessors_batches(node));
+    let version = node.scheduler_view.borrow().version();
+    let due_at = turn.due_at(version, spread, node.random(0.0..1.0), earliest);
+    let is_configured = node.site_view.borrow().site.is_some();
+    if now < due_at || node.stopping.get() || !is_configured {
+        return;
+    }
+    match take_over(node).await {
+        Some(won) => {
+            turn.record_held();
+            Leader::run(node.clone(), *settings, won).await;
         }
-        sleep(poll_delay(&node, &settings)).await;
+        None => turn.record_failure(),
+    }
+}
+
+/// Returns the time over which the claims of the free term are spread; `None` if it can't be told yet.
+fn claim_spread<C: Clock>(node: &Node<C>) -> Option<Duration> {
+    if follows_predecessor(node) {
+        return Some(Duration::ZERO);
     }
+    let spread = node.write_spread(MAX_CLAIM_SPREAD)?;
+    let is_first_term = node.scheduler_view.borrow().row.is_none();
+    Some(if is_first_term {
+        spread.max(FIRST_CLAIM_SPREAD)
+    } else {
+        spread
+    })
 }
 
 /// Waits for a heartbeat of the scheduler; returns whether it shows that the term is held.
@@ -85,18 +142,22 @@
 /// It may do so at once if an earlier process on the same VM held the term. A VM that is much smaller
 /// than another candidate leaves a free term to that one for a while.
 fn may_take_over<C: Clock>(node: &Node<C>, settings: &TermSettings) -> bool {
+    let delay = takeover_delay(node, settings);
+    let view = node.scheduler_view.borrow();
+    follows_predecessor(node) || view.is_free_for(settings, delay, node.clock.now())
+}
+
+/// Returns whether an earlier process on this VM holds the term.
+fn follows_predecessor<C: Clock>(node: &Node<C>) -> bool {
     let view = node.scheduler_view.borrow();
     let holder = view.row.as_ref();
-    let predecessor = holder
-        .is_some_and(|row| row.holder == node.settings.node && row.process != node.started_unix_ms);
-    let delay = takeover_delay(node, settings);
-    predecessor || view.is_free_for(settings, delay, node.clock.now())
+    holder
+        .is_some_and(|row| row.holder == node.settings.node && row.process != node.started_unix_ms)
 }
 
-/// Waits until no sender may send start orders any more that an earlier process on this VM decided.
-async fn await_batches_of_predecessor<C: Clock>(node: &Node<C>) {
-    let batches_end = node.started_at + SenderSettings::default().send_window;
-    sleep(batches_end.saturating_sub(node.clock.now())).await;
+/// Returns when no sender may send start orders any more that an earlier process on this VM decided.
+fn end_of_predecessors_batches<C: Clock>(node: &Node<C>) -> Duration {
+    node.started_at + SenderSettings::default().send_window
 }
 
 /// Returns how long this VM leaves a free term to others: to larger VMs, to those that couldn't reach the
@@ -105,11 +166,13 @@
     let own = &node.settings.capacity;
     let largest = node.largest_candidate.get();
     let is_smaller = largest.is_some_and(|largest| largest.is_much_larger_than(own));
+    let spread = node.write_spread(MAX_CLAIM_SPREAD).unwrap_or_default();
+    let smaller_vm_delay = settings.smaller_vm_delay + spread / SMALLER_VM_SPREAD_DIVISOR;
     let view = node.scheduler_view.borrow();
     if view.is_released_for_others(node.clock.now()) || !node.store.is_direct() {
-        settings.smaller_vm_delay * 2
+        smaller_vm_delay * 2
     } else if is_smaller {
-        settings.smaller_vm_delay
+        smaller_vm_delay
     } else {
         Duration::ZERO
     }
@@ -134,18 +197,20 @@
     Ok(())
 }
 
-/// Returns the time until the next read of the row, with jitter so that few processes try to take
-/// over at the same time.
-fn poll_delay<C: Clock>(node: &Node<C>, settings: &TermSettings) -> Duration {
+/// Returns the time until the next read of the row: until this process's turn to claim the term, or an interval with
+/// jitter so that few processes try to take over at the same time.
+fn poll_delay<C: Clock>(node: &Node<C>, settings: &TermSettings, turn: &ClaimTurn) -> Duration {
+    let now = node.clock.now();
     let view = node.scheduler_view.borrow();
-    let takeover_near =
-        view.is_free(settings, node.clock.now() + POLL_INTERVAL) || view.row.is_none();
+    let takeover_near = view.is_free(settings, now + POLL_INTERVAL) || view.row.is_none();
     let base = if takeover_near {
         TAKEOVER_POLL_INTERVAL
     } else {
         POLL_INTERVAL
     };
-    base.mul_f64(node.random(0.6..1.0))
+    let interval = node.read_interval(base).mul_f64(node.random(0.6..1.0));
+    let until_turn = turn.drawn().map(|due_at| due_at.saturating_sub(now));
+    until_turn.map_or(interval, |wait| interval.min(wait))
 }
 
 /// Tries to win the term by replacing the row that was last read; returns `None` if that fails.
@@ -190,9 +255,12 @@
     let commit_time = node.clock.now().saturating_sub(sent_at);
     let version = match committed {
         Ok(CommitOutcome::Committed(version)) => version,
-        Ok(CommitOutcome::Conflict(_)) => confirm_uncertain_win(node, &row).await?,
+        Ok(CommitOutcome::Conflict(rows)) => version_if_won(rows.first()?, &row)?,
         Err(error) => {
             events::record(&events::TERM_CLAIM_FAILED, &[&row.fence, &error]);
+            if error != StoreError::NoAnswer {
+                return None;
+            }
             confirm_uncertain_win(node, &row).await?
         }
     };
@@ -238,6 +306,11 @@
         .get(Purpose::TermClaim, SCHEDULERS_TABLE, SCHEDULER_KEY)
         .await
         .ok()??;
+    version_if_won(&present, row)
+}
+
+/// Returns the version of the scheduler's row in the store if it is the claim `row`.
+fn version_if_won(present: &Row, row: &SchedulerRow) -> Option<u64> {
     let value: SchedulerRow = rows::decode(SCHEDULER_KEY, present.value.as_ref()?)?;
     (value == *row).then_some(present.version)
 }
