Back off while the configuration can't be read

While the store refused reads, each entry VM repeated those of the configuration every 150 ms, and every 200 ms beside that while it wasn't confirmed; so it did too while a newer version was known.

Both retry with exponential backoff and jitter, from the same first delays up to 0.6 s, or longer at large sites, and keep an interval between confirmations that the store can serve. A success resets the delays.

--- a/crates/snipevane-fleet/src/site_view.rs
+++ b/crates/snipevane-fleet/src/site_view.rs
@@ -7,6 +7,7 @@
 use snipevane_adapter::config;
 use snipevane_adapter::rows::{Page, Row};
 use snipevane_adapter::settings::Bounds;
+use snipevane_core::backoff::{Backoff, jittered};
 use snipevane_core::jobs::{EvacuatedZones, MaintenanceWave, Site};
 use tokio::time::sleep;
 
@@ -36,8 +37,9 @@
 /// Interval at which it is checked whether a response has arrived that another poll waits for.
 const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Delay before a failed call is retried.
+/// Shortest and longest delay before a failed call is retried. The longest one grows with the number of entry VMs.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
 
 /// Percentage of the time limit for key withdrawal during which a confirmation is valid. The rest
 /// allows for change feeds that lag and requests in flight.
@@ -193,22 +195,34 @@
 
 /// Reads the operator's rows and follows their changes until the process ends.
 pub async fn follow<C: Clock>(node: Rc<Node<C>>) {
+    let mut backoff = new_backoff(&node, RETRY_DELAY);
     loop {
         match read_all(&node).await {
-            Ok(()) => follow_changes(&node).await,
+            Ok(()) => {
+                backoff = new_backoff(&node, RETRY_DELAY);
+                follow_changes(&node).await;
+            }
             Err(error) => log::warn!("reading the configuration failed: {error}; retrying"),
         }
-        sleep(RETRY_DELAY).await;
+        sleep(backoff.next_delay(node.random(0.0..1.0))).await;
     }
 }
 
+/// Creates a backoff for reads that all entry VMs make.
+fn new_backoff<C: Clock>(node: &Node<C>, first: Duration) -> Backoff {
+    Backoff::new(first, node.read_interval(MAX_RETRY_DELAY))
+}
+
 /// Polls the store for changes whenever neither the store nor the scheduler has confirmed the
 /// configuration for a while.
 ///
 /// A pending long poll confirms nothing, and its connection may be dead without an error.
 pub async fn keep_confirmed<C: Clock>(node: Rc<Node<C>>) {
+    let mut backoff = new_backoff(&node, CHECK_INTERVAL);
+    let mut delay = CHECK_INTERVAL;
     loop {
-        sleep(CHECK_INTERVAL).await;
+        sleep(delay).await;
+        delay = CHECK_INTERVAL;
         let limit = if node.leader().is_some() {
             SCHEDULER_CONFIRM_AFTER
         } else {
@@ -221,8 +235,16 @@
         if !due {
             continue;
         }
-        if let Err(error) = poll_changes(&node, Duration::ZERO).await {
-            log::debug!("confirming the configuration failed: {error}; retrying");
+        match poll_changes(&node, Duration::ZERO).await {
+            Ok(()) => {
+                backoff = new_backoff(&node, CHECK_INTERVAL);
+                // A newer version may be known that the response didn't contain yet.
+                delay = jittered(node.read_interval(CHECK_INTERVAL), node.random(0.0..1.0));
+            }
+            Err(error) => {
+                log::debug!("confirming the configuration failed: {error}; retrying");
+                delay = backoff.next_delay(node.random(0.0..1.0));
+            }
         }
     }
 }
@@ -240,14 +262,19 @@
 
 /// Follows changes until the store no longer has the history that is needed.
 async fn follow_changes<C: Clock>(node: &Node<C>) {
+    let mut backoff = new_backoff(node, RETRY_DELAY);
     loop {
         match poll_changes(node, CHANGES_WAIT).await {
-            Ok(()) if node.store.is_direct() => {}
-            Ok(()) => sleep(RELAYED_POLL_INTERVAL).await,
+            Ok(()) => {
+                backoff = new_backoff(node, RETRY_DELAY);
+                if !node.store.is_direct() {
+                    sleep(RELAYED_POLL_INTERVAL).await;
+                }
+            }
             Err(StoreError::HistoryGone) => return,
             Err(error) => {
                 log::debug!("reading configuration changes failed: {error}; retrying");
-                sleep(RETRY_DELAY).await;
+                sleep(backoff.next_delay(node.random(0.0..1.0))).await;
             }
         }
     }
