Spread reports of entry VMs that don't hear the scheduler

All entry VMs that lose the scheduler at the same time reported that in the same moment and again each 1.5 s: 200 transactions a second at 300 VMs, all that the part of the store carries out.

A report is spread over twice the time that the store takes for one of each VM, at most 3 s, and is written only if the scheduler still isn't heard then. It is repeated at no shorter interval. Refused reports back off.

--- a/crates/snipevane-fleet/src/scheduling/reach.rs
+++ b/crates/snipevane-fleet/src/scheduling/reach.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use snipevane_adapter::rows::Transaction;
+use snipevane_core::backoff::Backoff;
 use tokio::time::sleep;
 
 use crate::clock::Clock;
@@ -19,8 +20,10 @@
 /// Interval at which an entry VM checks whether it hears the scheduler, and the holder its reach.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Interval at which a report is repeated while it holds.
+/// Shortest interval at which a report is repeated while it holds. The longest one is below the time for which the
+/// holder counts a report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
+const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(3_000);
 
 /// Time that a long poll for reports waits.
 const FEED_WAIT: Duration = Duration::from_millis(2_500);
@@ -31,8 +34,15 @@
 /// Reports in the store, for as long as the process lives, when this entry VM gets no heartbeats of a term that is
 /// being renewed.
 pub async fn report_unheard_terms<C: Clock>(node: Rc<Node<C>>) {
+    let mut backoff = Backoff::new(RETRY_DELAY, REPORT_INTERVAL);
     loop {
         sleep(CHECK_INTERVAL).await;
+        if unheard_term(&node).is_none() {
+            continue;
+        }
+        // Many entry VMs may lose the scheduler at the same time; it may be heard again meanwhile.
+        let spread = node.write_spread(MAX_REPORT_INTERVAL).unwrap_or_default();
+        sleep(spread.mul_f64(node.random(0.0..1.0))).await;
         let Some(fence) = unheard_term(&node) else {
             continue;
         };
@@ -48,9 +58,13 @@
         match node.store.commit(Purpose::ReachReport, &transaction).await {
             Ok(_) => {
                 events::record(&events::TERM_UNHEARD, &[&fence]);
-                sleep(REPORT_INTERVAL).await;
+                backoff.reset();
+                sleep(REPORT_INTERVAL.max(spread)).await;
+            }
+            Err(error) => {
+                log::debug!("can't report that the scheduler isn't heard: {error}");
+                sleep(backoff.next_delay(node.random(0.0..1.0))).await;
             }
-            Err(error) => log::debug!("can't report that the scheduler isn't heard: {error}"),
         }
     }
 }
