Answer at once when the store refuses to read a job for a caller

A read that the store refused was sent again at once, so that a store which refuses reads for want of capacity got twice as many. A read without an answer is still repeated once.

--- a/crates/snipevane-fleet/src/caller/stored_progress.rs
+++ b/crates/snipevane-fleet/src/caller/stored_progress.rs
@@ -7,7 +7,8 @@
 use crate::rows::{self, PROGRESS_TABLE};
 use crate::store::{Purpose, StoreError};
 
-/// Maximum number of attempts to read a row from the store.
+/// Maximum number of attempts to read a row from the store while it doesn't answer. A store that refuses a read is
+/// asked again only when the caller comes back.
 const MAX_READ_ATTEMPTS: u32 = 2;
 
 /// Reads a job's progress and its row's version; none if the row is missing or can't be decoded.
@@ -40,7 +41,7 @@
             .await
         {
             Ok(row) => return Ok(row.and_then(|row| Some((row.value?, row.version)))),
-            Err(error) if attempts >= MAX_READ_ATTEMPTS => {
+            Err(error) if attempts >= MAX_READ_ATTEMPTS || error == StoreError::NotApplied => {
                 log::debug!(
                     "reading the progress of job {id} failed after {attempts} attempts: {error}"
                 );
