Pace the writes of callers' changes of entry VMs without a scheduler

What callers saw: after a loss of all entry VMs of a large site, jobs stayed unaccepted for as long as callers came.

Cause: each entry VM that knows no scheduler wrote callers' changes in a closed loop. The store carries out one transaction after another, so claims and renewals of the term waited behind all of them, or were refused.

Change: after a write, such an entry VM waits nine times what writes take (a shorter time counts by and by), 1.8 s at most, with jitter; a process that has just started spreads its first write over 1.8 s. Refused and unanswered writes back off exponentially. Changes that arrive meanwhile share the next batch. A change that couldn't be sent within 2.2 s is refused on arrival, with Retry-After from the pause. The decision is in snipevane-core/src/write_pacing.rs and knows no size of the site.

--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod shares;
 pub mod term;
 pub mod timeline;
+pub mod write_pacing;
 pub mod write_queue;
--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -19,10 +19,11 @@
 use crate::node::Node;
 use crate::peers::scheduler_client;
 use crate::rows::{self, JOBS_TABLE, PROGRESS_TABLE};
-use crate::store::{CommitOutcome, Purpose, StoreError, TransactionBuilder};
+use crate::store::{CommitOutcome, StoreError, TransactionBuilder};
 
 use super::change_queue::{Batch, ChangeQueue};
 use super::outcome::Outcome;
+use super::paced_writes::PacedWrites;
 use super::pending_change::{PendingChange, WriteResult};
 use super::recent_submissions::RecentSubmissions;
 use super::uncertain_writes::UncertainWrites;
@@ -56,12 +57,15 @@
     /// Limit of the changes in a transaction, while the store rejects some for good.
     batch_limit: Cell<BatchLimit>,
     uncertain: UncertainWrites,
+    /// Writes while this process doesn't schedule.
+    paced_writes: PacedWrites<C>,
 }
 
 impl<C: Clock> JobWriter<C> {
     /// Creates the writer.
     pub fn new(node: Rc<Node<C>>) -> Rc<Self> {
         Rc::new(Self {
+            paced_writes: PacedWrites::new(node.clone()),
             node,
             pending: ChangeQueue::default(),
             writing: Cell::new(false),
@@ -219,7 +223,7 @@
         match timeout(WRITE_TIMEOUT, &mut result_rx).await {
             Ok(result) => result.unwrap_or(unknown),
             Err(_) if self.withdraw(number).is_some() => {
-                WriteResult::Outcome(Outcome::busy(self.queue().drain_time()))
+                WriteResult::Outcome(Outcome::busy(self.retry_delay()))
             }
             Err(_) => result_rx.await.unwrap_or(unknown),
         }
@@ -227,10 +231,13 @@
 
     /// Returns the refusal of a change that the store wouldn't carry in time, if it is slow.
     ///
-    /// Only a scheduler that knows the stored jobs refuses: another process may have stored the change
-    /// in an earlier attempt.
+    /// A scheduler refuses only if it knows the stored jobs: another process may have stored the change
+    /// in an earlier attempt. Without a scheduler, a change is refused if it would be withdrawn unsent.
     fn refusal(&self) -> Option<Outcome> {
-        let leader = self.node.leader()?;
+        let Some(leader) = self.node.leader() else {
+            let delay = self.paced_writes.delay();
+            return (delay > WRITE_TIMEOUT).then(|| Outcome::busy(delay));
+        };
         if !leader.knows_stored_jobs() {
             return None;
         }
@@ -238,6 +245,11 @@
         Some(Outcome::busy(delay))
     }
 
+    /// Returns the time until a change that is refused could be written.
+    fn retry_delay(&self) -> Duration {
+        self.queue().drain_time().max(self.paced_writes.delay())
+    }
+
     /// Returns the queue of changes that wait, with the time that a write takes.
     fn queue(&self) -> WriteQueue {
         WriteQueue {
@@ -286,16 +298,7 @@
         tokio::task::yield_now().await;
         while !self.pending.is_empty() {
             let Some(leader) = self.node.leader() else {
-                let batch = self.take_batch();
-                if batch.changes.is_empty() {
-                    continue;
-                }
-                let result = self
-                    .node
-                    .store
-                    .commit(Purpose::CallersWrite, &batch.transaction)
-                    .await;
-                self.settle_batch(batch.changes, result).await;
+                self.write_without_scheduler().await;
                 continue;
             };
             // The batch is taken when it can be sent, so that it contains all changes that wait by then.
@@ -315,6 +318,20 @@
         self.writing.set(false);
     }
 
+    /// Writes a batch, when it may be sent, unless this process schedules by then.
+    async fn write_without_scheduler(&self) {
+        self.paced_writes.wait_for_turn().await;
+        if self.node.leader().is_some() {
+            return;
+        }
+        let batch = self.take_batch();
+        if batch.changes.is_empty() {
+            return;
+        }
+        let result = self.paced_writes.commit(&batch.transaction).await;
+        self.settle_batch(batch.changes, result).await;
+    }
+
     /// Removes the next batch from the queue: the oldest changes that a transaction has room for.
     fn take_batch(&self) -> Batch {
         self.refuse_late_changes();
@@ -335,7 +352,7 @@
         let answered_at = self.node.clock.now() + self.expected_commit_time();
         let oldest_in_time = answered_at.saturating_sub(ANSWER_TIMEOUT);
         for number in self.pending.queued_before(oldest_in_time) {
-            let outcome = Outcome::busy(self.queue().drain_time());
+            let outcome = Outcome::busy(self.retry_delay());
             if let Some(change) = self.withdraw(number) {
                 change.finish(WriteResult::Outcome(outcome));
             }
--- a/crates/snipevane-fleet/src/caller/mod.rs
+++ b/crates/snipevane-fleet/src/caller/mod.rs
@@ -6,6 +6,7 @@
 mod job_writer;
 mod listener;
 mod outcome;
+mod paced_writes;
 mod pending_change;
 mod recent_submissions;
 mod reply;
