Send refused and unanswered calls to the store again only where that may help

What callers saw: after a loss of all entry VMs of a large site, jobs stayed unaccepted for as long as callers came.

Cause: a call that the store refused, or didn't answer in time, was sent again through up to two other entry VMs, also while the store was at its limit for all. Attempts without an answer were still carried out.

Meanwhile a 429 doesn't count as a failure of this VM's own route. The claims, writes and reads of the scheduler are exempt.

--- a/crates/snipevane-fleet/src/node.rs
+++ b/crates/snipevane-fleet/src/node.rs
@@ -65,7 +65,8 @@
         let store = StoreClient::new(clock.clone(), client.clone(), settings.store_address);
         let started_unix_ms = clock.unix_ms();
         let started_at = clock.now();
-        let rng = StdRng::seed_from_u64(started_unix_ms ^ seed_of(&settings.ip));
+        let mut rng = StdRng::seed_from_u64(started_unix_ms ^ seed_of(&settings.ip));
+        store.seed_jitter(rng.random());
         Rc::new(Self {
             settings,
             clock,
--- a/crates/snipevane-fleet/src/store/mod.rs
+++ b/crates/snipevane-fleet/src/store/mod.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Seeds the jitter of pauses between further attempts.
+    pub(crate) fn seed_jitter(&self, seed: u64) {
+        self.transport.seed_jitter(seed);
+    }
+
     /// Sets the entry VMs that relay calls while the store refuses or doesn't answer direct calls.
     pub fn set_relays(&self, relays: Vec<SocketAddr>) {
         self.transport.set_relays(relays);
--- a/crates/snipevane-fleet/src/store/purpose.rs
+++ b/crates/snipevane-fleet/src/store/purpose.rs
@@ -1,4 +1,4 @@
-//! Purposes of calls to the store, for metrics.
+//! Purposes of calls to the store, for metrics and for the limits of further attempts.
 
 /// What a call to the store is made for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +30,14 @@
 }
 
 impl Purpose {
+    /// Returns whether the call is the scheduler's own work, without which no job runs.
+    pub(super) fn is_schedulers_work(self) -> bool {
+        matches!(
+            self,
+            Self::TermClaim | Self::TermWrite | Self::SchedulerRead
+        )
+    }
+
     /// Returns the purpose's name in metrics.
     pub(crate) fn name(self) -> &'static str {
         match self {
--- a/crates/snipevane-fleet/src/store/transport.rs
+++ b/crates/snipevane-fleet/src/store/transport.rs
@@ -6,8 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use snipevane_adapter::Request;
 use snipevane_adapter::rows;
+use snipevane_core::relay_policy::RelayPolicy;
 use snipevane_core::reply_time::ReplyTime;
 
 use crate::client::{Arrivals, CallError, Client, RelayedBody, Response};
@@ -36,8 +39,11 @@
 /// Maximum number of other entry VMs tried for a call.
 const MAX_RELAYS: usize = 2;
 
+/// Status with which the store refuses a call because of a limit, of one entry VM or of all.
+const TOO_MANY_CALLS: u16 = 429;
+
 /// Statuses with which the store, or a relay, says that nothing was done.
-const REFUSAL_STATUSES: [u16; 2] = [429, 503];
+const REFUSAL_STATUSES: [u16; 2] = [TOO_MANY_CALLS, 503];
 
 /// Transport from this process to the store.
 pub(super) struct Transport<C> {
@@ -60,6 +66,10 @@
     unreachable_since: Cell<Duration>,
     /// Time that the store takes to respond to direct calls that aren't long polls.
     response_time: Cell<ReplyTime>,
+    /// Decides which calls are sent again.
+    relay_policy: Cell<RelayPolicy>,
+    /// Random numbers for the jitter of pauses.
+    rng: RefCell<StdRng>,
 }
 
 impl<C: Clock> Transport<C> {
@@ -77,6 +87,8 @@
             unreachable: Cell::new(false),
             unreachable_since: Cell::new(Duration::ZERO),
             response_time: Cell::new(ReplyTime::new(RESPONSE_TIME_VALIDITY)),
+            relay_policy: Cell::default(),
+            rng: RefCell::new(StdRng::seed_from_u64(0)),
         })
     }
 
@@ -90,6 +102,11 @@
         *self.relays.borrow_mut() = relays;
     }
 
+    /// Seeds the jitter of pauses, so that entry VMs that are refused together don't return together.
+    pub(super) fn seed_jitter(&self, seed: u64) {
+        *self.rng.borrow_mut() = StdRng::seed_from_u64(seed);
+    }
+
     /// Returns whether an entry VM is known that relays calls.
     pub(super) fn has_relays(&self) -> bool {
         !self.relays.borrow().is_empty()
@@ -159,9 +176,10 @@
         let attempt_limit = long_poll_wait + self.attempt_timeout();
         let mut uncertain = false;
         let mut refused = None;
-        if self.relayed_since.get().is_some() {
-            self.probe_direct_route();
-        } else {
+        let now = self.clock.now();
+        self.update_relay_policy(|policy| policy.record_call(now));
+        let is_direct_first = self.relayed_since.get().is_none();
+        if is_direct_first {
             let on_response = self.response_timer(long_poll_wait);
             match self
                 .call_direct(
@@ -178,13 +196,23 @@
                 Err(error) => uncertain |= error == CallError::NoAnswer,
             }
             log::debug!("store refused or didn't answer a direct call; trying relays");
+        } else {
+            self.probe_direct_route();
         }
-        for relay in self.relays_to_try() {
+        let is_over_limit = refused.as_ref().is_some_and(is_over_limit);
+        for (index, relay) in self.relays_to_try().into_iter().enumerate() {
+            let is_further = is_direct_first || index > 0;
+            if is_further && !self.may_try_again(purpose, is_over_limit) {
+                break;
+            }
             let response = self
                 .client
                 .call_while_arriving(relay, request.clone(), attempt_limit, arrivals)
                 .await;
             metrics::record_store_attempt(purpose, "relayed", outcome_label(&response));
+            if let Some(response) = response.as_ref().ok().filter(|_| is_over_limit) {
+                self.record_relay_of_refusal(response);
+            }
             match response {
                 Ok(response) if !is_refusal(&response) && response.status < 500 => {
                     self.preferred_relay.set(Some(relay));
@@ -204,6 +232,37 @@
         }
     }
 
+    /// Returns whether a call that failed may be sent through another entry VM. `is_over_limit`: the store refused
+    /// it because of a limit.
+    fn may_try_again(&self, purpose: Purpose, is_over_limit: bool) -> bool {
+        if purpose.is_schedulers_work() {
+            return true;
+        }
+        let now = self.clock.now();
+        if is_over_limit && self.relay_policy.get().is_store_at_limit(now) {
+            return false;
+        }
+        self.update_relay_policy(RelayPolicy::take_retry)
+    }
+
+    /// Records the response that another entry VM brought to a call that the store had refused because of a limit.
+    fn record_relay_of_refusal(&self, response: &Response) {
+        let now = self.clock.now();
+        if is_over_limit(response) {
+            let random = self.rng.borrow_mut().random_range(0.0..1.0);
+            self.update_relay_policy(|policy| policy.record_relayed_refusal(now, random));
+        } else if !is_refusal(response) && response.status < 500 {
+            self.update_relay_policy(RelayPolicy::record_relayed_answer);
+        }
+    }
+
+    fn update_relay_policy<T>(&self, update: impl FnOnce(&mut RelayPolicy) -> T) -> T {
+        let mut policy = self.relay_policy.get();
+        let result = update(&mut policy);
+        self.relay_policy.set(policy);
+        result
+    }
+
     /// Sends a call directly to the store. `on_response` is called when the response begins to arrive,
     /// also if that is late.
     ///
@@ -258,7 +317,11 @@
 
     /// Records the status of the response to a direct call; `None` if there was no response.
     fn record_direct(&self, status: Option<u16>) {
-        let answered = status.is_some_and(|status| !REFUSAL_STATUSES.contains(&status));
+        // A limit of all entry VMs says nothing of this one's route.
+        let is_at_limit = status == Some(TOO_MANY_CALLS)
+            && self.relay_policy.get().is_store_at_limit(self.clock.now());
+        let answered =
+            is_at_limit || status.is_some_and(|status| !REFUSAL_STATUSES.contains(&status));
         self.direct.set(answered);
         if answered {
             self.relayed_since.set(None);
@@ -358,6 +421,11 @@
     REFUSAL_STATUSES.contains(&response.status)
 }
 
+/// Returns whether the store refused a call because of a limit.
+fn is_over_limit(response: &Response) -> bool {
+    response.status == TOO_MANY_CALLS
+}
+
 /// Returns the metric label of a call's outcome.
 pub(super) fn outcome_label(response: &Result<Response, CallError>) -> &'static str {
     let status = response.as_ref().map(|response| response.status);
