Ask a new scheduler for heartbeats although requests to the one before failed

Callers saw nothing of it by itself; it lets a small VM win the term, and sound schedulers release theirs.

Cause: after a failed request an entry VM asks the scheduler nothing for a second, also if another process has won the term meanwhile, and a submission to the former one that fails late starts that second anew. The next scheduler doesn't know such a VM as a candidate. It also looks as if it couldn't reach the scheduler.

Change: a failure counts for the term in which it was noticed, and only if the request went to the present holder's address.

--- a/crates/snipevane-fleet/src/peers/scheduler_client.rs
+++ b/crates/snipevane-fleet/src/peers/scheduler_client.rs
@@ -60,7 +60,9 @@
     let heartbeat = send_request(node, scheduler, WATCH_PATH, &request, WATCH_TIMEOUT).await;
     let now = node.clock.now();
     let Ok(heartbeat) = heartbeat else {
-        node.scheduler_view.borrow_mut().record_call_failure(now);
+        node.scheduler_view
+            .borrow_mut()
+            .record_call_failure_at(scheduler, now);
         return false;
     };
     let mut heartbeat: Heartbeat = heartbeat;
@@ -112,7 +114,7 @@
         Err(error) => {
             node.scheduler_view
                 .borrow_mut()
-                .record_call_failure(node.clock.now());
+                .record_call_failure_at(scheduler, node.clock.now());
             (error == CallError::NoAnswer).then_some(Outcome::Unknown)
         }
     }
@@ -143,7 +145,7 @@
             log::debug!("the scheduler gave no state of job {id}, reading the store: {error}");
             node.scheduler_view
                 .borrow_mut()
-                .record_call_failure(node.clock.now());
+                .record_call_failure_at(scheduler, node.clock.now());
             None
         }
     }
@@ -167,7 +169,7 @@
             log::debug!("the scheduler didn't tell whether it knows job {id}: {error}");
             node.scheduler_view
                 .borrow_mut()
-                .record_call_failure(node.clock.now());
+                .record_call_failure_at(scheduler, node.clock.now());
             None
         }
     }
--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -57,6 +57,8 @@
         self.row = value.and_then(|value| rows::decode(SCHEDULER_KEY, value));
         if self.row.as_ref().map(|row| row.fence) != known_fence {
             self.unheard_since = Some(now);
+            // The failed request went to the holder of the former term.
+            self.failed_at = None;
         }
         let released = self.row.as_ref().is_none_or(|row| row.released);
         let version = row.map_or(0, |row| row.version);
@@ -142,6 +144,15 @@
         Some((snapshot, *taken_at))
     }
 
+    /// Records that a request to the scheduler at an address failed, unless another address has been read since.
+    pub fn record_call_failure_at(&mut self, scheduler: SocketAddr, now: Duration) {
+        let row = self.row.as_ref();
+        let present = row.and_then(|row| row.address.parse::<SocketAddr>().ok());
+        if present == Some(scheduler) {
+            self.record_call_failure(now);
+        }
+    }
+
     /// Records that a request to the scheduler failed.
     pub fn record_call_failure(&mut self, now: Duration) {
         self.heartbeat_at = None;
--- a/crates/snipevane-fleet/tests/view.rs
+++ b/crates/snipevane-fleet/tests/view.rs
@@ -157,6 +157,19 @@
     assert_eq!(address, "10.0.0.2:7000".parse().ok());
 }
 
+/// Guards against submissions that don't go to the next scheduler, as one to the scheduler before fails late.
+#[test]
+fn a_request_to_a_former_scheduler_that_fails_late_delays_none_to_the_next() {
+    let former = "10.0.0.2:7000".parse().expect("an address");
+    let present = "10.0.0.1:7000".parse().expect("an address");
+    let (settings, mut view) = view_at_start(5);
+    assert!(view.record_heartbeat(&settings, heartbeat(6), after(200)));
+    view.record_call_failure_at(former, after(300));
+    assert_eq!(view.reachable_address(after(300)), Some(present));
+    view.record_call_failure_at(present, after(300));
+    assert_eq!(view.reachable_address(after(300)), None);
+}
+
 /// A holder that lost power is noticed by a request without an answer; its last row is read after that.
 #[test]
 fn a_row_that_is_read_late_delays_no_takeover() {
