--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -6,7 +6,7 @@
 #[allow(dead_code, reason = "the module is shared with other tests")]
 mod site;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 use site::{Site, call, eventually};
@@ -149,6 +149,25 @@
     assert_eq!(site.started().len(), 8, "each task ran once");
 }
 
+/// Guards against a small VM that keeps the term although a much larger one is there, as it handed the term over
+/// shortly before it won it again.
+#[test]
+fn a_term_that_a_small_vm_takes_back_is_handed_over_again() {
+    // Far longer than the larger VM has to be present, and half of the pause after a handover that led nowhere.
+    const HANDED_OVER_WITHIN: Duration = Duration::from_secs(15);
+    let mut site = Site::start("again", 1, 1);
+    site.add_node(8.0);
+    eventually("the larger VM schedules", || site.scheduler() == Some(1));
+    site.nodes[1].kill();
+    eventually("the smaller VM schedules", || site.scheduler() == Some(0));
+    let taken_back_at = Instant::now();
+    site.restart_node(1, 8.0);
+    eventually("the larger VM schedules again", || {
+        site.scheduler() == Some(1)
+    });
+    assert!(taken_back_at.elapsed() < HANDED_OVER_WITHIN);
+}
+
 /// Two schedulers that are both running must not give orders for one VM shortly one after the other.
 #[test]
 fn the_term_is_not_handed_over_while_an_order_for_a_vm_is_unanswered() {
--- a/crates/snipevane-fleet/tests/view.rs
+++ b/crates/snipevane-fleet/tests/view.rs
@@ -170,6 +170,19 @@
     assert_eq!(view.reachable_address(after(300)), None);
 }
 
+/// Guards against a holder that releases its term as most entry VMs can't reach it, and wins it again itself.
+#[test]
+fn a_holder_that_releases_its_term_for_its_reach_leaves_it_to_others() {
+    let (settings, mut view) = view_at_start(5);
+    let released = SchedulerRow {
+        released: true,
+        released_unreached: true,
+        ..SchedulerRow::default()
+    };
+    view.record_write(&settings, released, 6, after(200));
+    assert!(view.is_released_for_others(after(300)));
+}
+
 /// A holder that lost power is noticed by a request without an answer; its last row is read after that.
 #[test]
 fn a_row_that_is_read_late_delays_no_takeover() {
