Leave a term that is released for its reach to other VMs than its holder

Callers wait for starts while a scheduler that most entry VMs can't reach goes on.

Cause: entry VMs that heard the holder leave such a term to the others for 0.7 s. The holder itself gets no heartbeats of its own term, so it didn't count as one that hears it, and claimed the term at its next look.

Change: a holder counts as one that hears its term.

--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -90,6 +90,8 @@
         self.observed.set_requested_wait(row.observer_wait());
         self.row = Some(row);
         self.read_at = Some(now);
+        // A holder reaches itself: it leaves a term that it releases to those that don't reach it.
+        self.last_heard_at = Some(now);
         self.admission = None;
     }
 
