Hand a term over again that comes back after others have held it

Callers wait for starts while a small VM schedules although large ones are there.

Cause: a process that has handed its term over, or released it, hands none over for 30 s, so that the term doesn't change hands all the time if the other VM can't take over. This also held if the other VM had taken over and was gone since.

Change: the pause ends when the process wins a term after one of another process. It stays if a handover led nowhere.

--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -119,6 +119,7 @@
         let Some(site) = node.site_view.borrow().site.clone() else {
             return;
         };
+        allow_handover_after_others(&node, &won);
         let leader = Rc::new(Self::new(node, settings, won, site));
         leader.node.set_leader(Some(leader.clone()));
         let tasks: Vec<JoinHandle<()>> = vec![
@@ -384,3 +385,13 @@
         self.store_wake.notify_one();
     }
 }
+
+/// Ends the pause without handovers if another process has held the term since the last one, as handovers then
+/// don't lead back here.
+fn allow_handover_after_others<C: Clock>(node: &Node<C>, won: &WonTerm) {
+    let previous = won.previous.as_ref();
+    let was_held_here = previous.is_some_and(|row| row.holder == node.settings.node);
+    if !was_held_here {
+        node.no_handover_until.set(Duration::ZERO);
+    }
+}
