--- a/crates/snipevane-fleet/tests/view.rs
+++ b/crates/snipevane-fleet/tests/view.rs
@@ -135,6 +135,54 @@
     );
 }
 
+/// Guards against a large VM that the next scheduler doesn't know as a candidate, so that a small one takes over
+/// from it at once: the large one had just failed to reach the scheduler before.
+#[test]
+fn a_failed_request_to_a_former_scheduler_delays_none_to_the_next() {
+    let (settings, mut view) = view_at_start(5);
+    assert!(view.record_heartbeat(&settings, heartbeat(6), after(200)));
+    view.record_call_failure(after(2_000));
+    let next = SchedulerRow {
+        holder: "b".into(),
+        address: "10.0.0.2:7000".into(),
+        fence: 1,
+        ..SchedulerRow::default()
+    };
+    let next = Row {
+        value: Some(rows::encode(&next)),
+        ..row(7)
+    };
+    view.record_read(&settings, Some(&next), 0, after(2_100));
+    let address = view.watch_address(after(2_100));
+    assert_eq!(address, "10.0.0.2:7000".parse().ok());
+}
+
+/// Guards against submissions that don't go to the next scheduler, as one to the scheduler before fails late.
+#[test]
+fn a_request_to_a_former_scheduler_that_fails_late_delays_none_to_the_next() {
+    let former = "10.0.0.2:7000".parse().expect("an address");
+    let present = "10.0.0.1:7000".parse().expect("an address");
+    let (settings, mut view) = view_at_start(5);
+    assert!(view.record_heartbeat(&settings, heartbeat(6), after(200)));
+    view.record_call_failure_at(former, after(300));
+    assert_eq!(view.reachable_address(after(300)), Some(present));
+    view.record_call_failure_at(present, after(300));
+    assert_eq!(view.reachable_address(after(300)), None);
+}
+
+/// Guards against a holder that releases its term as most entry VMs can't reach it, and wins it again itself.
+#[test]
+fn a_holder_that_releases_its_term_for_its_reach_leaves_it_to_others() {
+    let (settings, mut view) = view_at_start(5);
+    let released = SchedulerRow {
+        released: true,
+        released_unreached: true,
+        ..SchedulerRow::default()
+    };
+    view.record_write(&settings, released, 6, after(200));
+    assert!(view.is_released_for_others(after(300)));
+}
+
 /// A holder that lost power is noticed by a request without an answer; its last row is read after that.
 #[test]
 fn a_row_that_is_read_late_delays_no_takeover() {
