Decide in the core when entry VMs report an unheard term

Entry VMs that get no heartbeats of a term write a report into the store, all within 250 ms of the moment at which the holder became slow or was cut off, then each 1.5 s, and each 250 ms if the report is refused. Nothing tested what that costs the holder, whose renewals wait in the same part of the store.

ReportPacing decides when a report is sent. A report names its interval, for which and 2.5 s more the holder counts its sender as not reached: 4 s, as before, where it is 1.5 s. The holder gathers reports for 200 ms between polls.

--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 pub mod pools;
 pub mod reach;
+pub mod reach_reports;
 pub mod reply_time;
 pub mod routing;
 pub mod senders;
--- a/crates/snipevane-core/src/reach.rs
+++ b/crates/snipevane-core/src/reach.rs
@@ -15,8 +15,8 @@
 pub struct ReachSettings {
     /// Time after its last request for a heartbeat for which an entry VM counts as reached.
     pub heard_validity: Duration,
-    /// Time after its last report for which an entry VM counts as not reached.
-    pub report_validity: Duration,
+    /// Time beyond the interval of its reports for which an entry VM counts as not reached after its last one.
+    pub report_margin: Duration,
     /// Least share of the entry VMs, in percent, that can't reach a holder that releases its term. The rest
     /// would be worse off, so a bare majority isn't enough.
     pub min_unreached_percent: usize,
@@ -38,7 +38,7 @@
     fn default() -> Self {
         Self {
             heard_validity: Duration::from_millis(1_200),
-            report_validity: Duration::from_millis(4_000),
+            report_margin: Duration::from_millis(2_500),
             min_unreached_percent: 60,
             min_unreached: 3,
             settling_time: Duration::from_millis(500),
@@ -66,7 +66,8 @@
     /// Time from which the term may be released.
     may_release_at: Duration,
     heard_at: FxHashMap<SmolStr, Duration>,
-    reported_at: FxHashMap<SmolStr, Duration>,
+    /// Times until which entry VMs count as not reached by their last reports.
+    unreached_until: FxHashMap<SmolStr, Duration>,
     /// Time since which a majority can't reach the holder.
     unreached_since: Option<Duration>,
 }
@@ -85,7 +86,7 @@
             won_at,
             may_release_at: won_at + min_age,
             heard_at: FxHashMap::default(),
-            reported_at: FxHashMap::default(),
+            unreached_until: FxHashMap::default(),
             unreached_since: None,
         }
     }
@@ -95,18 +96,19 @@
         self.heard_at.insert(vm.clone(), now);
     }
 
-    /// Records a report of an entry VM that it gets no heartbeats of this term.
+    /// Records a report of an entry VM that it gets no heartbeats of this term, which it repeats at this interval.
     ///
     /// A request of the same VM may still arrive if a cut stops only the responses, so the report counts.
-    pub fn record_report(&mut self, vm: &SmolStr, now: Duration) {
-        self.reported_at.insert(vm.clone(), now);
+    pub fn record_report(&mut self, vm: &SmolStr, interval: Duration, now: Duration) {
+        let until = now + interval + self.settings.report_margin;
+        self.unreached_until.insert(vm.clone(), until);
     }
 
     /// Returns how many entry VMs reach the holder and how many don't.
     pub fn counts(&self, now: Duration) -> ReachCounts {
         let is_unreached = |vm: &SmolStr| {
-            let reported = self.reported_at.get(vm);
-            reported.is_some_and(|&at| now < at + self.settings.report_validity)
+            let until = self.unreached_until.get(vm);
+            until.is_some_and(|&until| now < until)
         };
         let heard = self
             .heard_at
@@ -115,7 +117,7 @@
         ReachCounts {
             reached: 1 + heard.count(),
             unreached: self
-                .reported_at
+                .unreached_until
                 .keys()
                 .filter(|vm| is_unreached(vm))
                 .count(),
--- a/crates/snipevane-fleet/src/node.rs
+++ b/crates/snipevane-fleet/src/node.rs
@@ -31,6 +31,8 @@
     pub store: StoreClient<C>,
     /// Turn of relaying changes of the configuration to another entry VM.
     pub config_relay_turn: RelayTurn,
+    /// Number of entry VMs that have stored their address, this one included; `None` until it was read.
+    pub entry_vm_count: Cell<Option<usize>>,
     /// Configuration in force and its last confirmation.
     pub site_view: RefCell<SiteView>,
     /// This process's view of the scheduler, which may run on another entry VM.
@@ -72,6 +74,7 @@
             client,
             store,
             config_relay_turn: RelayTurn::default(),
+            entry_vm_count: Cell::new(None),
             site_view: RefCell::default(),
             scheduler_view: RefCell::default(),
             order_sender: OrderSender::default(),
--- a/crates/snipevane-fleet/src/peers/mod.rs
+++ b/crates/snipevane-fleet/src/peers/mod.rs
@@ -36,6 +36,7 @@
     loop {
         match read_peers(&node).await {
             Ok(mut peers) => {
+                node.entry_vm_count.set(Some(peers.len() + 1));
                 // Entry VMs that are cut off from the store at once begin with different relays.
                 let first = node.random(0.0..peers.len().max(1) as f64) as usize;
                 peers.rotate_left(first);
--- a/crates/snipevane-fleet/src/rows.rs
+++ b/crates/snipevane-fleet/src/rows.rs
@@ -116,6 +116,9 @@
 pub struct ReachRow {
     /// Fencing token of the term.
     pub fence: u64,
+    /// Interval at which the report is repeated, in milliseconds; `None` if the sender's version doesn't tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub interval_ms: Option<u64>,
 }
 
 /// Progress of a maintenance wave.
--- a/crates/snipevane-fleet/src/scheduling/reach.rs
+++ b/crates/snipevane-fleet/src/scheduling/reach.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use snipevane_adapter::rows::Transaction;
+use snipevane_adapter::rows::{Row, Transaction};
+use snipevane_core::reach_reports::{ReportPacing, ReportSettings};
 use tokio::time::sleep;
 
 use crate::clock::Clock;
@@ -12,49 +13,73 @@
 use crate::metrics;
 use crate::node::Node;
 use crate::rows::{self, REACH_TABLE, ReachRow};
-use crate::store::{Purpose, StoreError};
+use crate::store::{CommitOutcome, Purpose, StoreError};
 
 use super::leader::Leader;
 
 /// Interval at which an entry VM checks whether it hears the scheduler, and the holder its reach.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Interval at which a report is repeated while it holds.
-const REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
-
 /// Time that a long poll for reports waits.
 const FEED_WAIT: Duration = Duration::from_millis(2_500);
 
+/// Delay between polls for reports, during which they accumulate.
+const BATCH_DELAY: Duration = Duration::from_millis(200);
+
+/// Longest interval between two reports of an entry VM that is taken into account.
+const MAX_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Reports in the store, for as long as the process lives, when this entry VM gets no heartbeats of a term that is
 /// being renewed.
 pub async fn report_unheard_terms<C: Clock>(node: Rc<Node<C>>) {
+    let settings = ReportSettings::default();
+    let mut pacing = ReportPacing::new(settings);
     loop {
         sleep(CHECK_INTERVAL).await;
-        let Some(fence) = unheard_term(&node) else {
+        // Until their number is known, the entry VMs can't share the rate of reports.
+        let Some(vms) = node.entry_vm_count.get() else {
             continue;
         };
-        let row = ReachRow { fence };
-        let transaction = Transaction {
-            writes: vec![(
-                REACH_TABLE.into(),
-                node.settings.node.clone(),
-                rows::encode(&row),
-            )],
-            ..Transaction::default()
+        let unheard = unheard_term(&node);
+        let is_due = pacing.is_due(unheard, vms, node.random(0.0..1.0), node.clock.now());
+        let Some(fence) = unheard.filter(|_| is_due) else {
+            continue;
+        };
+        let interval = settings.interval(vms);
+        let row = ReachRow {
+            fence,
+            interval_ms: u64::try_from(interval.as_millis()).ok(),
         };
-        match node.store.commit(Purpose::ReachReport, &transaction).await {
+        let reported = report(&node, row).await;
+        let now = node.clock.now();
+        match reported {
             Ok(_) => {
                 events::record(&events::TERM_UNHEARD, &[&fence]);
-                sleep(REPORT_INTERVAL).await;
+                pacing.record_stored(vms, now);
+            }
+            Err(error) => {
+                log::debug!("can't report that the scheduler isn't heard: {error}");
+                pacing.record_failed(vms, node.random(0.0..1.0), now);
             }
-            Err(error) => log::debug!("can't report that the scheduler isn't heard: {error}"),
         }
     }
 }
 
+async fn report<C: Clock>(node: &Node<C>, row: ReachRow) -> Result<CommitOutcome, StoreError> {
+    let transaction = Transaction {
+        writes: vec![(
+            REACH_TABLE.into(),
+            node.settings.node.clone(),
+            rows::encode(&row),
+        )],
+        ..Transaction::default()
+    };
+    node.store.commit(Purpose::ReachReport, &transaction).await
+}
+
 /// Returns the fencing token of the term that is renewed in the store although this entry VM gets no heartbeats
 /// of it.
 fn unheard_term<C: Clock>(node: &Node<C>) -> Option<u64> {
@@ -92,13 +117,10 @@
             Ok(page) => {
                 let now = leader.node.clock.now();
                 for row in &page.rows {
-                    let value = row.value.as_ref();
-                    let report = value.and_then(|value| rows::decode::<ReachRow>(&row.key, value));
-                    if report.is_some_and(|report| report.fence == leader.fence()) {
-                        leader.reach.borrow_mut().record_report(&row.key, now);
-                    }
+                    apply_report(leader, row, now);
                 }
                 version = version.max(page.version);
+                sleep(BATCH_DELAY).await;
             }
             Err(StoreError::HistoryGone) => return,
             Err(error) => {
@@ -109,6 +131,19 @@
     }
 }
 
+fn apply_report<C: Clock>(leader: &Leader<C>, row: &Row, now: Duration) {
+    let value = row.value.as_ref();
+    let report = value.and_then(|value| rows::decode::<ReachRow>(&row.key, value));
+    let Some(report) = report.filter(|report| report.fence == leader.fence()) else {
+        return;
+    };
+    let min_interval = ReportSettings::default().min_interval;
+    let interval = report.interval_ms.map(Duration::from_millis);
+    let interval = interval.unwrap_or(min_interval).min(MAX_INTERVAL);
+    let mut reach = leader.reach.borrow_mut();
+    reach.record_report(&row.key, interval, now);
+}
+
 /// Releases the term once a clear majority of the entry VMs can't reach this one.
 ///
 /// Orders for VMs that may still be carried out are awaited first, as for every handover.
--- a/tests/tests/reach.rs
+++ b/tests/tests/reach.rs
@@ -11,6 +11,8 @@
 
 const VMS: usize = 30;
 const TICK: Duration = Duration::from_millis(250);
+/// Interval at which an entry VM repeats its report.
+const INTERVAL: Duration = Duration::from_millis(1_500);
 const WON_AT: Duration = Duration::from_secs(10);
 
 fn vm(number: usize) -> SmolStr {
@@ -29,7 +31,7 @@
     while now < from + time {
         for number in 0..VMS {
             if number < cut {
-                reach.record_report(&vm(number), now);
+                reach.record_report(&vm(number), INTERVAL, now);
             } else {
                 reach.record_heard(&vm(number), now);
             }
@@ -65,7 +67,7 @@
     let mut reach = Reach::new(ReachSettings::default(), WON_AT, false);
     let now = WON_AT + Duration::from_secs(5);
     for number in 0..VMS {
-        reach.record_report(&vm(number), now);
+        reach.record_report(&vm(number), INTERVAL, now);
         reach.record_heard(&vm(number), now);
     }
     let counts = reach.counts(now);
