Bound the rate of reports of unheard terms

When a holder is slow or cut off, all entry VMs report within a moment that they don't hear it, and its renewals wait in the store behind the reports. In the model of 140 and 300 VMs that takes 305 and 845 ms of a term of 1.4 s. A refused report was repeated each 250 ms, so the load stays while the part is full, and the next holder may be unheard for the same reason.

All entry VMs together now send 50 reports a second, a quarter of what the part of the store carries out: first reports are spread over N / 50 s, and are repeated after that time if it is longer than 1.5 s. A report that isn't stored is repeated after twice the time each time, with jitter. Up to 43 VMs nothing changes but the spread of the first reports over less than a second.

--- a/crates/snipevane-core/src/reach_reports.rs
+++ b/crates/snipevane-core/src/reach_reports.rs
@@ -14,7 +14,7 @@
 pub struct ReportSettings {
     /// Least time between two reports of an entry VM.
     pub min_interval: Duration,
-    /// Number of reports that all entry VMs together send per second.
+    /// Number of reports that all entry VMs together send per second, a quarter of what the store carries out.
     pub max_reports_per_s: f64,
     /// Shortest time after which a report that wasn't stored is repeated. It doubles with each further one.
     pub retry_delay: Duration,
@@ -38,9 +38,9 @@
     fn default() -> Self {
         Self {
             min_interval: Duration::from_millis(1_500),
-            max_reports_per_s: 1_000_000.0,
-            retry_delay: Duration::from_millis(250),
-            max_retry_delay: Duration::from_millis(250),
+            max_reports_per_s: 50.0,
+            retry_delay: Duration::from_millis(500),
+            max_retry_delay: Duration::from_secs(4),
         }
     }
 }
