Leave submissions to a scheduler that answers late

Callers' submissions took transactions of their own while the scheduler was only slow: one state that came after more than 300 ms, or one submission without an answer, cleared the heartbeat of the entry VM. For a second or more it then wrote all submissions itself, read the scheduler's row and asked for no heartbeat. With many entry VMs these writes fill the part of the store in which the scheduler's writes wait, so that it answers later still. The rule that leaves submissions of unknown outcome to a scheduler which found the store slow never held, as the failed submission had just cleared the heartbeat that the rule asks for.

A request that was sent and got no answer now says nothing about reachability; heartbeats tell, which time out after 500 ms. States are read from the store for a second after a late one. A refusal or a failed connection counts as before.

The two requests for a state share a function.

--- a/crates/snipevane-fleet/src/peers/scheduler_client.rs
+++ b/crates/snipevane-fleet/src/peers/scheduler_client.rs
@@ -109,11 +109,12 @@
     };
     match result {
         Ok(outcome) => Some(outcome),
-        Err(error) => {
-            node.scheduler_view
-                .borrow_mut()
-                .record_call_failure(node.clock.now());
-            (error == CallError::NoAnswer).then_some(Outcome::Unknown)
+        // The scheduler's heartbeats tell whether it is only slow.
+        Err(CallError::NoAnswer) => Some(Outcome::Unknown),
+        Err(CallError::NotSent) => {
+            let mut view = node.scheduler_view.borrow_mut();
+            view.record_call_failure(node.clock.now());
+            None
         }
     }
 }
@@ -132,42 +133,33 @@
 
 /// Asks the scheduler for the state of a job; returns `None` if it fails or doesn't know the job.
 pub(crate) async fn job_state<C: Clock>(node: &Node<C>, id: JobId) -> Option<JobState> {
-    let scheduler = node
-        .scheduler_view
-        .borrow()
-        .reachable_address(node.clock.now())?;
-    let request = StateRequest { id };
-    match send_request(node, scheduler, STATE_PATH, &request, STATE_TIMEOUT).await {
-        Ok(StateResponse { state, .. }) => state,
-        Err(error) => {
-            log::debug!("the scheduler gave no state of job {id}, reading the store: {error}");
-            node.scheduler_view
-                .borrow_mut()
-                .record_call_failure(node.clock.now());
-            None
-        }
-    }
+    request_state(node, id).await?.state
 }
 
 /// Asks the scheduler whether it knows a job or may have stored it; returns `None` if it doesn't tell.
 pub(crate) async fn is_known<C: Clock>(node: &Node<C>, id: JobId) -> Option<bool> {
+    let response = request_state(node, id).await?;
+    response
+        .may_be_stored
+        .map(|may_be_stored| may_be_stored || response.state.is_some())
+}
+
+async fn request_state<C: Clock>(node: &Node<C>, id: JobId) -> Option<StateResponse> {
     let scheduler = node
         .scheduler_view
         .borrow()
-        .reachable_address(node.clock.now())?;
+        .state_address(node.clock.now())?;
     let request = StateRequest { id };
     match send_request(node, scheduler, STATE_PATH, &request, STATE_TIMEOUT).await {
-        Ok(response) => {
-            let response: StateResponse = response;
-            response
-                .may_be_stored
-                .map(|may_be_stored| may_be_stored || response.state.is_some())
-        }
+        Ok(response) => Some(response),
         Err(error) => {
-            log::debug!("the scheduler didn't tell whether it knows job {id}: {error}");
-            node.scheduler_view
-                .borrow_mut()
-                .record_call_failure(node.clock.now());
+            log::debug!("the scheduler gave no state of job {id}: {error}");
+            let now = node.clock.now();
+            let mut view = node.scheduler_view.borrow_mut();
+            match error {
+                CallError::NoAnswer => view.record_state_overdue(now),
+                CallError::NotSent => view.record_call_failure(now),
+            }
             None
         }
     }
--- a/crates/snipevane-fleet/src/scheduling/view.rs
+++ b/crates/snipevane-fleet/src/scheduling/view.rs
@@ -19,9 +19,12 @@
 /// Age of the last change of the row up to which its term counts as being renewed.
 const RENEWED_WITHIN: Duration = Duration::from_millis(1_000);
 
-/// Time for which no requests go to the scheduler after a failed one.
+/// Time for which no requests go to the scheduler after one that it refused, or a heartbeat that didn't come.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(1_000);
 
+/// Time for which no states are requested from the scheduler after one that didn't come in time.
+const STATE_BACKOFF: Duration = Duration::from_millis(1_000);
+
 /// The scheduler's row as last read, and the reachability of the scheduler.
 #[derive(Clone, Debug, Default)]
 pub struct SchedulerView {
@@ -31,6 +34,8 @@
     read_at: Option<Duration>,
     heartbeat_at: Option<Duration>,
     failed_at: Option<Duration>,
+    /// Time at which a request for a job's state last got no response in time.
+    state_overdue_at: Option<Duration>,
     /// Time since which the row's term is known and no heartbeat of it came.
     unheard_since: Option<Duration>,
     /// Time of the last heartbeat of any term.
@@ -142,7 +147,15 @@
         Some((snapshot, *taken_at))
     }
 
-    /// Records that a request to the scheduler failed.
+    /// Records that a request for a job's state got no response in time.
+    ///
+    /// The scheduler may only be slow, of which the heartbeats tell. Entry VMs that took it for unreachable would write
+    /// their submissions themselves, each in transactions of its own, and make the scheduler's writes slower still.
+    pub fn record_state_overdue(&mut self, now: Duration) {
+        self.state_overdue_at = Some(now);
+    }
+
+    /// Records that the scheduler refused a request, couldn't be connected to, or sent no heartbeat.
     pub fn record_call_failure(&mut self, now: Duration) {
         self.heartbeat_at = None;
         self.failed_at = Some(now);
@@ -182,6 +195,13 @@
         self.watch_address(now).filter(|_| fresh)
     }
 
+    /// Returns the address at which to request the states of jobs; `None` if they must be read from the store.
+    pub fn state_address(&self, now: Duration) -> Option<SocketAddr> {
+        let overdue = self.state_overdue_at;
+        let overdue_lately = overdue.is_some_and(|at| now < at + STATE_BACKOFF);
+        self.reachable_address(now).filter(|_| !overdue_lately)
+    }
+
     /// Returns whether the term is free, as far as this process knows.
     pub fn is_free(&self, settings: &TermSettings, now: Duration) -> bool {
         self.read_at.is_some() && self.observed.is_free(settings, now)
--- a/crates/snipevane-fleet/tests/view.rs
+++ b/crates/snipevane-fleet/tests/view.rs
@@ -135,6 +135,21 @@
     );
 }
 
+/// Guards against a late response about a state that counts as an unreachable scheduler, so that submissions are
+/// written past it and heartbeats aren't awaited for a second.
+#[test]
+fn a_late_state_leaves_all_but_states_to_the_scheduler() {
+    let (settings, mut view) = view_at_start(5);
+    assert!(view.record_heartbeat(&settings, heartbeat(6), after(200)));
+    assert!(view.state_address(after(300)).is_some());
+    view.record_state_overdue(after(600));
+    assert!(view.watch_address(after(700)).is_some());
+    assert!(view.reachable_address(after(700)).is_some());
+    assert_eq!(view.state_address(after(700)), None);
+    assert!(view.record_heartbeat(&settings, heartbeat(7), after(1_500)));
+    assert!(view.state_address(after(1_600)).is_some());
+}
+
 /// A holder that lost power is noticed by a request without an answer; its last row is read after that.
 #[test]
 fn a_row_that_is_read_late_delays_no_takeover() {
