--- a/tests/tests/batch_limit.rs
+++ b/tests/tests/batch_limit.rs
@@ -60,3 +60,22 @@
     assert_eq!(limit.max_changes(), 0);
     assert_eq!(limit.record_rejected(0), Fault::Common);
 }
+
+/// Guards against a search for the change at fault that takes so many transactions that the callers of the others, who
+/// wait 2.5 s for transactions of 50 ms, are refused.
+#[rstest]
+#[case::few(21)]
+#[case::a_full_batch(70)]
+fn the_change_at_fault_is_found_in_few_transactions(#[case] changes: usize) {
+    // Each halving takes a rejection, a renewal and the acceptance of the other half.
+    let halvings = changes.next_power_of_two().ilog2() as usize;
+    let max_transactions = 3 * halvings + 3;
+    for bad in 0..changes {
+        let (given_up, transactions) = write_all(changes, &[bad]);
+        assert_eq!(given_up, [bad]);
+        assert!(
+            transactions <= max_transactions,
+            "change {bad}: {transactions} transactions, not {max_transactions}"
+        );
+    }
+}
