Request a refused page of the list of VMs again

Moves and maintenance stopped while the list of VMs had more pages than the platform sends in a second, and each refused page cost all pages before it. Now the refused page is requested again after 300 ms, for up to 5 s.

vm_list fails before (no order within 60 s) and passes in 2.3 s.

--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -43,6 +43,15 @@
 /// Timeout for a call to the platform's VM API.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Status with which the platform refuses calls beyond its rate.
+const TOO_MANY_CALLS: u16 = 429;
+
+/// Delay before a page of the list that was refused is requested again.
+const PAGE_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Time after which no page of a list is requested again, as the first pages are out of date.
+const LIST_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Planners of all kinds of work on VMs.
 #[derive(Default)]
 struct Planners {
@@ -299,12 +308,16 @@
 
 /// Reads all pages of the list of VMs.
 ///
+/// A page that is refused is requested again: all pages before it would be paid for once more, and a list with more
+/// pages than the platform sends in a second would never be complete.
+///
 /// # Errors
 ///
 /// Returns an error if a page can't be read.
 async fn list_vms<C: Clock>(leader: &Leader<C>, address: SocketAddr) -> Result<Vec<Vm>, ListError> {
     let mut vms = Vec::new();
     let mut next: Option<String> = None;
+    let retries_end = leader.node.clock.now() + LIST_TIMEOUT;
     loop {
         let request = vms::list_request(next.as_deref());
         let response = leader
@@ -312,6 +325,10 @@
             .client
             .call(address, request, CALL_TIMEOUT)
             .await?;
+        if response.status == TOO_MANY_CALLS && leader.node.clock.now() < retries_end {
+            sleep(PAGE_RETRY_DELAY).await;
+            continue;
+        }
         if response.status != 200 {
             return Err(ListError::Refused(response.status));
         }
