Keep moves of VMs within the platform's rate of orders

The platform accepts 64 orders for VMs a second from all entry VMs. The planner sent up to 600 in a round; the others were refused, and planned, written to the scheduler's row and sent again in the next round, 0.2 to 0.4 s later. The rate stands in the settings, but nothing used it.

VmOrderBudget counts the orders of the last 1.1 s and limits the moves of a round. Orders of maintenance count too but aren't held back, as a wave says how many VMs may be down and a refused one waits 300 ms.

--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -49,3 +49,4 @@
 pub use upkeep::ordered_vms::{OrderedVm, OrderedVms};
 pub use upkeep::pending_shutdowns::PendingShutdowns;
 pub use upkeep::vm::{MaintenanceWave, Vm, VmOperation, VmOrder, VmReply, VmState};
+pub use upkeep::vm_order_budget::VmOrderBudget;
--- a/crates/snipevane-core/src/jobs/upkeep/mod.rs
+++ b/crates/snipevane-core/src/jobs/upkeep/mod.rs
@@ -6,3 +6,4 @@
 pub(super) mod pending_shutdowns;
 pub(super) mod vm;
 pub(super) mod vm_list;
+pub(super) mod vm_order_budget;
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -12,7 +12,7 @@
 use snipevane_adapter::vms::{self, TermHolder};
 use snipevane_core::jobs::{
     MaintenancePlanner, MaintenanceWave, MovePlanner, PendingShutdowns, Vm, VmOperation, VmOrder,
-    VmReply, VmState, WaveProgress,
+    VmOrderBudget, VmReply, VmState, WaveProgress,
 };
 use thiserror::Error;
 use tokio::time::{sleep, timeout};
@@ -53,11 +53,11 @@
 const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Planners of all kinds of work on VMs.
-#[derive(Default)]
 struct Planners {
     maintenance: MaintenancePlanner,
     moves: MovePlanner,
     pending_shutdowns: PendingShutdowns,
+    order_budget: VmOrderBudget,
     /// Time since which the list of VMs can't be read; `None` while it can be.
     list_unreadable_since: Option<Duration>,
     /// Whether the last list shows VMs that are moving or under maintenance.
@@ -65,6 +65,18 @@
 }
 
 impl Planners {
+    /// Creates planners without work for a platform that accepts this many orders per second.
+    fn new(orders_per_s: f64) -> Self {
+        Self {
+            maintenance: MaintenancePlanner::default(),
+            moves: MovePlanner::default(),
+            pending_shutdowns: PendingShutdowns::default(),
+            order_budget: VmOrderBudget::new(orders_per_s),
+            list_unreadable_since: None,
+            vms_changing: false,
+        }
+    }
+
     /// Returns whether the list of VMs can be read, and no work on VMs is planned or in progress.
     fn is_idle(&self) -> bool {
         self.list_unreadable_since.is_none()
@@ -107,7 +119,8 @@
     let Some(address) = leader.node.settings.vm_api_address else {
         return;
     };
-    let planners = Rc::new(RefCell::new(Planners::default()));
+    let planners = Planners::new(leader.node.settings.vm_api_calls_per_s);
+    let planners = Rc::new(RefCell::new(planners));
     loop {
         load_new_waves(&leader, &planners).await;
         if leader.may_send_vm_orders() {
@@ -192,6 +205,7 @@
             maintenance,
             moves,
             pending_shutdowns,
+            order_budget,
             ..
         } = &mut *planners;
         pending_shutdowns.resolve(&mut scheduler, &listed, sent_at);
@@ -199,9 +213,12 @@
         scheduler.mark_awaiting_maintenance(&vms, &maintenance.awaiting_vms());
         let mut orders = maintenance.decide(&mut scheduler, &vms, sent_at, now);
         let under_maintenance = |vm: &Vm| maintenance.is_in_progress(&vm.name);
+        order_budget.record_sent(orders.len(), now);
         let room = leader.ordered_vms.borrow().room();
         let room = room.saturating_sub(orders.len());
+        let room = room.min(order_budget.available(now));
         let move_orders = moves.decide(&mut scheduler, &vms, under_maintenance, room, sent_at, now);
+        order_budget.record_sent(move_orders.len(), now);
         orders.extend(move_orders);
         *leader.move_outlook.borrow_mut() = Some(moves.outlook().clone());
         scheduler.update_cordons(&vms, |vm| {
--- a/tests/tests/jobs_vms/main.rs
+++ b/tests/tests/jobs_vms/main.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 use snipevane_core::jobs::{
     JobDemand, JobState, MaintenancePlanner, MaintenanceWave, MoveOutlook, MovePlanner, StepSpec,
-    VmState, WaveProgress,
+    VmOrderBudget, VmState, WaveProgress,
 };
 use snipevane_tests::jobs::{job, long_running_step, site_spec, step};
 
@@ -500,3 +500,44 @@
     let late = late.count();
     assert!(late * 10 <= submitted.len(), "{late} jobs had no value");
 }
+
+/// Number of orders that the platform accepts a second, from all entry VMs together.
+const ORDERS_PER_S: f64 = 64.0;
+
+/// Lets all VMs of a pool become idle at once, with or without the budget of orders; returns the most moves that were
+/// ordered in a second, and the number of all.
+fn move_idle_vms(vms: usize, is_limited: bool) -> (usize, usize) {
+    let mut site = VmSite::with_pools(&[("p0", vms), ("standby", 1)]);
+    let mut budget = VmOrderBudget::new(ORDERS_PER_S);
+    let mut rounds: Vec<(Duration, usize)> = Vec::new();
+    for _ in 0..60 {
+        site.return_vms();
+        if is_limited {
+            site.max_orders = budget.available(site.jobs.now);
+        }
+        let before = site.move_count;
+        site.plan();
+        let ordered = site.move_count - before;
+        budget.record_sent(ordered, site.jobs.now);
+        rounds.push((site.jobs.now, ordered));
+        site.jobs.run(Duration::from_millis(200));
+    }
+    let in_second_from = |from: Duration| -> usize {
+        let until = from + Duration::from_secs(1);
+        let within = rounds.iter().filter(|(at, _)| (from..until).contains(at));
+        within.map(|(_, ordered)| ordered).sum()
+    };
+    let most = rounds.iter().map(|(at, _)| in_second_from(*at)).max();
+    (most.unwrap_or(0), site.move_count)
+}
+
+/// Guards against orders beyond the platform's rate. Each refused one is planned, stored and sent again in the next
+/// round, with those that follow: 300 VMs that become idle at once are 300 orders a round.
+#[rstest]
+fn moves_of_many_vms_keep_within_the_rate_of_orders(#[values(7, 43, 140, 300)] vms: usize) {
+    let (most_without_budget, _) = move_idle_vms(vms, false);
+    let (most, all) = move_idle_vms(vms, true);
+    assert!(most as f64 <= ORDERS_PER_S, "{most} a second");
+    assert_eq!(all, vms - 3, "moves of idle VMs");
+    assert_eq!(most_without_budget, vms - 3, "the load of the test");
+}
