Wait for entry VMs that have just fallen silent when a key is withdrawn

A withdrawal waits up to 2 s for confirmations, but only of peers that count as reachable. A peer that a loaded machine holds up counts as silent after 500 ms in the tests; the withdrawal then ended at once, although the peer would have confirmed it in time.

It now waits for all peers that were heard within the same 2 s. A zone that was cut off within that time takes a withdrawal the rest of it; one that has been away for longer takes none, as before.

--- a/crates/snipevane-entry/src/operator/keys.rs
+++ b/crates/snipevane-entry/src/operator/keys.rs
@@ -111,12 +111,12 @@
         self.store_key(&row, Some(stored.version)).await.is_ok()
     }
 
-    /// Sends heartbeats until all reachable peers have confirmed a change of keys, for at most
-    /// [`CONFIRM_TIMEOUT`].
+    /// Sends heartbeats until all peers that were heard within [`CONFIRM_TIMEOUT`] have confirmed a change of keys, for
+    /// at most that time. A peer that a loaded machine holds up counts as silent earlier.
     async fn await_confirmations(&self, sequence: u64) {
         let confirmed = async {
             self.send_heartbeats().await;
-            while !self.all_reachable_confirmed(sequence) {
+            while !self.all_heard_confirmed(sequence) {
                 sleep(CONFIRM_POLL).await;
                 self.send_heartbeats().await;
             }
@@ -124,10 +124,14 @@
         let _ = timeout(CONFIRM_TIMEOUT, confirmed).await;
     }
 
-    fn all_reachable_confirmed(&self, sequence: u64) -> bool {
+    fn all_heard_confirmed(&self, sequence: u64) -> bool {
+        let now = self.node.now();
         let state = self.node.state();
-        let mut peers = state.peers.iter().filter(|(_, peer)| peer.reachable);
-        peers.all(|(_, peer)| peer.keys_confirmed >= sequence)
+        let mut heard = state
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.was_heard_within(CONFIRM_TIMEOUT, now));
+        heard.all(|(_, peer)| peer.keys_confirmed >= sequence)
     }
 
     /// Returns the zones in which all known entry VMs have confirmed a change of keys, and the
--- a/crates/snipevane-entry/src/peer/table.rs
+++ b/crates/snipevane-entry/src/peer/table.rs
@@ -82,6 +82,12 @@
         })
     }
 
+    /// Tells whether a heartbeat of the peer came within a time.
+    pub(crate) fn was_heard_within(&self, time: Duration, now: Instant) -> bool {
+        let heard_at = self.last_heartbeat_at;
+        heard_at.is_some_and(|at| now.saturating_duration_since(at) <= time)
+    }
+
     /// Tells whether requests may be forwarded to the peer.
     pub(crate) fn accepts_requests(&self) -> bool {
         self.reachable && !self.stopping && self.version > 0
