--- a/tests/tests/key_confirmations.rs
+++ b/tests/tests/key_confirmations.rs
@@ -1,5 +1,7 @@
 //! Confirmations of a withdrawn key by entry VMs that a loaded machine holds up.
 
+#![allow(clippy::unwrap_used, reason = "a failed step of a test ends it")]
+
 use snipevane_tests::operator::{Operator, Run};
 use snipevane_tests::site::{Site, SiteOptions};
 use tokio::task::spawn_blocking;
