--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod placement;
 pub mod pools;
 pub mod reach;
+pub mod reach_reports;
 pub mod relay_policy;
 pub mod reply_time;
 pub mod routing;
--- a/crates/snipevane-fleet/src/scheduling/vms.rs
+++ b/crates/snipevane-fleet/src/scheduling/vms.rs
@@ -12,7 +12,7 @@
 use snipevane_adapter::vms::{self, TermHolder};
 use snipevane_core::jobs::{
     MaintenancePlanner, MaintenanceWave, MovePlanner, PendingShutdowns, Vm, VmOperation, VmOrder,
-    VmReply, VmState, WaveProgress,
+    VmOrderBudget, VmReply, VmState, WaveProgress,
 };
 use thiserror::Error;
 use tokio::time::{sleep, timeout};
@@ -43,12 +43,21 @@
 /// Timeout for a call to the platform's VM API.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Status with which the platform refuses calls beyond its rate.
+const TOO_MANY_CALLS: u16 = 429;
+
+/// Delay before a page of the list that was refused is requested again.
+const PAGE_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Time after which no page of a list is requested again, as the first pages are out of date.
+const LIST_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Planners of all kinds of work on VMs.
-#[derive(Default)]
 struct Planners {
     maintenance: MaintenancePlanner,
     moves: MovePlanner,
     pending_shutdowns: PendingShutdowns,
+    order_budget: VmOrderBudget,
     /// Time since which the list of VMs can't be read; `None` while it can be.
     list_unreadable_since: Option<Duration>,
     /// Whether the last list shows VMs that are moving or under maintenance.
@@ -56,6 +65,18 @@
 }
 
 impl Planners {
+    /// Creates planners without work for a platform that accepts this many orders per second.
+    fn new(orders_per_s: f64) -> Self {
+        Self {
+            maintenance: MaintenancePlanner::default(),
+            moves: MovePlanner::default(),
+            pending_shutdowns: PendingShutdowns::default(),
+            order_budget: VmOrderBudget::new(orders_per_s),
+            list_unreadable_since: None,
+            vms_changing: false,
+        }
+    }
+
     /// Returns whether the list of VMs can be read, and no work on VMs is planned or in progress.
     fn is_idle(&self) -> bool {
         self.list_unreadable_since.is_none()
@@ -98,7 +119,8 @@
     let Some(address) = leader.node.settings.vm_api_address else {
         return;
     };
-    let planners = Rc::new(RefCell::new(Planners::default()));
+    let planners = Planners::new(leader.node.settings.vm_api_calls_per_s);
+    let planners = Rc::new(RefCell::new(planners));
     loop {
         load_new_waves(&leader, &planners).await;
         if leader.may_send_vm_orders() {
@@ -183,6 +205,7 @@
             maintenance,
             moves,
             pending_shutdowns,
+            order_budget,
             ..
         } = &mut *planners;
         pending_shutdowns.resolve(&mut scheduler, &listed, sent_at);
@@ -190,9 +213,12 @@
         scheduler.mark_awaiting_maintenance(&vms, &maintenance.awaiting_vms());
         let mut orders = maintenance.decide(&mut scheduler, &vms, sent_at, now);
         let under_maintenance = |vm: &Vm| maintenance.is_in_progress(&vm.name);
+        order_budget.record_sent(orders.len(), now);
         let room = leader.ordered_vms.borrow().room();
         let room = room.saturating_sub(orders.len());
+        let room = room.min(order_budget.available(now));
         let move_orders = moves.decide(&mut scheduler, &vms, under_maintenance, room, sent_at, now);
+        order_budget.record_sent(move_orders.len(), now);
         orders.extend(move_orders);
         *leader.move_outlook.borrow_mut() = Some(moves.outlook().clone());
         scheduler.update_cordons(&vms, |vm| {
@@ -299,12 +325,16 @@
 
 /// Reads all pages of the list of VMs.
 ///
+/// A page that is refused is requested again: all pages before it would be paid for once more, and a list with more
+/// pages than the platform sends in a second would never be complete.
+///
 /// # Errors
 ///
 /// Returns an error if a page can't be read.
 async fn list_vms<C: Clock>(leader: &Leader<C>, address: SocketAddr) -> Result<Vec<Vm>, ListError> {
     let mut vms = Vec::new();
     let mut next: Option<String> = None;
+    let retries_end = leader.node.clock.now() + LIST_TIMEOUT;
     loop {
         let request = vms::list_request(next.as_deref());
         let response = leader
@@ -312,6 +342,10 @@
             .client
             .call(address, request, CALL_TIMEOUT)
             .await?;
+        if response.status == TOO_MANY_CALLS && leader.node.clock.now() < retries_end {
+            sleep(PAGE_RETRY_DELAY).await;
+            continue;
+        }
         if response.status != 200 {
             return Err(ListError::Refused(response.status));
         }
