--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -8,7 +8,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
@@ -221,17 +221,8 @@
         .text();
         let settings = std::env::temp_dir().join(format!("{name}-{}.toml", std::process::id()));
         std::fs::write(&settings, text).expect("the settings file");
-        let process = Command::new(env!("CARGO_BIN_EXE_snipevane-fleet"))
-            .env("SNIPEVANE_SETTINGS", &settings)
-            .args(["--metrics-port", &metrics.port().to_string()])
-            .stdout(if std::env::var_os("SITE_LOG").is_some() {
-                Stdio::inherit()
-            } else {
-                Stdio::null()
-            })
-            .spawn();
         Self {
-            process: process.expect("the daemon"),
+            process: spawn_daemon(&settings, metrics),
             callers,
             readiness,
             peers,
@@ -241,6 +232,12 @@
         }
     }
 
+    /// Kills the daemon and starts it again with the same settings.
+    pub(crate) fn restart(&mut self) {
+        self.kill();
+        self.process = spawn_daemon(&self.settings, self.metrics);
+    }
+
     /// Returns the name of the daemon's VM.
     pub(crate) fn name(&self) -> String {
         let stem = self
@@ -292,6 +289,19 @@
     }
 }
 
+fn spawn_daemon(settings: &Path, metrics: SocketAddr) -> Child {
+    let process = Command::new(env!("CARGO_BIN_EXE_snipevane-fleet"))
+        .env("SNIPEVANE_SETTINGS", settings)
+        .args(["--metrics-port", &metrics.port().to_string()])
+        .stdout(if std::env::var_os("SITE_LOG").is_some() {
+            Stdio::inherit()
+        } else {
+            Stdio::null()
+        })
+        .spawn();
+    process.expect("the daemon")
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         // The daemon may have exited already.
--- a/crates/snipevane-fleet/tests/store_capacity.rs
+++ b/crates/snipevane-fleet/tests/store_capacity.rs
@@ -8,6 +8,8 @@
 #[allow(dead_code, reason = "the module is shared with other tests")]
 mod site;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -90,10 +92,10 @@
     let accepted = accepted_after(&site, "00000000000000aa", started_at + MAX_RETURN_TIME * 5);
     std::thread::sleep(TERM_CHECK_TIME);
     let terms = site.row()["fence"].as_u64().expect("a term") - fence;
-    let refused_reads = site.store.refused_read_count();
+    let refused_reads = site.store.refused_read_count("schedulers");
     let transactions = site.store.transaction_count() - transactions;
     println!(
-        "accepted after {accepted:?}; {terms} terms, {refused_reads} reads refused, {transactions} transactions"
+        "accepted after {accepted:?}; {terms} terms, {refused_reads} polls refused, {transactions} transactions"
     );
     assert_eq!(terms, 1, "the first term was lost");
     assert!(
@@ -103,3 +105,85 @@
     let state = site.state(0, "00000000000000aa");
     assert!(state.contains("completed"), "{state}");
 }
+
+/// Guards against a write of each entry VM at every start, which filled the store as all of them returned.
+#[test]
+fn an_entry_vm_that_starts_again_does_not_store_its_address_again() {
+    let mut site = Site::start("capacity-address", 3, 1);
+    let writes = Arc::new(AtomicU32::new(0));
+    let counted = writes.clone();
+    site.store.reject(move |rows| {
+        let registers = rows.iter().any(|(table, _, _)| table == "entry_vms");
+        counted.fetch_add(u32::from(registers), Ordering::SeqCst);
+        false
+    });
+    for node in &mut site.nodes {
+        node.restart();
+    }
+    for node in &site.nodes {
+        site::eventually("ready", || {
+            call(node.readiness, "GET", "/readyz", "", "").0 == 200
+        });
+    }
+    // An address is written within a second of its read.
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(writes.load(Ordering::SeqCst), 0, "addresses were written");
+}
+
+/// Guards against reads for callers that are repeated while the store refuses them for want of capacity.
+#[test]
+fn a_caller_is_told_at_once_that_the_store_refuses_to_read_a_job() {
+    const CALLS: u64 = 10;
+    /// Fewer than two for each call.
+    const MAX_ATTEMPTS: u64 = CALLS * 2 - 1;
+    let site = Site::start("capacity-state", 3, 1);
+    std::thread::sleep(Duration::from_secs(1));
+    site.store.refuse_reads(Some("progress"));
+    for number in 0..CALLS {
+        // Other calls show meanwhile that the store is in reach.
+        std::thread::sleep(Duration::from_millis(700));
+        let sent_at = Instant::now();
+        let path = format!("/p/{number:016x}");
+        let (status, answer) = call(site.nodes[0].callers, "GET", &path, "key", "");
+        assert_eq!(status, 503, "{answer}");
+        assert!(answer.to_lowercase().contains("retry-after: "), "{answer}");
+        assert!(sent_at.elapsed() < Duration::from_millis(500));
+    }
+    let refused = site.store.refused_read_count("progress");
+    println!("{refused} reads refused for {CALLS} calls");
+    assert!(refused >= CALLS / 2, "{refused} reads were refused");
+    assert!(
+        refused <= CALLS * MAX_ATTEMPTS,
+        "{refused} reads were refused"
+    );
+}
+
+/// Guards against polls at full rate for as long as the store refuses them: three entry VMs polled the
+/// configuration 218 times in 8 s.
+#[test]
+fn polls_back_off_while_the_store_refuses_reads_and_the_site_is_back_soon_after() {
+    /// Time for which reads are refused.
+    const REFUSED: Duration = Duration::from_secs(8);
+    /// Most polls of the configuration of an entry VM in that time: two loops, each about twice a second, and a few
+    /// polls in quick succession at first.
+    const MAX_POLLS: u64 = 50;
+    let site = Site::start("capacity-polls", 3, 1);
+    std::thread::sleep(Duration::from_secs(1));
+    site.store.set_max_reads_per_s(Some(0));
+    std::thread::sleep(REFUSED);
+    let polls = site.store.refused_read_count("op");
+    site.store.set_max_reads_per_s(None);
+    let returned_at = Instant::now();
+    for node in &site.nodes {
+        site::eventually("ready", || {
+            call(node.readiness, "GET", "/readyz", "", "").0 == 200
+        });
+    }
+    let ready_after = returned_at.elapsed();
+    println!("{polls} polls of the configuration; ready after {ready_after:?}");
+    assert!(polls <= 3 * MAX_POLLS, "{polls} polls of the configuration");
+    assert!(
+        ready_after < Duration::from_millis(1_500),
+        "{ready_after:?}"
+    );
+}
