--- a/crates/snipevane-fleet/tests/store_capacity.rs
+++ b/crates/snipevane-fleet/tests/store_capacity.rs
@@ -67,6 +67,37 @@
     None
 }
 
+/// Prints the attempts of all entry VMs at calls to the store by purpose, and those that it refused.
+fn print_attempts(site: &Site) {
+    const ATTEMPTS: &str = "snipevane_store_attempts_total";
+    let purposes = [
+        "registration",
+        "discovery",
+        "term_poll",
+        "term_claim",
+        "term_write",
+        "scheduler_read",
+        "callers_write",
+        "callers_read",
+        "configuration",
+        "reach_report",
+        "route_probe",
+        "relay",
+    ];
+    for purpose in purposes {
+        let purpose = format!("purpose=\"{purpose}\"");
+        let sum = |labels: &[&str]| -> u64 {
+            let counts = site.nodes.iter().map(|node| node.metric(ATTEMPTS, labels));
+            counts.map(|count| count as u64).sum()
+        };
+        let refused = sum(&[&purpose, "outcome=\"too_many\""]);
+        println!(
+            "{purpose}: {} attempts, {refused} refused",
+            sum(&[&purpose])
+        );
+    }
+}
+
 /// Guards against claims, registrations and polls that fill the store as all entry VMs return at once: renewals of
 /// the first term waited longer than the term lasts, so that term followed term and nothing ran.
 ///
@@ -97,6 +128,7 @@
     println!(
         "accepted after {accepted:?}; {terms} terms, {refused_reads} polls refused, {transactions} transactions"
     );
+    print_attempts(&site);
     assert_eq!(terms, 1, "the first term was lost");
     assert!(
         accepted.is_some_and(|after| after < MAX_RETURN_TIME),
