Test that long-running tasks run again after disturbances

The simulated site had no test that draws losses of all schedulers, after which leases lapse, together with takeovers, cuts of zones, evacuations, drains, crashes, restarts and lost answers, beside queues of other work.

The test draws them by seed and then asks the record of the minions: 8.4 s after the last disturbance each long-running task has exactly one run.

--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod delivery;
 mod incarnations;
+mod losses;
 mod restarts;
 mod rooms;
 
