Tell why a long-running task has no run

A task whose turn has come and that has had no run that works for 3 s is reported as SV2079 with the reason and, if known, the time until that is over; again every 4 s, 20 tasks each half second at most. The gauge snipevane_long_running_waiting counts such tasks by pool. No change of placement.

--- a/crates/snipevane-core/src/jobs/event.rs
+++ b/crates/snipevane-core/src/jobs/event.rs
@@ -6,6 +6,7 @@
 
 use super::model::id::{JobId, StepId, TaskId};
 use super::model::run::Refusal;
+use super::placing::wait_reason::WaitReason;
 
 /// Reason for which a run counts as lost although no run list reports its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -206,6 +207,21 @@
         /// Whether the order isn't allowed by that number. A job that its caller has cancelled has no limit.
         over_budget: bool,
     },
+    /// A long-running task whose turn has come has had no run that works for a while.
+    LongRunningTaskWaits {
+        /// Task that waits.
+        task: TaskId,
+        /// Pool of its job.
+        pool: SmolStr,
+        /// Reason for which it waits now.
+        reason: WaitReason,
+        /// Time for which it has waited in this term.
+        waited: Duration,
+        /// Time until the reason is over, if that is known.
+        left: Option<Duration>,
+        /// Number of minions of the pool that take new work.
+        minions: usize,
+    },
     /// A run is stopped whose task the scheduler doesn't know.
     UnknownRunStopped {
         /// Task that the run belongs to.
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -39,6 +39,7 @@
 pub use model::terms::JobTerms;
 pub use placing::advice::{AdviceReply, AdviceRequest, AdvisorSettings};
 pub use placing::unreported_runs::UnreportedRuns;
+pub use placing::wait_reason::WaitReason;
 pub use pools::demand::{Demand, Work};
 pub use pools::moves::{MoveOutlook, MovePlanner, MoveSettings};
 pub use pools::pool_stats::PoolStats;
--- a/crates/snipevane-core/src/jobs/placing/mod.rs
+++ b/crates/snipevane-core/src/jobs/placing/mod.rs
@@ -2,7 +2,9 @@
 
 pub(super) mod advice;
 pub(super) mod gangs;
+pub(super) mod long_running_waits;
 pub(super) mod speculation;
 pub(super) mod tasks;
 pub(super) mod unreported_runs;
 pub(super) mod unreported_usage;
+pub(super) mod wait_reason;
--- a/crates/snipevane-core/src/jobs/placing/tasks.rs
+++ b/crates/snipevane-core/src/jobs/placing/tasks.rs
@@ -45,7 +45,11 @@
         self.placed_this_round < self.start_window.available()
     }
 
-    fn schedulable_minions(&self, now: Duration) -> FxHashMap<SmolStr, Vec<MinionKey>> {
+    /// Returns the minions that take new work, by pool.
+    pub(in crate::jobs) fn schedulable_minions(
+        &self,
+        now: Duration,
+    ) -> FxHashMap<SmolStr, Vec<MinionKey>> {
         let mut schedulable: FxHashMap<SmolStr, Vec<MinionKey>> = FxHashMap::default();
         for (key, minion) in &self.minions {
             if minion.is_schedulable(now) && !self.is_evacuated(&minion.entry.zone) {
--- a/crates/snipevane-core/src/jobs/pools/pool_stats.rs
+++ b/crates/snipevane-core/src/jobs/pools/pool_stats.rs
@@ -14,6 +14,8 @@
     pub waiting: u64,
     /// Age of the oldest job with such a task, since its acceptance.
     pub oldest_age: Duration,
+    /// Number of long-running tasks whose turn has come and that have no run that works.
+    pub long_running_waiting: u64,
     /// Number of runs that may exist.
     pub runs: u64,
     /// Number of schedulable minions.
@@ -37,6 +39,9 @@
                 pool.free_cpu_millis += minion.free_capacity().cpu_millis;
             }
         }
+        for (pool, waiting) in self.long_running_waits_by_pool() {
+            pool_stats.entry(pool).or_default().long_running_waiting = waiting;
+        }
         for (pool, queue) in &self.queues {
             let pool = pool_stats.entry(pool.clone()).or_default();
             for step_ref in &queue.steps {
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -23,6 +23,7 @@
 use super::model::run::{Run, RunKey};
 use super::model::site::Site;
 use super::placing::advice::Permits;
+use super::placing::long_running_waits::LongRunningWaits;
 use super::placing::unreported_runs::UnreportedRuns;
 use super::queueing::queue::{PoolQueue, StepRef};
 use super::queueing::shares::JobRateLimiter;
@@ -155,6 +156,8 @@
     pub(super) job_rates: JobRateLimiter,
     /// Estimator of run times, which learns from completed tasks.
     pub(super) durations: DurationEstimator,
+    /// Long-running tasks that have no run that works.
+    pub(super) long_running_waits: LongRunningWaits,
     /// What is known of the images that interfere with others on a minion.
     pub(super) interference: Interference,
     /// Jobs with future occurrences.
@@ -206,6 +209,7 @@
             permits: Permits::default(),
             job_rates: JobRateLimiter::default(),
             durations: DurationEstimator::default(),
+            long_running_waits: LongRunningWaits::default(),
             interference: Interference::default(),
             scheduled: FxHashSet::default(),
             actions: Vec::new(),
@@ -241,6 +245,7 @@
         self.place(now);
         self.send_orders(now);
         self.send_holds(now);
+        self.report_long_running_waits(now);
         std::mem::take(&mut self.actions)
     }
 
--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -63,6 +63,7 @@
     MINION_LEFT_OUT = 2076 Warn "entry of a minion left out, as no configuration names its pool" ["minion", "pool", "fence"];
     MINION_RESTARTED = 2077 Info "minion has restarted under its id" ["minion", "from", "to", "ended", "kept", "fence"];
     RUN_LIST_IGNORED = 2078 Info "list of runs ignored, as it may be of an earlier incarnation" ["minion", "listed", "known", "fence"];
+    LONG_RUNNING_TASK_WAITS = 2079 Warn "long-running task has no run that works" ["task", "pool", "reason", "wait_ms", "left_ms", "minions", "fence"];
     ROW_UNREADABLE = 2080 Error "row can't be read" ["table", "key", "reason"];
     CHANGE_REJECTED = 2081 Error "change given up, as the store rejects it for good" ["kind", "key", "fence"];
     LINES_DROPPED = 2090 Warn "log lines dropped, rate limit of the event exceeded" ["event", "lines"];
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -365,6 +365,8 @@
     gauge!("snipevane_tasks_waiting", "pool" => pool.clone()).set(stats.waiting as f64);
     gauge!("snipevane_oldest_waiting_seconds", "pool" => pool.clone())
         .set(stats.oldest_age.as_secs_f64());
+    gauge!("snipevane_long_running_waiting", "pool" => pool.clone())
+        .set(stats.long_running_waiting as f64);
     gauge!("snipevane_runs", "pool" => pool.clone()).set(stats.runs as f64);
     gauge!("snipevane_minions", "pool" => pool.clone()).set(stats.minions as f64);
     gauge!("snipevane_free_cores", "pool" => pool)
--- a/crates/snipevane-fleet/src/scheduling/notes.rs
+++ b/crates/snipevane-fleet/src/scheduling/notes.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
-use snipevane_core::jobs::{LossReason, Refusal, RepeatedOrder, SchedulerEvent, StopReason};
+use snipevane_core::jobs::{
+    LossReason, Refusal, RepeatedOrder, SchedulerEvent, StopReason, WaitReason,
+};
 
 use crate::events::{self, record};
 use crate::metrics;
@@ -76,6 +78,25 @@
             listed,
             known,
         } => record(&events::RUN_LIST_IGNORED, &[minion, listed, known, &fence]),
+        SchedulerEvent::LongRunningTaskWaits {
+            task,
+            pool,
+            reason,
+            waited,
+            left,
+            minions,
+        } => record(
+            &events::LONG_RUNNING_TASK_WAITS,
+            &[
+                task,
+                pool,
+                &wait_reason(*reason),
+                &waited.as_millis(),
+                &left.map_or_else(|| "unknown".to_owned(), |left| left.as_millis().to_string()),
+                minions,
+                &fence,
+            ],
+        ),
         SchedulerEvent::MinionCrashed {
             minion,
             runs,
@@ -322,3 +343,22 @@
         Refusal::WrongIncarnation => "other_instance",
     }
 }
+
+fn wait_reason(reason: WaitReason) -> &'static str {
+    match reason {
+        WaitReason::OrderUnsent => "start order not sent",
+        WaitReason::OrderUnanswered => "start order not answered",
+        WaitReason::RunIsStopping => "run is being stopped",
+        WaitReason::MinionSilent => "its minion doesn't answer",
+        WaitReason::RequestsUnconfirmed => "operator's requests not confirmed",
+        WaitReason::UnreportedRuns { .. } => "a minion hasn't listed its runs in this term",
+        WaitReason::Delayed { .. } => "delayed after early ends or crashes",
+        WaitReason::StartWindow => "start window is full",
+        WaitReason::NoMinion => "no minion takes new work",
+        WaitReason::Gang => "gang is incomplete",
+        WaitReason::Quota => "team's quota",
+        WaitReason::NoPermit => "no permit of the advisor",
+        WaitReason::NoRoom => "no room",
+        WaitReason::Startable => "none left",
+    }
+}
--- a/tests/tests/jobs_long_running_restarts.rs
+++ b/tests/tests/jobs_long_running_restarts.rs
@@ -10,10 +10,10 @@
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
 use smol_str::{SmolStr, format_smolstr};
-use snipevane_core::jobs::{Site, SiteSpec, TaskId, Team};
+use snipevane_core::jobs::{SchedulerEvent, Site, SiteSpec, TaskId, Team, WaitReason};
 use snipevane_core::placement::Resources;
 use snipevane_tests::jobs::{
-    FakeMinion, Faults, JobSite, entry, job, long_running_step, site_spec, step,
+    FakeMinion, Faults, JobSite, entry, job, long_running_step, site, site_spec, step,
 };
 
 const START: Duration = Duration::from_secs(10);
@@ -291,3 +291,70 @@
         .collect();
     assert!(findings.is_empty(), "{findings:#?}");
 }
+
+/// Returns the reasons that were reported for tasks that wait.
+fn reported_reasons(site: &mut JobSite) -> Vec<WaitReason> {
+    let events = site.scheduler.take_events().into_iter();
+    let reasons = events.filter_map(|event| match event {
+        SchedulerEvent::LongRunningTaskWaits { reason, .. } => Some(reason),
+        _ => None,
+    });
+    reasons.collect()
+}
+
+/// Returns a site whose minions are all in zone 0, 1 or 2, with one long-running job of `tasks` tasks.
+fn site_with_one_job(cap_cpu_millis: u64, tasks: u32) -> JobSite {
+    let minions = (0..ZONES).map(|number| {
+        let mut entry = entry(number, "p0");
+        entry.zone = zone_of(number);
+        FakeMinion::new(entry, START)
+    });
+    let mut built = JobSite::new(site(1, cap_cpu_millis), minions.collect(), 1);
+    built.submit(1, job("p0", vec![long_running_step(tasks)]));
+    built
+}
+
+/// Guards against a long-running task that waits without a line that tells why.
+#[rstest]
+#[case::quota(1_500, 2, WaitReason::Quota)]
+#[case::no_room(0, 4, WaitReason::NoRoom)]
+fn a_task_that_waits_is_reported_with_the_reason(
+    #[case] cap_cpu_millis: u64,
+    #[case] tasks: u32,
+    #[case] reason: WaitReason,
+) {
+    let mut built = site_with_one_job(cap_cpu_millis, tasks);
+    built.run(Duration::from_millis(2_900));
+    assert_eq!(reported_reasons(&mut built), []);
+    built.run(Duration::from_millis(9_600));
+    assert_eq!(reported_reasons(&mut built), [reason; 3]);
+    let waiting = built.scheduler.pool_stats(built.now)["p0"].long_running_waiting;
+    assert_eq!(waiting, 1);
+}
+
+#[test]
+fn a_task_in_evacuated_zones_is_reported_as_without_minion() {
+    let mut built = site_with_one_job(0, 1);
+    built.evacuated = (0..ZONES).map(zone_of).collect();
+    built.run(Duration::from_millis(4_000));
+    assert_eq!(reported_reasons(&mut built), [WaitReason::NoMinion]);
+}
+
+#[test]
+fn a_task_that_waits_for_a_silent_minion_is_reported_with_the_end_of_its_leases() {
+    let mut built = site_with_one_job(0, 1);
+    built.run(Duration::from_secs(1));
+    let with_run = built.records[0].minion.clone();
+    built.partitioned.insert(with_run);
+    built.take_over();
+    let taken_over_at = built.now;
+    built.run(Duration::from_millis(4_000));
+    let reasons = reported_reasons(&mut built);
+    assert!(
+        matches!(reasons[..], [WaitReason::UnreportedRuns { until }] if until > taken_over_at + Duration::from_secs(6)),
+        "{reasons:?}"
+    );
+    built.run(Duration::from_millis(3_000));
+    let waiting = built.scheduler.pool_stats(built.now)["p0"].long_running_waiting;
+    assert_eq!(waiting, 0);
+}
