Test that a silent minion delays long-running tasks only once

Callers may see long-running tasks without a run for as long as terms change in quick succession. Cause: a minion that an earlier term used and that doesn't answer may hold runs, so tasks of its pool wait until its leases are surely over, 6.3 s after the takeover. The next term knows only that the minion is named in the rows, and waits as long again, although the silent minion got no lease since.

The test, which fails: one minion is cut off, all leases lapse, and terms follow one another after 1.5, 3 or 4.5 s; 9 s after the first takeover all six tasks of the minion's pool have no run.

--- a/tests/tests/jobs_long_running_restarts.rs
+++ b/tests/tests/jobs_long_running_restarts.rs
@@ -292,6 +292,29 @@
     assert!(findings.is_empty(), "{findings:#?}");
 }
 
+/// Time from the end of a long-running task's last run in which it runs again, if there is room.
+const RESTART_BOUND: Duration = Duration::from_secs(9);
+
+/// Guards against long-running tasks that wait anew with each takeover for the leases of a minion which no term has
+/// reached, although the first wait has shown that they are over.
+#[rstest]
+fn a_silent_minion_delays_long_running_tasks_only_once(
+    #[values(1_500, 3_000, 4_500)] between_ms: u64,
+) {
+    let mut play = Play::new(57);
+    let silent = play.any_minion();
+    play.site.partitioned.insert(silent);
+    let all_lapse = Duration::from_millis(6_500);
+    play.site.lose_schedulers(all_lapse);
+    let since = play.site.now;
+    while play.site.now < since + RESTART_BOUND {
+        play.run(Duration::from_millis(between_ms));
+        play.site.take_over();
+    }
+    let findings = play.findings();
+    assert!(findings.is_empty(), "{findings:#?}");
+}
+
 /// Returns the reasons that were reported for tasks that wait.
 fn reported_reasons(site: &mut JobSite) -> Vec<WaitReason> {
     let events = site.scheduler.take_events().into_iter();
