--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -23,6 +23,8 @@
 use super::model::run::{Run, RunKey};
 use super::model::site::Site;
 use super::placing::advice::Permits;
+use super::placing::long_running_waits::LongRunningWaits;
+use super::placing::silent_minions::SilentMinions;
 use super::placing::unreported_runs::UnreportedRuns;
 use super::queueing::queue::{PoolQueue, StepRef};
 use super::queueing::shares::JobRateLimiter;
@@ -125,6 +127,8 @@
     /// Resources used by the known runs of each team.
     pub(super) usage: FxHashMap<SmolStr, Resources>,
     pub(super) unreported: UnreportedRuns,
+    /// Minions that the stored row may name as silent.
+    pub(super) silent: SilentMinions,
     /// Upper bound of the resources used by each team's unreported runs.
     pub(super) unreported_usage: FxHashMap<SmolStr, Resources>,
     /// Jobs that have ended, kept so that a stale row doesn't add them again.
@@ -155,6 +159,8 @@
     pub(super) job_rates: JobRateLimiter,
     /// Estimator of run times, which learns from completed tasks.
     pub(super) durations: DurationEstimator,
+    /// Long-running tasks that have no run that works.
+    pub(super) long_running_waits: LongRunningWaits,
     /// What is known of the images that interfere with others on a minion.
     pub(super) interference: Interference,
     /// Jobs with future occurrences.
@@ -191,6 +197,7 @@
             queues: FxHashMap::default(),
             usage: FxHashMap::default(),
             unreported,
+            silent: SilentMinions::default(),
             unreported_usage: FxHashMap::default(),
             ended: EndedJobs::default(),
             dirty: DirtyJobs::default(),
@@ -206,6 +213,7 @@
             permits: Permits::default(),
             job_rates: JobRateLimiter::default(),
             durations: DurationEstimator::default(),
+            long_running_waits: LongRunningWaits::default(),
             interference: Interference::default(),
             scheduled: FxHashSet::default(),
             actions: Vec::new(),
@@ -241,6 +249,7 @@
         self.place(now);
         self.send_orders(now);
         self.send_holds(now);
+        self.report_long_running_waits(now);
         std::mem::take(&mut self.actions)
     }
 
