--- a/crates/snipevane-fleet/src/scheduling/mod.rs
+++ b/crates/snipevane-fleet/src/scheduling/mod.rs
@@ -15,6 +15,7 @@
 mod stats;
 mod storing;
 mod view;
+mod vm_calls;
 mod vms;
 mod wave_rows;
 mod won_term;
