Spread the first writes after a start only as far as the store's rate requires

Callers of a site with few entry VMs waited up to 1.8 s for an answer to the first change after a start, and 1.35 s after each one before a scheduler was known, as the pacing took every site for a large one.

--- a/crates/snipevane-core/src/write_pacing.rs
+++ b/crates/snipevane-core/src/write_pacing.rs
@@ -45,6 +45,22 @@
     }
 }
 
+impl PacingSettings {
+    /// Returns the settings of a process whose first write and those of the others are spread over this time.
+    ///
+    /// In a closed loop with the pause after each write, a write is then taken to need as long as if all others
+    /// wrote too, so that few processes don't wait for a queue that can't form.
+    pub fn with_start_spread(self, spread: Duration) -> Self {
+        let pause_time = self.initial_write_time.mul_f64(self.pause_factor);
+        let share = spread.as_secs_f64() / pause_time.as_secs_f64();
+        Self {
+            max_start_pause: self.max_start_pause.min(spread),
+            initial_write_time: self.initial_write_time.mul_f64(share.min(1.0)),
+            ..self
+        }
+    }
+}
+
 /// Decides when a process may send its next write.
 ///
 /// The store carries out the transactions of all processes one after another. With a pause of nine times what a
