Keep the tokens of all retry budgets in one type

The routing's budgets of teams, the platform client's budget and the relay policy each counted tokens on their own. RetryTokens in snipevane-core counts them for all three. The settings and results are unchanged.

--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod reach;
 pub mod relay_policy;
 pub mod reply_time;
+pub mod retry_tokens;
 pub mod routing;
 pub mod senders;
 pub mod shards;
--- a/crates/snipevane-core/src/relay_policy.rs
+++ b/crates/snipevane-core/src/relay_policy.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::retry_tokens::RetryTokens;
 use crate::write_pacing::exponential_backoff;
 
 /// Settings of a [`RelayPolicy`].
@@ -39,7 +40,7 @@
 pub struct RelayPolicy {
     settings: RelaySettings,
     /// Further attempts that are left.
-    budget: f64,
+    budget: RetryTokens,
     refilled_at: Duration,
     /// Number of relayed refusals since the last one that a relay helped with.
     refusals: u32,
@@ -58,7 +59,7 @@
     pub fn new(settings: RelaySettings) -> Self {
         Self {
             settings,
-            budget: settings.max_retries,
+            budget: RetryTokens::full(settings.max_retries),
             refilled_at: Duration::ZERO,
             refusals: 0,
             resume_at: Duration::ZERO,
@@ -70,16 +71,12 @@
         let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
         let added = self.settings.retries_per_call + elapsed * self.settings.retries_per_s;
-        self.budget = (self.budget + added).min(self.settings.max_retries);
+        self.budget.add(added);
     }
 
     /// Takes a further attempt from the budget; returns whether there was one.
     pub fn take_retry(&mut self) -> bool {
-        let has_retry = self.budget >= 1.0;
-        if has_retry {
-            self.budget -= 1.0;
-        }
-        has_retry
+        self.budget.take()
     }
 
     /// Returns whether the store has lately been found to be at its limit for all entry VMs, so that a relay doesn't
--- a/crates/snipevane-core/src/routing/retry_budget.rs
+++ b/crates/snipevane-core/src/routing/retry_budget.rs
@@ -5,6 +5,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::ids::TeamKey;
+use crate::retry_tokens::RetryTokens;
 
 /// Settings of a [`RetryBudget`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,10 +28,10 @@
     }
 }
 
-/// Token bucket of one team; a token allows one retry.
+/// Budget of one team.
 #[derive(Clone, Copy, Debug)]
-struct TokenBucket {
-    tokens: f64,
+struct TeamBudget {
+    tokens: RetryTokens,
     refilled_at: Option<Instant>,
 }
 
@@ -38,7 +39,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     settings: RetrySettings,
-    buckets: FxHashMap<TeamKey, TokenBucket>,
+    teams: FxHashMap<TeamKey, TeamBudget>,
 }
 
 impl RetryBudget {
@@ -46,41 +47,37 @@
     pub fn new(settings: RetrySettings) -> Self {
         Self {
             settings,
-            buckets: FxHashMap::default(),
+            teams: FxHashMap::default(),
         }
     }
 
     /// Records the first attempt of a request, which adds a fraction of a retry to the budget.
     pub fn on_request(&mut self, team: TeamKey) {
         let settings = self.settings;
-        let bucket = self.bucket(team);
-        bucket.tokens = (bucket.tokens + settings.ratio).min(settings.burst);
+        let budget = self.budget(team);
+        budget.tokens.add(settings.ratio);
     }
 
     /// Takes one retry from the team's budget; returns whether the budget allowed it.
     pub fn try_retry(&mut self, team: TeamKey, now: Instant) -> bool {
         let settings = self.settings;
-        let bucket = self.bucket(team);
-        let since = bucket.refilled_at.unwrap_or(now);
+        let budget = self.budget(team);
+        let since = budget.refilled_at.unwrap_or(now);
         let earned = now.saturating_duration_since(since).as_secs_f64()
             / settings.refill_interval.as_secs_f64();
-        bucket.tokens = (bucket.tokens + earned).min(settings.burst);
-        bucket.refilled_at = Some(now);
-        if bucket.tokens < 1.0 {
-            return false;
-        }
-        bucket.tokens -= 1.0;
-        true
+        budget.tokens.add(earned);
+        budget.refilled_at = Some(now);
+        budget.tokens.take()
     }
 
     /// Removes a team that is no longer in the configuration.
     pub fn remove_team(&mut self, team: TeamKey) {
-        self.buckets.remove(&team);
+        self.teams.remove(&team);
     }
 
-    fn bucket(&mut self, team: TeamKey) -> &mut TokenBucket {
-        self.buckets.entry(team).or_insert(TokenBucket {
-            tokens: self.settings.burst,
+    fn budget(&mut self, team: TeamKey) -> &mut TeamBudget {
+        self.teams.entry(team).or_insert(TeamBudget {
+            tokens: RetryTokens::full(self.settings.burst),
             refilled_at: None,
         })
     }
--- a/crates/snipevane-platform/src/retry.rs
+++ b/crates/snipevane-platform/src/retry.rs
@@ -4,6 +4,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use snipevane_core::retry_tokens::RetryTokens;
 
 /// Limits and delays of retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -43,7 +44,7 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     policy: RetryPolicy,
-    tokens: f64,
+    tokens: RetryTokens,
     refilled_at: Instant,
     rng: StdRng,
 }
@@ -53,7 +54,7 @@
     pub fn new(policy: RetryPolicy, seed: u64, now: Instant) -> Self {
         Self {
             policy,
-            tokens: policy.max_tokens,
+            tokens: RetryTokens::full(policy.max_tokens),
             refilled_at: now,
             rng: StdRng::seed_from_u64(seed),
         }
@@ -61,7 +62,7 @@
 
     /// Adds the tokens for the first attempt of a call.
     pub fn record_call(&mut self) {
-        self.add_tokens(self.policy.retries_per_call);
+        self.tokens.add(self.policy.retries_per_call);
     }
 
     /// Takes a token and returns the delay before the next attempt, or `None` if the call isn't
@@ -70,10 +71,9 @@
     /// `attempts` is the number of attempts made so far.
     pub fn next_delay(&mut self, attempts: u32, now: Instant) -> Option<Duration> {
         self.refill(now);
-        if attempts >= self.policy.max_attempts || self.tokens < 1.0 {
+        if attempts >= self.policy.max_attempts || !self.tokens.take() {
             return None;
         }
-        self.tokens -= 1.0;
         let doublings = attempts.saturating_sub(1).min(16);
         let bound = self.policy.base_delay.saturating_mul(1 << doublings);
         let bound = bound.min(self.policy.max_delay);
@@ -83,10 +83,7 @@
     fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.refilled_at);
         self.refilled_at = now.max(self.refilled_at);
-        self.add_tokens(elapsed.as_secs_f64() * self.policy.min_retries_per_second);
-    }
-
-    fn add_tokens(&mut self, retries: f64) {
-        self.tokens = (self.tokens + retries).min(self.policy.max_tokens);
+        self.tokens
+            .add(elapsed.as_secs_f64() * self.policy.min_retries_per_second);
     }
 }
