--- a/crates/snipevane-core/src/lib.rs
+++ b/crates/snipevane-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod reach_reports;
 pub mod relay_policy;
 pub mod reply_time;
+pub mod retry_tokens;
 pub mod routing;
 pub mod senders;
 pub mod shards;
--- a/crates/snipevane-fleet/src/store/transport.rs
+++ b/crates/snipevane-fleet/src/store/transport.rs
@@ -317,11 +317,7 @@
 
     /// Records the status of the response to a direct call; `None` if there was no response.
     fn record_direct(&self, status: Option<u16>) {
-        // A limit of all entry VMs says nothing of this one's route.
-        let is_at_limit = status == Some(TOO_MANY_CALLS)
-            && self.relay_policy.get().is_store_at_limit(self.clock.now());
-        let answered =
-            is_at_limit || status.is_some_and(|status| !REFUSAL_STATUSES.contains(&status));
+        let answered = status.is_some_and(|status| !REFUSAL_STATUSES.contains(&status));
         self.direct.set(answered);
         if answered {
             self.relayed_since.set(None);
