--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -41,6 +41,9 @@
 /// 3 s, and an answer through another entry VM takes part of that.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Interval at which a change that waits for its turn checks whether a scheduler can be asked.
+const SCHEDULER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Longest measured time of a write that is taken into account when a change is written or refused: a
 /// longer one shows a lost answer rather than a slow store.
 const MAX_EXPECTED_COMMIT_TIME: Duration = Duration::from_millis(1_000);
@@ -95,6 +98,7 @@
         if self.node.leader().is_some() {
             return self.accept_locally(id, spec).await;
         }
+        self.await_scheduler_or_turn().await;
         let key = rows::job_key(id);
         // A change of an earlier attempt that still waits may be written while this call is under way.
         let was_uncertain = self.may_be_stored(&key, None);
@@ -121,6 +125,24 @@
         outcome
     }
 
+    /// Waits until a scheduler can be asked, or until this process may write without one.
+    ///
+    /// A change that waited in the queue would be written from here also if another process wins the term
+    /// meanwhile.
+    async fn await_scheduler_or_turn(&self) {
+        loop {
+            let now = self.node.clock.now();
+            let view = self.node.scheduler_view.borrow();
+            let has_scheduler = view.reachable_address(now).is_some();
+            drop(view);
+            let delay = self.paced_writes.delay();
+            if has_scheduler || delay.is_zero() || self.refusal().is_some() {
+                return;
+            }
+            sleep(delay.min(SCHEDULER_CHECK_INTERVAL)).await;
+        }
+    }
+
     /// Returns whether the scheduler is heard and has found the store slow, so that a write of this process
     /// would only delay those of the scheduler.
     fn leaves_writes_to_scheduler(&self) -> bool {
