End the borrow of the scheduler's view before a submission waits

clippy refused the wait for a scheduler, as a reference seemed to be held across it; the borrow ended before, so callers saw nothing of it. The check whether the scheduler is heard has a function of its own, which the rule for a slow store uses too.

--- a/crates/snipevane-fleet/src/caller/job_writer.rs
+++ b/crates/snipevane-fleet/src/caller/job_writer.rs
@@ -131,23 +131,23 @@
     /// meanwhile.
     async fn await_scheduler_or_turn(&self) {
         loop {
-            let now = self.node.clock.now();
-            let view = self.node.scheduler_view.borrow();
-            let has_scheduler = view.reachable_address(now).is_some();
-            drop(view);
             let delay = self.paced_writes.delay();
-            if has_scheduler || delay.is_zero() || self.refusal().is_some() {
+            if self.hears_scheduler() || delay.is_zero() || self.refusal().is_some() {
                 return;
             }
             sleep(delay.min(SCHEDULER_CHECK_INTERVAL)).await;
         }
     }
 
+    fn hears_scheduler(&self) -> bool {
+        let view = self.node.scheduler_view.borrow();
+        view.reachable_address(self.node.clock.now()).is_some()
+    }
+
     /// Returns whether the scheduler is heard and has found the store slow, so that a write of this process
     /// would only delay those of the scheduler.
     fn leaves_writes_to_scheduler(&self) -> bool {
-        let view = self.node.scheduler_view.borrow();
-        view.is_store_slow() && view.reachable_address(self.node.clock.now()).is_some()
+        self.hears_scheduler() && self.node.scheduler_view.borrow().is_store_slow()
     }
 
     fn is_uncertain(&self, key: &SmolStr) -> bool {
