--- a/review/standin2/fleet_site.py
+++ b/review/standin2/fleet_site.py
@@ -317,7 +317,12 @@
 
 
 class Minion:
-    """A minion. A task's `spec` is JSON: `ms` (its run time), `end` (`done` or `failed`)."""
+    """A minion.
+
+    A task's `spec` is JSON: `ms` (its run time; none for a task that lasts), `end` (`done` or `failed`), and
+    `first_ms` (run times of the first runs of the tasks of a step, by index, in place of `ms`), and `serves`
+    (whether it serves users, with the tail of `Site.tail_ms`).
+    """
 
     def __init__(self, site, minion_id, service, machine, zone, rack, cpu=16000, mem=32768):
         self.site, self.id, self.service, self.machine = site, minion_id, service, machine
@@ -335,6 +340,7 @@
         self.born = int(time.time() * 1000)
         self.start = time.monotonic()
         self.fence, self.lease_end, self.number = 0, 0, 0
+        self.lease_over = True
         self.active, self.finished, self.highest = {}, [], {}
         self.something_ended = asyncio.Event()
 
@@ -373,7 +379,9 @@
             if not self.up:
                 continue
             now = time.monotonic()
-            if self.active and self.clock() >= self.lease_end:
+            if not self.lease_over and self.clock() >= self.lease_end:
+                self.lease_over = True
+                self.site.rec("lease over", minion=self.id)
                 for task in list(self.active):
                     self.end(task, "lapsed")
             for task, run in list(self.active.items()):
@@ -439,6 +447,7 @@
         self.fence = fence
         if body.get("deadlineMs") is not None:
             self.lease_end = max(self.lease_end, min(body["deadlineMs"], self.clock() + HOLD_MAX_MS))
+            self.lease_over = self.clock() >= self.lease_end
         if path == "/run-start":
             return self.start_run(body)
         if path == "/run-stop":
@@ -446,6 +455,11 @@
         if path == "/hold":
             return await self.hold(body)
         if path == "/pace":
+            run = self.active.get(body["task"])
+            if run and run["attempt"] == body["attempt"]:
+                run["share"] = body["percentage"]
+            self.site.rec("pace", minion=self.id, task=body["task"], attempt=body["attempt"],
+                          percentage=body["percentage"])
             return 200, {"clockMs": self.clock()}
         return 404, {}
 
@@ -470,9 +484,13 @@
             return 409, {"clockMs": self.clock(), "reason": reason}
         now = time.monotonic()
         spec = json.loads(body["spec"])
-        ends_at = now + spec["ms"] / 1000 if spec.get("ms") else None
+        ms = spec.get("ms")
+        if spec.get("first_ms") and not self.site.of("end", task=task):
+            ms = spec["first_ms"][int(task.split(".")[3])]
+        ends_at = now + ms / 1000 if ms else None
         self.active[task] = {"attempt": attempt, "since": now, "ends_at": ends_at, "stops_at": None,
-                             "how": spec.get("end", "done"), "size": self.site.size_of(task), "spec": spec}
+                             "how": spec.get("end", "done"), "size": self.site.size_of(task), "spec": spec,
+                             "share": 100}
         self.site.rec("start", minion=self.id, task=task, attempt=attempt, fence=body["fencingToken"],
                       born=self.born)
         return 200, {"clockMs": self.clock()}
@@ -492,9 +510,16 @@
         done = (time.monotonic() - run["since"]) / max(0.001, run["ends_at"] - run["since"])
         return int(min(99, 100 * done))
 
+    def load(self, run):
+        """Returns the fifth entry of a row of `active`."""
+        if run["spec"].get("serves"):
+            return self.site.tail_ms if time.monotonic() > run["since"] + 0.5 else 0
+        return run["size"][0] * run["share"] // 100
+
     def lists(self):
         return {"clockMs": self.clock(), "born": self.born,
-                "active": [[task, run["attempt"], "", self.percent(run), 0] for task, run in self.active.items()],
+                "active": [[task, run["attempt"], "", self.percent(run), self.load(run)]
+                           for task, run in self.active.items()],
                 "finished": self.finished[:500]}
 
     async def hold(self, body):
@@ -674,11 +699,14 @@
         self.minions, self.vms, self.sizes = {}, {}, {}
         self.version = 0
         self.minion_count = 0
+        self.tail_ms = 40
 
     def now(self):
         return time.monotonic() - self.began
 
     def rec(self, kind, **fields):
+        if self.record.closed:
+            return
         at = self.now()
         self.events.append({"at": at, "kind": kind, **fields})
         shown = " ".join(f"{name}={value}" for name, value in fields.items())
@@ -804,7 +832,13 @@
             return 2
         finally:
             await site.close()
+
+    async def run_and_exit():
+        code = await run()
+        sys.stdout.flush()
+        # What is left are tasks of stand-ins, which need no orderly end.
+        os._exit(code)
     if not os.path.exists(PROGRAM):
         print("couldn't run: the program isn't built")
         sys.exit(2)
-    sys.exit(asyncio.run(run()))
+    asyncio.run(run_and_exit())
