--- a/review/standin2/fleet_site.py
+++ b/review/standin2/fleet_site.py
@@ -584,7 +584,8 @@
             machine["pool"] = body["pool"]
         else:
             machine["waves"].add(body["rolloutWave"])
-        self.site.rec(status, machine=name, pool=machine["pool"], holder=holder, fence=fence)
+        self.site.rec(status, machine=name, minion=machine["minion"].id, pool=machine["pool"], holder=holder,
+                      fence=fence)
         machine["minion"].leave()
         machine["state"], machine["minion"] = state, None
         asyncio.create_task(self.join(name, seconds))
