--- a/review/standin2/fleet_site.py
+++ b/review/standin2/fleet_site.py
@@ -406,11 +406,14 @@
         self.active = {}
         self.server.stop()
 
-    async def restart(self):
+    async def restart(self, register_after_s=0.0):
+        """Begins a new incarnation under the same identifier and address."""
         self.begin()
         await self.listen()
         self.up = True
         self.site.rec("restart", minion=self.id)
+        if register_after_s:
+            await asyncio.sleep(register_after_s)
         self.register()
 
     def unregister(self):
