--- a/review/standin2/fleet_site.py
+++ b/review/standin2/fleet_site.py
@@ -588,7 +588,7 @@
         else:
             machine["waves"].add(body["rolloutWave"])
         self.site.rec(status, machine=name, minion=machine["minion"].id, pool=machine["pool"], holder=holder,
-                      fence=fence)
+                      fence=fence, wave=body.get("rolloutWave"))
         machine["minion"].leave()
         machine["state"], machine["minion"] = state, None
         asyncio.create_task(self.join(name, seconds))
@@ -814,23 +814,36 @@
         self.record.close()
 
 
+def say(*words):
+    with contextlib.suppress(OSError):  # Nobody may be reading.
+        print(*words)
+
+
 def main(case, scenario, limit=110.0):
     """Runs a scenario, an async function of the site that returns what broke the rule; exits with 1 if it did, 0 if
     it held, 2 if the case couldn't run."""
     async def run():
         site = Site(case)
+
+        def stop():
+            for vm in site.vms.values():
+                if vm.process and vm.process.poll() is None:
+                    vm.process.kill()
+            os._exit(2)
+
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         try:
             broken = await asyncio.wait_for(scenario(site), limit)
             for line in broken:
                 site.rec("BROKEN", what=line)
-                print("broken:", line)
+                say("broken:", line)
             if not broken:
                 site.rec("HELD")
-                print("held")
+                say("held")
             return 1 if broken else 0
         except Exception as error:  # The case couldn't run.
             site.rec("COULDN'T RUN", error=repr(error))
-            print("couldn't run:", repr(error))
+            say("couldn't run:", repr(error))
             if os.environ.get("KEEP"):
                 raise
             return 2
@@ -839,10 +852,11 @@
 
     async def run_and_exit():
         code = await run()
-        sys.stdout.flush()
+        with contextlib.suppress(OSError):
+            sys.stdout.flush()
         # What is left are tasks of stand-ins, which need no orderly end.
         os._exit(code)
     if not os.path.exists(PROGRAM):
-        print("couldn't run: the program isn't built")
+        say("couldn't run: the program isn't built")
         sys.exit(2)
     asyncio.run(run_and_exit())
