--- a/review/standin2/fleet_site.py
+++ b/review/standin2/fleet_site.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import contextlib
+import ctypes
 import json
 import os
 import random
@@ -67,6 +68,14 @@
 """
 
 
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Lets the process end when the script does, however that ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Hang(Exception):
     """The request is not answered; the connection stays open."""
 
@@ -672,7 +681,8 @@
         env = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", ""),
                "SNIPEVANE_SETTINGS": path}
         self.process = subprocess.Popen([PROGRAM, "--metrics-port", str(PORT_METRICS)], cwd=ROOT, env=env,
-                                        stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+                                        stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                                        preexec_fn=end_with_parent)
         log.close()
         self.site.rec("process started", vm=self.name)
 
