Second review, case 6: the order is held up on the link, outside the minion

A proxy of the stand-in before the minion holds the start order and breaks its connection; it outlives the minion's crash and delivers the order over a new connection, with its headers. Before, the minion itself held the order, which a crash would end. run.sh names record.txt.

--- a/review/standin2/fleet_site.py
+++ b/review/standin2/fleet_site.py
@@ -27,6 +27,7 @@
 HOLD_MAX_MS = 6000
 STOP_S = 0.1  # Below terminateMs.
 HISTORY_S = 20.0
+CONTACT_S = 3.0
 
 BOUNDS = """[bounds]
 seedLagS = 3
@@ -341,6 +342,7 @@
         self.cut = False           # Cut off: nothing is answered, the runs go on.
         self.on_order = None       # async (path, body, serve) -> answer, or None to serve it as usual
         self.server, self.port = None, 0
+        self.proxy = None          # What its callers reach in its place, if there is one.
         self.tasks = []
         self.begin()
 
@@ -366,7 +368,8 @@
         self.port = await self.server.start(self.site.platform_ip, self.port)
 
     def entry(self):
-        return {"service": self.service, "address": f"{self.site.platform_ip}:{self.port}", "zone": self.zone,
+        port = self.proxy.port if self.proxy else self.port
+        return {"service": self.service, "address": f"{self.site.platform_ip}:{port}", "zone": self.zone,
                 "version": "v1", "capacity": 8, "state": self.state, "warmupLeftMs": 0, "born": self.born,
                 "freeCapacity": {"cpu": self.cpu, "memMb": self.mem, "gpu": 0},
                 "labels": ["a", self.rack], "clockMs": self.clock(), "sequence": self.sequence}
@@ -550,6 +553,40 @@
         return 200, self.lists()
 
 
+class Proxy:
+    """A proxy on the way to a minion, which outlives the minion's crashes.
+
+    `hold_s(path, body)` returns for how long a request is held up; the caller of one that is gets no answer.
+    """
+
+    def __init__(self, site, minion, hold_s):
+        self.site, self.minion, self.hold_s = site, minion, hold_s
+
+    async def start(self):
+        self.port = await Server(self.handle).start(self.site.platform_ip)
+
+    async def handle(self, method, path, query, headers, body):
+        held_s = self.hold_s(path, body)
+        if held_s:
+            self.site.rec("held up", minion=self.minion.id, path=path, task=body.get("task"))
+            asyncio.create_task(self.deliver_late(held_s, path, headers, body))
+            raise Hang()
+        status, answer = await self.forward(path, headers, body)
+        if not status:
+            raise Reset()
+        return status, answer
+
+    async def forward(self, path, headers, body):
+        passed = {name: text for name, text in headers.items() if name.startswith("x-")}
+        return await http(self.site.platform_ip, self.minion.port, "POST", path, body, passed, timeout=10.0)
+
+    async def deliver_late(self, held_s, path, headers, body):
+        await asyncio.sleep(held_s)
+        self.site.rec("delivered", minion=self.minion.id, path=path, task=body.get("task"))
+        status, _ = await self.forward(path, headers, body)
+        self.site.rec("answer to nobody", minion=self.minion.id, status=status)
+
+
 class Cloud:
     """The API of machines."""
 
@@ -703,7 +740,8 @@
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.began = time.monotonic()
         self.events = []
-        self.record = open(os.path.join(case, "record.txt"), "w")
+        # The file that run.sh names, in the case's folder.
+        self.record = open(os.path.join(case, sys.argv[1] if len(sys.argv) > 1 else "record.txt"), "w")
         self.folder = tempfile.mkdtemp(prefix="review-")
         # An own part of 127.0.0.0/8 for each run, so that its ports are free.
         self.net = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
@@ -714,6 +752,7 @@
         self.version = 0
         self.minion_count = 0
         self.tail_ms = 40
+        self.hold_s = None  # Set before minions are added: each has a proxy that holds requests up by it.
 
     def now(self):
         return time.monotonic() - self.began
@@ -731,6 +770,12 @@
         return [e for e in self.events if e["kind"] == kind
                 and all(e.get(name) == value for name, value in wanted.items())]
 
+    def in_touch(self, at):
+        """Returns whether all entry VMs were in touch at a time: their processes ran for the whole `contactMs`
+        before, and nothing else of the site's machines, links or store is disturbed by a case that asks."""
+        disturbed = self.of("process started") + self.of("signal")
+        return all(e["at"] + CONTACT_S <= at for e in disturbed if e["at"] <= at)
+
     def size_of(self, task):
         return self.sizes.get((task.split(".")[0], int(task.split(".")[2])), (1000, 100))
 
@@ -746,6 +791,9 @@
         self.minion_count += 1
         minion = Minion(self, f"i-{self.minion_count:03}", service, machine, zone, rack)
         self.minions[minion.id] = minion
+        if self.hold_s:
+            minion.proxy = Proxy(self, minion, self.hold_s)
+            await minion.proxy.start()
         await minion.run()
         return minion
 
