--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,7 @@
 DEADLY = "000000000000dead"
 TASK = f"{DEADLY}.0.0.0"
 BACK_S = 3.0  # "the minion is back after some seconds"
-# BUDGET: "is started three more times ... after three minions have crashed under it"
+# BUDGET: "is started three times more ... after three minions have crashed under it"
 CRASHES, MORE_STARTS = 3, 3
 
 
@@ -67,9 +67,13 @@
 
 def judge(site):
     crashes = [e for e in site.of("crash") if TASK in e["runs"]]
-    if len(crashes) < CRASHES:
+    first = {}  # The first crash of each minion.
+    for crash in crashes:
+        first.setdefault(crash["minion"], crash["at"])
+    if len(first) < CRASHES:
         return []
-    after = [e for e in site.of("start", task=TASK) if e["at"] > crashes[CRASHES - 1]["at"] + 0.0005]
+    third = sorted(first.values())[CRASHES - 1]
+    after = [e for e in site.of("start", task=TASK) if e["at"] > third + 0.0005 and site.in_touch(e["at"])]
     if len(after) < MORE_STARTS:
         return []
     return [f"{len(after)} starts of {TASK} after {CRASHES} minions had crashed under it; {len(crashes)} minions "
