Add failing tests of leases that were given on a minion's former clock

A hold with a lease is carried out 0.7 to 11.9 s after it was sent, by the next incarnation; minions grant 6, 10 and 30 s where the scheduler counts on 5.5 s. The fake minion's longest lease can be set for that, and it tells its start in Unix time, as real ones do. `a_task_on_a_minion_that_has_not_restarted_waits_for_its_lease_only` passes and holds the price of a fix down.

--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -35,8 +35,10 @@
 /// Timeouts, intervals and limits of the scheduler.
 #[derive(Clone, Copy, Debug)]
 pub struct SchedulerSettings {
-    /// Longest lease of the runs on a minion.
+    /// Lease that the runs on a minion are granted.
     pub lease: Duration,
+    /// Longest lease that minions accept. They shorten a longer one to it.
+    pub max_lease: Duration,
     /// Safety margin after the end of a lease, after which its runs have certainly ended.
     pub lease_margin: Duration,
     /// Longest time that a hold waits for a run to end.
@@ -84,6 +86,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(6_000),
+            max_lease: Duration::from_millis(6_000),
             lease_margin: Duration::from_millis(150),
             hold_timeout: Duration::from_millis(1_500),
             hold_interval: Duration::from_millis(40),
--- a/crates/snipevane-fleet/src/scheduling/leader.rs
+++ b/crates/snipevane-fleet/src/scheduling/leader.rs
@@ -146,6 +146,7 @@
         let bounds = &node.settings.bounds;
         let scheduler_settings = SchedulerSettings {
             lease: bounds.max_lease.min(MAX_LEASE),
+            max_lease: bounds.max_lease,
             stop_timeout: bounds.stop_timeout,
             ..SchedulerSettings::default()
         };
--- a/tests/src/jobs/job_site/delivery.rs
+++ b/tests/src/jobs/job_site/delivery.rs
@@ -26,7 +26,7 @@
             return;
         }
         self.starts_sent += usize::from(matches!(action, Action::Start(_)));
-        if self.delays_ack(&action) {
+        if self.delays_ack(&action) || self.delays_lease(&action) {
             self.deliver_no_answer(action);
             return;
         }
--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod delivery;
 mod incarnations;
+mod late_leases;
 mod losses;
 mod restarts;
 mod rooms;
@@ -35,7 +36,7 @@
 pub const TICK: Duration = Duration::from_millis(10);
 
 /// Time of day at clock zero, in Unix milliseconds.
-const UNIX_START_MS: u64 = 1_000_000;
+pub(super) const UNIX_START_MS: u64 = 1_000_000;
 
 /// Time after which an order counts as unanswered.
 pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -177,6 +178,7 @@
     /// listed as up otherwise.
     pub listed_state_of_partitioned: Option<VmState>,
     late_acks: acknowledgements::LateAcks,
+    late_leases: late_leases::LateLeases,
     /// Minions whose room has changed, with the times at which their entries show it.
     unlisted_rooms: Vec<(Duration, SmolStr)>,
     /// Minions that have crashed, with the times at which they are back.
@@ -241,6 +243,7 @@
             lists_vms: false,
             listed_state_of_partitioned: None,
             late_acks: acknowledgements::LateAcks::default(),
+            late_leases: late_leases::LateLeases::default(),
             unlisted_rooms: Vec::new(),
             down_until: Vec::new(),
             planned_restarts: Vec::new(),
--- a/tests/src/jobs/minion.rs
+++ b/tests/src/jobs/minion.rs
@@ -12,11 +12,12 @@
 use snipevane_core::placement::Resources;
 
 use super::interference::{INTERFERENCE_MS, Interference};
+use super::job_site::UNIX_START_MS;
 
 /// Time that a run takes to end after a stop order.
 pub(super) const STOP_TIME: Duration = Duration::from_millis(300);
 
-/// Longest lease; a longer one is shortened.
+/// Longest lease of a minion that has no other one; a longer one is shortened.
 const MAX_LEASE: Duration = Duration::from_secs(6);
 
 /// Time after which a long-running task is ready.
@@ -102,7 +103,7 @@
 pub struct FakeMinion {
     /// Entry of the minion in the list of minions.
     pub entry: MinionEntry,
-    /// Start time that identifies the incarnation, in milliseconds.
+    /// Start time that identifies the incarnation, in Unix milliseconds.
     pub incarnation: u64,
     /// Whether the minion is running.
     pub up: bool,
@@ -114,6 +115,8 @@
     pub interference: Interference,
     /// Whether the minion refuses runs that exceed its room.
     pub enforces_capacity: bool,
+    /// Longest lease; a longer one is shortened.
+    pub max_lease: Duration,
     /// Room of the minion, with the times from which on it was so. The entry shows it later.
     rooms: Vec<(Duration, Resources)>,
     fence: u64,
@@ -130,8 +133,9 @@
     /// Starts a minion at `now`.
     pub fn new(entry: MinionEntry, now: Duration) -> Self {
         Self {
-            incarnation: now.as_millis() as u64 + 1,
+            incarnation: UNIX_START_MS + now.as_millis() as u64 + 1,
             enforces_capacity: true,
+            max_lease: MAX_LEASE,
             rooms: vec![(now, entry.capacity)],
             entry,
             up: true,
@@ -172,6 +176,7 @@
     pub fn restart(&mut self, now: Duration) {
         *self = Self {
             enforces_capacity: self.enforces_capacity,
+            max_lease: self.max_lease,
             interference: self.interference.clone(),
             ..Self::new(self.entry.clone(), now)
         };
@@ -468,10 +473,10 @@
         })
     }
 
-    /// Extends the lease to a time on the minion's clock; a longer one than [`MAX_LEASE`] is shortened.
+    /// Extends the lease to a time on the minion's clock; a longer one than the longest is shortened.
     fn lease(&mut self, end_ms: u64, now: Duration) {
         let end = self.clock_origin + Duration::from_millis(end_ms);
-        self.lease_end = self.lease_end.max(end.min(now + MAX_LEASE));
+        self.lease_end = self.lease_end.max(end.min(now + self.max_lease));
     }
 
     /// Advances the minion to `now`: ends the runs that complete, fail, are stopped or have lost
