Count the leases of a restarted minion by those given on its former clock

Callers saw one task run twice at the same time (TWICE): a minion is back under its id, runs are started there, it is cut off, and the runs start elsewhere 5.7 s later, while they still run there.

Cause: a call for the former incarnation that the next one carries out gives it a lease on a clock that isn't its own. Its end lies far ahead there, is shortened to the longest lease that the minion accepts, and never shortens again. The scheduler forgot the former clock with the restart.

Change: a minion's leases are a type of their own. Once another incarnation is heard of, its leases count as lasting until the last call with a lease on the former clock may have been carried out, 14.5 s after it was sent, and the longest accepted lease after that. The same holds for a minion that was removed and is back, for a start without an answer where only the entry tells of a restart, and for a new term, which takes the time of the restart from the entry or the first list. A reply that shows another clock makes the scheduler ask for the runs at once. A minion in doubt gets no acknowledgement, as that question would have carried one.

Why it works: no call is left that may still give a lease when the runs are taken for ended, whatever minions grant.

--- a/crates/snipevane-core/src/jobs/event.rs
+++ b/crates/snipevane-core/src/jobs/event.rs
@@ -130,6 +130,10 @@
         ended: usize,
         /// Number of runs that the present incarnation lists, or may have begun.
         kept: usize,
+        /// Time since a call with a lease on the earlier clock was last sent; `None` if none was.
+        since_lease: Option<Duration>,
+        /// Time until all leases of the present incarnation are over, whichever clock they were given on.
+        leases_left: Duration,
     },
     /// A run list was ignored, as it may be of an earlier incarnation of the minion.
     RunListIgnored {
--- /dev/null
+++ b/crates/snipevane-core/src/jobs/minions/leases.rs
@@ -0,0 +1,144 @@
+//! Leases that a minion was granted, and the time at which all of them are over.
+//!
+//! A lease ends at a time on the minion's clock, which starts anew with each incarnation. A call for an
+//! incarnation may be carried out by the next one. On the clock of that one its lease may end far later, at most
+//! after the longest lease that minions accept.
+
+use std::time::Duration;
+
+use super::minion::millis;
+
+/// Longest time from the sending of a call with a lease until it arrives at the minion.
+const MAX_TRANSIT: Duration = Duration::from_millis(2_500);
+
+/// Longest time for which a minion leaves a call unanswered until it carries it out.
+const MAX_EXECUTION_DELAY: Duration = Duration::from_secs(12);
+
+/// Lowest rate at which a minion's clock is assumed to run, in percent of the scheduler's clock.
+const SLOWEST_CLOCK_PERCENT: u32 = 98;
+const PERCENT: u32 = 100;
+
+/// Longest time from the reading of a minion's clock until it arrives here.
+const MAX_READING_AGE: Duration = Duration::from_secs(2);
+
+/// A reading of a minion's clock, with the time at which the scheduler received it.
+#[derive(Clone, Copy, Debug)]
+struct ClockReading {
+    minion_ms: u64,
+    received_at: Duration,
+}
+
+/// Leases of the runs on a minion.
+#[derive(Clone, Copy, Debug, Default)]
+pub(in crate::jobs) struct Leases {
+    clock: Option<ClockReading>,
+    /// Time at which all leases are over that the present incarnation may have, even if its clock runs at the
+    /// lowest rate.
+    expire_at: Duration,
+    /// Time at which a call with a lease on the present clock was last sent.
+    last_sent_at: Option<Duration>,
+}
+
+impl Leases {
+    /// Creates the leases of a minion to which an earlier term may have sent calls.
+    ///
+    /// These leases are over at `expire_at` if they were given on the minion's own clock, and the last call was
+    /// sent by `last_sent_at`.
+    pub(in crate::jobs) fn new(expire_at: Duration, last_sent_at: Option<Duration>) -> Self {
+        Self {
+            clock: None,
+            expire_at,
+            last_sent_at,
+        }
+    }
+
+    /// Records a reading of the minion's clock that was received at `received_at`.
+    ///
+    /// A reading that was received before the last one, or that is below the lower bound derived
+    /// from it, is ignored.
+    pub(in crate::jobs) fn update_clock(&mut self, minion_ms: u64, received_at: Duration) {
+        let is_newer = self
+            .clock
+            .is_none_or(|clock| received_at >= clock.received_at);
+        if is_newer && minion_ms >= self.clock_lower_bound(received_at).unwrap_or(0) {
+            self.clock = Some(ClockReading {
+                minion_ms,
+                received_at,
+            });
+        }
+    }
+
+    /// Returns the lowest value that the minion's clock can show now, in milliseconds; `None` if
+    /// the clock hasn't been read.
+    pub(in crate::jobs) fn clock_lower_bound(&self, now: Duration) -> Option<u64> {
+        let clock = self.clock?;
+        let elapsed = now.saturating_sub(clock.received_at) * SLOWEST_CLOCK_PERCENT / PERCENT;
+        Some(clock.minion_ms + millis(elapsed))
+    }
+
+    /// Returns whether a reading that was received at `received_at` is so low that it is of another clock.
+    pub(in crate::jobs) fn is_of_other_clock(&self, minion_ms: u64, received_at: Duration) -> bool {
+        let lowest = self.clock_lower_bound(received_at).unwrap_or(0);
+        minion_ms.saturating_add(millis(MAX_READING_AGE)) < lowest
+    }
+
+    /// Grants a lease of `length` from now and returns its end on the minion's clock, in
+    /// milliseconds; `None` if the clock hasn't been read.
+    pub(in crate::jobs) fn grant(&mut self, length: Duration, now: Duration) -> Option<u64> {
+        let end = self.clock_lower_bound(now)? + millis(length);
+        self.expire_at = self.expire_at.max(now + longest(length));
+        self.record_sent(now);
+        Some(end)
+    }
+
+    /// Records that a call with a lease that was granted before is sent.
+    pub(in crate::jobs) fn record_sent(&mut self, now: Duration) {
+        self.last_sent_at = Some(now);
+    }
+
+    /// Returns whether all leases are certain to have been over for more than `margin`.
+    pub(in crate::jobs) fn have_expired(&self, margin: Duration, now: Duration) -> bool {
+        now > self.expire_at + margin
+    }
+
+    /// Returns the time at which leases on the present clock are over at the latest if another incarnation was
+    /// given them, which grants up to `max_lease`.
+    pub(in crate::jobs) fn misread_until(&self, max_lease: Duration) -> Duration {
+        let sent_at = self.last_sent_at;
+        sent_at.map_or(Duration::ZERO, |at| at + longest_misread(max_lease))
+    }
+
+    /// Counts the leases as lasting until this time at least.
+    pub(in crate::jobs) fn extend(&mut self, until: Duration) {
+        self.expire_at = self.expire_at.max(until);
+    }
+
+    /// Forgets the clock, as a later incarnation has another one. Its leases last until those on the clock before are
+    /// over, if it was given them.
+    pub(in crate::jobs) fn reset_clock(&mut self, max_lease: Duration) {
+        self.extend(self.misread_until(max_lease));
+        self.clock = None;
+        self.last_sent_at = None;
+    }
+
+    /// Returns the time until all leases are over, at `now`.
+    pub(in crate::jobs) fn left(&self, now: Duration) -> Duration {
+        self.expire_at.saturating_sub(now)
+    }
+
+    /// Returns the time since a call with a lease on the present clock was last sent, at `now`.
+    pub(in crate::jobs) fn since_last_sent(&self, now: Duration) -> Option<Duration> {
+        self.last_sent_at.map(|at| now.saturating_sub(at))
+    }
+}
+
+/// Returns the longest time that a lease lasts on a minion's clock.
+fn longest(lease: Duration) -> Duration {
+    lease * PERCENT / SLOWEST_CLOCK_PERCENT
+}
+
+/// Returns the longest time from the sending of a call with a lease until the lease is over, if an incarnation is given
+/// it for which it wasn't meant.
+pub(in crate::jobs) fn longest_misread(max_lease: Duration) -> Duration {
+    MAX_TRANSIT + MAX_EXECUTION_DELAY + longest(max_lease)
+}
--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 
 use super::incarnations::Incarnations;
+use super::leases::Leases;
 use crate::placement::Resources;
 use crate::reply_time::ReplyTime;
 
@@ -21,10 +22,6 @@
     pub struct MinionKey;
 }
 
-/// Lowest rate at which a minion's clock is assumed to run, in percent of the scheduler's clock.
-const SLOWEST_CLOCK_PERCENT: u32 = 98;
-const PERCENT: u32 = 100;
-
 /// Lower bound of the time that a minion takes to restart.
 ///
 /// If the last run list is more recent than that, the incarnation that sent it is certain to
@@ -81,13 +78,6 @@
     pub(in crate::jobs) has_likely_cause: bool,
 }
 
-/// A reading of a minion's clock, with the time at which the scheduler received it.
-#[derive(Clone, Copy, Debug)]
-struct ClockReading {
-    minion_ms: u64,
-    received_at: Duration,
-}
-
 /// A minion, its runs, and the state of the calls to it.
 #[derive(Clone, Debug)]
 pub struct Minion {
@@ -176,16 +166,13 @@
     pub(in crate::jobs) restarted_at: Option<Duration>,
     /// Crash of the present incarnation, once it is known.
     pub(in crate::jobs) crash: Option<Crash>,
-    clock: Option<ClockReading>,
-    /// Time at which all leases have expired, even if the minion's clock runs at the lowest rate.
-    leases_expire_at: Duration,
+    /// Leases of its runs, and what is known of its clock.
+    pub(in crate::jobs) leases: Leases,
 }
 
 impl Minion {
-    /// Creates a minion of which only the entry is known.
-    ///
-    /// Leases that an earlier term granted expire at `leases_expire_at` at the latest.
-    pub fn new(entry: MinionEntry, leases_expire_at: Duration) -> Self {
+    /// Creates a minion of which only the entry is known, and the leases that it may have from earlier calls.
+    pub(in crate::jobs) fn new(entry: MinionEntry, leases: Leases) -> Self {
         Self {
             entry,
             listed: true,
@@ -228,24 +215,7 @@
             trial: None,
             restarted_at: None,
             crash: None,
-            clock: None,
-            leases_expire_at,
-        }
-    }
-
-    /// Records a reading of the minion's clock that was received at `received_at`.
-    ///
-    /// A reading that was received before the last one, or that is below the lower bound derived
-    /// from it, is ignored.
-    pub fn update_clock(&mut self, minion_ms: u64, received_at: Duration) {
-        let is_newer = self
-            .clock
-            .is_none_or(|clock| received_at >= clock.received_at);
-        if is_newer && minion_ms >= self.clock_lower_bound(received_at).unwrap_or(0) {
-            self.clock = Some(ClockReading {
-                minion_ms,
-                received_at,
-            });
+            leases,
         }
     }
 
@@ -273,7 +243,7 @@
         let same_incarnation = self
             .last_contact
             .is_some_and(|at| now < at + MIN_RESTART_TIME);
-        if !same_incarnation {
+        if !same_incarnation || self.suspect {
             return 0;
         }
         self.acked_seq = self.acked_seq.max(self.stored_seq);
@@ -307,9 +277,16 @@
     }
 
     /// Resets the clock, the sequence numbers and the record of failures and speed after a restart.
-    pub(in crate::jobs) fn reset_for_incarnation(&mut self, incarnation: u64, now: Duration) {
+    ///
+    /// The next incarnation accepts leases of up to `max_lease`.
+    pub(in crate::jobs) fn reset_for_incarnation(
+        &mut self,
+        incarnation: u64,
+        max_lease: Duration,
+        now: Duration,
+    ) {
         self.incarnations.record(incarnation, now);
-        self.clock = None;
+        self.leases.reset_clock(max_lease);
         self.hold_lease_end_ms = None;
         self.list_clock_ms = 0;
         self.received_seq = 0;
@@ -334,24 +311,7 @@
     /// Returns the lowest value that the minion's clock can show now, in milliseconds; `None` if
     /// the clock hasn't been read.
     pub fn clock_lower_bound(&self, now: Duration) -> Option<u64> {
-        let clock = self.clock?;
-        let elapsed = now.saturating_sub(clock.received_at) * SLOWEST_CLOCK_PERCENT / PERCENT;
-        Some(clock.minion_ms + millis(elapsed))
-    }
-
-    /// Grants a lease of `length` from now and returns its end on the minion's clock, in
-    /// milliseconds; `None` if the clock hasn't been read.
-    pub fn grant_lease(&mut self, length: Duration, now: Duration) -> Option<u64> {
-        let end = self.clock_lower_bound(now)? + millis(length);
-        let expires_at = now + length * PERCENT / SLOWEST_CLOCK_PERCENT;
-        self.leases_expire_at = self.leases_expire_at.max(expires_at);
-        Some(end)
-    }
-
-    /// Returns whether all runs are certain to have ended because their leases expired more than
-    /// `margin` ago.
-    pub fn leases_expired(&self, margin: Duration, now: Duration) -> bool {
-        now > self.leases_expire_at + margin
+        self.leases.clock_lower_bound(now)
     }
 
     /// Returns the capacity that isn't allocated.
--- a/crates/snipevane-core/src/jobs/minions/mod.rs
+++ b/crates/snipevane-core/src/jobs/minions/mod.rs
@@ -2,5 +2,6 @@
 
 pub(super) mod hosted_minions;
 pub(super) mod incarnations;
+pub(super) mod leases;
 pub(super) mod minion;
 pub(super) mod registry;
--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -5,6 +5,7 @@
 use rustc_hash::FxHashSet;
 use smol_str::SmolStr;
 
+use super::leases::Leases;
 use super::minion::{Minion, MinionEntry, MinionKey};
 use crate::jobs::action::Recipient;
 use crate::jobs::event::{LossReason, SchedulerEvent};
@@ -25,7 +26,7 @@
         let Some(&key) = self.minion_ids.get(&entry.id) else {
             self.ask_minion_at_address(&entry, now);
             let id = entry.id.clone();
-            let mut minion = Minion::new(entry, self.unreported.until_of(&id));
+            let mut minion = Minion::new(entry, self.earlier_leases(&id));
             minion.leases_withheld = self.silent.contains(&id);
             minion.recorded = self.unreported.minions.contains_key(&id);
             minion.entry_read_at = now;
@@ -195,8 +196,25 @@
         if minion.listed || !minion.runs.is_empty() || minion.holds.is_outstanding() {
             return;
         }
-        self.minion_ids.remove(&minion.entry.id);
+        let id = minion.entry.id.clone();
+        let leases_until = minion.leases.misread_until(self.settings.max_lease);
+        self.minion_ids.remove(&id);
         self.minions.remove(key);
+        self.removed_leases.insert(id, leases_until);
+    }
+
+    /// Returns the leases that a minion which joins may have from calls of an earlier term, or from those that were
+    /// sent before it was removed.
+    fn earlier_leases(&mut self, id: &SmolStr) -> Leases {
+        let until = self.unreported.until_of(id);
+        let removed_until = self.removed_leases.remove(id).unwrap_or(Duration::ZERO);
+        let sent_until = self.unreported.sent_until(id);
+        Leases::new(until.max(removed_until), sent_until)
+    }
+
+    /// Forgets the leases of removed minions that are over.
+    pub(in crate::jobs) fn forget_removed_leases(&mut self, now: Duration) {
+        self.removed_leases.retain(|_, until| now < *until);
     }
 
     /// Handles a restart of a minion: ends the runs of its earlier incarnation.
@@ -221,17 +239,22 @@
             !may_be_new && !own.contains(run)
         });
         let ended: Vec<RunKey> = ended.collect();
+        let max_lease = self.settings.max_lease;
+        let mut leases = minion.leases;
+        leases.reset_clock(max_lease);
         self.events.push(SchedulerEvent::MinionRestarted {
             minion: minion.entry.id.clone(),
             from: minion.incarnation().unwrap_or_default(),
             to: incarnation,
             ended: ended.len(),
             kept: minion.runs.len() - ended.len(),
+            since_lease: minion.leases.since_last_sent(now),
+            leases_left: leases.left(now),
         });
         self.record_end_of_incarnation(key, &ended);
         self.end_runs_of_former_incarnation(&ended, LossReason::MinionRestarted, now);
         if let Some(minion) = self.minions.get_mut(key) {
-            minion.reset_for_incarnation(incarnation, now);
+            minion.reset_for_incarnation(incarnation, max_lease, now);
             minion.restarted_at = Some(now);
         }
     }
@@ -260,14 +283,14 @@
         let margin = self.settings.lease_margin;
         let expired = self.minions.iter().filter(|(_, minion)| {
             let doubtful = minion.suspect || !minion.listed;
-            doubtful && !minion.runs.is_empty() && minion.leases_expired(margin, now)
+            doubtful && !minion.runs.is_empty() && minion.leases.have_expired(margin, now)
         });
         let expired: Vec<MinionKey> = expired.map(|(key, _)| key).collect();
         for key in expired {
             let runs = self.minions[key].runs.iter().copied();
             let runs: Vec<RunKey> = runs.collect();
             for run in runs {
-                if !self.has_order_outstanding(run) {
+                if !self.has_order_outstanding(run) && !self.may_have_misread_lease(run, now) {
                     self.mark_run_lost(run, LossReason::LeaseExpired);
                 }
             }
@@ -275,6 +298,19 @@
         }
     }
 
+    /// Returns whether a run may have been begun by an incarnation that nobody has heard of, whose leases aren't over.
+    ///
+    /// A run whose begin was confirmed is of the known incarnation.
+    fn may_have_misread_lease(&self, key: RunKey, now: Duration) -> bool {
+        let run = self.runs.get(key).filter(|run| run.began_at.is_none());
+        let minion = run.and_then(|run| self.minions.get(run.minion));
+        minion.is_some_and(|minion| {
+            let start = minion.entry.started_unix_ms;
+            let until = minion.leases.misread_until(self.settings.max_lease);
+            minion.incarnations.may_be_new(start) && now <= until + self.settings.lease_margin
+        })
+    }
+
     /// Ends all runs of a minion whose VM was taken down as planned, except those with an order in
     /// flight.
     pub(in crate::jobs) fn end_runs_of_vm_taken_down(&mut self, key: MinionKey) {
--- a/crates/snipevane-core/src/jobs/running/holds.rs
+++ b/crates/snipevane-core/src/jobs/running/holds.rs
@@ -73,6 +73,9 @@
         minion.hold_wait = Duration::ZERO;
         // The clock of another incarnation may answer, on which this lease would end later.
         let lease_end_ms = minion.hold_lease_end_ms.filter(|_| !minion.suspect);
+        if lease_end_ms.is_some() {
+            minion.leases.record_sent(now);
+        }
         let order = HoldOrder {
             to,
             lease_end_ms,
@@ -108,7 +111,7 @@
             Some(settings.lease)
         };
         minion.holds.record_sent(now);
-        minion.hold_lease_end_ms = lease.and_then(|lease| minion.grant_lease(lease, now));
+        minion.hold_lease_end_ms = lease.and_then(|lease| minion.leases.grant(lease, now));
         minion.hold_wait = match (may_wait, needs_short_wait) {
             (false, _) => Duration::ZERO,
             (true, _) if minion.is_doubtful(now) => settings.doubtful_hold_timeout,
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -285,7 +285,7 @@
         let Some(minion) = self.minions.get_mut(run.minion) else {
             return;
         };
-        let Some(lease_end_ms) = minion.grant_lease(lease, now) else {
+        let Some(lease_end_ms) = minion.leases.grant(lease, now) else {
             return;
         };
         let Some(job) = self.jobs.get(run.job) else {
@@ -435,7 +435,8 @@
 
     /// Records the clock in the answer to an order that was sent at `sent_at`.
     ///
-    /// An order from before the last restart may have been answered by the incarnation before.
+    /// An order from before the last restart may have been answered by the incarnation before. A reading of another clock
+    /// tells of a restart that hasn't been noticed: the minion is asked for its runs.
     fn read_clock(
         &mut self,
         minion: MinionKey,
@@ -443,10 +444,19 @@
         sent_at: Duration,
         now: Duration,
     ) {
-        if let (Some(minion), Some(clock_ms)) = (self.minions.get_mut(minion), clock_ms)
-            && !minion.restarted_since(sent_at)
-        {
-            minion.update_clock(clock_ms, now);
+        let key = minion;
+        let max_lease = self.settings.max_lease;
+        let (Some(minion), Some(clock_ms)) = (self.minions.get_mut(key), clock_ms) else {
+            return;
+        };
+        if minion.restarted_since(sent_at) {
+            return;
+        }
+        if minion.leases.is_of_other_clock(clock_ms, now) {
+            minion.leases.extend(minion.leases.misread_until(max_lease));
+            self.ask_for_runs(key, now);
+            return;
         }
+        minion.leases.update_clock(clock_ms, now);
     }
 }
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -149,7 +149,12 @@
         };
         let start = list.started_unix_ms;
         match minion.incarnations.origin_of(start, asked_at) {
-            ListOrigin::First => minion.incarnations.record(start, now),
+            ListOrigin::First => {
+                minion.incarnations.record(start, now);
+                let unreported = &self.unreported;
+                let until = unreported.misread_until(start, self.settings.max_lease, now, unix_ms);
+                minion.leases.extend(until);
+            }
             ListOrigin::Known if list.clock_ms < minion.list_clock_ms => return false,
             ListOrigin::Known => {}
             ListOrigin::Later => {
@@ -166,7 +171,7 @@
         let Some(minion) = self.minions.get_mut(key) else {
             return false;
         };
-        minion.update_clock(list.clock_ms, now);
+        minion.leases.update_clock(list.clock_ms, now);
         minion.list_clock_ms = list.clock_ms;
         minion.fence_accepted = true;
         minion.suspect = false;
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -117,6 +117,8 @@
     pub(super) minion_ids: FxHashMap<SmolStr, MinionKey>,
     /// Entries of minions of pools that the configuration doesn't name.
     pub(super) left_out: FxHashMap<SmolStr, MinionEntry>,
+    /// Times until which removed minions may have leases from calls that were sent before, in case they come back.
+    pub(super) removed_leases: FxHashMap<SmolStr, Duration>,
     /// Time at which the list of minions was last known to be up to date.
     pub(super) minions_confirmed_at: Option<Duration>,
     /// Availability zones in which nothing may start.
@@ -191,6 +193,7 @@
             minions: SlotMap::with_key(),
             minion_ids: FxHashMap::default(),
             left_out: FxHashMap::default(),
+            removed_leases: FxHashMap::default(),
             minions_confirmed_at: None,
             evacuated: EvacuatedZones::default(),
             evacuations_confirmed: true,
@@ -242,6 +245,8 @@
     pub fn decide(&mut self, now: Duration, unix_ms: u64) -> Vec<Action> {
         self.add_minions_of_new_pools(now);
         self.add_due_occurrences(now, unix_ms);
+        self.extend_unreported_leases(now, unix_ms);
+        self.forget_removed_leases(now);
         self.end_expired_runs(now);
         self.give_up_crashing_tasks(now, unix_ms);
         self.end_trials();
--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -61,7 +61,7 @@
     PLACEMENT_PAUSED = 2074 Warn "nothing starts, as the operator's requests aren't confirmed" ["fence"];
     PLACEMENT_RESUMED = 2075 Info "starts go on, as the operator's requests are confirmed" ["fence"];
     MINION_LEFT_OUT = 2076 Warn "entry of a minion left out, as no configuration names its pool" ["minion", "pool", "fence"];
-    MINION_RESTARTED = 2077 Info "minion has restarted under its id" ["minion", "from", "to", "ended", "kept", "fence"];
+    MINION_RESTARTED = 2077 Info "minion has restarted under its id" ["minion", "from", "to", "ended", "kept", "since_lease_ms", "leases_left_ms", "fence"];
     RUN_LIST_IGNORED = 2078 Info "list of runs ignored, as it may be of an earlier incarnation" ["minion", "listed", "known", "fence"];
     LONG_RUNNING_TASK_WAITS = 2079 Warn "long-running task has no run that works" ["task", "pool", "reason", "wait_ms", "left_ms", "minions", "fence"];
     ROW_UNREADABLE = 2080 Error "row can't be read" ["table", "key", "reason"];
--- a/crates/snipevane-fleet/src/scheduling/notes.rs
+++ b/crates/snipevane-fleet/src/scheduling/notes.rs
@@ -69,9 +69,20 @@
             to,
             ended,
             kept,
+            since_lease,
+            leases_left,
         } => record(
             &events::MINION_RESTARTED,
-            &[minion, from, to, ended, kept, &fence],
+            &[
+                minion,
+                from,
+                to,
+                ended,
+                kept,
+                &format_age(*since_lease),
+                &leases_left.as_millis(),
+                &fence,
+            ],
         ),
         SchedulerEvent::RunListIgnored {
             minion,
--- a/crates/snipevane-fleet/src/scheduling/won_term.rs
+++ b/crates/snipevane-fleet/src/scheduling/won_term.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
 use snipevane_core::jobs::{SilentMinion, UnreportedRuns, adopt_silent_minions};
 
 use crate::minion_rows::MinionRows;
@@ -51,6 +52,8 @@
         });
         let silent: Vec<SilentMinion> = silent.collect();
         UnreportedRuns {
+            sent_until: Some(now),
+            restarted: FxHashMap::default(),
             until: now + lease * PERCENT / MIN_CLOCK_RATE_PERCENT + EARLIER_TERM_LEASE_MARGIN,
             minions: minions.collect(),
             silent: adopt_silent_minions(&silent, self.previous_seen_at),
--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -384,9 +384,11 @@
         self.fence += 1;
         let lease = self.settings.lease.mul_f64(1.0 / 0.98);
         let unreported = UnreportedRuns {
+            sent_until: Some(self.now),
             until: self.now + lease + Duration::from_millis(200),
             minions: self.recorded_minions.iter().cloned().collect(),
             silent: adopt_silent_minions(&self.silent_minions, self.stored_at),
+            ..UnreportedRuns::default()
         };
         self.scheduler = Scheduler::new(self.settings, self.fence, self.site.clone(), unreported);
         self.scheduler.distrust_lists_before_stops(self.now);
