--- a/crates/snipevane-core/src/jobs/minions/leases.rs
+++ b/crates/snipevane-core/src/jobs/minions/leases.rs
@@ -86,7 +86,7 @@
     /// milliseconds; `None` if the clock hasn't been read.
     pub(in crate::jobs) fn grant(&mut self, length: Duration, now: Duration) -> Option<u64> {
         let end = self.clock_lower_bound(now)? + millis(length);
-        self.expire_at = self.expire_at.max(now + longest(length));
+        self.expire_at = self.expire_at.max(now + longest_lease(length));
         self.record_sent(now);
         Some(end)
     }
@@ -132,13 +132,13 @@
     }
 }
 
-/// Returns the longest time that a lease lasts on a minion's clock.
-fn longest(lease: Duration) -> Duration {
+/// Returns the longest time that a lease lasts, as it is measured on a minion's clock.
+pub fn longest_lease(lease: Duration) -> Duration {
     lease * PERCENT / SLOWEST_CLOCK_PERCENT
 }
 
 /// Returns the longest time from the sending of a call with a lease until the lease is over, if an incarnation is given
 /// it for which it wasn't meant.
 pub(in crate::jobs) fn longest_misread(max_lease: Duration) -> Duration {
-    MAX_TRANSIT + MAX_EXECUTION_DELAY + longest(max_lease)
+    MAX_TRANSIT + MAX_EXECUTION_DELAY + longest_lease(max_lease)
 }
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -27,6 +27,7 @@
 pub use ending::task_crashes::TaskCrashes;
 pub use ending::trial::Trial;
 pub use event::{LossReason, RepeatedOrder, SchedulerEvent, StopReason};
+pub use minions::leases::longest_lease;
 pub use minions::minion::{Minion, MinionEntry, MinionKey};
 pub use model::id::{JobId, ParseIdError, StepId, TaskId};
 pub use model::job::{Job, JobKey, TaskRef};
--- a/crates/snipevane-fleet/src/scheduling/won_term.rs
+++ b/crates/snipevane-fleet/src/scheduling/won_term.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
-use snipevane_core::jobs::{SilentMinion, UnreportedRuns, adopt_silent_minions};
+use snipevane_core::jobs::{SilentMinion, UnreportedRuns, adopt_silent_minions, longest_lease};
 
 use crate::minion_rows::MinionRows;
 use crate::rows::SchedulerRow;
@@ -15,10 +15,6 @@
 /// the runs that it knows of as ended, whichever term granted their leases.
 const EARLIER_TERM_LEASE_MARGIN: Duration = Duration::from_millis(200);
 
-/// Lowest rate of a minion's clock relative to this process's clock, in percent.
-const MIN_CLOCK_RATE_PERCENT: u32 = 98;
-const PERCENT: u32 = 100;
-
 /// A term that this process has won.
 pub(super) struct WonTerm {
     /// Scheduler's row that was written.
@@ -48,13 +44,13 @@
         let silent = previous.silent_minions.iter();
         let silent = silent.map(|(id, left_ms)| SilentMinion {
             id: id.clone(),
-            leases_left: Duration::from_millis(*left_ms) * PERCENT / MIN_CLOCK_RATE_PERCENT,
+            leases_left: longest_lease(Duration::from_millis(*left_ms)),
         });
         let silent: Vec<SilentMinion> = silent.collect();
         UnreportedRuns {
             sent_until: Some(now),
             restarted: FxHashMap::default(),
-            until: now + lease * PERCENT / MIN_CLOCK_RATE_PERCENT + EARLIER_TERM_LEASE_MARGIN,
+            until: now + longest_lease(lease) + EARLIER_TERM_LEASE_MARGIN,
             minions: minions.collect(),
             silent: adopt_silent_minions(&silent, self.previous_seen_at),
         }
--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -23,7 +23,7 @@
 use snipevane_core::jobs::{
     Action, AdviceReply, EvacuatedZones, HoldReply, JobChange, JobId, JobSpec, JobState,
     MinionEntry, OrderReply, Progress, RunEnd, Scheduler, SchedulerSettings, SilentMinion, Site,
-    TaskId, UnreportedRuns, VmState, adopt_silent_minions,
+    TaskId, UnreportedRuns, VmState, adopt_silent_minions, longest_lease,
 };
 
 use self::incarnations::PendingRestart;
@@ -382,7 +382,7 @@
     /// Starts the next term with a new scheduler; all that the former one hasn't stored is lost.
     pub fn take_over(&mut self) {
         self.fence += 1;
-        let lease = self.settings.lease.mul_f64(1.0 / 0.98);
+        let lease = longest_lease(self.settings.lease);
         let unreported = UnreportedRuns {
             sent_until: Some(self.now),
             until: self.now + lease + Duration::from_millis(200),
