A silent minion has not crashed once its leases are over after a takeover

Callers saw jobs shown as failed although no two minions had crashed under one of their tasks: a run on trial that no minion listed to a new term counted as an attributed crash once the leases of the former term were over, also if its minion was only cut off and worked on.

A crash needs evidence now: the minion has reported as another incarnation, or no VM hosts it and it isn't due to leave. Otherwise the run stays undecided and its task starts elsewhere, on trial. A crash that is heard of so late may have come after the lease had ended the run, so it counts, but is attributed to no job.

--- a/crates/snipevane-core/src/jobs/ending/ends.rs
+++ b/crates/snipevane-core/src/jobs/ending/ends.rs
@@ -425,6 +425,7 @@
         self.ended.insert(job.id, job.state, job.ended_unix_ms);
         self.job_ids.remove(&job.id);
         self.scheduled.remove(&key);
+        self.undecided_jobs.remove(&key);
         self.permits.remove_job(key);
         self.jobs.remove(key);
     }
--- a/crates/snipevane-core/src/jobs/ending/mod.rs
+++ b/crates/snipevane-core/src/jobs/ending/mod.rs
@@ -9,5 +9,6 @@
 mod task_crash;
 pub(super) mod task_crashes;
 pub(super) mod trial;
+mod trial_outcome;
 pub(super) mod trials;
 mod unexplained_crashes;
--- a/crates/snipevane-core/src/jobs/ending/task_crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/task_crashes.rs
@@ -29,6 +29,8 @@
     unexplained: UnexplainedCrashes,
     /// Run on trial.
     on_trial: Option<Trial>,
+    /// Earlier runs on trial on minions that were silent after a takeover, the latest ones.
+    undecided: Vec<Trial>,
 }
 
 impl TaskCrashes {
@@ -53,6 +55,7 @@
         self.unconfirmed.clone_from(&stored.unconfirmed);
         self.unexplained = UnexplainedCrashes::restore(stored.unexplained as usize);
         self.on_trial.clone_from(&stored.on_trial);
+        self.undecided.clone_from(&stored.undecided);
     }
 
     /// Adds the record to its stored form, in which the position of the task is set.
@@ -66,6 +69,7 @@
             attributed: self.attributed,
             unconfirmed: self.unconfirmed.clone(),
             on_trial: self.on_trial.clone(),
+            undecided: self.undecided.clone(),
             ..position
         }
     }
@@ -77,7 +81,8 @@
 
     /// Returns the highest number of an attempt in the record; 0 if there is none.
     pub(in crate::jobs) fn last_attempt(&self) -> u32 {
-        let on_trial = self.on_trial.iter().map(|trial| trial.attempt);
+        let on_trial = self.on_trial.iter().chain(&self.undecided);
+        let on_trial = on_trial.map(|trial| trial.attempt);
         let unconfirmed = self.unconfirmed.iter().copied();
         let attempts = self.attempts().chain(unconfirmed).chain(on_trial);
         attempts.max().unwrap_or(0)
@@ -126,7 +131,7 @@
         !self.is_empty() && !self.long_running
     }
 
-    /// Returns whether an attempt that no minion lists after a takeover counts as a crash. That is thin
+    /// Returns whether an attempt that no minion lists after a takeover may count as a crash. That is thin
     /// evidence, so it doesn't if the starts aren't limited.
     pub(in crate::jobs) fn counts_vanished_attempts(&self) -> bool {
         !self.long_running
@@ -212,9 +217,29 @@
         self.len() < before
     }
 
+    /// Returns the earlier runs on trial whose outcome isn't known.
+    pub(in crate::jobs) fn undecided(&self) -> &[Trial] {
+        &self.undecided
+    }
+
+    /// Records that the minion of an attempt on trial is silent and its lease over, so that the task may start
+    /// elsewhere; returns whether the attempt was on trial.
+    pub(in crate::jobs) fn leave_undecided(&mut self, attempt: u32) -> bool {
+        let Some(trial) = self.on_trial.take_if(|trial| trial.attempt == attempt) else {
+            return false;
+        };
+        self.undecided.push(trial);
+        if self.undecided.len() > MAX_KEPT {
+            self.undecided.remove(0);
+        }
+        true
+    }
+
     /// Records that an attempt has ended; returns whether it was on trial.
     pub(in crate::jobs) fn end_trial(&mut self, attempt: u32) -> bool {
-        let is_over = |trial: &mut Trial| trial.attempt == attempt;
-        self.on_trial.take_if(is_over).is_some()
+        let undecided = self.undecided.len();
+        self.undecided.retain(|trial| trial.attempt != attempt);
+        let on_trial = self.on_trial.take_if(|trial| trial.attempt == attempt);
+        on_trial.is_some() || self.undecided.len() < undecided
     }
 }
--- a/crates/snipevane-core/src/jobs/ending/trials.rs
+++ b/crates/snipevane-core/src/jobs/ending/trials.rs
@@ -9,6 +9,7 @@
 use super::crash_report::CrashReport;
 use super::task_crashes::TaskCrashes;
 use super::trial::Trial;
+use super::trial_outcome::TrialOutcome;
 use crate::jobs::minions::minion::MinionKey;
 use crate::jobs::model::job::{JobKey, TaskRef};
 use crate::jobs::model::run::{Run, RunKey};
@@ -52,43 +53,117 @@
         on_trial.collect()
     }
 
-    /// Settles the runs on trial that an earlier term placed and that no minion has listed, now that
-    /// all minions of that term have reported or are gone: their minions have crashed, or the runs
-    /// never started. Only a run whose begin was confirmed counts as a crash.
+    /// Settles the runs on trial that an earlier term placed and that no minion has listed, now that each minion
+    /// of that term has reported, is gone, or has no lease any more.
+    ///
+    /// A minion that is only silent hasn't crashed. Its runs stay undecided until it is heard of, and their tasks
+    /// start elsewhere.
     pub(in crate::jobs) fn settle_earlier_trials(&mut self, step_ref: StepRef) {
+        let job = step_ref.job;
         for (index, trial) in self.earlier_trials(step_ref) {
             let task = TaskRef {
                 index,
                 ..first_task_ref(step_ref)
             };
-            if self.has_outlived(&trial) || !self.counts_vanished_attempts(step_ref.job, task) {
-                self.end_trial(step_ref.job, task, trial.attempt);
-            } else {
-                let report = CrashReport {
-                    attempt: trial.attempt,
-                    attributed: trial.began,
-                    work: trial.began.then_some(Duration::ZERO),
-                    unexplained: self.unexplained_crashes,
-                    is_unexplained: false,
-                };
-                self.record_task_crash(step_ref.job, task, &report);
+            if !self.counts_vanished_attempts(job, task) {
+                self.end_trial(job, task, trial.attempt);
+                continue;
             }
+            match self.outcome_of(&trial) {
+                Some(TrialOutcome::Ended) => self.end_trial(job, task, trial.attempt),
+                Some(TrialOutcome::Crashed) => {
+                    self.record_crash_of_earlier_term(job, task, &trial, trial.began);
+                }
+                None => self.leave_undecided(job, task, trial.attempt),
+            }
+        }
+    }
+
+    /// Settles the undecided runs on trial whose outcome has become known.
+    ///
+    /// Their minions may have crashed after the leases were over, so the crashes are attributed to no job.
+    pub(in crate::jobs) fn settle_undecided_trials(&mut self) {
+        for (job, task, trial) in self.undecided_trials() {
+            match self.outcome_of(&trial) {
+                Some(TrialOutcome::Ended) => self.end_trial(job, task, trial.attempt),
+                Some(TrialOutcome::Crashed) => {
+                    self.record_crash_of_earlier_term(job, task, &trial, false);
+                }
+                None => {}
+            }
+        }
+        let undecided = self.undecided_trials();
+        self.undecided_jobs = undecided.into_iter().map(|(job, ..)| job).collect();
+    }
+
+    /// Returns the undecided runs on trial of tasks that aren't done.
+    fn undecided_trials(&self) -> Vec<(JobKey, TaskRef, Trial)> {
+        let jobs = self.undecided_jobs.iter();
+        let jobs = jobs.filter_map(|&key| Some((key, self.jobs.get(key)?)));
+        let trials = jobs.flat_map(|(key, job)| {
+            let trials = job.undecided_trials();
+            trials.map(move |(task, trial)| (key, task, trial.clone()))
+        });
+        trials.collect()
+    }
+
+    /// Remembers whether a job has undecided runs on trial, by its stored progress.
+    pub(in crate::jobs) fn find_undecided_trials(&mut self, key: JobKey) {
+        let job = self.jobs.get(key);
+        if job.is_some_and(|job| job.undecided_trials().next().is_some()) {
+            self.undecided_jobs.insert(key);
+        }
+    }
+
+    /// Records that the outcome of a run on trial isn't known although its lease is over.
+    fn leave_undecided(&mut self, key: JobKey, task: TaskRef, attempt: u32) {
+        let task = self.jobs.get_mut(key).and_then(|job| job.task_mut(task));
+        if task.is_some_and(|task| task.crashes.leave_undecided(attempt)) {
+            self.undecided_jobs.insert(key);
+            self.dirty.insert(key);
         }
     }
 
-    /// Returns whether an attempt of a task that no minion lists after a takeover counts as a crash.
+    /// Records the crash of a minion under a run on trial that an earlier term placed. It counts only if the begin
+    /// of the run was confirmed.
+    fn record_crash_of_earlier_term(
+        &mut self,
+        job: JobKey,
+        task: TaskRef,
+        trial: &Trial,
+        attributed: bool,
+    ) {
+        let report = CrashReport {
+            attempt: trial.attempt,
+            attributed,
+            work: trial.began.then_some(Duration::ZERO),
+            unexplained: self.unexplained_crashes,
+            is_unexplained: false,
+        };
+        self.record_task_crash(job, task, &report);
+    }
+
+    /// Returns whether an attempt of a task that no minion lists after a takeover may count as a crash.
     fn counts_vanished_attempts(&self, job: JobKey, task: TaskRef) -> bool {
         let task = self.jobs.get(job).and_then(|job| job.task(task));
         task.is_some_and(|task| task.crashes.counts_vanished_attempts())
     }
 
-    /// Returns whether the minion of a run on trial has reported in the incarnation on which the run
-    /// was placed.
-    fn has_outlived(&self, trial: &Trial) -> bool {
+    /// Returns how a run on trial has ended that its minion doesn't list: by a crash if the minion has reported in
+    /// another incarnation, or if no VM hosts it and it wasn't to leave. Returns `None` while the minion may only be
+    /// silent.
+    fn outcome_of(&self, trial: &Trial) -> Option<TrialOutcome> {
         let key = self.minion_by_id(&trial.minion);
         let minion = key.and_then(|key| self.minions.get(key));
-        minion.is_some_and(|minion| {
-            minion.fence_accepted && minion.incarnation() == Some(trial.incarnation)
+        let ended_otherwise = match minion.filter(|minion| minion.fence_accepted) {
+            Some(minion) => minion.incarnation() == Some(trial.incarnation),
+            None if !self.unhosted_minions.contains(&trial.minion) => return None,
+            None => key.is_some_and(|key| self.is_leaving(key)),
+        };
+        Some(if ended_otherwise {
+            TrialOutcome::Ended
+        } else {
+            TrialOutcome::Crashed
         })
     }
 
--- a/crates/snipevane-core/src/jobs/model/job.rs
+++ b/crates/snipevane-core/src/jobs/model/job.rs
@@ -13,6 +13,7 @@
 use super::spec::{JobSpec, StepSpec};
 use super::terms::JobTerms;
 use crate::jobs::ending::task_crashes::TaskCrashes;
+use crate::jobs::ending::trial::Trial;
 
 /// Contiguous ranges of indices, as first and last index.
 type IndexRanges = Vec<(u32, u32)>;
@@ -305,6 +306,33 @@
         }
     }
 
+    /// Returns the tasks that aren't done with their undecided runs on trial.
+    pub(in crate::jobs) fn undecided_trials(&self) -> impl Iterator<Item = (TaskRef, &Trial)> {
+        self.tasks()
+            .filter(|(_, task)| !task.done)
+            .flat_map(|(task_ref, task)| {
+                let trials = task.crashes.undecided().iter();
+                trials.map(move |trial| (task_ref, trial))
+            })
+    }
+
+    /// Returns all tasks of the occurrences so far with their positions.
+    pub(in crate::jobs) fn tasks(&self) -> impl Iterator<Item = (TaskRef, &Task)> {
+        let occurrences = (0..).zip(&self.occurrences);
+        occurrences.flat_map(|(occurrence, state)| {
+            (0..).zip(&state.steps).flat_map(move |(step, state)| {
+                (0..).zip(&state.tasks).map(move |(index, task)| {
+                    let task_ref = TaskRef {
+                        occurrence,
+                        step,
+                        index,
+                    };
+                    (task_ref, task)
+                })
+            })
+        })
+    }
+
     fn restore_crashed(&mut self, crashed: &CrashedRuns) {
         let task_ref = TaskRef {
             occurrence: crashed.occurrence,
--- a/crates/snipevane-core/src/jobs/model/progress.rs
+++ b/crates/snipevane-core/src/jobs/model/progress.rs
@@ -139,6 +139,9 @@
     /// Run on trial.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub on_trial: Option<Trial>,
+    /// Earlier runs on trial on minions that were silent after a takeover.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub undecided: Vec<Trial>,
 }
 
 /// Stored progress of a job, or a part of it.
--- a/crates/snipevane-core/src/jobs/placing/unreported_runs.rs
+++ b/crates/snipevane-core/src/jobs/placing/unreported_runs.rs
@@ -40,12 +40,15 @@
     }
 
     /// Removes the minions that no longer exist according to a list of VMs, such as those whose VM
-    /// was moved right before the term ended.
+    /// was moved right before the term ended. Returns their identifiers.
     ///
     /// Pools with a VM that may host a minion that the list doesn't tell keep all their minions.
-    fn remove_unhosted(&mut self, vms: &[Vm]) {
+    fn remove_unhosted(&mut self, vms: &[Vm]) -> Vec<SmolStr> {
         let hosted = HostedMinions::new(vms);
-        self.minions.retain(|id, pool| hosted.may_contain(id, pool));
+        let unhosted = self
+            .minions
+            .extract_if(|id, pool| !hosted.may_contain(id, pool));
+        unhosted.map(|(id, _)| id).collect()
     }
 }
 
@@ -54,8 +57,13 @@
     ///
     /// `vms` is a list of all VMs that shows every order of the earlier term.
     pub fn forget_unhosted_minions(&mut self, vms: &[Vm]) {
-        if !vms.is_empty() {
-            self.unreported.remove_unhosted(vms);
+        if vms.is_empty() {
+            return;
+        }
+        let unhosted = self.unreported.remove_unhosted(vms);
+        if !unhosted.is_empty() {
+            self.unhosted_minions.extend(unhosted);
+            self.settle_undecided_trials();
         }
     }
 }
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -148,7 +148,8 @@
             return false;
         };
         let start = list.started_unix_ms;
-        match minion.incarnations.origin_of(start, asked_at) {
+        let origin = minion.incarnations.origin_of(start, asked_at);
+        match origin {
             ListOrigin::First => minion.incarnations.record(start, now),
             ListOrigin::Known if list.clock_ms < minion.list_clock_ms => return false,
             ListOrigin::Known => {}
@@ -173,6 +174,9 @@
         minion.listed_at = to.address.clone();
         minion.has_unknown_runs = has_unknown_runs;
         self.unreported.minions.remove(&minion.entry.id);
+        if origin == ListOrigin::First {
+            self.settle_undecided_trials();
+        }
         for ended in &list.ended {
             self.process_end(key, ended, now, unix_ms);
         }
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -127,6 +127,8 @@
     /// Resources used by the known runs of each team.
     pub(super) usage: FxHashMap<SmolStr, Resources>,
     pub(super) unreported: UnreportedRuns,
+    /// Minions that the earlier term used, that haven't reported to this one, and that no VM hosts any more.
+    pub(super) unhosted_minions: FxHashSet<SmolStr>,
     /// Minions that the stored row may name as silent.
     pub(super) silent: SilentMinions,
     /// Upper bound of the resources used by each team's unreported runs.
@@ -151,6 +153,8 @@
     pub(super) speculation_candidates: FxHashSet<(StepRef, u32)>,
     /// Tasks that crash minions, which are to be given up or suspended.
     pub(super) crashing_tasks: Vec<(JobKey, TaskRef)>,
+    /// Jobs that may have runs on trial whose outcome isn't known although their leases are over.
+    pub(super) undecided_jobs: FxHashSet<JobKey>,
     /// Number of crashes in this term that no task explains.
     pub(super) unexplained_crashes: usize,
     /// Permits that the advisor has issued.
@@ -197,6 +201,7 @@
             queues: FxHashMap::default(),
             usage: FxHashMap::default(),
             unreported,
+            unhosted_minions: FxHashSet::default(),
             silent: SilentMinions::default(),
             unreported_usage: FxHashMap::default(),
             ended: EndedJobs::default(),
@@ -209,6 +214,7 @@
             placed_this_round: 0,
             speculation_candidates: FxHashSet::default(),
             crashing_tasks: Vec::new(),
+            undecided_jobs: FxHashSet::default(),
             unexplained_crashes: 0,
             permits: Permits::default(),
             job_rates: JobRateLimiter::default(),
