A crash after a takeover is attributed only to a job that was alone on trial

A new term attributed the crash of a minion to each job with a run on trial there, so one crash spoke against ten tasks of ten jobs, and with one attributed crash before failed all ten. A term attributes a crash to one job at most.

The runs on trial of the former term are counted by minion and incarnation when its jobs are read.

--- a/crates/snipevane-core/src/jobs/ending/mod.rs
+++ b/crates/snipevane-core/src/jobs/ending/mod.rs
@@ -5,6 +5,7 @@
 pub(super) mod crash_report;
 pub(super) mod crashes;
 pub(super) mod dirty_jobs;
+pub(super) mod earlier_trials;
 pub(super) mod ends;
 mod task_crash;
 pub(super) mod task_crashes;
--- a/crates/snipevane-core/src/jobs/ending/trials.rs
+++ b/crates/snipevane-core/src/jobs/ending/trials.rs
@@ -72,7 +72,8 @@
             match self.outcome_of(&trial) {
                 Some(TrialOutcome::Ended) => self.end_trial(job, task, trial.attempt),
                 Some(TrialOutcome::Crashed) => {
-                    self.record_crash_of_earlier_term(job, task, &trial, trial.began);
+                    let attributed = trial.began && self.earlier_trials.is_of_only_job(&trial);
+                    self.record_crash_of_earlier_term(job, task, &trial, attributed);
                 }
                 None => self.leave_undecided(job, task, trial.attempt),
             }
@@ -107,10 +108,13 @@
         trials.collect()
     }
 
-    /// Remembers whether a job has undecided runs on trial, by its stored progress.
-    pub(in crate::jobs) fn find_undecided_trials(&mut self, key: JobKey) {
-        let job = self.jobs.get(key);
-        if job.is_some_and(|job| job.undecided_trials().next().is_some()) {
+    /// Remembers which runs of a job were on trial in earlier terms, by its stored progress.
+    pub(in crate::jobs) fn find_earlier_trials(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        self.earlier_trials.add(key, job);
+        if job.undecided_trials().next().is_some() {
             self.undecided_jobs.insert(key);
         }
     }
--- a/crates/snipevane-core/src/jobs/intake/submissions.rs
+++ b/crates/snipevane-core/src/jobs/intake/submissions.rs
@@ -57,7 +57,7 @@
         self.job_ids.insert(id, key);
         if progress.is_some() {
             self.find_crashing_tasks(key);
-            self.find_undecided_trials(key);
+            self.find_earlier_trials(key);
         }
         if is_scheduled {
             self.scheduled.insert(key);
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -12,6 +12,7 @@
 
 use super::action::{Action, Recipient};
 use super::ending::dirty_jobs::DirtyJobs;
+use super::ending::earlier_trials::EarlierTrials;
 use super::event::SchedulerEvent;
 use super::intake::durations::DurationEstimator;
 use super::intake::ended_jobs::EndedJobs;
@@ -153,6 +154,8 @@
     pub(super) speculation_candidates: FxHashSet<(StepRef, u32)>,
     /// Tasks that crash minions, which are to be given up or suspended.
     pub(super) crashing_tasks: Vec<(JobKey, TaskRef)>,
+    /// Jobs with runs on trial that the earlier term placed.
+    pub(super) earlier_trials: EarlierTrials,
     /// Jobs that may have runs on trial whose outcome isn't known although their leases are over.
     pub(super) undecided_jobs: FxHashSet<JobKey>,
     /// Number of crashes in this term that no task explains.
@@ -214,6 +217,7 @@
             placed_this_round: 0,
             speculation_candidates: FxHashSet::default(),
             crashing_tasks: Vec::new(),
+            earlier_trials: EarlierTrials::default(),
             undecided_jobs: FxHashSet::default(),
             unexplained_crashes: 0,
             permits: Permits::default(),
--- a/tests/tests/jobs_crashes_after_takeover.rs
+++ b/tests/tests/jobs_crashes_after_takeover.rs
@@ -240,6 +240,34 @@
     tried.assert_states(JobState::Completed);
 }
 
+/// Guards against many jobs that are failed by one crash of the minion that they shared.
+#[rstest]
+#[case::alone(1, JobState::Failed)]
+#[case::two_jobs(2, JobState::Completed)]
+#[case::ten_jobs(10, JobState::Completed)]
+fn a_crash_after_a_takeover_is_attributed_only_to_a_job_that_was_alone_on_trial(
+    #[case] jobs: u64,
+    #[case] expected: JobState,
+    #[values(Sign::VmList, Sign::Restart)] sign: Sign,
+    #[values(1, 2)] takeovers: usize,
+) {
+    let mut tried = OnTrial::new(jobs, &short(2));
+    for &id in &tried.jobs {
+        let mut progress = tried.built.stored_progress(id).clone();
+        for crashed in &mut progress.crashed {
+            crashed.attributed = 1;
+        }
+        tried.built.set_progress(id, progress);
+    }
+    tried.take_over_and_crash(sign, DOWNTIME);
+    for _ in 1..takeovers {
+        tried.built.run(Duration::from_millis(300));
+        tried.built.take_over();
+    }
+    tried.built.run(END_TIME);
+    tried.assert_states(expected);
+}
+
 /// Number of times that a task may be started after three minions have crashed under it.
 const MAX_STARTS_AFTER_THIRD_CRASH: usize = 2;
 
