--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -12,6 +12,7 @@
 
 use super::action::{Action, Recipient};
 use super::ending::dirty_jobs::DirtyJobs;
+use super::ending::earlier_trials::EarlierTrials;
 use super::event::SchedulerEvent;
 use super::intake::durations::DurationEstimator;
 use super::intake::ended_jobs::EndedJobs;
@@ -132,6 +133,8 @@
     /// Resources used by the known runs of each team.
     pub(super) usage: FxHashMap<SmolStr, Resources>,
     pub(super) unreported: UnreportedRuns,
+    /// Minions that the earlier term used, that haven't reported to this one, and that no VM hosts any more.
+    pub(super) unhosted_minions: FxHashSet<SmolStr>,
     /// Minions that the stored row may name as silent.
     pub(super) silent: SilentMinions,
     /// Upper bound of the resources used by each team's unreported runs.
@@ -156,6 +159,10 @@
     pub(super) speculation_candidates: FxHashSet<(StepRef, u32)>,
     /// Tasks that crash minions, which are to be given up or suspended.
     pub(super) crashing_tasks: Vec<(JobKey, TaskRef)>,
+    /// Jobs with runs on trial that the earlier term placed.
+    pub(super) earlier_trials: EarlierTrials,
+    /// Jobs that may have runs on trial whose outcome isn't known although their leases are over.
+    pub(super) undecided_jobs: FxHashSet<JobKey>,
     /// Number of crashes in this term that no task explains.
     pub(super) unexplained_crashes: usize,
     /// Permits that the advisor has issued.
@@ -203,6 +210,7 @@
             queues: FxHashMap::default(),
             usage: FxHashMap::default(),
             unreported,
+            unhosted_minions: FxHashSet::default(),
             silent: SilentMinions::default(),
             unreported_usage: FxHashMap::default(),
             ended: EndedJobs::default(),
@@ -215,6 +223,8 @@
             placed_this_round: 0,
             speculation_candidates: FxHashSet::default(),
             crashing_tasks: Vec::new(),
+            earlier_trials: EarlierTrials::default(),
+            undecided_jobs: FxHashSet::default(),
             unexplained_crashes: 0,
             permits: Permits::default(),
             job_rates: JobRateLimiter::default(),
