Limit no minions by a probation that most of their pool are on

No run there is on time, so that the probation never ends.

Slow is what most minions of a pool aren't. Where most of its schedulable minions are on probation, they take as many tasks as fit.

--- a/crates/snipevane-core/src/jobs/placing/mod.rs
+++ b/crates/snipevane-core/src/jobs/placing/mod.rs
@@ -3,6 +3,7 @@
 pub(super) mod advice;
 pub(super) mod gangs;
 pub(super) mod long_running_waits;
+pub(super) mod probation;
 pub(super) mod silent_minions;
 pub(super) mod speculation;
 pub(super) mod tasks;
--- a/crates/snipevane-core/src/jobs/placing/tasks.rs
+++ b/crates/snipevane-core/src/jobs/placing/tasks.rs
@@ -27,6 +27,7 @@
             return;
         }
         let schedulable = self.schedulable_minions(now);
+        self.probation.update(&schedulable, &self.minions);
         let unreported_pools = self.unreported_pools(now);
         self.unreported_usage = self.estimate_unreported_usage(&unreported_pools);
         for (pool, step) in self.ranked_steps(&schedulable, now) {
@@ -262,13 +263,15 @@
         let is_suspect = crashes.is_suspect();
         let bad_neighbours = self.bad_neighbours_of(&job.spec, step);
         let may_begin_trial = self.may_begin_trial(crashes, minions);
+        let limits_probation = self.probation.limits(&job.spec.pool);
         let fits = minions.iter().copied().filter(|&key| {
             let minion = &self.minions[key];
+            let is_limited = limits_probation && minion.on_probation && !step.long_running;
             size.fits_in(&minion.free_capacity())
                 && minion.trial_allows(step_ref.job, may_begin_trial)
                 && has_label(minion, step)
                 && (!step.best_effort || self.accepts_best_effort_tasks(key))
-                && (!minion.on_probation || step.long_running || !self.has_short_tasks(key))
+                && !(is_limited && self.has_short_tasks(key))
                 && step
                     .max_per_minion
                     .is_none_or(|limit| self.step_tasks_on_minion(step_ref, key) < limit)
--- a/crates/snipevane-core/src/jobs/running/stragglers.rs
+++ b/crates/snipevane-core/src/jobs/running/stragglers.rs
@@ -3,7 +3,7 @@
 //! Some minions become several times slower, or stop making progress, while everything that they
 //! report about themselves stays good. A minion most of whose runs are stragglers gets no work for
 //! a back-off period and is then on probation: it gets one short task at a time until one of them
-//! is on time. Its stragglers are started elsewhere: as speculative runs where the step allows them,
+//! is on time, or most minions of its pool are on probation. Its stragglers are started elsewhere: as speculative runs where the step allows them,
 //! otherwise after they have been stopped, if a restart is still faster.
 
 use std::time::Duration;
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -25,6 +25,7 @@
 use super::model::site::Site;
 use super::placing::advice::Permits;
 use super::placing::long_running_waits::LongRunningWaits;
+use super::placing::probation::Probation;
 use super::placing::silent_minions::SilentMinions;
 use super::placing::unreported_runs::UnreportedRuns;
 use super::queueing::queue::{PoolQueue, StepRef};
@@ -135,6 +136,8 @@
     pub(super) unreported: UnreportedRuns,
     /// Minions that the earlier term used, that haven't reported to this one, and that no VM hosts any more.
     pub(super) unhosted_minions: FxHashSet<SmolStr>,
+    /// Pools whose minions on probation take one short task at a time.
+    pub(super) probation: Probation,
     /// Minions that the stored row may name as silent.
     pub(super) silent: SilentMinions,
     /// Upper bound of the resources used by each team's unreported runs.
@@ -211,6 +214,7 @@
             usage: FxHashMap::default(),
             unreported,
             unhosted_minions: FxHashSet::default(),
+            probation: Probation::default(),
             silent: SilentMinions::default(),
             unreported_usage: FxHashMap::default(),
             ended: EndedJobs::default(),
--- a/tests/tests/jobs_stragglers.rs
+++ b/tests/tests/jobs_stragglers.rs
@@ -166,6 +166,39 @@
     assert_eq!(sim.state(id), JobState::Completed);
 }
 
+/// Guards against tasks that wait although most capacity is free, as the runs of long jobs have put most minions on
+/// probation.
+#[test]
+fn tasks_wait_for_no_probation_that_most_minions_are_on() {
+    const SLOWNESS: u32 = 60;
+    const TASKS: u32 = 12;
+    let minions = (0..4).map(|number| FakeMinion::new(entry(number, "p0"), START));
+    let mut sim = JobSite::new(site(1, 0), minions.collect(), 1);
+    sim.run(Duration::from_millis(100));
+    // One minion after the other fails all tasks that it starts.
+    for turn in 0..4 {
+        for (number, minion) in sim.minions.values_mut().enumerate() {
+            minion.fails_all_tasks = number == turn;
+        }
+        for number in 0..12 {
+            let spec = job("p0", vec![step(1, 1_000, 200, &[])]);
+            sim.submit(turn as u64 * 100 + number + 1, spec);
+            sim.run(Duration::from_millis(100));
+        }
+    }
+    for minion in sim.minions.values_mut() {
+        minion.fails_all_tasks = false;
+        minion.slowdown = SLOWNESS;
+    }
+    let long_job = sim.submit(500, job("p0", vec![step(TASKS, 4_000, RUN_MS, &[])]));
+    sim.run(Duration::from_secs(15));
+    let mut running: Vec<_> = sim.records.iter().map(|run| run.task).collect();
+    running.retain(|task| task.step.job == long_job);
+    running.sort();
+    running.dedup();
+    assert_eq!(running.len(), TASKS as usize);
+}
+
 /// A run that is on time may end on a minion during its back-off, which resets the minion's count
 /// of slow periods to 0. If other runs there then become stragglers, the back-off is extended with
 /// a count of 0.
