Stop runs that have ended on the next incarnation, which may start them late

What callers saw: a task that was done ran again, or ran in two places at once (TWICE), after its minion had restarted under its id.

Cause: a start order without an answer may be carried out seconds later, also by the next incarnation, which knows nothing of the run's end. The scheduler forgot such orders with their runs; only runs that still existed at a restart were stopped on the present incarnation. The same held for an order of which one transmission was answered and another was not.

Change: the run of such an order is remembered after its release for as long as the order may be carried out, by minion id, so that a minion that was removed meanwhile is covered too. When another incarnation is heard of, these runs are stopped there at once, before new work is placed, and again until it confirms (SV2082).

--- a/crates/snipevane-core/src/jobs/ending/ends.rs
+++ b/crates/snipevane-core/src/jobs/ending/ends.rs
@@ -157,6 +157,7 @@
         if let Some(minion) = self.minions.get_mut(run.minion) {
             minion.allocated = minion.allocated.minus(&run.allocated);
             minion.runs.remove(&key);
+            self.late_starts.remember(&run, &minion.entry.id);
         }
         let Some(job) = self.jobs.get_mut(run.job) else {
             return;
--- a/crates/snipevane-core/src/jobs/event.rs
+++ b/crates/snipevane-core/src/jobs/event.rs
@@ -231,6 +231,17 @@
         /// Minion that listed the run.
         minion: SmolStr,
     },
+    /// A run that has ended is stopped on the next incarnation of its minion, which may start it late.
+    LateStartStopped {
+        /// Task that the run belongs to.
+        task: TaskId,
+        /// Attempt number.
+        attempt: u32,
+        /// Minion that has restarted.
+        minion: SmolStr,
+        /// Number of transmissions of the stop order, including this one.
+        transmissions: u32,
+    },
     /// A crash of a minion counts against one of the tasks that ran on it.
     CrashBlamed {
         /// Task that the crash counts against.
--- a/crates/snipevane-core/src/jobs/running/mod.rs
+++ b/crates/snipevane-core/src/jobs/running/mod.rs
@@ -2,6 +2,7 @@
 
 pub(super) mod best_effort;
 pub(super) mod holds;
+pub(super) mod late_starts;
 pub(super) mod long_running;
 pub(super) mod orders;
 pub(super) mod repeat_budget;
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -135,6 +135,7 @@
     ) {
         let key = order.run;
         let Some((minion, phase, settled)) = self.settle_order(key, reply, sent_at, now) else {
+            self.late_stop_replied(order, reply, sent_at, now);
             return;
         };
         match reply {
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -149,13 +149,17 @@
         };
         let start = list.started_unix_ms;
         match minion.incarnations.origin_of(start, asked_at) {
-            ListOrigin::First => minion.incarnations.record(start, now),
+            ListOrigin::First => {
+                minion.incarnations.record(start, now);
+                self.late_starts.minion_restarted(&to.id);
+            }
             ListOrigin::Known if list.clock_ms < minion.list_clock_ms => return false,
             ListOrigin::Known => {}
             ListOrigin::Later => {
                 let ended = self.find_ended_runs(key, &list.ended);
                 let own_runs = listed_runs.union(&ended).copied().collect();
                 self.handle_restart(key, start, asked_at, &own_runs, now);
+                self.late_starts.minion_restarted(&to.id);
             }
             ListOrigin::Uncertain => {
                 self.ignore_list(key, start);
--- a/crates/snipevane-core/src/jobs/running/transmissions.rs
+++ b/crates/snipevane-core/src/jobs/running/transmissions.rs
@@ -79,6 +79,14 @@
         self.is_outstanding() || unanswered_at.is_some_and(|at| now <= at + LATE_CALL_PERIOD)
     }
 
+    /// Returns the time until which a transmission may be carried out that has no answer yet, or will have none;
+    /// `None` if there is no such transmission.
+    pub(in crate::jobs) fn carried_out_until(&self) -> Option<Duration> {
+        let outstanding_at = self.is_outstanding().then_some(self.last_sent_at);
+        let sent_at = self.unanswered_at.max(outstanding_at);
+        sent_at.map(|at| at + LATE_CALL_PERIOD)
+    }
+
     /// Records that the order has an outcome, whatever becomes of its open transmissions.
     pub(in crate::jobs) fn close(&mut self) {
         self.open = 0;
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -28,6 +28,7 @@
 use super::placing::unreported_runs::UnreportedRuns;
 use super::queueing::queue::{PoolQueue, StepRef};
 use super::queueing::shares::JobRateLimiter;
+use super::running::late_starts::LateStarts;
 use super::running::repeats::Replies;
 use super::running::start_window::StartWindow;
 use super::upkeep::evacuation::EvacuatedZones;
@@ -141,6 +142,8 @@
     pub(super) has_urgent_change: bool,
     /// Runs with an order to send or to repeat.
     pub(super) pending_orders: FxHashSet<RunKey>,
+    /// Start orders without an answer whose runs have ended.
+    pub(super) late_starts: LateStarts,
     /// Bound of the start orders in flight.
     pub(super) start_window: StartWindow,
     /// Replies of minions, which tell when an order is sent again.
@@ -204,6 +207,7 @@
             storing: FxHashSet::default(),
             has_urgent_change: false,
             pending_orders: FxHashSet::default(),
+            late_starts: LateStarts::default(),
             start_window: StartWindow::default(),
             replies: Replies::default(),
             placed_this_round: 0,
@@ -244,6 +248,7 @@
         self.end_trials();
         self.update_trials_on_leaving_minions();
         self.withdraw_starts_in_evacuated_zones();
+        self.stop_late_starts(now);
         self.repeat_orders(now);
         self.events.extend(self.interference.age(now));
         self.place(now);
--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -66,6 +66,7 @@
     LONG_RUNNING_TASK_WAITS = 2079 Warn "long-running task has no run that works" ["task", "pool", "reason", "wait_ms", "left_ms", "minions", "fence"];
     ROW_UNREADABLE = 2080 Error "row can't be read" ["table", "key", "reason"];
     CHANGE_REJECTED = 2081 Error "change given up, as the store rejects it for good" ["kind", "key", "fence"];
+    LATE_START_STOPPED = 2082 Info "run that has ended stopped on the next incarnation, which may start it late" ["task", "attempt", "minion", "transmissions", "fence"];
     LINES_DROPPED = 2090 Warn "log lines dropped, rate limit of the event exceeded" ["event", "lines"];
 }
 
--- a/crates/snipevane-fleet/src/scheduling/notes.rs
+++ b/crates/snipevane-fleet/src/scheduling/notes.rs
@@ -172,6 +172,15 @@
             &events::UNKNOWN_RUN_STOPPED,
             &[task, attempt, minion, &fence],
         ),
+        SchedulerEvent::LateStartStopped {
+            task,
+            attempt,
+            minion,
+            transmissions,
+        } => record(
+            &events::LATE_START_STOPPED,
+            &[task, attempt, minion, transmissions, &fence],
+        ),
         SchedulerEvent::CrashBlamed {
             task,
             attempt,
