Late starts: a name that clippy accepts

clippy::wrong_self_convention refused `to_stop`, which takes `&mut self`; it is `due_stops` now. No change of what runs.

--- a/crates/snipevane-core/src/jobs/running/late_starts.rs
+++ b/crates/snipevane-core/src/jobs/running/late_starts.rs
@@ -74,8 +74,8 @@
         }
     }
 
-    /// Forgets the orders that aren't carried out any more, and returns the positions of those to stop.
-    fn to_stop(&mut self, now: Duration) -> Vec<usize> {
+    /// Forgets the orders that aren't carried out any more, and returns the positions of those that need a stop.
+    fn due_stops(&mut self, now: Duration) -> Vec<usize> {
         self.starts.retain(|start| now <= start.until);
         let starts = self.starts.iter().enumerate();
         let needed = starts.filter(|(_, start)| start.needs_stop);
@@ -98,7 +98,7 @@
         if self.late_starts.starts.is_empty() {
             return;
         }
-        for position in self.late_starts.to_stop(now) {
+        for position in self.late_starts.due_stops(now) {
             self.stop_late_start_at(position, now);
         }
     }
