Acknowledge ends only on connections that lead to no later incarnation

What callers saw: a task that was done started again (TWICE), after its minion was back under its id within some tenths of a second, also without a slow link.

Cause: each incarnation numbers its ends anew, and each hold repeated the number of the last stored end. A hold for the former incarnation that reached the next one made it forget ends that nobody had read. The rule against that, no acknowledgement 0.4 s after the last list, rested on a shortest time for a restart that nothing promises.

Change: - a hold acknowledges only while the last list shows ends that are stored, and 0 otherwise; ends count as acknowledged when a list no longer has them, not when a hold was sent, so that a lost hold or one without its acknowledgement is made up for by the next; - an acknowledgement goes out only on a connection that was opened before the last list of the known incarnation was asked for. That incarnation ran after the connection was opened, and a connection doesn't outlive its process, so it leads to no later one. On a younger connection the same hold goes out without it. The client tells the request when its connection was opened, and takes the idle connection that was opened first, which costs no polls in calm; - if eight lists in a row show stored ends although the minion answers, no connection to it lasts, and the ends are acknowledged on any: they would pile up otherwise. MIN_RESTART_TIME is gone.

Tests: JobSite had no connections. It now has one a minion: a hold goes out on it as the daemon sends it, with its acknowledgement or without; a hold that carries one with a condition on its connection is lost if another incarnation runs at its arrival, as the connection is gone then. All else arrives as before, also holds that a minion carries out late; no check has changed. `ack` is a type now, so that tests read `ack.last_end`. New: ends_are_acknowledged_in_time_where_no_connection_lasts (8 cases), a_late_list_allows_acknowledgements_only_on_connections_from_before_it_was_asked_for, a_request_knows_when_its_connection_was_opened.

--- a/crates/snipevane-core/src/jobs/action.rs
+++ b/crates/snipevane-core/src/jobs/action.rs
@@ -77,6 +77,26 @@
     pub percent: u32,
 }
 
+/// Acknowledgement of the ends of one incarnation of a minion.
+///
+/// The next incarnation would forget its own ends with the same sequence numbers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Acknowledgement {
+    /// Sequence number up to which the minion may forget ends; 0 for none.
+    pub last_end: u64,
+    /// Time before which the connection must have been opened that carries it, so that it leads to no later
+    /// incarnation, as a connection doesn't outlive its process; `None` if any connection may.
+    pub connected_before: Option<Duration>,
+}
+
+impl Acknowledgement {
+    /// Returns the sequence number to acknowledge on a connection that was opened at `opened_at`; 0 for none.
+    pub fn on_connection(&self, opened_at: Duration) -> u64 {
+        let may_be_later = self.connected_before.is_some_and(|at| opened_at >= at);
+        if may_be_later { 0 } else { self.last_end }
+    }
+}
+
 /// Hold: a long poll for a minion's run list, which also renews the lease on its runs and
 /// acknowledges ends.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -86,8 +106,8 @@
     /// Time on the minion's clock at which the renewed lease expires, in milliseconds; `None` if
     /// the lease isn't renewed or the clock is unknown.
     pub lease_end_ms: Option<u64>,
-    /// Sequence number up to which the minion may forget ends.
-    pub ack: u64,
+    /// Ends that the minion may forget.
+    pub ack: Acknowledgement,
     /// Longest time that the minion waits for a run to end before it replies.
     pub wait: Duration,
 }
--- a/crates/snipevane-core/src/jobs/minions/incarnations.rs
+++ b/crates/snipevane-core/src/jobs/minions/incarnations.rs
@@ -25,6 +25,8 @@
     known: Option<u64>,
     /// Time at which the first run list of the known one was received.
     heard_at: Duration,
+    /// Time after which the known one is known to have run: the latest at which one of its run lists was asked for.
+    ran_after: Duration,
     /// Start of the one before, in Unix milliseconds.
     former: Option<u64>,
 }
@@ -52,6 +54,19 @@
         self.former = self.known;
         self.known = Some(start);
         self.heard_at = now;
+        self.ran_after = Duration::ZERO;
+    }
+
+    /// Records a run list of the known incarnation, which was asked for at `asked_at`.
+    pub(in crate::jobs) fn record_list(&mut self, asked_at: Duration) {
+        self.ran_after = self.ran_after.max(asked_at);
+    }
+
+    /// Returns the latest time after which the known incarnation is known to have run.
+    ///
+    /// A connection that was opened before then and is still open leads to no later incarnation.
+    pub(in crate::jobs) fn ran_after(&self) -> Duration {
+        self.ran_after
     }
 
     /// Returns whether an entry that gives this start may tell of an incarnation that hasn't been heard of.
--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 
 use super::incarnations::Incarnations;
+use crate::jobs::action::Acknowledgement;
 use crate::placement::Resources;
 use crate::reply_time::ReplyTime;
 
@@ -25,11 +26,8 @@
 const SLOWEST_CLOCK_PERCENT: u32 = 98;
 const PERCENT: u32 = 100;
 
-/// Lower bound of the time that a minion takes to restart.
-///
-/// If the last run list is more recent than that, the incarnation that sent it is certain to
-/// receive the next hold.
-const MIN_RESTART_TIME: Duration = Duration::from_millis(400);
+/// Number of run lists in a row with stored ends after which no connection to the minion is taken to last.
+const MAX_LISTS_WITHOUT_ACK: u32 = 8;
 
 /// Time for which a minion is doubtful after it has left an order unanswered.
 const DOUBT_PERIOD: Duration = Duration::from_secs(3);
@@ -129,8 +127,10 @@
     pub(in crate::jobs) unstored_ends: VecDeque<UnstoredEnd>,
     /// Sequence number of the last run end that is stored, so that the minion may forget it.
     pub stored_seq: u64,
-    /// Sequence number of the last run end that was acknowledged to the minion.
+    /// Sequence number of the last run end that the minion has forgotten, by its run lists.
     pub acked_seq: u64,
+    /// Run lists in a row that contained ends that were stored before.
+    pub(in crate::jobs) lists_without_ack: u32,
     /// Transmissions of the present hold.
     pub holds: Transmissions,
     /// Longest time for which the minion may hold back its reply to the last hold.
@@ -206,6 +206,7 @@
             unstored_ends: VecDeque::new(),
             stored_seq: 0,
             acked_seq: 0,
+            lists_without_ack: 0,
             holds: Transmissions::default(),
             hold_wait: Duration::ZERO,
             hold_lease_end_ms: None,
@@ -265,19 +266,33 @@
         {}
     }
 
-    /// Returns the number of the last end that a hold may acknowledge now, and records that it does.
+    /// Returns what a hold is to acknowledge now: nothing if the minion has forgotten all stored ends.
     ///
-    /// Another incarnation may have used the same sequence numbers for ends that weren't read yet, so
-    /// nothing is acknowledged to a minion that may have restarted.
-    pub(in crate::jobs) fn acknowledge_ends(&mut self, now: Duration) -> u64 {
-        let same_incarnation = self
-            .last_contact
-            .is_some_and(|at| now < at + MIN_RESTART_TIME);
-        if !same_incarnation {
-            return 0;
+    /// Another incarnation may have used the same sequence numbers for ends that weren't read yet. So an
+    /// acknowledgement needs a connection that leads to no later one, unless none lasts from one hold to the next.
+    pub(in crate::jobs) fn acknowledgement(&self) -> Acknowledgement {
+        if self.stored_seq <= self.acked_seq {
+            return Acknowledgement::default();
         }
-        self.acked_seq = self.acked_seq.max(self.stored_seq);
-        self.stored_seq
+        let no_connection_lasts = self.lists_without_ack >= MAX_LISTS_WITHOUT_ACK && !self.suspect;
+        Acknowledgement {
+            last_end: self.stored_seq,
+            connected_before: (!no_connection_lasts).then(|| self.incarnations.ran_after()),
+        }
+    }
+
+    /// Records which ends a run list of the known incarnation contained, once they are processed: `first` is the
+    /// lowest sequence number.
+    pub(in crate::jobs) fn record_listed_ends(&mut self, first: Option<u64>) {
+        let forgotten = first.map_or(self.received_seq, |first| first.saturating_sub(1));
+        let has_new_ack = forgotten > self.acked_seq;
+        self.acked_seq = self.acked_seq.max(forgotten);
+        let has_stored_ends = self.stored_seq > self.acked_seq;
+        self.lists_without_ack = if has_new_ack || !has_stored_ends {
+            0
+        } else {
+            self.lists_without_ack.saturating_add(1)
+        };
     }
 
     /// Returns whether the minion may get a task of a job although it, or the task, may be on trial.
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -19,7 +19,9 @@
 mod scheduler;
 mod upkeep;
 
-pub use action::{Action, CpuShareOrder, HoldOrder, Recipient, StartOrder, StopOrder};
+pub use action::{
+    Acknowledgement, Action, CpuShareOrder, HoldOrder, Recipient, StartOrder, StopOrder,
+};
 pub use admission::estimate::{JobDemand, Rejection};
 pub use admission::snapshot::AdmissionSnapshot;
 pub use ending::changes::{Changes, JobChange, ReceivedEnds};
--- a/crates/snipevane-core/src/jobs/running/holds.rs
+++ b/crates/snipevane-core/src/jobs/running/holds.rs
@@ -76,7 +76,7 @@
         let order = HoldOrder {
             to,
             lease_end_ms,
-            ack: minion.acknowledge_ends(now),
+            ack: minion.acknowledgement(),
             wait: Duration::ZERO,
         };
         self.actions.push(Action::Hold(order));
@@ -98,7 +98,7 @@
             return;
         };
         let needs_short_wait = has_watched_tasks || minion.trial.is_some();
-        let ack = minion.acknowledge_ends(now);
+        let ack = minion.acknowledgement();
         let may_wait = !minion.runs.is_empty() && minion.fence_accepted && !minion.suspect;
         // The lease of an unreachable minion isn't renewed, so that it expires and its tasks can
         // start elsewhere.
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -172,6 +172,7 @@
         };
         minion.update_clock(list.clock_ms, now);
         minion.list_clock_ms = list.clock_ms;
+        minion.incarnations.record_list(asked_at);
         minion.fence_accepted = true;
         minion.suspect = false;
         minion.listed_at = to.address.clone();
@@ -180,6 +181,7 @@
         for ended in &list.ended {
             self.process_end(key, ended, now, unix_ms);
         }
+        self.record_listed_ends(key, &list.ended);
         for active in &list.active {
             self.update_run(key, active, now);
         }
@@ -193,6 +195,14 @@
         true
     }
 
+    /// Records which ends a minion still lists, as they aren't acknowledged.
+    fn record_listed_ends(&mut self, key: MinionKey, listed: &[EndedRun]) {
+        let first = listed.iter().map(|ended| ended.number).min();
+        if let Some(minion) = self.minions.get_mut(key) {
+            minion.record_listed_ends(first);
+        }
+    }
+
     /// Reports that a run list is ignored, as its incarnation may be an earlier one.
     fn ignore_list(&mut self, key: MinionKey, start: u64) {
         let Some(minion) = self.minions.get(key) else {
--- a/crates/snipevane-fleet/src/client/connection.rs
+++ b/crates/snipevane-fleet/src/client/connection.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 /// Time after which a connection is closed if the peer's kernel doesn't acknowledge sent data.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -27,6 +28,8 @@
 /// An open connection, which is reset when it is dropped.
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
+    /// Time at which it was open.
+    pub(super) opened_at: Instant,
     /// Task that drives the connection.
     task: AbortHandle,
 }
@@ -53,6 +56,7 @@
         });
         Ok(Self {
             sender,
+            opened_at: Instant::now(),
             task: task.abort_handle(),
         })
     }
--- a/crates/snipevane-fleet/src/client/idle_connections.rs
+++ b/crates/snipevane-fleet/src/client/idle_connections.rs
@@ -17,9 +17,13 @@
 }
 
 impl IdleConnections {
-    /// Takes a connection, which the peer may have closed.
+    /// Takes the connection that was opened first, which the peer may have closed.
     pub(super) fn take(&self, address: SocketAddr) -> Option<Connection> {
-        self.connections.borrow_mut().get_mut(&address)?.pop()
+        let mut connections = self.connections.borrow_mut();
+        let idle = connections.get_mut(&address)?;
+        let ages = idle.iter().enumerate();
+        let (oldest, _) = ages.min_by_key(|(_, connection)| connection.opened_at)?;
+        Some(idle.swap_remove(oldest))
     }
 
     /// Keeps a connection, unless it is closed or enough are kept.
--- a/crates/snipevane-fleet/src/client/mod.rs
+++ b/crates/snipevane-fleet/src/client/mod.rs
@@ -75,13 +75,14 @@
         may_send: impl Fn() -> bool,
     ) -> Result<Response, CallError> {
         let sent = Cell::new(false);
-        let exchange = self.exchange(address, request, &sent, may_send);
+        let exchange = self.exchange(address, |_| request, &sent, may_send);
         let answer = timeout(limit, exchange).await;
         answer.unwrap_or_else(|_| Err(CallError::timed_out(sent.get())))
     }
 
-    /// Sends a request as [`Self::call_if`] does. After `limit`, calls `on_timeout` and, if the request
-    /// was sent, waits for a late response for up to `grace` more.
+    /// Sends a request as [`Self::call_if`] does, which `request` makes for a connection that was opened at the
+    /// given time. After `limit`, calls `on_timeout` and, if the request was sent, waits for a late response for up
+    /// to `grace` more.
     ///
     /// # Errors
     ///
@@ -89,7 +90,7 @@
     pub async fn call_with_late_response(
         &self,
         address: SocketAddr,
-        request: Request,
+        request: impl FnOnce(Instant) -> Request,
         limit: Duration,
         grace: Duration,
         may_send: impl Fn() -> bool,
@@ -210,7 +211,7 @@
         may_send: impl Fn() -> bool,
     ) -> Result<IncomingResponse, CallError> {
         let sent = Cell::new(false);
-        let head = self.send(address, request, &sent, may_send);
+        let head = self.send(address, |_| request, &sent, may_send);
         let head = timeout(limit, head).await;
         head.unwrap_or_else(|_| Err(CallError::timed_out(sent.get())))
     }
@@ -229,7 +230,7 @@
         let (tx, mut rx) = oneshot::channel();
         let (client, sent_flag) = (self.clone(), sent.clone());
         let sending = tokio::task::spawn_local(async move {
-            let head = client.send(address, request, &sent_flag, || true);
+            let head = client.send(address, |_| request, &sent_flag, || true);
             let head = timeout(max_duration, head).await;
             let head = head.unwrap_or(Err(CallError::NoAnswer));
             if head.is_ok() {
@@ -266,7 +267,7 @@
     async fn exchange(
         &self,
         address: SocketAddr,
-        request: Request,
+        request: impl FnOnce(Instant) -> Request,
         sent: &Cell<bool>,
         may_send: impl Fn() -> bool,
     ) -> Result<Response, CallError> {
@@ -276,16 +277,17 @@
         Ok(response)
     }
 
-    /// Sends a request on a pooled or new connection, if `may_send` allows it then, and receives the
-    /// head of the response. Sets `sent` before the request is handed to the connection.
+    /// Sends the request that `request` makes for a pooled or new connection, if `may_send` allows it then, and
+    /// receives the head of the response. Sets `sent` before the request is handed to the connection.
     async fn send(
         &self,
         address: SocketAddr,
-        request: Request,
+        request: impl FnOnce(Instant) -> Request,
         sent: &Cell<bool>,
         may_send: impl Fn() -> bool,
     ) -> Result<IncomingResponse, CallError> {
         let mut connection = self.connection(address).await?;
+        let request = request(connection.opened_at);
         let kind = request.kind;
         let body_bytes = request.body.len();
         let request = to_http(address, request).ok_or(CallError::NotSent)?;
--- a/crates/snipevane-fleet/src/scheduling/orders.rs
+++ b/crates/snipevane-fleet/src/scheduling/orders.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use snipevane_adapter::{Request, advisor, minion};
 use snipevane_core::jobs::{
     Action, AdviceReply, AdviceRequest, HoldOrder, HoldReply, OrderReply, Recipient,
@@ -110,7 +112,7 @@
 ) -> Result<Response, CallError> {
     let address = order_address(leader, &order.to)?;
     let limit = order.wait + HOLD_TIMEOUT_MARGIN;
-    let request = minion::hold_request(order);
+    let request = |opened_at| hold_request(leader, order, opened_at);
     let client = &leader.node.client;
     client
         .call_with_late_response(
@@ -124,6 +126,14 @@
         .await
 }
 
+/// Builds a hold for a connection that was opened at `opened_at`.
+fn hold_request<C: Clock>(leader: &Leader<C>, order: &HoldOrder, opened_at: Instant) -> Request {
+    // The age is read first: a pause in between makes the connection look younger, not older.
+    let age = opened_at.elapsed();
+    let opened_at = leader.node.clock.now().saturating_sub(age);
+    minion::hold_request(order, order.ack.on_connection(opened_at))
+}
+
 /// Reports the outcome of a hold to the scheduler.
 fn report_hold<C: Clock>(
     leader: &Leader<C>,
--- a/crates/snipevane-fleet/tests/client.rs
+++ b/crates/snipevane-fleet/tests/client.rs
@@ -97,7 +97,7 @@
         let (limit, grace) = (Duration::from_millis(50), Duration::from_secs(5));
         let call = client.call_with_late_response(
             address,
-            request,
+            |_| request,
             limit,
             grace,
             || true,
@@ -112,6 +112,53 @@
     server.join().expect("the server");
 }
 
+/// Answers this many requests on one connection, and closes it.
+fn answer_on_one_connection(listener: &TcpListener, requests: usize) {
+    let (mut stream, _) = listener.accept().expect("a connection");
+    for _ in 0..requests {
+        let received = stream.read(&mut [0; 4_096]).expect("a request");
+        assert!(received > 0, "the connection is open");
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")
+            .expect("a response");
+    }
+}
+
+/// Guards against acknowledgements for the former process at an address that reach the next one.
+#[test]
+fn a_request_knows_when_its_connection_was_opened() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let server = std::thread::spawn(move || {
+        answer_on_one_connection(&listener, 2);
+        answer_on_one_connection(&listener, 1);
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let local = tokio::task::LocalSet::new();
+    let opened_at = local.block_on(&runtime.expect("a runtime"), async {
+        let client = Client::default();
+        let limit = Duration::from_secs(5);
+        let mut opened_at = Vec::new();
+        for _ in 0..3 {
+            let request = |opened| {
+                opened_at.push(opened);
+                rows::read_request("t", "", "")
+            };
+            let call =
+                client.call_with_late_response(address, request, limit, limit, || true, || {});
+            assert!(call.await.is_ok());
+            // Lets the client notice that the server has closed the connection.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        opened_at
+    });
+    server.join().expect("the server");
+    assert_eq!(opened_at[0], opened_at[1]);
+    assert!(opened_at[2] > opened_at[1]);
+}
+
 /// Time within which the head of a response must arrive in the tests below.
 const HEAD_LIMIT: Duration = Duration::from_millis(300);
 
--- a/tests/src/jobs/job_site/acknowledgements.rs
+++ b/tests/src/jobs/job_site/acknowledgements.rs
@@ -40,7 +40,7 @@
         let Action::Hold(order) = action else {
             return false;
         };
-        let delays = order.ack > 0 && self.late_acks.of.as_ref() == Some(&order.to.id);
+        let delays = order.ack.last_end > 0 && self.late_acks.of.as_ref() == Some(&order.to.id);
         if delays {
             self.late_acks.of = None;
             self.late_acks.delayed = Some((action.clone(), self.now));
--- a/tests/src/jobs/job_site/delivery.rs
+++ b/tests/src/jobs/job_site/delivery.rs
@@ -26,6 +26,8 @@
             return;
         }
         self.starts_sent += usize::from(matches!(action, Action::Start(_)));
+        self.holds_sent += usize::from(matches!(action, Action::Hold(_)));
+        let action = self.on_connection(action);
         if self.delays_ack(&action) {
             self.deliver_no_answer(action);
             return;
@@ -45,8 +47,9 @@
             self.deliver_no_answer(action);
             return;
         }
+        let insists_on = self.insists_on(&action);
         if let Some(network) = &mut self.network {
-            network.send(action, self.now);
+            network.send(action, insists_on, self.now);
             return;
         }
         let faults = self.faults_of(&to);
@@ -144,8 +147,10 @@
             return;
         };
         for number in network.arrived_requests() {
-            let outcome = self.execute(network.action(number), false);
-            network.reply(number, outcome);
+            if self.is_reached(network.action(number), network.insists_on(number)) {
+                let outcome = self.execute(network.action(number), false);
+                network.reply(number, outcome);
+            }
         }
         for (call, outcome) in network.arrived_replies(self.now) {
             self.deliver_reply(&call, outcome);
@@ -230,6 +235,7 @@
 
     fn deliver(&mut self, action: &Action, outcome: Outcome) {
         let (now, unix_ms) = (self.now, self.unix_ms());
+        self.close_unanswered(action, &outcome);
         match (action, outcome) {
             (Action::Start(order), Outcome::Order(reply, sent_at)) => {
                 self.scheduler.start_replied(order, reply, sent_at, now);
--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -3,6 +3,7 @@
 mod acknowledgements;
 mod availability;
 mod checks;
+mod connections;
 mod crashes;
 mod delivery;
 mod incarnations;
@@ -145,6 +146,8 @@
     pub max_order_travel: Duration,
     /// Number of start orders that were sent.
     pub starts_sent: usize,
+    /// Number of holds that were sent.
+    pub holds_sent: usize,
     /// Network between the scheduler and the minions; `None` if its bandwidth is unlimited.
     pub network: Option<Network>,
     /// The present time.
@@ -176,6 +179,9 @@
     /// State of the VMs of partitioned minions in these lists, which then name no minion; the VMs are
     /// listed as up otherwise.
     pub listed_state_of_partitioned: Option<VmState>,
+    /// Whether each hold goes out on a connection of its own.
+    pub closes_connections: bool,
+    connections: connections::Connections,
     late_acks: acknowledgements::LateAcks,
     /// Minions whose room has changed, with the times at which their entries show it.
     unlisted_rooms: Vec<(Duration, SmolStr)>,
@@ -225,6 +231,7 @@
             faulty_minions: BTreeSet::new(),
             max_order_travel: Duration::ZERO,
             starts_sent: 0,
+            holds_sent: 0,
             network: None,
             now: Duration::from_secs(10),
             evacuated: EvacuatedZones::default(),
@@ -240,6 +247,8 @@
             crashed_minions_keep_ids: false,
             lists_vms: false,
             listed_state_of_partitioned: None,
+            closes_connections: false,
+            connections: connections::Connections::default(),
             late_acks: acknowledgements::LateAcks::default(),
             unlisted_rooms: Vec::new(),
             down_until: Vec::new(),
--- a/tests/src/jobs/minion.rs
+++ b/tests/src/jobs/minion.rs
@@ -435,12 +435,16 @@
         if let Some(end) = order.lease_end_ms {
             self.lease(end, now);
         }
-        for ended in self.ended.iter().filter(|ended| ended.number <= order.ack) {
+        for ended in self
+            .ended
+            .iter()
+            .filter(|ended| ended.number <= order.ack.last_end)
+        {
             if let Some(&record) = self.ended_records.get(&ended.number) {
                 records[record].acked_before_lapse = true;
             }
         }
-        self.ended.retain(|ended| ended.number > order.ack);
+        self.ended.retain(|ended| ended.number > order.ack.last_end);
         for ended in &self.ended {
             if let Some(&record) = self.ended_records.get(&ended.number) {
                 records[record].listed_before_lapse = true;
--- a/tests/src/jobs/network.rs
+++ b/tests/src/jobs/network.rs
@@ -18,6 +18,8 @@
 #[derive(Clone)]
 pub(super) struct Call {
     pub(super) action: Action,
+    /// Incarnation that alone the call may reach, if it depends on its connection.
+    insists_on: Option<u64>,
     pub(super) sent_at: Duration,
     pub(super) outcome: Option<Outcome>,
     /// Whether the call was reported as unanswered.
@@ -60,8 +62,8 @@
         self.latency = latency;
     }
 
-    /// Sends an order.
-    pub(super) fn send(&mut self, action: Action, now: Duration) {
+    /// Sends an order, which may reach only the incarnation that it insists on, if any.
+    pub(super) fn send(&mut self, action: Action, insists_on: Option<u64>, now: Duration) {
         let bytes = match &action {
             Action::Start(order) => MESSAGE_BYTES + order.payload.len(),
             _ => MESSAGE_BYTES,
@@ -69,6 +71,7 @@
         self.requests.send(self.next, bytes);
         let call = Call {
             action,
+            insists_on,
             sent_at: now,
             outcome: None,
             overdue: false,
@@ -88,6 +91,11 @@
         &self.calls[&number].action
     }
 
+    /// Returns the incarnation that alone an open call may reach, if any.
+    pub(super) fn insists_on(&self, number: CallNumber) -> Option<u64> {
+        self.calls[&number].insists_on
+    }
+
     /// Sends the reply to a call.
     pub(super) fn reply(&mut self, number: CallNumber, outcome: Outcome) {
         let runs = match &outcome {
--- a/tests/tests/jobs_acknowledgements.rs
+++ b/tests/tests/jobs_acknowledgements.rs
@@ -6,8 +6,11 @@
 
 use rstest::rstest;
 use smol_str::SmolStr;
-use snipevane_core::jobs::{JobId, JobState};
-use snipevane_tests::jobs::{FakeMinion, JobSite, Network, entry, job, site, step};
+use snipevane_core::jobs::{
+    Acknowledgement, Action, EndedRun, HoldReply, JobId, JobState, Recipient, RunEnd, RunList,
+    StepId, TaskId,
+};
+use snipevane_tests::jobs::{FakeMinion, JobSite, Network, TICK, entry, job, site, step};
 
 const START: Duration = Duration::from_secs(10);
 
@@ -123,3 +126,92 @@
         assert_eq!(late.len(), 0, "{late:?}");
     }
 }
+
+/// Guards against ends that are never acknowledged because each hold needs a connection of its own.
+#[rstest]
+fn ends_are_acknowledged_in_time_where_no_connection_lasts(
+    #[values(1, 4)] minions: usize,
+    #[values(20, 1_000)] run_ms: u64,
+    #[values(0, 20)] latency_ms: u64,
+) {
+    let mut built = job_site(minions);
+    built.closes_connections = true;
+    built.network = Some(Network::new(
+        10_000_000.0,
+        Duration::from_millis(latency_ms),
+    ));
+    for number in 1..=300 {
+        built.submit(number, job("p0", vec![step(1, 1_000, run_ms, &[])]));
+        built.run(Duration::from_millis(20));
+        let late = built.unacknowledged_ends(built.now.saturating_sub(MAX_ACK_TIME));
+        assert_eq!(late.len(), 0, "{late:?}");
+    }
+}
+
+/// Guards against acknowledgements that reach the next incarnation, as a late list counts as one of the time at which it
+/// arrives.
+#[test]
+fn a_late_list_allows_acknowledgements_only_on_connections_from_before_it_was_asked_for() {
+    let mut built = job_site(1);
+    let id = SmolStr::new_static("i-0");
+    built.store_available = false;
+    built.submit(1, job("p0", vec![step(4, 1_000, 200, &[])]));
+    built.run(Duration::from_secs(1));
+    let (key, minion) = built.scheduler.minions().next().expect("a minion");
+    assert_eq!((minion.received_seq, minion.stored_seq), (4, 0));
+    let to = Recipient {
+        minion: key,
+        id: id.clone(),
+        address: minion.entry.address.clone(),
+        fence: 1,
+    };
+    let list = RunList {
+        started_unix_ms: built.minions[&id].incarnation,
+        clock_ms: u64::MAX / 2,
+        ..RunList::default()
+    };
+    let asked_at = built.now;
+    built.partitioned.insert(id);
+    built.run(Duration::from_secs(2));
+    let (now, unix_ms) = (built.now, built.unix_ms());
+    let reply = HoldReply::Listed(RunList {
+        ended: (1..=4).map(ended).collect(),
+        ..list
+    });
+    built
+        .scheduler
+        .hold_replied_late(&to, reply, asked_at, now, unix_ms);
+    built.store_available = true;
+    built.tick();
+    let acks: Vec<Acknowledgement> = (1..100)
+        .flat_map(|tick| built.scheduler.decide(built.now + TICK * tick, unix_ms))
+        .filter_map(|action| match action {
+            Action::Hold(order) => Some(order.ack),
+            _ => None,
+        })
+        .collect();
+    assert!(!acks.is_empty());
+    for ack in acks {
+        assert_eq!(ack.on_connection(asked_at - TICK), 4, "{ack:?}");
+        assert_eq!(ack.on_connection(asked_at), 0, "{ack:?}");
+    }
+}
+
+/// Returns the end with this number, of a task of the first job.
+fn ended(number: u64) -> EndedRun {
+    let step = StepId {
+        job: JobId::new(1),
+        occurrence: 0,
+        step: 0,
+    };
+    EndedRun {
+        number,
+        task: TaskId {
+            step,
+            index: number as u32 - 1,
+        },
+        attempt: 1,
+        end: RunEnd::Done,
+        checkpoint: SmolStr::default(),
+    }
+}
--- a/tests/tests/jobs_scheduler.rs
+++ b/tests/tests/jobs_scheduler.rs
@@ -355,7 +355,7 @@
     let acks: Vec<u64> = (0..100)
         .flat_map(|tick| built.scheduler.decide(now + TICK * tick, unix_ms))
         .filter_map(|action| match action {
-            Action::Hold(order) => Some(order.ack),
+            Action::Hold(order) => Some(order.ack.last_end),
             _ => None,
         })
         .collect();
