--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -155,6 +155,7 @@
                 let unreported = &self.unreported;
                 let until = unreported.misread_until(start, self.settings.max_lease, now, unix_ms);
                 minion.leases.extend(until);
+                self.late_starts.minion_restarted(&to.id);
             }
             ListOrigin::Known if list.clock_ms < minion.list_clock_ms => return false,
             ListOrigin::Known => {}
@@ -162,6 +163,7 @@
                 let ended = self.find_ended_runs(key, &list.ended);
                 let own_runs = listed_runs.union(&ended).copied().collect();
                 self.handle_restart(key, start, asked_at, &own_runs, now);
+                self.late_starts.minion_restarted(&to.id);
             }
             ListOrigin::Uncertain => {
                 self.ignore_list(key, start);
@@ -174,6 +176,7 @@
         };
         minion.leases.update_clock(list.clock_ms, now);
         minion.list_clock_ms = list.clock_ms;
+        minion.incarnations.record_list(asked_at);
         minion.fence_accepted = true;
         minion.suspect = false;
         minion.listed_at = to.address.clone();
@@ -185,6 +188,7 @@
         for ended in &list.ended {
             self.process_end(key, ended, now, unix_ms);
         }
+        self.record_listed_ends(key, &list.ended);
         for active in &list.active {
             self.update_run(key, active, now);
         }
@@ -198,6 +202,14 @@
         true
     }
 
+    /// Records which ends a minion still lists, as they aren't acknowledged.
+    fn record_listed_ends(&mut self, key: MinionKey, listed: &[EndedRun]) {
+        let first = listed.iter().map(|ended| ended.number).min();
+        if let Some(minion) = self.minions.get_mut(key) {
+            minion.record_listed_ends(first);
+        }
+    }
+
     /// Reports that a run list is ignored, as its incarnation may be an earlier one.
     fn ignore_list(&mut self, key: MinionKey, start: u64) {
         let Some(minion) = self.minions.get(key) else {
