Keep the bound of a restarted minion's leases when it leaves the list, and for silent ones

Calls are carried out up to 12 s after they arrive, and a hold may take 4.5 s to arrive (2 s for connecting, 2.5 s until an unacknowledged connection is closed); start orders without an answer were remembered for 6 s, leases for 14.5 s. One period of 16.5 s serves both.

A reading below the known clock, such as one that was delayed, prolonged the leases for good; it does so until the next list of the known incarnation.

--- a/crates/snipevane-core/src/jobs/minions/leases.rs
+++ b/crates/snipevane-core/src/jobs/minions/leases.rs
@@ -1,18 +1,13 @@
 //! Leases that a minion was granted, and the time at which all of them are over.
 //!
 //! A lease ends at a time on the minion's clock, which starts anew with each incarnation. A call for an
-//! incarnation may be carried out by the next one. On the clock of that one its lease may end far later, at most
-//! after the longest lease that minions accept.
+//! incarnation may be carried out by the next one, which misreads its lease: on its own clock that may end far later,
+//! at most after the longest lease that minions accept.
 
 use std::time::Duration;
 
 use super::minion::millis;
-
-/// Longest time from the sending of a call with a lease until it arrives at the minion.
-const MAX_TRANSIT: Duration = Duration::from_millis(2_500);
-
-/// Longest time for which a minion leaves a call unanswered until it carries it out.
-const MAX_EXECUTION_DELAY: Duration = Duration::from_secs(12);
+use crate::jobs::running::transmissions::LATE_CALL_PERIOD;
 
 /// Lowest rate at which a minion's clock is assumed to run, in percent of the scheduler's clock.
 const SLOWEST_CLOCK_PERCENT: u32 = 98;
@@ -37,18 +32,21 @@
     expire_at: Duration,
     /// Time at which a call with a lease on the present clock was last sent.
     last_sent_at: Option<Duration>,
+    /// Whether a reply has shown another clock since the known incarnation's last list.
+    may_be_misread: bool,
 }
 
 impl Leases {
     /// Creates the leases of a minion to which an earlier term may have sent calls.
     ///
-    /// These leases are over at `expire_at` if they were given on the minion's own clock, and the last call was
-    /// sent by `last_sent_at`.
+    /// Those on the minion's own clock are over at `expire_at`. `last_sent_at` is the time by which that term had sent its
+    /// last call.
     pub(in crate::jobs) fn new(expire_at: Duration, last_sent_at: Option<Duration>) -> Self {
         Self {
             clock: None,
             expire_at,
             last_sent_at,
+            may_be_misread: false,
         }
     }
 
@@ -76,8 +74,9 @@
         Some(clock.minion_ms + millis(elapsed))
     }
 
-    /// Returns whether a reading that was received at `received_at` is so low that it is of another clock.
-    pub(in crate::jobs) fn is_of_other_clock(&self, minion_ms: u64, received_at: Duration) -> bool {
+    /// Returns whether a reading that was received at `received_at` is lower than the known clock can show. One of another
+    /// clock that shows more isn't told from it.
+    pub(in crate::jobs) fn is_below_clock(&self, minion_ms: u64, received_at: Duration) -> bool {
         let lowest = self.clock_lower_bound(received_at).unwrap_or(0);
         minion_ms.saturating_add(millis(MAX_READING_AGE)) < lowest
     }
@@ -96,9 +95,18 @@
         self.last_sent_at = Some(now);
     }
 
-    /// Returns whether all leases are certain to have been over for more than `margin`.
-    pub(in crate::jobs) fn have_expired(&self, margin: Duration, now: Duration) -> bool {
-        now > self.expire_at + margin
+    /// Records whether another incarnation may have been given the leases on the present clock.
+    pub(in crate::jobs) fn set_may_be_misread(&mut self, may_be_misread: bool) {
+        self.may_be_misread = may_be_misread;
+    }
+
+    /// Returns the time at which all leases are certain to be over, if minions accept leases of up to `max_lease`.
+    pub(in crate::jobs) fn over_at(&self, max_lease: Duration) -> Duration {
+        if self.may_be_misread {
+            self.expire_at.max(self.misread_until(max_lease))
+        } else {
+            self.expire_at
+        }
     }
 
     /// Returns the time at which leases on the present clock are over at the latest if another incarnation was
@@ -119,11 +127,7 @@
         self.extend(self.misread_until(max_lease));
         self.clock = None;
         self.last_sent_at = None;
-    }
-
-    /// Returns the time until all leases are over, at `now`.
-    pub(in crate::jobs) fn left(&self, now: Duration) -> Duration {
-        self.expire_at.saturating_sub(now)
+        self.may_be_misread = false;
     }
 
     /// Returns the time since a call with a lease on the present clock was last sent, at `now`.
@@ -140,5 +144,5 @@
 /// Returns the longest time from the sending of a call with a lease until the lease is over, if an incarnation is given
 /// it for which it wasn't meant.
 pub(in crate::jobs) fn longest_misread(max_lease: Duration) -> Duration {
-    MAX_TRANSIT + MAX_EXECUTION_DELAY + longest_lease(max_lease)
+    LATE_CALL_PERIOD + longest_lease(max_lease)
 }
--- a/crates/snipevane-core/src/jobs/minions/registry.rs
+++ b/crates/snipevane-core/src/jobs/minions/registry.rs
@@ -197,7 +197,10 @@
             return;
         }
         let id = minion.entry.id.clone();
-        let leases_until = minion.leases.misread_until(self.settings.max_lease);
+        let max_lease = self.settings.max_lease;
+        let mut leases = minion.leases;
+        leases.reset_clock(max_lease);
+        let leases_until = leases.over_at(max_lease);
         self.minion_ids.remove(&id);
         self.minions.remove(key);
         self.removed_leases.insert(id, leases_until);
@@ -249,7 +252,7 @@
             ended: ended.len(),
             kept: minion.runs.len() - ended.len(),
             since_lease: minion.leases.since_last_sent(now),
-            leases_left: leases.left(now),
+            leases_left: leases.over_at(max_lease).saturating_sub(now),
         });
         self.record_end_of_incarnation(key, &ended);
         self.end_runs_of_former_incarnation(&ended, LossReason::MinionRestarted, now);
@@ -281,9 +284,11 @@
     /// Ends the runs of suspect or unlisted minions whose leases are certain to have expired.
     pub(in crate::jobs) fn end_expired_runs(&mut self, now: Duration) {
         let margin = self.settings.lease_margin;
+        let max_lease = self.settings.max_lease;
         let expired = self.minions.iter().filter(|(_, minion)| {
             let doubtful = minion.suspect || !minion.listed;
-            doubtful && !minion.runs.is_empty() && minion.leases.have_expired(margin, now)
+            let is_over = now > minion.leases.over_at(max_lease) + margin;
+            doubtful && !minion.runs.is_empty() && is_over
         });
         let expired: Vec<MinionKey> = expired.map(|(key, _)| key).collect();
         for key in expired {
--- a/crates/snipevane-core/src/jobs/placing/unreported_runs.rs
+++ b/crates/snipevane-core/src/jobs/placing/unreported_runs.rs
@@ -40,8 +40,8 @@
     /// expired.
     pub(in crate::jobs) fn until_of(&self, id: &str) -> Duration {
         let restarted_until = self.restarted.get(id).copied();
-        let until = self.until.max(restarted_until.unwrap_or(Duration::ZERO));
-        self.silent.get(id).copied().unwrap_or(until)
+        let until = self.silent.get(id).copied().unwrap_or(self.until);
+        until.max(restarted_until.unwrap_or(Duration::ZERO))
     }
 
     /// Returns the time by which the earlier term had sent its last order to a minion; `None` if it sent none.
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -440,21 +440,19 @@
     /// tells of a restart that hasn't been noticed: the minion is asked for its runs.
     fn read_clock(
         &mut self,
-        minion: MinionKey,
+        key: MinionKey,
         clock_ms: Option<u64>,
         sent_at: Duration,
         now: Duration,
     ) {
-        let key = minion;
-        let max_lease = self.settings.max_lease;
         let (Some(minion), Some(clock_ms)) = (self.minions.get_mut(key), clock_ms) else {
             return;
         };
         if minion.restarted_since(sent_at) {
             return;
         }
-        if minion.leases.is_of_other_clock(clock_ms, now) {
-            minion.leases.extend(minion.leases.misread_until(max_lease));
+        if minion.leases.is_below_clock(clock_ms, now) {
+            minion.leases.set_may_be_misread(true);
             self.ask_for_runs(key, now);
             return;
         }
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -174,6 +174,7 @@
         let Some(minion) = self.minions.get_mut(key) else {
             return false;
         };
+        minion.leases.set_may_be_misread(false);
         minion.leases.update_clock(list.clock_ms, now);
         minion.list_clock_ms = list.clock_ms;
         minion.incarnations.record_list(asked_at);
--- a/crates/snipevane-core/src/jobs/running/transmissions.rs
+++ b/crates/snipevane-core/src/jobs/running/transmissions.rs
@@ -9,8 +9,15 @@
 /// Maximum number of transmissions of an order.
 const MAX_TRANSMISSIONS: u32 = 6;
 
+/// Longest time from the sending of a call until it arrives at the minion, in milliseconds.
+const MAX_TRANSIT_MS: u64 = 4_500;
+
+/// Longest time for which a minion leaves a call unanswered until it carries it out, in milliseconds.
+const MAX_EXECUTION_DELAY_MS: u64 = 12_000;
+
 /// Longest time after which a call without an answer is still carried out.
-const LATE_CALL_PERIOD: Duration = Duration::from_secs(6);
+pub(in crate::jobs) const LATE_CALL_PERIOD: Duration =
+    Duration::from_millis(MAX_TRANSIT_MS + MAX_EXECUTION_DELAY_MS);
 
 /// Number of transmissions without a reply after which the recipient counts as suspect.
 const SUSPECT_AFTER: u32 = 3;
--- a/tests/tests/jobs_lease_clocks.rs
+++ b/tests/tests/jobs_lease_clocks.rs
@@ -230,6 +230,7 @@
     play.built.faults.lost_reply_rate = 1.0;
     play.built.run(Duration::from_millis(140));
     play.built.faults.lost_reply_rate = 0.0;
+    assert_eq!(play.runs(), 1);
     play.built.partitioned.insert(play.restarted.clone());
     play.built.partitioned.remove(&play.other);
     let other = play.built.minions[&play.other].entry.clone();
@@ -259,3 +260,100 @@
     assert_eq!(built.records.len(), 2);
     assert!(built.records[1].from < cut_at + Duration::from_millis(6_000));
 }
+
+/// Guards against a task that runs twice at the same time, because a minion leaves the list right after its restart was
+/// noticed, and the leases on its former clock are forgotten with it.
+#[rstest]
+fn a_minion_that_leaves_the_list_after_a_restart_keeps_its_leases(
+    #[values(6, 10, 30)] max_lease_s: u64,
+    #[values(2_000, 3_000, 11_900)] delay_ms: u64,
+) {
+    let mut built = site_of_two(Duration::from_secs(max_lease_s));
+    let (restarted, other) = (SmolStr::new_static("i-0"), SmolStr::new_static("i-1"));
+    built.run(Duration::from_secs(15));
+    built.partitioned.insert(other.clone());
+    built.list_minions();
+    let id = built.submit(1, job("p0", vec![step(1, 1_000, 90_000, &[])]));
+    built.run(Duration::from_secs(1));
+    built.delay_next_lease(&restarted);
+    while built.delayed_lease().is_none() {
+        built.tick();
+    }
+    let sent_at = built.delayed_lease().expect("a delayed call");
+    let restart = Restart {
+        downtime: Duration::from_millis(300),
+        born: built.unix_ms() + 300,
+        address: None,
+        entry_delay: Duration::from_millis(1_000),
+    };
+    built.restart_under_id(&restarted, restart);
+    built.scheduler.unlist_minion(&restarted);
+    built.run(Duration::from_millis(1_700));
+    assert_eq!(built.records.len(), 2);
+    while built.now < sent_at + Duration::from_millis(delay_ms) {
+        built.tick();
+    }
+    built.carry_out_delayed_lease();
+    built.partitioned.insert(restarted);
+    built.partitioned.remove(&other);
+    built.list_minions();
+    built.run(Duration::from_secs(160));
+    assert_eq!(built.records.len(), 3);
+    assert_eq!(built.state(id), JobState::Completed);
+}
+
+/// Guards against the same if the row names the restarted minion as silent before its entry is read.
+#[rstest]
+fn a_silent_minion_whose_entry_tells_of_a_restart_later_makes_no_task_run_twice(
+    #[values(6, 10, 30)] max_lease_s: u64,
+) {
+    let mut play = RestartedMinion::new(Duration::from_secs(max_lease_s));
+    play.run_until_listed();
+    play.carry_out_after(Duration::from_millis(1_500));
+    play.built.partitioned.insert(play.restarted.clone());
+    play.built.partitioned.remove(&play.other);
+    let own = play.built.minions[&play.restarted].entry.clone();
+    let other = play.built.minions[&play.other].entry.clone();
+    play.built.take_over();
+    play.built
+        .scheduler
+        .upsert_minion(other.clone(), play.built.now);
+    play.built.run(Duration::from_millis(1_500));
+    play.built.take_over();
+    play.built.scheduler.upsert_minion(other, play.built.now);
+    play.built.scheduler.upsert_minion(own, play.built.now);
+    play.built.run(Duration::from_secs(160));
+    assert_eq!(play.built.state(play.id), JobState::Completed);
+}
+
+/// Guards against the same within a term if no entry tells of the restart.
+#[rstest]
+fn a_start_at_an_incarnation_that_nothing_tells_of_makes_no_task_run_twice(
+    #[values(6, 10, 30)] max_lease_s: u64,
+) {
+    let mut built = site_of_two(Duration::from_secs(max_lease_s));
+    let (restarted, other) = (SmolStr::new_static("i-0"), SmolStr::new_static("i-1"));
+    built.run(Duration::from_secs(15));
+    built.partitioned.insert(other.clone());
+    built.list_minions();
+    built.run(Duration::from_secs(1));
+    let restart = Restart {
+        downtime: Duration::from_millis(50),
+        born: built.unix_ms() + 50,
+        address: None,
+        entry_delay: Duration::from_secs(200),
+    };
+    built.restart_under_id(&restarted, restart);
+    built.run(Duration::from_millis(60));
+    built.faults.lost_reply_rate = 1.0;
+    let id = built.submit(2, job("p0", vec![step(1, 1_000, 90_000, &[])]));
+    built.run(Duration::from_millis(140));
+    built.faults.lost_reply_rate = 0.0;
+    assert_eq!(built.records.len(), 1);
+    built.partitioned.insert(restarted);
+    built.partitioned.remove(&other);
+    let entry = built.minions[&other].entry.clone();
+    built.scheduler.upsert_minion(entry, built.now);
+    built.run(Duration::from_secs(160));
+    assert_eq!(built.state(id), JobState::Completed);
+}
