Crowds of clients that don't behave: tests that fail

Callers of a trial saw a process end, out of memory, as clients sent heads and empty lines without end, and many bodies that stop just short of their end. The tests start the daemon on loopback with settings of 64 MB and 450 descriptors (250 for sockets), a crowd of 300 clients of one kind, and check that it lives, that its resident memory and the unread bytes of its sockets stay within the 64 MB, its sockets within the 250, and that an ordinary request is answered beside the crowd and after it. Nothing depends on the time that it takes.

Clients that ask for metrics and never read them keep the process busy: no caller is answered for 60 s.

The site of the tests states memory and descriptors in the settings of its daemons, 260 MB and 4,100 by default as the platform does.

--- /dev/null
+++ b/crates/snipevane-fleet/tests/crowd/mod.rs
@@ -0,0 +1,5 @@
+//! A crowd of clients that send what no legal client does, and what a daemon uses meanwhile.
+
+pub(crate) mod clients;
+pub(crate) mod script;
+pub(crate) mod usage;
--- a/crates/snipevane-fleet/tests/site/mod.rs
+++ b/crates/snipevane-fleet/tests/site/mod.rs
@@ -14,7 +14,9 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use snipevane_adapter_standin::{Endpoint, EntryVmSettings, Minion, StatedRates, Store, VmApi};
+use snipevane_adapter_standin::{
+    Endpoint, EntryVmSettings, Minion, StatedLimits, StatedRates, Store, VmApi,
+};
 
 /// Maximum time that a test waits for a condition, far longer than any takes.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -30,7 +32,7 @@
     pub(crate) readiness: SocketAddr,
     /// Address for the other daemons.
     pub(crate) peers: SocketAddr,
-    metrics: SocketAddr,
+    pub(crate) metrics: SocketAddr,
     pub(crate) store: Endpoint,
     settings: PathBuf,
 }
@@ -44,6 +46,8 @@
     name: String,
     /// Rates of the store that the settings of daemons state.
     store_rates: StatedRates,
+    /// Memory and descriptors that the settings of daemons state.
+    limits: StatedLimits,
 }
 
 impl Site {
@@ -58,6 +62,26 @@
         nodes: usize,
         minions: usize,
         store_rates: StatedRates,
+    ) -> Self {
+        Self::start_with(name, nodes, minions, store_rates, StatedLimits::default())
+    }
+
+    /// Starts a site as [`Self::start`] does, with settings that state this memory and these descriptors.
+    pub(crate) fn start_with_limits(
+        name: &str,
+        nodes: usize,
+        minions: usize,
+        limits: StatedLimits,
+    ) -> Self {
+        Self::start_with(name, nodes, minions, StatedRates::default(), limits)
+    }
+
+    fn start_with(
+        name: &str,
+        nodes: usize,
+        minions: usize,
+        store_rates: StatedRates,
+        limits: StatedLimits,
     ) -> Self {
         let store = Store::default();
         store.put("op", "config", &configuration());
@@ -70,6 +94,7 @@
             vm_api: VmApi::start(),
             name: name.to_owned(),
             store_rates,
+            limits,
         };
         for _ in 0..nodes {
             site.add_node(1.0);
@@ -131,7 +156,7 @@
     }
 
     fn start_node(&self, name: &str, cores: f64) -> Node {
-        Node::start(&self.store, self.store_rates, &self.vm_api, name, cores)
+        Node::start(self, name, cores)
     }
 
     /// Returns the scheduler's row in the store.
@@ -198,14 +223,8 @@
 }
 
 impl Node {
-    fn start(
-        store: &Store,
-        store_rates: StatedRates,
-        vm_api: &VmApi,
-        name: &str,
-        cores: f64,
-    ) -> Self {
-        let endpoint = store.add_endpoint();
+    fn start(site: &Site, name: &str, cores: f64) -> Self {
+        let endpoint = site.store.add_endpoint();
         let [callers, readiness, peers, metrics] = std::array::from_fn(|_| free_address());
         let text = EntryVmSettings {
             name,
@@ -214,9 +233,10 @@
             readiness,
             peer_port: peers.port(),
             store: endpoint.address,
-            store_rates,
-            vm_api: vm_api.address,
+            store_rates: site.store_rates,
+            vm_api: site.vm_api.address,
             cores,
+            limits: site.limits,
         }
         .text();
         let settings = std::env::temp_dir().join(format!("{name}-{}.toml", std::process::id()));
@@ -260,6 +280,16 @@
         values.sum()
     }
 
+    /// Returns the daemon's process id.
+    pub(crate) fn pid(&self) -> u32 {
+        self.process.id()
+    }
+
+    /// Returns whether the daemon runs.
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.process.try_wait().expect("its state").is_none()
+    }
+
     /// Kills the daemon with SIGKILL.
     pub(crate) fn kill(&mut self) {
         self.process.kill().expect("a kill");
