Listeners have shares of the VM's memory and descriptors

Callers saw a process end, out of memory or descriptors, as clients sent heads over the limit or without end, empty lines without end, many requests at once, or nothing at all; and no caller was answered for 60 s while 300 clients asked for metrics and never read them.

The HTTP library let a head grow to 400 KB a connection, the kernel's receive buffers grew to megabytes, nothing bounded the number of connections of any listener, and an accept that failed was tried again at once.

At the limit the connection that has waited longest is closed; before the next one is accepted, its task gets to free the descriptor.

--- a/crates/snipevane-core/src/jobs/model/site.rs
+++ b/crates/snipevane-core/src/jobs/model/site.rs
@@ -81,6 +81,8 @@
     pub teams: Vec<Team>,
     /// Largest size of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// Largest size of the head of a request, in bytes.
+    pub max_header_bytes: usize,
 }
 
 /// The site configuration with indexes for lookups by host, key and name.
@@ -126,6 +128,11 @@
         self.spec.max_body_bytes
     }
 
+    /// Returns the largest size of the head of a request, in bytes.
+    pub fn max_header_bytes(&self) -> usize {
+        self.spec.max_header_bytes
+    }
+
     /// Returns the queue of a host whose path prefix is the longest one that `path` begins with.
     pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
         let indices = self.by_host.get(host)?;
--- a/crates/snipevane-fleet/src/lib.rs
+++ b/crates/snipevane-fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod events;
 mod flags;
 pub mod job_rows;
+pub mod listeners;
 pub mod logging;
 pub mod metrics;
 pub mod minion_rows;
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,9 +19,11 @@
 use smol_str::SmolStr;
 use snipevane_core::jobs::PoolStats;
 use snipevane_core::reach::ReachCounts;
+use snipevane_listeners::Limits;
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
+use crate::listeners::{Connection, Gate, Recorder};
 use crate::store::{CallKind, Purpose};
 
 /// Upper bounds of the histogram buckets, in seconds. They range from a call within a zone to a job
@@ -29,6 +32,9 @@
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0,
 ];
 
+/// Largest head of a request for metrics, in bytes.
+const MAX_HEAD_BYTES: usize = 8_192;
+
 const MILLIS_PER_CORE: f64 = 1_000.0;
 
 const TEXT_FORMAT: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
@@ -70,24 +76,32 @@
     /// # Errors
     ///
     /// Returns an error if the address can't be bound.
-    pub async fn serve(self, address: SocketAddr) -> std::io::Result<()> {
-        let listener = TcpListener::bind(address).await?;
+    pub async fn serve(self, address: SocketAddr, limits: Limits) -> std::io::Result<()> {
+        let gate = Gate::new("metrics", limits, Recorder);
+        let listener = gate.bind(address)?;
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                continue;
-            };
-            let metrics = self.clone();
-            tokio::task::spawn_local(async move {
-                let service = service_fn(move |_| {
-                    let metrics = metrics.clone();
-                    async move { Ok::<_, Infallible>(metrics.render()) }
-                });
-                let connection =
-                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                if let Err(error) = connection.await {
-                    log::debug!("connection of a metrics client failed: {error}");
-                }
-            });
+            let (stream, connection) = gate.accept(&listener, || MAX_HEAD_BYTES).await;
+            tokio::task::spawn_local(self.clone().serve_connection(stream, connection));
+        }
+    }
+
+    async fn serve_connection(self, stream: TcpStream, connection: Arc<Connection>) {
+        let place = connection.clone();
+        let service = service_fn(move |_| {
+            let response = self.render();
+            place.on_response();
+            async move { Ok::<_, Infallible>(response) }
+        });
+        let served = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let served = tokio::select! {
+            biased;
+            () = connection.closed() => return,
+            served = served => served,
+        };
+        if let Err(error) = served {
+            log::debug!("connection of a metrics client failed: {error}");
         }
     }
 
@@ -99,6 +113,12 @@
     }
 }
 
+/// Counts something that the limits of a listener made happen, or that went wrong with it.
+pub(crate) fn record_listener_incident(listener: &'static str, what: &'static str) {
+    counter!("snipevane_listener_incidents_total", "listener" => listener, "what" => what)
+        .increment(1);
+}
+
 /// Records how many entry VMs reach the scheduler and how many report that they don't.
 pub(crate) fn set_reach(counts: ReachCounts) {
     gauge!("snipevane_entry_vms_reached").set(counts.reached as f64);
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,11 +14,12 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use snipevane_adapter::{Method, Request, config, rows as store_rows};
-use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 use crate::caller::{JobWriter, Outcome};
 use crate::client::{CallError, RelayedBody};
 use crate::clock::Clock;
+use crate::listeners::{Connection, Gate, Recorder, Shares};
 use crate::metrics;
 use crate::node::Node;
 use crate::rows;
@@ -36,6 +38,9 @@
 /// Largest request body that is accepted, in bytes.
 const MAX_REQUEST_BYTES: usize = 2 << 20;
 
+/// Largest head of a request that is accepted, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
 /// Longest time that a watch request waits for another version.
 const WATCH_WAIT: Duration = Duration::from_millis(250);
 
@@ -49,29 +54,48 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the address can't be bound.
+/// Returns an error if the address isn't one, or can't be bound.
 pub async fn serve<C: Clock>(
     node: Rc<Node<C>>,
     job_writer: Rc<JobWriter<C>>,
 ) -> std::io::Result<()> {
-    let listener = TcpListener::bind(super::own_address(&node)).await?;
+    let gate = Gate::new("peers", Shares::of(&node.settings.limits).peers, Recorder);
+    let address = super::own_address(&node).parse();
+    let listener = gate.bind(address.map_err(std::io::Error::other)?)?;
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let node = node.clone();
-        let job_writer = job_writer.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |request| {
-                let node = node.clone();
-                let job_writer = job_writer.clone();
-                async move { Ok::<_, Infallible>(handle(&node, &job_writer, request).await) }
-            });
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
-                log::debug!("connection from another entry VM failed: {error}");
-            }
-        });
+        let (stream, connection) = gate.accept(&listener, || MAX_HEAD_BYTES).await;
+        let (node, job_writer) = (node.clone(), job_writer.clone());
+        tokio::task::spawn_local(serve_connection(node, job_writer, stream, connection));
+    }
+}
+
+/// Serves one connection until the other entry VM closes it, or it is closed for another one.
+async fn serve_connection<C: Clock>(
+    node: Rc<Node<C>>,
+    job_writer: Rc<JobWriter<C>>,
+    stream: TcpStream,
+    connection: Arc<Connection>,
+) {
+    let place = connection.clone();
+    let service = service_fn(move |request| {
+        let (node, job_writer, place) = (node.clone(), job_writer.clone(), place.clone());
+        async move {
+            place.on_request();
+            let reply = handle(&node, &job_writer, request).await;
+            place.on_response();
+            Ok::<_, Infallible>(reply)
+        }
+    });
+    let served = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let served = tokio::select! {
+        biased;
+        () = connection.closed() => return,
+        served = served => served,
+    };
+    if let Err(error) = served {
+        log::debug!("connection from another entry VM failed: {error}");
     }
 }
 
--- a/crates/snipevane-fleet/src/process.rs
+++ b/crates/snipevane-fleet/src/process.rs
@@ -8,6 +8,7 @@
 use log::LevelFilter;
 use smol_str::SmolStr;
 use snipevane_adapter::settings::{DEFAULT_PATH, NodeSettings, SETTINGS_VARIABLE};
+use snipevane_listeners::Limits;
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
@@ -16,6 +17,7 @@
 use crate::caller::{self, JobWriter};
 use crate::clock::{Clock, SystemClock};
 use crate::flags::SnipevaneFleet;
+use crate::listeners::Shares;
 use crate::metrics::{Metrics, MetricsError};
 use crate::node::Node;
 use crate::{events, logging, peers, scheduling, site_view};
@@ -86,19 +88,21 @@
     let local = LocalSet::new();
     local.block_on(&runtime, async {
         if let Some(port) = metrics_port {
-            tokio::task::spawn_local(serve_metrics(metrics, settings.ip.clone(), port));
+            let limits = Shares::of(&settings.limits).metrics;
+            let ip = settings.ip.clone();
+            tokio::task::spawn_local(serve_metrics(metrics, ip, port, limits));
         }
         serve(Node::new(settings, SystemClock)).await
     })
 }
 
 /// Serves metrics. If their address is invalid or can't be bound, the process continues without.
-async fn serve_metrics(metrics: Metrics, ip: SmolStr, port: u16) {
+async fn serve_metrics(metrics: Metrics, ip: SmolStr, port: u16, limits: Limits) {
     let Ok(ip) = ip.parse::<IpAddr>() else {
         log::error!("metrics are not served: {ip} is not an IP address");
         return;
     };
-    if let Err(error) = metrics.serve((ip, port).into()).await {
+    if let Err(error) = metrics.serve((ip, port).into(), limits).await {
         log::error!("metrics are not served: binding {ip}:{port} failed: {error}");
     }
 }
--- a/crates/snipevane-listeners/src/gate.rs
+++ b/crates/snipevane-listeners/src/gate.rs
@@ -6,6 +6,7 @@
 
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::connection::Connection;
@@ -83,27 +84,32 @@
                     continue;
                 }
             };
-            if let Some(connection) = self.admit(max_head_bytes()) {
-                return (stream, connection);
+            let Some((connection, displaced)) = self.admit(max_head_bytes()) else {
+                continue;
+            };
+            // Lets the tasks of closed connections free their descriptors before the next one is accepted.
+            if displaced > 0 {
+                yield_now().await;
             }
+            return (stream, connection);
         }
     }
 
     /// Makes room for a connection; returns `None` if a request is being handled on each of the others.
-    fn admit(self: &Arc<Self>, max_head_bytes: usize) -> Option<Arc<Connection<O>>> {
+    /// Also returns the number of connections that are closed for it.
+    fn admit(self: &Arc<Self>, max_head_bytes: usize) -> Option<(Arc<Connection<O>>, usize)> {
         let max_open = self.limits.connections(max_head_bytes);
         let room = self.table.lock().make_room(max_open);
-        match room {
-            Room::Free => {}
-            Room::Made(count) => {
-                (0..count).for_each(|_| self.record(Incident::ConnectionDisplaced));
-            }
+        let displaced = match room {
+            Room::Free => 0,
+            Room::Made(count) => count,
             Room::None => {
                 self.record(Incident::ConnectionRefused);
                 return None;
             }
-        }
-        Some(Arc::new(Connection::new(self.clone())))
+        };
+        (0..displaced).for_each(|_| self.record(Incident::ConnectionDisplaced));
+        Some((Arc::new(Connection::new(self.clone())), displaced))
     }
 
     pub(crate) fn record(&self, incident: Incident) {
--- a/tests/src/jobs/specs.rs
+++ b/tests/src/jobs/specs.rs
@@ -51,6 +51,7 @@
             quota,
         }],
         max_body_bytes: 1 << 18,
+        max_header_bytes: 1 << 14,
     }
 }
 
