Bodies of a listener share one budget, and who has waited longest goes first

Callers saw a process end, out of memory, as clients sent many bodies, whole, piece by piece or in chunks, and stopped just short of their end.

A body had a limit for itself and none for all together; its parts were kept as slices that hold the read buffer they came in; the time for it was the caller's own deadline header; and the body was kept until its job was stored.

Callers' and other entry VMs' bodies are now read by snipevane-listeners: copied to one buffer, out of 10 and 5 % of the memory. If that is used up, the connection whose body has waited longest is closed; if that is the one that asks, it is answered 503 with Retry-After and Connection: close, before anything was done. A body must be complete within 20 s (10 s between entry VMs; 408 otherwise). A submission's body is dropped once it is decoded.

New tests: a body of 262,144 bytes, declared or chunked, and a head of 16,384 bytes are accepted in calm with the same settings.

--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -1,19 +1,21 @@
 //! Handles callers' requests.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use snipevane_adapter::callers::{self, DEADLINE_HEADER};
+use snipevane_adapter::callers::{self, DEADLINE_HEADER, Submission};
 use snipevane_adapter::rows::Transaction;
 use snipevane_core::jobs::{JobId, JobSpec, JobState, JobTerms, Queue};
+use snipevane_listeners::BodyError;
 use tokio::time::timeout;
 
 use crate::clock::Clock;
 use crate::events;
 use crate::job_rows;
+use crate::listeners::Connection;
 use crate::metrics;
 use crate::node::Node;
 use crate::peers::scheduler_client;
@@ -47,12 +49,13 @@
 pub(crate) async fn handle<C: Clock>(
     node: &Node<C>,
     job_writer: &Rc<JobWriter<C>>,
+    connection: &Arc<Connection>,
     request: Request<Incoming>,
 ) -> Reply {
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let received_at = node.clock.now();
-    let reply = dispatch(node, job_writer, request).await;
+    let reply = dispatch(node, job_writer, connection, request).await;
     let status = reply.status();
     let elapsed = node.clock.now().saturating_sub(received_at);
     metrics::record_request(&method, status.as_u16(), elapsed);
@@ -81,6 +84,7 @@
 async fn dispatch<C: Clock>(
     node: &Node<C>,
     job_writer: &Rc<JobWriter<C>>,
+    connection: &Arc<Connection>,
     request: Request<Incoming>,
 ) -> Reply {
     let target = match Target::resolve(node, &request) {
@@ -100,7 +104,13 @@
     let limit = caller_wait(&request).saturating_sub(RESPONSE_MARGIN);
     let answer = async {
         match method {
-            Method::POST => submit(node, job_writer, id, target, request).await,
+            Method::POST => {
+                let body = request.into_body();
+                match read_submission(node, connection, body, target.max_body_bytes).await {
+                    Ok(submission) => submit(node, job_writer, id, target, submission).await,
+                    Err(refusal) => refusal,
+                }
+            }
             Method::GET => get_state(node, id).await,
             Method::DELETE => cancel(node, job_writer, id).await,
             _ => reply::error(StatusCode::METHOD_NOT_ALLOWED, "only POST, GET and DELETE"),
@@ -129,24 +139,47 @@
     }
 }
 
+/// Reads and decodes a submission. Its body is dropped by then, so that others have its memory.
+///
+/// # Errors
+///
+/// Returns the response if that fails; nothing was done.
+async fn read_submission<C: Clock>(
+    node: &Node<C>,
+    connection: &Arc<Connection>,
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<Submission, Reply> {
+    let body = match connection.read_body(body, max_bytes).await {
+        Ok(body) => body,
+        Err(error) => return Err(reply::closing(body_refusal(node, error))),
+    };
+    callers::decode_submission(&body)
+        .map_err(|error| reply::error(StatusCode::BAD_REQUEST, &error.to_string()))
+}
+
+/// Returns the response to a request whose body isn't read.
+fn body_refusal<C: Clock>(node: &Node<C>, error: BodyError) -> Reply {
+    match error {
+        BodyError::TooLarge | BodyError::Broken => reply::error(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body can't be read, or is too large",
+        ),
+        BodyError::Late => reply::error(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body wasn't complete in time; nothing was done",
+        ),
+        BodyError::NoRoom => retry_later(node, "too many bodies at once; nothing was done"),
+    }
+}
+
 async fn submit<C: Clock>(
     node: &Node<C>,
     job_writer: &Rc<JobWriter<C>>,
     id: JobId,
     target: Target,
-    request: Request<Incoming>,
+    submission: Submission,
 ) -> Reply {
-    let body = Limited::new(request.into_body(), target.max_body_bytes);
-    let Ok(body) = body.collect().await else {
-        return reply::error(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body can't be read, or is too large",
-        );
-    };
-    let submission = match callers::decode_submission(&body.to_bytes()) {
-        Ok(submission) => submission,
-        Err(error) => return reply::error(StatusCode::BAD_REQUEST, &error.to_string()),
-    };
     let queue = target.queue;
     let spec = JobSpec {
         queue: queue.name.clone(),
--- a/crates/snipevane-fleet/src/caller/listener.rs
+++ b/crates/snipevane-fleet/src/caller/listener.rs
@@ -77,7 +77,7 @@
         let (node, job_writer, place) = (service_node.clone(), job_writer.clone(), place.clone());
         async move {
             place.on_request();
-            let reply = handler::handle(&node, &job_writer, request).await;
+            let reply = handler::handle(&node, &job_writer, &place, request).await;
             place.on_response();
             Ok::<Reply, Infallible>(reply)
         }
--- a/crates/snipevane-fleet/src/caller/reply.rs
+++ b/crates/snipevane-fleet/src/caller/reply.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use smol_str::SmolStr;
@@ -39,6 +39,13 @@
     reason.map(|reason| reason.0.clone()).unwrap_or_default()
 }
 
+/// Makes a response the last one of its connection, as the rest of the request isn't read.
+pub(crate) fn closing(mut reply: Reply) -> Reply {
+    let close = HeaderValue::from_static("close");
+    reply.headers_mut().insert(CONNECTION, close);
+    reply
+}
+
 /// Returns an error response with a `Retry-After` header, for a request that had no effect. The
 /// delay is rounded up to at least one second.
 pub(crate) fn with_retry_after(status: StatusCode, message: &str, delay: Duration) -> Reply {
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONNECTION, HeaderValue};
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Either, Full, Limited};
+use http_body_util::{Either, Full};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -81,7 +82,7 @@
         let (node, job_writer, place) = (node.clone(), job_writer.clone(), place.clone());
         async move {
             place.on_request();
-            let reply = handle(&node, &job_writer, request).await;
+            let reply = handle(&node, &job_writer, &place, request).await;
             place.on_response();
             Ok::<_, Infallible>(reply)
         }
@@ -102,6 +103,7 @@
 async fn handle<C: Clock>(
     node: &Rc<Node<C>>,
     job_writer: &Rc<JobWriter<C>>,
+    connection: &Arc<Connection>,
     request: http::Request<Incoming>,
 ) -> Reply {
     let method = match *request.method() {
@@ -114,11 +116,10 @@
         .map_or_else(String::new, ToString::to_string);
     let kind = message_kind(&path);
     let head_bytes = metrics::head_bytes(path.len(), request.headers());
-    let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES);
-    let Ok(body) = body.collect().await else {
-        return response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    let body = connection.read_body(request.into_body(), MAX_REQUEST_BYTES);
+    let Ok(body) = body.await else {
+        return closing(response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
     };
-    let body = body.to_bytes();
     metrics::record_served_request(kind, head_bytes + body.len());
     let reply = answer(node, job_writer, method, path, &body).await;
     let head_bytes = metrics::head_bytes(0, reply.headers());
@@ -132,7 +133,7 @@
     job_writer: &Rc<JobWriter<C>>,
     method: Method,
     path: String,
-    body: &Bytes,
+    body: &[u8],
 ) -> Reply {
     match path.as_str() {
         WATCH_PATH => match rows::decode::<WatchRequest>(WATCH_PATH, body) {
@@ -250,7 +251,7 @@
 ///
 /// Of responses with changes of the configuration, one is passed on at a time, and none is waited for:
 /// several large ones at once would fill this VM's link for longer than its own may take to be in force.
-async fn relay<C: Clock>(node: &Node<C>, method: Method, path: String, body: &Bytes) -> Reply {
+async fn relay<C: Clock>(node: &Node<C>, method: Method, path: String, body: &[u8]) -> Reply {
     if !node.store.is_direct() {
         return response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     }
@@ -285,6 +286,13 @@
     }
 }
 
+/// Makes a response the last one of its connection, as the rest of the request isn't read.
+fn closing(mut reply: Reply) -> Reply {
+    let close = HeaderValue::from_static("close");
+    reply.headers_mut().insert(CONNECTION, close);
+    reply
+}
+
 fn response(status: StatusCode, body: Bytes) -> Reply {
     reply(status, Either::Left(Full::new(body)))
 }
--- a/crates/snipevane-fleet/tests/misbehaving_clients.rs
+++ b/crates/snipevane-fleet/tests/misbehaving_clients.rs
@@ -7,7 +7,8 @@
 #[allow(dead_code, reason = "the module is shared with other tests")]
 mod site;
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -39,6 +40,10 @@
 const JOB_PATH: &str = "/p/00000000000000aa";
 const JOB_NUMBER: u64 = 0xaa;
 
+/// Largest head and body of a request by the tests' configuration, in bytes.
+const MAX_HEAD_BYTES: usize = 16_384;
+const MAX_BODY_BYTES: usize = 262_144;
+
 /// The tests' crowds run one at a time.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
@@ -157,3 +162,49 @@
     let answers = |address| call(address, "GET", "/metrics", "", "").0 == 200;
     check_crowd(name, kind, "/metrics", |node| node.metrics, answers);
 }
+
+/// Guards against limits that a legal client meets: each request is as large as the configuration allows.
+#[rstest]
+#[case::declared_body("calm-body", 0, MAX_BODY_BYTES, false)]
+#[case::chunked_body("calm-chunks", 0, MAX_BODY_BYTES, true)]
+#[case::head("calm-head", MAX_HEAD_BYTES, 200, false)]
+fn a_single_request_at_the_limits_is_served_in_calm(
+    #[case] name: &str,
+    #[case] head_bytes: usize,
+    #[case] body_bytes: usize,
+    #[case] chunked: bool,
+) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let site = Site::start_with_limits(name, 1, 1, LIMITS);
+    let request = legal_submission(head_bytes, body_bytes, chunked);
+    let answer = exchange(site.nodes[0].callers, &request).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    site.wait_until_completed(0, JOB);
+}
+
+/// Returns a submission with a head of at least `head_bytes` and a body of `body_bytes`.
+fn legal_submission(head_bytes: usize, body_bytes: usize, chunked: bool) -> String {
+    let job = r#"{"spec":"100","phases":[{"replicas":1,"cpu":1000,"memMb":100,"estimateMs":100}]}"#;
+    let body = format!("{job}{}", " ".repeat(body_bytes - job.len()));
+    let (framing, body) = if chunked {
+        let bytes = body.len();
+        let body = format!("{bytes:x}\r\n{body}\r\n0\r\n\r\n");
+        ("Transfer-Encoding: chunked".to_owned(), body)
+    } else {
+        (format!("Content-Length: {}", body.len()), body)
+    };
+    let head = format!(
+        "POST {JOB_PATH} HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Api-Key: key\r\n{framing}\r\n\
+         Connection: close\r\nX-Filler: "
+    );
+    let filler = head_bytes.saturating_sub(head.len() + "\r\n\r\n".len());
+    format!("{head}{}\r\n\r\n{body}", "x".repeat(filler))
+}
+
+fn exchange(address: SocketAddr, request: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.write_all(request.as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer)
+}
