--- a/crates/snipevane-fleet/tests/misbehaving_clients.rs
+++ b/crates/snipevane-fleet/tests/misbehaving_clients.rs
@@ -208,3 +208,22 @@
     stream.read_to_string(&mut answer)?;
     Ok(answer)
 }
+
+/// Guards against a connection that stays open for as long as its caller reads no answers, with no other caller there.
+#[test]
+fn a_caller_that_reads_no_answers_is_cut_off_in_calm() {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let site = Site::start_with_limits("cut-off", 1, 1, LIMITS);
+    site.submit(0, JOB, 1, 100);
+    site.wait_until_completed(0, JOB);
+    let callers = site.nodes[0].callers;
+    let mut stream = TcpStream::connect(callers).expect("a connection");
+    stream
+        .set_write_timeout(Some(Duration::from_secs(3)))
+        .expect("a timeout");
+    let requests = Script::new(Kind::AnswersNeverRead, JOB_PATH);
+    let blocked = stream.write_all(&requests.bytes);
+    assert!(blocked.is_err(), "the requests don't fit in the buffers");
+    let closed = || stream.take_error().expect("its state").is_some();
+    eventually("cut off", closed);
+}
