--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -2,22 +2,25 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONNECTION, HeaderValue};
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Either, Full, Limited};
+use http_body_util::{Either, Full};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use snipevane_adapter::{Method, Request, config, rows as store_rows};
-use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 use crate::caller::{JobWriter, Outcome};
 use crate::client::{CallError, RelayedBody};
 use crate::clock::Clock;
+use crate::listeners::{Connection, Gate, Recorder, Shares};
 use crate::metrics;
 use crate::node::Node;
 use crate::rows;
@@ -36,6 +39,9 @@
 /// Largest request body that is accepted, in bytes.
 const MAX_REQUEST_BYTES: usize = 2 << 20;
 
+/// Largest head of a request that is accepted, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
 /// Longest time that a watch request waits for another version.
 const WATCH_WAIT: Duration = Duration::from_millis(250);
 
@@ -49,35 +55,55 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the address can't be bound.
+/// Returns an error if the address isn't one, or can't be bound.
 pub async fn serve<C: Clock>(
     node: Rc<Node<C>>,
     job_writer: Rc<JobWriter<C>>,
 ) -> std::io::Result<()> {
-    let listener = TcpListener::bind(super::own_address(&node)).await?;
+    let gate = Gate::new("peers", Shares::of(&node.settings.limits).peers, Recorder);
+    let address = super::own_address(&node).parse();
+    let listener = gate.bind(address.map_err(std::io::Error::other)?)?;
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let node = node.clone();
-        let job_writer = job_writer.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |request| {
-                let node = node.clone();
-                let job_writer = job_writer.clone();
-                async move { Ok::<_, Infallible>(handle(&node, &job_writer, request).await) }
-            });
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
-                log::debug!("connection from another entry VM failed: {error}");
-            }
-        });
+        let (stream, connection) = gate.accept(&listener, || MAX_HEAD_BYTES).await;
+        let (node, job_writer) = (node.clone(), job_writer.clone());
+        tokio::task::spawn_local(serve_connection(node, job_writer, stream, connection));
+    }
+}
+
+/// Serves one connection until the other entry VM closes it, or it is closed for another one.
+async fn serve_connection<C: Clock>(
+    node: Rc<Node<C>>,
+    job_writer: Rc<JobWriter<C>>,
+    stream: TcpStream,
+    connection: Arc<Connection>,
+) {
+    let place = connection.clone();
+    let service = service_fn(move |request| {
+        let (node, job_writer, place) = (node.clone(), job_writer.clone(), place.clone());
+        async move {
+            place.on_request();
+            let reply = handle(&node, &job_writer, &place, request).await;
+            place.on_response();
+            Ok::<_, Infallible>(reply)
+        }
+    });
+    let served = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let served = tokio::select! {
+        biased;
+        () = connection.closed() => return,
+        served = served => served,
+    };
+    if let Err(error) = served {
+        log::debug!("connection from another entry VM failed: {error}");
     }
 }
 
 async fn handle<C: Clock>(
     node: &Rc<Node<C>>,
     job_writer: &Rc<JobWriter<C>>,
+    connection: &Arc<Connection>,
     request: http::Request<Incoming>,
 ) -> Reply {
     let method = match *request.method() {
@@ -90,11 +116,10 @@
         .map_or_else(String::new, ToString::to_string);
     let kind = message_kind(&path);
     let head_bytes = metrics::head_bytes(path.len(), request.headers());
-    let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES);
-    let Ok(body) = body.collect().await else {
-        return response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    let body = connection.read_body(request.into_body(), MAX_REQUEST_BYTES);
+    let Ok(body) = body.await else {
+        return closing(response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
     };
-    let body = body.to_bytes();
     metrics::record_served_request(kind, head_bytes + body.len());
     let reply = answer(node, job_writer, method, path, &body).await;
     let head_bytes = metrics::head_bytes(0, reply.headers());
@@ -108,7 +133,7 @@
     job_writer: &Rc<JobWriter<C>>,
     method: Method,
     path: String,
-    body: &Bytes,
+    body: &[u8],
 ) -> Reply {
     match path.as_str() {
         WATCH_PATH => match rows::decode::<WatchRequest>(WATCH_PATH, body) {
@@ -226,7 +251,7 @@
 ///
 /// Of responses with changes of the configuration, one is passed on at a time, and none is waited for:
 /// several large ones at once would fill this VM's link for longer than its own may take to be in force.
-async fn relay<C: Clock>(node: &Node<C>, method: Method, path: String, body: &Bytes) -> Reply {
+async fn relay<C: Clock>(node: &Node<C>, method: Method, path: String, body: &[u8]) -> Reply {
     if !node.store.is_direct() {
         return response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     }
@@ -261,6 +286,13 @@
     }
 }
 
+/// Makes a response the last one of its connection, as the rest of the request isn't read.
+fn closing(mut reply: Reply) -> Reply {
+    let close = HeaderValue::from_static("close");
+    reply.headers_mut().insert(CONNECTION, close);
+    reply
+}
+
 fn response(status: StatusCode, body: Bytes) -> Reply {
     reply(status, Either::Left(Full::new(body)))
 }
