--- a/tests/src/site/process.rs
+++ b/tests/src/site/process.rs
@@ -53,6 +53,15 @@
         self.child.id()
     }
 
+    /// Returns whether the process hasn't ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process can't be asked.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Sends a signal to the process.
     ///
     /// # Panics
--- a/tests/src/site/running.rs
+++ b/tests/src/site/running.rs
@@ -153,14 +153,18 @@
 
     /// Returns the settings of an entry VM with free ports.
     pub fn entry_settings(&self, vm: &str, zone: &str) -> Value {
-        json!({
+        let mut settings = json!({
             "vm": vm, "zone": zone,
             "caller_address": ANY_PORT, "peer_address": ANY_PORT, "operator_address": ANY_PORT,
             "platform_address": self.platform.addresses[0].to_string(),
             "peer_key": PEER_KEY, "operator_key": OPERATOR_KEY,
             "log_level": std::env::var("SITE_LOG").unwrap_or_else(|_| "error".to_owned()),
             "timings": self.options.timings
-        })
+        });
+        if !self.options.limits.is_null() {
+            settings["caller_limits"] = self.options.limits.clone();
+        }
+        settings
     }
 
     /// Kills an entry VM's process and starts it again at the same addresses, as a crash would.
