What the clients of an entry VM's listeners take together is bounded

What callers saw: a few hundred clients that sent bodies and stopped just short of their end, or connections that stayed open, took memory and descriptors without a limit for all together; an entry VM of ordinary size would have ended, with all requests in flight.

Cause: each body had a limit of its own, up to 4,096 of callers could be received at once, and its chunks were kept as pieces that hold the whole read buffer. The listeners for other entry VMs and for operators had no limit of connections, heads of 256 KiB and about 400 KB, no time for a body and none for an answer that nobody reads. What the kernel holds unread grew to megabytes a connection.

Change: the three listeners accept through snipevane-listeners. The bodies of a listener share a budget of its own (a quarter of the VM's memory for callers, a sixteenth each for other entry VMs and operators) and are copied into one buffer; connections share a part of the memory and have a small receive buffer; at a limit what has waited longest without an end goes first, and a refusal of a body is 503, not run. Heads of operators are bounded like those of callers, those of other entry VMs by four times as much. An accept that fails pauses. Settings, a metric (snipevane_listener_incidents_total) and SV1081 say what happens. The bounds and the crowds of the test are unchanged; its settings now state a VM of 64 MB.

--- a/crates/snipevane-entry/src/caller/listener.rs
+++ b/crates/snipevane-entry/src/caller/listener.rs
@@ -5,14 +5,14 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use snipevane_core::clock::Clock;
+use snipevane_listeners::BodyError;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::time::timeout;
 use tokio_io_timeout::TimeoutStream;
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
@@ -20,8 +20,9 @@
 use super::head_timeout_io::HeadTimeoutIo;
 use super::head_timer::{HeadTimeouts, HeadTimer};
 use crate::journal::kinds;
+use crate::listeners::{Client, discard_body, read_body};
 use crate::node::Node;
-use crate::request::{Head, Origin, Refusal, Reply, Response, serve};
+use crate::request::{Head, Origin, Refusal, Reply, Response, body_refusal, serve};
 
 /// Maximum number of bytes of a refused request's body that are read and discarded.
 const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
@@ -34,6 +35,7 @@
 pub(crate) async fn serve_connection<C: Clock>(
     node: Arc<Node<C>>,
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    client: Arc<Client>,
     shutdown: CancellationToken,
 ) {
     let timings = &node.settings.timings;
@@ -45,12 +47,14 @@
     // Without a timeout, a caller that stops reading would keep its connection open forever.
     stream.set_write_timeout(Some(timings.caller_write_timeout));
     let service = service_fn({
-        let node = node.clone();
+        let (node, client) = (node.clone(), client.clone());
         move |req| {
-            let (node, timer) = (node.clone(), timer.clone());
+            let (node, client, timer) = (node.clone(), client.clone(), timer.clone());
             async move {
                 timer.on_request();
-                let response = handle_request(node, req).await;
+                client.on_request();
+                let response = handle_request(node, client.clone(), req).await;
+                client.on_response();
                 timer.on_response();
                 Ok::<_, Infallible>(response)
             }
@@ -64,16 +68,24 @@
     // Errors are ignored: they close the connection, which the caller notices.
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = client.closed() => return,
         () = shutdown.cancelled() => connection.as_mut().graceful_shutdown(),
     }
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = client.closed() => {}
+    }
 }
 
-async fn handle_request<C: Clock>(node: Arc<Node<C>>, req: Request<Incoming>) -> Response {
+async fn handle_request<C: Clock>(
+    node: Arc<Node<C>>,
+    client: Arc<Client>,
+    req: Request<Incoming>,
+) -> Response {
     if req.uri().path() == HEALTH_PATH {
         return health(&node);
     }
-    let reply = serve_request(node.clone(), req).await;
+    let reply = serve_request(node.clone(), client, req).await;
     if let Reply::Refused(refusal) = &reply {
         let status = refusal.status.as_u16();
         node.record(
@@ -84,7 +96,11 @@
     reply.into_response()
 }
 
-async fn serve_request<C: Clock>(node: Arc<Node<C>>, req: Request<Incoming>) -> Reply {
+async fn serve_request<C: Clock>(
+    node: Arc<Node<C>>,
+    client: Arc<Client>,
+    req: Request<Incoming>,
+) -> Reply {
     let (parts, body) = req.into_parts();
     if node.state().site.version == 0 {
         let retry = node.settings.timings.platform_poll_interval;
@@ -94,11 +110,11 @@
         Ok(head) => head,
         Err(refusal) if body.is_end_stream() => return Reply::Refused(refusal),
         Err(refusal) => {
-            discard_body(&node, body);
+            discard(&node, body);
             return Reply::Refused(refusal.close());
         }
     };
-    let body = match read_body(&node, body, head.max_body_bytes).await {
+    let body = match receive_body(&node, &client, body, head.max_body_bytes).await {
         Ok(body) => body,
         Err(refusal) => return Reply::Refused(refusal),
     };
@@ -113,52 +129,25 @@
     .await
 }
 
-async fn read_body<C: Clock>(
+async fn receive_body<C: Clock>(
     node: &Node<C>,
-    body: Incoming,
+    client: &Arc<Client>,
+    mut body: Incoming,
     max_bytes: usize,
 ) -> Result<Bytes, Refusal> {
-    let too_large = || {
-        Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
-            .detail(format!("the queue takes {max_bytes} bytes at most"))
-            .close()
+    let error = match read_body(client, &mut body, max_bytes).await {
+        Ok(body) => return Ok(body),
+        Err(error) => error,
     };
-    let declared_length = body.size_hint().lower();
-    if declared_length > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
-        discard_body(node, body);
-        return Err(too_large());
-    }
-    let mut body = body;
-    let read = Limited::new(&mut body, max_bytes).collect();
-    match timeout(node.settings.timings.caller_read_timeout, read).await {
-        Ok(Ok(read)) => Ok(read.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            discard_body(node, body);
-            Err(too_large())
-        }
-        Ok(Err(error)) => Err(
-            Refusal::not_run(StatusCode::BAD_REQUEST, "the body broke off")
-                .detail(error.to_string())
-                .close(),
-        ),
-        Err(_) => {
-            let title = "the body wasn't received in time";
-            Err(Refusal::not_run(StatusCode::REQUEST_TIMEOUT, title).close())
-        }
+    if matches!(error, BodyError::TooLarge | BodyError::NoRoom) {
+        discard(node, body);
     }
+    Err(body_refusal(error, max_bytes).close())
 }
 
-/// Reads and discards the rest of a refused request's body while the refusal is being sent.
-///
-/// Closing the connection with unread bytes would reset it, and the caller could lose the refusal.
-fn discard_body<C: Clock>(node: &Node<C>, body: Incoming) {
+fn discard<C: Clock>(node: &Node<C>, body: Incoming) {
     let time_limit = node.settings.timings.caller_read_timeout;
-    tokio::spawn(async move {
-        let mut body = Limited::new(body, MAX_DISCARDED_BYTES);
-        let read = async { while let Some(Ok(_)) = body.frame().await {} };
-        // A caller that sends for longer than the time limit is disconnected.
-        let _ = timeout(time_limit, read).await;
-    });
+    discard_body(body, MAX_DISCARDED_BYTES, time_limit);
 }
 
 fn health<C: Clock>(node: &Node<C>) -> Response {
--- a/crates/snipevane-entry/src/control/mod.rs
+++ b/crates/snipevane-entry/src/control/mod.rs
@@ -31,6 +31,9 @@
 /// Interval at which the timers in the state are checked.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Interval between log lines on the same limit of a listener.
+const INCIDENT_REPORT_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Platform services that an entry VM uses.
 pub trait Platform: Table + ObjectStore + VmList {}
 
@@ -86,6 +89,29 @@
             control.poll_health().await;
         });
         self.spawn(tracker, stop, TICK, |control| async move { control.tick() });
+        self.spawn(
+            tracker,
+            stop,
+            INCIDENT_REPORT_INTERVAL,
+            |control| async move {
+                control.report_incidents();
+            },
+        );
+    }
+
+    /// Logs what happened at the listeners' limits since the last report.
+    fn report_incidents(&self) {
+        for incident in self.node.incidents.take_new() {
+            self.node.record(
+                &kinds::LISTENER_LIMIT_REACHED,
+                &[
+                    &incident.listener,
+                    &incident.kind,
+                    &incident.count,
+                    &incident.reason,
+                ],
+            );
+        }
     }
 
     fn spawn<F, T>(
--- a/crates/snipevane-entry/src/daemon.rs
+++ b/crates/snipevane-entry/src/daemon.rs
@@ -9,14 +9,15 @@
 use snipevane_core::clock::Clock;
 use snipevane_core::config::Findings;
 use snipevane_core::config::in_force::{FetchSettings, SourceSelector};
+use snipevane_listeners::Gate;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::control::{Control, Platform};
 use crate::journal::kinds;
+use crate::listeners::{Client, Counter, Gates};
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::peer::PeerClient;
@@ -25,8 +26,6 @@
 
 /// Interval at which the requests in flight are checked during a planned stop.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Delay after a failed accept, which is mostly due to a lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Bound listeners of an entry VM.
 #[derive(Debug)]
@@ -34,6 +33,7 @@
     caller: TcpListener,
     peer: TcpListener,
     operator: TcpListener,
+    gates: Gates,
 }
 
 impl Listeners {
@@ -44,27 +44,35 @@
     /// Returns a finding for each address that can't be bound.
     pub async fn bind(file: &str, settings: &Settings) -> Result<Self, Findings> {
         let mut findings = Findings::new(file);
-        let caller = bind("/caller_address", settings.caller_address, &mut findings).await;
-        let peer = bind("/peer_address", settings.peer_address, &mut findings).await;
+        let gates = Gates::new(settings);
+        let mut bind =
+            |pointer, gate: &Gate<Counter>, address| bind(pointer, gate, address, &mut findings);
+        let caller = bind("/caller_address", &gates.callers, settings.caller_address);
+        let peer = bind("/peer_address", &gates.peers, settings.peer_address);
         let operator = bind(
             "/operator_address",
+            &gates.operators,
             settings.operator_address,
-            &mut findings,
-        )
-        .await;
+        );
         match (caller, peer, operator) {
             (Some(caller), Some(peer), Some(operator)) => Ok(Self {
                 caller,
                 peer,
                 operator,
+                gates,
             }),
             _ => Err(findings),
         }
     }
 }
 
-async fn bind(pointer: &str, address: SocketAddr, findings: &mut Findings) -> Option<TcpListener> {
-    match TcpListener::bind(address).await {
+fn bind(
+    pointer: &str,
+    gate: &Gate<Counter>,
+    address: SocketAddr,
+    findings: &mut Findings,
+) -> Option<TcpListener> {
+    match gate.bind(address) {
         Ok(listener) => Some(listener),
         Err(error) => {
             let message = format!("{address} can't be bound: {error}");
@@ -102,7 +110,12 @@
         let peer_address = listeners.peer.local_addr()?;
         let operator_address = listeners.operator.local_addr()?;
         let peers = PeerClient::new(&settings.peer_key, settings.timings.peer_timeout);
-        let node = Node::new(settings, clock, peer_address);
+        let node = Node::new(
+            settings,
+            clock,
+            peer_address,
+            listeners.gates.incidents.clone(),
+        );
         let vm = &node.settings.vm;
         let zone = &node.settings.zone;
         node.record(&kinds::STARTED, &[vm, zone, &node.incarnation]);
@@ -132,9 +145,10 @@
         entry
             .control
             .start(&entry.background_tasks, &entry.stop_background);
-        entry.accept_callers(listeners.caller);
-        entry.accept_peers(listeners.peer);
-        entry.accept_operators(listeners.operator);
+        let gates = listeners.gates;
+        entry.accept_callers(listeners.caller, gates.callers);
+        entry.accept_peers(listeners.peer, gates.peers);
+        entry.accept_operators(listeners.operator, gates.operators);
         Ok(entry)
     }
 
@@ -189,53 +203,48 @@
         self.stop_background.cancel();
     }
 
-    fn accept_callers(&self, listener: TcpListener) {
+    fn accept_callers(&self, listener: TcpListener, gate: Arc<Gate<Counter>>) {
         let node = self.control.node.clone();
         let (connections, stop) = (self.connections.clone(), self.stop_callers.clone());
-        let permits = Arc::new(Semaphore::new(node.settings.max_connections));
+        let max_head_bytes = node.settings.max_header_bytes;
         self.background_tasks.spawn(async move {
-            loop {
-                // Connections over the limit wait in the listener's backlog.
-                let Ok(permit) = permits.clone().acquire_owned().await else {
-                    return;
-                };
-                let Some(stream) = accept(&listener, &stop).await else {
-                    return;
-                };
+            while let Some((stream, client)) = accept(&gate, &listener, max_head_bytes, &stop).await
+            {
                 let (node, stop) = (node.clone(), stop.clone());
-                connections.spawn(async move {
-                    caller::serve_connection(node, stream, stop).await;
-                    drop(permit);
-                });
+                connections.spawn(caller::serve_connection(node, stream, client, stop));
             }
         });
     }
 
-    fn accept_peers(&self, listener: TcpListener) {
+    fn accept_peers(&self, listener: TcpListener, gate: Arc<Gate<Counter>>) {
         let (control, stop) = (self.control.clone(), self.stop_background.clone());
+        let max_head_bytes = peer::max_head_bytes(&control.node.settings);
         self.background_tasks.spawn(async move {
-            while let Some(stream) = accept(&listener, &stop).await {
+            while let Some((stream, client)) = accept(&gate, &listener, max_head_bytes, &stop).await
+            {
                 let (control, stop) = (control.clone(), stop.clone());
                 tokio::spawn(async move {
                     tokio::select! {
                         () = stop.cancelled() => {}
-                        () = peer::serve_connection(control, stream) => {}
+                        () = peer::serve_connection(control, stream, client) => {}
                     }
                 });
             }
         });
     }
 
-    fn accept_operators(&self, listener: TcpListener) {
+    fn accept_operators(&self, listener: TcpListener, gate: Arc<Gate<Counter>>) {
         let (control, stop) = (self.control.clone(), self.stop_background.clone());
+        let max_head_bytes = control.node.settings.max_header_bytes;
         let metrics = Arc::new(Metrics::new());
         self.background_tasks.spawn(async move {
-            while let Some(stream) = accept(&listener, &stop).await {
+            while let Some((stream, client)) = accept(&gate, &listener, max_head_bytes, &stop).await
+            {
                 let (control, metrics, stop) = (control.clone(), metrics.clone(), stop.clone());
                 tokio::spawn(async move {
                     tokio::select! {
                         () = stop.cancelled() => {}
-                        () = operator::serve_connection(control, metrics, stream) => {}
+                        () = operator::serve_connection(control, metrics, stream, client) => {}
                     }
                 });
             }
@@ -243,20 +252,18 @@
     }
 }
 
-async fn accept(listener: &TcpListener, stop: &CancellationToken) -> Option<TcpStream> {
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => return None,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                // With Nagle's algorithm, small responses would wait for the acknowledgement of the
-                // previous segment.
-                let _ = stream.set_nodelay(true);
-                return Some(stream);
-            }
-            Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
-        }
-    }
+async fn accept(
+    gate: &Arc<Gate<Counter>>,
+    listener: &TcpListener,
+    max_head_bytes: usize,
+    stop: &CancellationToken,
+) -> Option<(TcpStream, Arc<Client>)> {
+    let (stream, client) = tokio::select! {
+        () = stop.cancelled() => return None,
+        accepted = gate.accept(listener, || max_head_bytes) => accepted,
+    };
+    // With Nagle's algorithm, small responses would wait for the acknowledgement of the previous
+    // segment. A failure means that the connection has ended, which its first read tells.
+    let _ = stream.set_nodelay(true);
+    Some((stream, client))
 }
--- a/crates/snipevane-entry/src/journal/kinds.rs
+++ b/crates/snipevane-entry/src/journal/kinds.rs
@@ -30,4 +30,5 @@
     VM_CHANGED = 1073 Info "VM changed its state" ["vm", "pool", "state"];
     OPERATION_ABANDONED = 1074 Warn "operation on a VM ended early" ["vm"];
     REQUEST_REFUSED = 1080 Debug "request refused" ["status", "title", "detail"];
+    LISTENER_LIMIT_REACHED = 1081 Warn "limit of a listener reached" ["listener", "incident", "count", "reason"];
 }
--- a/crates/snipevane-entry/src/lib.rs
+++ b/crates/snipevane-entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod daemon;
 mod health_signals;
+mod listeners;
 mod metrics;
 mod node;
 mod operator;
--- a/crates/snipevane-entry/src/metrics.rs
+++ b/crates/snipevane-entry/src/metrics.rs
@@ -33,6 +33,14 @@
                 .absolute(bytes.received());
             metrics::counter!("snipevane_peer_bytes_total", "direction" => "sent")
                 .absolute(bytes.sent());
+            for incident in node.incidents.totals() {
+                metrics::counter!(
+                    "snipevane_listener_incidents_total",
+                    "listener" => incident.listener,
+                    "incident" => incident.kind
+                )
+                .absolute(incident.count);
+            }
             metrics::gauge!("snipevane_in_flight").set(node.in_flight() as f64);
             for (key, team) in &state.site.teams {
                 let name = team.name.to_string();
--- a/crates/snipevane-entry/src/node.rs
+++ b/crates/snipevane-entry/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::backend::{ConnectionPool, PoolSettings};
 use crate::journal::{EventKind, Journal};
+use crate::listeners::Incidents;
 use crate::peer::PeerBytes;
 use crate::settings::Settings;
 use crate::state::State;
@@ -40,6 +41,8 @@
     /// Wakes the loop that fetches configurations when a peer has a newer version than this
     /// process.
     pub(crate) newer_version: Notify,
+    /// What happened at the listeners' limits.
+    pub(crate) incidents: Arc<Incidents>,
     /// Byte counters of the peer listener.
     pub(crate) peer_bytes: Arc<PeerBytes>,
     /// Counter that increases whenever peers' free units and slots may have changed.
@@ -51,7 +54,12 @@
 
 impl<C: Clock> Node<C> {
     /// Creates the state of a process that has no configuration yet.
-    pub(crate) fn new(settings: Settings, clock: C, peer_address: SocketAddr) -> Arc<Self> {
+    pub(crate) fn new(
+        settings: Settings,
+        clock: C,
+        peer_address: SocketAddr,
+        incidents: Arc<Incidents>,
+    ) -> Arc<Self> {
         let pool = PoolSettings {
             connect_timeout: settings.timings.connect_timeout,
             max_response_bytes: settings.max_answer_bytes,
@@ -74,6 +82,7 @@
             backends: ConnectionPool::new(pool),
             forwards: ConnectionPool::new(pool),
             newer_version: Notify::new(),
+            incidents,
             peer_bytes: Arc::default(),
             peer_capacity: watch::Sender::new(0),
             state: Mutex::new(state),
--- a/crates/snipevane-entry/src/operator/listener.rs
+++ b/crates/snipevane-entry/src/operator/listener.rs
@@ -3,21 +3,22 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::de::DeserializeOwned;
 use snipevane_core::clock::Clock;
+use snipevane_listeners::BodyError;
 use snipevane_proto::peer::Verb;
 use subtle::ConstantTimeEq;
 use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_io_timeout::TimeoutStream;
 
-use super::reply::{json, problem, problem_response, text};
+use super::reply::{json, no_room, problem, problem_response, text};
 use crate::control::{Control, Platform};
+use crate::listeners::{Client, read_body};
 use crate::metrics::Metrics;
 use crate::request::Response;
 
@@ -29,25 +30,40 @@
     control: Arc<Control<P, C>>,
     metrics: Arc<Metrics>,
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    client: Arc<Client>,
 ) {
+    let settings = &control.node.settings;
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(settings.timings.caller_write_timeout));
     let service = service_fn({
-        let control = control.clone();
+        let (control, client) = (control.clone(), client.clone());
         move |req| {
             let (control, metrics) = (control.clone(), metrics.clone());
-            async move { Ok::<_, Infallible>(handle(control, &metrics, req).await) }
+            let client = client.clone();
+            async move {
+                client.on_request();
+                let response = handle(control, &metrics, client.clone(), req).await;
+                client.on_response();
+                Ok::<_, Infallible>(response)
+            }
         }
     });
-    // An error closes the connection, which the operator notices.
-    let _ = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(control.node.settings.timings.caller_read_timeout)
-        .serve_connection(TokioIo::new(Box::pin(stream)), service)
-        .await;
+        .header_read_timeout(settings.timings.caller_read_timeout)
+        .max_buf_size(settings.max_header_bytes)
+        .serve_connection(TokioIo::new(Box::pin(stream)), service);
+    // An error closes the connection, which the operator notices.
+    tokio::select! {
+        _ = connection => {}
+        () = client.closed() => {}
+    }
 }
 
 async fn handle<P: Platform, C: Clock>(
     control: Arc<Control<P, C>>,
     metrics: &Metrics,
+    client: Arc<Client>,
     req: Request<Incoming>,
 ) -> Response {
     let (parts, body) = req.into_parts();
@@ -78,19 +94,20 @@
             json(&control.events(parts.uri.query().unwrap_or_default()))
         }
         (&Method::GET, ["v1", "config"]) => control.config(),
-        (&Method::POST, ["v1", "config"]) => match read_json(body).await {
+        (&Method::POST, ["v1", "config"]) => match read_json(&client, body).await {
             Ok(req) => control.apply(req).await,
             Err(response) => response,
         },
         (&Method::GET, ["v1", "pools"]) => control.list_pools(),
-        (&Method::POST, ["v1", "vms", vm, verb]) => match (parse_verb(verb), read_json(body).await)
-        {
-            (Some(verb), Ok(req)) => control.operate_vm(vm, verb, req).await,
-            (None, _) => problem_response(&problem(StatusCode::NOT_FOUND, "unknown path", "")),
-            (_, Err(response)) => response,
-        },
+        (&Method::POST, ["v1", "vms", vm, verb]) => {
+            match (parse_verb(verb), read_json(&client, body).await) {
+                (Some(verb), Ok(req)) => control.operate_vm(vm, verb, req).await,
+                (None, _) => problem_response(&problem(StatusCode::NOT_FOUND, "unknown path", "")),
+                (_, Err(response)) => response,
+            }
+        }
         (&Method::GET, ["v1", "keys"]) => control.list_keys(),
-        (&Method::POST, ["v1", "keys"]) => match read_json(body).await {
+        (&Method::POST, ["v1", "keys"]) => match read_json(&client, body).await {
             Ok(req) => control.issue_key(req).await,
             Err(response) => response,
         },
@@ -109,12 +126,16 @@
     }
 }
 
-async fn read_json<T: DeserializeOwned>(body: Incoming) -> Result<T, Response> {
+async fn read_json<T: DeserializeOwned>(
+    client: &Arc<Client>,
+    mut body: Incoming,
+) -> Result<T, Response> {
     let bad = |detail: String| {
         problem_response(&problem(StatusCode::BAD_REQUEST, "malformed body", detail))
     };
-    let body: Bytes = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match read_body(client, &mut body, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(BodyError::NoRoom) => return Err(no_room()),
         Err(error) => return Err(bad(error.to_string())),
     };
     serde_json::from_slice(&body).map_err(|error| bad(error.to_string()))
--- a/crates/snipevane-entry/src/operator/reply.rs
+++ b/crates/snipevane-entry/src/operator/reply.rs
@@ -11,6 +11,9 @@
 
 use crate::request::Response;
 
+/// Retry delay that operators are told while the memory for bodies is taken.
+const BODIES_RETRY: Duration = Duration::from_secs(1);
+
 /// Builds a response with a message as JSON.
 pub(super) fn json<T: Serialize>(message: &T) -> Response {
     body(StatusCode::OK, "application/json", message)
@@ -61,11 +64,16 @@
 /// Builds the response that reports the platform as unreachable, with a `Retry-After` of at least
 /// one second.
 pub(super) fn platform_unreachable(detail: impl Into<String>, retry_after: Duration) -> Response {
-    let problem = problem(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "the platform is not reachable",
-        detail,
-    );
+    unavailable("the platform is not reachable", detail, retry_after)
+}
+
+/// Builds the response to a request whose body finds no memory.
+pub(super) fn no_room() -> Response {
+    unavailable("no memory for the body", "", BODIES_RETRY)
+}
+
+fn unavailable(title: &str, detail: impl Into<String>, retry_after: Duration) -> Response {
+    let problem = problem(StatusCode::SERVICE_UNAVAILABLE, title, detail);
     let mut response = problem_response(&problem);
     let seconds = HeaderValue::from(retry_after.as_secs().max(1));
     response.headers_mut().insert(header::RETRY_AFTER, seconds);
--- a/crates/snipevane-entry/src/request/refusal.rs
+++ b/crates/snipevane-entry/src/request/refusal.rs
@@ -7,8 +7,12 @@
 use http_body_util::Full;
 use serde_json::json;
 use smol_str::SmolStr;
+use snipevane_listeners::BodyError;
 use snipevane_proto::headers::{self, Outcome};
 
+/// Retry delay that callers are told while the memory for bodies is taken.
+const BODIES_RETRY: Duration = Duration::from_secs(1);
+
 /// HTTP response with a complete body.
 pub(crate) type Response = http::Response<Full<Bytes>>;
 
@@ -108,3 +112,21 @@
         response
     }
 }
+
+/// Returns the refusal of a request whose body wasn't received; `max_bytes` is the queue's limit.
+pub(crate) fn body_refusal(error: BodyError, max_bytes: usize) -> Refusal {
+    match error {
+        BodyError::TooLarge => {
+            Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+                .detail(format!("the queue takes {max_bytes} bytes at most"))
+        }
+        BodyError::Broken => Refusal::not_run(StatusCode::BAD_REQUEST, "the body broke off"),
+        BodyError::Late => {
+            let title = "the body wasn't received in time";
+            Refusal::not_run(StatusCode::REQUEST_TIMEOUT, title)
+        }
+        BodyError::NoRoom => {
+            Refusal::busy("no memory for the body", BODIES_RETRY).detail(error.to_string())
+        }
+    }
+}
--- a/crates/snipevane-entry/src/settings/load.rs
+++ b/crates/snipevane-entry/src/settings/load.rs
@@ -118,9 +118,14 @@
 }
 
 fn resolve(settings: &EntrySettings) -> Settings {
-    let defaults = Settings::default();
+    let defaults = settings
+        .memory_bytes
+        .map_or_else(Settings::default, Settings::with_memory);
     let address = |text: &str| text.parse().unwrap_or(defaults.caller_address);
     let limits = settings.caller_limits.clone().unwrap_or_default();
+    let peer_limits = settings.peer_limits.clone().unwrap_or_default();
+    let operator_limits = settings.operator_limits.clone().unwrap_or_default();
+    let bodies_bytes = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
     let to_usize = |count: u32| usize::try_from(count).unwrap_or(usize::MAX);
     Settings {
         vm: SmolStr::new(settings.vm.as_str()),
@@ -145,5 +150,18 @@
         max_header_bytes: to_usize(limits.max_header_bytes),
         max_connections: to_usize(limits.max_connections.get()),
         max_answer_bytes: to_usize(limits.max_answer_bytes.get()),
+        memory_bytes: defaults.memory_bytes,
+        receive_buffer_bytes: to_usize(limits.receive_buffer_bytes),
+        max_peer_connections: to_usize(peer_limits.max_connections.get()),
+        max_operator_connections: to_usize(operator_limits.max_connections.get()),
+        max_caller_bodies_bytes: limits
+            .max_bodies_bytes
+            .map_or(defaults.max_caller_bodies_bytes, bodies_bytes),
+        max_peer_bodies_bytes: peer_limits
+            .max_bodies_bytes
+            .map_or(defaults.max_peer_bodies_bytes, bodies_bytes),
+        max_operator_bodies_bytes: operator_limits
+            .max_bodies_bytes
+            .map_or(defaults.max_operator_bodies_bytes, bodies_bytes),
     }
 }
--- a/crates/snipevane-entry/src/settings/mod.rs
+++ b/crates/snipevane-entry/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod load;
 mod resolved;
+mod vm_memory;
 
 pub use load::{load, parse};
 pub use resolved::{PeerSeed, Settings, Timings};
--- a/crates/snipevane-entry/src/settings/resolved.rs
+++ b/crates/snipevane-entry/src/settings/resolved.rs
@@ -6,6 +6,15 @@
 use smol_str::SmolStr;
 use snipevane_proto::settings::LogLevel;
 
+use super::vm_memory::vm_memory_bytes;
+
+/// Divisor of the VM's memory that gives the share of callers' bodies.
+const CALLER_BODIES_SHARE: usize = 4;
+/// Divisor of the VM's memory that gives the share of other entry VMs' bodies.
+const PEER_BODIES_SHARE: usize = 16;
+/// Divisor of the VM's memory that gives the share of operators' bodies.
+const OPERATOR_BODIES_SHARE: usize = 16;
+
 /// Entry VM that is known as a peer from the start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerSeed {
@@ -96,10 +105,32 @@
     pub max_connections: usize,
     /// Maximum size of a response of a backend server, in bytes.
     pub max_answer_bytes: usize,
+    /// Memory of the VM, from which the shares of connections are derived, in bytes.
+    pub memory_bytes: usize,
+    /// Size of the kernel's buffer for what a client sent and wasn't read, in bytes.
+    pub receive_buffer_bytes: usize,
+    /// Maximum number of open connections of other entry VMs.
+    pub max_peer_connections: usize,
+    /// Maximum number of open connections of operators.
+    pub max_operator_connections: usize,
+    /// Maximum size of all bodies of callers' requests together, in bytes.
+    pub max_caller_bodies_bytes: usize,
+    /// Maximum size of all bodies of other entry VMs' requests together, in bytes.
+    pub max_peer_bodies_bytes: usize,
+    /// Maximum size of all bodies of operators' requests together, in bytes.
+    pub max_operator_bodies_bytes: usize,
 }
 
 impl Default for Settings {
     fn default() -> Self {
+        Self::with_memory(vm_memory_bytes())
+    }
+}
+
+impl Settings {
+    /// Returns the defaults for a VM with this much memory, in bytes.
+    pub fn with_memory(memory_bytes: u64) -> Self {
+        let memory_bytes = usize::try_from(memory_bytes).unwrap_or(usize::MAX);
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         Self {
             vm: SmolStr::new_static("entry"),
@@ -116,6 +147,13 @@
             max_header_bytes: 16 * 1024,
             max_connections: 4096,
             max_answer_bytes: 8 * 1024 * 1024,
+            memory_bytes,
+            receive_buffer_bytes: 32 * 1024,
+            max_peer_connections: 1024,
+            max_operator_connections: 64,
+            max_caller_bodies_bytes: memory_bytes / CALLER_BODIES_SHARE,
+            max_peer_bodies_bytes: memory_bytes / PEER_BODIES_SHARE,
+            max_operator_bodies_bytes: memory_bytes / OPERATOR_BODIES_SHARE,
         }
     }
 }
--- a/crates/snipevane-proto/src/settings.rs
+++ b/crates/snipevane-proto/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of the entry VM daemon.
 
 pub use crate::generated::entry_settings::{
-    CallerLimits, EntrySettings, LogLevel, PeerSettings, Timings,
+    CallerLimits, EntrySettings, LogLevel, OperatorLimits, PeerLimits, PeerSettings, Timings,
 };
 
 /// JSON schema of the settings of the entry VM daemon.
--- a/tests/src/site/options.rs
+++ b/tests/src/site/options.rs
@@ -24,8 +24,8 @@
     pub teams: Vec<(&'static str, u32, u32)>,
     /// Changes to the timings of the entry VMs.
     pub timings: Value,
-    /// Limits of the entry VMs; the defaults if this is null.
-    pub limits: Value,
+    /// Further settings of the entry VMs, by name; null adds none.
+    pub settings: Value,
 }
 
 impl Default for SiteOptions {
@@ -44,7 +44,7 @@
                 "platform_timeout_ms": 500,
                 "stop_notice_ms": 200
             }),
-            limits: Value::Null,
+            settings: Value::Null,
         }
     }
 }
--- a/tests/src/site/running.rs
+++ b/tests/src/site/running.rs
@@ -161,8 +161,8 @@
             "log_level": std::env::var("SITE_LOG").unwrap_or_else(|_| "error".to_owned()),
             "timings": self.options.timings
         });
-        if !self.options.limits.is_null() {
-            settings["caller_limits"] = self.options.limits.clone();
+        for (name, value) in self.options.settings.as_object().into_iter().flatten() {
+            settings[name] = value.clone();
         }
         settings
     }
--- a/tests/tests/misbehaving_clients/main.rs
+++ b/tests/tests/misbehaving_clients/main.rs
@@ -22,6 +22,8 @@
 const MAX_MEMORY_BYTES: u64 = 100_000_000;
 /// Maximum number of the process's open descriptors.
 const MAX_DESCRIPTORS: usize = 400;
+/// Memory of the VM that the settings state, in bytes; what isn't for clients comes on top.
+const VM_MEMORY_BYTES: u64 = 64_000_000;
 /// Time for which an entry VM waits for a client, in milliseconds.
 const PATIENCE_MS: u32 = 60_000;
 
@@ -33,7 +35,10 @@
         zones: vec!["a"],
         entries_per_zone: 1,
         backends_per_zone: 2,
-        limits: json!({ "max_header_bytes": 8_192 }),
+        settings: json!({
+            "memory_bytes": VM_MEMORY_BYTES,
+            "caller_limits": { "max_header_bytes": 8_192 }
+        }),
         ..SiteOptions::default()
     };
     // Nothing ends by a timeout while the crowd is there.
