A refused body is read on for 1 MiB at most

What callers saw: a client whose request was refused by its head kept an entry VM reading up to 64 MB of its body, on each connection.

Cause: the rest of a refused body was discarded up to that bound, so that the caller gets the refusal before the connection closes.

Change: caller_limits.max_discarded_bytes, 1 MiB by default, which is the default limit of a body; so a client inside the limits still gets its refusal.

--- a/crates/snipevane-entry/src/caller/listener.rs
+++ b/crates/snipevane-entry/src/caller/listener.rs
@@ -24,8 +24,6 @@
 use crate::node::Node;
 use crate::request::{Head, Origin, Refusal, Reply, Response, body_refusal, serve};
 
-/// Maximum number of bytes of a refused request's body that are read and discarded.
-const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
 /// Path of the load balancer's health check.
 const HEALTH_PATH: &str = "/healthz";
 
@@ -147,7 +145,7 @@
 
 fn discard<C: Clock>(node: &Node<C>, body: Incoming) {
     let time_limit = node.settings.timings.caller_read_timeout;
-    discard_body(body, MAX_DISCARDED_BYTES, time_limit);
+    discard_body(body, node.settings.max_discarded_bytes, time_limit);
 }
 
 fn health<C: Clock>(node: &Node<C>) -> Response {
--- a/crates/snipevane-entry/src/settings/load.rs
+++ b/crates/snipevane-entry/src/settings/load.rs
@@ -163,5 +163,6 @@
         max_operator_bodies_bytes: operator_limits
             .max_bodies_bytes
             .map_or(defaults.max_operator_bodies_bytes, bodies_bytes),
+        max_discarded_bytes: to_usize(limits.max_discarded_bytes),
     }
 }
--- a/crates/snipevane-entry/src/settings/resolved.rs
+++ b/crates/snipevane-entry/src/settings/resolved.rs
@@ -119,6 +119,8 @@
     pub max_peer_bodies_bytes: usize,
     /// Maximum size of all bodies of operators' requests together, in bytes.
     pub max_operator_bodies_bytes: usize,
+    /// Maximum number of bytes of a refused request's body that are read.
+    pub max_discarded_bytes: usize,
 }
 
 impl Default for Settings {
@@ -154,6 +156,7 @@
             max_caller_bodies_bytes: memory_bytes / CALLER_BODIES_SHARE,
             max_peer_bodies_bytes: memory_bytes / PEER_BODIES_SHARE,
             max_operator_bodies_bytes: memory_bytes / OPERATOR_BODIES_SHARE,
+            max_discarded_bytes: 1024 * 1024,
         }
     }
 }
