Answers that callers don't read share a part of the VM's memory

What callers saw: clients that sent requests with large answers and read none kept each answer in an entry VM's memory until the write timeout, up to max_answer_bytes a connection.

Cause: an answer was bounded, all that wait to be read together weren't. An answer of several parts was also copied as a whole once more when it had been received.

Change: caller_limits.max_answers_bytes, an eighth of the VM's memory by default. Beyond it the connection whose answer is unread for the longest time is closed, never the only one; incident unread_answer. Answers of backend servers are read into one buffer.

What is left are the answers that are being received from backend servers, up to their slots; bounding them would let a backend server that stops in the middle of an answer hold up others.

--- a/crates/snipevane-entry/src/backend/pool.rs
+++ b/crates/snipevane-entry/src/backend/pool.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -248,13 +248,7 @@
             .get(header::CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         let max = self.settings.max_response_bytes;
-        let body = Limited::new(body, max).collect().await.map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                return ExchangeError::TooLarge(max);
-            }
-            ExchangeError::Interrupted(format_smolstr!("{error}"))
-        })?;
-        let body = body.to_bytes();
+        let body = read_whole(body, max).await?;
         // A wrong length stated by the backend server can be detected only by the body's digest.
         let digest = parts.headers.get(digest::CONTENT_DIGEST);
         let digest = digest.and_then(|value| value.to_str().ok());
@@ -271,6 +265,28 @@
     }
 }
 
+/// Reads a body of up to `max` bytes into one buffer.
+async fn read_whole(mut body: Incoming, max: usize) -> Result<Bytes, ExchangeError> {
+    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if declared > max {
+        return Err(ExchangeError::TooLarge(max));
+    }
+    let mut whole = BytesMut::with_capacity(declared);
+    while let Some(frame) = body.frame().await {
+        let frame =
+            frame.map_err(|error| ExchangeError::Interrupted(format_smolstr!("{error}")))?;
+        // Trailers aren't forwarded.
+        let Ok(part) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + part.len() > max {
+            return Err(ExchangeError::TooLarge(max));
+        }
+        whole.extend_from_slice(&part);
+    }
+    Ok(whole.freeze())
+}
+
 /// Returns whether a response belongs to the exchange that its request names.
 ///
 /// A response without an exchange header is taken to belong to it. Any other value of the header,
--- a/crates/snipevane-entry/src/caller/listener.rs
+++ b/crates/snipevane-entry/src/caller/listener.rs
@@ -44,14 +44,16 @@
     let mut stream = TimeoutStream::new(HeadTimeoutIo::new(stream, timer.clone()));
     // Without a timeout, a caller that stops reading would keep its connection open forever.
     stream.set_write_timeout(Some(timings.caller_write_timeout));
+    let unread = CancellationToken::new();
     let service = service_fn({
-        let (node, client) = (node.clone(), client.clone());
+        let (node, client, unread) = (node.clone(), client.clone(), unread.clone());
         move |req| {
             let (node, client, timer) = (node.clone(), client.clone(), timer.clone());
+            let unread = unread.clone();
             async move {
                 timer.on_request();
                 client.on_request();
-                let response = handle_request(node, client.clone(), req).await;
+                let response = handle_request(node, client.clone(), unread, req).await;
                 client.on_response();
                 timer.on_response();
                 Ok::<_, Infallible>(response)
@@ -67,17 +69,20 @@
     tokio::select! {
         _ = connection.as_mut() => return,
         () = client.closed() => return,
+        () = unread.cancelled() => return,
         () = shutdown.cancelled() => connection.as_mut().graceful_shutdown(),
     }
     tokio::select! {
         _ = connection => {}
         () = client.closed() => {}
+        () = unread.cancelled() => {}
     }
 }
 
 async fn handle_request<C: Clock>(
     node: Arc<Node<C>>,
     client: Arc<Client>,
+    unread: CancellationToken,
     req: Request<Incoming>,
 ) -> Response {
     if req.uri().path() == HEALTH_PATH {
@@ -91,7 +96,16 @@
             &[&status, &refusal.title, &refusal.detail],
         );
     }
-    reply.into_response()
+    hold_answer(&node, reply, &unread).into_response()
+}
+
+/// Counts an answer as unread until it is written. Cancelling `unread` closes its connection.
+fn hold_answer<C: Clock>(node: &Node<C>, reply: Reply, unread: &CancellationToken) -> Reply {
+    reply.map_body(|body| {
+        let (body, closed) = node.caller_answers.hold(body, unread);
+        node.incidents.count_unread_answers("callers", closed);
+        body
+    })
 }
 
 async fn serve_request<C: Clock>(
--- a/crates/snipevane-entry/src/listeners/incidents.rs
+++ b/crates/snipevane-entry/src/listeners/incidents.rs
@@ -5,6 +5,9 @@
 use snipevane_listeners::Incident;
 use std::collections::BTreeMap;
 
+/// Name of the closing of a connection whose answer wasn't read.
+const UNREAD_ANSWER: &str = "unread_answer";
+
 /// Counts of incidents, by listener and kind.
 #[derive(Debug, Default)]
 pub(crate) struct Incidents(Mutex<BTreeMap<(&'static str, &'static str), Count>>);
@@ -40,6 +43,16 @@
         }
     }
 
+    /// Counts connections that were closed because their answers weren't read.
+    pub(crate) fn count_unread_answers(&self, listener: &'static str, connections: usize) {
+        if connections == 0 {
+            return;
+        }
+        let mut counts = self.0.lock();
+        let count = counts.entry((listener, UNREAD_ANSWER)).or_default();
+        count.total += connections as u64;
+    }
+
     /// Returns all incidents since the start.
     pub(crate) fn totals(&self) -> Vec<IncidentCount> {
         let counts = self.0.lock();
--- a/crates/snipevane-entry/src/listeners/mod.rs
+++ b/crates/snipevane-entry/src/listeners/mod.rs
@@ -1,10 +1,13 @@
 //! Limits of what the clients of each listener can take.
 
+mod answers;
 mod body;
 mod gates;
 mod incidents;
 mod observer;
+mod unread_answer;
 
+pub(crate) use answers::Answers;
 pub(crate) use body::{discard_body, read_body};
 pub(crate) use gates::Gates;
 pub(crate) use incidents::Incidents;
--- a/crates/snipevane-entry/src/node.rs
+++ b/crates/snipevane-entry/src/node.rs
@@ -15,7 +15,7 @@
 
 use crate::backend::{ConnectionPool, PoolSettings};
 use crate::journal::{EventKind, Journal};
-use crate::listeners::Incidents;
+use crate::listeners::{Answers, Incidents};
 use crate::peer::PeerBytes;
 use crate::settings::Settings;
 use crate::state::State;
@@ -41,6 +41,8 @@
     /// Wakes the loop that fetches configurations when a peer has a newer version than this
     /// process.
     pub(crate) newer_version: Notify,
+    /// Memory of answers that callers haven't read.
+    pub(crate) caller_answers: Arc<Answers>,
     /// What happened at the listeners' limits.
     pub(crate) incidents: Arc<Incidents>,
     /// Byte counters of the peer listener.
@@ -82,6 +84,7 @@
             backends: ConnectionPool::new(pool),
             forwards: ConnectionPool::new(pool),
             newer_version: Notify::new(),
+            caller_answers: Answers::new(settings.max_answers_bytes),
             incidents,
             peer_bytes: Arc::default(),
             peer_capacity: watch::Sender::new(0),
--- a/crates/snipevane-entry/src/request/response.rs
+++ b/crates/snipevane-entry/src/request/response.rs
@@ -90,6 +90,17 @@
         }
     }
 
+    /// Replaces the body of a response of a backend server or peer.
+    pub(crate) fn map_body(mut self, map: impl FnOnce(Bytes) -> Bytes) -> Self {
+        match &mut self {
+            Self::Answered(response) | Self::Relayed(response) => {
+                response.body = map(std::mem::take(&mut response.body));
+            }
+            Self::Refused(_) => {}
+        }
+        self
+    }
+
     /// Converts the reply into an HTTP response.
     pub(crate) fn into_response(self) -> Response {
         match self {
--- a/crates/snipevane-entry/src/settings/load.rs
+++ b/crates/snipevane-entry/src/settings/load.rs
@@ -125,7 +125,7 @@
     let limits = settings.caller_limits.clone().unwrap_or_default();
     let peer_limits = settings.peer_limits.clone().unwrap_or_default();
     let operator_limits = settings.operator_limits.clone().unwrap_or_default();
-    let bodies_bytes = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
+    let share_bytes = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
     let to_usize = |count: u32| usize::try_from(count).unwrap_or(usize::MAX);
     Settings {
         vm: SmolStr::new(settings.vm.as_str()),
@@ -156,13 +156,16 @@
         max_operator_connections: to_usize(operator_limits.max_connections.get()),
         max_caller_bodies_bytes: limits
             .max_bodies_bytes
-            .map_or(defaults.max_caller_bodies_bytes, bodies_bytes),
+            .map_or(defaults.max_caller_bodies_bytes, share_bytes),
         max_peer_bodies_bytes: peer_limits
             .max_bodies_bytes
-            .map_or(defaults.max_peer_bodies_bytes, bodies_bytes),
+            .map_or(defaults.max_peer_bodies_bytes, share_bytes),
         max_operator_bodies_bytes: operator_limits
             .max_bodies_bytes
-            .map_or(defaults.max_operator_bodies_bytes, bodies_bytes),
+            .map_or(defaults.max_operator_bodies_bytes, share_bytes),
+        max_answers_bytes: limits
+            .max_answers_bytes
+            .map_or(defaults.max_answers_bytes, share_bytes),
         max_discarded_bytes: to_usize(limits.max_discarded_bytes),
     }
 }
--- a/crates/snipevane-entry/src/settings/resolved.rs
+++ b/crates/snipevane-entry/src/settings/resolved.rs
@@ -10,6 +10,8 @@
 
 /// Divisor of the VM's memory that gives the share of callers' bodies.
 const CALLER_BODIES_SHARE: usize = 4;
+/// Divisor of the VM's memory that gives the share of answers that callers haven't read.
+const CALLER_ANSWERS_SHARE: usize = 8;
 /// Divisor of the VM's memory that gives the share of other entry VMs' bodies.
 const PEER_BODIES_SHARE: usize = 16;
 /// Divisor of the VM's memory that gives the share of operators' bodies.
@@ -119,6 +121,8 @@
     pub max_peer_bodies_bytes: usize,
     /// Maximum size of all bodies of operators' requests together, in bytes.
     pub max_operator_bodies_bytes: usize,
+    /// Maximum size of all answers together that callers haven't read, in bytes.
+    pub max_answers_bytes: usize,
     /// Maximum number of bytes of a refused request's body that are read.
     pub max_discarded_bytes: usize,
 }
@@ -156,6 +160,7 @@
             max_caller_bodies_bytes: memory_bytes / CALLER_BODIES_SHARE,
             max_peer_bodies_bytes: memory_bytes / PEER_BODIES_SHARE,
             max_operator_bodies_bytes: memory_bytes / OPERATOR_BODIES_SHARE,
+            max_answers_bytes: memory_bytes / CALLER_ANSWERS_SHARE,
             max_discarded_bytes: 1024 * 1024,
         }
     }
