Callers' connections leave descriptors for the platform and backend servers

What callers saw: with as many connections as the process may open files, an entry VM could neither accept nor call: requests that needed a new connection to a backend server, and calls to the platform, failed until connections timed out.

Cause: the limit of callers' connections is 4,096, of the 4,100 descriptors that a VM has.

--- a/crates/snipevane-entry/src/listeners/gates.rs
+++ b/crates/snipevane-entry/src/listeners/gates.rs
@@ -5,6 +5,7 @@
 
 use snipevane_listeners::{Gate, Limits};
 
+use super::descriptors::MaxConnections;
 use super::{Counter, Incidents};
 use crate::settings::Settings;
 
@@ -35,6 +36,7 @@
     /// Creates the gates with the limits of the settings.
     pub(crate) fn new(settings: &Settings) -> Self {
         let incidents = Arc::new(Incidents::default());
+        let connections = MaxConnections::new(settings);
         let common = Limits {
             receive_buffer_bytes: settings.receive_buffer_bytes,
             send_buffer_bytes: None,
@@ -42,19 +44,19 @@
             ..Limits::default()
         };
         let callers = Limits {
-            max_connections: settings.max_connections,
+            max_connections: connections.callers,
             connection_bytes: settings.memory_bytes / CALLER_CONNECTIONS_SHARE,
             body_bytes: settings.max_caller_bodies_bytes,
             ..common
         };
         let peers = Limits {
-            max_connections: settings.max_peer_connections,
+            max_connections: connections.peers,
             connection_bytes: settings.memory_bytes / PEER_CONNECTIONS_SHARE,
             body_bytes: settings.max_peer_bodies_bytes,
             ..common
         };
         let operators = Limits {
-            max_connections: settings.max_operator_connections,
+            max_connections: connections.operators,
             connection_bytes: settings.memory_bytes / OPERATOR_CONNECTIONS_SHARE,
             body_bytes: settings.max_operator_bodies_bytes,
             body_time: OPERATOR_BODY_TIME,
--- a/crates/snipevane-entry/src/listeners/mod.rs
+++ b/crates/snipevane-entry/src/listeners/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod body;
+mod descriptors;
 mod gates;
 mod incidents;
 mod observer;
