--- a/tests/tests/misbehaving_clients/main.rs
+++ b/tests/tests/misbehaving_clients/main.rs
@@ -175,7 +175,7 @@
     let own = getrlimit(Resource::Nofile);
     let few = Rlimit {
         current: Some(descriptors as u64),
-        ..own.clone()
+        ..own
     };
     setrlimit(Resource::Nofile, few).unwrap();
     let site = start_site_with_memory(LARGE_VM_MEMORY_BYTES).await;
