Misbehaving clients: a limit that is reached shows in metrics and events

The test isn't for a fault: it connects 100 silent clients to the listener for operators and waits for the metric and for SV1081 in the time line.

--- a/tests/tests/misbehaving_clients/main.rs
+++ b/tests/tests/misbehaving_clients/main.rs
@@ -193,3 +193,28 @@
     let answer = caller.post("ticks", &[], &body).await.unwrap();
     assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
 }
+
+#[tokio::test]
+async fn a_limit_that_is_reached_shows_in_metrics_and_events() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site().await;
+    let entry = &site.entries[0];
+    let addresses = &entry.process.addresses;
+    let crowd = Crowd::start(Conduct::Silence, Listener::Operators, addresses, 100);
+    crowd.until_sent().await;
+    let operator = entry.operator();
+    let shows = async |path: &str, text: &str| {
+        let answer = operator.send(Method::GET, path, &[], "").await;
+        answer.is_ok_and(|answer| String::from_utf8_lossy(&answer.body).contains(text))
+    };
+    let metric = "snipevane_listener_incidents_total{listener=\"operators\",incident=\"connection_displaced\"}";
+    until("the metric counts displaced connections", async || {
+        shows("/metrics", metric).await
+    })
+    .await;
+    until("the time line tells it", async || {
+        shows("/v1/events", "limit of a listener reached").await
+    })
+    .await;
+    crowd.leave().await;
+}
