--- a/tests/src/jobs/job_site/acknowledgements.rs
+++ b/tests/src/jobs/job_site/acknowledgements.rs
@@ -4,48 +4,33 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
-use snipevane_core::jobs::Action;
+use snipevane_core::jobs::{Action, HoldOrder};
 
 use super::super::minion::Record;
 use super::JobSite;
 
-/// A hold that acknowledges ends, and that is delayed.
-#[derive(Default)]
-pub(super) struct LateAcks {
-    /// Minion whose next acknowledgement is delayed.
-    of: Option<SmolStr>,
-    delayed: Option<(Action, Duration)>,
-}
-
 impl JobSite {
     /// Delays the next hold to a minion that acknowledges ends.
     pub fn delay_next_ack(&mut self, minion: &SmolStr) {
-        self.late_acks.of = Some(minion.clone());
+        self.late_ack.delay_next(minion);
     }
 
     /// Returns the time at which the delayed hold was sent, if one is delayed.
     pub fn delayed_ack(&self) -> Option<Duration> {
-        self.late_acks.delayed.as_ref().map(|(_, sent_at)| *sent_at)
+        self.late_ack.sent_at()
     }
 
     /// Carries out the delayed hold.
     pub fn carry_out_delayed_ack(&mut self) {
-        if let Some((action, _)) = self.late_acks.delayed.take() {
+        if let Some(action) = self.late_ack.take() {
             self.execute(&action, true);
         }
     }
 
     /// Returns whether an action is a hold to delay, and keeps it then.
     pub(super) fn delays_ack(&mut self, action: &Action) -> bool {
-        let Action::Hold(order) = action else {
-            return false;
-        };
-        let delays = order.ack.last_end > 0 && self.late_acks.of.as_ref() == Some(&order.to.id);
-        if delays {
-            self.late_acks.of = None;
-            self.late_acks.delayed = Some((action.clone(), self.now));
-        }
-        delays
+        let acknowledges = |order: &HoldOrder| order.ack.last_end > 0;
+        self.late_ack.keeps(action, self.now, acknowledges)
     }
 
     /// Crashes a minion, and starts it again under its identifier after a while in which the site runs.
--- a/tests/src/jobs/job_site/mod.rs
+++ b/tests/src/jobs/job_site/mod.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod delivery;
 mod incarnations;
+mod late_hold;
 mod late_leases;
 mod losses;
 mod restarts;
@@ -28,6 +29,7 @@
 };
 
 use self::incarnations::PendingRestart;
+use self::late_hold::LateHold;
 use super::minion::{FakeMinion, Record};
 use super::network::Network;
 use super::specs::{job, step};
@@ -183,8 +185,10 @@
     /// Whether each hold goes out on a connection of its own.
     pub closes_connections: bool,
     connections: connections::Connections,
-    late_acks: acknowledgements::LateAcks,
-    late_leases: late_leases::LateLeases,
+    /// Hold that acknowledges ends and is delayed.
+    late_ack: LateHold,
+    /// Hold that renews leases and is delayed.
+    late_lease: LateHold,
     /// Minions whose room has changed, with the times at which their entries show it.
     unlisted_rooms: Vec<(Duration, SmolStr)>,
     /// Minions that have crashed, with the times at which they are back.
@@ -251,8 +255,8 @@
             listed_state_of_partitioned: None,
             closes_connections: false,
             connections: connections::Connections::default(),
-            late_acks: acknowledgements::LateAcks::default(),
-            late_leases: late_leases::LateLeases::default(),
+            late_ack: LateHold::default(),
+            late_lease: LateHold::default(),
             unlisted_rooms: Vec::new(),
             down_until: Vec::new(),
             planned_restarts: Vec::new(),
