Answer the requests that a stopping process has read

Cause: half of the grace after SIGTERM connections are closed gracefully, and the process ended 0.6 s after that, whatever requests were open, with 2.4 s of the grace left. A store that takes long makes requests last longer.

Change: the process waits for the requests that it has read, until 90 % of the grace; those that are open then are answered that their outcome isn't known (504), or to come back later (503 for a query of a state).

--- a/crates/snipevane-fleet/src/caller/handler.rs
+++ b/crates/snipevane-fleet/src/caller/handler.rs
@@ -23,6 +23,7 @@
 
 use super::admission;
 use super::job_writer::{self, JobWriter};
+use super::open_request::OpenRequest;
 use super::outcome::Outcome;
 use super::reply::{self, Reply};
 use super::stored_progress::read_progress;
@@ -55,6 +56,7 @@
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let received_at = node.clock.now();
+    let _open = OpenRequest::new(&node.open_requests);
     let reply = dispatch(node, job_writer, connection, request).await;
     let status = reply.status();
     let elapsed = node.clock.now().saturating_sub(received_at);
@@ -116,10 +118,14 @@
             _ => reply::error(StatusCode::METHOD_NOT_ALLOWED, "only POST, GET and DELETE"),
         }
     };
-    match timeout(limit, answer).await {
-        Ok(reply) => reply,
-        Err(_) if method == Method::GET => retry_later(node, "the store is away"),
-        Err(_) => not_stored_reply(node, Outcome::Unknown),
+    let answered = tokio::select! {
+        answered = timeout(limit, answer) => answered.ok(),
+        () = node.ending.notified() => None,
+    };
+    match answered {
+        Some(reply) => reply,
+        None if method == Method::GET => retry_later(node, "the store is away"),
+        None => not_stored_reply(node, Outcome::Unknown),
     }
 }
 
--- a/crates/snipevane-fleet/src/caller/mod.rs
+++ b/crates/snipevane-fleet/src/caller/mod.rs
@@ -5,6 +5,7 @@
 mod handler;
 mod job_writer;
 mod listener;
+mod open_request;
 mod outcome;
 mod paced_writes;
 mod pending_change;
--- a/crates/snipevane-fleet/src/node.rs
+++ b/crates/snipevane-fleet/src/node.rs
@@ -48,8 +48,12 @@
     leader: RefCell<Option<Rc<Leader<C>>>>,
     /// Whether the process is stopping.
     pub stopping: Cell<bool>,
+    /// Number of callers' requests that were read and aren't answered.
+    pub open_requests: Cell<usize>,
     /// Notified when open connections are to be shut down.
     pub shutdown: Notify,
+    /// Notified when the process is about to end: requests that are open then are answered at once.
+    pub ending: Notify,
     /// Notified when the configuration changes.
     pub site_changed: Notify,
     /// Start time of the process in Unix milliseconds, which distinguishes it from earlier
@@ -83,7 +87,9 @@
             no_handover_until: Cell::new(Duration::ZERO),
             leader: RefCell::new(None),
             stopping: Cell::new(false),
+            open_requests: Cell::new(0),
             shutdown: Notify::new(),
+            ending: Notify::new(),
             site_changed: Notify::new(),
             started_unix_ms,
             started_at,
--- a/crates/snipevane-fleet/src/process.rs
+++ b/crates/snipevane-fleet/src/process.rs
@@ -26,9 +26,16 @@
 const DRAIN_PERCENT: u32 = 50;
 const PERCENT: u32 = 100;
 
-/// Time that open connections have to finish their requests.
+/// Percentage of the time between SIGTERM and SIGKILL after which open requests are answered that their outcome isn't
+/// known, and the process ends.
+const END_PERCENT: u32 = 90;
+
+/// Time that open connections have at least to finish their requests.
 const CONNECTION_DRAIN_TIME: Duration = Duration::from_millis(600);
 
+/// Interval at which a stopping process looks for open requests.
+const OPEN_REQUESTS_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Exit code for invalid settings or usage.
 const EXIT_BAD_INPUT: u8 = 2;
 
@@ -157,11 +164,19 @@
 }
 
 /// Shuts down in stages: reports the process as not ready while callers are still served, then asks
-/// open connections to finish, and returns after the time that they have for it.
+/// open connections to finish, and returns once the requests that were read are answered.
 async fn shut_down<C: Clock>(node: &Node<C>) {
     events::record(&events::STOPPING, &[&node.leader().is_some()]);
     node.stopping.set(true);
-    sleep(node.settings.bounds.shutdown_grace * DRAIN_PERCENT / PERCENT).await;
+    let grace = node.settings.bounds.shutdown_grace;
+    let end_at = node.clock.now() + grace * END_PERCENT / PERCENT;
+    sleep(grace * DRAIN_PERCENT / PERCENT).await;
     node.shutdown.notify_waiters();
     sleep(CONNECTION_DRAIN_TIME).await;
+    while node.open_requests.get() > 0 && node.clock.now() < end_at {
+        sleep(OPEN_REQUESTS_INTERVAL).await;
+    }
+    node.ending.notify_waiters();
+    // The last answers may still be written.
+    sleep(OPEN_REQUESTS_INTERVAL).await;
 }
--- a/crates/snipevane-fleet/tests/daemon.rs
+++ b/crates/snipevane-fleet/tests/daemon.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use site::{Site, call, eventually};
+use site::{Site, call, call_with_wait, eventually};
 
 const JOB: &str = "00000000000000aa";
 const NEXT_JOB: &str = "00000000000000bb";
@@ -132,6 +132,26 @@
     assert_eq!(site.started().len(), 8, "each task ran once");
 }
 
+/// Guards against requests that a stopping daemon has read and doesn't answer, as the store takes long.
+#[test]
+fn a_request_is_answered_that_is_read_just_before_a_stopping_daemon_closes_its_connections() {
+    /// Time after SIGTERM at which the request is sent, a little before connections are closed.
+    const SENT_AFTER: Duration = Duration::from_millis(2_700);
+
+    let mut site = Site::start("stop-slow", 2, 2);
+    let stopped = 1 - site.scheduler().expect("a scheduler");
+    let callers = site.nodes[stopped].callers;
+    site.store
+        .set_times(Duration::ZERO, Duration::from_millis(1_300));
+    let caller = std::thread::spawn(move || {
+        std::thread::sleep(SENT_AFTER);
+        let body = r#"{"spec":"50","phases":[{"replicas":1,"cpu":1000}]}"#;
+        call_with_wait(callers, "POST", &format!("/p/{JOB}"), "key", body, 6_000).0
+    });
+    assert!(site.nodes[stopped].stop());
+    assert_ne!(caller.join().expect("a caller"), 0, "no complete answer");
+}
+
 #[test]
 fn the_term_is_handed_to_a_much_larger_vm_and_taken_back_when_that_is_gone() {
     let mut site = Site::start("larger", 1, 2);
