Lift the limit of probation for slow minions only, not for those that fail tasks

Where most of a pool fails all that it starts, tasks would then fail in number, and use up their attempts.

Now only minions that were slow count, and only they are exempt.

--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -286,6 +286,11 @@
         now < self.cold_until
     }
 
+    /// Returns whether so many runs have failed here since one was done that the minion is to blame.
+    pub(in crate::jobs) fn is_failing(&self, failure_threshold: u32) -> bool {
+        self.failed_steps.len() >= failure_threshold as usize
+    }
+
     /// Returns whether the minion has left an order unanswered lately.
     pub(in crate::jobs) fn is_doubtful(&self, now: Duration) -> bool {
         self.repeated_at.is_some_and(|at| now < at + DOUBT_PERIOD)
--- a/crates/snipevane-core/src/jobs/placing/probation.rs
+++ b/crates/snipevane-core/src/jobs/placing/probation.rs
@@ -1,4 +1,4 @@
-//! Pools in which minions on probation take one short task at a time.
+//! Minions on probation, which take one short task at a time.
 
 use rustc_hash::{FxHashMap, FxHashSet};
 use slotmap::SlotMap;
@@ -6,33 +6,39 @@
 
 use crate::jobs::minions::minion::{Minion, MinionKey};
 
-/// Pools in which most schedulable minions are on probation.
+/// Pools in which most schedulable minions are on probation because they were slow.
 ///
-/// Slow is what most minions of a pool aren't. Where most are on probation, their tasks are to blame or nothing
-/// better is left, so that they take as many tasks as fit.
+/// A minion is slow compared with the others of its pool. Where most are, their tasks are long or there is nothing
+/// better, so that such minions take as many tasks as fit. Minions that fail tasks stay limited.
 #[derive(Clone, Debug, Default)]
 pub(in crate::jobs) struct Probation {
-    unlimited: FxHashSet<SmolStr>,
+    mostly_slow: FxHashSet<SmolStr>,
 }
 
 impl Probation {
-    /// Counts the minions on probation in each pool.
+    /// Counts the slow minions on probation in each pool.
     pub(in crate::jobs) fn update(
         &mut self,
         schedulable: &FxHashMap<SmolStr, Vec<MinionKey>>,
         minions: &SlotMap<MinionKey, Minion>,
+        failure_threshold: u32,
     ) {
-        self.unlimited.clear();
+        self.mostly_slow.clear();
         for (pool, keys) in schedulable {
-            let on_probation = keys.iter().filter(|&&key| minions[key].on_probation);
-            if on_probation.count() * 2 > keys.len() {
-                self.unlimited.insert(pool.clone());
+            let slow = keys.iter().filter(|&&key| {
+                let minion = &minions[key];
+                minion.on_probation && !minion.is_failing(failure_threshold)
+            });
+            if slow.count() * 2 > keys.len() {
+                self.mostly_slow.insert(pool.clone());
             }
         }
     }
 
-    /// Returns whether the minions on probation of a pool take one short task at a time.
-    pub(in crate::jobs) fn limits(&self, pool: &str) -> bool {
-        !self.unlimited.contains(pool)
+    /// Returns whether a minion takes one short task at a time.
+    pub(in crate::jobs) fn limits(&self, minion: &Minion, failure_threshold: u32) -> bool {
+        let is_exempt =
+            self.mostly_slow.contains(&minion.entry.pool) && !minion.is_failing(failure_threshold);
+        minion.on_probation && !is_exempt
     }
 }
--- a/crates/snipevane-core/src/jobs/placing/tasks.rs
+++ b/crates/snipevane-core/src/jobs/placing/tasks.rs
@@ -27,7 +27,8 @@
             return;
         }
         let schedulable = self.schedulable_minions(now);
-        self.probation.update(&schedulable, &self.minions);
+        self.probation
+            .update(&schedulable, &self.minions, self.settings.failure_threshold);
         let unreported_pools = self.unreported_pools(now);
         self.unreported_usage = self.estimate_unreported_usage(&unreported_pools);
         for (pool, step) in self.ranked_steps(&schedulable, now) {
@@ -263,10 +264,10 @@
         let is_suspect = crashes.is_suspect();
         let bad_neighbours = self.bad_neighbours_of(&job.spec, step);
         let may_begin_trial = self.may_begin_trial(crashes, minions);
-        let limits_probation = self.probation.limits(&job.spec.pool);
+        let failure_threshold = self.settings.failure_threshold;
         let fits = minions.iter().copied().filter(|&key| {
             let minion = &self.minions[key];
-            let is_limited = limits_probation && minion.on_probation && !step.long_running;
+            let is_limited = !step.long_running && self.probation.limits(minion, failure_threshold);
             size.fits_in(&minion.free_capacity())
                 && minion.trial_allows(step_ref.job, may_begin_trial)
                 && has_label(minion, step)
--- a/tests/tests/jobs_stragglers.rs
+++ b/tests/tests/jobs_stragglers.rs
@@ -166,28 +166,42 @@
     assert_eq!(sim.state(id), JobState::Completed);
 }
 
+/// Submits short jobs while one minion after the other, as many as given, is in trouble, with those before or alone.
+fn trouble_in_turn(
+    sim: &mut JobSite,
+    minions: usize,
+    mut trouble: impl FnMut(&mut JobSite, usize),
+) {
+    const JOBS_A_TURN: usize = 24;
+    for turn in 0..minions {
+        trouble(sim, turn);
+        for number in 1..=JOBS_A_TURN {
+            let spec = job("p0", vec![step(6, 1_000, 400, &[])]);
+            sim.submit((turn * JOBS_A_TURN + number) as u64, spec);
+            sim.run(Duration::from_millis(100));
+        }
+    }
+}
+
 /// Guards against tasks that wait although most capacity is free, as the runs of long jobs have put most minions on
 /// probation.
 #[test]
 fn tasks_wait_for_no_probation_that_most_minions_are_on() {
     const SLOWNESS: u32 = 60;
-    const TASKS: u32 = 12;
-    let minions = (0..4).map(|number| FakeMinion::new(entry(number, "p0"), START));
+    const SLOW_MINIONS: usize = 5;
+    const TASKS: u32 = 24;
+    let minions = (0..MINIONS).map(|number| FakeMinion::new(entry(number, "p0"), START));
     let mut sim = JobSite::new(site(1, 0), minions.collect(), 1);
     sim.run(Duration::from_millis(100));
-    // One minion after the other fails all tasks that it starts.
-    for turn in 0..4 {
-        for (number, minion) in sim.minions.values_mut().enumerate() {
-            minion.fails_all_tasks = number == turn;
-        }
-        for number in 0..12 {
-            let spec = job("p0", vec![step(1, 1_000, 200, &[])]);
-            sim.submit(turn as u64 * 100 + number + 1, spec);
-            sim.run(Duration::from_millis(100));
+    trouble_in_turn(&mut sim, SLOW_MINIONS, |sim, turn| {
+        for minion in sim.minions.values_mut().take(turn + 1) {
+            minion.slowdown = SLOWNESS;
         }
-    }
+    });
+    let on_probation = sim.scheduler.minions();
+    let on_probation = on_probation.filter(|(_, minion)| minion.on_probation);
+    assert!(on_probation.count() * 2 > MINIONS);
     for minion in sim.minions.values_mut() {
-        minion.fails_all_tasks = false;
         minion.slowdown = SLOWNESS;
     }
     let long_job = sim.submit(500, job("p0", vec![step(TASKS, 4_000, RUN_MS, &[])]));
@@ -199,6 +213,26 @@
     assert_eq!(running.len(), TASKS as usize);
 }
 
+/// Guards against tasks that fail in number, because most minions of a pool fail whatever they start.
+#[test]
+fn most_minions_of_a_pool_that_fail_all_tasks_get_one_at_a_time() {
+    let minions = (0..4).map(|number| FakeMinion::new(entry(number, "p0"), START));
+    let mut sim = JobSite::new(site(1, 0), minions.collect(), 1);
+    sim.run(Duration::from_millis(100));
+    trouble_in_turn(&mut sim, 4, |sim, turn| {
+        for minion in sim.minions.values_mut().take(turn + 1) {
+            minion.fails_all_tasks = true;
+        }
+    });
+    sim.run(Duration::from_secs(5));
+    sim.submit(500, job("p0", vec![step(12, 4_000, 2_000, &[])]));
+    for _ in 0..1_500 {
+        sim.tick();
+        let used = sim.minions.values().map(|minion| minion.used().cpu_millis);
+        assert!(used.max() <= Some(4_000));
+    }
+}
+
 /// A run that is on time may end on a minion during its back-off, which resets the minion's count
 /// of slow periods to 0. If other runs there then become stragglers, the back-off is extended with
 /// a count of 0.
