Serve connections of probes, metrics and entry VMs by one function

The listeners of readiness probes, of metrics and of other entry VMs each had the same lines that serve a connection until its client closes it or it is closed for another one, and log its failure.

The builder with each listener's limit of a head stays where the limit is: the types of the bodies have no bound in common without hyper's boxed error. The callers' connections keep their own lines: once the process stops they are served to their end, also if they are to be closed for another one.

--- a/crates/snipevane-fleet/src/caller/listener.rs
+++ b/crates/snipevane-fleet/src/caller/listener.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 
 use crate::clock::Clock;
-use crate::listeners::{Connection, Gate, Recorder, Shares};
+use crate::listeners::{Connection, Gate, Recorder, Shares, serve_until_closed};
 use crate::node::Node;
 
 use super::handler;
@@ -137,14 +137,7 @@
     let served = http1::Builder::new()
         .max_buf_size(MAX_PROBE_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    let served = tokio::select! {
-        biased;
-        () = connection.closed() => return,
-        served = served => served,
-    };
-    if let Err(error) = served {
-        log::debug!("connection of a readiness probe failed: {error}");
-    }
+    serve_until_closed(&connection, served, "of a readiness probe").await;
 }
 
 fn readiness_reply(ready: bool) -> Reply {
--- a/crates/snipevane-fleet/src/metrics.rs
+++ b/crates/snipevane-fleet/src/metrics.rs
@@ -23,7 +23,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
-use crate::listeners::{Connection, Gate, Recorder};
+use crate::listeners::{Connection, Gate, Recorder, serve_until_closed};
 use crate::store::{CallKind, Purpose};
 
 /// Upper bounds of the histogram buckets, in seconds. They range from a call within a zone to a job
@@ -95,14 +95,7 @@
         let served = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
-        let served = tokio::select! {
-            biased;
-            () = connection.closed() => return,
-            served = served => served,
-        };
-        if let Err(error) = served {
-            log::debug!("connection of a metrics client failed: {error}");
-        }
+        serve_until_closed(&connection, served, "of a metrics client").await;
     }
 
     fn render(&self) -> Response<Full<Bytes>> {
--- a/crates/snipevane-fleet/src/peers/server.rs
+++ b/crates/snipevane-fleet/src/peers/server.rs
@@ -20,7 +20,7 @@
 use crate::caller::{JobWriter, Outcome};
 use crate::client::{CallError, RelayedBody};
 use crate::clock::Clock;
-use crate::listeners::{Connection, Gate, Recorder, Shares};
+use crate::listeners::{Connection, Gate, Recorder, Shares, serve_until_closed};
 use crate::metrics;
 use crate::node::Node;
 use crate::rows;
@@ -90,14 +90,7 @@
     let served = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    let served = tokio::select! {
-        biased;
-        () = connection.closed() => return,
-        served = served => served,
-    };
-    if let Err(error) = served {
-        log::debug!("connection from another entry VM failed: {error}");
-    }
+    serve_until_closed(&connection, served, "from another entry VM").await;
 }
 
 async fn handle<C: Clock>(
