One set-up for the plays of leases on earlier clocks

The tests at the end of jobs_lease_clocks, and two before them, repeated the set-up of RestartedMinion: two minions of which one is cut off, a delayed call, a restart, the swap of which one can be reached.

RestartedMinion and site_of_two are TwoMinions now, whose steps take what differs: the longest lease, the job's number, its run time, the time that the minion is down and the delay of its entry. Names, checks and times of the tests are unchanged; play.runs() checks stay.

--- a/tests/tests/jobs_lease_clocks.rs
+++ b/tests/tests/jobs_lease_clocks.rs
@@ -24,20 +24,16 @@
         lease: Duration::from_secs(5),
         ..SchedulerSettings::default()
     };
-    let mut built = JobSite::with_settings(site(1, 0), minions.collect(), settings, 1);
-    let (restarted, other) = (SmolStr::new_static("i-0"), SmolStr::new_static("i-1"));
-    built.run(Duration::from_secs(15));
-    built.partitioned.insert(other.clone());
-    built.list_minions();
-    built.restart_under_its_id(&restarted, Duration::from_millis(300));
-    let id = built.submit(1, job("p0", vec![step(1, 1_000, 20_000, &[])]));
-    built.run(Duration::from_millis(silent_after_ms));
-    built.partitioned.insert(restarted);
-    built.partitioned.remove(&other);
-    built.list_minions();
-    built.run(Duration::from_secs(50));
-    assert_eq!(built.records.len(), 2);
-    assert_eq!(built.state(id), JobState::Completed);
+    let built = JobSite::with_settings(site(1, 0), minions.collect(), settings, 1);
+    let mut play = TwoMinions::in_site(built, JobId::new(1));
+    play.built
+        .restart_under_its_id(&play.first, Duration::from_millis(300));
+    play.submit(20_000);
+    play.built.run(Duration::from_millis(silent_after_ms));
+    play.cut_off();
+    play.built.run(Duration::from_secs(50));
+    assert_eq!(play.built.records.len(), 2);
+    assert_eq!(play.built.state(play.id), JobState::Completed);
 }
 
 /// Guards against leases that are given on the clock of an earlier incarnation for as long as the next one lives,
@@ -94,63 +90,84 @@
     assert!(Duration::from_millis(clock) <= age, "{clock} ms");
 }
 
-/// Returns a site of two minions with this longest lease.
-fn site_of_two(max_lease: Duration) -> JobSite {
-    let minions = (0..2).map(|number| {
-        let mut minion = FakeMinion::new(entry(number, "p0"), START);
-        minion.max_lease = max_lease;
-        minion
-    });
-    let settings = SchedulerSettings {
-        lease: Duration::from_millis(5_500),
-        max_lease,
-        ..SchedulerSettings::default()
-    };
-    JobSite::with_settings(site(1, 0), minions.collect(), settings, 1)
-}
-
-/// A site of two minions. A call with a lease to one of them is delayed, it restarts, and a job is submitted.
-struct RestartedMinion {
+/// A play with one job at a site of two minions, of which the other one is available once the first is cut off.
+struct TwoMinions {
     built: JobSite,
-    restarted: SmolStr,
+    first: SmolStr,
     other: SmolStr,
     id: JobId,
-    sent_at: Duration,
 }
 
-impl RestartedMinion {
-    fn new(max_lease: Duration) -> Self {
-        let mut built = site_of_two(max_lease);
-        let (restarted, other) = (SmolStr::new_static("i-0"), SmolStr::new_static("i-1"));
+impl TwoMinions {
+    /// Creates a site of two minions with this longest lease.
+    fn new(max_lease: Duration, id: JobId) -> Self {
+        let minions = (0..2).map(|number| {
+            let mut minion = FakeMinion::new(entry(number, "p0"), START);
+            minion.max_lease = max_lease;
+            minion
+        });
+        let settings = SchedulerSettings {
+            lease: Duration::from_millis(5_500),
+            max_lease,
+            ..SchedulerSettings::default()
+        };
+        let built = JobSite::with_settings(site(1, 0), minions.collect(), settings, 1);
+        Self::in_site(built, id)
+    }
+
+    /// Runs a site of two minions for 15 s, and cuts the other minion off.
+    fn in_site(mut built: JobSite, id: JobId) -> Self {
+        let (first, other) = (SmolStr::new_static("i-0"), SmolStr::new_static("i-1"));
         built.run(Duration::from_secs(15));
         built.partitioned.insert(other.clone());
         built.list_minions();
-        let first = built.submit(1, job("p0", vec![step(1, 1_000, 90_000, &[])]));
-        built.run(Duration::from_secs(1));
-        built.delay_next_lease(&restarted);
-        while built.delayed_lease().is_none() {
-            built.tick();
-        }
-        let sent_at = built.delayed_lease().expect("a delayed call");
-        let restart = Restart {
-            downtime: Duration::from_millis(300),
-            born: built.unix_ms() + 300,
-            address: None,
-            entry_delay: Duration::from_millis(50),
-        };
-        built.restart_under_id(&restarted, restart);
-        built.cancel(first);
-        built.run(Duration::from_millis(300));
-        let id = built.submit(2, job("p0", vec![step(1, 1_000, 90_000, &[])]));
         Self {
             built,
-            restarted,
+            first,
             other,
             id,
-            sent_at,
         }
     }
 
+    /// Delays a call with a lease to the first minion, which then restarts, and submits the job.
+    fn restarted(max_lease: Duration) -> Self {
+        let mut play = Self::new(max_lease, JobId::new(2));
+        let spec = job("p0", vec![step(1, 1_000, 90_000, &[])]);
+        let earlier = play.built.submit(1, spec);
+        play.built.run(Duration::from_secs(1));
+        play.delay_lease();
+        play.restart(300, 50);
+        play.built.cancel(earlier);
+        play.built.run(Duration::from_millis(300));
+        play.submit(90_000);
+        play
+    }
+
+    /// Submits the job, whose only task takes this time.
+    fn submit(&mut self, run_time_ms: u64) {
+        let spec = job("p0", vec![step(1, 1_000, run_time_ms, &[])]);
+        self.built.submit(self.id.number(), spec);
+    }
+
+    /// Runs until a call with a lease to the first minion is delayed.
+    fn delay_lease(&mut self) {
+        self.built.delay_next_lease(&self.first);
+        while self.built.delayed_lease().is_none() {
+            self.built.tick();
+        }
+    }
+
+    /// Restarts the first minion, whose next entry is listed some time after its start.
+    fn restart(&mut self, downtime_ms: u64, entry_delay_ms: u64) {
+        let restart = Restart {
+            downtime: Duration::from_millis(downtime_ms),
+            born: self.built.unix_ms() + downtime_ms,
+            address: None,
+            entry_delay: Duration::from_millis(entry_delay_ms),
+        };
+        self.built.restart_under_id(&self.first, restart);
+    }
+
     /// Returns the number of runs of the job.
     fn runs(&self) -> usize {
         let records = self.built.records.iter();
@@ -166,18 +183,30 @@
     }
 
     fn carry_out_after(&mut self, delay: Duration) {
-        while self.built.now < self.sent_at + delay {
+        let sent_at = self.built.delayed_lease().expect("a delayed call");
+        while self.built.now < sent_at + delay {
             self.built.tick();
         }
         self.built.carry_out_delayed_lease();
     }
 
-    /// Cuts the restarted minion off, and makes the other one available.
+    /// Cuts the first minion off, and makes the other one available.
     fn cut_off(&mut self) {
-        self.built.partitioned.insert(self.restarted.clone());
-        self.built.partitioned.remove(&self.other);
+        self.swap_reachable();
         self.built.list_minions();
     }
+
+    /// Does the same, but only the entry of the other minion is read, not the list of minions.
+    fn cut_off_unlisted(&mut self) {
+        self.swap_reachable();
+        let other = self.built.minions[&self.other].entry.clone();
+        self.built.scheduler.upsert_minion(other, self.built.now);
+    }
+
+    fn swap_reachable(&mut self) {
+        self.built.partitioned.insert(self.first.clone());
+        self.built.partitioned.remove(&self.other);
+    }
 }
 
 /// Guards against a task that runs twice at the same time, because a call to the earlier incarnation of its minion, which
@@ -187,7 +216,7 @@
     #[values(6, 10, 30)] max_lease_s: u64,
     #[values(700, 3_000, 11_900)] delay_ms: u64,
 ) {
-    let mut play = RestartedMinion::new(Duration::from_secs(max_lease_s));
+    let mut play = TwoMinions::restarted(Duration::from_secs(max_lease_s));
     play.run_until_listed();
     play.carry_out_after(Duration::from_millis(delay_ms));
     play.cut_off();
@@ -203,7 +232,7 @@
     #[values(700, 3_000, 11_900)] delay_ms: u64,
     #[values(false, true)] lists_runs: bool,
 ) {
-    let mut play = RestartedMinion::new(Duration::from_secs(max_lease_s));
+    let mut play = TwoMinions::restarted(Duration::from_secs(max_lease_s));
     play.run_until_listed();
     if lists_runs {
         play.built.take_over();
@@ -213,10 +242,7 @@
         play.carry_out_after(Duration::from_millis(delay_ms));
         play.built.take_over();
     }
-    play.built.partitioned.insert(play.restarted.clone());
-    play.built.partitioned.remove(&play.other);
-    let other = play.built.minions[&play.other].entry.clone();
-    play.built.scheduler.upsert_minion(other, play.built.now);
+    play.cut_off_unlisted();
     play.built.run(Duration::from_secs(160));
     assert_eq!(play.built.state(play.id), JobState::Completed);
 }
@@ -226,15 +252,12 @@
 fn a_start_at_an_incarnation_that_has_listed_nothing_makes_no_task_run_twice(
     #[values(6, 10, 30)] max_lease_s: u64,
 ) {
-    let mut play = RestartedMinion::new(Duration::from_secs(max_lease_s));
+    let mut play = TwoMinions::restarted(Duration::from_secs(max_lease_s));
     play.built.faults.lost_reply_rate = 1.0;
     play.built.run(Duration::from_millis(140));
     play.built.faults.lost_reply_rate = 0.0;
     assert_eq!(play.runs(), 1);
-    play.built.partitioned.insert(play.restarted.clone());
-    play.built.partitioned.remove(&play.other);
-    let other = play.built.minions[&play.other].entry.clone();
-    play.built.scheduler.upsert_minion(other, play.built.now);
+    play.cut_off_unlisted();
     play.built.run(Duration::from_secs(160));
     assert_eq!(play.built.state(play.id), JobState::Completed);
 }
@@ -245,20 +268,14 @@
     #[values(6, 10, 30)] max_lease_s: u64,
 ) {
     let max_lease = Duration::from_secs(max_lease_s);
-    let mut built = site_of_two(max_lease);
-    let (cut, other) = (SmolStr::new_static("i-0"), SmolStr::new_static("i-1"));
-    built.run(Duration::from_secs(15));
-    built.partitioned.insert(other.clone());
-    built.list_minions();
-    built.submit(1, job("p0", vec![step(1, 1_000, 60_000, &[])]));
-    built.run(Duration::from_secs(4));
-    let cut_at = built.now;
-    built.partitioned.insert(cut);
-    built.partitioned.remove(&other);
-    built.list_minions();
-    built.run(Duration::from_secs(8));
-    assert_eq!(built.records.len(), 2);
-    assert!(built.records[1].from < cut_at + Duration::from_millis(6_000));
+    let mut play = TwoMinions::new(max_lease, JobId::new(1));
+    play.submit(60_000);
+    play.built.run(Duration::from_secs(4));
+    let cut_at = play.built.now;
+    play.cut_off();
+    play.built.run(Duration::from_secs(8));
+    assert_eq!(play.built.records.len(), 2);
+    assert!(play.built.records[1].from < cut_at + Duration::from_millis(6_000));
 }
 
 /// Guards against a task that runs twice at the same time, because a minion leaves the list right after its restart was
@@ -268,38 +285,19 @@
     #[values(6, 10, 30)] max_lease_s: u64,
     #[values(2_000, 3_000, 11_900)] delay_ms: u64,
 ) {
-    let mut built = site_of_two(Duration::from_secs(max_lease_s));
-    let (restarted, other) = (SmolStr::new_static("i-0"), SmolStr::new_static("i-1"));
-    built.run(Duration::from_secs(15));
-    built.partitioned.insert(other.clone());
-    built.list_minions();
-    let id = built.submit(1, job("p0", vec![step(1, 1_000, 90_000, &[])]));
-    built.run(Duration::from_secs(1));
-    built.delay_next_lease(&restarted);
-    while built.delayed_lease().is_none() {
-        built.tick();
-    }
-    let sent_at = built.delayed_lease().expect("a delayed call");
-    let restart = Restart {
-        downtime: Duration::from_millis(300),
-        born: built.unix_ms() + 300,
-        address: None,
-        entry_delay: Duration::from_millis(1_000),
-    };
-    built.restart_under_id(&restarted, restart);
-    built.scheduler.unlist_minion(&restarted);
-    built.run(Duration::from_millis(1_700));
-    assert_eq!(built.records.len(), 2);
-    while built.now < sent_at + Duration::from_millis(delay_ms) {
-        built.tick();
-    }
-    built.carry_out_delayed_lease();
-    built.partitioned.insert(restarted);
-    built.partitioned.remove(&other);
-    built.list_minions();
-    built.run(Duration::from_secs(160));
-    assert_eq!(built.records.len(), 3);
-    assert_eq!(built.state(id), JobState::Completed);
+    let mut play = TwoMinions::new(Duration::from_secs(max_lease_s), JobId::new(1));
+    play.submit(90_000);
+    play.built.run(Duration::from_secs(1));
+    play.delay_lease();
+    play.restart(300, 1_000);
+    play.built.scheduler.unlist_minion(&play.first);
+    play.built.run(Duration::from_millis(1_700));
+    assert_eq!(play.built.records.len(), 2);
+    play.carry_out_after(Duration::from_millis(delay_ms));
+    play.cut_off();
+    play.built.run(Duration::from_secs(160));
+    assert_eq!(play.built.records.len(), 3);
+    assert_eq!(play.built.state(play.id), JobState::Completed);
 }
 
 /// Guards against the same if the row names the restarted minion as silent before its entry is read.
@@ -307,12 +305,11 @@
 fn a_silent_minion_whose_entry_tells_of_a_restart_later_makes_no_task_run_twice(
     #[values(6, 10, 30)] max_lease_s: u64,
 ) {
-    let mut play = RestartedMinion::new(Duration::from_secs(max_lease_s));
+    let mut play = TwoMinions::restarted(Duration::from_secs(max_lease_s));
     play.run_until_listed();
     play.carry_out_after(Duration::from_millis(1_500));
-    play.built.partitioned.insert(play.restarted.clone());
-    play.built.partitioned.remove(&play.other);
-    let own = play.built.minions[&play.restarted].entry.clone();
+    play.swap_reachable();
+    let own = play.built.minions[&play.first].entry.clone();
     let other = play.built.minions[&play.other].entry.clone();
     play.built.take_over();
     play.built
@@ -331,29 +328,16 @@
 fn a_start_at_an_incarnation_that_nothing_tells_of_makes_no_task_run_twice(
     #[values(6, 10, 30)] max_lease_s: u64,
 ) {
-    let mut built = site_of_two(Duration::from_secs(max_lease_s));
-    let (restarted, other) = (SmolStr::new_static("i-0"), SmolStr::new_static("i-1"));
-    built.run(Duration::from_secs(15));
-    built.partitioned.insert(other.clone());
-    built.list_minions();
-    built.run(Duration::from_secs(1));
-    let restart = Restart {
-        downtime: Duration::from_millis(50),
-        born: built.unix_ms() + 50,
-        address: None,
-        entry_delay: Duration::from_secs(200),
-    };
-    built.restart_under_id(&restarted, restart);
-    built.run(Duration::from_millis(60));
-    built.faults.lost_reply_rate = 1.0;
-    let id = built.submit(2, job("p0", vec![step(1, 1_000, 90_000, &[])]));
-    built.run(Duration::from_millis(140));
-    built.faults.lost_reply_rate = 0.0;
-    assert_eq!(built.records.len(), 1);
-    built.partitioned.insert(restarted);
-    built.partitioned.remove(&other);
-    let entry = built.minions[&other].entry.clone();
-    built.scheduler.upsert_minion(entry, built.now);
-    built.run(Duration::from_secs(160));
-    assert_eq!(built.state(id), JobState::Completed);
+    let mut play = TwoMinions::new(Duration::from_secs(max_lease_s), JobId::new(2));
+    play.built.run(Duration::from_secs(1));
+    play.restart(50, 200_000);
+    play.built.run(Duration::from_millis(60));
+    play.built.faults.lost_reply_rate = 1.0;
+    play.submit(90_000);
+    play.built.run(Duration::from_millis(140));
+    play.built.faults.lost_reply_rate = 0.0;
+    assert_eq!(play.built.records.len(), 1);
+    play.cut_off_unlisted();
+    play.built.run(Duration::from_secs(160));
+    assert_eq!(play.built.state(play.id), JobState::Completed);
 }
