One list of crowds for the listeners of entry VMs and operators

The tests of crowds at the peer listener and at the listener for operators had the same seven cases and the same number of clients. They are one test over both listeners, whose name therefore changes: clients_of_other_listeners_take_no_more_than_a_vm_has.

The other 14 tests of the file weren't run.

--- a/tests/tests/misbehaving_clients/main.rs
+++ b/tests/tests/misbehaving_clients/main.rs
@@ -138,21 +138,11 @@
 #[case::answers_never_read(Conduct::UnreadAnswer)]
 #[case::silence(Conduct::Silence)]
 #[tokio::test]
-async fn clients_of_the_peer_listener_take_no_more_than_a_vm_has(#[case] conduct: Conduct) {
-    check_crowd(conduct, Listener::Peers, 400).await;
-}
-
-#[rstest]
-#[case::heads_over_the_limit(Conduct::LargeHead)]
-#[case::heads_without_end(Conduct::EndlessHead)]
-#[case::empty_lines_without_end(Conduct::EmptyLines)]
-#[case::bodies_that_stop_short(Conduct::UnendedBody)]
-#[case::small_chunks_that_stop_short(Conduct::UnendedSmallChunks)]
-#[case::answers_never_read(Conduct::UnreadAnswer)]
-#[case::silence(Conduct::Silence)]
-#[tokio::test]
-async fn clients_of_the_operator_listener_take_no_more_than_a_vm_has(#[case] conduct: Conduct) {
-    check_crowd(conduct, Listener::Operators, 400).await;
+async fn clients_of_other_listeners_take_no_more_than_a_vm_has(
+    #[case] conduct: Conduct,
+    #[values(Listener::Peers, Listener::Operators)] listener: Listener,
+) {
+    check_crowd(conduct, listener, 400).await;
 }
 
 /// The platform and the backend servers need descriptors while callers take all that they get.
