Split the fake minion's file

tests/src/jobs/minion.rs had 579 lines and the impls of several types. Moved to files under minion/: the record of a run, the kind of a task, an active run (whose checkpoint and percent are methods now), and the tail latencies with the CPU shares. The file has 396 lines. Nothing else changed.

--- a/tests/src/jobs/minion.rs
+++ b/tests/src/jobs/minion.rs
@@ -1,19 +1,27 @@
 //! Fake minion that carries out the scheduler's orders in simulated time.
 
+mod active;
+mod record;
+mod tail_latencies;
+mod task_kind;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use rand::RngExt;
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::SmolStr;
 use snipevane_core::jobs::{
-    ActiveRun, CpuShareOrder, EndedRun, HoldOrder, HoldReply, MinionEntry, OrderReply, Refusal,
-    RunEnd, RunList, StartOrder, StepId, StopOrder, TaskId,
+    ActiveRun, EndedRun, HoldOrder, HoldReply, MinionEntry, OrderReply, Refusal, RunEnd, RunList,
+    StartOrder, StepId, StopOrder, TaskId,
 };
 use snipevane_core::placement::Resources;
 
-use super::interference::{INTERFERENCE_MS, Interference};
+use super::interference::Interference;
 use super::job_site::UNIX_START_MS;
 
+use active::Active;
+pub use record::Record;
+pub(super) use task_kind::TaskKind;
+
 /// Time that a run takes to end after a stop order.
 pub(super) const STOP_TIME: Duration = Duration::from_millis(300);
 
@@ -23,81 +31,6 @@
 /// Time after which a long-running task is ready.
 pub(super) const STARTUP_TIME: Duration = Duration::from_millis(400);
 
-/// Record of a run on a minion, which outlives the minion.
-#[derive(Clone, Debug)]
-pub struct Record {
-    /// Task that the run belongs to.
-    pub task: TaskId,
-    /// Attempt number.
-    pub attempt: u32,
-    /// Identifier of the minion that executed the run.
-    pub minion: SmolStr,
-    /// Start time that identifies the incarnation of the minion, in milliseconds.
-    pub incarnation: u64,
-    /// Sequence number of the end in the incarnation; 0 while the run is active.
-    pub end_number: u64,
-    /// Checkpoint from which the run was told to resume; empty if there was none.
-    pub checkpoint: SmolStr,
-    /// Time at which the run started.
-    pub from: Duration,
-    /// Time at which the run ended.
-    pub to: Option<Duration>,
-    /// How the run ended; none while it is active or if the minion crashed.
-    pub end: Option<RunEnd>,
-    /// Whether the end was acknowledged before a lease of the minion expired.
-    pub acked_before_lapse: bool,
-    /// Whether a run list contained the end before a lease of the minion expired.
-    pub listed_before_lapse: bool,
-}
-
-/// Time between two checkpoints of a run.
-const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(2);
-
-/// Properties that determine how a task runs.
-#[derive(Clone, Debug)]
-pub struct TaskKind {
-    /// Resources that the task uses.
-    pub size: Resources,
-    /// Run time; none for a long-running task.
-    pub run_time: Option<Duration>,
-    /// Whether the task saves checkpoints.
-    pub checkpoints: bool,
-    /// How the task ends after its run time.
-    pub ends_as: RunEnd,
-    /// Time after its start at which the task crashes its minion; none for a sound task.
-    pub crashes_after: Option<Duration>,
-    /// Whether the task is best-effort, and so interferes with latency-sensitive tasks.
-    pub best_effort: bool,
-    /// Image that the task runs.
-    pub image: SmolStr,
-    /// Target of the tail latency in milliseconds; 0 if the task isn't latency-sensitive.
-    pub tail_target_ms: u64,
-}
-
-/// Tail latency of a latency-sensitive task on an otherwise idle minion, in milliseconds.
-const BASELINE_TAIL_MS: f64 = 50.0;
-
-/// Time that a CPU share takes to take effect.
-const THROTTLE_DELAY: Duration = Duration::from_millis(100);
-
-/// Time over which a reported tail latency is averaged.
-const FIGURE_WINDOW: Duration = Duration::from_millis(500);
-
-#[derive(Clone, Debug)]
-struct Active {
-    kind: TaskKind,
-    record: usize,
-    started: Duration,
-    ends_at: Option<Duration>,
-    stops_at: Option<Duration>,
-    crashes_at: Option<Duration>,
-    cpu_share: u32,
-    /// CPU share that takes effect later, with the time from which on it does.
-    next_cpu_share: Option<(Duration, u32)>,
-    /// Tail latencies within the last [`FIGURE_WINDOW`].
-    tails_ms: VecDeque<(Duration, f64)>,
-}
-
 /// Minion that carries out orders as the minions of the platform do.
 #[derive(Clone, Debug)]
 pub struct FakeMinion {
@@ -297,43 +230,6 @@
         OrderReply::Done { clock_ms }
     }
 
-    /// Returns the tail latency of latency-sensitive tasks on the minion that have no image of their
-    /// own, in milliseconds.
-    pub fn tail_ms(&self) -> f64 {
-        self.tail_ms_of("")
-    }
-
-    /// Returns the tail latency of the latency-sensitive tasks of an image, in milliseconds.
-    fn tail_ms_of(&self, image: &str) -> f64 {
-        let best_effort = self
-            .active
-            .values()
-            .filter(|active| active.kind.best_effort);
-        let added = best_effort.map(|active| {
-            let pairs = self.interference.added_ms.iter();
-            let mut pairs = pairs.filter(|((task, other), _)| {
-                *task == image && *other == active.kind.image.as_str()
-            });
-            let amount = pairs.next().map_or(INTERFERENCE_MS, |(_, amount)| *amount);
-            amount * f64::from(active.cpu_share) / 100.0
-        });
-        (BASELINE_TAIL_MS + added.sum::<f64>()) * self.interference.tail_factor
-    }
-
-    /// Returns the number of latency-sensitive tasks over their target while best-effort tasks beside
-    /// them work.
-    pub fn tasks_over_target(&self) -> usize {
-        if self.best_effort_cpu_share() == 0 {
-            return 0;
-        }
-        let tasks = self.active.values().map(|active| &active.kind);
-        let over = tasks.filter(|kind| {
-            let target = kind.tail_target_ms;
-            target > 0 && self.tail_ms_of(&kind.image) > target as f64
-        });
-        over.count()
-    }
-
     /// Returns the numbers of active runs by image.
     pub fn images(&self) -> BTreeMap<SmolStr, usize> {
         let mut images = BTreeMap::new();
@@ -343,70 +239,6 @@
         images
     }
 
-    /// Puts the CPU shares into force whose time has come.
-    fn apply_cpu_shares(&mut self, now: Duration) {
-        for active in self.active.values_mut() {
-            if let Some((_, share)) = active.next_cpu_share.take_if(|(at, _)| now >= *at) {
-                active.cpu_share = share;
-            }
-        }
-    }
-
-    /// Measures the tail latencies.
-    fn measure_tails(&mut self, now: Duration) {
-        let images = self.active.values().map(|active| active.kind.image.clone());
-        let images: Vec<SmolStr> = images.collect();
-        let tails = images.iter().map(|image| self.tail_ms_of(image));
-        let tails: Vec<f64> = tails.collect();
-        for (active, tail_ms) in self.active.values_mut().zip(tails) {
-            active.tails_ms.push_back((now, tail_ms));
-            let from = now.saturating_sub(FIGURE_WINDOW);
-            active.tails_ms.retain(|(at, _)| *at > from);
-        }
-    }
-
-    /// Returns the tail latency of a run as the minion reports it, in milliseconds.
-    fn reported_tail_ms(&mut self, run: &(TaskId, u32)) -> f64 {
-        let tails = &self.active[run].tails_ms;
-        let sum: f64 = tails.iter().map(|(_, tail_ms)| tail_ms).sum();
-        let tail_ms = sum / tails.len().max(1) as f64;
-        let figures = &mut self.interference;
-        let error = if figures.noise > 0.0 {
-            figures.random.random_range(-figures.noise..figures.noise)
-        } else {
-            0.0
-        };
-        figures.reported_ms.unwrap_or(tail_ms * (1.0 + error))
-    }
-
-    /// Returns the sum of the CPU shares of the best-effort tasks on the minion, in percent.
-    pub fn best_effort_cpu_share(&self) -> u32 {
-        let best_effort = self
-            .active
-            .values()
-            .filter(|active| active.kind.best_effort);
-        best_effort.map(|active| active.cpu_share).sum()
-    }
-
-    /// Returns the sum of the CPU shares of an image's tasks on the minion, in percent.
-    pub fn cpu_share_of(&self, image: &str) -> u32 {
-        let runs = self.active.values();
-        let runs = runs.filter(|active| active.kind.image == image);
-        runs.map(|active| active.cpu_share).sum()
-    }
-
-    /// Carries out an order that sets the CPU share of a run.
-    pub fn set_cpu_share(&mut self, order: &CpuShareOrder, now: Duration) -> OrderReply {
-        if order.to.fence < self.fence {
-            return OrderReply::Refused(Refusal::Fenced);
-        }
-        if let Some(active) = self.active.get_mut(&(order.task, order.attempt)) {
-            active.next_cpu_share = Some((now + THROTTLE_DELAY, order.percent));
-        }
-        let clock_ms = Some(self.clock(now));
-        OrderReply::Done { clock_ms }
-    }
-
     /// Carries out a stop order.
     pub fn stop(&mut self, order: &StopOrder, now: Duration) -> OrderReply {
         if order.to.id != self.entry.id {
@@ -465,8 +297,8 @@
             .map(|(((task, attempt), active), load)| ActiveRun {
                 task: *task,
                 attempt: *attempt,
-                checkpoint: checkpoint(*task, active, now),
-                progress_percent: percent(active, now),
+                checkpoint: active.checkpoint(*task, now),
+                progress_percent: active.percent(now),
                 load,
             });
         HoldReply::Listed(RunList {
@@ -562,18 +394,3 @@
         }
     }
 }
-
-/// Returns the last checkpoint that a run has saved; each task saves others.
-fn checkpoint(task: TaskId, active: &Active, now: Duration) -> SmolStr {
-    let number = (now - active.started).as_millis() / CHECKPOINT_INTERVAL.as_millis();
-    if !active.kind.checkpoints || number == 0 {
-        return SmolStr::default();
-    }
-    format_smolstr!("{number:08}-{}", task.index)
-}
-
-fn percent(active: &Active, now: Duration) -> u32 {
-    let whole = active.kind.run_time.unwrap_or(STARTUP_TIME);
-    let done = (now - active.started).as_secs_f64() / whole.as_secs_f64();
-    (done.min(1.0) * 100.0) as u32
-}
