--- a/tests/tests/jobs_lease_clocks.rs
+++ b/tests/tests/jobs_lease_clocks/main.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
 
+mod two_minions;
+
 use std::time::Duration;
 
 use rstest::rstest;
@@ -9,10 +11,21 @@
 use snipevane_core::jobs::{
     HoldReply, JobId, JobState, OrderReply, Recipient, RunList, SchedulerSettings, StartOrder,
 };
-use snipevane_tests::jobs::{FakeMinion, JobSite, Restart, entry, job, site, step};
+use snipevane_tests::jobs::{FakeMinion, JobSite, entry, job, site, step};
+
+use two_minions::{DEFAULT_AGE, TwoMinions};
 
 const START: Duration = Duration::from_secs(10);
 
+/// Age of minions whose clocks are far ahead of those of their next incarnations.
+const OLD: Duration = Duration::from_secs(60);
+
+/// Time after which a call without an answer may still be carried out.
+const LATE_CALL: Duration = Duration::from_millis(16_450);
+
+/// Time for which a hold is sent again in vain.
+const REPEATED_FOR: Duration = Duration::from_secs(1);
+
 /// Guards against a task that runs twice at the same time, because the lease of a run counts as expired although its
 /// minion has measured it on a clock that started anew.
 #[rstest]
@@ -25,7 +38,7 @@
         ..SchedulerSettings::default()
     };
     let built = JobSite::with_settings(site(1, 0), minions.collect(), settings, 1);
-    let mut play = TwoMinions::in_site(built, JobId::new(1));
+    let mut play = TwoMinions::in_site(built, DEFAULT_AGE, JobId::new(1));
     play.built
         .restart_under_its_id(&play.first, Duration::from_millis(300));
     play.submit(20_000);
@@ -90,125 +103,6 @@
     assert!(Duration::from_millis(clock) <= age, "{clock} ms");
 }
 
-/// A play with one job at a site of two minions, of which the other one is available once the first is cut off.
-struct TwoMinions {
-    built: JobSite,
-    first: SmolStr,
-    other: SmolStr,
-    id: JobId,
-}
-
-impl TwoMinions {
-    /// Creates a site of two minions with this longest lease.
-    fn new(max_lease: Duration, id: JobId) -> Self {
-        let minions = (0..2).map(|number| {
-            let mut minion = FakeMinion::new(entry(number, "p0"), START);
-            minion.max_lease = max_lease;
-            minion
-        });
-        let settings = SchedulerSettings {
-            lease: Duration::from_millis(5_500),
-            max_lease,
-            ..SchedulerSettings::default()
-        };
-        let built = JobSite::with_settings(site(1, 0), minions.collect(), settings, 1);
-        Self::in_site(built, id)
-    }
-
-    /// Runs a site of two minions for 15 s, and cuts the other minion off.
-    fn in_site(mut built: JobSite, id: JobId) -> Self {
-        let (first, other) = (SmolStr::new_static("i-0"), SmolStr::new_static("i-1"));
-        built.run(Duration::from_secs(15));
-        built.partitioned.insert(other.clone());
-        built.list_minions();
-        Self {
-            built,
-            first,
-            other,
-            id,
-        }
-    }
-
-    /// Delays a call with a lease to the first minion, which then restarts, and submits the job.
-    fn restarted(max_lease: Duration) -> Self {
-        let mut play = Self::new(max_lease, JobId::new(2));
-        let spec = job("p0", vec![step(1, 1_000, 90_000, &[])]);
-        let earlier = play.built.submit(1, spec);
-        play.built.run(Duration::from_secs(1));
-        play.delay_lease();
-        play.restart(300, 50);
-        play.built.cancel(earlier);
-        play.built.run(Duration::from_millis(300));
-        play.submit(90_000);
-        play
-    }
-
-    /// Submits the job, whose only task takes this time.
-    fn submit(&mut self, run_time_ms: u64) {
-        let spec = job("p0", vec![step(1, 1_000, run_time_ms, &[])]);
-        self.built.submit(self.id.number(), spec);
-    }
-
-    /// Runs until a call with a lease to the first minion is delayed.
-    fn delay_lease(&mut self) {
-        self.built.delay_next_lease(&self.first);
-        while self.built.delayed_lease().is_none() {
-            self.built.tick();
-        }
-    }
-
-    /// Restarts the first minion, whose next entry is listed some time after its start.
-    fn restart(&mut self, downtime_ms: u64, entry_delay_ms: u64) {
-        let restart = Restart {
-            downtime: Duration::from_millis(downtime_ms),
-            born: self.built.unix_ms() + downtime_ms,
-            address: None,
-            entry_delay: Duration::from_millis(entry_delay_ms),
-        };
-        self.built.restart_under_id(&self.first, restart);
-    }
-
-    /// Returns the number of runs of the job.
-    fn runs(&self) -> usize {
-        let records = self.built.records.iter();
-        records.filter(|run| run.task.step.job == self.id).count()
-    }
-
-    /// Runs until the next incarnation has listed a run of the job.
-    fn run_until_listed(&mut self) {
-        while self.runs() == 0 {
-            self.built.tick();
-        }
-        self.built.run(Duration::from_millis(300));
-    }
-
-    fn carry_out_after(&mut self, delay: Duration) {
-        let sent_at = self.built.delayed_lease().expect("a delayed call");
-        while self.built.now < sent_at + delay {
-            self.built.tick();
-        }
-        self.built.carry_out_delayed_lease();
-    }
-
-    /// Cuts the first minion off, and makes the other one available.
-    fn cut_off(&mut self) {
-        self.swap_reachable();
-        self.built.list_minions();
-    }
-
-    /// Does the same, but only the entry of the other minion is read, not the list of minions.
-    fn cut_off_unlisted(&mut self) {
-        self.swap_reachable();
-        let other = self.built.minions[&self.other].entry.clone();
-        self.built.scheduler.upsert_minion(other, self.built.now);
-    }
-
-    fn swap_reachable(&mut self) {
-        self.built.partitioned.insert(self.first.clone());
-        self.built.partitioned.remove(&self.other);
-    }
-}
-
 /// Guards against a task that runs twice at the same time, because a call to the earlier incarnation of its minion, which
 /// is carried out by the next one, gives it a lease on the wrong clock.
 #[rstest]
@@ -341,3 +235,68 @@
     play.built.run(Duration::from_secs(160));
     assert_eq!(play.built.state(play.id), JobState::Completed);
 }
+
+/// Guards against a task that runs twice at the same time, because a hold that is sent again is carried out later than the
+/// first one can be.
+#[rstest]
+fn a_lease_that_is_sent_again_counts_from_then(#[values(6, 10, 30)] max_lease_s: u64) {
+    let max_lease = Duration::from_secs(max_lease_s);
+    let mut play = TwoMinions::of_age(max_lease, OLD, JobId::new(2));
+    let spec = job("p0", vec![step(1, 1_000, 90_000, &[])]);
+    let earlier = play.built.submit(1, spec);
+    play.built.run(Duration::from_secs(1));
+    let sent_at = play.delay_lease();
+    while play.delay_lease() < sent_at + REPEATED_FOR {}
+    play.restart(100, 20);
+    play.built.cancel(earlier);
+    play.built.run(Duration::from_millis(300));
+    play.submit(90_000);
+    play.carry_out_after(LATE_CALL);
+    play.cut_off_unlisted();
+    play.built.run(Duration::from_secs(160));
+    assert_eq!(play.built.state(play.id), JobState::Completed);
+}
+
+/// Guards against a task that runs twice at the same time, because its start was answered on another clock and nothing else
+/// has told of the restart.
+#[rstest]
+fn a_reply_on_another_clock_tells_of_a_restart(#[values(6, 10, 30)] max_lease_s: u64) {
+    let mut play = TwoMinions::new(Duration::from_secs(max_lease_s), JobId::new(1));
+    play.restart(50, 200_000);
+    play.built.run(Duration::from_millis(60));
+    play.built.faults.hold_delay_rate = 1.0;
+    play.submit(90_000);
+    while play.runs() == 0 {
+        play.built.tick();
+    }
+    play.built.faults.hold_delay_rate = 0.0;
+    play.cut_off_unlisted();
+    play.built.run(Duration::from_secs(160));
+    assert_eq!(play.built.state(play.id), JobState::Completed);
+}
+
+/// Guards against a task that runs twice at the same time, because a call of the earlier term gave a lease to an
+/// incarnation that has begun in the present one.
+#[rstest]
+fn a_call_of_the_earlier_term_counts_at_a_minion_that_restarts_in_the_next(
+    #[values(6, 10, 30)] max_lease_s: u64,
+) {
+    let max_lease = Duration::from_secs(max_lease_s);
+    let mut play = TwoMinions::of_age(max_lease, OLD, JobId::new(2));
+    let spec = job("p0", vec![step(1, 1_000, 1_500, &[])]);
+    play.built.submit(1, spec);
+    play.built.run(Duration::from_millis(300));
+    play.delay_lease();
+    play.built.run(Duration::from_secs(4));
+    play.built.take_over();
+    play.built.run(Duration::from_millis(100));
+    play.restart(50, 400);
+    play.built.run(Duration::from_millis(60));
+    play.built.carry_out_delayed_lease();
+    play.built.run(Duration::from_millis(600));
+    play.submit(90_000);
+    play.built.run(Duration::from_millis(300));
+    play.cut_off_unlisted();
+    play.built.run(Duration::from_secs(160));
+    assert_eq!(play.built.state(play.id), JobState::Completed);
+}
