Suspects wait for their trial in turn, however many there are

Their trials had no limit and kept nearly all minions from other jobs; likely causes began only while under a quarter of the minions had any trial, so never; and suspects of late jobs were placed after 1,400 sound tasks.

Trials take a third of a pool while other tasks wait for room, those of likely causes a quarter, counted apart; minions that are idle once all others are placed are open to all; a suspect that has waited for 5 s comes first, on any minion without a trial, or beside others if it has met one crash only; its wait ends when a run begins or a crash is recorded. Fresh runs that are passed over beside a likely cause are recorded.

--- a/crates/snipevane-core/src/jobs/ending/crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/crashes.rs
@@ -170,10 +170,11 @@
         }
     }
 
-    /// Records that a task was passed over at a crash, unless that has a likely cause. A task that was repeatedly
-    /// is a suspect, as it may crash minions a while after its start, beside others that have just begun.
+    /// Records that a task was passed over at a crash, unless that has a likely cause and the run had outlived its
+    /// start. A task that was repeatedly is a suspect: it may crash minions a while after its start, beside others that
+    /// have just begun, or right after its start, beside a likely cause that is sound.
     fn pass_over(&mut self, run: Run, crash: &Crash) {
-        if crash.has_likely_cause {
+        if crash.has_likely_cause && !self.is_fresh(&run) {
             return;
         }
         let work = self.time_at_work(&run).unwrap_or_default();
@@ -351,6 +352,7 @@
             return;
         };
         state.crashes.record(report);
+        state.trial_wanted_since = None;
         let evidence = state.crashes.evidence();
         if evidence.verdict() == Verdict::Cause {
             self.crashing_tasks.push((key, task));
--- a/crates/snipevane-core/src/jobs/ending/task_crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/task_crashes.rs
@@ -204,6 +204,11 @@
         !self.is_suspect() || self.attributed == 0 && self.count() <= 1
     }
 
+    /// Returns whether one minion at most has crashed with a run of the task, and others were on it.
+    pub(in crate::jobs) fn has_met_one_crash(&self) -> bool {
+        self.attributed == 0 && self.count() + self.passed_over.len() <= 1
+    }
+
     /// Returns whether minions have crashed with runs of the task while others were more likely causes.
     pub(in crate::jobs) fn was_passed_over(&self) -> bool {
         !self.passed_over.is_empty()
--- a/crates/snipevane-core/src/jobs/ending/trials.rs
+++ b/crates/snipevane-core/src/jobs/ending/trials.rs
@@ -13,25 +13,21 @@
 use super::trial::{Trial, TrialOutcome};
 use super::unanswered_starts::MAX_CHANCE;
 use crate::jobs::event::LossReason;
-use crate::jobs::minions::minion::MinionKey;
+use crate::jobs::minions::minion::{MinionKey, Reservation};
 use crate::jobs::model::job::{JobKey, TaskRef};
 use crate::jobs::model::run::{Run, RunKey};
 use crate::jobs::placing::tasks::first_task_ref;
 use crate::jobs::queueing::queue::StepRef;
 use crate::jobs::scheduler::Scheduler;
 
-/// Inverse of the share of a pool's minions with runs on trial up to which a likely cause of crashes
-/// gets another one.
-const MAX_TRIAL_SHARE: usize = 4;
-
 /// Time for which the outcome of a start order may stay unknown to this term, for one that isn't on trial.
 const RECORDED_TIME: Duration = Duration::from_secs(1);
 
 impl Scheduler {
-    /// Returns whether a run keeps the runs of other jobs from its minion: minions have crashed under its task, and its
-    /// minion hasn't outlived the start.
+    /// Returns whether a run keeps the runs of other jobs from its minion: it is on trial, and its minion hasn't outlived
+    /// the start.
     fn reserves_minion(&self, run: &Run) -> bool {
-        self.is_suspect_task(run.job, run.task_ref) && !self.has_outlived(run, TRIAL_PERIOD)
+        run.on_trial && !self.has_outlived(run, TRIAL_PERIOD)
     }
 
     /// Ends the trial of an attempt that has ended in another way than by a crash.
@@ -206,12 +202,24 @@
             run.on_trial = true;
             run.may_repeat_start = false;
         }
-        if let Some(minion) = self.minions.get_mut(minion) {
-            minion.trial = Some(job);
-        }
+        self.reserve_minion(minion, job, task);
         self.record_trial(key);
     }
 
+    /// Reserves a minion for the job of a task that begins a trial there.
+    fn reserve_minion(&mut self, key: MinionKey, job: JobKey, task: TaskRef) {
+        let state = self.jobs.get(job).and_then(|job| job.task(task));
+        let is_likely = state.is_some_and(|task| !task.crashes.is_unlikely_cause());
+        let Some(minion) = self.minions.get_mut(key) else {
+            return;
+        };
+        let earlier = minion.trial.filter(|trial| trial.job == job);
+        minion.trial = Some(Reservation {
+            job,
+            of_likely_cause: is_likely || earlier.is_some_and(|trial| trial.of_likely_cause),
+        });
+    }
+
     /// Returns whether a later term is to know the outcome of a run that isn't on trial: its task was passed over at a
     /// crash. While many minions crash that is no evidence, and there would be many such runs.
     fn is_worth_recording(&self, run: &Run) -> bool {
@@ -222,7 +230,7 @@
     }
 
     /// Records a run whose outcome a later term is to know.
-    pub(super) fn record_trial(&mut self, key: RunKey) {
+    pub(in crate::jobs) fn record_trial(&mut self, key: RunKey) {
         let Some(run) = self.runs.get(key) else {
             return;
         };
@@ -353,23 +361,6 @@
         }
     }
 
-    /// Returns whether another of these minions may get a run of a task with these crashes, on trial if
-    /// there are any.
-    pub(in crate::jobs) fn may_begin_trial(
-        &self,
-        crashes: &TaskCrashes,
-        minions: &[MinionKey],
-    ) -> bool {
-        if crashes.is_unlikely_cause() {
-            return true;
-        }
-        let on_trial = minions.iter().filter(|&&key| {
-            let minion = self.minions.get(key);
-            minion.is_some_and(|minion| minion.trial.is_some())
-        });
-        on_trial.count() * MAX_TRIAL_SHARE < minions.len()
-    }
-
     /// Returns whether a minion has a fresh run on trial of another job than this one.
     pub(in crate::jobs) fn has_trial_of_other_job(&self, key: MinionKey, job: JobKey) -> bool {
         let mut runs = self.runs_on(key);
@@ -382,13 +373,15 @@
         runs.filter(|run| self.is_fresh(run)).count()
     }
 
-    /// Returns whether a new run waits until the record of crashes under its job's tasks is stored.
+    /// Returns whether a new run waits until the record of crashes under its job's tasks is stored, as it is a
+    /// suspect's.
     pub(in crate::jobs) fn awaits_crash_record(&self, run: &Run) -> bool {
         let job = self.jobs.get(run.job);
         job.is_some_and(|job| {
-            let task = job.task(run.task_ref);
-            let must_be_stored = task.is_some_and(|task| task.crashes.limits_starts());
-            run.on_trial && must_be_stored && job.has_unstored_crashes()
+            let crashes = job.task(run.task_ref).map(|task| &task.crashes);
+            let is_suspect = run.on_trial || crashes.is_some_and(TaskCrashes::is_suspect);
+            let must_be_stored = crashes.is_some_and(TaskCrashes::limits_starts);
+            is_suspect && must_be_stored && job.has_unstored_crashes()
         })
     }
 }
--- a/crates/snipevane-core/src/jobs/interference/relocation.rs
+++ b/crates/snipevane-core/src/jobs/interference/relocation.rs
@@ -6,6 +6,7 @@
 use crate::jobs::minions::minion::MinionKey;
 use crate::jobs::model::run::{Run, RunKey, RunPhase};
 use crate::jobs::model::spec::StepSpec;
+use crate::jobs::placing::candidates::Candidates;
 use crate::jobs::scheduler::Scheduler;
 
 /// Time for which a run must have had less than half of its CPU before it is relocated. The load of a
@@ -111,7 +112,13 @@
                 && !self.has_bad_neighbour(*other, &images, step)
         });
         let others: Vec<MinionKey> = others.map(|(other, _)| other).collect();
-        let chosen = self.choose_minion(run.task_ref, run.step(), step, &others, now);
+        let chosen = self.choose_minion(
+            run.task_ref,
+            run.step(),
+            step,
+            Candidates::shared(&others),
+            now,
+        );
         chosen.is_some()
     }
 }
--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -66,6 +66,15 @@
     pub(in crate::jobs) job: JobKey,
 }
 
+/// Reservation of a minion for a job with runs on trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::jobs) struct Reservation {
+    /// The job.
+    pub(in crate::jobs) job: JobKey,
+    /// Whether one of the tasks on trial is a likely cause of crashes.
+    pub(in crate::jobs) of_likely_cause: bool,
+}
+
 /// What is known of the crash of a minion.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::jobs) struct Crash {
@@ -171,7 +180,7 @@
     /// leave soon.
     pub awaits_maintenance: bool,
     /// Job with a run on trial here; no other job gets work here meanwhile.
-    pub(in crate::jobs) trial: Option<JobKey>,
+    pub(in crate::jobs) trial: Option<Reservation>,
     /// Time at which a restart was last noticed.
     pub(in crate::jobs) restarted_at: Option<Duration>,
     /// Crash of the present incarnation, once it is known.
@@ -278,8 +287,7 @@
 
     /// Returns whether the minion may get a task of a job although it, or the task, may be on trial.
     pub(in crate::jobs) fn trial_allows(&self, job: JobKey, may_begin_trial: bool) -> bool {
-        self.trial
-            .map_or(may_begin_trial, |on_trial| on_trial == job)
+        self.trial.map_or(may_begin_trial, |trial| trial.job == job)
     }
 
     /// Records the time for which the entry, read at `now`, says that the minion stays slow.
--- a/crates/snipevane-core/src/jobs/model/job.rs
+++ b/crates/snipevane-core/src/jobs/model/job.rs
@@ -55,6 +55,8 @@
     pub early_ends: u32,
     /// Identifier of the minion on which a run last failed.
     pub failed_on: Option<SmolStr>,
+    /// Time since which the task, a suspect, waits for a trial that begins.
+    pub trial_wanted_since: Option<Duration>,
 }
 
 /// Scheduling state of a step in one occurrence.
--- a/crates/snipevane-core/src/jobs/placing/gangs.rs
+++ b/crates/snipevane-core/src/jobs/placing/gangs.rs
@@ -5,7 +5,9 @@
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
+use super::candidates::Candidates;
 use super::tasks::{first_task_ref, has_label};
+use super::trial_waits::Admission;
 use crate::jobs::minions::minion::MinionKey;
 use crate::jobs::model::job::TaskRef;
 use crate::jobs::model::spec::StepSpec;
@@ -18,7 +20,7 @@
         &mut self,
         step_ref: StepRef,
         step: &StepSpec,
-        minions: &[MinionKey],
+        candidates: Candidates<'_>,
         now: Duration,
     ) {
         let waiting = self.startable_tasks(step_ref, now);
@@ -36,7 +38,8 @@
         if !self.is_within_quota(team.as_deref(), step, u64::from(step.tasks)) {
             return;
         }
-        let Some(chosen) = self.choose_gang(step_ref, step, minions) else {
+        let Some(chosen) = self.choose_gang(step_ref, step, candidates, now) else {
+            self.wait_for_trials_of_gang(step_ref, &waiting, now);
             return;
         };
         for (index, minion) in waiting.into_iter().zip(chosen) {
@@ -53,6 +56,19 @@
         }
     }
 
+    /// Notes that the suspects of a gang wait for their trial.
+    fn wait_for_trials_of_gang(&mut self, step_ref: StepRef, waiting: &[u32], now: Duration) {
+        for &index in waiting {
+            let task = TaskRef {
+                index,
+                ..first_task_ref(step_ref)
+            };
+            if self.is_suspect_task(step_ref.job, task) {
+                self.wait_for_trial(step_ref, task, now);
+            }
+        }
+    }
+
     /// Chooses a minion for each member of a gang.
     ///
     /// If the step prefers one rack, racks are tried one by one, the one with the step's data
@@ -61,11 +77,12 @@
         &self,
         step_ref: StepRef,
         step: &StepSpec,
-        minions: &[MinionKey],
+        candidates: Candidates<'_>,
+        now: Duration,
     ) -> Option<Vec<MinionKey>> {
         if step.prefer_one_rack {
             let mut racks: FxHashMap<&SmolStr, Vec<MinionKey>> = FxHashMap::default();
-            for &key in minions {
+            for &key in candidates.minions {
                 racks
                     .entry(&self.minions[key].entry.rack)
                     .or_default()
@@ -76,30 +93,33 @@
                 .sort_by_key(|(rack, _)| (step.data_rack.as_ref() != Some(*rack), (*rack).clone()));
             let mut fitting = racks
                 .iter()
-                .filter_map(|(_, rack)| self.fit_gang(step_ref, step, rack));
+                .filter_map(|(_, rack)| self.fit_gang(step_ref, step, candidates.with(rack), now));
             if let Some(chosen) = fitting.next() {
                 return Some(chosen);
             }
         }
-        self.fit_gang(step_ref, step, minions)
+        self.fit_gang(step_ref, step, candidates, now)
     }
 
     fn fit_gang(
         &self,
         step_ref: StepRef,
         step: &StepSpec,
-        minions: &[MinionKey],
+        candidates: Candidates<'_>,
+        now: Duration,
     ) -> Option<Vec<MinionKey>> {
         let state = self.jobs.get(step_ref.job);
         let state = state.and_then(|job| job.step(first_task_ref(step_ref)))?;
-        let is_suspect = state.tasks.iter().any(|task| task.crashes.is_suspect());
-        let mut crashes = state.tasks.iter().map(|task| &task.crashes);
-        let may_begin_trial = crashes.all(|crashes| self.may_begin_trial(crashes, minions));
-        let usable = minions.iter().copied();
+        let tasks = state.tasks.iter();
+        let admissions = tasks.map(|task| self.admission_of(task, candidates, now));
+        let admissions: Vec<Admission> = admissions.collect();
+        let may_take_minion = !admissions.contains(&Admission::Wait);
+        let is_on_trial = admissions.contains(&Admission::Trial);
+        let usable = candidates.minions.iter().copied();
         let usable =
-            usable.filter(|&key| self.minions[key].trial_allows(step_ref.job, may_begin_trial));
+            usable.filter(|&key| self.minions[key].trial_allows(step_ref.job, may_take_minion));
         let mut minions: Vec<MinionKey> = usable.collect();
-        if is_suspect {
+        if is_on_trial {
             minions.sort_by_cached_key(|&key| self.fresh_run_count(key));
         }
         let size = step.allocated_size();
--- a/crates/snipevane-core/src/jobs/placing/speculation.rs
+++ b/crates/snipevane-core/src/jobs/placing/speculation.rs
@@ -5,6 +5,7 @@
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
+use super::candidates::Candidates;
 use super::tasks::first_task_ref;
 use crate::jobs::event::SchedulerEvent;
 use crate::jobs::minions::minion::MinionKey;
@@ -60,7 +61,8 @@
         let healthy = minions.iter().copied();
         let healthy = healthy.filter(|&key| !self.minions[key].on_probation);
         let healthy: Vec<MinionKey> = healthy.collect();
-        if let Some(minion) = self.choose_minion(task, step_ref, step, &healthy, now) {
+        let healthy = Candidates::shared(&healthy);
+        if let Some(minion) = self.choose_minion(task, step_ref, step, healthy, now) {
             self.events.push(SchedulerEvent::SpeculativeRunPlaced {
                 task: job.task_id(task),
                 minion: self.minion_id(minion),
--- a/crates/snipevane-core/src/jobs/placing/tasks.rs
+++ b/crates/snipevane-core/src/jobs/placing/tasks.rs
@@ -8,6 +8,8 @@
 use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
+use super::candidates::Candidates;
+use super::trial_waits::{Admission, starts_beside_others};
 use crate::jobs::event::SchedulerEvent;
 use crate::jobs::minions::minion::{Minion, MinionKey};
 use crate::jobs::model::job::{Job, TaskRef};
@@ -19,8 +21,8 @@
 use crate::jobs::scheduler::Scheduler;
 
 impl Scheduler {
-    /// Places the waiting tasks of all pools in the order of their rank, and then speculative runs,
-    /// as far as the congestion window allows further start orders.
+    /// Places the waiting tasks of all pools in the order of their rank, suspects that have waited for long first, and
+    /// then speculative runs, as far as the congestion window allows further start orders.
     pub(in crate::jobs) fn place(&mut self, now: Duration) {
         self.placed_this_round = 0;
         if !self.evacuations_confirmed {
@@ -31,14 +33,18 @@
             .update(&schedulable, &self.minions, self.settings.failure_threshold);
         let unreported_pools = self.unreported_pools(now);
         self.unreported_usage = self.estimate_unreported_usage(&unreported_pools);
-        for (pool, step) in self.ranked_steps(&schedulable, now) {
+        let long_waits = self.long_trial_waits(now);
+        let ranked = self.ranked_steps(&schedulable, now);
+        for (pool, step) in long_waits.into_iter().chain(ranked) {
             if !self.may_place_more() {
                 break;
             }
             let has_unreported_runs = unreported_pools.contains(&pool);
             let minions = schedulable.get(&pool).map_or(&[][..], Vec::as_slice);
-            self.place_step(step, minions, has_unreported_runs, now);
+            let candidates = Candidates::shared(minions);
+            self.place_step(step, candidates, has_unreported_runs, now);
         }
+        self.place_trials_on_spare_minions(&schedulable, &unreported_pools, now);
         self.place_speculative_runs(&schedulable, now);
     }
 
@@ -106,15 +112,15 @@
     }
 
     /// Places a step's waiting tasks and reports how many were placed.
-    fn place_step(
+    pub(in crate::jobs) fn place_step(
         &mut self,
         step_ref: StepRef,
-        minions: &[MinionKey],
+        candidates: Candidates<'_>,
         has_unreported_runs: bool,
         now: Duration,
     ) {
         let before = self.waiting_count(step_ref);
-        self.place_step_tasks(step_ref, minions, has_unreported_runs, now);
+        self.place_step_tasks(step_ref, candidates, has_unreported_runs, now);
         let waiting = self.waiting_count(step_ref);
         let Some(job) = self.jobs.get(step_ref.job).filter(|_| waiting < before) else {
             return;
@@ -137,7 +143,7 @@
     fn place_step_tasks(
         &mut self,
         step_ref: StepRef,
-        minions: &[MinionKey],
+        candidates: Candidates<'_>,
         has_unreported_runs: bool,
         now: Duration,
     ) {
@@ -156,16 +162,16 @@
         }
         self.settle_earlier_trials(step_ref);
         let Some(advisor_settings) = self.advisor_settings(step_ref.job) else {
-            self.place_tasks(step_ref, step, minions, now);
+            self.place_tasks(step_ref, step, candidates, now);
             return;
         };
-        let permitted_minions = minions.iter().copied();
+        let permitted_minions = candidates.minions.iter().copied();
         let permitted_minions =
             permitted_minions.filter(|&key| self.permit(step_ref, key, now).is_some());
         let permitted_minions: Vec<MinionKey> = permitted_minions.collect();
-        self.place_tasks(step_ref, step, &permitted_minions, now);
-        if !self.startable_tasks(step_ref, now).is_empty() {
-            self.ask_advisor(step_ref, step, advisor_settings, minions, now);
+        self.place_tasks(step_ref, step, candidates.with(&permitted_minions), now);
+        if !candidates.are_spare && !self.startable_tasks(step_ref, now).is_empty() {
+            self.ask_advisor(step_ref, step, advisor_settings, candidates.minions, now);
         }
     }
 
@@ -174,11 +180,11 @@
         &mut self,
         step_ref: StepRef,
         step: &StepSpec,
-        minions: &[MinionKey],
+        candidates: Candidates<'_>,
         now: Duration,
     ) {
         if step.gang {
-            self.place_gang(step_ref, step, minions, now);
+            self.place_gang(step_ref, step, candidates, now);
             return;
         }
         let Some(team) = self.jobs.get(step_ref.job).map(|job| job.spec.team.clone()) else {
@@ -192,9 +198,11 @@
                 index,
                 ..first_task_ref(step_ref)
             };
-            if let Some(minion) = self.choose_minion(task, step_ref, step, minions, now) {
+            if let Some(minion) = self.choose_minion(task, step_ref, step, candidates, now) {
                 self.start_run(step_ref, task, step, minion, None, now);
-            } else if !self.is_suspect_task(step_ref.job, task) {
+            } else if self.is_suspect_task(step_ref.job, task) {
+                self.wait_for_trial(step_ref, task, now);
+            } else {
                 return;
             }
         }
@@ -247,30 +255,31 @@
     /// if no warm one fits, one with a neighbour that the task is kept apart from only if no other one
     /// fits, and the rack of the task's data is preferred. Long-running tasks are spread over racks and minions, so
     /// that few are unavailable at a time. Other tasks go to the minion with the least free CPU
-    /// that has room, so that large tasks find room elsewhere. Tasks under which minions have crashed
+    /// that has room, so that large tasks find room elsewhere. Tasks on trial
     /// go to the minion with the fewest fresh runs.
     pub(in crate::jobs) fn choose_minion(
         &self,
         task: TaskRef,
         step_ref: StepRef,
         step: &StepSpec,
-        minions: &[MinionKey],
+        candidates: Candidates<'_>,
         now: Duration,
     ) -> Option<MinionKey> {
         let size = step.allocated_size();
         let job = self.jobs.get(step_ref.job)?;
-        let failed_on = job.task(task).and_then(|task| task.failed_on.clone());
-        let crashes = &job.task(task)?.crashes;
-        let is_suspect = crashes.is_suspect();
+        let task = job.task(task)?;
+        let failed_on = task.failed_on.clone();
+        let admission = self.admission_of(task, candidates, now);
+        let is_on_trial = admission != Admission::Beside;
+        let may_take_minion = admission != Admission::Wait;
         let bad_neighbours = self.bad_neighbours_of(&job.spec, step);
-        let may_begin_trial = self.may_begin_trial(crashes, minions);
         let failure_threshold = self.settings.failure_threshold;
-        let fits = minions.iter().copied().filter(|&key| {
+        let fits = candidates.minions.iter().copied().filter(|&key| {
             let minion = &self.minions[key];
             let is_limited = !step.long_running && self.probation.limits(minion, failure_threshold);
             size.fits_in(&minion.free_capacity())
-                && minion.trial_allows(step_ref.job, may_begin_trial)
-                && !(is_suspect && self.has_trial_of_other_job(key, step_ref.job))
+                && minion.trial_allows(step_ref.job, may_take_minion)
+                && !(is_on_trial && self.has_trial_of_other_job(key, step_ref.job))
                 && has_label(minion, step)
                 && (!step.best_effort || self.accepts_best_effort_tasks(key))
                 && !(is_limited && self.has_short_tasks(key))
@@ -289,7 +298,7 @@
                 .as_ref()
                 .is_some_and(|rack| *rack != minion.entry.rack);
             let room = minion.free_capacity().cpu_millis;
-            if is_suspect {
+            if is_on_trial {
                 let fresh_runs = self.fresh_run_count(*key) as u32;
                 (
                     failed_here,
@@ -380,6 +389,7 @@
         let Some(task_state) = state.tasks.get_mut(task.index as usize) else {
             return;
         };
+        let is_on_trial = !starts_beside_others(task_state, now);
         let attempt = gang_attempt.unwrap_or(task_state.last_attempt + 1);
         task_state.last_attempt = task_state.last_attempt.max(attempt);
         let run = self.runs.insert(Run {
@@ -398,7 +408,7 @@
             last_start_at: None,
             began_at: None,
             on_trial: false,
-            may_repeat_start: true,
+            may_repeat_start: is_on_trial,
             asked_at: None,
             unanswered: false,
             retry_at: Duration::ZERO,
@@ -422,7 +432,11 @@
         self.pending_orders.insert(run);
         self.placed_this_round += 1;
         self.allocate(run);
-        self.begin_trial(run);
+        if is_on_trial {
+            self.begin_trial(run);
+        } else {
+            self.record_trial(run);
+        }
     }
 }
 
--- a/crates/snipevane-core/src/jobs/placing/wait_reason.rs
+++ b/crates/snipevane-core/src/jobs/placing/wait_reason.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::candidates::Candidates;
 use crate::jobs::minions::minion::MinionKey;
 use crate::jobs::model::job::{JobKey, TaskRef};
 use crate::jobs::model::run::{Run, RunPhase};
@@ -143,7 +144,7 @@
             return WaitReason::NoPermit;
         }
         if self
-            .choose_minion(task_ref, at, step, &permitted, now)
+            .choose_minion(task_ref, at, step, Candidates::shared(&permitted), now)
             .is_none()
         {
             return WaitReason::NoRoom;
--- a/crates/snipevane-core/src/jobs/queueing/queue.rs
+++ b/crates/snipevane-core/src/jobs/queueing/queue.rs
@@ -3,7 +3,7 @@
 use crate::jobs::model::job::JobKey;
 
 /// Reference to a step of an occurrence of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(in crate::jobs) struct StepRef {
     /// Key of the job.
     pub(in crate::jobs) job: JobKey,
--- a/crates/snipevane-core/src/jobs/running/orders.rs
+++ b/crates/snipevane-core/src/jobs/running/orders.rs
@@ -373,6 +373,11 @@
     pub(in crate::jobs) fn record_begin(&mut self, key: RunKey, now: Duration) {
         if let Some(run) = self.runs.get_mut(key) {
             run.began_at.get_or_insert(now);
+            let task = run.task_ref;
+            let job = self.jobs.get_mut(run.job);
+            if let Some(task) = job.and_then(|job| job.task_mut(task)) {
+                task.trial_wanted_since = None;
+            }
         }
         self.take_back_lost_start(key);
     }
--- a/crates/snipevane-core/src/jobs/scheduler.rs
+++ b/crates/snipevane-core/src/jobs/scheduler.rs
@@ -1,6 +1,6 @@
 //! State and settings of the job scheduler, and its scheduling round.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -176,6 +176,8 @@
     pub(super) background_crashes: usize,
     /// Rate of the latter.
     pub(super) crash_rate: CrashRate,
+    /// Steps with suspects that wait for their trial.
+    pub(super) trial_waits: BTreeSet<StepRef>,
     /// Permits that the advisor has issued.
     pub(super) permits: Permits,
     /// Rate limiter for the teams' shares of jobs per second.
@@ -241,6 +243,7 @@
             unexplained_crashes: 0,
             background_crashes: 0,
             crash_rate: CrashRate::default(),
+            trial_waits: BTreeSet::new(),
             permits: Permits::default(),
             job_rates: JobRateLimiter::default(),
             durations: DurationEstimator::default(),
--- a/tests/tests/jobs_crash_evidence/main.rs
+++ b/tests/tests/jobs_crash_evidence/main.rs
@@ -5,5 +5,6 @@
 
 mod lost_starts;
 mod set_up;
+mod trial_waits;
 mod trials;
 mod verdicts;
