The log tells why a crash did or didn't count, and of starts after three

Callers who saw a task started again after three crashes couldn't tell why from the log: SV2063 names only crashes that counted, so of orders that a minion was lost with and that didn't count nothing was said.

SV2065, a line for each crash and suspect aboard: what the crash is recorded as for the task, for how long nothing had been known of the minion, the probability of a coincidence and the number of crashes that it comes from, whether the order was the only start, jobs with unanswered orders, other and likely causes. SV2068, a line for each start after three lost minions: the whole evidence, and how much of it earlier terms had recorded. What a crash is recorded as is decided in one place now, ending/crash_finding.rs.

The new test fails without the events: there are no such lines.

--- a/crates/snipevane-core/src/jobs/ending/crash_rate.rs
+++ b/crates/snipevane-core/src/jobs/ending/crash_rate.rs
@@ -24,6 +24,11 @@
         while self.times.pop_front_if(|at| *at + WINDOW < now).is_some() {}
     }
 
+    /// Returns the number of crashes of the last seconds.
+    pub(in crate::jobs) fn crashes(&self) -> usize {
+        self.times.len()
+    }
+
     /// Returns the probability that one of `minions` minions crashes within `time`, if `own` of the crashes have
     /// another cause.
     pub(in crate::jobs) fn chance(&self, time: Duration, minions: usize, own: usize) -> f64 {
--- a/crates/snipevane-core/src/jobs/ending/crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/crashes.rs
@@ -9,6 +9,7 @@
 use rustc_hash::FxHashSet;
 
 use super::crash_evidence::{Begin, CrashReport, Verdict};
+use super::crash_finding::CrashFinding;
 use super::task_crashes::TRIAL_PERIOD;
 use crate::jobs::event::{LossReason, SchedulerEvent};
 use crate::jobs::minions::hosted_minions::HostedMinions;
@@ -19,9 +20,6 @@
 use crate::jobs::scheduler::Scheduler;
 use crate::jobs::upkeep::vm::{Cordon, Vm};
 
-/// Number of jobs above which those whose starts weren't answered are each an unlikely cause of a crash.
-const MAX_UNANSWERED_JOBS: usize = 4;
-
 /// Time after the first start order that a minion hasn't answered within which it was most likely lost. Later orders
 /// went to a minion that was gone.
 const MAX_TIME_TO_CRASH: Duration = Duration::from_millis(300);
@@ -142,31 +140,27 @@
         let Some(crash) = self.crash_of(key) else {
             return;
         };
-        for &run in ended {
-            let Some(run) = self.runs.get(run).filter(|run| self.may_have_begun(run)) else {
+        for &key in ended {
+            let Some(run) = self.runs.get(key) else {
                 continue;
             };
-            if self.may_be_lost_with(run) && run.last_start_at > crash.starts_until {
-                continue;
+            let finding = self.finding_of(run, &crash);
+            match finding {
+                CrashFinding::NotSent | CrashFinding::SentLate => {}
+                CrashFinding::PassedOver => self.pass_over(run.clone(), &crash),
+                CrashFinding::UnderRun | CrashFinding::LostStart | CrashFinding::Unconfirmed => {
+                    let (job, task) = (run.job, run.task_ref);
+                    let report = CrashReport {
+                        attempt: run.attempt,
+                        attributed: crash.cause.is_some() && run.began_at.is_some(),
+                        begin: self.begin_of(run, &crash),
+                        unexplained: self.unexplained_crashes,
+                        is_unexplained: !crash.has_likely_cause,
+                    };
+                    self.record_task_crash(job, task, &report);
+                }
             }
-            let cause = crash.lost_with.or(crash.cause);
-            let is_possible_cause = cause.is_none_or(|cause| cause == run.job);
-            let is_latest = self.is_fresh(run) || !crash.had_fresh_runs;
-            let begin = self.begin_of(run, &crash);
-            let is_one_of_many = begin == Begin::Unknown && crash.is_crowded;
-            if !is_possible_cause || !is_latest || is_one_of_many {
-                self.pass_over(run.clone(), &crash);
-                continue;
-            }
-            let (job, task) = (run.job, run.task_ref);
-            let report = CrashReport {
-                attempt: run.attempt,
-                attributed: crash.cause.is_some() && run.began_at.is_some(),
-                begin,
-                unexplained: self.unexplained_crashes,
-                is_unexplained: !crash.has_likely_cause,
-            };
-            self.record_task_crash(job, task, &report);
+            self.report_finding(key, &crash, finding);
         }
     }
 
@@ -255,9 +249,10 @@
         let unanswered: FxHashSet<JobKey> = unanswered.map(|run| run.job).collect();
         Crash {
             cause,
+            latest_job,
             lost_with,
             starts_until,
-            is_crowded: unanswered.len() > MAX_UNANSWERED_JOBS,
+            unanswered_jobs: unanswered.len(),
             had_fresh_runs: !fresh.is_empty(),
             has_likely_cause,
         }
@@ -265,7 +260,7 @@
 
     /// Returns whether a run's minion may have begun it before its crash: it has confirmed the start or a stop,
     /// was heard of after the order was sent, or may have received the order and was lost with it.
-    fn may_have_begun(&self, run: &Run) -> bool {
+    pub(super) fn may_have_begun(&self, run: &Run) -> bool {
         let minion = self.minions.get(run.minion);
         let last_contact = minion.and_then(|minion| minion.last_contact);
         let is_answered = matches!(run.phase, RunPhase::Running | RunPhase::StopConfirmed);
@@ -275,7 +270,7 @@
 
     /// Returns whether a run's minion may have been lost with its start order: it hasn't answered the order, and
     /// hasn't been heard of since.
-    fn may_be_lost_with(&self, run: &Run) -> bool {
+    pub(super) fn may_be_lost_with(&self, run: &Run) -> bool {
         let minion = self.minions.get(run.minion);
         let alive_at = minion.and_then(|minion| minion.alive_at);
         let is_unanswered = matches!(run.phase, RunPhase::Starting | RunPhase::Stopping);
@@ -284,7 +279,7 @@
     }
 
     /// Returns what is known of the begin of a run whose minion has crashed.
-    fn begin_of(&self, run: &Run, crash: &Crash) -> Begin {
+    pub(super) fn begin_of(&self, run: &Run, crash: &Crash) -> Begin {
         if let Some(work) = self.time_at_work(run) {
             return Begin::Confirmed(work);
         }
--- a/crates/snipevane-core/src/jobs/ending/mod.rs
+++ b/crates/snipevane-core/src/jobs/ending/mod.rs
@@ -2,6 +2,7 @@
 
 pub(super) mod changes;
 pub(super) mod crash_evidence;
+pub(super) mod crash_finding;
 pub(super) mod crash_rate;
 pub(super) mod crashes;
 pub(super) mod dirty_jobs;
--- a/crates/snipevane-core/src/jobs/ending/task_crashes.rs
+++ b/crates/snipevane-core/src/jobs/ending/task_crashes.rs
@@ -45,6 +45,8 @@
     on_trial: Option<Trial>,
     /// Earlier runs on trial on minions that were silent after a takeover, the latest ones.
     undecided: Vec<Trial>,
+    /// Number of minions that were lost with the task in earlier terms, as far as they had recorded it.
+    lost_in_earlier_terms: usize,
 }
 
 impl TaskCrashes {
@@ -77,6 +79,7 @@
         self.unexplained = UnexplainedCrashes::restore(stored.unexplained as usize);
         self.on_trial.clone_from(&stored.on_trial);
         self.undecided.clone_from(&stored.undecided);
+        self.lost_in_earlier_terms = self.lost_minions();
     }
 
     /// Adds the record to its stored form, in which the position of the task is set.
@@ -133,6 +136,16 @@
         self.len() + self.unconfirmed.len() + self.lost_starts.len()
     }
 
+    /// Returns the number of minions that were lost with the task, whatever that says of it.
+    pub(in crate::jobs) fn lost_minions(&self) -> usize {
+        self.count() + self.passed_over.len() + self.undecided.len()
+    }
+
+    /// Returns how many of these earlier terms had recorded.
+    pub(in crate::jobs) fn lost_in_earlier_terms(&self) -> usize {
+        self.lost_in_earlier_terms
+    }
+
     /// Returns the number of crashes that are attributed to the task's job.
     pub fn attributed(&self) -> u32 {
         self.attributed
--- a/crates/snipevane-core/src/jobs/ending/unanswered_starts.rs
+++ b/crates/snipevane-core/src/jobs/ending/unanswered_starts.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use super::crash_finding::StartDoubt;
 use super::task_crashes::TaskCrashes;
 use crate::jobs::minions::minion::MinionKey;
 use crate::jobs::model::run::{Run, RunKey, RunPhase};
@@ -23,9 +24,12 @@
         let Some(run) = self.runs.get(key) else {
             return;
         };
-        let (on_trial, unanswered) = (run.on_trial, self.judge_unanswered_start(run, now));
+        let doubt = self.doubt_of(run, now);
+        let is_telling = |doubt| self.is_telling(run, doubt);
+        let (on_trial, unanswered) = (run.on_trial, doubt.as_ref().is_some_and(is_telling));
         if let Some(run) = self.runs.get_mut(key) {
             run.unanswered = unanswered;
+            run.doubt = doubt;
         }
         if on_trial {
             self.update_trial(key);
@@ -58,20 +62,27 @@
         trial.is_some_and(|trial| trial.attempt == run.attempt)
     }
 
-    /// Returns whether the loss of a run's minion would speak against its task, as the minion had been heard of right
-    /// before its start order, which wasn't answered until now, and a crash of another cause hardly met that moment.
-    fn judge_unanswered_start(&self, run: &Run, now: Duration) -> bool {
-        let minion = self.minions.get(run.minion);
-        let alive_at = minion.and_then(|minion| minion.alive_at);
-        let (Some(alive_at), Some(sent_at)) = (alive_at, run.last_start_at) else {
-            return false;
-        };
-        if run.began_at.is_some() || run.phase != RunPhase::Starting || alive_at > sent_at {
-            return false;
+    /// Returns what is known of a run's start order that wasn't answered until now and that its minion hasn't outlived;
+    /// `None` if there is none.
+    fn doubt_of(&self, run: &Run, now: Duration) -> Option<StartDoubt> {
+        let alive_at = self.minions.get(run.minion)?.alive_at?;
+        if run.began_at.is_some() || run.phase != RunPhase::Starting {
+            return None;
         }
-        let unknown_for = now.saturating_sub(alive_at);
-        let is_watched = run.on_trial || unknown_for <= MAX_TIME_AT_ONCE;
-        is_watched && self.chance_of_crash(run, unknown_for) <= MAX_CHANCE
+        let silent_for = now.saturating_sub(alive_at);
+        let doubt = StartDoubt {
+            silent_for,
+            chance: self.chance_of_crash(run, silent_for),
+            crashes: self.crash_rate.crashes(),
+        };
+        (alive_at <= run.last_start_at?).then_some(doubt)
+    }
+
+    /// Returns whether the loss of a run's minion would speak against its task, as the minion had been heard of right
+    /// before its start order, and a crash of another cause hardly met that moment.
+    fn is_telling(&self, run: &Run, doubt: &StartDoubt) -> bool {
+        let is_watched = run.on_trial || doubt.silent_for <= MAX_TIME_AT_ONCE;
+        is_watched && doubt.chance <= MAX_CHANCE
     }
 
     /// Records what the restart of a minion says of the start orders that it hasn't answered, and that were sent
--- a/crates/snipevane-core/src/jobs/event.rs
+++ b/crates/snipevane-core/src/jobs/event.rs
@@ -4,6 +4,8 @@
 
 use smol_str::SmolStr;
 
+use super::ending::crash_evidence::CrashEvidence;
+use super::ending::crash_finding::{CrashFinding, FindingInputs};
 use super::model::id::{JobId, StepId, TaskId};
 use super::model::run::Refusal;
 use super::placing::wait_reason::WaitReason;
@@ -270,6 +272,34 @@
         /// Whether the task's job is the most likely cause.
         attributed: bool,
     },
+    /// A minion has crashed with a task aboard that is a suspect.
+    CrashWeighed {
+        /// The task.
+        task: TaskId,
+        /// Attempt that ended with the minion.
+        attempt: u32,
+        /// Identifier of the minion.
+        minion: SmolStr,
+        /// What the crash is recorded as.
+        finding: CrashFinding,
+        /// Why.
+        inputs: FindingInputs,
+    },
+    /// A task with which three minions or more were lost is placed again.
+    PlacedAfterCrashes {
+        /// The task.
+        task: TaskId,
+        /// Attempt that is placed.
+        attempt: u32,
+        /// Identifier of the minion.
+        minion: SmolStr,
+        /// What speaks for and against the task.
+        evidence: CrashEvidence,
+        /// Number of attempts whose outcome isn't known, as their minions are silent.
+        undecided: usize,
+        /// Number of pieces of the evidence that earlier terms have recorded.
+        of_earlier_terms: usize,
+    },
     /// Two images are kept apart from now on, or no longer.
     PairSeparation {
         /// Image of the latency-sensitive tasks.
--- a/crates/snipevane-core/src/jobs/minions/minion.rs
+++ b/crates/snipevane-core/src/jobs/minions/minion.rs
@@ -30,6 +30,9 @@
 /// Time for which a minion is doubtful after it has left an order unanswered.
 const DOUBT_PERIOD: Duration = Duration::from_secs(3);
 
+/// Number of jobs above which those whose starts weren't answered are each an unlikely cause of a crash.
+const MAX_UNANSWERED_JOBS: usize = 4;
+
 /// A minion's entry in the list of minions, as the minion publishes it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MinionEntry {
@@ -80,19 +83,28 @@
 pub(in crate::jobs) struct Crash {
     /// Job that is the most likely cause, if there is one.
     pub(in crate::jobs) cause: Option<JobKey>,
-    /// Only job whose start the minion isn't known to have outlived, if that wasn't answered though the minion had
+    /// Only job whose start the minion isn't known to have outlived, if there is one.
+    pub(in crate::jobs) latest_job: Option<JobKey>,
+    /// The same, if that wasn't answered though the minion had
     /// been heard of right before.
     pub(in crate::jobs) lost_with: Option<JobKey>,
     /// Time from which on start orders went to a minion that was gone already; `None` if all were answered.
     pub(in crate::jobs) starts_until: Option<Duration>,
-    /// Whether many jobs had starts without an answer there, so that each of them is an unlikely cause.
-    pub(in crate::jobs) is_crowded: bool,
+    /// Number of jobs with starts without an answer there.
+    pub(in crate::jobs) unanswered_jobs: usize,
     /// Whether the minion had runs whose start it isn't known to have outlived.
     pub(in crate::jobs) had_fresh_runs: bool,
     /// Whether the minion ran a task that had likely crashed others before.
     pub(in crate::jobs) has_likely_cause: bool,
 }
 
+impl Crash {
+    /// Returns whether so many jobs had starts without an answer there that each of them is an unlikely cause.
+    pub(in crate::jobs) fn is_crowded(&self) -> bool {
+        self.unanswered_jobs > MAX_UNANSWERED_JOBS
+    }
+}
+
 /// A minion, its runs, and the state of the calls to it.
 #[derive(Clone, Debug)]
 pub struct Minion {
--- a/crates/snipevane-core/src/jobs/mod.rs
+++ b/crates/snipevane-core/src/jobs/mod.rs
@@ -26,6 +26,7 @@
 pub use admission::snapshot::AdmissionSnapshot;
 pub use ending::changes::{Changes, JobChange, ReceivedEnds};
 pub use ending::crash_evidence::{CrashEvidence, Verdict};
+pub use ending::crash_finding::{CrashFinding, FindingInputs, StartDoubt};
 pub use ending::task_crashes::TaskCrashes;
 pub use ending::trial::Trial;
 pub use event::{LossReason, RepeatedOrder, SchedulerEvent, StopReason};
--- a/crates/snipevane-core/src/jobs/model/run.rs
+++ b/crates/snipevane-core/src/jobs/model/run.rs
@@ -10,6 +10,7 @@
 
 use super::id::TaskId;
 use super::job::{JobKey, TaskRef};
+use crate::jobs::ending::crash_finding::StartDoubt;
 use crate::jobs::event::StopReason;
 use crate::jobs::minions::minion::MinionKey;
 use crate::jobs::queueing::queue::StepRef;
@@ -75,6 +76,8 @@
     /// Whether its last start order wasn't answered, though the minion had been heard of right before, and the minion
     /// hasn't been heard of since.
     pub unanswered: bool,
+    /// What was known as its start order without an answer was last judged.
+    pub doubt: Option<StartDoubt>,
     /// Time before which no order for the run is sent again.
     pub retry_at: Duration,
     /// Number of times that the start order got no reply until its timeout.
--- a/crates/snipevane-core/src/jobs/placing/tasks.rs
+++ b/crates/snipevane-core/src/jobs/placing/tasks.rs
@@ -20,6 +20,9 @@
 use crate::jobs::running::transmissions::Transmissions;
 use crate::jobs::scheduler::Scheduler;
 
+/// Number of minions that were lost with a task from which on each of its starts is reported.
+const REPORTED_LOSSES: usize = 3;
+
 impl Scheduler {
     /// Places the waiting tasks of all pools in the order of their rank, suspects that have waited for long first, and
     /// then speculative runs, as far as the congestion window allows further start orders.
@@ -377,6 +380,7 @@
         now: Duration,
     ) {
         let permit = self.permit(step_ref, minion, now).unwrap_or_default();
+        let minion_id = self.minion_id(minion);
         let Some(job) = self.jobs.get_mut(step_ref.job) else {
             return;
         };
@@ -391,6 +395,16 @@
         };
         let is_on_trial = !starts_beside_others(task_state, now);
         let attempt = gang_attempt.unwrap_or(task_state.last_attempt + 1);
+        if task_state.crashes.lost_minions() >= REPORTED_LOSSES {
+            self.events.push(SchedulerEvent::PlacedAfterCrashes {
+                task: id,
+                attempt,
+                minion: minion_id,
+                evidence: task_state.crashes.evidence(),
+                undecided: task_state.crashes.undecided().len(),
+                of_earlier_terms: task_state.crashes.lost_in_earlier_terms(),
+            });
+        }
         task_state.last_attempt = task_state.last_attempt.max(attempt);
         let run = self.runs.insert(Run {
             job: step_ref.job,
@@ -411,6 +425,7 @@
             may_repeat_start: is_on_trial,
             asked_at: None,
             unanswered: false,
+            doubt: None,
             retry_at: Duration::ZERO,
             unanswered_starts: 0,
             transmissions: Transmissions::default(),
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -371,6 +371,7 @@
             may_repeat_start: true,
             asked_at: None,
             unanswered: false,
+            doubt: None,
             retry_at: Duration::ZERO,
             unanswered_starts: 0,
             transmissions: Transmissions::default(),
--- a/crates/snipevane-fleet/src/events.rs
+++ b/crates/snipevane-fleet/src/events.rs
@@ -55,8 +55,10 @@
     MINION_CRASHED = 2062 Warn "minion has crashed" ["minion", "runs", "cause", "fence"];
     CRASH_BLAMED = 2063 Info "crash counted against a task" ["task", "attempt", "at_work_ms", "crashes", "lost_starts", "unexplained", "attributed", "fence"];
     TASK_SUSPENDED = 2064 Warn "long-running task not started for a while, as it crashes minions" ["task", "crashes", "lost_starts", "unexplained", "pause_ms", "fence"];
+    CRASH_WEIGHED = 2065 Info "crash of a minion with a suspect aboard" ["task", "attempt", "minion", "finding", "silent_ms", "chance", "recent_crashes", "only_start", "unanswered_jobs", "likely_cause", "other_cause", "fence"];
     PAIR_KEPT_APART = 2066 Info "best-effort image kept apart from a latency-sensitive one" ["latency_sensitive", "best_effort", "added_ms", "target_ms", "confidence", "changes", "fence"];
     PAIR_RELEASED = 2067 Info "best-effort image no longer kept apart from a latency-sensitive one" ["latency_sensitive", "best_effort", "added_ms", "target_ms", "confidence", "changes", "fence"];
+    PLACED_AFTER_CRASHES = 2068 Info "task placed again after three lost minions" ["task", "attempt", "minion", "crashes", "lost_starts", "unconfirmed", "passed_over", "undecided", "attributed", "unexplained", "of_earlier_terms", "fence"];
     WAVE_LOADED = 2070 Info "maintenance wave loaded" ["wave", "vms"];
     VM_ORDER_OUTCOME = 2071 Info "outcome of an order to a VM" ["vm", "work", "reply", "fence"];
     ZONE_EVACUATED = 2072 Warn "nothing new starts in an evacuated availability zone" ["zone", "minions", "runs", "fence"];
--- a/crates/snipevane-fleet/src/scheduling/notes.rs
+++ b/crates/snipevane-fleet/src/scheduling/notes.rs
@@ -225,6 +225,58 @@
                 &fence,
             ],
         ),
+        SchedulerEvent::CrashWeighed {
+            task,
+            attempt,
+            minion,
+            finding,
+            inputs,
+        } => {
+            let doubt = inputs.doubt;
+            let chance = doubt.map_or_else(|| "none".into(), |it| format!("{:.4}", it.chance));
+            let crashes = doubt.map_or_else(|| "none".into(), |it| it.crashes.to_string());
+            record(
+                &events::CRASH_WEIGHED,
+                &[
+                    task,
+                    attempt,
+                    minion,
+                    finding,
+                    &format_age(doubt.map(|it| it.silent_for)),
+                    &chance,
+                    &crashes,
+                    &inputs.is_only_start,
+                    &inputs.unanswered_jobs,
+                    &inputs.has_likely_cause,
+                    &inputs.has_other_cause,
+                    &fence,
+                ],
+            );
+        }
+        SchedulerEvent::PlacedAfterCrashes {
+            task,
+            attempt,
+            minion,
+            evidence,
+            undecided,
+            of_earlier_terms,
+        } => record(
+            &events::PLACED_AFTER_CRASHES,
+            &[
+                task,
+                attempt,
+                minion,
+                &evidence.crashes,
+                &evidence.lost_starts,
+                &evidence.unconfirmed,
+                &evidence.passed_over,
+                undecided,
+                &evidence.attributed,
+                &evidence.unexplained,
+                of_earlier_terms,
+                &fence,
+            ],
+        ),
         SchedulerEvent::PairSeparation {
             latency_sensitive,
             best_effort,
--- a/tests/tests/jobs_crash_evidence/main.rs
+++ b/tests/tests/jobs_crash_evidence/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::expect_used, reason = "a failed step of a test ends it")]
 
+mod findings;
 mod lost_starts;
 mod set_up;
 mod trial_waits;
