--- a/tests/tests/jobs_crash_evidence/main.rs
+++ b/tests/tests/jobs_crash_evidence/main.rs
@@ -6,6 +6,7 @@
 mod findings;
 mod lost_starts;
 mod set_up;
+mod takeovers;
 mod trial_waits;
 mod trials;
 mod verdicts;
