--- a/crates/snipevane-core/src/jobs/ending/trials.rs
+++ b/crates/snipevane-core/src/jobs/ending/trials.rs
@@ -21,7 +21,7 @@
 use crate::jobs::scheduler::Scheduler;
 
 /// Time for which the outcome of a start order may stay unknown to this term, for one that isn't on trial.
-pub(super) const RECORDED_TIME: Duration = Duration::from_secs(1);
+const RECORDED_TIME: Duration = Duration::from_secs(1);
 
 impl Scheduler {
     /// Returns whether a run keeps the runs of other jobs from its minion: it is on trial, and its minion hasn't outlived
@@ -162,7 +162,7 @@
     }
 
     /// Returns whether an attempt of a task that no minion lists after a takeover may count as a crash.
-    pub(super) fn counts_vanished_attempts(&self, job: JobKey, task: TaskRef) -> bool {
+    fn counts_vanished_attempts(&self, job: JobKey, task: TaskRef) -> bool {
         let task = self.jobs.get(job).and_then(|job| job.task(task));
         task.is_some_and(|task| task.crashes.counts_vanished_attempts())
     }
--- a/crates/snipevane-core/src/jobs/ending/unanswered_starts.rs
+++ b/crates/snipevane-core/src/jobs/ending/unanswered_starts.rs
@@ -7,7 +7,6 @@
 
 use super::crash_finding::StartDoubt;
 use super::task_crashes::TaskCrashes;
-use super::trials::RECORDED_TIME;
 use crate::jobs::minions::minion::MinionKey;
 use crate::jobs::model::run::{Run, RunKey, RunPhase};
 use crate::jobs::scheduler::Scheduler;
@@ -39,31 +38,22 @@
         }
     }
 
-    /// Records the runs that the loss of a minion that doesn't answer its holds may speak against: those whose start
-    /// orders it hasn't answered, and the latest that have begun. A later term knows of no others.
-    pub(in crate::jobs) fn watch_runs_on_silent_minion(&mut self, key: MinionKey) {
-        let has_fresh_runs = self.runs_on(key).any(|run| self.is_fresh(run));
-        let watched = self.run_keys_on(key).filter(|&run| {
+    /// Records the start orders that a minion hasn't answered which doesn't answer its holds either.
+    pub(in crate::jobs) fn watch_starts_on_silent_minion(&mut self, key: MinionKey) {
+        let runs = self.run_keys_on(key);
+        let unanswered = runs.filter(|&run| {
             let run = self.runs.get(run);
             run.is_some_and(|run| {
                 let is_unanswered = run.unanswered_starts > 0 && run.began_at.is_none();
-                let is_latest = self.is_fresh(run) || !has_fresh_runs;
-                let may_count = run.began_at.is_some() && is_latest && self.loss_tells(run);
-                (is_unanswered || may_count) && !self.has_recorded_trial(run)
+                is_unanswered && !self.has_recorded_trial(run)
             })
         });
-        let watched: Vec<RunKey> = watched.collect();
-        for run in watched {
+        let unanswered: Vec<RunKey> = unanswered.collect();
+        for run in unanswered {
             self.record_trial(run);
         }
     }
 
-    /// Returns whether a crash of a run's minion is evidence: the run's task is short, and few minions crash.
-    fn loss_tells(&self, run: &Run) -> bool {
-        let is_short = self.counts_vanished_attempts(run.job, run.task_ref);
-        is_short && self.chance_of_crash(run, RECORDED_TIME) <= MAX_CHANCE
-    }
-
     /// Returns whether a later term is to know the outcome of a run.
     fn has_recorded_trial(&self, run: &Run) -> bool {
         let job = self.jobs.get(run.job);
--- a/crates/snipevane-core/src/jobs/running/holds.rs
+++ b/crates/snipevane-core/src/jobs/running/holds.rs
@@ -10,9 +10,6 @@
 use crate::jobs::minions::minion::{Minion, MinionKey};
 use crate::jobs::scheduler::{Scheduler, SchedulerSettings};
 
-/// Number of transmissions of a hold without an answer at which a later term is to know what runs on the minion.
-const SILENT_TRANSMISSIONS: u32 = 3;
-
 impl Scheduler {
     /// Sends holds to minions that have runs, known or not, or ends to acknowledge, or whose last run list is
     /// missing, in doubt or too old.
@@ -95,9 +92,6 @@
         };
         self.actions.push(Action::Hold(order));
         self.report_repeat(key, RepeatedOrder::Hold, &transmissions);
-        if transmissions.count() == SILENT_TRANSMISSIONS {
-            self.watch_runs_on_silent_minion(key);
-        }
     }
 
     /// Sends a hold to a minion.
--- a/crates/snipevane-core/src/jobs/running/reports.rs
+++ b/crates/snipevane-core/src/jobs/running/reports.rs
@@ -64,7 +64,7 @@
                 self.set_reachable(key, false, now);
                 self.mark_suspect(key);
                 self.back_off_hold(key, now);
-                self.watch_runs_on_silent_minion(key);
+                self.watch_starts_on_silent_minion(key);
             }
         }
         self.remove_if_unlisted(key);
