--- a/review/standin3/site3.py
+++ b/review/standin3/site3.py
@@ -366,8 +366,9 @@
         self.beat_task = None
         self.connections = set()
 
-    async def begin(self, keep_id=False):
-        """Starts a life of the minion; with a new id unless it keeps the one that it had."""
+    async def begin(self, keep_id=False, first_beat_s=0.0):
+        """Starts a life of the minion; with a new id unless it keeps the one that it had. Its first entry is in the
+        store after `first_beat_s`."""
         self.life += 1
         if not keep_id or self.id is None:
             self.id = f"i-{self.number:02d}-{self.life}-{random.randrange(16**6):06x}"
@@ -379,7 +380,7 @@
         if self.server is None:
             self.server = await serve(self.ip, MINION, self.handle, self.connections)
         loop = asyncio.get_running_loop()
-        self.beat_task = loop.create_task(self.beat(self.life))
+        self.beat_task = loop.create_task(self.beat(self.life, first_beat_s))
         loop.create_task(self.tick(self.life))
 
     def clock(self):
@@ -393,7 +394,8 @@
             freeCapacity=dict(cpu=self.cpu, memMb=self.mem, gpu=0), labels=["a", self.rack],
         )
 
-    async def beat(self, life):
+    async def beat(self, life, first_beat_s):
+        await asyncio.sleep(first_beat_s)
         while self.up and self.life == life:
             await self.store.put("servers", self.id, self.entry())
             await asyncio.sleep(1.5)
