--- a/review/standin3/site3.py
+++ b/review/standin3/site3.py
@@ -811,19 +811,30 @@
 
 
 def play(case, folder):
-    """Runs a case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+    """Runs a case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+
+    The record goes to the file that the command line names, `record.txt` if it names none, also if the case is ended by
+    SIGTERM or SIGINT. All processes that it started are ended.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    record_path = os.path.join(folder, sys.argv[1] if len(sys.argv) > 1 else "record.txt")
 
     async def run():
         site = await case.site()
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             try:
                 await site.start()
                 verdict = await asyncio.wait_for(case.run(site, trouble), 100)
             finally:
                 site.close()
-                site.record.write(os.path.join(folder, "record.txt"))
+                site.record.write(record_path)
             return verdict
+        except asyncio.CancelledError:
+            print("ended by a signal", file=sys.stderr)
+            return 2
         except Exception as error:  # noqa: BLE001
             print(f"couldn't run: {error!r}", file=sys.stderr)
             return 2
